Lay out the workspace: packages, tools, and the interfaces between them

Ruled out: one package with folders (nothing would keep its rooms apart); pytest (the users ask for unittest). No product code yet; no test has been run.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+PYTHON ?= python3
+VENV ?= .venv
+BIN = $(VENV)/bin
+PACKAGES = $(wildcard packages/*)
+
+.PHONY: install test codestyle format demo
+
+install: $(VENV)/installed
+
+$(VENV)/installed: requirements.lock $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check -r requirements.lock
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check --no-deps \
+		--no-build-isolation $(foreach package,$(PACKAGES),-e ./$(package))
+	touch $@
+
+codestyle: install
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/python tools/check_imports.py
+
+format: install
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+test: install codestyle
+	$(BIN)/python tools/run_tests.py
+
+demo: install
+	$(BIN)/python -m trestlestall.standins.demo
--- /dev/null
+++ b/packages/agreement/src/trestlestall/agreement/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated log among the voters: election, replication, change of voters; pure."""
--- /dev/null
+++ b/packages/claims/src/trestlestall/claims/__init__.py
@@ -0,0 +1,1 @@
+"""At-most-once claims as a replicated state machine; pure."""
--- /dev/null
+++ b/packages/client/src/trestlestall/client/__init__.py
@@ -0,0 +1,1 @@
+"""The trestlestall binary: the operator's client."""
--- /dev/null
+++ b/packages/configuration/src/trestlestall/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Typed configuration, its commands and how they apply; pure."""
--- /dev/null
+++ b/packages/daemon/src/trestlestall/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The trestlestalld binary: router and control processes."""
--- /dev/null
+++ b/packages/language/src/trestlestall/language/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' query and command language; pure."""
--- /dev/null
+++ b/packages/membership/src/trestlestall/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Upstreams and routers of a data centre: announcements, leases, leaving; pure."""
--- /dev/null
+++ b/packages/placement/src/trestlestall/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Which engine holds which model, and fenced orders; pure."""
--- /dev/null
+++ b/packages/policy/src/trestlestall/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Admission, queues, tiers, fairness, choice of upstream, retries; pure."""
--- /dev/null
+++ b/packages/standins/src/trestlestall/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in engine, plain service, weight store, and the load tool; not shipped."""
--- /dev/null
+++ b/packages/storage/src/trestlestall/storage/__init__.py
@@ -0,0 +1,1 @@
+"""The data folder: log file, snapshots, vote; durable once synced."""
--- /dev/null
+++ b/packages/wire/src/trestlestall/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Typed peer messages in CBOR over websocket links."""
