Widen the policy: admission, tiers, floors, fairness, choice, retries

Cause: the thin version had no admission, floors, fairness or retries. Change: small modules composed by router_policy. Admission reads sums of the request's own and more urgent tiers only; floors act at dispatch by credit; start-time fair queueing by tokens; reports corrected by own work; two choices; stragglers by token gaps; budgeted retries, resumes and hedges; pressure signal.

--- /dev/null
+++ b/packages/policy/src/trestlestall/policy/admission.py
@@ -0,0 +1,121 @@
+"""Admit a request, or refuse it at once and finally.
+
+The decision on tier t reads the request's own estimate and a ``Queueing`` of tiers <=
+t. It reads no report of an upstream, since a report counts all tiers alike, and nothing
+of less urgent tiers, their floors included. So no change of less urgent work can change
+it.
+"""
+
+import dataclasses
+
+from trestlestall.policy import (
+    arrivals,
+    backlogs,
+    estimates,
+    floors,
+    settings as defaults,
+)
+
+NO_UPSTREAM = "no_upstream"
+OVERLOADED = "overloaded"
+UNREACHABLE = "target_unreachable"
+QUEUE_FULL = "queue_full"
+LEAST_SLOTS_SHARE = 0.05
+BURST_LEAST = 5.0
+BURST_MOST = 60.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Wait:
+    """Expected seconds before the request is sent, in tier order and by its floor.
+
+    ``rate`` is the target's tokens per second for the request's and more urgent tiers.
+    """
+
+    in_order: float
+    by_floor: float | None
+    rate: float
+
+    @property
+    def shortest(self) -> float:
+        """The sooner of the two."""
+        if self.by_floor is None:
+            return self.in_order
+        return min(self.in_order, self.by_floor)
+
+
+def find_slots(
+    backlog: backlogs.Backlog, tier: int, slots: float, routers: int, reserve: float
+) -> float:
+    """Return how many slots the tier and the more urgent ones can count on.
+
+    What they hold now is the evidence under load. The router's even part of the slots
+    is the least, so that less urgent work that sits in the slots for a moment does not
+    make the estimate worse.
+    """
+    even = slots / max(1, routers) * (1 - reserve)
+    return max(1.0, even, backlog.in_flight.sum_to(tier))
+
+
+def find_wait(
+    request: arrivals.Arrival,
+    estimate: estimates.Estimate,
+    backlog: backlogs.Backlog,
+    accounts: floors.Floors,
+    slots: float,
+    gap: float,
+    pressure_seconds: float | None,
+    now: float,
+) -> Wait:
+    """Estimate the wait of a request that arrives now.
+
+    ``pressure_seconds`` tells for how long a more urgent tier has been under pressure
+    at any router, ``None`` when none is. A burst is taken to last as long again.
+    """
+    tier = request.tier
+    left = slots - backlog.find_offered(tier, now)
+    left = max(left, slots * LEAST_SLOTS_SHARE)
+    ahead = find_work_ahead(request, estimate, backlog)
+    busy = backlog.waiting.sum_to(tier) > 0
+    in_order = (ahead + estimate.service / 2) / left if busy else 0.0
+    if pressure_seconds is not None:
+        in_order += min(BURST_MOST, max(BURST_LEAST, pressure_seconds))
+    rate = slots / gap
+    by_floor = accounts.find_wait(request.request_class, rate)
+    return Wait(in_order, by_floor, rate)
+
+
+def find_work_ahead(
+    request: arrivals.Arrival, estimate: estimates.Estimate, backlog: backlogs.Backlog
+) -> float:
+    """Return the slot-seconds that are sent before the request.
+
+    All of the more urgent tiers; of its own tier what fair queueing puts before it: a
+    workspace with little waiting does not stand behind all of a large one's.
+    """
+    tier = request.tier
+    tier_work = backlog.waiting_work.sum_to(tier) - backlog.waiting_work.sum_above(tier)
+    own = backlog.find_line_work(tier, request.workspace) + estimate.service
+    others = backlog.find_weight(tier, request.workspace)
+    fair = own * (1 + others / request.weight)
+    return backlog.waiting_work.sum_above(tier) + min(tier_work, fair)
+
+
+def decide(
+    request: arrivals.Arrival,
+    estimate: estimates.Estimate,
+    wait: Wait,
+    waiting: int,
+    settings: defaults.Settings,
+) -> str | None:
+    """Return the code of the refusal, or ``None`` to admit.
+
+    ``waiting`` counts the requests of the same tier that wait.
+    """
+    if not estimate.reachable:
+        return UNREACHABLE
+    if waiting >= settings.queue_limit:
+        return QUEUE_FULL
+    if wait.shortest > max(0.0, estimate.wait_admitted):
+        return OVERLOADED
+    return None
--- /dev/null
+++ b/packages/policy/src/trestlestall/policy/budgets.py
@@ -0,0 +1,24 @@
+"""A bucket that bounds retries and hedges to a share of the requests sent."""
+
+
+class Budget:
+    """A token bucket filled by first sends and emptied by repeated ones.
+
+    Example: with ``share`` 0.1, ten first sends allow one retry or hedge.
+    """
+
+    def __init__(self, share: float, most: float):
+        self._share = share
+        self._most = most
+        self._level = most / 2
+
+    def fill(self) -> None:
+        """Note a first send."""
+        self._level = min(self._most, self._level + self._share)
+
+    def take(self) -> bool:
+        """Take the right to one repeated send, if there is one."""
+        if self._level < 1:
+            return False
+        self._level -= 1
+        return True
--- /dev/null
+++ b/packages/policy/src/trestlestall/policy/fleet.py
@@ -0,0 +1,73 @@
+"""The upstreams in view, indexed by target, with what is in flight at each."""
+
+from trestlestall.policy import arrivals, loads, settings as defaults
+
+
+class Fleet:
+    """Loads by upstream and by target. An upstream that left has none."""
+
+    def __init__(self, settings: defaults.Settings):
+        self._settings = settings
+        self._seen: tuple | None = None
+        self._loads: dict[str, loads.Load] = {}
+        self._by_target: dict[str, list[loads.Load]] = {}
+        self.drained: frozenset[str] = frozenset()
+
+    def refresh(self, view: arrivals.View) -> set[str] | None:
+        """Take in a view; return the names of upstreams that are gone or restarted.
+
+        ``None`` means that the upstreams are those of the last view.
+        """
+        self.drained = view.drained
+        if view.upstreams is self._seen:
+            return None
+        self._seen = view.upstreams
+        before = self._loads
+        self._loads = {}
+        for upstream in view.upstreams:
+            self._loads[upstream.name] = self._renew(upstream, before)
+        self._index()
+        kept = {name for name, load in self._loads.items() if before.get(name) is load}
+        return set(before) - kept
+
+    def find(self, name: str, incarnation: int) -> loads.Load | None:
+        """Return the load of an upstream, if it is still the same incarnation."""
+        load = self._loads.get(name)
+        if load is None or load.upstream.incarnation != incarnation:
+            return None
+        return load
+
+    def list_loads(self, target: str) -> list[loads.Load]:
+        """Return the loads of the upstreams that serve a target, drained ones too."""
+        return self._by_target.get(target, [])
+
+    def list_open(self, target: str) -> list[loads.Load]:
+        """Return the loads of the upstreams that may get new work of a target."""
+        found = self.list_loads(target)
+        if not self.drained:
+            return found
+        return [load for load in found if load.upstream.name not in self.drained]
+
+    def list_targets(self) -> list[str]:
+        """Return every target that some upstream serves."""
+        return list(self._by_target)
+
+    def count_slots(self, target: str) -> float:
+        """Return the slots that serve a target; a shared upstream counts in part."""
+        return sum(
+            load.slots / max(1, len(load.upstream.models))
+            for load in self.list_open(target)
+        )
+
+    def _renew(self, upstream, before: dict[str, loads.Load]) -> loads.Load:
+        load = before.get(upstream.name)
+        if load is None or load.upstream.incarnation != upstream.incarnation:
+            return loads.Load(upstream, self._settings.report_lag)
+        load.refresh(upstream)
+        return load
+
+    def _index(self) -> None:
+        self._by_target = {}
+        for load in self._loads.values():
+            for target in arrivals.list_targets(load.upstream):
+                self._by_target.setdefault(target, []).append(load)
--- /dev/null
+++ b/packages/policy/src/trestlestall/policy/flights.py
@@ -0,0 +1,89 @@
+"""The requests that the policy holds, and their attempts."""
+
+import dataclasses
+import enum
+
+from trestlestall.policy import arrivals, estimates
+
+
+class Stage(enum.Enum):
+    """Where a request is on its way."""
+
+    WAITING = "waiting"
+    ASKING = "asking"
+    RUNNING = "running"
+    DONE = "done"
+
+
+@dataclasses.dataclass(eq=False, slots=True)
+class Attempt:
+    """One sending of a request to one upstream.
+
+    ``tokens`` counts answer tokens from the answer's first; a resumed attempt begins at
+    ``resumed_at``. ``floor`` says that it went by its class's floor. ``fixed`` says
+    that no upstream would displace it for more urgent work.
+    """
+
+    name: str
+    flight: "Flight"
+    upstream: str
+    incarnation: int
+    priority: int
+    sent_at: float
+    floor: bool = False
+    fixed: bool = False
+    tokens: int = 0
+    resumed_at: int = 0
+    first_at: float | None = None
+    sampled_at: float = 0.0
+    sampled_tokens: int = 0
+
+    @property
+    def started(self) -> bool:
+        """Whether the attempt has brought a token."""
+        return self.first_at is not None
+
+
+@dataclasses.dataclass(eq=False, slots=True)
+class Flight:
+    """One request from admission to its end.
+
+    ``answering`` is the attempt whose bytes go to the caller. ``may_have_run`` is set
+    once an attempt ended without proof that it did not run; from then on the request
+    can no longer fail as ``not_run``.
+    """
+
+    arrival: arrivals.Arrival
+    estimate: estimates.Estimate
+    stage: Stage = Stage.WAITING
+    attempts: list[Attempt] = dataclasses.field(default_factory=list)
+    answering: Attempt | None = None
+    claimed: bool = False
+    may_have_run: bool = False
+    sends: int = 0
+    avoided: set[str] = dataclasses.field(default_factory=set)
+    by_floor: bool = False
+    lent_before: float = 0.0
+    used_before: float = 0.0
+
+    @property
+    def name(self) -> str:
+        """The request's name."""
+        return self.arrival.request
+
+    @property
+    def tier(self) -> int:
+        """The request's tier."""
+        return self.arrival.request_class.tier
+
+    @property
+    def idempotent(self) -> bool:
+        """Whether the request may run more than once."""
+        return self.arrival.request_class.idempotent
+
+    @property
+    def delivered(self) -> int:
+        """Tokens that have reached the caller."""
+        if self.answering is None or not self.arrival.stream:
+            return 0
+        return self.answering.tokens
--- /dev/null
+++ b/packages/policy/src/trestlestall/policy/floors.py
@@ -0,0 +1,119 @@
+"""Floors: the share of a target's tokens that each class is due while it waits.
+
+A class earns credit as tokens are served to its own and more urgent tiers: its floor
+times those tokens. With credit and waiting work it goes next, whatever its tier. What
+is sent by the floor is charged whole, so that a request larger than the share puts the
+class in debt until the debt is earned back; so floors together never take more than
+their sum, and one request. Work sent in the ordinary order uses credit up, but makes no
+debt: a class that was served well before a burst does not start the burst in debt.
+
+A class that waits and got nothing for ``window`` seconds goes next once, even in debt.
+"""
+
+import dataclasses
+
+from trestlestall.policy import tiers
+
+
+@dataclasses.dataclass(slots=True)
+class Account:
+    """The credit of one class, in tokens."""
+
+    tier: int
+    floor: float
+    credit: float = 0.0
+    mark: float = 0.0
+    sent_at: float = 0.0
+    waiting: int = 0
+    waiting_tokens: float = 0.0
+
+
+class Floors:
+    """The accounts of the classes of one target."""
+
+    def __init__(self, served: tiers.PerTier, credit_most: float, window: float):
+        self._served = served
+        self._credit_most = credit_most
+        self._window = window
+        self._accounts: dict[str, Account] = {}
+
+    def note_waiting(self, request_class, tokens: float, now: float) -> None:
+        """Note that a request of the class begins to wait."""
+        account = self._find(request_class)
+        if not account.waiting:
+            account.sent_at = max(account.sent_at, now)
+        account.waiting += 1
+        account.waiting_tokens += tokens
+
+    def note_gone(self, request_class, tokens: float) -> None:
+        """Note that a request of the class waits no longer."""
+        account = self._find(request_class)
+        account.waiting -= 1
+        account.waiting_tokens = max(0.0, account.waiting_tokens - tokens)
+
+    def charge(self, request_class, tokens: float, by_floor: bool, now: float) -> None:
+        """Charge the class for a request that is sent."""
+        account = self._find(request_class)
+        account.sent_at = now
+        if by_floor:
+            account.credit -= tokens
+        else:
+            account.credit = min(account.credit, max(0.0, account.credit - tokens))
+
+    def correct(self, request_class, tokens: float) -> None:
+        """Charge the difference once the length of a floor's answer is known."""
+        self._find(request_class).credit -= tokens
+
+    def find_due(self, pressure: int, now: float) -> str | None:
+        """Return the class that goes next by its floor, the one longest unserved.
+
+        Only classes of tiers less urgent than ``pressure`` need it.
+        """
+        due = [
+            (account.sent_at, name)
+            for name, account in self._accounts.items()
+            if account.waiting
+            and account.tier > pressure
+            and self._is_due(account, now)
+        ]
+        return min(due)[1] if due else None
+
+    def find_wait(self, request_class, rate: float) -> float | None:
+        """Return the seconds until the floor would send one more request.
+
+        ``rate`` is tokens per second of the class's own and more urgent tiers.
+        """
+        account = self._find(request_class)
+        self._settle(account)
+        if account.floor <= 0 or rate <= 0:
+            return None
+        owed = account.waiting_tokens + max(0.0, -account.credit)
+        return owed / (account.floor * rate)
+
+    def find_tier(self, name: str) -> int:
+        """Return the tier of a class."""
+        return self._accounts[name].tier
+
+    def _find(self, request_class) -> Account:
+        account = self._accounts.get(request_class.name)
+        if account is None:
+            account = Account(request_class.tier, request_class.floor)
+            account.mark = self._served.sum_to(account.tier)
+            self._accounts[request_class.name] = account
+        if account.tier != request_class.tier:
+            account.tier = request_class.tier
+            account.mark = self._served.sum_to(account.tier)
+        account.floor = request_class.floor
+        return account
+
+    def _settle(self, account: Account) -> None:
+        served = self._served.sum_to(account.tier)
+        account.credit += account.floor * (served - account.mark)
+        account.mark = served
+        account.credit = min(account.credit, self._credit_most)
+
+    def _is_due(self, account: Account, now: float) -> bool:
+        if account.floor <= 0:
+            return False
+        self._settle(account)
+        return account.credit > 0 or now - account.sent_at >= self._window
--- /dev/null
+++ b/packages/policy/src/trestlestall/policy/lanes.py
@@ -0,0 +1,74 @@
+"""All that the policy keeps for one target: queue, backlog, floors, speeds, returns."""
+
+from trestlestall.policy import (
+    backlogs,
+    flights,
+    floors,
+    queues,
+    returns,
+    settings as defaults,
+    speeds,
+)
+
+NEVER_FULL = 1_000_000
+
+
+class Lane:
+    """One model or service at this router.
+
+    ``full_tier`` is the most urgent tier that found no upstream open since the last
+    change; arrivals of it and of less urgent tiers need not look again.
+    """
+
+    def __init__(self, target: str, seed: int, settings: defaults.Settings):
+        self.target = target
+        self.queue = queues.TargetQueue()
+        self.backlog = backlogs.Backlog()
+        self.floors = floors.Floors(
+            self.backlog.served, settings.floor_credit, settings.floor_window
+        )
+        self.speeds = speeds.Speeds(
+            settings.default_first_token, settings.default_token_gap
+        )
+        self.returns = returns.Schedule(seed, settings.retry_least, settings.retry_most)
+        self.full_tier = NEVER_FULL
+        self.peer_level: int | None = None
+        self.peer_since = 0.0
+
+    def note_peers(self, level: int | None, now: float) -> None:
+        """Take in the most urgent tier under pressure at the peer routers."""
+        if level != self.peer_level:
+            self.peer_level = level
+            self.peer_since = now
+            self.full_tier = NEVER_FULL
+
+    def enqueue(self, flight: flights.Flight, now: float, first: bool = False) -> None:
+        """Let a request wait."""
+        flight.stage = flights.Stage.WAITING
+        self.queue.push(flight, first)
+        self.backlog.add_waiting(flight, now)
+        request_class = flight.arrival.request_class
+        self.floors.note_waiting(request_class, flight.estimate.tokens, now)
+
+    def dequeue(self, flight: flights.Flight, stage: flights.Stage) -> None:
+        """Take a request out of the waiting ones."""
+        flight.stage = stage
+        self.backlog.remove_waiting(flight)
+        request_class = flight.arrival.request_class
+        self.floors.note_gone(request_class, flight.estimate.tokens)
+
+    def charge(self, flight: flights.Flight, now: float) -> None:
+        """Charge the workspace and the class for a request that is sent."""
+        tokens = flight.estimate.tokens
+        shares = self.queue.find_shares(flight.tier)
+        shares.advance(shares.find_tag(flight.arrival.workspace))
+        shares.charge(flight.arrival.workspace, tokens, flight.arrival.weight)
+        self.floors.charge(flight.arrival.request_class, tokens, flight.by_floor, now)
+
+    def settle(self, flight: flights.Flight, tokens: float) -> None:
+        """Charge the difference when the true cost in tokens is known."""
+        difference = tokens - flight.estimate.tokens
+        shares = self.queue.find_shares(flight.tier)
+        shares.charge(flight.arrival.workspace, difference, flight.arrival.weight)
+        if flight.by_floor:
+            self.floors.correct(flight.arrival.request_class, difference)
--- /dev/null
+++ b/packages/policy/src/trestlestall/policy/loads.py
@@ -0,0 +1,116 @@
+"""The load of one upstream: a lagging report, corrected by this router's own work.
+
+What this router has in flight is known exactly. The work of others is what the report
+counted beyond this router's own work at the time that the report describes.
+"""
+
+import collections
+
+from trestlestall.policy import tiers
+
+HISTORY_SECONDS = 2.0
+
+
+class Load:
+    """One incarnation of an upstream."""
+
+    def __init__(self, upstream, report_lag: float):
+        self.upstream = upstream
+        self.own = 0
+        self.others = 0
+        self.by_tier = tiers.PerTier()
+        self.unstarted = tiers.PerTier()
+        self.boosted = 0
+        self.busy_since = 0.0
+        self.avoid_until = float("-inf")
+        self._report_lag = report_lag
+        self._waiting_start = 0
+        self._history: collections.deque[tuple[float, int]] = collections.deque()
+        self._before_history = 0
+        self._report = None
+        self.refresh(upstream)
+
+    @property
+    def total(self) -> int:
+        """Requests in the upstream, running or waiting, as far as is known."""
+        return self.own + self.others
+
+    @property
+    def slots(self) -> int:
+        """How many requests the upstream runs at a time."""
+        return self.upstream.slots
+
+    @property
+    def started(self) -> int:
+        """Own attempts that have brought a token."""
+        return self.own - self._waiting_start
+
+    def refresh(self, upstream) -> None:
+        """Take in the upstream's newest report."""
+        self.upstream = upstream
+        report = upstream.report
+        if report == self._report:
+            return
+        self._report = report
+        own = self._find_own(report.received_at)
+        self.others = max(0, report.running + report.waiting - own)
+
+    def add(self, tier: int, boosted: bool, now: float) -> None:
+        """Note an attempt that is sent."""
+        self.by_tier.add(tier, 1)
+        self.unstarted.add(tier, 1)
+        self._waiting_start += 1
+        self.boosted += boosted
+        self._count(1, now)
+
+    def start(self, tier: int) -> None:
+        """Note an attempt's first token."""
+        self.unstarted.add(tier, -1)
+        self._waiting_start -= 1
+
+    def remove(self, tier: int, boosted: bool, started: bool, now: float) -> None:
+        """Note the end of an attempt."""
+        self.by_tier.add(tier, -1)
+        if not started:
+            self.start(tier)
+        self.boosted -= boosted
+        self._count(-1, now)
+
+    def has_free_slot(self, spare: int) -> bool:
+        """Whether a slot is free beyond ``spare`` ones."""
+        return self.total + spare < self.slots
+
+    def can_displace(self, tier: int, extra: int = 0) -> bool:
+        """Whether the engine would displace less urgent work for the tier.
+
+        At most a part of the slots may hold work of these tiers that has not started:
+        when other routers fill the engine with work as urgent, no tokens come, and this
+        router stops sending without having to know of them.
+        """
+        if not self.upstream.capabilities.priorities:
+            return False
+        own = self.by_tier.sum_to(tier) + extra
+        window = max(2, self.slots // 4)
+        if own >= self.slots or self.unstarted.sum_to(tier) + extra >= window:
+            return False
+        return self.total > own
+
+    def _count(self, change: int, now: float) -> None:
+        if not self.own:
+            self.busy_since = now
+        self.own += change
+        self._history.append((now, self.own))
+        while self._history and self._history[0][0] < now - HISTORY_SECONDS:
+            self._before_history = self._history.popleft()[1]
+
+    def _find_own(self, received_at: float) -> int:
+        """Return the most own work that the report may have counted."""
+        begin = received_at - self._report_lag
+        before = self._before_history
+        most = 0
+        for at, own in self._history:
+            if at <= begin:
+                before = own
+            elif at <= received_at:
+                most = max(most, own)
+        return max(before, most)
--- /dev/null
+++ b/packages/policy/src/trestlestall/policy/pressure.py
@@ -0,0 +1,70 @@
+"""Which tiers are under pressure here, and when to tell the other routers.
+
+A tier is under pressure at this router while its work has waited for longer than a
+grace time, and for a hold time after that or after a refusal for lack of capacity. The
+signal is one small number for each target: the most urgent tier under pressure.
+"""
+
+from collections import abc
+
+from trestlestall.policy import actions
+
+NO_PRESSURE = 1_000_000
+
+
+class Tracker:
+    """This router's own pressure by target."""
+
+    def __init__(self, hold: float, repeat: float):
+        self._hold = hold
+        self._repeat = repeat
+        self._noted: dict[str, dict[int, float]] = {}
+        self._began: dict[tuple[str, int], float] = {}
+        self._told: abc.Mapping[str, int] = {}
+        self._told_at = float("-inf")
+        self._changed = False
+
+    def note(self, target: str, tier: int, now: float) -> None:
+        """Note that work of the tier waits or was refused for lack of capacity."""
+        noted = self._noted.setdefault(target, {})
+        if noted.get(tier, float("-inf")) < now - self._hold:
+            self._began[target, tier] = now
+            self._changed = True
+        noted[tier] = now
+
+    def find(self, target: str, now: float) -> int:
+        """Return the most urgent tier under pressure, or ``NO_PRESSURE``."""
+        noted = self._noted.get(target)
+        if not noted:
+            return NO_PRESSURE
+        live = [tier for tier, at in noted.items() if at >= now - self._hold]
+        return min(live, default=NO_PRESSURE)
+
+    def find_duration(self, target: str, tier: int, now: float) -> float:
+        """Return for how many seconds a tier more urgent than this has had pressure."""
+        noted = self._noted.get(target, {})
+        return max(
+            (
+                now - self._began[target, other]
+                for other, at in noted.items()
+                if other < tier and at >= now - self._hold
+            ),
+            default=0.0,
+        )
+
+    def report(self, now: float, due: bool) -> list[actions.Action]:
+        """Return what to tell the others: at each change, and now and then again.
+
+        ``due`` also looks for levels that have lapsed, which only ``tick`` does.
+        """
+        if not self._changed and not due:
+            return []
+        self._changed = False
+        found = {target: self.find(target, now) for target in self._noted}
+        levels = {name: tier for name, tier in found.items() if tier != NO_PRESSURE}
+        repeats = levels and now >= self._told_at + self._repeat
+        if levels == self._told and not repeats:
+            return []
+        self._told = levels
+        self._told_at = now
+        return [actions.ReportPressure(levels)]
--- /dev/null
+++ b/packages/policy/src/trestlestall/policy/returns.py
@@ -0,0 +1,37 @@
+"""When a refused caller should come back.
+
+Refused callers get places one after the other, at the pace at which the target could
+serve them, so that they don't all come back together: the more were refused, the later
+the next one is asked to return. A jitter by the request's name spreads those of several
+routers.
+"""
+
+import zlib
+
+
+class Schedule:
+    """The next return time that was not given out yet, for each tier of one target."""
+
+    def __init__(self, seed: int, least: float, most: float):
+        self._seed = seed
+        self._least = least
+        self._most = most
+        self._next: dict[int, float] = {}
+
+    def find_retry(
+        self, request: str, tier: int, excess: float, pace: float, now: float
+    ) -> float:
+        """Return seconds until the caller should retry.
+
+        ``excess`` is by how many seconds the wait is too long. ``pace`` is the seconds
+        in which the tier serves one request.
+        """
+        earliest = now + max(self._least, excess)
+        place = max(earliest, self._next.get(tier, 0.0) + pace)
+        self._next[tier] = min(place, now + self._most)
+        delay = min(place - now, self._most)
+        return round(delay * (0.75 + 0.5 * self._draw(request)), 3)
+
+    def _draw(self, request: str) -> float:
+        """Return a number in 0..1 that depends on the request and seed alone."""
+        return zlib.crc32(f"{self._seed}/{request}".encode()) / 2**32
--- a/packages/policy/src/trestlestall/policy/router_policy.py
+++ b/packages/policy/src/trestlestall/policy/router_policy.py
@@ -2,24 +2,27 @@
 
 The router feeds events in and carries the returned actions out, in order. Nothing here
 reads a clock, sleeps or draws from a global random generator.
-"""
-
-import dataclasses
-import random
 
-from trestlestall.policy import actions, arrivals, outcomes, settings as defaults
+Example::
 
+    policy = router_policy.Policy(seed=7)
+    for action in policy.arrive(arrival, view, now):
+        carry_out(action)
+"""
 
-@dataclasses.dataclass
-class Flight:
-    """A request that the policy holds, and its attempt."""
-
-    arrival: arrivals.Arrival
-    attempt: str = ""
-    upstream: str = ""
-    tokens: int = 0
-    claimed: bool = False
-    asked_at: float | None = None
+from trestlestall.policy import (
+    actions,
+    arrivals,
+    core,
+    dispatch,
+    endings,
+    entry,
+    flights,
+    hedges,
+    lanes,
+    outcomes,
+    settings as defaults,
+)
 
 
 class Policy:
@@ -27,136 +30,171 @@
 
     ``progress`` and ``finish`` take the attempt's count of answer tokens so far, from
     the answer's first token (a resumed attempt starts at the count it resumed from).
+
+    After a ``Cancel`` the policy counts the slot as free; the router still reports the
+    attempt's end by ``finish``, so that its tokens are counted as wasted.
+
     ``claim_answered`` with ``granted=False`` gives ``Fail(not_run)``: no attempt of
-    this request ran here; a router that knows more from the claim may answer better.
+    this request ran here. A router that knows more from the claim may answer better. A
+    claim that is granted after the request has its final answer must be released.
     """
 
     def __init__(self, seed: int, settings: defaults.Settings = defaults.DEFAULT):
-        self._random = random.Random(seed)
-        self._settings = settings
-        self._view = arrivals.View()
-        self._flights: dict[str, Flight] = {}
-        self._attempts: dict[str, str] = {}
-        self._waiting: list[str] = []
-        self._count = 0
+        self._core = core.Core(seed, settings)
+        self._entry = entry.Entry(self._core)
+        self._sender = dispatch.Dispatcher(self._core)
+        self._endings = endings.Endings(self._core, self._entry, self._sender)
+        self._hedges = hedges.Hedges(self._core, self._sender)
+        self._asked: dict[str, float] = {}
 
     def arrive(
         self, request: arrivals.Arrival, view: arrivals.View, now: float
     ) -> list[actions.Action]:
-        """Admit or refuse a request."""
-        self._view = view
-        if not self._find_candidates(request):
-            reason = f"no upstream for {request.target}"
-            return [actions.Refuse(request.request, "no_upstream", 1.0, reason)]
-        self._flights[request.request] = Flight(request)
-        self._waiting.append(request.request)
-        return self._dispatch(now)
+        """Admit a request, or refuse it at once and finally."""
+        self._core.take_view(view, now)
+        decided = self._entry.admit(request, now)
+        lane = self._core.find_lane(request.target)
+        if not decided and request.tier < lane.full_tier:
+            decided += self._sender.run(lane, now)
+        return self._close(decided, now)
 
     def progress(self, attempt: str, tokens: int, now: float) -> list[actions.Action]:
         """Note that an attempt has brought ``tokens`` tokens of the answer so far."""
-        flight = self._flights.get(self._attempts.get(attempt, ""))
-        if flight is None:
+        found = self._core.attempts.get(attempt)
+        if found is None or tokens <= found.tokens:
+            return []
+        starts = not found.started
+        self._core.note_tokens(found, tokens, now)
+        if not starts:
             return []
-        first = not flight.tokens
-        flight.tokens = max(flight.tokens, tokens)
-        answer = actions.Answer(flight.arrival.request, attempt)
-        return [answer] if first and tokens else []
+        flight = found.flight
+        decided: list[actions.Action] = []
+        if flight.answering is None:
+            flight.answering = found
+            decided.append(actions.Answer(flight.name, attempt))
+            decided += self._core.cancel_attempts(flight, now, but=found)
+        return decided + self._dispatch_at(found, now)
 
     def finish(
         self, attempt: str, outcome: outcomes.Outcome, tokens: int, now: float
     ) -> list[actions.Action]:
-        """Note that an attempt ended."""
-        request = self._attempts.pop(attempt, "")
-        flight = self._flights.get(request)
-        if flight is None:
+        """Note that an attempt ended, after ``tokens`` tokens of the answer in all."""
+        found = self._core.attempts.get(attempt)
+        if found is None:
             return [actions.Wasted(attempt, tokens)] if tokens else []
-        if isinstance(outcome, outcomes.NotSent):
-            flight.upstream = ""
-            self._waiting.insert(0, request)
-            return self._dispatch(now)
-        del self._flights[request]
-        decided: list[actions.Action] = []
-        if isinstance(outcome, outcomes.Completed) and not flight.tokens:
-            decided.append(actions.Answer(request, attempt))
-        if not isinstance(outcome, outcomes.Completed):
-            decided.append(actions.Fail(request, actions.OUTCOME_UNKNOWN))
-            decided += [actions.Wasted(attempt, tokens)] if tokens else []
-        return decided + self._dispatch(now)
+        decided = self._endings.finish(found, outcome, tokens, now)
+        return decided + self._dispatch_at(found, now)
 
     def hang_up(self, request: str, now: float) -> list[actions.Action]:
-        """Forget a request whose caller is gone, and cancel its work."""
-        flight = self._flights.pop(request, None)
+        """Forget a request whose caller is gone, and cancel its work at once."""
+        flight = self._core.flights.get(request)
         if flight is None:
             return []
-        if request in self._waiting:
-            self._waiting.remove(request)
-        cancels = [actions.Cancel(flight.attempt)] if flight.upstream else []
-        return cancels + self._dispatch(now)
+        ended = list(flight.attempts)
+        tokens = sum(attempt.tokens for attempt in ended)
+        cancels = self._core.cancel_attempts(flight, now)
+        if flight.stage is flights.Stage.WAITING:
+            lane = self._core.find_lane(flight.arrival.target)
+            lane.dequeue(flight, flights.Stage.DONE)
+        if flight.stage is flights.Stage.ASKING:
+            # The attempt was only kept in mind: nothing was sent.
+            cancels = []
+        self._core.close_flight(flight, tokens)
+        for attempt in ended:
+            cancels += self._dispatch_at(attempt, now)
+        return cancels
 
     def tick(self, view: arrivals.View, now: float) -> list[actions.Action]:
         """Take in a new view and do what is due. Call it some ten times a second."""
-        self._view = view
-        failed: list[actions.Action] = []
-        for request, flight in list(self._flights.items()):
-            asked = flight.asked_at
-            if asked is not None and now >= asked + self._settings.claim_timeout:
-                failed += self.claim_answered(request, False, now)
-        return failed + self._dispatch(now)
+        self._core.take_view(view, now)
+        for target in self._core.fleet.list_targets():
+            found = self._core.fleet.list_loads(target)
+            self._core.watch.judge(target, found, now)
+        decided = self._end_claims(now) + self._give_up(now)
+        for lane in self._core.lanes.values():
+            lane.full_tier = lanes.NEVER_FULL
+        decided += self._sender.run_all(list(self._core.lanes), now)
+        decided += self._hedges.run(now)
+        self._note_pressure(now)
+        return self._close(decided, now, due=True)
 
     def claim_answered(
         self, request: str, granted: bool, now: float
     ) -> list[actions.Action]:
-        """Note the answer to an ``Ask``."""
-        flight = self._flights.get(request)
-        if flight is None or flight.asked_at is None:
+        """Note the answer to an ``Ask``; one that comes too late changes nothing."""
+        flight = self._core.flights.get(request)
+        if flight is None or flight.stage is not flights.Stage.ASKING:
             return []
-        flight.asked_at = None
         if not granted:
-            del self._flights[request]
-            return [actions.Fail(request, actions.NOT_RUN)]
+            return self._close(self._end_claim(flight, "claim not granted", now), now)
         flight.claimed = True
-        self._waiting.insert(0, request)
-        return self._dispatch(now)
-
-    def _find_candidates(self, request: arrivals.Arrival) -> list:
-        return [
-            upstream
-            for upstream in self._view.upstreams
-            if upstream.name not in self._view.drained
-            and request.target in arrivals.list_targets(upstream)
-        ]
-
-    def _dispatch(self, now: float) -> list[actions.Action]:
-        sent: list[actions.Action] = []
-        self._waiting.sort(key=lambda name: self._flights[name].arrival.tier)
-        for name in list(self._waiting):
-            sent += self._start(self._flights[name], now)
-        return sent
-
-    def _start(self, flight: Flight, now: float) -> list[actions.Action]:
-        busy: dict[str, int] = {}
-        for other in self._flights.values():
-            busy[other.upstream] = busy.get(other.upstream, 0) + 1
-        found = [
-            upstream
-            for upstream in self._find_candidates(flight.arrival)
-            if busy.get(upstream.name, 0) < upstream.slots
-        ]
-        if not found:
-            return []
-        name = flight.arrival.request
-        self._waiting.remove(name)
-        if not flight.arrival.request_class.idempotent and not flight.claimed:
-            flight.asked_at = now
-            return [actions.Ask(name)]
-        chosen = min(
-            found, key=lambda up: (busy.get(up.name, 0), self._random.random())
-        )
-        self._count += 1
-        flight.upstream = chosen.name
-        flight.attempt = f"{self._settings.router}-{self._count}"
-        self._attempts[flight.attempt] = name
-        names = tuple(upstream.name for upstream in found)
-        tier = flight.arrival.tier
-        reason = "least in flight"
-        return [actions.Send(name, flight.attempt, chosen.name, tier, names, reason)]
+        decided = self._sender.send_claimed(flight, now)
+        if decided is not None:
+            return self._close(decided, now)
+        lane = self._core.find_lane(flight.arrival.target)
+        self._core.cancel_attempts(flight, now)
+        lane.settle(flight, 0)
+        lane.enqueue(flight, now, first=True)
+        return self._close(self._sender.run(lane, now), now)
+
+    def _close(
+        self, decided: list[actions.Action], now: float, due: bool = False
+    ) -> list[actions.Action]:
+        """Watch what was decided, and add what to tell the other routers."""
+        self._hedges.watch(decided, now)
+        for action in decided:
+            if isinstance(action, actions.Ask):
+                self._asked[action.request] = now
+        return decided + self._core.tracker.report(now, due)
+
+    def _dispatch_at(
+        self, attempt: flights.Attempt, now: float
+    ) -> list[actions.Action]:
+        """Send for every target of an upstream where a slot may have come free."""
+        load = self._core.fleet.find(attempt.upstream, attempt.incarnation)
+        targets = [attempt.flight.arrival.target]
+        if load is not None:
+            targets = list(arrivals.list_targets(load.upstream))
+        return self._close(self._sender.run_all(targets, now), now)
+
+    def _end_claims(self, now: float) -> list[actions.Action]:
+        timeout = self._core.settings.claim_timeout
+        decided: list[actions.Action] = []
+        for request, asked_at in list(self._asked.items()):
+            flight = self._core.flights.get(request)
+            if flight is None or flight.stage is not flights.Stage.ASKING:
+                del self._asked[request]
+            elif now >= asked_at + timeout:
+                del self._asked[request]
+                decided += self._end_claim(flight, "no claim in time", now)
+        return decided
+
+    def _end_claim(self, flight, reason: str, now: float) -> list[actions.Action]:
+        self._core.cancel_attempts(flight, now)
+        lane = self._core.find_lane(flight.arrival.target)
+        lane.settle(flight, 0)
+        return [self._core.fail(flight, reason, now)]
+
+    def _give_up(self, now: float) -> list[actions.Action]:
+        """Answer the waiting requests whose target has come out of reach."""
+        decided: list[actions.Action] = []
+        due = self._core.deadlines.pop_due(self._find_backlog, now)
+        for flight in due:
+            lane = self._core.find_lane(flight.arrival.target)
+            lane.dequeue(flight, flights.Stage.DONE)
+            self._core.tracker.note(lane.target, flight.tier, now)
+            reason = "its target can no longer be met"
+            decided.append(self._core.fail(flight, reason, now))
+        return decided
+
+    def _find_backlog(self, target: str):
+        return self._core.find_lane(target).backlog
+
+    def _note_pressure(self, now: float) -> None:
+        grace = self._core.settings.pressure_grace
+        for lane in self._core.lanes.values():
+            tier = lane.backlog.waiting.find_first()
+            if tier is None:
+                continue
+            if now - lane.backlog.find_waiting_since(tier) >= grace:
+                self._core.tracker.note(lane.target, tier, now)
--- /dev/null
+++ b/packages/policy/src/trestlestall/policy/speeds.py
@@ -0,0 +1,46 @@
+"""Observed times to the first token and between tokens, kept by tier of a target.
+
+An estimate for a tier reads only what that tier and the more urgent ones observed.
+"""
+
+from trestlestall.policy import tiers
+
+FADE = 0.97
+PRIOR_STARTS = 2.0
+PRIOR_TOKENS = 50.0
+
+
+class Speeds:
+    """What streams of one target took, in seconds."""
+
+    def __init__(self, default_first: float, default_gap: float):
+        self._defaults = (default_first, default_gap)
+        self._starts = tiers.PerTier()
+        self._start_seconds = tiers.PerTier()
+        self._tokens = tiers.PerTier()
+        self._token_seconds = tiers.PerTier()
+
+    def note_start(self, tier: int, seconds: float) -> None:
+        """Learn from the time between sending and the first token."""
+        fade(self._starts, tier, 1.0)
+        fade(self._start_seconds, tier, seconds)
+
+    def note_tokens(self, tier: int, tokens: int, seconds: float) -> None:
+        """Learn from the time that a run of tokens took."""
+        fade(self._tokens, tier, tokens)
+        fade(self._token_seconds, tier, seconds)
+
+    def find_first(self, tier: int) -> float:
+        """Return the expected seconds from sending to the first token."""
+        seconds = self._defaults[0] * PRIOR_STARTS + self._start_seconds.sum_to(tier)
+        return seconds / (PRIOR_STARTS + self._starts.sum_to(tier))
+
+    def find_gap(self, tier: int) -> float:
+        """Return the expected seconds between two tokens of one stream."""
+        seconds = self._defaults[1] * PRIOR_TOKENS + self._token_seconds.sum_to(tier)
+        return seconds / (PRIOR_TOKENS + self._tokens.sum_to(tier))
+
+
+def fade(sums: tiers.PerTier, tier: int, amount: float) -> None:
+    """Add an amount, letting earlier ones fade."""
+    sums.put(tier, sums.get(tier) * FADE + amount)
--- /dev/null
+++ b/packages/policy/src/trestlestall/policy/stragglers.py
@@ -0,0 +1,112 @@
+"""Stragglers: upstreams whose streams are much slower than those of their peers.
+
+Judged from the gaps between tokens that this router sees, long before a report says so.
+A straggler gets nothing new but a probe now and then; a probe's gaps count double, so
+that one that has recovered is soon back.
+"""
+
+import dataclasses
+import statistics
+
+from trestlestall.policy import settings as defaults
+
+WEIGHT = 0.2
+PROBE_WEIGHT = 0.6
+
+
+@dataclasses.dataclass(slots=True)
+class Pace:
+    """What was seen of one upstream's streams. Times in seconds."""
+
+    gap: float = 0.0
+    samples: int = 0
+    heard_at: float = 0.0
+    straggling: bool = False
+    probe_at: float = 0.0
+    probe_wait: float = 0.0
+
+
+class Watch:
+    """Keeps the paces of a router's upstreams and compares them."""
+
+    def __init__(self, settings: defaults.Settings):
+        self._settings = settings
+        self._paces: dict[str, Pace] = {}
+        self._medians: dict[str, float] = {}
+
+    def note_gap(self, upstream: str, gap: float, now: float) -> None:
+        """Learn from the mean gap between the tokens of one stream."""
+        pace = self._find(upstream)
+        weight = PROBE_WEIGHT if pace.straggling else WEIGHT
+        weight = max(weight, 1 / (pace.samples + 1))
+        pace.gap += (gap - pace.gap) * weight
+        pace.samples += 1
+        pace.heard_at = now
+
+    def note_heard(self, upstream: str, now: float) -> None:
+        """Note any sign of life, such as a first token or the end of an attempt."""
+        self._find(upstream).heard_at = now
+
+    def note_probe(self, upstream: str, now: float) -> None:
+        """Note that something was sent to a straggler."""
+        pace = self._find(upstream)
+        longest = self._settings.probe_wait_most
+        pace.probe_wait = min(longest, pace.probe_wait * 2)
+        pace.probe_at = now + pace.probe_wait
+
+    def judge(self, target: str, loads: list, now: float) -> None:
+        """Compare the upstreams of one target. Cost: their number, with its log."""
+        paces = {load.upstream.name: self._find(load.upstream.name) for load in loads}
+        enough = self._settings.straggler_samples
+        gaps = [pace.gap for pace in paces.values() if pace.samples >= enough]
+        # The lower median: of two upstreams the faster one is the measure.
+        median = statistics.median_low(gaps) if gaps else 0.0
+        self._medians[target] = median
+        for load in loads:
+            pace = paces[load.upstream.name]
+            slow = pace.samples >= enough and self._is_slow(pace.gap, median)
+            stalled = self._is_stalled(load, pace, median, now)
+            self._mark(pace, slow or stalled, now)
+
+    def is_straggling(self, upstream: str) -> bool:
+        """Whether the upstream is a straggler now."""
+        pace = self._paces.get(upstream)
+        return pace is not None and pace.straggling
+
+    def may_probe(self, upstream: str, now: float) -> bool:
+        """Whether a straggler may get one request to see how it does."""
+        return now >= self._find(upstream).probe_at
+
+    def find_slowness(self, upstream: str, target: str) -> float:
+        """Return the gap over the median, within 0.5..3; 1 when not known."""
+        pace = self._paces.get(upstream)
+        median = self._medians.get(target, 0.0)
+        if pace is None or not pace.samples or median <= 0:
+            return 1.0
+        return min(3.0, max(0.5, pace.gap / median))
+
+    def forget(self, names: set[str]) -> None:
+        """Drop upstreams that are gone; a restarted one is judged anew."""
+        for name in names:
+            self._paces.pop(name, None)
+
+    def _find(self, upstream: str) -> Pace:
+        return self._paces.setdefault(upstream, Pace())
+
+    def _is_slow(self, gap: float, median: float) -> bool:
+        return median > 0 and gap > self._settings.straggler_ratio * median
+
+    def _is_stalled(self, load, pace: Pace, median: float, now: float) -> bool:
+        if not load.own:
+            return pace.straggling and pace.samples < self._settings.straggler_samples
+        # Without a started stream, silence may only mean that the engine is full.
+        if not load.started and load.total > load.slots:
+            return False
+        longest = max(self._settings.stall_time, 20 * median)
+        return now - max(pace.heard_at, load.busy_since) > longest
+
+    def _mark(self, pace: Pace, straggling: bool, now: float) -> None:
+        if straggling and not pace.straggling:
+            pace.probe_wait = self._settings.probe_wait
+            pace.probe_at = now + pace.probe_wait
+        pace.straggling = straggling
