Leave other routers their even share of an engine's slots

Cause: under a burst a router took the work of other routers, as urgent as its own, for work that the engine would displace; what it sent waited inside the engine (median 2.3 s to the first token for late answers). Ruled out: the engine's own speed (no extra time between tokens).

--- a/packages/policy/src/trestlestall/policy/choice.py
+++ b/packages/policy/src/trestlestall/policy/choice.py
@@ -47,12 +47,15 @@
         now: float,
         spare: float,
         priority: int | None = None,
+        routers: int = 1,
     ) -> Place | None:
         """Return where to send a request now, or ``None`` when no upstream is open.
 
         ``spare`` is the share of slots to leave free for more urgent work.
         ``priority`` is given for work sent by its floor: the tier in whose order it
-        stands at the engine.
+        stands at the engine. ``routers`` is how many routers have work as urgent
+        waiting: each then leaves the others their even share of the slots, instead of
+        taking their work for less urgent.
         """
         target = flight.arrival.target
         everyone = self._fleet.list_open(target)
@@ -68,7 +71,9 @@
         over = [
             load
             for load in healthy
-            if load.can_displace(level, load.boosted if extra else 0)
+            if load.can_displace(
+                level, load.boosted if extra else 0, find_kept(load, routers)
+            )
         ]
         if over:
             return self._take(flight, over, "engine displaces less urgent work")
@@ -145,3 +150,8 @@
     if load.upstream.capabilities.priorities or load.slots == 1:
         return load.has_free_slot(0)
     return load.has_free_slot(math.ceil(load.slots * spare))
+
+
+def find_kept(load: loads.Load, routers: int) -> int:
+    """Return the slots beyond this router's even share."""
+    return load.slots - math.ceil(load.slots / routers)
--- a/packages/policy/src/trestlestall/policy/dispatch.py
+++ b/packages/policy/src/trestlestall/policy/dispatch.py
@@ -78,7 +78,9 @@
         flight = lane.queue.peek_class(lane.floors.find_tier(name), name)
         if flight is None:
             return None
-        place = self._core.chooser.choose(flight, now, 0.0, urgent)
+        place = self._core.chooser.choose(
+            flight, now, 0.0, urgent, self._count_rivals(lane, urgent)
+        )
         if place is None:
             return None
         return self._start(lane, flight, place, urgent, now)
@@ -90,7 +92,9 @@
         flight = lane.queue.peek_tier(tier)
         if flight is None:
             return None
-        place = self._core.chooser.choose(flight, now, self._find_spare(lane, tier))
+        spare = self._find_spare(lane, tier)
+        rivals = self._count_rivals(lane, tier)
+        place = self._core.chooser.choose(flight, now, spare, None, rivals)
         if place is None:
             lane.full_tier = min(lane.full_tier, tier)
             return None
@@ -107,6 +111,12 @@
         self._core.open_attempt(flight, place.load, priority, now)
         return actions.Ask(flight.name)
 
+    def _count_rivals(self, lane: lanes.Lane, tier: int) -> int:
+        """Return how many routers, this one included, have work as urgent waiting."""
+        if lane.peer_level is None or lane.peer_level > tier:
+            return 1
+        return max(2, self._core.view.routers)
+
     def _find_spare(self, lane: lanes.Lane, tier: int) -> float:
         """Return the share of slots to keep free while more urgent work comes in."""
         urgent = lane.backlog.offered.sum_above(tier)
--- a/packages/policy/src/trestlestall/policy/loads.py
+++ b/packages/policy/src/trestlestall/policy/loads.py
@@ -80,18 +80,20 @@
         """Whether a slot is free beyond ``spare`` ones."""
         return self.total + spare < self.slots
 
-    def can_displace(self, tier: int, extra: int = 0) -> bool:
+    def can_displace(self, tier: int, extra: int = 0, kept: int = 0) -> bool:
         """Whether the engine would displace less urgent work for the tier.
 
-        At most a part of the slots may hold work of these tiers that has not started:
-        when other routers fill the engine with work as urgent, no tokens come, and this
-        router stops sending without having to know of them.
+        ``kept`` is how many slots other routers may hold with work as urgent: their
+        work counts up to that many. At most a part of the slots may hold work of these
+        tiers that has not started: when the engine is full of work as urgent without
+        this router knowing, no tokens come, and it stops sending.
         """
         if not self.upstream.capabilities.priorities:
             return False
         own = self.by_tier.sum_to(tier) + extra
+        urgent = own + min(kept, self.others)
         window = max(2, self.slots // 4)
-        if own >= self.slots or self.unstarted.sum_to(tier) + extra >= window:
+        if urgent >= self.slots or self.unstarted.sum_to(tier) + extra >= window:
             return False
         return self.total > own
 
