Judge reach without load, and the first token by its spread

Change: waits use mean + 1.5 deviations of the time to the first token; what is out of reach is judged by the least time seen.

--- a/packages/policy/src/trestlestall/policy/estimates.py
+++ b/packages/policy/src/trestlestall/policy/estimates.py
@@ -32,10 +32,15 @@
     settings: defaults.Settings,
 ) -> Estimate:
     """Predict one request from learned lengths and observed speeds."""
-    first = speed.find_first(request.tier) * settings.safety
+    first = speed.find_late_first(request.tier) * settings.safety
     gap = speed.find_gap(request.tier) * settings.safety
     target = request.request_class.target
-    chance = distribution.find_chance((target - first) / gap)
+    # What is out of reach is judged without load. Were it judged by the times of the
+    # moment, one bad moment would refuse everything, and nothing would show it is over.
+    least = speed.find_least_first(request.tier)
+    chance = distribution.find_chance((target - least) / gap)
+    reachable = chance >= settings.least_chance
+    reachable = reachable and find_latest_first(request, least) >= 0
     start_by = find_latest_first(request, first)
     mean = distribution.find_mean()
 
@@ -45,10 +50,10 @@
 
     return Estimate(
         tokens=max(UNIT_TOKENS, mean),
-        service=first + mean * gap,
+        service=speed.find_first(request.tier) + mean * gap,
         wait_admitted=find_wait(settings.admitted_chance),
         wait_longest=find_wait(settings.waiting_chance),
-        reachable=chance >= settings.least_chance and start_by >= 0,
+        reachable=reachable,
     )
 
 
--- a/packages/policy/src/trestlestall/policy/speeds.py
+++ b/packages/policy/src/trestlestall/policy/speeds.py
@@ -3,9 +3,13 @@
 An estimate for a tier reads only what that tier and the more urgent ones observed.
 """
 
+import math
+
 from trestlestall.policy import tiers
 
 FADE = 0.97
+LEAST_GROWTH = 1.01
+LATE_DEVIATIONS = 1.5
 PRIOR_STARTS = 2.0
 PRIOR_TOKENS = 50.0
 
@@ -17,6 +21,8 @@
         self._defaults = (default_first, default_gap)
         self._starts = tiers.PerTier()
         self._start_seconds = tiers.PerTier()
+        self._start_squares = tiers.PerTier()
+        self._least_starts: dict[int, float] = {}
         self._tokens = tiers.PerTier()
         self._token_seconds = tiers.PerTier()
 
@@ -24,6 +30,9 @@
         """Learn from the time between sending and the first token."""
         fade(self._starts, tier, 1.0)
         fade(self._start_seconds, tier, seconds)
+        fade(self._start_squares, tier, seconds * seconds)
+        least = self._least_starts.get(tier, seconds)
+        self._least_starts[tier] = min(seconds, least * LEAST_GROWTH)
 
     def note_tokens(self, tier: int, tokens: int, seconds: float) -> None:
         """Learn from the time that a run of tokens took."""
@@ -35,6 +44,19 @@
         seconds = self._defaults[0] * PRIOR_STARTS + self._start_seconds.sum_to(tier)
         return seconds / (PRIOR_STARTS + self._starts.sum_to(tier))
 
+    def find_least_first(self, tier: int) -> float:
+        """Return seconds to the first token without load: the least of late."""
+        found = [least for own, least in self._least_starts.items() if own <= tier]
+        return min(found, default=self._defaults[0])
+
+    def find_late_first(self, tier: int) -> float:
+        """Return seconds to the first token that most streams do not pass."""
+        mean = self.find_first(tier)
+        squares = self._defaults[0] ** 2 * PRIOR_STARTS
+        squares += self._start_squares.sum_to(tier)
+        variance = squares / (PRIOR_STARTS + self._starts.sum_to(tier)) - mean * mean
+        return mean + LATE_DEVIATIONS * math.sqrt(max(0.0, variance))
+
     def find_gap(self, tier: int) -> float:
         """Return the expected seconds between two tokens of one stream."""
         seconds = self._defaults[1] * PRIOR_TOKENS + self._token_seconds.sum_to(tier)
--- a/tools/compare_policies.py
+++ b/tools/compare_policies.py
@@ -2,10 +2,11 @@
 
 Runs the same seeded open-loop load (Basu's and Krvodar's mixes, two kinds of length)
 through each policy over the engine fakes of the policy's tests, and prints one table
-per mix. The columns, for each class: offered requests, attainment (whole answers on
-time over offered), and refused at once. For each run: goodput (tokens of answers whole
-and on time over what the engines could make during the load) and wasted work (tokens
-that nobody received over tokens made).
+per mix. The columns, for each class: attainment (whole answers on time over offered),
+refused at once, answered late, given up while waiting, and the share of the engines'
+capacity that went into its answers on time. For each run: goodput (the sum of these
+shares) and wasted work (tokens that nobody received over tokens made). Capacity counts
+no time to the first token, so that 100% can't be reached.
 
 Example: ``python tools/compare_policies.py basu --seeds 1 2 3``
 """
@@ -189,6 +190,15 @@
     return driver
 
 
+def count_good(record: drivers.Record) -> float:
+    """Return the tokens made during the minute for an answer whole and on time."""
+    if not record.on_time:
+        return 0.0
+    made_for = max(1e-9, record.done_at - record.first_at)
+    within = max(0.0, min(record.done_at, BURST_SECONDS) - record.first_at)
+    return record.length * min(1.0, within / made_for)
+
+
 def describe(driver: drivers.Driver, demands) -> str:
     """Return the figures of one run as one line."""
     parts = []
@@ -203,11 +213,13 @@
         late = sum(
             record.ended == "answered" and not record.on_time for record in records
         )
+        served = sum(count_good(record) for record in records)
+        served /= CAPACITY * BURST_SECONDS
         given_up = sum(record.ended == "not_run" for record in records)
         parts.append(
-            f"{on_time:8.2%} {refused:8.2%} {late:5d} {given_up:5d} {len(records):6d}"
+            f"{on_time:8.2%} {refused:8.2%} {late:5d} {given_up:5d} {served:6.2%}"
         )
-    good = sum(record.length for record in driver.records.values() if record.on_time)
+    good = sum(count_good(record) for record in driver.records.values())
     made = sum(engine.made for engine in driver.engines.values())
     share = good / (CAPACITY * BURST_SECONDS)
     wasted = driver.wasted / max(1, made)
@@ -234,7 +246,7 @@
             f"mix {name}: {options.routers} routers, {ENGINES} engines x {SLOTS} slots"
         )
         heads = [
-            f"{demand.request_class.name:>8.8}  refused  late gaveup   sent"
+            f"{demand.request_class.name:>8.8}  refused  late gaveup  share"
             for demand in demands
         ]
         print(" " * 19 + " |".join(heads) + " | goodput  wasted")
