Don't refuse for slots that less urgent work holds for a moment

Change: waiting work that would run, were it not for less urgent work, counts as running. This too reads only the tier's own and more urgent sums.

--- a/packages/policy/src/trestlestall/policy/admission.py
+++ b/packages/policy/src/trestlestall/policy/admission.py
@@ -75,9 +75,11 @@
     tier = request.tier
     left = slots - backlog.find_offered(tier, now)
     left = max(left, slots * LEAST_SLOTS_SHARE)
-    ahead = find_work_ahead(request, estimate, backlog)
-    busy = backlog.waiting.sum_to(tier) > 0
-    in_order = (ahead + estimate.service / 2) / left if busy else 0.0
+    in_order = 0.0
+    if backlog.waiting.sum_to(tier) + backlog.in_flight.sum_to(tier) >= slots:
+        ahead = find_work_ahead(request, estimate, backlog)
+        ahead = max(0.0, ahead - find_work_due(backlog, tier, slots))
+        in_order = (ahead + estimate.service / 2) / left
     if pressure_seconds is not None:
         in_order += min(BURST_MOST, max(BURST_LEAST, pressure_seconds))
     rate = slots / gap
@@ -101,6 +103,19 @@
     return backlog.waiting_work.sum_above(tier) + min(tier_work, fair)
 
 
+def find_work_due(backlog: backlogs.Backlog, tier: int, slots: float) -> float:
+    """Return the waiting slot-seconds that only less urgent work keeps from running.
+
+    With no less urgent work, the tier and the more urgent ones would hold all the slots
+    that they can count on while any of their work waits.
+    """
+    waiting = backlog.waiting.sum_to(tier)
+    if not waiting:
+        return 0.0
+    free = max(0.0, slots - backlog.in_flight.sum_to(tier))
+    return backlog.waiting_work.sum_to(tier) * min(1.0, free / waiting)
+
+
 def decide(
     request: arrivals.Arrival,
     estimate: estimates.Estimate,
