Never give up a waiting request because of less urgent work

Cause: the share of slots lent to less urgent work understated its effect: with any lent slot free the request would have gone at once (basu, plain engines: one breakdown given up). Change: it waits on while the slot-seconds lent since its arrival cover all that goes before it.

--- a/packages/policy/src/trestlestall/policy/backlogs.py
+++ b/packages/policy/src/trestlestall/policy/backlogs.py
@@ -1,8 +1,8 @@
 """What one target has waiting and in flight at this router, by tier.
 
-Beside the present numbers it integrates, over time, the slots held by each tier and the
-part of them that nothing would displace. With these one can tell how much of a
-request's wait was due to less urgent work.
+Beside the present numbers it integrates, over time, the slots that each tier held where
+nothing would displace it. With these one can tell whether a request's wait was due to
+less urgent work.
 """
 
 import dataclasses
@@ -15,11 +15,20 @@
 
 @dataclasses.dataclass(slots=True)
 class Line:
-    """What one workspace has waiting in one tier; work in slot-seconds."""
+    """What one workspace has waiting in one tier; work in slot-seconds.
+
+    ``entered`` and ``left`` sum all work since the line was last empty.
+    """
 
     weight: float
     count: int = 0
-    work: float = 0.0
+    entered: float = 0.0
+    left: float = 0.0
+
+    @property
+    def work(self) -> float:
+        """The work that waits."""
+        return self.entered - self.left
 
 
 class Backlog:
@@ -32,7 +41,6 @@
         self.served = tiers.PerTier()
         self.offered = tiers.PerTier()
         self._fixed = tiers.PerTier()
-        self._held_time = tiers.PerTier()
         self._fixed_time = tiers.PerTier()
         self._settled_at = 0.0
         self._offered_at = 0.0
@@ -52,7 +60,8 @@
             line = self._lines[key] = Line(flight.arrival.weight)
             self._weights.add(flight.tier, line.weight)
         line.count += 1
-        line.work += flight.estimate.service
+        flight.line_mark = line.entered
+        line.entered += flight.estimate.service
 
     def remove_waiting(self, flight: flights.Flight) -> None:
         """Note a request that waits no longer."""
@@ -61,7 +70,7 @@
         key = (flight.tier, flight.arrival.workspace)
         line = self._lines[key]
         line.count -= 1
-        line.work -= flight.estimate.service
+        line.left += flight.estimate.service
         if not line.count:
             del self._lines[key]
             self._weights.add(flight.tier, -line.weight)
@@ -103,21 +112,26 @@
         self._fade_offered(now)
         return self.offered.sum_above(tier)
 
-    def measure(self, tier: int, now: float) -> tuple[float, float]:
-        """Return slot-seconds so far: those lent to less urgent work, and all.
-
-        Lent are those of less urgent work that nothing would displace.
-        """
+    def find_ahead(self, flight: flights.Flight) -> float:
+        """Return the slot-seconds that go before a waiting request."""
+        tier = flight.tier
+        line = self._lines[tier, flight.arrival.workspace]
+        own = max(0.0, flight.line_mark - line.left)
+        others = self.find_weight(tier, flight.arrival.workspace)
+        fair = own * (1 + others / line.weight)
+        urgent = self.waiting_work.sum_above(tier)
+        return urgent + min(self.waiting_work.get(tier), fair)
+
+    def measure_lent(self, tier: int, now: float) -> float:
+        """Return the slot-seconds so far that less urgent work held undisplaced."""
         self._settle(now)
-        lent = self._fixed_time.sum_under(tier)
-        return lent, lent + self._held_time.sum_to(tier)
+        return self._fixed_time.sum_under(tier)
 
     def _settle(self, now: float) -> None:
         passed = now - self._settled_at
         if passed <= 0:
             return
         self._settled_at = now
-        self._held_time.add_scaled(self.in_flight, passed)
         self._fixed_time.add_scaled(self._fixed, passed)
 
     def _fade_offered(self, now: float) -> None:
--- a/packages/policy/src/trestlestall/policy/deadlines.py
+++ b/packages/policy/src/trestlestall/policy/deadlines.py
@@ -1,8 +1,8 @@
 """Waiting requests whose target has come out of reach.
 
-Such a request gets its final answer at once. A wait that less urgent work caused does
-not count: the part of the target's slots that was lent to less urgent work during the
-wait is taken off it, so that nothing is given up to make room for less urgent work.
+Such a request gets its final answer at once, but never because of less urgent work: as
+long as the slot-seconds that were lent to less urgent work while it waited would have
+sufficed for all that still goes before it, it waits on, and is sent late.
 """
 
 import heapq
@@ -10,8 +10,7 @@
 
 from trestlestall.policy import backlogs, flights
 
-LEAST_STEP = 0.02
-MOST_LENT = 0.99
+LOOK_AGAIN = 0.05
 
 
 class Deadlines:
@@ -24,7 +23,7 @@
     def add(self, flight: flights.Flight, backlog: backlogs.Backlog) -> None:
         """Watch a request from its arrival."""
         now = flight.arrival.now
-        flight.lent_before, flight.used_before = backlog.measure(flight.tier, now)
+        flight.lent_before = backlog.measure_lent(flight.tier, now)
         self._push(flight, now + max(0.0, flight.estimate.wait_longest))
 
     def pop_due(self, find_backlog, now: float) -> list[flights.Flight]:
@@ -34,14 +33,12 @@
             _, _, flight = heapq.heappop(self._heap)
             if flight.stage in (flights.Stage.RUNNING, flights.Stage.DONE):
                 continue
-            if flight.stage is flights.Stage.ASKING:
-                self._push(flight, now + LEAST_STEP)
-                continue
-            again = self._find_next(flight, find_backlog(flight.arrival.target), now)
-            if again > now:
-                self._push(flight, max(again, now + LEAST_STEP))
-            else:
+            waits = flight.stage is flights.Stage.WAITING
+            backlog = find_backlog(flight.arrival.target)
+            if waits and not is_held_up(flight, backlog, now):
                 due.append(flight)
+            else:
+                self._push(flight, now + LOOK_AGAIN)
         return due
 
     def watch_again(self, flight: flights.Flight, now: float) -> None:
@@ -51,10 +48,8 @@
     def _push(self, flight: flights.Flight, at: float) -> None:
         heapq.heappush(self._heap, (at, next(self._numbers), flight))
 
-    def _find_next(self, flight, backlog: backlogs.Backlog, now: float) -> float:
-        lent, used = backlog.measure(flight.tier, now)
-        passed = used - flight.used_before
-        share = (lent - flight.lent_before) / passed if passed > 0 else 0.0
-        counted = 1 - min(MOST_LENT, share)
-        longest = max(0.0, flight.estimate.wait_longest)
-        return flight.arrival.now + longest / counted
+
+def is_held_up(flight: flights.Flight, backlog: backlogs.Backlog, now: float) -> bool:
+    """Return whether less urgent work may be why a request still waits."""
+    lent = backlog.measure_lent(flight.tier, now) - flight.lent_before
+    return lent > 0 and lent >= backlog.find_ahead(flight)
--- a/packages/policy/src/trestlestall/policy/flights.py
+++ b/packages/policy/src/trestlestall/policy/flights.py
@@ -64,7 +64,7 @@
     avoided: set[str] = dataclasses.field(default_factory=set)
     by_floor: bool = False
     lent_before: float = 0.0
-    used_before: float = 0.0
+    line_mark: float = 0.0
 
     @property
     def name(self) -> str:
