--- /dev/null
+++ b/packages/configuration/src/trestlestall/configuration/checks.py
@@ -0,0 +1,185 @@
+"""Checks of a command's own values, before it meets any configuration.
+
+A registry maps each command class to the check of its values. The first problem found
+is returned with the name of the field at fault, so that the language can point at the
+word.
+"""
+
+import dataclasses
+import math
+import re
+import typing
+from collections import abc
+
+from trestlestall.configuration import commands, model
+
+TIER_LIMIT = 63
+FLOOR_SUM_LIMIT = 0.5
+SECONDS_LIMIT = 86_400.0
+WEIGHT_LIMIT = 1_000_000.0
+COPIES_LIMIT = 1_000
+NAME_LIMIT = 128
+IDENTIFIER = re.compile(r"[A-Za-z0-9][A-Za-z0-9_.-]*")
+NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9_.:/@+-]*")
+DIGEST = re.compile(r"[0-9a-f]{64}")
+INVALID_VALUE = "invalid_value"
+
+IDENTIFIER_EXPECTED = "a name of letters, digits, '_', '.', '-', at most 128 long"
+NAME_EXPECTED = "a name of letters, digits and '_.:/@+-', at most 128 long"
+DIGEST_EXPECTED = "64 lower-case hexadecimal digits (SHA-256)"
+TIER_EXPECTED = f"a whole number from 0 to {TIER_LIMIT}"
+TARGET_EXPECTED = "a time above 0 and at most 24 hours"
+FIRST_TOKEN_EXPECTED = "a time above 0 and at most the target"
+FLOOR_EXPECTED = "a share from 0 to 1"
+WEIGHT_EXPECTED = "a number above 0 and at most 1000000"
+COPIES_EXPECTED = f"a whole number from 0 to {COPIES_LIMIT}"
+ALTERNATIVES_EXPECTED = "class names, each once and none the binding's own class"
+
+
+@dataclasses.dataclass(frozen=True)
+class Problem:
+    """A value that is out of bounds, and what was expected in its place."""
+
+    field: str
+    value: object
+    expected: str
+
+    @property
+    def message(self) -> str:
+        """Return the problem as a sentence."""
+        return f"{self.field} is {self.value!r}, expected {self.expected}"
+
+
+Check: typing.TypeAlias = abc.Callable[[typing.Any], Problem | None]
+REGISTRY: dict[type, Check] = {}
+
+
+def find_problem(command: commands.Command) -> Problem | None:
+    """Return the first problem of the command's values, or ``None``."""
+    return REGISTRY[type(command)](command)
+
+
+def check(command_class: type) -> abc.Callable[[Check], Check]:
+    """Return a decorator that registers the check of a command class."""
+
+    def enter(function: Check) -> Check:
+        REGISTRY[command_class] = function
+        return function
+
+    return enter
+
+
+def is_identifier(name: str) -> bool:
+    """Return whether the text may name a class, workspace or service."""
+    return len(name) <= NAME_LIMIT and IDENTIFIER.fullmatch(name) is not None
+
+
+def is_name(name: str) -> bool:
+    """Return whether the text may name a model or an upstream."""
+    return len(name) <= NAME_LIMIT and NAME.fullmatch(name) is not None
+
+
+def is_target(target: str) -> bool:
+    """Return whether the text is a model name or ``service:NAME``."""
+    if target.startswith(model.SERVICE_PREFIX):
+        return is_identifier(target.removeprefix(model.SERVICE_PREFIX))
+    return is_name(target)
+
+
+def is_time(seconds: float, limit: float) -> bool:
+    """Return whether the seconds are a finite time above 0 and within the limit."""
+    return math.isfinite(seconds) and 0 < seconds <= limit
+
+
+def _find_first(*rules: tuple[bool, str, object, str]) -> Problem | None:
+    for holds, field, value, expected in rules:
+        if not holds:
+            return Problem(field, value, expected)
+    return None
+
+
+@check(commands.DeclareClass)
+def check_class(command: commands.DeclareClass) -> Problem | None:
+    """Check name, tier, targets and floor of a class."""
+    made = command.request_class
+    first = made.first_token_target
+    first_holds = first is None or is_time(first, made.target)
+    return _find_first(
+        (is_identifier(made.name), "name", made.name, IDENTIFIER_EXPECTED),
+        (0 <= made.tier <= TIER_LIMIT, "tier", made.tier, TIER_EXPECTED),
+        (is_time(made.target, SECONDS_LIMIT), "target", made.target, TARGET_EXPECTED),
+        (first_holds, "first_token_target", first, FIRST_TOKEN_EXPECTED),
+        (0 <= made.floor <= 1, "floor", made.floor, FLOOR_EXPECTED),
+    )
+
+
+@check(commands.DeclareWorkspace)
+def check_workspace(command: commands.DeclareWorkspace) -> Problem | None:
+    """Check name, key digest and weight of a workspace."""
+    made = command.workspace
+    digest_holds = DIGEST.fullmatch(made.key_digest) is not None
+    weight_holds = is_time(made.weight, WEIGHT_LIMIT)
+    return _find_first(
+        (is_identifier(made.name), "name", made.name, IDENTIFIER_EXPECTED),
+        (digest_holds, "key_digest", made.key_digest, DIGEST_EXPECTED),
+        (weight_holds, "weight", made.weight, WEIGHT_EXPECTED),
+    )
+
+
+@check(commands.Bind)
+def check_binding(command: commands.Bind) -> Problem | None:
+    """Check the names of a binding."""
+    made = command.binding
+    allowed = (made.request_class, *made.alternatives)
+    names_hold = all(is_identifier(name) for name in allowed)
+    distinct = len(set(allowed)) == len(allowed)
+    return _find_first(
+        (is_identifier(made.workspace), "workspace", made.workspace, NAME_EXPECTED),
+        (is_target(made.target), "target", made.target, NAME_EXPECTED),
+        (names_hold, "request_class", made.request_class, IDENTIFIER_EXPECTED),
+        (distinct, "alternatives", made.alternatives, ALTERNATIVES_EXPECTED),
+    )
+
+
+@check(commands.Unbind)
+def check_unbinding(command: commands.Unbind) -> Problem | None:
+    """Check the names of a binding to remove."""
+    workspace_holds = is_identifier(command.workspace)
+    return _find_first(
+        (workspace_holds, "workspace", command.workspace, IDENTIFIER_EXPECTED),
+        (is_target(command.target), "target", command.target, NAME_EXPECTED),
+    )
+
+
+@check(commands.DeclareService)
+def check_service(command: commands.DeclareService) -> Problem | None:
+    """Check the name of a service."""
+    name = command.service.name
+    return _find_first((is_identifier(name), "name", name, IDENTIFIER_EXPECTED))
+
+
+@check(commands.SetCopies)
+def check_copies(command: commands.SetCopies) -> Problem | None:
+    """Check model name and number of copies."""
+    made = command.copies
+    return _find_first(
+        (is_target(made.model), "model", made.model, NAME_EXPECTED),
+        (0 <= made.copies <= COPIES_LIMIT, "copies", made.copies, COPIES_EXPECTED),
+    )
+
+
+@check(commands.RemoveClass)
+@check(commands.RemoveWorkspace)
+@check(commands.RemoveService)
+def check_removal(command: typing.Any) -> Problem | None:
+    """Check the name of what is removed."""
+    name = command.name
+    return _find_first((is_identifier(name), "name", name, IDENTIFIER_EXPECTED))
+
+
+@check(commands.Drain)
+@check(commands.Admit)
+def check_upstream(command: commands.Drain | commands.Admit) -> Problem | None:
+    """Check the name of an upstream."""
+    name = command.upstream
+    return _find_first((is_name(name), "upstream", name, NAME_EXPECTED))
--- /dev/null
+++ b/packages/configuration/src/trestlestall/configuration/model.py
@@ -0,0 +1,152 @@
+"""The agreed configuration: request classes, workspaces, bindings and the rest.
+
+All values are immutable. A ``Configuration`` is made only by commands (see ``state``),
+so that every process which applied the same commands holds the same one.
+"""
+
+import dataclasses
+import functools
+import hashlib
+import typing
+from collections import abc
+
+from trestlestall.configuration import persistent
+
+SERVICE_PREFIX = "service:"
+UNKNOWN_MODEL = "unknown_model"
+NOT_BOUND = "not_bound"
+CLASS_NOT_ALLOWED = "class_not_allowed"
+
+BindingKey: typing.TypeAlias = tuple[str, str]
+
+
+@dataclasses.dataclass(frozen=True)
+class RequestClass:
+    """A service level: latency targets in seconds, a tier, a floor, idempotence.
+
+    Tier 0 is the most urgent. ``target`` is for the whole answer. ``floor`` is the
+    share (0..1) of a data centre's token throughput that the class is due in a burst.
+    """
+
+    name: str
+    tier: int
+    target: float
+    first_token_target: float | None = None
+    idempotent: bool = True
+    floor: float = 0.01
+
+
+@dataclasses.dataclass(frozen=True)
+class Workspace:
+    """A customer's workspace; ``key_digest`` is the hex SHA-256 of its bearer key."""
+
+    name: str
+    key_digest: str
+    weight: float = 1.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Binding:
+    """The class of a workspace's requests to a target.
+
+    The target is a model name, or ``service:NAME`` for a plain service. A caller may
+    choose one of the alternatives by the header ``Trestlestall-Class``.
+    """
+
+    workspace: str
+    target: str
+    request_class: str
+    alternatives: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True)
+class Service:
+    """A plain service that requests are routed to beside the models."""
+
+    name: str
+
+
+@dataclasses.dataclass(frozen=True)
+class ModelCopies:
+    """The desired number of copies of a model in each data centre."""
+
+    model: str
+    copies: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Unresolved:
+    """Why a request has no class: a stable code and a sentence for the caller."""
+
+    code: str
+    message: str
+
+
+def digest_key(key: str) -> str:
+    """Return the hex SHA-256 of a bearer key, as ``Workspace.key_digest`` holds it."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+@dataclasses.dataclass(frozen=True)
+class Configuration:
+    """One version of everything operators have declared.
+
+    The mappings are by name, ``bindings`` by ``(workspace, target)``; plain
+    dictionaries are taken too and become persistent maps.
+    """
+
+    version: int = 0
+    classes: abc.Mapping[str, RequestClass] = persistent.Map()
+    workspaces: abc.Mapping[str, Workspace] = persistent.Map()
+    bindings: abc.Mapping[BindingKey, Binding] = persistent.Map()
+    services: abc.Mapping[str, Service] = persistent.Map()
+    drained: frozenset[str] = frozenset()
+    copies: abc.Mapping[str, ModelCopies] = persistent.Map()
+
+    def __post_init__(self):
+        for name in ("classes", "workspaces", "bindings", "services", "copies"):
+            object.__setattr__(self, name, persistent.Map.of(getattr(self, name)))
+
+    def find_workspace(self, key: str) -> Workspace | None:
+        """Return the workspace whose bearer key this is, or ``None``."""
+        return self.find_digest(digest_key(key))
+
+    def find_digest(self, digest: str) -> Workspace | None:
+        """Return the workspace whose key has this digest, or ``None``."""
+        return self._workspaces_by_digest.get(digest)
+
+    def resolve_class(
+        self, workspace: str, target: str, wanted: str | None = None
+    ) -> RequestClass | Unresolved:
+        """Return the class of a workspace's request to a target.
+
+        ``wanted`` is the class that the caller chose by header, if any.
+        """
+        binding = self.bindings.get((workspace, target))
+        if binding is None:
+            return self._explain_unbound(workspace, target)
+        name = wanted or binding.request_class
+        if name != binding.request_class and name not in binding.alternatives:
+            message = f"the binding of {target!r} does not allow the class {name!r}"
+            return Unresolved(CLASS_NOT_ALLOWED, message)
+        return self.classes[name]
+
+    def _explain_unbound(self, workspace: str, target: str) -> Unresolved:
+        if target in self._targets:
+            message = f"{target!r} is not bound to workspace {workspace!r}"
+            return Unresolved(NOT_BOUND, message)
+        return Unresolved(UNKNOWN_MODEL, f"{target!r} is not known here")
+
+    @functools.cached_property
+    def _workspaces_by_digest(self) -> dict[str, Workspace]:
+        items = self.workspaces.list_unordered()
+        return {workspace.key_digest: workspace for _, workspace in items}
+
+    @functools.cached_property
+    def _targets(self) -> frozenset[str]:
+        bound = (target for (_, target), _ in self.bindings.list_unordered())
+        served = (SERVICE_PREFIX + name for name in self.services)
+        return frozenset([*bound, *served, *self.copies])
+
+
+EMPTY = Configuration()
--- /dev/null
+++ b/packages/configuration/src/trestlestall/configuration/persistent.py
@@ -0,0 +1,131 @@
+"""A persistent map: an immutable mapping whose changed copies share their storage.
+
+``Map`` is a hash trie. A node is a tuple of ``WIDTH`` children chosen by ``BITS`` bits
+of the key's hash; a leaf is a plain dictionary of at most ``LEAF_LIMIT`` entries.
+Setting or removing a key copies one leaf and the nodes above it, so the cost hardly
+grows with the size, and the older map stays as it was.
+
+Example:
+
+    >>> first = Map.of({"a": 1})
+    >>> second = first.set("b", 2)
+    >>> sorted(second), sorted(first)
+    (['a', 'b'], ['a'])
+"""
+
+import typing
+from collections import abc
+
+BITS = 5
+WIDTH = 1 << BITS
+MASK = WIDTH - 1
+LEAF_LIMIT = 32
+DEPTH_LIMIT = 12
+
+
+class Map(abc.Mapping):
+    """An immutable mapping with cheap changed copies.
+
+    Iteration is in the order of the keys, so that every process sees the same order
+    whatever its hash seed; keys must therefore be of one comparable type.
+    """
+
+    __slots__ = ("_root", "_size")
+
+    def __init__(self, root: dict | tuple | None = None, size: int = 0):
+        self._root = {} if root is None else root
+        self._size = size
+
+    @classmethod
+    def of(cls, entries: abc.Mapping) -> "Map":
+        """Return a map of the entries; a ``Map`` is returned as it is."""
+        if isinstance(entries, Map):
+            return entries
+        return cls(_build(dict(entries), 0), len(entries))
+
+    def set(self, key: typing.Any, value: typing.Any) -> "Map":
+        """Return a map with the key set to the value."""
+        size = self._size + (key not in self)
+        return Map(_set(self._root, hash(key), 0, key, value), size)
+
+    def remove(self, key: typing.Any) -> "Map":
+        """Return a map without the key; an absent key changes nothing."""
+        if key not in self:
+            return self
+        return Map(_remove(self._root, hash(key), key), self._size - 1)
+
+    def get(self, key: typing.Any, default: typing.Any = None) -> typing.Any:
+        """Return the key's value, or the default."""
+        return self._find_leaf(key).get(key, default)
+
+    def list_unordered(self) -> list[tuple]:
+        """Return the items in no particular order, faster than ``items``."""
+        items: list[tuple] = []
+        _collect(self._root, items)
+        return items
+
+    def _find_leaf(self, key: typing.Any) -> dict:
+        node, bits = self._root, hash(key)
+        while type(node) is tuple:
+            node = node[bits & MASK]
+            bits >>= BITS
+        return node
+
+    def __getitem__(self, key: typing.Any) -> typing.Any:
+        return self._find_leaf(key)[key]
+
+    def __contains__(self, key: object) -> bool:
+        return key in self._find_leaf(key)
+
+    def __iter__(self) -> abc.Iterator:
+        return iter(sorted(key for key, _ in self.list_unordered()))
+
+    def __len__(self) -> int:
+        return self._size
+
+    def __hash__(self) -> int:
+        return hash(frozenset(self.list_unordered()))
+
+    def __repr__(self) -> str:
+        return f"Map({dict(self)!r})"
+
+
+def _build(entries: dict, depth: int) -> dict | tuple:
+    if len(entries) <= LEAF_LIMIT or depth >= DEPTH_LIMIT:
+        return entries
+    parts: list[dict] = [{} for _ in range(WIDTH)]
+    shift = depth * BITS
+    for key, value in entries.items():
+        parts[(hash(key) >> shift) & MASK][key] = value
+    return tuple(_build(part, depth + 1) for part in parts)
+
+
+def _set(
+    node: dict | tuple, bits: int, depth: int, key: typing.Any, value: typing.Any
+) -> dict | tuple:
+    if type(node) is dict:
+        leaf = {**node, key: value}
+        return leaf if len(leaf) <= LEAF_LIMIT else _build(leaf, depth)
+    children = list(node)
+    place = bits & MASK
+    children[place] = _set(children[place], bits >> BITS, depth + 1, key, value)
+    return tuple(children)
+
+
+def _remove(node: dict | tuple, bits: int, key: typing.Any) -> dict | tuple:
+    if type(node) is dict:
+        leaf = dict(node)
+        del leaf[key]
+        return leaf
+    children = list(node)
+    place = bits & MASK
+    children[place] = _remove(children[place], bits >> BITS, key)
+    return tuple(children)
+
+
+def _collect(node: dict | tuple, items: list[tuple]) -> None:
+    if type(node) is dict:
+        items.extend(node.items())
+        return
+    for child in node:
+        _collect(child, items)
