--- a/packages/configuration/src/trestlestall/configuration/strict.py
+++ b/packages/configuration/src/trestlestall/configuration/strict.py
@@ -21,7 +21,7 @@
     Raises ``InvalidDocument`` with the path, which begins with the given one.
     """
     try:
-        value = msgspec.convert(document, wanted)
+        value = msgspec.convert(document, wanted, builtin_types=(bytes,))
     except msgspec.ValidationError as error:
         message, _, place = str(error).partition(PATH_MARK)
         raise exceptions.InvalidDocument(path + place.rstrip("`"), message) from error
