--- /dev/null
+++ b/packages/membership/src/trestlestall/membership/entries.py
@@ -0,0 +1,53 @@
+"""One upstream in a router's table: the shared fact and what only this router knows."""
+
+import dataclasses
+
+from trestlestall.membership import facts, holds, outcomes, upstreams
+
+
+@dataclasses.dataclass(frozen=True)
+class Entry:
+    """The fact, and this router's own view beside it.
+
+    ``direct``: the newest lease was given here, not told by a peer. ``suspect``: a
+    connection was refused since the newest renewal; this is never told to peers, since
+    the fault may lie between this router and the upstream. ``told_expired``: the end of
+    the lease has been reported once. ``changed_at`` and ``renewed_at`` are marks: the
+    table's count of changes when the whole row, or only its lease, last changed.
+    ``known_by``: the peers that told the newest renewal, which need not hear it again.
+    """
+
+    fact: facts.Fact
+    direct: bool
+    changed_at: int
+    renewed_at: int
+    suspect: bool = False
+    told_expired: bool = False
+    hold: holds.Hold = holds.Hold()
+    known_by: frozenset[str] = frozenset()
+
+    @property
+    def upstream(self) -> upstreams.Upstream:
+        """Return the upstream with its newest report."""
+        return self.fact.upstream
+
+    def find_end(self, grace: float) -> float:
+        """Return when the lease ends; one that a peer told of has a grace on top."""
+        if self.direct or self.fact.left:
+            return self.fact.until
+        return self.fact.until + grace
+
+    def find_state(self, now: float, grace: float) -> outcomes.State:
+        """Return where the upstream stands at ``now``."""
+        if self.fact.left:
+            return outcomes.State.LEFT
+        if self.find_end(grace) <= now:
+            return outcomes.State.EXPIRED
+        if self.suspect:
+            return outcomes.State.SUSPECT
+        return outcomes.State.LIVE
+
+    def accepts_work(self, now: float, grace: float) -> bool:
+        """Return whether new work may go to it: live, described and not held."""
+        live = self.find_state(now, grace) is outcomes.State.LIVE
+        return live and self.fact.described > 0 and self.hold.held_until <= now
--- /dev/null
+++ b/packages/membership/src/trestlestall/membership/upstreams.py
@@ -0,0 +1,65 @@
+"""What an upstream says of itself: who it is, what it can do, how busy it is."""
+
+import dataclasses
+import typing
+
+from trestlestall.membership import limits
+
+ENGINE = "engine"
+SERVICE = "service"
+
+
+@dataclasses.dataclass(frozen=True, order=True)
+class Capabilities:
+    """What an engine honours. A plain service has none of these.
+
+    ``checks_fencing`` tells that the engine refuses an order with an old fencing
+    number; the others ignore the number.
+    """
+
+    priorities: bool = False
+    cancel: bool = False
+    resume: bool = False
+    kv_transfer: bool = False
+    checks_fencing: bool = False
+
+
+@dataclasses.dataclass(frozen=True, order=True)
+class Report:
+    """An upstream's account of its load at one moment, which is past when it arrives.
+
+    ``at`` is in seconds of the upstream's own clock: it orders the reports of one
+    upstream and is never compared with a router's clock. ``received_at`` is the time of
+    receipt in seconds of the router's clock and is set by the table, whatever the
+    upstream sent. ``running`` and ``waiting`` count requests, ``tokens_per_second`` is
+    the upstream's whole output, and ``kv_used`` the used share (0..1) of its KV cache.
+    """
+
+    at: limits.Time = 0.0
+    running: limits.Count = 0
+    waiting: limits.Count = 0
+    tokens_per_second: limits.Rate = 0.0
+    kv_used: limits.Share = 0.0
+    received_at: limits.Time = 0.0
+
+
+@dataclasses.dataclass(frozen=True, order=True)
+class Upstream:
+    """One upstream as it announced itself.
+
+    ``incarnation`` grows with each start of the process (for example its start time in
+    milliseconds), so that a restart under the same name and address is another
+    upstream. ``address`` is ``IP:port``; ``slots`` is how many requests it runs at a
+    time.
+    """
+
+    name: limits.Name
+    incarnation: limits.Incarnation
+    data_centre: limits.Name
+    address: limits.Text
+    kind: typing.Literal["engine", "service"] = ENGINE
+    models: limits.Names = ()
+    adapters: limits.Names = ()
+    capabilities: Capabilities = Capabilities()
+    slots: limits.Count = 1
+    report: Report = Report()
