--- /dev/null
+++ b/packages/wire/src/trestlestall/wire/codec.py
@@ -0,0 +1,126 @@
+"""Messages to frames and back: CBOR ``[PROTOCOL_VERSION, name, fields]``.
+
+The outer array is the same in every version of the protocol, so that an older process
+can name what it does not understand. A frame's size, its depth and its types are
+checked; CBOR tags (dates, shared references, regular expressions) are refused.
+"""
+
+import dataclasses
+import typing
+
+import cbor2
+import msgspec
+
+from trestlestall.wire import exceptions, messages, registry
+
+PROTOCOL_VERSION = 1
+MAX_FRAME = 8 * 1024 * 1024
+MAX_DEPTH = 64
+MAX_NAME = 100
+
+# The tags that cbor2 would turn into objects by itself.
+BUILT_IN_TAGS = (
+    *(0, 1, 2, 3, 4, 5, 25, 28, 29, 30, 35, 36, 37, 52, 54, 100, 256, 258, 260, 261),
+    *(1004, 43000, 55799),
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class Undecodable:
+    """A frame that can't be taken in.
+
+    ``name`` is set when the frame is well formed but its message, or the version of the
+    protocol, isn't known here: the sender is told ``NotUnderstood``.
+    """
+
+    reason: str
+    name: str = ""
+
+
+def encode(message: object) -> bytes:
+    """Return the frame; raise ``OversizedMessageError`` above ``MAX_FRAME`` bytes."""
+    name = registry.NAMES[type(message)]
+    fields = {
+        field.name: getattr(message, field.name)
+        for field in dataclasses.fields(typing.cast(typing.Any, message))
+    }
+    frame = cbor2.dumps([PROTOCOL_VERSION, name, fields])
+    if len(frame) > MAX_FRAME:
+        raise exceptions.OversizedMessageError(f"{name}: {len(frame)} bytes")
+    return frame
+
+
+def decode(data: bytes) -> typing.Any:
+    """Return the message in the frame, or an ``Undecodable`` value."""
+    if len(data) > MAX_FRAME:
+        return Undecodable(f"frame of {len(data)} bytes")
+    try:
+        plain = load(data)
+    except (cbor2.CBORError, ValueError, RecursionError) as error:
+        return Undecodable(f"not CBOR: {error}")
+    if not is_frame(plain):
+        return Undecodable("not [version, name, fields]")
+    version, name, fields = plain
+    kind = registry.KINDS.get(name)
+    if version != PROTOCOL_VERSION:
+        return Undecodable(f"version {version} of the protocol", name)
+    if kind is None:
+        return Undecodable(f"unknown message {name!r}", name)
+    return convert(fields, kind)
+
+
+def answer(undecodable: Undecodable) -> messages.NotUnderstood | None:
+    """Return what the sender of the frame should be told, or ``None`` for nothing.
+
+    A ``NotUnderstood`` is never answered, whatever its version, so that two processes
+    can't keep telling each other that they don't understand.
+    """
+    refusal = registry.NAMES[messages.NotUnderstood]
+    if not undecodable.name or undecodable.name == refusal:
+        return None
+    return messages.NotUnderstood(undecodable.name, PROTOCOL_VERSION)
+
+
+def load(data: bytes) -> typing.Any:
+    """Return the plain value of the frame, or raise a CBOR error."""
+    return cbor2.loads(
+        data,
+        tag_hook=refuse_unknown_tag,
+        semantic_decoders=dict.fromkeys(BUILT_IN_TAGS, refuse_tag),
+        max_depth=MAX_DEPTH,
+        allow_indefinite=False,
+        allow_duplicate_keys=False,
+        strict_hashable_types=True,
+    )
+
+
+def refuse_tag(decoder: cbor2.CBORDecoder) -> typing.NoReturn:
+    """Refuse a tag that cbor2 knows."""
+    raise cbor2.CBORDecodeError("tags are not taken")
+
+
+def refuse_unknown_tag(decoder: cbor2.CBORDecoder, tag: object) -> typing.NoReturn:
+    """Refuse a tag that cbor2 does not know."""
+    raise cbor2.CBORDecodeError("tags are not taken")
+
+
+def is_frame(plain: object) -> bool:
+    """Return whether the value has the outer form of a frame."""
+    if not isinstance(plain, list) or len(plain) != 3:
+        return False
+    version, name, fields = plain
+    if type(version) is not int or not isinstance(name, str):
+        return False
+    return len(name) <= MAX_NAME and isinstance(fields, dict)
+
+
+def convert(fields: dict[str, typing.Any], kind: type) -> typing.Any:
+    """Return the fields as a message of the kind, or an ``Undecodable`` value."""
+    known = {field.name for field in dataclasses.fields(kind)}
+    unknown = sorted(set(fields) - known)
+    if unknown:
+        return Undecodable(f"unknown key {unknown[0]!r}")
+    try:
+        return msgspec.convert(fields, kind)
+    except (msgspec.ValidationError, OverflowError) as error:
+        return Undecodable(str(error))
--- /dev/null
+++ b/packages/wire/tests/test_codec.py
@@ -0,0 +1,106 @@
+"""Frames: every message there and back, and what is refused."""
+
+import unittest
+
+import cbor2
+
+from trestlestall.wire import codec, exceptions, messages, registry
+
+HELLO = messages.Hello("router-a1", "router", "a", "9f3a")
+SAMPLES = (
+    HELLO,
+    messages.Challenge("router-a1", "router", "a", "9f3a", b"n" * 32),
+    messages.Proof(b"s" * 32),
+    messages.Agreement("control-1#9f3a", "vote", {"term": 3, "entries": [[1, b"x"]]}),
+    messages.Submit(1, {"text": "drain upstream u1"}),
+    messages.SubmitAnswer(1, {"accepted": 4}),
+    messages.ClaimCall(2, "claim", {"key": "k"}),
+    messages.ClaimAnswer(2, "granted", {}),
+    messages.ConfigurationFull(4, {"classes": {}}),
+    messages.ConfigurationDelta(3, 4, ({"a": 1},)),
+    messages.ConfigurationAck("router-a1", 4),
+    messages.ConfigurationPull(3),
+    messages.UpstreamRows("router-a1", ([b"key", 7], {"sequence": 1})),
+    messages.UpstreamPull("router-a1", (b"key",)),
+    messages.Pressure("router-a1", 9, {"m1": 2}),
+    messages.StatusCall(5),
+    messages.StatusAnswer(5, {"version": 4}),
+    messages.NotUnderstood("novelty", 1),
+)
+
+
+def tag(number: int) -> bytes:
+    """Return a hello frame whose fields stand under a CBOR tag."""
+    head = cbor2.dumps([1, "hello", 0])[:-1]
+    fields = cbor2.dumps({"name": "", "role": "", "data_centre": "", "identity": ""})
+    return head + b"\xda" + number.to_bytes(4, "big") + fields
+
+
+class RoundTripTest(unittest.TestCase):
+    def test_every_message_survives_the_way(self) -> None:
+        self.assertEqual({type(sample) for sample in SAMPLES}, set(registry.NAMES))
+        for sample in SAMPLES:
+            with self.subTest(message=type(sample).__name__):
+                self.assertEqual(codec.decode(codec.encode(sample)), sample)
+
+
+class RefusalTest(unittest.TestCase):
+    def test_frames_that_are_not_taken_in(self) -> None:
+        frame = codec.encode(HELLO)
+        fields = {"name": "a", "role": "b", "data_centre": "c", "identity": "d"}
+        cases = {
+            "nothing": b"",
+            "rubbish": bytes(range(256)),
+            "text": b"GET / HTTP/1.1\r\n\r\n",
+            "cut": frame[:-1],
+            "length that lies": bytes.fromhex("9bffffffffffffffff"),
+            "deep": b"\x81" * 100_000 + b"\x00",
+            "too large": b"\x00" * (codec.MAX_FRAME + 1),
+            "another form": cbor2.dumps({"hello": 1}),
+            "two parts": cbor2.dumps([1, "hello"]),
+            "version as text": cbor2.dumps(["1", "hello", fields]),
+            "version as bool": cbor2.dumps([True, "hello", fields]),
+            "fields as list": cbor2.dumps([1, "hello", list(fields)]),
+            "long name": cbor2.dumps([1, "h" * 101, fields]),
+            "missing key": cbor2.dumps([1, "hello", {"name": "a"}]),
+            "unknown key": cbor2.dumps([1, "hello", {**fields, "more": 1}]),
+            "wrong type": cbor2.dumps([1, "hello", {**fields, "name": 1}]),
+            "number as key": cbor2.dumps(
+                [1, "submit", {"token": 1, "document": {1: 1}}]
+            ),
+            "open-ended array": b"\x9f\x01\x65hello\xa0\xff",
+        }
+        for name, data in cases.items():
+            with self.subTest(name):
+                answer = codec.decode(data)
+                self.assertIsInstance(answer, codec.Undecodable)
+                self.assertIsNone(codec.answer(answer))
+
+    def test_no_tag_is_taken(self) -> None:
+        taken = [
+            number
+            for number in (*range(1100), 40, 43000, 55799, 2**32 - 1)
+            if not isinstance(codec.decode(tag(number)), codec.Undecodable)
+        ]
+        self.assertEqual(taken, [])
+
+    def test_what_is_not_understood_is_said_once(self) -> None:
+        cases = {
+            "later version": ([2, "hello", {"new": 1}], "hello"),
+            "later message": ([1, "novelty", {}], "novelty"),
+            "later answer": ([2, "not_understood", {"new": 1}], None),
+        }
+        for name, (frame, told) in cases.items():
+            with self.subTest(name):
+                answer = codec.answer(codec.decode(cbor2.dumps(frame)))
+                expected = told and messages.NotUnderstood(told, 1)
+                self.assertEqual(answer, expected)
+
+    def test_a_message_above_the_bound_is_not_sent(self) -> None:
+        large = messages.StatusAnswer(1, {"text": "x" * codec.MAX_FRAME})
+        with self.assertRaises(exceptions.OversizedMessageError):
+            codec.encode(large)
+
+
+if __name__ == "__main__":
+    unittest.main()
