--- /dev/null
+++ b/packages/storage/src/trestlestall/storage/folder.py
@@ -0,0 +1,253 @@
+"""The data folder: what a voter must still know after any crash.
+
+    with folder.open_folder("/var/lib/trestlestall") as data:
+        loaded = data.load()
+        data.append([b"first", b"second"])
+
+Each call that changes something returns only once that is synced. The folder holds
+`log` (see `contents`), `mark` (see `mark`), `lock`, and for a moment `log.new`.
+"""
+
+import contextlib
+import errno
+import os
+import secrets
+import typing
+
+from trestlestall.storage import contents, exceptions, files, frames, mark
+
+LOG = "log"
+NEW_LOG = "log.new"
+MARK = "mark"
+LOCK = "lock"
+IDENTITY_BYTES = 8
+
+
+class Folder:
+    """An open data folder. Use `open_folder`; one process at a time holds it.
+
+    After an operation has failed, each later one raises `FolderFailed`: what reached
+    the disk is only known once the folder is opened again.
+    """
+
+    def __init__(self, path: str, store: files.Files):
+        self._path = path
+        self._files = store
+        self._failed = False
+        with self._guard(LOG):
+            self._open()
+
+    @property
+    def identity(self) -> str:
+        """Return the random name that this folder got when it was made, in hex."""
+        return self._base.identity
+
+    def load(self) -> contents.Loaded:
+        """Return what the folder held when it was opened."""
+        return self._loaded
+
+    def append(self, records: list[bytes]) -> None:
+        """Add the records at the end."""
+        self.persist(records=records)
+
+    def truncate(self, count_kept: int) -> None:
+        """Drop all records but the first ones."""
+        self.persist(kept=count_kept)
+
+    def save_vote(self, vote: contents.Vote) -> None:
+        """Replace the vote."""
+        self.persist(vote=vote)
+
+    def persist(
+        self,
+        vote: contents.Vote | None = None,
+        kept: int | None = None,
+        records: typing.Sequence[bytes] = (),
+    ) -> None:
+        """Replace the vote, drop and add records: all of it or nothing, in one sync."""
+        if vote is not None:
+            self._vote = vote
+        change = contents.Change(vote, kept, tuple(records))
+        payload = contents.encode_change(change)
+        frame = frames.encode_frame(self._sequence, payload, self._checksum)
+        with self._guard(LOG):
+            self._files.write(LOG, self._length, frame)
+            self._files.sync(LOG)
+            self._note_frame(frame, payload)
+            self._write_mark()
+
+    def save_snapshot(
+        self, meta: dict[str, typing.Any], state: bytes, keep_records: list[bytes]
+    ) -> None:
+        """Replace snapshot and records together; the vote stays."""
+        base = contents.Base(
+            self._base.identity,
+            self._base.generation + 1,
+            self._vote,
+            contents.Snapshot(meta, state),
+            tuple(keep_records),
+        )
+        with self._guard(NEW_LOG):
+            self._replace_log(base)
+            self._write_mark()
+            self._files.sync(MARK)
+
+    def close(self) -> None:
+        """Make the mark exact and let the folder go."""
+        try:
+            if not self._failed:
+                self._files.sync(MARK)
+        finally:
+            self._files.unlock()
+
+    def _open(self) -> None:
+        self._files.remove(NEW_LOG)
+        data = self._files.read(LOG)
+        written = self._files.read(MARK)
+        self._mark = mark.decode_marks(written or b"")
+        if data is None:
+            self._check_never_used()
+            self._make()
+            return
+        if self._mark is None:
+            self._refuse(MARK, "missing or damaged")
+        self._recover(data)
+
+    def _check_never_used(self) -> None:
+        """Refuse a folder whose log file went away."""
+        if self._mark is not None and self._mark.number > 0:
+            self._refuse(LOG, "missing, though it was written before")
+
+    def _make(self) -> None:
+        """Make the files of a new folder; the log's name comes last."""
+        base = contents.Base(secrets.token_hex(IDENTITY_BYTES), 0)
+        self._mark = mark.Mark(0, 0, 0)
+        self._files.write(MARK, 0, mark.encode_mark(self._mark))
+        self._files.sync(MARK)
+        self._files.sync_folder()
+        self._replace_log(base)
+        self._loaded = contents.replay(base, ())
+        self._write_mark()
+        self._files.sync(MARK)
+
+    def _recover(self, data: bytes) -> None:
+        """Read the log file, cut a torn tail, and make durable what is left.
+
+        What a killed process wrote last may stand in the system's cache alone; it is
+        synced before anyone builds on it.
+        """
+        scan = frames.scan_frames(data)
+        self._check(scan)
+        self._base = contents.decode_base(scan.frames[0].payload)
+        self._check_mark(scan)
+        self._loaded = contents.replay(self._base, scan.frames[1:])
+        self._vote = self._loaded.vote
+        self._sequence = len(scan.frames)
+        self._checksum = scan.frames[-1].checksum
+        self._length = scan.end
+        if scan.torn:
+            self._files.cut(LOG, scan.end)
+        self._files.sync(LOG)
+        self._files.sync_folder()
+        self._write_mark()
+        self._files.sync(MARK)
+
+    def _check(self, scan: frames.Scan) -> None:
+        if scan.damage is not None:
+            self._refuse(LOG, scan.damage)
+        if not scan.frames:
+            self._refuse(LOG, "its first frame is missing or damaged")
+
+    def _check_mark(self, scan: frames.Scan) -> None:
+        """Refuse a log that ends before what was acknowledged."""
+        if self._mark.generation > self._base.generation:
+            self._refuse(LOG, "older than what was acknowledged")
+        if self._mark.generation < self._base.generation:
+            return
+        if scan.end < self._mark.length:
+            problem = f"sound up to byte {scan.end} only of {self._mark.length}"
+            self._refuse(LOG, problem)
+
+    def _replace_log(self, base: contents.Base) -> None:
+        payload = contents.encode_base(base)
+        frame = frames.encode_frame(0, payload, 0)
+        self._files.remove(NEW_LOG)
+        self._files.write(NEW_LOG, 0, frame)
+        self._files.sync(NEW_LOG)
+        self._files.rename(NEW_LOG, LOG)
+        self._files.sync_folder()
+        self._base = base
+        self._vote = base.vote
+        self._sequence = 0
+        self._checksum = 0
+        self._length = 0
+        self._note_frame(frame, payload)
+
+    def _note_frame(self, frame: bytes, payload: bytes) -> None:
+        self._sequence += 1
+        self._checksum = frames.chain_checksum(payload, self._checksum)
+        self._length += len(frame)
+
+    def _write_mark(self) -> None:
+        number = self._mark.number + 1
+        self._mark = mark.Mark(number, self._base.generation, self._length)
+        self._files.write(MARK, self._mark.offset, mark.encode_mark(self._mark))
+
+    def _refuse(self, name: str, problem: str) -> typing.NoReturn:
+        raise exceptions.DamagedLog(os.path.join(self._path, name), problem)
+
+    @contextlib.contextmanager
+    def _guard(self, name: str) -> typing.Iterator[None]:
+        """Turn the system's errors into the package's, and let nothing follow one."""
+        if self._failed:
+            raise exceptions.FolderFailed(self._path)
+        self._failed = True
+        with translate_errors(os.path.join(self._path, name)):
+            yield
+        self._failed = False
+
+
+@contextlib.contextmanager
+def translate_errors(path: str) -> typing.Iterator[None]:
+    """Raise the package's exception for an error of the operating system."""
+    try:
+        yield
+    except OSError as error:
+        if error.errno in (errno.ENOSPC, errno.EDQUOT):
+            raise exceptions.DiskFull(path) from error
+        raise exceptions.DiskFailed(path, error) from error
+
+
+@contextlib.contextmanager
+def open_folder(
+    path: str | os.PathLike[str], store: files.Files | None = None
+) -> typing.Iterator[Folder]:
+    """Lock, check and read the folder, and let it go at the end.
+
+    Raises `FolderMissing`, `FolderInUse`, `DamagedLog`, `DiskFull` or `DiskFailed`.
+    `store` is for tests that bring their own file system.
+    """
+    path = os.fspath(path)
+    if store is None:
+        store = _open_files(path)
+    with translate_errors(path):
+        locked = store.lock(LOCK)
+    if not locked:
+        store.unlock()
+        raise exceptions.FolderInUse(path)
+    try:
+        opened = Folder(path, store)
+    except BaseException:
+        store.unlock()
+        raise
+    try:
+        yield opened
+    finally:
+        opened.close()
+
+
+def _open_files(path: str) -> files.Files:
+    if not os.path.isdir(path):
+        raise exceptions.FolderMissing(path)
+    with translate_errors(path):
+        return files.SystemFiles(path)
