--- a/packages/storage/src/trestlestall/storage/folder.py
+++ b/packages/storage/src/trestlestall/storage/folder.py
@@ -68,12 +68,12 @@
         if vote is not None:
             self._vote = vote
         change = contents.Change(vote, kept, tuple(records))
-        payload = contents.encode_change(change)
-        frame = frames.encode_frame(self._sequence, payload, self._checksum)
+        frame = frames.encode_frame(self._sequence, contents.encode_change(change))
         with self._guard(LOG):
             self._files.write(LOG, self._length, frame)
             self._files.sync(LOG)
-            self._note_frame(frame, payload)
+            self._sequence += 1
+            self._length += len(frame)
             self._write_mark()
 
     def save_snapshot(
@@ -96,7 +96,8 @@
         """Make the mark exact and let the folder go."""
         try:
             if not self._failed:
-                self._files.sync(MARK)
+                with self._guard(MARK):
+                    self._files.sync(MARK)
         finally:
             self._files.unlock()
 
@@ -143,7 +144,6 @@
         self._loaded = contents.replay(self._base, scan.frames[1:])
         self._vote = self._loaded.vote
         self._sequence = len(scan.frames)
-        self._checksum = scan.frames[-1].checksum
         self._length = scan.end
         if scan.torn:
             self._files.cut(LOG, scan.end)
@@ -169,8 +169,7 @@
             self._refuse(LOG, problem)
 
     def _replace_log(self, base: contents.Base) -> None:
-        payload = contents.encode_base(base)
-        frame = frames.encode_frame(0, payload, 0)
+        frame = frames.encode_frame(0, contents.encode_base(base))
         self._files.remove(NEW_LOG)
         self._files.write(NEW_LOG, 0, frame)
         self._files.sync(NEW_LOG)
@@ -178,15 +177,8 @@
         self._files.sync_folder()
         self._base = base
         self._vote = base.vote
-        self._sequence = 0
-        self._checksum = 0
-        self._length = 0
-        self._note_frame(frame, payload)
-
-    def _note_frame(self, frame: bytes, payload: bytes) -> None:
-        self._sequence += 1
-        self._checksum = frames.chain_checksum(payload, self._checksum)
-        self._length += len(frame)
+        self._sequence = 1
+        self._length = len(frame)
 
     def _write_mark(self) -> None:
         number = self._mark.number + 1
--- a/packages/storage/src/trestlestall/storage/frames.py
+++ b/packages/storage/src/trestlestall/storage/frames.py
@@ -1,8 +1,8 @@
 """Frames of the log file: a header, a payload and padding to a whole sector.
 
 The header holds a sequence number, the payload's length and checksum, and a checksum of
-itself, so that a damaged length is never followed. A payload's checksum goes on from
-that of the frame before: a frame taken out of the middle is noticed.
+itself, so that a damaged length is never followed, and a frame taken out of the middle
+is noticed.
 
 Each frame begins at a sector, so a torn write can't touch the frame before it. A frame
 is written and synced as one, which tells a torn tail from damage: after a torn write
@@ -23,11 +23,9 @@
 
 @dataclasses.dataclass(frozen=True)
 class Frame:
-    """One whole frame: its number, payload, checksum, and where it ends in the file."""
+    """One whole frame: its payload and where it ends in the file."""
 
-    sequence: int
     payload: bytes
-    checksum: int
     end: int
 
 
@@ -49,31 +47,23 @@
         return self.frames[-1].end if self.frames else 0
 
 
-def encode_frame(sequence: int, payload: bytes, previous: int) -> bytes:
-    """Return the frame's bytes; `previous` is the checksum of the frame before."""
-    checksum = chain_checksum(payload, previous)
-    header = HEADER.pack(MAGIC, sequence, len(payload), checksum)
+def encode_frame(sequence: int, payload: bytes) -> bytes:
+    """Return the bytes of the frame with that number, counted from 0."""
+    header = HEADER.pack(MAGIC, sequence, len(payload), zlib.crc32(payload))
     frame = header + CHECKSUM.pack(zlib.crc32(header)) + payload
     return frame + PADDING * (-len(frame) % SECTOR)
 
 
-def chain_checksum(payload: bytes, previous: int) -> int:
-    """Return the checksum of a payload that follows a frame with that checksum."""
-    return zlib.crc32(payload, previous)
-
-
 def scan_frames(data: bytes) -> Scan:
     """Read frames from the start of the file up to its end or the first bad one."""
     frames: list[Frame] = []
     offset = 0
-    previous = 0
     while offset < len(data):
-        frame = _read_frame(data, offset, len(frames), previous)
+        frame = _read_frame(data, offset, len(frames))
         if frame is None:
             return _judge_rest(data, offset, tuple(frames))
         frames.append(frame)
         offset = frame.end
-        previous = frame.checksum
     return Scan(tuple(frames))
 
 
@@ -87,16 +77,16 @@
     return tuple(numbers) if magic == MAGIC else None
 
 
-def _read_frame(data: bytes, offset: int, sequence: int, previous: int) -> Frame | None:
+def _read_frame(data: bytes, offset: int, sequence: int) -> Frame | None:
     header = _read_header(data, offset)
     if header is None or header[0] != sequence:
         return None
     start = offset + HEADER_SIZE
     payload = data[start : start + header[1]]
     end = offset + _round_up(HEADER_SIZE + header[1])
-    if len(data) < end or chain_checksum(payload, previous) != header[2]:
+    if len(data) < end or zlib.crc32(payload) != header[2]:
         return None
-    return Frame(sequence, payload, header[2], end)
+    return Frame(payload, end)
 
 
 def _judge_rest(data: bytes, offset: int, frames: tuple[Frame, ...]) -> Scan:
