--- /dev/null
+++ b/packages/agreement/src/trestlestall/agreement/codes.py
@@ -0,0 +1,10 @@
+"""Codes of ``actions.Refused``."""
+
+ALREADY_VOTER = "already_voter"
+CHANGE_IN_FLIGHT = "change_in_flight"
+LAST_VOTER = "last_voter"
+NOT_CAUGHT_UP = "not_caught_up"
+NOT_VOTER = "not_voter"
+ONE_AT_A_TIME = "one_at_a_time"
+OVERLOADED = "overloaded"
+TOO_LARGE = "too_large"
--- /dev/null
+++ b/packages/agreement/src/trestlestall/agreement/election.py
@@ -0,0 +1,137 @@
+"""Elections: pre-vote, then the vote, each won by a majority of the voters."""
+
+from trestlestall.agreement import (
+    handlers,
+    messages,
+    replication,
+    roles,
+    state as state_module,
+)
+
+Role = state_module.Role
+
+
+def check_deadline(state: state_module.State) -> None:
+    """Stand for election when no leader was heard in time; only voters stand."""
+    if state.role is Role.LEADER or state.now < state.deadline:
+        return
+    if not state.is_voter:
+        state.leader = None
+        roles.reset_deadline(state)
+        return
+    ask_first(state)
+
+
+def ask_first(state: state_module.State) -> None:
+    """Ask whether an election could be won, without raising the term (pre-vote)."""
+    roles.become_follower(state, state.term)
+    state.role = Role.PRE_CANDIDATE
+    request = messages.PreVoteRequest(
+        state.term + 1, state.log.last_index, state.log.last_term
+    )
+    ask_voters(state, request)
+    count_grant(state, state.voter)
+
+
+def stand(state: state_module.State) -> None:
+    """Raise the term, vote for oneself and ask for votes."""
+    roles.become_follower(state, state.term + 1)
+    state.role = Role.CANDIDATE
+    state.set_vote(state.term, state.voter)
+    request = messages.VoteRequest(
+        state.term, state.log.last_index, state.log.last_term
+    )
+    ask_voters(state, request)
+    count_grant(state, state.voter)
+
+
+def ask_voters(state: state_module.State, request: messages.Message) -> None:
+    """Send the request to all other voters."""
+    for name in state.log.voters:
+        if name != state.voter:
+            state.send(name, request)
+
+
+def count_grant(state: state_module.State, voter: str) -> None:
+    """Count a granted (pre-)vote, and go on when it makes a quorum."""
+    state.grants.add(voter)
+    if not state.has_quorum(state.grants):
+        return
+    if state.role is Role.PRE_CANDIDATE:
+        stand(state)
+    else:
+        replication.lead(state)
+
+
+def is_up_to_date(
+    state: state_module.State,
+    request: messages.PreVoteRequest | messages.VoteRequest,
+) -> bool:
+    """Return whether the candidate's log holds all that ours may have committed."""
+    ours = (state.log.last_term, state.log.last_index)
+    return (request.last_term, request.last_index) >= ours
+
+
+@handlers.MESSAGES.register(messages.PreVoteRequest)
+def receive_pre_vote_request(
+    state: state_module.State, sender: str, request: messages.PreVoteRequest
+) -> None:
+    """Say whether the sender could have our vote; nothing here changes."""
+    granted = (
+        request.term > state.term
+        and is_up_to_date(state, request)
+        and not roles.hears_leader(state)
+    )
+    term = request.term if granted else state.term
+    state.send(sender, messages.PreVoteResponse(term, granted))
+
+
+@handlers.MESSAGES.register(messages.VoteRequest)
+def receive_vote_request(
+    state: state_module.State, sender: str, request: messages.VoteRequest
+) -> None:
+    """Vote once per term, for a log that is up to date, unless a leader is heard.
+
+    The candidate need not be among the voters we know of: it may have been added by
+    an entry that has not reached us.
+    """
+    if request.term > state.term and not roles.hears_leader(state):
+        roles.become_follower(state, request.term)
+    granted = (
+        request.term == state.term
+        and state.role is Role.FOLLOWER
+        and state.vote.voted_for in (None, sender)
+        and is_up_to_date(state, request)
+    )
+    if granted:
+        state.set_vote(state.term, sender)
+        roles.reset_deadline(state)
+    state.send(sender, messages.VoteResponse(state.term, granted))
+
+
+@handlers.MESSAGES.register(messages.PreVoteResponse)
+def receive_pre_vote_response(
+    state: state_module.State, sender: str, response: messages.PreVoteResponse
+) -> None:
+    """Count a grant for the next term; learn a newer term from a refusal."""
+    if sender not in state.log.voters:
+        return
+    if response.granted:
+        if state.role is Role.PRE_CANDIDATE and response.term == state.term + 1:
+            count_grant(state, sender)
+    elif response.term > state.term:
+        roles.become_follower(state, response.term)
+
+
+@handlers.MESSAGES.register(messages.VoteResponse)
+def receive_vote_response(
+    state: state_module.State, sender: str, response: messages.VoteResponse
+) -> None:
+    """Count a vote of this term; learn a newer term."""
+    if sender not in state.log.voters:
+        return
+    if response.term > state.term:
+        roles.become_follower(state, response.term)
+    elif response.granted and response.term == state.term:
+        if state.role is Role.CANDIDATE:
+            count_grant(state, sender)
--- /dev/null
+++ b/packages/agreement/src/trestlestall/agreement/following.py
@@ -0,0 +1,101 @@
+"""The follower's side of replication."""
+
+from trestlestall.agreement import (
+    entries as entries_module,
+    exceptions,
+    handlers,
+    messages,
+    replication,
+    roles,
+    state as state_module,
+)
+
+Role = state_module.Role
+
+
+def accept_leader(state: state_module.State, sender: str, term: int) -> bool:
+    """Follow the sender of a leader's message, unless its term has passed."""
+    if term < state.term:
+        return False
+    if term == state.term and state.role is Role.LEADER:
+        raise exceptions.BrokenInvariantError(f"{sender} also leads term {term}")
+    roles.follow_leader(state, sender, term)
+    return True
+
+
+@handlers.MESSAGES.register(messages.AppendRequest)
+def receive_append_request(
+    state: state_module.State, sender: str, request: messages.AppendRequest
+) -> None:
+    """Take the entries if they continue our log, and say what we hold."""
+    if not accept_leader(state, sender, request.term):
+        refusal = messages.AppendResponse(state.term, False, 0, 0)
+        state.send(sender, refusal)
+        return
+    request = skip_committed(state, request)
+    if state.log.get_term(request.prev_index) != request.prev_term:
+        state.send(sender, refuse_gap(state, request))
+        return
+    take_entries(state, request.entries)
+    last = request.prev_index + len(request.entries)
+    replication.apply_up_to(state, min(request.commit, last))
+    response = messages.AppendResponse(state.term, True, last, request.round)
+    state.send(sender, response)
+
+
+def skip_committed(
+    state: state_module.State, request: messages.AppendRequest
+) -> messages.AppendRequest:
+    """Return the request without the entries that are committed here.
+
+    They are the same on every node, and may be compacted away here.
+    """
+    if request.prev_index >= state.commit:
+        return request
+    newer = tuple(entry for entry in request.entries if entry.index > state.commit)
+    return messages.AppendRequest(
+        request.term,
+        state.commit,
+        state.log.get_term(state.commit),
+        newer,
+        request.commit,
+        request.round,
+    )
+
+
+def refuse_gap(
+    state: state_module.State, request: messages.AppendRequest
+) -> messages.AppendResponse:
+    """Return the refusal, with the last entry that may be common."""
+    index = state.log.find_common(request.prev_index, request.prev_term)
+    return messages.AppendResponse(
+        state.term,
+        False,
+        index,
+        request.round,
+        prev_index=request.prev_index,
+        hint_term=state.log.get_term(index),
+    )
+
+
+def take_entries(
+    state: state_module.State, batch: tuple[entries_module.Entry, ...]
+) -> None:
+    """Append the entries we lack; the first that differs replaces all behind it."""
+    for position, entry in enumerate(batch):
+        held = state.log.get_term(entry.index)
+        if held == entry.term:
+            continue
+        if held is not None:
+            truncate(state, entry.index)
+        state.log.append(batch[position:])
+        return
+
+
+def truncate(state: state_module.State, index: int) -> None:
+    """Drop entries that a new leader does not have; committed ones never go."""
+    if index <= state.commit:
+        raise exceptions.BrokenInvariantError(
+            f"committed entry {index} would be dropped"
+        )
+    state.log.truncate(index)
--- /dev/null
+++ b/packages/agreement/src/trestlestall/agreement/membership.py
@@ -0,0 +1,133 @@
+"""Changes of the voters, one at a time.
+
+Any majority of the voters before a change shares a voter with any majority after it,
+as long as the change adds or removes a single voter and the former change is
+committed. A leader therefore begins none before its no-op entry is committed either.
+"""
+
+from trestlestall.agreement import (
+    actions,
+    codes,
+    entries as entries_module,
+    events,
+    handlers,
+    replication,
+    roles,
+    state as state_module,
+)
+
+
+@handlers.EVENTS.register(events.ChangeVoters)
+def change_voters(state: state_module.State, event: events.ChangeVoters) -> None:
+    """Begin the change; a new voter is a learner until it has caught up."""
+    refusal = find_refusal(state, event)
+    if refusal is not None:
+        state.emit(actions.Proposed(event.token, refusal))
+        return
+    if event.add is not None:
+        replication.track(state, event.add)
+    state.lead.change = state_module.Change(
+        event.token, event.add, event.remove, state.log.last_index, state.now
+    )
+
+
+def find_refusal(
+    state: state_module.State, event: events.ChangeVoters
+) -> actions.Outcome | None:
+    """Return why the change cannot begin, if so."""
+    if state.lead is None:
+        return actions.NotLeader(state.leader)
+    code = check_change(state.log.voters, event.add, event.remove)
+    if code is not None:
+        return actions.Refused(code)
+    if state.lead.change is not None or state.log.voters_index > state.commit:
+        return actions.Refused(codes.CHANGE_IN_FLIGHT)
+    return None
+
+
+def check_change(
+    voters: tuple[str, ...], add: str | None, remove: str | None
+) -> str | None:
+    """Return the code of what is wrong with the change, if anything."""
+    if (add is None) == (remove is None):
+        return codes.ONE_AT_A_TIME
+    if add in voters:
+        return codes.ALREADY_VOTER
+    if remove is not None and remove not in voters:
+        return codes.NOT_VOTER
+    if (remove,) == voters:
+        return codes.LAST_VOTER
+    return None
+
+
+def advance_change(state: state_module.State) -> None:
+    """Append the change once it may, and end it once it is committed."""
+    change = state.lead.change
+    if change is not None and change.index is None and may_append(state, change):
+        append_change(state, change)
+    elif change is not None and change.index is not None:
+        if change.index <= state.commit:
+            state.lead.change = None
+    if state.log.voters_index <= state.commit:
+        drop_departed(state)
+
+
+def may_append(state: state_module.State, change: state_module.Change) -> bool:
+    """Return whether the leader is settled and the learner caught up."""
+    if state.commit < state.lead.first_index:
+        return False
+    return change.add is None or is_caught_up(state, change)
+
+
+def is_caught_up(state: state_module.State, change: state_module.Change) -> bool:
+    """Return whether the learner reached the target in a round that was short.
+
+    After a long round, which let the log grow meanwhile, the next one begins.
+    """
+    if state.lead.progress[change.add].match_index < change.target:
+        return False
+    if state.now - change.since <= state.timing.election:
+        return True
+    change.target = state.log.last_index
+    change.since = state.now
+    return state.lead.progress[change.add].match_index >= change.target
+
+
+def append_change(state: state_module.State, change: state_module.Change) -> None:
+    """Append the new voters, which count from here on."""
+    voters = tuple(name for name in state.log.voters if name != change.remove)
+    if change.add is not None:
+        voters += (change.add,)
+    payload = entries_module.encode_voters(voters)
+    change.index = replication.append(state, entries_module.VOTERS, payload)
+    state.lead.pending[change.index] = change.token
+
+
+def drop_departed(state: state_module.State) -> None:
+    """Let go of removed voters once that is committed; step down if it is us.
+
+    They are told the commit index first, so that they know.
+    """
+    learner = state.lead.change.add if state.lead.change is not None else None
+    kept = {*state.log.voters, learner}
+    for name in set(state.lead.progress) - kept:
+        replication.send_heartbeat(state, name, state.lead.progress[name])
+        del state.lead.progress[name]
+    if not state.is_voter:
+        state.lead.round_wanted = True
+        replication.send_due(state)
+        roles.become_follower(state, state.term)
+
+
+def check_learner(state: state_module.State) -> None:
+    """Give up a learner that has been silent for too long."""
+    change = state.lead.change
+    if change is None or change.add is None or change.index is not None:
+        return
+    peer = state.lead.progress[change.add]
+    if state.now - peer.contact <= state.timing.catch_up:
+        return
+    state.lead.change = None
+    del state.lead.progress[change.add]
+    outcome = actions.Refused(codes.NOT_CAUGHT_UP)
+    state.emit(actions.Proposed(change.token, outcome))
--- /dev/null
+++ b/packages/agreement/src/trestlestall/agreement/node.py
@@ -0,0 +1,171 @@
+"""One node of the group: the door of this package."""
+
+import random
+from collections import abc
+
+from trestlestall.agreement import (
+    actions,
+    election,
+    entries as entries_module,
+    events,
+    exceptions,
+    following,
+    handlers,
+    log as log_module,
+    membership,
+    proposals,
+    reads,
+    replication,
+    roles,
+    snapshots,
+    state as state_module,
+    timing as timing_module,
+)
+
+#: The modules whose handlers fill the registries when they are imported.
+HANDLING_MODULES = (election, following, membership, proposals, reads, snapshots)
+
+
+class Node:
+    """A voter, a learner, or a node that waits to be added.
+
+    ``voter`` is its name, with the identity of its disk. ``voters`` are the group's
+    first voters, the same list for each of them; a node that is not on the list never
+    stands for election, and waits until a leader adds it. ``voters`` counts only until
+    the log or a snapshot says more. For example::
+
+        node = Node("control-1#9f3a", ("control-1#9f3a",), timing.Timing(), seed=1)
+        actions = node.handle(events.Tick(), now=12.5)
+
+    ``now`` is in seconds of one monotonic clock. After a restart give what was
+    persisted as ``restored``; the first call then returns a ``Restore`` action for the
+    snapshot. Raises ``exceptions.BrokenInvariantError`` when the protocol's own
+    promises do not hold, and the process must stop.
+    """
+
+    def __init__(
+        self,
+        voter: str,
+        voters: tuple[str, ...],
+        timing: timing_module.Timing,
+        seed: int,
+        restored: entries_module.Restored | None = None,
+        limits: timing_module.Limits = timing_module.Limits(),  # noqa: B008
+    ) -> None:
+        restored = restored or entries_module.Restored()
+        log = log_module.Log(tuple(voters), restored.snapshot, restored.entries)
+        vote = restored.vote or entries_module.Vote(0)
+        if vote.term < log.last_term:
+            vote = entries_module.Vote(log.last_term)
+        self._state = state_module.State(
+            voter=voter,
+            timing=timing,
+            limits=limits,
+            random=random.Random(f"{seed} {voter}"),
+            log=log,
+            vote=vote,
+            commit=log.snapshot.index,
+        )
+        if restored.snapshot is not None:
+            self._state.emit(actions.Restore(restored.snapshot))
+
+    @property
+    def role(self) -> state_module.Role:
+        """What the node does in its term."""
+        return self._state.role
+
+    @property
+    def leader(self) -> str | None:
+        """The leader this node follows; a hint, which may be out of date."""
+        return self._state.leader
+
+    @property
+    def term(self) -> int:
+        """The newest term that the node has seen."""
+        return self._state.term
+
+    @property
+    def commit_index(self) -> int:
+        """Index of the last entry that was handed out to apply."""
+        return self._state.commit
+
+    @property
+    def last_index(self) -> int:
+        """Index of the last entry of the log."""
+        return self._state.log.last_index
+
+    @property
+    def snapshot_index(self) -> int:
+        """Index of the last entry that the snapshot covers."""
+        return self._state.log.snapshot.index
+
+    @property
+    def voters(self) -> tuple[str, ...]:
+        """The newest voters that the node knows of, committed or not."""
+        return self._state.log.voters
+
+    @property
+    def learner(self) -> str | None:
+        """The node that is being caught up to become a voter, at the leader only."""
+        lead = self._state.lead
+        change = lead.change if lead is not None else None
+        return change.add if change is not None and change.index is None else None
+
+    def handle(self, event: events.Event, now: float) -> list[actions.Action]:
+        """Handle one event at the time ``now`` and return what is to be done."""
+        return self.handle_batch((event,), now)
+
+    def handle_batch(
+        self, batch: abc.Iterable[events.Event], now: float
+    ) -> list[actions.Action]:
+        """Handle several events as one step.
+
+        All that they change is made durable by a single ``Persist`` (group commit), so
+        a caller with events in its queue should hand over all of them.
+        """
+        state = self._state
+        roles.note_time(state, now)
+        for event in batch:
+            handler = handlers.EVENTS.find(type(event))
+            if handler is None:
+                raise exceptions.MisuseError(f"no event: {event!r}")
+            handler(state, event)
+        taken = state.take_actions()
+        while settle(state):
+            taken += state.take_actions()
+        return taken
+
+
+def settle(state: state_module.State) -> bool:
+    """Do the leader's work that follows from the last step; return whether any.
+
+    What the log held when this is called has been handed out to be persisted.
+    """
+    if state.lead is not None:
+        replication.advance_commit(state)
+        membership.advance_change(state)
+    if state.lead is not None:
+        reads.answer_reads(state)
+        replication.send_due(state)
+    return state.has_actions()
+
+
+@handlers.EVENTS.register(events.Tick)
+def tick(state: state_module.State, event: events.Tick) -> None:
+    """Do what is due at this time."""
+    election.check_deadline(state)
+    if state.lead is not None:
+        replication.check_quorum(state)
+    if state.lead is not None:
+        membership.check_learner(state)
+        replication.beat(state)
+
+
+@handlers.EVENTS.register(events.Receive)
+def receive(state: state_module.State, event: events.Receive) -> None:
+    """Hand the message to its handler; one from ourselves is passed over."""
+    handler = handlers.MESSAGES.find(type(event.message))
+    if handler is None:
+        raise exceptions.MisuseError(f"no message: {event.message!r}")
+    if event.sender != state.voter:
+        handler(state, event.sender, event.message)
--- /dev/null
+++ b/packages/agreement/src/trestlestall/agreement/reads.py
@@ -0,0 +1,46 @@
+"""Reads confirmed by a quorum: read-index, without trust in any clock.
+
+A read is current at the larger of the commit index when it was asked and the index of
+the leader's no-op entry, since every entry committed before then is at or below it,
+provided that the leader was not deposed by then. That is shown by a round that began
+after the read was asked and that a majority answered in this term.
+"""
+
+from trestlestall.agreement import (
+    actions,
+    events,
+    handlers,
+    state as state_module,
+)
+
+
+@handlers.EVENTS.register(events.Read)
+def read(state: state_module.State, event: events.Read) -> None:
+    """Note the read and want a round; all reads of one step share it."""
+    lead = state.lead
+    if lead is None:
+        state.emit(actions.ReadRefused(event.token, state.leader))
+        return
+    index = max(state.commit, lead.first_index)
+    pending = state_module.PendingRead(event.token, index, lead.round + 1)
+    lead.reads.append(pending)
+    lead.round_wanted = True
+
+
+def answer_reads(state: state_module.State) -> None:
+    """Answer the reads whose round and index are reached."""
+    waiting = []
+    for pending in state.lead.reads:
+        if is_ready(state, pending):
+            state.emit(actions.ReadReady(pending.token, pending.index))
+        else:
+            waiting.append(pending)
+    state.lead.reads = waiting
+
+
+def is_ready(state: state_module.State, pending: state_module.PendingRead) -> bool:
+    """Return whether a majority answered the read's round and its index is applied."""
+    progress = state.lead.progress
+    answered = {name for name, peer in progress.items() if peer.round >= pending.round}
+    answered.add(state.voter)
+    return state.commit >= pending.index and state.has_quorum(answered)
--- /dev/null
+++ b/packages/agreement/src/trestlestall/agreement/roles.py
@@ -0,0 +1,77 @@
+"""Changes of role, and what a node gives up with its leadership."""
+
+from trestlestall.agreement import actions, state as state_module
+
+Role = state_module.Role
+
+
+def reset_deadline(state: state_module.State) -> None:
+    """Draw a new election timeout, from now on."""
+    spread = 1.0 + state.random.random()
+    state.deadline = state.now + state.timing.election * spread
+
+
+def become_follower(
+    state: state_module.State, term: int, leader: str | None = None
+) -> None:
+    """Follow in the term, which is the current one or a newer one."""
+    if state.lead is not None:
+        give_up(state, leader)
+    if term > state.term:
+        state.set_vote(term, None)
+    state.role = Role.FOLLOWER
+    state.leader = leader
+    state.grants = set()
+    reset_deadline(state)
+
+
+def give_up(state: state_module.State, leader: str | None) -> None:
+    """End the leadership: nothing that waits for a quorum is answered as done."""
+    lead, state.lead = state.lead, None
+    state.heard_at = None
+    state.emit(actions.Deposed(state.term))
+    for token in lead.pending.values():
+        state.emit(actions.Proposed(token, actions.Lost()))
+    for read in lead.reads:
+        state.emit(actions.ReadRefused(read.token, leader))
+    if lead.change is not None and lead.change.index is None:
+        outcome = actions.NotLeader(leader)
+        state.emit(actions.Proposed(lead.change.token, outcome))
+
+
+def follow_leader(state: state_module.State, leader: str, term: int) -> None:
+    """Take the sender of a current leader's message as the leader."""
+    if term > state.term or state.role is not Role.FOLLOWER:
+        become_follower(state, term, leader)
+    state.leader = leader
+    state.heard_at = state.now
+    reset_deadline(state)
+
+
+def hears_leader(state: state_module.State) -> bool:
+    """Return whether a leader was heard within the election timeout.
+
+    A leader hears itself: it steps down by its own check when it has no quorum.
+    """
+    if state.role is Role.LEADER:
+        return True
+    if state.leader is None or state.heard_at is None:
+        return False
+    return state.now - state.heard_at < state.timing.election
+
+
+def note_time(state: state_module.State, now: float) -> None:
+    """Advance the clock; after a leap nothing that was heard before counts.
+
+    A gap beyond the election timeout means that this process was frozen and that
+    others may have gone on without it: a leader steps down, a candidate starts over.
+    """
+    if state.now is None:
+        state.now = now
+        reset_deadline(state)
+        return
+    leap = now - state.now > state.timing.election
+    state.now = max(now, state.now)
+    if leap:
+        state.heard_at = None
+        become_follower(state, state.term)
--- /dev/null
+++ b/packages/agreement/src/trestlestall/agreement/state.py
@@ -0,0 +1,182 @@
+"""The state of one node, which the modules of the protocol read and change."""
+
+import collections
+import dataclasses
+import enum
+import random
+import typing
+
+from trestlestall.agreement import (
+    actions,
+    entries as entries_module,
+    log as log_module,
+    messages,
+    timing as timing_module,
+)
+
+NOTHING = actions.Persist(None, None, ())
+
+
+class Role(enum.Enum):
+    """What a node does in its term."""
+
+    FOLLOWER = "follower"
+    PRE_CANDIDATE = "pre_candidate"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+@dataclasses.dataclass
+class Transfer:
+    """A snapshot on its way to a peer; ``offset`` is where the last chunk began."""
+
+    snapshot: entries_module.Snapshot
+    offset: int = 0
+    sent_at: float = 0.0
+
+
+@dataclasses.dataclass
+class Progress:
+    """What the leader knows of one peer.
+
+    While ``probing`` one batch is sent and waited for (``paused``); afterwards batches
+    are pipelined, and ``inflight`` holds the last index of each unanswered one.
+    """
+
+    next_index: int
+    contact: float
+    match_index: int = 0
+    probing: bool = True
+    paused: bool = False
+    inflight: collections.deque[int] = dataclasses.field(
+        default_factory=collections.deque
+    )
+    round: int = 0
+    sent_round: int = 0
+    transfer: Transfer | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class PendingRead:
+    """A read that waits for a quorum's answer to ``round`` and for ``index``."""
+
+    token: typing.Hashable
+    index: int
+    round: int
+
+
+@dataclasses.dataclass
+class Change:
+    """The change of voters in flight; ``index`` is its entry, once appended.
+
+    A learner must reach ``target``, the end of the log at ``since``.
+    """
+
+    token: typing.Hashable
+    add: str | None
+    remove: str | None
+    target: int
+    since: float
+    index: int | None = None
+
+
+@dataclasses.dataclass
+class Leadership:
+    """What a node holds while it leads; ``first_index`` is its no-op entry."""
+
+    first_index: int
+    heartbeat_at: float
+    progress: dict[str, Progress] = dataclasses.field(default_factory=dict)
+    pending: dict[int, typing.Hashable] = dataclasses.field(default_factory=dict)
+    reads: list[PendingRead] = dataclasses.field(default_factory=list)
+    round: int = 0
+    round_wanted: bool = False
+    change: Change | None = None
+
+
+@dataclasses.dataclass
+class Incoming:
+    """The chunks of a snapshot that have arrived so far."""
+
+    index: int
+    term: int
+    data: bytearray = dataclasses.field(default_factory=bytearray)
+
+
+@dataclasses.dataclass
+class State:
+    """All that one node knows; times in seconds of the caller's monotonic clock."""
+
+    voter: str
+    timing: timing_module.Timing
+    limits: timing_module.Limits
+    random: random.Random
+    log: log_module.Log
+    vote: entries_module.Vote
+    commit: int
+    now: float | None = None
+    role: Role = Role.FOLLOWER
+    leader: str | None = None
+    heard_at: float | None = None
+    deadline: float = 0.0
+    grants: set[str] = dataclasses.field(default_factory=set)
+    lead: Leadership | None = None
+    incoming: Incoming | None = None
+    vote_unsaved: bool = False
+    outbox: list[actions.Action] = dataclasses.field(default_factory=list)
+
+    @property
+    def term(self) -> int:
+        """The newest term that this node has seen."""
+        return self.vote.term
+
+    @property
+    def is_voter(self) -> bool:
+        """Whether this node is one of the newest voters it knows of."""
+        return self.voter in self.log.voters
+
+    def set_vote(self, term: int, voted_for: str | None) -> None:
+        """Change the vote; it is persisted before any later action."""
+        self.vote = entries_module.Vote(term, voted_for)
+        self.vote_unsaved = True
+
+    def emit(self, action: actions.Action) -> None:
+        """Add an action behind those of this step."""
+        self.outbox.append(action)
+
+    def send(self, to: str, message: messages.Message) -> None:
+        """Add the sending of a message."""
+        self.emit(actions.Send(to, message))
+
+    def has_quorum(self, names: set[str]) -> bool:
+        """Return whether the names hold a majority of the newest voters.
+
+        Names that are not voters do not count.
+        """
+        voters = self.log.voters
+        return sum(name in names for name in voters) > len(voters) // 2
+
+    def take_actions(self) -> list[actions.Action]:
+        """Return what is to persist, then the actions so far."""
+        taken = self._take_persists()
+        taken += self.outbox
+        self.outbox = []
+        return taken
+
+    def has_actions(self) -> bool:
+        """Return whether anything is to persist or to do."""
+        return bool(self.outbox) or self.vote_unsaved or self.log.has_unsaved()
+
+    def _take_persists(self) -> list[actions.Action]:
+        """Return the actions that make all changes since the last call durable."""
+        vote = self.vote if self.vote_unsaved else None
+        self.vote_unsaved = False
+        unsaved = self.log.take_unsaved()
+        if unsaved.snapshot is None:
+            persist = actions.Persist(vote, unsaved.truncate_from, unsaved.entries)
+            return [persist] if persist != NOTHING else []
+        taken: list[actions.Action] = []
+        if vote is not None:
+            taken.append(actions.Persist(vote, None, ()))
+        taken.append(actions.PersistSnapshot(unsaved.snapshot, unsaved.entries))
+        return taken
--- /dev/null
+++ b/packages/agreement/src/trestlestall/agreement/timing.py
@@ -0,0 +1,36 @@
+"""Times and limits of a node."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True)
+class Timing:
+    """Times in seconds.
+
+    A voter that hears no leader for ``election`` to twice ``election`` (drawn anew
+    each time) stands for election; a leader that hears no quorum for ``election``
+    steps down. ``heartbeat`` should be at most a quarter of ``election``. A new voter
+    that is silent for ``catch_up`` is given up.
+    """
+
+    election: float = 1.0
+    heartbeat: float = 0.2
+    catch_up: float = 10.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Limits:
+    """Bounds of messages and of memory.
+
+    ``batch_bytes`` and ``batch_entries`` bound the entries of one message, ``inflight``
+    the unanswered batches per peer, ``chunk_bytes`` one chunk of a snapshot,
+    ``payload_bytes`` one command and ``uncommitted`` the entries that wait for a
+    quorum. One message stays far below the 8 MiB of a wire frame.
+    """
+
+    batch_bytes: int = 1 << 20
+    batch_entries: int = 1024
+    inflight: int = 8
+    chunk_bytes: int = 1 << 20
+    payload_bytes: int = 1 << 20
+    uncommitted: int = 16_384
