--- /dev/null
+++ b/packages/agreement/src/trestlestall/agreement/commitment.py
@@ -0,0 +1,44 @@
+"""The commit index, and the handing out of committed entries."""
+
+from trestlestall.agreement import actions, state as state_module
+
+
+def find_committable(state: state_module.State) -> int:
+    """Return the largest index that is durable on a majority of the voters."""
+    matches = []
+    for name in state.log.voters:
+        if name == state.voter:
+            matches.append(state.log.last_index)
+        else:
+            matches.append(state.lead.progress[name].match_index)
+    matches.sort(reverse=True)
+    return matches[len(matches) // 2]
+
+
+def advance_commit(state: state_module.State) -> None:
+    """Commit what a majority holds, if it reaches into this term."""
+    lead = state.lead
+    index = find_committable(state)
+    if index <= state.commit or index < lead.first_index:
+        return
+    first = state.commit + 1
+    apply_up_to(state, index)
+    for committed in range(first, index + 1):
+        answer(state, committed)
+
+
+def answer(state: state_module.State, index: int) -> None:
+    """Answer the proposal that is now committed at the index, if it was made here."""
+    lead = state.lead
+    if index >= lead.first_index:
+        lead.uncommitted_bytes -= len(state.log.get_entry(index).payload)
+    if index in lead.pending:
+        token = lead.pending.pop(index)
+        state.emit(actions.Proposed(token, actions.Committed(index)))
+
+
+def apply_up_to(state: state_module.State, index: int) -> None:
+    """Raise the commit index and hand out the entries up to it."""
+    for committed in range(state.commit + 1, index + 1):
+        state.emit(actions.Apply(state.log.get_entry(committed)))
+    state.commit = max(state.commit, index)
--- a/packages/agreement/src/trestlestall/agreement/election.py
+++ b/packages/agreement/src/trestlestall/agreement/election.py
@@ -2,8 +2,8 @@
 
 from trestlestall.agreement import (
     handlers,
+    leadership,
     messages,
-    replication,
     roles,
     state as state_module,
 )
@@ -60,7 +60,7 @@
     if state.role is Role.PRE_CANDIDATE:
         stand(state)
     else:
-        replication.lead(state)
+        leadership.lead(state)
 
 
 def is_up_to_date(
--- a/packages/agreement/src/trestlestall/agreement/following.py
+++ b/packages/agreement/src/trestlestall/agreement/following.py
@@ -1,11 +1,11 @@
 """The follower's side of replication."""
 
 from trestlestall.agreement import (
+    commitment,
     entries as entries_module,
     exceptions,
     handlers,
     messages,
-    replication,
     roles,
     state as state_module,
 )
@@ -38,7 +38,7 @@
         return
     take_entries(state, request.entries)
     last = request.prev_index + len(request.entries)
-    replication.apply_up_to(state, min(request.commit, last))
+    commitment.apply_up_to(state, min(request.commit, last))
     response = messages.AppendResponse(state.term, True, last, request.round)
     state.send(sender, response)
 
--- /dev/null
+++ b/packages/agreement/src/trestlestall/agreement/leadership.py
@@ -0,0 +1,84 @@
+"""The start of a leadership, its peers, and the check that a quorum still follows."""
+
+from trestlestall.agreement import (
+    actions,
+    entries as entries_module,
+    progress as progress_module,
+    roles,
+    state as state_module,
+)
+
+Role = state_module.Role
+
+
+def lead(state: state_module.State) -> None:
+    """Take the leadership and append this term's no-op entry.
+
+    Entries of former terms commit only with an entry of this one. The first leader of
+    the group also puts the first voters into the log, so that from then on the log
+    alone says who votes.
+    """
+    state.role = Role.LEADER
+    state.leader = state.voter
+    state.lead = state_module.Leadership(state.log.last_index + 1, state.now)
+    for name in state.log.voters:
+        if name != state.voter:
+            track(state, name)
+    if state.log.voters_index == 0:
+        payload = entries_module.encode_voters(state.log.voters)
+        append(state, entries_module.VOTERS, payload)
+    append(state, entries_module.NO_OP, b"")
+    state.emit(actions.BecameLeader(state.term))
+
+
+def append(state: state_module.State, kind: str, payload: bytes) -> int:
+    """Append an entry of this term and return its index."""
+    index = state.log.last_index + 1
+    entry = entries_module.Entry(index, state.term, kind, payload)
+    state.log.append((entry,))
+    state.lead.uncommitted_bytes += len(payload)
+    return index
+
+
+def track(state: state_module.State, name: str) -> None:
+    """Begin to replicate to the peer, from the end of the log backwards."""
+    next_index = state.log.last_index + 1
+    state.lead.progress[name] = progress_module.Progress(next_index, state.now)
+
+
+def check_quorum(state: state_module.State) -> None:
+    """Step down when no majority was heard within the election timeout."""
+    since = state.now - state.timing.election
+    progress = state.lead.progress
+    heard = {name for name, peer in progress.items() if peer.contact >= since}
+    if not state.has_quorum(heard | {state.voter}):
+        roles.become_follower(state, state.term)
+
+
+def beat(state: state_module.State) -> None:
+    """Begin a round when the heartbeat is due."""
+    if state.now < state.lead.heartbeat_at:
+        return
+    state.lead.heartbeat_at = state.now + state.timing.heartbeat
+    state.lead.round_wanted = True
+
+
+def note_answer(
+    state: state_module.State, sender: str, term: int, round_number: int
+) -> progress_module.Progress | None:
+    """Return the sender's progress if its answer counts, noting the contact.
+
+    An answer of a former term, or of a node that is neither voter nor learner, does
+    not count; one of a newer term ends the leadership.
+    """
+    if state.lead is None or sender not in state.lead.progress:
+        return None
+    if term > state.term:
+        roles.become_follower(state, term)
+        return None
+    if term < state.term:
+        return None
+    peer = state.lead.progress[sender]
+    peer.contact = state.now
+    peer.round = max(peer.round, round_number)
+    return peer
--- a/packages/agreement/src/trestlestall/agreement/membership.py
+++ b/packages/agreement/src/trestlestall/agreement/membership.py
@@ -11,6 +11,7 @@
     entries as entries_module,
     events,
     handlers,
+    leadership,
     replication,
     roles,
     state as state_module,
@@ -25,7 +26,7 @@
         state.emit(actions.Proposed(event.token, refusal))
         return
     if event.add is not None:
-        replication.track(state, event.add)
+        leadership.track(state, event.add)
     state.lead.change = state_module.Change(
         event.token, event.add, event.remove, state.log.last_index, state.now
     )
@@ -99,7 +100,7 @@
     if change.add is not None:
         voters += (change.add,)
     payload = entries_module.encode_voters(voters)
-    change.index = replication.append(state, entries_module.VOTERS, payload)
+    change.index = leadership.append(state, entries_module.VOTERS, payload)
     state.lead.pending[change.index] = change.token
 
 
--- a/packages/agreement/src/trestlestall/agreement/node.py
+++ b/packages/agreement/src/trestlestall/agreement/node.py
@@ -5,12 +5,14 @@
 
 from trestlestall.agreement import (
     actions,
+    commitment,
     election,
     entries as entries_module,
     events,
     exceptions,
     following,
     handlers,
+    leadership,
     log as log_module,
     membership,
     proposals,
@@ -20,10 +22,20 @@
     snapshots,
     state as state_module,
     timing as timing_module,
+    transfers,
 )
 
 #: The modules whose handlers fill the registries when they are imported.
-HANDLING_MODULES = (election, following, membership, proposals, reads, snapshots)
+HANDLING_MODULES = (
+    election,
+    following,
+    membership,
+    proposals,
+    reads,
+    replication,
+    snapshots,
+    transfers,
+)
 
 
 class Node:
@@ -142,7 +154,7 @@
     What the log held when this is called has been handed out to be persisted.
     """
     if state.lead is not None:
-        replication.advance_commit(state)
+        commitment.advance_commit(state)
         membership.advance_change(state)
     if state.lead is not None:
         reads.answer_reads(state)
@@ -155,10 +167,10 @@
     """Do what is due at this time."""
     election.check_deadline(state)
     if state.lead is not None:
-        replication.check_quorum(state)
+        leadership.check_quorum(state)
     if state.lead is not None:
         membership.check_learner(state)
-        replication.beat(state)
+        leadership.beat(state)
 
 
 @handlers.EVENTS.register(events.Receive)
--- /dev/null
+++ b/packages/agreement/src/trestlestall/agreement/progress.py
@@ -0,0 +1,59 @@
+"""What the leader knows of one peer's copy of the log."""
+
+import collections
+import dataclasses
+
+from trestlestall.agreement import entries as entries_module
+
+
+@dataclasses.dataclass
+class Transfer:
+    """A snapshot on its way to a peer; ``offset`` is where the last chunk began."""
+
+    snapshot: entries_module.Snapshot
+    offset: int = 0
+    sent_at: float = 0.0
+
+
+@dataclasses.dataclass
+class Progress:
+    """What the leader knows of one peer.
+
+    While ``probing`` one batch is sent and waited for (``paused``); afterwards batches
+    are pipelined, and ``inflight`` holds the last index of each unanswered one.
+    """
+
+    next_index: int
+    contact: float
+    match_index: int = 0
+    probing: bool = True
+    paused: bool = False
+    inflight: collections.deque[int] = dataclasses.field(
+        default_factory=collections.deque
+    )
+    round: int = 0
+    sent_round: int = 0
+    transfer: Transfer | None = None
+
+
+def advance(peer: Progress, index: int) -> None:
+    """Note that the peer's durable log equals ours up to the index."""
+    peer.match_index = max(peer.match_index, index)
+    if peer.transfer is not None:
+        if peer.match_index < peer.transfer.snapshot.index:
+            return
+        peer.transfer = None
+        peer.probing = True
+    if peer.probing:
+        peer.next_index = peer.match_index + 1
+        restart_window(peer, probing=False)
+    peer.next_index = max(peer.next_index, peer.match_index + 1)
+    while peer.inflight and peer.inflight[0] <= peer.match_index:
+        peer.inflight.popleft()
+
+
+def restart_window(peer: Progress, probing: bool) -> None:
+    """Forget the batches under way."""
+    peer.probing = probing
+    peer.paused = False
+    peer.inflight = collections.deque()
--- a/packages/agreement/src/trestlestall/agreement/proposals.py
+++ b/packages/agreement/src/trestlestall/agreement/proposals.py
@@ -6,7 +6,7 @@
     entries as entries_module,
     events,
     handlers,
-    replication,
+    leadership,
     state as state_module,
 )
 
@@ -18,7 +18,7 @@
     if refusal is not None:
         state.emit(actions.Proposed(event.token, refusal))
         return
-    index = replication.append(state, entries_module.COMMAND, event.payload)
+    index = leadership.append(state, entries_module.COMMAND, event.payload)
     state.lead.pending[index] = event.token
 
 
@@ -30,6 +30,14 @@
         return actions.NotLeader(state.leader)
     if len(event.payload) > state.limits.payload_bytes:
         return actions.Refused(codes.TOO_LARGE)
-    if state.log.last_index - state.commit >= state.limits.uncommitted:
+    if is_overloaded(state):
         return actions.Refused(codes.OVERLOADED)
     return None
+
+
+def is_overloaded(state: state_module.State) -> bool:
+    """Return whether too much waits for a quorum already."""
+    waiting = state.log.last_index - state.commit
+    if waiting >= state.limits.uncommitted_entries:
+        return True
+    return state.lead.uncommitted_bytes >= state.limits.uncommitted_bytes
--- a/packages/agreement/src/trestlestall/agreement/snapshots.py
+++ b/packages/agreement/src/trestlestall/agreement/snapshots.py
@@ -1,4 +1,4 @@
-"""Snapshots: compaction of the log, and the transfer to a peer that needs one."""
+"""Compaction of the log, and the taking over of a leader's snapshot."""
 
 from trestlestall.agreement import (
     actions,
@@ -8,7 +8,6 @@
     following,
     handlers,
     messages,
-    replication,
     state as state_module,
 )
 
@@ -25,70 +24,6 @@
         state.log.compact(event.index, event.state)
 
 
-def begin_transfer(
-    state: state_module.State, name: str, peer: state_module.Progress
-) -> None:
-    """Begin to send the snapshot: the entries that the peer lacks are compacted."""
-    peer.transfer = state_module.Transfer(state.log.snapshot)
-    send_chunk(state, name, peer, 0)
-
-
-def send_chunk(
-    state: state_module.State, name: str, peer: state_module.Progress, offset: int
-) -> None:
-    """Send the chunk at the offset."""
-    transfer = peer.transfer
-    end = offset + state.limits.chunk_bytes
-    transfer.offset = offset
-    transfer.sent_at = state.now
-    send_part(state, name, peer, transfer.snapshot.state[offset:end])
-
-
-def ask_offset(
-    state: state_module.State, name: str, peer: state_module.Progress
-) -> None:
-    """Ask how much has arrived; also the heartbeat of a peer in transfer."""
-    send_part(state, name, peer, b"")
-
-
-def send_part(
-    state: state_module.State, name: str, peer: state_module.Progress, data: bytes
-) -> None:
-    """Send data that stands at the transfer's offset."""
-    snapshot = peer.transfer.snapshot
-    request = messages.InstallRequest(
-        state.term,
-        snapshot.index,
-        snapshot.term,
-        snapshot.voters,
-        len(snapshot.state),
-        peer.transfer.offset,
-        data,
-        state.lead.round,
-    )
-    peer.sent_round = state.lead.round
-    state.send(name, request)
-
-
-@handlers.MESSAGES.register(messages.InstallResponse)
-def receive_install_response(
-    state: state_module.State, sender: str, response: messages.InstallResponse
-) -> None:
-    """Send the next chunk, or a chunk again that was lost.
-
-    A chunk is taken for lost two heartbeats after it was sent.
-    """
-    peer = replication.note_answer(state, sender, response.term, response.round)
-    if peer is None or peer.transfer is None:
-        return
-    transfer = peer.transfer
-    if response.index != transfer.snapshot.index:
-        return
-    lost = state.now - transfer.sent_at >= 2 * state.timing.heartbeat
-    if response.offset > transfer.offset or lost:
-        send_chunk(state, sender, peer, response.offset)
-
-
 @handlers.MESSAGES.register(messages.InstallRequest)
 def receive_install_request(
     state: state_module.State, sender: str, request: messages.InstallRequest
@@ -114,8 +49,8 @@
 def take_chunk(state: state_module.State, request: messages.InstallRequest) -> None:
     """Add the chunk if it continues what has arrived; install once it is whole."""
     incoming = state.incoming
-    wanted = (request.index, request.snapshot_term)
-    if incoming is None or (incoming.index, incoming.term) != wanted:
+    wanted = (request.term, request.index)
+    if incoming is None or (incoming.leader_term, incoming.index) != wanted:
         incoming = state_module.Incoming(*wanted)
         state.incoming = incoming
     if request.offset == len(incoming.data):
--- a/packages/agreement/src/trestlestall/agreement/state.py
+++ b/packages/agreement/src/trestlestall/agreement/state.py
@@ -1,6 +1,5 @@
 """The state of one node, which the modules of the protocol read and change."""
 
-import collections
 import dataclasses
 import enum
 import random
@@ -11,6 +10,7 @@
     entries as entries_module,
     log as log_module,
     messages,
+    progress as progress_module,
     timing as timing_module,
 )
 
@@ -26,36 +26,6 @@
     LEADER = "leader"
 
 
-@dataclasses.dataclass
-class Transfer:
-    """A snapshot on its way to a peer; ``offset`` is where the last chunk began."""
-
-    snapshot: entries_module.Snapshot
-    offset: int = 0
-    sent_at: float = 0.0
-
-
-@dataclasses.dataclass
-class Progress:
-    """What the leader knows of one peer.
-
-    While ``probing`` one batch is sent and waited for (``paused``); afterwards batches
-    are pipelined, and ``inflight`` holds the last index of each unanswered one.
-    """
-
-    next_index: int
-    contact: float
-    match_index: int = 0
-    probing: bool = True
-    paused: bool = False
-    inflight: collections.deque[int] = dataclasses.field(
-        default_factory=collections.deque
-    )
-    round: int = 0
-    sent_round: int = 0
-    transfer: Transfer | None = None
-
-
 @dataclasses.dataclass(frozen=True)
 class PendingRead:
     """A read that waits for a quorum's answer to ``round`` and for ``index``."""
@@ -82,12 +52,19 @@
 
 @dataclasses.dataclass
 class Leadership:
-    """What a node holds while it leads; ``first_index`` is its no-op entry."""
+    """What a node holds while it leads.
+
+    ``first_index`` is its first entry, ``pending`` the tokens by index of entry, and
+    ``uncommitted_bytes`` the payload of its own entries that wait for a quorum.
+    """
 
     first_index: int
     heartbeat_at: float
-    progress: dict[str, Progress] = dataclasses.field(default_factory=dict)
+    progress: dict[str, progress_module.Progress] = dataclasses.field(
+        default_factory=dict
+    )
     pending: dict[int, typing.Hashable] = dataclasses.field(default_factory=dict)
+    uncommitted_bytes: int = 0
     reads: list[PendingRead] = dataclasses.field(default_factory=list)
     round: int = 0
     round_wanted: bool = False
@@ -96,10 +73,14 @@
 
 @dataclasses.dataclass
 class Incoming:
-    """The chunks of a snapshot that have arrived so far."""
+    """The chunks of a snapshot that have arrived so far from the leader of a term.
+
+    Two leaders may write the same state in different bytes, so chunks of different
+    leaders are never joined.
+    """
 
+    leader_term: int
     index: int
-    term: int
     data: bytearray = dataclasses.field(default_factory=bytearray)
 
 
--- a/packages/agreement/src/trestlestall/agreement/timing.py
+++ b/packages/agreement/src/trestlestall/agreement/timing.py
@@ -23,14 +23,16 @@
     """Bounds of messages and of memory.
 
     ``batch_bytes`` and ``batch_entries`` bound the entries of one message, ``inflight``
-    the unanswered batches per peer, ``chunk_bytes`` one chunk of a snapshot,
-    ``payload_bytes`` one command and ``uncommitted`` the entries that wait for a
-    quorum. One message stays far below the 8 MiB of a wire frame.
+    the unanswered batches per peer, ``chunk_bytes`` one chunk of a snapshot and
+    ``payload_bytes`` one command; ``uncommitted_entries`` and ``uncommitted_bytes``
+    bound what waits for a quorum. One message stays far below the 8 MiB of a wire
+    frame.
     """
 
     batch_bytes: int = 1 << 20
     batch_entries: int = 1024
     inflight: int = 8
     chunk_bytes: int = 1 << 20
-    payload_bytes: int = 1 << 20
-    uncommitted: int = 16_384
+    payload_bytes: int = 1 << 18
+    uncommitted_entries: int = 16_384
+    uncommitted_bytes: int = 1 << 25
--- /dev/null
+++ b/packages/agreement/src/trestlestall/agreement/transfers.py
@@ -0,0 +1,80 @@
+"""The leader's side of sending a snapshot, in chunks of bounded size."""
+
+from trestlestall.agreement import (
+    handlers,
+    leadership,
+    messages,
+    progress as progress_module,
+    state as state_module,
+)
+
+#: Heartbeat intervals after which an unanswered chunk is taken for lost.
+RESEND_AFTER = 2
+
+
+def is_needed(state: state_module.State, peer: progress_module.Progress) -> bool:
+    """Return whether the entries that the peer lacks are compacted."""
+    return peer.transfer is None and peer.next_index < state.log.first_index
+
+
+def begin(state: state_module.State, name: str, peer: progress_module.Progress) -> None:
+    """Begin to send the newest snapshot."""
+    peer.transfer = progress_module.Transfer(state.log.snapshot)
+    send_chunk(state, name, peer, 0)
+
+
+def send_chunk(
+    state: state_module.State, name: str, peer: progress_module.Progress, offset: int
+) -> None:
+    """Send the chunk at the offset."""
+    transfer = peer.transfer
+    end = offset + state.limits.chunk_bytes
+    transfer.offset = offset
+    transfer.sent_at = state.now
+    send_part(state, name, peer, transfer.snapshot.state[offset:end])
+
+
+def ask_offset(
+    state: state_module.State, name: str, peer: progress_module.Progress
+) -> None:
+    """Ask how much has arrived; also the heartbeat of a peer in transfer."""
+    send_part(state, name, peer, b"")
+
+
+def send_part(
+    state: state_module.State, name: str, peer: progress_module.Progress, data: bytes
+) -> None:
+    """Send data that stands at the transfer's offset."""
+    snapshot = peer.transfer.snapshot
+    request = messages.InstallRequest(
+        state.term,
+        snapshot.index,
+        snapshot.term,
+        snapshot.voters,
+        len(snapshot.state),
+        peer.transfer.offset,
+        data,
+        state.lead.round,
+    )
+    peer.sent_round = state.lead.round
+    state.send(name, request)
+
+
+@handlers.MESSAGES.register(messages.InstallResponse)
+def receive_install_response(
+    state: state_module.State, sender: str, response: messages.InstallResponse
+) -> None:
+    """Send the next chunk, or a chunk again that was lost.
+
+    A chunk is sent again only ``RESEND_AFTER`` heartbeats later, so that a doubled or
+    late answer does not double the traffic.
+    """
+    peer = leadership.note_answer(state, sender, response.term, response.round)
+    if peer is None or peer.transfer is None:
+        return
+    transfer = peer.transfer
+    if response.index != transfer.snapshot.index:
+        return
+    lost = state.now - transfer.sent_at >= RESEND_AFTER * state.timing.heartbeat
+    if response.offset > transfer.offset or lost:
+        send_chunk(state, sender, peer, response.offset)
--- a/packages/agreement/tests/test_contract.py
+++ b/packages/agreement/tests/test_contract.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from trestlestall.agreement import actions, events, node, timing
+from trestlestall.agreement import actions, entries, events, node, timing
 
 NAMES = ("a", "b", "c")
 
@@ -37,11 +37,13 @@
         self.step(leader, events.Propose("t", b"x"))
         self.step(leader, events.Read("r"))
         self.run_until(4.0)
-        self.assertIn(actions.Proposed("t", actions.Committed(2)), self.done[leader])
-        self.assertIn(actions.ReadReady("r", 1), self.done[leader])
+        self.assertIn(actions.Proposed("t", actions.Committed(3)), self.done[leader])
+        self.assertIn(actions.ReadReady("r", 2), self.done[leader])
         for name in NAMES:
             applied = [a.entry for a in self.done[name] if isinstance(a, actions.Apply)]
-            self.assertEqual([entry.payload for entry in applied], [b"", b"x"])
+            kinds = [entry.kind for entry in applied]
+            self.assertEqual(kinds, [entries.VOTERS, entries.NO_OP, entries.COMMAND])
+            self.assertEqual(applied[-1].payload, b"x")
 
 
 if __name__ == "__main__":
