--- /dev/null
+++ b/packages/daemon/src/trestlestall/daemon/cli.py
@@ -0,0 +1,149 @@
+"""The command line of ``trestlestalld``."""
+
+import importlib
+import typing
+from collections import abc
+
+from trestlestall.daemon import commands, environment, settings, status
+
+PROGRAM = "trestlestalld"
+
+MANUAL = """\
+NAME
+    trestlestalld - carry language-model traffic by class, tier and target
+
+SYNOPSIS
+    trestlestalld router --settings FILE
+    trestlestalld control --settings FILE
+    trestlestalld check-settings FILE
+    trestlestalld --help
+
+DESCRIPTION
+    A router takes callers' requests and sends them to upstreams. It runs on every
+    entry host and needs no disk. A control process is a voter of the agreed
+    configuration. It runs on hosts with a data folder, beside a router or alone.
+    Both run in the foreground until they are told to stop.
+
+COMMANDS
+    router --settings FILE
+        Run a router. SIGTERM is a planned stop: the router becomes unready, finishes
+        what runs and exits 0. SIGINT does the same.
+    control --settings FILE
+        Run a control process. SIGTERM and SIGINT stop it; no other voter is needed
+        for that.
+    check-settings FILE
+        Check a settings file whole, and the files that it names, and start nothing.
+
+FILES
+    Settings are one JSON object; docs/settings.md lists every key. The secrets file
+    that they name must have mode 0600. Paths are relative to the settings file.
+
+OUTPUT
+    Log lines go to the standard error stream as JSON, one numbered event a line;
+    docs/EVENTS.md explains each number. Problems are plain lines there as well.
+
+EXIT STATUS
+    0    the process stopped as planned, or the settings are right
+    1    it failed while running; the last log lines say why
+    2    the command line is wrong
+    3    the settings are wrong; every problem is listed and nothing was started
+    130  it was interrupted before it had started
+
+EXAMPLE
+    trestlestalld check-settings router.json && \\
+        trestlestalld router --settings router.json
+"""
+
+ROLES: dict[str, abc.Callable] = {}
+
+
+def register_role(role: str) -> abc.Callable:
+    """Return a decorator that makes the function the one that runs a role."""
+
+    def register(function: abc.Callable) -> abc.Callable:
+        ROLES[role] = function
+        return function
+
+    return register
+
+
+# Imported only when asked for: a router needs no disk, and a check needs neither.
+@register_role("router")
+def run_router(loaded: typing.Any, env: environment.Environment) -> status.ExitStatus:
+    """Run a router until it is told to stop."""
+    process = importlib.import_module("trestlestall.daemon.router.process")
+
+    return process.Router(loaded, env).run()
+
+
+@register_role("control")
+def run_control(loaded: typing.Any, env: environment.Environment) -> status.ExitStatus:
+    """Run a control process until it is told to stop."""
+    process = importlib.import_module("trestlestall.daemon.control.process")
+
+    return process.Control(loaded, env).run()
+
+
+def main(args: abc.Sequence[str], env: environment.Environment) -> status.ExitStatus:
+    """Carry out one command line, without the program's name, and return its status."""
+    if commands.asks_for_help(args):
+        env.stdout.write(MANUAL)
+        return status.ExitStatus.OK
+    try:
+        found = _make_program(env).call(args)
+    except KeyboardInterrupt:
+        return status.ExitStatus.INTERRUPTED
+    if isinstance(found, commands.UsageError):
+        _complain(env, f"{found.message}; see {PROGRAM} --help")
+        return status.ExitStatus.USAGE
+    return found
+
+
+def _make_program(env: environment.Environment) -> commands.Program:
+    """Return the commands, bound to the environment."""
+
+    def check_settings(file: str) -> status.ExitStatus:
+        return _check_settings(file, env)
+
+    def make_runner(role: str) -> abc.Callable:
+        def run(settings: str) -> status.ExitStatus:
+            return _run_role(role, settings, env)
+
+        return run
+
+    table = {role: make_runner(role) for role in ROLES}
+    return commands.Program(PROGRAM, {**table, "check-settings": check_settings})
+
+
+def _check_settings(file: str, env: environment.Environment) -> status.ExitStatus:
+    """Say whether the file is right, or list all of its problems."""
+    loaded = settings.load(file)
+    if isinstance(loaded, list):
+        return _refuse_settings(loaded, file, env)
+    env.stdout.write(f"{file}: right, for the {loaded.role} {loaded.name}\n")
+    return status.ExitStatus.OK
+
+
+def _run_role(role: str, file: str, env: environment.Environment) -> status.ExitStatus:
+    """Load the settings and run the process that they describe."""
+    loaded = settings.load(file)
+    if not isinstance(loaded, list) and loaded.role != role:
+        message = f'is "{loaded.role}", but trestlestalld {role} was called'
+        loaded = [settings.Problem("role", message)]
+    if isinstance(loaded, list):
+        return _refuse_settings(loaded, file, env)
+    return ROLES[role](loaded, env)
+
+
+def _refuse_settings(
+    problems: list[settings.Problem], file: str, env: environment.Environment
+) -> status.ExitStatus:
+    """Write each problem on a line of its own."""
+    for problem in problems:
+        _complain(env, f"{file}: {problem}")
+    return status.ExitStatus.BAD_SETTINGS
+
+
+def _complain(env: environment.Environment, message: str) -> None:
+    """Write one plain line for people."""
+    env.stderr.write(f"{PROGRAM}: {message}\n")
--- /dev/null
+++ b/packages/daemon/src/trestlestall/daemon/environment.py
@@ -0,0 +1,46 @@
+"""What a process takes from its surroundings: streams, clocks and randomness.
+
+Programs receive one ``Environment`` instead of reaching for ``sys`` and ``time``, so a
+test passes its own streams, its own time and a fixed seed.
+"""
+
+import dataclasses
+import random as randomness
+import sys
+import time
+import typing
+from collections import abc
+
+
+@dataclasses.dataclass(frozen=True)
+class Clock:
+    """The two clocks of a host, both in seconds.
+
+    ``monotonic`` is for leases, timeouts and every decision; it never goes back.
+    ``wall`` is the Unix time, for time stamps that people or other hosts read.
+    """
+
+    monotonic: abc.Callable[[], float] = time.monotonic
+    wall: abc.Callable[[], float] = time.time
+
+
+@dataclasses.dataclass(frozen=True)
+class Environment:
+    """The streams, clock and random generator of one process."""
+
+    stdin: typing.TextIO
+    stdout: typing.TextIO
+    stderr: typing.TextIO
+    clock: Clock
+    random: randomness.Random
+
+
+def read_environment() -> Environment:
+    """Return the environment of the running process, its generator newly seeded."""
+    return Environment(
+        stdin=sys.stdin,
+        stdout=sys.stdout,
+        stderr=sys.stderr,
+        clock=Clock(),
+        random=randomness.Random(),
+    )
--- /dev/null
+++ b/packages/daemon/src/trestlestall/daemon/events/process.py
@@ -0,0 +1,65 @@
+"""TS1xxx: the life of a process and its settings."""
+
+from trestlestall.daemon.events import catalogue
+
+STARTED = catalogue.declare(
+    "TS1001",
+    "process_started",
+    catalogue.Level.INFO,
+    "role data_centre version settings",
+    "The process has read its settings and begins to open its addresses.",
+)
+READY = catalogue.declare(
+    "TS1002",
+    "process_ready",
+    catalogue.Level.INFO,
+    "role configuration listen",
+    "All addresses are open and /readyz answers 200.",
+)
+STOPPING = catalogue.declare(
+    "TS1003",
+    "process_stopping",
+    catalogue.Level.INFO,
+    "role running",
+    "A planned stop has begun: /readyz answers 503 and what runs is being finished.",
+    "Wait for TS1004; a second signal cuts off what still runs.",
+)
+STOPPED = catalogue.declare(
+    "TS1004",
+    "process_stopped",
+    catalogue.Level.INFO,
+    "role status cut_off",
+    "The process has ended; cut_off counts the requests that it did not finish.",
+)
+SETTINGS_REFUSED = catalogue.declare(
+    "TS1005",
+    "settings_refused",
+    catalogue.Level.ERROR,
+    "path message",
+    "The settings file has a problem, one line for each; nothing was started.",
+    "Mend the file, prove it with trestlestall check-settings, and start again.",
+)
+ADDRESS_REFUSED = catalogue.declare(
+    "TS1006",
+    "address_refused",
+    catalogue.Level.ERROR,
+    "listener address reason",
+    "An address of the settings could not be opened; the process ends.",
+    "Find which process has the port, or whether the host has the address.",
+)
+INVARIANT_BROKEN = catalogue.declare(
+    "TS1007",
+    "invariant_broken",
+    catalogue.Level.ERROR,
+    "place error traceback",
+    "The program met a state that it rules out; the process ends rather than go on.",
+    "Restart it and report the line to the maintainers: this is a fault of ours.",
+)
+UNREADY = catalogue.declare(
+    "TS1008",
+    "process_unready",
+    catalogue.Level.WARNING,
+    "role reason",
+    "/readyz answers 503 though no stop was asked for; the reason says why.",
+    "See the reason: most often no configuration has been received yet.",
+)
--- /dev/null
+++ b/packages/daemon/src/trestlestall/daemon/logs.py
@@ -0,0 +1,56 @@
+"""Structured logs: one JSON line per event of the catalogue.
+
+    log = logs.Log(env.stderr, env.clock, process="router-a1")
+    log.write(events.routing.SENT, request="r1", upstream="u1", reason="least loaded")
+
+writes ``{"event": "TS2004", "at": "2026-01-01T09:00:00.000Z", "level": "info", "name":
+"request_sent", "process": "router-a1", "request": "r1", …}``.
+"""
+
+import datetime
+import typing
+
+import structlog
+
+from trestlestall.daemon import environment, events, exceptions
+
+
+class Log:
+    """Writes events to a stream, one line each."""
+
+    def __init__(
+        self, stream: typing.TextIO, clock: environment.Clock, process: str = ""
+    ) -> None:
+        self._clock = clock
+        self._logger = structlog.wrap_logger(
+            structlog.PrintLogger(stream),
+            processors=[_put_event_first, structlog.processors.JSONRenderer()],
+            wrapper_class=structlog.BoundLogger,
+        ).bind()
+        self._process = process
+
+    def write(self, event: events.Event, **fields: object) -> None:
+        """Write a line; another field than its own raises ``UnknownFieldError``."""
+        unknown = fields.keys() - set(event.fields)
+        if unknown:
+            names = ", ".join(sorted(unknown))
+            raise exceptions.UnknownFieldError(f"{event.number} has no field {names}")
+        line = {
+            "at": _format_time(self._clock.wall()),
+            "level": event.level.value,
+            "name": event.name,
+            "process": self._process,
+            **fields,
+        }
+        self._logger.msg(event.number, **line)
+
+
+def _put_event_first(logger: object, method: str, line: dict) -> dict:
+    """Return the line with the event's number in front, where people look for it."""
+    return {"event": line.pop("event"), **line}
+
+
+def _format_time(seconds: float) -> str:
+    """Return the Unix time in ISO 8601 with milliseconds, in UTC."""
+    moment = datetime.datetime.fromtimestamp(seconds, datetime.UTC)
+    return moment.isoformat(timespec="milliseconds").replace("+00:00", "Z")
--- /dev/null
+++ b/packages/daemon/src/trestlestall/daemon/patching.py
@@ -0,0 +1,17 @@
+"""Make the standard library cooperative, before anything else is imported.
+
+``__main__`` imports this module first, and no other module does: eventlet has to
+replace sockets, locks and sleeping before the libraries that use them are loaded.
+Importing eventlet prints one warning of its own class, since upstream only mends its
+faults by now; exactly that warning is filtered, so that it doesn't hide others.
+"""
+
+import warnings
+
+WARNING_START = r"\s*Eventlet is deprecated"
+
+with warnings.catch_warnings():
+    warnings.filterwarnings("ignore", WARNING_START, Warning)
+    import eventlet
+
+    eventlet.monkey_patch()
--- /dev/null
+++ b/packages/daemon/src/trestlestall/daemon/settings/__init__.py
@@ -0,0 +1,46 @@
+"""The settings of a process: one JSON file, checked whole before anything starts.
+
+``load`` returns the typed settings or every problem of the file at once, each with its
+path. The subpackage reads files and nothing else: it imports no eventlet and opens no
+socket, so that the operator's client runs the very same check.
+
+    loaded = settings.load(pathlib.Path("router.json"))
+    if isinstance(loaded, list):
+        for problem in loaded:
+            print(problem)
+"""
+
+import pathlib
+
+from trestlestall.daemon.settings import checks, document, model
+
+Address = model.Address
+ControlSettings = model.ControlSettings
+Limits = model.Limits
+Peer = model.Peer
+Problem = model.Problem
+RouterSettings = model.RouterSettings
+Secrets = model.Secrets
+
+ROLES = {"router": RouterSettings, "control": ControlSettings}
+
+
+def load(path: pathlib.Path | str) -> RouterSettings | ControlSettings | list[Problem]:
+    """Return the settings in the file, or all of its problems.
+
+    Paths in the file are relative to the file's folder; the settings returned hold
+    them joined to it, and the secrets already read.
+    """
+    path = pathlib.Path(path)
+    loaded = document.read_object(path)
+    if isinstance(loaded, Problem):
+        return [loaded]
+    role = loaded.get("role")
+    if not isinstance(role, str) or role not in ROLES:
+        return [Problem("role", 'give "router" or "control"')]
+    reading = document.Reading()
+    found = reading.read_class(ROLES[role], loaded, "")
+    reading.problems += checks.find_problems(found, path.parent)
+    if reading.problems:
+        return reading.problems
+    return checks.resolve_files(found, path.parent)
--- /dev/null
+++ b/packages/daemon/src/trestlestall/daemon/settings/checks.py
@@ -0,0 +1,178 @@
+"""Checks over the whole of the settings, filled into a registry by a decorator.
+
+Each check takes the settings, in which an unreadable value stands as ``MISSING``, and
+the folder of the settings file; it yields its problems. So that one broken value
+doesn't hide the next, checks pass over what isn't there.
+"""
+
+import collections
+import dataclasses
+import ipaddress
+import itertools
+import os
+import pathlib
+from collections import abc
+
+from trestlestall.daemon.settings import document, model, secrets
+
+Settings = model.RouterSettings | model.ControlSettings
+Check = abc.Callable[[Settings, pathlib.Path], abc.Iterator[model.Problem]]
+
+HIGHEST_VOTER_COUNT = 7
+CHECKS: list[Check] = []
+
+
+def register_check(check: Check) -> Check:
+    """Add the check to those that each settings file passes through."""
+    CHECKS.append(check)
+    return check
+
+
+def find_problems(found: Settings, folder: pathlib.Path) -> list[model.Problem]:
+    """Return the problems that the registered checks find."""
+    return [problem for check in CHECKS for problem in check(found, folder)]
+
+
+def resolve_files(found: Settings, folder: pathlib.Path) -> Settings:
+    """Return the settings with paths joined to the folder and the secrets read."""
+    data_folder = found.data_folder and str(folder / found.data_folder)
+    secrets_file = folder / found.secrets_file
+    return dataclasses.replace(
+        found,
+        data_folder=data_folder,
+        secrets_file=str(secrets_file),
+        secrets=secrets.load(secrets_file),
+    )
+
+
+def _list_listeners(found: Settings) -> dict[str, model.Address]:
+    """Return the readable listening addresses by their key."""
+    if isinstance(found.listen, document.Missing):
+        return {}
+    pairs = vars(found.listen).items()
+    return {key: value for key, value in pairs if isinstance(value, model.Address)}
+
+
+def _list_peers(found: Settings) -> list[tuple[int, model.Peer]]:
+    """Return the readable peers with their place in the list."""
+    if isinstance(found.peers, document.Missing):
+        return []
+    pairs = enumerate(found.peers)
+    return [(index, peer) for index, peer in pairs if isinstance(peer, model.Peer)]
+
+
+def _do_collide(one: model.Address, other: model.Address) -> bool:
+    """Return whether one process can't listen on both; port 0 is any free port."""
+    if one.port != other.port or one.port == 0:
+        return False
+    hosts = [ipaddress.ip_address(address.host) for address in (one, other)]
+    return hosts[0] == hosts[1] or any(host.is_unspecified for host in hosts)
+
+
+@register_check
+def check_listeners(found: Settings, folder: pathlib.Path) -> abc.Iterator:
+    """Two listeners must not take one port of one host."""
+    listeners = _list_listeners(found).items()
+    for (one, first), (other, second) in itertools.combinations(listeners, 2):
+        if _do_collide(first, second):
+            message = f"{second} is already taken by listen.{one}"
+            yield model.Problem(f"listen.{other}", message)
+
+
+@register_check
+def check_limits(found: Settings, folder: pathlib.Path) -> abc.Iterator:
+    """A limit of zero or less would refuse every request."""
+    if isinstance(found.limits, document.Missing):
+        return
+    for key, value in vars(found.limits).items():
+        if not isinstance(value, document.Missing) and not value > 0:
+            yield model.Problem(f"limits.{key}", "must be above 0")
+
+
+@register_check
+def check_peers(found: Settings, folder: pathlib.Path) -> abc.Iterator:
+    """A peer has a name and an address of its own, and isn't this process."""
+    names = collections.Counter()
+    addresses = collections.Counter()
+    for index, peer in _list_peers(found):
+        path = f"peers[{index}]"
+        names[peer.name] += 1
+        addresses[peer.address] += 1
+        if peer.name == found.name:
+            yield model.Problem(f"{path}.name", "is this process's own name")
+        elif names[peer.name] == 2:
+            yield model.Problem(f"{path}.name", f"{peer.name} is listed twice")
+        if not isinstance(peer.address, model.Address):
+            continue
+        yield from _check_peer_address(found, peer.address, path)
+        if addresses[peer.address] == 2:
+            message = f"{peer.address} belongs to an earlier peer"
+            yield model.Problem(f"{path}.address", message)
+
+
+def _check_peer_address(
+    found: Settings, address: model.Address, path: str
+) -> abc.Iterator:
+    """A peer's address can be dialled and is not this process's own."""
+    if address.port == 0 or ipaddress.ip_address(address.host).is_unspecified:
+        yield model.Problem(f"{path}.address", f"{address} can't be dialled")
+    elif address in _list_listeners(found).values():
+        yield model.Problem(f"{path}.address", "is this process's own address")
+
+
+@register_check
+def check_control_peers(found: Settings, folder: pathlib.Path) -> abc.Iterator:
+    """A router has to know a control process, from which it has its configuration."""
+    if not isinstance(found, model.RouterSettings):
+        return
+    if isinstance(found.peers, document.Missing):
+        return
+    if all(getattr(peer, "role", None) == "router" for peer in found.peers):
+        message = "list at least one control process; routers get what is agreed there"
+        yield model.Problem("peers", message)
+
+
+@register_check
+def check_voters(found: Settings, folder: pathlib.Path) -> abc.Iterator:
+    """The first voters are named once each and can be reached."""
+    if not isinstance(found, model.ControlSettings):
+        return
+    if isinstance(found.voters, document.Missing):
+        return
+    if not found.voters:
+        yield model.Problem("voters", "name the first voters, at least one")
+    if len(found.voters) > HIGHEST_VOTER_COUNT:
+        yield model.Problem("voters", f"at most {HIGHEST_VOTER_COUNT} voters")
+    known = {peer.name for _, peer in _list_peers(found) if peer.role == "control"}
+    for index, voter in enumerate(found.voters):
+        if isinstance(voter, document.Missing):
+            continue
+        if voter in found.voters[:index]:
+            yield model.Problem(f"voters[{index}]", f"{voter} is named twice")
+        elif voter != found.name and voter not in known:
+            message = f"{voter} is neither this process nor a control process in peers"
+            yield model.Problem(f"voters[{index}]", message)
+
+
+@register_check
+def check_data_folder(found: Settings, folder: pathlib.Path) -> abc.Iterator:
+    """The data folder, where one is given, exists and can be written."""
+    if not isinstance(found.data_folder, str):
+        return
+    path = folder / found.data_folder
+    if not path.is_dir():
+        yield model.Problem("data_folder", f"no folder {path}; create it first")
+    elif not os.access(path, os.R_OK | os.W_OK | os.X_OK):
+        yield model.Problem("data_folder", f"this user can't write into {path}")
+
+
+@register_check
+def check_secrets(found: Settings, folder: pathlib.Path) -> abc.Iterator:
+    """The secrets file exists, is whole and is closed to other users."""
+    if not isinstance(found.secrets_file, str):
+        return
+    loaded = secrets.load(folder / found.secrets_file)
+    if isinstance(loaded, list):
+        for problem in loaded:
+            place = f" ({problem.path})" if problem.path else ""
+            yield model.Problem(f"secrets_file{place}", problem.message)
--- /dev/null
+++ b/packages/daemon/src/trestlestall/daemon/settings/document.py
@@ -0,0 +1,148 @@
+"""Read JSON objects into frozen data classes, collecting each problem with its path.
+
+msgspec checks single values; the walk over the classes is ours, since msgspec stops at
+the first problem and lets unknown keys of plain data classes pass.
+"""
+
+import dataclasses
+import ipaddress
+import json
+import pathlib
+import typing
+
+import msgspec
+
+from trestlestall.daemon.settings import model
+
+HIGHEST_PORT = 65535
+
+
+class Missing:
+    """Stands for a field that could not be read; its problem is already noted."""
+
+
+MISSING = Missing()
+
+
+def read_object(path: pathlib.Path) -> dict | model.Problem:
+    """Return the JSON object in the file, or why there is none."""
+    try:
+        found = json.loads(path.read_bytes(), object_pairs_hook=_refuse_duplicates)
+    except OSError as error:
+        return model.Problem("", f"can't read {path}: {error.strerror}")
+    except (ValueError, RecursionError) as error:
+        return model.Problem("", f"{path} isn't valid JSON: {error}")
+    if not isinstance(found, dict):
+        return model.Problem("", f"{path} must hold a JSON object")
+    return found
+
+
+def _refuse_duplicates(pairs: list) -> dict:
+    """Return the pairs as a dict; a key given twice is an error, not a silent loss."""
+    found = dict(pairs)
+    if len(found) < len(pairs):
+        keys = [key for key, _ in pairs]
+        twice = next(key for key in keys if keys.count(key) > 1)
+        raise ValueError(f"the key {json.dumps(twice)} is given twice")
+    return found
+
+
+def list_fields(data_class: type) -> list[dataclasses.Field]:
+    """Return the fields of the class that a file may give."""
+    fields = dataclasses.fields(data_class)
+    return [field for field in fields if field.metadata.get("file", True)]
+
+
+def parse_address(text: str) -> model.Address | str:
+    """Return the address that the text gives, or what is wrong with it."""
+    host, colon, port = text.rpartition(":")
+    if not colon or not (port.isascii() and port.isdigit()):
+        return "write it as IP:PORT, such as 127.0.0.1:8000"
+    if int(port) > HIGHEST_PORT:
+        return f"the port must be at most {HIGHEST_PORT}"
+    bracketed = host.startswith("[") and host.endswith("]")
+    try:
+        number = ipaddress.ip_address(host[1:-1] if bracketed else host)
+    except ValueError:
+        return f"{host or 'an empty host'} isn't an IP number; names aren't looked up"
+    if bracketed != (number.version == 6):
+        return "write brackets round an IPv6 number, such as [::1]:8000, and only there"
+    return model.Address(str(number), int(port))
+
+
+class Reading:
+    """One pass over a document; gathers the problems that it meets."""
+
+    def __init__(self) -> None:
+        self.problems: list[model.Problem] = []
+
+    def note(self, path: str, message: str) -> Missing:
+        """Record a problem and return the stand-in for the value."""
+        self.problems.append(model.Problem(path, message))
+        return MISSING
+
+    def read_class(self, data_class: type, value: object, path: str) -> object:
+        """Return an instance whose unreadable fields hold ``MISSING``."""
+        if not isinstance(value, dict):
+            return self.note(path, f"expected an object, got {_name_type(value)}")
+        hints = typing.get_type_hints(data_class)
+        fields = list_fields(data_class)
+        known = {field.name for field in fields}
+        for key in [key for key in value if key not in known]:
+            self.note(_join(path, key), "unknown key")
+        given = {}
+        for field in fields:
+            place = _join(path, field.name)
+            if field.name in value:
+                kind = hints[field.name]
+                given[field.name] = self.read_value(kind, value[field.name], place)
+            elif field.default is dataclasses.MISSING:
+                given[field.name] = self.note(place, "missing; it has no default")
+        return data_class(**given)
+
+    def read_value(self, kind: object, value: object, path: str) -> object:
+        """Return the value as the type hint wants it."""
+        if kind is model.Address:
+            return self.read_address(value, path)
+        if typing.get_origin(kind) is tuple:
+            return self.read_list(typing.get_args(kind)[0], value, path)
+        if dataclasses.is_dataclass(kind):
+            return self.read_class(kind, value, path)
+        return self.read_plain(kind, value, path)
+
+    def read_address(self, value: object, path: str) -> model.Address | Missing:
+        """Return the typed address."""
+        if not isinstance(value, str):
+            return self.note(path, f"expected IP:PORT as text, got {_name_type(value)}")
+        found = parse_address(value)
+        return self.note(path, found) if isinstance(found, str) else found
+
+    def read_list(self, kind: object, value: object, path: str) -> tuple | Missing:
+        """Return the items that could be read."""
+        if not isinstance(value, list):
+            return self.note(path, f"expected an array, got {_name_type(value)}")
+        return tuple(
+            self.read_value(kind, item, f"{path}[{index}]")
+            for index, item in enumerate(value)
+        )
+
+    def read_plain(self, kind: object, value: object, path: str) -> object:
+        """Return a number, text, choice or null."""
+        try:
+            found = msgspec.convert(value, kind)
+        except msgspec.ValidationError as error:
+            return self.note(path, str(error))
+        if found == "":
+            return self.note(path, "must not be empty")
+        return found
+
+
+def _join(path: str, key: str) -> str:
+    """Return the path of a key inside an object."""
+    return f"{path}.{key}" if path else key
+
+
+def _name_type(value: object) -> str:
+    """Return the JSON name of the value's type."""
+    names = {dict: "an object", list: "an array", str: "text", bool: "true or false"}
+    return names.get(type(value), "null" if value is None else "a number")
--- /dev/null
+++ b/packages/daemon/src/trestlestall/daemon/settings/model.py
@@ -0,0 +1,131 @@
+"""The typed settings. Every field with a default may be left out of the file."""
+
+import dataclasses
+import hmac
+import typing
+from collections import abc
+
+
+@dataclasses.dataclass(frozen=True)
+class Problem:
+    """One thing wrong with a settings file: where it stands and what to do.
+
+    The path names keys from the top of the file, such as ``listen.callers`` or
+    ``peers[1].address``; it is empty for the file as a whole.
+    """
+
+    path: str
+    message: str
+
+    def __str__(self) -> str:
+        return f"{self.path}: {self.message}" if self.path else self.message
+
+
+@dataclasses.dataclass(frozen=True)
+class Address:
+    """An IP number and a port; written ``127.0.0.1:8000`` or ``[::1]:8000``."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        host = f"[{self.host}]" if ":" in self.host else self.host
+        return f"{host}:{self.port}"
+
+
+@dataclasses.dataclass(frozen=True)
+class Peer:
+    """Another process of the system that this one keeps a link with."""
+
+    name: str
+    role: typing.Literal["router", "control"]
+    data_centre: str
+    address: Address
+
+
+@dataclasses.dataclass(frozen=True)
+class Secrets:
+    """The credentials of a process, each for one kind of counterpart.
+
+    ``peers`` is shared by all processes of the system, ``upstreams`` is the bearer key
+    that upstreams announce with, ``operators`` maps an operator's name to the key.
+    """
+
+    peers: str = dataclasses.field(repr=False)
+    upstreams: str = dataclasses.field(repr=False)
+    operators: abc.Mapping[str, str] = dataclasses.field(repr=False)
+
+    def find_operator(self, key: str) -> str | None:
+        """Return the name of the operator who holds the key, compared in full."""
+        given = key.encode()
+        matches = [
+            name
+            for name, known in self.operators.items()
+            if hmac.compare_digest(known.encode(), given)
+        ]
+        return matches[0] if matches else None
+
+
+@dataclasses.dataclass(frozen=True)
+class Limits:
+    """Bounds on what a caller may send: sizes in bytes, time in seconds."""
+
+    body_bytes: int = 1024 * 1024
+    header_bytes: int = 16 * 1024
+    read_seconds: float = 10.0
+    streams: int = 2000
+
+
+@dataclasses.dataclass(frozen=True)
+class RouterListen:
+    """The addresses that a router listens on, one for each kind of counterpart."""
+
+    callers: Address
+    upstreams: Address
+    operators: Address
+    platform: Address
+    peers: Address
+
+
+@dataclasses.dataclass(frozen=True)
+class ControlListen:
+    """The addresses that a control process listens on."""
+
+    operators: Address
+    platform: Address
+    peers: Address
+
+
+@dataclasses.dataclass(frozen=True)
+class RouterSettings:
+    """The settings of ``trestlestalld router``."""
+
+    role: typing.Literal["router"]
+    name: str
+    data_centre: str
+    listen: RouterListen
+    secrets_file: str
+    peers: tuple[Peer, ...] = ()
+    data_folder: str | None = None
+    limits: Limits = Limits()
+    secrets: Secrets | None = dataclasses.field(default=None, metadata={"file": False})
+
+
+@dataclasses.dataclass(frozen=True)
+class ControlSettings:
+    """The settings of ``trestlestalld control``.
+
+    ``voters`` names the first voters of the system, the same in each control's file;
+    it counts only until the first of them has written its log.
+    """
+
+    role: typing.Literal["control"]
+    name: str
+    data_centre: str
+    listen: ControlListen
+    secrets_file: str
+    data_folder: str
+    voters: tuple[str, ...]
+    peers: tuple[Peer, ...] = ()
+    limits: Limits = Limits()
+    secrets: Secrets | None = dataclasses.field(default=None, metadata={"file": False})
