--- a/packages/daemon/src/trestlestall/daemon/cli.py
+++ b/packages/daemon/src/trestlestall/daemon/cli.py
@@ -4,7 +4,7 @@
 import typing
 from collections import abc
 
-from trestlestall.daemon import commands, environment, settings, status
+from trestlestall.daemon import commands, environment, events, logs, settings, status
 
 PROGRAM = "trestlestalld"
 
@@ -132,9 +132,22 @@
         loaded = [settings.Problem("role", message)]
     if isinstance(loaded, list):
         return _refuse_settings(loaded, file, env)
+    _log_settings(loaded, file, env)
     return ROLES[role](loaded, env)
 
 
+def _log_settings(loaded: typing.Any, file: str, env: environment.Environment) -> None:
+    """Log what the process was started with, its credentials left out."""
+    log = logs.Log(env.stderr, env.clock, process=loaded.name)
+    log.write(
+        events.process.SETTINGS_READ,
+        role=loaded.role,
+        settings=file,
+        listen={key: str(address) for key, address in vars(loaded.listen).items()},
+        peers=[peer.name for peer in loaded.peers],
+    )
+
+
 def _refuse_settings(
     problems: list[settings.Problem], file: str, env: environment.Environment
 ) -> status.ExitStatus:
--- /dev/null
+++ b/packages/daemon/src/trestlestall/daemon/events/page.py
@@ -0,0 +1,50 @@
+"""Write the catalogue as the page docs/EVENTS.md.
+
+``python -m trestlestall.daemon.events.page > docs/EVENTS.md`` renews the page.
+"""
+
+import sys
+import types
+
+from trestlestall.daemon import events
+
+HEAD = """\
+# Events
+
+Every line that `trestlestalld` logs is one of these numbered events, written to the
+standard error stream as one JSON object. Each line carries `event` (the number), `at`
+(UTC), `level`, `name` and `process` (the name in the settings), and of the fields
+listed here those that apply; times are in seconds, lengths of text in tokens. A number
+keeps its meaning for good, so alarms should match on numbers. At level `error` an
+operator has to act, at `warning` to look when it repeats.
+
+This page is written from the code by `python -m trestlestall.daemon.events.page`, and a
+test holds the two equal.
+"""
+
+
+def write_page() -> str:
+    """Return the whole page."""
+    return "\n".join([HEAD, *(write_section(module) for module in events.RANGES)])
+
+
+def write_section(module: types.ModuleType) -> str:
+    """Return the section of one range of numbers, headed by its module's docstring."""
+    title = module.__doc__.strip().rstrip(".")
+    found = [
+        value for value in vars(module).values() if isinstance(value, events.Event)
+    ]
+    return "\n".join([f"## {title}\n", *(write_event(event) for event in found)])
+
+
+def write_event(event: events.Event) -> str:
+    """Return the entry of one event."""
+    fields = ", ".join(f"`{field}`" for field in event.fields)
+    return (
+        f"### {event.number} {event.name} ({event.level})\n\n"
+        f"{event.meaning} {event.action}\n\nFields: {fields}.\n"
+    )
+
+
+if __name__ == "__main__":
+    sys.stdout.write(write_page())
--- a/packages/daemon/src/trestlestall/daemon/events/process.py
+++ b/packages/daemon/src/trestlestall/daemon/events/process.py
@@ -6,8 +6,8 @@
     "TS1001",
     "process_started",
     catalogue.Level.INFO,
-    "role data_centre version settings",
-    "The process has read its settings and begins to open its addresses.",
+    "role data_centre version",
+    "The process begins to open its addresses.",
 )
 READY = catalogue.declare(
     "TS1002",
@@ -31,13 +31,12 @@
     "role status cut_off",
     "The process has ended; cut_off counts the requests that it did not finish.",
 )
-SETTINGS_REFUSED = catalogue.declare(
+SETTINGS_READ = catalogue.declare(
     "TS1005",
-    "settings_refused",
-    catalogue.Level.ERROR,
-    "path message",
-    "The settings file has a problem, one line for each; nothing was started.",
-    "Mend the file, prove it with trestlestall check-settings, and start again.",
+    "settings_read",
+    catalogue.Level.INFO,
+    "role settings listen peers",
+    "The settings file is right; the line says which addresses and peers it gives.",
 )
 ADDRESS_REFUSED = catalogue.declare(
     "TS1006",
--- a/packages/daemon/src/trestlestall/daemon/events/routing.py
+++ b/packages/daemon/src/trestlestall/daemon/events/routing.py
@@ -6,21 +6,21 @@
     "TS2001",
     "request_arrived",
     catalogue.Level.INFO,
-    "request workspace target class tier prompt_tokens max_tokens stream key",
+    "request workspace target request_class tier prompt_tokens max_tokens stream key",
     "A caller's request passed its checks and was given a class.",
 )
 ADMITTED = catalogue.declare(
     "TS2002",
     "request_admitted",
     catalogue.Level.INFO,
-    "request workspace class tier queued predicted reason",
+    "request workspace request_class tier queued predicted reason",
     "The request is expected to meet its target and waits for or goes to an upstream.",
 )
 REFUSED = catalogue.declare(
     "TS2003",
     "request_refused",
     catalogue.Level.INFO,
-    "request workspace class tier code retry_after reason",
+    "request workspace request_class tier code retry_after reason",
     "The request was refused before any upstream had it: it did not run.",
     "When many of one class are refused, compare its demand and target with capacity.",
 )
@@ -28,15 +28,15 @@
     "TS2004",
     "request_sent",
     catalogue.Level.INFO,
-    "request workspace class attempt upstream priority candidates reason",
+    "request workspace request_class attempt upstream priority candidates reason",
     "An attempt went to an upstream; candidates and reason say why to this one.",
 )
 FINISHED = catalogue.declare(
     "TS2005",
     "request_finished",
     catalogue.Level.INFO,
-    "request workspace class attempt upstream status tokens seconds first_token_seconds"
-    " on_time",
+    "request workspace request_class attempt upstream status tokens seconds"
+    " first_token_seconds on_time",
     "The caller has received the whole answer.",
 )
 BROKEN = catalogue.declare(
@@ -65,7 +65,7 @@
     "TS2009",
     "request_failed",
     catalogue.Level.WARNING,
-    "request workspace class code run reason",
+    "request workspace request_class code run reason",
     "The caller received an error; run says whether the request may have run.",
     "For outcome_unknown, ask the service itself before sending a new request.",
 )
@@ -73,7 +73,7 @@
     "TS2010",
     "caller_left",
     catalogue.Level.INFO,
-    "request workspace class tokens seconds",
+    "request workspace request_class tokens seconds",
     "The caller closed the connection before the answer was whole.",
 )
 CLAIM_GRANTED = catalogue.declare(
