Serve HTTP with bounds on every sender and one error shape

Cause: each listener of the router and of control needs the same bounds (size and time of headers and body), the same error document and the same bearer check; eventlet's own server bounds header bytes for the whole process only, waits for slow headers without end, and answers in plain text.

Change: a subclass of eventlet's protocol with a deadline for the headers and one for the body, an own accept loop that takes the kernel's queue before a planned stop, and a lingering close, so that an early refusal is not destroyed by a reset.

Ruled out: eventlet.wsgi.server() as it stands; at its end it shuts down a kept connection whose next request has already arrived.

--- /dev/null
+++ b/packages/daemon/src/trestlestall/daemon/http/answers.py
@@ -0,0 +1,58 @@
+"""What a handler hands back: one HTTP response, not yet on the wire."""
+
+import dataclasses
+import http
+import typing
+from collections import abc
+
+import msgspec
+
+from trestlestall.daemon.http import errors
+
+JSON_TYPE = "application/json"
+
+Headers = tuple[tuple[str, str], ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class Answer:
+    """One response; ``body`` is either whole bytes or an iterable that streams them.
+
+    A streamed body that raises is cut off without its last chunk, so that no client
+    can take the part that it got for the whole.
+    """
+
+    status: int
+    body: bytes | abc.Iterable[bytes] = b""
+    content_type: str = JSON_TYPE
+    headers: Headers = ()
+
+
+def build_json(value: typing.Any, status: int = 200, headers: Headers = ()) -> Answer:
+    """Return an answer that carries the value as JSON."""
+    return Answer(status, msgspec.json.encode(value), JSON_TYPE, headers)
+
+
+def build_failure(failure: errors.Failure, headers: Headers = ()) -> Answer:
+    """Return the answer that tells a failure in the one error shape."""
+    retry = errors.find_retry_seconds(failure)
+    if retry is not None:
+        headers = (*headers, ("Retry-After", str(retry)))
+    status = errors.CODES[failure.code].status
+    return Answer(status, errors.encode_failure(failure), JSON_TYPE, headers)
+
+
+def find_status_line(status: int) -> str:
+    """Return the status with its phrase, as WSGI wants it: ``200 OK``."""
+    try:
+        return f"{status} {http.HTTPStatus(status).phrase}"
+    except ValueError:
+        return f"{status} Status"
+
+
+def list_headers(answer: Answer) -> list[tuple[str, str]]:
+    """Return the answer's headers, as WSGI wants them."""
+    headers = [("Content-Type", answer.content_type), *answer.headers]
+    if isinstance(answer.body, bytes):
+        headers.append(("Content-Length", str(len(answer.body))))
+    return headers
--- /dev/null
+++ b/packages/daemon/src/trestlestall/daemon/http/application.py
@@ -0,0 +1,80 @@
+"""The WSGI application of one listener: find the handler, write its answer."""
+
+import typing
+from collections import abc
+
+from trestlestall.daemon.http import answers, errors, limits, requests, routes
+
+# Tokens pass on as they come: eventlet would hold them back until 4,096 bytes.
+CHUNK_SETTING = "eventlet.minimum_write_chunk_size"
+PROTOCOL_SETTING = "trestlestall.protocol"
+
+Check = abc.Callable[[requests.Request], errors.Failure | None]
+ReportError = abc.Callable[[requests.Request, Exception], None]
+
+
+def allow_all(request: requests.Request) -> errors.Failure | None:
+    """Check nothing; for listeners whose handlers look at the credential."""
+    return None
+
+
+def ignore_error(request: requests.Request, error: Exception) -> None:
+    """Drop the report of a handler's error."""
+
+
+class Application:
+    """Serves one object by a table of routes.
+
+    ``check`` looks at each request before its handler and returns the failure that
+    shuts it out, for instance a missing credential. A handler that raises is reported
+    to ``report_error`` and answered ``internal_error``; the process goes on.
+    """
+
+    def __init__(
+        self,
+        site: typing.Any,
+        table: routes.Routes,
+        bounds: limits.Limits | None = None,
+        check: Check = allow_all,
+        report_error: ReportError = ignore_error,
+    ):
+        self.site = site
+        self.table = table
+        self.limits = bounds or limits.Limits()
+        self.check = check
+        self.report_error = report_error
+
+    def __call__(self, environ: dict, start_response) -> abc.Iterable[bytes]:
+        environ[CHUNK_SETTING] = 1
+        request = requests.build_request(environ, self.limits)
+        answer = self._handle(request)
+        self._close_if_unread(environ)
+        status = answers.find_status_line(answer.status)
+        start_response(status, answers.list_headers(answer))
+        if isinstance(answer.body, bytes):
+            return [answer.body]
+        return answer.body
+
+    def _handle(self, request: requests.Request) -> answers.Answer:
+        try:
+            failure = self.check(request)
+            if failure is not None:
+                return answers.build_failure(failure)
+            handler = self.table.find(request.method, request.path)
+            if isinstance(handler, errors.Failure):
+                return answers.build_failure(handler)
+            return handler(self.site, request)
+        except Exception as error:  # one request's fault must not end the process
+            self.report_error(request, error)
+            failure = errors.Failure(
+                "internal_error", "A fault of the router.", errors.Run.UNKNOWN
+            )
+            return answers.build_failure(failure)
+
+    def _close_if_unread(self, environ: dict) -> None:
+        """Close the connection after an answer that came before the body's end."""
+        source = environ["eventlet.input"]
+        protocol = environ.get(PROTOCOL_SETTING)
+        unread = source.chunked_input or source.position < source.content_length
+        if protocol is not None and unread:
+            protocol.close_connection = 1
--- /dev/null
+++ b/packages/daemon/src/trestlestall/daemon/http/listener.py
@@ -0,0 +1,160 @@
+"""Listening sockets, and the serving of an application on one of them."""
+
+import contextlib
+import errno
+import ipaddress
+from collections import abc
+
+import eventlet
+from eventlet import greenio, wsgi
+from eventlet.green import socket
+
+from trestlestall.daemon.http import limits, protocol
+
+BACKLOG = 1024
+RETRY_SECONDS = 0.05
+STATE_PLACE = 2
+
+
+class Server(wsgi.Server):
+    """eventlet's WSGI server with the bounds of one listener."""
+
+    bounds: limits.Limits
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return host and port of ``IP:port``; IPv6 stands in brackets.
+
+    >>> split_address("[::1]:8000")
+    ('::1', 8000)
+    """
+    host, _, port = address.rpartition(":")
+    host = host.removeprefix("[").removesuffix("]")
+    return str(ipaddress.ip_address(host)), int(port)
+
+
+def join_address(pair: tuple) -> str:
+    """Return ``IP:port`` of a socket's own address."""
+    host, port = pair[:2]
+    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
+
+
+class Listener:
+    """One bound address that serves one application.
+
+    ``stop_accepting`` closes the address and lets each open connection finish the
+    request that it carries; ``wait`` returns once the last one is closed.
+    """
+
+    def __init__(self, sock, app, bounds: limits.Limits):
+        self._socket = sock
+        self._connections: dict[int, list] = {}
+        self._accepting = None
+        self._pool = eventlet.GreenPool(bounds.connections)
+        self._server = Server(
+            sock,
+            sock.getsockname(),
+            app,
+            protocol=protocol.Protocol,
+            log_output=False,
+            debug=False,
+            socket_timeout=bounds.read_seconds,
+        )
+        self._server.bounds = bounds
+        self.address = join_address(sock.getsockname())
+
+    def start(self) -> None:
+        """Begin to accept connections, in a greenlet of its own."""
+        self._accepting = eventlet.spawn(self._accept)
+
+    def close_kept(self) -> None:
+        """Close each connection after its present answer; for a planned stop."""
+        self._server.keepalive = False
+
+    def stop_accepting(self) -> None:
+        """Take what the kernel has queued, close the address and idle connections."""
+        if self._accepting is not None:
+            self._accepting.kill()
+        self.close_kept()
+        self._take_queued()
+        self._socket.close()
+        for state in list(self._connections.values()):
+            self._close_idle(state)
+
+    def wait(self) -> None:
+        """Wait until every connection is closed."""
+        self._pool.waitall()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                client, address = self._socket.accept()
+            except OSError as error:
+                if error.errno == errno.EBADF:
+                    return
+                eventlet.sleep(RETRY_SECONDS)  # out of descriptors, or a lost client
+                continue
+            self._serve(client, address)
+
+    def _serve(self, client, address) -> None:
+        client.settimeout(self._server.socket_timeout)
+        client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        state = [address, client, wsgi.STATE_IDLE]
+        self._connections[id(state)] = state
+        self._pool.spawn_n(self._process, state)
+
+    def _process(self, state: list) -> None:
+        try:
+            self._server.process_request(state)
+        except (OSError, ValueError):
+            pass  # the client is gone
+        finally:
+            self._connections.pop(id(state), None)
+            state[1].close()
+
+    def _take_queued(self) -> None:
+        self._socket.setblocking(False)
+        while True:
+            try:
+                client, address = self._socket.accept()
+            except OSError:
+                return
+            self._serve(greenio.GreenSocket(client), address)
+
+    def _close_idle(self, state: list) -> None:
+        """Close a connection between two requests, unless a next one is already here.
+
+        The state is a list that eventlet's protocol reads and writes.
+        """
+        idle = state[STATE_PLACE] == wsgi.STATE_IDLE
+        state[STATE_PLACE] = wsgi.STATE_CLOSE
+        if idle and not has_input(state[1]):
+            with contextlib.suppress(OSError):
+                state[1].shutdown(socket.SHUT_RD)
+
+
+def has_input(sock) -> bool:
+    """Return whether bytes wait to be read, without reading them."""
+    try:
+        return bool(sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+    except OSError:
+        return False
+
+
+@contextlib.contextmanager
+def open_listener(
+    address: str, app, bounds: limits.Limits | None = None
+) -> abc.Iterator[Listener]:
+    """Yield a listener at ``IP:port`` that has started; port 0 takes any free port.
+
+    Raises ``OSError`` when the address can't be had.
+    """
+    host, port = split_address(address)
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    sock = eventlet.listen((host, port), family=family, backlog=BACKLOG)
+    served = Listener(sock, app, bounds or limits.Limits())
+    served.start()
+    try:
+        yield served
+    finally:
+        served.stop_accepting()
--- /dev/null
+++ b/packages/daemon/src/trestlestall/daemon/http/protocol.py
@@ -0,0 +1,137 @@
+"""HTTP/1.1 on one connection, with bounds on what a sender may cost.
+
+eventlet's own protocol class bounds each line and the sum of headers for the whole
+process, but not the time that a slow sender takes, and it answers in plain text. This
+subclass adds the listener's bounds and the one error shape.
+"""
+
+import eventlet
+from eventlet import wsgi
+from eventlet.green import socket
+
+from trestlestall.daemon.http import answers, application, errors, exceptions, limits
+
+LINGER_SECONDS = 1.0
+LINGER_BYTES = 256 * 1024
+
+
+class BoundedHeaders:
+    """A reader of header lines that stops at a number of bytes."""
+
+    def __init__(self, source, bound: int):
+        self._source = source
+        self._left = bound
+
+    def readline(self, size: int = -1) -> bytes:
+        """Return the next line; raises ``HeadersTooLargeError`` at the bound."""
+        line = self._source.readline(self._left + 1)
+        self._left -= len(line)
+        if self._left < 0:
+            raise exceptions.HeadersTooLargeError()
+        return line
+
+
+class Protocol(wsgi.HttpProtocol):
+    """One connection of a listener."""
+
+    bounds: limits.Limits
+
+    def __init__(self, conn_state, server):
+        self.bounds = server.bounds
+        self._timer = None
+        super().__init__(conn_state, server)
+
+    def handle_one_request(self) -> None:
+        """Serve one request of the connection."""
+        if not self._wait_for_request():
+            self.close_connection = 1
+            return
+        self._timer = eventlet.Timeout(
+            self.bounds.read_seconds, exceptions.SlowHeadersError()
+        )
+        try:
+            super().handle_one_request()
+        except exceptions.SlowHeadersError:
+            seconds = self.bounds.read_seconds
+            message = f"The headers did not arrive within {seconds:g} s."
+            self._refuse(errors.Failure("slow_sender", message))
+        except exceptions.HeadersTooLargeError:
+            message = f"At most {self.bounds.header_bytes} bytes of headers are taken."
+            self._refuse(errors.Failure("header_too_large", message))
+        finally:
+            self._timer.cancel()
+
+    def parse_request(self) -> bool:
+        """Read the headers, within the bounds of size and time."""
+        plain = self.rfile.fp
+        bounded = BoundedHeaders(plain, self.bounds.header_bytes)
+        self.rfile = bounded
+        parsed = super().parse_request()
+        self._timer.cancel()
+        if parsed and len(self.headers.get_all("content-length", ())) > 1:
+            self.send_error(400, "Send Content-Length once.")
+            return False
+        return parsed
+
+    def send_error(self, code: int, message: str | None = None, explain=None) -> None:
+        """Refuse a request line or header that is not HTTP."""
+        name = "header_too_large" if code == 431 else "invalid_request"
+        self._refuse(errors.Failure(name, message or "This is not HTTP/1.1."))
+
+    def get_environ(self) -> dict:
+        """Return the WSGI environment, which also leads back to the connection."""
+        environ = super().get_environ()
+        environ[application.PROTOCOL_SETTING] = self
+        return environ
+
+    def finish(self) -> None:
+        """Close the connection, so that the client still reads the last answer."""
+        try:
+            self._linger()
+        finally:
+            super().finish()
+
+    def _read_request_line(self) -> bytes:
+        line = super()._read_request_line()
+        if len(line) < self.server.url_length_limit:
+            return line
+        message = f"The request line is longer than {len(line)} bytes."
+        self._refuse(errors.Failure("header_too_large", message))
+        return b""
+
+    def _wait_for_request(self) -> bool:
+        self.connection.settimeout(self.bounds.idle_seconds)
+        try:
+            return bool(self.rfile.peek(1))
+        except (TimeoutError, OSError, ValueError):
+            return False
+        finally:
+            self.connection.settimeout(self.bounds.read_seconds)
+
+    def _refuse(self, failure: errors.Failure) -> None:
+        answer = answers.build_failure(failure)
+        lines = [f"HTTP/1.1 {answers.find_status_line(answer.status)}"]
+        lines += [f"{name}: {value}" for name, value in answers.list_headers(answer)]
+        head = "\r\n".join([*lines, "Connection: close", "", ""]).encode()
+        self.close_connection = 1
+        try:
+            self.wfile.write(head + answer.body)
+            self.wfile.flush()
+        except OSError:
+            pass
+
+    def _linger(self) -> None:
+        """Read off what the client still sends: a reset would destroy our answer."""
+        left = LINGER_BYTES
+        try:
+            self.wfile.flush()
+            self.connection.shutdown(socket.SHUT_WR)
+            self.connection.settimeout(LINGER_SECONDS)
+            with eventlet.Timeout(LINGER_SECONDS, False):
+                while left > 0:
+                    data = self.connection.recv(min(left, 16384))
+                    if not data:
+                        return
+                    left -= len(data)
+        except (OSError, ValueError):
+            return
