Add the stand-in engine, plain service and deployment starter

Tests, demo and bench need upstreams to talk to. The engine's batch, prefix cache and prompts are pure; its HTTP is met over real sockets, with a table of faults. Ruled out: one greenlet per request that sleeps by itself, since then no batch slows its members and nothing could be displaced.

--- /dev/null
+++ b/packages/standins/src/trestlestall/standins/addresses.py
@@ -0,0 +1,58 @@
+"""Network addresses of the form ``HOST:PORT``, and ports given by the kernel."""
+
+import dataclasses
+import socket
+
+from trestlestall.standins import exceptions
+
+LOOPBACK = "127.0.0.1"
+
+
+@dataclasses.dataclass(frozen=True)
+class Address:
+    """An IP number or host name and a port; prints as ``127.0.0.1:8000``."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+def parse(text: str) -> Address:
+    """Return the address that the text names, or raise ``SettingError``.
+
+    >>> parse("127.0.0.1:8000").port
+    8000
+    """
+    host, _, port = text.strip().rpartition(":")
+    if not host or not port.isdigit() or int(port) > 65535:
+        raise exceptions.SettingError(f"not an address of the form HOST:PORT: {text}")
+    return Address(host, int(port))
+
+
+def parse_list(text: str) -> tuple[Address, ...]:
+    """Return the addresses of a list parted by commas; empty text is an empty list."""
+    return tuple(parse(part) for part in text.split(",") if part.strip())
+
+
+def reserve_port() -> int:
+    """Return a loopback port that the kernel will give to no one else for a while.
+
+    A connection made and closed from the listening side leaves the port in TIME_WAIT.
+    The kernel then hands it out for no ``bind`` to port 0 and no outgoing connection,
+    and a listener that sets ``SO_REUSEADDR`` can still take it.
+    """
+    with socket.socket() as listener, socket.socket() as caller:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((LOOPBACK, 0))
+        listener.listen(1)
+        caller.connect(listener.getsockname())
+        accepted, _ = listener.accept()
+        accepted.close()
+        return listener.getsockname()[1]
+
+
+def reserve_address() -> Address:
+    """Return a loopback address on a reserved port."""
+    return Address(LOOPBACK, reserve_port())
--- /dev/null
+++ b/packages/standins/src/trestlestall/standins/engine_core.py
@@ -0,0 +1,240 @@
+"""The stand-in engine without its HTTP: batch, cache, streams, counts and faults.
+
+One greenlet runs pass after pass of the batch and hands each token to the stream it
+belongs to. The streams are greenlets of the HTTP runner that wait for their tokens.
+"""
+
+import collections
+import dataclasses
+import os
+import time
+from collections import abc
+
+import eventlet
+from eventlet import event, queue
+
+from trestlestall.standins import batching, caching, counting, faults, prompts
+
+RATE_WINDOW = 1.0
+CRASH_STATUS = 70
+
+
+@dataclasses.dataclass(frozen=True)
+class Settings:
+    """The engine's settings; times in seconds, sizes in tokens or cache blocks."""
+
+    name: str
+    data_centre: str
+    models: tuple[str, ...]
+    slots: int = 8
+    waiting_limit: int = 1000
+    pace: batching.Pace = batching.Pace()
+    cache_blocks: int = 512
+    kv_tokens: int = 65_536
+    event_delay: float = 1.0
+    event_gap_every: int = 10
+    report_lag: float = 0.5
+    honours_priorities: bool = True
+    checks_fencing: bool = True
+    weights: str = ""
+
+
+@dataclasses.dataclass(frozen=True)
+class Load:
+    """The engine's load at a moment; ``at`` is wall-clock seconds."""
+
+    at: float
+    running: int
+    waiting: int
+    tokens_per_second: float
+    kv_used: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Piece:
+    """A token on its way to its stream, or the stream's early end.
+
+    ``end`` is empty within the answer, ``completed`` with its last token, and
+    ``cancelled`` or ``broken`` when no more will come.
+    """
+
+    index: int
+    end: str = ""
+
+
+@dataclasses.dataclass
+class Run:
+    """One run of a request: its job's name, its tokens so far and their way out."""
+
+    attempt: str
+    name: str
+    prompt: prompts.Prompt
+    cached_tokens: int
+    made: int = 0
+    pieces: queue.Queue = dataclasses.field(default_factory=queue.Queue)
+
+
+class Engine:
+    """A model engine that makes up its answers."""
+
+    def __init__(self, settings: Settings):
+        self.settings = settings
+        self.counts = counting.Counts()
+        self.cache = caching.PrefixCache(settings.cache_blocks)
+        self.feed = caching.Feed(settings.event_delay, settings.event_gap_every)
+        self.faults = faults.Faults()
+        pace = settings.pace
+        self.batch = batching.Batch(settings.slots, settings.waiting_limit, pace)
+        self._runs: dict[str, Run] = {}
+        self._number = 0
+        self._work = event.Event()
+        self._loads: collections.deque[Load] = collections.deque(maxlen=256)
+        self._rates: collections.deque[tuple[float, int]] = collections.deque()
+
+    # Requests.
+
+    def open_run(
+        self, attempt: str, prompt: prompts.Prompt, priority: int, start: int, end: int
+    ) -> Run | None:
+        """Queue a run that makes the tokens from ``start`` up to but without ``end``.
+
+        Returns None when the queue is full.
+        """
+        change = self.cache.use(caching.hash_blocks(prompt.text))
+        self.feed.publish(change, time.time())
+        per_block = caching.BLOCK_CHARACTERS // prompts.CHARACTERS_PER_TOKEN
+        cached = min(prompt.tokens, change.hits * per_block)
+        self._number += 1
+        run = Run(attempt, f"{attempt}#{self._number}", prompt, cached)
+        urgency = priority if self.settings.honours_priorities else 0
+        job = batching.Job(run.name, urgency, start, end, prompt.tokens - cached)
+        if not self.batch.submit(job):
+            self.counts.refused += 1
+            return None
+        self._runs[run.name] = run
+        self.counts.note_request(attempt, prompt.identity)
+        self.counts.cache_hit_tokens += cached
+        self.counts.prompt_tokens += prompt.tokens
+        self._wake()
+        return run
+
+    def read_pieces(self, run: Run) -> abc.Iterator[Piece]:
+        """Yield the run's tokens as they are made, and its end as the last."""
+        while True:
+            piece = run.pieces.get()
+            yield piece
+            if piece.end:
+                return
+
+    def end_run(self, run: Run, outcome: str) -> None:
+        """End a run early, once; a run that ended before is left as it is."""
+        if self._runs.pop(run.name, None) is None:
+            return
+        self.batch.cancel(run.name)
+        self.counts.note_end(outcome, run.made)
+        run.pieces.put(Piece(run.made, outcome))
+
+    def cancel(self, attempt: str) -> int:
+        """End every run of the attempt; returns how many there were."""
+        found = [run for run in self._runs.values() if run.attempt == attempt]
+        for run in found:
+            self.end_run(run, "cancelled")
+        return len(found)
+
+    @property
+    def busy(self) -> bool:
+        """Whether a run is under way."""
+        return bool(self._runs)
+
+    # Passes.
+
+    def run_passes(self) -> None:
+        """Run passes for ever; a greenlet of its own."""
+        while True:
+            if self.batch.running or self.batch.waiting:
+                self._run_pass()
+            else:
+                self._work = event.Event()
+                self._work.wait()
+
+    def _run_pass(self) -> None:
+        if self.faults.tokens_left == 0:
+            eventlet.sleep(self.settings.pace.token_interval)
+            return
+        step = self.batch.step()
+        self.counts.displaced += len(step.displaced)
+        eventlet.sleep(step.duration * self.faults.factor)
+        self._note_rate(len(step.tokens))
+        for token in step.tokens:
+            self._deliver(token)
+
+    def _deliver(self, token: batching.Token) -> None:
+        self.counts.tokens += 1
+        run = self._runs.get(token.job)
+        if run is None:
+            # Cancelled while the pass ran: the token was made for nobody.
+            self.counts.wasted += 1
+            return
+        run.made += 1
+        if token.last:
+            # Removed here, so that a hang-up after the last token changes nothing.
+            del self._runs[run.name]
+            self.counts.note_end("completed", run.made)
+        run.pieces.put(Piece(token.index, "completed" if token.last else ""))
+        self._spend_fault_token()
+
+    def _spend_fault_token(self) -> None:
+        left = self.faults.tokens_left
+        if left:
+            self.faults = dataclasses.replace(self.faults, tokens_left=left - 1)
+
+    def _wake(self) -> None:
+        if not self._work.ready():
+            self._work.send()
+
+    # Faults.
+
+    def set_faults(self, wanted: faults.Faults) -> None:
+        """Have these faults from now on."""
+        self.faults = wanted
+
+    def take_crash(self, made: int) -> bool:
+        """Return, once, whether the stream that sent ``made`` tokens is to be cut."""
+        if self.faults.crash_after is None or made < self.faults.crash_after:
+            return False
+        if self.faults.crash_exits:
+            os._exit(CRASH_STATUS)
+        self.faults = faults.Faults()
+        return True
+
+    # Load.
+
+    def _note_rate(self, tokens: int) -> None:
+        now = time.time()
+        self._rates.append((now, tokens))
+        while self._rates and self._rates[0][0] < now - RATE_WINDOW:
+            self._rates.popleft()
+
+    def measure_load(self) -> Load:
+        """Return the load of this moment."""
+        now = time.time()
+        recent = (count for at, count in self._rates if at >= now - RATE_WINDOW)
+        return Load(
+            at=now,
+            running=len(self.batch.running),
+            waiting=len(self.batch.waiting),
+            tokens_per_second=sum(recent) / RATE_WINDOW,
+            kv_used=min(1.0, self.batch.held_tokens / self.settings.kv_tokens),
+        )
+
+    def sample_load(self, interval: float = 0.1) -> None:
+        """Measure the load for ever, so that a report can be a late one."""
+        while True:
+            self._loads.append(self.measure_load())
+            eventlet.sleep(interval)
+
+    def report_load(self) -> Load:
+        """Return the load as it was ``report_lag`` seconds ago, with its time."""
+        ripe = time.time() - self.settings.report_lag
+        old = [load for load in self._loads if load.at <= ripe]
+        return old[-1] if old else (self._loads or [self.measure_load()])[0]
--- /dev/null
+++ b/packages/standins/src/trestlestall/standins/processes.py
@@ -0,0 +1,124 @@
+"""Start one program as a process of its own, wait for it, and end it by its id."""
+
+import contextlib
+import dataclasses
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+from collections import abc
+
+from trestlestall.standins import addresses, exceptions
+
+POLL_INTERVAL = 0.02
+START_LIMIT = 20.0
+STOP_LIMIT = 10.0
+LOG_TAIL = 2000
+
+
+@dataclasses.dataclass(frozen=True)
+class Process:
+    """A started program; ``log`` is the file that holds all it prints."""
+
+    name: str
+    child: subprocess.Popen
+    log: pathlib.Path
+
+    @property
+    def pid(self) -> int:
+        """The process's id."""
+        return self.child.pid
+
+    @property
+    def running(self) -> bool:
+        """Whether the process has not ended."""
+        return self.child.poll() is None
+
+    def send_signal(self, number: signal.Signals) -> None:
+        """Send a signal, such as SIGSTOP for a freeze, to this process alone."""
+        self.child.send_signal(number)
+
+    def kill(self) -> None:
+        """End the process at once, as a crash would."""
+        self.child.kill()
+        self.child.wait()
+
+    def stop(self, limit: float = STOP_LIMIT) -> int:
+        """Ask the process to end and return its exit status.
+
+        One that has not ended after ``limit`` seconds is killed; its status then is
+        -9, so that a test that expects 0 sees it.
+        """
+        self.child.send_signal(signal.SIGCONT)
+        self.child.terminate()
+        try:
+            return self.child.wait(limit)
+        except subprocess.TimeoutExpired:
+            self.child.kill()
+            return self.child.wait()
+
+    def read_log(self) -> str:
+        """Return what the process printed so far."""
+        return self.log.read_text(errors="replace")
+
+
+def start(
+    name: str, module: str, arguments: abc.Sequence[str], folder: pathlib.Path
+) -> Process:
+    """Start ``python -m module arguments`` with its output in ``folder/name.log``.
+
+    It looks for the packages where this process found them.
+    """
+    log = folder / f"{name}.log"
+    paths = os.pathsep.join(path for path in sys.path if path)
+    environment = {**os.environ, "PYTHONPATH": paths, "PYTHONUNBUFFERED": "1"}
+    with log.open("ab") as output:
+        child = subprocess.Popen(
+            [sys.executable, "-m", module, *arguments],
+            stdin=subprocess.DEVNULL,
+            stdout=output,
+            stderr=subprocess.STDOUT,
+            env=environment,
+            cwd=folder,
+        )
+    return Process(name, child, log)
+
+
+def wait_until(
+    is_true: abc.Callable[[], bool], what: str, limit: float = START_LIMIT
+) -> None:
+    """Poll until the condition holds; raise ``DeploymentError`` after ``limit``."""
+    give_up = time.monotonic() + limit
+    while not is_true():
+        if time.monotonic() > give_up:
+            raise exceptions.DeploymentError(f"not within {limit} s: {what}")
+        time.sleep(POLL_INTERVAL)
+
+
+def wait_for_address(process: Process, limit: float = START_LIMIT) -> addresses.Address:
+    """Return the address that a stand-in printed as its first line."""
+
+    def find() -> str | None:
+        for line in process.read_log().splitlines():
+            with contextlib.suppress(ValueError, TypeError, KeyError):
+                return json.loads(line)["listening"]
+        return None
+
+    def is_listening() -> bool:
+        check_running(process)
+        return find() is not None
+
+    wait_until(is_listening, f"{process.name} listens", limit)
+    return addresses.parse(find())
+
+
+def check_running(process: Process) -> None:
+    """Raise ``DeploymentError`` with the log's end when the process has ended."""
+    if not process.running:
+        raise exceptions.DeploymentError(
+            f"{process.name} ended with status {process.child.returncode}:\n"
+            f"{process.read_log()[-LOG_TAIL:]}"
+        )
--- /dev/null
+++ b/packages/standins/src/trestlestall/standins/prompts.py
@@ -0,0 +1,112 @@
+"""What the stand-in engine makes of a prompt: its identity, its length, its answer.
+
+Pure. The answer is a function of the model and the prompt alone, so that a test can
+tell from an answer whose prompt it belongs to, whether it is whole, and whether two
+parts from two engines belong together.
+
+Each token of an answer is ``HASH-N ``: the prompt's hash and the token's place. The
+length is drawn from the hash and is of two kinds, a few lines or a few pages, unless
+the prompt asks for one by ``[length 37]``.
+"""
+
+import dataclasses
+import hashlib
+import json
+import re
+
+SHORT_LENGTHS = (20, 60)
+LONG_LENGTHS = (200, 600)
+LONG_SHARE = 0.2
+CHARACTERS_PER_TOKEN = 4
+LENGTH_MARK = re.compile(r"\[length (\d{1,6})\]")
+
+
+@dataclasses.dataclass(frozen=True)
+class Prompt:
+    """A prompt of one model; ``identity`` is the hash its answer is made of."""
+
+    model: str
+    text: str
+    identity: str
+
+    @property
+    def tokens(self) -> int:
+        """The prompt's length in tokens."""
+        return len(self.text) // CHARACTERS_PER_TOKEN + 1
+
+
+@dataclasses.dataclass(frozen=True)
+class Malformed:
+    """The body holds no prompt of a known shape; ``message`` says what is wrong."""
+
+    message: str
+
+
+def make_prompt(model: str, text: str) -> Prompt:
+    """Return the prompt with its identity."""
+    digest = hashlib.sha256(f"{model}\n{text}".encode()).hexdigest()
+    return Prompt(model, text, digest[:10])
+
+
+def join_messages(messages: list[dict]) -> str:
+    """Return the text of chat messages, one line of role and content for each."""
+    return "\n".join(
+        f"{message['role']}: {read_content(message)}" for message in messages
+    )
+
+
+def read_content(message: dict) -> str:
+    """Return the message's content as text; parts other than text are kept as JSON."""
+    content = message.get("content")
+    return content if isinstance(content, str) else json.dumps(content, sort_keys=True)
+
+
+def read_chat(body: dict) -> Prompt | Malformed:
+    """Return the prompt of a chat completion's body."""
+    messages = body.get("messages")
+    if not isinstance(messages, list) or not messages:
+        return Malformed("messages must be a list of at least one message")
+    if not all(isinstance(each, dict) and "role" in each for each in messages):
+        return Malformed("each message must be an object with a role")
+    return read_model(body, join_messages(messages))
+
+
+def read_completion(body: dict) -> Prompt | Malformed:
+    """Return the prompt of a plain completion's body."""
+    prompt = body.get("prompt")
+    if not isinstance(prompt, str):
+        return Malformed("prompt must be text")
+    return read_model(body, prompt)
+
+
+def read_model(body: dict, text: str) -> Prompt | Malformed:
+    """Return the prompt for the body's model."""
+    model = body.get("model")
+    if not isinstance(model, str) or not model:
+        return Malformed("model must be text")
+    return make_prompt(model, text)
+
+
+def draw_length(prompt: Prompt) -> int:
+    """Return how many tokens the whole answer has, before any ``max_tokens``."""
+    mark = LENGTH_MARK.search(prompt.text)
+    if mark:
+        return max(1, int(mark.group(1)))
+    number = int(prompt.identity, 16)
+    kind = (number % 1000) / 1000
+    low, high = LONG_LENGTHS if kind < LONG_SHARE else SHORT_LENGTHS
+    return low + (number // 1000) % (high - low + 1)
+
+
+def write_token(prompt: Prompt, index: int) -> str:
+    """Return the token at the place, counted from 0."""
+    return f"{prompt.identity}-{index} "
+
+
+def write_answer(prompt: Prompt, start: int, end: int) -> str:
+    """Return the tokens from ``start`` up to but without ``end`` as one text.
+
+    >>> write_answer(make_prompt("m1", "user: hi"), 0, 2).count("-")
+    2
+    """
+    return "".join(write_token(prompt, index) for index in range(start, end))
