--- a/packages/standins/src/trestlestall/standins/caching.py
+++ b/packages/standins/src/trestlestall/standins/caching.py
@@ -59,14 +59,14 @@
 
     def use(self, blocks: tuple[str, ...]) -> Change:
         """Look the prompt's blocks up and hold them all from now on."""
-        hits = self._count_hits(blocks)
+        hits = self.count_hits(blocks)
         stored = tuple(block for block in blocks if block not in self._blocks)
         for block in blocks:
             self._blocks[block] = None
             self._blocks.move_to_end(block)
         return Change(hits, stored, self._drop_oldest())
 
-    def _count_hits(self, blocks: tuple[str, ...]) -> int:
+    def count_hits(self, blocks: tuple[str, ...]) -> int:
         """Return how many leading blocks are held; a later one alone is no prefix."""
         for count, block in enumerate(blocks):
             if block not in self._blocks:
--- a/packages/standins/src/trestlestall/standins/deployment.py
+++ b/packages/standins/src/trestlestall/standins/deployment.py
@@ -15,12 +15,14 @@
 import json
 import pathlib
 import secrets
+import subprocess
 import typing
 import uuid
 from collections import abc
 
 from trestlestall.standins import addresses, calls, exceptions, processes
 
+CLIENT = "trestlestall.client"
 DAEMON = "trestlestall.daemon"
 ENGINE = "trestlestall.standins.engine"
 SERVICE = "trestlestall.standins.service"
@@ -155,6 +157,13 @@
         key = self.secrets.operator
         return calls.call("POST", target.operators, "/v1/operator", body, key)
 
+    def run_client(self, *arguments: str) -> subprocess.CompletedProcess:
+        """Run the operator's client to its end, asking every daemon in turn."""
+        servers = ",".join(str(each.operators) for each in self.routers + self.controls)
+        key_file = str(self.folder / "operator.key")
+        flags = ("--servers", servers, "--key-file", key_file)
+        return processes.run(CLIENT, (*arguments, *flags), self.folder)
+
     def operate(self, *texts: str) -> None:
         """Have each command accepted, or raise ``OperatorError``.
 
@@ -257,7 +266,7 @@
 
 
 def write_secrets(deployment: Deployment) -> None:
-    """Write the daemons' secrets file and the upstreams' own."""
+    """Write the daemons' secrets file, and those of upstreams and operator."""
     known = deployment.secrets
     document = {
         "peers": known.peers,
@@ -266,6 +275,7 @@
     }
     write_private(deployment.folder / "secrets.json", json.dumps(document))
     write_private(deployment.folder / "upstreams.secret", known.upstreams)
+    write_private(deployment.folder / "operator.key", known.operator)
 
 
 def write_private(path: pathlib.Path, text: str) -> None:
@@ -395,3 +405,14 @@
     """Return whether the daemon says that it is ready."""
     processes.check_running(daemon.process)
     return calls.call("GET", daemon.platform, "/readyz").status == 200
+
+
+def wait_for_model(router: Daemon, key: str, model: str) -> None:
+    """Wait until the router offers the model to the workspace of the key."""
+
+    def is_offered() -> bool:
+        answer = calls.call("GET", router.callers, "/v1/models", key=key)
+        offered = (answer.document or {}).get("data", [])
+        return answer.status == 200 and model in [each["id"] for each in offered]
+
+    processes.wait_until(is_offered, f"{router.name} offers {model}")
--- a/packages/standins/src/trestlestall/standins/engine.py
+++ b/packages/standins/src/trestlestall/standins/engine.py
@@ -19,6 +19,7 @@
     batching,
     engine_core,
     engine_http,
+    engine_orders,
     programs,
     web,
 )
@@ -86,7 +87,7 @@
     """Serve with these settings until SIGTERM, then finish what runs."""
     core = engine_core.Engine(settings)
     panel = engine_http.Panel(core)
-    server = web.Server(listen, web.make_application(engine_http.ROUTES, panel))
+    server = web.Server(listen, web.make_application(engine_orders.ROUTES, panel))
     announcer = make_announcer(panel, server.address, hosts, secret)
     panel.on_models_changed = announcer.announce_again
     programs.print_line(listening=str(server.address))
--- a/packages/standins/src/trestlestall/standins/engine_core.py
+++ b/packages/standins/src/trestlestall/standins/engine_core.py
@@ -37,6 +37,7 @@
     honours_priorities: bool = True
     checks_fencing: bool = True
     weights: str = ""
+    load_seconds: float = 0.2
 
 
 @dataclasses.dataclass(frozen=True)
@@ -101,7 +102,7 @@
         Returns None when the queue is full.
         """
         change = self.cache.use(caching.hash_blocks(prompt.text))
-        self.feed.publish(change, time.time())
+        self.publish(change)
         per_block = caching.BLOCK_CHARACTERS // prompts.CHARACTERS_PER_TOKEN
         cached = min(prompt.tokens, change.hits * per_block)
         self._number += 1
@@ -126,6 +127,10 @@
             if piece.end:
                 return
 
+    def publish(self, change: caching.Change) -> None:
+        """Tell of a change to the cache, late and with gaps."""
+        self.feed.publish(change, time.time())
+
     def end_run(self, run: Run, outcome: str) -> None:
         """End a run early, once; a run that ended before is left as it is."""
         if self._runs.pop(run.name, None) is None:
--- a/packages/standins/src/trestlestall/standins/engine_http.py
+++ b/packages/standins/src/trestlestall/standins/engine_http.py
@@ -7,19 +7,26 @@
 import time
 from collections import abc
 
-from trestlestall.standins import completions, engine_core, faults, prompts, web
+from trestlestall.standins import completions, engine_core, faults, orders, prompts, web
 
 ROUTES = web.Routes()
 DEFAULT_PRIORITY = 0
 
 
 class Panel:
-    """The engine and what its HTTP side keeps: models held and answers under way."""
+    """The engine and what its HTTP side keeps.
+
+    ``models`` and ``adapters`` map what is offered to its version, ``loads`` what was
+    ordered to how that went; ``open_answers`` counts answers not yet sent whole.
+    """
 
     def __init__(self, core: engine_core.Engine):
         self.core = core
         self.models: dict[str, str] = dict.fromkeys(core.settings.models, "")
-        self.adapters: tuple[str, ...] = ()
+        self.adapters: dict[str, str] = {}
+        self.loads: dict[str, str] = {}
+        self.role = "whole"
+        self.book = orders.Book(core.settings.checks_fencing)
         self.open_answers = 0
         self.on_models_changed: abc.Callable[[], None] = lambda: None
 
@@ -29,7 +36,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Order:
+class Completion:
     """What a completion asks for, read from its body and headers."""
 
     attempt: str
@@ -59,20 +66,26 @@
     refusal = refuse_by_fault(panel, call)
     if refusal is not None:
         return refusal
-    order = read_order(call, shape)
-    if isinstance(order, prompts.Malformed):
-        return web.reply_error(400, "invalid_request", order.message)
-    if order.prompt.model not in panel.models:
-        return web.reply_error(404, "model_not_found", f"no {order.prompt.model} here")
+    completion = read_completion(call, shape)
+    if isinstance(completion, prompts.Malformed):
+        return web.reply_error(400, "invalid_request", completion.message)
+    if completion.prompt.model not in panel.models:
+        return web.reply_error(
+            404, "model_not_found", f"no {completion.prompt.model} here"
+        )
     run = panel.core.open_run(
-        order.attempt, order.prompt, order.priority, order.start, order.end
+        completion.attempt,
+        completion.prompt,
+        completion.priority,
+        completion.start,
+        completion.end,
     )
     if run is None:
         return web.reply_error(503, "overloaded", "the queue is full")
-    if order.streamed:
-        body = stream_answer(panel, call, shape, order, run)
+    if completion.streamed:
+        body = stream_answer(panel, call, shape, completion, run)
         return web.Reply(200, body, web.STREAM_TYPE)
-    return answer_whole(panel, call, shape, order, run)
+    return answer_whole(panel, call, shape, completion, run)
 
 
 def refuse_by_fault(panel: Panel, call: web.Call) -> web.Reply | None:
@@ -86,20 +99,30 @@
     return None
 
 
-def read_order(call: web.Call, shape: completions.Shape) -> Order | prompts.Malformed:
-    """Return the completion's order, or what is wrong with its body."""
+def read_completion(
+    call: web.Call, shape: completions.Shape
+) -> Completion | prompts.Malformed:
+    """Return what a completion asks for, or what is wrong with its body."""
     body = call.read_json()
     if body is None:
         return prompts.Malformed("the body must be a JSON object")
     prompt = shape.read_prompt(body)
     if isinstance(prompt, prompts.Malformed):
         return prompt
+    try:
+        return read_fields(call, body, prompt)
+    except (TypeError, ValueError, AttributeError):
+        return prompts.Malformed("a field has a wrong type")
+
+
+def read_fields(call: web.Call, body: dict, prompt: prompts.Prompt) -> Completion:
+    """Return the completion with its optional fields; a wrong type raises."""
     natural = prompts.draw_length(prompt)
     limit = body.get("max_tokens") or body.get("max_completion_tokens") or natural
     resume = body.get("resume") or {}
     start = int(resume.get("tokens", 0))
     options = body.get("stream_options") or {}
-    return Order(
+    return Completion(
         attempt=call.headers.get("x-request-id", "direct"),
         prompt=prompt,
         priority=int(body.get("priority", DEFAULT_PRIORITY)),
@@ -111,18 +134,18 @@
     )
 
 
-def find_reason(order: Order, end: str) -> str:
+def find_reason(completion: Completion, end: str) -> str:
     """Return the finish reason for how the run ended."""
     if end != "completed":
         return completions.FINISH_REASONS[end]
-    return "stop" if order.natural_end else "length"
+    return "stop" if completion.natural_end else "length"
 
 
 def answer_whole(
     panel: Panel,
     call: web.Call,
     shape: completions.Shape,
-    order: Order,
+    completion: Completion,
     run: engine_core.Run,
 ) -> web.Reply:
     """Wait for the run's end and answer with all its tokens."""
@@ -136,11 +159,11 @@
         return web.reply_error(499, "cancelled", "the run was cancelled")
     if panel.core.take_crash(run.made):
         web.cut_connection(call)
-    text = prompts.write_answer(order.prompt, order.start, order.end)
-    usage = completions.count_usage(order.prompt, run.cached_tokens, run.made)
-    reason = find_reason(order, end)
+    text = prompts.write_answer(completion.prompt, completion.start, completion.end)
+    usage = completions.count_usage(completion.prompt, run.cached_tokens, run.made)
+    reason = find_reason(completion, end)
     document = completions.write_whole(
-        shape, order.attempt, order.prompt, text, reason, usage
+        shape, completion.attempt, completion.prompt, text, reason, usage
     )
     return web.reply_json(200, document)
 
@@ -149,14 +172,14 @@
     panel: Panel,
     call: web.Call,
     shape: completions.Shape,
-    order: Order,
+    completion: Completion,
     run: engine_core.Run,
 ) -> abc.Iterator[bytes]:
     """Yield the answer's events, each as soon as its token is made."""
     panel.open_answers += 1
     try:
         with web.watch_hang_up(call, lambda: panel.core.end_run(run, "cancelled")):
-            yield from write_events(panel, call, shape, order, run)
+            yield from write_events(panel, call, shape, completion, run)
     finally:
         panel.open_answers -= 1
         panel.core.end_run(run, "cancelled")
@@ -166,25 +189,29 @@
     panel: Panel,
     call: web.Call,
     shape: completions.Shape,
-    order: Order,
+    completion: Completion,
     run: engine_core.Run,
 ) -> abc.Iterator[bytes]:
     """Yield one event for each token, then the reason, the usage and the end."""
     for piece in panel.core.read_pieces(run):
-        if panel.core.take_crash(piece.index - order.start):
+        if panel.core.take_crash(piece.index - completion.start):
             panel.core.end_run(run, "broken")
             web.cut_connection(call)
             return
         if piece.end in ("", "completed"):
-            text = prompts.write_token(order.prompt, piece.index)
+            text = prompts.write_token(completion.prompt, piece.index)
             yield completions.write_chunk(
-                shape, order.attempt, order.prompt, text, None
+                shape, completion.attempt, completion.prompt, text, None
             )
-    reason = find_reason(order, piece.end)
-    yield completions.write_chunk(shape, order.attempt, order.prompt, "", reason)
-    if order.with_usage:
-        usage = completions.count_usage(order.prompt, run.cached_tokens, run.made)
-        yield completions.write_usage_chunk(shape, order.attempt, order.prompt, usage)
+    reason = find_reason(completion, piece.end)
+    yield completions.write_chunk(
+        shape, completion.attempt, completion.prompt, "", reason
+    )
+    if completion.with_usage:
+        usage = completions.count_usage(completion.prompt, run.cached_tokens, run.made)
+        yield completions.write_usage_chunk(
+            shape, completion.attempt, completion.prompt, usage
+        )
     if piece.end == "completed":
         yield completions.END_OF_STREAM
 
@@ -228,10 +255,3 @@
         return web.reply_error(400, "unknown_fault", f"known: {sorted(faults.KINDS)}")
     panel.core.set_faults(wanted)
     return web.reply_json(200, dataclasses.asdict(wanted))
-
-
-@ROUTES.add("GET", "/v1/state")
-def read_state(panel: Panel, call: web.Call) -> web.Reply:
-    """Tell what the engine holds and how loaded it is at this moment."""
-    load = dataclasses.asdict(panel.core.measure_load())
-    return web.reply_json(200, {**panel.list_models(), "load": load})
--- a/packages/standins/src/trestlestall/standins/processes.py
+++ b/packages/standins/src/trestlestall/standins/processes.py
@@ -16,6 +16,7 @@
 POLL_INTERVAL = 0.02
 START_LIMIT = 20.0
 STOP_LIMIT = 10.0
+RUN_LIMIT = 30.0
 LOG_TAIL = 2000
 
 
@@ -73,20 +74,40 @@
     It looks for the packages where this process found them.
     """
     log = folder / f"{name}.log"
-    paths = os.pathsep.join(path for path in sys.path if path)
-    environment = {**os.environ, "PYTHONPATH": paths, "PYTHONUNBUFFERED": "1"}
     with log.open("ab") as output:
         child = subprocess.Popen(
             [sys.executable, "-m", module, *arguments],
             stdin=subprocess.DEVNULL,
             stdout=output,
             stderr=subprocess.STDOUT,
-            env=environment,
+            env=write_environment(),
             cwd=folder,
         )
     return Process(name, child, log)
 
 
+def run(
+    module: str, arguments: abc.Sequence[str], folder: pathlib.Path
+) -> subprocess.CompletedProcess:
+    """Run ``python -m module arguments`` to its end and return what it printed."""
+    return subprocess.run(
+        [sys.executable, "-m", module, *arguments],
+        stdin=subprocess.DEVNULL,
+        capture_output=True,
+        text=True,
+        env=write_environment(),
+        cwd=folder,
+        timeout=RUN_LIMIT,
+        check=False,
+    )
+
+
+def write_environment() -> dict[str, str]:
+    """Return the environment of a started program: the packages, and no buffering."""
+    paths = os.pathsep.join(path for path in sys.path if path)
+    return {**os.environ, "PYTHONPATH": paths, "PYTHONUNBUFFERED": "1"}
+
+
 def wait_until(
     is_true: abc.Callable[[], bool], what: str, limit: float = START_LIMIT
 ) -> None:
--- a/packages/standins/tests/programs.py
+++ b/packages/standins/tests/programs.py
@@ -10,10 +10,10 @@
 
 @contextlib.contextmanager
 def start_standin(
-    module: str = deployment.ENGINE, **options: str
+    module: str = deployment.ENGINE, name: str | None = "e1", **options: str
 ) -> abc.Iterator[tuple[processes.Process, addresses.Address]]:
     """Start a stand-in, yield its process and address, and end it."""
-    options = {"name": "e1", **options}
+    options = {"name": name, **options} if name else options
     arguments = [f"--{name}={value}" for name, value in options.items()]
     with tempfile.TemporaryDirectory() as folder:
         process = processes.start("e1", module, arguments, pathlib.Path(folder))
