Prove the links against strangers, misbehaving peers, cuts and restarts

Change: cases over real sockets in child processes that eventlet patches first, since the other tests need an unpatched process. Each stranger and each misbehaving peer acts beside a healthy link, which must notice nothing.

--- a/packages/wire/src/trestlestall/wire/connections.py
+++ b/packages/wire/src/trestlestall/wire/connections.py
@@ -17,7 +17,7 @@
 import eventlet
 from websockets import client, frames, http11, protocol, server, uri
 
-from trestlestall.wire import addresses
+from trestlestall.wire import addresses, sockets
 
 READ_BYTES = 16384
 WRITE_BYTES = 65536
@@ -119,20 +119,7 @@
 
     def cut(self) -> None:
         """End the connection at once, which wakes whoever waits for it."""
-        with contextlib.suppress(OSError):
-            self.socket.shutdown(socket.SHUT_RDWR)
-
-
-@contextlib.contextmanager
-def hold_socket(opened: socket.socket) -> abc.Iterator[None]:
-    """Shut the socket down and close it after the block."""
-    try:
-        opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, True)
-        yield
-    finally:
-        with contextlib.suppress(OSError):
-            opened.shutdown(socket.SHUT_RDWR)
-        opened.close()
+        sockets.shut_down(self.socket)
 
 
 @contextlib.contextmanager
@@ -146,7 +133,7 @@
     except OSError:
         yield None
         return
-    with hold_socket(opened):
+    with sockets.hold(opened):
         target = uri.parse_uri(f"ws://{address}")
         state = client.ClientProtocol(target, max_size=max_size, logger=LOGGER)
         state.send_request(state.connect())
@@ -163,7 +150,7 @@
     opened: socket.socket, deadline: float, max_size: int
 ) -> abc.Iterator[Connection | None]:
     """Answer the opening of a connection that came in; ``None`` if it isn't one."""
-    with hold_socket(opened):
+    with sockets.hold(opened):
         state = server.ServerProtocol(max_size=max_size, logger=LOGGER)
         connection = Connection(opened, state)
         if is_opened(connection, deadline):
--- a/packages/wire/src/trestlestall/wire/links.py
+++ b/packages/wire/src/trestlestall/wire/links.py
@@ -12,7 +12,6 @@
     mesh.send("control-1", messages.StatusCall(1))
 """
 
-import contextlib
 import dataclasses
 import os
 import random
@@ -32,6 +31,7 @@
     handshake,
     link,
     messages,
+    sockets,
 )
 
 HANDSHAKE_SECONDS = 2.0
@@ -112,7 +112,7 @@
         """Listen and start to dial; raise ``ListenError`` if the address is taken."""
         for peer in self.peers.values():
             addresses.parse(peer.address)
-        self.listener = open_listener(self.listen)
+        self.listener = sockets.open_listener(self.listen)
         self.spawn(self.run_acceptor, self.listener)
         self.spawn(self.run_checks)
         for peer in self.peers.values():
@@ -123,12 +123,12 @@
         """Send what is queued, for a moment, and end all links and greenlets."""
         self.stopping = True
         if self.listener is not None:
-            close_socket(self.listener)
+            sockets.close(self.listener)
         self.flush()
         for open_link in list(self.links.values()):
             open_link.cut()
         for connection in list(self.pending):
-            close_socket(connection)
+            sockets.close(connection)
         current = greenthread.getcurrent()
         others = [greenlet for greenlet in self.greenlets if greenlet is not current]
         for greenlet in others:
@@ -319,20 +319,3 @@
     if (role == CONTROL) != (peer.role == CONTROL):
         return peer.role == CONTROL
     return name < peer.name
-
-
-def open_listener(address: str) -> socket.socket:
-    """Return a listening socket, or raise ``ListenError``."""
-    try:
-        host, port = addresses.parse(address)
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        return socket.create_server((host, port), family=family)
-    except OSError as error:
-        raise exceptions.ListenError(f"{address}: {error}") from error
-
-
-def close_socket(opened: socket.socket) -> None:
-    """Shut the socket down, which wakes whoever waits for it, and close it."""
-    with contextlib.suppress(OSError):
-        opened.shutdown(socket.SHUT_RDWR)
-    opened.close()
--- /dev/null
+++ b/packages/wire/tests/link_cases.py
@@ -0,0 +1,492 @@
+"""Links over real sockets, with strangers, broken peers and cuts (see test_links)."""
+
+import contextlib
+import os
+import socket
+import time
+import typing
+import unittest
+from collections import abc
+
+import cbor2
+import eventlet
+
+from trestlestall.wire import codec, connections, handshake, link, links, messages
+
+SECRET = "the shared secret"
+PATIENCE = 20.0
+STRANGER = messages.Hello("stranger", "router", "a", "00")
+
+
+class Recorder:
+    """A mesh that notes what it hears and answers status calls."""
+
+    def __init__(
+        self, name: str, peers: abc.Iterable[links.Peer] = (), **settings: str
+    ) -> None:
+        self.heard: list[tuple[str, typing.Any]] = []
+        self.changes: list[tuple[str, bool]] = []
+        self.mesh = links.Mesh(
+            name=name,
+            role=settings.get("role", name.partition("-")[0]),
+            data_centre="a",
+            secret=settings.get("secret", SECRET),
+            listen=settings.get("listen", "127.0.0.1:0"),
+            peers=peers,
+            on_message=self.note,
+            on_change=lambda peer, linked: self.changes.append((peer, linked)),
+        )
+
+    def note(self, sender: str, message: typing.Any) -> None:
+        """Keep the message."""
+        self.heard.append((sender, message))
+        if isinstance(message, messages.StatusCall):
+            self.mesh.send(sender, messages.StatusAnswer(message.token, {}))
+
+    def as_peer(self) -> links.Peer:
+        """Return how others list this mesh."""
+        return links.Peer(self.mesh.name, self.mesh.role, "a", self.mesh.address)
+
+
+@contextlib.contextmanager
+def run(*args: typing.Any, **settings: str) -> abc.Iterator[Recorder]:
+    """Run a mesh for the block."""
+    recorder = Recorder(*args, **settings)
+    recorder.mesh.start()
+    try:
+        yield recorder
+    finally:
+        recorder.mesh.stop()
+
+
+@contextlib.contextmanager
+def run_pair() -> abc.Iterator[tuple[Recorder, Recorder]]:
+    """Run a control process and a router that are linked."""
+    listed = links.Peer("router-3", "router", "a", "127.0.0.1:1")
+    with run("control-1", [listed]) as control:
+        with run("router-1", [control.as_peer()]) as router:
+            wait_for(lambda: router.mesh.linked() and control.mesh.linked())
+            yield control, router
+
+
+def wait_for(condition: abc.Callable[[], object]) -> None:
+    """Let other greenlets run until the condition holds."""
+    deadline = time.monotonic() + PATIENCE
+    while not condition():
+        if time.monotonic() > deadline:
+            raise AssertionError("the condition never came to hold")
+        eventlet.sleep(0.01)
+
+
+def echo(asker: Recorder, name: str, token: int) -> None:
+    """Ask a peer for its status and wait for the answer."""
+    answer = (name, messages.StatusAnswer(token, {}))
+    assert asker.mesh.send(name, messages.StatusCall(token))
+    wait_for(lambda: answer in asker.heard)
+
+
+def connect(address: str) -> socket.socket:
+    """Return a plain connection to an ``IP:port``."""
+    host, _, port = address.rpartition(":")
+    return socket.create_connection((host, int(port)), timeout=PATIENCE)
+
+
+def is_ended(opened: socket.socket) -> bool:
+    """Read what comes, and return whether the other side then ended it."""
+    with contextlib.suppress(ConnectionError):
+        while opened.recv(65536):
+            pass
+    return True
+
+
+@contextlib.contextmanager
+def open_websocket(address: str) -> abc.Iterator[connections.Connection]:
+    """Open a websocket without proving anything."""
+    deadline = time.monotonic() + PATIENCE
+    with connections.dial(address, deadline, codec.MAX_FRAME) as connection:
+        assert connection is not None
+        yield connection
+
+
+@contextlib.contextmanager
+def open_link(address: str, hello: messages.Hello) -> abc.Iterator[typing.Any]:
+    """Open a proved link by hand, to misbehave on it."""
+    deadline = time.monotonic() + PATIENCE
+    with open_websocket(address) as connection:
+        own = handshake.make_challenge(hello)
+        answer = handshake.prove_dialled(
+            connection, own, SECRET.encode(), deadline, lambda challenge: None
+        )
+        assert isinstance(answer, messages.Challenge), answer
+        connection.allow(codec.MAX_FRAME)
+        yield connection
+
+
+class PairCase(unittest.TestCase):
+    def test_messages_pass_both_ways_and_are_counted(self) -> None:
+        with run_pair() as (control, router):
+            echo(router, "control-1", 1)
+            echo(control, "router-1", 2)
+            self.assertEqual(control.changes, [("router-1", True)])
+            self.assertEqual(router.changes, [("control-1", True)])
+            sent, received = router.mesh.bytes_sent, control.mesh.bytes_received
+            self.assertGreater(sent, 0)
+            wait_for(lambda: control.mesh.bytes_received >= sent)
+            self.assertGreater(received, 0)
+
+    def test_what_cannot_be_sent_is_said_at_once(self) -> None:
+        with run_pair() as (control, router):
+            large = messages.StatusAnswer(1, {"text": "x" * codec.MAX_FRAME})
+            self.assertFalse(router.mesh.send("control-1", large))
+            self.assertFalse(router.mesh.send("router-9", messages.StatusCall(1)))
+            echo(router, "control-1", 2)
+
+    def test_large_messages_cross_without_waiting_for_each_other(self) -> None:
+        with run_pair() as (control, router):
+            large = messages.StatusAnswer(1, {"data": b"x" * (codec.MAX_FRAME - 100)})
+            for _ in range(2):
+                self.assertTrue(router.mesh.send("control-1", large))
+                self.assertTrue(control.mesh.send("router-1", large))
+            wait_for(lambda: len(router.heard) == 2 and len(control.heard) == 2)
+            self.assertEqual(router.heard, [("control-1", large)] * 2)
+            self.assertEqual(len(router.changes + control.changes), 2)
+
+    def test_the_rule_says_who_dials(self) -> None:
+        cases = (
+            ("router-1", "router", "control-1", "control", True),
+            ("control-1", "control", "router-1", "router", False),
+            ("router-1", "router", "router-2", "router", True),
+            ("router-2", "router", "router-1", "router", False),
+            ("control-1", "control", "control-2", "control", True),
+        )
+        for name, role, peer, peer_role, dials in cases:
+            with self.subTest(name=name, peer=peer):
+                listed = links.Peer(peer, peer_role, "a", "127.0.0.1:1")
+                self.assertEqual(links.should_dial(name, role, listed), dials)
+
+    def test_idle_links_stay(self) -> None:
+        with run_pair() as (control, router):
+            eventlet.sleep(link.SILENCE + 1.0)
+            self.assertEqual(len(router.changes + control.changes), 2)
+
+    def test_stop_ends_greenlets_and_sockets(self) -> None:
+        before = len(os.listdir("/proc/self/fd"))
+        for _ in range(3):
+            with run_pair() as (control, router), connect(control.mesh.address):
+                echo(router, "control-1", 1)
+                router.mesh.send("control-1", messages.StatusCall(2))
+                router.mesh.stop()
+                last = ("router-1", messages.StatusCall(2))
+                wait_for(lambda last=last, heard=control.heard: last in heard)
+        wait_for(lambda: not control.mesh.greenlets and not router.mesh.greenlets)
+        wait_for(lambda: len(os.listdir("/proc/self/fd")) <= before)
+
+
+class StrangerCase(unittest.TestCase):
+    def check(self, disturb: abc.Callable[[str], None]) -> None:
+        """Check that a linked pair doesn't notice what a stranger does."""
+        with run_pair() as (control, router):
+            disturb(control.mesh.address)
+            echo(router, "control-1", 1)
+            wait_for(lambda: not control.mesh.pending)
+            echo(control, "router-1", 2)
+            self.assertEqual(control.changes, [("router-1", True)])
+            self.assertEqual(router.changes, [("control-1", True)])
+            self.assertEqual(control.mesh.linked(), {"router-1"})
+
+    def test_bytes_that_are_no_websocket(self) -> None:
+        cases = {
+            "rubbish": bytes(range(256)) * 64,
+            "http": b"GET / HTTP/1.1\r\nHost: x\r\n\r\n",
+            "endless line": b"GET /" + b"x" * 100_000,
+            "nothing": b"",
+        }
+        for name, data in cases.items():
+            with self.subTest(name):
+                self.check(lambda address, data=data: self.send_plain(address, data))
+
+    def send_plain(self, address: str, data: bytes) -> None:
+        """Send bytes, and wait until the other side ends the connection."""
+        with connect(address) as opened:
+            with contextlib.suppress(ConnectionError):
+                opened.sendall(data)
+            self.assertTrue(is_ended(opened))
+
+    def test_websockets_without_a_proof(self) -> None:
+        challenge = handshake.make_challenge(STRANGER)
+        cases = {
+            "silent": [],
+            "rubbish": [b"\xff\xfe"],
+            "message too early": [codec.encode(messages.StatusCall(1))],
+            "huge": [b"\x00" * 100_000],
+            "empty": [b""],
+            "guessed proof": [
+                codec.encode(challenge),
+                codec.encode(messages.Proof(b"\x00" * 32)),
+            ],
+            "short nonce": [
+                codec.encode(messages.Challenge("stranger", "router", "a", "0", b"1"))
+            ],
+        }
+        for name, frames in cases.items():
+            with self.subTest(name):
+                self.check(lambda address, sent=frames: self.send_all(address, sent))
+
+    def send_all(self, address: str, sent: list[bytes]) -> None:
+        """Send frames, and wait until the other side ends the connection."""
+        with open_websocket(address) as connection:
+            for frame in sent:
+                connection.send(frame)
+            self.assertTrue(is_ended(connection.socket))
+
+    def test_a_proof_is_good_for_one_challenge_and_one_side(self) -> None:
+        ours = handshake.make_challenge(STRANGER)
+        theirs = handshake.make_challenge(messages.Hello("other", "control", "a", "1"))
+        secret = SECRET.encode()
+        expected = handshake.sign(secret, handshake.DIALLING, ours, theirs)
+        fresh = handshake.make_challenge(STRANGER)
+        proofs = {
+            "other nonce": (secret, handshake.DIALLING, fresh, theirs),
+            "other side": (secret, handshake.ACCEPTING, ours, theirs),
+            "sides swapped": (secret, handshake.DIALLING, theirs, ours),
+            "other secret": (b"guess", handshake.DIALLING, ours, theirs),
+        }
+        for name, parts in proofs.items():
+            with self.subTest(name):
+                proof = handshake.sign(*parts)
+                self.assertFalse(handshake.is_proven(expected, proof))
+        self.assertTrue(handshake.is_proven(expected, expected))
+
+    def test_processes_that_are_not_who_is_expected(self) -> None:
+        cases = {
+            "another secret": ("control-1", {"name": "router-2", "secret": "guess"}),
+            "another role": ("control-1", {"name": "router-3", "role": "operator"}),
+            "the own name": ("control-1", {"name": "control-1", "role": "router"}),
+            "another target": ("control-9", {"name": "router-2"}),
+        }
+        for name, (target, settings) in cases.items():
+            with self.subTest(name):
+                self.check(
+                    lambda address, target=target, kept=settings: self.dial(
+                        links.Peer(target, "control", "a", address), kept
+                    )
+                )
+
+    def dial(self, target: links.Peer, settings: dict[str, str]) -> None:
+        """Let a process dial until it was refused twice; it must not get a link."""
+        with run(peers=[target], **settings) as process:
+            wait_for(lambda: process.mesh.refused >= 2)
+            self.assertEqual(process.changes, [])
+
+    def test_connections_without_proof_are_bounded(self) -> None:
+        with run_pair() as (control, router), contextlib.ExitStack() as stack:
+            for _ in range(links.PENDING_LIMIT + 20):
+                stack.enter_context(connect(control.mesh.address))
+            wait_for(lambda: control.mesh.refused >= 20)
+            self.assertLessEqual(len(control.mesh.pending), links.PENDING_LIMIT)
+            echo(router, "control-1", 1)
+
+
+class PeerCase(unittest.TestCase):
+    """Peers that hold the secret and misbehave."""
+
+    def test_frames_that_are_not_understood(self) -> None:
+        refusal = messages.NotUnderstood
+        cases = {
+            "later version": ([2, "hello", {"x": 1}], refusal("hello", 1)),
+            "later message": ([1, "novelty", {}], refusal("novelty", 1)),
+            "unknown key": ([1, "status_call", {"token": 1, "x": 1}], None),
+            "no frame": ("rubbish", None),
+        }
+        with run_pair() as (control, router):
+            with open_link(control.mesh.address, STRANGER) as opened:
+                for token, (name, (frame, answer)) in enumerate(cases.items()):
+                    with self.subTest(name):
+                        opened.send(cbor2.dumps(frame))
+                        opened.send(codec.encode(messages.StatusCall(token)))
+                        told = list(self.read_until(opened, token))
+                        self.assertEqual(told, [answer] if answer else [])
+                echo(router, "control-1", 1)
+
+    def read_until(
+        self, opened: connections.Connection, token: int
+    ) -> abc.Iterator[typing.Any]:
+        """Yield the messages before the status with the token."""
+        while (frame := opened.receive()) is not None:
+            if frame == link.HEARTBEAT:
+                continue
+            message = codec.decode(frame)
+            if message == messages.StatusAnswer(token, {}):
+                return
+            yield message
+        raise AssertionError("the link ended")
+
+    def test_peers_that_are_cut_off(self) -> None:
+        cases = {
+            "huge frame": lambda opened: opened.send(b"\x00" * (codec.MAX_FRAME + 1)),
+            "text frame": lambda opened: self.send_text(opened),
+            "silent": lambda opened: None,
+        }
+        for name, misbehave in cases.items():
+            with self.subTest(name), run_pair() as (control, router):
+                with open_link(control.mesh.address, STRANGER) as opened:
+                    wait_for(lambda known=control: "stranger" in known.mesh.linked())
+                    misbehave(opened)
+                    self.assertTrue(is_ended(opened.socket))
+                wait_for(lambda known=control: ("stranger", False) in known.changes)
+                echo(router, "control-1", 1)
+                self.assertEqual(router.changes, [("control-1", True)])
+
+    def send_text(self, opened: connections.Connection) -> None:
+        """Send a text frame, which the links don't use."""
+        opened.protocol.send_text(b"hello")
+        opened.flush()
+
+    def test_a_peer_that_takes_nothing_in(self) -> None:
+        with run_pair() as (control, router):
+            with open_link(control.mesh.address, STRANGER) as opened:
+                wait_for(lambda: "stranger" in control.mesh.linked())
+                held = control.mesh.links["stranger"].outbox
+                for count in range(100):
+                    message = messages.StatusAnswer(count, {"data": b"x" * 1_000_000})
+                    control.mesh.send("stranger", message)
+                    self.assertLess(held.bytes, 17 * 1024 * 1024)
+                self.assertGreater(held.dropped, 70)
+                keepalive = eventlet.spawn(self.keep_alive, opened)
+                wait_for(lambda: ("stranger", False) in control.changes)
+                keepalive.kill()
+                echo(router, "control-1", 1)
+
+    def keep_alive(self, opened: connections.Connection) -> None:
+        """Send heartbeats, so that only the lack of reading is amiss."""
+        while opened.send(link.HEARTBEAT):
+            eventlet.sleep(link.KEEPALIVE)
+
+    def test_a_flood_leaves_room_for_others(self) -> None:
+        with run_pair() as (control, router):
+            with open_link(control.mesh.address, STRANGER) as opened:
+                frame = codec.encode(messages.ConfigurationPull(1))
+                flood = eventlet.spawn(self.flood, opened, frame)
+                wait_for(lambda: len(control.heard) > 100)
+                for token in range(20):
+                    before = len(control.heard)
+                    echo(router, "control-1", token)
+                    self.assertLess(len(control.heard) - before, 2000)
+                flood.kill()
+
+    def flood(self, opened: connections.Connection, frame: bytes) -> None:
+        """Send the frame for ever, as fast as it is taken in."""
+        while opened.send(frame):
+            eventlet.sleep(0)
+
+    def test_the_newest_link_of_a_name_wins(self) -> None:
+        with run_pair() as (control, router):
+            with run("router-1", [control.as_peer()]) as second:
+                wait_for(lambda: second.mesh.linked())
+                wait_for(lambda: ("control-1", False) in router.changes)
+                router.mesh.stop()
+                wait_for(lambda: second.mesh.linked())
+                echo(control, "router-1", 7)
+                answer = ("router-1", messages.StatusAnswer(7, {}))
+                self.assertEqual(control.heard.count(answer), 1)
+                self.assertNotIn(("router-1", False), control.changes)
+
+
+class Gate:
+    """A port in front of another one, which can be closed or made to hold back."""
+
+    def __init__(self, target: str) -> None:
+        self.target = target
+        self.open = True
+        self.holds_back = False
+        self.sockets: list[socket.socket] = []
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        host, port = self.listener.getsockname()
+        self.address = f"{host}:{port}"
+        eventlet.spawn(self.accept)
+
+    def accept(self) -> None:
+        """Pass on connections while the gate is open."""
+        while True:
+            opened, _ = self.listener.accept()
+            if not self.open:
+                opened.close()
+                continue
+            other = connect(self.target)
+            other.settimeout(None)
+            self.sockets += [opened, other]
+            eventlet.spawn(self.pump, opened, other)
+            eventlet.spawn(self.pump, other, opened)
+
+    def pump(self, source: socket.socket, sink: socket.socket) -> None:
+        """Pass on bytes, unless they are held back."""
+        with contextlib.suppress(OSError):
+            while data := source.recv(65536):
+                if not self.holds_back:
+                    sink.sendall(data)
+        with contextlib.suppress(OSError):
+            sink.shutdown(socket.SHUT_RDWR)
+
+    def cut(self) -> None:
+        """Close the gate and end what passes."""
+        self.open = False
+        for opened in self.sockets:
+            with contextlib.suppress(OSError):
+                opened.shutdown(socket.SHUT_RDWR)
+
+
+class RecoveryCase(unittest.TestCase):
+    @contextlib.contextmanager
+    def run_gated(self) -> abc.Iterator[tuple[Recorder, Recorder, Gate]]:
+        """Run a control process and two routers, the first behind a gate."""
+        with run("control-1") as control:
+            gate = Gate(control.mesh.address)
+            gated = links.Peer("control-1", "control", "a", gate.address)
+            with run("router-1", [gated]) as router:
+                with run("router-2", [control.as_peer()]) as other:
+                    wait_for(lambda: len(control.mesh.linked()) == 2)
+                    wait_for(lambda: router.mesh.linked() and other.mesh.linked())
+                    yield control, router, gate
+                    echo(other, "control-1", 99)
+                    self.assertEqual(other.changes, [("control-1", True)])
+
+    def test_a_cut_that_heals(self) -> None:
+        with self.run_gated() as (control, router, gate):
+            gate.cut()
+            wait_for(lambda: not router.mesh.linked())
+            wait_for(lambda: control.mesh.linked() == {"router-2"})
+            self.assertFalse(router.mesh.send("control-1", messages.StatusCall(1)))
+            gate.open = True
+            wait_for(lambda: router.mesh.linked())
+            echo(router, "control-1", 2)
+
+    def test_a_link_on_which_nothing_passes_any_more(self) -> None:
+        with self.run_gated() as (control, router, gate):
+            gate.holds_back = True
+            wait_for(lambda: not router.mesh.linked())
+            wait_for(lambda: control.mesh.linked() == {"router-2"})
+            gate.holds_back = False
+            wait_for(lambda: router.mesh.linked())
+            echo(router, "control-1", 1)
+
+    def test_a_peer_that_ends_and_starts_again(self) -> None:
+        with run("control-1") as first:
+            peer = first.as_peer()
+            with run("router-1", [peer]) as router:
+                wait_for(lambda: router.mesh.linked())
+                first.mesh.stop()
+                wait_for(lambda: not router.mesh.linked())
+                with run("control-1", listen=peer.address):
+                    wait_for(lambda: router.mesh.linked())
+                    echo(router, "control-1", 1)
+
+    def test_a_process_that_stood_still_keeps_its_links(self) -> None:
+        with run_pair() as (control, router):
+            opened = router.mesh.links["control-1"]
+            opened.connection.reading_since -= 10.0
+            opened.excuse(10.0)
+            opened.check(time.monotonic())
+            echo(router, "control-1", 1)
+            opened.connection.reading_since -= 10.0
+            opened.check(time.monotonic())
+            wait_for(lambda: ("control-1", False) in router.changes)
--- /dev/null
+++ b/packages/wire/tests/patched.py
@@ -0,0 +1,17 @@
+"""Run the cases of a module in this process, patched by eventlet first.
+
+The links need a patched process, and the other tests need an unpatched one; see
+``test_links``. Usage: ``python -m packages.wire.tests.patched MODULE[.CLASS]``.
+"""
+
+import sys
+import unittest
+import warnings
+
+warnings.filterwarnings("ignore", message="(?s).*Eventlet is deprecated")
+
+import eventlet  # noqa: E402
+
+if __name__ == "__main__":
+    eventlet.monkey_patch()
+    unittest.main(module=None, argv=["patched", *sys.argv[1:]])
