--- /dev/null
+++ b/packages/daemon/src/trestlestall/daemon/control/calls.py
@@ -0,0 +1,219 @@
+"""Calls that wait for the voters: asked here or by a router, answered once, for sure.
+
+A call is carried out by the leader. Where this process doesn't lead, it passes the call
+on over the link to the leader; while there is no leader, the call waits. When a leader
+is lost the call is tried again: each kind of call may be repeated, since a submission
+is recognised by its request identifier and a claim by its attempt.
+
+What isn't answered in time ends with the failure that its kind names: for a change,
+that the outcome is unknown, and that sending it again settles it.
+"""
+
+import dataclasses
+import typing
+from collections import abc
+
+from trestlestall.agreement import events
+from trestlestall.daemon.control import voter as voters
+
+CALL_SECONDS = 5.0
+RETRY_SECONDS = 0.2
+ASK_AGAIN_SECONDS = 2.0
+CALL_LIMIT = 10_000
+
+Document = dict[str, typing.Any]
+
+
+@dataclasses.dataclass(frozen=True)
+class Here:
+    """What carrying out a call may use: the voter, its peers, and the wall clock.
+
+    ``find_peer(name)`` returns the voter name of a linked control process, and
+    ``dial(name, address)`` has a link to one opened.
+    """
+
+    voter: voters.Voter
+    wall: float
+    status: abc.Callable[[], Document]
+    find_peer: abc.Callable[[str], str | None]
+    dial: abc.Callable[[str, str], object]
+
+
+@dataclasses.dataclass
+class Call:
+    """A call under way.
+
+    ``tried_at`` is when it was last proposed or passed on, None while it waits for its
+    next try; ``peer`` is the process that it was passed on to. ``tried`` says whether
+    it may have had an effect.
+    """
+
+    token: int
+    kind: "Kind"
+    document: Document
+    reply: abc.Callable[[Document], object]
+    deadline: float
+    relayed: bool
+    tried_at: float | None = None
+    peer: str | None = None
+    tried: bool = False
+    state: typing.Any = None
+
+
+@dataclasses.dataclass(frozen=True)
+class Reply:
+    """The end of a call."""
+
+    document: Document
+
+
+@dataclasses.dataclass(frozen=True)
+class Wait:
+    """The call has to wait and is begun again shortly."""
+
+
+Step: typing.TypeAlias = events.Event | Reply | Wait
+
+
+class Kind:
+    """What calls of one kind do at the leader; see ``operations``."""
+
+    name = ""
+    seconds = CALL_SECONDS
+
+    def begin(self, call: Call, here: Here) -> Step:
+        """Return the event for the node, with the call's token, or the reply."""
+        raise NotImplementedError
+
+    def go_on(self, call: Call, result: voters.Result, here: Here) -> Step:
+        """Return what follows from the result: another event, or the reply."""
+        raise NotImplementedError
+
+    def give_up(self, call: Call) -> Document:
+        """Return the reply when no leader settled the call in time."""
+        raise NotImplementedError
+
+
+KINDS: dict[str, Kind] = {}
+
+
+def register(kind: type[Kind]) -> type[Kind]:
+    """Enter a kind of call under its name; a class decorator."""
+    KINDS[kind.name] = kind()
+    return kind
+
+
+class Calls:
+    """The calls under way, by token.
+
+    ``pass_on(peer, token, document)`` sends a call to the leader's process and says
+    whether there was a link.
+    """
+
+    def __init__(self, pass_on: abc.Callable[[str, int, Document], bool]):
+        self._pass_on = pass_on
+        self._calls: dict[int, Call] = {}
+        self._last_token = 0
+
+    def __len__(self) -> int:
+        return len(self._calls)
+
+    def open(
+        self,
+        kind: str,
+        document: Document,
+        reply: abc.Callable[[Document], object],
+        now: float,
+        relayed: bool = False,
+    ) -> None:
+        """Take a call; ``relayed`` says that another control process passed it on."""
+        self._last_token += 1
+        known = KINDS[kind]
+        call = Call(
+            self._last_token, known, document, reply, now + known.seconds, relayed
+        )
+        if len(self._calls) >= CALL_LIMIT:
+            reply(known.give_up(call))
+            return
+        self._calls[call.token] = call
+
+    def advance(self, here: Here, leader: str | None, now: float) -> list[events.Event]:
+        """Try the calls that wait, and return the events for the node.
+
+        ``leader`` is the process that leads, as far as is known.
+        """
+        self.expire(now)
+        batch = []
+        for call in list(self._calls.values()):
+            if not _is_due(call, leader, now):
+                continue
+            if here.voter.leads:
+                batch += self._take_step(call, call.kind.begin(call, here), now)
+            elif leader is not None and not call.relayed:
+                self._relay(call, leader, now)
+            elif call.relayed:
+                self._end(call, {"unsettled": True})
+        return batch
+
+    def note_result(
+        self, token: int, result: voters.Result, here: Here, now: float
+    ) -> list[events.Event]:
+        """Take what the node says of a call's event."""
+        call = self._calls.get(token)
+        if call is None:
+            return []
+        if isinstance(result, voters.Unsettled):
+            self._wait(call, now)
+            return []
+        return self._take_step(call, call.kind.go_on(call, result, here), now)
+
+    def note_reply(self, token: int, peer: str, document: Document, now: float) -> None:
+        """Take what the leader's process says of a call that was passed on to it."""
+        call = self._calls.get(token)
+        if call is None or call.peer != peer:
+            return
+        if "unsettled" in document:
+            self._wait(call, now)
+        else:
+            self._end(call, document)
+
+    def _take_step(self, call: Call, step: Step, now: float) -> list[events.Event]:
+        if isinstance(step, Reply):
+            self._end(call, step.document)
+            return []
+        if isinstance(step, Wait):
+            self._wait(call, now)
+            return []
+        call.tried_at = now
+        call.peer = None
+        call.tried = True
+        return [step]
+
+    def _relay(self, call: Call, leader: str, now: float) -> None:
+        document = {**call.document, "call": call.kind.name}
+        if self._pass_on(leader, call.token, document):
+            call.tried_at = now
+            call.peer = leader
+            call.tried = True
+
+    def _wait(self, call: Call, now: float) -> None:
+        """Let the call be tried again shortly."""
+        call.tried_at = now + RETRY_SECONDS - ASK_AGAIN_SECONDS
+        call.peer = None
+
+    def _end(self, call: Call, document: Document) -> None:
+        del self._calls[call.token]
+        call.reply(document)
+
+    def expire(self, now: float) -> None:
+        """End the calls that nobody settled in time."""
+        for call in list(self._calls.values()):
+            if now >= call.deadline:
+                self._end(call, call.kind.give_up(call))
+
+
+def _is_due(call: Call, leader: str | None, now: float) -> bool:
+    """Return whether a call should be tried: not yet, long ago, or with another."""
+    if call.tried_at is None or now - call.tried_at >= ASK_AGAIN_SECONDS:
+        return True
+    return call.peer is not None and call.peer != leader
--- /dev/null
+++ b/packages/daemon/src/trestlestall/daemon/control/followers.py
@@ -0,0 +1,136 @@
+"""Which router has which version, and what is to be pushed to it; pure.
+
+Only committed versions are pushed, and only to a router that has acknowledged one
+before: a router that has none yet pulls, and is answered once a quorum has confirmed
+that the answer is current. So a control process that comes back from a long freeze
+can't hand its old version to a router that has just started.
+
+A push is resent until it is acknowledged. The leader pushes at once; the others push
+what a router still lacks after a while, to reach routers that are cut off from the
+leader alone.
+"""
+
+import dataclasses
+import typing
+
+from trestlestall.configuration import commands, documents, state as states
+from trestlestall.wire import messages
+
+RESEND_SECONDS = 1.0
+RELAY_SECONDS = 1.0
+LAG_SECONDS = 5.0
+DELTA_LIMIT = 200
+
+
+@dataclasses.dataclass(frozen=True)
+class Follower:
+    """What is known of one router; times are of the monotonic clock.
+
+    ``pushed`` is the newest version sent, at ``pushed_at``; ``behind_since`` is when a
+    version newer than ``acknowledged`` was first to be had, None when there is none.
+    """
+
+    acknowledged: int
+    pushed: int = 0
+    pushed_at: float = 0.0
+    behind_since: float | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class Push:
+    """A message for a router."""
+
+    router: str
+    message: messages.ConfigurationDelta | messages.ConfigurationFull
+
+
+def encode_full(state: states.State) -> messages.ConfigurationFull:
+    """Return the whole configuration as a message."""
+    configuration = state.configuration
+    document = documents.encode_configuration(configuration)
+    return messages.ConfigurationFull(configuration.version, document)
+
+
+def encode_update(
+    state: states.State, since: int
+) -> messages.ConfigurationDelta | messages.ConfigurationFull:
+    """Return what leads a router from the version to the newest, by the shorter way."""
+    version = state.configuration.version
+    wanted = range(since + 1, version + 1)
+    if len(wanted) > DELTA_LIMIT or any(v not in state.history for v in wanted):
+        return encode_full(state)
+    submissions = tuple(_encode_step(state, number) for number in wanted)
+    return messages.ConfigurationDelta(since, version, submissions)
+
+
+def _encode_step(state: states.State, version: int) -> dict[str, typing.Any]:
+    entry = state.history[version]
+    submission = commands.Submission(
+        entry.request_id, entry.operator, version, entry.command, entry.at
+    )
+    return documents.encode_submission(submission)
+
+
+class Board:
+    """The followers by name, as this process knows them."""
+
+    def __init__(self) -> None:
+        self._followers: dict[str, Follower] = {}
+
+    def note_acknowledged(self, router: str, version: int) -> None:
+        """Note the version that is in force on a router."""
+        known = self._followers.get(router, Follower(version))
+        behind = known.behind_since if version < known.pushed else None
+        self._followers[router] = dataclasses.replace(
+            known, acknowledged=version, behind_since=behind
+        )
+
+    def forget(self, router: str) -> None:
+        """Forget a router whose link went down; it says again what it has."""
+        self._followers.pop(router, None)
+
+    def list_versions(self) -> list[tuple[str, int]]:
+        """Return the routers by name, each with the version that it acknowledged."""
+        return [(name, one.acknowledged) for name, one in self._followers.items()]
+
+    def find_lag(self, router: str, now: float) -> float:
+        """Return for how many seconds a router has lacked a version."""
+        known = self._followers.get(router)
+        if known is None or known.behind_since is None:
+            return 0.0
+        return now - known.behind_since
+
+    def list_pushes(self, state: states.State, leads: bool, now: float) -> list[Push]:
+        """Return the messages that are due, and take them for sent."""
+        version = state.configuration.version
+        pushes = []
+        for router, known in self._followers.items():
+            if known.acknowledged >= version:
+                continue
+            if known.behind_since is None:
+                known = dataclasses.replace(known, behind_since=now)
+                self._followers[router] = known
+            if _is_due(known, version, leads, now):
+                since = _find_since(known, version)
+                pushes.append(Push(router, encode_update(state, since)))
+                self._followers[router] = dataclasses.replace(
+                    known, pushed=version, pushed_at=now
+                )
+        return pushes
+
+
+def _find_since(known: Follower, version: int) -> int:
+    """Return from where on to push: behind the last push, or all of it again.
+
+    A link keeps the order, so a new version follows what was pushed before; when that
+    was lost, nothing is acknowledged and everything is sent again.
+    """
+    if known.pushed < version:
+        return max(known.acknowledged, known.pushed)
+    return known.acknowledged
+
+
+def _is_due(known: Follower, version: int, leads: bool, now: float) -> bool:
+    if not leads and now - known.behind_since < RELAY_SECONDS:
+        return False
+    return known.pushed < version or now - known.pushed_at >= RESEND_SECONDS
--- /dev/null
+++ b/packages/daemon/src/trestlestall/daemon/control/journal.py
@@ -0,0 +1,76 @@
+"""What agreement must keep, in terms of the data folder."""
+
+import cbor2
+
+from trestlestall.agreement import actions, entries
+from trestlestall.storage import folder as folders
+
+GROUP = "group"
+INDEX = "index"
+TERM = "term"
+VOTERS = "voters"
+
+
+def encode_entry(entry: entries.Entry) -> bytes:
+    """Return the folder's record of a log entry."""
+    return cbor2.dumps([entry.index, entry.term, entry.kind, entry.payload])
+
+
+def decode_entry(record: bytes) -> entries.Entry:
+    """Return the log entry of a record."""
+    return entries.Entry(*cbor2.loads(record))
+
+
+class Journal:
+    """Keeps one voter's vote, log and snapshot in its folder.
+
+    Each method returns once what it was given is durable. ``group`` holds the first
+    voters, or None before the group was formed.
+    """
+
+    def __init__(self, folder: folders.Folder):
+        self._folder = folder
+        loaded = folder.load()
+        meta, self._state = loaded.snapshot or ({}, b"")
+        self.group = tuple(meta[GROUP]) if GROUP in meta else None
+        self._index = meta.get(INDEX, 0)
+        self.restored = entries.Restored(
+            entries.Vote(**loaded.vote) if loaded.vote else None,
+            self._read_snapshot(meta),
+            tuple(decode_entry(record) for record in loaded.records),
+        )
+
+    def save_group(self, voters: tuple[str, ...]) -> None:
+        """Keep the group of the first voters."""
+        self.group = voters
+        self._folder.save_snapshot({GROUP: voters}, b"", [])
+
+    def persist(self, action: actions.Persist) -> None:
+        """Keep a vote, drop entries and add entries, all in one sync."""
+        vote = None
+        if action.vote is not None:
+            vote = {"term": action.vote.term, "voted_for": action.vote.voted_for}
+        kept = None
+        if action.truncate_from is not None:
+            kept = action.truncate_from - self._index - 1
+        records = [encode_entry(entry) for entry in action.entries]
+        self._folder.persist(vote, kept, records)
+
+    def persist_snapshot(self, action: actions.PersistSnapshot) -> None:
+        """Replace snapshot and entries, all in one step."""
+        snapshot = action.snapshot
+        meta = {
+            GROUP: self.group,
+            INDEX: snapshot.index,
+            TERM: snapshot.term,
+            VOTERS: snapshot.voters,
+        }
+        records = [encode_entry(entry) for entry in action.entries]
+        self._folder.save_snapshot(meta, snapshot.state, records)
+        self._index = snapshot.index
+
+    def _read_snapshot(self, meta: dict) -> entries.Snapshot | None:
+        if INDEX not in meta:
+            return None
+        voters = tuple(meta[VOTERS])
+        return entries.Snapshot(meta[INDEX], meta[TERM], voters, self._state)
--- /dev/null
+++ b/packages/daemon/src/trestlestall/daemon/control/machine.py
@@ -0,0 +1,133 @@
+"""The replicated state machine of the control voters; pure.
+
+Every voter applies the same committed entries in the same order, so all of them hold
+equal machines. An entry is CBOR ``[kind, at, document]``; ``at`` is the wall clock of
+the leader that proposed it, in seconds since the epoch. Three kinds of entries exist:
+operators' submissions, routers' claims, and what operators ask of the voters.
+
+    payload = machine.encode_entry(machine.SUBMISSION, 12.5, document)
+    state, outcome = machine.apply(state, payload)
+"""
+
+import dataclasses
+import typing
+from collections import abc
+
+import cbor2
+
+from trestlestall.claims import claims as claim_machine, documents as claim_documents
+from trestlestall.configuration import documents, state as states
+
+FORMAT = 1
+SUBMISSION = "submission"
+CLAIM = "claim"
+VOTERS = "voters"
+VOTER_ANSWERS = 1000
+
+Document = dict[str, typing.Any]
+
+
+@dataclasses.dataclass(frozen=True)
+class Machine:
+    """What the entries so far amount to.
+
+    ``voter_changes`` maps the request identifier of each change of voters to what it
+    asked for, the newest ``VOTER_ANSWERS`` of them.
+    """
+
+    configuration: states.State = states.EMPTY
+    claims: claim_machine.Claims = claim_machine.EMPTY
+    voter_changes: abc.Mapping[str, Document] = dataclasses.field(default_factory=dict)
+
+    @property
+    def version(self) -> int:
+        """Return the version of the configuration."""
+        return self.configuration.configuration.version
+
+
+EMPTY = Machine()
+Apply = abc.Callable[[Machine, float, Document], tuple[Machine, Document]]
+KINDS: dict[str, Apply] = {}
+
+
+def register(kind: str) -> abc.Callable[[Apply], Apply]:
+    """Return a decorator that makes the function apply entries of a kind."""
+
+    def enter(function: Apply) -> Apply:
+        KINDS[kind] = function
+        return function
+
+    return enter
+
+
+def encode_entry(kind: str, at: float, document: Document) -> bytes:
+    """Return an entry's payload."""
+    return cbor2.dumps([kind, at, document])
+
+
+def apply(machine: Machine, payload: bytes) -> tuple[Machine, Document]:
+    """Return the machine after the entry, and the document of its outcome."""
+    kind, at, document = cbor2.loads(payload)
+    return KINDS[kind](machine, at, document)
+
+
+@register(SUBMISSION)
+def apply_submission(
+    machine: Machine, at: float, document: Document
+) -> tuple[Machine, Document]:
+    """Apply an operator's submission; a resent one gets its first outcome."""
+    submission = documents.decode_submission(document)
+    after, outcome = states.apply_submission(machine.configuration, submission, at)
+    changed = dataclasses.replace(machine, configuration=after)
+    return changed, documents.encode_outcome(outcome)
+
+
+@register(CLAIM)
+def apply_claim(
+    machine: Machine, at: float, document: Document
+) -> tuple[Machine, Document]:
+    """Apply a router's event on a claim."""
+    event = claim_documents.decode_event(document)
+    after, outcome = claim_machine.apply(machine.claims, event, at)
+    changed = dataclasses.replace(machine, claims=after)
+    return changed, claim_documents.encode_outcome(outcome)
+
+
+@register(VOTERS)
+def apply_voter_change(
+    machine: Machine, at: float, document: Document
+) -> tuple[Machine, Document]:
+    """Note which disk a change of voters means; a resent one means the same disk.
+
+    Without this, a ``remove voter control-3`` that arrives twice would remove the disk
+    that has taken the lost one's place meanwhile.
+    """
+    request_id = document["request_id"]
+    known = machine.voter_changes.get(request_id)
+    if known is not None:
+        return machine, known
+    changes = {**machine.voter_changes, request_id: document}
+    newest = dict(list(changes.items())[-VOTER_ANSWERS:])
+    return dataclasses.replace(machine, voter_changes=newest), document
+
+
+def encode(machine: Machine) -> bytes:
+    """Return the machine as a snapshot's state."""
+    return cbor2.dumps(
+        {
+            "format": FORMAT,
+            "configuration": documents.encode_state(machine.configuration),
+            "claims": claim_documents.encode(machine.claims),
+            "voter_changes": dict(machine.voter_changes),
+        }
+    )
+
+
+def decode(data: bytes) -> Machine:
+    """Return the machine of a snapshot; raises ``InvalidDocument`` when it is none."""
+    document = cbor2.loads(data)
+    return Machine(
+        documents.decode_state(document["configuration"]),
+        claim_documents.decode(document["claims"]),
+        document["voter_changes"],
+    )
--- /dev/null
+++ b/packages/daemon/src/trestlestall/daemon/control/operations.py
@@ -0,0 +1,294 @@
+"""The kinds of calls: operators' texts, status, routers' pulls and claims.
+
+A reply to an operator is the document ``{"status", "body"}``: the HTTP status and the
+JSON body, which routers and controls hand on as they are.
+"""
+
+import dataclasses
+import typing
+
+import msgspec
+
+from trestlestall.agreement import codes, events
+from trestlestall.claims import documents as claim_documents
+from trestlestall.configuration import (
+    commands,
+    documents,
+    exceptions,
+    outcomes,
+    state as states,
+    strict,
+)
+from trestlestall.daemon.control import calls, group, machine, rows, voter as voters
+from trestlestall.daemon.http import errors
+from trestlestall.language import (
+    errors as language_errors,
+    parser,
+    queries,
+    voters as voter_commands,
+)
+
+OK = 200
+VOTER_SECONDS = 20.0
+UNKNOWN = "No control leader confirmed it in time; send it again to learn the outcome."
+UNAVAILABLE = "No control leader with a quorum can be reached."
+ASK_A_ROUTER = "Control does not know this; ask a router."
+CHANGES = (voter_commands.AddVoter, voter_commands.RemoveVoter)
+SETTLED = {codes.ALREADY_VOTER: "add", codes.NOT_VOTER: "remove"}
+
+Document = calls.Document
+
+
+def reply(body: Document, status: int = OK) -> calls.Reply:
+    """Return the reply with that body."""
+    return calls.Reply({"status": status, "body": body})
+
+
+def reply_failure(failure: errors.Failure) -> calls.Reply:
+    """Return the reply that tells a failure in the one error shape."""
+    body = msgspec.json.decode(errors.encode_failure(failure))
+    return reply(body, errors.CODES[failure.code].status)
+
+
+def reply_outcome(outcome: Document, **more: typing.Any) -> calls.Reply:
+    """Return the reply with the outcome of a command."""
+    return reply({"outcome": {**outcome, **more}})
+
+
+def reject(code: str, message: str) -> calls.Reply:
+    """Return the reply that a command was rejected."""
+    return reply_outcome(documents.encode_outcome(outcomes.Rejected(code, message)))
+
+
+def find_text_failure(text: str, error: language_errors.LanguageError) -> calls.Reply:
+    """Return the reply to a text that isn't in the language; it points at the word."""
+    expected = ", ".join(error.expected)
+    place = f"line {error.line}, column {error.column}"
+    message = f"{place}: {error.message}; expected {expected}"
+    return reply_failure(errors.Failure("invalid_request", message))
+
+
+@dataclasses.dataclass(frozen=True)
+class OperatorRequest:
+    """What an operator sends; ``operator`` is filled in by who checked the key."""
+
+    text: str
+    request_id: typing.Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
+    operator: str
+    number: int | None = None
+    dry_run: bool = False
+
+
+def read_request(document: Document) -> Document | calls.Reply:
+    """Return the operator's request, checked, or the reply that refuses it."""
+    try:
+        request = strict.convert(document, OperatorRequest)
+    except exceptions.InvalidDocument as error:
+        return reply_failure(errors.Failure("invalid_request", str(error)))
+    return dataclasses.asdict(request)
+
+
+@calls.register
+class Operate(calls.Kind):
+    """An operator's text: a command, its dry run, a change of voters, or a query.
+
+    The document is that of an ``OperatorRequest``.
+    """
+
+    name = "operate"
+
+    def begin(self, call: calls.Call, here: calls.Here) -> calls.Step:
+        text = call.document["text"]
+        value = parser.parse(text)
+        call.state = value
+        if isinstance(value, language_errors.LanguageError):
+            return find_text_failure(text, value)
+        if isinstance(value, CHANGES):
+            return self._begin_voter_change(call, value, here)
+        if isinstance(value, queries.Explain):
+            return reply_failure(errors.Failure("unknown_request", ASK_A_ROUTER))
+        if isinstance(value, (queries.Show, queries.History)) or _is_dry_run(call):
+            return events.Read(call.token)
+        document = documents.encode_submission(_make_submission(call, here.wall))
+        payload = machine.encode_entry(machine.SUBMISSION, here.wall, document)
+        return events.Propose(call.token, payload)
+
+    def go_on(
+        self, call: calls.Call, result: voters.Result, here: calls.Here
+    ) -> calls.Step:
+        if isinstance(call.state, CHANGES):
+            return _go_on_voter_change(call, result, here)
+        if isinstance(result, voters.Refused):
+            return reply_failure(errors.Failure("overloaded", result.code))
+        if isinstance(result, voters.Applied):
+            return reply_outcome(result.document)
+        if isinstance(call.state, (queries.Show, queries.History)):
+            return _answer_query(call.state, here)
+        submission = _make_submission(call, here.wall)
+        state = here.voter.machine.configuration
+        outcome = states.check_submission(state, submission)
+        return reply_outcome(documents.encode_outcome(outcome))
+
+    def give_up(self, call: calls.Call) -> Document:
+        if call.tried:
+            failure = errors.Failure("outcome_unknown", UNKNOWN, errors.Run.UNKNOWN)
+        else:
+            failure = errors.Failure("control_unavailable", UNAVAILABLE)
+        return reply_failure(failure).document
+
+    def _begin_voter_change(
+        self, call: calls.Call, value: typing.Any, here: calls.Here
+    ) -> calls.Step:
+        """Put into the log which disk is meant, before anything changes."""
+        call.deadline += VOTER_SECONDS - self.seconds
+        adds = isinstance(value, voter_commands.AddVoter)
+        known = here.voter.machine.voter_changes.get(call.document["request_id"])
+        named = known["voter"] if known else _find_voter(value.name, adds, here)
+        if named is None and adds:
+            here.dial(value.name, value.address)
+            return calls.Wait()
+        if named is None:
+            return reject(codes.NOT_VOTER, f"{value.name!r} is no voter")
+        if _is_dry_run(call):
+            return reply_outcome(_accept(here))
+        document = {
+            "request_id": call.document["request_id"],
+            "operator": call.document["operator"],
+            "change": "add" if adds else "remove",
+            "voter": named,
+            "address": value.address if adds else None,
+        }
+        payload = machine.encode_entry(machine.VOTERS, here.wall, document)
+        return events.Propose(call.token, payload)
+
+
+def _is_dry_run(call: calls.Call) -> bool:
+    return bool(call.document.get("dry_run"))
+
+
+def _make_submission(call: calls.Call, wall: float) -> commands.Submission:
+    document = call.document
+    return commands.Submission(
+        document["request_id"],
+        document["operator"],
+        document.get("number"),
+        call.state,
+        wall,
+    )
+
+
+def _find_voter(name: str, adds: bool, here: calls.Here) -> str | None:
+    """Return the disk that the name means: a linked peer's, or a present voter's."""
+    if adds:
+        return here.find_peer(name)
+    present = here.voter.node.voters
+    return next((one for one in present if group.find_name(one) == name), None)
+
+
+def _accept(here: calls.Here) -> Document:
+    accepted = documents.encode_outcome(outcomes.Accepted(here.voter.machine.version))
+    return {**accepted, "voters": list(here.voter.node.voters)}
+
+
+def _go_on_voter_change(
+    call: calls.Call, result: voters.Result, here: calls.Here
+) -> calls.Step:
+    """Change the voters once the log says which; a resent change is done already."""
+    if isinstance(result, voters.Refused):
+        if SETTLED.get(result.code) == _name_change(call.state):
+            return reply_outcome(_accept(here))
+        return reject(result.code, f"the voters were not changed: {result.code}")
+    document = result.document
+    if not document:
+        return reply_outcome(_accept(here))
+    if document["change"] == "add":
+        return events.ChangeVoters(call.token, add=document["voter"])
+    return events.ChangeVoters(call.token, remove=document["voter"])
+
+
+def _name_change(value: typing.Any) -> str:
+    return "add" if isinstance(value, voter_commands.AddVoter) else "remove"
+
+
+def _answer_query(
+    query: queries.Show | queries.History, here: calls.Here
+) -> calls.Reply:
+    state = here.voter.machine.configuration
+    if isinstance(query, queries.History):
+        return reply({"rows": rows.list_history(state, query.limit)})
+    build = rows.SUBJECTS.get(query.subject)
+    if build is None:
+        return reply_failure(errors.Failure("unknown_request", ASK_A_ROUTER))
+    found = queries.select_rows(build(state, here.status()), query)
+    return reply({"rows": found})
+
+
+@calls.register
+class Status(calls.Kind):
+    """The status document, current when it is answered."""
+
+    name = "status"
+
+    def begin(self, call: calls.Call, here: calls.Here) -> calls.Step:
+        return events.Read(call.token)
+
+    def go_on(
+        self, call: calls.Call, result: voters.Result, here: calls.Here
+    ) -> calls.Step:
+        return reply(here.status())
+
+    def give_up(self, call: calls.Call) -> Document:
+        failure = errors.Failure("control_unavailable", UNAVAILABLE)
+        return reply_failure(failure).document
+
+
+@calls.register
+class Pull(calls.Kind):
+    """A router asks for the configuration, current when it is answered.
+
+    The reply is the configuration's document, or nothing when none was confirmed.
+    """
+
+    name = "pull"
+
+    def begin(self, call: calls.Call, here: calls.Here) -> calls.Step:
+        return events.Read(call.token)
+
+    def go_on(
+        self, call: calls.Call, result: voters.Result, here: calls.Here
+    ) -> calls.Step:
+        configuration = here.voter.machine.configuration.configuration
+        return calls.Reply(documents.encode_configuration(configuration))
+
+    def give_up(self, call: calls.Call) -> Document:
+        return {}
+
+
+@calls.register
+class Claim(calls.Kind):
+    """A router's event on a claim.
+
+    The document is the event's and the reply the outcome's; the reply is nothing when
+    the call wasn't settled, and the router may not send then.
+    """
+
+    name = "claim"
+
+    def begin(self, call: calls.Call, here: calls.Here) -> calls.Step:
+        event = {key: value for key, value in call.document.items() if key != "call"}
+        try:
+            claim_documents.decode_event(event)
+        except exceptions.InvalidDocument:
+            return calls.Reply({})
+        payload = machine.encode_entry(machine.CLAIM, here.wall, event)
+        return events.Propose(call.token, payload)
+
+    def go_on(
+        self, call: calls.Call, result: voters.Result, here: calls.Here
+    ) -> calls.Step:
+        if isinstance(result, voters.Applied):
+            return calls.Reply(result.document)
+        return calls.Reply({})
+
+    def give_up(self, call: calls.Call) -> Document:
+        return {}
--- /dev/null
+++ b/packages/daemon/src/trestlestall/daemon/control/reports.py
@@ -0,0 +1,189 @@
+"""What a control process says of itself: log lines and the status document."""
+
+import typing
+from collections import abc
+
+from trestlestall.agreement import actions
+from trestlestall.daemon import events, logs
+from trestlestall.daemon.control import followers, group, voter as voters
+from trestlestall.storage import contents
+
+Document = dict[str, typing.Any]
+Reply = abc.Callable[[Document], object]
+
+
+def describe(
+    server: typing.Any, notices: abc.Mapping[str, group.Notice], now: float
+) -> Document:
+    """Return the status document of a control process.
+
+    It is current only when a quorum has confirmed that this process leads.
+    """
+    voter = server.voter
+    if voter is None:
+        return {"name": server.settings.name, "leader": None, "voters": []}
+    return {
+        "name": server.settings.name,
+        "leader": server.leader,
+        "term": voter.node.term,
+        "configuration": voter.machine.version,
+        "log_index": voter.node.commit_index,
+        "snapshot_index": voter.node.snapshot_index,
+        "voters": [
+            _describe_voter(server, name, notices) for name in voter.node.voters
+        ],
+        "routers": _describe_routers(server, now),
+    }
+
+
+def _describe_voter(
+    server: typing.Any, voter: str, notices: abc.Mapping[str, group.Notice]
+) -> Document:
+    """Return a voter's row; another disk under its name means that its own is gone."""
+    name = group.find_name(voter)
+    notice = notices.get(name)
+    state = "unreachable"
+    if voter == server.own or notice is not None and notice.voter == voter:
+        state = "linked"
+    elif notice is not None:
+        state = "other_disk"
+    return {"name": name, "voter": voter, "state": state}
+
+
+def _describe_routers(server: typing.Any, now: float) -> list[Document]:
+    newest = server.voter.machine.version
+    return [
+        {
+            "name": router,
+            "configuration": version,
+            "lags": version < newest,
+            "lag_seconds": round(server.board.find_lag(router, now), 3),
+        }
+        for router, version in server.board.list_versions()
+    ]
+
+
+class Reporter:
+    """Writes the log lines of the agreed state."""
+
+    def __init__(self, log: logs.Log):
+        self._log = log
+        self._voters: tuple[str, ...] = ()
+        self._version = 0
+        self._lagging: set[str] = set()
+
+    def note_link(self, peer: str, linked: bool) -> None:
+        """Log that a link opened or ended."""
+        self._log.write(events.links.UP if linked else events.links.DOWN, peer=peer)
+
+    def note_action(self, action: actions.Action, voter: voters.Voter | None) -> None:
+        """Log changes of the leader, and snapshots."""
+        if isinstance(action, actions.BecameLeader):
+            self._log.write(events.agreement.ELECTED, term=action.term)
+        elif isinstance(action, actions.Deposed):
+            self._log.write(events.agreement.DEPOSED, term=action.term)
+        elif isinstance(action, actions.PersistSnapshot):
+            self._log.write(
+                events.agreement.SNAPSHOT_SAVED,
+                index=action.snapshot.index,
+                bytes=len(action.snapshot.state),
+                kept_records=len(action.entries),
+            )
+        elif isinstance(action, actions.Restore):
+            index = action.snapshot.index
+            self._log.write(events.agreement.SNAPSHOT_RESTORED, index=index)
+
+    def note_recovered(self, loaded: contents.Loaded) -> None:
+        """Log what the folder held at the start."""
+        self._log.write(events.agreement.LOG_RECOVERED, records=len(loaded.records))
+
+    def note_state(self, server: typing.Any, now: float) -> None:
+        """Log what has changed since the last turn."""
+        self._note_voters(server.voter.node.voters)
+        version = server.voter.machine.version
+        if version != self._version:
+            self._log.write(
+                events.agreement.APPLIED,
+                configuration=version,
+                previous=self._version,
+                source="log",
+            )
+            self._version = version
+        if server.voter.leads:
+            self._note_lags(server, version, now)
+
+    def _note_voters(self, present: tuple[str, ...]) -> None:
+        former, self._voters = self._voters or present, present
+        for voter in sorted(set(present) - set(former)):
+            self._log.write(
+                events.agreement.VOTER_ADDED, voter=voter, voters=list(present)
+            )
+        for voter in sorted(set(former) - set(present)):
+            self._log.write(
+                events.agreement.VOTER_REMOVED, voter=voter, voters=list(present)
+            )
+
+    def _note_lags(self, server: typing.Any, version: int, now: float) -> None:
+        for router, has in server.board.list_versions():
+            lag = server.board.find_lag(router, now)
+            if lag < followers.LAG_SECONDS:
+                self._lagging.discard(router)
+            elif router not in self._lagging:
+                self._lagging.add(router)
+                self._log.write(
+                    events.agreement.ROUTER_LAGS,
+                    router=router,
+                    configuration=has,
+                    newest=version,
+                    seconds=round(lag, 1),
+                )
+
+    def watch_outcome(self, request: Document, reply: Reply) -> Reply:
+        """Return a reply that also logs the outcome of an operator's command."""
+
+        def watched(document: Document) -> None:
+            outcome = document.get("body", {}).get("outcome")
+            if outcome is not None and not request.get("dry_run"):
+                OUTCOMES[outcome["kind"]](self._log, request, outcome)
+            reply(document)
+
+        return watched
+
+
+def write_accepted(log: logs.Log, request: Document, outcome: Document) -> None:
+    """Log an accepted command; its text isn't, since it may hold a key."""
+    log.write(
+        events.agreement.COMMAND_ACCEPTED,
+        configuration=outcome["version"],
+        operator=request["operator"],
+        request_id=request["request_id"],
+    )
+
+
+def write_rejected(log: logs.Log, request: Document, outcome: Document) -> None:
+    """Log a rejected command."""
+    log.write(
+        events.agreement.COMMAND_REJECTED,
+        operator=request["operator"],
+        request_id=request["request_id"],
+        code=outcome["code"],
+        message=outcome["message"],
+    )
+
+
+def write_beaten(log: logs.Log, request: Document, outcome: Document) -> None:
+    """Log a command that another had beaten to its number."""
+    log.write(
+        events.agreement.COMMAND_BEATEN,
+        operator=request["operator"],
+        request_id=request["request_id"],
+        number=outcome["number"],
+        winner=outcome["winner"]["request_id"],
+    )
+
+
+OUTCOMES = {
+    "accepted": write_accepted,
+    "rejected": write_rejected,
+    "beaten": write_beaten,
+}
--- /dev/null
+++ b/packages/daemon/src/trestlestall/daemon/control/rows.py
@@ -0,0 +1,92 @@
+"""The rows that control shows of the agreed state; pure."""
+
+import typing
+from collections import abc
+
+import msgspec
+
+from trestlestall.configuration import documents, state as states
+
+Row = dict[str, typing.Any]
+Status = dict[str, typing.Any]
+Build = abc.Callable[[states.State, Status], list[Row]]
+VERSIONS_SHOWN = 100
+SECRET_FIELDS = {"key_digest"}
+SUBJECTS: dict[str, Build] = {}
+
+
+def register(subject: str) -> abc.Callable[[Build], Build]:
+    """Return a decorator that makes the function build the rows of a subject."""
+
+    def enter(function: Build) -> Build:
+        SUBJECTS[subject] = function
+        return function
+
+    return enter
+
+
+def list_history(state: states.State, limit: int) -> list[Row]:
+    """Return the newest accepted commands, newest first."""
+    entries = states.list_history(state, limit)
+    return [_flatten(documents.encode_entry(entry)) for entry in entries]
+
+
+def _flatten(entry: Row) -> Row:
+    """Return the entry with its command as one text, without keys' digests."""
+    command = dict(entry.pop("command"))
+    kind = command.pop("kind")
+    inner = command.popitem()[1] if len(command) == 1 else command
+    parts = inner.items() if isinstance(inner, dict) else [("", inner)]
+    shown = [f"{key}={value}".lstrip("=") for key, value in parts if _is_shown(key)]
+    return {**entry, "command": " ".join([kind.replace("_", " "), *shown])}
+
+
+def _is_shown(key: str) -> bool:
+    return key not in SECRET_FIELDS
+
+
+def _list_parts(parts: abc.Iterable[typing.Any]) -> list[Row]:
+    plain = msgspec.to_builtins(list(parts))
+    return [{key: row[key] for key in row if _is_shown(key)} for row in plain]
+
+
+@register("classes")
+def list_classes(state: states.State, status: Status) -> list[Row]:
+    """Return the request classes."""
+    return _list_parts(state.configuration.classes.values())
+
+
+@register("workspaces")
+def list_workspaces(state: states.State, status: Status) -> list[Row]:
+    """Return the workspaces, without the digests of their keys."""
+    return _list_parts(state.configuration.workspaces.values())
+
+
+@register("bindings")
+def list_bindings(state: states.State, status: Status) -> list[Row]:
+    """Return the bindings."""
+    return _list_parts(state.configuration.bindings.values())
+
+
+@register("services")
+def list_services(state: states.State, status: Status) -> list[Row]:
+    """Return the plain services."""
+    return _list_parts(state.configuration.services.values())
+
+
+@register("versions")
+def list_versions(state: states.State, status: Status) -> list[Row]:
+    """Return the newest versions with who made them."""
+    return list_history(state, VERSIONS_SHOWN)
+
+
+@register("voters")
+def list_voters(state: states.State, status: Status) -> list[Row]:
+    """Return the voters, as the leader knows them."""
+    return status["voters"]
+
+
+@register("routers")
+def list_routers(state: states.State, status: Status) -> list[Row]:
+    """Return the routers that are linked with the leader."""
+    return status["routers"]
--- /dev/null
+++ b/packages/daemon/src/trestlestall/daemon/control/server.py
@@ -0,0 +1,312 @@
+"""What a control process does in each turn of its loop.
+
+Messages of a turn are collected and handed to the voter together. Then calls are
+answered, routers pushed to, and control processes told who this one is.
+"""
+
+import collections
+import typing
+from collections import abc
+
+from trestlestall.agreement import actions, events as agreement_events
+from trestlestall.daemon import environment, logs, settings as process_settings
+from trestlestall.daemon.control import (
+    calls,
+    envelopes,
+    followers,
+    group,
+    journal as journals,
+    operations,
+    reports,
+    voter as voters,
+)
+from trestlestall.wire import messages
+
+NOTICE_SECONDS = 0.5
+ROUNDS = 100
+
+Document = dict[str, typing.Any]
+Reply = abc.Callable[[Document], object]
+Send = abc.Callable[[str, typing.Any], bool]
+
+
+class Server:
+    """One control process between its links and its folder; the caller turns it.
+
+    ``wake`` is called when something has arrived that a turn should handle.
+    """
+
+    def __init__(
+        self,
+        settings: process_settings.ControlSettings,
+        env: environment.Environment,
+        log: logs.Log,
+        journal: journals.Journal,
+        identity: str,
+        links: typing.Any,
+        wake: abc.Callable[[], object],
+    ):
+        self.settings = settings
+        self.own = group.join_voter(settings.name, identity)
+        self.voter: voters.Voter | None = None
+        self.board = followers.Board()
+        self.links = links
+        self._env = env
+        self.report = reports.Reporter(log)
+        self._journal = journal
+        self._wake = wake
+        self._calls = calls.Calls(self._pass_on)
+        self._inbox: collections.deque[agreement_events.Event] = collections.deque()
+        self._results: list[tuple[int, voters.Result]] = []
+        self._notices: dict[str, group.Notice] = {}
+        self._noticed_at = float("-inf")
+        self._dialled: abc.Mapping[str, Document] = {}
+        if journal.group is not None:
+            self._start_voter(journal.group)
+
+    # What the process and the site call.
+
+    @property
+    def leader(self) -> str | None:
+        """The name of the process that leads, as far as is known here."""
+        if self.voter is None or self.voter.node.leader is None:
+            return None
+        return group.find_name(self.voter.node.leader)
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no call waits for its answer."""
+        return not len(self._calls)
+
+    def open_call(
+        self, kind: str, document: Document, reply: Reply, relayed: bool = False
+    ) -> None:
+        """Take a call; ``reply`` gets its document in some later turn."""
+        if kind == operations.Operate.name:
+            reply = self.report.watch_outcome(document, reply)
+        now = self._env.clock.monotonic()
+        self._calls.open(kind, document, reply, now, relayed)
+        self._wake()
+
+    def take_message(self, peer: str, message: typing.Any) -> None:
+        """Take a message from a link."""
+        handler = HANDLERS.get(type(message))
+        if handler is not None:
+            handler(self, peer, message)
+            self._wake()
+
+    def note_link(self, peer: str, linked: bool) -> None:
+        """Note that a link opened or ended."""
+        self.report.note_link(peer, linked)
+        self.board.forget(peer)
+        if linked:
+            self._send_notice(peer)
+        else:
+            self._notices.pop(peer, None)
+        self._wake()
+
+    def turn(self) -> None:
+        """Do everything that is due."""
+        now = self._env.clock.monotonic()
+        self._settle_group(now)
+        if self.voter is None:
+            self._calls.expire(now)
+            return
+        here = self._make_here()
+        self._inbox.extend(self._calls.advance(here, self.leader, now))
+        for _ in range(ROUNDS):
+            batch = list(self._inbox)
+            self._inbox.clear()
+            self.voter.turn(batch, now)
+            self._note_results(here, now)
+            if not self._inbox:
+                break
+        self._dial_added()
+        self._push(now)
+        self.report.note_state(self, now)
+
+    def describe(self) -> Document:
+        """Return the status document, as far as this process knows."""
+        now = self._env.clock.monotonic()
+        return reports.describe(self, self._notices, now)
+
+    # The voter.
+
+    def _start_voter(self, first: tuple[str, ...]) -> None:
+        effects = voters.Effects(self._send, self._take_result, self._note_action)
+        member = first if self.own in first else ()
+        seed = self._env.random.getrandbits(64)
+        self.voter = voters.Voter(self.own, member, self._journal, seed, effects)
+
+    def _settle_group(self, now: float) -> None:
+        """Tell the others who this is; form or join the group once that is known."""
+        if self.voter is None:
+            notices = self._notices.values()
+            first = group.find_group(self.own, self.settings.voters, notices)
+            if first is not None:
+                self._journal.save_group(first)
+                self._start_voter(first)
+                self._noticed_at = float("-inf")
+        if now - self._noticed_at >= NOTICE_SECONDS and self._has_unsettled_peer():
+            self._noticed_at = now
+            for peer in self.links.linked():
+                self._send_notice(peer)
+
+    def _has_unsettled_peer(self) -> bool:
+        """Return whether some control process may still wait for the group."""
+        if self.voter is None:
+            return True
+        return any(notice.group is None for notice in self._notices.values())
+
+    def _send_notice(self, peer: str) -> None:
+        notice = group.Notice(self.own, self._journal.group)
+        self.links.send(peer, envelopes.seal(self.own, peer, notice))
+
+    def _send(self, to: str, message: typing.Any) -> None:
+        envelope = envelopes.seal(self.own, to, message)
+        self.links.send(group.find_name(to), envelope)
+
+    def _take_result(self, token: typing.Hashable, result: voters.Result) -> None:
+        self._results.append((typing.cast(int, token), result))
+
+    def _note_results(self, here: calls.Here, now: float) -> None:
+        results, self._results = self._results, []
+        for token, result in results:
+            self._inbox.extend(self._calls.note_result(token, result, here, now))
+
+    def _note_action(self, action: actions.Action) -> None:
+        self.report.note_action(action, self.voter)
+
+    # The calls and the routers.
+
+    def _make_here(self) -> calls.Here:
+        return calls.Here(
+            self.voter,
+            self._env.clock.wall(),
+            self.describe,
+            self._find_peer,
+            self.links.dial,
+        )
+
+    def _find_peer(self, name: str) -> str | None:
+        notice = self._notices.get(name)
+        return notice.voter if notice is not None else None
+
+    def _pass_on(self, peer: str, token: int, document: Document) -> bool:
+        return self.links.send(peer, messages.Submit(token, document))
+
+    def _dial_added(self) -> None:
+        """Have links opened to the voters that were added by commands."""
+        changes = self.voter.machine.voter_changes
+        if changes is self._dialled:
+            return
+        self._dialled = changes
+        for change in changes.values():
+            if change["address"] is not None:
+                name = group.find_name(change["voter"])
+                self.links.dial(name, change["address"])
+
+    def _push(self, now: float) -> None:
+        state = self.voter.machine.configuration
+        for push in self.board.list_pushes(state, self.voter.leads, now):
+            self.links.send(push.router, push.message)
+
+
+Handler = abc.Callable[[Server, str, typing.Any], None]
+HANDLERS: dict[type, Handler] = {}
+
+
+def handles(kind: type) -> abc.Callable[[Handler], Handler]:
+    """Return a decorator that makes the function handle one kind of message."""
+
+    def enter(function: Handler) -> Handler:
+        HANDLERS[kind] = function
+        return function
+
+    return enter
+
+
+@handles(messages.Agreement)
+def take_agreement(server: Server, peer: str, message: messages.Agreement) -> None:
+    """Take a notice, or a message for this disk's voter."""
+    opened = envelopes.unseal(peer, message)
+    if opened is None:
+        return
+    if isinstance(opened.message, group.Notice):
+        if opened.message.voter == opened.sender:
+            server._notices[peer] = opened.message
+    elif server.voter is not None and opened.to == server.own:
+        event = agreement_events.Receive(opened.sender, opened.message)
+        server._inbox.append(event)
+
+
+@handles(messages.Submit)
+def take_submit(server: Server, peer: str, message: messages.Submit) -> None:
+    """Take an operator's request from a router, or a call from a control process."""
+    document = dict(message.document)
+    kind = document.pop("call", None)
+
+    def reply(answer: Document) -> None:
+        server.links.send(peer, messages.SubmitAnswer(message.token, answer))
+
+    if kind in calls.KINDS:
+        server.open_call(kind, document, reply, relayed=True)
+        return
+    request = operations.read_request(document)
+    if isinstance(request, calls.Reply):
+        reply(request.document)
+    else:
+        server.open_call(operations.Operate.name, request, reply)
+
+
+@handles(messages.SubmitAnswer)
+def take_submit_answer(
+    server: Server, peer: str, message: messages.SubmitAnswer
+) -> None:
+    """Take the reply to a call that was passed on."""
+    now = server._env.clock.monotonic()
+    server._calls.note_reply(message.token, peer, dict(message.document), now)
+
+
+@handles(messages.StatusCall)
+def take_status_call(server: Server, peer: str, message: messages.StatusCall) -> None:
+    """Answer a router with the status, or with the failure to confirm it."""
+
+    def reply(answer: Document) -> None:
+        server.links.send(peer, messages.StatusAnswer(message.token, answer["body"]))
+
+    server.open_call(operations.Status.name, {}, reply)
+
+
+@handles(messages.ClaimCall)
+def take_claim_call(server: Server, peer: str, message: messages.ClaimCall) -> None:
+    """Take a router's event on a claim; one that isn't settled gets no answer."""
+
+    def reply(answer: Document) -> None:
+        kind = answer.pop("kind", None)
+        if kind is not None:
+            answered = messages.ClaimAnswer(message.token, kind, answer)
+            server.links.send(peer, answered)
+
+    document = {**message.fields, "kind": message.kind}
+    server.open_call(operations.Claim.name, document, reply)
+
+
+@handles(messages.ConfigurationPull)
+def take_pull(server: Server, peer: str, message: messages.ConfigurationPull) -> None:
+    """Answer a router with the configuration that a quorum confirms."""
+
+    def reply(answer: Document) -> None:
+        if answer:
+            full = messages.ConfigurationFull(answer["version"], answer)
+            server.links.send(peer, full)
+
+    server.open_call(operations.Pull.name, {}, reply)
+
+
+@handles(messages.ConfigurationAck)
+def take_acknowledgement(
+    server: Server, peer: str, message: messages.ConfigurationAck
+) -> None:
+    """Note which version is in force on a router."""
+    server.board.note_acknowledged(peer, message.version)
--- a/packages/storage/src/trestlestall/storage/contents.py
+++ b/packages/storage/src/trestlestall/storage/contents.py
@@ -45,7 +45,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Change:
-    """One later frame; `kept` of nothing keeps all records that stood before."""
+    """One later frame; ``kept`` of nothing keeps all records that stood before."""
 
     vote: Vote | None = None
     kept: int | None = None
--- a/packages/storage/src/trestlestall/storage/exceptions.py
+++ b/packages/storage/src/trestlestall/storage/exceptions.py
@@ -10,12 +10,12 @@
 
 REPLACE_VOTER = (
     "keep the folder for inspection, start this voter with an empty folder and replace "
-    "it by `remove voter` and `add voter` (docs/operators/recovery.md)"
+    "it by ``remove voter`` and ``add voter`` (docs/operators/recovery.md)"
 )
 
 
 class StorageError(Exception):
-    """A data folder that can't be used; `path`, `problem` and `advice` are texts."""
+    """A data folder that can't be used: which path, what is wrong, what to do."""
 
     def __init__(self, path: str, problem: str, advice: str):
         super().__init__(f"{path}: {problem}; {advice}")
--- a/packages/storage/src/trestlestall/storage/files.py
+++ b/packages/storage/src/trestlestall/storage/files.py
@@ -1,8 +1,8 @@
 """The few file operations that the data folder needs.
 
-`Files` is the seam: the folder calls these and nothing else of the operating system, so
-that a test passes in a file system that loses what wasn't synced, tears writes, fills
-up or stops between any two steps.
+``Files`` is the seam: the folder calls these and nothing else of the operating system,
+so that a test passes in a file system that loses what wasn't synced, tears writes,
+fills up or stops between any two steps.
 """
 
 import abc
@@ -11,7 +11,7 @@
 
 
 class Files(abc.ABC):
-    """Operations inside one folder; names are plain file names, errors `OSError`."""
+    """Operations inside one folder; names are plain file names, errors ``OSError``."""
 
     @abc.abstractmethod
     def lock(self, name: str) -> bool:
@@ -39,7 +39,7 @@
 
     @abc.abstractmethod
     def rename(self, old: str, new: str) -> None:
-        """Put the file in the other's place; durable after `sync_folder`."""
+        """Put the file in the other's place; durable after ``sync_folder``."""
 
     @abc.abstractmethod
     def remove(self, name: str) -> None:
--- a/packages/storage/src/trestlestall/storage/folder.py
+++ b/packages/storage/src/trestlestall/storage/folder.py
@@ -5,7 +5,8 @@
         data.append([b"first", b"second"])
 
 Each call that changes something returns only once that is synced. The folder holds
-`log` (see `contents`), `mark` (see `mark`), `lock`, and for a moment `log.new`.
+``log`` (see ``contents``), ``mark`` (see ``mark``), ``lock``, and for a moment
+``log.new``.
 """
 
 import contextlib
@@ -24,9 +25,9 @@
 
 
 class Folder:
-    """An open data folder. Use `open_folder`; one process at a time holds it.
+    """An open data folder. Use ``open_folder``; one process at a time holds it.
 
-    After an operation has failed, each later one raises `FolderFailed`: what reached
+    After an operation has failed, each later one raises ``FolderFailed``: what reached
     the disk is only known once the folder is opened again.
     """
 
@@ -216,8 +217,9 @@
 ) -> typing.Iterator[Folder]:
     """Lock, check and read the folder, and let it go at the end.
 
-    Raises `FolderMissing`, `FolderInUse`, `DamagedLog`, `DiskFull` or `DiskFailed`.
-    `store` is for tests that bring their own file system.
+    Raises ``FolderMissing``, ``FolderInUse``, ``DamagedLog``, ``DiskFull`` or
+    ``DiskFailed``.
+    ``store`` is for tests that bring their own file system.
     """
     path = os.fspath(path)
     if store is None:
--- a/packages/storage/src/trestlestall/storage/frames.py
+++ b/packages/storage/src/trestlestall/storage/frames.py
@@ -33,8 +33,8 @@
 class Scan:
     """What a log file holds.
 
-    `torn` says that bytes after the last frame are the rest of a write that was never
-    acknowledged; `damage` says why the file can't be trusted.
+    ``torn`` says that bytes after the last frame are the rest of a write that was never
+    acknowledged; ``damage`` says why the file can't be trusted.
     """
 
     frames: tuple[Frame, ...]
--- a/packages/storage/src/trestlestall/storage/mark.py
+++ b/packages/storage/src/trestlestall/storage/mark.py
@@ -18,7 +18,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Mark:
-    """`length` bytes of the log file number `generation` have been synced."""
+    """``length`` bytes of the log file number ``generation`` have been synced."""
 
     number: int
     generation: int
--- /dev/null
+++ b/tests/test_agreed_state_deployment.py
@@ -0,0 +1,190 @@
+"""Three control processes on loopback: how the other agreed-state tests start them."""
+
+import contextlib
+import http.client
+import json
+import os
+import pathlib
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import unittest
+from collections import abc
+
+NAMES = ("control-1", "control-2", "control-3")
+KEYS = {"alice": "key-of-alice", "bela": "key-of-bela"}
+LISTENERS = ("operators", "platform", "peers")
+# Only ends a test that hangs; no verdict depends on it.
+PATIENCE_SECONDS = 60.0
+POLL_SECONDS = 0.02
+CALL_SECONDS = 30.0
+
+
+class Deployment:
+    """Control processes with their settings and folders under one temporary path."""
+
+    def __init__(self, path: pathlib.Path, names: abc.Sequence[str]):
+        self.path = path
+        self.names = list(names)
+        self.processes: dict[str, subprocess.Popen] = {}
+        self.addresses = {name: find_addresses() for name in names}
+        for name in names:
+            self.write_settings(name)
+
+    def write_settings(self, name: str) -> None:
+        secrets = {"peers": "p", "upstreams": "u", "operators": KEYS}
+        secrets_file = self.path / "secrets.json"
+        secrets_file.write_text(json.dumps(secrets))
+        secrets_file.chmod(0o600)
+        (self.path / name).mkdir(exist_ok=True)
+        peers = [
+            {
+                "name": peer,
+                "role": "control",
+                "data_centre": peer,
+                "address": self.addresses[peer]["peers"],
+            }
+            for peer in self.names
+            if peer != name
+        ]
+        document = {
+            "role": "control",
+            "name": name,
+            "data_centre": name,
+            "listen": self.addresses[name],
+            "secrets_file": "secrets.json",
+            "data_folder": name,
+            "voters": list(NAMES),
+            "peers": peers,
+        }
+        (self.path / f"{name}.json").write_text(json.dumps(document))
+
+    def start(self, *names: str) -> None:
+        for name in names or self.names:
+            command = [sys.executable, "-m", "trestlestall.daemon", "control"]
+            command += ["--settings", str(self.path / f"{name}.json")]
+            with open(self.path / f"{name}.log", "ab") as log:
+                self.processes[name] = subprocess.Popen(command, stderr=log)
+
+    def send(self, name: str, number: int) -> None:
+        self.processes[name].send_signal(number)
+
+    def kill(self, *names: str) -> None:
+        for name in names:
+            self.send(name, signal.SIGKILL)
+            self.processes.pop(name).wait()
+
+    def wipe(self, name: str) -> None:
+        shutil.rmtree(self.path / name)
+        (self.path / name).mkdir()
+
+    def close(self) -> None:
+        for process in self.processes.values():
+            process.kill()
+            process.wait()
+
+    def call(self, name: str, method: str, path: str, body=None, key="alice"):
+        """Return status and document, or (None, None) when there was no answer."""
+        host, port = self.addresses[name]["operators"].split(":")
+        connection = http.client.HTTPConnection(host, int(port), timeout=CALL_SECONDS)
+        headers = {"Authorization": f"Bearer {KEYS[key]}"}
+        try:
+            content = None if body is None else json.dumps(body)
+            connection.request(method, path, content, headers)
+            answer = connection.getresponse()
+            return answer.status, json.loads(answer.read())
+        except (OSError, http.client.HTTPException):
+            return None, None
+        finally:
+            connection.close()
+
+    def operate(self, name: str, text: str, key="alice", **fields):
+        body = {"text": text, **fields}
+        return self.call(name, "POST", "/v1/operator", body, key)
+
+    def settle(self, text: str, request_id: str, names=None, **fields) -> dict:
+        """Send a command to one process after the other until one says the outcome."""
+        names = list(names or self.processes)
+
+        def ask() -> dict | None:
+            names.append(names.pop(0))
+            status, document = self.operate(
+                names[0], text, request_id=request_id, **fields
+            )
+            return document["outcome"] if status == 200 else None
+
+        return wait_for(ask, f"an outcome of {request_id}")
+
+    def find_status(self, name: str) -> dict | None:
+        status, document = self.call(name, "GET", "/v1/status")
+        return document if status == 200 else None
+
+    def wait_for_leader(self, names=None) -> str:
+        names = list(names or self.processes)
+
+        def ask() -> str | None:
+            names.append(names.pop(0))
+            document = self.find_status(names[0])
+            return document["leader"] if document else None
+
+        return wait_for(ask, "a leader")
+
+    def read_events(self, name: str) -> list[dict]:
+        lines = (self.path / f"{name}.log").read_text().splitlines()
+        return [json.loads(line) for line in lines if line.startswith("{")]
+
+
+def wait_for(ask: abc.Callable, what: str):
+    """Return the first true result of the function."""
+    deadline = time.monotonic() + PATIENCE_SECONDS
+    while time.monotonic() < deadline:
+        found = ask()
+        if found:
+            return found
+        time.sleep(POLL_SECONDS)
+    raise AssertionError(f"gave up waiting for {what}")
+
+
+def find_addresses() -> dict[str, str]:
+    """Return a free address of the kernel's choice for each listener."""
+    with contextlib.ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in LISTENERS]
+        for one in sockets:
+            one.bind(("127.0.0.1", 0))
+        ports = [one.getsockname()[1] for one in sockets]
+    return {
+        name: f"127.0.0.1:{port}" for name, port in zip(LISTENERS, ports, strict=True)
+    }
+
+
+@contextlib.contextmanager
+def open_deployment(names: abc.Sequence[str] = NAMES) -> abc.Iterator[Deployment]:
+    """Yield a deployment that has started, and end its processes."""
+    with tempfile.TemporaryDirectory() as path:
+        deployment = Deployment(pathlib.Path(path), names)
+        try:
+            deployment.start()
+            yield deployment
+        finally:
+            deployment.close()
+            if os.environ.get("KEEP_LOGS"):
+                shutil.copytree(path, os.environ["KEEP_LOGS"], dirs_exist_ok=True)
+
+
+class DeploymentTest(unittest.TestCase):
+    def test_three_form_a_group_and_stop_as_planned(self):
+        with open_deployment() as deployment:
+            leader = deployment.wait_for_leader()
+            for name in NAMES:
+                status = deployment.find_status(name)
+                self.assertEqual(status["leader"], leader)
+                states = {row["name"]: row["state"] for row in status["voters"]}
+                self.assertEqual(set(states), set(NAMES))
+            for name in NAMES:
+                deployment.send(name, signal.SIGTERM)
+            ends = [process.wait() for process in deployment.processes.values()]
+            self.assertEqual(ends, [0, 0, 0])
