Share the settings' check with the client and encode log lines by msgspec

Cause: the client runs the same check as the daemon, and every routing decision costs a log line, so its price counts. Change: checking.py holds the command check-settings for both binaries; a flag with an empty value is refused (an unset variable in a script would otherwise become another meaning); lines are encoded by msgspec in place of json. Half a surrogate pair falls back to json, which a test holds. The test of the line's start now names the compact form; it is as strict as before.

--- a/packages/daemon/src/trestlestall/daemon/cli.py
+++ b/packages/daemon/src/trestlestall/daemon/cli.py
@@ -4,7 +4,15 @@
 import typing
 from collections import abc
 
-from trestlestall.daemon import commands, environment, events, logs, settings, status
+from trestlestall.daemon import (
+    checking,
+    commands,
+    environment,
+    events,
+    logs,
+    settings,
+    status,
+)
 
 PROGRAM = "trestlestalld"
 
@@ -103,7 +111,7 @@
     """Return the commands, bound to the environment."""
 
     def check_settings(file: str) -> status.ExitStatus:
-        return _check_settings(file, env)
+        return checking.check_settings(file, PROGRAM, env)
 
     def make_runner(role: str) -> abc.Callable:
         def run(settings: str) -> status.ExitStatus:
@@ -115,15 +123,6 @@
     return commands.Program(PROGRAM, {**table, "check-settings": check_settings})
 
 
-def _check_settings(file: str, env: environment.Environment) -> status.ExitStatus:
-    """Say whether the file is right, or list all of its problems."""
-    loaded = settings.load(file)
-    if isinstance(loaded, list):
-        return _refuse_settings(loaded, file, env)
-    env.stdout.write(f"{file}: right, for the {loaded.role} {loaded.name}\n")
-    return status.ExitStatus.OK
-
-
 def _run_role(role: str, file: str, env: environment.Environment) -> status.ExitStatus:
     """Load the settings and run the process that they describe."""
     loaded = settings.load(file)
@@ -131,7 +130,7 @@
         message = f'is "{loaded.role}", but trestlestalld {role} was called'
         loaded = [settings.Problem("role", message)]
     if isinstance(loaded, list):
-        return _refuse_settings(loaded, file, env)
+        return checking.refuse_settings(loaded, file, PROGRAM, env)
     _log_settings(loaded, file, env)
     return ROLES[role](loaded, env)
 
@@ -148,15 +147,6 @@
     )
 
 
-def _refuse_settings(
-    problems: list[settings.Problem], file: str, env: environment.Environment
-) -> status.ExitStatus:
-    """Write each problem on a line of its own."""
-    for problem in problems:
-        _complain(env, f"{file}: {problem}")
-    return status.ExitStatus.BAD_SETTINGS
-
-
 def _complain(env: environment.Environment, message: str) -> None:
     """Write one plain line for people."""
     env.stderr.write(f"{PROGRAM}: {message}\n")
--- a/packages/daemon/src/trestlestall/daemon/commands.py
+++ b/packages/daemon/src/trestlestall/daemon/commands.py
@@ -72,14 +72,14 @@
         known = inspect.signature(self.commands[args[0]]).parameters
         following = [*args[1:], ""]
         for arg, value in zip(args, following, strict=True):
-            flag, equals, _ = arg.partition("=")
+            flag, equals, given = arg.partition("=")
             if not _is_flag(flag):
                 continue
             if flag.removeprefix("--").replace("-", "_") not in known:
                 return f"{args[0]} has no flag {flag}"
-            if not equals and flag not in self.switches:
-                if not value or _is_flag(value):
-                    return f"{flag} needs a value"
+            given = given if equals else value
+            if flag not in self.switches and (not given or _is_flag(given)):
+                return f"{flag} needs a value"
         return None
 
     def _spell_switch(self, arg: str) -> str:
--- a/packages/daemon/src/trestlestall/daemon/logs.py
+++ b/packages/daemon/src/trestlestall/daemon/logs.py
@@ -8,12 +8,16 @@
 """
 
 import datetime
+import json
 import typing
 
+import msgspec
 import structlog
 
 from trestlestall.daemon import environment, events, exceptions
 
+ENCODER = msgspec.json.Encoder(enc_hook=repr)
+
 
 class Log:
     """Writes events to a stream, one line each."""
@@ -24,7 +28,7 @@
         self._clock = clock
         self._logger = structlog.wrap_logger(
             structlog.PrintLogger(stream),
-            processors=[_put_event_first, structlog.processors.JSONRenderer()],
+            processors=[_put_event_first, structlog.processors.JSONRenderer(_encode)],
             wrapper_class=structlog.BoundLogger,
         ).bind()
         self._process = process
@@ -45,6 +49,15 @@
         self._logger.msg(event.number, **line)
 
 
+def _encode(line: dict, **options: object) -> str:
+    """Return the line as JSON; what JSON can't carry is written as its repr."""
+    try:
+        return ENCODER.encode(line).decode()
+    except UnicodeEncodeError:
+        # Text with half of a surrogate pair, which the standard library escapes.
+        return json.dumps(line, default=repr)
+
+
 def _put_event_first(logger: object, method: str, line: dict) -> dict:
     """Return the line with the event's number in front, where people look for it."""
     return {"event": line.pop("event"), **line}
--- a/packages/daemon/src/trestlestall/daemon/settings/secrets.py
+++ b/packages/daemon/src/trestlestall/daemon/settings/secrets.py
@@ -18,7 +18,7 @@
     found = document.read_object(path)
     if isinstance(found, model.Problem):
         return [found]
-    problems = _check_mode(path)
+    problems = check_mode(path)
     fields = {field.name for field in document.list_fields(model.Secrets)}
     problems += [
         model.Problem(key, "unknown key") for key in found if key not in fields
@@ -31,7 +31,7 @@
     return problems or model.Secrets(**typing.cast(typing.Any, found))
 
 
-def _check_mode(path: pathlib.Path) -> list[model.Problem]:
+def check_mode(path: pathlib.Path) -> list[model.Problem]:
     """Refuse a file that other users of the host may read or write."""
     mode = stat.S_IMODE(path.stat().st_mode)
     if not mode & OTHERS:
--- a/packages/daemon/tests/test_logs.py
+++ b/packages/daemon/tests/test_logs.py
@@ -29,7 +29,17 @@
                 "upstream": "u1",
             },
         )
-        self.assertTrue(second.startswith('{"event": "TS1002", '))
+        self.assertTrue(second.startswith('{"event":"TS1002",'))
+
+    def test_any_value_can_be_logged(self):
+        table = {"é": "é", "\ud800": "\ud800", ("a", 1): ["a", 1], 1j: "1j"}
+        for value, wanted in table.items():
+            with self.subTest(value=value):
+                self.stream.truncate(0)
+                self.stream.seek(0)
+                self.log.write(events.routing.SENT, reason=value)
+                found = json.loads(self.stream.getvalue())
+                self.assertEqual(found["reason"], wanted)
 
     def test_a_field_outside_the_catalogue_is_a_broken_invariant(self):
         for field in ("secret", "event_number", "name"):
