--- /dev/null
+++ b/packages/agreement/src/trestlestall/agreement/proposals.py
@@ -0,0 +1,43 @@
+"""Commands that the caller wants in the log."""
+
+from trestlestall.agreement import (
+    actions,
+    codes,
+    entries as entries_module,
+    events,
+    handlers,
+    leadership,
+    state as state_module,
+)
+
+
+@handlers.EVENTS.register(events.Propose)
+def propose(state: state_module.State, event: events.Propose) -> None:
+    """Append the command; it is answered once it is committed."""
+    refusal = find_refusal(state, event)
+    if refusal is not None:
+        state.emit(actions.Proposed(event.token, refusal))
+        return
+    index = leadership.append(state, entries_module.COMMAND, event.payload)
+    state.lead.pending[index] = event.token
+
+
+def find_refusal(
+    state: state_module.State, event: events.Propose
+) -> actions.Outcome | None:
+    """Return why the command cannot be appended here, if so."""
+    if state.lead is None:
+        return actions.NotLeader(state.leader)
+    if len(event.payload) > state.limits.payload_bytes:
+        return actions.Refused(codes.TOO_LARGE)
+    if is_overloaded(state):
+        return actions.Refused(codes.OVERLOADED)
+    return None
+
+
+def is_overloaded(state: state_module.State) -> bool:
+    """Return whether too much waits for a quorum already."""
+    waiting = state.log.last_index - state.commit
+    if waiting >= state.limits.uncommitted_entries:
+        return True
+    return state.lead.uncommitted_bytes >= state.limits.uncommitted_bytes
