Add the operator's client with its golden sessions

Cause: operators had no program to speak the language with. Change: command, query, explain, status and check-settings; texts are read locally first and errors stand under the word; several servers are tried in turn under one request id, with urllib3's own retries off; files go under ids made from the call's id and the line, so that a file repeated under the printed id gets first answers for what was done and carries out the rest; tables for people, JSON lines for programs, exit statuses for scripts. Ruled out: a package of its own for the settings' check; the subpackage of the daemon loads no eventlet, and a fresh interpreter holds that. Found by a test before: an outcome whose kind is a list ended the client in a traceback. The golden sessions, and the session on docs/operators/client.md, are played against a small server over real HTTP with the real language and configuration.

--- /dev/null
+++ b/packages/client/src/trestlestall/client/status.py
@@ -0,0 +1,19 @@
+"""The exit statuses of ``trestlestall``, for scripts."""
+
+import enum
+
+
+class ExitStatus(enum.IntEnum):
+    """How the call ended.
+
+    After ``UNREACHABLE`` a command may or may not have been carried out, unless the
+    message says that it was never sent; resending it under its request id is safe.
+    """
+
+    OK = 0
+    REJECTED = 1
+    USAGE = 2
+    BAD_SETTINGS = 3
+    BEATEN = 4
+    UNREACHABLE = 5
+    INTERRUPTED = 130
