--- a/packages/client/src/trestlestall/client/reports.py
+++ b/packages/client/src/trestlestall/client/reports.py
@@ -6,7 +6,7 @@
 from collections import abc
 
 from trestlestall.client import answers, calls, tables, texts
-from trestlestall.daemon import environment
+from trestlestall.daemon import environment, printing
 
 PROGRAM = "trestlestall"
 KINDS = {
@@ -96,7 +96,7 @@
     def show_answer(self, text: str, found: Found) -> None:
         """Write a table, or why there is none."""
         if isinstance(found, answers.Document):
-            self._env.stdout.write(_format_answer(found.content))
+            self._env.stdout.write(format_answer(found.content))
         elif isinstance(found, calls.Lost):
             self._complain(_join_reasons("no server answered", found))
         elif isinstance(found, answers.Rejected):
@@ -144,7 +144,7 @@
     return {"outcome": {"kind": KINDS[type(found)], **fields}}
 
 
-def _format_answer(content: dict) -> str:
+def format_answer(content: dict) -> str:
     """Return rows as one table, and any other document with its keys."""
     rows = content.get("rows")
     if isinstance(rows, list) and all(isinstance(row, dict) for row in rows):
@@ -154,16 +154,19 @@
 
 def _explain_rejected(text: str, found: answers.Rejected) -> str:
     """Return the rejection, with the word at fault marked where it is known."""
-    message = texts.point_at_field(text, found.field, tables.clean_text(found.message))
-    return f"rejected ({tables.clean_text(found.code)}): {message}"
+    message = texts.point_at_field(
+        text, found.field, printing.escape_controls(found.message)
+    )
+    return f"rejected ({printing.escape_controls(found.code)}): {message}"
 
 
 def _explain_beaten(found: answers.Beaten) -> str:
     """Return who won the number, with what, and what to do."""
     winner = found.winner
+    operator = printing.escape_controls(winner.operator)
+    at = tables.format_time(winner.at)
     return (
-        f"beaten: version {found.number} was made by "
-        f"{tables.clean_text(winner.operator)} at {tables.format_time(winner.at)}:\n"
+        f"beaten: version {found.number} was made by {operator} at {at}:\n"
         f"    {tables.format_command(winner.command)}\n"
         "    Nothing was changed. Look at what it did before you send yours again."
     )
@@ -181,5 +184,5 @@
 
 def _join_reasons(message: str, found: calls.Lost) -> str:
     """Return the message and a line for each server that was tried."""
-    reasons = (tables.clean_text(reason) for reason in found.reasons)
+    reasons = (printing.escape_controls(reason) for reason in found.reasons)
     return "\n    ".join([message, *reasons])
--- a/packages/client/src/trestlestall/client/tables.py
+++ b/packages/client/src/trestlestall/client/tables.py
@@ -5,6 +5,8 @@
 import typing
 from collections import abc
 
+from trestlestall.daemon import printing
+
 GAP = "  "
 TIME_FIELDS = frozenset({"at", "sent_at"})
 NO_ROWS = "no rows\n"
@@ -50,12 +52,7 @@
         return ", ".join(format_cell("", item) for item in value)
     if isinstance(value, list | dict):
         return json.dumps(value)
-    return clean_text(str(value))
-
-
-def clean_text(text: str) -> str:
-    """Return the text with control characters escaped."""
-    return "".join(c if c.isprintable() else repr(c)[1:-1] for c in text)
+    return printing.escape_controls(str(value))
 
 
 def format_time(seconds: float) -> str:
@@ -71,7 +68,9 @@
     """Return a command's document on one line: its kind and its fields."""
     fields = dict(command)
     kind = str(fields.pop("kind", "command")).replace("_", " ")
-    return GAP.join([clean_text(kind), *(_format_field(f) for f in fields.items())])
+    return GAP.join(
+        [printing.escape_controls(kind), *(_format_field(f) for f in fields.items())]
+    )
 
 
 def _format_field(pair: tuple[str, object]) -> str:
--- a/packages/client/tests/operator_server.py
+++ b/packages/client/tests/operator_server.py
@@ -66,10 +66,14 @@
     def do_GET(self):  # noqa: N802 - the library's name
         routers = [{"router": "router-a1", "configuration": 2, "age_seconds": 0.25}]
         content = {"name": "control-1", "leader": True, "routers": routers}
-        self.respond(200, content)
+        self.answer({}, lambda body: content)
 
     def do_POST(self):  # noqa: N802 - the library's name
         body = json.loads(self.rfile.read(int(self.headers["Content-Length"])))
+        self.answer(body, self.server.answer)
+
+    def answer(self, body, carry_out):
+        """Answer one request, with the next fault if there is one."""
         self.server.requests.append(body)
         fault = self.server.faults.pop(0) if self.server.faults else None
         if self.headers["Authorization"] != f"Bearer {KEY}":
@@ -78,7 +82,7 @@
         elif isinstance(fault, tuple):
             self.respond(*fault)
         elif fault != "drop":
-            content = self.server.answer(body)
+            content = carry_out(body)
             if fault != "lose":
                 self.respond(200, content)
 
--- a/packages/client/tests/test_cli.py
+++ b/packages/client/tests/test_cli.py
@@ -56,13 +56,15 @@
                 [problem] = settings.load(flags)
                 self.assertIn(message, str(problem))
 
-    def test_one_call_is_one_attempt(self):
-        with operator_server.run_server() as server:
-            server.faults += ["drop"]
-            flags = ["--servers", server.address, "--key-file", str(self.key_file)]
-            found, _, _ = run_cli("command", "drain upstream u1", *flags)
-            self.assertEqual(found, status.ExitStatus.UNREACHABLE)
-            self.assertEqual(len(server.requests), 1)
+    def test_each_server_gets_one_attempt(self):
+        # urllib3 by itself would try a broken GET again, and a refused POST.
+        for args in (["status"], ["command", "drain upstream u1"]):
+            with self.subTest(args=args), operator_server.run_server() as server:
+                server.faults += ["drop"]
+                flags = ["--servers", server.address, "--key-file", str(self.key_file)]
+                found, _, _ = run_cli(*args, *flags)
+                self.assertEqual(found, status.ExitStatus.UNREACHABLE)
+                self.assertEqual(len(server.requests), 1)
 
     def test_an_interrupt_tells_the_request_id(self):
         flags = ["--servers", "127.0.0.1:1", "--key-file", str(self.key_file)]
--- a/packages/client/tests/test_golden.py
+++ b/packages/client/tests/test_golden.py
@@ -82,7 +82,9 @@
         for name, value in self.names.items():
             line = line.replace(name, value)
         if self.server.requests:
-            line = line.replace("ID", self.server.requests[-1]["request_id"][:36])
+            line = line.replace(
+                "ID", self.server.requests[-1].get("request_id", "")[:36]
+            )
         output = io.StringIO()
         env = environment.Environment(
             io.StringIO(given), output, output, environment.Clock(), self.random
--- a/packages/daemon/src/trestlestall/daemon/settings/document.py
+++ b/packages/daemon/src/trestlestall/daemon/settings/document.py
@@ -27,9 +27,13 @@
 def read_object(path: pathlib.Path) -> dict | model.Problem:
     """Return the JSON object in the file, or why there is none."""
     try:
-        found = json.loads(path.read_bytes(), object_pairs_hook=_refuse_duplicates)
+        content = path.read_bytes()
     except OSError as error:
         return model.Problem("", f"can't read {path}: {error.strerror}")
+    except ValueError:
+        return model.Problem("", f"no file can have the name {path}")
+    try:
+        found = json.loads(content, object_pairs_hook=_refuse_duplicates)
     except (ValueError, RecursionError) as error:
         return model.Problem("", f"{path} isn't valid JSON: {error}")
     if not isinstance(found, dict):
--- a/packages/daemon/src/trestlestall/daemon/settings/model.py
+++ b/packages/daemon/src/trestlestall/daemon/settings/model.py
@@ -5,6 +5,8 @@
 import typing
 from collections import abc
 
+from trestlestall.daemon import printing
+
 
 @dataclasses.dataclass(frozen=True)
 class Problem:
@@ -18,7 +20,8 @@
     message: str
 
     def __str__(self) -> str:
-        return f"{self.path}: {self.message}" if self.path else self.message
+        text = f"{self.path}: {self.message}" if self.path else self.message
+        return printing.escape_controls(text)
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/daemon/tests/test_settings.py
+++ b/packages/daemon/tests/test_settings.py
@@ -150,6 +150,7 @@
             ("voters: name the first", change(CONTROL, voters=[])),
             ("voters[0]: control-9 is neither", change(CONTROL, voters=["control-9"])),
             ("voters[1]: control-1 is", change(CONTROL, voters=["control-1"] * 2)),
+            ("secrets_file: no file can", change(ROUTER, secrets_file="a\0")),
             ("secrets_file: can't read", change(ROUTER, secrets_file="none.json")),
         ]
         for message, content in table:
