Hold the client's settings and their page by a test

Cause: the page's table of the client's keys could drift, and the timeout was described as bounding a whole answer, while it bounds each wait.

--- a/packages/client/src/trestlestall/client/settings.py
+++ b/packages/client/src/trestlestall/client/settings.py
@@ -20,7 +20,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class ClientSettings:
-    """What the client needs to call; the timeout, in seconds, is for each server."""
+    """What a call needs; the timeout, in seconds, is for each wait for a server."""
 
     servers: tuple[model.Address, ...]
     key: str = dataclasses.field(repr=False)
--- a/packages/daemon/tests/test_settings_page.py
+++ b/packages/daemon/tests/test_settings_page.py
@@ -28,7 +28,7 @@
     for field in document.list_fields(data_class):
         kind = hints[field.name]
         inner = (typing.get_args(kind) or (kind,))[0]
-        if kind is settings.Address or not dataclasses.is_dataclass(inner):
+        if inner is settings.Address or not dataclasses.is_dataclass(inner):
             found[path + field.name] = write_default(field)
         elif inner is kind:
             found |= list_keys(kind, f"{path}{field.name}.")
