--- /dev/null
+++ b/packages/daemon/src/trestlestall/daemon/router/attempts.py
@@ -0,0 +1,210 @@
+"""One attempt at one upstream: connect, send, read, and say truthfully how it ended."""
+
+import dataclasses
+import enum
+import typing
+from collections import abc
+
+import msgspec
+
+from trestlestall.daemon.router import calls, connections, streams
+
+ANSWER_LIMIT = 16 * 1024 * 1024
+STREAM_TYPE = "text/event-stream"
+JSON_TYPE = "application/json"
+# What an engine says about the caller's own body; any other error is the engine's.
+PASSED_STATUSES = frozenset({400, 422})
+PASSED_HEADERS = ("Content-Encoding", "Location", "ETag", "Last-Modified")
+
+
+class Ending(enum.Enum):
+    """How an attempt ended.
+
+    ``NOT_SENT`` only while no byte was written; everything after that, short of a whole
+    answer, is ``BROKEN``: nobody knows whether it ran.
+    """
+
+    COMPLETED = "completed"
+    NOT_SENT = "not_sent"
+    BROKEN = "broken"
+    CANCELLED = "cancelled"
+
+
+@dataclasses.dataclass(frozen=True)
+class Response:
+    """An upstream's whole response, or the head of a stream (``body`` is ``None``)."""
+
+    status: int
+    content_type: str
+    body: bytes | None = None
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+class Sink(typing.Protocol):
+    """Who is told of an attempt's progress; none of the calls may block for long."""
+
+    def take_head(self, attempt: "Attempt", response: Response) -> None:
+        """Take the status and type of a stream, before its first piece."""
+
+    def take_piece(self, attempt: "Attempt", piece: streams.Piece) -> None:
+        """Take the next bytes of a stream."""
+
+    def take_end(
+        self, attempt: "Attempt", ending: Ending, reason: str, response: Response | None
+    ) -> None:
+        """Take the end; a whole response comes with it."""
+
+
+class Attempt:
+    """One sending of a call to an upstream, run in a greenlet of its own.
+
+    ``tokens`` counts what the upstream has sent so far, without those that an earlier
+    attempt had already brought (``resumed_tokens``).
+    """
+
+    def __init__(
+        self,
+        identity: str,
+        request: str,
+        call: calls.Call,
+        upstream,
+        extra: abc.Mapping[str, typing.Any],
+    ):
+        self.identity = identity
+        self.request = request
+        self.call = call
+        self.upstream = upstream
+        self.extra = extra
+        self.tokens = 0
+        self.resumed_tokens = 0
+        self.cancelled = False
+        self.sent = False
+        self._connection: connections.Connection | None = None
+
+    def run(self, sink: Sink) -> None:
+        """Carry the attempt to its end and tell the sink."""
+        opened = self._connect()
+        if not isinstance(opened, connections.Connection):
+            ending = Ending.CANCELLED if self.cancelled else Ending.NOT_SENT
+            sink.take_end(self, ending, opened, None)
+            return
+        self._connection = opened
+        try:
+            ending, reason, response = self._exchange(opened, sink)
+        except connections.FAULTS as error:
+            ending, reason, response = Ending.BROKEN, describe(error), None
+        finally:
+            self._connection = None
+            opened.close()
+        if self.cancelled:
+            ending, reason = Ending.CANCELLED, "cancelled"
+        sink.take_end(self, ending, reason, response)
+
+    def cancel(self) -> None:
+        """Close the connection, which stops an engine that honours it."""
+        self.cancelled = True
+        if self._connection is not None:
+            connections.abort(self._connection)
+
+    def _connect(self) -> connections.Connection | str:
+        """Return an open connection, or why there is none."""
+        if self.upstream is None:
+            return "the upstream is gone, or can't continue exactly"
+        opened = connections.connect(self.upstream.address)
+        return describe(opened) if isinstance(opened, Exception) else opened
+
+    def _exchange(self, opened: connections.Connection, sink: Sink) -> tuple:
+        if self.cancelled:
+            return Ending.CANCELLED, "cancelled", None
+        self.sent = True
+        response = connections.send(
+            opened,
+            self.call.method,
+            self.call.path,
+            self._make_headers(),
+            self._make_body(),
+        )
+        if self.call.is_service:
+            return self._read_service(response)
+        if response.status != 200 and "resume" in self.extra:
+            return Ending.NOT_SENT, f"the engine answered {response.status}", None
+        if response.status == 200 and self.call.streamed:
+            return self._read_stream(response, sink)
+        return self._read_completion(response)
+
+    def _make_headers(self) -> dict[str, str]:
+        headers = {
+            "Content-Type": self.call.content_type,
+            "X-Request-Id": self.identity,
+            "Accept-Encoding": "identity",
+            "User-Agent": "trestlestall",
+        }
+        if self.call.key:
+            headers["Idempotency-Key"] = self.call.key
+        return headers
+
+    def _make_body(self) -> bytes:
+        if self.call.is_service or not self.extra:
+            return self.call.body
+        return calls.add_fields(self.call.body, dict(self.extra))
+
+    def _read_stream(self, response, sink: Sink) -> tuple:
+        content_type = response.headers.get("content-type", "")
+        if not content_type.startswith(STREAM_TYPE):
+            return Ending.BROKEN, f"a stream of type {content_type!r}", None
+        sink.take_head(self, Response(200, content_type))
+        reader = streams.Reader()
+        for part in connections.read_parts(response):
+            piece = reader.feed(part)
+            self.tokens += piece.tokens
+            if piece.data and not self.cancelled:
+                sink.take_piece(self, piece)
+            if reader.failure or reader.finished or self.cancelled:
+                break
+        if reader.finished:
+            return Ending.COMPLETED, "", None
+        return Ending.BROKEN, reader.failure or "the stream ended early", None
+
+    def _read_completion(self, response) -> tuple:
+        body = connections.read_whole(response, ANSWER_LIMIT)
+        if response.status in PASSED_STATUSES and body is not None:
+            return Ending.COMPLETED, "", make_response(response, body)
+        if response.status != 200:
+            return Ending.BROKEN, f"the engine answered {response.status}", None
+        tokens = None if body is None else streams.count_whole(body)
+        if tokens is None:
+            return Ending.BROKEN, "the answer is not a whole completion", None
+        self.tokens = tokens
+        return Ending.COMPLETED, "", make_response(response, body)
+
+    def _read_service(self, response) -> tuple:
+        body = connections.read_whole(response, ANSWER_LIMIT)
+        if body is None:
+            return Ending.BROKEN, "the answer is longer than the limit", None
+        if not connections.is_delimited(response) and not is_json(body):
+            return Ending.BROKEN, "the answer does not say where it ends", None
+        self.tokens = 1
+        return Ending.COMPLETED, "", make_response(response, body)
+
+
+def make_response(response, body: bytes) -> Response:
+    """Return the whole response with the headers that pass on to the caller."""
+    found = [(name, response.headers.get(name)) for name in PASSED_HEADERS]
+    headers = tuple((name, value) for name, value in found if value is not None)
+    content_type = response.headers.get("content-type", JSON_TYPE)
+    return Response(response.status, content_type, body, headers)
+
+
+def is_json(body: bytes) -> bool:
+    """Return whether the body is one whole JSON document."""
+    try:
+        msgspec.json.decode(body)
+    except (msgspec.DecodeError, RecursionError):
+        return False
+    return True
+
+
+def describe(error: Exception) -> str:
+    """Return a short reason for the log, without addresses of objects."""
+    cause = error.__cause__ or error.__context__ or error
+    return f"{type(error).__name__}: {cause}"[:200]
--- /dev/null
+++ b/packages/daemon/src/trestlestall/daemon/router/calls.py
@@ -0,0 +1,135 @@
+"""What a caller's request becomes on its way to an upstream."""
+
+import dataclasses
+import re
+import typing
+from urllib import parse
+
+import msgspec
+
+from trestlestall.daemon.http import errors
+
+MODEL_PATHS = ("/v1/chat/completions", "/v1/completions")
+# Fields of the body that belong to the router's side of the engine.
+OWN_FIELDS = ("priority", "resume")
+# A tokenizer would cost more than the estimate is worth.
+BYTES_PER_TOKEN = 4
+DEFAULT_MAX_TOKENS = 1024
+PREFIX_BYTES = 256
+PATH_SAFE = "/:@!$&'()*+,;=~"
+TEXT_SHAPE = re.compile(rb'"(?:content|prompt)"\s*:\s*"((?:[^"\\]|\\.)*)')
+
+
+class Completion(msgspec.Struct):
+    """The fields of a completion's body that the router reads."""
+
+    model: str
+    stream: bool = False
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+    n: int | None = None
+    messages: list[msgspec.Raw] | None = None
+    prompt: msgspec.Raw | None = None
+    priority: msgspec.Raw | None = None
+    resume: msgspec.Raw | None = None
+
+
+DECODER = msgspec.json.Decoder(Completion)
+
+
+@dataclasses.dataclass(frozen=True)
+class Call:
+    """A request that can be sent to any fitting upstream.
+
+    ``target`` is a model's name or ``service:NAME``. ``prompt_tokens`` and
+    ``max_tokens`` are estimates for the policy; ``prefix`` is the start of the prompt,
+    by which engines with a warm cache are found.
+    """
+
+    target: str
+    method: str
+    path: str
+    body: bytes
+    content_type: str = "application/json"
+    streamed: bool = False
+    prompt_tokens: int = 1
+    max_tokens: int = 1
+    prefix: str = ""
+    key: str = ""
+
+    @property
+    def is_service(self) -> bool:
+        """Whether the call goes to a plain service."""
+        return self.target.startswith("service:")
+
+
+def read_completion(path: str, body: bytes) -> Call | errors.Failure:
+    """Return the call that a completion's body asks for, or why it is refused."""
+    try:
+        asked = DECODER.decode(body)
+    except msgspec.ValidationError as error:
+        return errors.Failure("invalid_request", str(error))
+    except (msgspec.DecodeError, RecursionError) as error:
+        return errors.Failure("invalid_json", f"The body is not JSON: {error}")
+    failure = check_completion(path, asked)
+    if failure is not None:
+        return failure
+    if asked.priority is not None or asked.resume is not None:
+        body = drop_own_fields(body)
+    limit = asked.max_completion_tokens or asked.max_tokens or DEFAULT_MAX_TOKENS
+    return Call(
+        target=asked.model,
+        method="POST",
+        path=path,
+        body=body,
+        streamed=asked.stream,
+        prompt_tokens=max(1, len(body) // BYTES_PER_TOKEN),
+        max_tokens=limit,
+        prefix=find_prefix(body),
+    )
+
+
+def check_completion(path: str, asked: Completion) -> errors.Failure | None:
+    """Return what is wrong with the body beyond its types, or ``None``."""
+    chat = path == MODEL_PATHS[0]
+    if chat and not asked.messages:
+        return errors.Failure("invalid_request", "Object missing field `messages`")
+    if not chat and asked.prompt is None:
+        return errors.Failure("invalid_request", "Object missing field `prompt`")
+    if asked.n not in (None, 1):
+        return errors.Failure("invalid_request", "One choice a request: leave out `n`.")
+    for limit in (asked.max_tokens, asked.max_completion_tokens):
+        if limit is not None and limit < 1:
+            return errors.Failure("invalid_request", "A token limit is at least 1.")
+    if asked.model.startswith("service:"):
+        return errors.Failure("unknown_model", f"No model is called {asked.model!r}.")
+    return None
+
+
+def quote_path(path: str) -> str:
+    """Return a path, unquoted by WSGI into latin-1 text, as it goes on the wire."""
+    return parse.quote(path.encode("latin-1"), safe=PATH_SAFE)
+
+
+def find_prefix(body: bytes) -> str:
+    """Return the start of the prompt's text, for cache affinity."""
+    texts = TEXT_SHAPE.findall(body[: 4 * PREFIX_BYTES])
+    return b"".join(texts)[:PREFIX_BYTES].decode("utf-8", "replace")
+
+
+def drop_own_fields(body: bytes) -> bytes:
+    """Return the body without the fields that only the router may set."""
+    document = msgspec.json.decode(body)
+    return msgspec.json.encode(
+        {name: value for name, value in document.items() if name not in OWN_FIELDS}
+    )
+
+
+def add_fields(body: bytes, fields: dict[str, typing.Any]) -> bytes:
+    """Return a JSON object with more fields, leaving the caller's bytes as they are.
+
+    >>> add_fields(b'{"model": "m1"}', {"priority": 3})
+    b'{"model": "m1","priority":3}'
+    """
+    added = msgspec.json.encode(fields)
+    return body.rstrip()[:-1] + b"," + added[1:]
--- /dev/null
+++ b/packages/daemon/src/trestlestall/daemon/router/carriers.py
@@ -0,0 +1,186 @@
+"""How each of the policy's actions is carried out: a registry by the action's type."""
+
+from __future__ import annotations
+
+import typing
+from collections import abc
+
+from trestlestall.daemon import events
+from trestlestall.daemon.http import errors
+from trestlestall.daemon.router import attempts, exchanges
+from trestlestall.policy import actions
+
+if typing.TYPE_CHECKING:
+    from trestlestall.daemon.router import dispatcher
+
+CARRIERS: dict[type, abc.Callable] = {}
+
+NOT_RUN_MESSAGE = "The request ran on no upstream and will not run."
+UNKNOWN_MESSAGE = "The answer broke off; whether the request ran is not known."
+
+
+def carry(action_type: type) -> abc.Callable:
+    """Return a decorator that registers how an action is carried out."""
+
+    def register(function: abc.Callable) -> abc.Callable:
+        CARRIERS[action_type] = function
+        return function
+
+    return register
+
+
+@carry(actions.Refuse)
+def refuse(owner: dispatcher.Dispatcher, action: actions.Refuse) -> None:
+    """Answer the caller at once that the request did not run."""
+    exchange = owner.exchanges.get(action.request)
+    if exchange is None:
+        return
+    code = action.code if action.code in errors.CODES else "overloaded"
+    failure = errors.Failure(
+        code, action.reason, errors.Run.NOT_RUN, action.request, action.retry_after
+    )
+    name = exchange.request_class.name
+    owner.metrics.refusals.labels(name, action.code).inc()
+    owner.journal.write(
+        events.routing.REFUSED,
+        request=action.request,
+        workspace=exchange.workspace.name,
+        tier=exchange.request_class.tier,
+        code=action.code,
+        retry_after=action.retry_after,
+        reason=action.reason,
+        request_class=name,
+    )
+    exchange.end(exchanges.Failed(failure))
+
+
+@carry(actions.Ask)
+def ask(owner: dispatcher.Dispatcher, action: actions.Ask) -> None:
+    """Take a claim before anything is sent."""
+    exchange = owner.exchanges.get(action.request)
+    if exchange is not None:
+        owner.desk.claim(exchange)
+
+
+@carry(actions.Send)
+def send(owner: dispatcher.Dispatcher, action: actions.Send) -> None:
+    """Start an attempt at an upstream."""
+    exchange = owner.exchanges.get(action.request)
+    if exchange is None:
+        return
+    owner.journal.write(
+        events.routing.SENT,
+        request=action.request,
+        workspace=exchange.workspace.name,
+        attempt=action.attempt,
+        upstream=action.upstream,
+        priority=action.priority,
+        candidates=action.candidates,
+        reason=action.reason,
+        request_class=exchange.request_class.name,
+    )
+    exchange.upstream = action.upstream
+    extra = {"priority": action.priority}
+    _start(owner, exchange, action.attempt, action.upstream, extra)
+
+
+@carry(actions.Resume)
+def resume(owner: dispatcher.Dispatcher, action: actions.Resume) -> None:
+    """Go on with a broken stream, exactly where the caller's bytes end."""
+    exchange = owner.exchanges.get(action.request)
+    if exchange is None:
+        return
+    owner.journal.write(
+        events.routing.RESUMED,
+        request=action.request,
+        attempt=action.attempt,
+        upstream=action.upstream,
+        tokens=action.tokens,
+        reason=f"attempt {action.previous} broke",
+    )
+    exchange.upstream = action.upstream
+    extra = {
+        "priority": action.priority,
+        "resume": {"attempt": action.previous, "tokens": action.tokens},
+    }
+    exact = exchange.tokens == action.tokens
+    attempt = _start(owner, exchange, action.attempt, action.upstream, extra, exact)
+    attempt.resumed_tokens = action.tokens
+    exchange.choose(action.attempt)
+
+
+@carry(actions.Cancel)
+def cancel(owner: dispatcher.Dispatcher, action: actions.Cancel) -> None:
+    """Close an attempt's connection."""
+    attempt = owner.attempts.get(action.attempt)
+    if attempt is not None:
+        attempt.cancel()
+
+
+@carry(actions.Answer)
+def answer(owner: dispatcher.Dispatcher, action: actions.Answer) -> None:
+    """Let an attempt's bytes pass to the caller."""
+    exchange = owner.exchanges.get(action.request)
+    if exchange is not None:
+        exchange.choose(action.attempt)
+
+
+@carry(actions.Fail)
+def fail(owner: dispatcher.Dispatcher, action: actions.Fail) -> None:
+    """End a request with an error, or with what its claim already told."""
+    exchange = owner.exchanges.get(action.request)
+    if exchange is None:
+        return
+    if exchange.verdict is not None:
+        exchange.end(exchange.verdict)
+        return
+    # The policy's word alone is not enough for "not run": no byte may have been sent.
+    not_run = action.code == actions.NOT_RUN and not owner.may_have_run(exchange)
+    code = actions.NOT_RUN if not_run else actions.OUTCOME_UNKNOWN
+    run = errors.Run.NOT_RUN if not_run else errors.Run.UNKNOWN
+    message = NOT_RUN_MESSAGE if not_run else UNKNOWN_MESSAGE
+    retry_after = (action.retry_after or None) if not_run else None
+    failure = errors.Failure(code, message, run, action.request, retry_after)
+    owner.journal.write(
+        events.routing.FAILED,
+        request=action.request,
+        workspace=exchange.workspace.name,
+        code=code,
+        run=run.value,
+        reason=action.reason,
+        request_class=exchange.request_class.name,
+    )
+    exchange.end(exchanges.Failed(failure))
+
+
+@carry(actions.ReportPressure)
+def report_pressure(
+    owner: dispatcher.Dispatcher, action: actions.ReportPressure
+) -> None:
+    """Tell the other routers of the data centre."""
+    owner.on_pressure(action.levels)
+
+
+@carry(actions.Wasted)
+def note_wasted(owner: dispatcher.Dispatcher, action: actions.Wasted) -> None:
+    """Count tokens that nobody receives."""
+    owner.metrics.wasted_tokens.labels("dropped").inc(action.tokens)
+
+
+def _start(
+    owner: dispatcher.Dispatcher,
+    exchange: exchanges.Exchange,
+    identity: str,
+    upstream: str,
+    extra: dict,
+    exact: bool = True,
+) -> attempts.Attempt:
+    attempt = attempts.Attempt(
+        identity,
+        exchange.request,
+        exchange.call,
+        owner.views.find_upstream(upstream) if exact else None,
+        extra,
+    )
+    owner.start(attempt)
+    return attempt
--- /dev/null
+++ b/packages/daemon/src/trestlestall/daemon/router/claims.py
@@ -0,0 +1,251 @@
+"""The router's side of at most once: ask control for a key before anything is sent.
+
+A claim is answered by the control leader within ``ANSWER_SECONDS``, or the request is
+refused as not run: it was never sent, and now never will be. What control must still
+hear (that a claimed request ended, or was never sent) is said again until it is
+acknowledged.
+
+The answer goes to the caller without waiting for control. A caller who resends in the
+few milliseconds before the answer is on record gets ``request_in_progress``, never a
+second run; waiting would make every answer slower by a quorum's round.
+"""
+
+import dataclasses
+import hashlib
+import random
+import typing
+from collections import abc
+
+import eventlet
+
+from trestlestall.claims import documents, events as claim_events, outcomes
+from trestlestall.configuration import exceptions
+from trestlestall.daemon import events, metrics as daemon_metrics
+from trestlestall.daemon.http import errors
+from trestlestall.daemon.router import attempts, exchanges, journal
+from trestlestall.wire import messages
+
+ANSWER_SECONDS = 0.5
+RESEND_SECONDS = 1.0
+LARGEST_TOKEN = 2**48
+# The newest reports that control has not acknowledged yet; the oldest is given up.
+REPORT_LIMIT = 10_000
+CALL_LIMIT = 20_000
+
+Link: typing.TypeAlias = abc.Callable[[object], bool]
+Answered: typing.TypeAlias = abc.Callable[[exchanges.Exchange, bool], None]
+
+
+@dataclasses.dataclass
+class Report:
+    """A finish or release that control has not acknowledged yet."""
+
+    event: claim_events.Event
+    sent_at: float
+
+
+class Desk:
+    """Takes claims, and reports their ends until control has them.
+
+    ``send`` passes a message to the control leader, as far as it is known, and returns
+    false when there is no link. ``answered`` is told of every claim's answer once.
+    """
+
+    def __init__(
+        self,
+        router: str,
+        send: Link,
+        monotonic: abc.Callable[[], float],
+        log: journal.Journal,
+        metrics: daemon_metrics.Metrics,
+    ):
+        self._router = router
+        self._send = send
+        self._monotonic = monotonic
+        self._journal = log
+        self._metrics = metrics
+        # Begins anywhere, so that an answer to a former process finds nothing here.
+        self._token = random.SystemRandom().randrange(LARGEST_TOKEN)
+        self._asked: dict[str, exchanges.Exchange] = {}
+        self._calls: dict[int, str] = {}
+        self._reports: dict[str, Report] = {}
+        self.answered: Answered = lambda exchange, granted: None
+
+    def claim(self, exchange: exchanges.Exchange) -> None:
+        """Ask for the exchange's key; the answer comes by ``answered``, always."""
+        self._asked[exchange.request] = exchange
+        self._call(exchange.request, self._make_claim(exchange))
+        eventlet.spawn_after(ANSWER_SECONDS, self._give_up, exchange.request)
+
+    def finish(self, exchange: exchanges.Exchange, answer: attempts.Response) -> None:
+        """Put the whole answer of a claimed request on record."""
+        body = answer.body or b""
+        event = claim_events.Finish(
+            exchange.request, answer.status, answer.content_type, body
+        )
+        self._report(exchange.request, event)
+
+    def release(self, request: str) -> None:
+        """Give a claim back: this router never sent the request and never will."""
+        self._report(request, claim_events.Release(request))
+
+    def take_answer(self, token: int, kind: str, fields: dict) -> None:
+        """Take control's answer to a claim, a finish or a release."""
+        request = self._calls.pop(token, None)
+        if request is None:
+            return
+        try:
+            outcome = documents.decode_outcome({"kind": kind, **fields})
+        except exceptions.InvalidDocument:
+            return
+        exchange = self._asked.pop(request, None)
+        if exchange is not None:
+            self._take_outcome(exchange, outcome)
+        elif request in self._reports and not isinstance(outcome, outcomes.Granted):
+            del self._reports[request]
+
+    def redirect(self, token: int) -> None:
+        """Make a call again that reached a control process which does not lead."""
+        request = self._calls.pop(token, None)
+        exchange = self._asked.get(request or "")
+        if exchange is not None:
+            self._call(exchange.request, self._make_claim(exchange))
+        elif request in self._reports:
+            self._call(request, self._reports[request].event)
+
+    def resend(self) -> None:
+        """Say again what control has not acknowledged."""
+        now = self._monotonic()
+        for request, report in list(self._reports.items()):
+            if now - report.sent_at >= RESEND_SECONDS:
+                report.sent_at = now
+                self._call(request, report.event)
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether control has acknowledged everything."""
+        return not self._reports and not self._asked
+
+    def _make_claim(self, exchange: exchanges.Exchange) -> claim_events.Claim:
+        return claim_events.Claim(
+            workspace=exchange.workspace.name,
+            key=exchange.claim_key or "",
+            fingerprint=find_fingerprint(exchange),
+            attempt=exchange.request,
+            router=self._router,
+        )
+
+    def _call(self, request: str, event: claim_events.Event) -> None:
+        self._token += 1
+        self._calls[self._token] = request
+        if len(self._calls) > CALL_LIMIT:
+            del self._calls[next(iter(self._calls))]
+        document = documents.encode_event(event)
+        kind = document.pop(documents.KIND)
+        self._send(messages.ClaimCall(self._token, kind, document))
+
+    def _report(self, request: str, event: claim_events.Event) -> None:
+        self._reports[request] = Report(event, self._monotonic())
+        if len(self._reports) > REPORT_LIMIT:
+            del self._reports[next(iter(self._reports))]
+        self._call(request, event)
+
+    def _give_up(self, request: str) -> None:
+        exchange = self._asked.pop(request, None)
+        if exchange is None:
+            return
+        self.release(request)
+        self._metrics.claims.labels("unanswered").inc()
+        self._journal.write(
+            events.routing.CLAIM_UNKNOWN,
+            request=request,
+            workspace=exchange.workspace.name,
+            key=exchange.claim_key,
+            reason="no answer from control in time",
+        )
+        message = "Control could not confirm the key; the request did not run."
+        self._refuse(exchange, "claim_unavailable", message, errors.Run.NOT_RUN)
+
+    def _take_outcome(
+        self, exchange: exchanges.Exchange, outcome: outcomes.Outcome
+    ) -> None:
+        self._metrics.claims.labels(type(outcome).__name__.lower()).inc()
+        if isinstance(outcome, outcomes.Granted):
+            self._grant(exchange)
+        elif isinstance(outcome, outcomes.Finished) and outcome.body is not None:
+            self._replay(exchange, outcome)
+        else:
+            code, message, run = REFUSALS.get(type(outcome), UNCLAIMED)
+            self._refuse(exchange, code, message, run)
+
+    def _grant(self, exchange: exchanges.Exchange) -> None:
+        if exchange.over:
+            self.release(exchange.request)  # the caller has gone meanwhile
+            return
+        exchange.claimed = True
+        self._journal.write(
+            events.routing.CLAIM_GRANTED,
+            request=exchange.request,
+            workspace=exchange.workspace.name,
+            key=exchange.claim_key,
+            attempt=exchange.request,
+        )
+        self.answered(exchange, True)
+
+    def _replay(self, exchange: exchanges.Exchange, outcome: outcomes.Finished) -> None:
+        response = attempts.Response(outcome.status, outcome.content_type, outcome.body)
+        exchange.verdict = exchanges.Whole(response, replayed=True)
+        self._journal.write(
+            events.routing.REPLAYED,
+            request=exchange.request,
+            workspace=exchange.workspace.name,
+            key=exchange.claim_key,
+            status=outcome.status,
+        )
+        self.answered(exchange, False)
+
+    def _refuse(
+        self, exchange: exchanges.Exchange, code: str, message: str, run: errors.Run
+    ) -> None:
+        failure = errors.Failure(code, message, run, exchange.request)
+        exchange.verdict = exchanges.Failed(failure)
+        self._journal.write(
+            events.routing.CLAIM_REFUSED,
+            request=exchange.request,
+            workspace=exchange.workspace.name,
+            key=exchange.claim_key,
+            reason=code,
+        )
+        self.answered(exchange, False)
+
+
+UNCLAIMED = (
+    "claim_unavailable",
+    "Control did not grant the key; the request did not run.",
+    errors.Run.NOT_RUN,
+)
+REFUSALS = {
+    outcomes.Held: (
+        "request_in_progress",
+        "A request with this key was sent before; its outcome is not known.",
+        errors.Run.UNKNOWN,
+    ),
+    outcomes.Finished: (
+        "answer_too_old",
+        "The request with this key has run; its answer is no longer kept.",
+        errors.Run.RAN,
+    ),
+    outcomes.Mismatch: (
+        "key_reused",
+        "This key was used for another request.",
+        errors.Run.NOT_RUN,
+    ),
+}
+
+
+def find_fingerprint(exchange: exchanges.Exchange) -> str:
+    """Return the digest by which a resent request is told from another one."""
+    call = exchange.call
+    digest = hashlib.sha256(f"{call.method} {call.path}\n".encode())
+    digest.update(call.body)
+    return digest.hexdigest()
--- /dev/null
+++ b/packages/daemon/src/trestlestall/daemon/router/dispatcher.py
@@ -0,0 +1,225 @@
+"""Feeds the policy and carries its actions out; decides nothing itself.
+
+Everything between a call of the policy and the last of its actions happens without a
+switch of greenlets, so that the actions of two events never mix.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from collections import abc
+
+import eventlet
+
+from trestlestall.daemon import environment, events, metrics as daemon_metrics
+from trestlestall.daemon.router import (
+    attempts,
+    carriers,
+    claims,
+    exchanges,
+    journal,
+    streams,
+    views,
+)
+from trestlestall.policy import arrivals, outcomes, router_policy
+
+OUTCOMES = {
+    attempts.Ending.COMPLETED: outcomes.Completed(),
+    attempts.Ending.NOT_SENT: outcomes.NotSent(),
+    attempts.Ending.BROKEN: outcomes.Broken(),
+    attempts.Ending.CANCELLED: outcomes.Cancelled(),
+}
+# Messages that a slow caller may leave unread before its attempt stops reading.
+BACKLOG_LIMIT = 512
+BACKLOG_WAIT = 0.02
+
+
+@dataclasses.dataclass
+class Dispatcher:
+    """Joins the policy with exchanges, attempts and claims."""
+
+    policy: router_policy.Policy
+    views: views.Views
+    clock: environment.Clock
+    journal: journal.Journal
+    metrics: daemon_metrics.Metrics
+    desk: claims.Desk
+    on_refused_connection: abc.Callable[[object], None]
+    on_pressure: abc.Callable[[abc.Mapping[str, int]], None]
+    exchanges: dict[str, exchanges.Exchange] = dataclasses.field(default_factory=dict)
+    attempts: dict[str, attempts.Attempt] = dataclasses.field(default_factory=dict)
+
+    # Events of callers.
+
+    def open(self, exchange: exchanges.Exchange) -> None:
+        """Let a caller's request arrive at the policy."""
+        call, workspace = exchange.call, exchange.workspace
+        self.exchanges[exchange.request] = exchange
+        arrival = arrivals.Arrival(
+            request=exchange.request,
+            workspace=workspace.name,
+            weight=workspace.weight,
+            target=call.target,
+            request_class=exchange.request_class,
+            prompt_tokens=call.prompt_tokens,
+            max_tokens=call.max_tokens,
+            prefix=call.prefix,
+            now=exchange.arrived_at,
+            stream=call.streamed,
+        )
+        now = exchange.arrived_at
+        self.carry_out(self.policy.arrive(arrival, self.views.find(now), now))
+
+    def hang_up(self, exchange: exchanges.Exchange) -> None:
+        """Note that the caller is gone before its answer was whole.
+
+        Its work is cancelled, except work that may run only once and was sent already:
+        that goes on, so that the caller's resend gets the answer.
+        """
+        if exchange.over:
+            return
+        exchange.end(exchanges.HungUp())
+        if exchange.claimed and self._has_attempts(exchange.request):
+            exchange.detached = True
+            return
+        now = self.clock.monotonic()
+        self.carry_out(self.policy.hang_up(exchange.request, now))
+
+    def close(self, exchange: exchanges.Exchange) -> None:
+        """Forget a request that has been answered; its attempts may still end."""
+        self.hang_up(exchange)
+        if not exchange.detached:
+            self._forget(exchange)
+
+    # Events of attempts (``attempts.Sink``).
+
+    def take_head(self, attempt: attempts.Attempt, response: attempts.Response) -> None:
+        """Pass the head of a stream on."""
+        self._deliver(attempt, exchanges.Begun(response))
+
+    def take_piece(self, attempt: attempts.Attempt, piece: streams.Piece) -> None:
+        """Tell the policy of the tokens, then pass the bytes on."""
+        if piece.tokens:
+            now = self.clock.monotonic()
+            total = attempt.resumed_tokens + attempt.tokens
+            self.carry_out(self.policy.progress(attempt.identity, total, now))
+        exchange = self._deliver(attempt, exchanges.Passed(piece))
+        while exchange is not None and exchange.backlog > BACKLOG_LIMIT:
+            eventlet.sleep(BACKLOG_WAIT)
+
+    def take_end(
+        self,
+        attempt: attempts.Attempt,
+        ending: attempts.Ending,
+        reason: str,
+        response: attempts.Response | None,
+    ) -> None:
+        """Tell the policy how an attempt ended, and pass a whole answer on."""
+        self.attempts.pop(attempt.identity, None)
+        self._write_end(attempt, ending, reason)
+        if ending is attempts.Ending.NOT_SENT and attempt.upstream is not None:
+            self.on_refused_connection(attempt.upstream)
+        exchange = self.exchanges.get(attempt.request)
+        now = self.clock.monotonic()
+        total = attempt.resumed_tokens + attempt.tokens
+        actions = self.policy.finish(attempt.identity, OUTCOMES[ending], total, now)
+        self.carry_out(actions)
+        if exchange is None:
+            return
+        if ending is attempts.Ending.COMPLETED:
+            self._complete(exchange, attempt, response)
+        if exchange.detached and not self._has_attempts(exchange.request):
+            self.carry_out(self.policy.hang_up(exchange.request, now))
+            self._forget(exchange)
+
+    def claim_answered(self, exchange: exchanges.Exchange, granted: bool) -> None:
+        """Tell the policy whether the request may be sent."""
+        now = self.clock.monotonic()
+        self.carry_out(self.policy.claim_answered(exchange.request, granted, now))
+
+    def tick(self) -> None:
+        """Let the policy do what time alone makes due."""
+        now = self.clock.monotonic()
+        self.carry_out(self.policy.tick(self.views.find(now), now))
+
+    def carry_out(self, actions: abc.Iterable[object]) -> None:
+        """Carry the policy's actions out, in order."""
+        for action in actions:
+            carriers.CARRIERS[type(action)](self, action)
+
+    def may_have_run(self, exchange: exchanges.Exchange) -> bool:
+        """Return whether a byte of the request has gone to an upstream."""
+        return exchange.maybe_ran or any(
+            attempt.sent
+            for attempt in self.attempts.values()
+            if attempt.request == exchange.request
+        )
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether any request or attempt is under way."""
+        return bool(self.exchanges or self.attempts)
+
+    # The parts of the above.
+
+    def start(self, attempt: attempts.Attempt) -> None:
+        """Run an attempt in a greenlet of its own."""
+        self.attempts[attempt.identity] = attempt
+        eventlet.spawn_n(attempt.run, self)
+
+    def _deliver(
+        self, attempt: attempts.Attempt, message: exchanges.Message
+    ) -> exchanges.Exchange | None:
+        exchange = self.exchanges.get(attempt.request)
+        if exchange is None:
+            return None
+        if exchange.claimed:
+            exchange.keep(message)
+        return exchange if exchange.deliver(attempt.identity, message) else None
+
+    def _complete(
+        self,
+        exchange: exchanges.Exchange,
+        attempt: attempts.Attempt,
+        response: attempts.Response | None,
+    ) -> None:
+        if response is not None:
+            message = exchanges.Whole(response, attempt.tokens)
+        else:
+            message = exchanges.Ended()
+        exchange.deliver(attempt.identity, message)
+        if exchange.claimed:
+            self.desk.finish(exchange, exchange.find_answer(response))
+
+    def _write_end(
+        self, attempt: attempts.Attempt, ending: attempts.Ending, reason: str
+    ) -> None:
+        self.metrics.attempts.labels(ending.value).inc()
+        exchange = self.exchanges.get(attempt.request)
+        if attempt.sent and exchange is not None:
+            exchange.maybe_ran = True
+            name = exchange.request_class.name
+            self.metrics.received_tokens.labels(name).inc(attempt.tokens)
+        if ending is attempts.Ending.COMPLETED:
+            return
+        event = events.routing.BROKEN
+        if ending is attempts.Ending.CANCELLED:
+            event = events.routing.CANCELLED
+        self.journal.write(
+            event,
+            request=attempt.request,
+            attempt=attempt.identity,
+            upstream=attempt.upstream.name if attempt.upstream else "",
+            tokens=attempt.tokens,
+            reason=reason,
+        )
+
+    def _has_attempts(self, request: str) -> bool:
+        return any(attempt.request == request for attempt in self.attempts.values())
+
+    def _forget(self, exchange: exchanges.Exchange) -> None:
+        """Drop a request; give its claim back if it surely was never sent."""
+        self.exchanges.pop(exchange.request, None)
+        unsent = not exchange.maybe_ran and not self._has_attempts(exchange.request)
+        if exchange.claimed and unsent:
+            self.desk.release(exchange.request)
--- /dev/null
+++ b/packages/daemon/src/trestlestall/daemon/router/exchanges.py
@@ -0,0 +1,152 @@
+"""One caller's request while the router carries it: its attempts and its mailbox."""
+
+import dataclasses
+import typing
+from collections import abc
+
+from eventlet import queue
+
+from trestlestall.daemon.http import errors
+from trestlestall.daemon.router import attempts, calls, streams
+
+
+@dataclasses.dataclass(frozen=True)
+class Begun:
+    """The answer is a stream of this type; its pieces follow."""
+
+    response: attempts.Response
+
+
+@dataclasses.dataclass(frozen=True)
+class Passed:
+    """Bytes of a stream that go to the caller now."""
+
+    piece: streams.Piece
+
+
+@dataclasses.dataclass(frozen=True)
+class Whole:
+    """The whole answer; nothing follows."""
+
+    response: attempts.Response
+    tokens: int = 0
+    replayed: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class Ended:
+    """The stream has been passed on whole; nothing follows."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Failed:
+    """The request ends with an error; nothing follows."""
+
+    failure: errors.Failure
+
+
+@dataclasses.dataclass(frozen=True)
+class HungUp:
+    """The caller is gone; nothing follows."""
+
+
+Message: typing.TypeAlias = Begun | Passed | Whole | Ended | Failed | HungUp
+
+FINAL = (Whole, Ended, Failed, HungUp)
+
+
+class Exchange:
+    """One caller's request.
+
+    Messages come from attempts and from the policy's decisions; the greenlet that
+    serves the caller reads them from ``mailbox``. Only the chosen attempt's messages
+    get there (``chosen``); those of an attempt that may still be chosen wait in
+    ``_waiting``; those of any other are dropped. Matching is by the attempt's identity
+    alone, so that an answer that comes late or out of order reaches nobody else.
+
+    ``claimed`` tells that the request holds an idempotency key and may be sent;
+    ``maybe_ran`` that a byte of it went to an upstream. ``detached`` is a request that
+    goes on without its caller, so that its answer is on record for a resend.
+    """
+
+    def __init__(self, request: str, call: calls.Call, workspace, request_class, now):
+        self.request = request
+        self.call = call
+        self.workspace = workspace
+        self.request_class = request_class
+        self.arrived_at: float = now
+        self.first_token_at: float | None = None
+        self.tokens = 0
+        self.chosen: str | None = None
+        self.upstream = ""
+        self.claim_key: str | None = None
+        self.claimed = False
+        self.maybe_ran = False
+        self.verdict: Failed | Whole | None = None
+        self.over = False
+        self.last: Message | None = None
+        self.mailbox: queue.LightQueue = queue.LightQueue()
+        self.detached = False
+        self.record: list[bytes] = []
+        self.content_type = attempts.JSON_TYPE
+        self._waiting: dict[str, list[Message]] = {}
+
+    def choose(self, attempt: str) -> None:
+        """Let this attempt's messages pass, those that it has sent already first."""
+        self.chosen = attempt
+        for message in self._waiting.pop(attempt, ()):
+            self._pass(message)
+        self._waiting.clear()
+
+    def deliver(self, attempt: str, message: Message) -> bool:
+        """Pass a message of an attempt on, or keep it; false if it came too late."""
+        if self.over:
+            return False
+        if self.chosen == attempt:
+            self._pass(message)
+            return True
+        if self.chosen is None:
+            self._waiting.setdefault(attempt, []).append(message)
+            return True
+        return False
+
+    def end(self, message: Message) -> None:
+        """Pass on the last message; whatever comes later is too late."""
+        if not self.over:
+            self._pass(message)
+
+    def read(self) -> Message:
+        """Wait for the next message to the caller."""
+        message = self.mailbox.get()
+        if isinstance(message, FINAL):
+            self.last = message
+        return message
+
+    @property
+    def backlog(self) -> int:
+        """How many messages the caller has not taken yet."""
+        return self.mailbox.qsize()
+
+    def _pass(self, message: Message) -> None:
+        if isinstance(message, Passed):
+            self.tokens += message.piece.tokens
+        elif isinstance(message, Whole):
+            self.tokens += message.tokens
+        self.over = isinstance(message, FINAL)
+        self.mailbox.put_nowait(message)
+
+    def keep(self, message: Message) -> None:
+        """Keep what the only attempt of a claimed request brings, for the record."""
+        if isinstance(message, Passed):
+            self.record.append(message.piece.data)
+        elif isinstance(message, Begun):
+            self.content_type = message.response.content_type
+
+    def find_answer(self, response: attempts.Response | None) -> attempts.Response:
+        """Return the whole answer, for the record of a claim."""
+        if response is not None:
+            return response
+        return attempts.Response(200, self.content_type, b"".join(self.record))
+
+
+Exchanges: typing.TypeAlias = abc.MutableMapping[str, Exchange]
--- /dev/null
+++ b/packages/daemon/src/trestlestall/daemon/router/hangups.py
@@ -0,0 +1,49 @@
+"""Noticing a caller who hangs up, while its request waits or is answered."""
+
+import contextlib
+import socket
+from collections import abc
+
+from eventlet import hubs
+
+
+@contextlib.contextmanager
+def watch(sock, on_hang_up: abc.Callable[[], None]) -> abc.Iterator[None]:
+    """Call ``on_hang_up`` once when the peer closes the connection.
+
+    Nothing else may read from the socket meanwhile. The WSGI runner itself would notice
+    only at its next write. A caller that closes just its sending side counts as gone
+    too; one that sends a next request early is not watched any further.
+
+    The callback runs on the hub: it must not block.
+    """
+    hub = hubs.get_hub()
+    listeners = []
+
+    def stop() -> None:
+        while listeners:
+            hub.remove(listeners.pop())
+
+    def look(_) -> None:
+        stop()
+        if is_closed(sock):
+            on_hang_up()
+
+    def close() -> None:
+        stop()
+
+    listeners.append(hub.add(hub.READ, sock.fileno(), look, look, close))
+    try:
+        yield
+    finally:
+        stop()
+
+
+def is_closed(sock) -> bool:
+    """Return whether the peer has closed the connection, without reading from it."""
+    try:
+        return not sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
--- /dev/null
+++ b/packages/daemon/src/trestlestall/daemon/router/operators.py
@@ -0,0 +1,174 @@
+"""The operators' listener: what the router knows itself, and the way to control.
+
+A router answers about its own data centre (upstreams, requests, routers) and passes
+every other text on to the control leader over the peer link.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+import typing
+
+import eventlet
+
+from trestlestall.daemon.http import answers, credentials, errors, requests, routes
+from trestlestall.language import errors as language_errors, parser, queries
+from trestlestall.wire import messages
+
+if typing.TYPE_CHECKING:
+    from trestlestall.daemon.router import process
+
+ROUTES = routes.Routes()
+ANSWER_SECONDS = 5.0
+LARGEST_TOKEN = 2**48
+OWN_SUBJECTS = ("upstreams", "requests")
+
+Rows = list[dict[str, typing.Any]]
+
+
+@dataclasses.dataclass(frozen=True)
+class Asked:
+    """The body of ``POST /v1/operator``."""
+
+    text: str
+    request_id: str | None = None
+    number: int | None = None
+    dry_run: bool = False
+
+
+class Submissions:
+    """Texts that were passed on to control and wait for its answer."""
+
+    def __init__(self):
+        # Begins anywhere, so that an answer to a former process finds nothing here.
+        self._token = random.SystemRandom().randrange(LARGEST_TOKEN)
+        self._waiting: dict[int, eventlet.Event] = {}
+
+    def open(self) -> tuple[int, eventlet.Event]:
+        """Return a token and the event that its answer will set off."""
+        self._token += 1
+        event = self._waiting[self._token] = eventlet.Event()
+        return self._token, event
+
+    def close(self, token: int) -> None:
+        """Forget a token; an answer that still comes is dropped."""
+        self._waiting.pop(token, None)
+
+    def take_answer(self, token: int, document: dict) -> None:
+        """Hand control's answer to whoever waits for it."""
+        event = self._waiting.pop(token, None)
+        if event is not None:
+            event.send(document)
+
+
+@ROUTES.register("POST", "/v1/operator")
+def operate(site: process.Router, request: requests.Request) -> answers.Answer:
+    """Answer a query, or pass a text on to control."""
+    body = requests.read_body(request)
+    if isinstance(body, errors.Failure):
+        return answers.build_failure(body)
+    asked = requests.decode_json(body, Asked)
+    if isinstance(asked, errors.Failure):
+        return answers.build_failure(asked)
+    parsed = parser.parse(asked.text)
+    if isinstance(parsed, language_errors.LanguageError):
+        return build_language_error(parsed)
+    rows = find_own_rows(site, parsed)
+    if rows is not None:
+        return answers.build_json({"rows": rows})
+    return forward(site, request, asked)
+
+
+@ROUTES.register("GET", "/v1/status")
+def read_status(site: process.Router, request: requests.Request) -> answers.Answer:
+    """Answer with the state of this router."""
+    return answers.build_json(site.describe_status())
+
+
+def build_language_error(error: language_errors.LanguageError) -> answers.Answer:
+    """Return the answer that points at the word."""
+    fields = dataclasses.asdict(error)
+    failure = {"code": "invalid_text", "type": errors.Kind.INVALID, **fields}
+    return answers.build_json({"error": failure}, 400)
+
+
+def find_own_rows(site: process.Router, parsed: object) -> Rows | None:
+    """Return the rows of a query that this router answers itself, or ``None``."""
+    if isinstance(parsed, queries.Explain):
+        return explain(site, parsed.request)
+    if isinstance(parsed, queries.Show) and parsed.subject in OWN_SUBJECTS:
+        lister = LISTERS[parsed.subject]
+        return queries.select_rows(lister(site), parsed)
+    return None
+
+
+def explain(site: process.Router, request: str) -> Rows | None:
+    """Return what was decided about a request, or ``None`` if it is not known here."""
+    lines = site.journal.explain(request)
+    if lines is None:
+        return None
+    return [
+        {"at": line.at, "event": line.number, "name": line.name, **line.fields}
+        for line in lines
+    ]
+
+
+def list_upstreams(site: process.Router) -> Rows:
+    """Return a row for each upstream of the data centre."""
+    return site.members.list_rows(site.agreed.configuration.drained)
+
+
+def list_requests(site: process.Router) -> Rows:
+    """Return a row for each request under way here."""
+    now = site.env.clock.monotonic()
+    return [
+        {
+            "request": exchange.request,
+            "router": site.settings.name,
+            "workspace": exchange.workspace.name,
+            "target": exchange.call.target,
+            "class": exchange.request_class.name,
+            "tier": exchange.request_class.tier,
+            "upstream": exchange.upstream,
+            "tokens": exchange.tokens,
+            "age": round(now - exchange.arrived_at, 3),
+        }
+        for exchange in site.dispatcher.exchanges.values()
+    ]
+
+
+LISTERS = {"upstreams": list_upstreams, "requests": list_requests}
+
+
+def forward(
+    site: process.Router, request: requests.Request, asked: Asked
+) -> answers.Answer:
+    """Pass a text on to the control leader and return its answer."""
+    operator = site.settings.secrets.find_operator(
+        credentials.read_bearer(request.headers) or ""
+    )
+    document = {"operator": operator, **dataclasses.asdict(asked)}
+    token, event = site.submissions.open()
+    try:
+        if not site.controls.send(messages.Submit(token, document)):
+            message = "No control process can be reached; nothing was changed."
+            return answers.build_failure(errors.Failure("control_unavailable", message))
+        with eventlet.Timeout(ANSWER_SECONDS, False):
+            return build_control_answer(event.wait())
+    finally:
+        site.submissions.close(token)
+    message = (
+        "Control has not answered: resend under the same request_id to learn more."
+    )
+    failure = errors.Failure("control_unavailable", message, errors.Run.UNKNOWN)
+    return answers.build_failure(failure)
+
+
+def build_control_answer(document: dict) -> answers.Answer:
+    """Return control's answer as it is; an error keeps the status of its code."""
+    error = document.get("error")
+    if not isinstance(error, dict):
+        return answers.build_json(document)
+    code = errors.CODES.get(str(error.get("code")))
+    return answers.build_json(document, code.status if code is not None else 400)
--- /dev/null
+++ b/packages/daemon/src/trestlestall/daemon/router/platform.py
@@ -0,0 +1,35 @@
+"""The platform's listener: health, readiness and metrics."""
+
+from __future__ import annotations
+
+import typing
+
+from trestlestall.daemon import metrics as daemon_metrics
+from trestlestall.daemon.http import answers, errors, requests, routes
+
+if typing.TYPE_CHECKING:
+    from trestlestall.daemon.router import process
+
+ROUTES = routes.Routes()
+
+
+@ROUTES.register("GET", "/healthz")
+def check_health(site: process.Router, request: requests.Request) -> answers.Answer:
+    """Answer while the process runs."""
+    return answers.build_json({"healthy": True})
+
+
+@ROUTES.register("GET", "/readyz")
+def check_ready(site: process.Router, request: requests.Request) -> answers.Answer:
+    """Answer 200 only while the balancer should send callers here."""
+    reason = site.find_unready_reason()
+    if reason is None:
+        return answers.build_json({"ready": True})
+    return answers.build_failure(errors.Failure("not_ready", reason))
+
+
+@ROUTES.register("GET", "/metrics")
+def read_metrics(site: process.Router, request: requests.Request) -> answers.Answer:
+    """Answer with the exposition text of all metrics."""
+    site.refresh_metrics()
+    return answers.Answer(200, site.metrics.render(), daemon_metrics.CONTENT_TYPE)
--- /dev/null
+++ b/packages/daemon/src/trestlestall/daemon/router/pulse.py
@@ -0,0 +1,109 @@
+"""The router's clockwork: what is due by time alone, in one greenlet.
+
+While requests are under way the policy is asked every ``BUSY_SECONDS``; an idle router
+wakes up every ``IDLE_SECONDS`` and does next to nothing.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+import typing
+from collections import abc
+
+import eventlet
+
+from trestlestall.daemon import events
+from trestlestall.wire import messages
+
+if typing.TYPE_CHECKING:
+    from trestlestall.daemon.router import process
+
+BUSY_SECONDS = 0.03
+IDLE_SECONDS = 0.25
+
+
+@dataclasses.dataclass
+class Duty:
+    """Something to be done every so many seconds."""
+
+    seconds: float
+    do: abc.Callable[[], None]
+    due_at: float = 0.0
+
+
+class Pulse:
+    """Ticks the policy and sees to the duties."""
+
+    def __init__(self, site: process.Router):
+        self._site = site
+        self._levels: abc.Mapping[str, int] = {}
+        self._sequence = 0
+        self._woken: eventlet.Event | None = None
+        self._duties = (
+            Duty(0.25, self._tell_rows),
+            Duty(0.5, site_expirer(site)),
+            Duty(1.0, lambda: site.desk.resend()),
+            Duty(2.0, self._pull_configuration),
+        )
+
+    @contextlib.contextmanager
+    def beat(self) -> abc.Iterator[None]:
+        """Keep the clockwork running while the block runs."""
+        greenlet = eventlet.spawn(self._run)
+        try:
+            yield
+        finally:
+            greenlet.kill()
+
+    def wake(self) -> None:
+        """Start to tick at the busy rate: a request has arrived."""
+        if self._woken is not None:
+            woken, self._woken = self._woken, None
+            woken.send()
+
+    def report_pressure(self, levels: abc.Mapping[str, int]) -> None:
+        """Tell the neighbours; the policy repeats it while there is pressure."""
+        site = self._site
+        if levels != self._levels:
+            self._levels = dict(levels)
+            site.journal.write(events.routing.PRESSURE, levels=self._levels)
+        self._sequence += 1
+        message = messages.Pressure(site.settings.name, self._sequence, self._levels)
+        for name in site.list_neighbours():
+            site.mesh.send(name, message)
+
+    def _run(self) -> None:
+        while True:
+            self._sleep()
+            self._site.dispatcher.tick()
+            now = self._site.env.clock.monotonic()
+            for duty in self._duties:
+                if now >= duty.due_at:
+                    duty.due_at = now + duty.seconds
+                    duty.do()
+
+    def _sleep(self) -> None:
+        if self._site.dispatcher.is_busy:
+            eventlet.sleep(BUSY_SECONDS)
+            return
+        self._woken = eventlet.Event()
+        with eventlet.Timeout(IDLE_SECONDS, False):
+            self._woken.wait()
+        self._woken = None
+
+    def _tell_rows(self) -> None:
+        self._site.members.tell(self._site.list_neighbours())
+
+    def _pull_configuration(self) -> None:
+        site = self._site
+        pull = messages.ConfigurationPull(site.agreed.version)
+        site.controls.send(pull)
+        if site.agreed.is_cut_off(site.env.clock.monotonic()):
+            for name in site.list_neighbours():
+                site.mesh.send(name, pull)
+
+
+def site_expirer(site: process.Router) -> abc.Callable[[], None]:
+    """Return what notes leases that have run out."""
+    return lambda: site.members.expire()
--- /dev/null
+++ b/packages/daemon/src/trestlestall/daemon/router/reports.py
@@ -0,0 +1,122 @@
+"""What the log and the metrics are told of callers' requests."""
+
+import traceback
+
+from trestlestall.daemon import environment, events, metrics as daemon_metrics
+from trestlestall.daemon.http import application, errors, requests
+from trestlestall.daemon.router import exchanges, journal
+
+
+class Reports:
+    """Writes the first and the last line of each request, and counts it."""
+
+    def __init__(
+        self,
+        metrics: daemon_metrics.Metrics,
+        log: journal.Journal,
+        clock: environment.Clock,
+    ):
+        self._metrics = metrics
+        self._journal = log
+        self._clock = clock
+
+    def note_arrival(self, exchange: exchanges.Exchange) -> None:
+        """Note a request that has passed its checks."""
+        call = exchange.call
+        self._journal.write(
+            events.routing.ARRIVED,
+            request=exchange.request,
+            workspace=exchange.workspace.name,
+            target=call.target,
+            tier=exchange.request_class.tier,
+            prompt_tokens=call.prompt_tokens,
+            max_tokens=call.max_tokens,
+            stream=call.streamed,
+            request_class=exchange.request_class.name,
+        )
+
+    def note_end(self, exchange: exchanges.Exchange) -> None:
+        """Note how a request ended for its caller."""
+        message = exchange.last
+        name = exchange.request_class.name
+        if isinstance(message, exchanges.Failed):
+            self._metrics.requests.labels(name, message.failure.code).inc()
+        elif isinstance(message, exchanges.Whole) and message.replayed:
+            self._metrics.requests.labels(name, "replayed").inc()
+        elif isinstance(message, exchanges.Whole | exchanges.Ended):
+            self._note_answer(exchange, message)
+        else:
+            self._note_hang_up(exchange)
+
+    def make_error_reporter(self, door: str) -> application.ReportError:
+        """Return what logs a handler's error at a listener."""
+
+        def report(request: requests.Request, error: Exception) -> None:
+            self._journal.write(
+                events.routing.REJECTED,
+                door=door,
+                code="internal_error",
+                message="".join(traceback.format_exception(error)[-2:]),
+            )
+
+        return report
+
+    def note_rejection(self, door: str, failure: errors.Failure) -> None:
+        """Note bad input that was refused before it became a request."""
+        self._journal.write(
+            events.routing.REJECTED,
+            door=door,
+            code=failure.code,
+            message=failure.message,
+        )
+
+    def _note_answer(
+        self, exchange: exchanges.Exchange, message: exchanges.Message
+    ) -> None:
+        found = exchange.request_class
+        seconds = self._clock.monotonic() - exchange.arrived_at
+        first = find_first_token_seconds(exchange, seconds)
+        on_time = seconds <= found.target and (
+            found.first_token_target is None or first <= found.first_token_target
+        )
+        self._metrics.requests.labels(found.name, "answered").inc()
+        self._metrics.targets.labels(found.name, "yes" if on_time else "no").inc()
+        self._metrics.first_token.labels(found.name).observe(first)
+        self._metrics.duration.labels(found.name).observe(seconds)
+        if on_time:
+            self._metrics.goodput_tokens.labels(found.name).inc(exchange.tokens)
+        status = 200
+        if isinstance(message, exchanges.Whole):
+            status = message.response.status
+        self._journal.write(
+            events.routing.FINISHED,
+            request=exchange.request,
+            workspace=exchange.workspace.name,
+            attempt=exchange.chosen,
+            upstream=exchange.upstream,
+            status=status,
+            tokens=exchange.tokens,
+            seconds=round(seconds, 4),
+            first_token_seconds=round(first, 4),
+            on_time=on_time,
+            request_class=found.name,
+        )
+
+    def _note_hang_up(self, exchange: exchanges.Exchange) -> None:
+        name = exchange.request_class.name
+        self._metrics.requests.labels(name, "hung_up").inc()
+        self._journal.write(
+            events.routing.CALLER_LEFT,
+            request=exchange.request,
+            workspace=exchange.workspace.name,
+            tokens=exchange.tokens,
+            seconds=round(self._clock.monotonic() - exchange.arrived_at, 4),
+            request_class=name,
+        )
+
+
+def find_first_token_seconds(exchange: exchanges.Exchange, seconds: float) -> float:
+    """Return the time to the first token; of a whole answer, the time to all of it."""
+    if exchange.first_token_at is None:
+        return seconds
+    return exchange.first_token_at - exchange.arrived_at
--- /dev/null
+++ b/packages/daemon/src/trestlestall/daemon/router/streams.py
@@ -0,0 +1,148 @@
+"""Server-sent events of a streamed completion: whole events, tokens, and the true end.
+
+A reader takes bytes as they come from the engine and gives back whole events only, so
+that the bytes a caller has always end between two tokens. An answer's last event (the
+one with a ``finish_reason``) is held back until ``data: [DONE]`` has come: an engine
+that breaks down in between must not look finished.
+
+An engine that can resume streams sends one token in each event; the count of events
+with text is then the count of tokens. ``usage`` of the last event wins where it comes.
+"""
+
+import dataclasses
+import re
+
+import msgspec
+
+DONE = b"[DONE]"
+EVENT_LIMIT = 1024 * 1024
+EVENT_END = re.compile(rb"\r?\n\r?\n")
+DATA_FIELD = re.compile(rb"^data: ?(.*?)\r?$", re.MULTILINE)
+# Finish reasons by which engines say that they gave the answer up.
+FAILED_REASONS = frozenset({"abort", "error"})
+
+
+class Text(msgspec.Struct):
+    """The text of one choice in a chat chunk."""
+
+    content: str | None = None
+
+
+class Choice(msgspec.Struct):
+    """One choice of a chunk; ``text`` in a plain completion, ``delta`` in a chat."""
+
+    finish_reason: str | None = None
+    text: str | None = None
+    delta: Text | None = None
+
+
+class Usage(msgspec.Struct):
+    """The engine's own count of the answer's tokens."""
+
+    completion_tokens: int | None = None
+
+
+class Chunk(msgspec.Struct):
+    """The parts of a chunk that the router reads; the rest passes through unread."""
+
+    choices: list[Choice] = []
+    usage: Usage | None = None
+    error: msgspec.Raw | None = None
+
+
+CHUNK_DECODER = msgspec.json.Decoder(Chunk)
+
+
+@dataclasses.dataclass(frozen=True)
+class Piece:
+    """Bytes that may go to the caller now, and the tokens in them."""
+
+    data: bytes = b""
+    tokens: int = 0
+
+
+class Reader:
+    """Reads one stream.
+
+    ``finished`` tells that the whole answer has come; ``failure`` says what is wrong
+    with the stream, and nothing after that counts.
+    """
+
+    def __init__(self):
+        self.finished = False
+        self.failure: str | None = None
+        self._rest = b""
+        self._held = b""
+        self._reason: str | None = None
+
+    def feed(self, data: bytes) -> Piece:
+        """Take the next bytes of the stream and return what may be passed on."""
+        buffered = self._rest + data if self._rest else data
+        passed, tokens, start = [], 0, 0
+        for end in EVENT_END.finditer(buffered):
+            event = buffered[start : end.end()]
+            start = end.end()
+            piece = self._take_event(event)
+            if self.failure:
+                break
+            passed.append(piece.data)
+            tokens += piece.tokens
+        self._rest = buffered[start:]
+        if len(self._rest) > EVENT_LIMIT:
+            self.failure = "an event is longer than the limit"
+        return Piece(b"".join(passed), tokens)
+
+    def _take_event(self, event: bytes) -> Piece:
+        if self.finished:
+            return Piece()
+        found = DATA_FIELD.search(event)
+        if found is None:
+            return Piece(event)  # a comment, which keeps the connection alive
+        if found[1] == DONE:
+            return self._finish(event)
+        try:
+            chunk = CHUNK_DECODER.decode(found[1])
+        except msgspec.MsgspecError:
+            self.failure = "an event is not a chunk of a completion"
+            return Piece()
+        return self._take_chunk(event, chunk)
+
+    def _take_chunk(self, event: bytes, chunk: Chunk) -> Piece:
+        if chunk.error is not None:
+            self.failure = "the engine sent an error"
+            return Piece()
+        tokens = sum(1 for choice in chunk.choices if has_text(choice))
+        reasons = [choice.finish_reason for choice in chunk.choices]
+        if any(reason in FAILED_REASONS for reason in reasons):
+            self.failure = "the engine gave the answer up"
+            return Piece()
+        self._reason = next(filter(None, reasons), self._reason)
+        if self._reason is None:
+            return Piece(event, tokens)
+        self._held += event
+        return Piece(b"", tokens)
+
+    def _finish(self, event: bytes) -> Piece:
+        if self._reason is None:
+            self.failure = "the stream ended without a finish reason"
+            return Piece()
+        self.finished = True
+        return Piece(self._held + event)
+
+
+def has_text(choice: Choice) -> bool:
+    """Return whether the choice carries text of the answer."""
+    return bool(choice.text or (choice.delta is not None and choice.delta.content))
+
+
+def count_whole(body: bytes) -> int | None:
+    """Return the tokens of a whole completion, or ``None`` if it is not one."""
+    try:
+        chunk = CHUNK_DECODER.decode(body)
+    except msgspec.MsgspecError:
+        return None
+    reasons = [choice.finish_reason for choice in chunk.choices]
+    if not reasons or None in reasons or FAILED_REASONS.intersection(reasons):
+        return None
+    usage = chunk.usage
+    return (usage.completion_tokens or 0) if usage is not None else 0
