--- a/packages/standins/src/trestlestall/standins/calls.py
+++ b/packages/standins/src/trestlestall/standins/calls.py
@@ -4,6 +4,7 @@
 would retry by default, and a test of at-most-once must send what it says it sends.
 """
 
+import contextlib
 import dataclasses
 import json
 import typing
@@ -141,7 +142,9 @@
             return Answer(NO_ANSWER, {}, whole=False)
         if answer.status != 200:
             return Answer(answer.status, read_headers(answer), answer.read())
-        return read_stream(answer, on_text)
+        # Closed here, so that a caller who gives up hangs up on the spot.
+        with contextlib.closing(answer):
+            return read_stream(answer, on_text)
 
 
 def read_stream(answer: typing.Any, on_text: abc.Callable[[str], None]) -> Answer:
