--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -49,16 +49,21 @@
     os.environ["PYTHONPATH"] = os.pathsep.join(parts)
 
 
-def count_failures(result: unittest.TestResult, known: dict[str, str]) -> int:
-    """Return how many tests failed that were not known to, and print the known."""
-    broken = {case.id() for case, _ in result.failures + result.errors}
-    broken |= {case.id() for case in result.unexpectedSuccesses}
+def list_broken(result: unittest.TestResult) -> set[str]:
+    """Return the names of the tests that failed, one for all subtests of a test."""
+    cases = [case for case, _ in result.failures + result.errors]
+    cases += result.unexpectedSuccesses
+    return {getattr(case, "test_case", case).id() for case in cases}
+
+
+def find_unexpected(broken: set[str], known: dict[str, str]) -> set[str]:
+    """Return the tests that count as failed, and print those known to fail."""
     for name in sorted(broken & set(known)):
         print(f"known red: {name}: {known[name]}")
-    healed = set(known) - broken if not sys.argv[1:] else set()
+    healed = set() if sys.argv[1:] else set(known) - broken
     for name in sorted(healed):
         print(f"known red passes again, take it off KNOWN-RED.txt: {name}")
-    return len(broken - set(known)) + len(healed)
+    return (broken - set(known)) | healed
 
 
 def main() -> int:
@@ -72,9 +77,9 @@
     for error in loader.errors:
         print(error)
     result = unittest.TextTestRunner(verbosity=1, stream=sys.stdout).run(suite)
-    failed = count_failures(result, known)
-    passed = result.testsRun - len(result.failures) - len(result.errors)
-    passed -= len(result.skipped) + len(result.unexpectedSuccesses)
+    broken = list_broken(result)
+    failed = len(find_unexpected(broken, known))
+    passed = result.testsRun - len(broken) - len(result.skipped)
     print(f"{passed} passed, {failed} failed")
     return 1 if failed or loader.errors or not result.testsRun else 0
 
