--- a/packages/daemon/src/trestlestall/daemon/router/agreed.py
+++ b/packages/daemon/src/trestlestall/daemon/router/agreed.py
@@ -79,6 +79,11 @@
         age = self.find_age(now)
         return age is None or age > CUT_OFF_SECONDS
 
+    def take_cached(self, version: int, document: object) -> None:
+        """Take what was in force before a restart, until somebody says what is now."""
+        if isinstance(self.take_full(version, document), Taken):
+            self.known = False
+
     def take_full(self, version: int, document: object) -> Result:
         """Take a whole configuration if it is newer than the one in force."""
         if version <= self.version:
--- /dev/null
+++ b/packages/daemon/src/trestlestall/daemon/router/cache.py
@@ -0,0 +1,37 @@
+"""The newest configuration in the data folder, for a start while cut off; advisory.
+
+It is never synced and never believed over what control or a peer says. It is also the
+least version that a restarted router takes: what was in force here is never undone.
+"""
+
+import os
+import pathlib
+
+import msgspec
+
+FILE_NAME = "configuration.json"
+
+
+def load(folder: str | None) -> dict | None:
+    """Return the kept document, or ``None`` if there is none that can be read."""
+    if folder is None:
+        return None
+    try:
+        data = (pathlib.Path(folder) / FILE_NAME).read_bytes()
+        return msgspec.json.decode(data, type=dict)
+    except (OSError, msgspec.DecodeError):
+        return None
+
+
+def save(folder: str | None, document: dict) -> bool:
+    """Keep the document; false if there is no folder or it can't be written."""
+    if folder is None:
+        return False
+    path = pathlib.Path(folder) / FILE_NAME
+    fresh = path.with_suffix(".new")
+    try:
+        fresh.write_bytes(msgspec.json.encode(document))
+        os.replace(fresh, path)
+    except OSError:
+        return False
+    return True
--- a/packages/daemon/src/trestlestall/daemon/router/calls.py
+++ b/packages/daemon/src/trestlestall/daemon/router/calls.py
@@ -20,6 +20,10 @@
 TEXT_SHAPE = re.compile(rb'"(?:content|prompt)"\s*:\s*"((?:[^"\\]|\\.)*)')
 
 
+# A field whose value may be anything; ``Raw | None`` would take null alone.
+ABSENT = msgspec.Raw(b"")
+
+
 class Completion(msgspec.Struct):
     """The fields of a completion's body that the router reads."""
 
@@ -29,9 +33,9 @@
     max_completion_tokens: int | None = None
     n: int | None = None
     messages: list[msgspec.Raw] | None = None
-    prompt: msgspec.Raw | None = None
-    priority: msgspec.Raw | None = None
-    resume: msgspec.Raw | None = None
+    prompt: msgspec.Raw = ABSENT
+    priority: msgspec.Raw = ABSENT
+    resume: msgspec.Raw = ABSENT
 
 
 DECODER = msgspec.json.Decoder(Completion)
@@ -74,7 +78,7 @@
     failure = check_completion(path, asked)
     if failure is not None:
         return failure
-    if asked.priority is not None or asked.resume is not None:
+    if asked.priority is not ABSENT or asked.resume is not ABSENT:
         body = drop_own_fields(body)
     limit = asked.max_completion_tokens or asked.max_tokens or DEFAULT_MAX_TOKENS
     return Call(
@@ -94,7 +98,7 @@
     chat = path == MODEL_PATHS[0]
     if chat and not asked.messages:
         return errors.Failure("invalid_request", "Object missing field `messages`")
-    if not chat and asked.prompt is None:
+    if not chat and asked.prompt is ABSENT:
         return errors.Failure("invalid_request", "Object missing field `prompt`")
     if asked.n not in (None, 1):
         return errors.Failure("invalid_request", "One choice a request: leave out `n`.")
--- a/packages/daemon/src/trestlestall/daemon/router/claims.py
+++ b/packages/daemon/src/trestlestall/daemon/router/claims.py
@@ -75,7 +75,7 @@
         """Ask for the exchange's key; the answer comes by ``answered``, always."""
         self._asked[exchange.request] = exchange
         self._call(exchange.request, self._make_claim(exchange))
-        eventlet.spawn_after(ANSWER_SECONDS, self._give_up, exchange.request)
+        eventlet.spawn_after(ANSWER_SECONDS, self.give_up, exchange.request)
 
     def finish(self, exchange: exchanges.Exchange, answer: attempts.Response) -> None:
         """Put the whole answer of a claimed request on record."""
@@ -150,7 +150,7 @@
             del self._reports[next(iter(self._reports))]
         self._call(request, event)
 
-    def _give_up(self, request: str) -> None:
+    def give_up(self, request: str) -> None:
         exchange = self._asked.pop(request, None)
         if exchange is None:
             return
--- a/packages/daemon/src/trestlestall/daemon/router/exchanges.py
+++ b/packages/daemon/src/trestlestall/daemon/router/exchanges.py
@@ -89,6 +89,7 @@
         self.detached = False
         self.record: list[bytes] = []
         self.content_type = attempts.JSON_TYPE
+        self._begun = False
         self._waiting: dict[str, list[Message]] = {}
 
     def choose(self, attempt: str) -> None:
@@ -128,6 +129,10 @@
         return self.mailbox.qsize()
 
     def _pass(self, message: Message) -> None:
+        if isinstance(message, Begun):
+            if self._begun:
+                return  # a resumed stream goes on under the first one's head
+            self._begun = True
         if isinstance(message, Passed):
             self.tokens += message.piece.tokens
         elif isinstance(message, Whole):
--- a/packages/daemon/src/trestlestall/daemon/router/operators.py
+++ b/packages/daemon/src/trestlestall/daemon/router/operators.py
@@ -75,6 +75,8 @@
     if isinstance(parsed, language_errors.LanguageError):
         return build_language_error(parsed)
     rows = find_own_rows(site, parsed)
+    if isinstance(rows, errors.Failure):
+        return answers.build_failure(rows)
     if rows is not None:
         return answers.build_json({"rows": rows})
     return forward(site, request, asked)
@@ -93,7 +95,7 @@
     return answers.build_json({"error": failure}, 400)
 
 
-def find_own_rows(site: process.Router, parsed: object) -> Rows | None:
+def find_own_rows(site: process.Router, parsed: object) -> Rows | errors.Failure | None:
     """Return the rows of a query that this router answers itself, or ``None``."""
     if isinstance(parsed, queries.Explain):
         return explain(site, parsed.request)
@@ -103,11 +105,14 @@
     return None
 
 
-def explain(site: process.Router, request: str) -> Rows | None:
-    """Return what was decided about a request, or ``None`` if it is not known here."""
+def explain(site: process.Router, request: str) -> Rows | errors.Failure:
+    """Return what was decided about a request, if it is one of the newest here."""
     lines = site.journal.explain(request)
     if lines is None:
-        return None
+        message = (
+            f"{request!r} is not known here: ask the router that its name begins with."
+        )
+        return errors.Failure("unknown_request", message)
     return [
         {"at": line.at, "event": line.number, "name": line.name, **line.fields}
         for line in lines
--- a/packages/daemon/src/trestlestall/daemon/router/process.py
+++ b/packages/daemon/src/trestlestall/daemon/router/process.py
@@ -24,6 +24,7 @@
 )
 from trestlestall.daemon.router import (
     agreed,
+    cache,
     callers,
     calls,
     claims,
@@ -69,6 +70,9 @@
         self.stopping = False
         self._make_links()
         self._make_decisions()
+        kept = cache.load(settings.data_folder)
+        if kept is not None:
+            self.agreed.take_cached(kept.get("version", 0), kept)
         self.submissions = operators.Submissions()
         self.pulse = pulse.Pulse(self)
         self.reports = reports.Reports(self.metrics, self.journal, env.clock)
@@ -225,12 +229,15 @@
     def _apply_configuration(self, configuration: model.Configuration) -> None:
         self.views.drained = configuration.drained
         self.views.drop()
+        cache.save(self.settings.data_folder, self.agreed.encode())
 
     def _note_link(self, name: str, linked: bool) -> None:
         if linked:
             self.journal.write(events.links.UP, peer=name)
             self.members.forget_peer(name)
-            self.mesh.send(name, messages.ConfigurationPull(self.agreed.version))
+            if name in self.controls.names:
+                pull = messages.ConfigurationPull(self.agreed.version)
+                self.mesh.send(name, pull)
         else:
             self.journal.write(events.links.DOWN, peer=name)
             self.controls.forget(name)
--- a/packages/daemon/src/trestlestall/daemon/router/pulse.py
+++ b/packages/daemon/src/trestlestall/daemon/router/pulse.py
@@ -21,6 +21,10 @@
 
 BUSY_SECONDS = 0.03
 IDLE_SECONDS = 0.25
+PULL_SECONDS = 1.0
+# How long a starting router waits for control before it asks its peers, and before it
+# serves with what its data folder holds: both may be older than what it had in force.
+PATIENCE_SECONDS = 3.0
 
 
 @dataclasses.dataclass
@@ -39,12 +43,13 @@
         self._site = site
         self._levels: abc.Mapping[str, int] = {}
         self._sequence = 0
+        self._started_at = site.env.clock.monotonic()
         self._woken: eventlet.Event | None = None
         self._duties = (
             Duty(0.25, self._tell_rows),
             Duty(0.5, site_expirer(site)),
             Duty(1.0, lambda: site.desk.resend()),
-            Duty(2.0, self._pull_configuration),
+            Duty(PULL_SECONDS, self._pull_configuration),
         )
 
     @contextlib.contextmanager
@@ -99,9 +104,14 @@
         site = self._site
         pull = messages.ConfigurationPull(site.agreed.version)
         site.controls.send(pull)
-        if site.agreed.is_cut_off(site.env.clock.monotonic()):
+        now = site.env.clock.monotonic()
+        if now < self._started_at + PATIENCE_SECONDS:
+            return
+        if site.agreed.is_cut_off(now):
             for name in site.list_neighbours():
                 site.mesh.send(name, pull)
+        if site.agreed.version:
+            site.agreed.known = True
 
 
 def site_expirer(site: process.Router) -> abc.Callable[[], None]:
--- a/packages/daemon/src/trestlestall/daemon/router/streams.py
+++ b/packages/daemon/src/trestlestall/daemon/router/streams.py
@@ -22,6 +22,11 @@
 FAILED_REASONS = frozenset({"abort", "error"})
 
 
+# A field whose value may be anything; ``Raw | None`` would take null alone.
+ABSENT = msgspec.Raw(b"")
+NO_ERROR = (b"", b"null")
+
+
 class Text(msgspec.Struct):
     """The text of one choice in a chat chunk."""
 
@@ -47,7 +52,7 @@
 
     choices: list[Choice] = []
     usage: Usage | None = None
-    error: msgspec.Raw | None = None
+    error: msgspec.Raw = ABSENT
 
 
 CHUNK_DECODER = msgspec.json.Decoder(Chunk)
@@ -73,6 +78,7 @@
         self.failure: str | None = None
         self._rest = b""
         self._held = b""
+        self._held_tokens = 0
         self._reason: str | None = None
 
     def feed(self, data: bytes) -> Piece:
@@ -108,7 +114,7 @@
         return self._take_chunk(event, chunk)
 
     def _take_chunk(self, event: bytes, chunk: Chunk) -> Piece:
-        if chunk.error is not None:
+        if bytes(chunk.error) not in NO_ERROR:
             self.failure = "the engine sent an error"
             return Piece()
         tokens = sum(1 for choice in chunk.choices if has_text(choice))
@@ -120,14 +126,15 @@
         if self._reason is None:
             return Piece(event, tokens)
         self._held += event
-        return Piece(b"", tokens)
+        self._held_tokens += tokens
+        return Piece()
 
     def _finish(self, event: bytes) -> Piece:
         if self._reason is None:
             self.failure = "the stream ended without a finish reason"
             return Piece()
         self.finished = True
-        return Piece(self._held + event)
+        return Piece(self._held + event, self._held_tokens)
 
 
 def has_text(choice: Choice) -> bool:
--- /dev/null
+++ b/packages/daemon/tests/test_router_parts.py
@@ -0,0 +1,269 @@
+"""The router's parts that hold no socket: bodies, configuration, exchanges, claims."""
+
+import dataclasses
+import io
+import json
+import types
+import unittest
+
+from trestlestall.claims import documents as claim_documents, events, outcomes
+from trestlestall.configuration import commands, documents, model, state as states
+from trestlestall.daemon import environment, logs, metrics
+from trestlestall.daemon.http import errors
+from trestlestall.daemon.router import (
+    agreed,
+    attempts,
+    calls,
+    claims,
+    controls,
+    exchanges,
+    journal,
+    streams,
+)
+
+CHAT = calls.MODEL_PATHS[0]
+MESSAGES = '"messages":[{"role":"user","content":"hello"}]'
+
+
+class CallsTest(unittest.TestCase):
+    def test_bodies_that_are_refused(self):
+        table = {
+            "{": "invalid_json",
+            "[]": "invalid_request",
+            "{}": "invalid_request",
+            '{"model":1}': "invalid_request",
+            '{"model":"m1"}': "invalid_request",
+            '{"model":"m1","messages":[]}': "invalid_request",
+            f'{{"model":"m1","n":2,{MESSAGES}}}': "invalid_request",
+            f'{{"model":"m1","max_tokens":0,{MESSAGES}}}': "invalid_request",
+            f'{{"model":"m1","stream":"yes",{MESSAGES}}}': "invalid_request",
+            f'{{"model":"service:slots",{MESSAGES}}}': "unknown_model",
+        }
+        for body, code in table.items():
+            with self.subTest(body):
+                found = calls.read_completion(CHAT, body.encode())
+                self.assertIsInstance(found, errors.Failure)
+                self.assertEqual(found.code, code)
+
+    def test_callers_cannot_set_what_the_router_tells_engines(self):
+        body = f'{{"model":"m1","priority":-9,"resume":{{}},{MESSAGES}}}'.encode()
+        call = calls.read_completion(CHAT, body)
+        sent = json.loads(calls.add_fields(call.body, {"priority": 3}))
+        self.assertEqual((sent["priority"], "resume" in sent), (3, False))
+        self.assertEqual(call.prefix, "hello")
+
+    def test_prompts_of_every_shape_are_taken(self):
+        for prompt in ('"hello"', "[1,2]", '["a"]'):
+            with self.subTest(prompt):
+                body = f'{{"model":"m1","prompt":{prompt}}}'.encode()
+                call = calls.read_completion(calls.MODEL_PATHS[1], body)
+                self.assertEqual(call.body, body)
+
+    def test_the_callers_own_bytes_stay_as_they_are(self):
+        body = b'{"model" : "m1", "x": 1.0, ' + MESSAGES.encode() + b"} \n"
+        call = calls.read_completion(CHAT, body)
+        sent = calls.add_fields(call.body, {"priority": 0})
+        self.assertTrue(sent.startswith(body.rstrip()[:-1]))
+
+
+def make_step(number: int) -> dict:
+    """Return the document of an accepted submission that declares a service."""
+    command = commands.DeclareService(model.Service(f"s{number}"))
+    submission = commands.Submission(f"r{number}", "alice", None, command)
+    return documents.encode_submission(submission)
+
+
+def make_full(version: int) -> dict:
+    """Return the document of the configuration after that many steps."""
+    state = states.EMPTY
+    for number in range(1, version + 1):
+        step = documents.decode_submission(make_step(number))
+        state, _ = states.apply_submission(state, step, 0.0)
+    return documents.encode_configuration(state.configuration)
+
+
+class AgreedTest(unittest.TestCase):
+    def test_no_message_leads_back_or_half_way(self):
+        full, delta = agreed.Agreed.take_full, agreed.Agreed.take_delta
+        steps = [make_step(number) for number in range(1, 6)]
+        bad = [{**steps[3], "command": {"kind": "drain"}}, steps[4]]
+        # From version 3: how, arguments, result, version afterwards.
+        table = {
+            "newer": (full, (5, make_full(5)), agreed.Taken, 5),
+            "same": (full, (3, make_full(3)), agreed.Kept, 3),
+            "older": (full, (2, make_full(2)), agreed.Kept, 3),
+            "older said to be newer": (full, (9, make_full(2)), agreed.Unreadable, 3),
+            "rubbish": (full, (9, {"version": "x"}), agreed.Unreadable, 3),
+            "next": (delta, (3, 5, steps[3:]), agreed.Taken, 5),
+            "overlapping": (delta, (1, 5, steps[1:]), agreed.Taken, 5),
+            "gap": (delta, (4, 5, steps[4:]), agreed.Gap, 3),
+            "old delta": (delta, (0, 2, steps[:2]), agreed.Kept, 3),
+            "too few steps": (delta, (3, 5, steps[3:4]), agreed.Gap, 3),
+            "broken step": (delta, (3, 5, bad), agreed.Unreadable, 3),
+        }
+        for name, (how, arguments, kind, version) in table.items():
+            with self.subTest(name):
+                changes = []
+                holder = agreed.Agreed(changes.append)
+                holder.take_full(3, make_full(3))
+                self.assertIsInstance(how(holder, *arguments), kind)
+                self.assertEqual(holder.version, version)
+                seen = [changed.version for changed in changes]
+                self.assertEqual(seen, sorted(set(seen)))
+
+    def test_a_cached_version_waits_for_word_and_is_never_undone(self):
+        holder = agreed.Agreed(lambda changed: None)
+        holder.take_cached(4, make_full(4))
+        self.assertEqual((holder.version, holder.known), (4, False))
+        holder.take_full(2, make_full(2))
+        self.assertEqual((holder.version, holder.known), (4, True))
+
+
+def make_exchange(name: str = "r1") -> exchanges.Exchange:
+    """Return an exchange without a caller."""
+    call = calls.Call("m1", "POST", CHAT, b"{}")
+    workspace = model.Workspace("basu", "digest")
+    request_class = model.RequestClass("alerts", 1, 30.0, idempotent=False)
+    exchange = exchanges.Exchange(name, call, workspace, request_class, 0.0)
+    exchange.claim_key = "k1"
+    return exchange
+
+
+def make_piece(data: bytes) -> exchanges.Passed:
+    """Return a message of one token."""
+    return exchanges.Passed(streams.Piece(data, 1))
+
+
+class ExchangeTest(unittest.TestCase):
+    def read_all(self, exchange: exchanges.Exchange) -> list:
+        return [exchange.read() for _ in range(exchange.backlog)]
+
+    def test_only_the_chosen_attempt_reaches_the_caller_in_its_own_order(self):
+        exchange = make_exchange()
+        for attempt, data in (("a2", b"x"), ("a1", b"1"), ("a2", b"y"), ("a1", b"2")):
+            self.assertTrue(exchange.deliver(attempt, make_piece(data)))
+        self.assertEqual(exchange.backlog, 0)
+        exchange.choose("a1")
+        self.assertFalse(exchange.deliver("a2", make_piece(b"z")))
+        self.assertFalse(exchange.deliver("a9", exchanges.Ended()))
+        exchange.deliver("a1", exchanges.Ended())
+        self.assertFalse(exchange.deliver("a1", make_piece(b"late")))
+        expected = [make_piece(b"1"), make_piece(b"2"), exchanges.Ended()]
+        self.assertEqual(self.read_all(exchange), expected)
+        self.assertEqual(exchange.tokens, 2)
+
+    def test_the_first_last_message_is_the_last(self):
+        exchange = make_exchange()
+        exchange.end(exchanges.HungUp())
+        exchange.end(exchanges.Ended())
+        self.assertEqual(self.read_all(exchange), [exchanges.HungUp()])
+
+
+class DeskTest(unittest.TestCase):
+    def setUp(self):
+        clock = environment.Clock(monotonic=lambda: self.now, wall=lambda: 0.0)
+        log = journal.Journal(logs.Log(io.StringIO(), clock), clock)
+        self.now = 0.0
+        self.sent, self.told = [], []
+        self.desk = claims.Desk(
+            "router-1", self.sent.append, clock.monotonic, log, metrics.Metrics()
+        )
+        self.desk.answered = lambda exchange, granted: self.told.append(granted)
+
+    def answer(self, outcome: object, place: int = -1) -> None:
+        fields = claim_documents.encode_outcome(outcome)
+        kind = fields.pop("kind")
+        self.desk.take_answer(self.sent[place].token, kind, fields)
+
+    def list_kinds(self) -> list[str]:
+        return [call.kind for call in self.sent]
+
+    def test_what_each_outcome_means_for_the_caller(self):
+        finished = outcomes.Finished(201, "text/plain", b"first")
+        lost = outcomes.Finished(201, "text/plain", None)
+        table = [
+            (outcomes.Held("router-2"), "request_in_progress", "outcome_unknown"),
+            (outcomes.Mismatch(), "key_reused", "not_run"),
+            (lost, "answer_too_old", "ran"),
+            (outcomes.Unknown(), "claim_unavailable", "not_run"),
+        ]
+        for outcome, code, run in table:
+            with self.subTest(outcome):
+                exchange = make_exchange()
+                self.desk.claim(exchange)
+                self.answer(outcome)
+                failure = exchange.verdict.failure
+                self.assertEqual((failure.code, failure.run), (code, run))
+        exchange = make_exchange()
+        self.desk.claim(exchange)
+        self.answer(finished)
+        response = attempts.Response(201, "text/plain", b"first")
+        self.assertEqual(exchange.verdict, exchanges.Whole(response, replayed=True))
+        self.assertEqual(self.told, [False] * 5)
+
+    def test_a_grant_that_comes_too_late_is_given_back_and_never_used(self):
+        exchange = make_exchange()
+        self.desk.claim(exchange)
+        exchange.end(exchanges.HungUp())
+        self.answer(outcomes.Granted("r1"))
+        self.assertEqual((self.told, exchange.claimed), ([], False))
+        self.assertEqual(self.list_kinds(), ["claim", "release"])
+
+    def test_a_claim_without_an_answer_is_refused_and_given_back(self):
+        exchange = make_exchange()
+        self.desk.claim(exchange)
+        self.desk.give_up("r1")
+        self.answer(outcomes.Granted("r1"), place=0)
+        failure = exchange.verdict.failure
+        self.assertEqual((failure.code, failure.run), ("claim_unavailable", "not_run"))
+        self.assertEqual(self.told, [False])
+        self.assertEqual(self.list_kinds(), ["claim", "release"])
+
+    def test_a_report_is_said_again_until_it_is_on_record(self):
+        exchange = make_exchange()
+        self.desk.finish(exchange, attempts.Response(200, "text/plain", b"x"))
+        self.desk.resend()
+        self.now = 1.5
+        self.desk.resend()
+        self.desk.redirect(self.sent[-1].token)
+        self.assertEqual(self.list_kinds(), ["finish"] * 3)
+        self.assertFalse(self.desk.is_idle)
+        self.answer(outcomes.Recorded(), place=0)
+        self.assertTrue(self.desk.is_idle)
+
+    def test_the_fingerprint_tells_requests_apart(self):
+        first = make_exchange()
+        same = make_exchange("r2")
+        other = make_exchange("r3")
+        other.call = dataclasses.replace(other.call, body=b"{ }")
+        found = [claims.find_fingerprint(each) for each in (first, same, other)]
+        self.assertEqual((found[0] == found[1], found[0] == found[2]), (True, False))
+        event = events.Claim("basu", "k1", found[0], "r1", "router-1")
+        self.desk.claim(first)
+        fields = claim_documents.encode_event(event)
+        self.assertEqual({"kind": self.sent[0].kind, **self.sent[0].fields}, fields)
+
+
+class ControlsTest(unittest.TestCase):
+    def test_the_leader_is_asked_first_and_all_when_it_is_not_known(self):
+        linked = {"c1", "c2"}
+        sent = []
+
+        def send(name: str, message: object) -> bool:
+            sent.append(name)
+            return name in linked
+
+        known = controls.Controls(["c1", "c2", "c3"], send)
+        message = types.SimpleNamespace()
+        steps = [
+            (lambda: None, ["c1", "c2", "c3"], True),
+            (lambda: known.note_answer("c2"), ["c2"], True),
+            (lambda: known.note_redirect("c1"), ["c1"], True),
+            (lambda: known.note_redirect("router-9"), ["c1", "c2", "c3"], True),
+            (lambda: known.note_answer("c3"), ["c3", "c1", "c2", "c3"], True),
+            (linked.clear, ["c1", "c2", "c3"], False),
+        ]
+        for prepare, names, reached in steps:
+            prepare()
+            sent.clear()
+            self.assertEqual((known.send(message), sent), (reached, names))
