--- /dev/null
+++ b/packages/wire/src/trestlestall/wire/links.py
@@ -0,0 +1,321 @@
+"""Links between the system's processes: one per pair, authenticated and bounded.
+
+The process must have been patched by ``eventlet.monkey_patch()`` before this module is
+imported; everything then runs in greenlets of one thread.
+
+Example::
+
+    peers = [Peer("control-1", "control", "a", "127.0.0.1:9000")]
+    mesh = Mesh("router-a1", "router", "a", secret, "127.0.0.1:9001", peers,
+                on_message=handle, on_change=note)
+    mesh.start()
+    mesh.send("control-1", messages.StatusCall(1))
+"""
+
+import dataclasses
+import os
+import random
+import socket
+import time
+import typing
+from collections import abc
+
+import eventlet
+from eventlet import greenthread
+
+from trestlestall.wire import (
+    addresses,
+    codec,
+    connections,
+    exceptions,
+    handshake,
+    link,
+    messages,
+    sockets,
+)
+
+HANDSHAKE_SECONDS = 2.0
+HANDSHAKE_FRAME = 4096
+FIRST_WAIT = 0.1
+LONGEST_WAIT = 1.5
+STABLE_SECONDS = 1.0
+CHECK_SECONDS = 0.25
+FLUSH_SECONDS = 0.3
+PENDING_LIMIT = 64
+LINK_LIMIT = 1000
+ACCEPT_PAUSE = 0.2
+CONTROL = "control"
+
+
+@dataclasses.dataclass(frozen=True)
+class Peer:
+    """Another process of the system; ``address`` is ``IP:port``."""
+
+    name: str
+    role: str
+    data_centre: str
+    address: str
+
+    def check(self, challenge: messages.Challenge) -> str | None:
+        """Return why the challenge isn't this peer's, or ``None``."""
+        if (challenge.name, challenge.role) != (self.name, self.role):
+            return f"{challenge.name!r} answers for {self.name!r}"
+        return None
+
+
+class Mesh:
+    """The links of one process.
+
+    ``on_message(sender_name, message)`` is called in the link's greenlet: while it
+    waits, nothing more is read from that link. ``on_change(name, linked)`` is called
+    when a link opens (also when it replaces an older one) and when the last one to the
+    peer ends. An exception from either ends the link and is printed by eventlet.
+
+    The secret is a text that all processes of a deployment share. A listed peer is
+    dialled by the side that ``should_dial`` names; the other side must then list it, or
+    be a control process. Peers that dial in need not be listed.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        role: str,
+        data_centre: str,
+        secret: str | bytes,
+        listen: str,
+        peers: abc.Iterable[Peer],
+        on_message: abc.Callable[[str, typing.Any], object],
+        on_change: abc.Callable[[str, bool], object],
+    ) -> None:
+        self.name = name
+        self.role = role
+        self.data_centre = data_centre
+        self.secret = secret.encode() if isinstance(secret, str) else secret
+        self.listen = listen
+        self.peers = {peer.name: peer for peer in peers}
+        self.on_message = on_message
+        self.on_change = on_change
+        self.identity = os.urandom(8).hex()
+        self.random = random.Random(self.identity)
+        self.links: dict[str, link.Link] = {}
+        self.pending: set[socket.socket] = set()
+        self.refused = 0
+        self.closed_sent = 0
+        self.closed_received = 0
+        self.greenlets: set[greenthread.GreenThread] = set()
+        self.listener: socket.socket | None = None
+        self.stopping = False
+
+    # What the process calls.
+
+    def start(self) -> None:
+        """Listen and start to dial; raise ``ListenError`` if the address is taken."""
+        for peer in self.peers.values():
+            addresses.parse(peer.address)
+        self.listener = sockets.open_listener(self.listen)
+        self.spawn(self.run_acceptor, self.listener)
+        self.spawn(self.run_checks)
+        for peer in self.peers.values():
+            if should_dial(self.name, self.role, peer):
+                self.spawn(self.run_dialler, peer)
+
+    def stop(self) -> None:
+        """Send what is queued, for a moment, and end all links and greenlets."""
+        self.stopping = True
+        if self.listener is not None:
+            sockets.close(self.listener)
+        self.flush()
+        for open_link in list(self.links.values()):
+            open_link.cut()
+        for connection in list(self.pending):
+            sockets.close(connection)
+        current = greenthread.getcurrent()
+        others = [greenlet for greenlet in self.greenlets if greenlet is not current]
+        for greenlet in others:
+            greenlet.kill()
+
+    def flush(self) -> None:
+        """Wait until the queues are empty, at most ``FLUSH_SECONDS``."""
+        deadline = time.monotonic() + FLUSH_SECONDS
+        while time.monotonic() < deadline:
+            if not any(one.is_sending() for one in self.links.values()):
+                return
+            eventlet.sleep(FLUSH_SECONDS / 10)
+
+    def send(self, name: str, message: object) -> bool:
+        """Queue the message for the peer; return false if it isn't linked.
+
+        Also false for a message above the bound of a frame. Nothing tells whether a
+        queued message arrives: the link may end, or drop its oldest ones.
+        """
+        open_link = self.links.get(name)
+        if open_link is None:
+            return False
+        try:
+            frame = codec.encode(message)
+        except exceptions.OversizedMessageError:
+            return False
+        open_link.send(frame)
+        return True
+
+    def linked(self) -> set[str]:
+        """Return the names of the peers with an open link."""
+        return set(self.links)
+
+    @property
+    def address(self) -> str:
+        """Return the address listened on, with the port that the kernel chose."""
+        assert self.listener is not None
+        return addresses.render(*self.listener.getsockname()[:2])
+
+    @property
+    def bytes_sent(self) -> int:
+        """Return the bytes of websocket frames sent since the start."""
+        return self.closed_sent + sum(one.bytes_sent for one in self.list_connections())
+
+    @property
+    def bytes_received(self) -> int:
+        """Return the bytes of websocket frames received since the start."""
+        received = sum(one.bytes_received for one in self.list_connections())
+        return self.closed_received + received
+
+    def list_connections(self) -> list[connections.Connection]:
+        """Return the connections of the open links."""
+        return [open_link.connection for open_link in self.links.values()]
+
+    # The greenlets.
+
+    def spawn(self, function: abc.Callable[..., object], *args: object) -> None:
+        """Run the function in a greenlet that ``stop`` ends."""
+        greenlet = eventlet.spawn(function, *args)
+        self.greenlets.add(greenlet)
+        greenlet.link(lambda ended: self.greenlets.discard(ended))
+
+    def run_acceptor(self, listener: socket.socket) -> None:
+        """Accept connections until the mesh stops, also after running out of files."""
+        while not self.stopping:
+            try:
+                opened, _ = listener.accept()
+            except OSError:
+                eventlet.sleep(ACCEPT_PAUSE)
+                continue
+            # A ready socket doesn't make eventlet switch: let the others run.
+            eventlet.sleep(0)
+            if len(self.pending) >= PENDING_LIMIT or len(self.links) >= LINK_LIMIT:
+                self.refused += 1
+                opened.close()
+            else:
+                self.pending.add(opened)
+                self.spawn(self.run_accepted, opened)
+
+    def run_accepted(self, opened: socket.socket) -> None:
+        """Authenticate whoever connected, and run the link to its end."""
+        deadline = time.monotonic() + HANDSHAKE_SECONDS
+        try:
+            with connections.accept(opened, deadline, HANDSHAKE_FRAME) as connection:
+                if connection is None:
+                    self.refused += 1
+                    return
+                own = self.make_challenge()
+                answer = handshake.prove_accepted(
+                    connection, own, self.secret, deadline, self.check_accepted
+                )
+                self.pending.discard(opened)
+                self.run_link(connection, answer)
+        finally:
+            self.pending.discard(opened)
+
+    def run_dialler(self, peer: Peer) -> None:
+        """Keep a link to the peer, with growing and jittered waits between tries."""
+        wait = FIRST_WAIT
+        while not self.stopping:
+            lasted = self.dial(peer)
+            grown = min(LONGEST_WAIT, wait * 2)
+            wait = FIRST_WAIT if lasted > STABLE_SECONDS else grown
+            eventlet.sleep(wait * self.random.uniform(0.5, 1.0))
+
+    def dial(self, peer: Peer) -> float:
+        """Run a link to the peer to its end; return the seconds that it lasted."""
+        deadline = time.monotonic() + HANDSHAKE_SECONDS
+        connecting = connections.dial(peer.address, deadline, HANDSHAKE_FRAME)
+        with connecting as connection:
+            if connection is None:
+                return 0.0
+            own = self.make_challenge()
+            answer = handshake.prove_dialled(
+                connection, own, self.secret, deadline, peer.check
+            )
+            started = time.monotonic()
+            self.run_link(connection, answer)
+            return time.monotonic() - started
+
+    def run_checks(self) -> None:
+        """Keep links alive and cut those whose peer is gone."""
+        last = time.monotonic()
+        while not self.stopping:
+            eventlet.sleep(CHECK_SECONDS)
+            now = time.monotonic()
+            stood_still = now - last - CHECK_SECONDS
+            last = now
+            for open_link in list(self.links.values()):
+                if stood_still > CHECK_SECONDS:
+                    open_link.excuse(stood_still)
+                open_link.check(now)
+
+    # The parts of the above.
+
+    def make_challenge(self) -> messages.Challenge:
+        """Return a challenge in our name."""
+        hello = messages.Hello(self.name, self.role, self.data_centre, self.identity)
+        return handshake.make_challenge(hello)
+
+    def check_accepted(self, challenge: messages.Challenge) -> str | None:
+        """Return why a peer that dialled isn't acceptable: it has another role."""
+        listed = self.peers.get(challenge.name)
+        if listed is not None and listed.role != challenge.role:
+            return f"{challenge.name!r} comes as a {challenge.role!r}"
+        return None
+
+    def run_link(
+        self,
+        connection: connections.Connection,
+        answer: messages.Challenge | handshake.Refused,
+    ) -> None:
+        """Serve the peer's link to its end, in the place of an older one."""
+        if isinstance(answer, handshake.Refused):
+            self.refused += 1
+            return
+        connection.allow(codec.MAX_FRAME)
+        opened = link.Link(connection, answer)
+        older = self.links.get(opened.name)
+        self.links[opened.name] = opened
+        if older is not None:
+            older.cut()
+        try:
+            with link.run_sender(opened):
+                self.on_change(opened.name, True)
+                self.deliver(opened)
+        finally:
+            self.end_link(opened)
+
+    def deliver(self, opened: link.Link) -> None:
+        """Hand over the peer's messages for as long as this is the link to it."""
+        for message in opened.receive():
+            if self.links.get(opened.name) is not opened or self.stopping:
+                return
+            self.on_message(opened.name, message)
+
+    def end_link(self, ended: link.Link) -> None:
+        """Forget the link, unless a newer one has taken its place."""
+        self.closed_sent += ended.connection.bytes_sent
+        self.closed_received += ended.connection.bytes_received
+        if self.links.get(ended.name) is ended:
+            del self.links[ended.name]
+            self.on_change(ended.name, False)
+
+
+def should_dial(name: str, role: str, peer: Peer) -> bool:
+    """Return whether the process, and not the peer, opens their link."""
+    if (role == CONTROL) != (peer.role == CONTROL):
+        return peer.role == CONTROL
+    return name < peer.name
