--- a/packages/policy/src/trestlestall/policy/arrivals.py
+++ b/packages/policy/src/trestlestall/policy/arrivals.py
@@ -4,8 +4,10 @@
 import typing
 from collections import abc
 
-SERVICE_PREFIX = "service:"
-NO_PRESSURE: abc.Mapping[str, int] = {}
+from trestlestall.configuration import model
+from trestlestall.membership import upstreams as membership
+
+PREFIX = model.SERVICE_PREFIX
 
 
 @dataclasses.dataclass(frozen=True)
@@ -24,7 +26,7 @@
     workspace: str
     weight: float
     target: str
-    request_class: typing.Any
+    request_class: model.RequestClass
     prompt_tokens: int
     max_tokens: int
     prefix: str
@@ -48,20 +50,20 @@
     counts the live routers of the data centre, this one included.
     """
 
-    upstreams: tuple[typing.Any, ...] = ()
+    upstreams: tuple[membership.Upstream, ...] = ()
     pressure: abc.Mapping[str, int] = dataclasses.field(default_factory=dict)
     drained: frozenset[str] = frozenset()
     routers: int = 1
 
 
-def list_targets(upstream: typing.Any) -> typing.Iterator[str]:
+def list_targets(upstream: membership.Upstream) -> typing.Iterator[str]:
     """Yield each target that requests may name to reach the upstream.
 
     A plain service lists its service names as ``models``.
     """
     names = (*upstream.models, *upstream.adapters)
-    if upstream.kind != "service":
+    if upstream.kind != membership.SERVICE:
         yield from names
         return
     for name in names:
-        yield name if name.startswith(SERVICE_PREFIX) else SERVICE_PREFIX + name
+        yield name if name.startswith(PREFIX) else PREFIX + name
--- a/packages/policy/tests/drivers.py
+++ b/packages/policy/tests/drivers.py
@@ -9,7 +9,7 @@
 import dataclasses
 import random
 
-from packages.policy.tests import fakes
+from trestlestall.membership import upstreams
 from trestlestall.policy import arrivals, outcomes
 
 REPORT_SECONDS = 0.5
@@ -74,13 +74,13 @@
         return told
 
     def announce(self, models, report):
-        return fakes.Upstream(
+        return upstreams.Upstream(
             self.name,
             self.incarnation,
             "a",
             "127.0.0.1:1",
             models=models,
-            capabilities=fakes.Capabilities(self.priorities, True, self.resume),
+            capabilities=upstreams.Capabilities(self.priorities, True, self.resume),
             slots=self.slots,
             report=report,
         )
@@ -326,7 +326,7 @@
             )
         if not self._upstreams:
             self._upstreams = tuple(
-                engine.announce(self.models, fakes.Report())
+                engine.announce(self.models, upstreams.Report())
                 for engine in self.engines.values()
             )
         for index in range(len(self.policies)):
@@ -339,7 +339,7 @@
         }
 
     def _stamp(self, counted):
-        return fakes.Report(self.now, *counted, received_at=self.now)
+        return upstreams.Report(self.now, *counted, received_at=self.now)
 
     def _make_view(self, index):
         found = {}
--- a/packages/policy/tests/test_public_interface.py
+++ b/packages/policy/tests/test_public_interface.py
@@ -2,12 +2,13 @@
 
 import unittest
 
-from packages.policy.tests import fakes
+from trestlestall.configuration import model
+from trestlestall.membership import upstreams
 from trestlestall.policy import actions, arrivals, outcomes, router_policy
 
-SUMMARY = fakes.RequestClass("summary", 0, 10.0)
-ALERT = fakes.RequestClass("alert", 1, 10.0, idempotent=False)
-ENGINE = fakes.Upstream("u1", 1, "a", "127.0.0.1:1", models=("m",), slots=1)
+SUMMARY = model.RequestClass("summary", 0, 10.0)
+ALERT = model.RequestClass("alert", 1, 10.0, idempotent=False)
+ENGINE = upstreams.Upstream("u1", 1, "a", "127.0.0.1:1", models=("m",), slots=1)
 VIEW = arrivals.View((ENGINE,))
 
 
--- a/tools/compare_policies.py
+++ b/tools/compare_policies.py
@@ -22,7 +22,8 @@
 SOURCES = [str(path) for path in sorted(ROOT.glob("packages/*/src"))]
 sys.path[:0] = [str(ROOT), *SOURCES]
 
-from packages.policy.tests import drivers, fakes  # noqa: E402
+from packages.policy.tests import drivers  # noqa: E402
+from trestlestall.configuration import model  # noqa: E402
 from trestlestall.policy import (  # noqa: E402
     actions,
     outcomes,
@@ -106,19 +107,19 @@
 class Demand:
     """One class's load: its rate as a multiple of what the engines could serve."""
 
-    request_class: fakes.RequestClass
+    request_class: model.RequestClass
     multiple: float
     lengths: tuple
 
 
 def list_mixes() -> dict[str, list[Demand]]:
     """Return the mixes by name."""
-    breakdown = fakes.RequestClass("breakdown", 0, 15.0, 2.0, True, 0.05)
-    helpline = fakes.RequestClass("helpline", 1, 20.0, 5.0, True, 0.05)
-    alert = fakes.RequestClass("alert", 2, 30.0, None, False, 0.03)
-    confirmation = fakes.RequestClass("confirmation", 0, 3.0, None, False, 0.05)
-    donor = fakes.RequestClass("donor", 1, 20.0, 5.0, True, 0.05)
-    letter = fakes.RequestClass("letter", 2, 60.0, None, True, 0.03)
+    breakdown = model.RequestClass("breakdown", 0, 15.0, 2.0, True, 0.05)
+    helpline = model.RequestClass("helpline", 1, 20.0, 5.0, True, 0.05)
+    alert = model.RequestClass("alert", 2, 30.0, None, False, 0.03)
+    confirmation = model.RequestClass("confirmation", 0, 3.0, None, False, 0.05)
+    donor = model.RequestClass("donor", 1, 20.0, 5.0, True, 0.05)
+    letter = model.RequestClass("letter", 2, 60.0, None, True, 0.03)
     return {
         "basu": [
             Demand(breakdown, 0.4, SHORT_OR_LONG),
