Keep floors off more urgent work, and earn their credit by time

Earned by tokens served at this router, a floor earned nothing at a quiet router. Change: a floor's work goes where all more urgent work of this router keeps its slot, and an upstream is held for it if there is none. Credit grows with time by the floor of the router's even share. Engines without priorities may have one request waiting inside, up to the even share. Waiting requests are not given up while other routers' work may linger. Lengths are predicted again when sent.

--- a/packages/policy/src/trestlestall/policy/admission.py
+++ b/packages/policy/src/trestlestall/policy/admission.py
@@ -45,7 +45,7 @@
 
 
 def find_slots(
-    backlog: backlogs.Backlog, tier: int, slots: float, routers: int, reserve: float
+    backlog: backlogs.Backlog, tier: int, even: float, reserve: float
 ) -> float:
     """Return how many slots the tier and the more urgent ones can count on.
 
@@ -53,8 +53,7 @@
     is the least, so that less urgent work that sits in the slots for a moment does not
     make the estimate worse.
     """
-    even = slots / max(1, routers) * (1 - reserve)
-    return max(1.0, even, backlog.in_flight.sum_to(tier))
+    return max(1.0, even * (1 - reserve), backlog.in_flight.sum_to(tier))
 
 
 def find_wait(
@@ -63,12 +62,14 @@
     backlog: backlogs.Backlog,
     accounts: floors.Floors,
     slots: float,
+    even: float,
     gap: float,
     pressure_seconds: float | None,
     now: float,
 ) -> Wait:
     """Estimate the wait of a request that arrives now.
 
+    ``slots`` is what the tier can count on, ``even`` this router's even part of all.
     ``pressure_seconds`` tells for how long a more urgent tier has been under pressure
     at any router, ``None`` when none is. A burst is taken to last as long again.
     """
@@ -82,9 +83,8 @@
         in_order = (ahead + estimate.service / 2) / left
     if pressure_seconds is not None:
         in_order += min(BURST_MOST, max(BURST_LEAST, pressure_seconds))
-    rate = slots / gap
-    by_floor = accounts.find_wait(request.request_class, rate)
-    return Wait(in_order, by_floor, rate)
+    by_floor = accounts.find_wait(request.request_class, even / gap, now)
+    return Wait(in_order, by_floor, slots / gap)
 
 
 def find_work_ahead(
--- a/packages/policy/src/trestlestall/policy/choice.py
+++ b/packages/policy/src/trestlestall/policy/choice.py
@@ -23,6 +23,20 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True)
+class Turn:
+    """By which right a request goes next.
+
+    ``spare`` is the share of slots to leave free for more urgent work. ``routers`` is
+    how many routers have work as urgent waiting: each leaves the others their even
+    share of the slots, instead of taking their work for less urgent.
+    """
+
+    spare: float = 0.0
+    routers: int = 1
+    by_floor: bool = False
+
+
 class Chooser:
     """Chooses upstreams for one router."""
 
@@ -41,42 +55,24 @@
             collections.OrderedDict()
         )
 
-    def choose(
-        self,
-        flight: flights.Flight,
-        now: float,
-        spare: float,
-        priority: int | None = None,
-        routers: int = 1,
-    ) -> Place | None:
-        """Return where to send a request now, or ``None`` when no upstream is open.
-
-        ``spare`` is the share of slots to leave free for more urgent work.
-        ``priority`` is given for work sent by its floor: the tier in whose order it
-        stands at the engine. ``routers`` is how many routers have work as urgent
-        waiting: each then leaves the others their even share of the slots, instead of
-        taking their work for less urgent.
-        """
+    def choose(self, flight: flights.Flight, now: float, turn: Turn) -> Place | None:
+        """Return where to send a request now, or ``None`` when no upstream is open."""
         target = flight.arrival.target
         everyone = self._fleet.list_open(target)
         probe = self._find_probe(flight, everyone, now)
         if probe is not None:
             return Place(probe, (probe.upstream.name,), "probe of a straggler")
         healthy = self._list_healthy(flight, everyone, now)
-        free = [load for load in healthy if has_room(load, spare)]
+        if not turn.by_floor:
+            healthy = [load for load in healthy if now >= load.held_until]
+        free = [load for load in healthy if is_free(load, flight.tier, turn)]
         if free:
             return self._take(flight, free, "free slot")
-        level = flight.tier if priority is None else priority
-        extra = priority is not None
-        over = [
-            load
-            for load in healthy
-            if load.can_displace(
-                level, load.boosted if extra else 0, find_kept(load, routers)
-            )
-        ]
+        over = [load for load in healthy if is_open(load, flight.tier, turn)]
         if over:
-            return self._take(flight, over, "engine displaces less urgent work")
+            return self._take(flight, over, "ahead of other work in the engine")
+        if turn.by_floor and healthy:
+            self._hold(healthy, flight.tier, now)
         return None
 
     def remember(self, flight: flights.Flight, upstream: str) -> None:
@@ -89,6 +85,13 @@
         if len(self._prefixes) > self._settings.affinity_limit:
             self._prefixes.popitem(last=False)
 
+    def _hold(self, healthy: list[loads.Load], tier: int, now: float) -> None:
+        """Keep in-order work off one upstream until work sent by a floor fits there."""
+        if any(now < load.held_until for load in healthy):
+            return
+        first = min(healthy, key=lambda load: load.by_tier.sum_above(tier) / load.slots)
+        first.held_until = now + self._settings.floor_hold
+
     def _list_healthy(self, flight, everyone, now) -> list[loads.Load]:
         """Leave out stragglers and paused upstreams, unless there is nothing else."""
         usable = [
@@ -142,16 +145,25 @@
         return (load.total + 1) / load.slots * slowness
 
 
-def has_room(load: loads.Load, spare: float) -> bool:
+def is_free(load: loads.Load, tier: int, turn: Turn) -> bool:
     """Return whether a slot is free beyond the share that is left free.
 
-    An engine that displaces less urgent work needs none left free.
+    An engine that displaces less urgent work needs none left free. Work sent by its
+    floor goes in the order of a more urgent tier and needs its own test there.
     """
-    if load.upstream.capabilities.priorities or load.slots == 1:
+    if load.upstream.capabilities.priorities:
+        if turn.by_floor:
+            return load.can_take_floor(tier) and load.has_free_slot(0)
         return load.has_free_slot(0)
-    return load.has_free_slot(math.ceil(load.slots * spare))
-
-
-def find_kept(load: loads.Load, routers: int) -> int:
-    """Return the slots beyond this router's even share."""
-    return load.slots - math.ceil(load.slots / routers)
+    spare = math.ceil(load.slots * turn.spare) if load.slots > 1 else 0
+    return load.has_free_slot(spare)
+
+
+def is_open(load: loads.Load, tier: int, turn: Turn) -> bool:
+    """Return whether the engine takes the request though its slots are in use."""
+    kept = load.slots - math.ceil(load.slots / turn.routers)
+    if not turn.spare and load.can_queue(kept):
+        return True
+    if turn.by_floor:
+        return load.can_take_floor(tier)
+    return load.can_displace(tier, kept)
--- a/packages/policy/src/trestlestall/policy/core.py
+++ b/packages/policy/src/trestlestall/policy/core.py
@@ -11,6 +11,7 @@
     fleet,
     flights,
     lanes,
+    lengths,
     loads,
     pressure,
     settings as defaults,
@@ -37,6 +38,7 @@
         )
         self.budget = budgets.Budget(settings.budget_share, settings.budget_most)
         self.deadlines = deadlines.Deadlines()
+        self.lengths = lengths.Book()
         self.flights: dict[str, flights.Flight] = {}
         self.attempts: dict[str, flights.Attempt] = {}
         self.lanes: dict[str, lanes.Lane] = {}
@@ -50,6 +52,15 @@
             self.lanes[target] = lane
         return lane
 
+    def predict_length(self, arrival: arrivals.Arrival) -> lengths.Distribution:
+        """Return what is known now of the length of a request's answer."""
+        return self.lengths.predict(
+            arrival.request_class.name,
+            arrival.workspace,
+            arrival.target,
+            arrival.max_tokens,
+        )
+
     def take_view(self, view: arrivals.View, now: float) -> None:
         """Take in what the router sees of its data centre."""
         if view is self.view:
@@ -69,6 +80,21 @@
         own = self.tracker.find(lane.target, now)
         return own if lane.peer_level is None else min(own, lane.peer_level)
 
+    def is_crowded(self, lane: lanes.Lane, tier: int, now: float) -> bool:
+        """Whether other routers' less urgent work may hold slots that it won't leave.
+
+        Peers that say they have work as urgent waiting send less urgent work by floors
+        alone; what they sent before lingers for a while. On engines that displace it,
+        less urgent work is not in the way.
+        """
+        told = lane.find_peer_seconds(tier, now)
+        if told is not None and told >= self.settings.lingering:
+            return False
+        return any(
+            load.others > 0 and not load.upstream.capabilities.priorities
+            for load in self.fleet.list_open(lane.target)
+        )
+
     def open_attempt(
         self,
         flight: flights.Flight,
--- a/packages/policy/src/trestlestall/policy/deadlines.py
+++ b/packages/policy/src/trestlestall/policy/deadlines.py
@@ -26,19 +26,26 @@
         flight.lent_before = backlog.measure_lent(flight.tier, now)
         self._push(flight, now + max(0.0, flight.estimate.wait_longest))
 
-    def pop_due(self, find_backlog, now: float) -> list[flights.Flight]:
-        """Return the waiting requests to give up now."""
-        due = []
+    def pop_due(self, find_lane, is_crowded, now: float) -> list[flights.Flight]:
+        """Return the waiting requests to give up now.
+
+        ``is_crowded(lane, tier, now)`` tells whether other routers' work may be in the
+        way.
+        """
+        due: list[flights.Flight] = []
         while self._heap and self._heap[0][0] <= now:
             _, _, flight = heapq.heappop(self._heap)
             if flight.stage in (flights.Stage.RUNNING, flights.Stage.DONE):
                 continue
+            lane = find_lane(flight.arrival.target)
+            # A request whose claim is asked for is about to be sent.
             waits = flight.stage is flights.Stage.WAITING
-            backlog = find_backlog(flight.arrival.target)
-            if waits and not is_held_up(flight, backlog, now):
-                due.append(flight)
-            else:
+            if not waits or is_crowded(lane, flight.tier, now):
                 self._push(flight, now + LOOK_AGAIN)
+            elif is_held_up(flight, lane.backlog, now):
+                self._push(flight, now + LOOK_AGAIN)
+            elif flight not in due:
+                due.append(flight)
         return due
 
     def watch_again(self, flight: flights.Flight, now: float) -> None:
--- a/packages/policy/src/trestlestall/policy/dispatch.py
+++ b/packages/policy/src/trestlestall/policy/dispatch.py
@@ -5,7 +5,9 @@
 alone.
 """
 
-from trestlestall.policy import actions, choice, core, flights, lanes
+import dataclasses
+
+from trestlestall.policy import actions, choice, core, flights, floors, lanes
 
 HEADROOM_SLOTS = 0.05
 
@@ -72,15 +74,14 @@
         level = self._core.find_level(lane, now)
         first = lane.backlog.waiting.find_first()
         urgent = min(level, first)
-        name = lane.floors.find_due(urgent, now)
+        name = lane.floors.find_due(urgent, self._find_rates(lane), now)
         if name is None:
             return None
         flight = lane.queue.peek_class(lane.floors.find_tier(name), name)
         if flight is None:
             return None
-        place = self._core.chooser.choose(
-            flight, now, 0.0, urgent, self._count_rivals(lane, urgent)
-        )
+        turn = choice.Turn(0.0, self._count_rivals(lane, urgent), by_floor=True)
+        place = self._core.chooser.choose(flight, now, turn)
         if place is None:
             return None
         return self._start(lane, flight, place, urgent, now)
@@ -92,9 +93,8 @@
         flight = lane.queue.peek_tier(tier)
         if flight is None:
             return None
-        spare = self._find_spare(lane, tier)
-        rivals = self._count_rivals(lane, tier)
-        place = self._core.chooser.choose(flight, now, spare, None, rivals)
+        turn = choice.Turn(self._find_spare(lane, tier), self._count_rivals(lane, tier))
+        place = self._core.chooser.choose(flight, now, turn)
         if place is None:
             lane.full_tier = min(lane.full_tier, tier)
             return None
@@ -102,12 +102,14 @@
 
     def _start(self, lane, flight, place, priority: int, now) -> actions.Action:
         flight.by_floor = priority != flight.tier
-        if flight.idempotent or flight.claimed:
-            lane.dequeue(flight, flights.Stage.RUNNING)
-            lane.charge(flight, now)
-            return self.send(flight, place, priority, now)
-        lane.dequeue(flight, flights.Stage.ASKING)
+        ready = flight.idempotent or flight.claimed
+        lane.dequeue(flight, flights.Stage.RUNNING if ready else flights.Stage.ASKING)
+        # Lengths may have been learned since the request arrived.
+        tokens = max(1.0, self._core.predict_length(flight.arrival).find_mean())
+        flight.estimate = dataclasses.replace(flight.estimate, tokens=tokens)
         lane.charge(flight, now)
+        if ready:
+            return self.send(flight, place, priority, now)
         self._core.open_attempt(flight, place.load, priority, now)
         return actions.Ask(flight.name)
 
@@ -117,6 +119,12 @@
             return 1
         return max(2, self._core.view.routers)
 
+    def _find_rates(self, lane: lanes.Lane) -> floors.Rates:
+        """Return tokens per second by tier, in this router's even share."""
+        slots = self._core.fleet.count_slots(lane.target)
+        even = slots / max(1, self._core.view.routers)
+        return lambda tier: even / lane.speeds.find_gap(tier)
+
     def _find_spare(self, lane: lanes.Lane, tier: int) -> float:
         """Return the share of slots to keep free while more urgent work comes in."""
         urgent = lane.backlog.offered.sum_above(tier)
--- a/packages/policy/src/trestlestall/policy/entry.py
+++ b/packages/policy/src/trestlestall/policy/entry.py
@@ -8,7 +8,6 @@
     estimates,
     flights,
     lanes,
-    lengths,
 )
 
 
@@ -17,7 +16,6 @@
 
     def __init__(self, shared: core.Core):
         self._core = shared
-        self.lengths = lengths.Book()
 
     def admit(self, request: arrivals.Arrival, now: float) -> list[actions.Action]:
         """Let a request wait, or return its refusal."""
@@ -39,34 +37,25 @@
         """Learn the length of a whole answer."""
         arrival = flight.arrival
         name = arrival.request_class.name
-        self.lengths.note(name, arrival.workspace, arrival.target, tokens)
+        self._core.lengths.note(name, arrival.workspace, arrival.target, tokens)
 
     def _estimate(self, request, lane: lanes.Lane) -> estimates.Estimate:
-        distribution = self.lengths.predict(
-            request.request_class.name,
-            request.workspace,
-            request.target,
-            request.max_tokens,
-        )
+        distribution = self._core.predict_length(request)
         return estimates.estimate(
             request, distribution, lane.speeds, self._core.settings
         )
 
     def _find_wait(self, request, estimate, lane, now: float) -> admission.Wait:
-        settings = self._core.settings
-        slots = admission.find_slots(
-            lane.backlog,
-            request.tier,
-            self._core.fleet.count_slots(request.target),
-            self._core.view.routers,
-            settings.floor_reserve,
-        )
+        count = self._core.fleet.count_slots(request.target)
+        even = count / max(1, self._core.view.routers)
+        reserve = self._core.settings.floor_reserve
         return admission.find_wait(
             request,
             estimate,
             lane.backlog,
             lane.floors,
-            slots,
+            admission.find_slots(lane.backlog, request.tier, even, reserve),
+            even,
             lane.speeds.find_gap(request.tier),
             self._find_pressure_seconds(request, lane, now),
             now,
@@ -78,8 +67,9 @@
         found = []
         if own < tier:
             found.append(self._core.tracker.find_duration(request.target, tier, now))
-        if lane.peer_level is not None and lane.peer_level < tier:
-            found.append(now - lane.peer_since)
+        peers = lane.find_peer_seconds(tier - 1, now)
+        if peers is not None:
+            found.append(peers)
         return max(found) if found else None
 
     def _let_in(self, request, estimate, lane: lanes.Lane, now: float) -> None:
--- a/packages/policy/src/trestlestall/policy/floors.py
+++ b/packages/policy/src/trestlestall/policy/floors.py
@@ -1,18 +1,22 @@
 """Floors: the share of a target's tokens that each class is due while it waits.
 
-A class earns credit as tokens are served to its own and more urgent tiers: its floor
-times those tokens. With credit and waiting work it goes next, whatever its tier. What
-is sent by the floor is charged whole, so that a request larger than the share puts the
-class in debt until the debt is earned back; so floors together never take more than
-their sum, and one request. Work sent in the ordinary order uses credit up, but makes no
-debt: a class that was served well before a burst does not start the burst in debt.
+A class earns credit with time: its floor times the tokens per second that this router's
+even part of the slots can make. (Tokens really served at this router would not do: the
+class whose requests all reach a quiet router would earn nothing.) With credit and
+waiting work it goes next, whatever its tier. What is sent by the floor is charged
+whole, so that a request larger than the share puts the class in debt until the debt is
+earned back; so floors together never take more than their sum, and one request each.
+Work sent in the ordinary order uses credit up, but makes no debt: a class that was
+served well before a burst does not start the burst in debt.
 
 A class that waits and got nothing for ``window`` seconds goes next once, even in debt.
 """
 
 import dataclasses
+import typing
+from collections import abc
 
-from trestlestall.policy import tiers
+Rates: typing.TypeAlias = abc.Callable[[int], float]
 
 
 @dataclasses.dataclass(slots=True)
@@ -22,7 +26,7 @@
     tier: int
     floor: float
     credit: float = 0.0
-    mark: float = 0.0
+    settled_at: float | None = None
     sent_at: float = 0.0
     waiting: int = 0
     waiting_tokens: float = 0.0
@@ -31,8 +35,7 @@
 class Floors:
     """The accounts of the classes of one target."""
 
-    def __init__(self, served: tiers.PerTier, credit_most: float, window: float):
-        self._served = served
+    def __init__(self, credit_most: float, window: float):
         self._credit_most = credit_most
         self._window = window
         self._accounts: dict[str, Account] = {}
@@ -64,27 +67,28 @@
         """Charge the difference once the length of a floor's answer is known."""
         self._find(request_class).credit -= tokens
 
-    def find_due(self, pressure: int, now: float) -> str | None:
+    def find_due(self, pressure: int, rates: Rates, now: float) -> str | None:
         """Return the class that goes next by its floor, the one longest unserved.
 
-        Only classes of tiers less urgent than ``pressure`` need it.
+        Only classes of tiers less urgent than ``pressure`` need it. ``rates`` gives the
+        tokens per second of a tier with the more urgent ones.
         """
         due = [
             (account.sent_at, name)
             for name, account in self._accounts.items()
             if account.waiting
             and account.tier > pressure
-            and self._is_due(account, now)
+            and self._is_due(account, rates, now)
         ]
         return min(due)[1] if due else None
 
-    def find_wait(self, request_class, rate: float) -> float | None:
+    def find_wait(self, request_class, rate: float, now: float) -> float | None:
         """Return the seconds until the floor would send one more request.
 
         ``rate`` is tokens per second of the class's own and more urgent tiers.
         """
         account = self._find(request_class)
-        self._settle(account)
+        self._settle(account, rate, now)
         if account.floor <= 0 or rate <= 0:
             return None
         owed = account.waiting_tokens + max(0.0, -account.credit)
@@ -98,22 +102,19 @@
         account = self._accounts.get(request_class.name)
         if account is None:
             account = Account(request_class.tier, request_class.floor)
-            account.mark = self._served.sum_to(account.tier)
             self._accounts[request_class.name] = account
-        if account.tier != request_class.tier:
-            account.tier = request_class.tier
-            account.mark = self._served.sum_to(account.tier)
+        account.tier = request_class.tier
         account.floor = request_class.floor
         return account
 
-    def _settle(self, account: Account) -> None:
-        served = self._served.sum_to(account.tier)
-        account.credit += account.floor * (served - account.mark)
-        account.mark = served
+    def _settle(self, account: Account, rate: float, now: float) -> None:
+        if account.settled_at is not None:
+            account.credit += account.floor * rate * (now - account.settled_at)
+        account.settled_at = now
         account.credit = min(account.credit, self._credit_most)
 
-    def _is_due(self, account: Account, now: float) -> bool:
+    def _is_due(self, account: Account, rates: Rates, now: float) -> bool:
         if account.floor <= 0:
             return False
-        self._settle(account)
+        self._settle(account, rates(account.tier), now)
         return account.credit > 0 or now - account.sent_at >= self._window
--- a/packages/policy/src/trestlestall/policy/hedges.py
+++ b/packages/policy/src/trestlestall/policy/hedges.py
@@ -7,7 +7,7 @@
 import heapq
 import itertools
 
-from trestlestall.policy import actions, core, dispatch, flights
+from trestlestall.policy import actions, choice, core, dispatch, flights
 
 
 class Hedges:
@@ -53,7 +53,7 @@
         if flight.sends >= self._core.settings.attempts_most:
             return None
         flight.avoided.add(attempt.upstream)
-        place = self._core.chooser.choose(flight, now, 0.0)
+        place = self._core.chooser.choose(flight, now, choice.Turn())
         if place is None or not self._core.budget.take():
             return None
         return self._sender.send(flight, place, flight.tier, now)
--- a/packages/policy/src/trestlestall/policy/lanes.py
+++ b/packages/policy/src/trestlestall/policy/lanes.py
@@ -11,6 +11,7 @@
 )
 
 NEVER_FULL = 1_000_000
+PRESSURE_TIERS = 64
 
 
 class Lane:
@@ -24,23 +25,34 @@
         self.target = target
         self.queue = queues.TargetQueue()
         self.backlog = backlogs.Backlog()
-        self.floors = floors.Floors(
-            self.backlog.served, settings.floor_credit, settings.floor_window
-        )
+        self.floors = floors.Floors(settings.floor_credit, settings.floor_window)
         self.speeds = speeds.Speeds(
             settings.default_first_token, settings.default_token_gap
         )
         self.returns = returns.Schedule(seed, settings.retry_least, settings.retry_most)
         self.full_tier = NEVER_FULL
         self.peer_level: int | None = None
-        self.peer_since = 0.0
+        self._peer_since: dict[int, float] = {}
 
     def note_peers(self, level: int | None, now: float) -> None:
         """Take in the most urgent tier under pressure at the peer routers."""
-        if level != self.peer_level:
-            self.peer_level = level
-            self.peer_since = now
-            self.full_tier = NEVER_FULL
+        before = self.peer_level
+        if level == before:
+            return
+        self.peer_level = level
+        self.full_tier = NEVER_FULL
+        if level is not None:
+            end = before if before is not None else level + PRESSURE_TIERS
+            self._peer_since.update((tier, now) for tier in range(level, end))
+
+    def find_peer_seconds(self, tier: int, now: float) -> float | None:
+        """Return for how long a peer has had work of the tier, or more urgent, waiting.
+
+        ``None`` when none has.
+        """
+        if self.peer_level is None or self.peer_level > tier:
+            return None
+        return now - self._peer_since.get(tier, now)
 
     def enqueue(self, flight: flights.Flight, now: float, first: bool = False) -> None:
         """Let a request wait."""
--- a/packages/policy/src/trestlestall/policy/lengths.py
+++ b/packages/policy/src/trestlestall/policy/lengths.py
@@ -12,7 +12,7 @@
 LEAST = 4.0
 RATIO = 1.35
 BUCKETS = 30
-PRIOR_WEIGHT = 6.0
+PRIOR_WEIGHT = 3.0
 DECAY = 0.995
 KEY_LIMIT = 20_000
 EDGES = tuple(LEAST * RATIO**index for index in range(BUCKETS))
--- a/packages/policy/src/trestlestall/policy/loads.py
+++ b/packages/policy/src/trestlestall/policy/loads.py
@@ -23,6 +23,7 @@
         self.boosted = 0
         self.busy_since = 0.0
         self.avoid_until = float("-inf")
+        self.held_until = float("-inf")
         self._report_lag = report_lag
         self._waiting_start = 0
         self._history: collections.deque[tuple[float, int]] = collections.deque()
@@ -61,6 +62,8 @@
         self.unstarted.add(tier, 1)
         self._waiting_start += 1
         self.boosted += boosted
+        if boosted:
+            self.held_until = now
         self._count(1, now)
 
     def start(self, tier: int) -> None:
@@ -80,7 +83,7 @@
         """Whether a slot is free beyond ``spare`` ones."""
         return self.total + spare < self.slots
 
-    def can_displace(self, tier: int, extra: int = 0, kept: int = 0) -> bool:
+    def can_displace(self, tier: int, kept: int) -> bool:
         """Whether the engine would displace less urgent work for the tier.
 
         ``kept`` is how many slots other routers may hold with work as urgent: their
@@ -90,13 +93,33 @@
         """
         if not self.upstream.capabilities.priorities:
             return False
-        own = self.by_tier.sum_to(tier) + extra
+        own = self.by_tier.sum_to(tier)
         urgent = own + min(kept, self.others)
         window = max(2, self.slots // 4)
-        if urgent >= self.slots or self.unstarted.sum_to(tier) + extra >= window:
+        if urgent >= self.slots or self.unstarted.sum_to(tier) >= window:
             return False
         return self.total > own
 
+    def can_take_floor(self, tier: int) -> bool:
+        """Whether work of the tier may go ahead of its turn by its class's floor.
+
+        It goes in the order of a more urgent tier. All more urgent work of this router
+        must keep its slot, so that the engine displaces none of it.
+        """
+        if not self.upstream.capabilities.priorities:
+            return False
+        return self.by_tier.sum_above(tier) + self.boosted < self.slots
+
+    def can_queue(self, kept: int) -> bool:
+        """Whether one request may wait inside an engine without priorities.
+
+        Other routers refill each slot that comes free before this one knows of it. A
+        router that holds less than its even share may have one request waiting there.
+        """
+        if self.upstream.capabilities.priorities or not kept:
+            return False
+        return self.own < self.slots - kept and not self._waiting_start
+
     def _count(self, change: int, now: float) -> None:
         if not self.own:
             self.busy_since = now
--- a/packages/policy/src/trestlestall/policy/router_policy.py
+++ b/packages/policy/src/trestlestall/policy/router_policy.py
@@ -178,7 +178,9 @@
     def _give_up(self, now: float) -> list[actions.Action]:
         """Answer the waiting requests whose target has come out of reach."""
         decided: list[actions.Action] = []
-        due = self._core.deadlines.pop_due(self._find_backlog, now)
+        due = self._core.deadlines.pop_due(
+            self._core.find_lane, self._core.is_crowded, now
+        )
         for flight in due:
             lane = self._core.find_lane(flight.arrival.target)
             lane.dequeue(flight, flights.Stage.DONE)
@@ -187,9 +189,6 @@
             decided.append(self._core.fail(flight, reason, now))
         return decided
 
-    def _find_backlog(self, target: str):
-        return self._core.find_lane(target).backlog
-
     def _note_pressure(self, now: float) -> None:
         grace = self._core.settings.pressure_grace
         for lane in self._core.lanes.values():
--- a/packages/policy/src/trestlestall/policy/settings.py
+++ b/packages/policy/src/trestlestall/policy/settings.py
@@ -34,6 +34,8 @@
     floor_reserve: float = 0.1
     floor_credit: float = 256.0
     floor_window: float = 30.0
+    # How long in-order work is kept off an upstream where a floor's work goes next.
+    floor_hold: float = 2.0
 
     # Choice of upstream.
     samples: int = 2
@@ -60,6 +62,8 @@
     pressure_grace: float = 0.1
     pressure_hold: float = 1.0
     pressure_repeat: float = 0.5
+    # How long work that peers sent before they were under pressure may still run.
+    lingering: float = 10.0
 
 
 DEFAULT = Settings()
--- a/packages/policy/tests/drivers.py
+++ b/packages/policy/tests/drivers.py
@@ -10,7 +10,7 @@
 import random
 
 from trestlestall.membership import upstreams
-from trestlestall.policy import arrivals, outcomes
+from trestlestall.policy import arrivals, outcomes, router_policy, settings
 
 REPORT_SECONDS = 0.5
 
@@ -101,7 +101,7 @@
             lowest = max(self.running, key=order)
             if self.waiting[0].priority >= lowest.priority:
                 break
-            self.displaced.append((lowest.priority, self.waiting[0].priority))
+            self.displaced.append((lowest.attempt, self.waiting[0].attempt))
             self.running.remove(lowest)
             self.running.append(self.waiting.pop(0))
             self.waiting.append(lowest)
@@ -385,3 +385,11 @@
 
 def make_rng(seed):
     return random.Random(seed)
+
+
+def make_policies(seed, count=1):
+    """Return policies whose attempts have names of their own."""
+    return [
+        router_policy.Policy(seed * 100 + index, settings.Settings(router=f"r{index}"))
+        for index in range(count)
+    ]
