Look only at the upstream where a slot came free

Cause: with all upstreams full, each finish and first token looked at all 150 again and worked out slots and rates anew; lower tiers' displaced streams made floors' rate low. Change: slots are cached per view, rates per tick (from the quickest tier's gap); a freed slot is offered at its upstream alone while the others are known to be full. A floor's claimed request is checked again before it is sent.

--- a/packages/policy/src/trestlestall/policy/admission.py
+++ b/packages/policy/src/trestlestall/policy/admission.py
@@ -62,14 +62,14 @@
     backlog: backlogs.Backlog,
     accounts: floors.Floors,
     slots: float,
-    even: float,
-    gap: float,
+    rate: float,
     pressure_seconds: float | None,
     now: float,
 ) -> Wait:
     """Estimate the wait of a request that arrives now.
 
-    ``slots`` is what the tier can count on, ``even`` this router's even part of all.
+    ``slots`` is what the tier can count on, ``rate`` the tokens per second of this
+    router's even part of all slots.
     ``pressure_seconds`` tells for how long a more urgent tier has been under pressure
     at any router, ``None`` when none is. A burst is taken to last as long again.
     """
@@ -83,8 +83,8 @@
         in_order = (ahead + estimate.service / 2) / left
     if pressure_seconds is not None:
         in_order += min(BURST_MOST, max(BURST_LEAST, pressure_seconds))
-    by_floor = accounts.find_wait(request.request_class, even / gap, now)
-    return Wait(in_order, by_floor, slots / gap)
+    by_floor = accounts.find_wait(request.request_class, rate, now)
+    return Wait(in_order, by_floor, rate)
 
 
 def find_work_ahead(
--- a/packages/policy/src/trestlestall/policy/choice.py
+++ b/packages/policy/src/trestlestall/policy/choice.py
@@ -55,10 +55,18 @@
             collections.OrderedDict()
         )
 
-    def choose(self, flight: flights.Flight, now: float, turn: Turn) -> Place | None:
-        """Return where to send a request now, or ``None`` when no upstream is open."""
-        target = flight.arrival.target
-        everyone = self._fleet.list_open(target)
+    def choose(
+        self,
+        flight: flights.Flight,
+        now: float,
+        turn: Turn,
+        only: loads.Load | None = None,
+    ) -> Place | None:
+        """Return where to send a request now, or ``None`` when no upstream is open.
+
+        ``only`` is given where a slot came free while all others are known to be full.
+        """
+        everyone = self._list_candidates(flight.arrival.target, only)
         probe = self._find_probe(flight, everyone, now)
         if probe is not None:
             return Place(probe, (probe.upstream.name,), "probe of a straggler")
@@ -71,7 +79,7 @@
         over = [load for load in healthy if is_open(load, flight.tier, turn)]
         if over:
             return self._take(flight, over, "ahead of other work in the engine")
-        if turn.by_floor and healthy:
+        if turn.by_floor and healthy and only is None:
             self._hold(healthy, flight.tier, now)
         return None
 
@@ -85,6 +93,11 @@
         if len(self._prefixes) > self._settings.affinity_limit:
             self._prefixes.popitem(last=False)
 
+    def _list_candidates(self, target, only: loads.Load | None) -> list[loads.Load]:
+        if only is None:
+            return self._fleet.list_open(target)
+        return [] if only.upstream.name in self._fleet.drained else [only]
+
     def _hold(self, healthy: list[loads.Load], tier: int, now: float) -> None:
         """Keep in-order work off one upstream until work sent by a floor fits there."""
         if any(now < load.held_until for load in healthy):
--- a/packages/policy/src/trestlestall/policy/core.py
+++ b/packages/policy/src/trestlestall/policy/core.py
@@ -80,6 +80,19 @@
         own = self.tracker.find(lane.target, now)
         return own if lane.peer_level is None else min(own, lane.peer_level)
 
+    def find_rate(self, lane: lanes.Lane, tier: int) -> float:
+        """Return the tokens per second that this router's even share can make.
+
+        It is worked out once per tick and tier, so that no event between two ticks
+        changes it.
+        """
+        rate = lane.rates.get(tier)
+        if rate is None:
+            slots = self.fleet.count_slots(lane.target)
+            even = slots / max(1, self.view.routers)
+            rate = lane.rates[tier] = even / lane.speeds.find_least_gap(tier)
+        return rate
+
     def is_crowded(self, lane: lanes.Lane, tier: int, now: float) -> bool:
         """Whether other routers' less urgent work may hold slots that it won't leave.
 
@@ -131,7 +144,6 @@
             load.remove(flight.tier, attempt.floor, attempt.started, now)
         lane = self.find_lane(flight.arrival.target)
         lane.backlog.remove_in_flight(flight.tier, attempt.fixed, now)
-        lane.full_tier = lanes.NEVER_FULL
 
     def cancel_attempts(
         self, flight: flights.Flight, now: float, but: flights.Attempt | None = None
--- a/packages/policy/src/trestlestall/policy/dispatch.py
+++ b/packages/policy/src/trestlestall/policy/dispatch.py
@@ -7,7 +7,7 @@
 
 import dataclasses
 
-from trestlestall.policy import actions, choice, core, flights, floors, lanes
+from trestlestall.policy import actions, choice, core, flights, lanes, loads
 
 HEADROOM_SLOTS = 0.05
 
@@ -18,17 +18,27 @@
     def __init__(self, shared: core.Core):
         self._core = shared
 
-    def run(self, lane: lanes.Lane, now: float) -> list[actions.Action]:
-        """Send what can be sent for one target now."""
+    def run(
+        self, lane: lanes.Lane, now: float, freed: loads.Load | None = None
+    ) -> list[actions.Action]:
+        """Send what can be sent for one target now.
+
+        ``freed`` is an upstream where a slot came free. When all others are known to be
+        full, only that one is looked at.
+        """
+        only = freed if lane.full_tier != lanes.NEVER_FULL else None
         sent: list[actions.Action] = []
         while lane.backlog.waiting.find_first() is not None:
-            action = self._send_by_floor(lane, now) or self._send_in_order(lane, now)
+            action = self._send_by_floor(lane, now, only)
+            action = action or self._send_in_order(lane, now, only)
             if action is None:
                 break
             sent.append(action)
         return sent
 
-    def run_all(self, targets: list[str], now: float) -> list[actions.Action]:
+    def run_all(
+        self, targets: list[str], now: float, freed: loads.Load | None = None
+    ) -> list[actions.Action]:
         """Send for several targets, the one with the most urgent work first."""
         found = [self._core.lanes[name] for name in targets if name in self._core.lanes]
         waiting = [(lane.backlog.waiting.find_first(), lane) for lane in found]
@@ -36,7 +46,7 @@
         ready.sort(key=lambda pair: pair[0])
         sent: list[actions.Action] = []
         for _, lane in ready:
-            sent += self.run(lane, now)
+            sent += self.run(lane, now, freed)
         return sent
 
     def send_claimed(
@@ -52,6 +62,9 @@
         load = self._core.fleet.find(attempt.upstream, attempt.incarnation)
         if load is None or attempt.upstream not in names or now < load.avoid_until:
             return None
+        # More urgent work may have been sent there since the claim was asked for.
+        if attempt.floor and not load.still_fits_floor(flight.tier):
+            return None
         attempt.sent_at = now
         flight.stage = flights.Stage.RUNNING
         flight.sends += 1
@@ -70,23 +83,25 @@
         self._core.chooser.remember(flight, attempt.upstream)
         return make_send(attempt, place.candidates, place.reason)
 
-    def _send_by_floor(self, lane: lanes.Lane, now: float) -> actions.Action | None:
+    def _send_by_floor(self, lane, now: float, only) -> actions.Action | None:
         level = self._core.find_level(lane, now)
         first = lane.backlog.waiting.find_first()
         urgent = min(level, first)
-        name = lane.floors.find_due(urgent, self._find_rates(lane), now)
+        name = lane.floors.find_due(
+            urgent, lambda tier: self._core.find_rate(lane, tier), now
+        )
         if name is None:
             return None
         flight = lane.queue.peek_class(lane.floors.find_tier(name), name)
         if flight is None:
             return None
         turn = choice.Turn(0.0, self._count_rivals(lane, urgent), by_floor=True)
-        place = self._core.chooser.choose(flight, now, turn)
+        place = self._core.chooser.choose(flight, now, turn, only)
         if place is None:
             return None
         return self._start(lane, flight, place, urgent, now)
 
-    def _send_in_order(self, lane: lanes.Lane, now: float) -> actions.Action | None:
+    def _send_in_order(self, lane, now: float, only) -> actions.Action | None:
         tier = lane.backlog.waiting.find_first()
         if tier is None or tier > self._core.find_level(lane, now):
             return None
@@ -94,7 +109,7 @@
         if flight is None:
             return None
         turn = choice.Turn(self._find_spare(lane, tier), self._count_rivals(lane, tier))
-        place = self._core.chooser.choose(flight, now, turn)
+        place = self._core.chooser.choose(flight, now, turn, only)
         if place is None:
             lane.full_tier = min(lane.full_tier, tier)
             return None
@@ -119,12 +134,6 @@
             return 1
         return max(2, self._core.view.routers)
 
-    def _find_rates(self, lane: lanes.Lane) -> floors.Rates:
-        """Return tokens per second by tier, in this router's even share."""
-        slots = self._core.fleet.count_slots(lane.target)
-        even = slots / max(1, self._core.view.routers)
-        return lambda tier: even / lane.speeds.find_gap(tier)
-
     def _find_spare(self, lane: lanes.Lane, tier: int) -> float:
         """Return the share of slots to keep free while more urgent work comes in."""
         urgent = lane.backlog.offered.sum_above(tier)
--- a/packages/policy/src/trestlestall/policy/entry.py
+++ b/packages/policy/src/trestlestall/policy/entry.py
@@ -55,8 +55,7 @@
             lane.backlog,
             lane.floors,
             admission.find_slots(lane.backlog, request.tier, even, reserve),
-            even,
-            lane.speeds.find_gap(request.tier),
+            self._core.find_rate(lane, request.tier),
             self._find_pressure_seconds(request, lane, now),
             now,
         )
--- a/packages/policy/src/trestlestall/policy/fleet.py
+++ b/packages/policy/src/trestlestall/policy/fleet.py
@@ -11,6 +11,7 @@
         self._seen: tuple | None = None
         self._loads: dict[str, loads.Load] = {}
         self._by_target: dict[str, list[loads.Load]] = {}
+        self._slots: dict[str, float] = {}
         self.drained: frozenset[str] = frozenset()
 
     def refresh(self, view: arrivals.View) -> set[str] | None:
@@ -18,7 +19,9 @@
 
         ``None`` means that the upstreams are those of the last view.
         """
-        self.drained = view.drained
+        if view.drained != self.drained:
+            self.drained = view.drained
+            self._slots = {}
         if view.upstreams is self._seen:
             return None
         self._seen = view.upstreams
@@ -54,10 +57,14 @@
 
     def count_slots(self, target: str) -> float:
         """Return the slots that serve a target; a shared upstream counts in part."""
-        return sum(
-            load.slots / max(1, len(load.upstream.models))
-            for load in self.list_open(target)
-        )
+        slots = self._slots.get(target)
+        if slots is None:
+            slots = sum(
+                load.slots / max(1, len(load.upstream.models))
+                for load in self.list_open(target)
+            )
+            self._slots[target] = slots
+        return slots
 
     def _renew(self, upstream, before: dict[str, loads.Load]) -> loads.Load:
         load = before.get(upstream.name)
@@ -68,6 +75,7 @@
 
     def _index(self) -> None:
         self._by_target = {}
+        self._slots = {}
         for load in self._loads.values():
             for target in arrivals.list_targets(load.upstream):
                 self._by_target.setdefault(target, []).append(load)
--- a/packages/policy/src/trestlestall/policy/floors.py
+++ b/packages/policy/src/trestlestall/policy/floors.py
@@ -94,6 +94,10 @@
         owed = account.waiting_tokens + max(0.0, -account.credit)
         return owed / (account.floor * rate)
 
+    def list_tiers(self) -> set[int]:
+        """Return the tiers of all accounts."""
+        return {account.tier for account in self._accounts.values()}
+
     def find_tier(self, name: str) -> int:
         """Return the tier of a class."""
         return self._accounts[name].tier
--- a/packages/policy/src/trestlestall/policy/lanes.py
+++ b/packages/policy/src/trestlestall/policy/lanes.py
@@ -31,6 +31,7 @@
         )
         self.returns = returns.Schedule(seed, settings.retry_least, settings.retry_most)
         self.full_tier = NEVER_FULL
+        self.rates: dict[int, float] = {}
         self.peer_level: int | None = None
         self._peer_since: dict[int, float] = {}
 
@@ -54,6 +55,11 @@
             return None
         return now - self._peer_since.get(tier, now)
 
+    def refresh(self) -> None:
+        """Look again at what was known to be so until the next tick."""
+        self.full_tier = NEVER_FULL
+        self.rates = {}
+
     def enqueue(self, flight: flights.Flight, now: float, first: bool = False) -> None:
         """Let a request wait."""
         flight.stage = flights.Stage.WAITING
--- a/packages/policy/src/trestlestall/policy/loads.py
+++ b/packages/policy/src/trestlestall/policy/loads.py
@@ -110,6 +110,12 @@
             return False
         return self.by_tier.sum_above(tier) + self.boosted < self.slots
 
+    def still_fits_floor(self, tier: int) -> bool:
+        """Whether an attempt that already counts here by its floor may still go."""
+        if not self.upstream.capabilities.priorities:
+            return True
+        return self.by_tier.sum_above(tier) + self.boosted <= self.slots
+
     def can_queue(self, kept: int) -> bool:
         """Whether one request may wait inside an engine without priorities.
 
--- a/packages/policy/src/trestlestall/policy/router_policy.py
+++ b/packages/policy/src/trestlestall/policy/router_policy.py
@@ -19,7 +19,6 @@
     entry,
     flights,
     hedges,
-    lanes,
     outcomes,
     settings as defaults,
 )
@@ -112,7 +111,9 @@
             self._core.watch.judge(target, found, now)
         decided = self._end_claims(now) + self._give_up(now)
         for lane in self._core.lanes.values():
-            lane.full_tier = lanes.NEVER_FULL
+            lane.refresh()
+            for tier in lane.floors.list_tiers():
+                self._core.find_rate(lane, tier)
         decided += self._sender.run_all(list(self._core.lanes), now)
         decided += self._hedges.run(now)
         self._note_pressure(now)
@@ -155,7 +156,7 @@
         targets = [attempt.flight.arrival.target]
         if load is not None:
             targets = list(arrivals.list_targets(load.upstream))
-        return self._close(self._sender.run_all(targets, now), now)
+        return self._close(self._sender.run_all(targets, now, load), now)
 
     def _end_claims(self, now: float) -> list[actions.Action]:
         timeout = self._core.settings.claim_timeout
--- a/packages/policy/src/trestlestall/policy/speeds.py
+++ b/packages/policy/src/trestlestall/policy/speeds.py
@@ -62,6 +62,18 @@
         seconds = self._defaults[1] * PRIOR_TOKENS + self._token_seconds.sum_to(tier)
         return seconds / (PRIOR_TOKENS + self._tokens.sum_to(tier))
 
+    def find_least_gap(self, tier: int) -> float:
+        """Return the gap of the quickest of the tiers up to this one.
+
+        The others' gaps may hold times in which the engine had displaced them.
+        """
+        gaps = [
+            self._token_seconds.get(other) / self._tokens.get(other)
+            for other in range(tier + 1)
+            if self._tokens.get(other) >= PRIOR_TOKENS
+        ]
+        return min([*gaps, self.find_gap(tier)])
+
 
 def fade(sums: tiers.PerTier, tier: int, amount: float) -> None:
     """Add an amount, letting earlier ones fade."""
