--- a/packages/policy/tests/drivers.py
+++ b/packages/policy/tests/drivers.py
@@ -155,7 +155,7 @@
         self.wasted = 0
         self.sends: list[tuple] = []
         self.log: list[tuple] = []
-        self.drained = frozenset()
+        self.drains: set[str] = set()
         self.hidden: set[str] = set()
         self._number = 0
         self._levels = [{} for _ in policies]
@@ -349,7 +349,7 @@
         visible = self._upstreams
         if self.hidden:
             visible = tuple(up for up in visible if up.name not in self.hidden)
-        return arrivals.View(visible, found, self.drained, len(self.policies))
+        return arrivals.View(visible, found, frozenset(self.drains), len(self.policies))
 
 
 def make_load(rng, request_class, rate, begin, end, lengths, **options):
--- /dev/null
+++ b/packages/policy/tests/test_attempts.py
@@ -0,0 +1,190 @@
+"""Attempts: at most once, right caller, whole answers, budgets, none to who left."""
+
+import unittest
+
+from packages.policy.tests import drivers
+from trestlestall.configuration import model
+from trestlestall.membership import upstreams
+from trestlestall.policy import (
+    actions,
+    arrivals,
+    budgets,
+    outcomes,
+    router_policy,
+    settings,
+)
+
+QUESTION = model.RequestClass("question", 0, 20.0, None, True, 0.05)
+ALERT = model.RequestClass("alert", 1, 20.0, None, False, 0.05)
+KINDS = ((0.7, 50), (0.3, 200))
+
+
+def make_view(*names, resume=False, **options):
+    return arrivals.View(
+        tuple(
+            upstreams.Upstream(
+                name,
+                1,
+                "a",
+                "127.0.0.1:1",
+                models=("m",),
+                capabilities=upstreams.Capabilities(True, True, resume),
+                slots=4,
+            )
+            for name in names
+        ),
+        **options,
+    )
+
+
+def arrive(policy, name, request_class, view, stream=True, now=0.0):
+    arrival = arrivals.Arrival(
+        name, "w", 1.0, "m", request_class, 9, 300, "", now, stream
+    )
+    return policy.arrive(arrival, view, now)
+
+
+class FaultyLoadTest(unittest.TestCase):
+    """Crashes, refused connections, stalls and leaving, under a mixed load."""
+
+    def run_faulty(self, seed):
+        rng = drivers.make_rng(seed)
+        load = drivers.make_load(rng, QUESTION, 4, 0, 40, KINDS, patience=0.8)
+        load += drivers.make_load(rng, ALERT, 3, 0, 40, KINDS)
+        driver = drivers.Driver(
+            drivers.make_policies(seed, 2),
+            drivers.make_engines(5, resume=seed % 2 == 0),
+        )
+        gone_at = {}
+        for stop in range(2, 50, 2):
+            part = [item for item in load if stop - 2 <= item[0].now < stop]
+            part = [(a, n, rng.randrange(2), p) for a, n, _, p in part]
+            driver.run(part, stop)
+            name = f"u{rng.randrange(4)}"
+            fault = rng.choice(["crash", "refuse", "stall", "well", "leave"])
+            engine = driver.engines[name]
+            engine.alive = fault != "refuse"
+            engine.pace = 0.02 if fault == "stall" else 1.0
+            if fault == "crash":
+                driver.crash(name)
+            if fault == "leave" and name not in gone_at and len(gone_at) < 2:
+                gone_at[name] = driver.now
+                (driver.hidden if stop % 4 else driver.drains).add(name)
+        driver.run([], 80)
+        return driver, gone_at
+
+    def test_promises_hold_under_faults(self):
+        sends = retries = 0
+        for seed in range(8):
+            driver, gone_at = self.run_faulty(seed)
+            for name, record in driver.records.items():
+                if not record.arrival.request_class.idempotent:
+                    self.assertLessEqual(len(record.may_have_run), 1, name)
+                if record.ended == "not_run":
+                    self.assertEqual([], record.may_have_run, name)
+                self.assertFalse(record.spliced, name)
+                self.assertTrue(record.ended, name)
+            for now, _, action in driver.sends:
+                left = gone_at.get(action.upstream, 99)
+                self.assertLessEqual(now, left + driver.step, action)
+            sends += len(driver.sends)
+            retries += sum(
+                max(0, len(record.may_have_run) - 1)
+                for record in driver.records.values()
+            )
+        self.assertGreater(retries, 5)
+        # Two routers' buckets start half full in each of eight runs.
+        self.assertLessEqual(retries, 0.1 * sends + 8 * 2 * 10)
+
+
+class RetryTest(unittest.TestCase):
+    def test_what_follows_an_attempt_that_ended(self):
+        """Each row: class, stream, tokens, outcome, can resume; what follows."""
+        broken, not_sent = outcomes.Broken(), outcomes.NotSent()
+        table = [
+            (QUESTION, True, 0, not_sent, False, [actions.Send]),
+            (ALERT, True, 0, not_sent, False, [actions.Send]),
+            (QUESTION, True, 0, broken, False, [actions.Send]),
+            (ALERT, True, 0, broken, True, [actions.Fail]),
+            (QUESTION, True, 5, broken, False, [actions.Wasted, actions.Fail]),
+            (QUESTION, True, 5, broken, True, [actions.Resume]),
+            (QUESTION, False, 5, broken, True, [actions.Wasted, actions.Send]),
+            (ALERT, True, 5, broken, True, [actions.Wasted, actions.Fail]),
+        ]
+        for request_class, stream, tokens, outcome, resume, expected in table:
+            with self.subTest(row=(request_class.name, stream, tokens, outcome)):
+                policy = router_policy.Policy(1)
+                view = make_view("u1", "u2", resume=resume)
+                decided = arrive(policy, "r", request_class, view, stream)
+                if decided == [actions.Ask("r")]:
+                    decided = policy.claim_answered("r", True, 0.01)
+                [first] = decided
+                if tokens:
+                    policy.progress(first.attempt, tokens, 0.2)
+                decided = policy.finish(first.attempt, outcome, tokens, 0.3)
+                self.assertEqual(expected, [type(action) for action in decided])
+                last = decided[-1]
+                if isinstance(last, actions.Send):
+                    self.assertNotEqual(first.upstream, last.upstream)
+                if isinstance(last, actions.Resume):
+                    self.assertEqual((5, first.attempt), (last.tokens, last.previous))
+                if isinstance(last, actions.Fail):
+                    self.assertEqual(actions.OUTCOME_UNKNOWN, last.code)
+
+    def test_nothing_that_may_have_run_is_called_not_run(self):
+        policy = router_policy.Policy(1)
+        view = make_view("u1")
+        [first] = arrive(policy, "r", QUESTION, view)
+        policy.finish(first.attempt, outcomes.Broken(), 0, 0.1)
+        decided = policy.tick(arrivals.View(), 30.0)
+        fails = [action for action in decided if isinstance(action, actions.Fail)]
+        codes = [action.code for action in fails]
+        self.assertIn(codes, ([actions.OUTCOME_UNKNOWN], []))
+
+    def test_late_answers_belong_to_nobody(self):
+        policy = router_policy.Policy(1)
+        [first] = arrive(policy, "r", QUESTION, make_view("u1"))
+        policy.hang_up("r", 0.1)
+        self.assertEqual([], policy.progress(first.attempt, 3, 0.2))
+        late = policy.finish(first.attempt, outcomes.Completed(), 9, 0.3)
+        self.assertEqual([actions.Wasted(first.attempt, 9)], late)
+
+    def test_a_budget_bounds_repeated_sends(self):
+        budget = budgets.Budget(0.1, 2)
+        taken = 0
+        for _ in range(1000):
+            budget.fill()
+            taken += budget.take()
+        self.assertLessEqual(taken, 101)
+        self.assertGreaterEqual(taken, 99)
+
+
+class HedgeTest(unittest.TestCase):
+    def run_with_straggler(self, request_class, share):
+        rng = drivers.make_rng(4)
+        load = drivers.make_load(rng, request_class, 9, 0, 30, ((1.0, 60),))
+        adjusted = settings.Settings(budget_share=share, budget_most=6.0)
+        driver = drivers.Driver(
+            [router_policy.Policy(4, adjusted)], drivers.make_engines(4, slots=16)
+        )
+        early = [item for item in load if item[0].now < 10]
+        driver.run(early, 10)
+        driver.engines["u1"].pace = 0.0
+        driver.run([item for item in load if item[0].now >= 10], 45)
+        hedged = [r for r in driver.records.values() if len(r.sent) > 1]
+        return driver, hedged
+
+    def test_hedges_leave_a_stalled_upstream_within_the_budget(self):
+        driver, hedged = self.run_with_straggler(QUESTION, 0.1)
+        self.assertGreater(len(hedged), 0)
+        self.assertLessEqual(len(hedged), 3 + 0.1 * len(driver.sends))
+        self.assertTrue(any(record.ended == "answered" for record in hedged))
+        cancelled = {
+            a.attempt for _, _, a in driver.log if isinstance(a, actions.Cancel)
+        }
+        for record in hedged:
+            losers = set(record.sent) - {record.answering}
+            self.assertTrue(losers <= cancelled)
+
+    def test_no_hedge_without_budget_or_for_at_most_once(self):
+        self.assertEqual([], self.run_with_straggler(ALERT, 0.1)[1])
