Plan with a part of the longest wait, and count slots lent now

Cause: admission planned with the whole wait that the target leaves; what came in more urgent tiers meanwhile made admitted requests late or given up. A test of four urgent requests behind four slots lent to less urgent work showed one given up: the lent slots of the moment were not counted. Change: admission plans with 0.4 of the longest wait; lent slots count as well as their past slot-seconds. The test on given-up requests moved to a load where some are given up.

--- a/packages/policy/src/trestlestall/policy/admission.py
+++ b/packages/policy/src/trestlestall/policy/admission.py
@@ -131,6 +131,6 @@
         return UNREACHABLE
     if waiting >= settings.queue_limit:
         return QUEUE_FULL
-    if wait.shortest > max(0.0, estimate.wait_admitted):
+    if wait.shortest > settings.wait_share * max(0.0, estimate.wait_admitted):
         return OVERLOADED
     return None
--- a/packages/policy/src/trestlestall/policy/backlogs.py
+++ b/packages/policy/src/trestlestall/policy/backlogs.py
@@ -127,6 +127,10 @@
         self._settle(now)
         return self._fixed_time.sum_under(tier)
 
+    def count_lent(self, tier: int) -> float:
+        """Return the slots that less urgent work holds undisplaced now."""
+        return self._fixed.sum_under(tier)
+
     def _settle(self, now: float) -> None:
         passed = now - self._settled_at
         if passed <= 0:
--- a/packages/policy/src/trestlestall/policy/deadlines.py
+++ b/packages/policy/src/trestlestall/policy/deadlines.py
@@ -1,8 +1,8 @@
 """Waiting requests whose target has come out of reach.
 
 Such a request gets its final answer at once, but never because of less urgent work: as
-long as the slot-seconds that were lent to less urgent work while it waited would have
-sufficed for all that still goes before it, it waits on, and is sent late.
+long as the slots that are lent to less urgent work would have sufficed for all that
+still goes before it, it waits on, and is sent late.
 """
 
 import heapq
@@ -57,6 +57,11 @@
 
 
 def is_held_up(flight: flights.Flight, backlog: backlogs.Backlog, now: float) -> bool:
-    """Return whether less urgent work may be why a request still waits."""
+    """Return whether less urgent work may be why a request still waits.
+
+    Had the slots not been lent, as many requests would have started at once, and more
+    in the slot-seconds that have passed since.
+    """
     lent = backlog.measure_lent(flight.tier, now) - flight.lent_before
+    lent += backlog.count_lent(flight.tier) * flight.estimate.service
     return lent > 0 and lent >= backlog.find_ahead(flight)
--- a/packages/policy/src/trestlestall/policy/settings.py
+++ b/packages/policy/src/trestlestall/policy/settings.py
@@ -26,6 +26,9 @@
     waiting_chance: float = 0.5
     least_chance: float = 0.02
     safety: float = 1.1
+    # The part of the longest wait that admission plans with: the rest is for what comes
+    # in more urgent tiers meanwhile.
+    wait_share: float = 0.4
     retry_least: float = 0.5
     retry_most: float = 60.0
 
--- a/packages/policy/tests/test_admission.py
+++ b/packages/policy/tests/test_admission.py
@@ -33,11 +33,6 @@
         on_time = sum(record.on_time for record in admitted)
         self.assertGreater(on_time / len(admitted), 0.85)
 
-    def test_given_up_ones_learn_it_once_out_of_reach_not_at_the_deadline(self):
-        given_up = [r for r in self.records if r.ended == "not_run"]
-        waits = [record.done_at - record.arrival.now for record in given_up]
-        self.assertTrue(all(wait < TOP.target - 0.5 for wait in waits), max(waits))
-
     def test_return_times_spread_callers_out(self):
         schedule = returns.Schedule(1, 0.5, 60.0)
         times = [schedule.find_retry(f"r{i}", 0, 1.0, 0.1, 10.0) for i in range(200)]
@@ -94,5 +89,10 @@
         driver.run([], 40)
         for record in driver.records.values():
             self.assertTrue(record.ended or record.sent)
+        given_up = [r for r in driver.records.values() if r.ended == "not_run"]
+        self.assertGreater(len(given_up), 0)
+        for record in given_up:
+            # Once out of reach, long before the deadline itself.
+            self.assertLess(record.done_at - record.arrival.now, TOP.target - 0.5)
         codes = {a.code for _, _, a in driver.log if isinstance(a, actions.Refuse)}
         self.assertTrue(codes <= {"overloaded", "no_upstream"}, codes)
--- a/packages/policy/tests/test_tiers.py
+++ b/packages/policy/tests/test_tiers.py
@@ -7,6 +7,7 @@
 
 from packages.policy.tests import drivers
 from trestlestall.configuration import model
+from trestlestall.membership import upstreams
 from trestlestall.policy import actions, arrivals, router_policy
 
 TWO_KINDS = ((0.6, 50), (0.4, 300))
@@ -99,6 +100,35 @@
             compared["refused" if decided[0] else "admitted"] += 1
 
 
+class LentSlotsTest(unittest.TestCase):
+    """Engines without priorities keep less urgent work until it ends."""
+
+    def fill(self, holder):
+        """Fill an engine's four slots, and let four urgent requests arrive."""
+        policy = router_policy.Policy(1)
+        engine = drivers.Engine("u0", slots=4, priorities=False)
+        view = arrivals.View((engine.announce(("m",), upstreams.Report()),))
+        decided = []
+        for index in range(4):
+            probe = make_probe(holder, 10 + index, 0.0)
+            decided += policy.arrive(probe, view, 0.0)
+        self.assertEqual(4, sum(isinstance(x, actions.Send) for x in decided))
+        # The learned default is 30 tokens' prior of up to 500: some 3 s a request.
+        urgent = model.RequestClass("urgent", 0, 30.0, 1.2, True, 0.05)
+        found = []
+        for index in range(4):
+            found += policy.arrive(make_probe(urgent, index, 0.1), view, 0.1)
+        for step in range(1, 40):
+            found += policy.tick(view, 0.1 + step / 10)
+        return [x for x in found if isinstance(x, actions.Refuse | actions.Fail)]
+
+    def test_urgent_work_neither_refused_nor_given_up_for_lent_slots(self):
+        self.assertEqual([], self.fill(CLASSES[3]))
+
+    def test_behind_work_as_urgent_it_is(self):
+        self.assertEqual(4, len(self.fill(CLASSES[0])))
+
+
 class BurstTest(unittest.TestCase):
     def test_a_burst_below_sheds_nothing_above(self):
         # 12 slots of 3.1 s a request serve about 4 requests a second.
