--- a/packages/claims/src/trestlestall/claims/claims.py
+++ b/packages/claims/src/trestlestall/claims/claims.py
@@ -68,7 +68,7 @@
 class Queue:
     """A first-in first-out queue of what will be due, cheap to copy."""
 
-    items: persistent.Map = persistent.Map()
+    items: persistent.Map = persistent.EMPTY
     first: int = 0
     next: int = 0
 
@@ -98,8 +98,8 @@
     """
 
     now: float = 0.0
-    attempts: persistent.Map = persistent.Map()
-    holders: persistent.Map = persistent.Map()
+    attempts: persistent.Map = persistent.EMPTY
+    holders: persistent.Map = persistent.EMPTY
     ages: Queue = Queue()
     bodies: Queue = Queue()
 
--- a/packages/configuration/src/trestlestall/configuration/checks.py
+++ b/packages/configuration/src/trestlestall/configuration/checks.py
@@ -6,7 +6,6 @@
 """
 
 import dataclasses
-import math
 import re
 import typing
 from collections import abc
@@ -19,6 +18,7 @@
 WEIGHT_LIMIT = 1_000_000.0
 COPIES_LIMIT = 1_000
 NAME_LIMIT = 128
+ALTERNATIVES_LIMIT = 16
 IDENTIFIER = re.compile(r"[A-Za-z0-9][A-Za-z0-9_.-]*")
 NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9_.:/@+-]*")
 DIGEST = re.compile(r"[0-9a-f]{64}")
@@ -26,6 +26,8 @@
 
 IDENTIFIER_EXPECTED = "a name of letters, digits, '_', '.', '-', at most 128 long"
 NAME_EXPECTED = "a name of letters, digits and '_.:/@+-', at most 128 long"
+MODEL_EXPECTED = f"{NAME_EXPECTED}, not beginning with 'service:'"
+TARGET_NAME_EXPECTED = "a model's name or 'service:' and a service's name"
 DIGEST_EXPECTED = "64 lower-case hexadecimal digits (SHA-256)"
 TIER_EXPECTED = f"a whole number from 0 to {TIER_LIMIT}"
 TARGET_EXPECTED = "a time above 0 and at most 24 hours"
@@ -33,7 +35,9 @@
 FLOOR_EXPECTED = "a share from 0 to 1"
 WEIGHT_EXPECTED = "a number above 0 and at most 1000000"
 COPIES_EXPECTED = f"a whole number from 0 to {COPIES_LIMIT}"
-ALTERNATIVES_EXPECTED = "class names, each once and none the binding's own class"
+ALTERNATIVES_EXPECTED = (
+    "at most 15 names of classes, each once and not the binding's own"
+)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -79,16 +83,21 @@
     return len(name) <= NAME_LIMIT and NAME.fullmatch(name) is not None
 
 
+def is_model(name: str) -> bool:
+    """Return whether the text may name a model, which no service's target is."""
+    return is_name(name) and not name.startswith(model.SERVICE_PREFIX)
+
+
 def is_target(target: str) -> bool:
     """Return whether the text is a model name or ``service:NAME``."""
     if target.startswith(model.SERVICE_PREFIX):
         return is_identifier(target.removeprefix(model.SERVICE_PREFIX))
-    return is_name(target)
+    return is_model(target)
 
 
-def is_time(seconds: float, limit: float) -> bool:
-    """Return whether the seconds are a finite time above 0 and within the limit."""
-    return math.isfinite(seconds) and 0 < seconds <= limit
+def is_positive(number: float, limit: float) -> bool:
+    """Return whether the number is above 0 and within the limit; NaN is not."""
+    return 0 < number <= limit
 
 
 def _find_first(*rules: tuple[bool, str, object, str]) -> Problem | None:
@@ -103,11 +112,17 @@
     """Check name, tier, targets and floor of a class."""
     made = command.request_class
     first = made.first_token_target
-    first_holds = first is None or is_time(first, made.target)
+    first_holds = first is None or is_positive(first, made.target)
+    tier_holds = 0 <= made.tier <= TIER_LIMIT
     return _find_first(
         (is_identifier(made.name), "name", made.name, IDENTIFIER_EXPECTED),
-        (0 <= made.tier <= TIER_LIMIT, "tier", made.tier, TIER_EXPECTED),
-        (is_time(made.target, SECONDS_LIMIT), "target", made.target, TARGET_EXPECTED),
+        (tier_holds, "tier", made.tier, TIER_EXPECTED),
+        (
+            is_positive(made.target, SECONDS_LIMIT),
+            "target",
+            made.target,
+            TARGET_EXPECTED,
+        ),
         (first_holds, "first_token_target", first, FIRST_TOKEN_EXPECTED),
         (0 <= made.floor <= 1, "floor", made.floor, FLOOR_EXPECTED),
     )
@@ -118,7 +133,7 @@
     """Check name, key digest and weight of a workspace."""
     made = command.workspace
     digest_holds = DIGEST.fullmatch(made.key_digest) is not None
-    weight_holds = is_time(made.weight, WEIGHT_LIMIT)
+    weight_holds = is_positive(made.weight, WEIGHT_LIMIT)
     return _find_first(
         (is_identifier(made.name), "name", made.name, IDENTIFIER_EXPECTED),
         (digest_holds, "key_digest", made.key_digest, DIGEST_EXPECTED),
@@ -131,13 +146,15 @@
     """Check the names of a binding."""
     made = command.binding
     allowed = (made.request_class, *made.alternatives)
-    names_hold = all(is_identifier(name) for name in allowed)
-    distinct = len(set(allowed)) == len(allowed)
+    distinct = len(set(allowed)) == len(allowed) <= ALTERNATIVES_LIMIT
+    class_holds = is_identifier(made.request_class)
+    others_hold = distinct and all(map(is_identifier, made.alternatives))
+    workspace_holds = is_identifier(made.workspace)
     return _find_first(
-        (is_identifier(made.workspace), "workspace", made.workspace, NAME_EXPECTED),
-        (is_target(made.target), "target", made.target, NAME_EXPECTED),
-        (names_hold, "request_class", made.request_class, IDENTIFIER_EXPECTED),
-        (distinct, "alternatives", made.alternatives, ALTERNATIVES_EXPECTED),
+        (workspace_holds, "workspace", made.workspace, IDENTIFIER_EXPECTED),
+        (is_target(made.target), "target", made.target, TARGET_NAME_EXPECTED),
+        (class_holds, "request_class", made.request_class, IDENTIFIER_EXPECTED),
+        (others_hold, "alternatives", made.alternatives, ALTERNATIVES_EXPECTED),
     )
 
 
@@ -147,7 +164,7 @@
     workspace_holds = is_identifier(command.workspace)
     return _find_first(
         (workspace_holds, "workspace", command.workspace, IDENTIFIER_EXPECTED),
-        (is_target(command.target), "target", command.target, NAME_EXPECTED),
+        (is_target(command.target), "target", command.target, TARGET_NAME_EXPECTED),
     )
 
 
@@ -163,7 +180,7 @@
     """Check model name and number of copies."""
     made = command.copies
     return _find_first(
-        (is_target(made.model), "model", made.model, NAME_EXPECTED),
+        (is_model(made.model), "model", made.model, MODEL_EXPECTED),
         (0 <= made.copies <= COPIES_LIMIT, "copies", made.copies, COPIES_EXPECTED),
     )
 
--- a/packages/configuration/src/trestlestall/configuration/effects.py
+++ b/packages/configuration/src/trestlestall/configuration/effects.py
@@ -31,10 +31,10 @@
 def change_configuration(
     configuration: model.Configuration, command: commands.Command
 ) -> model.Configuration | outcomes.Rejected:
-    """Return the next version of the configuration, or why the command does not fit."""
-    problem = checks.find_problem(command)
-    if problem is not None:
-        return outcomes.Rejected(checks.INVALID_VALUE, problem.message, problem.field)
+    """Return the next version of the configuration, or why the command does not fit.
+
+    The command's own values must have passed ``checks.find_problem``.
+    """
     changed = REGISTRY[type(command)](configuration, command)
     if isinstance(changed, outcomes.Rejected):
         return changed
@@ -103,11 +103,11 @@
 ) -> model.Configuration | outcomes.Rejected:
     """Add or replace a workspace, if its key is no other workspace's."""
     made = command.workspace
-    holder = configuration.find_digest(made.key_digest)
+    holder = configuration.workspaces.find_digest(made.key_digest)
     if holder is not None and holder.name != made.name:
         message = "the key is in use by another workspace"
         return outcomes.Rejected("key_in_use", message, "key_digest")
-    workspaces = configuration.workspaces.set(made.name, made)
+    workspaces = configuration.workspaces.set(made)
     return dataclasses.replace(configuration, workspaces=workspaces)
 
 
--- a/packages/configuration/src/trestlestall/configuration/model.py
+++ b/packages/configuration/src/trestlestall/configuration/model.py
@@ -10,7 +10,7 @@
 import typing
 from collections import abc
 
-from trestlestall.configuration import persistent
+from trestlestall.configuration import directory, persistent
 
 SERVICE_PREFIX = "service:"
 UNKNOWN_MODEL = "unknown_model"
@@ -96,24 +96,22 @@
     """
 
     version: int = 0
-    classes: abc.Mapping[str, RequestClass] = persistent.Map()
-    workspaces: abc.Mapping[str, Workspace] = persistent.Map()
-    bindings: abc.Mapping[BindingKey, Binding] = persistent.Map()
-    services: abc.Mapping[str, Service] = persistent.Map()
+    classes: abc.Mapping[str, RequestClass] = persistent.EMPTY
+    workspaces: abc.Mapping[str, Workspace] = directory.EMPTY
+    bindings: abc.Mapping[BindingKey, Binding] = persistent.EMPTY
+    services: abc.Mapping[str, Service] = persistent.EMPTY
     drained: frozenset[str] = frozenset()
-    copies: abc.Mapping[str, ModelCopies] = persistent.Map()
+    copies: abc.Mapping[str, ModelCopies] = persistent.EMPTY
 
     def __post_init__(self):
-        for name in ("classes", "workspaces", "bindings", "services", "copies"):
+        # A frozen data class is given its own attributes in no other way.
+        object.__setattr__(self, "workspaces", directory.Directory.of(self.workspaces))
+        for name in ("classes", "bindings", "services", "copies"):
             object.__setattr__(self, name, persistent.Map.of(getattr(self, name)))
 
     def find_workspace(self, key: str) -> Workspace | None:
         """Return the workspace whose bearer key this is, or ``None``."""
-        return self.find_digest(digest_key(key))
-
-    def find_digest(self, digest: str) -> Workspace | None:
-        """Return the workspace whose key has this digest, or ``None``."""
-        return self._workspaces_by_digest.get(digest)
+        return self.workspaces.find_digest(digest_key(key))
 
     def resolve_class(
         self, workspace: str, target: str, wanted: str | None = None
@@ -137,11 +135,6 @@
             return Unresolved(NOT_BOUND, message)
         return Unresolved(UNKNOWN_MODEL, f"{target!r} is not known here")
 
-    @functools.cached_property
-    def _workspaces_by_digest(self) -> dict[str, Workspace]:
-        items = self.workspaces.list_unordered()
-        return {workspace.key_digest: workspace for _, workspace in items}
-
     @functools.cached_property
     def _targets(self) -> frozenset[str]:
         bound = (target for (_, target), _ in self.bindings.list_unordered())
--- a/packages/configuration/src/trestlestall/configuration/persistent.py
+++ b/packages/configuration/src/trestlestall/configuration/persistent.py
@@ -90,6 +90,9 @@
         return f"Map({dict(self)!r})"
 
 
+EMPTY = Map()
+
+
 def _build(entries: dict, depth: int) -> dict | tuple:
     if len(entries) <= LEAF_LIMIT or depth >= DEPTH_LIMIT:
         return entries
--- /dev/null
+++ b/packages/configuration/src/trestlestall/configuration/previews.py
@@ -0,0 +1,82 @@
+"""What a submission would change: the dry run of the operators' commands."""
+
+import dataclasses
+from collections import abc
+
+from trestlestall.configuration import commands, model, outcomes, state as states
+
+PARTS = {
+    "class": "classes",
+    "workspace": "workspaces",
+    "binding": "bindings",
+    "service": "services",
+    "copies": "copies",
+}
+
+
+@dataclasses.dataclass(frozen=True)
+class Change:
+    """One declared thing before and after; ``None`` where it does not exist.
+
+    ``kind`` is a key of ``PARTS``, or ``drain``, whose values are upstream names.
+    """
+
+    kind: str
+    name: str
+    before: object | None
+    after: object | None
+
+
+@dataclasses.dataclass(frozen=True)
+class Preview:
+    """The outcome that a submission would have now, and what it would change."""
+
+    outcome: outcomes.Outcome
+    changes: tuple[Change, ...]
+
+
+def preview_submission(state: states.State, submission: commands.Submission) -> Preview:
+    """Return what the submission would do now; a resend would change nothing."""
+    after, outcome = states.apply_submission(state, submission, at=0.0)
+    changes = list_changes(state.configuration, after.configuration)
+    return Preview(outcome, changes)
+
+
+def list_changes(
+    before: model.Configuration, after: model.Configuration
+) -> tuple[Change, ...]:
+    """Return what differs between two configurations, by kind and name."""
+    changes: list[Change] = []
+    for kind, part in PARTS.items():
+        changes += _compare(kind, getattr(before, part), getattr(after, part))
+    drained = [{name: name for name in made.drained} for made in (before, after)]
+    changes += _compare("drain", *drained)
+    return tuple(changes)
+
+
+def describe_change(change: Change) -> str:
+    """Return the change as one line, such as ``change class alerts: tier 3 -> 2``."""
+    title = f"{change.kind} {change.name}"
+    if change.before is None:
+        return f"add {title}"
+    if change.after is None:
+        return f"remove {title}"
+    old, new = (dataclasses.asdict(made) for made in (change.before, change.after))
+    parts = [f"{key} {old[key]} -> {new[key]}" for key in old if old[key] != new[key]]
+    return f"change {title}: {', '.join(parts)}"
+
+
+def _compare(kind: str, before: abc.Mapping, after: abc.Mapping) -> list[Change]:
+    if before is after:
+        return []
+    names = sorted(before.keys() | after.keys())
+    pairs = ((name, before.get(name), after.get(name)) for name in names)
+    return [
+        Change(kind, _join_name(name), old, new)
+        for name, old, new in pairs
+        if old != new
+    ]
+
+
+def _join_name(name: str | tuple[str, ...]) -> str:
+    return name if isinstance(name, str) else " ".join(name)
--- a/packages/configuration/src/trestlestall/configuration/state.py
+++ b/packages/configuration/src/trestlestall/configuration/state.py
@@ -16,10 +16,12 @@
 
 import dataclasses
 import hashlib
+import re
 
 import msgspec
 
 from trestlestall.configuration import (
+    checks,
     commands,
     effects,
     model,
@@ -29,7 +31,8 @@
 
 ANSWER_LIMIT = 10_000
 HISTORY_LIMIT = 10_000
-REQUEST_ID_LIMIT = 128
+REQUEST_ID = re.compile(r"[\x21-\x7e]{1,128}")
+REQUEST_ID_EXPECTED = "1 to 128 printable ASCII characters without spaces"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -50,8 +53,8 @@
     """
 
     limit: int = ANSWER_LIMIT
-    by_request: persistent.Map = persistent.Map()
-    requests: persistent.Map = persistent.Map()
+    by_request: persistent.Map = persistent.EMPTY
+    requests: persistent.Map = persistent.EMPTY
     oldest: int = 0
     next: int = 0
 
@@ -98,7 +101,7 @@
     """
 
     configuration: model.Configuration = model.EMPTY
-    history: persistent.Map = persistent.Map()
+    history: persistent.Map = persistent.EMPTY
     answers: Answers = Answers()
 
 
@@ -107,7 +110,7 @@
 
 def follow(configuration: model.Configuration) -> State:
     """Return the state from which a router replays accepted submissions."""
-    return State(configuration, persistent.Map(), Answers(limit=0))
+    return State(configuration, persistent.EMPTY, Answers(limit=0))
 
 
 def apply_submission(
@@ -154,17 +157,22 @@
     # Converting back turns whole numbers in float fields into floats, so that a command
     # has one digest before and after it crossed the wire.
     normal = msgspec.convert(plain, type(command))
-    parts = [submission.operator, command.command_name, normal]
+    parts = [ascii(submission.operator), command.command_name, normal]
     return hashlib.sha256(msgspec.json.encode(parts)).hexdigest()
 
 
 def _find_known(
     state: State, submission: commands.Submission
 ) -> outcomes.Outcome | None:
+    # What the check of values refuses needs no place among the answers: the same values
+    # are refused in the same way whenever they come.
     request_id = submission.request_id
-    if not 0 < len(request_id) <= REQUEST_ID_LIMIT:
-        message = f"a request_id has 1 to {REQUEST_ID_LIMIT} characters"
+    if REQUEST_ID.fullmatch(request_id) is None:
+        message = f"expected {REQUEST_ID_EXPECTED}"
         return outcomes.Rejected("invalid_request_id", message, "request_id")
+    problem = checks.find_problem(submission.command)
+    if problem is not None:
+        return outcomes.Rejected(checks.INVALID_VALUE, problem.message, problem.field)
     answer = state.answers.find(request_id)
     if answer is None:
         return None
--- a/packages/configuration/src/trestlestall/configuration/strict.py
+++ b/packages/configuration/src/trestlestall/configuration/strict.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 import functools
+import types
 import typing
 
 import msgspec
@@ -29,34 +30,54 @@
     return value
 
 
+@dataclasses.dataclass(frozen=True)
+class Shape:
+    """The field names of a data class, and the fields that hold data classes."""
+
+    names: frozenset[str]
+    nested: tuple[tuple[str, typing.Any], ...]
+
+
 @functools.cache
-def _list_fields(wanted: type) -> dict[str, typing.Any]:
+def _find_shape(wanted: type) -> Shape:
     hints = typing.get_type_hints(wanted)
-    return {field.name: hints[field.name] for field in dataclasses.fields(wanted)}
+    names = frozenset(field.name for field in dataclasses.fields(wanted))
+    nested = ((name, _drop_none(hints[name])) for name in sorted(names))
+    return Shape(names, tuple((name, hint) for name, hint in nested if _nests(hint)))
 
 
 @functools.cache
-def _list_nested(wanted: type) -> tuple[tuple[str, typing.Any], ...]:
-    fields = _list_fields(wanted).items()
-    return tuple((name, hint) for name, hint in fields if _is_nested(hint))
+def _find_inner(wanted: typing.Any) -> typing.Any:
+    """Return the type of the items of a tuple of any length, else ``None``."""
+    if typing.get_origin(wanted) is not tuple:
+        return None
+    inner, *rest = typing.get_args(wanted)
+    return inner if rest == [...] else None
 
 
 @functools.cache
-def _is_nested(hint: typing.Any) -> bool:
-    if typing.get_origin(hint) is tuple:
-        return _is_nested(typing.get_args(hint)[0])
-    return dataclasses.is_dataclass(hint)
+def _drop_none(hint: typing.Any) -> typing.Any:
+    """Return the type that the hint leaves when ``None`` is taken off it."""
+    if not isinstance(hint, types.UnionType):
+        return hint
+    kinds = [kind for kind in typing.get_args(hint) if kind is not types.NoneType]
+    return kinds[0] if len(kinds) == 1 else hint
+
+
+def _nests(hint: typing.Any) -> bool:
+    return dataclasses.is_dataclass(_find_inner(hint) or hint)
 
 
 def _refuse_unknown(document: typing.Any, wanted: typing.Any, path: str) -> None:
-    if typing.get_origin(wanted) is tuple:
-        inner = typing.get_args(wanted)[0]
+    inner = _find_inner(wanted)
+    if inner is not None:
         for place, part in enumerate(document):
             _refuse_unknown(part, inner, f"{path}[{place}]")
         return
-    for key in document:
-        if key not in _list_fields(wanted):
-            raise exceptions.InvalidDocument(f"{path}.{key}", "unknown key")
-    for name, hint in _list_nested(wanted):
-        if name in document:
+    shape = _find_shape(wanted)
+    unknown = document.keys() - shape.names
+    if unknown:
+        raise exceptions.InvalidDocument(f"{path}.{min(unknown)}", "unknown key")
+    for name, hint in shape.nested:
+        if document.get(name) is not None:
             _refuse_unknown(document[name], hint, f"{path}.{name}")
