--- a/packages/daemon/src/trestlestall/daemon/control/operations.py
+++ b/packages/daemon/src/trestlestall/daemon/control/operations.py
@@ -60,11 +60,9 @@
     return reply_outcome(documents.encode_outcome(outcomes.Rejected(code, message)))
 
 
-def find_text_failure(text: str, error: language_errors.LanguageError) -> calls.Reply:
+def refuse_text(error: language_errors.LanguageError) -> calls.Reply:
     """Return the reply to a text that isn't in the language; it points at the word."""
-    expected = ", ".join(error.expected)
-    place = f"line {error.line}, column {error.column}"
-    message = f"{place}: {error.message}; expected {expected}"
+    message = f"line {error.line}, column {error.column}: {error.message}"
     return reply_failure(errors.Failure("invalid_request", message))
 
 
@@ -98,11 +96,10 @@
     name = "operate"
 
     def begin(self, call: calls.Call, here: calls.Here) -> calls.Step:
-        text = call.document["text"]
-        value = parser.parse(text)
+        value = parser.parse(call.document["text"])
         call.state = value
         if isinstance(value, language_errors.LanguageError):
-            return find_text_failure(text, value)
+            return refuse_text(value)
         if isinstance(value, CHANGES):
             return self._begin_voter_change(call, value, here)
         if isinstance(value, queries.Explain):
--- a/packages/daemon/src/trestlestall/daemon/control/reports.py
+++ b/packages/daemon/src/trestlestall/daemon/control/reports.py
@@ -47,7 +47,8 @@
         state = "linked"
     elif notice is not None:
         state = "other_disk"
-    return {"name": name, "voter": voter, "state": state}
+    leads = voter == server.voter.node.leader
+    return {"name": name, "voter": voter, "state": state, "leads": leads}
 
 
 def _describe_routers(server: typing.Any, now: float) -> list[Document]:
--- a/tests/test_agreed_state_deployment.py
+++ b/tests/test_agreed_state_deployment.py
@@ -11,9 +11,12 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
+import typing
 import unittest
 from collections import abc
+from concurrent import futures
 
 NAMES = ("control-1", "control-2", "control-3")
 KEYS = {"alice": "key-of-alice", "bela": "key-of-bela"}
@@ -70,6 +73,13 @@
             with open(self.path / f"{name}.log", "ab") as log:
                 self.processes[name] = subprocess.Popen(command, stderr=log)
 
+    def add_process(self, name: str) -> None:
+        """Start another process, which lists the others; they don't list it."""
+        self.names.append(name)
+        self.addresses[name] = find_addresses()
+        self.write_settings(name)
+        self.start(name)
+
     def send(self, name: str, number: int) -> None:
         self.processes[name].send_signal(number)
 
@@ -149,6 +159,18 @@
     raise AssertionError(f"gave up waiting for {what}")
 
 
+def call_together(ask: abc.Callable[[int], typing.Any]) -> list:
+    """Return the results of asking with 0 and with 1 at the same moment."""
+    barrier = threading.Barrier(2)
+
+    def run(place: int) -> typing.Any:
+        barrier.wait()
+        return ask(place)
+
+    with futures.ThreadPoolExecutor(2) as pool:
+        return list(pool.map(run, range(2)))
+
+
 def find_addresses() -> dict[str, str]:
     """Return a free address of the kernel's choice for each listener."""
     with contextlib.ExitStack() as stack:
--- /dev/null
+++ b/tests/test_agreed_state_disks.py
@@ -0,0 +1,90 @@
+"""Lost disks: a fresh disk has no vote; once replaced, a second host may fail."""
+
+import unittest
+
+from tests import test_agreed_state_deployment as deployments
+
+CHANGES = 20
+REMOVE = "remove voter control-3"
+
+
+class LostDiskTest(unittest.TestCase):
+    def test_wiped_voter_is_replaced_and_then_a_second_host_fails(self):
+        with deployments.open_deployment() as deployment:
+            deployment.wait_for_leader()
+            for number in range(1, CHANGES + 1):
+                deployment.settle(f"drain upstream u{number}", f"r{number}")
+            deployment.kill("control-3")
+            deployment.wipe("control-3")
+            deployment.start("control-3")
+            tried = self.check_fresh_disk_has_no_vote(deployment)
+            self.replace(deployment)
+            deployment.kill("control-2")
+            left = ["control-1", "control-3"]
+            after = deployment.settle("drain upstream last", "last", left)
+            self.assertEqual(after["kind"], "accepted")
+            first = deployment.settle("drain upstream u1", "r1", left)
+            self.assertEqual(first, {"kind": "accepted", "version": 1})
+            self.check_history(deployment, tried)
+
+    def check_fresh_disk_has_no_vote(self, deployment):
+        """One old voter and the fresh disk are no quorum of three.
+
+        Return the status of a change that was tried without a quorum.
+        """
+        deployments.wait_for(
+            lambda: self.find_states(deployment)["control-3"] == "other_disk",
+            "the fresh disk to be seen",
+        )
+        deployment.kill("control-2")
+        calls = [("control-1", "drain upstream lost"), ("control-3", "history")]
+        answers = deployments.call_together(
+            lambda place: deployment.operate(*calls[place], request_id="lost")
+        )
+        for status, _ in answers:
+            self.assertIn(status, (502, 503))
+        deployment.start("control-2")
+        return answers[0][0]
+
+    def check_history(self, deployment, tried):
+        """All changes are there; the one tried only if its outcome was unknown."""
+        _, document = deployment.operate("control-1", "history 100")
+        known = {row["request_id"] for row in document["rows"]}
+        expected = {f"r{number}" for number in range(1, CHANGES + 1)} | {"last"}
+        self.assertEqual(known - {"lost"}, expected)
+        if tried == 503:
+            self.assertNotIn("lost", known)
+
+    def find_states(self, deployment):
+        status = deployment.find_status("control-1") or {"voters": []}
+        states = {row["name"]: row["state"] for row in status["voters"]}
+        return {"control-3": None, **states}
+
+    def replace(self, deployment):
+        address = deployment.addresses["control-3"]["peers"]
+        removed = deployment.settle(REMOVE, "remove-1")
+        self.assertEqual(len(removed["voters"]), 2)
+        added = deployment.settle(f'add voter control-3 at "{address}"', "add-1")
+        self.assertEqual(len(added["voters"]), 3)
+        # The first command arrives once more: it means the lost disk, not the new one.
+        again = deployment.settle(REMOVE, "remove-1")
+        self.assertEqual(again["voters"], added["voters"])
+
+
+class AddedVoterTest(unittest.TestCase):
+    def test_voter_of_a_new_name_is_dialled_and_counts(self):
+        with deployments.open_deployment() as deployment:
+            deployment.wait_for_leader()
+            deployment.settle("drain upstream u1", "r1")
+            deployment.add_process("control-4")
+            address = deployment.addresses["control-4"]["peers"]
+            added = deployment.settle(
+                f'add voter control-4 at "{address}"', "add-4", deployments.NAMES
+            )
+            self.assertEqual(len(added["voters"]), 4)
+            deployment.kill("control-3")
+            removed = deployment.settle("remove voter control-3", "remove-3")
+            self.assertEqual(len(removed["voters"]), 3)
+            deployment.kill("control-1")
+            after = deployment.settle("drain upstream u2", "r2")
+            self.assertEqual(after, {"kind": "accepted", "version": 2})
