--- a/packages/daemon/src/trestlestall/daemon/control/links.py
+++ b/packages/daemon/src/trestlestall/daemon/control/links.py
@@ -53,6 +53,12 @@
         """Return the names of the linked processes."""
         return self._mesh.linked() if self._mesh is not None else set()
 
+    def is_control(self, name: str) -> bool:
+        """Return whether a control process is linked under this name."""
+        if name not in self.linked():
+            return False
+        return self._mesh.links[name].peer.role == CONTROL
+
     @property
     def bytes_sent(self) -> int:
         """Bytes sent since the start."""
--- a/packages/daemon/src/trestlestall/daemon/control/server.py
+++ b/packages/daemon/src/trestlestall/daemon/control/server.py
@@ -159,6 +159,8 @@
         return any(notice.group is None for notice in self._notices.values())
 
     def _send_notice(self, peer: str) -> None:
+        if not self.links.is_control(peer):
+            return
         notice = group.Notice(self.own, self._journal.group)
         self.links.send(peer, envelopes.seal(self.own, peer, notice))
 
--- /dev/null
+++ b/packages/daemon/tests/test_control_answers.py
@@ -0,0 +1,98 @@
+"""A resent command gets its first answer, whatever happened in between."""
+
+from unittest import mock
+
+from packages.daemon.tests import test_control_cluster as clusters
+from trestlestall.daemon.control import voter
+
+NAMES = clusters.NAMES
+
+
+class ResentTest(clusters.ClusterTest):
+    def setUp(self):
+        super().setUp()
+        limit = mock.patch.object(voter, "SNAPSHOT_ENTRIES", 5)
+        limit.start()
+        self.addCleanup(limit.stop)
+
+    def resend(self, name):
+        """Send the first command again, and one under its number."""
+        again = self.cluster.operate(name, "drain upstream u1", "r1")
+        self.assertEqual(again["outcome"], {"kind": "accepted", "version": 1})
+        late = self.cluster.operate(name, "drain upstream x", "late", number=1)
+        self.assertEqual(late["outcome"]["winner"]["request_id"], "r1")
+
+    def test_after_change_of_leader(self):
+        self.cluster.start()
+        self.accept(1)
+        former = self.cluster.elect()
+        self.cluster.stop(former)
+        self.resend(self.cluster.elect())
+
+    def test_after_snapshot_and_restart_of_all(self):
+        self.cluster.start()
+        for number in range(1, 31):
+            self.accept(number)
+        node = self.cluster.servers[self.cluster.elect()].voter.node
+        self.assertGreater(node.snapshot_index, 0)
+        self.cluster.stop(*NAMES)
+        self.cluster.start()
+        self.resend(self.cluster.elect())
+
+    def test_on_a_replaced_voter_that_got_a_snapshot(self):
+        self.cluster.start()
+        for number in range(1, 31):
+            self.accept(number)
+        self.cluster.stop("control-3")
+        self.cluster.wipe("control-3")
+        self.cluster.start("control-3")
+        leader = self.cluster.elect(NAMES[:2])
+        for text in (
+            "remove voter control-3",
+            'add voter control-3 at "127.0.0.1:9"',
+            "remove voter control-1",
+        ):
+            body = self.cluster.operate(leader, text, text)
+            self.assertEqual(body["outcome"]["kind"], "accepted")
+        self.cluster.stop("control-1")
+        self.resend(self.cluster.elect())
+        version = self.cluster.servers["control-3"].voter.machine.version
+        self.assertEqual(version, 30)
+
+    def test_command_sent_before_there_is_a_leader(self):
+        self.cluster.start()
+        body = self.cluster.operate("control-2", "drain upstream u1", "r1")
+        self.assertEqual(body["outcome"], {"kind": "accepted", "version": 1})
+
+
+class FailureTest(clusters.ClusterTest):
+    def test_what_is_said_without_a_quorum(self):
+        self.cluster.start()
+        self.accept(1)
+        leader = self.cluster.elect()
+        follower = next(name for name in NAMES if name != leader)
+        cases = (
+            (leader, "drain upstream u2", "outcome_unknown", "outcome_unknown"),
+            (follower, "history", "control_unavailable", "not_run"),
+        )
+        self.cluster.stop(*[name for name in NAMES if name not in (leader, follower)])
+        for name, text, code, run in cases:
+            with self.subTest(text):
+                self.cluster.cut(name)
+                error = self.cluster.operate(name, text, text)["error"]
+                self.assertEqual((error["code"], error["run"]), (code, run))
+
+    def test_bad_requests_of_operators(self):
+        self.cluster.start()
+        leader = self.cluster.elect()
+        cases = (
+            ("show upstreams", "unknown_request"),
+            ("explain request r", "unknown_request"),
+            ("drain upstreem u", "invalid_request"),
+        )
+        for text, code in cases:
+            with self.subTest(text):
+                error = self.cluster.operate(leader, text, text)["error"]
+                self.assertEqual(error["code"], code)
+        body = self.cluster.operate(leader, "remove voter nobody", "n")
+        self.assertEqual(body["outcome"]["code"], "not_voter")
--- /dev/null
+++ b/packages/daemon/tests/test_control_cluster.py
@@ -0,0 +1,298 @@
+"""Control servers in one process, over links that a test holds, drops and cuts."""
+
+import contextlib
+import io
+import pathlib
+import random
+import tempfile
+import types
+import unittest
+
+from trestlestall.daemon import environment, logs
+from trestlestall.daemon.control import journal, server
+from trestlestall.daemon.settings import model as settings
+from trestlestall.storage import folder
+from trestlestall.wire import codec, messages
+
+NAMES = ("control-1", "control-2", "control-3")
+STEP_SECONDS = 0.1
+STEPS = 400
+
+
+class Links:
+    """The links of one process; frames wait in the cluster's queue."""
+
+    def __init__(self, cluster, name):
+        self.cluster = cluster
+        self.name = name
+
+    def send(self, name, message):
+        if name not in self.linked():
+            return False
+        self.cluster.frames.append((self.name, name, codec.encode(message)))
+        return True
+
+    def linked(self):
+        return {name for name in self.cluster.inboxes if name != self.name}
+
+    def is_control(self, name):
+        return name in NAMES
+
+    def dial(self, name, address):
+        self.cluster.dialled.append((self.name, name, address))
+
+
+class Cluster:
+    """Servers by name, routers as lists of received messages, and one clock."""
+
+    def __init__(self, path: pathlib.Path):
+        self.path = path
+        self.now = 100.0
+        self.frames = []
+        self.inboxes = {}
+        self.servers = {}
+        self.dialled = []
+        self.cuts = set()
+        self.stack = {}
+
+    def start(self, *names):
+        for name in names or NAMES:
+            self.stack[name] = contextlib.ExitStack()
+            (self.path / name).mkdir(exist_ok=True)
+            opened = folder.open_folder(self.path / name)
+            data = self.stack[name].enter_context(opened)
+            self.inboxes[name] = None
+            self.servers[name] = self.build(name, data)
+            for peer in list(self.servers):
+                self.note_link(name, peer)
+
+    def build(self, name, data):
+        clock = environment.Clock(lambda: self.now, lambda: 1000.0 + self.now)
+        stream = io.StringIO()
+        source = random.Random(name)
+        env = environment.Environment(stream, stream, stream, clock, source)
+        log = logs.Log(stream, clock, name)
+        return server.Server(
+            settings.ControlSettings("control", name, "a", None, "", "", NAMES),
+            env,
+            log,
+            journal.Journal(data),
+            data.identity,
+            Links(self, name),
+            lambda: None,
+        )
+
+    def note_link(self, one, other):
+        if one != other:
+            self.servers[one].note_link(other, True)
+            self.servers[other].note_link(one, True)
+
+    def stop(self, *names):
+        for name in names:
+            self.stack.pop(name).close()
+            del self.servers[name], self.inboxes[name]
+            for peer in self.servers.values():
+                peer.note_link(name, False)
+
+    def wipe(self, name):
+        for file in (self.path / name).iterdir():
+            file.unlink()
+
+    def cut(self, *names):
+        """Drop everything between these processes and all others."""
+        self.cuts = set(names)
+
+    def step(self):
+        """Deliver what was sent, let time pass, and turn each server."""
+        frames, self.frames = self.frames, []
+        for sender, to, frame in frames:
+            if (sender in self.cuts) == (to in self.cuts):
+                self.deliver(sender, to, codec.decode(frame))
+        self.now += STEP_SECONDS
+        for one in self.servers.values():
+            one.turn()
+
+    def deliver(self, sender, to, message):
+        if to in self.servers:
+            self.servers[to].take_message(sender, message)
+        elif to in self.inboxes:
+            self.inboxes[to].append(message)
+
+    def run_until(self, done, steps=STEPS):
+        """Step until the condition holds; return its value, false if it never did."""
+        for _ in range(steps):
+            found = done()
+            if found:
+                return found
+            self.step()
+        return done()
+
+    def find_leader(self, names=NAMES):
+        leading = [
+            name
+            for name in names
+            if name in self.servers
+            and self.servers[name].voter is not None
+            and self.servers[name].voter.leads
+        ]
+        return leading[0] if len(leading) == 1 else None
+
+    def elect(self, names=NAMES):
+        leader = self.run_until(lambda: self.find_leader(names))
+        assert leader, "no leader was elected"
+        return leader
+
+    def operate(self, name, text, request_id, number=None):
+        """Return the reply's body once it has come."""
+        replies = []
+        document = types.MappingProxyType(
+            {"text": text, "request_id": request_id, "number": number}
+        )
+        document = {**document, "operator": "alice", "dry_run": False}
+        self.servers[name].open_call("operate", document, replies.append)
+        self.run_until(lambda: replies)
+        return replies[0]["body"]
+
+    def add_router(self, name):
+        self.inboxes[name] = []
+        for one in self.servers.values():
+            one.note_link(name, True)
+        return self.inboxes[name]
+
+    def say(self, router, to, message):
+        self.frames.append((router, to, codec.encode(message)))
+
+
+class ClusterTest(unittest.TestCase):
+    def setUp(self):
+        holder = tempfile.TemporaryDirectory()
+        self.addCleanup(holder.cleanup)
+        self.cluster = Cluster(pathlib.Path(holder.name))
+        self.addCleanup(self.close)
+
+    def close(self):
+        for stack in self.cluster.stack.values():
+            stack.close()
+
+    def accept(self, number, name=None):
+        name = name or self.cluster.elect()
+        body = self.cluster.operate(name, f"drain upstream u{number}", f"r{number}")
+        self.assertEqual(body["outcome"], {"kind": "accepted", "version": number})
+
+
+class FormingTest(ClusterTest):
+    def test_no_group_before_all_have_said_their_identity(self):
+        self.cluster.start("control-1", "control-2")
+        formed = self.cluster.run_until(
+            lambda: any(one.voter for one in self.cluster.servers.values())
+        )
+        self.assertFalse(formed)
+        self.cluster.start("control-3")
+        self.accept(1)
+
+    def test_wiped_process_forms_no_second_group(self):
+        """The one of the lowest name formed the first group; without its disk too."""
+        self.cluster.start()
+        self.accept(1)
+        first = self.cluster.servers["control-2"].voter.node.voters
+        self.cluster.stop("control-1")
+        self.cluster.wipe("control-1")
+        self.cluster.start("control-1")
+        self.accept(2, self.cluster.elect(NAMES[1:]))
+        fresh = self.cluster.servers["control-1"]
+        self.assertNotIn(fresh.own, first)
+        self.assertEqual(fresh.voter.node.voters, ())
+        self.assertFalse(fresh.voter.leads)
+
+    def test_group_is_known_after_a_restart_before_any_entry(self):
+        self.cluster.start()
+        self.cluster.run_until(
+            lambda: all(one.voter for one in self.cluster.servers.values())
+        )
+        owns = [one.own for one in self.cluster.servers.values()]
+        self.cluster.stop(*NAMES)
+        self.cluster.start("control-2", "control-3")
+        self.accept(1)
+        voters = self.cluster.servers["control-2"].voter.node.voters
+        self.assertEqual(voters, tuple(owns))
+
+    def test_late_member_learns_the_group_from_those_that_have_it(self):
+        self.cluster.start()
+        for one in self.cluster.servers.values():
+            one.turn()
+        self.cluster.frames = [
+            frame for frame in self.cluster.frames if frame[1] != "control-3"
+        ]
+        self.accept(1)
+        joined = self.cluster.run_until(
+            lambda: (
+                self.cluster.servers["control-3"].voter
+                and self.cluster.servers["control-3"].voter.machine.version == 1
+            )
+        )
+        self.assertTrue(joined)
+
+
+class RouterTest(ClusterTest):
+    def list_versions(self, inbox):
+        return [message.version for message in inbox]
+
+    def test_router_without_a_version_is_pushed_nothing_and_pulls(self):
+        self.cluster.start()
+        self.accept(1)
+        inbox = self.cluster.add_router("router-1")
+        self.assertFalse(self.cluster.run_until(lambda: inbox, steps=50))
+        self.cluster.say("router-1", "control-2", messages.ConfigurationPull(0))
+        self.cluster.run_until(lambda: inbox)
+        self.assertIsInstance(inbox[0], messages.ConfigurationFull)
+        self.assertEqual(self.list_versions(inbox), [1])
+
+    def test_pull_is_not_answered_by_a_leader_that_is_cut_off(self):
+        self.cluster.start()
+        self.accept(1)
+        former = self.cluster.elect()
+        inbox = self.cluster.add_router("router-1")
+        self.cluster.cut(former, "router-1")
+        self.cluster.say("router-1", former, messages.ConfigurationPull(0))
+        self.accept(2, self.cluster.elect([n for n in NAMES if n != former]))
+        self.assertEqual(inbox, [])
+
+    def test_push_is_resent_until_acknowledged_and_is_a_delta(self):
+        self.cluster.start()
+        leader = self.cluster.elect()
+        self.accept(1)
+        inbox = self.cluster.add_router("router-1")
+        for name in NAMES:
+            ack = messages.ConfigurationAck("router-1", 1)
+            self.cluster.say("router-1", name, ack)
+        self.cluster.step()
+        self.accept(2, leader)
+        self.cluster.run_until(lambda: len(inbox) >= 4)
+        kinds = {type(message) for message in inbox}
+        self.assertEqual(kinds, {messages.ConfigurationDelta})
+        self.assertEqual({(m.since, m.version) for m in inbox}, {(1, 2)})
+        for name in NAMES:
+            ack = messages.ConfigurationAck("router-1", 2)
+            self.cluster.say("router-1", name, ack)
+        self.cluster.step()
+        del inbox[:]
+        self.assertFalse(self.cluster.run_until(lambda: inbox, steps=50))
+        rows = self.cluster.servers[leader].describe()["routers"]
+        self.assertEqual([row["lags"] for row in rows], [False])
+
+    def test_claim_reaches_the_leader_from_any_control_process(self):
+        self.cluster.start()
+        leader = self.cluster.elect()
+        inbox = self.cluster.add_router("router-1")
+        fields = {"workspace": "w", "key": "k", "fingerprint": "f", "router": "r"}
+        kinds = []
+        for token, name in enumerate(NAMES):
+            call = messages.ClaimCall(token, "claim", {**fields, "attempt": name})
+            self.cluster.say("router-1", name, call)
+            self.cluster.run_until(lambda: inbox)
+            kinds.append(inbox.pop().kind)
+        self.assertEqual(kinds, ["granted", "held", "held"])
+        self.cluster.cut(leader, "router-1")
+        call = messages.ClaimCall(9, "claim", {**fields, "attempt": "x", "key": "k2"})
+        self.cluster.say("router-1", leader, call)
+        self.assertFalse(self.cluster.run_until(lambda: inbox, steps=100))
