--- a/packages/daemon/src/trestlestall/daemon/control/journal.py
+++ b/packages/daemon/src/trestlestall/daemon/control/journal.py
@@ -32,7 +32,8 @@
         self._folder = folder
         loaded = folder.load()
         meta, self._state = loaded.snapshot or ({}, b"")
-        self.group = tuple(meta[GROUP]) if GROUP in meta else None
+        first = meta.get(GROUP)
+        self.group = tuple(first) if first is not None else None
         self._index = meta.get(INDEX, 0)
         self.restored = entries.Restored(
             entries.Vote(**loaded.vote) if loaded.vote else None,
--- a/packages/daemon/tests/test_control_answers.py
+++ b/packages/daemon/tests/test_control_answers.py
@@ -1,5 +1,6 @@
 """A resent command gets its first answer, whatever happened in between."""
 
+import functools
 from unittest import mock
 
 from packages.daemon.tests import test_control_cluster as clusters
@@ -96,3 +97,37 @@
                 self.assertEqual(error["code"], code)
         body = self.cluster.operate(leader, "remove voter nobody", "n")
         self.assertEqual(body["outcome"]["code"], "not_voter")
+
+
+class CurrentTest(clusters.ClusterTest):
+    def test_cut_off_leader_with_a_stopped_clock_tells_nothing_old(self):
+        """It still takes itself for the leader; only a quorum can tell it otherwise."""
+        self.cluster.start()
+        self.accept(1)
+        former = self.cluster.elect()
+        self.cluster.stop_clock(former)
+        self.cluster.cut(former)
+        self.accept(2, self.cluster.elect([n for n in NAMES if n != former]))
+        self.assertTrue(self.cluster.servers[former].voter.leads)
+        replies = {}
+        for text in ("history", "show versions", "drain upstream u3"):
+            document = {"text": text, "request_id": text, "operator": "alice"}
+            document |= {"number": 2, "dry_run": text.startswith("drain")}
+            reply = functools.partial(replies.__setitem__, text)
+            self.cluster.servers[former].open_call("operate", document, reply)
+        reply = functools.partial(replies.__setitem__, "status")
+        self.cluster.servers[former].open_call("status", {}, reply)
+        self.assertFalse(self.cluster.run_until(lambda: replies, steps=50))
+        self.cluster.cut()
+        self.cluster.run_until(lambda: len(replies) == 4)
+        for text, reply in replies.items():
+            with self.subTest(text):
+                self.assertEqual(self.find_version(reply["body"]), 2)
+
+    def find_version(self, body):
+        """Return the newest version that an answer tells of."""
+        if "rows" in body:
+            return body["rows"][0]["version"]
+        if "outcome" in body:
+            return body["outcome"]["winner"]["version"]
+        return body["configuration"]
--- a/packages/daemon/tests/test_control_cluster.py
+++ b/packages/daemon/tests/test_control_cluster.py
@@ -53,6 +53,7 @@
         self.servers = {}
         self.dialled = []
         self.cuts = set()
+        self.stopped_clocks = {}
         self.stack = {}
 
     def start(self, *names):
@@ -67,7 +68,9 @@
                 self.note_link(name, peer)
 
     def build(self, name, data):
-        clock = environment.Clock(lambda: self.now, lambda: 1000.0 + self.now)
+        clock = environment.Clock(
+            lambda: self.stopped_clocks.get(name, self.now), lambda: 1000.0 + self.now
+        )
         stream = io.StringIO()
         source = random.Random(name)
         env = environment.Environment(stream, stream, stream, clock, source)
@@ -102,6 +105,10 @@
         """Drop everything between these processes and all others."""
         self.cuts = set(names)
 
+    def stop_clock(self, name):
+        """Let no time pass for a process, as if its clock were far too slow."""
+        self.stopped_clocks[name] = self.now
+
     def step(self):
         """Deliver what was sent, let time pass, and turn each server."""
         frames, self.frames = self.frames, []
@@ -203,6 +210,8 @@
         self.assertNotIn(fresh.own, first)
         self.assertEqual(fresh.voter.node.voters, ())
         self.assertFalse(fresh.voter.leads)
+        # What the leader sends to the lost disk is not taken by the fresh one.
+        self.assertIsNone(fresh.voter.node.leader)
 
     def test_group_is_known_after_a_restart_before_any_entry(self):
         self.cluster.start()
@@ -267,7 +276,7 @@
             self.cluster.say("router-1", name, ack)
         self.cluster.step()
         self.accept(2, leader)
-        self.cluster.run_until(lambda: len(inbox) >= 4)
+        self.assertTrue(self.cluster.run_until(lambda: len(inbox) >= 4))
         kinds = {type(message) for message in inbox}
         self.assertEqual(kinds, {messages.ConfigurationDelta})
         self.assertEqual({(m.since, m.version) for m in inbox}, {(1, 2)})
--- /dev/null
+++ b/packages/daemon/tests/test_control_machine.py
@@ -0,0 +1,93 @@
+"""The replicated machine and the journal: what they keep, they give back."""
+
+import tempfile
+import unittest
+
+from trestlestall.agreement import actions, entries
+from trestlestall.claims import claims, documents as claim_documents, events
+from trestlestall.configuration import commands, documents
+from trestlestall.daemon.control import journal, machine
+from trestlestall.storage import folder
+
+SUBMISSION = documents.encode_submission(
+    commands.Submission("r1", "alice", None, commands.Drain("u1"), 1.0)
+)
+CLAIM = claim_documents.encode_event(events.Claim("w", "k", "f", "a1", "router-1"))
+FINISH = claim_documents.encode_event(events.Finish("a1", 200, "text/plain", b"sent"))
+CHANGE = {"request_id": "v1", "change": "remove", "voter": "c#1", "address": None}
+
+
+class MachineTest(unittest.TestCase):
+    def test_snapshot_gives_back_all_that_entries_made(self):
+        state = machine.EMPTY
+        for kind, document in (
+            (machine.SUBMISSION, SUBMISSION),
+            (machine.CLAIM, CLAIM),
+            (machine.CLAIM, FINISH),
+            (machine.VOTERS, CHANGE),
+        ):
+            payload = machine.encode_entry(kind, 5.0, document)
+            state, outcome = machine.apply(state, payload)
+        copy = machine.decode(machine.encode(state))
+        self.assertEqual(machine.encode(copy), machine.encode(state))
+        self.assertEqual(copy.version, 1)
+        self.assertEqual(
+            claims.apply(copy.claims, events.Release("a1"), 6.0)[1].body, b"sent"
+        )
+        again = {**CHANGE, "voter": "c#2"}
+        payload = machine.encode_entry(machine.VOTERS, 6.0, again)
+        self.assertEqual(machine.apply(copy, payload)[1], CHANGE)
+
+    def test_only_the_newest_changes_of_voters_are_kept(self):
+        state = machine.EMPTY
+        for number in range(machine.VOTER_ANSWERS + 5):
+            change = {**CHANGE, "request_id": f"v{number}"}
+            payload = machine.encode_entry(machine.VOTERS, 5.0, change)
+            state, _ = machine.apply(state, payload)
+        self.assertEqual(len(state.voter_changes), machine.VOTER_ANSWERS)
+        self.assertNotIn("v4", state.voter_changes)
+
+
+def make_entries(first, last, term):
+    return tuple(
+        entries.Entry(index, term, entries.COMMAND, b"%d" % index)
+        for index in range(first, last + 1)
+    )
+
+
+class JournalTest(unittest.TestCase):
+    def setUp(self):
+        holder = tempfile.TemporaryDirectory()
+        self.addCleanup(holder.cleanup)
+        self.path = holder.name
+
+    def keep(self, *taken):
+        """Carry the actions out in one process; return what the next one finds."""
+        with folder.open_folder(self.path) as data:
+            kept = journal.Journal(data)
+            for action in taken:
+                if isinstance(action, actions.Persist):
+                    kept.persist(action)
+                else:
+                    kept.persist_snapshot(action)
+        with folder.open_folder(self.path) as data:
+            return journal.Journal(data).restored
+
+    def test_entries_that_a_new_leader_replaced(self):
+        found = self.keep(
+            actions.Persist(entries.Vote(1, "a#1"), None, make_entries(1, 5, 1)),
+            actions.Persist(entries.Vote(2, None), 3, make_entries(3, 4, 2)),
+        )
+        expected = make_entries(1, 2, 1) + make_entries(3, 4, 2)
+        self.assertEqual(found, entries.Restored(entries.Vote(2), None, expected))
+
+    def test_entries_behind_a_snapshot_that_a_new_leader_replaced(self):
+        snapshot = entries.Snapshot(4, 1, ("a#1", "b#2"), b"state")
+        found = self.keep(
+            actions.Persist(entries.Vote(1, "a#1"), None, make_entries(1, 6, 1)),
+            actions.PersistSnapshot(snapshot, make_entries(5, 6, 1)),
+            actions.Persist(None, 6, make_entries(6, 6, 3)),
+        )
+        expected = make_entries(5, 5, 1) + make_entries(6, 6, 3)
+        vote = entries.Vote(1, "a#1")
+        self.assertEqual(found, entries.Restored(vote, snapshot, expected))
