Speak with routers as they do: redirects, pulls as heartbeats, texts without an id

Cause: routers pull once a second to learn that their version is still current, send a text to every control process while no leader is known, and follow redirects of claims. Ruled out: answering each pull with the whole configuration (its size each second); making up an identifier in each control process (the command would count twice). Change: a pull of the newest version is answered by an empty delta; an identifier left out is made of router and token; a claim that reaches another than the leader is redirected once, and passed on when it comes again.

--- a/packages/daemon/src/trestlestall/daemon/control/calls.py
+++ b/packages/daemon/src/trestlestall/daemon/control/calls.py
@@ -16,7 +16,8 @@
 from trestlestall.agreement import events
 from trestlestall.daemon.control import voter as voters
 
-CALL_SECONDS = 5.0
+# Below the 5 s that a router waits for the answer to a text.
+CALL_SECONDS = 4.0
 RETRY_SECONDS = 0.2
 ASK_AGAIN_SECONDS = 2.0
 CALL_LIMIT = 10_000
--- a/packages/daemon/src/trestlestall/daemon/control/followers.py
+++ b/packages/daemon/src/trestlestall/daemon/control/followers.py
@@ -19,7 +19,6 @@
 RESEND_SECONDS = 1.0
 RELAY_SECONDS = 1.0
 LAG_SECONDS = 5.0
-DELTA_LIMIT = 200
 
 
 @dataclasses.dataclass(frozen=True)
@@ -54,15 +53,25 @@
 def encode_update(
     state: states.State, since: int
 ) -> messages.ConfigurationDelta | messages.ConfigurationFull:
-    """Return what leads a router from the version to the newest, by the shorter way."""
+    """Return what leads a router from the version to the newest, by the shorter way.
+
+    For a router that has the newest already, it is a delta of nothing, which confirms
+    that.
+    """
     version = state.configuration.version
     wanted = range(since + 1, version + 1)
-    if len(wanted) > DELTA_LIMIT or any(v not in state.history for v in wanted):
+    if len(wanted) > _count_parts(state) or any(v not in state.history for v in wanted):
         return encode_full(state)
     submissions = tuple(_encode_step(state, number) for number in wanted)
     return messages.ConfigurationDelta(since, version, submissions)
 
 
+def _count_parts(state: states.State) -> int:
+    found = state.configuration
+    parts = (found.classes, found.workspaces, found.bindings, found.services)
+    return sum(map(len, (*parts, found.drained, found.copies)))
+
+
 def _encode_step(state: states.State, version: int) -> dict[str, typing.Any]:
     entry = state.history[version]
     submission = commands.Submission(
--- a/packages/daemon/src/trestlestall/daemon/control/operations.py
+++ b/packages/daemon/src/trestlestall/daemon/control/operations.py
@@ -19,7 +19,14 @@
     state as states,
     strict,
 )
-from trestlestall.daemon.control import calls, group, machine, rows, voter as voters
+from trestlestall.daemon.control import (
+    calls,
+    followers,
+    group,
+    machine,
+    rows,
+    voter as voters,
+)
 from trestlestall.daemon.http import errors
 from trestlestall.language import (
     errors as language_errors,
@@ -77,8 +84,13 @@
     dry_run: bool = False
 
 
-def read_request(document: Document) -> Document | calls.Reply:
-    """Return the operator's request, checked, or the reply that refuses it."""
+def read_request(document: Document, made_up: str) -> Document | calls.Reply:
+    """Return the operator's request, checked, or the reply that refuses it.
+
+    ``made_up`` is its identifier when the operator gave none.
+    """
+    if document.get("request_id") is None:
+        document = {**document, "request_id": made_up}
     try:
         request = strict.convert(document, OperatorRequest)
     except exceptions.InvalidDocument as error:
@@ -243,7 +255,8 @@
 class Pull(calls.Kind):
     """A router asks for the configuration, current when it is answered.
 
-    The reply is the configuration's document, or nothing when none was confirmed.
+    The document holds the router's ``version``; the reply is an update's fields, or
+    nothing when none was confirmed.
     """
 
     name = "pull"
@@ -254,8 +267,9 @@
     def go_on(
         self, call: calls.Call, result: voters.Result, here: calls.Here
     ) -> calls.Step:
-        configuration = here.voter.machine.configuration.configuration
-        return calls.Reply(documents.encode_configuration(configuration))
+        state = here.voter.machine.configuration
+        update = followers.encode_update(state, call.document["version"])
+        return calls.Reply(dataclasses.asdict(update))
 
     def give_up(self, call: calls.Call) -> Document:
         return {}
--- a/packages/daemon/src/trestlestall/daemon/control/server.py
+++ b/packages/daemon/src/trestlestall/daemon/control/server.py
@@ -24,6 +24,8 @@
 
 NOTICE_SECONDS = 0.5
 ROUNDS = 100
+REDIRECT_LIMIT = 1000
+NOT_LEADER = "not_leader"
 
 Document = dict[str, typing.Any]
 Reply = abc.Callable[[Document], object]
@@ -60,6 +62,7 @@
         self._results: list[tuple[int, voters.Result]] = []
         self._notices: dict[str, group.Notice] = {}
         self._noticed_at = float("-inf")
+        self._redirected: dict[tuple[str, typing.Any], None] = {}
         self._dialled: abc.Mapping[str, Document] = {}
         if journal.group is not None:
             self._start_voter(journal.group)
@@ -105,6 +108,17 @@
             self._notices.pop(peer, None)
         self._wake()
 
+    def is_redirected(self, router: str, call: messages.ClaimCall) -> bool:
+        """Return whether to send the router to the leader, and remember that."""
+        attempt = (router, call.fields.get("attempt"))
+        leads = self.voter is not None and self.voter.leads
+        if self.leader is None or leads or attempt in self._redirected:
+            return False
+        self._redirected[attempt] = None
+        if len(self._redirected) > REDIRECT_LIMIT:
+            del self._redirected[next(iter(self._redirected))]
+        return True
+
     def turn(self) -> None:
         """Do everything that is due."""
         now = self._env.clock.monotonic()
@@ -251,14 +265,18 @@
     def reply(answer: Document) -> None:
         server.links.send(peer, messages.SubmitAnswer(message.token, answer))
 
+    def reply_body(answer: Document) -> None:
+        reply(answer["body"])
+
     if kind in calls.KINDS:
         server.open_call(kind, document, reply, relayed=True)
         return
-    request = operations.read_request(document)
+    # A router may send to several control processes; the identifier is the same there.
+    request = operations.read_request(document, f"{peer}-{message.token}")
     if isinstance(request, calls.Reply):
-        reply(request.document)
+        reply_body(request.document)
     else:
-        server.open_call(operations.Operate.name, request, reply)
+        server.open_call(operations.Operate.name, request, reply_body)
 
 
 @handles(messages.SubmitAnswer)
@@ -282,7 +300,16 @@
 
 @handles(messages.ClaimCall)
 def take_claim_call(server: Server, peer: str, message: messages.ClaimCall) -> None:
-    """Take a router's event on a claim; one that isn't settled gets no answer."""
+    """Take a router's event on a claim; one that isn't settled gets no answer.
+
+    A process that doesn't lead says who does. Only when the router comes back with the
+    same attempt, since it has no link to the leader, is the call passed on.
+    """
+    if server.is_redirected(peer, message):
+        redirect = {"leader": server.leader}
+        answered = messages.ClaimAnswer(message.token, NOT_LEADER, redirect)
+        server.links.send(peer, answered)
+        return
 
     def reply(answer: Document) -> None:
         kind = answer.pop("kind", None)
@@ -299,11 +326,12 @@
     """Answer a router with the configuration that a quorum confirms."""
 
     def reply(answer: Document) -> None:
-        if answer:
-            full = messages.ConfigurationFull(answer["version"], answer)
-            server.links.send(peer, full)
+        if "document" in answer:
+            server.links.send(peer, messages.ConfigurationFull(**answer))
+        elif answer:
+            server.links.send(peer, messages.ConfigurationDelta(**answer))
 
-    server.open_call(operations.Pull.name, {}, reply)
+    server.open_call(operations.Pull.name, {"version": message.version}, reply)
 
 
 @handles(messages.ConfigurationAck)
--- a/packages/daemon/src/trestlestall/daemon/control/site.py
+++ b/packages/daemon/src/trestlestall/daemon/control/site.py
@@ -69,9 +69,9 @@
     document = requests.decode_json(body, dict)
     if isinstance(document, errors.Failure):
         return answers.build_failure(document)
-    document.setdefault("request_id", secrets.token_hex(REQUEST_ID_BYTES))
     document["operator"] = request.environ[OPERATOR]
-    found = operations.read_request(document)
+    made_up = secrets.token_hex(REQUEST_ID_BYTES)
+    found = operations.read_request(document, made_up)
     if isinstance(found, calls.Reply):
         return build_answer(found.document)
     return site.ask(operations.Operate.name, found)
