Add placement: plan, fenced orders on the agreed log, gate, rollout

Cause: nothing decided which engine holds which model, and no order could be given safely to an engine that ignores fencing numbers.

Change: pure package placement. Orders are a state machine for the agreed log (tasks, open orders, rollouts; strictly growing numbers; intent before sending, end after). A gate in a router grants short permits by its own clock; the leader confirms its leadership after the permit and before the handing over. Planner, load schedule, rollout and steward are pure. The tests drive leaders, log, gates and engines in simulated time.

Ruled out: a leader lease by the leader's own clock, which a process frozen between check and send defeats. Sending an order twice under one number, which an engine that ignores numbers would carry out twice.

Conclusion: the whole path stands, thin; faults are to be proved next.

--- /dev/null
+++ b/packages/placement/src/trestlestall/placement/documents.py
@@ -0,0 +1,110 @@
+"""Plain documents of the orders, their events and outcomes, for CBOR.
+
+Decoding checks types and refuses unknown keys; it raises ``InvalidDocument`` of
+``trestlestall.configuration.exceptions``.
+"""
+
+import dataclasses
+
+import msgspec
+
+from trestlestall.configuration import exceptions, persistent, strict
+from trestlestall.placement import events, orders, outcomes
+
+FORMAT = 1
+KIND = "kind"
+EVENTS: dict[str, type] = {
+    "assign": events.Assign,
+    "drop": events.Drop,
+    "intend": events.Intend,
+    "sent": events.Sent,
+    "settled": events.Settled,
+    "superseded": events.Superseded,
+    "begin_rollout": events.BeginRollout,
+    "roll_engine": events.RollEngine,
+    "stop_rollout": events.StopRollout,
+    "end_rollout": events.EndRollout,
+}
+OUTCOMES: dict[str, type] = {
+    "intended": outcomes.Intended,
+    "recorded": outcomes.Recorded,
+    "busy": outcomes.Busy,
+    "old_term": outcomes.OldTerm,
+    "unknown": outcomes.Unknown,
+}
+
+
+@dataclasses.dataclass(frozen=True)
+class OrdersDocument:
+    """The shape of the state's document."""
+
+    format: int
+    term: int
+    last_fence: int
+    tasks: tuple[orders.Task, ...]
+    open: tuple[orders.Open, ...]
+    rollouts: tuple[orders.Rollout, ...]
+    recent: tuple[orders.Closed, ...]
+
+
+def encode(state: orders.Orders) -> dict:
+    """Return the state's document; equal states have equal documents."""
+    document = OrdersDocument(
+        FORMAT,
+        state.term,
+        state.last_fence,
+        tuple(state.tasks.values()),
+        tuple(state.open.values()),
+        tuple(state.rollouts.values()),
+        state.recent,
+    )
+    return msgspec.to_builtins(document)
+
+
+def decode(document: object) -> orders.Orders:
+    """Return the state of a document."""
+    made = strict.convert(document, OrdersDocument)
+    if made.format != FORMAT:
+        message = f"format {made.format} is not {FORMAT}, the one known here"
+        raise exceptions.InvalidDocument("$.format", message)
+    return orders.Orders(
+        term=made.term,
+        last_fence=made.last_fence,
+        tasks=persistent.Map.of({task.engine: task for task in made.tasks}),
+        open=persistent.Map.of({held.engine: held for held in made.open}),
+        rollouts=persistent.Map.of({one.model: one for one in made.rollouts}),
+        recent=made.recent,
+    )
+
+
+def encode_event(event: events.Event) -> dict:
+    """Return the event's document: its kind and its fields."""
+    return _encode_kind(event, EVENTS)
+
+
+def decode_event(document: object) -> events.Event:
+    """Return the event of a document."""
+    return _decode_kind(document, EVENTS)
+
+
+def encode_outcome(outcome: outcomes.Outcome) -> dict:
+    """Return the outcome's document: its kind and its fields."""
+    return _encode_kind(outcome, OUTCOMES)
+
+
+def decode_outcome(document: object) -> outcomes.Outcome:
+    """Return the outcome of a document."""
+    return _decode_kind(document, OUTCOMES)
+
+
+def _encode_kind(value: object, kinds: dict[str, type]) -> dict:
+    kind = next(name for name, known in kinds.items() if type(value) is known)
+    return {KIND: kind, **msgspec.to_builtins(value)}
+
+
+def _decode_kind(document: object, kinds: dict[str, type]) -> object:
+    fields = dict(document) if isinstance(document, dict) else {}
+    kind = fields.pop(KIND, None)
+    if not isinstance(kind, str) or kind not in kinds:
+        raise exceptions.InvalidDocument(f"$.{KIND}", f"unknown kind {kind!r}")
+    return strict.convert(fields, kinds[kind])
--- /dev/null
+++ b/packages/placement/src/trestlestall/placement/planner.py
@@ -0,0 +1,312 @@
+"""The plan: which engine should hold which model.
+
+Changes are few. A model is loaded where a copy is missing: a bound model without a home
+first, then declared copies, then copies that demand asks for, then a spare, so that
+losing one engine leaves a home. Something is unloaded only to make room for one of the
+first three, and never the last copy of a bound model in a data centre. The same input
+gives the same plan.
+"""
+
+import dataclasses
+import enum
+import math
+from collections import abc
+
+from trestlestall.placement import model, orders, settings
+
+SPARE_COPIES = 2
+
+
+class Urgency(enum.IntEnum):
+    """Why a copy is missing; the lowest goes first."""
+
+    HOMELESS = 0
+    DECLARED = 1
+    DEMANDED = 2
+    SPARE = 3
+
+
+REASONS = {
+    Urgency.HOMELESS: "a bound model has no home in the data centre",
+    Urgency.DECLARED: "fewer copies than declared",
+    Urgency.DEMANDED: "demand exceeds what the copies carry",
+    Urgency.SPARE: "losing one engine would leave no home",
+}
+
+
+@dataclasses.dataclass(frozen=True)
+class Observed:
+    """What is there: engines, tasks under way by engine, and since when.
+
+    ``since`` tells when ``(engine, model)`` was first seen held, ``settled`` since when
+    the set of engines of a data centre has been the same. ``failing`` are the
+    ``(engine, model)`` whose last load failed; they are chosen last.
+    """
+
+    engines: tuple[model.Engine, ...]
+    tasks: abc.Mapping[str, orders.Task] = dataclasses.field(default_factory=dict)
+    since: abc.Mapping[model.Place, float] = dataclasses.field(default_factory=dict)
+    settled: abc.Mapping[str, float] = dataclasses.field(default_factory=dict)
+    failing: frozenset[model.Place] = frozenset()
+
+
+@dataclasses.dataclass(frozen=True)
+class Change:
+    """A task for an engine, with the candidates it was chosen from and the reason."""
+
+    data_centre: str
+    engine: str
+    incarnation: int
+    steps: tuple[model.Order, ...]
+    urgency: Urgency
+    reason: str
+    candidates: tuple[str, ...]
+
+    @property
+    def drain(self) -> bool:
+        """Whether the engine must be free of work first: something is unloaded."""
+        return any(step.kind == model.UNLOAD for step in self.steps)
+
+
+@dataclasses.dataclass(frozen=True)
+class Missing:
+    """A copy that is wanted and for which there is no room."""
+
+    data_centre: str
+    model: str
+    urgency: Urgency
+
+
+@dataclasses.dataclass(frozen=True)
+class Plan:
+    """Changes, the most urgent first, and what can't be had."""
+
+    changes: tuple[Change, ...] = ()
+    missing: tuple[Missing, ...] = ()
+
+
+def plan(
+    desired: model.Desired,
+    observed: Observed,
+    demand: model.Demand,
+    now: float,
+    rules: settings.Planning = settings.Planning(),  # noqa: B008
+) -> Plan:
+    """Return the changes to begin now."""
+    changes: list[Change] = []
+    missing: list[Missing] = []
+    for data_centre in sorted({engine.data_centre for engine in observed.engines}):
+        site = Site(data_centre, desired, observed, demand, now, rules)
+        if now - observed.settled.get(data_centre, float("-inf")) >= rules.settle:
+            found = site.plan()
+            changes += found.changes
+            missing += found.missing
+    changes.sort(key=lambda change: change.urgency)
+    return Plan(tuple(changes), tuple(missing))
+
+
+class Site:
+    """One data centre while its part of the plan is made.
+
+    ``held`` maps each usable engine to what it holds or will hold once its task and the
+    changes chosen so far are done.
+    """
+
+    def __init__(
+        self,
+        data_centre: str,
+        desired: model.Desired,
+        observed: Observed,
+        demand: model.Demand,
+        now: float,
+        rules: settings.Planning,
+    ):
+        self._name = data_centre
+        self._desired = desired
+        self._observed = observed
+        self._demand = demand
+        self._now = now
+        self._rules = rules
+        here = [one for one in observed.engines if one.data_centre == data_centre]
+        self._engines = {one.name: one for one in here}
+        self._tasks = {n: t for n, t in observed.tasks.items() if n in self._engines}
+        self._held = {one.name: self._foresee(one) for one in here if self._serves(one)}
+        self._chosen: dict[str, Change] = {}
+
+    def plan(self) -> Plan:
+        """Return this data centre's part."""
+        allowed = max(1, math.floor(len(self._engines) * self._rules.busy))
+        missing = []
+        for urgency, wanted in self._list_deficits():
+            if len(self._tasks) + len(self._chosen) >= allowed:
+                break
+            if not self._place(urgency, wanted):
+                missing.append(Missing(self._name, wanted.model, urgency))
+        return Plan(tuple(self._chosen.values()), tuple(missing))
+
+    # What there is.
+
+    def _serves(self, engine: model.Engine) -> bool:
+        """Return whether the engine counts; one drained by its own task does."""
+        if not engine.usable:
+            return False
+        return engine.name in self._tasks or engine.name not in self._desired.drained
+
+    def _foresee(self, engine: model.Engine) -> frozenset[str]:
+        """Return what the engine will hold after its task."""
+        task = self._tasks.get(engine.name)
+        return _carry_out(engine.models, task.steps if task is not None else ())
+
+    def _count(self, name: str) -> int:
+        return sum(name in held for held in self._held.values())
+
+    def _count_safe(self, name: str, without: str) -> int:
+        """Return how many engines hold the model now and go on doing so."""
+        return sum(
+            name in self._held[other] and name in self._engines[other].models
+            for other in self._held
+            if other != without and not self._is_draining(other)
+        )
+
+    def _is_draining(self, engine: str) -> bool:
+        task = self._tasks.get(engine)
+        chosen = self._chosen.get(engine)
+        return bool(task and task.drain or chosen and chosen.drain)
+
+    # What is wanted.
+
+    def _count_needed(self, wanted: model.Wanted, use: float) -> int:
+        """Return the copies that are needed to stay below the use (0..1) of each."""
+        asked = self._demand.get((self._name, wanted.model))
+        rate = asked.tokens_per_second if asked is not None else 0.0
+        by_demand = math.ceil(rate / (self._rules.copy_rate * use))
+        return max(wanted.copies, int(wanted.bound), by_demand)
+
+    def _list_deficits(self) -> list[tuple[Urgency, model.Wanted]]:
+        """Return a deficit for each missing copy, the most urgent first."""
+        found = []
+        for wanted in self._desired.wanted.values():
+            copies = self._count(wanted.model)
+            needed = self._count_needed(wanted, self._rules.high)
+            spare = SPARE_COPIES if wanted.bound else 0
+            for number in range(copies, max(needed, spare)):
+                found.append((_rank(number, wanted, needed), wanted))
+        return sorted(found, key=self._order)
+
+    def _order(self, deficit: tuple[Urgency, model.Wanted]) -> tuple:
+        urgency, wanted = deficit
+        asked = self._demand.get((self._name, wanted.model))
+        tier = asked.tier if asked is not None else model.LOWEST_TIER
+        return urgency, tier, wanted.model
+
+    # Where it goes.
+
+    def _place(self, urgency: Urgency, wanted: model.Wanted) -> bool:
+        """Choose an engine with room, or make room; returns whether one was found."""
+        free = [
+            name
+            for name, held in self._held.items()
+            if self._is_open_to(name, wanted) and len(held) < self._limit
+        ]
+        load = model.Order(model.LOAD, wanted.model, version=wanted.version)
+        if free:
+            name = min(free, key=lambda name: self._cost(name, wanted))
+            self._choose(name, (load,), urgency, free)
+            return True
+        if urgency is Urgency.SPARE:
+            return False
+        victims = self._list_victims(wanted)
+        if not victims:
+            return False
+        engine, victim = min(
+            victims, key=lambda pair: (self._cost(pair[0], wanted), pair[1])
+        )
+        unload = model.Order(model.UNLOAD, victim)
+        names = sorted({name for name, _ in victims})
+        self._choose(engine, (unload, load), urgency, names)
+        return True
+
+    @property
+    def _limit(self) -> int:
+        return self._rules.models_per_engine
+
+    def _is_open_to(self, name: str, wanted: model.Wanted) -> bool:
+        idle = name not in self._tasks and name not in self._chosen
+        return idle and wanted.model not in self._held[name]
+
+    def _cost(self, name: str, wanted: model.Wanted) -> tuple:
+        """Return what a load costs there: failures, work in flight, room taken."""
+        failing = (name, wanted.model) in self._observed.failing
+        return failing, self._engines[name].load, len(self._held[name]), name
+
+    def _list_victims(self, wanted: model.Wanted) -> list[tuple[str, str]]:
+        """Return the engines and models that could make room.
+
+        The engine is drained meanwhile, so all bound models on it need another home.
+        """
+        return [
+            (name, victim)
+            for name, held in self._held.items()
+            if self._is_open_to(name, wanted) and self._may_drain(name)
+            for victim in sorted(held)
+            if self._may_unload(name, victim)
+        ]
+
+    def _may_drain(self, name: str) -> bool:
+        return all(
+            self._count_safe(held, without=name) >= 1
+            for held in self._held[name]
+            if held in self._desired.wanted and self._desired.wanted[held].bound
+        )
+
+    def _may_unload(self, engine: str, name: str) -> bool:
+        """Return whether a copy is not wanted, or one more than needed and not new."""
+        wanted = self._desired.wanted.get(name)
+        if wanted is None:
+            return True
+        since = self._observed.since.get((engine, name), self._now)
+        if self._now - since < self._rules.hold:
+            return False
+        needed = self._count_needed(wanted, self._rules.low)
+        return self._count(name) > max(needed, int(wanted.bound))
+
+    def _choose(
+        self,
+        name: str,
+        steps: tuple[model.Order, ...],
+        urgency: Urgency,
+        candidates: list[str],
+    ) -> None:
+        engine = self._engines[name]
+        self._chosen[name] = Change(
+            self._name,
+            name,
+            engine.incarnation,
+            steps,
+            urgency,
+            REASONS[urgency],
+            tuple(sorted(candidates)),
+        )
+        self._held[name] = _carry_out(self._held[name], steps)
+
+
+def _rank(number: int, wanted: model.Wanted, needed: int) -> Urgency:
+    """Return the urgency of the copy after ``number`` copies."""
+    if number == 0 and wanted.bound:
+        return Urgency.HOMELESS
+    if number < wanted.copies:
+        return Urgency.DECLARED
+    return Urgency.DEMANDED if number < needed else Urgency.SPARE
+
+
+def _carry_out(
+    held: abc.Iterable[str], steps: abc.Iterable[model.Order]
+) -> frozenset[str]:
+    """Return what is held after the steps."""
+    result = set(held)
+    for step in steps:
+        if step.kind == model.LOAD:
+            result.add(step.model)
+        elif step.kind == model.UNLOAD:
+            result.discard(step.model)
+    return frozenset(result)
--- /dev/null
+++ b/packages/placement/tests/test_steward.py
@@ -0,0 +1,56 @@
+"""The whole way of an order, without faults: wanted, planned, logged, sent, settled."""
+
+import unittest
+
+from packages.placement.tests import world as worlds
+from trestlestall.placement import events, model
+
+
+class StewardTest(unittest.TestCase):
+    def test_wanted_models_find_homes(self):
+        """Copies are loaded at engines of both kinds, each intent before its order."""
+        world = worlds.World()
+        for number in range(4):
+            world.add(f"e{number}", checks=number % 2 == 0)
+        world.want("m1", 2)
+        world.want("m2", 3)
+        world.elect(0)
+        world.run(120.0)
+        self.assertEqual((world.count_homes("m1"), world.count_homes("m2")), (2, 3))
+        intents = [made for _, made, _ in world.log if isinstance(made, events.Intend)]
+        self.assertEqual(len(intents), 5)
+        self.assertFalse(world.state.open)
+        self.assertFalse(world.state.tasks)
+
+    def test_version_rolls_engine_by_engine(self):
+        """A rollout drains each engine until it is free, and cuts nothing off."""
+        world = worlds.World()
+        for number in range(3):
+            world.add(f"e{number}", models=["m1"])
+        world.want("m1", 3)
+        world.elect(0)
+        world.run(20.0)
+        world.engines["e1"].running = 1
+        world.commit(world.leaders[0], events.BeginRollout(1, "m1", "v2"))
+        world.run(400.0)
+        versions = {name: one.versions for name, one in world.engines.items()}
+        self.assertEqual(versions["e0"], {"m1": "v2"})
+        self.assertEqual(versions["e1"], {"m1": ""})
+        world.engines["e1"].running = 0
+        world.run(1500.0)
+        held = [one.versions for one in world.engines.values()]
+        self.assertEqual(held, [{"m1": "v2"}] * 3)
+        self.assertEqual([one.cut_off for one in world.engines.values()], [[]] * 3)
+        self.assertEqual(world.drained, frozenset())
+        self.assertEqual(world.state.versions, {"m1": "v2"})
+        unloads = [
+            (fence, order)
+            for one in world.engines.values()
+            for _, fence, order in one.effects
+            if order.kind == model.UNLOAD
+        ]
+        self.assertEqual(len(unloads), 3)
+
+
+if __name__ == "__main__":
+    unittest.main()
