Prove placement under faults: tables, generated schedules, gate and planner cases

Two tests show the faults are real: with a gate that lets everything through the ignoring engine is steered out of order.

Found by the planner's cases and mended: a copy that was still wanted made room where one that nobody wants stood beside it.

--- a/packages/placement/src/trestlestall/placement/planner.py
+++ b/packages/placement/src/trestlestall/placement/planner.py
@@ -218,9 +218,7 @@
         victims = self._list_victims(wanted)
         if not victims:
             return False
-        engine, victim = min(
-            victims, key=lambda pair: (self._cost(pair[0], wanted), pair[1])
-        )
+        engine, victim = min(victims, key=lambda pair: self._rate(pair, wanted))
         unload = model.Order(model.UNLOAD, victim)
         names = sorted({name for name, _ in victims})
         self._choose(engine, (unload, load), urgency, names)
@@ -239,6 +237,11 @@
         failing = (name, wanted.model) in self._observed.failing
         return failing, self._engines[name].load, len(self._held[name]), name
 
+    def _rate(self, pair: tuple[str, str], wanted: model.Wanted) -> tuple:
+        """Return what making room there costs: least where nobody wants the model."""
+        engine, victim = pair
+        return victim in self._desired.wanted, self._cost(engine, wanted), victim
+
     def _list_victims(self, wanted: model.Wanted) -> list[tuple[str, str]]:
         """Return the engines and models that could make room.
 
--- a/packages/placement/tests/world.py
+++ b/packages/placement/tests/world.py
@@ -21,9 +21,8 @@
 )
 from trestlestall.standins import orders as engine_orders
 
-TICK = 0.25
+TICK = 0.5
 COMMIT = 0.02
-WORK_SECONDS = 4.0
 
 
 class Engine:
@@ -125,6 +124,8 @@
         self.frozen_until = 0.0
         self.term = 0
         self.cut = False
+        self.gates = None
+        self.handed = []
         self.before_deliver = lambda action: 0.0
         self.decided = []
 
@@ -153,6 +154,7 @@
 
     def do_deliver(self, action):
         frozen = self.before_deliver(action)
+        self.handed.append((self.world.now, action))
         self.frozen_until = max(self.frozen_until, self.world.now + frozen)
         self.world.after(frozen, self.world.send, self.world.deliver, self, action)
 
@@ -177,7 +179,15 @@
 class World:
     """All of it; ``loss`` and ``late`` are shares of messages lost or delayed."""
 
-    def __init__(self, seed=1, settings=None, gates=("r1", "r2"), leaders=2):
+    def __init__(
+        self,
+        seed=1,
+        settings=None,
+        gates=("r1", "r2"),
+        leaders=2,
+        make_gate=gates_module.Gate,
+    ):
+        self.make_gate = make_gate
         self.random = random.Random(seed)
         self.settings = settings or placement_settings.Settings()
         self.now = 0.0
@@ -185,13 +195,13 @@
         self.loss, self.late, self.late_by = 0.0, 0.0, 30.0
         self.engines, self.wanted, self.drained = {}, {}, frozenset()
         self.demand = {}
+        self.answers_lost = 0
         self.state, self.term, self.log = orders.EMPTY, 0, []
         self.gates = {}
         for name in gates:
-            self.gates[name] = gates_module.Gate(f"{name}#1", self.settings.sending)
+            self.gates[name] = make_gate(f"{name}#1", self.settings.sending)
         self.gate_frozen = dict.fromkeys(gates, 0.0)
         self.lives = dict.fromkeys(gates, 1)
-        self.announcing = True
         self.leaders = [
             Leader(self, f"c{n}", self.settings, seed * 10 + n) for n in range(leaders)
         ]
@@ -236,7 +246,7 @@
             for gate in self.gates.values():
                 gate.note_incarnation(engine.name, engine.incarnation)
         sites = {engine.data_centre for engine in self.engines.values()}
-        names = tuple(self.gates)
+        names = leader.gates or tuple(self.gates)
         leader.feed(actions.Seen(tuple(seen), dict.fromkeys(sites, names)))
         leader.feed(actions.DesiredChanged(model.Desired(self.wanted, self.drained)))
         leader.feed(actions.DemandSeen(self.demand))
@@ -312,6 +322,9 @@
         self.answer(leader, action, *result)
 
     def answer(self, leader, action, result, reason):
+        if self.answers_lost:
+            self.answers_lost -= 1
+            return
         delivered = actions.Delivered(action.permit.fence, result, reason)
         self.send(leader.feed, delivered)
 
@@ -319,7 +332,7 @@
         """Begin a gate's process anew, with an empty memory."""
         self.lives[name] += 1
         identity = f"{name}#{self.lives[name]}"
-        self.gates[name] = gates_module.Gate(identity, self.settings.sending)
+        self.gates[name] = self.make_gate(identity, self.settings.sending)
 
     def ask(self, leader, action):
         engine = self.engines[action.engine]
@@ -342,11 +355,24 @@
         return sum(name in engine.versions for engine in self.engines.values())
 
 
+class OpenGate(gates_module.Gate):
+    """A gate that lets everything through: for showing what the gate is for."""
+
+    def grant(self, engine, incarnation, fence, now):
+        return gates_module.Permit(self.identity, engine, incarnation, fence, 0)
+
+    def admit(self, permit, now):
+        return gates_module.Admitted()
+
+    def may_write(self, engine, now):
+        return True
+
+
 def find_disorder(engine):
     """Return the first effect under a number no higher than one before it, if any."""
-    highest = (0, 0)
-    for incarnation, fence, order in engine.effects:
-        if (incarnation, fence) <= highest and fence <= highest[1]:
+    highest = 0
+    for _, fence, order in engine.effects:
+        if fence <= highest:
             return fence, order
-        highest = incarnation, fence
+        highest = fence
     return None
