--- a/packages/configuration/src/trestlestall/configuration/previews.py
+++ b/packages/configuration/src/trestlestall/configuration/previews.py
@@ -5,6 +5,7 @@
 
 from trestlestall.configuration import commands, model, outcomes, state as states
 
+KEY_DIGEST = "key_digest"
 PARTS = {
     "class": "classes",
     "workspace": "workspaces",
@@ -55,14 +56,21 @@
 
 
 def describe_change(change: Change) -> str:
-    """Return the change as one line, such as ``change class alerts: tier 3 -> 2``."""
+    """Return the change as one line, such as ``change class alerts: tier 3 -> 2``.
+
+    Of a changed key it says so, but shows no digest.
+    """
     title = f"{change.kind} {change.name}"
     if change.before is None:
         return f"add {title}"
     if change.after is None:
         return f"remove {title}"
     old, new = (dataclasses.asdict(made) for made in (change.before, change.after))
-    parts = [f"{key} {old[key]} -> {new[key]}" for key in old if old[key] != new[key]]
+    differing = [field for field in old if old[field] != new[field]]
+    parts = [
+        f"{field} {old[field]} -> {new[field]}" if field != KEY_DIGEST else "key"
+        for field in differing
+    ]
     return f"change {title}: {', '.join(parts)}"
 
 
--- a/packages/configuration/tests/test_state.py
+++ b/packages/configuration/tests/test_state.py
@@ -162,8 +162,14 @@
             state.EMPTY,
             submit("r1", commands.DeclareClass(BREAKDOWN)),
             submit("r2", commands.Drain("u1")),
+            submit("r0", commands.DeclareWorkspace(model.Workspace("basu", "0" * 64))),
         )
+        rekeyed = model.Workspace("basu", "1" * 64, 2.0)
         cases = [
+            (
+                commands.DeclareWorkspace(rekeyed),
+                ["change workspace basu: key, weight 1.0 -> 2.0"],
+            ),
             (commands.Drain("u2"), ["add drain u2"]),
             (commands.Admit("u1"), ["remove drain u1"]),
             (commands.RemoveClass("breakdown"), ["remove class breakdown"]),
@@ -177,7 +183,7 @@
                 lines = [previews.describe_change(made) for made in preview.changes]
                 self.assertEqual(lines, expected)
                 self.assertEqual(preview.outcome, state.check_submission(held, sent))
-        self.assertEqual(held.configuration.version, 2)
+        self.assertEqual(held.configuration.version, 3)
 
 
 if __name__ == "__main__":
--- a/packages/language/src/trestlestall/language/builder.py
+++ b/packages/language/src/trestlestall/language/builder.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import decimal
 import re
 import typing
 from collections import abc
@@ -15,7 +16,12 @@
 from trestlestall.configuration import commands, model
 from trestlestall.language import queries, voters
 
-SECONDS = {"ms": 0.001, "s": 1.0, "min": 60.0, "h": 3600.0}
+SECONDS = {
+    "ms": decimal.Decimal("0.001"),
+    "s": decimal.Decimal(1),
+    "min": decimal.Decimal(60),
+    "h": decimal.Decimal(3600),
+}
 BOOLEANS = {"true": True, "false": False}
 KEY = re.compile(r"[\x21-\x7e]{1,512}")
 ADDRESS = re.compile(r"(\[[0-9A-Fa-f:.]+\]|[0-9A-Za-z.-]+):([0-9]{1,5})")
@@ -70,9 +76,17 @@
 
 
 def read_duration(word: str) -> float:
-    """Return the seconds of a duration such as ``500ms``."""
+    """Return the seconds of a duration such as ``500ms``.
+
+    Computed in decimals, so that ``300ms`` and ``0.3s`` are the same number.
+    """
     unit = word.lstrip("0123456789.")
-    return float(word.removesuffix(unit)) * SECONDS[unit]
+    return float(decimal.Decimal(word.removesuffix(unit)) * SECONDS[unit])
+
+
+def read_percent(word: str) -> float:
+    """Return the share of a percentage: 0.05 of ``5%``."""
+    return float(decimal.Decimal(word.removesuffix("%")) / 100)
 
 
 def read_string(word: str) -> str:
@@ -95,7 +109,7 @@
     "first_token_target": ("first_token_target", read_duration),
     "idempotent": ("idempotent", lambda word: True),
     "at_most_once": ("idempotent", lambda word: False),
-    "floor": ("floor", lambda word: float(word.removesuffix("%")) / 100),
+    "floor": ("floor", read_percent),
     "key": ("key_digest", lambda word: model.digest_key(read_string(word))),
     "key_digest": ("key_digest", str),
     "weight": ("weight", float),
@@ -251,7 +265,10 @@
     """Build ``show``."""
     subject, *trees = parts
     conditions = tuple(_read_condition(tree) for tree in trees)
-    return Sentence(queries.Show(str(subject), conditions), {"subject": subject})
+    # A field's word is found under the field's own name.
+    words = {str(tree.children[0]): tree.children[0] for tree in trees}
+    show = queries.Show(str(subject), conditions)
+    return Sentence(show, {"subject": subject, **words})
 
 
 def _read_condition(tree: lark.Tree) -> queries.Condition:
--- a/packages/language/src/trestlestall/language/queries.py
+++ b/packages/language/src/trestlestall/language/queries.py
@@ -63,6 +63,18 @@
     return [row for row in rows if all(_holds(row, part) for part in show.conditions)]
 
 
+def find_unknown_field(rows: abc.Sequence[Row], show: Show) -> str | None:
+    """Return the first field of the conditions that no row has, or ``None``.
+
+    Without rows nothing is unknown. A misspelt field would otherwise look like an
+    answer without rows.
+    """
+    known = {field for row in rows for field in row}
+    fields = [condition.field for condition in show.conditions]
+    unknown = [field for field in fields if rows and field not in known]
+    return unknown[0] if unknown else None
+
+
 def _holds(row: Row, condition: Condition) -> bool:
     value = row.get(condition.field)
     if not _is_comparable(value, condition.value):
