--- a/packages/claims/benchmarks/measure_claims.py
+++ b/packages/claims/benchmarks/measure_claims.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import gc
 import pathlib
 import statistics
 import sys
@@ -70,6 +71,7 @@
     held = apply_all(claims.EMPTY, map(make_claim, range(live)), START)
     print(f"memory: {tracemalloc.get_traced_memory()[0] / live:,.0f} bytes a claim")
     tracemalloc.stop()
+    measure("full garbage collection", gc.collect)
     new = [make_claim(live + number) for number in range(EVENTS)]
     again = [make_claim(number) for number in range(EVENTS)]
     rivals = [dataclasses.replace(c, attempt=f"rival-{c.attempt}") for c in again]
@@ -92,6 +94,9 @@
     measure("to CBOR", lambda: cbor2.dumps(document))
     measure("from CBOR", lambda: cbor2.loads(data))
     measure("decode", lambda: documents.decode(document))
+    for event in (new[0], ends[0], undone[0]):
+        size = len(cbor2.dumps(documents.encode_event(event)))
+        print(f"{type(event).__name__} in CBOR: {size:,} bytes")
     print(f"claims in CBOR: {len(data):,} bytes, {EVENTS:,} of them with an answer")
 
 
