--- a/tests/test_agreed_state_deployment.py
+++ b/tests/test_agreed_state_deployment.py
@@ -97,16 +97,18 @@
             process.kill()
             process.wait()
 
-    def call(self, name: str, method: str, path: str, body=None, key="alice"):
+    def call(self, name, method, path, body=None, key="alice", listener="operators"):
         """Return status and document, or (None, None) when there was no answer."""
-        host, port = self.addresses[name]["operators"].split(":")
+        host, port = self.addresses[name][listener].split(":")
         connection = http.client.HTTPConnection(host, int(port), timeout=CALL_SECONDS)
-        headers = {"Authorization": f"Bearer {KEYS[key]}"}
+        headers = {"Authorization": f"Bearer {KEYS.get(key, key)}"}
         try:
             content = None if body is None else json.dumps(body)
             connection.request(method, path, content, headers)
             answer = connection.getresponse()
-            return answer.status, json.loads(answer.read())
+            data = answer.read()
+            is_json = answer.headers["Content-Type"] == "application/json"
+            return answer.status, json.loads(data) if is_json else data.decode()
         except (OSError, http.client.HTTPException):
             return None, None
         finally:
@@ -198,6 +200,32 @@
 
 
 class DeploymentTest(unittest.TestCase):
+    def test_doors_and_bad_requests(self):
+        cases = (
+            ("operators", "GET", "/v1/status", None, "nobody", 401),
+            ("operators", "POST", "/v1/operator", {"text": "history"}, "nobody", 401),
+            ("operators", "POST", "/v1/operator", {"txt": "history"}, "alice", 400),
+            ("operators", "POST", "/v1/operator", {"text": 7}, "alice", 400),
+            ("operators", "POST", "/v1/operator", [], "alice", 400),
+            ("operators", "POST", "/v1/operator", {"text": "histori"}, "alice", 400),
+            ("operators", "POST", "/v1/operator", {"text": "history"}, "bela", 200),
+            ("operators", "GET", "/metrics", None, "alice", 404),
+            ("platform", "GET", "/v1/status", None, "alice", 404),
+            ("platform", "GET", "/healthz", None, "", 200),
+            ("platform", "GET", "/readyz", None, "", 200),
+            ("platform", "GET", "/metrics", None, "", 200),
+        )
+        with open_deployment() as deployment:
+            leader = deployment.wait_for_leader()
+            for listener, method, path, body, key, expected in cases:
+                with self.subTest(f"{method} {path}", key=key, body=body):
+                    status, _ = deployment.call(
+                        leader, method, path, body, key, listener
+                    )
+                    self.assertEqual(status, expected)
+            _, text = deployment.call(leader, "GET", "/metrics", listener="platform")
+            self.assertIn("trestlestall_leader 1.0", text)
+
     def test_three_form_a_group_and_stop_as_planned(self):
         with open_deployment() as deployment:
             leader = deployment.wait_for_leader()
--- a/tests/test_agreed_state_disks.py
+++ b/tests/test_agreed_state_disks.py
@@ -71,6 +71,35 @@
         self.assertEqual(again["voters"], added["voters"])
 
 
+class RefusedFolderTest(unittest.TestCase):
+    def test_folder_in_use_or_damaged_ends_the_process_loudly(self):
+        with deployments.open_deployment() as deployment:
+            deployment.settle("drain upstream u1", "r1")
+            running = deployment.processes.pop("control-3")
+            deployment.start("control-3")
+            self.check_refused(deployment, "another process uses it")
+            deployment.processes["control-3"] = running
+            deployment.kill("control-3")
+            log = deployment.path / "control-3" / "log"
+            content = bytearray(log.read_bytes())
+            content[len(content) // 2] ^= 1
+            log.write_bytes(content)
+            deployment.start("control-3")
+            self.check_refused(deployment, "damaged at byte")
+            after = deployment.settle("drain upstream u2", "r2", deployments.NAMES[:2])
+            self.assertEqual(after, {"kind": "accepted", "version": 2})
+
+    def check_refused(self, deployment, reason):
+        self.assertEqual(deployment.processes["control-3"].wait(), 1)
+        refused = [
+            line
+            for line in deployment.read_events("control-3")
+            if line["name"] == "storage_refused"
+        ]
+        self.assertIn(reason, refused[-1]["reason"])
+        self.assertIn("control-3", refused[-1]["reason"])
+
+
 class AddedVoterTest(unittest.TestCase):
     def test_voter_of_a_new_name_is_dialled_and_counts(self):
         with deployments.open_deployment() as deployment:
