--- a/packages/agreement/tests/group.py
+++ b/packages/agreement/tests/group.py
@@ -16,7 +16,12 @@
 
 TIMING = timing.Timing(election=1.0, heartbeat=0.25, catch_up=5.0)
 LIMITS = timing.Limits(
-    batch_bytes=64, batch_entries=4, inflight=3, chunk_bytes=48, payload_bytes=1000
+    batch_bytes=64,
+    batch_entries=4,
+    inflight=3,
+    chunk_bytes=48,
+    payload_bytes=1000,
+    uncommitted_bytes=50_000,
 )
 PADDING = b"." * 100
 
@@ -117,7 +122,7 @@
         self.loss = self.doubling = 0.0
         self.delay = 0.0
         self.answers = {}
-        self.sent = 0
+        self.sent = []
         self.hosts = {}
         for name in (*voters, *spare):
             self.add_host(name, tuple(voters) if name in voters else (), seed)
@@ -189,7 +194,7 @@
 
     def send(self, sender, action):
         """Put a message under way: it may be lost, doubled or late."""
-        self.sent += 1
+        self.sent.append((action.to, action.message))
         for _ in range(1 + (self.random.random() < self.doubling)):
             if self.random.random() >= self.loss:
                 arrival = self.now + self.random.random() * self.delay
@@ -249,9 +254,11 @@
             self.run(0.1)
         raise checks_module.Violation("no leader")
 
-    def propose(self, name, token):
-        """Propose a command at the host."""
-        self.step(name, events.Propose(token, f"{token};".encode()))
+    def propose(self, name, *tokens, size=0):
+        """Propose commands at the host, in one step."""
+        padding = b" " * size
+        batch = [events.Propose(t, f"{t};".encode() + padding) for t in tokens]
+        self.step(name, *batch)
 
     def read(self, name, token):
         """Ask for a read at the host."""
--- a/packages/agreement/tests/test_schedules.py
+++ b/packages/agreement/tests/test_schedules.py
@@ -69,8 +69,7 @@
         name = self.pick_server()
         if name is not None:
             batch = [self.name_token("p") for _ in range(self.random.randint(1, 6))]
-            proposals = [events.Propose(t, f"{t};".encode()) for t in batch]
-            self.group.step(name, *proposals)
+            self.group.propose(name, *batch)
 
     def read(self):
         name = self.pick_server()
