--- a/packages/agreement/tests/group.py
+++ b/packages/agreement/tests/group.py
@@ -16,7 +16,12 @@
 
 TIMING = timing.Timing(election=1.0, heartbeat=0.25, catch_up=5.0)
 LIMITS = timing.Limits(
-    batch_bytes=64, batch_entries=4, inflight=3, chunk_bytes=48, payload_bytes=1000
+    batch_bytes=64,
+    batch_entries=4,
+    inflight=3,
+    chunk_bytes=48,
+    payload_bytes=1000,
+    uncommitted_bytes=50_000,
 )
 PADDING = b"." * 100
 
@@ -117,7 +122,7 @@
         self.loss = self.doubling = 0.0
         self.delay = 0.0
         self.answers = {}
-        self.sent = 0
+        self.sent = []
         self.hosts = {}
         for name in (*voters, *spare):
             self.add_host(name, tuple(voters) if name in voters else (), seed)
@@ -189,7 +194,7 @@
 
     def send(self, sender, action):
         """Put a message under way: it may be lost, doubled or late."""
-        self.sent += 1
+        self.sent.append((action.to, action.message))
         for _ in range(1 + (self.random.random() < self.doubling)):
             if self.random.random() >= self.loss:
                 arrival = self.now + self.random.random() * self.delay
@@ -226,32 +231,35 @@
                     self.step(name, events.Tick())
             self.deliver()
 
+    def run_until(self, holds, only=None):
+        """Let time pass until the condition holds."""
+        for _ in range(300):
+            if holds():
+                return
+            self.run(0.1, only)
+        raise checks_module.Violation("no end in sight")
+
     def elect(self, name):
         """Make the host the leader, by letting time pass for it alone."""
-        for host in self.hosts.values():
-            if host.leads and host.name != name:
-                self.step(host.name, events.Tick())
-        while not self.hosts[name].leads:
-            self.run(0.5, only=(name,))
+        self.run_until(lambda: self.hosts[name].leads, (name,))
 
-    def find_leader(self):
+    def find_leader(self, among):
         """Return the running leader of the newest term, or None."""
         leading = [host for host in self.hosts.values() if host.leads and host.runs]
-        newest = max(leading, key=lambda host: host.node.term, default=None)
+        wanted = [host for host in leading if among is None or host.name in among]
+        newest = max(wanted, key=lambda host: host.node.term, default=None)
         return newest.name if newest else None
 
     def wait_leader(self, among=None):
         """Let time pass until one leads, and return its name."""
-        for _ in range(300):
-            leader = self.find_leader()
-            if leader is not None and (among is None or leader in among):
-                return leader
-            self.run(0.1)
-        raise checks_module.Violation("no leader")
-
-    def propose(self, name, token):
-        """Propose a command at the host."""
-        self.step(name, events.Propose(token, f"{token};".encode()))
+        self.run_until(lambda: self.find_leader(among) is not None)
+        return self.find_leader(among)
+
+    def propose(self, name, *tokens, size=0):
+        """Propose commands at the host, in one step."""
+        padding = b" " * size
+        batch = [events.Propose(t, f"{t};".encode() + padding) for t in tokens]
+        self.step(name, *batch)
 
     def read(self, name, token):
         """Ask for a read at the host."""
