Prove at most once, planned stops and membership on real processes

Cause: the promises about resends, crashes of routers, a silent control, stopping and leaving had no proof.

Found on the way: a plain service saw two workspaces' equal keys as one, so the key that goes upstream now carries the workspace's name; the log's last line was not the last.

--- a/packages/daemon/src/trestlestall/daemon/router/cache.py
+++ b/packages/daemon/src/trestlestall/daemon/router/cache.py
@@ -23,10 +23,8 @@
         return None
 
 
-def save(folder: str | None, document: dict) -> bool:
-    """Keep the document; false if there is no folder or it can't be written."""
-    if folder is None:
-        return False
+def save(folder: str, document: dict) -> bool:
+    """Keep the document; false if it can't be written."""
     path = pathlib.Path(folder) / FILE_NAME
     fresh = path.with_suffix(".new")
     try:
--- a/packages/daemon/src/trestlestall/daemon/router/callers.py
+++ b/packages/daemon/src/trestlestall/daemon/router/callers.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import hashlib
+import dataclasses
 import typing
 
 from trestlestall.configuration import model
@@ -87,9 +87,9 @@
     key = credentials.read_bearer(request.headers)
     if key is None:
         return credentials.MISSING
-    # latin-1, as WSGI reads headers: any bytes have a digest, and no one else's.
-    digest = hashlib.sha256(key.encode("latin-1")).hexdigest()
-    return site.agreed.configuration.find_digest(digest) or credentials.UNKNOWN
+    # WSGI reads headers as latin-1; operators write keys in UTF-8.
+    text = key.encode("latin-1").decode("utf-8", "replace")
+    return site.agreed.configuration.find_workspace(text) or credentials.UNKNOWN
 
 
 def carry(
@@ -107,9 +107,11 @@
     failure = check_key(key, found) or site.check_room()
     if failure is not None:
         return answers.build_failure(failure)
-    exchange = site.make_exchange(call, workspace, found)
     if not found.idempotent:
-        exchange.claim_key = key
+        # Two workspaces may choose one key: an upstream that looks at it must not mix
+        # them up.
+        call = dataclasses.replace(call, key=f"{workspace.name}/{key}")
+    exchange = site.make_exchange(call, workspace, found, key)
     return bodies.answer(site, request, exchange)
 
 
--- a/packages/daemon/src/trestlestall/daemon/router/claims.py
+++ b/packages/daemon/src/trestlestall/daemon/router/claims.py
@@ -129,7 +129,7 @@
     def _make_claim(self, exchange: exchanges.Exchange) -> claim_events.Claim:
         return claim_events.Claim(
             workspace=exchange.workspace.name,
-            key=exchange.claim_key or "",
+            key=exchange.claim_key,
             fingerprint=find_fingerprint(exchange),
             attempt=exchange.request,
             router=self._router,
--- a/packages/daemon/src/trestlestall/daemon/router/dispatcher.py
+++ b/packages/daemon/src/trestlestall/daemon/router/dispatcher.py
@@ -211,7 +211,7 @@
             attempt=attempt.identity,
             upstream=attempt.upstream.name if attempt.upstream else "",
             tokens=attempt.tokens,
-            reason=reason,
+            reason=f"{ending.value}: {reason}",
         )
 
     def _has_attempts(self, request: str) -> bool:
--- /dev/null
+++ b/packages/daemon/src/trestlestall/daemon/router/doors.py
@@ -0,0 +1,78 @@
+"""The router's listeners, and who may use each of them."""
+
+from __future__ import annotations
+
+import contextlib
+import typing
+from collections import abc
+
+from trestlestall.daemon.http import (
+    application,
+    credentials,
+    errors,
+    limits,
+    listener,
+    requests,
+    routes,
+)
+from trestlestall.daemon.router import callers, operators, platform, upstream_doors
+
+if typing.TYPE_CHECKING:
+    from trestlestall.daemon.router import process
+
+CONNECTIONS_PER_STREAM = 2
+
+# Callers are told apart by their handlers, since a key names a workspace.
+TABLES: dict[str, routes.Routes] = {
+    "callers": callers.ROUTES,
+    "upstreams": upstream_doors.ROUTES,
+    "operators": operators.ROUTES,
+    "platform": platform.ROUTES,
+}
+
+
+@contextlib.contextmanager
+def open_all(site: process.Router) -> abc.Iterator[dict[str, listener.Listener]]:
+    """Yield the open listeners by their names in the settings.
+
+    Raises ``OSError`` when an address can't be had.
+    """
+    with contextlib.ExitStack() as stack:
+        yield {
+            name: stack.enter_context(open_door(site, name, table))
+            for name, table in TABLES.items()
+        }
+
+
+def open_door(
+    site: process.Router, name: str, table: routes.Routes
+) -> contextlib.AbstractContextManager[listener.Listener]:
+    """Open one listener."""
+    found = site.settings.limits
+    bounds = limits.Limits(
+        body_bytes=found.body_bytes,
+        header_bytes=found.header_bytes,
+        read_seconds=found.read_seconds,
+        connections=CONNECTIONS_PER_STREAM * found.streams,
+    )
+    check = make_check(site, name)
+    report = site.reports.make_error_reporter(name)
+    app = application.Application(site, table, bounds, check, report)
+    address = str(getattr(site.settings.listen, name))
+    return listener.open_listener(address, app, bounds)
+
+
+def make_check(site: process.Router, name: str) -> application.Check:
+    """Return what looks at the credential before any handler."""
+
+    def check_upstream(request: requests.Request) -> errors.Failure | None:
+        return credentials.check_secret(
+            request.headers, site.settings.secrets.upstreams
+        )
+
+    def check_operator(request: requests.Request) -> errors.Failure | None:
+        found = credentials.find_owner(request.headers, site.settings.secrets.operators)
+        return found if isinstance(found, errors.Failure) else None
+
+    checks = {"upstreams": check_upstream, "operators": check_operator}
+    return checks.get(name, application.allow_all)
--- a/packages/daemon/src/trestlestall/daemon/router/exchanges.py
+++ b/packages/daemon/src/trestlestall/daemon/router/exchanges.py
@@ -79,7 +79,7 @@
         self.tokens = 0
         self.chosen: str | None = None
         self.upstream = ""
-        self.claim_key: str | None = None
+        self.claim_key = ""
         self.claimed = False
         self.maybe_ran = False
         self.verdict: Failed | Whole | None = None
--- a/packages/daemon/src/trestlestall/daemon/router/operators.py
+++ b/packages/daemon/src/trestlestall/daemon/router/operators.py
@@ -13,6 +13,7 @@
 import eventlet
 
 from trestlestall.daemon.http import answers, credentials, errors, requests, routes
+from trestlestall.daemon.router import overview
 from trestlestall.language import errors as language_errors, parser, queries
 from trestlestall.wire import messages
 
@@ -85,7 +86,7 @@
 @ROUTES.register("GET", "/v1/status")
 def read_status(site: process.Router, request: requests.Request) -> answers.Answer:
     """Answer with the state of this router."""
-    return answers.build_json(site.describe_status())
+    return answers.build_json(overview.describe(site))
 
 
 def build_language_error(error: language_errors.LanguageError) -> answers.Answer:
--- a/packages/daemon/src/trestlestall/daemon/router/peers.py
+++ b/packages/daemon/src/trestlestall/daemon/router/peers.py
@@ -5,7 +5,7 @@
 import typing
 from collections import abc
 
-from trestlestall.daemon.router import agreed
+from trestlestall.daemon.router import agreed, overview
 from trestlestall.wire import messages
 
 if typing.TYPE_CHECKING:
@@ -121,5 +121,5 @@
     site: process.Router, sender: str, message: messages.StatusCall
 ) -> None:
     """Tell a peer how this router is."""
-    answer = messages.StatusAnswer(message.token, site.describe_status())
+    answer = messages.StatusAnswer(message.token, overview.describe(site))
     site.mesh.send(sender, answer)
--- a/packages/daemon/src/trestlestall/daemon/router/platform.py
+++ b/packages/daemon/src/trestlestall/daemon/router/platform.py
@@ -6,6 +6,7 @@
 
 from trestlestall.daemon import metrics as daemon_metrics
 from trestlestall.daemon.http import answers, errors, requests, routes
+from trestlestall.daemon.router import overview
 
 if typing.TYPE_CHECKING:
     from trestlestall.daemon.router import process
@@ -22,7 +23,7 @@
 @ROUTES.register("GET", "/readyz")
 def check_ready(site: process.Router, request: requests.Request) -> answers.Answer:
     """Answer 200 only while the balancer should send callers here."""
-    reason = site.find_unready_reason()
+    reason = overview.find_unready_reason(site)
     if reason is None:
         return answers.build_json({"ready": True})
     return answers.build_failure(errors.Failure("not_ready", reason))
@@ -31,5 +32,5 @@
 @ROUTES.register("GET", "/metrics")
 def read_metrics(site: process.Router, request: requests.Request) -> answers.Answer:
     """Answer with the exposition text of all metrics."""
-    site.refresh_metrics()
+    overview.refresh_metrics(site)
     return answers.Answer(200, site.metrics.render(), daemon_metrics.CONTENT_TYPE)
--- a/packages/daemon/src/trestlestall/daemon/router/process.py
+++ b/packages/daemon/src/trestlestall/daemon/router/process.py
@@ -1,7 +1,6 @@
 """The router process: its parts, its listeners, its loops, and its planned stop."""
 
 import contextlib
-import typing
 
 import eventlet
 
@@ -14,44 +13,34 @@
     settings as daemon_settings,
     status,
 )
-from trestlestall.daemon.http import (
-    application,
-    credentials,
-    errors,
-    limits,
-    listener,
-    requests,
-)
+from trestlestall.daemon.http import errors, listener
 from trestlestall.daemon.router import (
     agreed,
     cache,
-    callers,
     calls,
     claims,
     controls,
     dispatcher,
+    doors,
     exchanges,
     journal,
     members,
     operators,
     peers,
-    platform,
     pulse,
     reports,
     signals,
-    upstream_doors,
     views,
 )
 from trestlestall.membership import pressure, table
 from trestlestall.policy import router_policy, settings as policy_settings
-from trestlestall.wire import links, messages
+from trestlestall.wire import exceptions as wire_exceptions, links, messages
 
 # How long the balancer may take to see that the router is unready (seconds).
 GRACE_SECONDS = 1.0
 # How long a stop waits for control to acknowledge finished claims (seconds).
 ACKNOWLEDGE_SECONDS = 5.0
 POLL_SECONDS = 0.02
-CONNECTIONS_PER_STREAM = 2
 
 
 class Router:
@@ -83,11 +72,14 @@
             stop = stack.enter_context(signals.catch_stop())
             try:
                 served = self._open(stack)
-            except (OSError, links.exceptions.WireError) as error:
+            except (OSError, wire_exceptions.WireError) as error:
                 self.journal.write(events.process.ADDRESS_REFUSED, reason=str(error))
                 return status.ExitStatus.ERROR
             stop.wait()
-            self._stop(served, stop)
+            cut_off = self._stop(served, stop)
+        self.journal.write(
+            events.process.STOPPED, role="router", status=0, cut_off=cut_off
+        )
         return status.ExitStatus.OK
 
     # What callers' requests need.
@@ -97,11 +89,13 @@
         call: calls.Call,
         workspace: model.Workspace,
         request_class: model.RequestClass,
+        key: str,
     ) -> exchanges.Exchange:
         """Return the exchange of a request that has passed its checks."""
         identity = f"{self.settings.name}-{self.env.random.getrandbits(64):016x}"
         now = self.env.clock.monotonic()
         exchange = exchanges.Exchange(identity, call, workspace, request_class, now)
+        exchange.claim_key = key
         self.reports.note_arrival(exchange)
         self.pulse.wake()
         return exchange
@@ -135,47 +129,6 @@
             and link.peer.data_centre == self.settings.data_centre
         ]
 
-    # What the platform and operators ask.
-
-    def find_unready_reason(self) -> str | None:
-        """Return why callers should not be sent here, or ``None``."""
-        if self.stopping:
-            return "The router is stopping."
-        if not self.agreed.known:
-            return "No configuration has been received yet."
-        return None
-
-    def describe_status(self) -> dict[str, typing.Any]:
-        """Return the state of this router as plain values."""
-        now = self.env.clock.monotonic()
-        age = self.agreed.find_age(now)
-        return {
-            "name": self.settings.name,
-            "role": "router",
-            "data_centre": self.settings.data_centre,
-            "version": self.agreed.version,
-            "version_age_seconds": None if age is None else round(age, 3),
-            "cut_off": self.agreed.is_cut_off(now),
-            "ready": self.find_unready_reason() is None,
-            "stopping": self.stopping,
-            "requests": len(self.dispatcher.exchanges),
-            "upstreams": len(self.members.table.list_live(now)),
-            "links": sorted(self.mesh.linked()),
-            "control_leader": self.controls.leader,
-            "bytes_sent": self.mesh.bytes_sent,
-            "bytes_received": self.mesh.bytes_received,
-        }
-
-    def refresh_metrics(self) -> None:
-        """Bring the gauges up to this moment."""
-        now = self.env.clock.monotonic()
-        age = self.agreed.find_age(now)
-        self.metrics.open_streams.set(len(self.dispatcher.exchanges))
-        self.metrics.links.set(len(self.mesh.linked()))
-        self.metrics.configuration_version.set(self.agreed.version)
-        self.metrics.configuration_age.set(float("inf") if age is None else age)
-        self.metrics.note_link_bytes(self.mesh.bytes_sent, self.mesh.bytes_received)
-
     # The parts.
 
     def _make_links(self) -> None:
@@ -229,7 +182,8 @@
     def _apply_configuration(self, configuration: model.Configuration) -> None:
         self.views.drained = configuration.drained
         self.views.drop()
-        cache.save(self.settings.data_folder, self.agreed.encode())
+        if self.settings.data_folder is not None:
+            cache.save(self.settings.data_folder, self.agreed.encode())
 
     def _note_link(self, name: str, linked: bool) -> None:
         if linked:
@@ -239,8 +193,9 @@
                 pull = messages.ConfigurationPull(self.agreed.version)
                 self.mesh.send(name, pull)
         else:
-            self.journal.write(events.links.DOWN, peer=name)
             self.controls.forget(name)
+            if not self.stopping:
+                self.journal.write(events.links.DOWN, peer=name)
         self.views.routers = 1 + len(self.list_neighbours())
 
     # Listeners and loops.
@@ -252,16 +207,7 @@
         )
         self.mesh.start()
         stack.callback(self.mesh.stop)
-        doors = {
-            "callers": (callers.ROUTES, application.allow_all),
-            "upstreams": (upstream_doors.ROUTES, self._check_upstream),
-            "operators": (operators.ROUTES, self._check_operator),
-            "platform": (platform.ROUTES, application.allow_all),
-        }
-        opened = {
-            name: stack.enter_context(self._open_door(name, routes, check))
-            for name, (routes, check) in doors.items()
-        }
+        opened = stack.enter_context(doors.open_all(self))
         stack.enter_context(self.pulse.beat())
         addresses = {name: door.address for name, door in opened.items()}
         self.journal.write(
@@ -272,34 +218,10 @@
         )
         return opened["callers"]
 
-    def _open_door(
-        self, name: str, table_of_routes, check: application.Check
-    ) -> contextlib.AbstractContextManager[listener.Listener]:
-        found = self.settings.limits
-        bounds = limits.Limits(
-            body_bytes=found.body_bytes,
-            header_bytes=found.header_bytes,
-            read_seconds=found.read_seconds,
-            connections=CONNECTIONS_PER_STREAM * found.streams,
-        )
-        report = self.reports.make_error_reporter(name)
-        app = application.Application(self, table_of_routes, bounds, check, report)
-        return listener.open_listener(
-            str(getattr(self.settings.listen, name)), app, bounds
-        )
-
-    def _check_upstream(self, request: requests.Request) -> errors.Failure | None:
-        return credentials.check_secret(
-            request.headers, self.settings.secrets.upstreams
-        )
-
-    def _check_operator(self, request: requests.Request) -> errors.Failure | None:
-        found = credentials.find_owner(request.headers, self.settings.secrets.operators)
-        return found if isinstance(found, errors.Failure) else None
-
     # The planned stop.
 
-    def _stop(self, served: listener.Listener, stop: signals.Stop) -> None:
+    def _stop(self, served: listener.Listener, stop: signals.Stop) -> int:
+        """Finish what runs and return how many requests a second signal cut off."""
         self.stopping = True
         running = len(self.dispatcher.exchanges)
         self.journal.write(events.process.STOPPING, role="router", running=running)
@@ -309,10 +231,7 @@
         with contextlib.suppress(eventlet.greenlet.GreenletExit):
             finishing.wait()
         second.kill()
-        cut_off = len(self.dispatcher.exchanges)
-        self.journal.write(
-            events.process.STOPPED, role="router", status=0, cut_off=cut_off
-        )
+        return len(self.dispatcher.exchanges)
 
     def _finish(self, served: listener.Listener) -> None:
         eventlet.sleep(GRACE_SECONDS)
--- a/packages/daemon/src/trestlestall/daemon/router/reports.py
+++ b/packages/daemon/src/trestlestall/daemon/router/reports.py
@@ -32,6 +32,7 @@
             prompt_tokens=call.prompt_tokens,
             max_tokens=call.max_tokens,
             stream=call.streamed,
+            key=exchange.claim_key,
             request_class=exchange.request_class.name,
         )
 
--- a/packages/daemon/tests/router_bench.py
+++ b/packages/daemon/tests/router_bench.py
@@ -4,6 +4,7 @@
 import dataclasses
 import json
 import pathlib
+import socket
 import tempfile
 import typing
 from collections import abc
@@ -81,11 +82,23 @@
             "POST", where, f"/v1/services/slots{path}", {}, KEY, **headers
         )
 
+    def leave_service(self, path: str, key: str) -> socket.socket:
+        """Call the plain service and return the connection, without waiting."""
+        where = self.callers
+        caller = socket.create_connection((where.host, where.port), timeout=20)
+        head = (
+            f"POST /v1/services/slots{path} HTTP/1.1\r\nContent-Length: 2\r\n"
+            f"Authorization: Bearer {KEY}\r\nIdempotency-Key: {key}\r\n"
+            f"Content-Type: application/json\r\n\r\n{{}}"
+        )
+        caller.sendall(head.encode())
+        return caller
+
     def read_status(self, router: int = 0) -> dict:
-        """Return a router's status."""
+        """Return a router's status; empty while it can't be reached."""
         key = self.deployment.secrets.operator
         where = self.routers[router].operators
-        return calls.call("GET", where, "/v1/status", key=key).document
+        return calls.call("GET", where, "/v1/status", key=key).document or {}
 
     def read_rows(self, text: str, router: int = 0) -> list[dict]:
         """Return the rows that a router answers a query with."""
@@ -110,7 +123,7 @@
         """Wait until every router knows that many live upstreams."""
         for number in range(len(self.routers)):
             processes.wait_until(
-                lambda n=number: self.read_status(n)["upstreams"] == count,
+                lambda n=number: self.read_status(n).get("upstreams") == count,
                 f"router {number} knows {count} upstreams",
             )
 
@@ -121,6 +134,14 @@
     return prompts.write_answer(prompt, 0, tokens)
 
 
+def restart_service(
+    started: deployment.Deployment, planned: deployment.ServicePlan
+) -> None:
+    """Start a service that has ended once more, as a new incarnation."""
+    process = deployment.start_service(started, planned)
+    started.services[:] = [deployment.finish_standin(planned, process)]
+
+
 @contextlib.contextmanager
 def start_bench(
     planned: deployment.Plan, commands: abc.Iterable[str] = COMMANDS
