--- a/packages/daemon/src/trestlestall/daemon/router/operators.py
+++ b/packages/daemon/src/trestlestall/daemon/router/operators.py
@@ -90,10 +90,9 @@
 
 
 def build_language_error(error: language_errors.LanguageError) -> answers.Answer:
-    """Return the answer that points at the word."""
-    fields = dataclasses.asdict(error)
-    failure = {"code": "invalid_text", "type": errors.Kind.INVALID, **fields}
-    return answers.build_json({"error": failure}, 400)
+    """Return the answer that points at the word, as control gives it."""
+    message = f"line {error.line}, column {error.column}: {error.message}"
+    return answers.build_failure(errors.Failure("invalid_request", message))
 
 
 def find_own_rows(site: process.Router, parsed: object) -> Rows | errors.Failure | None:
--- a/packages/daemon/src/trestlestall/daemon/router/peers.py
+++ b/packages/daemon/src/trestlestall/daemon/router/peers.py
@@ -72,8 +72,9 @@
     if sender not in site.controls.names:
         return
     if message.kind == REDIRECT:
-        site.controls.note_redirect(message.fields.get("leader"))
-        site.desk.redirect(message.token)
+        # Without a leader there is nobody to ask; the desk asks again by itself.
+        if site.controls.note_redirect(message.fields.get("leader")):
+            site.desk.redirect(message.token)
         return
     site.controls.note_answer(sender)
     site.desk.take_answer(message.token, message.kind, dict(message.fields))
--- a/packages/daemon/tests/test_router_claims.py
+++ b/packages/daemon/tests/test_router_claims.py
@@ -107,3 +107,15 @@
         self.bench.control.send_signal(signal.SIGCONT)
         processes.wait_until(lambda: self.call("k7").status == 200, "the key is free")
         self.assertEqual(self.count("k7"), 1)
+
+    def test_what_no_upstream_took_did_not_run_and_may_be_sent_again(self):
+        self.service.process.kill()
+        answer = self.call("k8")
+        self.assertEqual((answer.status, answer.run), (503, "not_run"))
+        self.assertIn("retry-after", answer.headers)
+        events = [line["name"] for line in self.bench.read_events()]
+        self.assertIn("claim_granted", events)
+        started = self.bench.deployment
+        planned = started.plan.services[0]
+        router_bench.restart_service(started, planned)
+        processes.wait_until(lambda: self.call("k8").status == 200, "it runs at last")
