--- a/packages/daemon/src/trestlestall/daemon/router/claims.py
+++ b/packages/daemon/src/trestlestall/daemon/router/claims.py
@@ -26,6 +26,7 @@
 from trestlestall.wire import messages
 
 ANSWER_SECONDS = 0.5
+ASK_SECONDS = 0.1
 RESEND_SECONDS = 1.0
 LARGEST_TOKEN = 2**48
 # The newest reports that control has not acknowledged yet; the oldest is given up.
@@ -74,8 +75,18 @@
     def claim(self, exchange: exchanges.Exchange) -> None:
         """Ask for the exchange's key; the answer comes by ``answered``, always."""
         self._asked[exchange.request] = exchange
-        self._call(exchange.request, self._make_claim(exchange))
-        eventlet.spawn_after(ANSWER_SECONDS, self.give_up, exchange.request)
+        self.ask(exchange.request, self._monotonic() + ANSWER_SECONDS)
+
+    def ask(self, request: str, give_up_at: float) -> None:
+        """Ask, again and again: a message may be lost, and the leader may change."""
+        exchange = self._asked.get(request)
+        if exchange is None:
+            return
+        if self._monotonic() >= give_up_at:
+            self.give_up(request)
+            return
+        self._call(request, self._make_claim(exchange))
+        eventlet.spawn_after(ASK_SECONDS, self.ask, request, give_up_at)
 
     def finish(self, exchange: exchanges.Exchange, answer: attempts.Response) -> None:
         """Put the whole answer of a claimed request on record."""
@@ -105,7 +116,7 @@
             del self._reports[request]
 
     def redirect(self, token: int) -> None:
-        """Make a call again that reached a control process which does not lead."""
+        """Make a call again, now to the leader that another control process named."""
         request = self._calls.pop(token, None)
         exchange = self._asked.get(request or "")
         if exchange is not None:
@@ -129,7 +140,7 @@
     def _make_claim(self, exchange: exchanges.Exchange) -> claim_events.Claim:
         return claim_events.Claim(
             workspace=exchange.workspace.name,
-            key=exchange.claim_key or "",
+            key=exchange.claim_key,
             fingerprint=find_fingerprint(exchange),
             attempt=exchange.request,
             router=self._router,
