--- a/packages/standins/src/trestlestall/standins/announcing.py
+++ b/packages/standins/src/trestlestall/standins/announcing.py
@@ -49,11 +49,13 @@
         secret: str,
         describe: abc.Callable[[], dict],
         is_mute: abc.Callable[[], bool] = lambda: False,
+        note: abc.Callable[..., None] = programs.print_line,
     ):
         self._upstream = upstream
         self._hosts = hosts
         self._describe = describe
         self._is_mute = is_mute
+        self._note = note
         self._next_host = 0
         self._announced = False
         self._left = False
@@ -84,7 +86,7 @@
             self._next_host += 1
             return False
         self._lease = float(answer.get("lease_seconds", DEFAULT_LEASE))
-        programs.print_line(event="announced", to=str(self._host))
+        self._note(event="announced", to=str(self._host))
         return True
 
     def _renew(self) -> bool:
@@ -123,13 +125,11 @@
         try:
             answer = self._pool.request("POST", url, json=document, redirect=False)
         except urllib3.exceptions.HTTPError as error:
-            programs.print_line(event="unreachable", to=url, error=type(error).__name__)
+            self._note(event="unreachable", to=url, error=type(error).__name__)
             return 0, {}
         if answer.status != 200:
             text = answer.data.decode(errors="replace")[:500]
-            programs.print_line(
-                event="rejected", to=url, status=answer.status, text=text
-            )
+            self._note(event="rejected", to=url, status=answer.status, text=text)
         return answer.status, read_object(answer.data)
 
 
--- a/packages/standins/src/trestlestall/standins/overhead.py
+++ b/packages/standins/src/trestlestall/standins/overhead.py
@@ -18,6 +18,7 @@
     addresses,
     calls,
     deployment,
+    exceptions,
     mixes,
     processes,
     scoring,
@@ -33,6 +34,7 @@
 CONCURRENT = 16
 OPEN_STREAMS = 200
 SETTLE = 1.0
+SLOW_FACTOR = 100
 ENGINE_OPTIONS = (
     ("slots", "256"),
     ("token_interval", "0.002"),
@@ -47,10 +49,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class Timing:
-    """One stream's time to its first token and the gaps after it, in seconds."""
+    """One stream's time to its first token and the gaps after it, in seconds.
+
+    ``failure`` is empty when the answer was whole.
+    """
 
     first: float
     gaps: tuple[float, ...]
+    failure: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -100,11 +106,20 @@
         path.address, calls.make_chat(mixes.MODEL, text), path.key, note
     )
     if not answer.whole or answer.status != 200:
-        raise RuntimeError(f"{path.name}: status {answer.status} {answer.data!r}")
+        return Timing(0.0, (), f"status {answer.status} {answer.data.decode()}")
     gaps = (late - early for early, late in zip(times, times[1:], strict=False))
     return Timing(times[0] - start, tuple(gaps))
 
 
+def check_whole(path: Path, timings: abc.Sequence[Timing]) -> None:
+    """Raise ``DeploymentError`` when an answer was not whole: the figures are void."""
+    failures = [timing.failure for timing in timings if timing.failure]
+    if failures:
+        raise exceptions.DeploymentError(
+            f"{path.name}: {len(failures)} of {len(timings)} failed: {failures[0]}"
+        )
+
+
 def measure_latency(paths: abc.Sequence[Path]) -> list[Latency]:
     """Stream in turn over each path, so that both meet the same machine."""
     timings: dict[str, list[Timing]] = {path.name: [] for path in paths}
@@ -112,6 +127,8 @@
         for path in paths:
             text = f"pair {number} [length {TOKENS}]"
             timings[path.name].append(time_stream(path, text))
+    for path in paths:
+        check_whole(path, timings[path.name])
     return [summarise(path.name, timings[path.name]) for path in paths]
 
 
@@ -131,9 +148,11 @@
     """Stream ``count`` answers, some at a time; returns each process's CPU seconds."""
     before = [usage.read(pid).cpu for pid in pids]
     pool = eventlet.GreenPool(CONCURRENT)
-    for number in range(count):
+    streams = [
         pool.spawn(time_stream, path, f"spend {number} [length {tokens}]")
-    pool.waitall()
+        for number in range(count)
+    ]
+    check_whole(path, [stream.wait() for stream in streams])
     after = [usage.read(pid).cpu for pid in pids]
     return [late - early for early, late in zip(before, after, strict=True)]
 
@@ -141,10 +160,10 @@
 def measure_memory(path: Path, engine: deployment.Standin, pid: int) -> float:
     """Return the router's memory for each open stream, in bytes.
 
-    The engine stalls meanwhile, so that the streams stay open.
+    The engine is slow meanwhile, so that the streams stay open.
     """
     before = usage.read(pid).memory
-    fault = {"kind": "stall", "after_tokens": 0}
+    fault = {"kind": "straggle", "factor": SLOW_FACTOR}
     calls.call("POST", engine.address, "/v1/faults", fault)
     streams = [
         eventlet.spawn(time_stream, path, f"open {number} [length {TOKENS}]")
@@ -159,8 +178,7 @@
     eventlet.sleep(SETTLE)
     after = usage.read(pid).memory
     calls.call("POST", engine.address, "/v1/faults", {"kind": "none"})
-    for stream in streams:
-        stream.wait()
+    check_whole(path, [stream.wait() for stream in streams])
     return (after - before) / OPEN_STREAMS
 
 
