End what a starter started also when it is told to stop midway

Cause: a demo that took too long was killed outright by the test's time limit, and two daemons that it had started lived on. Ruled out: process groups, which would also end a caller's other children.

--- a/packages/standins/src/trestlestall/standins/demo.py
+++ b/packages/standins/src/trestlestall/standins/demo.py
@@ -10,7 +10,7 @@
 import sys
 import tempfile
 
-from trestlestall.standins import calls, deployment, exceptions
+from trestlestall.standins import calls, deployment, exceptions, processes
 
 MODEL = "m1"
 PLAN = deployment.Plan(
@@ -150,6 +150,7 @@
 def run() -> int:
     """Run the demonstration and return its exit status."""
     screen = Screen()
+    processes.exit_on_termination()
     try:
         with tempfile.TemporaryDirectory(prefix="trestlestall-") as folder:
             with deployment.start_deployment(folder, PLAN) as running:
--- a/packages/standins/src/trestlestall/standins/load.py
+++ b/packages/standins/src/trestlestall/standins/load.py
@@ -25,6 +25,7 @@
     exceptions,
     mixes,
     overhead,
+    processes,
     programs,
     scoring,
     tables,
@@ -294,6 +295,7 @@
 
 def run() -> int:
     """Run the tool and return its exit status."""
+    processes.exit_on_termination()
     try:
         fire.Fire(measure)
     except exceptions.StandinError as error:
--- a/packages/standins/src/trestlestall/standins/slopes.py
+++ b/packages/standins/src/trestlestall/standins/slopes.py
@@ -23,6 +23,7 @@
 from trestlestall.standins import (
     exceptions,
     fitting,
+    processes,
     programs,
     readings,
     sweeps,
@@ -206,6 +207,7 @@
 
 def run() -> int:
     """Run the tool and return its exit status."""
+    processes.exit_on_termination()
     try:
         fire.Fire(measure)
     except exceptions.StandinError as error:
--- /dev/null
+++ b/packages/standins/tests/test_processes.py
@@ -0,0 +1,58 @@
+"""Programs that start others end them, also when they are told to stop midway."""
+
+import os
+import pathlib
+import signal
+import tempfile
+import unittest
+
+from trestlestall.standins import processes
+
+STARTER = """
+import pathlib, sys, time
+from trestlestall.standins import deployment, processes
+processes.exit_on_termination()
+plan = deployment.Plan(
+    controls=0,
+    routers_per_data_centre=0,
+    engines=(deployment.EnginePlan("e1"), deployment.EnginePlan("e2", "b")),
+)
+with deployment.start_deployment(pathlib.Path.cwd(), plan) as running:
+    print("started", *(process.pid for process in running.started), flush=True)
+    time.sleep(600)
+"""
+
+
+def is_alive(pid: int) -> bool:
+    try:
+        os.kill(pid, 0)
+    except ProcessLookupError:
+        return False
+    return True
+
+
+class TerminationTest(unittest.TestCase):
+    def test_stopped_program_leaves_none_of_its_processes(self):
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder)
+            (path / "starter.py").write_text(STARTER)
+            process = processes.start("starter", "starter", (), path)
+            processes.wait_until(
+                lambda: "started" in process.read_log() or not process.running, "start"
+            )
+            pids = [int(pid) for pid in process.read_log().split()[-2:]]
+            process.send_signal(signal.SIGTERM)
+            status = process.child.wait(processes.START_LIMIT)
+        self.assertEqual(status, 128 + signal.SIGTERM)
+        self.assertEqual([pid for pid in pids if is_alive(pid)], [])
+
+    def test_program_that_ends_early_is_told_with_its_last_words(self):
+        with tempfile.TemporaryDirectory() as folder:
+            process = processes.start("x", "no_such_module", (), pathlib.Path(folder))
+            process.child.wait(processes.START_LIMIT)
+            with self.assertRaisesRegex(Exception, "No module named no_such_module"):
+                processes.check_running(process)
+
+
+if __name__ == "__main__":
+    unittest.main()
