Add the thin shell of placement: leader in control, keeper in routers

Cause: the decisions had no way to a real engine.

Change: daemon/placement with the messages between control and routers, the keeper (gate, one connection per order, no retry, "may it still be written" asked after the connection is open), the leader (feeds the steward, carries its actions out) and the log lines TS6001 to TS6007. Tests run it against the engine stand-ins on loopback: loads and a rolled version at both kinds of engine, a lost answer, a held-up order, a refusing store.

Found by the tests: drains were asked for at every turn until applied; they are asked for once in a while now, as proposals are.

Not done here: the wiring into control and router processes; docs/design/orders.md lists it.

--- /dev/null
+++ b/packages/daemon/src/trestlestall/daemon/placement/keeper.py
@@ -0,0 +1,127 @@
+"""The router's part: the gate before the engines of its data centre.
+
+keeper = Keeper(gate.Gate(life), find_engine, clock, send, spawn)
+if keeper.takes(message): keeper.take(sender, message)
+"""
+
+import dataclasses
+import typing
+from collections import abc
+
+from trestlestall.daemon import environment
+from trestlestall.daemon.placement import doors, messages
+from trestlestall.membership import upstreams
+from trestlestall.placement import actions, gate as gates, model
+
+UNKNOWN_ENGINE = "unknown_engine"
+MALFORMED = "malformed_order"
+
+Send = abc.Callable[[str, typing.Any], object]
+Find = abc.Callable[[str], upstreams.Upstream | None]
+Spawn = abc.Callable[..., object]
+
+
+class Keeper:
+    """Holds the gate and speaks to the engines.
+
+    ``find_engine(name)`` returns the newest announcement, ``send(peer, message)``
+    queues a message, and ``spawn(function, *arguments)`` starts a greenlet. Only
+    messages of control processes may be handed in: the caller checks the sender.
+    """
+
+    def __init__(
+        self,
+        gate: gates.Gate,
+        find_engine: Find,
+        clock: environment.Clock,
+        send: Send,
+        spawn: Spawn,
+    ):
+        self._gate = gate
+        self._find_engine = find_engine
+        self._clock = clock
+        self._send = send
+        self._spawn = spawn
+
+    @staticmethod
+    def takes(message: object) -> bool:
+        """Return whether the message is for the keeper."""
+        return type(message) in TAKERS
+
+    def take(self, sender: str, message: typing.Any) -> None:
+        """Take a control process's message; the answer follows, maybe later."""
+        TAKERS[type(message)](self, sender, message)
+
+    def _find(self, name: str) -> upstreams.Upstream | None:
+        """Return the engine, after the gate has noted its incarnation."""
+        engine = self._find_engine(name)
+        if engine is not None:
+            self._gate.note_incarnation(name, engine.incarnation)
+        return engine
+
+    def _grant(self, sender: str, call: messages.PermitCall) -> None:
+        self._find(call.engine)
+        now = self._clock.monotonic()
+        answer = self._gate.grant(call.engine, call.incarnation, call.fence, now)
+        self._send(sender, messages.answer_permit(call, answer))
+
+    def _admit(self, sender: str, call: messages.OrderCall) -> None:
+        """Let an order in or not, at once; write it in a greenlet of its own."""
+        engine = self._find(call.engine)
+        order = read_order(call)
+        if engine is None or order is None:
+            reason = UNKNOWN_ENGINE if engine is None else MALFORMED
+            self._answer(sender, call, doors.Given(actions.Result.NOT_SENT, reason))
+            return
+        permit = messages.read_permit(call)
+        answer = self._gate.admit(permit, self._clock.monotonic())
+        if isinstance(answer, gates.Refused):
+            given = doors.Given(actions.Result.NOT_SENT, answer.reason)
+            self._answer(sender, call, given)
+            return
+        self._spawn(self._forward, sender, call, engine.address, order)
+
+    def _forward(
+        self, sender: str, call: messages.OrderCall, address: str, order: model.Order
+    ) -> None:
+        def may_write() -> bool:
+            return self._gate.may_write(call.engine, self._clock.monotonic())
+
+        try:
+            given = doors.give(address, call.fence, order, may_write)
+        finally:
+            self._gate.finish(call.engine)
+        self._answer(sender, call, given)
+
+    def _answer(
+        self, sender: str, call: messages.OrderCall, given: doors.Given
+    ) -> None:
+        answer = messages.OrderAnswer(call.fence, given.result.value, given.reason)
+        self._send(sender, answer)
+
+    def _ask(self, sender: str, call: messages.EngineCall) -> None:
+        engine = self._find(call.engine)
+        if engine is not None:
+            self._spawn(self._tell, sender, call.engine, engine.address)
+
+    def _tell(self, sender: str, engine: str, address: str) -> None:
+        answer = messages.EngineAnswer(engine, doors.ask(address))
+        self._send(sender, answer)
+
+
+def read_order(call: messages.OrderCall) -> model.Order | None:
+    """Return the order of a call, None when it is none."""
+    try:
+        order = model.Order(**call.order)
+    except TypeError:
+        return None
+    texts = dataclasses.astuple(order)
+    known = order.kind in (model.LOAD, model.UNLOAD, model.ROLE)
+    return order if known and all(isinstance(text, str) for text in texts) else None
+
+
+TAKERS: dict[type, abc.Callable[[Keeper, str, typing.Any], None]] = {
+    messages.PermitCall: Keeper._grant,
+    messages.OrderCall: Keeper._admit,
+    messages.EngineCall: Keeper._ask,
+}
--- /dev/null
+++ b/packages/daemon/tests/test_placement.py
@@ -0,0 +1,273 @@
+"""The shell of placement with real engine stand-ins on loopback.
+
+A control's log is a list here, the links are queues, and greenlets are plain calls, so
+that each message is carried over exactly as the wire's codec leaves it.
+"""
+
+import collections
+import contextlib
+import io
+import json
+import time
+import unittest
+
+from packages.standins.tests import programs
+from trestlestall.configuration import commands, model as configuration_model
+from trestlestall.daemon import environment, logs
+from trestlestall.daemon.placement import doors, keeper, leader, messages
+from trestlestall.membership import upstreams
+from trestlestall.placement import (
+    actions,
+    documents,
+    events,
+    gate,
+    model,
+    orders,
+    settings,
+)
+from trestlestall.standins import calls, deployment
+from trestlestall.wire import codec
+
+BRISK = settings.Settings(
+    planning=settings.Planning(models_per_engine=1, settle=0.0, every=0.1, busy=1.0),
+    sending=settings.Sending(
+        permit=0.5, forward=0.5, answer=1.0, retry=0.3, ask=0.05, drain_settle=0.1
+    ),
+    loading=settings.Loading(spread=0.1, interval=0.05, retry_first=0.1),
+)
+TURNS = 400
+TURN_SECONDS = 0.02
+
+
+class Site:
+    """A control process and the routers of one data centre, without their processes.
+
+    ``drop(message)`` says which messages are lost on the way.
+    """
+
+    def __init__(self, engines, routers=("r1",)):
+        self.engines = dict(engines)
+        self.checks = {}
+        self.clock = environment.Clock()
+        self.state, self.term = orders.EMPTY, 1
+        self.configuration = configuration_model.Configuration()
+        self.queue = collections.deque()
+        self.drop = lambda message: False
+        self.lines = io.StringIO()
+        self.keepers = {
+            name: keeper.Keeper(
+                gate.Gate(f"{name}#1", BRISK.sending),
+                self.find,
+                self.clock,
+                lambda peer, message: self.send(None, message),
+                lambda function, *arguments: function(*arguments),
+            )
+            for name in routers
+        }
+        effects = leader.Effects(
+            self.propose,
+            lambda done: self.queue.append((done, ())),
+            self.submit,
+            self.send,
+            lambda: [leader.Sighting(self.find(name)) for name in self.engines],
+            lambda: {"a": tuple(self.keepers)},
+        )
+        log = logs.Log(self.lines, self.clock, "control-1")
+        self.leader = leader.Leader(BRISK, 1, effects, self.clock, log)
+
+    def want(self, name, copies):
+        """Want copies of a model."""
+        wanted = configuration_model.ModelCopies(name, copies)
+        self.configuration = configuration_model.Configuration(copies={name: wanted})
+
+    def find(self, name):
+        """Return an engine's announcement of now."""
+        account = doors.ask(str(self.engines[name]))
+        return upstreams.Upstream(
+            name,
+            1,
+            "a",
+            str(self.engines[name]),
+            models=tuple(account.get("models", ())),
+            capabilities=upstreams.Capabilities(checks_fencing=self.checks[name]),
+        )
+
+    def send(self, peer, message):
+        """Carry a message over, as the codec leaves it, unless it is lost."""
+        if not self.drop(message):
+            carried = codec.decode(codec.encode(message))
+            self.queue.append((self.receive, (peer, carried)))
+
+    def receive(self, peer, message):
+        if peer is None:
+            self.leader.take(message)
+        else:
+            self.keepers[peer].take("control-1", message)
+
+    def propose(self, document):
+        self.queue.append((self.commit, (document,)))
+
+    def commit(self, document):
+        event = documents.decode_event(document)
+        self.state, _ = orders.apply(self.state, event, self.clock.wall())
+
+    def submit(self, command):
+        change = {
+            commands.Drain: self.configuration.drained | {command.upstream},
+            commands.Admit: self.configuration.drained - {command.upstream},
+        }
+        self.configuration = configuration_model.Configuration(
+            copies=self.configuration.copies, drained=change[type(command)]
+        )
+
+    def run_until(self, condition):
+        """Turn until the condition holds; fails after many turns."""
+        self.leader.note_leadership(self.term)
+        for _ in range(TURNS):
+            self.leader.note_state(self.state, self.configuration)
+            self.leader.turn()
+            while self.queue:
+                function, arguments = self.queue.popleft()
+                function(*arguments)
+            if condition():
+                self.leader.note_state(self.state, self.configuration)
+                return
+            time.sleep(TURN_SECONDS)
+        raise AssertionError(f"not reached: {self.state}")
+
+    def is_quiet(self):
+        return bool(self.state.recent) and not self.state.tasks
+
+    def read_orders(self, name):
+        """Return the orders that the engine has taken, as ``fence kind model``."""
+        taken = doors.ask(str(self.engines[name]))["orders"]
+        return [f"{one['fence']} {one['kind']} {one['model']}" for one in taken]
+
+    def list_events(self):
+        return [json.loads(line)["name"] for line in self.lines.getvalue().splitlines()]
+
+
+@contextlib.contextmanager
+def open_site(checks=("yes",), weights="", **options):
+    """Yield a site with an empty engine for each of ``checks``."""
+    with contextlib.ExitStack() as stack:
+        engines, kinds = {}, {}
+        for number, answer in enumerate(checks):
+            name = f"e{number}"
+            started = programs.start_standin(
+                name=name, models="", checks_fencing=answer, weights=weights
+            )
+            _, engines[name] = stack.enter_context(started)
+            kinds[name] = answer == "yes"
+        site = Site(engines, **options)
+        site.checks = kinds
+        yield site
+
+
+class PlacementTest(unittest.TestCase):
+    def test_models_are_loaded_and_a_version_rolls(self):
+        """At an engine that checks and one that does not, with a log line for each."""
+        with open_site(("yes", "no")) as site:
+            site.want("m1", 2)
+            site.run_until(lambda: len(site.state.recent) == 2 and site.is_quiet())
+            answer = calls.ask(site.engines["e1"], "m1", "hello")
+            self.assertEqual(answer.status, 200)
+            site.commit(documents.encode_event(events.BeginRollout(1, "m1", "v2")))
+            site.run_until(lambda: len(site.state.recent) == 4)
+            accounts = [doors.ask(str(each)) for each in site.engines.values()]
+            held = sorted(str(each["versions"]) for each in accounts)
+            self.assertEqual(held, ["{'m1': ''}", "{'m1': 'v2'}"])
+            written = site.list_events()
+        for name, times in [
+            ("placement_decided", 2),
+            ("order_logged", 4),
+            ("order_sent", 4),
+            ("order_done", 4),
+        ]:
+            with self.subTest(name):
+                self.assertEqual(written.count(name), times)
+
+    def test_a_lost_answer_is_settled_by_asking(self):
+        for checks in ("yes", "no"):
+            with self.subTest(checks=checks), open_site((checks,)) as site:
+                site.drop = lambda message: isinstance(message, messages.OrderAnswer)
+                site.want("m1", 1)
+                site.run_until(site.is_quiet)
+                self.assertEqual(site.read_orders("e0"), ["1 load m1"])
+
+    def test_a_held_up_order_is_refused_when_it_arrives(self):
+        """The ignoring engine would take it: the gate does not let it through."""
+        for checks, routers in [
+            ("yes", ("r1",)),
+            ("no", ("r1",)),
+            ("no", ("r2", "r1")),
+        ]:
+            with (
+                self.subTest(checks=checks, routers=routers),
+                open_site((checks,), routers=routers) as site,
+            ):
+                held_up = []
+
+                def hold_up(message, held_up=held_up):
+                    first = isinstance(message, messages.OrderCall) and not held_up
+                    held_up.extend([message] if first else [])
+                    return first
+
+                site.drop = hold_up
+                site.want("m1", 1)
+                site.run_until(site.is_quiet)
+                site.want("m2", 1)
+                site.run_until(lambda: len(site.state.recent) == 3 and site.is_quiet())
+                before = site.read_orders("e0")
+                for name in site.keepers:
+                    site.keepers[name].take("control-1", held_up[0])
+                self.assertEqual(site.read_orders("e0"), before)
+                fences = [int(line.split()[0]) for line in before]
+                self.assertEqual(fences, sorted(fences))
+                self.assertEqual(before[-1].split()[1:], ["load", "m2"])
+
+    def test_a_refusing_store_is_tried_again(self):
+        store_options = {"name": None, "concurrent": "0"}
+        started = programs.start_standin(deployment.WEIGHTS, **store_options)
+        with started as (_, store), open_site(weights=str(store)) as site:
+            site.want("m1", 1)
+            site.run_until(lambda: len(site.state.recent) == 3)
+            reasons = {closed.reason for closed in site.state.recent}
+            self.assertEqual(reasons, {"store_refused"})
+            self.assertGreaterEqual(programs.read_counts(store)["refused"], 3)
+
+
+class DoorsTest(unittest.TestCase):
+    def test_answers(self):
+        table = [
+            (200, b"{}", actions.Result.TAKEN, ""),
+            (409, b'{"error":{"code":"stale_fence"}}', "refused", "stale_fence"),
+            (400, b"rubbish", "refused", "status_400"),
+            (400, b'{"error":3}', "refused", "status_400"),
+            (503, None, "unknown", "status_503"),
+        ]
+        for status, body, result, reason in table:
+            with self.subTest(status=status, body=body):
+                found = doors.judge(status, body)
+                self.assertEqual((found.result, found.reason), (result, reason))
+
+    def test_nothing_is_sent_too_late_or_to_nobody(self):
+        order = model.Order(model.LOAD, "m1")
+        with open_site() as site:
+            address = str(site.engines["e0"])
+            late = doors.give(address, 1, order, lambda: False)
+            self.assertEqual(late, doors.Given(actions.Result.NOT_SENT, doors.TOO_LATE))
+            self.assertEqual(site.read_orders("e0"), [])
+        gone = doors.give(address, 1, order, lambda: True)
+        self.assertEqual(gone.result, actions.Result.NOT_SENT)
+        self.assertEqual(doors.ask(address), {})
+
+    def test_malformed_orders(self):
+        for order in ({}, {"kind": "boil"}, {"kind": "load", "model": 3}, {"x": 1}):
+            with self.subTest(order):
+                call = messages.OrderCall("e0", 1, 1, "r1#1", 1, order)
+                self.assertIsNone(keeper.read_order(call))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/placement/src/trestlestall/placement/inputs.py
+++ b/packages/placement/src/trestlestall/placement/inputs.py
@@ -28,14 +28,8 @@
 def begin_term(
     steward: stewards.Steward, event: actions.Led, now: float
 ) -> list[actions.Action]:
-    """Begin to decide; what former leaders have sent is not known."""
-    steward.term = event.term
-    steward.flights.begin_term(event.term, now)
-    steward.tasks.begin_term()
-    steward.watch.forget()
-    steward.changed_at = {name: now for name in steward.state.rollouts}
-    steward._proposed.clear()
-    steward._planned_at = now
+    """Begin to decide."""
+    steward.begin_term(event.term, now)
     return []
 
 
--- a/packages/placement/src/trestlestall/placement/steward.py
+++ b/packages/placement/src/trestlestall/placement/steward.py
@@ -41,22 +41,32 @@
         self.flights = flights.Flights(settings.sending)
         self.tasks = tasks.Tasks(settings, self.schedule)
         self.changed_at: dict[str, float] = {}
-        self._proposed: dict[events.Event, float] = {}
+        self._asked: dict[actions.Action, float] = {}
         self._planned_at = float("-inf")
 
+    def begin_term(self, term: int, now: float) -> None:
+        """Begin to decide; what former leaders have sent is not known here."""
+        self.term = term
+        self.flights.begin_term(term, now)
+        self.tasks.begin_term()
+        self.watch.forget()
+        self.changed_at = dict.fromkeys(self.state.rollouts, now)
+        self._asked.clear()
+        self._planned_at = now
+
     def handle(self, event: actions.Input, now: float) -> list[actions.Action]:
         """Take one input at the time ``now`` and return what is to be done."""
         found = inputs.HANDLERS[type(event)](self, event, now)
         return [action for action in found if self._is_new(action, now)]
 
     def _is_new(self, action: actions.Action, now: float) -> bool:
-        """Return whether to propose: not again while the answer may be on its way."""
-        if not isinstance(action, actions.Propose):
+        """Return whether to ask for a change: not again while it may be on its way."""
+        if not isinstance(action, actions.Propose | actions.Drain | actions.Admit):
             return True
-        proposed_at = self._proposed.get(action.event)
-        if proposed_at is not None and now - proposed_at < self.settings.sending.retry:
+        asked_at = self._asked.get(action)
+        if asked_at is not None and now - asked_at < self.settings.sending.retry:
             return False
-        self._proposed[action.event] = now
+        self._asked[action] = now
         return True
 
     # What follows from the state.
@@ -80,7 +90,7 @@
         self.flights.keep({held.fence for held in self.state.open.values()})
         self.tasks.keep(set(self.state.tasks))
         oldest = now - self.settings.sending.retry
-        self._proposed = {e: at for e, at in self._proposed.items() if at >= oldest}
+        self._asked = {a: at for a, at in self._asked.items() if at >= oldest}
 
     def _advance_task(self, task: orders.Task, now: float) -> list[actions.Action]:
         return self.tasks.advance(task, self.term, self._make_task_view(task), now)
--- a/packages/placement/tests/test_store.py
+++ b/packages/placement/tests/test_store.py
@@ -34,6 +34,10 @@
         wanted.append(store.Load(store.AT_ONCE, "e9", "m2@"))
         starts = self.start_all(wanted, load_seconds=2.0)
         self.assertEqual(starts[wanted[-1]], 0.0)
+        schedule, urgent = store.Schedule(1, TIMES), store.Load(1, "e9", "m2@")
+        both = [wanted[0], urgent]
+        self.assertEqual(schedule.choose(both, TIMES.at_once, 0.0), [])
+        self.assertEqual(schedule.choose(both, 0, 100.0), [urgent])
 
     def test_few_loads_are_spread(self):
         wanted = [store.Load(2, f"e{n}", "m1@") for n in range(4)]
