--- a/packages/placement/src/trestlestall/placement/flights.py
+++ b/packages/placement/src/trestlestall/placement/flights.py
@@ -22,6 +22,7 @@
 )
 
 RESTARTED = "engine_restarted"
+GONE = "engine_gone"
 FORGOTTEN = "engine_forgot"
 UNSAFE = "no_other_home"
 
@@ -51,6 +52,7 @@
     permit: gate.Permit | None = None
     reason: str = ""
     absent_since: float | None = None
+    gone_since: float | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -94,8 +96,13 @@
         engine = here.engine
         if flight.phase is Phase.ENDED:
             return self._end(held, flight.reason, now)
-        if engine is not None and engine.incarnation > held.incarnation:
+        if engine is None:
+            return self._note_gone(held, flight, now)
+        if engine.incarnation > held.incarnation:
             return self._end_restarted(held, flight, now)
+        if flight.gone_since is not None:
+            flight = dataclasses.replace(flight, gone_since=None)
+            self._put(held, flight)
         if flight.phase is Phase.HANDED and now - flight.at >= self._times.answer:
             # Counted from the handing over: that was the last chance to be on its way.
             self._put(held, dataclasses.replace(flight, phase=Phase.UNKNOWN))
@@ -135,6 +142,10 @@
         flight = self._flights.get(held.fence)
         if flight is None or flight.phase is not Phase.CONFIRM:
             return []
+        engine = here.engine
+        if engine is None or engine.incarnation != held.incarnation:
+            # It has gone or restarted meanwhile; ``advance`` ends the order.
+            return []
         if not here.safe:
             return self._end(held, UNSAFE, now)
         self._put(held, dataclasses.replace(flight, phase=Phase.HANDED, at=now))
@@ -244,6 +255,18 @@
             return self._end(held, RESTARTED, now)
         return []
 
+    def _note_gone(
+        self, held: orders.Open, flight: Flight, now: float
+    ) -> list[actions.Action]:
+        """The engine is not announced: end the order when it stays away."""
+        if flight.gone_since is None:
+            flight = dataclasses.replace(flight, gone_since=now)
+            self._put(held, flight)
+        patience = max(self._times.forget, self._times.outlive)
+        if now - flight.gone_since < patience:
+            return []
+        return self._end(held, GONE, now)
+
     def _request_permit(
         self, held: orders.Open, flight: Flight, here: Here, now: float
     ) -> list[actions.Action]:
--- a/packages/placement/tests/test_faults.py
+++ b/packages/placement/tests/test_faults.py
@@ -155,6 +155,23 @@
         lives = [(life, fence) for life, fence, _ in world.engines["e1"].effects]
         self.assertEqual(lives, [(2, 2)])
 
+    def test_engine_never_comes_back(self):
+        """Its order and its task end; another engine gets the model."""
+        self.check_each(self.lose_engine)
+
+    def lose_engine(self, checks):
+        world = make_world(checks)
+        engine = world.engines["e1"]
+        engine.load_seconds = 1000.0
+        while not engine.effects:
+            world.run(world.now + 0.01)
+        engine.silent = True
+        world.add("e2", checks=checks)
+        world.run(world.now + 60.0)
+        self.assertEqual(world.engines["e2"].versions, {"m1": ""})
+        self.assertFalse(world.state.open)
+        self.assertFalse(world.state.tasks)
+
     def test_store_refuses(self):
         """Failed loads are tried again after growing waits, and work in the end."""
         self.check_each(self.refuse_loads)
--- a/packages/placement/tests/test_steward.py
+++ b/packages/placement/tests/test_steward.py
@@ -32,12 +32,13 @@
         world.run(20.0)
         world.engines["e1"].running = 1
         world.commit(world.leaders[0], events.BeginRollout(1, "m1", "v2"))
-        world.run(400.0)
+        world.run(1500.0)
         versions = {name: one.versions for name, one in world.engines.items()}
         self.assertEqual(versions["e0"], {"m1": "v2"})
         self.assertEqual(versions["e1"], {"m1": ""})
+        self.assertEqual(world.drained, {"e1"})
         world.engines["e1"].running = 0
-        world.run(1500.0)
+        world.run(2500.0)
         held = [one.versions for one in world.engines.values()]
         self.assertEqual(held, [{"m1": "v2"}] * 3)
         self.assertEqual([one.cut_off for one in world.engines.values()], [[]] * 3)
@@ -51,6 +52,29 @@
         ]
         self.assertEqual(len(unloads), 3)
 
+    def test_unload_is_given_up_when_the_other_home_is_lost(self):
+        """A plan that was safe when it was made is checked again before each order."""
+        world = worlds.World()
+        rules = world.settings.planning
+        for name, held in [("e1", "m1"), ("e2", "m1"), ("e3", "m2")]:
+            world.add(name, models=[held, "x"]).running = 1
+        world.want("m1", 1)
+        world.want("x", 3)
+        world.elect(0)
+        world.run(rules.hold + 20.0)
+        world.want("m2", 2)
+        world.run(world.now + 60.0)
+        (task,) = world.state.tasks.values()
+        other = world.engines[{"e1": "e2", "e2": "e1"}[task.engine]]
+        self.assertEqual(task.next_order, model.Order(model.UNLOAD, "m1"))
+        self.assertEqual(world.drained, {task.engine})
+        other.silent = True
+        world.run(world.now + 1.0)
+        world.engines[task.engine].running = 0
+        world.run(world.now + 60.0)
+        self.assertIn("m1", world.engines[task.engine].versions)
+        self.assertEqual(world.drained, frozenset())
+
 
 if __name__ == "__main__":
     unittest.main()
