--- a/packages/wire/tests/test_codec.py
+++ b/packages/wire/tests/test_codec.py
@@ -38,7 +38,8 @@
 
 class RoundTripTest(unittest.TestCase):
     def test_every_message_survives_the_way(self) -> None:
-        self.assertEqual({type(sample) for sample in SAMPLES}, set(registry.NAMES))
+        own = {kind for kind in registry.NAMES if kind.__module__ == messages.__name__}
+        self.assertEqual({type(sample) for sample in SAMPLES}, own)
         for sample in SAMPLES:
             with self.subTest(message=type(sample).__name__):
                 self.assertEqual(codec.decode(codec.encode(sample)), sample)
