--- a/packages/membership/src/trestlestall/membership/documents.py
+++ b/packages/membership/src/trestlestall/membership/documents.py
@@ -20,7 +20,12 @@
 Key = typing.Annotated[
     bytes, msgspec.Meta(min_length=rows.KEY_BYTES, max_length=rows.KEY_BYTES)
 ]
-Steps = typing.Annotated[int, msgspec.Meta(ge=0, le=limits.LARGEST_COUNT)]
+LeaseSteps = typing.Annotated[
+    int, msgspec.Meta(ge=0, le=limits.LONGEST_LEASE * STEPS_PER_SECOND)
+]
+AgeSteps = typing.Annotated[
+    int, msgspec.Meta(ge=0, le=limits.LARGEST_AGE * STEPS_PER_SECOND)
+]
 Offset = typing.Annotated[
     int, msgspec.Meta(ge=-limits.LARGEST_INTEGER, le=limits.LARGEST_INTEGER)
 ]
@@ -31,8 +36,8 @@
 RenewalForm = tuple[
     Key,
     limits.Incarnation,
-    Steps,
-    Steps,
+    LeaseSteps,
+    AgeSteps,
     Offset,
     limits.Count,
     limits.Count,
@@ -70,23 +75,18 @@
     forms: abc.Iterable[object],
 ) -> tuple[rows.Row | rows.Renewal, ...] | outcomes.Malformed:
     """Return the rows, or what is wrong with the first malformed one."""
+    checked = decode(list(forms), tuple[RenewalForm | dict[str, typing.Any], ...])
+    if isinstance(checked, outcomes.Malformed):
+        return checked
     told = []
-    for form in forms:
-        row = decode_row(form)
+    for form in checked:
+        row = decode(form, rows.Row) if isinstance(form, dict) else read_renewal(form)
         if isinstance(row, outcomes.Malformed):
             return row
         told.append(row)
     return tuple(told)
 
 
-def decode_row(form: object) -> rows.Row | rows.Renewal | outcomes.Malformed:
-    """Return one row: a map is a whole one, a list is a renewal."""
-    if isinstance(form, dict):
-        return decode(form, rows.Row)
-    fields = decode(form, RenewalForm)
-    return fields if isinstance(fields, outcomes.Malformed) else read_renewal(fields)
-
-
 def encode_renewal(renewal: rows.Renewal) -> list[object]:
     """Return the renewal's list; what is left of the lease is rounded down."""
     report = renewal.report
--- a/packages/membership/src/trestlestall/membership/entries.py
+++ b/packages/membership/src/trestlestall/membership/entries.py
@@ -9,18 +9,18 @@
 class Entry:
     """The fact, and this router's own view beside it.
 
-    ``direct``: the newest lease was given here, not told by a peer. ``suspect``: a
-    connection was refused since the newest renewal; this is never told to peers, since
-    the fault may lie between this router and the upstream. ``told_expired``: the end of
-    the lease has been reported once. ``changed_at`` and ``renewed_at`` are marks: the
-    table's count of changes when the whole row, or only its lease, last changed.
-    ``known_by``: the peers that told the newest renewal, which need not hear it again.
+    ``suspect``: a connection was refused since the newest renewal; this is never told
+    to peers, since the fault may lie between this router and the upstream.
+    ``told_expired``: the end of the lease has been reported once. ``changed_at`` and
+    ``renewed_at`` are marks: the table's count of changes when the whole row, or its
+    renewal, was last to be passed on, at ``passed_at``. ``known_by``: the peers that
+    told the newest renewal, which need not hear it again.
     """
 
     fact: facts.Fact
-    direct: bool
     changed_at: int
     renewed_at: int
+    passed_at: float
     suspect: bool = False
     told_expired: bool = False
     hold: holds.Hold = holds.Hold()
@@ -32,10 +32,8 @@
         return self.fact.upstream
 
     def find_end(self, grace: float) -> float:
-        """Return when the lease ends; one that a peer told of has a grace on top."""
-        if self.direct or self.fact.left:
-            return self.fact.until
-        return self.fact.until + grace
+        """Return when the lease ends, or when a leaving is forgotten."""
+        return self.fact.until if self.fact.left else self.fact.until + grace
 
     def find_state(self, now: float, grace: float) -> outcomes.State:
         """Return where the upstream stands at ``now``."""
@@ -51,3 +49,12 @@
         """Return whether new work may go to it: live, described and not held."""
         live = self.find_state(now, grace) is outcomes.State.LIVE
         return live and self.fact.described > 0 and self.hold.held_until <= now
+
+    def is_same(self, incarnation: int) -> bool:
+        """Return whether the entry is about this incarnation."""
+        return self.upstream.incarnation == incarnation
+
+    def is_renewable(self, incarnation: int) -> bool:
+        """Return whether the incarnation has announced itself and not left."""
+        known = self.fact.described > 0 and not self.fact.left
+        return known and self.is_same(incarnation)
--- a/packages/membership/src/trestlestall/membership/facts.py
+++ b/packages/membership/src/trestlestall/membership/facts.py
@@ -39,28 +39,85 @@
     if first.upstream.incarnation != second.upstream.incarnation:
         return max(first, second, key=lambda fact: fact.upstream.incarnation)
     described = max(first, second, key=rank_description)
-    reported = max(first, second, key=rank_report)
     leased = max(first, second, key=rank_lease)
-    report = reported.upstream.report
-    return dataclasses.replace(
-        leased,
-        upstream=dataclasses.replace(described.upstream, report=report),
+    report = max(first.upstream.report, second.upstream.report, key=rank_report)
+    return Fact(
+        upstream=upstreams.with_report(described.upstream, report),
         described=described.described,
+        sequence=leased.sequence,
+        lease=leased.lease,
+        until=leased.until,
+        left=leased.left,
+    )
+
+
+def renew(known: Fact, sequence: int, until: float, report: upstreams.Report) -> Fact:
+    """Return the account joined with a renewal, which has no description of its own.
+
+    The same as ``join`` with the known account under that lease and report, in a
+    fraction of the time: this is what routers mostly hear from each other.
+    """
+    upstream = known.upstream
+    if rank_report(report) > rank_report(upstream.report):
+        upstream = upstreams.with_report(upstream, report)
+    renewed = not known.left and (sequence, -until) > (known.sequence, -known.until)
+    return Fact(
+        upstream=upstream,
+        described=known.described,
+        sequence=sequence if renewed else known.sequence,
+        lease=known.lease,
+        until=until if renewed else known.until,
+        left=known.left,
     )
 
 
 def rank_description(fact: Fact) -> tuple[int, upstreams.Upstream]:
     """Return the order of descriptions: by announcement, then by content."""
-    bare = dataclasses.replace(fact.upstream, report=upstreams.Report())
+    bare = upstreams.with_report(fact.upstream, upstreams.Report())
     return fact.described, bare
 
 
-def rank_report(fact: Fact) -> tuple[upstreams.Report, float]:
+def rank_report(report: upstreams.Report) -> tuple[float, ...]:
     """Return the order of reports: the upstream's time, content, earliest receipt."""
-    report = fact.upstream.report
-    return dataclasses.replace(report, received_at=0.0), -report.received_at
+    return (
+        report.at,
+        report.running,
+        report.waiting,
+        report.tokens_per_second,
+        report.kv_used,
+        -report.received_at,
+    )
 
 
 def rank_lease(fact: Fact) -> tuple[bool, int, float, float]:
     """Return the order of leases: left last, then the newest renewal, earliest end."""
     return fact.left, fact.sequence, -fact.until, fact.lease
+
+
+def find_sequence(known: Fact | None, report: upstreams.Report) -> int:
+    """Return the number of a new renewal: a hybrid logical clock.
+
+    It follows the upstream's own clock, so that renewals through several routers keep
+    their order, and goes up by one where that clock stands still.
+    """
+    at_least = 1 if known is None else known.sequence + 1
+    return max(at_least, int(report.at))
+
+
+def is_whole_change(known: Fact, joined: Fact) -> bool:
+    """Return whether peers need the whole row, not just a renewal."""
+    if known.left != joined.left or known.described != joined.described:
+        return True
+    return known.upstream.incarnation != joined.upstream.incarnation
+
+
+def is_renewed(known: Fact, joined: Fact) -> bool:
+    """Return whether the joined fact holds a newer lease than the known one."""
+    if known.upstream.incarnation != joined.upstream.incarnation:
+        return True
+    return (known.left, known.sequence) != (joined.left, joined.sequence)
+
+
+def is_reported(known: Fact, joined: Fact) -> bool:
+    """Return whether the joined fact holds a newer report than the known one."""
+    return known.upstream.report.at != joined.upstream.report.at
--- a/packages/membership/src/trestlestall/membership/limits.py
+++ b/packages/membership/src/trestlestall/membership/limits.py
@@ -12,7 +12,8 @@
 NAME_COUNT = 500
 LARGEST_COUNT = 10**7
 LARGEST_INTEGER = 2**53
-LONGEST_SPAN = 10**6
+LONGEST_LEASE = 600
+LARGEST_AGE = 10**6
 LARGEST_TIME = 10**11
 
 Name = typing.Annotated[str, msgspec.Meta(min_length=1, max_length=NAME_LENGTH)]
@@ -21,6 +22,7 @@
 Incarnation = typing.Annotated[int, msgspec.Meta(ge=0, le=LARGEST_INTEGER)]
 Count = typing.Annotated[int, msgspec.Meta(ge=0, le=LARGEST_COUNT)]
 Time = typing.Annotated[float, msgspec.Meta(ge=0, le=LARGEST_TIME)]
-Span = typing.Annotated[float, msgspec.Meta(ge=-LONGEST_SPAN, le=LONGEST_SPAN)]
+Lease = typing.Annotated[float, msgspec.Meta(ge=0, le=LONGEST_LEASE)]
+Age = typing.Annotated[float, msgspec.Meta(ge=0, le=LARGEST_AGE)]
 Rate = typing.Annotated[float, msgspec.Meta(ge=0, le=LARGEST_COUNT)]
 Share = typing.Annotated[float, msgspec.Meta(ge=0, le=1)]
--- a/packages/membership/src/trestlestall/membership/rows.py
+++ b/packages/membership/src/trestlestall/membership/rows.py
@@ -21,9 +21,9 @@
     upstream: upstreams.Upstream
     described: limits.Incarnation
     sequence: limits.Incarnation
-    lease: limits.Span
-    remaining: limits.Span
-    age: limits.Span
+    lease: limits.Lease
+    remaining: limits.Lease
+    age: limits.Age
     left: bool = False
 
 
@@ -48,12 +48,12 @@
     """Return the whole account as seen at ``now``."""
     report = fact.upstream.report
     return Row(
-        upstream=dataclasses.replace(fact.upstream, report=strip_receipt(report)),
+        upstream=upstreams.with_report(fact.upstream, strip_receipt(report)),
         described=fact.described,
         sequence=fact.sequence,
         lease=fact.lease,
         remaining=fact.until - now,
-        age=now - report.received_at,
+        age=find_age(report, now),
         left=fact.left,
     )
 
@@ -65,16 +65,16 @@
         key=derive_key(upstream.name, upstream.incarnation),
         sequence=fact.sequence,
         remaining=fact.until - now,
-        age=now - upstream.report.received_at,
+        age=find_age(upstream.report, now),
         report=strip_receipt(upstream.report),
     )
 
 
 def read_row(row: Row, now: float) -> facts.Fact:
     """Return the row's account in the clock of the router that received it."""
-    report = dataclasses.replace(row.upstream.report, received_at=now - row.age)
+    report = upstreams.with_receipt(row.upstream.report, now - row.age)
     return facts.Fact(
-        upstream=dataclasses.replace(row.upstream, report=report),
+        upstream=upstreams.with_report(row.upstream, report),
         described=row.described,
         sequence=row.sequence,
         lease=row.lease,
@@ -84,17 +84,30 @@
 
 
 def read_renewal(renewal: Renewal, known: facts.Fact, now: float) -> facts.Fact:
-    """Return the known account with the renewal's lease and report."""
-    report = dataclasses.replace(renewal.report, received_at=now - renewal.age)
-    return dataclasses.replace(
-        known,
-        upstream=dataclasses.replace(known.upstream, report=report),
-        sequence=renewal.sequence,
-        until=now + renewal.remaining,
-        left=False,
-    )
+    """Return the known account joined with the renewal."""
+    report = upstreams.with_receipt(renewal.report, now - renewal.age)
+    return facts.renew(known, renewal.sequence, now + renewal.remaining, report)
+
+
+def is_stale(renewal: Renewal, known: facts.Fact, now: float) -> bool:
+    """Return whether the renewal adds nothing to the known account.
+
+    This is the common case where routers relay, and much cheaper than joining.
+    """
+    report = known.upstream.report
+    if renewal.sequence > known.sequence or renewal.report.at > report.at:
+        return False
+    if renewal.sequence == known.sequence and now + renewal.remaining < known.until:
+        return False
+    same_report = renewal.report.at == report.at
+    return not same_report or now - renewal.age >= report.received_at
+
+
+def find_age(report: upstreams.Report, now: float) -> float:
+    """Return the seconds since the report's receipt, within the bound of a row."""
+    return min(max(0.0, now - report.received_at), limits.LARGEST_AGE)
 
 
 def strip_receipt(report: upstreams.Report) -> upstreams.Report:
     """Return the report without the time of receipt, which means nothing elsewhere."""
-    return dataclasses.replace(report, received_at=0.0)
+    return upstreams.with_receipt(report, 0.0)
--- a/packages/membership/src/trestlestall/membership/table.py
+++ b/packages/membership/src/trestlestall/membership/table.py
@@ -18,7 +18,14 @@
 import dataclasses
 from collections import abc
 
-from trestlestall.membership import entries, facts, holds, outcomes, rows, upstreams
+from trestlestall.membership import (
+    entries,
+    facts,
+    outcomes,
+    rows,
+    transitions,
+    upstreams,
+)
 
 LEASE = 3.0
 TOMBSTONE_SECONDS = 60.0
@@ -41,14 +48,21 @@
 
     Rows of other data centres are kept, shown by ``list_entries`` and passed on, but
     ``list_live`` names only those of the router's own. ``grace`` (seconds) is added to
-    leases that peers told of; it covers the time that rows take between routers.
+    leases that peers told of; it covers the time that rows take between routers. For
+    ``interval`` seconds after a renewal of an upstream was passed on, by this router or
+    another, its further renewals are not.
     """
 
-    def __init__(self, data_centre: str, grace: float = 0.0) -> None:
+    def __init__(
+        self, data_centre: str, grace: float = 0.0, interval: float = 0.0
+    ) -> None:
         self.data_centre = data_centre
         self.grace = grace
+        self.interval = interval
         self.entries: dict[str, entries.Entry] = {}
         self.names: dict[bytes, str] = {}
+        # Names by when they were last to be passed on, the newest at the end.
+        self.recent: dict[str, None] = {}
         self.missing: dict[bytes, None] = {}
         self.mark = 0
         self.latest = 0.0
@@ -64,13 +78,14 @@
         the answer's only change has ``taken`` false.
         """
         self.latest = max(self.latest, now)
-        upstream = receive_report(upstream, upstream.report, now)
+        report = upstreams.with_receipt(upstream.report, now)
+        upstream = upstreams.with_report(upstream, report)
         known = self.entries.get(upstream.name)
         refusal = self.refuse_announcement(upstream, known, now)
         if refusal is not None:
             return [refuse(upstream, refusal)]
-        same = known is not None and is_same(known, upstream.incarnation)
-        sequence = find_sequence(known.fact if same else None, upstream.report)
+        same = known is not None and known.is_same(upstream.incarnation)
+        sequence = facts.find_sequence(known.fact if same else None, upstream.report)
         fact = facts.Fact(upstream, sequence, sequence, lease, now + lease)
         return self.take(fact, now, teller=None)
 
@@ -83,17 +98,13 @@
         """
         self.latest = max(self.latest, now)
         known = self.entries.get(name)
-        if known is None or not is_renewable(known, incarnation):
+        if known is None or not known.is_renewable(incarnation):
             return outcomes.UnknownUpstream(name)
         fact = known.fact
-        report = dataclasses.replace(report, at=round_time(report.at))
-        newest = dataclasses.replace(
-            fact,
-            upstream=receive_report(fact.upstream, report, now),
-            sequence=find_sequence(fact, report),
-            until=now + fact.lease,
-        )
-        self.take(newest, now, teller=None)
+        sequence = facts.find_sequence(fact, report)
+        received = upstreams.with_receipt(report, now)
+        renewed = facts.renew(fact, sequence, now + fact.lease, received)
+        self.advance(known, renewed, now, teller=None)
         return outcomes.Renewed(fact.lease)
 
     def leave(self, name: str, incarnation: int, now: float) -> list[outcomes.Change]:
@@ -105,7 +116,7 @@
                 return []
             bare = upstreams.Upstream(name, incarnation, self.data_centre, "")
             fact = facts.Fact(bare, 0, 0, 0.0, now + TOMBSTONE_SECONDS, True)
-        elif is_same(known, incarnation) and not known.fact.left:
+        elif known.is_same(incarnation) and not known.fact.left:
             until = now + TOMBSTONE_SECONDS
             fact = dataclasses.replace(known.fact, until=until, left=True)
         else:
@@ -118,12 +129,13 @@
         """Note a refused connection: no new work until a later renewal."""
         self.latest = max(self.latest, now)
         known = self.entries.get(name)
-        if known is None or not is_same(known, incarnation):
+        if known is None or not known.is_same(incarnation):
             return []
         if known.find_state(now, self.grace) is not outcomes.State.LIVE:
             return []
-        self.entries[name] = dataclasses.replace(known, suspect=True)
-        return [self.describe(name, outcomes.Reason.REFUSED_CONNECTION, now)]
+        entry = dataclasses.replace(known, suspect=True)
+        self.entries[name] = entry
+        return [self.describe(entry, outcomes.Reason.REFUSED_CONNECTION, now)]
 
     def expire(self, now: float) -> list[outcomes.Change]:
         """Report leases that ended since the last call, and forget what is long over.
@@ -136,9 +148,10 @@
             if self.is_forgettable(entry, now):
                 self.forget(name)
             elif self.has_just_expired(entry, now):
-                self.entries[name] = dataclasses.replace(entry, told_expired=True)
+                told = dataclasses.replace(entry, told_expired=True)
+                self.entries[name] = told
                 reason = outcomes.Reason.LEASE_ENDED
-                changes.append(self.describe(name, reason, now))
+                changes.append(self.describe(told, reason, now))
         return changes
 
     # What peer routers say.
@@ -151,11 +164,12 @@
         Renewals of rows that are not known here are remembered for ``take_missing``.
         """
         self.latest = max(self.latest, now)
-        changes = []
+        changes: list[outcomes.Change] = []
         for row in told:
-            fact = self.read(row, now)
-            if fact is not None:
-                changes += self.take(fact, now, teller)
+            if isinstance(row, rows.Renewal):
+                changes += self.merge_renewal(row, now, teller)
+            else:
+                changes += self.merge_row(row, now, teller)
         return changes
 
     def take_missing(self) -> tuple[bytes, ...]:
@@ -166,23 +180,24 @@
 
     # What peer routers are told.
 
-    def rows_since(
-        self, mark: int, now: float | None = None, peer: str = "", urgent: bool = False
-    ) -> Batch:
+    def rows_since(self, mark: int, now: float | None = None, peer: str = "") -> Batch:
         """Return the rows that changed after the mark (0: all), for this peer.
 
         Times in the rows are counted from ``now`` (the latest time the table was given,
-        if left out). ``urgent`` keeps back mere renewals. Rows that the peer itself
-        told, and leases that are over, are left out.
+        if left out). Rows that the peer itself told, and leases that are over, are left
+        out.
         """
         now = self.latest if now is None else now
         told: list[Told] = []
-        for entry in self.entries.values():
-            if peer in entry.known_by and mark > 0 or entry.fact.until <= now:
+        for name in reversed(self.recent):
+            entry = self.entries[name]
+            if entry.renewed_at <= mark:
+                break
+            if entry.fact.until <= now or (mark > 0 and peer in entry.known_by):
                 continue
             if entry.changed_at > mark:
                 told.append(rows.make_row(entry.fact, now))
-            elif entry.renewed_at > mark and not urgent:
+            else:
                 told.append(rows.make_renewal(entry.fact, now))
         return Batch(self.mark, tuple(told))
 
@@ -226,78 +241,89 @@
             return None if self.make_room(now) else outcomes.Reason.TABLE_FULL
         if known.upstream.incarnation > upstream.incarnation:
             return outcomes.Reason.IGNORED_OLD
-        if known.fact.left and is_same(known, upstream.incarnation):
+        if known.fact.left and known.is_same(upstream.incarnation):
             return outcomes.Reason.IGNORED_LEFT
         return None
 
-    def read(self, row: Told, now: float) -> facts.Fact | None:
-        """Return the row's account in this router's clock, or ``None`` to skip it."""
-        if isinstance(row, rows.Renewal):
-            name = self.names.get(row.key)
-            if name is not None:
-                return rows.read_renewal(row, self.entries[name].fact, now)
-            if len(self.missing) < MISSING_LIMIT:
-                self.missing[row.key] = None
-            return None
+    def merge_row(
+        self, row: rows.Row, now: float, teller: str
+    ) -> list[outcomes.Change]:
+        """Take in a whole row."""
         if row.remaining <= 0:
-            return None
-        known = row.upstream.name in self.entries
-        return rows.read_row(row, now) if known or self.make_room(now) else None
+            return []
+        if row.upstream.name not in self.entries and not self.make_room(now):
+            return []
+        return self.take(rows.read_row(row, now), now, teller)
+
+    def merge_renewal(
+        self, renewal: rows.Renewal, now: float, teller: str
+    ) -> list[outcomes.Change]:
+        """Take in a renewal, or remember that its row is missing here."""
+        name = self.names.get(renewal.key)
+        if name is None:
+            if len(self.missing) < MISSING_LIMIT:
+                self.missing[renewal.key] = None
+            return []
+        known = self.entries[name]
+        if not rows.is_stale(renewal, known.fact, now):
+            joined = rows.read_renewal(renewal, known.fact, now)
+            return self.advance(known, joined, now, teller)
+        if renewal.sequence == known.fact.sequence:
+            self.note_teller(known, teller)
+        return []
 
     def take(
         self, fact: facts.Fact, now: float, teller: str | None
     ) -> list[outcomes.Change]:
         """Join the fact into the table; ``teller`` is ``None`` for the upstream."""
-        name = fact.upstream.name
-        known = self.entries.get(name)
-        joined = fact if known is None else facts.join(known.fact, fact)
-        if known is not None and joined == known.fact:
-            self.note_echo(known, fact, teller)
-            return []
+        known = self.entries.get(fact.upstream.name)
+        if known is not None:
+            joined = facts.join(known.fact, fact)
+            if not facts.is_renewed(fact, joined):
+                self.note_teller(known, teller)
+            return self.advance(known, joined, now, teller)
         self.mark += 1
-        entry = self.make_entry(known, joined, now, teller)
-        self.store(known, entry)
-        reason = find_reason(known, entry, now, self.grace)
-        return [] if reason is None else [self.describe(name, reason, now)]
+        entry = transitions.start(fact, self.mark, now, teller)
+        self.store(None, entry)
+        reason = transitions.find_reason(None, entry, now, self.grace)
+        return [] if reason is None else [self.describe(entry, reason, now)]
 
-    def make_entry(
+    def advance(
         self,
-        known: entries.Entry | None,
+        known: entries.Entry,
         joined: facts.Fact,
         now: float,
         teller: str | None,
-    ) -> entries.Entry:
-        """Return the entry that holds the joined fact."""
-        whole = known is None or is_whole_change(known.fact, joined)
-        renewed = known is None or is_renewed(known.fact, joined)
-        newer = whole or renewed or is_reported(known.fact, joined)
-        tellers = frozenset({teller}) if teller else frozenset()
-        return entries.Entry(
-            fact=joined,
-            direct=teller is None if renewed else known.direct,
-            changed_at=self.mark if whole else known.changed_at,
-            renewed_at=self.mark if newer else known.renewed_at,
-            suspect=False if renewed else known.suspect,
-            told_expired=False if renewed else known.told_expired,
-            hold=count_return(known, joined, now, self.grace),
-            known_by=tellers if newer else known.known_by | tellers,
+    ) -> list[outcomes.Change]:
+        """Put the joined fact in the place of the known one."""
+        if joined == known.fact:
+            return []
+        self.mark += 1
+        entry = transitions.advance(
+            *(known, joined, self.mark, now, teller, self.grace, self.interval)
         )
+        self.store(known, entry)
+        reason = transitions.find_reason(known, entry, now, self.grace)
+        return [] if reason is None else [self.describe(entry, reason, now)]
 
-    def note_echo(
-        self, known: entries.Entry, fact: facts.Fact, teller: str | None
-    ) -> None:
-        """Remember that this peer knows the newest renewal already."""
-        if teller and not is_renewed(fact, known.fact):
+    def note_teller(self, known: entries.Entry, teller: str | None) -> None:
+        """Remember that this peer has the newest renewal already."""
+        if teller and teller not in known.known_by:
             known_by = known.known_by | {teller}
             name = known.upstream.name
             self.entries[name] = dataclasses.replace(known, known_by=known_by)
 
     def store(self, known: entries.Entry | None, entry: entries.Entry) -> None:
-        """Put the entry in place and keep the index by key in step."""
+        """Put the entry in place and keep both indexes in step."""
         name = entry.upstream.name
+        self.entries[name] = entry
+        if entry.renewed_at == self.mark:
+            self.recent.pop(name, None)
+            self.recent[name] = None
+        if known is not None and not facts.is_whole_change(known.fact, entry.fact):
+            return
         if known is not None:
             self.names.pop(rows.derive_key(name, known.upstream.incarnation), None)
-        self.entries[name] = entry
         if entry.fact.described:
             key = rows.derive_key(name, entry.upstream.incarnation)
             self.names[key] = name
@@ -305,6 +331,7 @@
     def forget(self, name: str) -> None:
         """Drop the entry."""
         entry = self.entries.pop(name)
+        self.recent.pop(name, None)
         self.names.pop(rows.derive_key(name, entry.upstream.incarnation), None)
 
     def make_room(self, now: float) -> bool:
@@ -331,13 +358,12 @@
         return state is outcomes.State.EXPIRED and not entry.told_expired
 
     def describe(
-        self, name: str, reason: outcomes.Reason, now: float
+        self, entry: entries.Entry, reason: outcomes.Reason, now: float
     ) -> outcomes.Change:
         """Return the change that brought the upstream where it stands now."""
-        entry = self.entries[name]
         held_until = entry.hold.held_until
         return outcomes.Change(
-            name=name,
+            name=entry.upstream.name,
             incarnation=entry.upstream.incarnation,
             state=entry.find_state(now, self.grace),
             reason=reason,
@@ -349,90 +375,3 @@
     """Return the change that tells that the announcement was not taken in."""
     state = outcomes.State.LEFT
     return outcomes.Change(upstream.name, upstream.incarnation, state, reason, False)
-
-
-def receive_report(
-    upstream: upstreams.Upstream, report: upstreams.Report, now: float
-) -> upstreams.Upstream:
-    """Return the upstream with the report, stamped with its time of receipt."""
-    at = round_time(report.at)
-    received = dataclasses.replace(report, at=at, received_at=now)
-    return dataclasses.replace(upstream, report=received)
-
-
-def round_time(at: float) -> float:
-    """Return the time in whole milliseconds, the precision of rows between routers."""
-    return round(at, 3)
-
-
-def is_same(entry: entries.Entry, incarnation: int) -> bool:
-    """Return whether the entry is about this incarnation."""
-    return entry.upstream.incarnation == incarnation
-
-
-def is_renewable(entry: entries.Entry, incarnation: int) -> bool:
-    """Return whether the incarnation has announced itself and not left."""
-    fact = entry.fact
-    return is_same(entry, incarnation) and fact.described > 0 and not fact.left
-
-
-def find_sequence(known: facts.Fact | None, report: upstreams.Report) -> int:
-    """Return the number of a new renewal: a hybrid logical clock.
-
-    It follows the upstream's own clock, so that renewals through several routers keep
-    their order, and goes up by one where that clock stands still.
-    """
-    at_least = 1 if known is None else known.sequence + 1
-    return max(at_least, int(report.at))
-
-
-def is_whole_change(known: facts.Fact, joined: facts.Fact) -> bool:
-    """Return whether peers need the whole row, not just a renewal."""
-    if known.left != joined.left or known.described != joined.described:
-        return True
-    return known.upstream.incarnation != joined.upstream.incarnation
-
-
-def is_renewed(known: facts.Fact, joined: facts.Fact) -> bool:
-    """Return whether the joined fact holds a newer lease than the known one."""
-    if known.upstream.incarnation != joined.upstream.incarnation:
-        return True
-    return (known.left, known.sequence) != (joined.left, joined.sequence)
-
-
-def is_reported(known: facts.Fact, joined: facts.Fact) -> bool:
-    """Return whether the joined fact holds a newer report than the known one."""
-    return known.upstream.report.at != joined.upstream.report.at
-
-
-def count_return(
-    known: entries.Entry | None, joined: facts.Fact, now: float, grace: float
-) -> holds.Hold:
-    """Return the count of flaps, one more if the upstream came back from a failure."""
-    if known is None:
-        return holds.Hold()
-    if joined.left or not is_renewed(known.fact, joined):
-        return known.hold
-    restarted = known.upstream.incarnation != joined.upstream.incarnation
-    state = known.find_state(now, grace)
-    failed = state in (outcomes.State.SUSPECT, outcomes.State.EXPIRED)
-    crashed = restarted and state is outcomes.State.LIVE
-    return holds.note_return(known.hold, now) if failed or crashed else known.hold
-
-
-def find_reason(
-    known: entries.Entry | None, entry: entries.Entry, now: float, grace: float
-) -> outcomes.Reason | None:
-    """Return why the entry changed, or ``None`` for a mere renewal."""
-    if entry.fact.left:
-        was_left = known is not None and known.fact.left
-        return None if was_left else outcomes.Reason.LEFT
-    if known is None or known.fact.described == 0:
-        return outcomes.Reason.ANNOUNCED
-    if known.upstream.incarnation != entry.upstream.incarnation:
-        return outcomes.Reason.RESTARTED
-    if known.find_state(now, grace) is not entry.find_state(now, grace):
-        return outcomes.Reason.RETURNED
-    if known.fact.described != entry.fact.described:
-        return outcomes.Reason.CHANGED
-    return None
--- a/packages/membership/src/trestlestall/membership/upstreams.py
+++ b/packages/membership/src/trestlestall/membership/upstreams.py
@@ -63,3 +63,39 @@
     capabilities: Capabilities = Capabilities()
     slots: limits.Count = 1
     report: Report = Report()
+
+
+def with_report(upstream: Upstream, report: Report) -> Upstream:
+    """Return the upstream with another report.
+
+    The constructor is called outright: ``dataclasses.replace`` takes several times as
+    long, and this happens for each renewal.
+    """
+    return Upstream(
+        upstream.name,
+        upstream.incarnation,
+        upstream.data_centre,
+        upstream.address,
+        upstream.kind,
+        upstream.models,
+        upstream.adapters,
+        upstream.capabilities,
+        upstream.slots,
+        report,
+    )
+
+
+def with_receipt(report: Report, received_at: float) -> Report:
+    """Return the report with a time of receipt, its own time in whole milliseconds.
+
+    Rows between routers carry milliseconds, and the same report must look the same
+    everywhere.
+    """
+    return Report(
+        round(report.at, 3),
+        report.running,
+        report.waiting,
+        report.tokens_per_second,
+        report.kv_used,
+        received_at,
+    )
