--- a/packages/membership/src/trestlestall/membership/exchange.py
+++ b/packages/membership/src/trestlestall/membership/exchange.py
@@ -49,15 +49,18 @@
         self.table.grace = self.plan.grace
 
     def restart(self, neighbour: str) -> None:
-        """Begin again with all rows: the link to the neighbour is new."""
+        """Begin again with all rows: the link to the neighbour is new.
+
+        To be called for each new link, before anything that came on it is taken in.
+        """
         self.marks.pop(neighbour, None)
+        self.table.forget_teller(neighbour)
 
     def poll(self, linked: abc.Collection[str], now: float) -> list[Parcel]:
         """Return what each linked neighbour has not been sent yet."""
         parcels = []
         for neighbour in self.plan.neighbours:
             if neighbour not in linked:
-                self.restart(neighbour)
                 continue
             mark = self.marks.get(neighbour, 0)
             batch = self.table.rows_since(mark, now, neighbour)
--- a/packages/membership/src/trestlestall/membership/rows.py
+++ b/packages/membership/src/trestlestall/membership/rows.py
@@ -94,13 +94,12 @@
 
     This is the common case where routers relay, and much cheaper than joining.
     """
-    report = known.upstream.report
-    if renewal.sequence > known.sequence or renewal.report.at > report.at:
+    if renewal.sequence > known.sequence:
         return False
     if renewal.sequence == known.sequence and now + renewal.remaining < known.until:
         return False
-    same_report = renewal.report.at == report.at
-    return not same_report or now - renewal.age >= report.received_at
+    report = upstreams.with_receipt(renewal.report, now - renewal.age)
+    return facts.rank_report(report) <= facts.rank_report(known.upstream.report)
 
 
 def find_age(report: upstreams.Report, now: float) -> float:
--- a/packages/membership/src/trestlestall/membership/table.py
+++ b/packages/membership/src/trestlestall/membership/table.py
@@ -193,7 +193,7 @@
             entry = self.entries[name]
             if entry.renewed_at <= mark:
                 break
-            if entry.fact.until <= now or (mark > 0 and peer in entry.known_by):
+            if entry.fact.until <= now or peer in entry.known_by:
                 continue
             if entry.changed_at > mark:
                 told.append(rows.make_row(entry.fact, now))
@@ -201,6 +201,13 @@
                 told.append(rows.make_renewal(entry.fact, now))
         return Batch(self.mark, tuple(told))
 
+    def forget_teller(self, peer: str) -> None:
+        """Forget what the peer told: it may have started again, and know nothing."""
+        for name, entry in self.entries.items():
+            if peer in entry.known_by:
+                known_by = entry.known_by - {peer}
+                self.entries[name] = dataclasses.replace(entry, known_by=known_by)
+
     def rows_for(self, keys: abc.Iterable[bytes], now: float) -> tuple[rows.Row, ...]:
         """Return the whole rows that a peer asked for by key."""
         names = {self.names[key] for key in keys if key in self.names}
--- /dev/null
+++ b/packages/membership/tests/test_exchange.py
@@ -0,0 +1,196 @@
+"""What routers tell each other: changes only, by any path, and whole rows on demand."""
+
+import unittest
+
+from packages.membership.tests import samples
+from trestlestall.membership import documents, exchange, rows, table, topology
+
+NAME = samples.ENGINE.name
+FIRST = samples.ENGINE.incarnation
+
+
+class Network:
+    """Routers whose parcels are delivered at once, on one clock."""
+
+    def __init__(self, *names: str, upstreams: int = 1) -> None:
+        self.now = 10.0
+        self.parcels: list[tuple[str, exchange.Parcel]] = []
+        self.down: set[str] = set()
+        self.routers = {
+            name: exchange.Exchange(name, table.Table("a")) for name in names
+        }
+        for router in self.routers.values():
+            router.set_routers(names, upstreams)
+
+    def poll(self, name: str) -> list[exchange.Parcel]:
+        """Deliver what one router has to say, as plain forms, and return it."""
+        router = self.routers[name]
+        linked = set(self.routers) - self.down if name not in self.down else set()
+        parcels = router.poll(linked, self.now)
+        for parcel in parcels:
+            told = documents.decode_rows(documents.encode_rows(parcel.rows))
+            receiver = self.routers[parcel.neighbour]
+            missing = receiver.receive(name, told, self.now).missing
+            if missing:
+                receiver.receive(name, router.answer(missing, self.now), self.now)
+        return parcels
+
+    def settle(self) -> int:
+        """Poll all routers until nobody has anything to say; return the rounds."""
+        for rounds in range(100):
+            if not sum(len(self.poll(name)) for name in self.routers):
+                return rounds
+        raise AssertionError("the routers never stop talking")
+
+    def count_live(self) -> int:
+        """Return how many routers would give the sample engine work."""
+        tables = (router.table for router in self.routers.values())
+        return sum(bool(known.list_live(self.now)) for known in tables)
+
+
+def renew(router: exchange.Exchange, now: float) -> None:
+    """Renew the sample engine at a router."""
+    router.table.renew(NAME, FIRST, samples.make_report(990.0 + now), now)
+
+
+class ExchangeTest(unittest.TestCase):
+    def test_only_changes_are_told_and_renewals_are_short(self) -> None:
+        network = Network("r1", "r2")
+        first = network.routers["r1"]
+        first.table.announce(samples.ENGINE, network.now)
+        (parcel,) = network.poll("r1")
+        self.assertIsInstance(parcel.rows[0], rows.Row)
+        self.assertEqual(network.poll("r1"), [])
+        network.now = 11.0
+        renew(first, 11.0)
+        (parcel,) = network.poll("r1")
+        self.assertIsInstance(parcel.rows[0], rows.Renewal)
+        self.assertEqual(network.poll("r2"), [])
+        (upstream,) = network.routers["r2"].table.list_live(13.9)
+        self.assertEqual(upstream.report.at, 1001.0)
+
+    def test_a_new_link_begins_with_all_rows(self) -> None:
+        network = Network("r1", "r2")
+        network.routers["r1"].table.announce(samples.ENGINE, network.now)
+        network.down = {"r2"}
+        self.assertEqual(network.poll("r1"), [])
+        network.down = set()
+        network.settle()
+        self.assertEqual(network.count_live(), 2)
+        network.routers["r2"].table.renew(NAME, FIRST, samples.REPORT, 11.0)
+        network.settle()
+        network.routers["r2"] = exchange.Exchange("r2", table.Table("a"))
+        network.routers["r2"].set_routers(("r1", "r2"), 1)
+        network.routers["r1"].restart("r2")
+        network.settle()
+        self.assertEqual(network.count_live(), 2)
+
+    def test_a_row_that_got_lost_is_asked_for(self) -> None:
+        network = Network("r1", "r2")
+        first = network.routers["r1"]
+        first.table.announce(samples.ENGINE, network.now)
+        first.poll({"r2"}, network.now)
+        self.assertEqual(network.count_live(), 1)
+        renew(first, 10.5)
+        network.poll("r1")
+        self.assertEqual(network.count_live(), 2)
+        self.assertEqual(network.routers["r2"].table.take_missing(), ())
+
+    def test_missing_rows_are_bounded_and_asked_for_once(self) -> None:
+        known = table.Table("a")
+        for number in range(2 * table.MISSING_LIMIT):
+            key = rows.derive_key("engine", number)
+            known.merge([rows.Renewal(key, 1, 3.0, 0.0, samples.REPORT)], 10.0)
+        self.assertEqual(len(known.take_missing()), table.MISSING_LIMIT)
+        self.assertEqual(known.take_missing(), ())
+
+    def test_a_leaving_reaches_all_routers_in_a_few_rounds(self) -> None:
+        for count in (2, 3, 5, 6, 21, 82):
+            with self.subTest(routers=count):
+                network = Network(*(f"r{number}" for number in range(count)))
+                first = network.routers["r0"]
+                first.table.announce(samples.ENGINE, network.now)
+                self.assertLessEqual(network.settle(), topology.count_hops(count) + 2)
+                self.assertEqual(network.count_live(), count)
+                first.table.leave(NAME, FIRST, network.now)
+                self.assertLessEqual(network.settle(), topology.count_hops(count) + 2)
+                self.assertEqual(network.count_live(), 0)
+
+    def test_rows_go_round_routers_that_are_down(self) -> None:
+        names = [f"r{number:02}" for number in range(82)]
+        for down in ({"r01", "r81", "r09"}, {"r40", "r41"}, {"r10", "r20", "r30"}):
+            with self.subTest(down=sorted(down)):
+                network = Network(*names)
+                network.down = down
+                network.routers["r00"].table.announce(samples.ENGINE, network.now)
+                network.settle()
+                self.assertEqual(network.count_live(), 82 - len(down))
+
+    def test_renewals_within_the_interval_are_held_back(self) -> None:
+        network = Network("r1", "r2", "r3")
+        network.routers["r1"].table.announce(samples.ENGINE, network.now)
+        network.settle()
+        for router in network.routers.values():
+            router.table.interval = 2.0
+        for now, name, told in ((10.5, "r1", 0), (11.5, "r2", 0), (12.0, "r3", 2)):
+            network.now = now
+            renew(network.routers[name], now)
+            with self.subTest(now=now):
+                self.assertEqual(len(network.poll(name)), told)
+        self.assertEqual(len(network.routers["r3"].table.list_live(14.9)), 1)
+        self.assertEqual(len(network.routers["r1"].table.list_live(14.9)), 1)
+
+    def test_renewals_through_different_routers_keep_their_order(self) -> None:
+        network = Network("r1", "r2", "r3")
+        network.routers["r1"].table.announce(samples.ENGINE, network.now)
+        network.settle()
+        for step in range(1, 8):
+            network.now = 10.0 + step
+            renew(network.routers["r1"], network.now)
+        network.now = 18.0
+        renew(network.routers["r2"], 18.0)
+        network.poll("r2")
+        self.assertEqual(len(network.routers["r3"].table.list_live(20.9)), 1)
+        self.assertEqual(len(network.routers["r1"].table.list_live(20.9)), 1)
+
+    def test_a_standing_clock_of_an_upstream_does_not_end_its_lease(self) -> None:
+        network = Network("r1", "r2")
+        network.routers["r1"].table.announce(samples.ENGINE, network.now)
+        network.settle()
+        for step in range(1, 10):
+            network.now = 10.0 + step
+            name = "r1" if step % 2 else "r2"
+            network.routers[name].table.renew(NAME, FIRST, samples.REPORT, network.now)
+            network.settle()
+            self.assertEqual(network.count_live(), 2)
+
+
+class TopologyTest(unittest.TestCase):
+    def test_neighbours_are_mutual_few_and_reach_everybody(self) -> None:
+        for count in (1, 2, 3, 5, 6, 7, 9, 20, 82, 100):
+            names = [f"r{number}" for number in range(count)]
+            near = {name: topology.find_neighbours(name, names) for name in names}
+            with self.subTest(routers=count):
+                for name, others in near.items():
+                    self.assertNotIn(name, others)
+                    self.assertLessEqual(len(others), 4)
+                    for other in others:
+                        self.assertIn(name, near[other])
+                reached = {names[0]}
+                for _ in range(topology.count_hops(count)):
+                    reached |= {other for name in reached for other in near[name]}
+                self.assertEqual(reached, set(names))
+
+    def test_the_plan_keeps_the_budget(self) -> None:
+        # Routers, upstreams, interval and grace in seconds.
+        cases = ((3, 25, 0.5, 0.0), (5, 65, 1.4, 0.65), (82, 150, 3.24, 4.74))
+        for routers, upstreams, interval, grace in cases:
+            with self.subTest(routers=routers, upstreams=upstreams):
+                names = [f"r{number}" for number in range(routers)]
+                plan = topology.make_plan("r0", names, upstreams)
+                self.assertAlmostEqual(plan.interval, interval, places=2)
+                self.assertAlmostEqual(plan.grace, grace, places=2)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/membership/tests/test_table.py
+++ b/packages/membership/tests/test_table.py
@@ -1,12 +1,15 @@
-"""Announcement, lease, renewal, leaving and failure of an upstream at one router."""
+"""Announcement, lease, renewal, leaving and failure of upstreams at one router."""
 
+import dataclasses
 import unittest
 
 from packages.membership.tests import samples
-from trestlestall.membership import outcomes, table
+from trestlestall.membership import holds, outcomes, table, upstreams
 
 NAME = samples.ENGINE.name
 FIRST = samples.ENGINE.incarnation
+SECOND = FIRST + 1
+RESTARTED = samples.make_engine(incarnation=SECOND)
 
 
 def list_names(known: table.Table, now: float) -> list[str]:
@@ -14,15 +17,268 @@
     return [upstream.name for upstream in known.list_live(now)]
 
 
+def start(now: float = 10.0) -> table.Table:
+    """Return a table with the sample engine announced."""
+    known = table.Table("a")
+    known.announce(samples.ENGINE, now)
+    return known
+
+
+def renew(
+    known: table.Table, at: float, now: float, incarnation: int = FIRST
+) -> object:
+    """Renew the sample engine with a report of its time ``at``."""
+    return known.renew(NAME, incarnation, samples.make_report(at), now)
+
+
 class LeaseTest(unittest.TestCase):
     def test_lease_runs_from_announcement_and_from_each_renewal(self) -> None:
-        known = table.Table("a")
-        known.announce(samples.ENGINE, 10.0)
+        known = start(10.0)
         self.assertEqual(list_names(known, 12.9), [NAME])
         self.assertEqual(list_names(known, 13.0), [])
-        answer = known.renew(NAME, FIRST, samples.make_report(1001.0), 12.0)
-        self.assertEqual(answer, outcomes.Renewed(3.0))
+        self.assertEqual(renew(known, 1002.0, 12.0), outcomes.Renewed(3.0))
         self.assertEqual(list_names(known, 14.9), [NAME])
-        changes = known.expire(15.0)
-        self.assertEqual([change.state for change in changes], ["expired"])
-        self.assertEqual(known.expire(15.1), [])
+        self.assertEqual(list_names(known, 15.0), [])
+
+    def test_the_end_of_a_lease_is_told_once(self) -> None:
+        known = start(10.0)
+        self.assertEqual(known.expire(12.9), [])
+        (change,) = known.expire(13.0)
+        self.assertEqual(change.state, outcomes.State.EXPIRED)
+        self.assertEqual(change.reason, outcomes.Reason.LEASE_ENDED)
+        self.assertEqual(known.expire(13.1), [])
+        renew(known, 1004.0, 14.0)
+        self.assertEqual(len(known.expire(17.0)), 1)
+
+    def test_a_longer_lease_is_kept_by_renewals(self) -> None:
+        known = table.Table("a")
+        known.announce(samples.ENGINE, 10.0, lease=9.0)
+        self.assertEqual(renew(known, 1001.0, 11.0), outcomes.Renewed(9.0))
+        self.assertEqual(list_names(known, 19.9), [NAME])
+
+    def test_renewals_that_are_not_known(self) -> None:
+        cases = {
+            "never announced": (table.Table("a"), FIRST),
+            "older incarnation": (start(), FIRST - 1),
+            "newer incarnation": (start(), SECOND),
+        }
+        left = start()
+        left.leave(NAME, FIRST, 11.0)
+        cases["after leaving"] = (left, FIRST)
+        forgotten = start()
+        forgotten.expire(13.0 + table.TOMBSTONE_SECONDS)
+        cases["long expired"] = (forgotten, FIRST)
+        early = table.Table("a")
+        early.leave(NAME, FIRST, 9.0)
+        cases["left before the announcement came"] = (early, FIRST)
+        for name, (known, incarnation) in cases.items():
+            with self.subTest(name):
+                answer = renew(known, 1002.0, 12.0, incarnation)
+                self.assertEqual(answer, outcomes.UnknownUpstream(NAME))
+
+    def test_upstreams_of_other_data_centres_get_no_work_here(self) -> None:
+        known = start()
+        known.announce(samples.make_engine(name="engine-b-1", data_centre="b"), 10.0)
+        self.assertEqual(list_names(known, 11.0), [NAME])
+        self.assertEqual(len(known.list_entries()), 2)
+
+
+class ReportTest(unittest.TestCase):
+    def test_the_newest_report_counts_with_its_time_of_receipt(self) -> None:
+        # Name: reports as (upstream's time, running, received at), and what is known.
+        cases = {
+            "newer": ([(1001.0, 5, 11.0)], (1001.0, 5, 11.0)),
+            "older": ([(999.0, 5, 11.0)], (1000.0, 3, 10.0)),
+            "late, after a newer": (
+                [(1002.0, 7, 11.0), (1001.0, 5, 12.0)],
+                (1002.0, 7, 11.0),
+            ),
+            "the same again": ([(1000.0, 3, 11.0)], (1000.0, 3, 10.0)),
+            "clock of the upstream far off": ([(9e9, 1, 11.0)], (9e9, 1, 11.0)),
+        }
+        for name, (sent, expected) in cases.items():
+            with self.subTest(name):
+                known = start(10.0)
+                for at, running, now in sent:
+                    report = samples.make_report(at, running=running, received_at=77.0)
+                    known.renew(NAME, FIRST, report, now)
+                (upstream,) = known.list_live(12.5)
+                report = upstream.report
+                found = (report.at, report.running, report.received_at)
+                self.assertEqual(found, expected)
+
+    def test_an_old_report_renews_the_lease_all_the_same(self) -> None:
+        known = start(10.0)
+        self.assertEqual(renew(known, 500.0, 12.0), outcomes.Renewed(3.0))
+        self.assertEqual(list_names(known, 14.9), [NAME])
+
+
+class LeavingTest(unittest.TestCase):
+    def test_what_ends_an_incarnation_for_good(self) -> None:
+        known = start(10.0)
+        (change,) = known.leave(NAME, FIRST, 11.0)
+        self.assertEqual(change.state, outcomes.State.LEFT)
+        self.assertEqual(list_names(known, 11.0), [])
+        self.assertEqual(known.leave(NAME, FIRST, 11.5), [])
+        (change,) = known.announce(samples.ENGINE, 12.0)
+        self.assertFalse(change.taken)
+        self.assertEqual(change.reason, outcomes.Reason.IGNORED_LEFT)
+        self.assertEqual(list_names(known, 12.0), [])
+        (change,) = known.announce(RESTARTED, 13.0)
+        self.assertEqual(change.reason, outcomes.Reason.RESTARTED)
+        self.assertEqual(list_names(known, 13.0), [NAME])
+
+    def test_leaving_of_another_incarnation(self) -> None:
+        known = start()
+        known.announce(RESTARTED, 11.0)
+        self.assertEqual(known.leave(NAME, FIRST, 11.5), [])
+        self.assertEqual(list_names(known, 12.0), [NAME])
+        known.leave(NAME, SECOND + 1, 12.0)
+        self.assertEqual(list_names(known, 12.0), [])
+
+    def test_a_leaving_is_remembered_for_a_bounded_time(self) -> None:
+        known = start(10.0)
+        known.leave(NAME, FIRST, 11.0)
+        known.expire(11.0 + table.TOMBSTONE_SECONDS - 0.1)
+        self.assertEqual(len(known.list_entries()), 1)
+        known.expire(11.0 + table.TOMBSTONE_SECONDS)
+        self.assertEqual(known.list_entries(), ())
+
+
+class RestartTest(unittest.TestCase):
+    def test_the_larger_incarnation_counts(self) -> None:
+        known = start(10.0)
+        (change,) = known.announce(RESTARTED, 11.0)
+        self.assertEqual(change.reason, outcomes.Reason.RESTARTED)
+        self.assertEqual(change.incarnation, SECOND)
+        (change,) = known.announce(samples.ENGINE, 12.0)
+        self.assertEqual(
+            (change.taken, change.reason), (False, outcomes.Reason.IGNORED_OLD)
+        )
+        self.assertEqual(known.fail(NAME, FIRST, 12.0), [])
+        self.assertEqual(list_names(known, 13.9), [NAME])
+
+    def test_an_announcement_under_the_same_incarnation_changes_it(self) -> None:
+        known = start(10.0)
+        loaded = samples.make_engine(models=("m3",), report=samples.make_report(1001.0))
+        (change,) = known.announce(loaded, 11.0)
+        self.assertEqual(change.reason, outcomes.Reason.CHANGED)
+        (upstream,) = known.list_live(11.0)
+        self.assertEqual(upstream.models, ("m3",))
+
+
+class FailureTest(unittest.TestCase):
+    def test_a_suspect_gets_no_work_until_it_renews_or_announces(self) -> None:
+        returns = {
+            "renewal": lambda known: renew(known, 1001.0, 11.0),
+            "announcement": lambda known: known.announce(samples.ENGINE, 11.0),
+            "restart": lambda known: known.announce(RESTARTED, 11.0),
+        }
+        for name, come_back in returns.items():
+            with self.subTest(name):
+                known = start(10.0)
+                (change,) = known.fail(NAME, FIRST, 10.5)
+                self.assertEqual(change.state, outcomes.State.SUSPECT)
+                self.assertEqual(known.fail(NAME, FIRST, 10.6), [])
+                self.assertEqual(list_names(known, 10.9), [])
+                come_back(known)
+                self.assertEqual(list_names(known, 11.0), [NAME])
+
+    def test_a_suspicion_is_not_passed_on(self) -> None:
+        known = start(10.0)
+        mark = known.rows_since(0, 10.0).mark
+        known.fail(NAME, FIRST, 10.5)
+        self.assertEqual(known.rows_since(mark, 10.5).rows, ())
+
+
+class FlappingTest(unittest.TestCase):
+    def test_each_further_return_is_held_longer(self) -> None:
+        failures = {
+            "refused": lambda known, now, count: known.fail(NAME, FIRST + count, now),
+            "expired": lambda known, now, count: known.expire(now + 4.0),
+        }
+        comebacks = {
+            "renewal": (0, lambda known, now, count: renew(known, 1000.0 + now, now)),
+            "restart": (
+                1,
+                lambda known, now, count: known.announce(
+                    samples.make_engine(incarnation=FIRST + count + 1), now
+                ),
+            ),
+        }
+        for failure, fail in failures.items():
+            for comeback, (step, come_back) in comebacks.items():
+                with self.subTest(failure=failure, comeback=comeback):
+                    known = start(10.0)
+                    seen = []
+                    for count in range(4):
+                        now = 10.0 + 5.0 * count
+                        fail(known, now, count * step)
+                        come_back(known, now + 4.5, count * step)
+                        (entry,) = known.list_entries()
+                        seen.append(max(0.0, entry.hold.held_until - now - 4.5))
+                    self.assertEqual(seen, [0.0, 1.0, 2.0, 4.0])
+
+    def test_a_crash_noticed_only_by_the_restart_counts(self) -> None:
+        known = start(10.0)
+        known.announce(RESTARTED, 11.0)
+        known.announce(samples.make_engine(incarnation=SECOND + 1), 12.0)
+        self.assertEqual(list_names(known, 12.9), [])
+        self.assertEqual(list_names(known, 13.0), [NAME])
+
+    def test_a_planned_restart_is_not_held(self) -> None:
+        known = start(10.0)
+        for count in range(1, 5):
+            now = 10.0 + count
+            known.leave(NAME, FIRST + count - 1, now)
+            known.announce(samples.make_engine(incarnation=FIRST + count), now)
+            self.assertEqual(list_names(known, now), [NAME])
+
+    def test_the_hold_is_bounded_and_a_quiet_time_clears_it(self) -> None:
+        hold = holds.Hold()
+        for count in range(50):
+            hold = holds.note_return(hold, float(count))
+        self.assertEqual(hold.held_until, 49.0 + holds.LONGEST_HOLD)
+        hold = holds.note_return(hold, 49.0 + holds.WINDOW)
+        self.assertEqual((hold.returns, hold.held_until), (1, 109.0))
+
+
+class BoundTest(unittest.TestCase):
+    def test_a_full_table_takes_only_in_place_of_what_is_over(self) -> None:
+        known = table.Table("a")
+        for number in range(table.UPSTREAM_LIMIT):
+            name = f"engine-{number}"
+            known.announce(samples.make_engine(name=name), 10.0 + number / 10_000)
+        (change,) = known.announce(samples.make_engine(name="late"), 11.0)
+        self.assertEqual(
+            (change.taken, change.reason), (False, outcomes.Reason.TABLE_FULL)
+        )
+        self.assertEqual(known.leave("stranger", 1, 11.0), [])
+        renewed = known.renew("engine-0", FIRST, samples.REPORT, 12.0)
+        self.assertIsInstance(renewed, outcomes.Renewed)
+        known.announce(samples.make_engine(name="late"), 14.0)
+        self.assertEqual(list_names(known, 14.5), ["engine-0", "late"])
+        self.assertEqual(len(known.list_entries()), table.UPSTREAM_LIMIT)
+        self.assertNotIn("engine-1", known.entries)
+
+    def test_the_indexes_follow_the_entries(self) -> None:
+        known = start(10.0)
+        for count in range(1, 20):
+            engine = samples.make_engine(incarnation=FIRST + count)
+            known.announce(engine, 10.0 + count)
+        self.assertEqual((len(known.names), len(known.recent)), (1, 1))
+        known.expire(200.0)
+        self.assertEqual((known.names, known.recent, known.entries), ({}, {}, {}))
+
+
+class CopyTest(unittest.TestCase):
+    def test_quick_copies_keep_every_field(self) -> None:
+        report = samples.make_report(5.0, received_at=1.0)
+        expected = dataclasses.replace(samples.ENGINE, report=report)
+        self.assertEqual(upstreams.with_report(samples.ENGINE, report), expected)
+        received = dataclasses.replace(report, received_at=9.0)
+        self.assertEqual(upstreams.with_receipt(report, 9.0), received)
+
+
+if __name__ == "__main__":
+    unittest.main()
