--- a/packages/placement/tests/test_faults.py
+++ b/packages/placement/tests/test_faults.py
@@ -172,6 +172,20 @@
         self.assertFalse(world.state.open)
         self.assertFalse(world.state.tasks)
 
+    def test_slow_unload_is_not_taken_for_a_lost_one(self):
+        """An engine that took an order is given time to show it."""
+        self.check_each(self.unload_slowly)
+
+    def unload_slowly(self, checks):
+        world = make_world(checks)
+        engine = world.engines["e1"]
+        engine.unload_seconds = 2.5
+        world.run(20.0)
+        world.wanted.clear()
+        world.want("m2", 1)
+        world.run(60.0)
+        self.assertEqual(list_orders(engine), ["load m1", "unload m1", "load m2"])
+
     def test_store_refuses(self):
         """Failed loads are tried again after growing waits, and work in the end."""
         self.check_each(self.refuse_loads)
--- a/packages/placement/tests/test_planner.py
+++ b/packages/placement/tests/test_planner.py
@@ -1,5 +1,6 @@
 """The plan: what is changed and, mostly, what is not."""
 
+import dataclasses
 import unittest
 
 import hypothesis
@@ -138,14 +139,16 @@
 ]
 
 
-def make_plan(engines, wanted, drained=(), demand=(), since=0.0, **changes):
+def make_plan(
+    engines, wanted, drained=(), demand=(), since=0.0, rules=RULES, **changes
+):
     desired = model.Desired({one.model: one for one in wanted}, frozenset(drained))
     sites = {one.data_centre for one in engines}
     options = {"settled": dict.fromkeys(sites, 0.0), **changes}
     places = {(one.name, name): since for one in engines for name in one.models}
     asked = {("a", k): model.ModelDemand(v) for k, v in dict(demand).items()}
     observed = planner.Observed(tuple(engines), since=places, **options)
-    return planner.plan(desired, observed, asked, NOW, RULES)
+    return planner.plan(desired, observed, asked, NOW, rules)
 
 
 def describe(plan):
@@ -167,6 +170,18 @@
         self.assertFalse(make_plan(engines, wanted, settled={"a": NOW - 5}).changes)
         self.assertTrue(make_plan(engines, wanted, settled={"a": NOW - 15}).changes)
 
+    def test_few_engines_change_at_a_time(self):
+        engines = [engine(f"e{n}") for n in range(8)]
+        wanted = [want("m1", 6)]
+        steps = (model.Order(model.LOAD, "m2"),)
+        rules = dataclasses.replace(RULES, busy=0.25)
+        for tasks, expected in [(0, 2), (1, 1), (2, 0)]:
+            with self.subTest(tasks=tasks):
+                names = [f"e{n}" for n in range(tasks)]
+                held = {name: orders.Task(name, 1, steps, False, "") for name in names}
+                plan = make_plan(engines, wanted, rules=rules, tasks=held)
+                self.assertEqual(len(plan.changes), expected)
+
     def test_a_task_counts_as_done(self):
         engines = [engine("e1"), engine("e2")]
         steps = (model.Order(model.LOAD, "m1"),)
--- a/packages/placement/tests/world.py
+++ b/packages/placement/tests/world.py
@@ -37,7 +37,7 @@
         self.incarnation = 1
         self.first_models = tuple(models)
         self.effects = []
-        self.load_seconds = 1.0
+        self.load_seconds, self.unload_seconds = 1.0, 0.0
         self.store_refuses = False
         self.silent = False
         self.lists_fences = True
@@ -83,9 +83,13 @@
         self.versions[order.model] = order.version
 
     def unload(self, order):
-        """Unload at once; what runs is cut off."""
+        """Begin to unload; what runs is cut off."""
         if self.running:
             self.cut_off.append((self.world.now, order))
+        self.world.after(self.unload_seconds, self.finish_unload, order)
+
+    def finish_unload(self, order):
+        """Hold the model no longer."""
         self.versions.pop(order.model, None)
         self.loads.pop(order.model, None)
 
