--- a/packages/daemon/src/trestlestall/daemon/router/controls.py
+++ b/packages/daemon/src/trestlestall/daemon/router/controls.py
@@ -27,9 +27,11 @@
         """Note that this control process answered as one that leads."""
         self._leader = name
 
-    def note_redirect(self, leader: str | None) -> None:
-        """Note who leads instead; ``None`` if the redirecting process can't tell."""
+    def note_redirect(self, leader: str | None) -> bool:
+        """Note who leads instead, if anybody; return whether that is news."""
+        former = self._leader
         self._leader = leader if leader in self.names else None
+        return self._leader not in (None, former)
 
     def forget(self, name: str | None = None) -> None:
         """Forget the leader: any, or this one because its link is gone."""
--- a/packages/daemon/src/trestlestall/daemon/router/operators.py
+++ b/packages/daemon/src/trestlestall/daemon/router/operators.py
@@ -13,6 +13,7 @@
 import eventlet
 
 from trestlestall.daemon.http import answers, credentials, errors, requests, routes
+from trestlestall.daemon.router import overview
 from trestlestall.language import errors as language_errors, parser, queries
 from trestlestall.wire import messages
 
@@ -85,14 +86,13 @@
 @ROUTES.register("GET", "/v1/status")
 def read_status(site: process.Router, request: requests.Request) -> answers.Answer:
     """Answer with the state of this router."""
-    return answers.build_json(site.describe_status())
+    return answers.build_json(overview.describe(site))
 
 
 def build_language_error(error: language_errors.LanguageError) -> answers.Answer:
-    """Return the answer that points at the word."""
-    fields = dataclasses.asdict(error)
-    failure = {"code": "invalid_text", "type": errors.Kind.INVALID, **fields}
-    return answers.build_json({"error": failure}, 400)
+    """Return the answer that points at the word, as control gives it."""
+    message = f"line {error.line}, column {error.column}: {error.message}"
+    return answers.build_failure(errors.Failure("invalid_request", message))
 
 
 def find_own_rows(site: process.Router, parsed: object) -> Rows | errors.Failure | None:
--- a/packages/daemon/src/trestlestall/daemon/router/peers.py
+++ b/packages/daemon/src/trestlestall/daemon/router/peers.py
@@ -5,7 +5,7 @@
 import typing
 from collections import abc
 
-from trestlestall.daemon.router import agreed
+from trestlestall.daemon.router import agreed, overview
 from trestlestall.wire import messages
 
 if typing.TYPE_CHECKING:
@@ -72,8 +72,9 @@
     if sender not in site.controls.names:
         return
     if message.kind == REDIRECT:
-        site.controls.note_redirect(message.fields.get("leader"))
-        site.desk.redirect(message.token)
+        # Without a leader there is nobody to ask; the desk asks again by itself.
+        if site.controls.note_redirect(message.fields.get("leader")):
+            site.desk.redirect(message.token)
         return
     site.controls.note_answer(sender)
     site.desk.take_answer(message.token, message.kind, dict(message.fields))
@@ -121,5 +122,5 @@
     site: process.Router, sender: str, message: messages.StatusCall
 ) -> None:
     """Tell a peer how this router is."""
-    answer = messages.StatusAnswer(message.token, site.describe_status())
+    answer = messages.StatusAnswer(message.token, overview.describe(site))
     site.mesh.send(sender, answer)
