Make the proofs of membership fail without their mechanisms

Two showed a check that could never matter (an upstream without a description has always left), which is taken out; the others got a test each: a suspicion under rows that are no newer, relays within the interval, the order of the index of changes, leases that are over, who is told what, the bound for rows from peers, a router that counts from anew, milliseconds of report times.

--- a/packages/membership/src/trestlestall/membership/entries.py
+++ b/packages/membership/src/trestlestall/membership/entries.py
@@ -46,15 +46,14 @@
         return outcomes.State.LIVE
 
     def accepts_work(self, now: float, grace: float) -> bool:
-        """Return whether new work may go to it: live, described and not held."""
+        """Return whether new work may go to it: live and not held."""
         live = self.find_state(now, grace) is outcomes.State.LIVE
-        return live and self.fact.described > 0 and self.hold.held_until <= now
+        return live and self.hold.held_until <= now
 
     def is_same(self, incarnation: int) -> bool:
         """Return whether the entry is about this incarnation."""
         return self.upstream.incarnation == incarnation
 
     def is_renewable(self, incarnation: int) -> bool:
-        """Return whether the incarnation has announced itself and not left."""
-        known = self.fact.described > 0 and not self.fact.left
-        return known and self.is_same(incarnation)
+        """Return whether this incarnation has announced itself and not left."""
+        return self.is_same(incarnation) and not self.fact.left
--- a/packages/membership/tests/test_documents.py
+++ b/packages/membership/tests/test_documents.py
@@ -32,7 +32,7 @@
         known.renew(
             samples.ENGINE.name,
             samples.ENGINE.incarnation,
-            samples.make_report(1_764_000_000.123),
+            samples.make_report(1_764_000_000.1234567),
             11.0,
         )
         told = known.rows_since(0, 11.0).rows + known.rows_since(mark, 11.0).rows
--- a/packages/membership/tests/test_exchange.py
+++ b/packages/membership/tests/test_exchange.py
@@ -1,5 +1,6 @@
 """What routers tell each other: changes only, by any path, and whole rows on demand."""
 
+import dataclasses
 import unittest
 
 from packages.membership.tests import samples
@@ -85,6 +86,46 @@
         network.settle()
         self.assertEqual(network.count_live(), 2)
 
+    def test_nobody_is_told_what_he_told(self) -> None:
+        network = Network("r1", "r2", "r3")
+        first = network.routers["r1"]
+        for step in ("announcement", "renewal"):
+            with self.subTest(step):
+                network.now += 1.0
+                if step == "announcement":
+                    first.table.announce(samples.ENGINE, network.now)
+                renew(first, network.now)
+                counts = [len(network.poll(name)) for name in ("r1", "r2", "r3")]
+                self.assertEqual(counts, [2, 1, 0])
+
+    def test_what_a_peer_told_is_passed_on_within_the_interval(self) -> None:
+        first, second = table.Table("a"), table.Table("a", interval=2.0)
+        first.announce(samples.ENGINE, 10.0)
+        second.merge(first.rows_since(0, 10.0).rows, 10.0, "r1")
+        marks = first.mark, second.mark
+        first.renew(NAME, FIRST, samples.make_report(1001.0), 10.5)
+        second.merge(first.rows_since(marks[0], 10.5).rows, 10.5, "r1")
+        self.assertEqual(len(second.rows_since(marks[1], 10.5, "r3").rows), 1)
+        self.assertEqual(second.rows_since(marks[1], 10.5, "r1").rows, ())
+
+    def test_the_newest_changes_are_found_behind_older_ones(self) -> None:
+        known = table.Table("a")
+        known.announce(samples.ENGINE, 10.0)
+        known.announce(samples.make_engine(name="engine-a-2"), 10.0)
+        mark = known.mark
+        known.renew(NAME, FIRST, samples.make_report(1001.0), 11.0)
+        (renewal,) = known.rows_since(mark, 11.0).rows
+        self.assertEqual(renewal.key, rows.derive_key(NAME, FIRST))
+
+    def test_leases_that_are_over_are_neither_told_nor_taken_in(self) -> None:
+        known = table.Table("a")
+        known.announce(samples.ENGINE, 10.0)
+        (row,) = known.rows_since(0, 10.0).rows
+        self.assertEqual(known.rows_since(0, 13.0).rows, ())
+        other = table.Table("a")
+        other.merge([dataclasses.replace(row, remaining=0.0)], 13.0)
+        self.assertEqual(other.list_entries(), ())
+
     def test_a_row_that_got_lost_is_asked_for(self) -> None:
         network = Network("r1", "r2")
         first = network.routers["r1"]
--- a/packages/membership/tests/test_pressure.py
+++ b/packages/membership/tests/test_pressure.py
@@ -29,6 +29,11 @@
         board.note("r1", 7, {"m1": 0}, 10.0)
         self.assertEqual(board.find_pressure("m1", 12.9), 0)
         self.assertIsNone(board.find_pressure("m1", 13.0))
+
+    def test_a_router_that_started_again_counts_from_anew(self) -> None:
+        board = pressure.Board(lifetime=3.0)
+        board.note("r1", 7, {"m1": 0}, 10.0)
+        self.assertFalse(board.note("r1", 1, {"m1": 3}, 12.9))
         self.assertTrue(board.note("r1", 1, {"m1": 3}, 13.0))
         self.assertEqual(board.find_pressure("m1", 13.0), 3)
 
--- a/packages/membership/tests/test_table.py
+++ b/packages/membership/tests/test_table.py
@@ -184,6 +184,14 @@
                 come_back(known)
                 self.assertEqual(list_names(known, 11.0), [NAME])
 
+    def test_a_suspicion_outlasts_rows_that_are_no_newer(self) -> None:
+        known = start(10.0)
+        (row,) = known.rows_since(0, 10.0).rows
+        known.fail(NAME, FIRST, 10.5)
+        known.merge([dataclasses.replace(row, remaining=2.0)], 10.6)
+        self.assertEqual(list_names(known, 10.6), [])
+        self.assertEqual(known.find_state(NAME, 12.6), outcomes.State.EXPIRED)
+
     def test_a_suspicion_is_not_passed_on(self) -> None:
         known = start(10.0)
         mark = known.rows_since(0, 10.0).mark
@@ -230,6 +238,7 @@
         known = start(10.0)
         for count in range(1, 5):
             now = 10.0 + count
+            known.fail(NAME, FIRST + count - 1, now)
             known.leave(NAME, FIRST + count - 1, now)
             known.announce(samples.make_engine(incarnation=FIRST + count), now)
             self.assertEqual(list_names(known, now), [NAME])
@@ -254,6 +263,10 @@
             (change.taken, change.reason), (False, outcomes.Reason.TABLE_FULL)
         )
         self.assertEqual(known.leave("stranger", 1, 11.0), [])
+        other = table.Table("a")
+        other.announce(samples.make_engine(name="told"), 11.0)
+        known.merge(other.rows_since(0, 11.0).rows, 11.0)
+        self.assertEqual(len(known.list_entries()), table.UPSTREAM_LIMIT)
         renewed = known.renew("engine-0", FIRST, samples.REPORT, 12.0)
         self.assertIsInstance(renewed, outcomes.Renewed)
         known.announce(samples.make_engine(name="late"), 14.0)
