Keep the list of live upstreams until something changes

Cause: a router asks for it with every request, and building it took 39 us with 25 upstreams and 237 us with 150. Change: it is kept until a change, a lease that ends, or a hold that ends.

--- a/packages/membership/src/trestlestall/membership/entries.py
+++ b/packages/membership/src/trestlestall/membership/entries.py
@@ -45,11 +45,6 @@
             return outcomes.State.SUSPECT
         return outcomes.State.LIVE
 
-    def accepts_work(self, now: float, grace: float) -> bool:
-        """Return whether new work may go to it: live and not held."""
-        live = self.find_state(now, grace) is outcomes.State.LIVE
-        return live and self.hold.held_until <= now
-
     def is_same(self, incarnation: int) -> bool:
         """Return whether the entry is about this incarnation."""
         return self.upstream.incarnation == incarnation
--- a/packages/membership/src/trestlestall/membership/table.py
+++ b/packages/membership/src/trestlestall/membership/table.py
@@ -21,6 +21,7 @@
 from trestlestall.membership import (
     entries,
     facts,
+    live,
     outcomes,
     rows,
     transitions,
@@ -63,6 +64,8 @@
         self.names: dict[bytes, str] = {}
         # Names by when they were last to be passed on, the newest at the end.
         self.recent: dict[str, None] = {}
+        # The answer of list_live, until something changes.
+        self.live: live.Live | None = None
         self.missing: dict[bytes, None] = {}
         self.mark = 0
         self.latest = 0.0
@@ -135,6 +138,7 @@
             return []
         entry = dataclasses.replace(known, suspect=True)
         self.entries[name] = entry
+        self.live = None
         return [self.describe(entry, outcomes.Reason.REFUSED_CONNECTION, now)]
 
     def expire(self, now: float) -> list[outcomes.Change]:
@@ -218,13 +222,10 @@
 
     def list_live(self, now: float) -> tuple[upstreams.Upstream, ...]:
         """Return the upstreams of this data centre that may get new work, by name."""
-        found = [
-            entry.upstream
-            for entry in self.entries.values()
-            if entry.upstream.data_centre == self.data_centre
-            and entry.accepts_work(now, self.grace)
-        ]
-        return tuple(sorted(found, key=lambda upstream: upstream.name))
+        if self.live is None or not self.live.holds(now, self.grace):
+            known = self.entries.values()
+            self.live = live.find_live(known, self.data_centre, now, self.grace)
+        return self.live.upstreams
 
     def list_entries(self) -> tuple[entries.Entry, ...]:
         """Return everything known, by name: for operators and metrics."""
@@ -324,6 +325,7 @@
         """Put the entry in place and keep both indexes in step."""
         name = entry.upstream.name
         self.entries[name] = entry
+        self.live = None
         if entry.renewed_at == self.mark:
             self.recent.pop(name, None)
             self.recent[name] = None
--- a/packages/membership/tests/test_table.py
+++ b/packages/membership/tests/test_table.py
@@ -252,6 +252,29 @@
         self.assertEqual((hold.returns, hold.held_until), (1, 109.0))
 
 
+class LiveListTest(unittest.TestCase):
+    def test_a_kept_list_gives_way_to_every_change(self) -> None:
+        """Ask before and after each step; the kept list must not show through."""
+        other = samples.make_engine(name="engine-a-2")
+        steps = {
+            "another upstream": (lambda known: known.announce(other, 11.0), 2),
+            "refused": (lambda known: known.fail(NAME, FIRST, 11.0), 0),
+            "left": (lambda known: known.leave(NAME, FIRST, 11.0), 0),
+            "grace": (lambda known: setattr(known, "grace", -2.5), 0),
+        }
+        for name, (step, count) in steps.items():
+            with self.subTest(name):
+                known = start(10.0)
+                self.assertEqual(list_names(known, 11.0), [NAME])
+                step(known)
+                self.assertEqual(len(list_names(known, 11.0)), count)
+        known = start(10.0)
+        for now, names in ((12.9, [NAME]), (13.0, []), (12.9, [NAME])):
+            self.assertEqual(list_names(known, now), names)
+        renew(known, 1002.0, 12.9)
+        self.assertEqual(known.list_live(12.9)[0].report.at, 1002.0)
+
+
 class BoundTest(unittest.TestCase):
     def test_a_full_table_takes_only_in_place_of_what_is_over(self) -> None:
         known = table.Table("a")
