--- a/packages/membership/tests/test_table.py
+++ b/packages/membership/tests/test_table.py
@@ -184,6 +184,14 @@
                 come_back(known)
                 self.assertEqual(list_names(known, 11.0), [NAME])
 
+    def test_a_suspicion_outlasts_rows_that_are_no_newer(self) -> None:
+        known = start(10.0)
+        (row,) = known.rows_since(0, 10.0).rows
+        known.fail(NAME, FIRST, 10.5)
+        known.merge([dataclasses.replace(row, remaining=2.0)], 10.6)
+        self.assertEqual(list_names(known, 10.6), [])
+        self.assertEqual(known.find_state(NAME, 12.6), outcomes.State.EXPIRED)
+
     def test_a_suspicion_is_not_passed_on(self) -> None:
         known = start(10.0)
         mark = known.rows_since(0, 10.0).mark
@@ -230,6 +238,7 @@
         known = start(10.0)
         for count in range(1, 5):
             now = 10.0 + count
+            known.fail(NAME, FIRST + count - 1, now)
             known.leave(NAME, FIRST + count - 1, now)
             known.announce(samples.make_engine(incarnation=FIRST + count), now)
             self.assertEqual(list_names(known, now), [NAME])
@@ -243,6 +252,29 @@
         self.assertEqual((hold.returns, hold.held_until), (1, 109.0))
 
 
+class LiveListTest(unittest.TestCase):
+    def test_a_kept_list_gives_way_to_every_change(self) -> None:
+        """Ask before and after each step; the kept list must not show through."""
+        other = samples.make_engine(name="engine-a-2")
+        steps = {
+            "another upstream": (lambda known: known.announce(other, 11.0), 2),
+            "refused": (lambda known: known.fail(NAME, FIRST, 11.0), 0),
+            "left": (lambda known: known.leave(NAME, FIRST, 11.0), 0),
+            "grace": (lambda known: setattr(known, "grace", -2.5), 0),
+        }
+        for name, (step, count) in steps.items():
+            with self.subTest(name):
+                known = start(10.0)
+                self.assertEqual(list_names(known, 11.0), [NAME])
+                step(known)
+                self.assertEqual(len(list_names(known, 11.0)), count)
+        known = start(10.0)
+        for now, names in ((12.9, [NAME]), (13.0, []), (12.9, [NAME])):
+            self.assertEqual(list_names(known, now), names)
+        renew(known, 1002.0, 12.9)
+        self.assertEqual(known.list_live(12.9)[0].report.at, 1002.0)
+
+
 class BoundTest(unittest.TestCase):
     def test_a_full_table_takes_only_in_place_of_what_is_over(self) -> None:
         known = table.Table("a")
@@ -254,6 +286,10 @@
             (change.taken, change.reason), (False, outcomes.Reason.TABLE_FULL)
         )
         self.assertEqual(known.leave("stranger", 1, 11.0), [])
+        other = table.Table("a")
+        other.announce(samples.make_engine(name="told"), 11.0)
+        known.merge(other.rows_since(0, 11.0).rows, 11.0)
+        self.assertEqual(len(known.list_entries()), table.UPSTREAM_LIMIT)
         renewed = known.renew("engine-0", FIRST, samples.REPORT, 12.0)
         self.assertIsInstance(renewed, outcomes.Renewed)
         known.announce(samples.make_engine(name="late"), 14.0)
