--- a/packages/standins/src/trestlestall/standins/deployment.py
+++ b/packages/standins/src/trestlestall/standins/deployment.py
@@ -20,7 +20,7 @@
 import uuid
 from collections import abc
 
-from trestlestall.standins import addresses, calls, exceptions, processes
+from trestlestall.standins import addresses, calls, exceptions, plans, processes
 
 CLIENT = "trestlestall.client"
 DAEMON = "trestlestall.daemon"
@@ -34,37 +34,10 @@
 ROUTER_LISTENERS = ("callers", "upstreams", "operators", "platform", "peers")
 CONTROL_LISTENERS = ("operators", "platform", "peers")
 
-
-@dataclasses.dataclass(frozen=True)
-class EnginePlan:
-    """An engine to start; ``options`` are further arguments of its program."""
-
-    name: str
-    data_centre: str = "a"
-    models: tuple[str, ...] = ("m1",)
-    options: tuple[tuple[str, str], ...] = ()
-
-
-@dataclasses.dataclass(frozen=True)
-class ServicePlan:
-    """A plain service to start; ``service`` is the name that callers use."""
-
-    name: str
-    service: str
-    data_centre: str = "a"
-
-
-@dataclasses.dataclass(frozen=True)
-class Plan:
-    """What to start. Control voters are dealt out to the data centres in turn."""
-
-    data_centres: tuple[str, ...] = ("a", "b")
-    controls: int = 1
-    routers_per_data_centre: int = 1
-    engines: tuple[EnginePlan, ...] = ()
-    services: tuple[ServicePlan, ...] = ()
-    weight_store: bool = False
-    limits: tuple[tuple[str, int], ...] = ()
+# Callers write their plans with the names of this module.
+EnginePlan = plans.EnginePlan
+ServicePlan = plans.ServicePlan
+Plan = plans.Plan
 
 
 @dataclasses.dataclass(frozen=True)
