--- a/packages/standins/src/trestlestall/standins/driving.py
+++ b/packages/standins/src/trestlestall/standins/driving.py
@@ -129,7 +129,7 @@
             note_first,
             **dict(destination.headers),
         )
-    way.finish(destination)
+    way.finish(destination, answer is not None and answer.status == calls.NO_ANSWER)
     total = time.perf_counter() - due
     first = firsts[0] if firsts else None
     if answer is None:
--- a/packages/standins/src/trestlestall/standins/ways.py
+++ b/packages/standins/src/trestlestall/standins/ways.py
@@ -2,7 +2,8 @@
 
 A way is a small class registered by name. ``choose`` returns where an arrival goes,
 ``finish`` hears that it ended. The baselines send straight to the engines with equal
-priorities, so that each engine serves first come first served:
+priorities, so that each engine serves first come first served, and leave out one whose
+connections fail:
 
     router   through a router of the deployment, chosen at random as a balancer would
     random   to an engine chosen at random
@@ -12,10 +13,13 @@
 import collections
 import dataclasses
 import random
+import time
 from collections import abc
 
 from trestlestall.standins import addresses, deployment, mixes
 
+AVOID_SECONDS = 3.0
+
 
 @dataclasses.dataclass(frozen=True)
 class Destination:
@@ -42,8 +46,8 @@
         """Return where the arrival goes."""
         raise NotImplementedError
 
-    def finish(self, destination: Destination) -> None:
-        """Hear that a request sent there has ended."""
+    def finish(self, destination: Destination, failed: bool) -> None:
+        """Hear that a request sent there ended; ``failed``: its connection broke."""
 
 
 WAYS: dict[str, type[Way]] = {}
@@ -75,17 +79,40 @@
         return Destination(router.callers, self.keys[arrival.workspace], headers)
 
 
+class BaselineWay(Way):
+    """Base of the baselines, which leave out an engine for a while after a failure.
+
+    Without that an ended engine, which answers at once, would draw all requests.
+    """
+
+    def __init__(self, *arguments) -> None:
+        super().__init__(*arguments)
+        self.failed_at: dict[addresses.Address, float] = {}
+
+    def list_engines(self) -> list[addresses.Address]:
+        """Return the engines that have not failed of late, or all if each has."""
+        found = [engine.address for engine in self.running.engines]
+        since = time.monotonic() - AVOID_SECONDS
+        healthy = [e for e in found if self.failed_at.get(e, since - 1) < since]
+        return healthy or found
+
+    def finish(self, destination: Destination, failed: bool) -> None:
+        """Note a failed connection."""
+        if failed:
+            self.failed_at[destination.address] = time.monotonic()
+
+
 @register("random")
-class RandomWay(Way):
+class RandomWay(BaselineWay):
     """First come first served at an engine chosen at random."""
 
     def choose(self, arrival: mixes.Arrival) -> Destination:
         """Return a random engine."""
-        return Destination(self.source.choice(self.running.engines).address)
+        return Destination(self.source.choice(self.list_engines()))
 
 
 @register("least")
-class LeastWay(Way):
+class LeastWay(BaselineWay):
     """First come first served at the engine with the least in flight."""
 
     def __init__(self, *arguments) -> None:
@@ -94,12 +121,13 @@
 
     def choose(self, arrival: mixes.Arrival) -> Destination:
         """Return the engine with the fewest requests in flight, ties at random."""
-        found = [engine.address for engine in self.running.engines]
+        found = self.list_engines()
         self.source.shuffle(found)
         address = min(found, key=lambda each: self.in_flight[each])
         self.in_flight[address] += 1
         return Destination(address)
 
-    def finish(self, destination: Destination) -> None:
+    def finish(self, destination: Destination, failed: bool) -> None:
         """Count the request out."""
+        super().finish(destination, failed)
         self.in_flight[destination.address] -= 1
--- a/packages/standins/tests/test_load.py
+++ b/packages/standins/tests/test_load.py
@@ -2,8 +2,9 @@
 
 import dataclasses
 import unittest
+import unittest.mock
 
-from trestlestall.standins import load, mixes, scoring
+from trestlestall.standins import addresses, deployment, load, mixes, scoring, ways
 
 SECONDS = 60.0
 CAPACITY = 1000.0
@@ -120,5 +121,27 @@
                 self.assertEqual(None if found != found else found, expected)
 
 
+class BaselineTest(unittest.TestCase):
+    def setUp(self):
+        found = [addresses.Address("127.0.0.1", port) for port in (1, 2)]
+        engines = [deployment.Standin(str(a), "a", a, None) for a in found]
+        running = unittest.mock.Mock(engines=engines)
+        self.make = lambda name: ways.WAYS[name](running, {}, 1)
+        self.first, self.second = found
+
+    def test_least_in_flight_alternates(self):
+        way = self.make("least")
+        chosen = [way.choose(None).address for _ in range(4)]
+        self.assertEqual(chosen.count(self.first), 2)
+
+    def test_failed_engine_is_left_out(self):
+        for name in ("random", "least"):
+            with self.subTest(name):
+                way = self.make(name)
+                way.finish(ways.Destination(self.first), failed=True)
+                chosen = {way.choose(None).address for _ in range(20)}
+                self.assertEqual(chosen, {self.second})
+
+
 if __name__ == "__main__":
     unittest.main()
