--- a/packages/daemon/src/trestlestall/daemon/control/operations.py
+++ b/packages/daemon/src/trestlestall/daemon/control/operations.py
@@ -68,9 +68,13 @@
 
 
 def refuse_text(error: language_errors.LanguageError) -> calls.Reply:
-    """Return the reply to a text that isn't in the language; it points at the word."""
-    message = f"line {error.line}, column {error.column}: {error.message}"
-    return reply_failure(errors.Failure("invalid_request", message))
+    """Return the reply to a text that isn't in the language; it points at the word.
+
+    The place of the word stands beside the fields that every error has.
+    """
+    refused = reply_failure(errors.Failure("invalid_request", error.message))
+    refused.document["body"]["error"].update(dataclasses.asdict(error))
+    return refused
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/daemon/tests/test_control_answers.py
+++ b/packages/daemon/tests/test_control_answers.py
@@ -95,6 +95,7 @@
             with self.subTest(text):
                 error = self.cluster.operate(leader, text, text)["error"]
                 self.assertEqual(error["code"], code)
+                self.assertEqual("column" in error, code == "invalid_request")
         body = self.cluster.operate(leader, "remove voter nobody", "n")
         self.assertEqual(body["outcome"]["code"], "not_voter")
 
--- a/packages/storage/src/trestlestall/storage/exceptions.py
+++ b/packages/storage/src/trestlestall/storage/exceptions.py
@@ -10,7 +10,7 @@
 
 REPLACE_VOTER = (
     "keep the folder for inspection, start this voter with an empty folder and replace "
-    "it by ``remove voter`` and ``add voter`` (docs/operators/recovery.md)"
+    "it by `remove voter` and `add voter` (docs/operators/recovery.md)"
 )
 
 
--- a/tests/test_agreed_state_disks.py
+++ b/tests/test_agreed_state_disks.py
@@ -82,7 +82,7 @@
             deployment.kill("control-3")
             log = deployment.path / "control-3" / "log"
             content = bytearray(log.read_bytes())
-            content[len(content) // 2] ^= 1
+            content[100] ^= 1
             log.write_bytes(content)
             deployment.start("control-3")
             self.check_refused(deployment, "damaged at byte")
