Wait for an upstream's answer as long as a read may take, not a connect

Cause: the library sets the socket's timeout anew when it sends a request, to the one that the connection was made with: one second. Every upstream that was silent for a second after the request (a whole answer that takes longer, a long prompt) was given up as broken: outcome_unknown for work that may run once, a retry for other work. Ruled out: the policy's stall time (the log said TimeoutError: timed out).

Change: the connection's own timeout is the read's once it is open.

Before, with an upstream's bytes held for 1.3 s by a relay: 502 outcome_unknown from service and engine alike; after: 200 from both.

--- a/packages/daemon/src/trestlestall/daemon/router/connections.py
+++ b/packages/daemon/src/trestlestall/daemon/router/connections.py
@@ -36,7 +36,8 @@
     except FAULTS as error:
         opened.close()
         return error
-    opened.sock.settimeout(READ_SECONDS)
+    # The library sets the socket's timeout anew, to this, when it sends the request.
+    opened.timeout = READ_SECONDS
     return opened
 
 
