--- /dev/null
+++ b/tests/relays.py
@@ -0,0 +1,392 @@
+"""TCP relays between real processes, so that a test can cut, freeze and heal links.
+
+``start_network`` starts a plan's processes with a relay on each peer link: a process
+that dials another one dials the relay between the two. Upstreams that ``add_service``
+and ``add_engine`` start are announced under the address of a relay of their own.
+
+    with relays.start_network(plan, commands) as network:
+        network.cut_data_centre("c")          # connections to c end and are refused
+        network.freeze_data_centre("c")       # or: bytes are held, nothing is refused
+        network.heal()
+"""
+
+import contextlib
+import dataclasses
+import itertools
+import json
+import pathlib
+import socket
+import tempfile
+import threading
+import typing
+from collections import abc
+
+from trestlestall.standins import (
+    addresses,
+    announcing,
+    calls,
+    deployment,
+    processes,
+)
+
+CHUNK = 65536
+NO_CAPABILITIES = dict.fromkeys(announcing.CAPABILITIES, False)
+ENGINE_CAPABILITIES = {**NO_CAPABILITIES, "cancel": True, "resume": True}
+NO_LOAD = {
+    "at": 0.0,
+    "running": 0,
+    "waiting": 0,
+    "tokens_per_second": 0.0,
+    "kv_used": 0.0,
+}
+
+
+class Relay:
+    """Passes the bytes of each connection to ``target`` on, both ways.
+
+    ``forth`` and ``back`` are open gates while bytes may pass to and from the target;
+    a closed gate holds them, as a network that drops packets does, and lets them
+    through once it is opened. ``cut`` ends the connections and refuses new ones.
+    """
+
+    def __init__(self, target: addresses.Address):
+        self.target = target
+        self.forth, self.back = threading.Event(), threading.Event()
+        self.is_cut = False
+        self.accepted = 0
+        self._sockets: set[socket.socket] = set()
+        self._listener = socket.create_server((addresses.LOOPBACK, 0))
+        self.address = addresses.Address(*self._listener.getsockname())
+        self.thaw()
+        self._spawn(self._accept)
+
+    def freeze(self) -> None:
+        """Hold all bytes, both ways."""
+        self.forth.clear()
+        self.back.clear()
+
+    def thaw(self) -> None:
+        """Let all bytes pass, those held first."""
+        self.forth.set()
+        self.back.set()
+
+    def cut(self) -> None:
+        """End every connection, and each new one at once."""
+        self.is_cut = True
+        for each in list(self._sockets):
+            hang_up(each)
+        self.thaw()
+
+    def heal(self) -> None:
+        """Take new connections, and let all bytes pass."""
+        self.is_cut = False
+        self.thaw()
+
+    def close(self) -> None:
+        """End the relay; its threads end with their sockets."""
+        self.cut()
+        hang_up(self._listener)
+        self._listener.close()
+
+    def _spawn(self, work: abc.Callable, *arguments: typing.Any) -> None:
+        threading.Thread(target=work, args=arguments, daemon=True).start()
+
+    def _accept(self) -> None:
+        with contextlib.suppress(OSError):
+            while True:
+                near, _ = self._listener.accept()
+                self._spawn(self._carry, near)
+
+    def _carry(self, near: socket.socket) -> None:
+        """Carry one connection from its beginning to its end."""
+        with contextlib.ExitStack() as stack:
+            stack.enter_context(contextlib.suppress(OSError))
+            stack.enter_context(self._own(near))
+            if self.is_cut:
+                return
+            self.accepted += 1
+            self.forth.wait()
+            host = (self.target.host, self.target.port)
+            far = stack.enter_context(self._own(socket.create_connection(host)))
+            self._spawn(self._pump, far, near, self.back)
+            self._pump(near, far, self.forth)
+
+    @contextlib.contextmanager
+    def _own(self, one: socket.socket) -> abc.Iterator[socket.socket]:
+        self._sockets.add(one)
+        try:
+            yield one
+        finally:
+            self._sockets.discard(one)
+            hang_up(one)
+            one.close()
+
+    def _pump(
+        self, source: socket.socket, sink: socket.socket, gate: threading.Event
+    ) -> None:
+        """Pass bytes one way; when one side ends, so does the other."""
+        with contextlib.suppress(OSError):
+            while data := source.recv(CHUNK):
+                gate.wait()
+                sink.sendall(data)
+        gate.wait()
+        hang_up(sink)
+        hang_up(source)
+
+
+def hang_up(one: socket.socket) -> None:
+    """End a connection both ways, which wakes up whoever waits for it."""
+    with contextlib.suppress(OSError):
+        one.shutdown(socket.SHUT_RDWR)
+
+
+@dataclasses.dataclass
+class Upstream:
+    """A stand-in behind a relay, announced by this process."""
+
+    plan: deployment.EnginePlan | deployment.ServicePlan
+    standin: deployment.Standin
+    relay: Relay
+    announcer: announcing.Announcer
+
+    def count(self) -> dict:
+        """Return what the stand-in has counted."""
+        return calls.call("GET", self.standin.address, "/v1/counts").document
+
+    def set_fault(self, **fault: object) -> None:
+        """Give the stand-in a fault."""
+        answer = calls.call("POST", self.standin.address, "/v1/faults", fault)
+        assert answer.status == 200, answer.data
+
+
+class Network:
+    """A deployment whose peer links and upstreams stand behind relays."""
+
+    def __init__(self, started: deployment.Deployment):
+        self.deployment = started
+        self.links: dict[tuple[str, str], Relay] = {}
+        self.upstreams: dict[str, Upstream] = {}
+        self.data_centres: dict[str, str] = {}
+        self.version = 0
+        self._incarnations = itertools.count(1)
+
+    # Links.
+
+    def find_links(self, chosen: abc.Callable[[str, str], bool]) -> list[Relay]:
+        """Return the relays of the pairs (who dials, who is dialled) to choose."""
+        return [link for pair, link in self.links.items() if chosen(*pair)]
+
+    def find_border(self, data_centre: str) -> list[Relay]:
+        """Return the relays between a data centre and all the others."""
+        where = self.data_centres
+        return self.find_links(
+            lambda a, b: (where[a] == data_centre) != (where[b] == data_centre)
+        )
+
+    def cut_data_centre(self, data_centre: str) -> None:
+        """Refuse every link between a data centre and the others."""
+        for link in self.find_border(data_centre):
+            link.cut()
+
+    def freeze_data_centre(self, data_centre: str) -> None:
+        """Hold every byte between a data centre and the others."""
+        for link in self.find_border(data_centre):
+            link.freeze()
+
+    def heal(self) -> None:
+        """Let everything pass again."""
+        for link in self.links.values():
+            link.heal()
+        for upstream in self.upstreams.values():
+            upstream.relay.heal()
+
+    # Processes.
+
+    def find(self, name: str) -> deployment.Daemon:
+        """Return a daemon as it runs now."""
+        daemons = self.controls + self.routers
+        return next(each for each in daemons if each.name == name)
+
+    def read_status(self, name: str) -> dict:
+        """Return a daemon's status; empty while it can't be reached."""
+        where = self.find(name).operators
+        key = self.deployment.secrets.operator
+        answer = calls.call("GET", where, "/v1/status", key=key)
+        return (answer.document or {}) if answer.status == 200 else {}
+
+    def read_events(self, name: str) -> list[dict]:
+        """Return the lines of a daemon's log."""
+        lines = self.find(name).process.read_log().splitlines()
+        return [json.loads(line) for line in lines if line.startswith("{")]
+
+    def find_leader(self, *names: str) -> str:
+        """Wait until one of the control processes names a leader, and return it."""
+        asked = names or [each.name for each in self.controls]
+        found = []
+
+        def ask() -> bool:
+            found.extend(filter(None, (self.read_leader(name) for name in asked)))
+            return bool(found)
+
+        processes.wait_until(ask, "a leader is known")
+        return found[0]
+
+    def read_leader(self, name: str) -> str | None:
+        """Return whom a control process takes for the leader."""
+        return self.read_status(name).get("leader")
+
+    def wait_until_in_force(self) -> None:
+        """Wait until every router has what ``operate`` changed, and its upstreams."""
+        for router in self.routers:
+            own = self.data_centres[router.name]
+            count = sum(self.data_centres[name] == own for name in self.upstreams)
+            processes.wait_until(
+                lambda n=router.name, c=count: self.is_settled(n, c),
+                f"{router.name} has version {self.version} and {count} upstreams",
+            )
+
+    def is_settled(self, router: str, upstreams: int) -> bool:
+        """Return whether a router has the newest version, and all upstreams."""
+        status = self.read_status(router)
+        found = (status.get("version"), status.get("upstreams"))
+        return found == (self.version, upstreams)
+
+    def operate(self, *texts: str) -> None:
+        """Have each command accepted."""
+        self.deployment.operate(*texts)
+        self.version += len(texts)
+
+    @property
+    def controls(self) -> list[deployment.Daemon]:
+        """The control processes."""
+        return self.deployment.controls
+
+    @property
+    def routers(self) -> list[deployment.Daemon]:
+        """The routers."""
+        return self.deployment.routers
+
+    # Upstreams.
+
+    def add(self, plan: deployment.EnginePlan | deployment.ServicePlan) -> Upstream:
+        """Start a stand-in, announce it under its relay's address, and return it."""
+        standin = start_standin(self.deployment, plan)
+        self.data_centres[plan.name] = plan.data_centre
+        relay = Relay(standin.address)
+        upstream = Upstream(plan, standin, relay, self._announce(plan, relay))
+        self.upstreams[plan.name] = upstream
+        return upstream
+
+    def _announce(
+        self,
+        plan: deployment.EnginePlan | deployment.ServicePlan,
+        relay: Relay,
+    ) -> announcing.Announcer:
+        is_engine = isinstance(plan, deployment.EnginePlan)
+        identity = announcing.Upstream(
+            name=plan.name,
+            incarnation=next(self._incarnations),
+            data_centre=plan.data_centre,
+            address=str(relay.address),
+            kind="engine" if is_engine else "service",
+            slots=int(dict(plan.options).get("slots", "8")) if is_engine else 16,
+            capabilities=ENGINE_CAPABILITIES if is_engine else NO_CAPABILITIES,
+        )
+        models = list(plan.models) if is_engine else [plan.service]
+        hosts = tuple(
+            each.upstreams
+            for each in self.routers
+            if each.data_centre == plan.data_centre
+        )
+        announcer = announcing.Announcer(
+            identity,
+            hosts,
+            self.deployment.secrets.upstreams,
+            lambda: {"models": models, "adapters": [], "report": NO_LOAD},
+            note=lambda **fields: None,
+        )
+        threading.Thread(target=announcer.run, daemon=True).start()
+        return announcer
+
+    def close(self) -> None:
+        """End the announcements and the relays."""
+        for upstream in self.upstreams.values():
+            upstream.announcer.leave()
+            upstream.relay.close()
+        for link in self.links.values():
+            link.close()
+
+
+def start_standin(
+    started: deployment.Deployment,
+    plan: deployment.EnginePlan | deployment.ServicePlan,
+) -> deployment.Standin:
+    """Start a stand-in that announces itself to nobody."""
+    options = {"name": plan.name, "data_centre": plan.data_centre}
+    if isinstance(plan, deployment.EnginePlan):
+        module = deployment.ENGINE
+        options |= {"models": ",".join(plan.models), **dict(plan.options)}
+    else:
+        module = deployment.SERVICE
+        options["service"] = plan.service
+    arguments = [f"--{name}={value}" for name, value in options.items()]
+    child = started.start(plan.name, module, arguments)
+    return deployment.finish_standin(plan, child)
+
+
+@contextlib.contextmanager
+def start_network(
+    plan: deployment.Plan, commands: abc.Iterable[str] = ()
+) -> abc.Iterator[Network]:
+    """Start a plan's daemons with a relay on each link, then its stand-ins."""
+    with tempfile.TemporaryDirectory(prefix="trestlestall-") as folder:
+        started = deployment.Deployment(
+            pathlib.Path(folder), plan, deployment.make_secrets()
+        )
+        network = Network(started)
+        try:
+            start_daemons(network)
+            for each in plan.engines + plan.services:
+                network.add(each)
+            deployment.wait_until_ready(started)
+            network.operate(*commands)
+            network.wait_until_in_force()
+            yield network
+        finally:
+            # Planned stops are proved where they are meant; here they only cost time.
+            for process in started.started:
+                if process.running:
+                    process.kill()
+            network.close()
+
+
+def start_daemons(network: Network) -> None:
+    """Write settings whose peers stand behind relays, and start the daemons."""
+    started = network.deployment
+    deployment.write_secrets(started)
+    layout = deployment.lay_out(started.plan)
+    for listing in layout:
+        network.data_centres[listing.name] = listing.data_centre
+        deployment.write_settings(started, listing, layout)
+        put_relays(network, listing, layout)
+    for listing in layout:
+        settings = started.folder / f"{listing.name}.json"
+        arguments = (listing.role, "--settings", str(settings))
+        process = started.start(listing.name, deployment.DAEMON, arguments)
+        daemon = deployment.Daemon(**vars(listing), settings=settings, process=process)
+        group = started.routers if listing.role == "router" else started.controls
+        group.append(daemon)
+
+
+def put_relays(
+    network: Network, listing: deployment.Listing, layout: list[deployment.Listing]
+) -> None:
+    """Put a relay before each peer that the settings of a daemon name."""
+    path = network.deployment.folder / f"{listing.name}.json"
+    document = json.loads(path.read_text())
+    targets = {each.name: each.listen["peers"] for each in layout}
+    for peer in document["peers"]:
+        relay = Relay(targets[peer["name"]])
+        network.links[listing.name, peer["name"]] = relay
+        peer["address"] = str(relay.address)
+    path.write_text(json.dumps(document))
