--- a/packages/placement/src/trestlestall/placement/planner.py
+++ b/packages/placement/src/trestlestall/placement/planner.py
@@ -7,6 +7,7 @@
 gives the same plan.
 """
 
+import collections
 import dataclasses
 import enum
 import math
@@ -108,8 +109,9 @@
 class Site:
     """One data centre while its part of the plan is made.
 
-    ``held`` maps each usable engine to what it holds or will hold once its task and the
-    changes chosen so far are done.
+    ``_held`` maps each usable engine to what it holds or will hold once its task and
+    the changes chosen so far are done, ``_copies`` counts it by model, and ``_safe``
+    counts what is held now and goes on being served.
     """
 
     def __init__(
@@ -132,17 +134,24 @@
         self._tasks = {n: t for n, t in observed.tasks.items() if n in self._engines}
         self._held = {one.name: self._foresee(one) for one in here if self._serves(one)}
         self._chosen: dict[str, Change] = {}
+        self._copies: collections.Counter[str] = collections.Counter()
+        self._safe: collections.Counter[str] = collections.Counter()
+        for name in self._held:
+            self._count_in(name, 1)
 
     def plan(self) -> Plan:
         """Return this data centre's part."""
         allowed = max(1, math.floor(len(self._engines) * self._rules.busy))
-        missing = []
+        missing: dict[str, Missing] = {}
         for urgency, wanted in self._list_deficits():
             if len(self._tasks) + len(self._chosen) >= allowed:
                 break
+            if wanted.model in missing:
+                # There is no room for a more urgent copy of it either.
+                continue
             if not self._place(urgency, wanted):
-                missing.append(Missing(self._name, wanted.model, urgency))
-        return Plan(tuple(self._chosen.values()), tuple(missing))
+                missing[wanted.model] = Missing(self._name, wanted.model, urgency)
+        return Plan(tuple(self._chosen.values()), tuple(missing.values()))
 
     # What there is.
 
@@ -157,16 +166,18 @@
         task = self._tasks.get(engine.name)
         return _carry_out(engine.models, task.steps if task is not None else ())
 
-    def _count(self, name: str) -> int:
-        return sum(name in held for held in self._held.values())
+    def _count_in(self, engine: str, sign: int) -> None:
+        """Count an engine's copies in (1) or out (-1)."""
+        held = self._held[engine]
+        self._copies.update(dict.fromkeys(held, sign))
+        if not self._is_draining(engine):
+            kept = held.intersection(self._engines[engine].models)
+            self._safe.update(dict.fromkeys(kept, sign))
 
-    def _count_safe(self, name: str, without: str) -> int:
-        """Return how many engines hold the model now and go on doing so."""
-        return sum(
-            name in self._held[other] and name in self._engines[other].models
-            for other in self._held
-            if other != without and not self._is_draining(other)
-        )
+    def _count_others(self, name: str, engine: str) -> int:
+        """Return how many other engines hold the model now and go on serving it."""
+        own = name in self._engines[engine].models and name in self._held[engine]
+        return self._safe[name] - int(own and not self._is_draining(engine))
 
     def _is_draining(self, engine: str) -> bool:
         task = self._tasks.get(engine)
@@ -186,7 +197,7 @@
         """Return a deficit for each missing copy, the most urgent first."""
         found = []
         for wanted in self._desired.wanted.values():
-            copies = self._count(wanted.model)
+            copies = self._copies[wanted.model]
             needed = self._count_needed(wanted, self._rules.high)
             spare = SPARE_COPIES if wanted.bound else 0
             for number in range(copies, max(needed, spare)):
@@ -257,7 +268,7 @@
 
     def _may_drain(self, name: str) -> bool:
         return all(
-            self._count_safe(held, without=name) >= 1
+            self._count_others(held, name) >= 1
             for held in self._held[name]
             if held in self._desired.wanted and self._desired.wanted[held].bound
         )
@@ -271,7 +282,7 @@
         if self._now - since < self._rules.hold:
             return False
         needed = self._count_needed(wanted, self._rules.low)
-        return self._count(name) > max(needed, int(wanted.bound))
+        return self._copies[name] > max(needed, int(wanted.bound))
 
     def _choose(
         self,
@@ -281,6 +292,7 @@
         candidates: list[str],
     ) -> None:
         engine = self._engines[name]
+        self._count_in(name, -1)
         self._chosen[name] = Change(
             self._name,
             name,
@@ -291,6 +303,7 @@
             tuple(sorted(candidates)),
         )
         self._held[name] = _carry_out(self._held[name], steps)
+        self._count_in(name, 1)
 
 
 def _rank(number: int, wanted: model.Wanted, needed: int) -> Urgency:
