Tell peer routers of upstreams again, and stop when the clockwork fails

Cause: membership's rows_since lost its urgent flag while the router still passed it. The TypeError ended the pulse's greenlet silently: no rows to peers, no ticks, no expiry. Ruled out: leases lapsing under load (the log has no expiry). Change: the router uses membership's exchange as it is; a pulse that fails raises InvariantBroken in the main greenlet, which logs TS1007 and ends.

--- a/packages/daemon/src/trestlestall/daemon/router/members.py
+++ b/packages/daemon/src/trestlestall/daemon/router/members.py
@@ -6,7 +6,7 @@
 from trestlestall.daemon import environment, events
 from trestlestall.daemon.http import answers, errors
 from trestlestall.daemon.router import journal, views
-from trestlestall.membership import documents, outcomes, table, upstreams
+from trestlestall.membership import documents, exchange, outcomes, table, upstreams
 from trestlestall.wire import messages
 
 Send = abc.Callable[[str, object], bool]
@@ -38,7 +38,7 @@
         self._clock = clock
         self._journal = log
         self._send = send
-        self._marks: dict[str, int] = {}
+        self._exchange = exchange.Exchange(router, members)
 
     # What upstreams say.
 
@@ -87,28 +87,29 @@
         told = documents.decode_rows(message.rows)
         if isinstance(told, outcomes.Malformed):
             return
-        self._note(self.table.merge(told, self._clock.monotonic(), peer))
-        missing = self.table.take_missing()
-        if missing:
-            self._send(peer, messages.UpstreamPull(self._router, missing))
+        received = self._exchange.receive(peer, told, self._clock.monotonic())
+        self._note(received.changes)
+        if received.missing:
+            self._send(peer, messages.UpstreamPull(self._router, received.missing))
 
     def answer_pull(self, peer: str, message: messages.UpstreamPull) -> None:
         """Send a peer the whole rows that it asked for."""
-        found = self.table.rows_for(message.keys, self._clock.monotonic())
+        found = self._exchange.answer(message.keys, self._clock.monotonic())
         self._send_rows(peer, found)
 
-    def tell(self, peers: abc.Iterable[str], urgent: bool = False) -> None:
-        """Tell each peer what it has not heard; ``urgent`` leaves renewals out."""
-        now = self._clock.monotonic()
-        for peer in peers:
-            batch = self.table.rows_since(self._marks.get(peer, 0), now, peer, urgent)
-            told = not batch.rows or self._send_rows(peer, batch.rows)
-            if told and not urgent:
-                self._marks[peer] = batch.mark
+    def tell(self, peers: abc.Collection[str]) -> None:
+        """Tell the neighbours among the linked peers what they have not heard."""
+        for parcel in self._exchange.poll(peers, self._clock.monotonic()):
+            if not self._send_rows(parcel.neighbour, parcel.rows):
+                self._exchange.restart(parcel.neighbour)
+
+    def set_peers(self, peers: abc.Collection[str]) -> None:
+        """Plan whom to tell, and how often, for these peers of the data centre."""
+        self._exchange.set_routers(peers, len(self.table.list_entries()))
 
     def forget_peer(self, peer: str) -> None:
-        """Tell a peer everything again once it is linked again."""
-        self._marks.pop(peer, None)
+        """Tell a peer everything again: the link to it is new."""
+        self._exchange.restart(peer)
 
     # For operators.
 
--- a/packages/daemon/src/trestlestall/daemon/router/process.py
+++ b/packages/daemon/src/trestlestall/daemon/router/process.py
@@ -8,6 +8,7 @@
 from trestlestall.daemon import (
     environment,
     events,
+    exceptions,
     logs,
     metrics as daemon_metrics,
     settings as daemon_settings,
@@ -75,8 +76,17 @@
             except (OSError, wire_exceptions.WireError) as error:
                 self.journal.write(events.process.ADDRESS_REFUSED, reason=str(error))
                 return status.ExitStatus.ERROR
-            stop.wait()
-            cut_off = self._stop(served, stop)
+            try:
+                stop.wait()
+                cut_off = self._stop(served, stop)
+            except exceptions.InvariantBroken as error:
+                self.journal.write(
+                    events.process.INVARIANT_BROKEN,
+                    place=error.place,
+                    error=str(error.__cause__),
+                    traceback=error.traceback,
+                )
+                return status.ExitStatus.ERROR
         self.journal.write(
             events.process.STOPPED, role="router", status=0, cut_off=cut_off
         )
@@ -129,6 +139,15 @@
             and link.peer.data_centre == self.settings.data_centre
         ]
 
+    def list_routers(self) -> list[str]:
+        """Return the routers of this data centre, linked or not, but this one."""
+        listed = [
+            peer.name
+            for peer in self.settings.peers
+            if peer.role == "router" and peer.data_centre == self.settings.data_centre
+        ]
+        return sorted({*listed, *self.list_neighbours()})
+
     # The parts.
 
     def _make_links(self) -> None:
--- a/packages/daemon/src/trestlestall/daemon/router/pulse.py
+++ b/packages/daemon/src/trestlestall/daemon/router/pulse.py
@@ -8,12 +8,15 @@
 
 import contextlib
 import dataclasses
+import traceback
 import typing
 from collections import abc
 
 import eventlet
+from eventlet import hubs
 
-from trestlestall.daemon import events
+from trestlestall.daemon import events, exceptions
+from trestlestall.membership import topology
 from trestlestall.wire import messages
 
 if typing.TYPE_CHECKING:
@@ -22,6 +25,9 @@
 BUSY_SECONDS = 0.03
 IDLE_SECONDS = 0.25
 PULL_SECONDS = 1.0
+# How often the way of rows between routers is fitted to how many routers and upstreams
+# there are; the plan changes only slowly with these.
+PLAN_SECONDS = 5.0
 # How long a starting router waits for control before it asks its peers, and before it
 # serves with what its data folder holds: both may be older than what it had in force.
 PATIENCE_SECONDS = 3.0
@@ -46,7 +52,8 @@
         self._started_at = site.env.clock.monotonic()
         self._woken: eventlet.Event | None = None
         self._duties = (
-            Duty(0.25, self._tell_rows),
+            Duty(topology.POLL_SECONDS, self._tell_rows),
+            Duty(PLAN_SECONDS, self._plan_rows),
             Duty(0.5, site_expirer(site)),
             Duty(1.0, lambda: site.desk.resend()),
             Duty(PULL_SECONDS, self._pull_configuration),
@@ -54,13 +61,26 @@
 
     @contextlib.contextmanager
     def beat(self) -> abc.Iterator[None]:
-        """Keep the clockwork running while the block runs."""
-        greenlet = eventlet.spawn(self._run)
+        """Keep the clockwork running while the block runs.
+
+        Raises ``InvariantBroken`` in the greenlet of the block when the clockwork
+        fails: without it leases, retries and refusals would silently stand still.
+        """
+        owner = eventlet.getcurrent()
+        greenlet = eventlet.spawn(self._run_or_stop, owner)
         try:
             yield
         finally:
             greenlet.kill()
 
+    def _run_or_stop(self, owner: eventlet.greenlet.GreenThread) -> None:
+        try:
+            self._run()
+        except Exception as error:
+            broken = exceptions.InvariantBroken("pulse", traceback.format_exc())
+            broken.__cause__ = error
+            hubs.get_hub().schedule_call_global(0, owner.throw, broken)
+
     def wake(self) -> None:
         """Start to tick at the busy rate: a request has arrived."""
         if self._woken is not None:
@@ -100,6 +120,10 @@
     def _tell_rows(self) -> None:
         self._site.members.tell(self._site.list_neighbours())
 
+    def _plan_rows(self) -> None:
+        site = self._site
+        site.members.set_peers(site.list_routers())
+
     def _pull_configuration(self) -> None:
         site = self._site
         pull = messages.ConfigurationPull(site.agreed.version)
