--- a/packages/membership/tests/measure_dissemination.py
+++ b/packages/membership/tests/measure_dissemination.py
@@ -15,12 +15,20 @@
 import dataclasses
 import heapq
 import itertools
+import math
 import random
 import statistics
 import time
 import typing
 
-from trestlestall.membership import documents, exchange, table, topology, upstreams
+from trestlestall.membership import (
+    documents,
+    exchange,
+    rows,
+    table,
+    topology,
+    upstreams,
+)
 from trestlestall.wire import codec, messages
 
 SEED = 20261202
@@ -200,8 +208,57 @@
     return bench.now - started
 
 
+def find_frame(content: typing.Any) -> int:
+    """Return the bytes of a frame of rows, as sent by a websocket."""
+    return len(codec.encode(messages.UpstreamRows("router-a17", content))) + FRAME_BYTES
+
+
+def print_ways(routers: int = 82, count: int = 150) -> None:
+    """Print what other ways would cost, from frames of the real codec.
+
+    Bytes a second at one router, sent and received together, for renewals alone, when
+    each upstream renews once a second.
+    """
+    bench = Bench(1, count)
+    bench.start()
+    bench.run(1.0)
+    known = bench.routers["router-a0"].table
+    mark = known.mark
+    whole = documents.encode_rows(known.rows_since(0, bench.now).rows)
+    bench.run(2.0)
+    short = documents.encode_rows(known.rows_since(mark, bench.now).rows)
+    ids = [(row[0], row[1]) for row in short]
+    base = find_frame(())
+    row = (find_frame(short) - base) / count
+    digest = (find_frame(ids) - base) / count
+    print(f"an empty frame {base}, one renewal {find_frame(short[:1])} bytes")
+    print(f"all whole rows {find_frame(whole)}, all renewals {find_frame(short)} bytes")
+    print(f"a renewal in a full frame {row:.1f}, an id {digest:.1f} bytes")
+    peers = routers - 1
+    flood = 2 * count * peers / routers * find_frame(short[:1])
+    print(f"each renewal at once to every router: {flood:.0f} B/s")
+    batch = math.ceil(count / routers)
+    print(
+        "one frame a second to every router: "
+        f"{2 * peers * find_frame(short[:batch]):.0f} B/s"
+    )
+    collect = find_frame(short[:batch])
+    print(
+        "an aggregator, once a second: "
+        f"{peers * (collect + find_frame(short)):.0f} B/s at it, "
+        f"{collect + find_frame(short):.0f} at the others"
+    )
+    copies = 3.7
+    pulled = copies * digest + 2 * (rows.KEY_BYTES + 1) + 2 * row
+    print(
+        f"four neighbours, a renewal: bodies at once {copies * row:.0f}, ids before "
+        f"bodies {pulled:.0f} bytes sent and received"
+    )
+
+
 def main() -> None:
     """Measure all sizes and print a table."""
+    print_ways()
     print("routers upstreams interval |  bytes/s mean  most | frames/s  with headers |")
     print("  report age mean p99 s | lost | leaving ms | CPU share")
     for routers, count in SIZES:
--- a/packages/wire/src/trestlestall/wire/link.py
+++ b/packages/wire/src/trestlestall/wire/link.py
@@ -8,7 +8,7 @@
 
 from trestlestall.wire import codec, connections, messages, outbox
 
-KEEPALIVE = 0.7
+KEEPALIVE = 0.95
 SILENCE = 2.0
 HEARTBEAT = b""
 
