Let a caller of the table leave renewals for later again

Cause: the daemon asks for urgent rows alone; the argument had gone when the exchange came to do without it, and mark 0 no longer brought the rows that the peer had told. Change: both are back; the exchange starts below every mark instead.

--- a/packages/membership/src/trestlestall/membership/exchange.py
+++ b/packages/membership/src/trestlestall/membership/exchange.py
@@ -16,6 +16,9 @@
 
 from trestlestall.membership import outcomes, rows, table, topology
 
+# Below every mark: all rows but those that the neighbour told.
+NOTHING_SENT = -1
+
 
 @dataclasses.dataclass(frozen=True)
 class Parcel:
@@ -62,7 +65,7 @@
         for neighbour in self.plan.neighbours:
             if neighbour not in linked:
                 continue
-            mark = self.marks.get(neighbour, 0)
+            mark = self.marks.get(neighbour, NOTHING_SENT)
             batch = self.table.rows_since(mark, now, neighbour)
             self.marks[neighbour] = batch.mark
             if batch.rows:
--- a/packages/membership/src/trestlestall/membership/table.py
+++ b/packages/membership/src/trestlestall/membership/table.py
@@ -184,12 +184,16 @@
 
     # What peer routers are told.
 
-    def rows_since(self, mark: int, now: float | None = None, peer: str = "") -> Batch:
-        """Return the rows that changed after the mark (0: all), for this peer.
+    def rows_since(
+        self, mark: int, now: float | None = None, peer: str = "", urgent: bool = False
+    ) -> Batch:
+        """Return the rows that changed after the mark, for this peer.
 
+        Rows that the peer itself told are left out, except with mark 0, which is for a
+        peer that may have forgotten everything. A mark below 0 asks for all the others.
         Times in the rows are counted from ``now`` (the latest time the table was given,
-        if left out). Rows that the peer itself told, and leases that are over, are left
-        out.
+        if left out); leases that are over are left out. ``urgent`` leaves out mere
+        renewals: the caller then asks again with the same mark.
         """
         now = self.latest if now is None else now
         told: list[Told] = []
@@ -197,11 +201,11 @@
             entry = self.entries[name]
             if entry.renewed_at <= mark:
                 break
-            if entry.fact.until <= now or peer in entry.known_by:
+            if entry.fact.until <= now or (mark != 0 and peer in entry.known_by):
                 continue
             if entry.changed_at > mark:
                 told.append(rows.make_row(entry.fact, now))
-            else:
+            elif not urgent:
                 told.append(rows.make_renewal(entry.fact, now))
         return Batch(self.mark, tuple(told))
 
--- a/packages/membership/tests/test_exchange.py
+++ b/packages/membership/tests/test_exchange.py
@@ -108,6 +108,28 @@
         self.assertEqual(len(second.rows_since(marks[1], 10.5, "r3").rows), 1)
         self.assertEqual(second.rows_since(marks[1], 10.5, "r1").rows, ())
 
+    def test_a_mark_of_nothing_asks_for_everything(self) -> None:
+        first, second = table.Table("a"), table.Table("a")
+        first.announce(samples.ENGINE, 10.0)
+        second.merge(first.rows_since(0, 10.0).rows, 10.0, "r1")
+        # Mark, peer, rows.
+        cases = ((0, "r1", 1), (-1, "r1", 0), (-1, "r3", 1), (second.mark, "r3", 0))
+        for mark, peer, count in cases:
+            with self.subTest(mark=mark, peer=peer):
+                batch = second.rows_since(mark, 10.0, peer)
+                self.assertEqual(len(batch.rows), count)
+
+    def test_urgent_rows_leave_renewals_for_later(self) -> None:
+        known = table.Table("a")
+        known.announce(samples.ENGINE, 10.0)
+        mark = known.mark
+        renewed = samples.make_report(1001.0)
+        known.renew(NAME, FIRST, renewed, 11.0)
+        known.announce(samples.make_engine(name="engine-a-2"), 11.0)
+        (row,) = known.rows_since(mark, 11.0, urgent=True).rows
+        self.assertEqual(row.upstream.name, "engine-a-2")
+        self.assertEqual(len(known.rows_since(mark, 11.0).rows), 2)
+
     def test_the_newest_changes_are_found_behind_older_ones(self) -> None:
         known = table.Table("a")
         known.announce(samples.ENGINE, 10.0)
