--- a/packages/agreement/src/trestlestall/agreement/node.py
+++ b/packages/agreement/src/trestlestall/agreement/node.py
@@ -62,7 +62,7 @@
         timing: timing_module.Timing,
         seed: int,
         restored: entries_module.Restored | None = None,
-        limits: timing_module.Limits = timing_module.Limits(),  # noqa: B008
+        limits: timing_module.Limits = timing_module.DEFAULT_LIMITS,
     ) -> None:
         restored = restored or entries_module.Restored()
         log = log_module.Log(tuple(voters), restored.snapshot, restored.entries)
--- a/packages/agreement/src/trestlestall/agreement/timing.py
+++ b/packages/agreement/src/trestlestall/agreement/timing.py
@@ -36,3 +36,6 @@
     payload_bytes: int = 1 << 18
     uncommitted_entries: int = 16_384
     uncommitted_bytes: int = 1 << 25
+
+
+DEFAULT_LIMITS = Limits()
