--- /dev/null
+++ b/packages/claims/src/trestlestall/claims/documents.py
@@ -0,0 +1,116 @@
+"""Plain documents of claims, their events and outcomes, for CBOR (bodies are bytes).
+
+Decoding checks types and refuses unknown keys; it raises ``InvalidDocument`` of
+``trestlestall.configuration.exceptions``. Equal claims have equal documents.
+"""
+
+import dataclasses
+from collections import abc
+
+import msgspec
+
+from trestlestall.claims import claims as machine, events, outcomes
+from trestlestall.configuration import exceptions, persistent, strict
+
+FORMAT = 1
+KIND = "kind"
+EVENTS = {"claim": events.Claim, "finish": events.Finish, "release": events.Release}
+OUTCOMES = {
+    "granted": outcomes.Granted,
+    "held": outcomes.Held,
+    "finished": outcomes.Finished,
+    "mismatch": outcomes.Mismatch,
+    "recorded": outcomes.Recorded,
+    "unknown": outcomes.Unknown,
+}
+
+
+@dataclasses.dataclass(frozen=True)
+class ClaimsDocument:
+    """The shape of the claims' document.
+
+    ``records`` is a MessagePack list of all records, oldest first: packed as a whole,
+    100,000 of them are encoded without a Python object for each field. ``bodies`` names
+    the attempts whose answers are kept, oldest first.
+    """
+
+    format: int
+    now: float
+    records: bytes
+    bodies: tuple[str, ...]
+
+
+def encode(claims: machine.Claims) -> dict:
+    """Return the claims' document, with all that a voter needs to go on from it."""
+    known = claims.attempts.copy_plain()
+    records = [known[attempt] for attempt in claims.ages.list_attempts()]
+    return {
+        "format": FORMAT,
+        "now": claims.now,
+        "records": msgspec.msgpack.encode(records),
+        "bodies": claims.bodies.list_attempts(),
+    }
+
+
+def decode(document: object) -> machine.Claims:
+    """Return the claims of a document."""
+    made = strict.convert(document, ClaimsDocument)
+    if made.format != FORMAT:
+        message = f"format {made.format} is not {FORMAT}, the one known here"
+        raise exceptions.InvalidDocument("$.format", message)
+    records = _unpack_records(made.records)
+    # Where an expired record and a younger one have the same key, the younger holds it.
+    held = [record for record in records if record.key is not None]
+    return machine.Claims(
+        now=made.now,
+        attempts=persistent.Map.of({made.attempt: made for made in records}),
+        holders=persistent.Map.of({made.key: made.attempt for made in held}),
+        ages=_restore_queue([made.attempt for made in records]),
+        bodies=_restore_queue(made.bodies),
+        body_bytes=sum(map(machine.measure_body, records)),
+    )
+
+
+def _unpack_records(data: bytes) -> list[machine.Record]:
+    try:
+        return msgspec.msgpack.decode(data, type=list[machine.Record])
+    except msgspec.MsgspecError as error:
+        raise exceptions.InvalidDocument("$.records", str(error)) from error
+
+
+def encode_event(event: events.Event) -> dict:
+    """Return the event's document: its kind and its fields."""
+    return _encode_kind(event, EVENTS)
+
+
+def decode_event(document: object) -> events.Event:
+    """Return the event of a document."""
+    return _decode_kind(document, EVENTS)
+
+
+def encode_outcome(outcome: outcomes.Outcome) -> dict:
+    """Return the outcome's document: its kind and its fields."""
+    return _encode_kind(outcome, OUTCOMES)
+
+
+def decode_outcome(document: object) -> outcomes.Outcome:
+    """Return the outcome of a document."""
+    return _decode_kind(document, OUTCOMES)
+
+
+def _encode_kind(value: object, kinds: dict[str, type]) -> dict:
+    kind = next(name for name, known in kinds.items() if type(value) is known)
+    return {KIND: kind, **msgspec.to_builtins(value, builtin_types=(bytes,))}
+
+
+def _decode_kind(document: object, kinds: dict[str, type]) -> object:
+    fields = dict(document) if isinstance(document, dict) else {}
+    kind = fields.pop(KIND, None)
+    if not isinstance(kind, str) or kind not in kinds:
+        raise exceptions.InvalidDocument(f"$.{KIND}", f"unknown kind {kind!r}")
+    return strict.convert(fields, kinds[kind])
+
+
+def _restore_queue(attempts: abc.Sequence[str]) -> machine.Queue:
+    numbered = persistent.Map.of(dict(enumerate(attempts)))
+    return machine.Queue(numbered, 0, len(attempts))
