--- a/tests/test_agreed_state_deployment.py
+++ b/tests/test_agreed_state_deployment.py
@@ -11,9 +11,12 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
+import typing
 import unittest
 from collections import abc
+from concurrent import futures
 
 NAMES = ("control-1", "control-2", "control-3")
 KEYS = {"alice": "key-of-alice", "bela": "key-of-bela"}
@@ -70,6 +73,13 @@
             with open(self.path / f"{name}.log", "ab") as log:
                 self.processes[name] = subprocess.Popen(command, stderr=log)
 
+    def add_process(self, name: str) -> None:
+        """Start another process, which lists the others; they don't list it."""
+        self.names.append(name)
+        self.addresses[name] = find_addresses()
+        self.write_settings(name)
+        self.start(name)
+
     def send(self, name: str, number: int) -> None:
         self.processes[name].send_signal(number)
 
@@ -87,16 +97,18 @@
             process.kill()
             process.wait()
 
-    def call(self, name: str, method: str, path: str, body=None, key="alice"):
+    def call(self, name, method, path, body=None, key="alice", listener="operators"):
         """Return status and document, or (None, None) when there was no answer."""
-        host, port = self.addresses[name]["operators"].split(":")
+        host, port = self.addresses[name][listener].split(":")
         connection = http.client.HTTPConnection(host, int(port), timeout=CALL_SECONDS)
-        headers = {"Authorization": f"Bearer {KEYS[key]}"}
+        headers = {"Authorization": f"Bearer {KEYS.get(key, key)}"}
         try:
             content = None if body is None else json.dumps(body)
             connection.request(method, path, content, headers)
             answer = connection.getresponse()
-            return answer.status, json.loads(answer.read())
+            data = answer.read()
+            is_json = answer.headers["Content-Type"] == "application/json"
+            return answer.status, json.loads(data) if is_json else data.decode()
         except (OSError, http.client.HTTPException):
             return None, None
         finally:
@@ -149,6 +161,18 @@
     raise AssertionError(f"gave up waiting for {what}")
 
 
+def call_together(ask: abc.Callable[[int], typing.Any]) -> list:
+    """Return the results of asking with 0 and with 1 at the same moment."""
+    barrier = threading.Barrier(2)
+
+    def run(place: int) -> typing.Any:
+        barrier.wait()
+        return ask(place)
+
+    with futures.ThreadPoolExecutor(2) as pool:
+        return list(pool.map(run, range(2)))
+
+
 def find_addresses() -> dict[str, str]:
     """Return a free address of the kernel's choice for each listener."""
     with contextlib.ExitStack() as stack:
@@ -176,6 +200,32 @@
 
 
 class DeploymentTest(unittest.TestCase):
+    def test_doors_and_bad_requests(self):
+        cases = (
+            ("operators", "GET", "/v1/status", None, "nobody", 401),
+            ("operators", "POST", "/v1/operator", {"text": "history"}, "nobody", 401),
+            ("operators", "POST", "/v1/operator", {"txt": "history"}, "alice", 400),
+            ("operators", "POST", "/v1/operator", {"text": 7}, "alice", 400),
+            ("operators", "POST", "/v1/operator", [], "alice", 400),
+            ("operators", "POST", "/v1/operator", {"text": "histori"}, "alice", 400),
+            ("operators", "POST", "/v1/operator", {"text": "history"}, "bela", 200),
+            ("operators", "GET", "/metrics", None, "alice", 404),
+            ("platform", "GET", "/v1/status", None, "alice", 404),
+            ("platform", "GET", "/healthz", None, "", 200),
+            ("platform", "GET", "/readyz", None, "", 200),
+            ("platform", "GET", "/metrics", None, "", 200),
+        )
+        with open_deployment() as deployment:
+            leader = deployment.wait_for_leader()
+            for listener, method, path, body, key, expected in cases:
+                with self.subTest(f"{method} {path}", key=key, body=body):
+                    status, _ = deployment.call(
+                        leader, method, path, body, key, listener
+                    )
+                    self.assertEqual(status, expected)
+            _, text = deployment.call(leader, "GET", "/metrics", listener="platform")
+            self.assertIn("trestlestall_leader 1.0", text)
+
     def test_three_form_a_group_and_stop_as_planned(self):
         with open_deployment() as deployment:
             leader = deployment.wait_for_leader()
