Let a first token take longer than a connect; read streams in fewer steps

Cause: urllib3 sets a connection's socket to the connection's own timeout before it reads the response, so that the one second meant for connecting also bounded the wait for the first byte: an engine that needed longer was cut off as 'outcome unknown'. A response that closes its connection also made 'cancel' reach no socket; the link now keeps the socket itself.

Cost: of the time for each token, reading one token was the largest part: two regular expressions an event and one call of http.client for each chunk. Events of one field are now told by their ends, and all chunks that have arrived are decoded at once.

--- a/packages/daemon/src/trestlestall/daemon/router/attempts.py
+++ b/packages/daemon/src/trestlestall/daemon/router/attempts.py
@@ -79,22 +79,22 @@
         self.resumed_tokens = 0
         self.cancelled = False
         self.sent = False
-        self._connection: connections.Connection | None = None
+        self._link: connections.Link | None = None
 
     def run(self, sink: Sink) -> None:
         """Carry the attempt to its end and tell the sink."""
         opened = self._connect()
-        if not isinstance(opened, connections.Connection):
+        if not isinstance(opened, connections.Link):
             ending = Ending.CANCELLED if self.cancelled else Ending.NOT_SENT
             sink.take_end(self, ending, opened, None)
             return
-        self._connection = opened
+        self._link = opened
         try:
             ending, reason, response = self._exchange(opened, sink)
         except connections.FAULTS as error:
             ending, reason, response = Ending.BROKEN, describe(error), None
         finally:
-            self._connection = None
+            self._link = None
             opened.close()
         if self.cancelled:
             ending, reason = Ending.CANCELLED, "cancelled"
@@ -103,17 +103,17 @@
     def cancel(self) -> None:
         """Close the connection, which stops an engine that honours it."""
         self.cancelled = True
-        if self._connection is not None:
-            connections.abort(self._connection)
+        if self._link is not None:
+            self._link.abort()
 
-    def _connect(self) -> connections.Connection | str:
+    def _connect(self) -> connections.Link | str:
         """Return an open connection, or why there is none."""
         if self.upstream is None:
             return "the upstream is gone, or can't continue exactly"
         opened = connections.connect(self.upstream.address)
         return describe(opened) if isinstance(opened, Exception) else opened
 
-    def _exchange(self, opened: connections.Connection, sink: Sink) -> tuple:
+    def _exchange(self, opened: connections.Link, sink: Sink) -> tuple:
         if self.cancelled:
             return Ending.CANCELLED, "cancelled", None
         self.sent = True
@@ -129,7 +129,7 @@
         if response.status != 200 and "resume" in self.extra:
             return Ending.NOT_SENT, f"the engine answered {response.status}", None
         if response.status == 200 and self.call.streamed:
-            return self._read_stream(response, sink)
+            return self._read_stream(opened, response, sink)
         return self._read_completion(response)
 
     def _make_headers(self) -> dict[str, str]:
@@ -148,13 +148,13 @@
             return self.call.body
         return calls.add_fields(self.call.body, dict(self.extra))
 
-    def _read_stream(self, response, sink: Sink) -> tuple:
+    def _read_stream(self, opened, response, sink: Sink) -> tuple:
         content_type = response.headers.get("content-type", "")
         if not content_type.startswith(STREAM_TYPE):
             return Ending.BROKEN, f"a stream of type {content_type!r}", None
         sink.take_head(self, Response(200, content_type))
         reader = streams.Reader()
-        for part in connections.read_parts(response):
+        for part in connections.read_stream(opened, response):
             piece = reader.feed(part)
             self.tokens += piece.tokens
             if piece.data and not self.cancelled:
--- a/packages/daemon/src/trestlestall/daemon/router/bodies.py
+++ b/packages/daemon/src/trestlestall/daemon/router/bodies.py
@@ -97,7 +97,7 @@
         message = self._exchange.read()
         if isinstance(message, exchanges.Passed):
             self._note_token(message)
-            return message.piece.data
+            return self._join_pieces(message.piece.data)
         if isinstance(message, exchanges.Ended):
             raise StopIteration
         if isinstance(message, exchanges.Failed):
@@ -109,6 +109,17 @@
         """Give up whatever still runs for the caller."""
         self._resources.close()
 
+    def _join_pieces(self, data: bytes) -> bytes:
+        """Add the pieces that are here already: a busy router writes less often."""
+        piece = self._exchange.read_piece()
+        if piece is None:
+            return data
+        parts = [data]
+        while piece is not None:
+            parts.append(piece.data)
+            piece = self._exchange.read_piece()
+        return b"".join(parts)
+
     def _note_token(self, message: exchanges.Passed) -> None:
         if message.piece.tokens and self._exchange.first_token_at is None:
             self._exchange.first_token_at = self._site.env.clock.monotonic()
--- a/packages/daemon/src/trestlestall/daemon/router/connections.py
+++ b/packages/daemon/src/trestlestall/daemon/router/connections.py
@@ -7,41 +7,63 @@
 """
 
 import contextlib
+import dataclasses
 import http.client
+import socket
 from collections import abc
 
 import urllib3
 from urllib3 import connection as urllib3_connection
 
 from trestlestall.daemon.http import listener
+from trestlestall.daemon.router import chunks
 
 CONNECT_SECONDS = 1.0
 # Between two reads; a stalled engine is found by the policy much earlier.
 READ_SECONDS = 120.0
+PART_BYTES = 65536
 
 FAULTS = (OSError, http.client.HTTPException, urllib3.exceptions.HTTPError)
 
-Connection = urllib3_connection.HTTPConnection
 
+@dataclasses.dataclass(frozen=True)
+class Link:
+    """An open connection and its socket, which the library may let go of earlier."""
 
-def connect(address: str) -> Connection | Exception:
+    connection: urllib3_connection.HTTPConnection
+    socket: socket.socket
+
+    def abort(self) -> None:
+        """Wake whoever reads from the connection and end it."""
+        with contextlib.suppress(OSError):
+            self.socket.shutdown(socket.SHUT_RDWR)
+
+    def close(self) -> None:
+        """Close the connection."""
+        self.connection.close()
+        self.socket.close()
+
+
+def connect(address: str) -> Link | Exception:
     """Return an open connection to ``IP:port``, or the error that prevented it.
 
     While this has not returned a connection, no byte of a request has been sent.
     """
     host, port = listener.split_address(address)
-    opened = Connection(host, port, timeout=CONNECT_SECONDS)
+    opened = urllib3_connection.HTTPConnection(host, port, timeout=CONNECT_SECONDS)
     try:
         opened.connect()
     except FAULTS as error:
         opened.close()
         return error
+    # The library sets the socket's timeout to this before it reads the response.
+    opened.timeout = READ_SECONDS
     opened.sock.settimeout(READ_SECONDS)
-    return opened
+    return Link(opened, opened.sock)
 
 
 def send(
-    opened: Connection,
+    link: Link,
     method: str,
     path: str,
     headers: abc.Mapping[str, str],
@@ -51,7 +73,7 @@
 
     Raises one of ``FAULTS``; the request's outcome is unknown then.
     """
-    opened.request(
+    link.connection.request(
         method,
         path,
         body=body or None,
@@ -59,14 +81,28 @@
         preload_content=False,
         decode_content=False,
     )
-    return opened.getresponse()
+    return link.connection.getresponse()
 
 
-def abort(opened: Connection) -> None:
-    """Wake whoever reads from the connection and end it."""
-    if opened.sock is not None:
-        with contextlib.suppress(OSError):
-            opened.sock.shutdown(2)
+def read_stream(link: Link, response: urllib3.BaseHTTPResponse) -> abc.Iterator[bytes]:
+    """Yield all that has arrived of the body, each time that something has.
+
+    Past the head, this reads the socket itself: the library would hand out one chunk a
+    call, and one chunk is one token. Raises one of ``FAULTS`` if the body breaks.
+    """
+    buffered = response._fp.fp
+    data = buffered.peek()
+    buffered.read(len(data))
+    decoder = chunks.Decoder()
+    while data:
+        part = decoder.feed(data) if response.chunked else data
+        if part:
+            yield part
+        if decoder.finished:
+            return
+        if decoder.failed:
+            raise urllib3.exceptions.ProtocolError("the chunked coding is broken")
+        data = link.socket.recv(PART_BYTES)
 
 
 def read_parts(response: urllib3.BaseHTTPResponse) -> abc.Iterator[bytes]:
@@ -74,7 +110,7 @@
     if response.chunked:
         yield from response.stream(decode_content=False)
         return
-    while part := response.read1(65536, decode_content=False):
+    while part := response.read1(PART_BYTES, decode_content=False):
         yield part
 
 
--- a/packages/daemon/src/trestlestall/daemon/router/exchanges.py
+++ b/packages/daemon/src/trestlestall/daemon/router/exchanges.py
@@ -123,6 +123,13 @@
             self.last = message
         return message
 
+    def read_piece(self) -> streams.Piece | None:
+        """Return the next piece if it is here already, else ``None``."""
+        waiting = self.mailbox.queue
+        if waiting and isinstance(waiting[0], Passed):
+            return self.mailbox.get_nowait().piece
+        return None
+
     @property
     def backlog(self) -> int:
         """How many messages the caller has not taken yet."""
--- a/packages/daemon/src/trestlestall/daemon/router/signals.py
+++ b/packages/daemon/src/trestlestall/daemon/router/signals.py
@@ -17,9 +17,12 @@
         self._pipe = pipe
 
     def wait(self) -> signal.Signals:
-        """Return the next signal once it has come."""
-        hubs.trampoline(self._pipe, read=True)
-        return signal.Signals(os.read(self._pipe, 1)[0])
+        """Return the next stop signal; other signals go through the pipe as well."""
+        while True:
+            hubs.trampoline(self._pipe, read=True)
+            number = os.read(self._pipe, 1)[0]
+            if number in STOP_SIGNALS:
+                return signal.Signals(number)
 
 
 @contextlib.contextmanager
--- a/packages/daemon/src/trestlestall/daemon/router/streams.py
+++ b/packages/daemon/src/trestlestall/daemon/router/streams.py
@@ -15,6 +15,10 @@
 import msgspec
 
 DONE = b"[DONE]"
+PREFIX = b"data: "
+PREFIX_LENGTH = len(PREFIX)
+END = b"\n\n"
+END_LENGTH = len(END)
 EVENT_LIMIT = 1024 * 1024
 EVENT_END = re.compile(rb"\r?\n\r?\n")
 DATA_FIELD = re.compile(rb"^data: ?(.*?)\r?$", re.MULTILINE)
@@ -24,7 +28,7 @@
 
 # A field whose value may be anything; ``Raw | None`` would take null alone.
 ABSENT = msgspec.Raw(b"")
-NO_ERROR = (b"", b"null")
+NULL = b"null"
 
 
 class Text(msgspec.Struct):
@@ -66,6 +70,9 @@
     tokens: int = 0
 
 
+NOTHING = Piece()
+
+
 class Reader:
     """Reads one stream.
 
@@ -83,60 +90,86 @@
 
     def feed(self, data: bytes) -> Piece:
         """Take the next bytes of the stream and return what may be passed on."""
-        buffered = self._rest + data if self._rest else data
-        passed, tokens, start = [], 0, 0
-        for end in EVENT_END.finditer(buffered):
-            event = buffered[start : end.end()]
-            start = end.end()
+        if not self._rest and is_plain_event(data):
+            return self._take_data(data, data[PREFIX_LENGTH:-END_LENGTH])
+        return self._feed_parts(self._rest + data)
+
+    def _feed_parts(self, buffered: bytes) -> Piece:
+        *events, self._rest = split_events(buffered)
+        passed, tokens = [], 0
+        for event in events:
             piece = self._take_event(event)
             if self.failure:
                 break
             passed.append(piece.data)
             tokens += piece.tokens
-        self._rest = buffered[start:]
         if len(self._rest) > EVENT_LIMIT:
             self.failure = "an event is longer than the limit"
         return Piece(b"".join(passed), tokens)
 
     def _take_event(self, event: bytes) -> Piece:
-        if self.finished:
-            return Piece()
+        if is_plain_event(event):
+            return self._take_data(event, event[PREFIX_LENGTH:-END_LENGTH])
         found = DATA_FIELD.search(event)
         if found is None:
             return Piece(event)  # a comment, which keeps the connection alive
-        if found[1] == DONE:
+        return self._take_data(event, found[1])
+
+    def _take_data(self, event: bytes, data: bytes) -> Piece:
+        if self.finished:
+            return NOTHING
+        if data == DONE:
             return self._finish(event)
         try:
-            chunk = CHUNK_DECODER.decode(found[1])
+            chunk = CHUNK_DECODER.decode(data)
         except msgspec.MsgspecError:
             self.failure = "an event is not a chunk of a completion"
-            return Piece()
+            return NOTHING
         return self._take_chunk(event, chunk)
 
     def _take_chunk(self, event: bytes, chunk: Chunk) -> Piece:
-        if bytes(chunk.error) not in NO_ERROR:
+        if chunk.error is not ABSENT and bytes(chunk.error) != NULL:
             self.failure = "the engine sent an error"
-            return Piece()
-        tokens = sum(1 for choice in chunk.choices if has_text(choice))
-        reasons = [choice.finish_reason for choice in chunk.choices]
-        if any(reason in FAILED_REASONS for reason in reasons):
-            self.failure = "the engine gave the answer up"
-            return Piece()
-        self._reason = next(filter(None, reasons), self._reason)
+            return NOTHING
+        tokens = 0
+        for choice in chunk.choices:
+            tokens += has_text(choice)
+            if choice.finish_reason in FAILED_REASONS:
+                self.failure = "the engine gave the answer up"
+                return NOTHING
+            self._reason = choice.finish_reason or self._reason
         if self._reason is None:
             return Piece(event, tokens)
         self._held += event
         self._held_tokens += tokens
-        return Piece()
+        return NOTHING
 
     def _finish(self, event: bytes) -> Piece:
         if self._reason is None:
             self.failure = "the stream ended without a finish reason"
-            return Piece()
+            return NOTHING
         self.finished = True
         return Piece(self._held + event, self._held_tokens)
 
 
+def split_events(data: bytes) -> list[bytes]:
+    """Return the whole events, each with its end, and last what is not whole yet."""
+    if b"\r" not in data:
+        *events, rest = data.split(END)
+        return [*(event + END for event in events), rest]
+    ends = [found.end() for found in EVENT_END.finditer(data)]
+    starts = [0, *ends]
+    return [data[start:end] for start, end in zip(starts, [*ends, None], strict=True)]
+
+
+def is_plain_event(data: bytes) -> bool:
+    """Return whether the bytes are one event of one field, as engines send each token.
+
+    Nothing else of a stream is met so often: this saves two regular expressions.
+    """
+    return data.startswith(PREFIX) and data.find(END[:1]) == len(data) - END_LENGTH
+
+
 def has_text(choice: Choice) -> bool:
     """Return whether the choice carries text of the answer."""
     return bool(choice.text or (choice.delta is not None and choice.delta.content))
