--- a/packages/placement/tests/test_faults.py
+++ b/packages/placement/tests/test_faults.py
@@ -155,6 +155,37 @@
         lives = [(life, fence) for life, fence, _ in world.engines["e1"].effects]
         self.assertEqual(lives, [(2, 2)])
 
+    def test_engine_never_comes_back(self):
+        """Its order and its task end; another engine gets the model."""
+        self.check_each(self.lose_engine)
+
+    def lose_engine(self, checks):
+        world = make_world(checks)
+        engine = world.engines["e1"]
+        engine.load_seconds = 1000.0
+        while not engine.effects:
+            world.run(world.now + 0.01)
+        engine.silent = True
+        world.add("e2", checks=checks)
+        world.run(world.now + 60.0)
+        self.assertEqual(world.engines["e2"].versions, {"m1": ""})
+        self.assertFalse(world.state.open)
+        self.assertFalse(world.state.tasks)
+
+    def test_slow_unload_is_not_taken_for_a_lost_one(self):
+        """An engine that took an order is given time to show it."""
+        self.check_each(self.unload_slowly)
+
+    def unload_slowly(self, checks):
+        world = make_world(checks)
+        engine = world.engines["e1"]
+        engine.unload_seconds = 2.5
+        world.run(20.0)
+        world.wanted.clear()
+        world.want("m2", 1)
+        world.run(60.0)
+        self.assertEqual(list_orders(engine), ["load m1", "unload m1", "load m2"])
+
     def test_store_refuses(self):
         """Failed loads are tried again after growing waits, and work in the end."""
         self.check_each(self.refuse_loads)
