Load and unload only models that an operator declared copies for

Cause: the planner wanted each bound model once and made room with models that nobody wants. Once control runs it, an operator who never asked for placement would see engines loaded and emptied.

Change: Desired names the managed models, those of `set copies`. Others are neither loaded nor unloaded, also not by a task or an order that is under way when the wish changes. Zero copies: never loaded, may make room. A bound model's last home is still never drained, managed or not.

--- a/packages/placement/src/trestlestall/placement/planner.py
+++ b/packages/placement/src/trestlestall/placement/planner.py
@@ -197,6 +197,8 @@
         """Return a deficit for each missing copy, the most urgent first."""
         found = []
         for wanted in self._desired.wanted.values():
+            if not self._desired.allows(model.Order(model.LOAD, wanted.model)):
+                continue
             copies = self._copies[wanted.model]
             needed = self._count_needed(wanted, self._rules.high)
             spare = SPARE_COPIES if wanted.bound else 0
@@ -275,8 +277,10 @@
 
     def _may_unload(self, engine: str, name: str) -> bool:
         """Return whether a copy is not wanted, or one more than needed and not new."""
+        if not self._desired.manages(name):
+            return False
         wanted = self._desired.wanted.get(name)
-        if wanted is None:
+        if wanted is None or not wanted.copies and not wanted.bound:
             return True
         since = self._observed.since.get((engine, name), self._now)
         if self._now - since < self._rules.hold:
--- a/packages/placement/src/trestlestall/placement/steward.py
+++ b/packages/placement/src/trestlestall/placement/steward.py
@@ -233,13 +233,17 @@
         """Return what an open order's next step depends on."""
         engine = self.watch.engines.get(held.engine)
         gates = self.watch.find_gates(engine)
-        return flights.Here(engine, gates, self._is_safe(held.engine, held.order))
+        allowed = self.desired.allows(held.order)
+        safe = allowed and self._is_safe(held.engine, held.order)
+        return flights.Here(engine, gates, safe)
 
     def _make_task_view(self, task: orders.Task) -> tasks.Here:
         drained = task.engine in self.desired.drained
         order = task.next_order
         safe = order is None or self._is_safe(task.engine, order)
-        wanted = order is None or not self._is_given_up(order)
+        wanted = order is None or (
+            self.desired.allows(order) and not self._is_given_up(order)
+        )
         return tasks.Here(self.watch.engines.get(task.engine), drained, safe, wanted)
 
     def _is_safe(self, engine: str, order: model.Order) -> bool:
