--- a/packages/daemon/src/trestlestall/daemon/control/machine.py
+++ b/packages/daemon/src/trestlestall/daemon/control/machine.py
@@ -2,8 +2,9 @@
 
 Every voter applies the same committed entries in the same order, so all of them hold
 equal machines. An entry is CBOR ``[kind, at, document]``; ``at`` is the wall clock of
-the leader that proposed it, in seconds since the epoch. Three kinds of entries exist:
-operators' submissions, routers' claims, and what operators ask of the voters.
+the leader that proposed it, in seconds since the epoch. Four kinds of entries exist:
+operators' submissions, routers' claims, what operators ask of the voters, and events of
+placement.
 
     payload = machine.encode_entry(machine.SUBMISSION, 12.5, document)
     state, outcome = machine.apply(state, payload)
@@ -17,11 +18,13 @@
 
 from trestlestall.claims import claims as claim_machine, documents as claim_documents
 from trestlestall.configuration import documents, state as states
+from trestlestall.placement import documents as order_documents, orders
 
 FORMAT = 1
 SUBMISSION = "submission"
 CLAIM = "claim"
 VOTERS = "voters"
+PLACEMENT = "placement"
 VOTER_ANSWERS = 1000
 
 Document = dict[str, typing.Any]
@@ -38,6 +41,7 @@
     configuration: states.State = states.EMPTY
     claims: claim_machine.Claims = claim_machine.EMPTY
     voter_changes: abc.Mapping[str, Document] = dataclasses.field(default_factory=dict)
+    placement: orders.Orders = orders.EMPTY
 
     @property
     def version(self) -> int:
@@ -111,23 +115,41 @@
     return dataclasses.replace(machine, voter_changes=newest), document
 
 
+@register(PLACEMENT)
+def apply_placement(
+    machine: Machine, at: float, document: Document
+) -> tuple[Machine, Document]:
+    """Apply an event of placement; one of an older term changes nothing."""
+    event = order_documents.decode_event(document)
+    after, outcome = orders.apply(machine.placement, event, at)
+    changed = dataclasses.replace(machine, placement=after)
+    return changed, order_documents.encode_outcome(outcome)
+
+
 def encode(machine: Machine) -> bytes:
-    """Return the machine as a snapshot's state."""
-    return cbor2.dumps(
-        {
-            "format": FORMAT,
-            "configuration": documents.encode_state(machine.configuration),
-            "claims": claim_documents.encode(machine.claims),
-            "voter_changes": dict(machine.voter_changes),
-        }
-    )
+    """Return the machine as a snapshot's state.
+
+    Where nothing was ever placed, the field is left out: such a snapshot is the same as
+    those of versions without placement, which can read it.
+    """
+    document = {
+        "format": FORMAT,
+        "configuration": documents.encode_state(machine.configuration),
+        "claims": claim_documents.encode(machine.claims),
+        "voter_changes": dict(machine.voter_changes),
+    }
+    if machine.placement != orders.EMPTY:
+        document[PLACEMENT] = order_documents.encode(machine.placement)
+    return cbor2.dumps(document)
 
 
 def decode(data: bytes) -> Machine:
     """Return the machine of a snapshot; raises ``InvalidDocument`` when it is none."""
     document = cbor2.loads(data)
+    placed = document.get(PLACEMENT)
     return Machine(
         documents.decode_state(document["configuration"]),
         claim_documents.decode(document["claims"]),
         document["voter_changes"],
+        orders.EMPTY if placed is None else order_documents.decode(placed),
     )
--- a/packages/daemon/src/trestlestall/daemon/control/server.py
+++ b/packages/daemon/src/trestlestall/daemon/control/server.py
@@ -18,6 +18,7 @@
     group,
     journal as journals,
     operations,
+    placing,
     reports,
     voter as voters,
 )
@@ -67,6 +68,7 @@
         self._pulled_at = float("-inf")
         self._redirected: dict[tuple[str, typing.Any], None] = {}
         self._dialled: abc.Mapping[str, Document] = {}
+        self.placing = placing.Placing(self, env.clock, log, wake)
         if journal.group is not None:
             self._start_voter(journal.group)
 
@@ -103,6 +105,7 @@
         """Note that a link opened or ended."""
         self.report.note_link(peer, linked)
         self.board.forget(peer)
+        self.placing.note_unlinked(peer)
         if linked:
             self._send_notice(peer)
         else:
@@ -157,6 +160,7 @@
             self._note_results(here, now)
             if not self._inbox:
                 break
+        self.placing.turn(self.voter, now)
         self._dial_added()
         self._push(now)
         self.report.note_state(self, now)
@@ -210,6 +214,7 @@
     def _note_results(self, here: calls.Here, now: float) -> None:
         results, self._results = self._results, []
         for token, result in results:
+            self.placing.note_result(token, result)
             self._inbox.extend(self._calls.note_result(token, result, here, now))
 
     def _note_action(self, action: actions.Action) -> None:
--- a/packages/daemon/src/trestlestall/daemon/placement/journal.py
+++ b/packages/daemon/src/trestlestall/daemon/placement/journal.py
@@ -55,6 +55,10 @@
         """Write that an order goes to its engine."""
         self._log.write(events.placement.ORDER_SENT, **name(held))
 
+    def take_state(self, state: orders.Orders) -> None:
+        """Take a state without writing: former leaders have written what is in it."""
+        self._state = state
+
     def note_state(self, state: orders.Orders) -> None:
         """Write the orders that were logged or have ended since the last state."""
         former, self._state = self._state, state
--- a/packages/daemon/src/trestlestall/daemon/placement/leader.py
+++ b/packages/daemon/src/trestlestall/daemon/placement/leader.py
@@ -83,7 +83,9 @@
         self, state: orders.Orders, configuration: configuration_model.Configuration
     ) -> None:
         """Take the agreed state and configuration after newly applied entries."""
-        if self._steward.term is not None:
+        if self._steward.term is None:
+            self._journal.take_state(state)
+        else:
             self._journal.note_state(state)
         if configuration is not self._configuration or state is not self._steward.state:
             self._configuration = configuration
--- a/packages/daemon/src/trestlestall/daemon/router/process.py
+++ b/packages/daemon/src/trestlestall/daemon/router/process.py
@@ -23,6 +23,7 @@
     dispatcher,
     doors,
     exchanges,
+    gatekeeping,
     journal,
     members,
     operators,
@@ -59,6 +60,7 @@
         self.stopping = False
         self._make_links()
         self._make_decisions()
+        self.gatekeeping = gatekeeping.Gatekeeping(self)
         kept = cache.load(settings.data_folder)
         if kept is not None:
             self.agreed.take_cached(kept.get("version", 0), kept)
--- /dev/null
+++ b/tests/test_placement_orders.py
@@ -0,0 +1,131 @@
+"""A real deployment orders loads: once each, also when its control leader is killed.
+
+Three control voters, two routers and engine stand-ins as processes of their own. The
+engines keep a list of every order that they took, which is what the verdicts rest on.
+"""
+
+import json
+import unittest
+
+from tests import helpers
+from trestlestall.standins import calls, deployment, processes
+
+KEY = "key-of-basu"
+COMMANDS = (
+    "declare class breakdown tier 0 target 30s idempotent",
+    f'declare workspace basu key "{KEY}"',
+    "bind workspace basu model m1 to breakdown",
+    # Bound and nowhere held, but without declared copies.
+    "bind workspace basu model m2 to breakdown",
+)
+WAIT_SECONDS = 90.0
+
+
+def plan_engine(name: str, models: tuple[str, ...], checks: str):
+    return deployment.EnginePlan(name, "a", models, (("checks_fencing", checks),))
+
+
+PLAN = deployment.Plan(
+    data_centres=("a",),
+    controls=3,
+    routers_per_data_centre=2,
+    engines=(
+        plan_engine("holder", ("m1",), "yes"),
+        plan_engine("checks", ("m8",), "yes"),
+        plan_engine("ignores", ("m8",), "no"),
+        plan_engine("full", ("m8", "m9"), "yes"),
+    ),
+)
+
+
+class PlacementOrdersTest(unittest.TestCase):
+    def setUp(self):
+        self.running = self.enterContext(helpers.start(PLAN))
+        self.engines = {one.name: one for one in self.running.engines}
+        self.running.operate(*COMMANDS)
+
+    def wait_until(self, condition, what: str) -> None:
+        processes.wait_until(condition, what, WAIT_SECONDS)
+
+    def read_state(self, name: str) -> dict:
+        return calls.call("GET", self.engines[name].address, "/v1/state").document
+
+    def read_orders(self, name: str) -> list[str]:
+        """Return every order that the engine took, as ``kind model``."""
+        taken = self.read_state(name)["orders"]
+        return [f"{one['kind']} {one['model']}" for one in taken]
+
+    def read_events(self, control: deployment.Daemon) -> list[dict]:
+        """Return the placement lines of a control, all its processes in one file."""
+        lines = control.process.read_log().splitlines()
+        read = [json.loads(line) for line in lines if line.startswith("{")]
+        return [one for one in read if one["event"].startswith("TS6")]
+
+    def count_events(self, name: str, **fields) -> int:
+        """Return how many lines of the event all controls have logged together."""
+        return sum(
+            one["name"] == name and fields.items() <= one.items()
+            for control in self.running.controls
+            for one in self.read_events(control)
+        )
+
+    def find_sender(self, engine: str) -> deployment.Daemon | None:
+        """Return the control process that has sent an order to the engine."""
+        for control in self.running.controls:
+            for one in self.read_events(control):
+                if one["name"] == "order_sent" and one["upstream"] == engine:
+                    return control
+        return None
+
+    def serves(self, engine: str) -> bool:
+        """Return whether all routers see the model at the engine."""
+        text = f'show upstreams where name = "{engine}"'
+        answers = [self.running.query(text, one) for one in self.running.routers]
+        rows = [one.document["rows"] for one in answers]
+        return all(found and "m1" in found[0]["models"] for found in rows)
+
+    def check_orders(self) -> None:
+        """Each engine that lacked the model took one load; nothing else was touched."""
+        for name in ("checks", "ignores"):
+            with self.subTest(name):
+                self.assertEqual(self.read_orders(name), ["load m1"])
+                self.assertEqual(sorted(self.read_state(name)["models"]), ["m1", "m8"])
+                answer = calls.ask(self.engines[name].address, "m1", "hello")
+                self.assertEqual(answer.status, 200)
+        for name in ("holder", "full"):
+            with self.subTest(name):
+                self.assertEqual(self.read_orders(name), [])
+
+    def test_declared_copies_are_loaded_once_and_nothing_else(self):
+        self.running.operate("set copies of model m1 to 3")
+        for name in ("checks", "ignores"):
+            self.wait_until(lambda n=name: self.serves(n), f"{name} serves m1")
+        self.wait_until(lambda: self.count_events("order_done") == 2, "both are done")
+        self.check_orders()
+        for name in ("placement_decided", "order_logged", "order_sent", "order_done"):
+            with self.subTest(name):
+                self.assertEqual(self.count_events(name), 2)
+        fences = [self.read_state(name)["fence"] for name in ("checks", "ignores")]
+        self.assertEqual(sorted(fences), [1, 2])
+
+    def test_a_killed_leaders_order_is_settled_by_its_successor(self):
+        """The leader is killed after sending each order, before it has learned more."""
+        self.running.operate("set copies of model m1 to 3")
+        for name in ("checks", "ignores"):
+            self.wait_until(lambda n=name: self.find_sender(n), f"an order to {name}")
+            former = self.find_sender(name)
+            former.process.kill()
+            with self.subTest(name):
+                self.assertEqual(self.count_events("order_done", upstream=name), 0)
+            self.wait_until(
+                lambda n=name: self.count_events("order_done", upstream=n) == 1,
+                f"the successor has settled the order to {name}",
+            )
+            self.running.restart(former)
+        for name in ("checks", "ignores"):
+            self.wait_until(lambda n=name: self.serves(n), f"{name} serves m1")
+        self.check_orders()
+
+
+if __name__ == "__main__":
+    unittest.main()
