Give nothing new to an engine that takes requests and ends them at once

Cause: an engine that accepts a connection and closes it without a response, or answers 503 to everything, always looks the least loaded. It drew nearly all requests, the retry budget ran out, and callers of idempotent work got 502.

Ruled out: the pause after a refused connection, which the policy keeps (no connection is refused here); the straggler watch, which judges streams that began.

Change: such an attempt of idempotent work makes the upstream suspect until its next renewal, as a refused connection does. An engine's own response other than 503 does not: a caller's odd request must not take engines away from the others. Nor does work that may run once: with its only upstream suspect, a resend would be told no_upstream, not_run, where it has to learn that the outcome is unknown (tried first; an existing test of claims failed by it, and was right).

Not mended: a burst of 40 callers at each renewal still spends the retry budget; the policy should probe such an engine with one request, as it does stragglers.

--- a/packages/daemon/src/trestlestall/daemon/router/attempts.py
+++ b/packages/daemon/src/trestlestall/daemon/router/attempts.py
@@ -12,6 +12,8 @@
 ANSWER_LIMIT = 16 * 1024 * 1024
 STREAM_TYPE = "text/event-stream"
 JSON_TYPE = "application/json"
+# Says that the engine takes no work now, whatever the work.
+BUSY_STATUS = 503
 # What an engine says about the caller's own body; any other error is the engine's.
 PASSED_STATUSES = frozenset({400, 422})
 PASSED_HEADERS = ("Content-Encoding", "Location", "ETag", "Last-Modified")
@@ -59,7 +61,9 @@
     """One sending of a call to an upstream, run in a greenlet of its own.
 
     ``tokens`` counts what the upstream has sent so far, without those that an earlier
-    attempt had already brought (``resumed_tokens``).
+    attempt had already brought (``resumed_tokens``). ``answered`` tells that the
+    upstream gave this call a response, be it an error, and not just a refusal of all
+    work: one that doesn't is at fault itself.
     """
 
     def __init__(
@@ -79,6 +83,7 @@
         self.resumed_tokens = 0
         self.cancelled = False
         self.sent = False
+        self.answered = False
         self._connection: connections.Connection | None = None
 
     def run(self, sink: Sink) -> None:
@@ -124,6 +129,7 @@
             self._make_headers(),
             self._make_body(),
         )
+        self.answered = response.status != BUSY_STATUS
         if self.call.is_service:
             return self._read_service(response)
         if response.status != 200 and "resume" in self.extra:
--- a/packages/daemon/src/trestlestall/daemon/router/dispatcher.py
+++ b/packages/daemon/src/trestlestall/daemon/router/dispatcher.py
@@ -117,9 +117,11 @@
         """Tell the policy how an attempt ended, and pass a whole answer on."""
         self.attempts.pop(attempt.identity, None)
         self._write_end(attempt, ending, reason)
-        if ending is attempts.Ending.NOT_SENT and attempt.upstream is not None:
-            self.on_refused_connection(attempt.upstream)
         exchange = self.exchanges.get(attempt.request)
+        if attempt.upstream is not None and is_upstreams_fault(
+            attempt, ending, exchange
+        ):
+            self.on_refused_connection(attempt.upstream)
         now = self.clock.monotonic()
         total = attempt.resumed_tokens + attempt.tokens
         actions = self.policy.finish(attempt.identity, OUTCOMES[ending], total, now)
@@ -223,3 +225,21 @@
         unsent = not exchange.maybe_ran and not self._has_attempts(exchange.request)
         if exchange.claimed and unsent:
             self.desk.release(exchange.request)
+
+
+def is_upstreams_fault(
+    attempt: attempts.Attempt,
+    ending: attempts.Ending,
+    exchange: exchanges.Exchange | None,
+) -> bool:
+    """Return whether the upstream is to get nothing new until its next renewal.
+
+    One that takes requests and ends them at once always looks the least loaded, and
+    would draw nearly all of them. Work that may run once does not count: its caller's
+    resend has to learn that the outcome is unknown, not that there is no upstream.
+    """
+    if ending is attempts.Ending.NOT_SENT:
+        return True
+    if ending is not attempts.Ending.BROKEN or attempt.answered:
+        return False
+    return exchange is not None and exchange.request_class.idempotent
