--- a/tests/relays.py
+++ b/tests/relays.py
@@ -1,13 +1,8 @@
 """TCP relays between real processes, so that a test can cut, freeze and heal links.
 
 ``start_network`` starts a plan's processes with a relay on each peer link: a process
-that dials another one dials the relay between the two. Upstreams that ``add_service``
-and ``add_engine`` start are announced under the address of a relay of their own.
-
-    with relays.start_network(plan, commands) as network:
-        network.cut_data_centre("c")          # connections to c end and are refused
-        network.freeze_data_centre("c")       # or: bytes are held, nothing is refused
-        network.heal()
+that dials another one dials the relay between the two. Upstreams are announced, by this
+process, under the address of a relay of their own.
 """
 
 import contextlib
@@ -21,24 +16,15 @@
 import typing
 from collections import abc
 
-from trestlestall.standins import (
-    addresses,
-    announcing,
-    calls,
-    deployment,
-    processes,
-)
+from trestlestall.standins import addresses, announcing, calls, deployment, processes
 
 CHUNK = 65536
+ANY_PORT = addresses.Address(addresses.LOOPBACK, 0)
 NO_CAPABILITIES = dict.fromkeys(announcing.CAPABILITIES, False)
 ENGINE_CAPABILITIES = {**NO_CAPABILITIES, "cancel": True, "resume": True}
-NO_LOAD = {
-    "at": 0.0,
-    "running": 0,
-    "waiting": 0,
-    "tokens_per_second": 0.0,
-    "kv_used": 0.0,
-}
+Plan: typing.TypeAlias = deployment.EnginePlan | deployment.ServicePlan
+LOADS = ("at", "running", "waiting", "tokens_per_second", "kv_used")
+NO_LOAD = dict.fromkeys(LOADS, 0)
 
 
 class Relay:
@@ -144,7 +130,7 @@
 class Upstream:
     """A stand-in behind a relay, announced by this process."""
 
-    plan: deployment.EnginePlan | deployment.ServicePlan
+    plan: Plan
     standin: deployment.Standin
     relay: Relay
     announcer: announcing.Announcer
@@ -217,19 +203,19 @@
     def read_events(self, name: str) -> list[dict]:
         """Return the lines of a daemon's log."""
         lines = self.find(name).process.read_log().splitlines()
-        return [json.loads(line) for line in lines if line.startswith("{")]
+        return [json.loads(line) for line in lines if line[:1] + line[-1:] == "{}"]
 
     def find_leader(self, *names: str) -> str:
         """Wait until one of the control processes names a leader, and return it."""
         asked = names or [each.name for each in self.controls]
-        found = []
+        found: list[str | None] = []
 
         def ask() -> bool:
-            found.extend(filter(None, (self.read_leader(name) for name in asked)))
+            found[:] = filter(None, map(self.read_leader, asked))
             return bool(found)
 
         processes.wait_until(ask, "a leader is known")
-        return found[0]
+        return str(found[0])
 
     def read_leader(self, name: str) -> str | None:
         """Return whom a control process takes for the leader."""
@@ -268,20 +254,39 @@
 
     # Upstreams.
 
-    def add(self, plan: deployment.EnginePlan | deployment.ServicePlan) -> Upstream:
+    def add(self, plan: Plan) -> Upstream:
         """Start a stand-in, announce it under its relay's address, and return it."""
         standin = start_standin(self.deployment, plan)
         self.data_centres[plan.name] = plan.data_centre
         relay = Relay(standin.address)
-        upstream = Upstream(plan, standin, relay, self._announce(plan, relay))
+        announcer = self.announce(plan, relay, self.routers)
+        upstream = Upstream(plan, standin, relay, announcer)
         self.upstreams[plan.name] = upstream
         return upstream
 
-    def _announce(
+    def restart(self, upstream: Upstream) -> Upstream:
+        """Start an ended stand-in again under its address, as a new incarnation.
+
+        The former incarnation's announcer goes on as if it didn't know.
+        """
+        plan, relay = upstream.plan, upstream.relay
+        standin = start_standin(self.deployment, plan, upstream.standin.address)
+        where = standin.address
+        processes.wait_until(
+            lambda: calls.call("GET", where, "/v1/counts").status == 200,
+            f"{plan.name} listens again",
+        )
+        announcer = self.announce(plan, relay, self.routers)
+        self.upstreams[plan.name] = Upstream(plan, standin, relay, announcer)
+        return self.upstreams[plan.name]
+
+    def announce(
         self,
-        plan: deployment.EnginePlan | deployment.ServicePlan,
+        plan: Plan,
         relay: Relay,
+        routers: abc.Iterable[deployment.Daemon],
     ) -> announcing.Announcer:
+        """Announce a stand-in as a new incarnation to one of the routers."""
         is_engine = isinstance(plan, deployment.EnginePlan)
         identity = announcing.Upstream(
             name=plan.name,
@@ -294,9 +299,7 @@
         )
         models = list(plan.models) if is_engine else [plan.service]
         hosts = tuple(
-            each.upstreams
-            for each in self.routers
-            if each.data_centre == plan.data_centre
+            each.upstreams for each in routers if each.data_centre == plan.data_centre
         )
         announcer = announcing.Announcer(
             identity,
@@ -319,10 +322,12 @@
 
 def start_standin(
     started: deployment.Deployment,
-    plan: deployment.EnginePlan | deployment.ServicePlan,
+    plan: Plan,
+    listen: addresses.Address = ANY_PORT,
 ) -> deployment.Standin:
     """Start a stand-in that announces itself to nobody."""
     options = {"name": plan.name, "data_centre": plan.data_centre}
+    options["listen"] = str(listen)
     if isinstance(plan, deployment.EnginePlan):
         module = deployment.ENGINE
         options |= {"models": ",".join(plan.models), **dict(plan.options)}
--- a/tests/test_promise_answers.py
+++ b/tests/test_promise_answers.py
@@ -5,7 +5,7 @@
 import unittest
 
 from tests import relays, test_promise_once as once
-from trestlestall.standins import calls, deployment, prompts
+from trestlestall.standins import calls, deployment, processes, prompts
 
 # Longer than a connection to an upstream may take to open.
 SILENCE_SECONDS = 1.3
@@ -29,7 +29,9 @@
     return prompts.write_answer(prompt, 0, tokens)
 
 
-class AnswersTest(unittest.TestCase):
+class AnswersCase(unittest.TestCase):
+    """What the tests of answers share: one data centre, and many callers."""
+
     @classmethod
     def setUpClass(cls):
         started = relays.start_network(make_plan(), once.COMMANDS)
@@ -42,6 +44,21 @@
         for upstream in self.network.upstreams.values():
             upstream.set_fault(kind="none")
 
+    def ask_all(self, count: int) -> None:
+        """Ask at the same time for many answers; each caller gets its own, whole."""
+        texts = [f"question {number} [length {10 + number}]" for number in range(count)]
+        asked = [
+            self.pool.submit(calls.ask, self.callers, "m1", text, once.KEY)
+            for text in texts
+        ]
+        for number, (text, answer) in enumerate(zip(texts, asked, strict=True)):
+            found = answer.result()
+            self.assertEqual(
+                (found.status, found.text), (200, expect(text, 10 + number))
+            )
+
+
+class AnswersTest(AnswersCase):
     def test_an_answer_that_is_long_in_coming_is_passed_on(self):
         path = "/v1/services/slots/book"
         asks = {
@@ -60,3 +77,92 @@
                 time.sleep(SILENCE_SECONDS)
                 self.network.heal()
                 self.assertEqual(waiting.result().status, 200, waiting.result())
+
+    def stream(self, text: str, model: str = "m1", **headers: str):
+        """Start a stream, and return its future answer and the parts so far."""
+        parts: list[str] = []
+        body = calls.make_chat(model, text)
+        answer = self.pool.submit(
+            calls.stream, self.callers, body, once.KEY, parts.append, **headers
+        )
+        return answer, parts
+
+    def find_engine(self, text: str, model: str = "m1") -> relays.Upstream:
+        """Wait until an engine runs the text, and return it."""
+        identity = prompts.make_prompt(model, f"user: {text}").identity
+        found: list[relays.Upstream] = []
+
+        def ask() -> bool:
+            for name in ("engine-a", "engine-b"):
+                upstream = self.network.upstreams[name]
+                if identity in upstream.count()["prompts"]:
+                    found.append(upstream)
+            return bool(found)
+
+        processes.wait_until(ask, f"an engine runs {text}")
+        return found[0]
+
+    def test_a_late_answer_of_a_silent_engine_reaches_nobody(self):
+        """Its bytes are held midway, another goes on, and then they come after all."""
+        streams = []
+        for number in range(8):
+            text = f"story {number} [length 400]"
+            answer, parts = self.stream(text)
+            streams.append((text, answer, parts))
+        processes.wait_until(
+            lambda: all(parts for _, _, parts in streams), "all have begun"
+        )
+        held = self.network.upstreams["engine-a"]
+        held.relay.back.clear()
+        self.ask_all(12)
+        held.relay.thaw()
+        self.ask_all(12)
+        for text, answer, _ in streams:
+            found = answer.result()
+            self.assertEqual((found.text, found.whole), (expect(text, 400), True))
+
+    def test_crashes_in_the_middle_of_many_streams(self):
+        """One engine cuts stream after stream; each goes on exactly where it ended."""
+        engine = self.network.upstreams["engine-a"]
+        texts = [f"page {number} [length 60]" for number in range(8)]
+        for text in texts:
+            engine.set_fault(kind="crash_mid_stream", after_tokens=20, how="cut")
+            answer, _ = self.stream(text)
+            other, _ = self.stream(f"other {text}")
+            for asked, future in ((text, answer), (f"other {text}", other)):
+                found = future.result()
+                self.assertEqual((found.text, found.whole), (expect(asked, 60), True))
+
+    def test_a_part_of_work_that_may_run_once_is_never_passed_off_as_whole(self):
+        text = "alert [length 60]"
+        for name in ("engine-a", "engine-b"):
+            self.network.upstreams[name].set_fault(
+                kind="crash_mid_stream", after_tokens=20, how="cut"
+            )
+        answer, _ = self.stream(text, "m2", idempotency_key="part")
+        found = answer.result()
+        self.assertEqual((found.whole, found.run), (False, "outcome_unknown"))
+        self.assertTrue(expect(text, 60, "m2").startswith(found.text))
+        again = self.stream(text, "m2", idempotency_key="part")[0].result()
+        self.assertEqual((again.status, again.run), (409, "outcome_unknown"))
+        self.assertEqual(self.count_runs(text, "m2"), 1)
+
+    def count_runs(self, text: str, model: str) -> int:
+        identity = prompts.make_prompt(model, f"user: {text}").identity
+        counts = [
+            self.network.upstreams[name].count()["prompts"].get(identity, 0)
+            for name in ("engine-a", "engine-b")
+        ]
+        return sum(counts)
+
+
+class FastFailureTest(AnswersCase):
+    """An engine that fails at once looks idle, and must not draw the work."""
+
+    def test_every_request_is_answered_by_the_other(self):
+        for kind in ("drop", "refuse"):
+            with self.subTest(kind):
+                self.network.upstreams["engine-a"].set_fault(kind=kind)
+                for _ in range(15):
+                    self.ask_all(8)
+                self.network.upstreams["engine-a"].set_fault(kind="none")
--- /dev/null
+++ b/tests/test_promise_cuts.py
@@ -0,0 +1,197 @@
+"""A data centre that is cut off serves on, and no configuration ever goes back."""
+
+import signal
+import threading
+import time
+import unittest
+
+from tests import relays, test_promise_once as once
+from trestlestall.standins import calls, processes
+
+CONTROL_CODE = "control_unavailable"
+VERSION_METRIC = "trestlestall_configuration_version "
+SAMPLE_SECONDS = 0.05
+# Beyond the three seconds after which a starting router asks its neighbours.
+PATIENCE_SECONDS = 4.5
+
+
+class Sampler:
+    """Notes each router's version as callers meet it, all the time.
+
+    A router counts while it is ready; a restarted one is held to what it had before.
+    """
+
+    def __init__(self, network: relays.Network):
+        self._network = network
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self.newest: dict[str, int] = {}
+        self.setbacks: list[tuple[str, int, int]] = []
+
+    def __enter__(self) -> "Sampler":
+        self._thread.start()
+        return self
+
+    def __exit__(self, *error: object) -> None:
+        self._stopped.set()
+        self._thread.join()
+
+    def _run(self) -> None:
+        while not self._stopped.wait(SAMPLE_SECONDS):
+            for router in list(self._network.routers):
+                self._note(router.name)
+
+    def _note(self, name: str) -> None:
+        status = self._network.read_status(name)
+        if not status.get("ready"):
+            return
+        former = self.newest.get(name, 0)
+        if status["version"] < former:
+            self.setbacks.append((name, former, status["version"]))
+        self.newest[name] = max(former, status["version"])
+
+
+class CutTest(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        started = relays.start_network(once.make_plan(routers=2), once.COMMANDS)
+        cls.network = cls.enterClassContext(started)
+
+    def setUp(self):
+        for router in self.network.routers:
+            processes.wait_until(
+                lambda n=router.name: not self.is_cut_off(n), f"{router.name} is whole"
+            )
+        self.addCleanup(self.mend)
+        self.sampler = self.enterContext(Sampler(self.network))
+
+    def mend(self) -> None:
+        once.mend(self.network)
+
+    def ask(self, router: str, model: str = "m1") -> calls.Answer:
+        """Ask for idempotent work."""
+        where = self.network.find(router).callers
+        return calls.ask(where, model, f"to {router} [length 3]", once.KEY)
+
+    def is_cut_off(self, router: str) -> bool:
+        return self.network.read_status(router)["cut_off"]
+
+    def is_ready(self, router: str) -> bool:
+        where = self.network.find(router).platform
+        return calls.call("GET", where, "/readyz").status == 200
+
+    def wait_until_cut_off(self, *routers: str) -> None:
+        for router in routers:
+            processes.wait_until(
+                lambda r=router: self.is_cut_off(r), f"{router} is cut off"
+            )
+
+    def restart(self, router: str) -> None:
+        """Kill a router that has no disk, and start it again."""
+        daemon = self.network.find(router)
+        daemon.process.kill()
+        self.network.deployment.restart(daemon)
+
+    def operate_at(self, data_centre: str, text: str) -> None:
+        """Have a command accepted through a router of the data centre."""
+        daemon = self.network.find(f"router-{data_centre}1")
+        processes.wait_until(
+            lambda: self.network.deployment.query(text, daemon).status == 200, text
+        )
+        self.network.version += 1
+
+    def test_it_serves_on_tells_its_age_and_catches_up(self):
+        """Then its routers restart: with nobody to ask, they wait for the heal."""
+        before = self.network.version
+        self.network.cut_data_centre("c")
+        self.operate_at("a", "declare class newer tier 5 target 9s idempotent")
+        self.wait_until_cut_off("router-c1", "router-c2")
+        for router in ("router-c1", "router-c2"):
+            self.assertEqual(self.ask(router).status, 200)
+            self.check_age(router, before)
+        text = "declare class lost tier 5 target 9s idempotent"
+        answer = self.network.deployment.query(text, self.network.find("router-c1"))
+        self.assertEqual((answer.status, answer.error_code), (503, CONTROL_CODE))
+        self.assertFalse(self.is_cut_off("router-a1"))
+        self.check_unready("router-c1", "router-c2")
+        self.network.heal()
+        self.network.wait_until_in_force()
+        processes.wait_until(lambda: not self.is_cut_off("router-c1"), "it is back")
+        self.assertEqual(self.ask("router-c1").status, 200)
+        self.assertEqual(self.sampler.setbacks, [])
+
+    def check_age(self, router: str, version: int) -> None:
+        """The router says which version it has, and that its age grows."""
+        status = self.network.read_status(router)
+        self.assertEqual((status["version"], status["ready"]), (version, True))
+        later = self.network.read_status(router)
+        self.assertGreater(later["version_age_seconds"], status["version_age_seconds"])
+        self.assertEqual(self.read_metric(router), version)
+
+    def check_unready(self, *routers: str) -> None:
+        """Killed and restarted without a disk, the routers serve nothing."""
+        for router in routers:
+            self.network.find(router).process.kill()
+        for router in routers:
+            self.network.deployment.restart(self.network.find(router))
+        give_up = time.monotonic() + PATIENCE_SECONDS
+        while time.monotonic() < give_up:
+            for router in routers:
+                self.assertFalse(self.is_ready(router))
+        refused = self.ask(routers[0])
+        self.assertEqual((refused.error_code, refused.run), ("not_ready", "not_run"))
+
+    def read_metric(self, router: str) -> int:
+        """Return the version that a router's metrics tell."""
+        where = self.network.find(router).platform
+        text = calls.call("GET", where, "/metrics").data.decode()
+        lines = [line for line in text.splitlines() if line.startswith(VERSION_METRIC)]
+        return int(float(lines[0].split()[-1]))
+
+    def test_a_router_restarted_meanwhile_takes_the_newest_of_its_neighbours(self):
+        """Its own control voter, which it can reach, missed the newest version."""
+        network = self.network
+        for link in network.find_links(
+            lambda a, b: "control-3" in (a, b) and a.startswith("control")
+        ):
+            link.freeze()
+        self.operate_at("a", "declare class newest tier 5 target 9s idempotent")
+        network.wait_until_in_force()
+        network.freeze_data_centre("c")
+        self.wait_until_cut_off("router-c2")
+        self.restart("router-c1")
+        processes.wait_until(lambda: self.is_ready("router-c1"), "it is ready")
+        status = network.read_status("router-c1")
+        self.assertIn("control-3", status["links"])
+        self.assertEqual(status["version"], network.version)
+        self.assertTrue(status["cut_off"])
+        processes.wait_until(
+            lambda: self.ask("router-c1").status == 200, "it serves idempotent work"
+        )
+        self.assertEqual(self.sampler.setbacks, [])
+
+    def test_a_leader_that_thaws_brings_nothing_old(self):
+        network = self.network
+        leader = network.find(network.find_leader())
+        leader.process.send_signal(signal.SIGSTOP)
+        left = [each.name for each in network.controls if each is not leader]
+        processes.wait_until(
+            lambda: any(network.read_leader(name) in left for name in left),
+            "another one leads",
+        )
+        self.operate_at("a", "unbind workspace basu model m1")
+        network.wait_until_in_force()
+        leader.process.send_signal(signal.SIGCONT)
+        answer = network.deployment.query("show bindings", leader)
+        if answer.status == 200:
+            found = {row["target"] for row in answer.document["rows"]}
+            self.assertNotIn("m1", found)
+        else:
+            self.assertIn(answer.status, (502, 503))
+        for router in network.routers:
+            self.assertEqual(self.ask(router.name).status, 404)
+        self.operate_at("b", "bind workspace basu model m1 to urgent")
+        network.wait_until_in_force()
+        for router in network.routers:
+            self.assertEqual(self.ask(router.name).status, 200)
+        self.assertEqual(self.sampler.setbacks, [])
--- /dev/null
+++ b/tests/test_promise_doors.py
@@ -0,0 +1,115 @@
+"""Each credential opens its own door and no other, at routers and control alike.
+
+Run as a program, this module tries to link to a process as a peer would, and prints
+whether it was let in: ``python -m tests.test_promise_doors ADDRESS NAME ROLE SECRET``.
+"""
+
+import sys
+import time
+import unittest
+
+from tests import relays, test_promise_once as once
+from trestlestall.standins import addresses, calls, deployment, processes
+
+PROGRAM = "tests.test_promise_doors"
+LINKED, REFUSED = "linked", "refused"
+# Between two routers, the lower name dials.
+STRANGER = "a-stranger"
+POLL_SECONDS = 0.02
+# What each door of a process is opened with, and a call that its owner may make.
+DOORS = {
+    "callers": ("GET", "/v1/models", None),
+    "upstreams": ("POST", "/v1/upstreams/leave", {"name": "none", "incarnation": 1}),
+    "operators": ("GET", "/v1/status", None),
+}
+
+
+class DoorsTest(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        plan = deployment.Plan(data_centres=("a",))
+        started = relays.start_network(plan, once.COMMANDS)
+        cls.network = cls.enterClassContext(started)
+        known = cls.network.deployment.secrets
+        cls.keys = {
+            "callers": once.KEY,
+            "upstreams": known.upstreams,
+            "operators": known.operator,
+            "peers": known.peers,
+            "nobody": "",
+            "anybody": "a-guess",
+        }
+
+    def test_each_door_of_each_process_over_http(self):
+        daemons = self.network.routers + self.network.controls
+        for daemon in daemons:
+            for door in DOORS.keys() & daemon.listen.keys():
+                for owner, key in self.keys.items():
+                    with self.subTest(process=daemon.name, door=door, owner=owner):
+                        self.check_door(daemon.listen[door], door, owner, key)
+
+    def check_door(
+        self, where: addresses.Address, door: str, owner: str, key: str
+    ) -> None:
+        method, path, body = DOORS[door]
+        answer = calls.call(method, where, path, body, key)
+        if owner == door:
+            self.assertEqual(answer.status, 200)
+            return
+        code = "credential_unknown" if key else "credential_missing"
+        found = (answer.status, answer.error_code, answer.run)
+        self.assertEqual(found, (401, code, "not_run"))
+
+    def test_a_command_by_another_credential_changes_nothing(self):
+        body = {"text": "drain upstream u1", "request_id": "stranger"}
+        for daemon in self.network.routers + self.network.controls:
+            for owner, key in self.keys.items():
+                if owner == "operators":
+                    continue
+                with self.subTest(process=daemon.name, owner=owner):
+                    answer = calls.call(
+                        "POST", daemon.operators, "/v1/operator", body, key
+                    )
+                    self.assertEqual(answer.status, 401)
+        history = self.network.deployment.query("history 20").document["rows"]
+        known = {row["request_id"] for row in history}
+        self.assertNotIn("stranger", known)
+
+    def test_the_peers_door(self):
+        for daemon in self.network.routers + self.network.controls:
+            for owner, key in self.keys.items():
+                with self.subTest(process=daemon.name, owner=owner):
+                    expected = LINKED if owner == "peers" else REFUSED
+                    self.assertEqual(self.dial(daemon, key), expected)
+
+    def dial(self, daemon: deployment.Daemon, key: str) -> str:
+        """Have a program dial the process as a peer, and return what became of it."""
+        arguments = [str(daemon.listen["peers"]), daemon.name, daemon.role, key]
+        found = processes.run(PROGRAM, arguments, self.network.deployment.folder)
+        self.assertEqual(found.returncode, 0, found.stderr)
+        return found.stdout.strip()
+
+
+def dial_as_peer(address: str, name: str, role: str, key: str) -> str:
+    """Dial a process, as a router, until it has let this one in or refused it."""
+    from trestlestall.daemon import patching  # noqa: F401
+    from trestlestall.wire import links
+
+    mesh = links.Mesh(
+        STRANGER,
+        "router",
+        "a",
+        key,
+        "127.0.0.1:0",
+        [links.Peer(name, role, "a", address)],
+        lambda sender, message: None,
+        lambda who, linked: None,
+    )
+    mesh.start()
+    while not mesh.linked() and not mesh.refused:
+        time.sleep(POLL_SECONDS)
+    return LINKED if mesh.linked() else REFUSED
+
+
+if __name__ == "__main__":
+    print(dial_as_peer(*sys.argv[1:]))
--- a/tests/test_promise_once.py
+++ b/tests/test_promise_once.py
@@ -105,6 +105,16 @@
     return run
 
 
+def mend(network: relays.Network) -> None:
+    """Make a network whole again, whatever a test has left."""
+    network.heal()
+    for daemon in network.controls + network.routers:
+        daemon.process.send_signal(signal.SIGCONT)
+        if not daemon.process.running:
+            network.deployment.restart(daemon)
+    network.wait_until_in_force()
+
+
 class OnceTest(unittest.TestCase):
     """Each test leaves the network whole."""
 
@@ -116,13 +126,7 @@
         cls.pool = cls.enterClassContext(concurrent.futures.ThreadPoolExecutor(32))
 
     def mend(self) -> None:
-        """Make the network whole again, whatever the check has left."""
-        self.network.heal()
-        for daemon in self.network.controls + self.network.routers:
-            daemon.process.send_signal(signal.SIGCONT)
-            if not daemon.process.running:
-                self.network.deployment.restart(daemon)
-        self.network.wait_until_in_force()
+        mend(self.network)
 
     def ask_until_settled(self, work: Work, key: str, data_centre: str) -> calls.Answer:
         """Resend until control says what is known of the key; refusals are true."""
--- /dev/null
+++ b/tests/test_promise_stops.py
@@ -0,0 +1,209 @@
+"""A planned stop of any process cuts off nothing; upstreams come and go likewise."""
+
+import concurrent.futures
+import dataclasses
+import signal
+import unittest
+
+from tests import relays, test_promise_once as once
+from trestlestall.standins import calls, deployment, processes, prompts
+
+MODEL_OF = {"idempotent": "m1", "at most once": "m2"}
+LONG = 500
+STREAMS = 6
+
+
+def make_plan() -> deployment.Plan:
+    """Return one data centre with three voters, two routers and two engines."""
+    return deployment.Plan(
+        data_centres=("a",),
+        controls=3,
+        routers_per_data_centre=2,
+        engines=tuple(
+            deployment.EnginePlan(
+                f"engine-{each}", "a", ("m1", "m2"), once.ENGINE_OPTIONS
+            )
+            for each in ("a", "b")
+        ),
+    )
+
+
+@dataclasses.dataclass(frozen=True)
+class Stream:
+    """A stream under way, and the only answer that is right."""
+
+    expected: str
+    answer: concurrent.futures.Future
+
+
+class StopsCase(unittest.TestCase):
+    """What the tests of stops share: streams under way through both routers."""
+
+    def setUp(self):
+        started = relays.start_network(make_plan(), once.COMMANDS)
+        self.network = self.enterContext(started)
+        self.pool = self.enterContext(concurrent.futures.ThreadPoolExecutor(16))
+        self.number = 0
+
+    def start_streams(self, count: int = STREAMS, length: int = LONG) -> list[Stream]:
+        """Start streams of both kinds at both routers; return once all have begun."""
+        begun = []
+        streams = [self.start_stream(begun, length) for _ in range(count)]
+        processes.wait_until(
+            lambda: len(set(begun)) == count, f"{count} streams have begun"
+        )
+        return streams
+
+    def start_stream(self, begun: list[str], length: int) -> Stream:
+        self.number += 1
+        model = list(MODEL_OF.values())[self.number // 2 % 2]
+        text = f"stream {self.number} [length {length}]"
+        router = self.network.routers[self.number % 2]
+        prompt = prompts.make_prompt(model, f"user: {text}")
+        answer = self.pool.submit(
+            calls.stream,
+            router.callers,
+            calls.make_chat(model, text),
+            once.KEY,
+            lambda part: begun.append(text),
+            idempotency_key=text,
+        )
+        return Stream(prompts.write_answer(prompt, 0, length), answer)
+
+    def check_whole(self, streams: list[Stream]) -> None:
+        """Every stream came to its end with the right text."""
+        for stream in streams:
+            answer = stream.answer.result()
+            self.assertEqual((answer.status, answer.whole), (200, True))
+            self.assertEqual(answer.text, stream.expected)
+
+    def ask(self, router: int, count: int = 6) -> None:
+        """Ask a router for a few short answers, all of which come."""
+        for _ in range(count):
+            self.number += 1
+            text = f"short {self.number} [length 3]"
+            where = self.network.routers[router].callers
+            answer = calls.ask(where, "m1", text, once.KEY)
+            self.assertEqual(answer.status, 200, answer)
+
+    def count(self, engine: str) -> int:
+        return self.network.upstreams[engine].count()["requests"]
+
+
+class DaemonsTest(StopsCase):
+    def test_each_control_process_in_turn_then_a_router_in_the_middle_of_streams(self):
+        streams = self.start_streams(length=2 * LONG)
+        for control in list(self.network.controls):
+            self.assertEqual(control.process.stop(), 0)
+            self.network.find_leader(
+                *(each.name for each in self.network.controls if each is not control)
+            )
+            self.network.deployment.restart(control)
+        router = self.network.routers[0]
+        stopping = self.pool.submit(router.process.stop)
+        self.assertEqual(stopping.result(), 0)
+        self.check_whole(streams)
+        last = self.network.read_events(router.name)[-1]
+        self.assertEqual((last["name"], last["cut_off"]), ("process_stopped", 0))
+        total = sum(self.count(name) for name in self.network.upstreams)
+        self.assertEqual(total, STREAMS)
+        self.check_records()
+
+    def check_records(self) -> None:
+        """Work that may run once was put on record before its router ended."""
+        for number in range(1, STREAMS + 1):
+            text = f"stream {number} [length {2 * LONG}]"
+            if number // 2 % 2 == 0:
+                continue
+            where, body = self.network.routers[1].callers, calls.make_chat("m2", text)
+            again = calls.stream(where, body, once.KEY, idempotency_key=text)
+            # The answer is too long to be kept for a resend.
+            self.assertEqual((again.error_code, again.run), ("answer_too_old", "ran"))
+
+
+class UpstreamsTest(StopsCase):
+    """No new work within seconds anywhere, and what runs goes on."""
+
+    def find_row(self, router: deployment.Daemon, name: str) -> dict:
+        text = f'show upstreams where name = "{name}"'
+        return self.network.deployment.query(text, router).document["rows"][0]
+
+    def wait_for_state(self, name: str, *states: str) -> None:
+        for router in self.network.routers:
+            processes.wait_until(
+                lambda r=router: self.find_row(r, name)["state"] in states,
+                f"{name} is one of {states} at {router.name}",
+            )
+
+    def wait_until_served(self, router: int) -> None:
+        """Wait until a router knows an upstream to send to."""
+        where = self.network.routers[router].callers
+        text = "anybody there? [length 1]"
+        processes.wait_until(
+            lambda: calls.ask(where, "m1", text, once.KEY).status == 200,
+            f"router {router} serves",
+        )
+
+    def check_no_new_work(self, name: str) -> None:
+        before = self.count(name)
+        for router in (0, 1):
+            self.ask(router)
+        self.assertEqual(self.count(name), before)
+
+    def test_one_leaves_and_the_other_router_does_not_hear_of_it(self):
+        """The leaving reaches router 1 alone; at router 2 the lease must do."""
+        first, second = self.network.upstreams.values()
+        other = self.network.announce(
+            second.plan, second.relay, self.network.routers[1:]
+        )
+        self.addCleanup(other.leave)
+        second.announcer.leave()
+        self.wait_for_state("engine-b", "live")
+        streams = self.start_streams()
+        self.network.links["router-a1", "router-a2"].freeze()
+        first.announcer.leave()
+        self.wait_for_state("engine-a", "left", "expired")
+        before = self.count("engine-a")
+        self.ask(1)
+        self.assertEqual(self.count("engine-a"), before)
+        self.network.heal()
+        self.wait_for_state("engine-b", "live")
+        self.check_no_new_work("engine-a")
+        self.check_whole(streams)
+
+    def test_one_leaves_while_a_router_stands_still(self):
+        frozen = self.network.routers[1].process
+        frozen.send_signal(signal.SIGSTOP)
+        self.network.upstreams["engine-a"].announcer.leave()
+        frozen.send_signal(signal.SIGCONT)
+        self.wait_for_state("engine-a", "left")
+        self.check_no_new_work("engine-a")
+
+    def test_a_drained_one_finishes_what_runs(self):
+        streams = self.start_streams()
+        self.network.operate("drain upstream engine-a")
+        self.network.wait_until_in_force()
+        self.check_no_new_work("engine-a")
+        self.check_whole(streams)
+
+    def test_one_is_killed_and_comes_back_under_the_same_address(self):
+        """What its former incarnation still says changes nothing."""
+        former = self.network.upstreams["engine-a"]
+        former.standin.process.kill()
+        for router in (0, 1):
+            self.ask(router)
+        self.network.upstreams["engine-b"].announcer.leave()
+        self.wait_for_state("engine-b", "left")
+        before = self.find_row(self.network.routers[0], "engine-a")["incarnation"]
+        renewed = self.network.restart(former)
+        for router in self.network.routers:
+            processes.wait_until(
+                lambda r=router: self.find_row(r, "engine-a")["incarnation"] > before,
+                f"the new one is known at {router.name}",
+            )
+        former.announcer.leave()
+        for router in (0, 1):
+            self.wait_until_served(router)
+            self.ask(router)
+        self.wait_for_state("engine-a", "live")
+        self.assertGreaterEqual(renewed.count()["requests"], 12)
