Assume nothing above a request's bound before anything is learned

Cause: a router that has just started took answers to be as long as any order of magnitude up to 24,000 tokens, so a third of the weight fell on the request's own bound. Change: before anything is learned all orders of magnitude up to the bound are as likely. The refusal's reason now tells the wait that is planned for.

--- a/packages/policy/src/trestlestall/policy/entry.py
+++ b/packages/policy/src/trestlestall/policy/entry.py
@@ -87,7 +87,8 @@
         retry = lane.returns.find_retry(
             request.request, request.tier, excess, pace, now
         )
-        reason = f"expected wait {wait.shortest:.2f} s, longest {longest:.2f} s"
+        planned = self._core.settings.wait_share * longest
+        reason = f"expected wait {wait.shortest:.2f} s, planned for {planned:.2f} s"
         return actions.Refuse(request.request, code, retry, reason)
 
     def _refuse_unserved(self, request, now: float) -> actions.Refuse:
--- a/packages/policy/src/trestlestall/policy/lengths.py
+++ b/packages/policy/src/trestlestall/policy/lengths.py
@@ -108,7 +108,7 @@
         self, name: str, workspace: str, target: str, most: int
     ) -> Distribution:
         """Return the distribution for a request that may make ``most`` tokens."""
-        shares = [1 / BUCKETS] * BUCKETS
+        shares = make_prior(most)
         for key in ((name,), (name, target), (name, target, workspace)):
             histogram = self._histograms.get(key)
             if histogram is not None:
@@ -116,6 +116,17 @@
         return Distribution(shares, most)
 
 
+def make_prior(most: int) -> list[float]:
+    """Return what is assumed before anything is learned: any order of magnitude.
+
+    All buckets up to the request's own bound are as likely. Were those above it counted
+    too, their weight would fall on the bound, and a router that has just started would
+    refuse work that its engines could well do.
+    """
+    count = find_bucket(most) + 1
+    return [1 / count] * count + [0.0] * (BUCKETS - count)
+
+
 def blend(histogram: Histogram, wider: list[float]) -> list[float]:
     """Return the histogram's shares, leaning on the wider distribution."""
     seen = histogram.weigh()
