--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -5,11 +5,13 @@
 import unittest
 
 from tests import helpers
-from trestlestall.standins import deployment, processes
+from trestlestall.standins import calls, deployment, processes
 
+KEY = "the-key-of-basu"
 DECLARATIONS = (
     "declare class chat tier 1 target 60s idempotent floor 5%",
-    'declare workspace basu key "the-key-of-basu"',
+    f'declare workspace basu key "{KEY}"',
+    "bind workspace basu model m1 to chat",
 )
 
 
@@ -40,6 +42,19 @@
         self.assertEqual(answer.status, 200)
         self.assertEqual(answer.document["outcome"], {"kind": "accepted", "version": 2})
 
+    def test_slow_engine_is_waited_for(self):
+        """An engine whose tokens are seconds apart is slow, not broken."""
+        engine = deployment.EnginePlan("e1", options=(("token_interval", "1.5"),))
+        plan = deployment.Plan(data_centres=("a",), engines=(engine,))
+        with helpers.start(plan) as running:
+            running.operate(*DECLARATIONS)
+            deployment.wait_for_model(running.routers[0], KEY, "m1")
+            text = "slowly [length 2]"
+            answer = calls.ask(running.routers[0].callers, "m1", text, KEY)
+            counts = calls.call("GET", running.engines[0].address, "/v1/counts")
+        self.assertEqual((answer.status, answer.error_code), (200, ""))
+        self.assertEqual(counts.document["requests"], 1)
+
 
 if __name__ == "__main__":
     unittest.main()
