--- a/packages/daemon/src/trestlestall/daemon/router/process.py
+++ b/packages/daemon/src/trestlestall/daemon/router/process.py
@@ -24,6 +24,7 @@
     dispatcher,
     doors,
     exchanges,
+    gatekeeping,
     journal,
     members,
     operators,
@@ -60,6 +61,7 @@
         self.stopping = False
         self._make_links()
         self._make_decisions()
+        self.gatekeeping = gatekeeping.Gatekeeping(self)
         kept = cache.load(settings.data_folder)
         if kept is not None:
             self.agreed.take_cached(kept.get("version", 0), kept)
