Make the lower work of the admission test patient, so that it is admitted

Cause: the mutation that reads the offered work of all tiers survived: under saturation the injected lower work was refused, and changed nothing that could be read. Change: it has a target of 5000 s, so that it is admitted and waits. Conclusion: that mutation and a queue limit over all tiers now fail the test; the busy test over all tiers fails two others. Slots held by all tiers still survives.

--- a/packages/policy/tests/test_tiers.py
+++ b/packages/policy/tests/test_tiers.py
@@ -39,7 +39,10 @@
 def add_lower_work(policy, view, rng, tier, now):
     """Let less urgent requests come in, and some be given up, as chance has it."""
     for index in range(rng.randrange(1, 40)):
-        request_class = rng.choice(CLASSES[tier + 1 :])
+        # So patient that they are admitted, whatever waits before them.
+        request_class = dataclasses.replace(
+            rng.choice(CLASSES[tier + 1 :]), target=5000.0
+        )
         probe = make_probe(request_class, index, now)
         name = f"lower-{tier}-{index}"
         policy.arrive(dataclasses.replace(probe, request=name), view, now)
