--- a/packages/policy/src/trestlestall/policy/deadlines.py
+++ b/packages/policy/src/trestlestall/policy/deadlines.py
@@ -1,8 +1,8 @@
 """Waiting requests whose target has come out of reach.
 
 Such a request gets its final answer at once, but never because of less urgent work: as
-long as the slot-seconds that were lent to less urgent work while it waited would have
-sufficed for all that still goes before it, it waits on, and is sent late.
+long as the slots that are lent to less urgent work would have sufficed for all that
+still goes before it, it waits on, and is sent late.
 """
 
 import heapq
@@ -26,19 +26,26 @@
         flight.lent_before = backlog.measure_lent(flight.tier, now)
         self._push(flight, now + max(0.0, flight.estimate.wait_longest))
 
-    def pop_due(self, find_backlog, now: float) -> list[flights.Flight]:
-        """Return the waiting requests to give up now."""
-        due = []
+    def pop_due(self, find_lane, is_crowded, now: float) -> list[flights.Flight]:
+        """Return the waiting requests to give up now.
+
+        ``is_crowded(lane, tier, now)`` tells whether other routers' work may be in the
+        way.
+        """
+        due: list[flights.Flight] = []
         while self._heap and self._heap[0][0] <= now:
             _, _, flight = heapq.heappop(self._heap)
             if flight.stage in (flights.Stage.RUNNING, flights.Stage.DONE):
                 continue
+            lane = find_lane(flight.arrival.target)
+            # A request whose claim is asked for is about to be sent.
             waits = flight.stage is flights.Stage.WAITING
-            backlog = find_backlog(flight.arrival.target)
-            if waits and not is_held_up(flight, backlog, now):
-                due.append(flight)
-            else:
+            if not waits or is_crowded(lane, flight.tier, now):
+                self._push(flight, now + LOOK_AGAIN)
+            elif is_held_up(flight, lane.backlog, now):
                 self._push(flight, now + LOOK_AGAIN)
+            elif flight not in due:
+                due.append(flight)
         return due
 
     def watch_again(self, flight: flights.Flight, now: float) -> None:
@@ -50,6 +57,11 @@
 
 
 def is_held_up(flight: flights.Flight, backlog: backlogs.Backlog, now: float) -> bool:
-    """Return whether less urgent work may be why a request still waits."""
+    """Return whether less urgent work may be why a request still waits.
+
+    Had the slots not been lent, as many requests would have started at once, and more
+    in the slot-seconds that have passed since.
+    """
     lent = backlog.measure_lent(flight.tier, now) - flight.lent_before
+    lent += backlog.count_lent(flight.tier) * flight.estimate.service
     return lent > 0 and lent >= backlog.find_ahead(flight)
--- a/packages/policy/src/trestlestall/policy/dispatch.py
+++ b/packages/policy/src/trestlestall/policy/dispatch.py
@@ -5,7 +5,9 @@
 alone.
 """
 
-from trestlestall.policy import actions, choice, core, flights, lanes
+import dataclasses
+
+from trestlestall.policy import actions, choice, core, flights, lanes, loads
 
 HEADROOM_SLOTS = 0.05
 
@@ -16,17 +18,27 @@
     def __init__(self, shared: core.Core):
         self._core = shared
 
-    def run(self, lane: lanes.Lane, now: float) -> list[actions.Action]:
-        """Send what can be sent for one target now."""
+    def run(
+        self, lane: lanes.Lane, now: float, freed: loads.Load | None = None
+    ) -> list[actions.Action]:
+        """Send what can be sent for one target now.
+
+        ``freed`` is an upstream where a slot came free. When all others are known to be
+        full, only that one is looked at.
+        """
+        only = freed if lane.full_tier != lanes.NEVER_FULL else None
         sent: list[actions.Action] = []
         while lane.backlog.waiting.find_first() is not None:
-            action = self._send_by_floor(lane, now) or self._send_in_order(lane, now)
+            action = self._send_by_floor(lane, now, only)
+            action = action or self._send_in_order(lane, now, only)
             if action is None:
                 break
             sent.append(action)
         return sent
 
-    def run_all(self, targets: list[str], now: float) -> list[actions.Action]:
+    def run_all(
+        self, targets: list[str], now: float, freed: loads.Load | None = None
+    ) -> list[actions.Action]:
         """Send for several targets, the one with the most urgent work first."""
         found = [self._core.lanes[name] for name in targets if name in self._core.lanes]
         waiting = [(lane.backlog.waiting.find_first(), lane) for lane in found]
@@ -34,7 +46,7 @@
         ready.sort(key=lambda pair: pair[0])
         sent: list[actions.Action] = []
         for _, lane in ready:
-            sent += self.run(lane, now)
+            sent += self.run(lane, now, freed)
         return sent
 
     def send_claimed(
@@ -50,6 +62,9 @@
         load = self._core.fleet.find(attempt.upstream, attempt.incarnation)
         if load is None or attempt.upstream not in names or now < load.avoid_until:
             return None
+        # More urgent work may have been sent there since the claim was asked for.
+        if attempt.floor and not load.still_fits_floor(flight.tier):
+            return None
         attempt.sent_at = now
         flight.stage = flights.Stage.RUNNING
         flight.sends += 1
@@ -68,33 +83,33 @@
         self._core.chooser.remember(flight, attempt.upstream)
         return make_send(attempt, place.candidates, place.reason)
 
-    def _send_by_floor(self, lane: lanes.Lane, now: float) -> actions.Action | None:
+    def _send_by_floor(self, lane, now: float, only) -> actions.Action | None:
         level = self._core.find_level(lane, now)
         first = lane.backlog.waiting.find_first()
         urgent = min(level, first)
-        name = lane.floors.find_due(urgent, now)
+        name = lane.floors.find_due(
+            urgent, lambda tier: self._core.find_rate(lane, tier), now
+        )
         if name is None:
             return None
         flight = lane.queue.peek_class(lane.floors.find_tier(name), name)
         if flight is None:
             return None
-        place = self._core.chooser.choose(
-            flight, now, 0.0, urgent, self._count_rivals(lane, urgent)
-        )
+        turn = choice.Turn(0.0, self._count_rivals(lane, urgent), by_floor=True)
+        place = self._core.chooser.choose(flight, now, turn, only)
         if place is None:
             return None
         return self._start(lane, flight, place, urgent, now)
 
-    def _send_in_order(self, lane: lanes.Lane, now: float) -> actions.Action | None:
+    def _send_in_order(self, lane, now: float, only) -> actions.Action | None:
         tier = lane.backlog.waiting.find_first()
         if tier is None or tier > self._core.find_level(lane, now):
             return None
         flight = lane.queue.peek_tier(tier)
         if flight is None:
             return None
-        spare = self._find_spare(lane, tier)
-        rivals = self._count_rivals(lane, tier)
-        place = self._core.chooser.choose(flight, now, spare, None, rivals)
+        turn = choice.Turn(self._find_spare(lane, tier), self._count_rivals(lane, tier))
+        place = self._core.chooser.choose(flight, now, turn, only)
         if place is None:
             lane.full_tier = min(lane.full_tier, tier)
             return None
@@ -102,12 +117,14 @@
 
     def _start(self, lane, flight, place, priority: int, now) -> actions.Action:
         flight.by_floor = priority != flight.tier
-        if flight.idempotent or flight.claimed:
-            lane.dequeue(flight, flights.Stage.RUNNING)
-            lane.charge(flight, now)
-            return self.send(flight, place, priority, now)
-        lane.dequeue(flight, flights.Stage.ASKING)
+        ready = flight.idempotent or flight.claimed
+        lane.dequeue(flight, flights.Stage.RUNNING if ready else flights.Stage.ASKING)
+        # Lengths may have been learned since the request arrived.
+        tokens = max(1.0, self._core.predict_length(flight.arrival).find_mean())
+        flight.estimate = dataclasses.replace(flight.estimate, tokens=tokens)
         lane.charge(flight, now)
+        if ready:
+            return self.send(flight, place, priority, now)
         self._core.open_attempt(flight, place.load, priority, now)
         return actions.Ask(flight.name)
 
--- a/packages/policy/src/trestlestall/policy/router_policy.py
+++ b/packages/policy/src/trestlestall/policy/router_policy.py
@@ -19,7 +19,6 @@
     entry,
     flights,
     hedges,
-    lanes,
     outcomes,
     settings as defaults,
 )
@@ -112,7 +111,9 @@
             self._core.watch.judge(target, found, now)
         decided = self._end_claims(now) + self._give_up(now)
         for lane in self._core.lanes.values():
-            lane.full_tier = lanes.NEVER_FULL
+            lane.refresh()
+            for tier in lane.floors.list_tiers():
+                self._core.find_rate(lane, tier)
         decided += self._sender.run_all(list(self._core.lanes), now)
         decided += self._hedges.run(now)
         self._note_pressure(now)
@@ -155,7 +156,7 @@
         targets = [attempt.flight.arrival.target]
         if load is not None:
             targets = list(arrivals.list_targets(load.upstream))
-        return self._close(self._sender.run_all(targets, now), now)
+        return self._close(self._sender.run_all(targets, now, load), now)
 
     def _end_claims(self, now: float) -> list[actions.Action]:
         timeout = self._core.settings.claim_timeout
@@ -178,7 +179,9 @@
     def _give_up(self, now: float) -> list[actions.Action]:
         """Answer the waiting requests whose target has come out of reach."""
         decided: list[actions.Action] = []
-        due = self._core.deadlines.pop_due(self._find_backlog, now)
+        due = self._core.deadlines.pop_due(
+            self._core.find_lane, self._core.is_crowded, now
+        )
         for flight in due:
             lane = self._core.find_lane(flight.arrival.target)
             lane.dequeue(flight, flights.Stage.DONE)
@@ -187,9 +190,6 @@
             decided.append(self._core.fail(flight, reason, now))
         return decided
 
-    def _find_backlog(self, target: str):
-        return self._core.find_lane(target).backlog
-
     def _note_pressure(self, now: float) -> None:
         grace = self._core.settings.pressure_grace
         for lane in self._core.lanes.values():
--- a/packages/policy/src/trestlestall/policy/settings.py
+++ b/packages/policy/src/trestlestall/policy/settings.py
@@ -26,6 +26,9 @@
     waiting_chance: float = 0.5
     least_chance: float = 0.02
     safety: float = 1.1
+    # The part of the longest wait that admission plans with: the rest is for what comes
+    # in more urgent tiers meanwhile.
+    wait_share: float = 0.4
     retry_least: float = 0.5
     retry_most: float = 60.0
 
@@ -34,6 +37,8 @@
     floor_reserve: float = 0.1
     floor_credit: float = 256.0
     floor_window: float = 30.0
+    # How long in-order work is kept off an upstream where a floor's work goes next.
+    floor_hold: float = 2.0
 
     # Choice of upstream.
     samples: int = 2
@@ -60,6 +65,8 @@
     pressure_grace: float = 0.1
     pressure_hold: float = 1.0
     pressure_repeat: float = 0.5
+    # How long work that peers sent before they were under pressure may still run.
+    lingering: float = 10.0
 
 
 DEFAULT = Settings()
