Spread urgent work by the urgent work in the way, not by all work

The log showed all engines equally full of less urgent work, with 8 tier 0 requests of one router on one engine of 8 slots and none on another: the choice counted work that the engine displaces as if it stood in the way, so prefix affinity always won. Ruled out: the even share between routers (each held about 4 of 8 slots of tiers 0 and 1 as meant), stale reports (relayed rows carry them on), slots lost to floors. Change: on engines that honour priorities, own work as urgent counts whole and the rest a tenth.

--- a/packages/policy/src/trestlestall/policy/choice.py
+++ b/packages/policy/src/trestlestall/policy/choice.py
@@ -135,13 +135,12 @@
     def _take(self, flight, found: list[loads.Load], reason: str) -> Place:
         count = min(self._settings.samples, len(found))
         drawn = self._random.sample(found, count)
-        target = flight.arrival.target
-        scores = {load.upstream.name: self._score(load, target) for load in drawn}
+        scores = {load.upstream.name: self._score(load, flight) for load in drawn}
         best = min(drawn, key=lambda load: scores[load.upstream.name])
         near = self._find_near(flight, found)
         slack = self._settings.affinity_slack
         if near is not None and near is not best:
-            if self._score(near, target) <= scores[best.upstream.name] + slack:
+            if self._score(near, flight) <= scores[best.upstream.name] + slack:
                 names = (*scores, near.upstream.name)
                 return Place(near, names, "prefix affinity")
         return Place(best, tuple(scores), reason)
@@ -152,10 +151,10 @@
             return None
         return next((load for load in found if load.upstream.name == name), None)
 
-    def _score(self, load: loads.Load, target: str) -> float:
+    def _score(self, load: loads.Load, flight: flights.Flight) -> float:
         """Return the load per slot, the slower the upstream the higher."""
-        slowness = self._watch.find_slowness(load.upstream.name, target)
-        return (load.total + 1) / load.slots * slowness
+        slowness = self._watch.find_slowness(load.upstream.name, flight.arrival.target)
+        return (load.find_standing(flight.tier) + 1) / load.slots * slowness
 
 
 def is_free(load: loads.Load, tier: int, turn: Turn) -> bool:
--- a/packages/policy/src/trestlestall/policy/loads.py
+++ b/packages/policy/src/trestlestall/policy/loads.py
@@ -9,6 +9,8 @@
 from trestlestall.policy import tiers
 
 HISTORY_SECONDS = 2.0
+# What work that an engine would displace counts beside work that it would not.
+DISPLACED_WEIGHT = 0.1
 
 
 class Load:
@@ -100,6 +102,18 @@
             return False
         return self.total > own
 
+    def find_standing(self, tier: int) -> float:
+        """Return how much work stands in the way of the tier, in requests.
+
+        An engine that honours priorities displaces less urgent work, so that only own
+        work as urgent counts whole. The rest counts little: it settles a tie. Other
+        routers spread their urgent work in the same way.
+        """
+        if not self.upstream.capabilities.priorities:
+            return self.total
+        urgent = self.by_tier.sum_to(tier)
+        return urgent + DISPLACED_WEIGHT * (self.total - urgent)
+
     def can_take_floor(self, tier: int) -> bool:
         """Whether work of the tier may go ahead of its turn by its class's floor.
 
--- a/packages/policy/tests/test_choice.py
+++ b/packages/policy/tests/test_choice.py
@@ -51,6 +51,25 @@
                     self.change(load, at, change)
                 self.assertEqual((others, total), (load.others, load.total))
 
+    def test_less_urgent_work_hardly_stands_in_the_way_of_urgent(self):
+        honours = upstreams.Capabilities(priorities=True)
+        for capabilities, tier, busier in (
+            (honours, 0, "urgent"),
+            (honours, 3, "displaced"),
+            (upstreams.Capabilities(), 0, "displaced"),
+        ):
+            with self.subTest(capabilities=capabilities, tier=tier):
+                standing = {}
+                for name, count, held in (("urgent", 4, 0), ("displaced", 6, 3)):
+                    found = dataclasses.replace(
+                        make_upstream(name, slots=8), capabilities=capabilities
+                    )
+                    load = loads.Load(found, 0.5)
+                    for _ in range(count):
+                        load.add(held, False, 1.0)
+                    standing[name] = load.find_standing(tier)
+                self.assertEqual(busier, max(standing, key=standing.get))
+
     def change(self, load, at, change):
         if change > 0:
             load.add(0, False, at)
