Give orders over the router's new kind of connection

Change: the doors set the timeout on the link's socket and on the library's connection, which sets the socket's again before it reads.

Ran: daemon test_placement, test_sightings, test_control_machine and tests/test_placement_orders: 23 passed.

--- a/packages/daemon/src/trestlestall/daemon/placement/doors.py
+++ b/packages/daemon/src/trestlestall/daemon/placement/doors.py
@@ -43,7 +43,7 @@
     if isinstance(opened, Exception):
         return Given(Result.NOT_SENT, NOT_CONNECTED)
     try:
-        opened.sock.settimeout(ANSWER_SECONDS)
+        limit_waiting(opened)
         body = json.dumps(write_order(fence, order)).encode()
         if not may_write():
             return Given(Result.NOT_SENT, TOO_LATE)
@@ -55,6 +55,15 @@
         opened.close()
 
 
+def limit_waiting(opened: connections.Link) -> None:
+    """Wait ``ANSWER_SECONDS`` for the answer, not as long as for a stream's next part.
+
+    The library sets the socket's timeout to the connection's before it reads.
+    """
+    opened.connection.timeout = ANSWER_SECONDS
+    opened.socket.settimeout(ANSWER_SECONDS)
+
+
 def write_order(fence: int, order: model.Order) -> dict[str, typing.Any]:
     """Return the body of an order, as engines take it."""
     return {
@@ -89,7 +98,7 @@
     if isinstance(opened, Exception):
         return {}
     try:
-        opened.sock.settimeout(ANSWER_SECONDS)
+        limit_waiting(opened)
         response = connections.send(opened, "GET", STATE, {}, b"")
         body = connections.read_whole(response, ANSWER_LIMIT)
         return read_object(body) if response.status == 200 else {}
