Tell control the demand of each model; show copies and orders

Status of control lists open and recent orders; `show copies` answers with declared and held copies by data centre.

--- a/packages/daemon/src/trestlestall/daemon/control/placing.py
+++ b/packages/daemon/src/trestlestall/daemon/control/placing.py
@@ -20,7 +20,7 @@
 from trestlestall.daemon import environment, logs
 from trestlestall.daemon.control import arrivals, machine as machines, voter as voters
 from trestlestall.daemon.placement import leader, messages, sightings
-from trestlestall.placement import settings
+from trestlestall.placement import orders, settings
 
 if typing.TYPE_CHECKING:
     from trestlestall.daemon.control import server as servers
@@ -28,6 +28,7 @@
 TURN_SECONDS = 0.2
 CALL_SECONDS = 2.0
 OPERATOR = "placement"
+ORDERS_SHOWN = 20
 ROUTER_MESSAGES = (
     messages.PermitAnswer,
     messages.OrderAnswer,
@@ -114,6 +115,28 @@
         for one in self._register.take(peer, message):
             self._leader.note_answers(one.engine, one.model, one.answers, one.on_time)
 
+    def describe(self, machine: machines.Machine) -> dict[str, typing.Any]:
+        """Return the orders of the agreed state, and copies as routers see them.
+
+        ``held_copies`` counts by model and data centre; it is empty where this process
+        doesn't place.
+        """
+        placed = machine.placement
+        held: dict[str, dict[str, int]] = {}
+        for one in self._register.list_sightings():
+            for name in one.upstream.models if one.live else ():
+                sites = held.setdefault(name, {})
+                site = one.upstream.data_centre
+                sites[site] = sites.get(site, 0) + 1
+        return {
+            "open_orders": [describe_order(one) for one in placed.open.values()],
+            "recent_orders": [
+                {**describe_order(one), "done": one.done, "reason": one.reason}
+                for one in placed.recent[-ORDERS_SHOWN:]
+            ],
+            "held_copies": held,
+        }
+
     # The terms of this process.
 
     def _is_active(self, voter: voters.Voter) -> bool:
@@ -196,6 +219,17 @@
         return Token(self._last)
 
 
+def describe_order(held: orders.Open | orders.Closed) -> dict[str, typing.Any]:
+    """Return an order as plain values."""
+    return {
+        "fence": held.fence,
+        "upstream": held.engine,
+        "order": held.order.kind,
+        "model": held.order.target,
+        "at": held.at,
+    }
+
+
 @arrivals.handles(sightings.SightingsAnswer)
 def take_sightings(
     server: servers.Server, peer: str, message: sightings.SightingsAnswer
--- a/packages/daemon/src/trestlestall/daemon/control/reports.py
+++ b/packages/daemon/src/trestlestall/daemon/control/reports.py
@@ -38,6 +38,7 @@
             _describe_voter(server, name, notices) for name in voter.node.voters
         ],
         "routers": _describe_routers(server, now),
+        **server.placing.describe(voter.machine),
     }
 
 
--- a/packages/daemon/src/trestlestall/daemon/control/rows.py
+++ b/packages/daemon/src/trestlestall/daemon/control/rows.py
@@ -74,6 +74,22 @@
     return _list_parts(state.configuration.services.values())
 
 
+@register("copies")
+def list_copies(state: states.State, status: Status) -> list[Row]:
+    """Return the declared copies of each model, beside those each data centre holds."""
+    held = status.get("held_copies", {})
+    return [
+        {
+            "model": one.model,
+            "copies": one.copies,
+            "data_centre": data_centre,
+            "held": count,
+        }
+        for one in state.configuration.copies.values()
+        for data_centre, count in sorted(held.get(one.model, {"": 0}).items())
+    ]
+
+
 @register("versions")
 def list_versions(state: states.State, status: Status) -> list[Row]:
     """Return the newest versions with who made them."""
--- a/packages/daemon/src/trestlestall/daemon/router/gatekeeping.py
+++ b/packages/daemon/src/trestlestall/daemon/router/gatekeeping.py
@@ -34,7 +34,8 @@
         """Return what the control leader lacks, None when it knows everything."""
         now = self._site.env.clock.monotonic()
         rows = sightings.list_rows(self._site.members.table, now)
-        return self._book.answer(call, rows)
+        tally = self._site.reports.demand
+        return self._book.answer(call, rows, tally.list_asked(), tally.list_answers())
 
     def _find(self, name: str) -> upstreams.Upstream | None:
         """Return the newest announcement of an engine, unless it has left."""
--- a/packages/daemon/src/trestlestall/daemon/router/reports.py
+++ b/packages/daemon/src/trestlestall/daemon/router/reports.py
@@ -4,7 +4,7 @@
 
 from trestlestall.daemon import environment, events, metrics as daemon_metrics
 from trestlestall.daemon.http import application, errors, requests
-from trestlestall.daemon.router import exchanges, journal
+from trestlestall.daemon.router import demand, exchanges, journal
 
 
 class Reports:
@@ -19,10 +19,12 @@
         self._metrics = metrics
         self._journal = log
         self._clock = clock
+        self.demand = demand.Tally(clock)
 
     def note_arrival(self, exchange: exchanges.Exchange) -> None:
         """Note a request that has passed its checks."""
         call = exchange.call
+        self.demand.note_arrival(exchange)
         self._journal.write(
             events.routing.ARRIVED,
             request=exchange.request,
@@ -80,6 +82,7 @@
         on_time = seconds <= found.target and (
             found.first_token_target is None or first <= found.first_token_target
         )
+        self.demand.note_answer(exchange, on_time)
         self._metrics.requests.labels(found.name, "answered").inc()
         self._metrics.targets.labels(found.name, "yes" if on_time else "no").inc()
         self._metrics.first_token.labels(found.name).observe(first)
--- a/packages/daemon/tests/test_control_machine.py
+++ b/packages/daemon/tests/test_control_machine.py
@@ -3,10 +3,18 @@
 import tempfile
 import unittest
 
+import cbor2
+
 from trestlestall.agreement import actions, entries
 from trestlestall.claims import claims, documents as claim_documents, events
 from trestlestall.configuration import commands, documents
 from trestlestall.daemon.control import journal, machine
+from trestlestall.placement import (
+    documents as order_documents,
+    events as order_events,
+    model,
+    orders,
+)
 from trestlestall.storage import folder
 
 SUBMISSION = documents.encode_submission(
@@ -38,6 +46,29 @@
         payload = machine.encode_entry(machine.VOTERS, 6.0, again)
         self.assertEqual(machine.apply(copy, payload)[1], CHANGE)
 
+    def test_placement_in_snapshots_and_snapshots_without_it(self):
+        """Versions without placement wrote no such field, and can't read one."""
+        former = machine.encode(machine.EMPTY)
+        self.assertNotIn("placement", cbor2.loads(former))
+        self.assertEqual(machine.decode(former).placement, orders.EMPTY)
+        load = model.Order("load", "m1")
+        state = machine.decode(former)
+        for event in (
+            order_events.Assign(3, "e1", 7, (load,), False, "copies"),
+            order_events.Intend(3, "e1", 7, 0, load),
+        ):
+            document = order_documents.encode_event(event)
+            payload = machine.encode_entry(machine.PLACEMENT, 5.0, document)
+            state, outcome = machine.apply(state, payload)
+        self.assertEqual(outcome, {"kind": "intended", "fence": 1})
+        copy = machine.decode(machine.encode(state))
+        self.assertEqual(copy.placement, state.placement)
+        old = order_documents.encode_event(order_events.Drop(2, "e1", "late"))
+        payload = machine.encode_entry(machine.PLACEMENT, 6.0, old)
+        after, outcome = machine.apply(copy, payload)
+        self.assertEqual(outcome["kind"], "old_term")
+        self.assertEqual(after.placement, copy.placement)
+
     def test_only_the_newest_changes_of_voters_are_kept(self):
         state = machine.EMPTY
         for number in range(machine.VOTER_ANSWERS + 5):
--- a/tests/test_placement_orders.py
+++ b/tests/test_placement_orders.py
@@ -105,6 +105,11 @@
         for name in ("placement_decided", "order_logged", "order_sent", "order_done"):
             with self.subTest(name):
                 self.assertEqual(self.count_events(name), 2)
+        copies = {"model": "m1", "copies": 3, "data_centre": "a", "held": 3}
+        self.wait_until(
+            lambda: self.running.query("show copies").document["rows"] == [copies],
+            "control shows what is held",
+        )
         fences = [self.read_state(name)["fence"] for name in ("checks", "ignores")]
         self.assertEqual(sorted(fences), [1, 2])
 
