Hand leadership over at a planned stop

Cause: at SIGTERM the leader's process ended, and the others noticed by their election timeouts alone.

Change: event TransferLeader, message TimeoutNow and HandoverVoteRequest, by Raft's published leadership transfer. The leader appends nothing meanwhile, asks a voter that holds all and was heard lately, then another one two heartbeats later, and goes on after an election timeout. The control process hands over at SIGTERM and waits for another leader within the second that it had for its calls already. A request for a vote with a new field was ruled out: voters of an older version would refuse every vote.

Seen to fail without hand_over() in the process: test_agreed_state_stop (no leader_deposed in the log of the stopped leader).

--- a/packages/agreement/src/trestlestall/agreement/election.py
+++ b/packages/agreement/src/trestlestall/agreement/election.py
@@ -33,14 +33,15 @@
     count_grant(state, state.voter)
 
 
-def stand(state: state_module.State) -> None:
-    """Raise the term, vote for oneself and ask for votes."""
+def stand(
+    state: state_module.State,
+    kind: type[messages.VoteRequest | messages.HandoverVoteRequest],
+) -> None:
+    """Raise the term, vote for oneself and ask for votes by that kind of request."""
     roles.become_follower(state, state.term + 1)
     state.role = Role.CANDIDATE
     state.set_vote(state.term, state.voter)
-    request = messages.VoteRequest(
-        state.term, state.log.last_index, state.log.last_term
-    )
+    request = kind(state.term, state.log.last_index, state.log.last_term)
     ask_voters(state, request)
     count_grant(state, state.voter)
 
@@ -58,14 +59,16 @@
     if not state.has_quorum(state.grants):
         return
     if state.role is Role.PRE_CANDIDATE:
-        stand(state)
+        stand(state, messages.VoteRequest)
     else:
         leadership.lead(state)
 
 
 def is_up_to_date(
     state: state_module.State,
-    request: messages.PreVoteRequest | messages.VoteRequest,
+    request: messages.PreVoteRequest
+    | messages.VoteRequest
+    | messages.HandoverVoteRequest,
 ) -> bool:
     """Return whether the candidate's log holds all that ours may have committed."""
     ours = (state.log.last_term, state.log.last_index)
@@ -97,6 +100,15 @@
     """
     if request.term > state.term and not roles.hears_leader(state):
         roles.become_follower(state, request.term)
+    answer_vote_request(state, sender, request)
+
+
+def answer_vote_request(
+    state: state_module.State,
+    sender: str,
+    request: messages.VoteRequest | messages.HandoverVoteRequest,
+) -> None:
+    """Grant the vote of the present term once, to a log that is up to date."""
     granted = (
         request.term == state.term
         and state.role is Role.FOLLOWER
--- a/packages/agreement/src/trestlestall/agreement/events.py
+++ b/packages/agreement/src/trestlestall/agreement/events.py
@@ -57,4 +57,13 @@
     state: bytes
 
 
-Event = Tick | Receive | Propose | Read | ChangeVoters | Compact
+@dataclasses.dataclass(frozen=True)
+class TransferLeader:
+    """Hand the leadership over to another voter, before a planned stop.
+
+    Meanwhile the node appends nothing and says ``NotLeader``; where no voter takes over
+    within the election timeout, it goes on to lead. See ``Node.hands_over``.
+    """
+
+
+Event = Tick | Receive | Propose | Read | ChangeVoters | Compact | TransferLeader
--- a/packages/agreement/src/trestlestall/agreement/membership.py
+++ b/packages/agreement/src/trestlestall/agreement/membership.py
@@ -37,8 +37,8 @@
     state: state_module.State, event: events.ChangeVoters
 ) -> actions.Outcome | None:
     """Return why the change cannot begin, if so."""
-    if state.lead is None:
-        return actions.NotLeader(state.leader)
+    if state.lead is None or state.lead.handover is not None:
+        return actions.NotLeader(state.other_leader)
     code = check_change(state.log.voters, event.add, event.remove)
     if code is not None:
         return actions.Refused(code)
--- a/packages/agreement/src/trestlestall/agreement/messages.py
+++ b/packages/agreement/src/trestlestall/agreement/messages.py
@@ -44,10 +44,32 @@
     last_term: int
 
 
+@KINDS.register("timeout_now")
+@dataclasses.dataclass(frozen=True)
+class TimeoutNow:
+    """The leader of ``term`` asks the receiver to stand for election at once."""
+
+    term: int
+
+
+@KINDS.register("handover_vote_request")
+@dataclasses.dataclass(frozen=True)
+class HandoverVoteRequest:
+    """A ``VoteRequest`` that the present leader asked the sender to make.
+
+    A kind of its own: a voter of a version without it passes it over, and an ordinary
+    election follows.
+    """
+
+    term: int
+    last_index: int
+    last_term: int
+
+
 @KINDS.register("vote_response")
 @dataclasses.dataclass(frozen=True)
 class VoteResponse:
-    """Answer to ``VoteRequest``; a granted vote is already durable."""
+    """Answer to a request for a vote; a granted vote is already durable."""
 
     term: int
     granted: bool
@@ -117,6 +139,8 @@
     PreVoteRequest
     | PreVoteResponse
     | VoteRequest
+    | TimeoutNow
+    | HandoverVoteRequest
     | VoteResponse
     | AppendRequest
     | AppendResponse
--- a/packages/agreement/src/trestlestall/agreement/node.py
+++ b/packages/agreement/src/trestlestall/agreement/node.py
@@ -12,6 +12,7 @@
     exceptions,
     following,
     handlers,
+    handover,
     leadership,
     log as log_module,
     membership,
@@ -29,6 +30,7 @@
 HANDLING_MODULES = (
     election,
     following,
+    handover,
     membership,
     proposals,
     reads,
@@ -123,6 +125,11 @@
         change = lead.change if lead is not None else None
         return change.add if change is not None and change.index is None else None
 
+    @property
+    def hands_over(self) -> bool:
+        """Whether the node leads and tries to hand that over."""
+        return self._state.lead is not None and self._state.lead.handover is not None
+
     def handle(self, event: events.Event, now: float) -> list[actions.Action]:
         """Handle one event at the time ``now`` and return what is to be done."""
         return self.handle_batch((event,), now)
@@ -158,6 +165,7 @@
         membership.advance_change(state)
     if state.lead is not None:
         reads.answer_reads(state)
+        handover.advance_handover(state)
         replication.send_due(state)
     return state.has_actions()
 
--- a/packages/agreement/src/trestlestall/agreement/proposals.py
+++ b/packages/agreement/src/trestlestall/agreement/proposals.py
@@ -26,8 +26,8 @@
     state: state_module.State, event: events.Propose
 ) -> actions.Outcome | None:
     """Return why the command cannot be appended here, if so."""
-    if state.lead is None:
-        return actions.NotLeader(state.leader)
+    if state.lead is None or state.lead.handover is not None:
+        return actions.NotLeader(state.other_leader)
     if len(event.payload) > state.limits.payload_bytes:
         return actions.Refused(codes.TOO_LARGE)
     if is_overloaded(state):
--- a/packages/agreement/src/trestlestall/agreement/state.py
+++ b/packages/agreement/src/trestlestall/agreement/state.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import math
 import random
 import typing
 
@@ -50,6 +51,18 @@
     index: int | None = None
 
 
+@dataclasses.dataclass
+class Handover:
+    """Handing over since the time; ``asked`` holds who was asked to take over when.
+
+    No one is asked before ``ask_at``.
+    """
+
+    since: float
+    ask_at: float = -math.inf
+    asked: dict[str, float] = dataclasses.field(default_factory=dict)
+
+
 @dataclasses.dataclass
 class Leadership:
     """What a node holds while it leads.
@@ -69,6 +82,7 @@
     round: int = 0
     round_wanted: bool = False
     change: Change | None = None
+    handover: Handover | None = None
 
 
 @dataclasses.dataclass
@@ -116,6 +130,11 @@
         """Whether this node is one of the newest voters it knows of."""
         return self.voter in self.log.voters
 
+    @property
+    def other_leader(self) -> str | None:
+        """The leader to send a caller to; None if none is known but this node."""
+        return self.leader if self.leader != self.voter else None
+
     def set_vote(self, term: int, voted_for: str | None) -> None:
         """Change the vote; it is persisted before any later action."""
         self.vote = entries_module.Vote(term, voted_for)
--- a/packages/agreement/tests/checks.py
+++ b/packages/agreement/tests/checks.py
@@ -4,6 +4,7 @@
 
 from trestlestall.agreement import actions, entries, messages
 
+VOTES = messages.VoteResponse | messages.VoteRequest | messages.HandoverVoteRequest
 FIRST_DIGEST = b"\x00" * 32
 
 
@@ -95,7 +96,8 @@
 
     def note_send(self, host, message):
         """Votes and acknowledged entries are durable first; one vote per term."""
-        if isinstance(message, messages.VoteResponse | messages.VoteRequest):
+        self.count(type(message).__name__)
+        if isinstance(message, VOTES):
             self.require(host.disk.vote.term >= message.term, "vote not durable")
         if isinstance(message, messages.AppendResponse) and message.matched:
             self.require(
--- a/packages/agreement/tests/test_documents.py
+++ b/packages/agreement/tests/test_documents.py
@@ -14,6 +14,8 @@
     messages.PreVoteRequest(3, 7, 2),
     messages.PreVoteResponse(3, True),
     messages.VoteRequest(3, 7, 2),
+    messages.TimeoutNow(3),
+    messages.HandoverVoteRequest(3, 7, 2),
     messages.VoteResponse(3, False),
     REQUEST,
     messages.AppendResponse(2, False, 4, 9, prev_index=6, hint_term=1),
--- a/packages/agreement/tests/test_schedules.py
+++ b/packages/agreement/tests/test_schedules.py
@@ -9,7 +9,10 @@
 SCHEDULES = 25
 
 #: What must happen often for a run of schedules to say anything.
-HAPPENS = ("Committed", "Lost", "ReadReady", "BecameLeader", "Restore", "crash")
+HAPPENS = ("Committed", "Lost", "ReadReady", "BecameLeader", "Restore", "crash") + (
+    "TimeoutNow",
+    "HandoverVoteRequest",
+)
 CHANGES = ("voters", "wipe")
 
 
@@ -36,6 +39,7 @@
             (self.cut, 3),
             (self.heal, 10),
             (self.change, 10),
+            (self.transfer, 4),
             (self.wipe, 1),
         )
 
@@ -137,6 +141,12 @@
             return
         self.group.step(name, change)
 
+    def transfer(self):
+        """Have a leader hand over, as at a planned stop."""
+        name = self.pick(lambda host: host.leads and host.runs)
+        if name is not None:
+            self.group.step(name, events.TransferLeader())
+
     def may_remove(self, voters, target):
         """Keep a majority of voters that have not lost their disk."""
         left = [voter for voter in voters if voter != target]
--- a/packages/daemon/src/trestlestall/daemon/control/process.py
+++ b/packages/daemon/src/trestlestall/daemon/control/process.py
@@ -118,8 +118,9 @@
             self._turn(served, linked)
         shown.stopping = True
         self._log.write(events.process.STOPPING, role=ROLE)
+        served.hand_over()
         deadline = self._env.clock.monotonic() + STOP_SECONDS
-        while not served.is_idle and self._env.clock.monotonic() < deadline:
+        while not served.is_settled and self._env.clock.monotonic() < deadline:
             self._turn(served, linked)
 
     def _turn(self, served: server.Server, linked: links.Links) -> None:
--- a/packages/daemon/src/trestlestall/daemon/control/server.py
+++ b/packages/daemon/src/trestlestall/daemon/control/server.py
@@ -64,6 +64,7 @@
         self._results: list[tuple[int, voters.Result]] = []
         self._notices: dict[str, group.Notice] = {}
         self._noticed_at = float("-inf")
+        self._handing_over = False
         self._pulls: list[arrivals.Pull] = []
         self._pulled_at = float("-inf")
         self._redirected: dict[tuple[str, typing.Any], None] = {}
@@ -82,10 +83,20 @@
         return group.find_name(self.voter.node.leader)
 
     @property
-    def is_idle(self) -> bool:
-        """Whether no call waits for its answer."""
+    def is_settled(self) -> bool:
+        """Whether no call waits for its answer and no leadership is handed over."""
+        if self._handing_over and self.leader in (None, self.settings.name):
+            return False
         return not len(self._calls)
 
+    def hand_over(self) -> None:
+        """Begin to hand the leadership to another process, before a planned stop."""
+        if self.voter is None or not self.voter.leads:
+            return
+        self._handing_over = len(self.voter.node.voters) > 1
+        self.take_event(agreement_events.TransferLeader())
+        self._wake()
+
     def open_call(
         self, kind: str, document: Document, reply: Reply, relayed: bool = False
     ) -> None:
