Look for another leader when the one that was taken for it is silent

Cause: a router sent claims and operators' texts to the control process that answered last, for as long as the link to it stood. A leader that the other voters can't reach, but the routers can, answers nothing; every claim through such a router was refused and every command unanswered until that link broke. Found as a command that got no answer within 20 s in a cut between voters only.

Ruled out: the redirect, since a process without a leader has nobody to name.

Change: a claim that nobody answered in time, and a text unanswered or answered with control_unavailable, make the router forget the leader; the next call goes to all.

--- a/packages/daemon/src/trestlestall/daemon/router/claims.py
+++ b/packages/daemon/src/trestlestall/daemon/router/claims.py
@@ -71,6 +71,7 @@
         self._calls: dict[int, str] = {}
         self._reports: dict[str, Report] = {}
         self.answered: Answered = lambda exchange, granted: None
+        self.on_silence: abc.Callable[[], None] = lambda: None
 
     def claim(self, exchange: exchanges.Exchange) -> None:
         """Ask for the exchange's key; the answer comes by ``answered``, always."""
@@ -165,6 +166,8 @@
         exchange = self._asked.pop(request, None)
         if exchange is None:
             return
+        # Whoever was taken for the leader may be cut off from the other voters.
+        self.on_silence()
         self.release(request)
         self._metrics.claims.labels("unanswered").inc()
         self._journal.write(
--- a/packages/daemon/src/trestlestall/daemon/router/operators.py
+++ b/packages/daemon/src/trestlestall/daemon/router/operators.py
@@ -23,6 +23,7 @@
 ROUTES = routes.Routes()
 ANSWER_SECONDS = 5.0
 LARGEST_TOKEN = 2**48
+UNAVAILABLE = errors.CODES["control_unavailable"]
 OWN_SUBJECTS = ("upstreams", "requests")
 
 Rows = list[dict[str, typing.Any]]
@@ -160,7 +161,11 @@
             message = "No control process can be reached; nothing was changed."
             return answers.build_failure(errors.Failure("control_unavailable", message))
         with eventlet.Timeout(ANSWER_SECONDS, False):
-            return build_control_answer(event.wait())
+            answer = build_control_answer(event.wait())
+            if answer.status == UNAVAILABLE.status:
+                site.controls.forget()
+            return answer
+        site.controls.forget()
     finally:
         site.submissions.close(token)
     message = (
--- a/packages/daemon/src/trestlestall/daemon/router/process.py
+++ b/packages/daemon/src/trestlestall/daemon/router/process.py
@@ -195,6 +195,7 @@
             on_pressure=lambda levels: self.pulse.report_pressure(levels),
         )
         self.desk.answered = self.dispatcher.claim_answered
+        self.desk.on_silence = self.controls.forget
 
     def _make_attempt_prefix(self) -> str:
         """Return a prefix that no other start of this router has had."""
