Give placement's calls their own timeout on the new connection type

The library also overrides a timeout that is set on the socket alone. Change: one method of the link sets both.

--- a/packages/daemon/src/trestlestall/daemon/placement/doors.py
+++ b/packages/daemon/src/trestlestall/daemon/placement/doors.py
@@ -43,7 +43,7 @@
     if isinstance(opened, Exception):
         return Given(Result.NOT_SENT, NOT_CONNECTED)
     try:
-        opened.sock.settimeout(ANSWER_SECONDS)
+        opened.set_timeout(ANSWER_SECONDS)
         body = json.dumps(write_order(fence, order)).encode()
         if not may_write():
             return Given(Result.NOT_SENT, TOO_LATE)
@@ -89,7 +89,7 @@
     if isinstance(opened, Exception):
         return {}
     try:
-        opened.sock.settimeout(ANSWER_SECONDS)
+        opened.set_timeout(ANSWER_SECONDS)
         response = connections.send(opened, "GET", STATE, {}, b"")
         body = connections.read_whole(response, ANSWER_LIMIT)
         return read_object(body) if response.status == 200 else {}
--- a/packages/daemon/src/trestlestall/daemon/router/connections.py
+++ b/packages/daemon/src/trestlestall/daemon/router/connections.py
@@ -33,6 +33,12 @@
     connection: urllib3_connection.HTTPConnection
     socket: socket.socket
 
+    def set_timeout(self, seconds: float) -> None:
+        """Bound the wait for each read from now on."""
+        # The library sets the socket's timeout to this before it reads the response.
+        self.connection.timeout = seconds
+        self.socket.settimeout(seconds)
+
     def abort(self) -> None:
         """Wake whoever reads from the connection and end it."""
         with contextlib.suppress(OSError):
@@ -56,10 +62,9 @@
     except FAULTS as error:
         opened.close()
         return error
-    # The library sets the socket's timeout to this before it reads the response.
-    opened.timeout = READ_SECONDS
-    opened.sock.settimeout(READ_SECONDS)
-    return Link(opened, opened.sock)
+    link = Link(opened, opened.sock)
+    link.set_timeout(READ_SECONDS)
+    return link
 
 
 def send(
