--- a/packages/claims/src/trestlestall/claims/claims.py
+++ b/packages/claims/src/trestlestall/claims/claims.py
@@ -119,6 +119,22 @@
     return APPLIERS[type(event)](claims, event)
 
 
+def find(
+    claims: Claims, workspace: str, key: str, fingerprint: str, at: float
+) -> outcomes.Outcome:
+    """Return what a claim of the key would learn at the time; changes nothing.
+
+    The outcome is ``Absent`` where a claim would be granted, else ``Held``,
+    ``Finished`` or ``Mismatch``.
+    """
+    if at > claims.now:
+        claims = dataclasses.replace(claims, now=at)
+    holder = _find_holder(claims, (workspace, key))
+    if holder is None:
+        return ABSENT
+    return _answer_other(claims, holder, fingerprint)
+
+
 def _claim(claims: Claims, event: events.Claim) -> tuple[Claims, outcomes.Outcome]:
     key = (event.workspace, event.key)
     mine = claims.attempts.get(event.attempt)
@@ -179,6 +195,7 @@
 
 RECORDED = outcomes.Recorded()
 UNKNOWN = outcomes.Unknown()
+ABSENT = outcomes.Absent()
 APPLIERS = {events.Claim: _claim, events.Finish: _finish, events.Release: _release}
 
 
--- a/packages/claims/src/trestlestall/claims/documents.py
+++ b/packages/claims/src/trestlestall/claims/documents.py
@@ -22,6 +22,7 @@
     "mismatch": outcomes.Mismatch,
     "recorded": outcomes.Recorded,
     "unknown": outcomes.Unknown,
+    "absent": outcomes.Absent,
 }
 
 
@@ -88,6 +89,16 @@
     return _decode_kind(document, EVENTS)
 
 
+def encode_look(look: events.Look) -> dict:
+    """Return the look's fields."""
+    return msgspec.to_builtins(look)
+
+
+def decode_look(document: object) -> events.Look:
+    """Return the look of its fields."""
+    return strict.convert(document, events.Look)
+
+
 def encode_outcome(outcome: outcomes.Outcome) -> dict:
     """Return the outcome's document: its kind and its fields."""
     return _encode_kind(outcome, OUTCOMES)
--- a/packages/claims/src/trestlestall/claims/events.py
+++ b/packages/claims/src/trestlestall/claims/events.py
@@ -36,4 +36,17 @@
     attempt: str
 
 
+@dataclasses.dataclass(frozen=True)
+class Look:
+    """A router asks what is on record of a key; no event, it changes nothing.
+
+    ``attempt`` names the request that asks; it holds nothing, then or later.
+    """
+
+    workspace: str
+    key: str
+    fingerprint: str
+    attempt: str
+
+
 Event: typing.TypeAlias = Claim | Finish | Release
--- a/packages/claims/src/trestlestall/claims/outcomes.py
+++ b/packages/claims/src/trestlestall/claims/outcomes.py
@@ -46,4 +46,11 @@
     """The attempt holds no key: it expired, was released, or was never granted."""
 
 
-Outcome: typing.TypeAlias = Granted | Held | Finished | Mismatch | Recorded | Unknown
+@dataclasses.dataclass(frozen=True)
+class Absent:
+    """Nobody holds the key: no attempt under it was sent, as far as is committed."""
+
+
+Outcome: typing.TypeAlias = (
+    Granted | Held | Finished | Mismatch | Recorded | Unknown | Absent
+)
--- a/packages/claims/tests/test_claims.py
+++ b/packages/claims/tests/test_claims.py
@@ -16,6 +16,7 @@
 RECORDED = outcomes.Recorded()
 UNKNOWN = outcomes.Unknown()
 SENT = outcomes.Finished(200, "text/plain", b"sent")
+ABSENT = outcomes.Absent()
 GRANTED_1 = outcomes.Granted("a1")
 GRANTED_2 = outcomes.Granted("a2")
 
@@ -88,6 +89,30 @@
                     self.assertEqual(documents.decode_outcome(document), expected)
                     held = documents.decode(documents.encode(held))
 
+    def test_a_look_tells_what_a_new_claim_would_learn(self):
+        for name, *steps in SESSIONS:
+            held = claims.EMPTY
+            for place, (event, _) in enumerate(steps):
+                held, _ = claims.apply(held, event, float(place))
+                for fingerprint in ("f1", "f2"):
+                    with self.subTest(name=name, step=place, fingerprint=fingerprint):
+                        self.check_look(held, fingerprint, float(place))
+
+    def check_look(self, held, fingerprint: str, at: float) -> None:
+        found = claims.find(held, "basu", "k1", fingerprint, at)
+        _, learnt = claims.apply(held, claim("new", "k1", fingerprint), at)
+        expected = ABSENT if learnt == outcomes.Granted("new") else learnt
+        self.assertEqual(found, expected)
+        document = documents.encode_outcome(found)
+        self.assertEqual(documents.decode_outcome(document), found)
+
+    def test_a_look_goes_by_its_own_time(self):
+        held, _ = claims.apply(claims.EMPTY, claim("a1"), 0.0)
+        last = claims.KEY_RETENTION
+        for at, expected in [(last - 1, outcomes.Held("r1")), (last, ABSENT)]:
+            with self.subTest(at=at):
+                self.assertEqual(claims.find(held, "basu", "k1", "f1", at), expected)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/daemon/src/trestlestall/daemon/control/arrivals.py
+++ b/packages/daemon/src/trestlestall/daemon/control/arrivals.py
@@ -112,7 +112,7 @@
 def take_claim_call(
     server: servers.Server, peer: str, message: messages.ClaimCall
 ) -> None:
-    """Take a router's event on a claim; one that isn't settled gets no answer.
+    """Take a router's event on a claim, or its look; unsettled, it gets no answer.
 
     A process that doesn't lead says who does. Only when the router comes back with the
     same attempt, since it has no link to the leader, is the call passed on.
@@ -129,6 +129,9 @@
             answered = messages.ClaimAnswer(message.token, kind, answer)
             server.links.send(peer, answered)
 
+    if message.kind == operations.Look.name:
+        server.open_call(operations.Look.name, dict(message.fields), reply)
+        return
     document = {**message.fields, "kind": message.kind}
     server.open_call(operations.Claim.name, document, reply)
 
--- a/packages/daemon/src/trestlestall/daemon/control/operations.py
+++ b/packages/daemon/src/trestlestall/daemon/control/operations.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from trestlestall.agreement import codes, events
-from trestlestall.claims import documents as claim_documents
+from trestlestall.claims import claims as claim_machine, documents as claim_documents
 from trestlestall.configuration import (
     commands,
     documents,
@@ -37,6 +37,7 @@
 
 OK = 200
 VOTER_SECONDS = 20.0
+LOOK_SECONDS = 0.5
 UNKNOWN = "No control leader confirmed it in time; send it again to learn the outcome."
 UNAVAILABLE = "No control leader with a quorum can be reached."
 ASK_A_ROUTER = "Control does not know this; ask a router."
@@ -309,3 +310,42 @@
 
     def give_up(self, call: calls.Call) -> Document:
         return {}
+
+
+@calls.register
+class Look(calls.Kind):
+    """A router asks what is on record of a key, before it says "not run".
+
+    The answer comes from committed state after a confirmed read, and nothing is written
+    to the log. The document is the look's and the reply the outcome's; the reply is
+    nothing when no quorum confirmed in time, since the router waits no longer.
+    """
+
+    name = "look"
+    seconds = LOOK_SECONDS
+
+    def begin(self, call: calls.Call, here: calls.Here) -> calls.Step:
+        fields = {key: value for key, value in call.document.items() if key != "call"}
+        try:
+            call.state = claim_documents.decode_look(fields)
+        except exceptions.InvalidDocument:
+            return calls.Reply({})
+        return events.Read(call.token)
+
+    def go_on(
+        self, call: calls.Call, result: voters.Result, here: calls.Here
+    ) -> calls.Step:
+        if not isinstance(result, voters.Current):
+            return calls.Reply({})
+        look = call.state
+        outcome = claim_machine.find(
+            here.voter.machine.claims,
+            look.workspace,
+            look.key,
+            look.fingerprint,
+            here.wall,
+        )
+        return calls.Reply(claim_documents.encode_outcome(outcome))
+
+    def give_up(self, call: calls.Call) -> Document:
+        return {}
--- a/packages/daemon/src/trestlestall/daemon/router/carriers.py
+++ b/packages/daemon/src/trestlestall/daemon/router/carriers.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import dataclasses
 import typing
 from collections import abc
 
+from trestlestall.claims import outcomes
 from trestlestall.daemon import events
 from trestlestall.daemon.http import errors
 from trestlestall.daemon.router import attempts, exchanges
@@ -16,6 +18,9 @@
 CARRIERS: dict[type, abc.Callable] = {}
 
 NOT_RUN_MESSAGE = "The request ran on no upstream and will not run."
+UNASKED_MESSAGE = (
+    "This sending did not run; whether an earlier one under its key did is not known."
+)
 UNKNOWN_MESSAGE = "The answer broke off; whether the request ran is not known."
 
 
@@ -39,19 +44,22 @@
     failure = errors.Failure(
         code, action.reason, errors.Run.NOT_RUN, action.request, action.retry_after
     )
-    name = exchange.request_class.name
-    owner.metrics.refusals.labels(name, action.code).inc()
-    owner.journal.write(
-        events.routing.REFUSED,
-        request=action.request,
-        workspace=exchange.workspace.name,
-        tier=exchange.request_class.tier,
-        code=action.code,
-        retry_after=action.retry_after,
-        reason=action.reason,
-        request_class=name,
-    )
-    exchange.end(exchanges.Failed(failure))
+
+    def note(_: errors.Failure) -> None:
+        name = exchange.request_class.name
+        owner.metrics.refusals.labels(name, action.code).inc()
+        owner.journal.write(
+            events.routing.REFUSED,
+            request=action.request,
+            workspace=exchange.workspace.name,
+            tier=exchange.request_class.tier,
+            code=action.code,
+            retry_after=action.retry_after,
+            reason=action.reason,
+            request_class=name,
+        )
+
+    _end(owner, exchange, failure, note)
 
 
 @carry(actions.Ask)
@@ -141,16 +149,19 @@
     message = NOT_RUN_MESSAGE if not_run else UNKNOWN_MESSAGE
     retry_after = (action.retry_after or None) if not_run else None
     failure = errors.Failure(code, message, run, action.request, retry_after)
-    owner.journal.write(
-        events.routing.FAILED,
-        request=action.request,
-        workspace=exchange.workspace.name,
-        code=code,
-        run=run.value,
-        reason=action.reason,
-        request_class=exchange.request_class.name,
-    )
-    exchange.end(exchanges.Failed(failure))
+
+    def note(told: errors.Failure) -> None:
+        owner.journal.write(
+            events.routing.FAILED,
+            request=action.request,
+            workspace=exchange.workspace.name,
+            code=told.code,
+            run=told.run.value,
+            reason=action.reason,
+            request_class=exchange.request_class.name,
+        )
+
+    _end(owner, exchange, failure, note)
 
 
 @carry(actions.ReportPressure)
@@ -167,6 +178,74 @@
     owner.metrics.wasted_tokens.labels("dropped").inc(action.tokens)
 
 
+def _end(
+    owner: dispatcher.Dispatcher,
+    exchange: exchanges.Exchange,
+    failure: errors.Failure,
+    note: abc.Callable[[errors.Failure], None],
+) -> None:
+    """End a request with a failure, unless its key tells more than "not run".
+
+    ``note`` is told of the failure that the caller gets.
+    """
+
+    def settle(outcome: outcomes.Outcome | None) -> None:
+        if exchange.over:
+            return
+        told = failure
+        if outcome is None:
+            told = _make_unknown(failure)
+            _note_unanswered(owner, exchange)
+        elif not isinstance(outcome, outcomes.Absent):
+            owner.desk.tell(exchange, outcome)
+            exchange.end(exchange.verdict)
+            return
+        note(told)
+        exchange.end(exchanges.Failed(told))
+
+    if failure.run is errors.Run.NOT_RUN and _may_have_run_before(owner, exchange):
+        owner.lookups.look(exchange, settle)
+    else:
+        settle(outcomes.Absent())
+
+
+def _may_have_run_before(
+    owner: dispatcher.Dispatcher, exchange: exchanges.Exchange
+) -> bool:
+    """Return whether an earlier sending under the key may have run.
+
+    Not when the key is granted to this request; and while its own claim is on its way,
+    a lookup might find only that.
+    """
+    if exchange.request_class.idempotent or exchange.claimed:
+        return False
+    return not owner.desk.is_asking(exchange.request)
+
+
+def _make_unknown(failure: errors.Failure) -> errors.Failure:
+    """Return the failure for when control could not be asked about the key."""
+    not_run = failure.code == actions.NOT_RUN
+    return dataclasses.replace(
+        failure,
+        code=actions.OUTCOME_UNKNOWN if not_run else failure.code,
+        message=f"{failure.message} {UNASKED_MESSAGE}",
+        run=errors.Run.UNKNOWN,
+        retry_after=errors.find_retry_seconds(failure),
+    )
+
+
+def _note_unanswered(
+    owner: dispatcher.Dispatcher, exchange: exchanges.Exchange
+) -> None:
+    owner.journal.write(
+        events.routing.CLAIM_UNKNOWN,
+        request=exchange.request,
+        workspace=exchange.workspace.name,
+        key=exchange.claim_key,
+        reason="control could not be asked about earlier sendings in time",
+    )
+
+
 def _start(
     owner: dispatcher.Dispatcher,
     exchange: exchanges.Exchange,
--- a/packages/daemon/src/trestlestall/daemon/router/claims.py
+++ b/packages/daemon/src/trestlestall/daemon/router/claims.py
@@ -133,6 +133,10 @@
                 report.sent_at = now
                 self._call(request, report.event)
 
+    def is_asking(self, request: str) -> bool:
+        """Whether the request's own claim is on its way."""
+        return request in self._asked
+
     @property
     def is_idle(self) -> bool:
         """Whether control has acknowledged everything."""
@@ -179,14 +183,22 @@
         )
         message = "Control could not confirm the key; the request did not run."
         self._refuse(exchange, "claim_unavailable", message, errors.Run.NOT_RUN)
+        self.answered(exchange, False)
 
     def _take_outcome(
         self, exchange: exchanges.Exchange, outcome: outcomes.Outcome
     ) -> None:
-        self._metrics.claims.labels(type(outcome).__name__.lower()).inc()
         if isinstance(outcome, outcomes.Granted):
+            self._metrics.claims.labels("granted").inc()
             self._grant(exchange)
-        elif isinstance(outcome, outcomes.Finished) and outcome.body is not None:
+            return
+        self.tell(exchange, outcome)
+        self.answered(exchange, False)
+
+    def tell(self, exchange: exchanges.Exchange, outcome: outcomes.Outcome) -> None:
+        """Make what is on record of the key the exchange's verdict."""
+        self._metrics.claims.labels(type(outcome).__name__.lower()).inc()
+        if isinstance(outcome, outcomes.Finished) and outcome.body is not None:
             self._replay(exchange, outcome)
         else:
             code, message, run = REFUSALS.get(type(outcome), UNCLAIMED)
@@ -216,7 +228,6 @@
             key=exchange.claim_key,
             status=outcome.status,
         )
-        self.answered(exchange, False)
 
     def _refuse(
         self, exchange: exchanges.Exchange, code: str, message: str, run: errors.Run
@@ -230,7 +241,6 @@
             key=exchange.claim_key,
             reason=code,
         )
-        self.answered(exchange, False)
 
 
 UNCLAIMED = (
--- a/packages/daemon/src/trestlestall/daemon/router/dispatcher.py
+++ b/packages/daemon/src/trestlestall/daemon/router/dispatcher.py
@@ -18,6 +18,7 @@
     claims,
     exchanges,
     journal,
+    lookups,
     streams,
     views,
 )
@@ -44,6 +45,7 @@
     journal: journal.Journal
     metrics: daemon_metrics.Metrics
     desk: claims.Desk
+    lookups: lookups.Lookups
     on_refused_connection: abc.Callable[[object], None]
     on_pressure: abc.Callable[[abc.Mapping[str, int]], None]
     exchanges: dict[str, exchanges.Exchange] = dataclasses.field(default_factory=dict)
--- a/packages/daemon/src/trestlestall/daemon/router/peers.py
+++ b/packages/daemon/src/trestlestall/daemon/router/peers.py
@@ -68,16 +68,19 @@
 def take_claim_answer(
     site: process.Router, sender: str, message: messages.ClaimAnswer
 ) -> None:
-    """Take control's answer to a claim, a finish or a release."""
+    """Take control's answer to a claim, a finish, a release or a lookup."""
     if sender not in site.controls.names:
         return
     if message.kind == REDIRECT:
         # Without a leader there is nobody to ask; the desk asks again by itself.
         if site.controls.note_redirect(message.fields.get("leader")):
             site.desk.redirect(message.token)
+            site.lookups.redirect(message.token)
         return
     site.controls.note_answer(sender)
-    site.desk.take_answer(message.token, message.kind, dict(message.fields))
+    fields = dict(message.fields)
+    if not site.lookups.take_answer(message.token, message.kind, fields):
+        site.desk.take_answer(message.token, message.kind, fields)
 
 
 @take(messages.SubmitAnswer)
--- a/packages/daemon/src/trestlestall/daemon/router/process.py
+++ b/packages/daemon/src/trestlestall/daemon/router/process.py
@@ -26,6 +26,7 @@
     exchanges,
     gatekeeping,
     journal,
+    lookups,
     members,
     operators,
     peers,
@@ -181,6 +182,7 @@
         self.desk = claims.Desk(
             found.name, self.controls.send, clock.monotonic, self.journal, self.metrics
         )
+        self.lookups = lookups.Lookups(self.controls.send, self.controls.forget)
         self.dispatcher = dispatcher.Dispatcher(
             policy=router_policy.Policy(
                 self.env.random.getrandbits(32),
@@ -191,6 +193,7 @@
             journal=self.journal,
             metrics=self.metrics,
             desk=self.desk,
+            lookups=self.lookups,
             on_refused_connection=self.members.fail,
             on_pressure=lambda levels: self.pulse.report_pressure(levels),
         )
--- a/packages/daemon/tests/fake_control.py
+++ b/packages/daemon/tests/fake_control.py
@@ -71,9 +71,14 @@
 
     def answer_claim(self, sender: str, message: messages.ClaimCall) -> None:
         """Apply a claim's event and answer with the outcome."""
-        document = {"kind": message.kind, **message.fields}
-        event = claim_documents.decode_event(document)
-        self.claims, outcome = claims.apply(self.claims, event, time.time())
+        if message.kind == "look":
+            look = claim_documents.decode_look(message.fields)
+            sought = (look.workspace, look.key, look.fingerprint)
+            outcome = claims.find(self.claims, *sought, time.time())
+        else:
+            document = {"kind": message.kind, **message.fields}
+            event = claim_documents.decode_event(document)
+            self.claims, outcome = claims.apply(self.claims, event, time.time())
         fields = claim_documents.encode_outcome(outcome)
         kind = fields.pop("kind")
         self.mesh.send(sender, messages.ClaimAnswer(message.token, kind, fields))
--- a/packages/daemon/tests/test_control_cluster.py
+++ b/packages/daemon/tests/test_control_cluster.py
@@ -312,6 +312,27 @@
         rows = self.cluster.servers[leader].describe()["routers"]
         self.assertEqual([row["lags"] for row in rows], [False])
 
+    def test_a_look_is_answered_by_a_quorum_and_writes_nothing(self):
+        self.cluster.start()
+        leader = self.cluster.elect()
+        inbox = self.cluster.add_router("router-1")
+        asked = {"workspace": "w", "key": "k", "fingerprint": "f", "attempt": "a"}
+        look = messages.ClaimCall(1, "look", asked)
+        claim = messages.ClaimCall(2, "claim", {**asked, "router": "r"})
+        kinds, entries = [], []
+        for call in (look, claim, look):
+            self.cluster.say("router-1", leader, call)
+            self.cluster.run_until(lambda: inbox)
+            kinds.append(inbox.pop().kind)
+            entries.append(self.cluster.servers[leader].voter.node.commit_index)
+        self.assertEqual(kinds, ["absent", "granted", "held"])
+        self.assertEqual(entries, [entries[0], entries[0] + 1, entries[0] + 1])
+        for name in NAMES:
+            if name != leader:
+                self.cluster.cut(leader, name)
+        self.cluster.say("router-1", leader, look)
+        self.assertFalse(self.cluster.run_until(lambda: inbox, steps=100))
+
     def test_claim_reaches_the_leader_from_any_control_process(self):
         self.cluster.start()
         leader = self.cluster.elect()
