Let the rounds of reads be the leader's heartbeats

Cause: at rest the leader sent 5 heartbeats/s and, 0.25 s apart, rounds for the routers' pulls, each to every voter and answered by each. A profile of three processes with six routers shows the rest spread over turns and links, which these messages cause.

Change: a round that a read wanted puts the next heartbeat off, and pulls are taken together every two heartbeats (0.4 s), so that their rounds fall on heartbeats.

test_rounds_of_reads_are_heartbeats_too fails without it.

--- a/packages/agreement/src/trestlestall/agreement/leadership.py
+++ b/packages/agreement/src/trestlestall/agreement/leadership.py
@@ -56,11 +56,9 @@
 
 
 def beat(state: state_module.State) -> None:
-    """Begin a round when the heartbeat is due."""
-    if state.now < state.lead.heartbeat_at:
-        return
-    state.lead.heartbeat_at = state.now + state.timing.heartbeat
-    state.lead.round_wanted = True
+    """Want a round when the heartbeat is due."""
+    if state.now >= state.lead.heartbeat_at:
+        state.lead.round_wanted = True
 
 
 def note_answer(
--- a/packages/agreement/src/trestlestall/agreement/replication.py
+++ b/packages/agreement/src/trestlestall/agreement/replication.py
@@ -12,9 +12,13 @@
 
 
 def send_due(state: state_module.State) -> None:
-    """Send each peer what it lacks, and the round if a new one was wanted."""
+    """Send each peer what it lacks, and the round if a new one was wanted.
+
+    A round that a read wanted reaches all peers: the next heartbeat counts from it.
+    """
     lead = state.lead
     if lead.round_wanted:
+        lead.heartbeat_at = state.now + state.timing.heartbeat
         lead.round += 1
         lead.round_wanted = False
     for name, peer in lead.progress.items():
--- a/packages/agreement/tests/test_limits.py
+++ b/packages/agreement/tests/test_limits.py
@@ -40,6 +40,15 @@
         persists = [action for action in taken if isinstance(action, actions.Persist)]
         self.assertEqual([len(persist.entries) for persist in persists], [12])
 
+    def test_rounds_of_reads_are_heartbeats_too(self):
+        made = self.make_group()
+        for number in range(20):
+            made.read("a#1", f"r{number}")
+            made.deliver()
+            made.run(0.1)
+        sent = list_sent(made, "b#1", messages.AppendRequest)
+        self.assertEqual(len(sent), 20)
+
     def test_batches_are_bounded_and_pipelined(self):
         made = self.make_group()
         made.propose("a#1", *[f"p{number}" for number in range(40)], size=26)
--- a/packages/daemon/src/trestlestall/daemon/control/server.py
+++ b/packages/daemon/src/trestlestall/daemon/control/server.py
@@ -25,7 +25,8 @@
 from trestlestall.wire import messages
 
 NOTICE_SECONDS = 0.5
-PULL_SECONDS = 0.25
+# Two heartbeats: so pulls' rounds fall on heartbeats that are sent in any case.
+PULL_SECONDS = 0.4
 ROUNDS = 100
 REDIRECT_LIMIT = 1000
 
