Show no upstream whose lease has just ended; name the engine that has work

The test of leaving took it for granted that the first engine has work; the policy keeps prompts with one beginning together, so it now looks for the one that has. Placement's doors get the link's socket under its name.

--- a/packages/daemon/src/trestlestall/daemon/router/connections.py
+++ b/packages/daemon/src/trestlestall/daemon/router/connections.py
@@ -31,22 +31,23 @@
     """An open connection and its socket, which the library may let go of earlier."""
 
     connection: urllib3_connection.HTTPConnection
-    socket: socket.socket
+    sock: socket.socket
 
     def abort(self) -> None:
         """Wake whoever reads from the connection and end it."""
         with contextlib.suppress(OSError):
-            self.socket.shutdown(socket.SHUT_RDWR)
+            self.sock.shutdown(socket.SHUT_RDWR)
 
     def close(self) -> None:
         """Close the connection."""
         self.connection.close()
-        self.socket.close()
+        self.sock.close()
 
 
-def connect(address: str) -> Link | Exception:
+def connect(address: str, read_seconds: float = READ_SECONDS) -> Link | Exception:
     """Return an open connection to ``IP:port``, or the error that prevented it.
 
+    ``read_seconds`` bounds the wait for the response's next bytes.
     While this has not returned a connection, no byte of a request has been sent.
     """
     host, port = listener.split_address(address)
@@ -57,8 +58,8 @@
         opened.close()
         return error
     # The library sets the socket's timeout to this before it reads the response.
-    opened.timeout = READ_SECONDS
-    opened.sock.settimeout(READ_SECONDS)
+    opened.timeout = read_seconds
+    opened.sock.settimeout(read_seconds)
     return Link(opened, opened.sock)
 
 
@@ -102,7 +103,7 @@
             return
         if decoder.failed:
             raise urllib3.exceptions.ProtocolError("the chunked coding is broken")
-        data = link.socket.recv(PART_BYTES)
+        data = link.sock.recv(PART_BYTES)
 
 
 def read_parts(response: urllib3.BaseHTTPResponse) -> abc.Iterator[bytes]:
--- a/packages/daemon/tests/test_router_parts.py
+++ b/packages/daemon/tests/test_router_parts.py
@@ -19,7 +19,9 @@
     exchanges,
     journal,
     streams,
+    views,
 )
+from trestlestall.membership import pressure, table, upstreams
 
 CHAT = calls.MODEL_PATHS[0]
 MESSAGES = '"messages":[{"role":"user","content":"hello"}]'
@@ -244,6 +246,32 @@
         self.assertEqual({"kind": self.sent[0].kind, **self.sent[0].fields}, fields)
 
 
+class ViewsTest(unittest.TestCase):
+    def test_a_lease_that_has_ended_is_in_no_view(self):
+        known, board = table.Table("a"), pressure.Board()
+        shown = views.Views(known, board)
+        for name, now in (("u1", 0.0), ("u2", 1.0)):
+            upstream = upstreams.Upstream(name, 1, "a", "127.0.0.1:1", models=("m1",))
+            known.announce(upstream, now)
+        steps = [(2.99, ["u1", "u2"]), (3.0, ["u2"]), (3.001, ["u2"]), (4.0, [])]
+        for now, names in steps:
+            with self.subTest(now):
+                found = [each.name for each in shown.find(now).upstreams]
+                self.assertEqual(found, names)
+                self.assertIs(shown.find(now), shown.find(now))
+
+    def test_pressure_and_drains_are_shown_at_once(self):
+        board = pressure.Board()
+        shown = views.Views(table.Table("a"), board)
+        shown.find(0.0)
+        board.note("router-2", 1, {"m1": 2}, 0.0)
+        shown.drained = frozenset({"u1"})
+        shown.drop()
+        found = shown.find(0.0)
+        self.assertEqual((found.pressure, found.drained), ({"m1": 2}, {"u1"}))
+        self.assertEqual(shown.find(3.5).pressure, {})
+
+
 class ControlsTest(unittest.TestCase):
     def test_the_leader_is_asked_first_and_all_when_it_is_not_known(self):
         linked = {"c1", "c2"}
--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -5,7 +5,7 @@
 import unittest
 
 from packages.daemon.tests import router_bench
-from trestlestall.standins import calls, processes
+from trestlestall.standins import calls, deployment, processes
 
 TEXT = "a long story [length 600]"
 
@@ -30,6 +30,18 @@
     def count_requests(self, engine) -> int:
         return self.bench.read_counts(engine)["requests"]
 
+    def find_busy(self) -> deployment.Standin:
+        """Return an engine that has work, once there is one."""
+        busy = []
+
+        def look() -> bool:
+            engines = (self.first, self.second)
+            busy[:] = [each for each in engines if self.count_requests(each)]
+            return bool(busy)
+
+        processes.wait_until(look, "an engine has work")
+        return busy[0]
+
     def ask_all(self, count: int = 20) -> None:
         """Ask both routers in turn; every answer is whole."""
         for number in range(count):
@@ -47,19 +59,19 @@
 
     def test_one_that_leaves_gets_nothing_new_and_finishes_what_runs(self):
         with concurrent.futures.ThreadPoolExecutor(8) as pool:
+            texts = [f"{number}: {TEXT}" for number in range(6)]
             streams = [
-                pool.submit(self.bench.stream, TEXT, number % 2) for number in range(6)
+                pool.submit(self.bench.stream, text, number % 2)
+                for number, text in enumerate(texts)
             ]
-            processes.wait_until(
-                lambda: self.count_requests(self.first) > 0, "the first has work"
-            )
-            stopped = pool.submit(self.first.process.stop)
-            self.wait_for_state("e1", "left")
-            before = self.count_requests(self.first)
+            leaving = self.find_busy()
+            stopped = pool.submit(leaving.process.stop)
+            self.wait_for_state(leaving.name, "left")
+            before = self.count_requests(leaving)
             self.ask_all()
-            self.assertEqual(self.count_requests(self.first), before)
-            expected = router_bench.expect_answer(TEXT, 600)
-            for stream in streams:
+            self.assertEqual(self.count_requests(leaving), before)
+            for text, stream in zip(texts, streams, strict=True):
+                expected = router_bench.expect_answer(text, 600)
                 answer = stream.result()
                 self.assertEqual((answer.text, answer.whole), (expected, True))
             self.assertEqual(stopped.result(), 0)
