--- a/packages/daemon/src/trestlestall/daemon/control/server.py
+++ b/packages/daemon/src/trestlestall/daemon/control/server.py
@@ -18,6 +18,7 @@
     group,
     journal as journals,
     operations,
+    placing,
     reports,
     voter as voters,
 )
@@ -63,10 +64,12 @@
         self._results: list[tuple[int, voters.Result]] = []
         self._notices: dict[str, group.Notice] = {}
         self._noticed_at = float("-inf")
+        self._handing_over = False
         self._pulls: list[arrivals.Pull] = []
         self._pulled_at = float("-inf")
         self._redirected: dict[tuple[str, typing.Any], None] = {}
         self._dialled: abc.Mapping[str, Document] = {}
+        self.placing = placing.Placing(self, env.clock, log, wake)
         if journal.group is not None:
             self._start_voter(journal.group)
 
@@ -80,10 +83,20 @@
         return group.find_name(self.voter.node.leader)
 
     @property
-    def is_idle(self) -> bool:
-        """Whether no call waits for its answer."""
+    def is_settled(self) -> bool:
+        """Whether no call waits for its answer and no leadership is handed over."""
+        if self._handing_over and self.leader in (None, self.settings.name):
+            return False
         return not len(self._calls)
 
+    def hand_over(self) -> None:
+        """Begin to hand the leadership to another process, before a planned stop."""
+        if self.voter is None or not self.voter.leads:
+            return
+        self._handing_over = len(self.voter.node.voters) > 1
+        self.take_event(agreement_events.TransferLeader())
+        self._wake()
+
     def open_call(
         self, kind: str, document: Document, reply: Reply, relayed: bool = False
     ) -> None:
@@ -103,6 +116,7 @@
         """Note that a link opened or ended."""
         self.report.note_link(peer, linked)
         self.board.forget(peer)
+        self.placing.note_unlinked(peer)
         if linked:
             self._send_notice(peer)
         else:
@@ -157,6 +171,7 @@
             self._note_results(here, now)
             if not self._inbox:
                 break
+        self.placing.turn(self.voter, now)
         self._dial_added()
         self._push(now)
         self.report.note_state(self, now)
@@ -210,6 +225,7 @@
     def _note_results(self, here: calls.Here, now: float) -> None:
         results, self._results = self._results, []
         for token, result in results:
+            self.placing.note_result(token, result)
             self._inbox.extend(self._calls.note_result(token, result, here, now))
 
     def _note_action(self, action: actions.Action) -> None:
--- a/packages/daemon/src/trestlestall/daemon/router/connections.py
+++ b/packages/daemon/src/trestlestall/daemon/router/connections.py
@@ -31,23 +31,28 @@
     """An open connection and its socket, which the library may let go of earlier."""
 
     connection: urllib3_connection.HTTPConnection
-    sock: socket.socket
+    socket: socket.socket
+
+    def set_timeout(self, seconds: float) -> None:
+        """Bound the wait for each read from now on."""
+        # The library sets the socket's timeout to this before it reads the response.
+        self.connection.timeout = seconds
+        self.socket.settimeout(seconds)
 
     def abort(self) -> None:
         """Wake whoever reads from the connection and end it."""
         with contextlib.suppress(OSError):
-            self.sock.shutdown(socket.SHUT_RDWR)
+            self.socket.shutdown(socket.SHUT_RDWR)
 
     def close(self) -> None:
         """Close the connection."""
         self.connection.close()
-        self.sock.close()
+        self.socket.close()
 
 
-def connect(address: str, read_seconds: float = READ_SECONDS) -> Link | Exception:
+def connect(address: str) -> Link | Exception:
     """Return an open connection to ``IP:port``, or the error that prevented it.
 
-    ``read_seconds`` bounds the wait for the response's next bytes.
     While this has not returned a connection, no byte of a request has been sent.
     """
     host, port = listener.split_address(address)
@@ -57,10 +62,9 @@
     except FAULTS as error:
         opened.close()
         return error
-    # The library sets the socket's timeout to this before it reads the response.
-    opened.timeout = read_seconds
-    opened.sock.settimeout(read_seconds)
-    return Link(opened, opened.sock)
+    link = Link(opened, opened.sock)
+    link.set_timeout(READ_SECONDS)
+    return link
 
 
 def send(
@@ -103,7 +107,7 @@
             return
         if decoder.failed:
             raise urllib3.exceptions.ProtocolError("the chunked coding is broken")
-        data = link.sock.recv(PART_BYTES)
+        data = link.socket.recv(PART_BYTES)
 
 
 def read_parts(response: urllib3.BaseHTTPResponse) -> abc.Iterator[bytes]:
--- /dev/null
+++ b/tests/test_promise_stops.py
@@ -0,0 +1,232 @@
+"""A planned stop of any process cuts off nothing; upstreams come and go likewise."""
+
+import concurrent.futures
+import dataclasses
+import signal
+import time
+import unittest
+
+from tests import relays, test_promise_once as once
+from trestlestall.standins import calls, deployment, processes, prompts
+
+MODEL_OF = {"idempotent": "m1", "at most once": "m2"}
+LONG = 500
+STREAMS = 6
+# A router decides by a view of its table that is up to 50 ms old.
+VIEW_SECONDS = 0.2
+
+
+def make_plan(controls: int) -> deployment.Plan:
+    """Return one data centre with two routers and two engines."""
+    return deployment.Plan(
+        data_centres=("a",),
+        controls=controls,
+        routers_per_data_centre=2,
+        engines=tuple(
+            deployment.EnginePlan(
+                f"engine-{each}", "a", ("m1", "m2"), once.ENGINE_OPTIONS
+            )
+            for each in ("a", "b")
+        ),
+    )
+
+
+@dataclasses.dataclass(frozen=True)
+class Stream:
+    """A stream under way, and the only answer that is right."""
+
+    expected: str
+    answer: concurrent.futures.Future
+
+
+class StopsCase(unittest.TestCase):
+    """What the tests of stops share: streams under way through both routers."""
+
+    controls = 1
+    number = 0
+
+    def setUp(self):
+        """Start anew: an upstream that comes back again and again is held back."""
+        started = relays.start_network(make_plan(self.controls), once.COMMANDS)
+        self.network = self.enterContext(started)
+        self.pool = self.enterContext(concurrent.futures.ThreadPoolExecutor(16))
+
+    def start_streams(self, count: int = STREAMS, length: int = LONG) -> list[Stream]:
+        """Start streams of both kinds at both routers; return once all have begun."""
+        begun = []
+        streams = [self.start_stream(begun, length) for _ in range(count)]
+        processes.wait_until(
+            lambda: len(set(begun)) == count, f"{count} streams have begun"
+        )
+        return streams
+
+    def start_stream(self, begun: list[str], length: int) -> Stream:
+        self.number += 1
+        model = list(MODEL_OF.values())[self.number // 2 % 2]
+        text = f"stream {self.number} [length {length}]"
+        router = self.network.routers[self.number % 2]
+        prompt = prompts.make_prompt(model, f"user: {text}")
+        answer = self.pool.submit(
+            calls.stream,
+            router.callers,
+            calls.make_chat(model, text),
+            once.KEY,
+            lambda part: begun.append(text),
+            idempotency_key=text,
+        )
+        return Stream(prompts.write_answer(prompt, 0, length), answer)
+
+    def check_whole(self, streams: list[Stream]) -> None:
+        """Every stream came to its end with the right text."""
+        for stream in streams:
+            answer = stream.answer.result()
+            self.assertEqual((answer.status, answer.whole), (200, True))
+            self.assertEqual(answer.text, stream.expected)
+
+    def ask(self, router: int, count: int = 6) -> None:
+        """Ask a router for a few short answers, all of which come."""
+        for _ in range(count):
+            self.number += 1
+            text = f"short {self.number} [length 3]"
+            where = self.network.routers[router].callers
+            answer = calls.ask(where, "m1", text, once.KEY)
+            self.assertEqual(answer.status, 200, answer)
+
+    def count(self, engine: str) -> int:
+        return self.network.upstreams[engine].count()["requests"]
+
+
+class DaemonsTest(StopsCase):
+    controls = 3
+
+    def test_each_control_process_in_turn_in_the_middle_of_streams(self):
+        for control in list(self.network.controls):
+            streams = self.start_streams()
+            self.assertEqual(control.process.stop(), 0)
+            left = [each for each in self.network.controls if each is not control]
+            self.network.find_leader(*(each.name for each in left))
+            self.check_whole(streams)
+            self.network.deployment.restart(control)
+        self.check_each_ran_once()
+
+    def test_a_router_in_the_middle_of_streams(self):
+        streams = self.start_streams(length=2 * LONG)
+        router = self.network.routers[0]
+        self.assertEqual(router.process.stop(), 0)
+        self.check_whole(streams)
+        lines = {line["name"]: line for line in self.network.read_events(router.name)}
+        self.assertEqual(lines["process_stopping"]["running"], STREAMS // 2)
+        self.assertEqual(lines["process_stopped"]["cut_off"], 0)
+        self.check_each_ran_once()
+        self.check_records()
+
+    def check_each_ran_once(self) -> None:
+        total = sum(self.count(name) for name in self.network.upstreams)
+        self.assertEqual(total, self.number)
+
+    def check_records(self) -> None:
+        """Work that may run once was put on record before its router ended."""
+        for number in range(1, STREAMS + 1):
+            text = f"stream {number} [length {2 * LONG}]"
+            if number // 2 % 2 == 0:
+                continue
+            where, body = self.network.routers[1].callers, calls.make_chat("m2", text)
+            again = calls.stream(where, body, once.KEY, idempotency_key=text)
+            # The answer is too long to be kept for a resend.
+            self.assertEqual((again.error_code, again.run), ("answer_too_old", "ran"))
+
+
+class UpstreamsTest(StopsCase):
+    """No new work within seconds anywhere, and what runs goes on."""
+
+    def find_row(self, router: deployment.Daemon, name: str) -> dict:
+        text = f'show upstreams where name = "{name}"'
+        return self.network.deployment.query(text, router).document["rows"][0]
+
+    def wait_for_state(self, name: str, *states: str) -> None:
+        for router in self.network.routers:
+            processes.wait_until(
+                lambda r=router: self.find_row(r, name)["state"] in states,
+                f"{name} is one of {states} at {router.name}",
+            )
+        time.sleep(VIEW_SECONDS)
+
+    def wait_for_newest(self, name: str) -> None:
+        """Wait until every router knows the newest incarnation, and it is live."""
+        expected = ("live", self.network.incarnations[name])
+        for router in self.network.routers:
+            processes.wait_until(
+                lambda r=router: self.find_incarnation(r, name) == expected,
+                f"{name} is {expected} at {router.name}",
+            )
+        time.sleep(VIEW_SECONDS)
+
+    def find_incarnation(self, router: deployment.Daemon, name: str) -> tuple:
+        row = self.find_row(router, name)
+        return row["state"], row["incarnation"]
+
+    def wait_until_served(self, router: int) -> None:
+        """Wait until a router has an upstream: one that returns may be held back."""
+        where = self.network.routers[router].callers
+        text = "anybody there? [length 1]"
+        processes.wait_until(
+            lambda: calls.ask(where, "m1", text, once.KEY).status == 200,
+            f"router {router} serves",
+        )
+
+    def check_no_new_work(self, name: str) -> None:
+        for router in (0, 1):
+            self.wait_until_served(router)
+        before = self.count(name)
+        for router in (0, 1):
+            self.ask(router)
+        self.assertEqual(self.count(name), before)
+
+    def test_one_leaves_and_the_other_router_does_not_hear_of_it(self):
+        """The leaving reaches router 1 alone; at router 2 the lease must do."""
+        first = self.network.upstreams["engine-a"]
+        self.network.announce_again("engine-b", self.network.routers[1:])
+        self.wait_for_newest("engine-b")
+        streams = self.start_streams()
+        self.network.links["router-a1", "router-a2"].freeze()
+        first.announcer.leave()
+        self.wait_for_state("engine-a", "left", "expired")
+        before = self.count("engine-a")
+        self.ask(1)
+        self.assertEqual(self.count("engine-a"), before)
+        self.network.heal()
+        self.check_no_new_work("engine-a")
+        self.check_whole(streams)
+
+    def test_one_leaves_while_a_router_stands_still(self):
+        frozen = self.network.routers[1].process
+        frozen.send_signal(signal.SIGSTOP)
+        self.network.upstreams["engine-a"].announcer.leave()
+        frozen.send_signal(signal.SIGCONT)
+        # The message itself may be lost at the frozen router; the lease then ends.
+        self.wait_for_state("engine-a", "left", "expired")
+        self.check_no_new_work("engine-a")
+
+    def test_a_drained_one_finishes_what_runs(self):
+        streams = self.start_streams()
+        self.network.operate("drain upstream engine-a")
+        self.network.wait_until_in_force()
+        self.check_no_new_work("engine-a")
+        self.check_whole(streams)
+
+    def test_one_is_killed_and_comes_back_under_the_same_address(self):
+        """What its former incarnation still says changes nothing."""
+        former = self.network.upstreams["engine-a"]
+        former.standin.process.kill()
+        for router in (0, 1):
+            self.ask(router)
+        self.network.upstreams["engine-b"].announcer.leave()
+        self.wait_for_state("engine-b", "left")
+        renewed = self.network.restart(former)
+        self.wait_for_newest("engine-a")
+        former.announcer.leave()
+        for router in (0, 1):
+            self.wait_until_served(router)
+            self.ask(router)
+        self.wait_for_state("engine-a", "live")
+        self.assertGreaterEqual(renewed.count()["requests"], 12)
