Set the control's metrics when they are read, not in each turn

Cause: the profile of a control process at rest has 0.10 to 0.15 s of setting gauges and summing links' counters in 0.33 to 0.74 s of turns, some twenty times a second.

Change: GET /metrics sets them first, so what it shows is also never a turn old.

--- a/packages/daemon/src/trestlestall/daemon/control/process.py
+++ b/packages/daemon/src/trestlestall/daemon/control/process.py
@@ -90,11 +90,16 @@
             )
             served.report.note_recovered(data.load())
             stack.enter_context(linked.open(served.take_message, served.note_link))
-            shown = site.Site(served, self._settings.secrets.operators, self._metrics)
+            shown = site.Site(
+                served,
+                self._settings.secrets.operators,
+                self._metrics,
+                lambda: self._note_metrics(served, linked),
+            )
             for address, app in self._list_applications(shown):
                 stack.enter_context(listener.open_listener(str(address), app))
             self._log.write(events.process.READY, role=ROLE)
-            self._turn_until_stopped(served, shown, linked)
+            self._turn_until_stopped(served, shown)
 
     def _list_applications(
         self, shown: site.Site
@@ -111,30 +116,28 @@
         listen = self._settings.listen
         return [(listen.operators, operators), (listen.platform, platform)]
 
-    def _turn_until_stopped(
-        self, served: server.Server, shown: site.Site, linked: links.Links
-    ) -> None:
+    def _turn_until_stopped(self, served: server.Server, shown: site.Site) -> None:
         while not self._stopping:
-            self._turn(served, linked)
+            self._turn(served)
         shown.stopping = True
         self._log.write(events.process.STOPPING, role=ROLE)
         served.hand_over()
         deadline = self._env.clock.monotonic() + STOP_SECONDS
         while not served.is_settled and self._env.clock.monotonic() < deadline:
-            self._turn(served, linked)
+            self._turn(served)
 
-    def _turn(self, served: server.Server, linked: links.Links) -> None:
+    def _turn(self, served: server.Server) -> None:
         """Wait for something to do; then let all that has arrived come in first."""
         self._arrived.acquire(timeout=TICK_SECONDS)
         eventlet.sleep(0)
         served.turn()
-        self._note_metrics(served, linked)
 
     def _wake(self) -> None:
         if self._arrived.balance <= 0:
             self._arrived.release()
 
     def _note_metrics(self, served: server.Server, linked: links.Links) -> None:
+        """Set the metrics; when they are read, since each turn would be too often."""
         self._metrics.links.set(len(linked.linked()))
         self._metrics.note_link_bytes(linked.bytes_sent, linked.bytes_received)
         if served.voter is not None:
--- a/packages/daemon/src/trestlestall/daemon/control/site.py
+++ b/packages/daemon/src/trestlestall/daemon/control/site.py
@@ -2,6 +2,7 @@
 
 import secrets
 import typing
+from collections import abc
 
 import eventlet.event
 
@@ -23,10 +24,12 @@
         server: servers.Server,
         keys: typing.Mapping[str, str],
         metrics: process_metrics.Metrics,
+        note_metrics: abc.Callable[[], object],
     ):
         self._server = server
         self._keys = keys
         self.metrics = metrics
+        self.note_metrics = note_metrics
         self.stopping = False
 
     def check_operator(self, request: requests.Request) -> errors.Failure | None:
@@ -100,5 +103,6 @@
 
 @PLATFORM.register("GET", "/metrics")
 def show_metrics(site: Site, request: requests.Request) -> answers.Answer:
-    """Answer with the metrics."""
+    """Answer with the metrics as they are now."""
+    site.note_metrics()
     return answers.Answer(200, site.metrics.render(), process_metrics.CONTENT_TYPE)
