Move the measuring programs out of the tests' folders

Cause: two benchmarks stood under tests/ and were counted as tests. Change: they stand in benchmarks/ beside their packages; the pages name the new places.

--- a/packages/membership/tests/measure_dissemination.py
+++ b/packages/membership/benchmarks/measure_dissemination.py
@@ -9,7 +9,7 @@
 
 Run from the root, with the packages' src folders on PYTHONPATH::
 
-    python -m packages.membership.tests.measure_dissemination
+    python -m packages.membership.benchmarks.measure_dissemination
 """
 
 import dataclasses
--- a/packages/wire/tests/measure_links.py
+++ b/packages/wire/benchmarks/measure_links.py
@@ -4,7 +4,7 @@
 the figures are those of one end. Run from the root, with the packages' src folders on
 PYTHONPATH::
 
-    python -m packages.wire.tests.measure_links
+    python -m packages.wire.benchmarks.measure_links
 """
 
 import resource
@@ -106,7 +106,7 @@
     eventlet.sleep(IDLE_SECONDS)
     processor = (time.process_time() - processor) / IDLE_SECONDS
     print(f"no links: {processor:.3%} of a core, {before / 2**20:.1f} MB")
-    module = [sys.executable, "-m", "packages.wire.tests.measure_links"]
+    module = [sys.executable, "-m", "packages.wire.benchmarks.measure_links"]
     child = subprocess.Popen([*module, mesh.address])
     try:
         while len(mesh.linked()) < LINKS:
