--- a/tests/test_promise_cuts.py
+++ b/tests/test_promise_cuts.py
@@ -4,6 +4,7 @@
 import threading
 import time
 import unittest
+import uuid
 
 from tests import relays, test_promise_once as once
 from trestlestall.standins import calls, processes
@@ -93,12 +94,18 @@
         self.network.deployment.restart(daemon)
 
     def operate_at(self, data_centre: str, text: str) -> None:
-        """Have a command accepted through a router of the data centre."""
+        """Have a command accepted, once, through a router of the data centre."""
         daemon = self.network.find(f"router-{data_centre}1")
-        processes.wait_until(
-            lambda: self.network.deployment.query(text, daemon).status == 200, text
-        )
-        self.network.version += 1
+        request_id = str(uuid.uuid4())
+        answers = []
+
+        def ask() -> bool:
+            query = self.network.deployment.query
+            answers.append(query(text, daemon, request_id=request_id))
+            return answers[-1].status == 200
+
+        processes.wait_until(ask, text)
+        self.network.version = answers[-1].document["outcome"]["version"]
 
     def test_it_serves_on_tells_its_age_and_catches_up(self):
         """Then its routers restart: with nobody to ask, they wait for the heal."""
--- a/tests/test_promise_once.py
+++ b/tests/test_promise_once.py
@@ -230,7 +230,7 @@
         relay.thaw()
         first = lost.result()
         self.assertEqual(first.status, 200)
-        self.check_unknown(work.ask(key, "b"))
+        self.check_unknown(self.ask_until_settled(work, key, "b"))
         self.network.heal()
         processes.wait_until(
             lambda: work.ask(key, "b").status == 200, "it is on record"
