--- a/packages/daemon/src/trestlestall/daemon/events/routing.py
+++ b/packages/daemon/src/trestlestall/daemon/events/routing.py
@@ -21,7 +21,7 @@
     "request_refused",
     catalogue.Level.INFO,
     "request workspace request_class tier code retry_after reason",
-    "The request was refused before any upstream had it: it did not run.",
+    "The request was refused before any upstream had it: this sending did not run.",
     "When many of one class are refused, compare its demand and target with capacity.",
 )
 SENT = catalogue.declare(
@@ -95,7 +95,7 @@
     "claim_unknown",
     catalogue.Level.WARNING,
     "request workspace key reason",
-    "No quorum answered the claim in time; the request was refused and did not run.",
+    "No quorum answered for the key in time; refused, and this sending did not run.",
     "See TS4xxx and TS5xxx: this data centre may be cut off from the control voters.",
 )
 CLAIM_FINISHED = catalogue.declare(
