Let the leader alone push the configuration

Cause: routers acknowledge only to the sender of a push, so after a second both other control processes pushed every change to every router again: 18 pushes where 6 do.

Ruled out: passing acknowledgements on with heartbeats, which costs bytes in each heartbeat. The repeated pushes were for routers that are cut off from the leader alone; these pull from the other processes each second, which ask the leader, so they lose nothing by it (at most 1.4 s, as before).

test_router_that_is_cut_off_from_the_leader_alone fails on the former code: pushed by the two others.

--- a/packages/daemon/src/trestlestall/daemon/control/followers.py
+++ b/packages/daemon/src/trestlestall/daemon/control/followers.py
@@ -5,9 +5,8 @@
 that the answer is current. So a control process that comes back from a long freeze
 can't hand its old version to a router that has just started.
 
-A push is resent until it is acknowledged. The leader pushes at once; the others push
-what a router still lacks after a while, to reach routers that are cut off from the
-leader alone.
+Only the leader pushes, and again until the push is acknowledged. A router that is cut
+off from the leader alone pulls from the others, which ask the leader for it.
 """
 
 import dataclasses
@@ -17,7 +16,6 @@
 from trestlestall.wire import messages
 
 RESEND_SECONDS = 1.0
-RELAY_SECONDS = 1.0
 LAG_SECONDS = 5.0
 
 
@@ -119,7 +117,7 @@
             if known.behind_since is None:
                 known = dataclasses.replace(known, behind_since=now)
                 self._followers[router] = known
-            if _is_due(known, version, leads, now):
+            if leads and _is_due(known, version, now):
                 since = _find_since(known, version)
                 pushes.append(Push(router, encode_update(state, since)))
                 self._followers[router] = dataclasses.replace(
@@ -139,7 +137,5 @@
     return known.acknowledged
 
 
-def _is_due(known: Follower, version: int, leads: bool, now: float) -> bool:
-    if not leads and now - known.behind_since < RELAY_SECONDS:
-        return False
+def _is_due(known: Follower, version: int, now: float) -> bool:
     return known.pushed < version or now - known.pushed_at >= RESEND_SECONDS
--- a/packages/daemon/tests/test_control_cluster.py
+++ b/packages/daemon/tests/test_control_cluster.py
@@ -312,6 +312,24 @@
         rows = self.cluster.servers[leader].describe()["routers"]
         self.assertEqual([row["lags"] for row in rows], [False])
 
+    def test_router_that_is_cut_off_from_the_leader_alone(self):
+        """Nobody else pushes; what it pulls from another one comes from the leader."""
+        self.cluster.start()
+        leader = self.cluster.elect()
+        follower = next(name for name in NAMES if name != leader)
+        self.accept(1)
+        inbox = self.cluster.add_router("router-1")
+        for name in NAMES:
+            ack = messages.ConfigurationAck("router-1", 1)
+            self.cluster.say("router-1", name, ack)
+        self.cluster.step()
+        self.cluster.servers[leader].note_link("router-1", False)
+        self.accept(2, leader)
+        self.assertFalse(self.cluster.run_until(lambda: inbox, steps=50))
+        self.cluster.say("router-1", follower, messages.ConfigurationPull(1))
+        found = self.cluster.run_until(lambda: self.list_updates(inbox), steps=20)
+        self.assertEqual([(one.since, one.version) for one in found], [(1, 2)])
+
     def test_claim_reaches_the_leader_from_any_control_process(self):
         self.cluster.start()
         leader = self.cluster.elect()
