Write the callers' page; tell of refusals before a class is known

Cause: docs/callers.md was missing, and a request that was refused before it had a class (bad body, unknown key or model) left neither a log line nor a count. A service's method or query string that HTTP does not allow raised inside the attempt, where it would have left its caller waiting and its key held.

Change: the page, whose table of codes a test holds equal to the catalogue; a line and a count for each early refusal; methods checked and query strings made safe before anything is claimed; any error of an attempt ends it as broken.

--- a/packages/daemon/src/trestlestall/daemon/router/attempts.py
+++ b/packages/daemon/src/trestlestall/daemon/router/attempts.py
@@ -96,7 +96,7 @@
         self._link = opened
         try:
             ending, reason, response = self._exchange(opened, sink)
-        except connections.FAULTS as error:
+        except Exception as error:  # whatever it is, the caller must hear of the end
             ending, reason, response = Ending.BROKEN, describe(error), None
         finally:
             self._link = None
--- a/packages/daemon/src/trestlestall/daemon/router/callers.py
+++ b/packages/daemon/src/trestlestall/daemon/router/callers.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 import typing
+from collections import abc
 
 from trestlestall.configuration import model
 from trestlestall.daemon.http import answers, credentials, errors, requests, routes
@@ -16,32 +18,52 @@
 SERVICES_PATH = "/v1/services/"
 KEY_HEADER = "idempotency-key"
 CLASS_HEADER = "trestlestall-class"
-REQUEST_HEADER = "Trestlestall-Request"
+SERVICE_METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
 KEY_LIMIT = 255
 
 
+Outcome = answers.Answer | errors.Failure
+Handler = abc.Callable[["process.Router", requests.Request, model.Workspace], Outcome]
+
+
+def serve_workspace(handler: Handler) -> routes.Handler:
+    """Return a handler that finds the caller's workspace and tells of refusals."""
+
+    @functools.wraps(handler)
+    def answer(site: process.Router, request: requests.Request) -> answers.Answer:
+        found: typing.Any = find_workspace(site, request)
+        if not isinstance(found, errors.Failure):
+            found = handler(site, request, found)
+        if not isinstance(found, errors.Failure):
+            return found
+        site.reports.note_rejection("callers", request, found)
+        return answers.build_failure(found)
+
+    return answer
+
+
 @ROUTES.register("POST", calls.MODEL_PATHS[0])
 @ROUTES.register("POST", calls.MODEL_PATHS[1])
-def complete(site: process.Router, request: requests.Request) -> answers.Answer:
+@serve_workspace
+def complete(
+    site: process.Router, request: requests.Request, workspace: model.Workspace
+) -> Outcome:
     """Carry a completion to an engine."""
-    workspace = find_workspace(site, request)
-    if isinstance(workspace, errors.Failure):
-        return answers.build_failure(workspace)
     body = requests.read_body(request)
     if isinstance(body, errors.Failure):
-        return answers.build_failure(body)
+        return body
     call = calls.read_completion(request.path, body)
     if isinstance(call, errors.Failure):
-        return answers.build_failure(call)
+        return call
     return carry(site, request, workspace, call)
 
 
 @ROUTES.register("GET", "/v1/models")
-def list_models(site: process.Router, request: requests.Request) -> answers.Answer:
+@serve_workspace
+def list_models(
+    site: process.Router, request: requests.Request, workspace: model.Workspace
+) -> Outcome:
     """List the models that the workspace is bound to."""
-    workspace = find_workspace(site, request)
-    if isinstance(workspace, errors.Failure):
-        return answers.build_failure(workspace)
     bound = sorted(
         target
         for name, target in site.agreed.configuration.bindings
@@ -54,23 +76,25 @@
 
 
 @ROUTES.register(routes.ANY, SERVICES_PATH)
-def call_service(site: process.Router, request: requests.Request) -> answers.Answer:
+@serve_workspace
+def call_service(
+    site: process.Router, request: requests.Request, workspace: model.Workspace
+) -> Outcome:
     """Carry a call to a plain service."""
-    workspace = find_workspace(site, request)
-    if isinstance(workspace, errors.Failure):
-        return answers.build_failure(workspace)
     name, _, rest = request.path.removeprefix(SERVICES_PATH).partition("/")
     if name not in site.agreed.configuration.services:
-        message = f"No service is called {name!r}."
-        return answers.build_failure(errors.Failure("unknown_service", message))
+        return errors.Failure("unknown_service", f"No service is called {name!r}.")
+    if request.method not in SERVICE_METHODS:
+        message = f"Services take {', '.join(SERVICE_METHODS)}."
+        return errors.Failure("method_not_allowed", message)
     body = requests.read_body(request)
     if isinstance(body, errors.Failure):
-        return answers.build_failure(body)
-    query = f"?{request.query}" if request.query else ""
+        return body
+    query = f"?{calls.quote_path(request.query)}" if request.query else ""
     call = calls.Call(
         target=model.SERVICE_PREFIX + name,
         method=request.method,
-        path=calls.quote_path(f"/{rest}") + query,
+        path=calls.quote_path(f"/{rest}", quoted="") + query,
         body=body,
         content_type=request.headers.get("content-type", "application/json"),
     )
@@ -97,16 +121,16 @@
     request: requests.Request,
     workspace: model.Workspace,
     call: calls.Call,
-) -> answers.Answer:
+) -> Outcome:
     """Give the call its class, let it arrive, and answer with what comes of it."""
     wanted = request.headers.get(CLASS_HEADER)
     found = site.agreed.configuration.resolve_class(workspace.name, call.target, wanted)
     if isinstance(found, model.Unresolved):
-        return answers.build_failure(errors.Failure(found.code, found.message))
+        return errors.Failure(found.code, found.message)
     key = request.headers.get(KEY_HEADER, "")
     failure = check_key(key, found) or site.check_room()
     if failure is not None:
-        return answers.build_failure(failure)
+        return failure
     if not found.idempotent:
         # Two workspaces may choose one key: an upstream that looks at it must not mix
         # them up.
--- a/packages/daemon/src/trestlestall/daemon/router/calls.py
+++ b/packages/daemon/src/trestlestall/daemon/router/calls.py
@@ -110,9 +110,13 @@
     return None
 
 
-def quote_path(path: str) -> str:
-    """Return a path, unquoted by WSGI into latin-1 text, as it goes on the wire."""
-    return parse.quote(path.encode("latin-1"), safe=PATH_SAFE)
+def quote_path(text: str, quoted: str = "%?") -> str:
+    """Return part of a URL as it goes on the wire, in latin-1 as WSGI read it.
+
+    ``quoted`` are further characters to leave alone; a path that WSGI has unquoted has
+    none, a query string is still quoted and only made safe.
+    """
+    return parse.quote(text.encode("latin-1"), safe=PATH_SAFE + quoted)
 
 
 def find_prefix(body: bytes) -> str:
--- a/packages/daemon/src/trestlestall/daemon/router/doors.py
+++ b/packages/daemon/src/trestlestall/daemon/router/doors.py
@@ -75,4 +75,12 @@
         return found if isinstance(found, errors.Failure) else None
 
     checks = {"upstreams": check_upstream, "operators": check_operator}
-    return checks.get(name, application.allow_all)
+    check = checks.get(name, application.allow_all)
+
+    def check_and_note(request: requests.Request) -> errors.Failure | None:
+        failure = check(request)
+        if failure is not None:
+            site.reports.note_rejection(name, request, failure)
+        return failure
+
+    return check_and_note
--- a/packages/daemon/src/trestlestall/daemon/router/reports.py
+++ b/packages/daemon/src/trestlestall/daemon/router/reports.py
@@ -6,6 +6,9 @@
 from trestlestall.daemon.http import application, errors, requests
 from trestlestall.daemon.router import demand, exchanges, journal
 
+# The label of refusals that came before the class was known.
+NO_CLASS = ""
+
 
 class Reports:
     """Writes the first and the last line of each request, and counts it."""
@@ -64,11 +67,15 @@
 
         return report
 
-    def note_rejection(self, door: str, failure: errors.Failure) -> None:
-        """Note bad input that was refused before it became a request."""
+    def note_rejection(
+        self, door: str, request: requests.Request, failure: errors.Failure
+    ) -> None:
+        """Note what was refused before it became a request."""
+        self._metrics.refusals.labels(NO_CLASS, failure.code).inc()
         self._journal.write(
             events.routing.REJECTED,
             door=door,
+            peer=request.environ.get("REMOTE_ADDR", ""),
             code=failure.code,
             message=failure.message,
         )
--- a/packages/daemon/tests/test_router_parts.py
+++ b/packages/daemon/tests/test_router_parts.py
@@ -18,10 +18,12 @@
     controls,
     exchanges,
     journal,
+    peers,
     streams,
     views,
 )
 from trestlestall.membership import pressure, table, upstreams
+from trestlestall.wire import messages
 
 CHAT = calls.MODEL_PATHS[0]
 MESSAGES = '"messages":[{"role":"user","content":"hello"}]'
@@ -272,6 +274,40 @@
         self.assertEqual(shown.find(3.5).pressure, {})
 
 
+class PeersTest(unittest.TestCase):
+    """Messages count only from those who may say such things."""
+
+    def setUp(self):
+        self.board = pressure.Board()
+        self.claims = []
+        self.site = types.SimpleNamespace(
+            board=self.board,
+            views=views.Views(table.Table("a"), self.board),
+            env=types.SimpleNamespace(clock=environment.Clock(monotonic=lambda: 1.0)),
+            list_neighbours=lambda: ["router-2"],
+            controls=controls.Controls(["control-1"], lambda name, message: True),
+            desk=types.SimpleNamespace(
+                take_answer=lambda *answer: self.claims.append(answer)
+            ),
+        )
+
+    def test_pressure_of_neighbours_alone_is_noted(self):
+        for sender in ("router-9", "control-1", "router-2"):
+            self.assertIsNone(self.board.find_pressure("m1", 1.0))
+            peers.handle(self.site, sender, messages.Pressure(sender, 1, {"m1": 2}))
+        self.assertEqual(self.site.views.find(1.0).pressure, {"m1": 2})
+
+    def test_claims_are_answered_by_control_alone(self):
+        granted = messages.ClaimAnswer(7, "granted", {"attempt": "r1"})
+        for sender in ("router-2", "stranger", "control-1"):
+            self.assertEqual(self.claims, [])
+            peers.handle(self.site, sender, granted)
+        self.assertEqual(self.claims, [(7, "granted", {"attempt": "r1"})])
+
+    def test_what_routers_have_no_use_for_is_dropped(self):
+        peers.handle(self.site, "control-1", messages.NotUnderstood("x", 2))
+
+
 class ControlsTest(unittest.TestCase):
     def test_the_leader_is_asked_first_and_all_when_it_is_not_known(self):
         linked = {"c1", "c2"}
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -13,6 +13,7 @@
 import unittest
 
 from packages.daemon.tests import router_bench
+from trestlestall.daemon.http import errors
 from trestlestall.standins import calls
 
 GOLDEN = pathlib.Path(__file__).parent / "golden"
@@ -136,6 +137,29 @@
         self.check("stranger", session)
 
 
+class PageTest(unittest.TestCase):
+    """docs/callers.md lists the codes that callers can meet as they are."""
+
+    # Codes of the doors that callers do not use.
+    OTHER = {
+        "control_unavailable",
+        "unknown_request",
+        "unknown_upstream",
+        "wrong_data_centre",
+    }
+
+    def test_the_table_of_codes_is_the_catalogue(self):
+        text = (GOLDEN.parent.parent / "docs" / "callers.md").read_text()
+        rows = re.findall(r"(?m)^\| `(\w+)` \| (\d+) \| (yes|no) \|", text)
+        listed = {name: (int(status), retry == "yes") for name, status, retry in rows}
+        known = {
+            code.name: (code.status, code.retry)
+            for code in errors.CODES.values()
+            if code.name not in self.OTHER
+        }
+        self.assertEqual(listed, known)
+
+
 class BadInputTest(unittest.TestCase):
     """Each bad sender gets its code; the others are served all the while."""
 
