--- a/tests/test_agreed_state_deployment.py
+++ b/tests/test_agreed_state_deployment.py
@@ -7,7 +7,6 @@
 import pathlib
 import shutil
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -18,6 +17,8 @@
 from collections import abc
 from concurrent import futures
 
+from trestlestall.standins import addresses
+
 NAMES = ("control-1", "control-2", "control-3")
 KEYS = {"alice": "key-of-alice", "bela": "key-of-bela"}
 LISTENERS = ("operators", "platform", "peers")
@@ -174,15 +175,8 @@
 
 
 def find_addresses() -> dict[str, str]:
-    """Return a free address of the kernel's choice for each listener."""
-    with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in LISTENERS]
-        for one in sockets:
-            one.bind(("127.0.0.1", 0))
-        ports = [one.getsockname()[1] for one in sockets]
-    return {
-        name: f"127.0.0.1:{port}" for name, port in zip(LISTENERS, ports, strict=True)
-    }
+    """Return an address that stays reserved for a while, for each listener."""
+    return {name: str(addresses.reserve_address()) for name in LISTENERS}
 
 
 @contextlib.contextmanager
