--- a/packages/daemon/tests/test_router_parts.py
+++ b/packages/daemon/tests/test_router_parts.py
@@ -286,6 +286,7 @@
             env=types.SimpleNamespace(clock=environment.Clock(monotonic=lambda: 1.0)),
             list_neighbours=lambda: ["router-2"],
             controls=controls.Controls(["control-1"], lambda name, message: True),
+            lookups=types.SimpleNamespace(take_answer=lambda *answer: False),
             desk=types.SimpleNamespace(
                 take_answer=lambda *answer: self.claims.append(answer)
             ),
