--- a/packages/membership/src/trestlestall/membership/entries.py
+++ b/packages/membership/src/trestlestall/membership/entries.py
@@ -4,6 +4,10 @@
 
 from trestlestall.membership import facts, holds, outcomes, upstreams
 
+# For how long a leaving, or an ended lease, is remembered: a row that is told later
+# than that would bring the upstream back.
+TOMBSTONE_SECONDS = 60.0
+
 
 @dataclasses.dataclass(frozen=True)
 class Entry:
@@ -52,3 +56,21 @@
     def is_renewable(self, incarnation: int) -> bool:
         """Return whether this incarnation has announced itself and not left."""
         return self.is_same(incarnation) and not self.fact.left
+
+    def is_forgettable(self, now: float, grace: float) -> bool:
+        """Return whether nothing late can bring the entry back any more."""
+        end = self.find_end(grace)
+        return end <= now if self.fact.left else end + TOMBSTONE_SECONDS <= now
+
+    def has_just_expired(self, now: float, grace: float) -> bool:
+        """Return whether the lease is over and nobody was told yet."""
+        state = self.find_state(now, grace)
+        return state is outcomes.State.EXPIRED and not self.told_expired
+
+    def with_teller(self, peer: str) -> "Entry":
+        """Return the entry with the peer among those that know the newest renewal."""
+        return dataclasses.replace(self, known_by=self.known_by | {peer})
+
+    def without_teller(self, peer: str) -> "Entry":
+        """Return the entry without the peer among those that know it."""
+        return dataclasses.replace(self, known_by=self.known_by - {peer})
--- a/packages/membership/src/trestlestall/membership/exchange.py
+++ b/packages/membership/src/trestlestall/membership/exchange.py
@@ -25,7 +25,7 @@
     """Rows for one neighbour."""
 
     neighbour: str
-    rows: tuple[table.Told, ...]
+    rows: tuple[rows.Told, ...]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -73,7 +73,7 @@
         return parcels
 
     def receive(
-        self, neighbour: str, told: abc.Iterable[table.Told], now: float
+        self, neighbour: str, told: abc.Iterable[rows.Told], now: float
     ) -> Received:
         """Take in a neighbour's rows."""
         changes = self.table.merge(told, now, neighbour)
--- a/packages/membership/src/trestlestall/membership/rows.py
+++ b/packages/membership/src/trestlestall/membership/rows.py
@@ -8,6 +8,7 @@
 
 import dataclasses
 import hashlib
+import typing
 
 from trestlestall.membership import facts, limits, upstreams
 
@@ -38,6 +39,9 @@
     report: upstreams.Report
 
 
+Told: typing.TypeAlias = Row | Renewal
+
+
 def derive_key(name: str, incarnation: int) -> bytes:
     """Return the short name of one incarnation: two of 600 agree by 1 in 10^9."""
     text = f"{name}\n{incarnation}".encode()
--- a/packages/membership/src/trestlestall/membership/table.py
+++ b/packages/membership/src/trestlestall/membership/table.py
@@ -19,8 +19,11 @@
 from collections import abc
 
 from trestlestall.membership import (
+    batches,
+    changes,
     entries,
     facts,
+    indexes,
     live,
     outcomes,
     rows,
@@ -28,21 +31,13 @@
     upstreams,
 )
 
+# Seconds that an announcement or a renewal lasts.
 LEASE = 3.0
-TOMBSTONE_SECONDS = 60.0
+TOMBSTONE_SECONDS = entries.TOMBSTONE_SECONDS
+# Bounds on memory, whatever upstreams and peers send.
 UPSTREAM_LIMIT = 2000
 MISSING_LIMIT = 500
 
-Told = rows.Row | rows.Renewal
-
-
-@dataclasses.dataclass(frozen=True)
-class Batch:
-    """Rows that changed after a mark; ``mark`` is the one to ask with next time."""
-
-    mark: int
-    rows: tuple[Told, ...]
-
 
 class Table:
     """The upstreams known to one router of a data centre.
@@ -61,9 +56,7 @@
         self.grace = grace
         self.interval = interval
         self.entries: dict[str, entries.Entry] = {}
-        self.names: dict[bytes, str] = {}
-        # Names by when they were last to be passed on, the newest at the end.
-        self.recent: dict[str, None] = {}
+        self.index = indexes.Index()
         # The answer of list_live, until something changes.
         self.live: live.Live | None = None
         self.missing: dict[bytes, None] = {}
@@ -80,13 +73,13 @@
         An incarnation older than the known one, or one that has left, is ignored and
         the answer's only change has ``taken`` false.
         """
-        self.latest = max(self.latest, now)
+        self.note_time(now)
         report = upstreams.with_receipt(upstream.report, now)
         upstream = upstreams.with_report(upstream, report)
         known = self.entries.get(upstream.name)
         refusal = self.refuse_announcement(upstream, known, now)
         if refusal is not None:
-            return [refuse(upstream, refusal)]
+            return [changes.refuse(upstream, refusal)]
         same = known is not None and known.is_same(upstream.incarnation)
         sequence = facts.find_sequence(known.fact if same else None, upstream.report)
         fact = facts.Fact(upstream, sequence, sequence, lease, now + lease)
@@ -99,7 +92,7 @@
 
         A report older than the known one is ignored; the lease is renewed all the same.
         """
-        self.latest = max(self.latest, now)
+        self.note_time(now)
         known = self.entries.get(name)
         if known is None or not known.is_renewable(incarnation):
             return outcomes.UnknownUpstream(name)
@@ -112,7 +105,7 @@
 
     def leave(self, name: str, incarnation: int, now: float) -> list[outcomes.Change]:
         """End this incarnation: no new work from now on, whatever arrives late."""
-        self.latest = max(self.latest, now)
+        self.note_time(now)
         known = self.entries.get(name)
         if known is None or known.upstream.incarnation < incarnation:
             if known is None and not self.make_room(now):
@@ -130,7 +123,7 @@
 
     def fail(self, name: str, incarnation: int, now: float) -> list[outcomes.Change]:
         """Note a refused connection: no new work until a later renewal."""
-        self.latest = max(self.latest, now)
+        self.note_time(now)
         known = self.entries.get(name)
         if known is None or not known.is_same(incarnation):
             return []
@@ -139,42 +132,41 @@
         entry = dataclasses.replace(known, suspect=True)
         self.entries[name] = entry
         self.live = None
-        return [self.describe(entry, outcomes.Reason.REFUSED_CONNECTION, now)]
+        return self.report(entry, outcomes.Reason.REFUSED_CONNECTION, now)
 
     def expire(self, now: float) -> list[outcomes.Change]:
         """Report leases that ended since the last call, and forget what is long over.
 
         ``list_live`` does not depend on this being called.
         """
-        self.latest = max(self.latest, now)
-        changes = []
+        self.note_time(now)
+        reported: list[outcomes.Change] = []
         for name, entry in list(self.entries.items()):
-            if self.is_forgettable(entry, now):
+            if entry.is_forgettable(now, self.grace):
                 self.forget(name)
-            elif self.has_just_expired(entry, now):
+            elif entry.has_just_expired(now, self.grace):
                 told = dataclasses.replace(entry, told_expired=True)
                 self.entries[name] = told
-                reason = outcomes.Reason.LEASE_ENDED
-                changes.append(self.describe(told, reason, now))
-        return changes
+                reported += self.report(told, outcomes.Reason.LEASE_ENDED, now)
+        return reported
 
     # What peer routers say.
 
     def merge(
-        self, told: abc.Iterable[Told], now: float, teller: str = ""
+        self, told: abc.Iterable[rows.Told], now: float, teller: str = ""
     ) -> list[outcomes.Change]:
         """Take in rows that a peer router (``teller``) sent; their order is irrelevant.
 
         Renewals of rows that are not known here are remembered for ``take_missing``.
         """
-        self.latest = max(self.latest, now)
-        changes: list[outcomes.Change] = []
+        self.note_time(now)
+        reported: list[outcomes.Change] = []
         for row in told:
             if isinstance(row, rows.Renewal):
-                changes += self.merge_renewal(row, now, teller)
+                reported += self.merge_renewal(row, now, teller)
             else:
-                changes += self.merge_row(row, now, teller)
-        return changes
+                reported += self.merge_row(row, now, teller)
+        return reported
 
     def take_missing(self) -> tuple[bytes, ...]:
         """Return, once, the keys of renewals whose rows are not known here."""
@@ -186,7 +178,7 @@
 
     def rows_since(
         self, mark: int, now: float | None = None, peer: str = "", urgent: bool = False
-    ) -> Batch:
+    ) -> batches.Batch:
         """Return the rows that changed after the mark, for this peer.
 
         Rows that the peer itself told are left out, except with mark 0, which is for a
@@ -196,29 +188,20 @@
         renewals: the caller then asks again with the same mark.
         """
         now = self.latest if now is None else now
-        told: list[Told] = []
-        for name in reversed(self.recent):
-            entry = self.entries[name]
-            if entry.renewed_at <= mark:
-                break
-            if entry.fact.until <= now or (mark != 0 and peer in entry.known_by):
-                continue
-            if entry.changed_at > mark:
-                told.append(rows.make_row(entry.fact, now))
-            elif not urgent:
-                told.append(rows.make_renewal(entry.fact, now))
-        return Batch(self.mark, tuple(told))
+        recent = (self.entries[name] for name in self.index.list_recent())
+        told = batches.choose_rows(recent, mark, now, peer, urgent)
+        return batches.Batch(self.mark, tuple(told))
 
     def forget_teller(self, peer: str) -> None:
         """Forget what the peer told: it may have started again, and know nothing."""
         for name, entry in self.entries.items():
             if peer in entry.known_by:
-                known_by = entry.known_by - {peer}
-                self.entries[name] = dataclasses.replace(entry, known_by=known_by)
+                self.entries[name] = entry.without_teller(peer)
 
     def rows_for(self, keys: abc.Iterable[bytes], now: float) -> tuple[rows.Row, ...]:
         """Return the whole rows that a peer asked for by key."""
-        names = {self.names[key] for key in keys if key in self.names}
+        found = self.index.names
+        names = {found[key] for key in keys if key in found}
         known = [self.entries[name].fact for name in sorted(names)]
         return tuple(rows.make_row(fact, now) for fact in known if fact.until > now)
 
@@ -242,6 +225,10 @@
 
     # The parts of the above.
 
+    def note_time(self, now: float) -> None:
+        """Keep the latest time that the table was given, for ``rows_since``."""
+        self.latest = max(self.latest, now)
+
     def refuse_announcement(
         self,
         upstream: upstreams.Upstream,
@@ -271,7 +258,7 @@
         self, renewal: rows.Renewal, now: float, teller: str
     ) -> list[outcomes.Change]:
         """Take in a renewal, or remember that its row is missing here."""
-        name = self.names.get(renewal.key)
+        name = self.index.names.get(renewal.key)
         if name is None:
             if len(self.missing) < MISSING_LIMIT:
                 self.missing[renewal.key] = None
@@ -296,9 +283,7 @@
             return self.advance(known, joined, now, teller)
         self.mark += 1
         entry = transitions.start(fact, self.mark, now, teller)
-        self.store(None, entry)
-        reason = transitions.find_reason(None, entry, now, self.grace)
-        return [] if reason is None else [self.describe(entry, reason, now)]
+        return self.put(None, entry, now)
 
     def advance(
         self,
@@ -312,40 +297,41 @@
             return []
         self.mark += 1
         entry = transitions.advance(
-            *(known, joined, self.mark, now, teller, self.grace, self.interval)
+            known,
+            joined,
+            mark=self.mark,
+            now=now,
+            teller=teller,
+            grace=self.grace,
+            interval=self.interval,
         )
-        self.store(known, entry)
+        return self.put(known, entry, now)
+
+    def put(
+        self, known: entries.Entry | None, entry: entries.Entry, now: float
+    ) -> list[outcomes.Change]:
+        """Store the entry in the place of the known one, and report what changed."""
+        self.entries[entry.upstream.name] = entry
+        self.index.update(known, entry, is_news=entry.renewed_at == self.mark)
+        self.live = None
         reason = transitions.find_reason(known, entry, now, self.grace)
-        return [] if reason is None else [self.describe(entry, reason, now)]
+        return [] if reason is None else self.report(entry, reason, now)
+
+    def report(
+        self, entry: entries.Entry, reason: outcomes.Reason, now: float
+    ) -> list[outcomes.Change]:
+        """Return the one change that the entry went through."""
+        return [changes.describe(entry, reason, now, self.grace)]
 
     def note_teller(self, known: entries.Entry, teller: str | None) -> None:
         """Remember that this peer has the newest renewal already."""
+        # None and the empty name stand for no peer.
         if teller and teller not in known.known_by:
-            known_by = known.known_by | {teller}
-            name = known.upstream.name
-            self.entries[name] = dataclasses.replace(known, known_by=known_by)
-
-    def store(self, known: entries.Entry | None, entry: entries.Entry) -> None:
-        """Put the entry in place and keep both indexes in step."""
-        name = entry.upstream.name
-        self.entries[name] = entry
-        self.live = None
-        if entry.renewed_at == self.mark:
-            self.recent.pop(name, None)
-            self.recent[name] = None
-        if known is not None and not facts.is_whole_change(known.fact, entry.fact):
-            return
-        if known is not None:
-            self.names.pop(rows.derive_key(name, known.upstream.incarnation), None)
-        if entry.fact.described:
-            key = rows.derive_key(name, entry.upstream.incarnation)
-            self.names[key] = name
+            self.entries[known.upstream.name] = known.with_teller(teller)
 
     def forget(self, name: str) -> None:
         """Drop the entry."""
-        entry = self.entries.pop(name)
-        self.recent.pop(name, None)
-        self.names.pop(rows.derive_key(name, entry.upstream.incarnation), None)
+        self.index.forget(self.entries.pop(name))
 
     def make_room(self, now: float) -> bool:
         """Return whether one more upstream fits, after dropping one that is over."""
@@ -359,32 +345,3 @@
         if over:
             self.forget(min(over)[1])
         return bool(over)
-
-    def is_forgettable(self, entry: entries.Entry, now: float) -> bool:
-        """Return whether nothing late can bring the entry back any more."""
-        end = entry.find_end(self.grace)
-        return end <= now if entry.fact.left else end + TOMBSTONE_SECONDS <= now
-
-    def has_just_expired(self, entry: entries.Entry, now: float) -> bool:
-        """Return whether the lease is over and nobody was told yet."""
-        state = entry.find_state(now, self.grace)
-        return state is outcomes.State.EXPIRED and not entry.told_expired
-
-    def describe(
-        self, entry: entries.Entry, reason: outcomes.Reason, now: float
-    ) -> outcomes.Change:
-        """Return the change that brought the upstream where it stands now."""
-        held_until = entry.hold.held_until
-        return outcomes.Change(
-            name=entry.upstream.name,
-            incarnation=entry.upstream.incarnation,
-            state=entry.find_state(now, self.grace),
-            reason=reason,
-            held_until=held_until if held_until > now else 0.0,
-        )
-
-
-def refuse(upstream: upstreams.Upstream, reason: outcomes.Reason) -> outcomes.Change:
-    """Return the change that tells that the announcement was not taken in."""
-    state = outcomes.State.LEFT
-    return outcomes.Change(upstream.name, upstream.incarnation, state, reason, False)
--- a/packages/membership/tests/test_table.py
+++ b/packages/membership/tests/test_table.py
@@ -302,9 +302,10 @@
         for count in range(1, 20):
             engine = samples.make_engine(incarnation=FIRST + count)
             known.announce(engine, 10.0 + count)
-        self.assertEqual((len(known.names), len(known.recent)), (1, 1))
+        self.assertEqual((len(known.index.names), len(known.index.recent)), (1, 1))
         known.expire(200.0)
-        self.assertEqual((known.names, known.recent, known.entries), ({}, {}, {}))
+        index = known.index
+        self.assertEqual((index.names, index.recent, known.entries), ({}, {}, {}))
 
 
 class CopyTest(unittest.TestCase):
