Explain the constants of policy, wire and configuration; one check of a proof

Cause: several constants stood bare in expressions (jitter, stall, slowness, rounding) or on top without their unit; texts of limits repeated the figures beside the constants; both sides of the handshake held the same refusal; a docstring named a class that is gone (Queueing), and one said that a probe counts double where it counts three times. Ruled out: joining the same-shaped data classes and effects, which differ in meaning. Change: named constants with a sentence each, messages made from the limits (same text), handshake.check_proof, docstrings mended. ALTERNATIVES_LIMIT counted the binding's own class too, so it is BINDING_CLASSES_LIMIT now. No value changed.

--- a/packages/configuration/src/trestlestall/configuration/checks.py
+++ b/packages/configuration/src/trestlestall/configuration/checks.py
@@ -18,14 +18,16 @@
 WEIGHT_LIMIT = 1_000_000.0
 COPIES_LIMIT = 1_000
 NAME_LIMIT = 128
-ALTERNATIVES_LIMIT = 16
+# Classes that one binding names, its own and the alternatives together.
+BINDING_CLASSES_LIMIT = 16
 IDENTIFIER = re.compile(r"[A-Za-z0-9][A-Za-z0-9_.-]*")
 NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9_.:/@+-]*")
 DIGEST = re.compile(r"[0-9a-f]{64}")
 INVALID_VALUE = "invalid_value"
 
-IDENTIFIER_EXPECTED = "a name of letters, digits, '_', '.', '-', at most 128 long"
-NAME_EXPECTED = "a name of letters, digits and '_.:/@+-', at most 128 long"
+LENGTH_EXPECTED = f"at most {NAME_LIMIT} long"
+IDENTIFIER_EXPECTED = f"a name of letters, digits, '_', '.', '-', {LENGTH_EXPECTED}"
+NAME_EXPECTED = f"a name of letters, digits and '_.:/@+-', {LENGTH_EXPECTED}"
 MODEL_EXPECTED = f"{NAME_EXPECTED}, not beginning with 'service:'"
 TARGET_NAME_EXPECTED = "a model's name or 'service:' and a service's name"
 DIGEST_EXPECTED = "64 lower-case hexadecimal digits (SHA-256)"
@@ -33,10 +35,11 @@
 TARGET_EXPECTED = "a time above 0 and at most 24 hours"
 FIRST_TOKEN_EXPECTED = "a time above 0 and at most the target"
 FLOOR_EXPECTED = "a share from 0 to 1"
-WEIGHT_EXPECTED = "a number above 0 and at most 1000000"
+WEIGHT_EXPECTED = f"a number above 0 and at most {WEIGHT_LIMIT:.0f}"
 COPIES_EXPECTED = f"a whole number from 0 to {COPIES_LIMIT}"
 ALTERNATIVES_EXPECTED = (
-    "at most 15 names of classes, each once and not the binding's own"
+    f"at most {BINDING_CLASSES_LIMIT - 1} names of classes, "
+    "each once and not the binding's own"
 )
 
 
@@ -146,7 +149,7 @@
     """Check the names of a binding."""
     made = command.binding
     allowed = (made.request_class, *made.alternatives)
-    distinct = len(set(allowed)) == len(allowed) <= ALTERNATIVES_LIMIT
+    distinct = len(set(allowed)) == len(allowed) <= BINDING_CLASSES_LIMIT
     class_holds = is_identifier(made.request_class)
     others_hold = distinct and all(map(is_identifier, made.alternatives))
     workspace_holds = is_identifier(made.workspace)
--- a/packages/configuration/src/trestlestall/configuration/effects.py
+++ b/packages/configuration/src/trestlestall/configuration/effects.py
@@ -15,6 +15,7 @@
     [model.Configuration, typing.Any], model.Configuration | outcomes.Rejected
 ]
 REGISTRY: dict[type, Effect] = {}
+# Keeps a rounding error in the sum of floors from breaking its limit.
 ROUNDING = 1e-9
 
 
--- a/packages/policy/src/trestlestall/policy/admission.py
+++ b/packages/policy/src/trestlestall/policy/admission.py
@@ -1,6 +1,6 @@
 """Admit a request, or refuse it at once and finally.
 
-The decision on tier t reads the request's own estimate and a ``Queueing`` of tiers <=
+The decision on tier t reads the request's own estimate and the ``Backlog`` of tiers <=
 t. It reads no report of an upstream, since a report counts all tiers alike, and nothing
 of less urgent tiers, their floors included. So no change of less urgent work can change
 it.
@@ -20,7 +20,10 @@
 OVERLOADED = "overloaded"
 UNREACHABLE = "target_unreachable"
 QUEUE_FULL = "queue_full"
+# The share of its slots that a tier keeps however much more urgent tiers offer.
 LEAST_SLOTS_SHARE = 0.05
+# Bounds, in seconds, on how much longer a burst of more urgent work is expected to
+# last: as long as it has lasted already, within these.
 BURST_LEAST = 5.0
 BURST_MOST = 60.0
 
@@ -69,9 +72,9 @@
     """Estimate the wait of a request that arrives now.
 
     ``slots`` is what the tier can count on, ``rate`` the tokens per second of this
-    router's even part of all slots.
-    ``pressure_seconds`` tells for how long a more urgent tier has been under pressure
-    at any router, ``None`` when none is. A burst is taken to last as long again.
+    router's even part of all slots. ``pressure_seconds`` tells for how long a more
+    urgent tier has been under pressure at any router, ``None`` when none is. A burst is
+    taken to last as long again.
     """
     tier = request.tier
     left = slots - backlog.find_offered(tier, now)
--- a/packages/policy/src/trestlestall/policy/core.py
+++ b/packages/policy/src/trestlestall/policy/core.py
@@ -18,6 +18,7 @@
     stragglers,
 )
 
+# The shortest run of a stream whose gaps between tokens are sampled.
 SAMPLE_SECONDS = 0.1
 
 
--- a/packages/policy/src/trestlestall/policy/deadlines.py
+++ b/packages/policy/src/trestlestall/policy/deadlines.py
@@ -10,6 +10,7 @@
 
 from trestlestall.policy import backlogs, flights
 
+# Seconds until a request that is not given up yet is looked at again.
 LOOK_AGAIN = 0.05
 
 
--- a/packages/policy/src/trestlestall/policy/dispatch.py
+++ b/packages/policy/src/trestlestall/policy/dispatch.py
@@ -9,6 +9,7 @@
 
 from trestlestall.policy import actions, choice, core, flights, lanes, loads
 
+# Headroom is kept once more urgent tiers offer work for over so many slots.
 HEADROOM_SLOTS = 0.05
 
 
--- a/packages/policy/src/trestlestall/policy/lanes.py
+++ b/packages/policy/src/trestlestall/policy/lanes.py
@@ -10,7 +10,9 @@
     speeds,
 )
 
+# Above every tier: no arrival is kept from looking for an upstream.
 NEVER_FULL = 1_000_000
+# How many tiers, from a peer's level on, are noted: at least as many as there are.
 PRESSURE_TIERS = 64
 
 
--- a/packages/policy/src/trestlestall/policy/lengths.py
+++ b/packages/policy/src/trestlestall/policy/lengths.py
@@ -9,12 +9,19 @@
 import collections
 import math
 
+# The upper edge of the first bucket, in tokens, and each further edge over the last.
 LEAST = 4.0
 RATIO = 1.35
 BUCKETS = 30
 PRIOR_WEIGHT = 3.0
+# How much an observation weighs beside the next one.
 DECAY = 0.995
+# Histograms kept; those used longest ago go first.
 KEY_LIMIT = 20_000
+# A step above this is scaled back to 1, before sums of counts lose their precision.
+STEP_LIMIT = 1e6
+# Keeps a rounding error from moving a length or a chance over an edge.
+ROUNDING = 1e-9
 EDGES = tuple(LEAST * RATIO**index for index in range(BUCKETS))
 LOG_RATIO = math.log(RATIO)
 
@@ -23,7 +30,7 @@
     """Return the index of the bucket whose upper edge is the first at or over."""
     if tokens <= LEAST:
         return 0
-    return min(BUCKETS - 1, math.ceil(math.log(tokens / LEAST) / LOG_RATIO - 1e-9))
+    return min(BUCKETS - 1, math.ceil(math.log(tokens / LEAST) / LOG_RATIO - ROUNDING))
 
 
 class Histogram:
@@ -39,7 +46,7 @@
         self._step /= DECAY
         self.counts[find_bucket(tokens)] += self._step
         self.total += self._step
-        if self._step > 1e6:
+        if self._step > STEP_LIMIT:
             self.counts = [count / self._step for count in self.counts]
             self.total /= self._step
             self._step = 1.0
@@ -74,7 +81,7 @@
     def find_quantile(self, chance: float) -> float:
         """Return the length in tokens that is not passed with the given chance."""
         for bucket, cumulated in enumerate(self._cumulated):
-            if cumulated >= chance - 1e-9:
+            if cumulated >= chance - ROUNDING:
                 return min(EDGES[bucket], self._most)
         return float(self._most)
 
--- a/packages/policy/src/trestlestall/policy/pressure.py
+++ b/packages/policy/src/trestlestall/policy/pressure.py
@@ -9,6 +9,7 @@
 
 from trestlestall.policy import actions
 
+# Above every tier: less urgent than any that may be under pressure.
 NO_PRESSURE = 1_000_000
 
 
--- a/packages/policy/src/trestlestall/policy/queues.py
+++ b/packages/policy/src/trestlestall/policy/queues.py
@@ -12,6 +12,7 @@
 
 from trestlestall.policy import flights
 
+# Workspaces whose virtual time is kept in one tier.
 TAG_LIMIT = 8192
 
 
--- a/packages/policy/src/trestlestall/policy/returns.py
+++ b/packages/policy/src/trestlestall/policy/returns.py
@@ -8,6 +8,10 @@
 
 import zlib
 
+# The jitter: a delay is multiplied by a number from the least to least and span.
+JITTER_LEAST = 0.75
+JITTER_SPAN = 0.5
+
 
 class Schedule:
     """The next return time that was not given out yet, for each tier of one target."""
@@ -30,7 +34,7 @@
         place = max(earliest, self._next.get(tier, 0.0) + pace)
         self._next[tier] = min(place, now + self._most)
         delay = min(place - now, self._most)
-        return round(delay * (0.75 + 0.5 * self._draw(request)), 3)
+        return round(delay * (JITTER_LEAST + JITTER_SPAN * self._draw(request)), 3)
 
     def _draw(self, request: str) -> float:
         """Return a number in 0..1 that depends on the request and seed alone."""
--- a/packages/policy/src/trestlestall/policy/speeds.py
+++ b/packages/policy/src/trestlestall/policy/speeds.py
@@ -7,9 +7,13 @@
 
 from trestlestall.policy import tiers
 
+# How much an observation weighs beside the next one.
 FADE = 0.97
+# How much the least time to the first token grows with each observation over it.
 LEAST_GROWTH = 1.01
+# A late first token: so many standard deviations over the mean.
 LATE_DEVIATIONS = 1.5
+# What the defaults count beside observations.
 PRIOR_STARTS = 2.0
 PRIOR_TOKENS = 50.0
 
@@ -45,7 +49,7 @@
         return seconds / (PRIOR_STARTS + self._starts.sum_to(tier))
 
     def find_least_first(self, tier: int) -> float:
-        """Return seconds to the first token without load: the least of late."""
+        """Return seconds to the first token without load: the least seen lately."""
         found = [least for own, least in self._least_starts.items() if own <= tier]
         return min(found, default=self._defaults[0])
 
--- a/packages/policy/src/trestlestall/policy/stragglers.py
+++ b/packages/policy/src/trestlestall/policy/stragglers.py
@@ -1,8 +1,8 @@
 """Stragglers: upstreams whose streams are much slower than those of their peers.
 
 Judged from the gaps between tokens that this router sees, long before a report says so.
-A straggler gets nothing new but a probe now and then; a probe's gaps count double, so
-that one that has recovered is soon back.
+A straggler gets nothing new but a probe now and then; a probe's gaps count three times
+as much, so that one that has recovered is soon back.
 """
 
 import dataclasses
@@ -10,8 +10,14 @@
 
 from trestlestall.policy import settings as defaults
 
+# What a new gap counts in an upstream's mean, and what a straggler's probe counts.
 WEIGHT = 0.2
 PROBE_WEIGHT = 0.6
+# So many median gaps without a sign of life, or the setting's time, are a stall.
+STALL_GAPS = 20
+# Bounds on the slowness that the choice of an upstream reckons with.
+LEAST_SLOWNESS = 0.5
+MOST_SLOWNESS = 3.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -83,7 +89,7 @@
         median = self._medians.get(target, 0.0)
         if pace is None or not pace.samples or median <= 0:
             return 1.0
-        return min(3.0, max(0.5, pace.gap / median))
+        return min(MOST_SLOWNESS, max(LEAST_SLOWNESS, pace.gap / median))
 
     def forget(self, names: set[str]) -> None:
         """Drop upstreams that are gone; a restarted one is judged anew."""
@@ -102,7 +108,7 @@
         # Without a started stream, silence may only mean that the engine is full.
         if not load.started and load.total > load.slots:
             return False
-        longest = max(self._settings.stall_time, 20 * median)
+        longest = max(self._settings.stall_time, STALL_GAPS * median)
         return now - max(pace.heard_at, load.busy_since) > longest
 
     def _mark(self, pace: Pace, straggling: bool, now: float) -> None:
--- a/packages/wire/src/trestlestall/wire/handshake.py
+++ b/packages/wire/src/trestlestall/wire/handshake.py
@@ -58,9 +58,7 @@
         return answer
     connection.send(codec.encode(sign(secret, DIALLING, own, answer)))
     expected = sign(secret, ACCEPTING, own, answer)
-    if not is_proven(expected, receive(connection, deadline)):
-        return Refused(f"{answer.name!r} gave no valid proof")
-    return answer
+    return check_proof(answer, expected, receive(connection, deadline))
 
 
 def prove_accepted(
@@ -76,10 +74,10 @@
         return answer
     connection.send(codec.encode(own))
     expected = sign(secret, DIALLING, answer, own)
-    if not is_proven(expected, receive(connection, deadline)):
-        return Refused(f"{answer.name!r} gave no valid proof")
-    connection.send(codec.encode(sign(secret, ACCEPTING, answer, own)))
-    return answer
+    proven = check_proof(answer, expected, receive(connection, deadline))
+    if not isinstance(proven, Refused):
+        connection.send(codec.encode(sign(secret, ACCEPTING, answer, own)))
+    return proven
 
 
 def receive(connection: connections.Connection, deadline: float) -> object:
@@ -107,6 +105,15 @@
     return messages.Proof(hmac.digest(secret, text, hashlib.sha256))
 
 
+def check_proof(
+    challenge: messages.Challenge, expected: messages.Proof, received: object
+) -> messages.Challenge | Refused:
+    """Return the other side's challenge if it proved it, else that it did not."""
+    if is_proven(expected, received):
+        return challenge
+    return Refused(f"{challenge.name!r} gave no valid proof")
+
+
 def is_proven(expected: messages.Proof, received: object) -> bool:
     """Return whether the received message is the expected proof."""
     if not isinstance(received, messages.Proof):
--- a/packages/wire/src/trestlestall/wire/links.py
+++ b/packages/wire/src/trestlestall/wire/links.py
@@ -34,15 +34,22 @@
     sockets,
 )
 
+# What a peer that has proved nothing yet may take: seconds, and bytes a frame.
 HANDSHAKE_SECONDS = 2.0
 HANDSHAKE_FRAME = 4096
+# Seconds between tries to dial: doubled from the first to the longest, and begun anew
+# after a link that was stable for so long.
 FIRST_WAIT = 0.1
 LONGEST_WAIT = 1.5
 STABLE_SECONDS = 1.0
+# Seconds between two looks at all links.
 CHECK_SECONDS = 0.25
+# The longest that ``stop`` waits for the queues to empty.
 FLUSH_SECONDS = 0.3
+# Connections in their handshake, and open links, at a time.
 PENDING_LIMIT = 64
 LINK_LIMIT = 1000
+# Seconds to wait when the kernel accepts nothing, such as without free files.
 ACCEPT_PAUSE = 0.2
 CONTROL = "control"
 
