--- a/packages/claims/benchmarks/measure_claims.py
+++ b/packages/claims/benchmarks/measure_claims.py
@@ -1,29 +1,28 @@
 """Measure the cost of claims: time and memory of each event, and of whole documents.
 
 Run from the root: ``python packages/claims/benchmarks/measure_claims.py [N]`` with N
-live claims (100,000 unless given). Prints a line a figure: the median of ROUNDS rounds,
-with the least and the greatest.
+live claims (100,000 unless given). Prints a line a figure: the median of
+``timing.ROUNDS`` rounds, with the least and the greatest.
 """
 
 import dataclasses
 import gc
 import pathlib
-import statistics
 import sys
-import time
 import tracemalloc
 from collections import abc
 
 ROOT = pathlib.Path(__file__).resolve().parents[3]
 for package in ("claims", "configuration"):
     sys.path.insert(0, str(ROOT / "packages" / package / "src"))
+sys.path.insert(0, str(ROOT / "tools"))
 
 import cbor2  # noqa: E402 (the path comes first)
+import timing  # noqa: E402
 
 from trestlestall.claims import claims, documents, events  # noqa: E402
 
 EVENTS = 10_000
-ROUNDS = 5
 BODY = bytes(500)
 START = 1_000_000.0
 
@@ -53,17 +52,6 @@
     return held
 
 
-def measure(label: str, action: abc.Callable[[], object], parts: int = 1) -> None:
-    """Print the microseconds that one part of the action takes."""
-    taken = []
-    for _ in range(ROUNDS):
-        start = time.perf_counter()
-        action()
-        taken.append((time.perf_counter() - start) / parts * 1e6)
-    middle = statistics.median(taken)
-    print(f"{label}: {middle:,.1f} us ({min(taken):,.1f} to {max(taken):,.1f})")
-
-
 def main() -> None:
     """Build the claims and print the figures."""
     live = int(sys.argv[1]) if len(sys.argv) > 1 else 100_000
@@ -71,7 +59,7 @@
     held = apply_all(claims.EMPTY, map(make_claim, range(live)), START)
     print(f"memory: {tracemalloc.get_traced_memory()[0] / live:,.0f} bytes a claim")
     tracemalloc.stop()
-    measure("full garbage collection", gc.collect)
+    timing.measure("full garbage collection", gc.collect)
     new = [make_claim(live + number) for number in range(EVENTS)]
     again = [make_claim(number) for number in range(EVENTS)]
     rivals = [dataclasses.replace(c, attempt=f"rival-{c.attempt}") for c in again]
@@ -86,14 +74,14 @@
         ("release", undone, START),
         ("claim with 8 expired", new, late),
     ):
-        measure(label, lambda m=made, t=at: apply_all(held, m, t), EVENTS)
+        timing.measure(label, lambda m=made, t=at: apply_all(held, m, t), EVENTS)
     finished = apply_all(held, ends, START)
     document = documents.encode(finished)
     data = cbor2.dumps(document)
-    measure("encode", lambda: documents.encode(finished))
-    measure("to CBOR", lambda: cbor2.dumps(document))
-    measure("from CBOR", lambda: cbor2.loads(data))
-    measure("decode", lambda: documents.decode(document))
+    timing.measure("encode", lambda: documents.encode(finished))
+    timing.measure("to CBOR", lambda: cbor2.dumps(document))
+    timing.measure("from CBOR", lambda: cbor2.loads(data))
+    timing.measure("decode", lambda: documents.decode(document))
     for event in (new[0], ends[0], undone[0]):
         size = len(cbor2.dumps(documents.encode_event(event)))
         print(f"{type(event).__name__} in CBOR: {size:,} bytes")
--- a/packages/claims/src/trestlestall/claims/documents.py
+++ b/packages/claims/src/trestlestall/claims/documents.py
@@ -10,10 +10,9 @@
 import msgspec
 
 from trestlestall.claims import claims as machine, events, outcomes
-from trestlestall.configuration import exceptions, persistent, strict
+from trestlestall.configuration import exceptions, kinds, persistent, strict
 
 FORMAT = 1
-KIND = "kind"
 EVENTS = {"claim": events.Claim, "finish": events.Finish, "release": events.Release}
 OUTCOMES = {
     "granted": outcomes.Granted,
@@ -81,12 +80,12 @@
 
 def encode_event(event: events.Event) -> dict:
     """Return the event's document: its kind and its fields."""
-    return _encode_kind(event, EVENTS)
+    return kinds.encode(event, EVENTS)
 
 
 def decode_event(document: object) -> events.Event:
     """Return the event of a document."""
-    return _decode_kind(document, EVENTS)
+    return kinds.decode(document, EVENTS)
 
 
 def encode_look(look: events.Look) -> dict:
@@ -101,25 +100,12 @@
 
 def encode_outcome(outcome: outcomes.Outcome) -> dict:
     """Return the outcome's document: its kind and its fields."""
-    return _encode_kind(outcome, OUTCOMES)
+    return kinds.encode(outcome, OUTCOMES)
 
 
 def decode_outcome(document: object) -> outcomes.Outcome:
     """Return the outcome of a document."""
-    return _decode_kind(document, OUTCOMES)
-
-
-def _encode_kind(value: object, kinds: dict[str, type]) -> dict:
-    kind = next(name for name, known in kinds.items() if type(value) is known)
-    return {KIND: kind, **msgspec.to_builtins(value, builtin_types=(bytes,))}
-
-
-def _decode_kind(document: object, kinds: dict[str, type]) -> object:
-    fields = dict(document) if isinstance(document, dict) else {}
-    kind = fields.pop(KIND, None)
-    if not isinstance(kind, str) or kind not in kinds:
-        raise exceptions.InvalidDocument(f"$.{KIND}", f"unknown kind {kind!r}")
-    return strict.convert(fields, kinds[kind])
+    return kinds.decode(document, OUTCOMES)
 
 
 def _restore_queue(attempts: abc.Sequence[str]) -> machine.Queue:
--- a/packages/configuration/benchmarks/measure_state.py
+++ b/packages/configuration/benchmarks/measure_state.py
@@ -2,19 +2,19 @@
 
 Run from the root: ``python packages/configuration/benchmarks/measure_state.py [N]``
 with N workspaces (3,200 unless given), each bound to two of 35 models, and 8 classes.
-Prints a line a figure: the median of ROUNDS rounds, with the least and the greatest.
+Prints a line a figure: the median of ``timing.ROUNDS`` rounds, with the least and the
+greatest.
 """
 
 import pathlib
-import statistics
 import sys
-import time
-from collections import abc
 
 ROOT = pathlib.Path(__file__).resolve().parents[3]
 sys.path.insert(0, str(ROOT / "packages" / "configuration" / "src"))
+sys.path.insert(0, str(ROOT / "tools"))
 
 import cbor2  # noqa: E402 (the path comes first)
+import timing  # noqa: E402
 
 from trestlestall.configuration import (  # noqa: E402
     commands,
@@ -26,7 +26,6 @@
 CLASSES = 8
 MODELS = 35
 COMMANDS = 10_000
-ROUNDS = 5
 
 
 def list_commands(workspaces: int) -> list[commands.Command]:
@@ -71,41 +70,36 @@
     return state
 
 
-def measure(label: str, action: abc.Callable[[], object], parts: int = 1) -> None:
-    """Print the microseconds that one part of the action takes."""
-    taken = []
-    for _ in range(ROUNDS):
-        start = time.perf_counter()
-        action()
-        taken.append((time.perf_counter() - start) / parts * 1e6)
-    middle = statistics.median(taken)
-    print(f"{label}: {middle:,.1f} us ({min(taken):,.1f} to {max(taken):,.1f})")
-
-
 def main() -> None:
     """Build the state and print the figures."""
     workspaces = int(sys.argv[1]) if len(sys.argv) > 1 else 3_200
     built = list_commands(workspaces)
-    measure("build, a command", lambda: apply_all(states.EMPTY, built, "b"), len(built))
+    timing.measure(
+        "build, a command", lambda: apply_all(states.EMPTY, built, "b"), len(built)
+    )
     state = apply_all(states.EMPTY, built, "b")
     changes = list_changes(workspaces)
     full = apply_all(state, changes, "c")
-    measure("apply, a command", lambda: apply_all(full, changes, "d"), COMMANDS)
+    timing.measure("apply, a command", lambda: apply_all(full, changes, "d"), COMMANDS)
     resent = commands.Submission("c-9999", "alice", None, changes[9999])
-    measure("resend", lambda: states.apply_submission(full, resent, 0.0))
-    measure("find workspace", lambda: full.configuration.find_workspace("workspace-7"))
+    timing.measure("resend", lambda: states.apply_submission(full, resent, 0.0))
+    timing.measure(
+        "find workspace", lambda: full.configuration.find_workspace("workspace-7")
+    )
     document = documents.encode_state(full)
     data = cbor2.dumps(document)
-    measure("encode state", lambda: documents.encode_state(full))
-    measure("state to CBOR", lambda: cbor2.dumps(document))
-    measure("state from CBOR", lambda: cbor2.loads(data))
-    measure("decode state", lambda: documents.decode_state(document))
+    timing.measure("encode state", lambda: documents.encode_state(full))
+    timing.measure("state to CBOR", lambda: cbor2.dumps(document))
+    timing.measure("state from CBOR", lambda: cbor2.loads(data))
+    timing.measure("decode state", lambda: documents.decode_state(document))
     print(f"state in CBOR: {len(data):,} bytes")
     plain = documents.encode_configuration(full.configuration)
     size = len(cbor2.dumps(plain))
     encode = documents.encode_configuration
-    measure("encode configuration", lambda: encode(full.configuration))
-    measure("decode configuration", lambda: documents.decode_configuration(plain))
+    timing.measure("encode configuration", lambda: encode(full.configuration))
+    timing.measure(
+        "decode configuration", lambda: documents.decode_configuration(plain)
+    )
     print(f"configuration in CBOR: {size:,} bytes")
 
 
--- a/packages/configuration/src/trestlestall/configuration/documents.py
+++ b/packages/configuration/src/trestlestall/configuration/documents.py
@@ -14,6 +14,7 @@
 from trestlestall.configuration import (
     commands,
     exceptions,
+    kinds,
     model,
     outcomes,
     persistent,
@@ -22,7 +23,6 @@
 )
 
 FORMAT = 1
-KIND = "kind"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -114,14 +114,16 @@
 
 def encode_command(command: commands.Command) -> dict:
     """Return the command's document: its kind and its fields."""
-    return {KIND: command.command_name, **msgspec.to_builtins(command)}
+    return {kinds.KIND: command.command_name, **msgspec.to_builtins(command)}
 
 
 def decode_command(document: object, path: str = "$") -> commands.Command:
     """Return the command of a document."""
     kind, fields = _split_kind(document, path)
     if kind not in commands.REGISTRY:
-        raise exceptions.InvalidDocument(f"{path}.{KIND}", f"unknown command {kind!r}")
+        raise exceptions.InvalidDocument(
+            f"{path}.{kinds.KIND}", f"unknown command {kind!r}"
+        )
     return strict.convert(fields, commands.REGISTRY[kind], path)
 
 
@@ -165,9 +167,9 @@
     """Return the outcome's document: its kind and its fields."""
     if isinstance(outcome, outcomes.Beaten):
         winner = encode_entry(outcome.winner)
-        return {KIND: "beaten", "number": outcome.number, "winner": winner}
+        return {kinds.KIND: "beaten", "number": outcome.number, "winner": winner}
     kind = "accepted" if isinstance(outcome, outcomes.Accepted) else "rejected"
-    return {KIND: kind, **msgspec.to_builtins(outcome)}
+    return {kinds.KIND: kind, **msgspec.to_builtins(outcome)}
 
 
 def decode_outcome(document: object, path: str = "$") -> outcomes.Outcome:
@@ -181,7 +183,9 @@
         made = strict.convert(fields, BeatenDocument, path)
         winner = _finish_entry(made.winner, f"{path}.winner")
         return outcomes.Beaten(made.number, winner)
-    raise exceptions.InvalidDocument(f"{path}.{KIND}", f"unknown outcome {kind!r}")
+    raise exceptions.InvalidDocument(
+        f"{path}.{kinds.KIND}", f"unknown outcome {kind!r}"
+    )
 
 
 def encode_state(state: states.State) -> dict:
@@ -220,9 +224,9 @@
     if not isinstance(document, dict):
         raise exceptions.InvalidDocument(path, "expected an object")
     fields = dict(document)
-    kind = fields.pop(KIND, None)
+    kind = fields.pop(kinds.KIND, None)
     if not isinstance(kind, str):
-        raise exceptions.InvalidDocument(f"{path}.{KIND}", "expected text")
+        raise exceptions.InvalidDocument(f"{path}.{kinds.KIND}", "expected text")
     return kind, fields
 
 
--- a/packages/daemon/src/trestlestall/daemon/router/claims.py
+++ b/packages/daemon/src/trestlestall/daemon/router/claims.py
@@ -19,7 +19,7 @@
 import eventlet
 
 from trestlestall.claims import documents, events as claim_events, outcomes
-from trestlestall.configuration import exceptions
+from trestlestall.configuration import exceptions, kinds
 from trestlestall.daemon import events, metrics as daemon_metrics
 from trestlestall.daemon.http import errors
 from trestlestall.daemon.router import attempts, exchanges, journal
@@ -107,7 +107,7 @@
         if request is None:
             return
         try:
-            outcome = documents.decode_outcome({"kind": kind, **fields})
+            outcome = documents.decode_outcome({kinds.KIND: kind, **fields})
         except exceptions.InvalidDocument:
             return
         exchange = self._asked.pop(request, None)
@@ -157,7 +157,7 @@
         if len(self._calls) > CALL_LIMIT:
             del self._calls[next(iter(self._calls))]
         document = documents.encode_event(event)
-        kind = document.pop(documents.KIND)
+        kind = document.pop(kinds.KIND)
         self._send(messages.ClaimCall(self._token, kind, document))
 
     def _report(self, request: str, event: claim_events.Event) -> None:
