--- a/packages/policy/src/trestlestall/policy/lengths.py
+++ b/packages/policy/src/trestlestall/policy/lengths.py
@@ -16,7 +16,7 @@
 PRIOR_WEIGHT = 3.0
 # How much an observation weighs beside the next one.
 DECAY = 0.995
-# Histograms kept; those used longest ago go first.
+# Histograms kept; those that learned longest ago go first.
 KEY_LIMIT = 20_000
 # A step above this is scaled back to 1, before sums of counts lose their precision.
 STEP_LIMIT = 1e6
