Let the demo wait until the confirmation is on record

Cause: the demo resends at once and may be told 409 while the first answer is being recorded, as the callers' page says. Change: it waits a second.

--- a/packages/standins/src/trestlestall/standins/demo.py
+++ b/packages/standins/src/trestlestall/standins/demo.py
@@ -9,9 +9,11 @@
 import secrets
 import sys
 import tempfile
+import time
 
 from trestlestall.standins import calls, deployment, exceptions, processes
 
+RECORD_SECONDS = 1.0
 MODEL = "m1"
 PLAN = deployment.Plan(
     data_centres=("a", "b"),
@@ -99,6 +101,8 @@
         )
         screen.write_line(describe(answer))
         check(answer.status == 200, "the slot is confirmed")
+        # The first answer is put on record while it goes out.
+        time.sleep(RECORD_SECONDS)
     counts = calls.call("GET", running.services[0].address, "/v1/counts").document
     screen.write_line(f"the service did the work {counts['calls']} time(s)")
     check(counts["calls"] == 1, "the work was done once")
