--- a/packages/daemon/src/trestlestall/daemon/control/machine.py
+++ b/packages/daemon/src/trestlestall/daemon/control/machine.py
@@ -2,9 +2,9 @@
 
 Every voter applies the same committed entries in the same order, so all of them hold
 equal machines. An entry is CBOR ``[kind, at, document]``; ``at`` is the wall clock of
-the leader that proposed it, in seconds since the epoch. Four kinds of entries exist:
-operators' submissions, routers' claims, what operators ask of the voters, and events of
-placement.
+the leader that proposed it, in seconds since the epoch. Five kinds of entries exist:
+operators' submissions, routers' claims, what operators ask of the voters, events of
+placement, and whole configurations that an operator declares.
 
     payload = machine.encode_entry(machine.SUBMISSION, 12.5, document)
     state, outcome = machine.apply(state, payload)
@@ -25,11 +25,23 @@
 CLAIM = "claim"
 VOTERS = "voters"
 PLACEMENT = "placement"
+DECLARATION = "declaration"
 VOTER_ANSWERS = 1000
 
 Document = dict[str, typing.Any]
 
 
+@dataclasses.dataclass(frozen=True)
+class Declaration:
+    """A whole configuration under the operator's own version, compressed by zlib."""
+
+    version: int = 0
+    packed: bytes = b""
+
+
+NO_DECLARATION = Declaration()
+
+
 @dataclasses.dataclass(frozen=True)
 class Machine:
     """What the entries so far amount to.
@@ -42,6 +54,7 @@
     claims: claim_machine.Claims = claim_machine.EMPTY
     voter_changes: abc.Mapping[str, Document] = dataclasses.field(default_factory=dict)
     placement: orders.Orders = orders.EMPTY
+    declaration: Declaration = NO_DECLARATION
 
     @property
     def version(self) -> int:
@@ -126,11 +139,26 @@
     return changed, order_documents.encode_outcome(outcome)
 
 
+@register(DECLARATION)
+def apply_declaration(
+    machine: Machine, at: float, document: Document
+) -> tuple[Machine, Document]:
+    """Take a whole configuration if its version is the highest so far.
+
+    One of an older or the same version changes nothing, whatever it holds.
+    """
+    newest = machine.declaration
+    if document["version"] > newest.version:
+        newest = Declaration(document["version"], document["packed"])
+        machine = dataclasses.replace(machine, declaration=newest)
+    return machine, {"newest": newest.version}
+
+
 def encode(machine: Machine) -> bytes:
     """Return the machine as a snapshot's state.
 
-    Where nothing was ever placed, the field is left out: such a snapshot is the same as
-    those of versions without placement, which can read it.
+    Where nothing was ever placed or declared, the field is left out: such a snapshot is
+    the same as those of versions without it, which can read it.
     """
     document = {
         "format": FORMAT,
@@ -140,6 +168,8 @@
     }
     if machine.placement != orders.EMPTY:
         document[PLACEMENT] = order_documents.encode(machine.placement)
+    if machine.declaration != NO_DECLARATION:
+        document[DECLARATION] = dataclasses.asdict(machine.declaration)
     return cbor2.dumps(document)
 
 
@@ -152,4 +182,5 @@
         claim_documents.decode(document["claims"]),
         document["voter_changes"],
         orders.EMPTY if placed is None else order_documents.decode(placed),
+        Declaration(**document.get(DECLARATION, {})),
     )
--- a/packages/daemon/src/trestlestall/daemon/control/voter.py
+++ b/packages/daemon/src/trestlestall/daemon/control/voter.py
@@ -19,6 +19,9 @@
 from trestlestall.daemon.control import journal as journals, machine as machines
 
 SNAPSHOT_ENTRIES = 2000
+#: Bytes of entries after which the log is rewritten, however few they are; a sixteenth
+#: of the smallest disk that deployments are given (128 MB).
+SNAPSHOT_BYTES = 8 * 1024 * 1024
 
 Token = typing.Hashable
 
@@ -74,10 +77,11 @@
         seed: int,
         effects: Effects,
         times: timing.Timing = timing.Timing(),  # noqa: B008
+        limits: timing.Limits = timing.DEFAULT_LIMITS,
     ):
         self.name = name
         self.machine = machines.EMPTY
-        self.node = nodes.Node(name, group, times, seed, journal.restored)
+        self.node = nodes.Node(name, group, times, seed, journal.restored, limits)
         self._journal = journal
         self._effects = effects
         self._outcomes: dict[int, machines.Document] = {}
@@ -109,10 +113,10 @@
     def _is_snapshot_due(self) -> bool:
         """Return whether the log outgrew the snapshot, so that rewriting is cheap."""
         applied = self.node.commit_index - self.node.snapshot_index
-        return (
-            applied >= SNAPSHOT_ENTRIES
-            and self._bytes_since_snapshot >= self._snapshot_bytes
-        )
+        grown = self._bytes_since_snapshot
+        if applied and grown >= SNAPSHOT_BYTES:
+            return True
+        return applied >= SNAPSHOT_ENTRIES and grown >= self._snapshot_bytes
 
 
 Carrier = abc.Callable[[Voter, typing.Any], None]
--- /dev/null
+++ b/packages/daemon/src/trestlestall/daemon/dialects.py
@@ -0,0 +1,102 @@
+"""The words in which callers, upstreams and operators speak to gateway and directory.
+
+A dialect names headers and paths and decodes documents; everything behind it uses the
+typed values alone. ``NATIVE`` is this product's own; a deployment with words of its
+own passes another one to ``gateway.process`` and ``directory.process``.
+"""
+
+import dataclasses
+import typing
+from collections import abc
+
+import msgspec
+
+from trestlestall.forwarding import checks, model, upstreams
+
+
+@dataclasses.dataclass(frozen=True)
+class Headers:
+    """The names of the headers, in the case in which they are sent.
+
+    On requests: ``request_id``; ``deadline`` in milliseconds, what is left for the
+    answer; ``key`` with ``key_scheme`` before the caller's key; ``model``; ``tokens``,
+    those of the prompt and the most that may be generated, as ``IN,OUT``; ``parts`` of
+    the prompt, as ``ID:TOKENS,…``; ``length_hint``, the caller's estimate;
+    ``last_event`` of a stream that is to be continued. Set by the gateway alone:
+    ``workspace``, ``expected_upstream`` (another one refuses the request), ``tier`` and
+    those of ``reserved``, which a caller may not set.
+
+    On answers: ``signature`` marks an upstream's own, ``not_run`` that it did not begin
+    to work, ``upstream`` which incarnation answered.
+    """
+
+    request_id: str = "Trestlestall-Request"
+    deadline: str = "Trestlestall-Deadline-Milliseconds"
+    key: str = "Authorization"
+    key_scheme: str = "Bearer"
+    model: str = "Trestlestall-Model"
+    tokens: str = "Trestlestall-Tokens"
+    parts: str = "Trestlestall-Parts"
+    length_hint: str = "Trestlestall-Length-Estimate"
+    last_event: str = "Last-Event-Id"
+    workspace: str = "Trestlestall-Workspace"
+    expected_upstream: str = "Trestlestall-Expected-Upstream"
+    tier: str = "Trestlestall-Tier"
+    reserved: tuple[str, ...] = ()
+    signature: str = "Trestlestall-Signature"
+    not_run: str = "Trestlestall-Not-Run"
+    upstream: str = "Trestlestall-Upstream"
+
+
+@dataclasses.dataclass(frozen=True)
+class Paths:
+    """Where the calls of operators, upstreams and the balancer are served."""
+
+    ready: str = "/readyz"
+    metrics: str = "/metrics"
+    configuration: str = "/v1/declaration"
+    upstreams: str = "/v1/upstreams/"
+
+
+DecodeConfiguration = abc.Callable[[bytes], model.Configuration | model.Invalid]
+DecodeAnnouncement = abc.Callable[[str, bytes], upstreams.Row | model.Invalid]
+
+
+@dataclasses.dataclass(frozen=True)
+class Dialect:
+    """All words of one deployment; ``decode_announcement`` takes identity and body."""
+
+    headers: Headers
+    paths: Paths
+    decode_configuration: DecodeConfiguration
+    decode_announcement: DecodeAnnouncement
+
+
+def decode_configuration(body: bytes) -> model.Configuration | model.Invalid:
+    """Return the configuration in a JSON body whose keys are those of the model."""
+    found = decode_json(body, model.Configuration)
+    if isinstance(found, model.Invalid):
+        return found
+    return checks.find_fault(found) or found
+
+
+def decode_announcement(identity: str, body: bytes) -> upstreams.Row | model.Invalid:
+    """Return the row in a JSON body whose keys are those of ``upstreams.Row``."""
+    plain = decode_json(body, dict)
+    if isinstance(plain, model.Invalid):
+        return plain
+    try:
+        return msgspec.convert({**plain, "identity": identity}, upstreams.Row)
+    except msgspec.ValidationError as error:
+        return model.Invalid(str(error))
+
+
+def decode_json(body: bytes, shape: typing.Any) -> typing.Any:
+    """Return the body as a value of the shape, or ``model.Invalid``."""
+    try:
+        return msgspec.json.decode(body, type=shape)
+    except (msgspec.MsgspecError, RecursionError) as error:
+        return model.Invalid(f"not the expected JSON: {error}")
+
+
+NATIVE = Dialect(Headers(), Paths(), decode_configuration, decode_announcement)
--- /dev/null
+++ b/packages/daemon/src/trestlestall/daemon/directory/links.py
@@ -0,0 +1,73 @@
+"""A directory's links: to every other directory, and from every gateway."""
+
+import contextlib
+import typing
+from collections import abc
+
+from trestlestall.daemon.directory import settings as directory_settings
+from trestlestall.wire import links as wire_links
+
+DIRECTORY = "control"
+#: Seconds that the side with the higher name waits for the other one to dial.
+PATIENCE_SECONDS = 0.7
+
+
+class Links:
+    """A mesh whose peers become known over time; a directory's name is its address."""
+
+    def __init__(self, settings: directory_settings.DirectorySettings) -> None:
+        self.own = settings.peers
+        self._settings = settings
+        self._mesh: wire_links.Mesh | None = None
+
+    @contextlib.contextmanager
+    def open(
+        self,
+        on_message: abc.Callable[[str, typing.Any], object],
+        on_change: abc.Callable[[str, bool], object],
+    ) -> abc.Iterator[None]:
+        """Take links and keep them while the block runs; raises ``ListenError``."""
+        settings = self._settings
+        self._mesh = wire_links.Mesh(
+            settings.peers,
+            DIRECTORY,
+            settings.data_centre,
+            settings.secret,
+            settings.peers,
+            (),
+            on_message,
+            on_change,
+        )
+        self._mesh.start()
+        self.add(settings.directories)
+        try:
+            yield
+        finally:
+            self._mesh.stop()
+
+    def add(self, addresses: abc.Iterable[str]) -> None:
+        """Keep links to these directories too."""
+        for address in addresses:
+            peer = wire_links.Peer(address, DIRECTORY, "", address)
+            dials = wire_links.should_dial(self.own, DIRECTORY, peer)
+            self._mesh.add_peer(peer, 0.0 if dials else PATIENCE_SECONDS)
+
+    def send(self, name: str, message: typing.Any) -> bool:
+        """Queue a message; false when there is no link."""
+        return self._mesh is not None and self._mesh.send(name, message)
+
+    def list_directories(self) -> list[str]:
+        """Return the linked directories."""
+        return [name for name in self._list_linked() if self.is_directory(name)]
+
+    def list_gateways(self) -> list[str]:
+        """Return the linked gateways."""
+        return [name for name in self._list_linked() if not self.is_directory(name)]
+
+    def is_directory(self, name: str) -> bool:
+        """Return whether a directory is linked under this name."""
+        link = self._mesh.links.get(name) if self._mesh is not None else None
+        return link is not None and link.peer.role == DIRECTORY
+
+    def _list_linked(self) -> list[str]:
+        return sorted(self._mesh.linked()) if self._mesh is not None else []
--- /dev/null
+++ b/packages/daemon/src/trestlestall/daemon/directory/operations.py
@@ -0,0 +1,63 @@
+"""The calls on the declared configuration: put a new one in force, read the newest."""
+
+from trestlestall.agreement import events
+from trestlestall.daemon.control import calls, machine, voter as voters
+
+OK = 200
+UNAVAILABLE = 503
+#: Seconds within which a call must be settled; a little below the second after which
+#: operators' clients turn to another directory.
+SECONDS = 0.9
+
+
+def reply_status(status: int, **more: object) -> calls.Reply:
+    """Return the reply with that status."""
+    return calls.Reply({"status": status, **more})
+
+
+@calls.register
+class Declare(calls.Kind):
+    """Put a whole configuration in force; the document has version and packed bytes.
+
+    Sending the same again is acknowledged again: the log decides by the version alone.
+    """
+
+    name = "declare"
+    seconds = SECONDS
+
+    def begin(self, call: calls.Call, here: calls.Here) -> calls.Step:
+        document = {key: call.document[key] for key in ("version", "packed")}
+        payload = machine.encode_entry(machine.DECLARATION, here.wall, document)
+        return events.Propose(call.token, payload)
+
+    def go_on(
+        self, call: calls.Call, result: voters.Result, here: calls.Here
+    ) -> calls.Step:
+        if isinstance(result, voters.Applied):
+            return reply_status(OK, newest=result.document.get("newest", 0))
+        return calls.Wait()
+
+    def give_up(self, call: calls.Call) -> calls.Document:
+        return {"status": UNAVAILABLE}
+
+
+@calls.register
+class ReadDeclaration(calls.Kind):
+    """The newest configuration, confirmed by a quorum."""
+
+    name = "read_declaration"
+    seconds = SECONDS
+
+    def begin(self, call: calls.Call, here: calls.Here) -> calls.Step:
+        return events.Read(call.token)
+
+    def go_on(
+        self, call: calls.Call, result: voters.Result, here: calls.Here
+    ) -> calls.Step:
+        if not isinstance(result, voters.Current):
+            return calls.Wait()
+        newest = here.voter.machine.declaration
+        return reply_status(OK, version=newest.version, packed=newest.packed)
+
+    def give_up(self, call: calls.Call) -> calls.Document:
+        return {"status": UNAVAILABLE}
--- /dev/null
+++ b/packages/daemon/src/trestlestall/daemon/directory/process.py
@@ -0,0 +1,118 @@
+"""The directory process: opens its folder and addresses, and turns its server."""
+
+import contextlib
+
+import eventlet
+import eventlet.semaphore
+
+from trestlestall.agreement import exceptions as agreement_exceptions
+from trestlestall.daemon import dialects, environment, events, logs, status
+from trestlestall.daemon.control import journal as journals, process as control_process
+from trestlestall.daemon.directory import (
+    links as directory_links,
+    server as servers,
+    settings as directory_settings,
+    site as sites,
+)
+from trestlestall.daemon.http import listener
+from trestlestall.storage import exceptions as storage_exceptions, folder
+from trestlestall.wire import exceptions as wire_exceptions
+
+ROLE = "directory"
+TICK_SECONDS = 0.05
+#: The longest that a planned stop waits for calls and a successor, in seconds.
+STOP_SECONDS = 2.0
+
+
+class Directory:
+    """A directory; ``run`` returns when it was stopped or could not go on."""
+
+    def __init__(
+        self,
+        settings: directory_settings.DirectorySettings,
+        env: environment.Environment,
+        dialect: dialects.Dialect = dialects.NATIVE,
+    ) -> None:
+        self._settings = settings
+        self._env = env
+        self._dialect = dialect
+        self._log = logs.Log(env.stdout, env.clock, settings.name)
+        self._arrived = eventlet.semaphore.Semaphore(0)
+        self._stopping = False
+
+    def run(self) -> status.ExitStatus:
+        """Serve until SIGTERM or SIGINT."""
+        self._log.write(
+            events.process.STARTED, role=ROLE, data_centre=self._settings.data_centre
+        )
+        found = self._run_guarded()
+        self._log.write(events.process.STOPPED, role=ROLE, status=int(found))
+        return found
+
+    def stop(self, *args: object) -> None:
+        """Begin a planned stop; also the handler of its signals."""
+        self._stopping = True
+
+    def _run_guarded(self) -> status.ExitStatus:
+        try:
+            self._serve()
+        except storage_exceptions.StorageError as error:
+            self._log.write(
+                events.agreement.STORAGE_REFUSED,
+                folder=self._settings.data_folder,
+                reason=str(error),
+            )
+            return status.ExitStatus.ERROR
+        except (wire_exceptions.ListenError, OSError) as error:
+            self._log.write(events.process.ADDRESS_REFUSED, reason=str(error))
+            return status.ExitStatus.ERROR
+        except agreement_exceptions.AgreementError as error:
+            self._log.write(
+                events.process.INVARIANT_BROKEN, place="agreement", error=str(error)
+            )
+            return status.ExitStatus.ERROR
+        return status.ExitStatus.OK
+
+    def _serve(self) -> None:
+        with contextlib.ExitStack() as stack:
+            stack.enter_context(control_process.catch_signals(self.stop))
+            data = stack.enter_context(folder.open_folder(self._settings.data_folder))
+            linked = directory_links.Links(self._settings)
+            server = servers.Server(
+                self._settings,
+                self._env,
+                self._log,
+                journals.Journal(data),
+                data.identity,
+                linked,
+                self._wake,
+            )
+            stack.enter_context(linked.open(server.take_message, server.note_link))
+            site = sites.Site(
+                server, self._dialect, self._log, self._settings.document_bytes
+            )
+            stack.enter_context(
+                listener.open_listener(self._settings.service, site.build_application())
+            )
+            self._log.write(events.process.READY, role=ROLE)
+            self._turn_until_stopped(server, site)
+
+    def _turn_until_stopped(self, server: servers.Server, site: sites.Site) -> None:
+        while not self._stopping:
+            self._turn(server)
+        site.stopping = True
+        self._log.write(events.process.STOPPING, role=ROLE)
+        server.hand_over()
+        deadline = self._env.clock.monotonic() + STOP_SECONDS
+        while not server.is_settled and self._env.clock.monotonic() < deadline:
+            self._turn(server)
+
+    def _turn(self, server: servers.Server) -> None:
+        """Wait for something to do; then let all that has arrived come in first."""
+        self._arrived.acquire(timeout=TICK_SECONDS)
+        eventlet.sleep(0)
+        server.turn()
+
+    def _wake(self) -> None:
+        if self._arrived.balance <= 0:
+            self._arrived.release()
--- /dev/null
+++ b/packages/daemon/src/trestlestall/daemon/directory/registrations.py
@@ -0,0 +1,131 @@
+"""What upstreams announce to a directory, and telling everyone who must know.
+
+An ordinary announcement is acknowledged at once. One that takes an upstream out of
+service is acknowledged when a majority of the directories has it and has passed it on:
+whichever gateway is in touch with one of them then knows.
+"""
+
+import dataclasses
+import time
+import typing
+from collections import abc
+
+import eventlet.event
+
+from trestlestall.daemon import events, logs
+from trestlestall.daemon.directory import links as directory_links
+from trestlestall.forwarding import upstreams
+from trestlestall.wire import messages
+
+#: Seconds to wait for a majority; below the second after which upstreams turn to
+#: another directory.
+MAJORITY_SECONDS = 0.8
+
+
+@dataclasses.dataclass
+class Round:
+    """An announcement that waits for other directories."""
+
+    needed: int
+    confirmed: set[str]
+    done: eventlet.event.Event
+
+
+class Registrations:
+    """The table of one directory; ``count_voters`` tells how many directories vote."""
+
+    def __init__(
+        self,
+        links: directory_links.Links,
+        log: logs.Log,
+        count_voters: abc.Callable[[], int],
+        clock: abc.Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.table = upstreams.Table()
+        self._links = links
+        self._log = log
+        self._count_voters = count_voters
+        self._clock = clock
+        self._rounds: dict[int, Round] = {}
+        self._last_token = 0
+
+    def announce(self, row: upstreams.Row) -> bool:
+        """Take an upstream's word; false when too few directories could be told."""
+        known = self.table.rows.get(row.identity)
+        merged = self.table.merge(row, self._clock())
+        self.table.forget_departed(self._clock())
+        if merged is not None:
+            self._tell_gateways((merged,))
+        leaves = row.state is not upstreams.State.SERVING
+        if leaves and (known is None or known.state < row.state or merged):
+            return self._tell_majority(self.table.rows[row.identity])
+        if leaves:
+            return self._tell_majority(known)
+        self._tell_directories(row, 0)
+        return True
+
+    def take(self, peer: str, message: messages.Announced) -> None:
+        """Take rows from another directory, pass on what is new, and confirm."""
+        now = self._clock()
+        rows = [upstreams.decode_row(plain) for plain in message.rows]
+        merged = [one for row in rows if (one := self.table.merge(row, now))]
+        if merged:
+            self._tell_gateways(merged)
+        if message.token:
+            self._links.send(peer, messages.AnnouncedAnswer(message.token))
+
+    def take_answer(self, peer: str, message: messages.AnnouncedAnswer) -> None:
+        """Count a directory that has the rows."""
+        waiting = self._rounds.get(message.token)
+        if waiting is None:
+            return
+        waiting.confirmed.add(peer)
+        if len(waiting.confirmed) >= waiting.needed and not waiting.done.ready():
+            waiting.done.send(True)
+
+    def send_all(self, peer: str) -> None:
+        """Send the whole table to a process that was just linked."""
+        self._links.send(peer, encode(self.table.rows.values(), 0))
+
+    def _tell_majority(self, row: upstreams.Row) -> bool:
+        needed = self._count_voters() // 2
+        if needed == 0:
+            return True
+        self._last_token += 1
+        token = self._last_token
+        waiting = Round(needed, set(), eventlet.event.Event())
+        self._rounds[token] = waiting
+        try:
+            self._tell_directories(row, token)
+            with eventlet.Timeout(MAJORITY_SECONDS, False):
+                return waiting.done.wait()
+            return False
+        finally:
+            del self._rounds[token]
+
+    def _tell_directories(self, row: upstreams.Row, token: int) -> None:
+        message = encode((row,), token)
+        for peer in self._links.list_directories():
+            self._links.send(peer, message)
+
+    def _tell_gateways(self, rows: abc.Sequence[upstreams.Row]) -> None:
+        message = encode(rows, 0)
+        gateways = self._links.list_gateways()
+        for gateway in gateways:
+            self._links.send(gateway, message)
+        for row in rows:
+            self._log.write(
+                events.directory.ANNOUNCED,
+                upstream=row.identity,
+                service=row.service,
+                address=row.address,
+                state=row.state.name.lower(),
+                sequence=row.sequence,
+                told=len(gateways),
+            )
+
+
+def encode(rows: abc.Iterable[upstreams.Row], token: int) -> typing.Any:
+    """Return the message that carries the rows."""
+    plain = tuple(upstreams.encode_row(row) for row in rows)
+    return messages.Announced(token, plain)
--- /dev/null
+++ b/packages/daemon/src/trestlestall/daemon/directory/site.py
@@ -0,0 +1,162 @@
+"""The directory's HTTP interface: operators' documents and upstreams' announcements."""
+
+import time
+import typing
+import zlib
+
+import eventlet
+import eventlet.event
+
+from trestlestall.daemon import dialects, events, logs
+from trestlestall.daemon.directory import operations, server as servers
+from trestlestall.daemon.http import answers, application, limits, requests, routes
+from trestlestall.forwarding import model, upstreams
+
+OK = 200
+BAD_REQUEST, TOO_LARGE, UNAVAILABLE = 400, 413, 503
+#: Documents compress well; a higher level costs more time than it saves bytes.
+PACKING_LEVEL = 1
+
+
+class Site:
+    """What the handlers serve."""
+
+    def __init__(
+        self,
+        server: servers.Server,
+        dialect: dialects.Dialect,
+        log: logs.Log,
+        document_bytes: int,
+    ) -> None:
+        self.server = server
+        self.dialect = dialect
+        self.log = log
+        self.document_bytes = document_bytes
+        self.stopping = False
+
+    def build_application(self) -> application.Application:
+        """Return the application with its routes at the dialect's paths."""
+        table = routes.Routes()
+        paths = self.dialect.paths
+        table.register("PUT", paths.configuration)(put_configuration)
+        table.register("GET", paths.configuration)(get_configuration)
+        table.register("PUT", paths.upstreams)(announce)
+        table.register("DELETE", paths.upstreams)(withdraw)
+        table.register("GET", paths.ready)(show_readiness)
+        bounds = limits.Limits(body_bytes=self.document_bytes)
+        return application.Application(
+            self, table, bounds, report_error=self.report_error
+        )
+
+    def report_error(self, request: requests.Request, error: Exception) -> None:
+        """Log a handler's fault."""
+        self.log.write(
+            events.process.INVARIANT_BROKEN,
+            place=f"{request.method} {request.path}",
+            error=repr(error),
+        )
+
+    def ask(self, kind: str, document: dict) -> dict:
+        """Wait for the reply to a call and return it."""
+        waiting = eventlet.event.Event()
+        self.server.open_call(kind, document, waiting.send)
+        return waiting.wait()
+
+
+def put_configuration(site: Site, request: requests.Request) -> answers.Answer:
+    """Put a whole configuration in force; 200 once a quorum has it."""
+    started = time.monotonic()
+    body = read_whole(request, site.document_bytes)
+    if body is None:
+        return refuse(TOO_LARGE, "the document is too large, or was cut off")
+    found = site.dialect.decode_configuration(body)
+    if isinstance(found, model.Invalid):
+        site.log.write(events.directory.REFUSED, reason=found.reason, bytes=len(body))
+        return refuse(BAD_REQUEST, found.reason)
+    packed = zlib.compress(body, PACKING_LEVEL)
+    document = {"version": found.version, "packed": packed}
+    reply = site.ask(operations.Declare.name, document)
+    site.log.write(
+        events.directory.TAKEN,
+        declaration=found.version,
+        status=reply["status"],
+        newest=reply.get("newest"),
+        bytes=len(body),
+        seconds=round(time.monotonic() - started, 4),
+    )
+    if reply["status"] != OK:
+        return refuse(UNAVAILABLE, "no quorum confirmed it; it may still be in force")
+    return answers.build_json({"newest": reply.get("newest")})
+
+
+def get_configuration(site: Site, request: requests.Request) -> answers.Answer:
+    """Answer with the newest configuration, as its operator sent it."""
+    started = time.monotonic()
+    reply = site.ask(operations.ReadDeclaration.name, {})
+    site.log.write(
+        events.directory.READ,
+        declaration=reply.get("version"),
+        status=reply["status"],
+        seconds=round(time.monotonic() - started, 4),
+    )
+    if reply["status"] != OK:
+        return refuse(UNAVAILABLE, "no quorum confirms which one is the newest")
+    if not reply["version"]:
+        return refuse(404, "no configuration was declared yet")
+    return answers.Answer(OK, zlib.decompress(reply["packed"]))
+
+
+def announce(site: Site, request: requests.Request) -> answers.Answer:
+    """Take an upstream's announcement."""
+    identity = request.path.removeprefix(site.dialect.paths.upstreams)
+    body = read_whole(request, site.document_bytes)
+    row = site.dialect.decode_announcement(identity, body or b"")
+    if isinstance(row, model.Invalid):
+        site.log.write(
+            events.directory.ANNOUNCEMENT_REFUSED, upstream=identity, reason=row.reason
+        )
+        return refuse(BAD_REQUEST, row.reason)
+    return answer_announced(site, row)
+
+
+def withdraw(site: Site, request: requests.Request) -> answers.Answer:
+    """Take an upstream's word that it leaves."""
+    identity = request.path.removeprefix(site.dialect.paths.upstreams)
+    row = upstreams.Row(identity, 0, upstreams.State.GONE)
+    return answer_announced(site, row)
+
+
+def answer_announced(site: Site, row: upstreams.Row) -> answers.Answer:
+    """Answer 200 once everyone who has to know was told."""
+    if site.server.registrations.announce(row):
+        return answers.build_json({})
+    return refuse(UNAVAILABLE, "too few directories could be told")
+
+
+def show_readiness(site: Site, request: requests.Request) -> answers.Answer:
+    """Answer whether a leader is known."""
+    ready = site.server.leader is not None and not site.stopping
+    return answers.build_json({"ready": ready}, OK if ready else UNAVAILABLE)
+
+
+def refuse(status: int, reason: str) -> answers.Answer:
+    """Return the answer that says why not."""
+    return answers.build_json({"error": reason}, status)
+
+
+def read_whole(request: requests.Request, limit: int) -> bytes | None:
+    """Return the body, of a given length or in chunks; None if it can't be had."""
+    source: typing.Any = request.environ["wsgi.input"]
+    length = request.environ.get("CONTENT_LENGTH")
+    try:
+        if length is None and "transfer-encoding" not in request.headers:
+            return b""
+        wanted = limit + 1 if length is None else int(length)
+        if wanted > limit and length is not None:
+            return None
+        body = source.read(wanted)
+    except (OSError, ValueError, eventlet.Timeout):
+        return None
+    if len(body) > limit or (length is not None and len(body) != int(length)):
+        return None
+    return body
--- a/packages/daemon/src/trestlestall/daemon/environment.py
+++ b/packages/daemon/src/trestlestall/daemon/environment.py
@@ -35,11 +35,14 @@
     random: randomness.Random
 
 
-def read_environment() -> Environment:
-    """Return the environment of the running process, its generator newly seeded."""
+def read_environment(stdout: typing.TextIO | None = None) -> Environment:
+    """Return the environment of the running process, its generator newly seeded.
+
+    ``stdout`` is what to write to instead of the process's own stream.
+    """
     return Environment(
         stdin=sys.stdin,
-        stdout=sys.stdout,
+        stdout=stdout or sys.stdout,
         stderr=sys.stderr,
         clock=Clock(),
         random=randomness.Random(),
--- a/packages/daemon/src/trestlestall/daemon/events/__init__.py
+++ b/packages/daemon/src/trestlestall/daemon/events/__init__.py
@@ -6,11 +6,14 @@
 
     TS1xxx process    TS2xxx routing    TS3xxx upstreams
     TS4xxx agreement  TS5xxx links      TS6xxx placement
+    TS7xxx forwarding TS8xxx directory
 """
 
 from trestlestall.daemon.events import (
     agreement,
     catalogue,
+    directory,
+    forwarding,
     links,
     placement,
     process,
@@ -21,4 +24,13 @@
 Event = catalogue.Event
 Level = catalogue.Level
 CATALOGUE = catalogue.CATALOGUE
-RANGES = (process, routing, upstreams, agreement, links, placement)
+RANGES = (
+    process,
+    routing,
+    upstreams,
+    agreement,
+    links,
+    placement,
+    forwarding,
+    directory,
+)
--- /dev/null
+++ b/packages/daemon/src/trestlestall/daemon/events/directory.py
@@ -0,0 +1,70 @@
+"""TS8xxx: the directory's configuration, voters and announcements."""
+
+from trestlestall.daemon.events import catalogue
+
+TAKEN = catalogue.declare(
+    "TS8001",
+    "declaration_taken",
+    catalogue.Level.INFO,
+    "declaration status newest bytes seconds",
+    "An operator's document was answered; newest is the version in force after it.",
+)
+REFUSED = catalogue.declare(
+    "TS8002",
+    "declaration_refused",
+    catalogue.Level.INFO,
+    "declaration reason bytes",
+    "An operator's document is no valid configuration; nothing changed.",
+    "Send a corrected document.",
+)
+READ = catalogue.declare(
+    "TS8003",
+    "declaration_read",
+    catalogue.Level.INFO,
+    "declaration status seconds",
+    "An operator read the configuration; status 503 means that no quorum confirmed it.",
+)
+IN_FORCE = catalogue.declare(
+    "TS8004",
+    "declaration_in_force",
+    catalogue.Level.INFO,
+    "declaration previous index leader",
+    "The agreed log made this version the newest one; gateways are told.",
+)
+ANNOUNCED = catalogue.declare(
+    "TS8010",
+    "announcement_taken",
+    catalogue.Level.INFO,
+    "upstream service address state sequence told",
+    "An upstream announced a change; told counts the processes that it was passed to.",
+)
+ANNOUNCEMENT_REFUSED = catalogue.declare(
+    "TS8011",
+    "announcement_unreadable",
+    catalogue.Level.WARNING,
+    "upstream reason",
+    "An announcement can't be read.",
+    "Compare the upstream's version with the documented form.",
+)
+VOTER_CHANGE = catalogue.declare(
+    "TS8020",
+    "voter_change_begun",
+    catalogue.Level.WARNING,
+    "add remove reason voters",
+    "The leader changes the voters by itself, for the reason given.",
+    "Nothing to do; look at the host if one was removed that should be there.",
+)
+VOTER_CHANGE_ENDED = catalogue.declare(
+    "TS8021",
+    "voter_change_ended",
+    catalogue.Level.INFO,
+    "add remove outcome voters",
+    "A change of voters by the leader ended.",
+)
+GROUP_FORMED = catalogue.declare(
+    "TS8022",
+    "group_formed",
+    catalogue.Level.INFO,
+    "voters own",
+    "The first voters are known to this process.",
+)
--- /dev/null
+++ b/packages/daemon/src/trestlestall/daemon/events/forwarding.py
@@ -0,0 +1,74 @@
+"""TS7xxx: forwarded requests at a gateway, and what it believes of upstreams."""
+
+from trestlestall.daemon.events import catalogue
+
+SENT = catalogue.declare(
+    "TS7001",
+    "forward_sent",
+    catalogue.Level.INFO,
+    "request route workspace tier upstream address attempt unread predicted"
+    " taken failure_rate declaration seconds_left reason",
+    "A request goes to this upstream; unread are the prompt tokens that it probably has"
+    " to read, predicted the seconds to the first event, taken its requests from here.",
+)
+ENDED = catalogue.declare(
+    "TS7002",
+    "forward_ended",
+    catalogue.Level.INFO,
+    "request route upstream status outcome reason attempts events seconds"
+    " first_seconds longest_pause",
+    "The caller has its final answer, or has left; the outcome says which.",
+)
+REFUSED = catalogue.declare(
+    "TS7003",
+    "forward_refused",
+    catalogue.Level.INFO,
+    "request route status reason retry_after declaration seconds",
+    "The request ended at the gateway; with status 503 it has run nowhere.",
+    "When many are refused for one reason, compare the service's places with demand.",
+)
+REPEATED = catalogue.declare(
+    "TS7004",
+    "forward_repeated",
+    catalogue.Level.INFO,
+    "request route upstream outcome reason allowed repeats limit runs seconds_left",
+    "An attempt did not end with an answer that is final; allowed says whether another"
+    " one follows, repeats and limit what the retry budget had at that moment.",
+)
+ROW = catalogue.declare(
+    "TS7010",
+    "upstream_row",
+    catalogue.Level.INFO,
+    "upstream service address state sequence source",
+    "What is known of an upstream changed, by the word of the source.",
+)
+UNREACHABLE = catalogue.declare(
+    "TS7011",
+    "upstream_unreachable",
+    catalogue.Level.WARNING,
+    "upstream address reason",
+    "An upstream could not be connected to; it gets no requests while others can be.",
+    "Look at the upstream if it stays so.",
+)
+REACHED = catalogue.declare(
+    "TS7012",
+    "upstream_reached",
+    catalogue.Level.INFO,
+    "upstream address seconds",
+    "An upstream that could not be connected to accepts connections again.",
+)
+APPLIED = catalogue.declare(
+    "TS7020",
+    "declaration_applied",
+    catalogue.Level.INFO,
+    "declaration previous source routes workspaces",
+    "This version of the declared configuration is in force in this gateway.",
+)
+UNDECODABLE = catalogue.declare(
+    "TS7021",
+    "declaration_undecodable",
+    catalogue.Level.ERROR,
+    "declaration source reason",
+    "A version that the directory keeps can't be read here; the former stays in force.",
+    "Compare the versions of the programs; a newer one may have accepted it.",
+)
--- /dev/null
+++ b/packages/daemon/src/trestlestall/daemon/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The gateway process: forwards opaque requests to upstreams."""
--- /dev/null
+++ b/packages/daemon/src/trestlestall/daemon/gateway/callers.py
@@ -0,0 +1,222 @@
+"""One caller's connection: requests in, answers out, and noticing that it left.
+
+HTTP is read and written by h11, a parser without input and output of its own: the WSGI
+runner can't tell a caller who left before the first byte of the answer, and can't pass
+on an answer that ends early so that it looks ended early (docs/design/platform.md).
+"""
+
+import contextlib
+import dataclasses
+import socket
+from collections import abc
+
+import eventlet
+import h11
+from eventlet import hubs
+
+from trestlestall.forwarding import model
+
+READ_BYTES = 65536
+#: Bytes that a caller may send ahead while its request is answered.
+AHEAD_BYTES = 65536
+#: The longest that a write to a caller may stand still, in seconds: about the longest
+#: deadline that callers give. Their leaving is noticed by itself.
+WRITE_SECONDS = 30.0
+TOO_LARGE = 413
+BAD_REQUEST = 400
+REQUEST_TIMEOUT = 408
+
+
+@dataclasses.dataclass(frozen=True)
+class Request:
+    """A whole request; ``head`` keeps the header's order and case."""
+
+    method: bytes
+    target: bytes
+    headers: abc.Sequence[tuple[bytes, bytes]]
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class Rejected:
+    """What came is no request that can be served; the connection ends after it."""
+
+    status: int
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Ended:
+    """The caller closed the connection, or kept it idle for too long."""
+
+
+class CallerLeft(Exception):  # noqa: N818 (an event, not an error)
+    """The caller closed the connection while its request was being answered."""
+
+
+class Caller:
+    """A connection that a caller opened."""
+
+    def __init__(self, opened: socket.socket, limits: model.CallerLimits) -> None:
+        self.socket = opened
+        self.limits = limits
+        self.left = False
+        self.closing = False
+        self.idle = True
+        self._http = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=limits.header_bytes
+        )
+        self._ahead = 0
+
+    # Requests.
+
+    def read_request(self) -> Request | Rejected | Ended:
+        """Wait for the next request and read it whole."""
+        try:
+            return self._read_request()
+        except h11.RemoteProtocolError as error:
+            return Rejected(error.error_status_hint, str(error))
+        except TimeoutError:
+            if self.idle:
+                return Ended()
+            return Rejected(REQUEST_TIMEOUT, "the request came too slowly")
+        except OSError:
+            return Ended()
+
+    def _read_request(self) -> Request | Rejected | Ended:
+        self.idle = not self._http.trailing_data[0]
+        event = self._next_event(self.limits.idle_seconds)
+        if not isinstance(event, h11.Request):
+            return Ended()
+        if is_ambiguous(event.headers):
+            return Rejected(BAD_REQUEST, "the length of the body is given twice")
+        if self._http.they_are_waiting_for_100_continue:
+            interim = h11.InformationalResponse(status_code=100, headers=[])
+            self._write(self._http.send(interim))
+        parts, size = [], 0
+        while isinstance(part := self._next_event(self.limits.idle_seconds), h11.Data):
+            parts.append(bytes(part.data))
+            size += len(part.data)
+            if size > self.limits.body_bytes:
+                return Rejected(TOO_LARGE, "the body is too long")
+        if not isinstance(part, h11.EndOfMessage):
+            return Ended()
+        headers = list(event.headers.raw_items())
+        return Request(event.method, event.target, headers, b"".join(parts))
+
+    def _next_event(self, idle_seconds: float) -> object:
+        """Return the next event of the parser, reading as needed."""
+        seconds = idle_seconds
+        while (event := self._http.next_event()) is h11.NEED_DATA:
+            self.socket.settimeout(seconds)
+            data = self.socket.recv(READ_BYTES)
+            self.idle = self.idle and not data
+            if self.idle is False and self._http.their_state is h11.IDLE:
+                seconds = self.limits.header_seconds
+            self._http.receive_data(data)
+        return event
+
+    # Answers.
+
+    def begin_answer(
+        self, status: int, headers: abc.Sequence[tuple[bytes, bytes]]
+    ) -> None:
+        """Write the head of an answer; raises ``CallerLeft``."""
+        headers = list(headers)
+        if self.closing:
+            headers.append((b"Connection", b"close"))
+        head = h11.Response(status_code=status, headers=headers)
+        self._write(self._http.send(head))
+
+    def write_part(self, data: bytes) -> None:
+        """Write a part of an answer's body; raises ``CallerLeft``."""
+        self._write(self._http.send(h11.Data(data=data)))
+
+    def end_answer(self) -> None:
+        """Write the end of an answer; raises ``CallerLeft``."""
+        self._write(self._http.send(h11.EndOfMessage()))
+
+    def answer(
+        self, status: int, headers: abc.Sequence[tuple[bytes, bytes]], body: bytes
+    ) -> None:
+        """Write a whole answer in as few packets as possible."""
+        headers = [*headers, (b"Content-Length", str(len(body)).encode())]
+        if self.closing:
+            headers.append((b"Connection", b"close"))
+        head = h11.Response(status_code=status, headers=headers)
+        data = self._http.send(head)
+        data += self._http.send(h11.Data(data=body))
+        data += self._http.send(h11.EndOfMessage())
+        self._write(data)
+
+    def cut(self) -> None:
+        """End the connection in the middle of an answer, which then looks cut off."""
+        with contextlib.suppress(OSError):
+            self.socket.shutdown(socket.SHUT_RDWR)
+
+    def close_if_idle(self) -> None:
+        """Close the connection if no byte of a next request has come."""
+        if self.idle:
+            self.cut()
+
+    def reject(self, status: int, body: bytes) -> None:
+        """Answer what is no request, whatever the parser makes of its state."""
+        if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            with contextlib.suppress(CallerLeft):
+                self.answer(status, (), body)
+
+    def prepare_next(self) -> bool:
+        """Return whether another request may follow on the connection."""
+        if self.closing or self.left:
+            return False
+        state = (self._http.our_state, self._http.their_state)
+        if state != (h11.DONE, h11.DONE):
+            return False
+        self._http.start_next_cycle()
+        self._ahead = 0
+        return True
+
+    def _write(self, data: bytes | None) -> None:
+        if self.left:
+            raise CallerLeft()
+        self.socket.settimeout(WRITE_SECONDS)
+        try:
+            self.socket.sendall(data or b"")
+        except OSError as error:
+            self.left = True
+            raise CallerLeft() from error
+
+    # Leaving.
+
+    @contextlib.contextmanager
+    def watch(self, on_left: abc.Callable[[], object]) -> abc.Iterator[None]:
+        """Call ``on_left`` if the caller closes the connection during the block."""
+        watcher = eventlet.spawn(self._watch, on_left)
+        try:
+            yield
+        finally:
+            watcher.kill()
+
+    def _watch(self, on_left: abc.Callable[[], object]) -> None:
+        while self._ahead < AHEAD_BYTES:
+            try:
+                hubs.trampoline(self.socket, read=True)
+                data = self.socket.recv(READ_BYTES)
+            except OSError:
+                data = b""
+            if not data:
+                self.left = True
+                on_left()
+                return
+            self._ahead += len(data)
+            self._http.receive_data(data)
+
+
+def is_ambiguous(headers: abc.Iterable[tuple[bytes, bytes]]) -> bool:
+    """Return whether both a length and chunks frame the body, which may hide another.
+
+    >>> is_ambiguous([(b"content-length", b"3"), (b"transfer-encoding", b"chunked")])
+    True
+    """
+    names = {name for name, _ in headers}
+    return {b"content-length", b"transfer-encoding"} <= names
--- /dev/null
+++ b/packages/daemon/src/trestlestall/daemon/gateway/knowledge.py
@@ -0,0 +1,102 @@
+"""What a gateway believes: the configuration in force and the upstreams."""
+
+import time
+import zlib
+from collections import abc
+
+from trestlestall.daemon import dialects, events, logs
+from trestlestall.forwarding import budgets, directory, model, placement, upstreams
+
+
+class Knowledge:
+    """The newest configuration and the merged table of upstreams.
+
+    A configuration never goes back within one run of the process, whoever tells it.
+    """
+
+    def __init__(
+        self,
+        dialect: dialects.Dialect,
+        log: logs.Log,
+        clock: abc.Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.dialect = dialect
+        self.log = log
+        self.clock = clock
+        self.directory: directory.Directory | None = None
+        self.version = 0
+        self.has_rows = False
+        self.table = upstreams.Table()
+        self.placer = placement.Placer()
+        self.budgets: dict[str, budgets.Budget] = {}
+
+    @property
+    def limits(self) -> model.CallerLimits:
+        """The bounds on callers' connections."""
+        if self.directory is None:
+            return model.DEFAULT_LIMITS
+        return self.directory.configuration.limits
+
+    def is_complete(self) -> bool:
+        """Return whether requests can be served."""
+        return self.directory is not None and self.has_rows
+
+    def take_declaration(self, version: int, packed: bytes, source: str) -> None:
+        """Put a newer configuration in force; an older one changes nothing."""
+        if version <= self.version and self.directory is not None:
+            return
+        found = self.dialect.decode_configuration(zlib.decompress(packed))
+        if isinstance(found, model.Invalid):
+            self.log.write(
+                events.forwarding.UNDECODABLE,
+                declaration=version,
+                source=source,
+                reason=found.reason,
+            )
+            return
+        previous, self.version = self.version, version
+        self.directory = directory.Directory(found)
+        self._refresh()
+        self.log.write(
+            events.forwarding.APPLIED,
+            declaration=version,
+            previous=previous,
+            source=source,
+            routes=len(found.routes),
+            workspaces=len(found.workspaces),
+        )
+
+    def take_rows(self, rows: abc.Iterable[upstreams.Row], source: str) -> None:
+        """Merge rows that a directory sent."""
+        now = self.clock()
+        self.has_rows = True
+        changed = [
+            merged for row in rows if (merged := self.table.merge(row, now)) is not None
+        ]
+        self.table.forget_departed(now)
+        if changed:
+            self._refresh()
+        for row in changed:
+            self.log.write(
+                events.forwarding.ROW,
+                upstream=row.identity,
+                service=row.service,
+                address=row.address,
+                state=row.state.name.lower(),
+                sequence=row.sequence,
+                source=source,
+            )
+
+    def note_replaced(self, row: upstreams.Row) -> None:
+        """Note that another incarnation answers at the upstream's address."""
+        gone = upstreams.Row(row.identity, row.sequence, upstreams.State.GONE)
+        self.take_rows((gone,), "upstream")
+
+    def find_budget(self, service: str) -> budgets.Budget:
+        """Return the count of repeated sends of a service."""
+        return self.budgets.setdefault(service, budgets.Budget())
+
+    def _refresh(self) -> None:
+        known = self.directory.configuration if self.directory else None
+        rows = self.table.rows.values()
+        self.placer.set_upstreams(rows, known, self.clock())
--- /dev/null
+++ b/packages/daemon/src/trestlestall/daemon/gateway/links.py
@@ -0,0 +1,137 @@
+"""A gateway's links to the directories, which tell it what it has to know."""
+
+import contextlib
+import random
+import typing
+from collections import abc
+
+import eventlet
+
+from trestlestall.daemon import events, logs
+from trestlestall.daemon.gateway import (
+    knowledge as knowledges,
+    settings as gateway_settings,
+)
+from trestlestall.forwarding import upstreams
+from trestlestall.wire import links as wire_links, messages
+
+GATEWAY = "router"
+DIRECTORY = "control"
+#: Seconds until a configuration that was asked for is asked for again, elsewhere.
+ASK_AGAIN_SECONDS = 0.3
+
+Handler = abc.Callable[["Links", str, typing.Any], None]
+HANDLERS: dict[type, Handler] = {}
+
+
+def handles(kind: type) -> abc.Callable[[Handler], Handler]:
+    """Return a decorator that makes the function handle one kind of message."""
+
+    def enter(function: Handler) -> Handler:
+        HANDLERS[kind] = function
+        return function
+
+    return enter
+
+
+class Links:
+    """The mesh of one gateway; ``note_gateways`` is told how many there are."""
+
+    def __init__(
+        self,
+        settings: gateway_settings.GatewaySettings,
+        knowledge: knowledges.Knowledge,
+        log: logs.Log,
+        note_gateways: abc.Callable[[int], object],
+    ) -> None:
+        self.knowledge = knowledge
+        self.note_gateways = note_gateways
+        self._log = log
+        self._settings = settings
+        self._offers: dict[str, int] = {}
+        self.mesh = wire_links.Mesh(
+            settings.name,
+            GATEWAY,
+            settings.data_centre,
+            settings.secret,
+            settings.peers,
+            (),
+            self._take,
+            self._note_change,
+        )
+
+    @contextlib.contextmanager
+    def open(self) -> abc.Iterator[None]:
+        """Keep links while the block runs; raises ``ListenError``."""
+        self.mesh.start()
+        self.add_directories(self._settings.directories)
+        asking = eventlet.spawn(self._keep_asking)
+        try:
+            yield
+        finally:
+            asking.kill()
+            self.mesh.stop()
+
+    def add_directories(self, addresses: abc.Iterable[str]) -> None:
+        """Keep links to these directories too; a directory's name is its address."""
+        for address in addresses:
+            peer = wire_links.Peer(address, DIRECTORY, "", address)
+            self.mesh.add_peer(peer)
+
+    def note_offer(self, directory: str, version: int) -> None:
+        """Note which version a directory holds, and ask for it if it is newer."""
+        self._offers[directory] = version
+        if version > self.knowledge.version:
+            self.mesh.send(directory, messages.DeclarationPull())
+
+    def _keep_asking(self) -> None:
+        while True:
+            eventlet.sleep(ASK_AGAIN_SECONDS)
+            newer = [
+                directory
+                for directory, version in self._offers.items()
+                if version > self.knowledge.version
+            ]
+            if newer:
+                self.mesh.send(random.choice(newer), messages.DeclarationPull())
+
+    def _take(self, directory: str, message: typing.Any) -> None:
+        handler = HANDLERS.get(type(message))
+        if handler is not None:
+            handler(self, directory, message)
+
+    def _note_change(self, peer: str, linked: bool) -> None:
+        if not linked:
+            self._offers.pop(peer, None)
+        event = events.links.UP if linked else events.links.DOWN
+        self._log.write(event, peer=peer)
+
+
+@handles(messages.Roster)
+def take_roster(links: Links, directory: str, message: messages.Roster) -> None:
+    """Learn of more directories."""
+    links.add_directories(message.directories)
+    links.note_gateways(message.gateways)
+
+
+@handles(messages.Announced)
+def take_rows(links: Links, directory: str, message: messages.Announced) -> None:
+    """Learn of upstreams."""
+    rows = [upstreams.decode_row(plain) for plain in message.rows]
+    links.knowledge.take_rows(rows, directory)
+
+
+@handles(messages.DeclarationNotice)
+def take_notice(
+    links: Links, directory: str, message: messages.DeclarationNotice
+) -> None:
+    """Learn that a version exists."""
+    links.note_offer(directory, message.version)
+
+
+@handles(messages.DeclarationDocument)
+def take_document(
+    links: Links, directory: str, message: messages.DeclarationDocument
+) -> None:
+    """Put a version in force."""
+    links.knowledge.take_declaration(message.version, message.packed, directory)
--- /dev/null
+++ b/packages/daemon/src/trestlestall/daemon/gateway/metrics.py
@@ -0,0 +1,76 @@
+"""A gateway's metrics; names and units follow the Prometheus conventions."""
+
+import prometheus_client
+
+CONTENT_TYPE = prometheus_client.CONTENT_TYPE_LATEST
+DURATION_BUCKETS = (0.02, 0.05, 0.1, 0.25, 0.4, 1, 2, 5, 15)
+#: Routes that get series of their own; the others share one, so that the number of
+#: series stays bounded however many routes an operator declares.
+ROUTES_SHOWN = 50
+OTHER_ROUTES = "other"
+
+
+class Metrics:
+    """Counters and histograms, on a registry of their own."""
+
+    def __init__(self) -> None:
+        self.registry = prometheus_client.CollectorRegistry()
+        self._routes: set[str] = set()
+        self.ended = prometheus_client.Counter(
+            "trestlestall_forwards",
+            "Forwarded requests by how they ended.",
+            ["route", "outcome"],
+            registry=self.registry,
+        )
+        self.refused = prometheus_client.Counter(
+            "trestlestall_forward_refusals",
+            "Requests that the gateway answered itself, by reason.",
+            ["route", "reason"],
+            registry=self.registry,
+        )
+        self.first = self._time("first", "Arrival to the first event or the answer.")
+        self.whole = self._time("whole", "Arrival to the end of the answer.")
+        self.version = self._gauge("declaration_version", "Configuration in force.")
+        self.upstreams = self._gauge("forward_upstreams", "Upstreams that serve.")
+        self.links = self._gauge("links", "Open links to other processes.")
+        self.opened = self._gauge("upstream_connections_opened", "Since the start.")
+        self.dropped = self._gauge("log_lines_dropped", "Since the start.")
+
+    def _time(self, name: str, text: str) -> prometheus_client.Histogram:
+        return prometheus_client.Histogram(
+            f"trestlestall_forward_{name}_seconds",
+            text,
+            ["route"],
+            registry=self.registry,
+            buckets=DURATION_BUCKETS,
+        )
+
+    def _gauge(self, name: str, text: str) -> prometheus_client.Gauge:
+        return prometheus_client.Gauge(
+            f"trestlestall_{name}", text, registry=self.registry
+        )
+
+    def note_refused(self, route: str, reason: str) -> None:
+        """Count a request that the gateway answered itself."""
+        kind = reason.partition(":")[0][:60]
+        self.refused.labels(self._name_route(route), kind).inc()
+
+    def note_ended(
+        self, route: str, outcome: str, seconds: float, first: float | None
+    ) -> None:
+        """Count a request whose answer came from an upstream."""
+        name = self._name_route(route)
+        self.ended.labels(name, outcome).inc()
+        self.whole.labels(name).observe(seconds)
+        if first is not None:
+            self.first.labels(name).observe(first)
+
+    def render(self) -> bytes:
+        """Return the exposition text, of the type ``CONTENT_TYPE``."""
+        return prometheus_client.generate_latest(self.registry)
+
+    def _name_route(self, route: str) -> str:
+        if route in self._routes or len(self._routes) < ROUTES_SHOWN:
+            self._routes.add(route)
+            return route
+        return OTHER_ROUTES
--- /dev/null
+++ b/packages/daemon/src/trestlestall/daemon/gateway/process.py
@@ -0,0 +1,193 @@
+"""The gateway process: its listeners, its links and its planned stop."""
+
+import contextlib
+import socket
+import time
+import typing
+from collections import abc
+
+import eventlet
+
+from trestlestall.daemon import dialects, environment, events, logs, status
+from trestlestall.daemon.gateway import (
+    callers,
+    forwards,
+    knowledge as knowledges,
+    links as gateway_links,
+    metrics as gateway_metrics,
+    settings as gateway_settings,
+)
+from trestlestall.daemon.http import answers, application, listener, routes
+from trestlestall.daemon.router import signals
+from trestlestall.wire import exceptions as wire_exceptions, sockets
+
+ROLE = "gateway"
+#: Seconds after the request to stop in which new connections are still served: the
+#: balancer takes two missed questions, a second apart, to notice.
+NOTICE_SECONDS = 2.5
+#: Part of the grace time after which what still runs is cut off.
+GRACE_SHARE = 0.9
+TICK_SECONDS = 0.05
+SWEEP_SECONDS = 1.0
+ACCEPT_PAUSE = 0.05
+UNREADY = 503
+READY = 200
+
+
+class Gateway:
+    """A gateway; ``run`` returns when it was stopped or could not go on."""
+
+    def __init__(
+        self,
+        settings: gateway_settings.GatewaySettings,
+        env: environment.Environment,
+        dialect: dialects.Dialect = dialects.NATIVE,
+    ) -> None:
+        self._settings = settings
+        self._dialect = dialect
+        self._log = logs.Log(env.stdout, env.clock, settings.name)
+        self._knowledge = knowledges.Knowledge(dialect, self._log)
+        self._metrics = gateway_metrics.Metrics()
+        self._service = forwards.Service(
+            settings, dialect, self._knowledge, self._metrics
+        )
+        self._links = gateway_links.Links(
+            settings, self._knowledge, self._log, self._note_gateways
+        )
+        self._open: set[callers.Caller] = set()
+        self._stopping = False
+        self._closing = False
+
+    def run(self) -> status.ExitStatus:
+        """Serve until SIGTERM or SIGINT."""
+        self._log.write(
+            events.process.STARTED, role=ROLE, data_centre=self._settings.data_centre
+        )
+        found = self._run_guarded()
+        self._log.write(
+            events.process.STOPPED, role=ROLE, status=int(found), cut_off=self._count()
+        )
+        return found
+
+    def _run_guarded(self) -> status.ExitStatus:
+        try:
+            with contextlib.ExitStack() as stack:
+                stop = stack.enter_context(signals.catch_stop())
+                stack.enter_context(self._links.open())
+                stack.enter_context(
+                    listener.open_listener(self._settings.platform, self._build_site())
+                )
+                stack.enter_context(self._serve_callers())
+                eventlet.spawn(self._sweep)
+                stop.wait()
+                self._stop()
+        except (wire_exceptions.ListenError, OSError) as error:
+            self._log.write(events.process.ADDRESS_REFUSED, reason=str(error))
+            return status.ExitStatus.ERROR
+        return status.ExitStatus.OK
+
+    # Callers.
+
+    @contextlib.contextmanager
+    def _serve_callers(self) -> abc.Iterator[None]:
+        host, port = listener.split_address(self._settings.callers)
+        accepting = eventlet.listen((host, port), backlog=listener.BACKLOG)
+        acceptor = eventlet.spawn(self._accept, accepting)
+        try:
+            yield
+        finally:
+            acceptor.kill()
+            accepting.close()
+
+    def _accept(self, accepting: socket.socket) -> None:
+        while True:
+            try:
+                opened, _ = accepting.accept()
+            except OSError as error:
+                self._log.write(events.process.UNREADY, role=ROLE, reason=str(error))
+                eventlet.sleep(ACCEPT_PAUSE)
+                continue
+            eventlet.spawn_n(self._serve, opened)
+            # A ready socket doesn't make eventlet switch: let the others run.
+            eventlet.sleep(0)
+
+    def _serve(self, opened: socket.socket) -> None:
+        with sockets.hold(opened):
+            caller = callers.Caller(opened, self._knowledge.limits)
+            caller.closing = self._closing
+            self._open.add(caller)
+            try:
+                self._serve_requests(caller)
+            except callers.CallerLeft:
+                return  # logged with the request that it left
+            finally:
+                self._open.discard(caller)
+
+    def _serve_requests(self, caller: callers.Caller) -> None:
+        while True:
+            caller.idle = True
+            request = caller.read_request()
+            if isinstance(request, callers.Ended):
+                return
+            if isinstance(request, callers.Rejected):
+                self._reject(caller, request)
+                return
+            self._service.handle(request, caller)
+            if not caller.prepare_next():
+                return
+
+    def _reject(self, caller: callers.Caller, rejected: callers.Rejected) -> None:
+        now = time.monotonic()
+        self._service.note_refused("", "", rejected.status, rejected.reason, None, now)
+        caller.closing = True
+        caller.reject(rejected.status, forwards.encode_error(rejected.reason))
+
+    def _count(self) -> int:
+        return sum(not caller.idle for caller in self._open)
+
+    # The balancer and the scraper.
+
+    def _build_site(self) -> application.Application:
+        table = routes.Routes()
+        table.register("GET", self._dialect.paths.ready)(Gateway.show_readiness)
+        table.register("GET", self._dialect.paths.metrics)(Gateway.show_metrics)
+        return application.Application(self, table)
+
+    def show_readiness(self, request: typing.Any) -> answers.Answer:
+        """Answer whether new connections should come here."""
+        ready = self._knowledge.is_complete() and not self._stopping
+        return answers.build_json({"ready": ready}, READY if ready else UNREADY)
+
+    def show_metrics(self, request: typing.Any) -> answers.Answer:
+        """Answer with the metrics as they are now."""
+        metrics = self._metrics
+        metrics.version.set(self._knowledge.version)
+        metrics.upstreams.set(len(self._knowledge.table.rows))
+        metrics.links.set(len(self._links.mesh.linked()))
+        metrics.opened.set(self._service.pool.opened)
+        return answers.Answer(READY, metrics.render(), gateway_metrics.CONTENT_TYPE)
+
+    # The rest.
+
+    def _note_gateways(self, count: int) -> None:
+        self._service.gateways = max(1, count)
+
+    def _sweep(self) -> None:
+        """Close kept connections that went stale."""
+        while True:
+            eventlet.sleep(SWEEP_SECONDS)
+            self._service.pool.close_stale()
+
+    def _stop(self) -> None:
+        """Become unready, finish what runs, close connections between requests."""
+        started = time.monotonic()
+        self._stopping = True
+        self._log.write(events.process.STOPPING, role=ROLE, running=self._count())
+        eventlet.sleep(NOTICE_SECONDS)
+        self._closing = True
+        deadline = started + GRACE_SHARE * self._settings.grace_seconds
+        while self._open and time.monotonic() < deadline:
+            for caller in list(self._open):
+                caller.closing = True
+                caller.close_if_idle()
+            eventlet.sleep(TICK_SECONDS)
--- /dev/null
+++ b/packages/daemon/src/trestlestall/daemon/gateway/reaching.py
@@ -0,0 +1,73 @@
+"""Finding out when an upstream that could not be connected to can be again."""
+
+import contextlib
+import socket
+
+import eventlet
+
+from trestlestall.daemon import events
+from trestlestall.daemon.gateway import knowledge as knowledges
+from trestlestall.forwarding import upstreams
+from trestlestall.wire import addresses
+
+#: Seconds between two tries, doubled from the first to the longest.
+FIRST_SECONDS = 0.25
+LONGEST_SECONDS = 2.0
+CONNECT_SECONDS = 0.4
+
+
+class Reaching:
+    """Tries upstreams that are out of reach in the background, so no request waits."""
+
+    def __init__(self, knowledge: knowledges.Knowledge) -> None:
+        self._knowledge = knowledge
+        self._trying: set[str] = set()
+
+    def note_unreachable(self, row: upstreams.Row, reason: str) -> None:
+        """Leave the upstream alone until a connection to it succeeds."""
+        self._knowledge.placer.set_reachable(row.identity, False)
+        if row.identity in self._trying:
+            return
+        self._trying.add(row.identity)
+        self._knowledge.log.write(
+            events.forwarding.UNREACHABLE,
+            upstream=row.identity,
+            address=row.address,
+            reason=reason,
+        )
+        eventlet.spawn(self._try, row)
+
+    def _try(self, row: upstreams.Row) -> None:
+        started = self._knowledge.clock()
+        wait = FIRST_SECONDS
+        try:
+            while self._is_wanted(row):
+                eventlet.sleep(wait)
+                wait = min(LONGEST_SECONDS, 2 * wait)
+                if can_connect(row.address):
+                    self._note_reached(row, self._knowledge.clock() - started)
+                    return
+        finally:
+            self._trying.discard(row.identity)
+
+    def _is_wanted(self, row: upstreams.Row) -> bool:
+        known = self._knowledge.table.rows.get(row.identity)
+        return known is not None and known.state is upstreams.State.SERVING
+
+    def _note_reached(self, row: upstreams.Row, seconds: float) -> None:
+        self._knowledge.placer.set_reachable(row.identity, True)
+        self._knowledge.log.write(
+            events.forwarding.REACHED,
+            upstream=row.identity,
+            address=row.address,
+            seconds=round(seconds, 3),
+        )
+
+
+def can_connect(address: str) -> bool:
+    """Return whether a connection to ``IP:port`` succeeds."""
+    pair = addresses.parse(address)
+    with contextlib.suppress(OSError):
+        socket.create_connection(pair, timeout=CONNECT_SECONDS).close()
+        return True
+    return False
--- /dev/null
+++ b/packages/forwarding/src/trestlestall/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Opaque forwarded requests: configuration, upstreams, placement and retries; pure."""
--- /dev/null
+++ b/packages/forwarding/src/trestlestall/forwarding/descriptors.py
@@ -0,0 +1,40 @@
+"""What the policy knows of a request whose body it never reads."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True)
+class Part:
+    """One part of a prompt, by the hash of its text; requests share parts."""
+
+    identity: str
+    tokens: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Descriptor:
+    """A request as its headers describe it.
+
+    ``tokens_in`` are those of the prompt, ``tokens_out`` the most that may be
+    generated, ``parts`` the prompt in order: an engine that holds the first parts need
+    not read them again.
+    """
+
+    request_id: str
+    service: str
+    tier: int
+    first_seconds: float
+    pause_seconds: float | None = None
+    model: str = ""
+    tokens_in: int = 0
+    tokens_out: int = 0
+    parts: tuple[Part, ...] = ()
+    length_hint: int | None = None
+    data_centre: str = ""
+
+    @property
+    def expected_tokens_out(self) -> int:
+        """The caller's estimate of the length, or the most that it allows."""
+        if self.length_hint is None:
+            return self.tokens_out
+        return min(self.length_hint, self.tokens_out) or self.length_hint
--- /dev/null
+++ b/packages/forwarding/src/trestlestall/forwarding/engines.py
@@ -0,0 +1,155 @@
+"""The estimated state of one upstream, out of what was sent there and what came back.
+
+An engine reads prompts one after another and generates for all running requests in
+steps; a step that also reads a part of a prompt takes longer, which delays every stream
+on that engine. So the tokens that an engine still has to read matter more than how many
+requests it runs.
+"""
+
+import collections
+import dataclasses
+
+from trestlestall.forwarding import descriptors
+
+#: Prompt tokens that an engine reads in a second, until first events teach better.
+FIRST_READ_RATE = 50_000.0
+#: How far one observed first event moves the estimate of the rate.
+LEARNING = 0.1
+#: Shortest predicted reading, in seconds, that says anything about the rate.
+SHORTEST_LESSON = 0.03
+#: Bounds of a learned rate, against one wild observation.
+RATE_BOUNDS = (2_000.0, 500_000.0)
+#: How far one outcome moves the estimate of how often an upstream fails.
+FAILURE_LEARNING = 0.12
+#: Parts that are remembered for each upstream, where its memory isn't declared.
+PARTS_KEPT = 4096
+
+
+@dataclasses.dataclass
+class Task:
+    """One request at an upstream; times in seconds of the monotonic clock.
+
+    ``unread`` are the prompt tokens that the engine has to read for it.
+    """
+
+    descriptor: descriptors.Descriptor
+    identity: str
+    unread: int
+    placed_at: float
+    predicted: float
+    began: bool = False
+
+    @property
+    def tokens(self) -> int:
+        """Tokens of the engine's memory that the request is expected to take."""
+        return self.descriptor.tokens_in + self.descriptor.expected_tokens_out
+
+
+class Upstream:
+    """What is estimated of one incarnation."""
+
+    def __init__(self, identity: str, slots: int, memory_tokens: int) -> None:
+        self.identity = identity
+        self.slots = max(1, slots)
+        self.memory_tokens = memory_tokens
+        self.read_rate = FIRST_READ_RATE
+        self.failure_rate = 0.0
+        self.reachable = True
+        self.tasks: dict[str, Task] = {}
+        self._read_until = 0.0
+        self._parts: collections.OrderedDict[tuple[str, str], int] = (
+            collections.OrderedDict()
+        )
+        self._part_tokens = 0
+
+    # What a choice asks.
+
+    def count_unread(self, descriptor: descriptors.Descriptor) -> int:
+        """Return the prompt tokens that this engine would have to read."""
+        held = 0
+        for part in descriptor.parts:
+            if (descriptor.model, part.identity) not in self._parts:
+                break
+            held += part.tokens
+        return max(0, descriptor.tokens_in - held)
+
+    def find_backlog(self, now: float) -> float:
+        """Return the seconds of reading that lie before a new prompt."""
+        return max(0.0, self._read_until - now)
+
+    def find_tightness(self) -> float:
+        """Return how much a pause would hurt the streams that run here.
+
+        The sum, over the streams, of a second divided by the longest pause that is
+        still on time.
+        """
+        return sum(
+            1.0 / task.descriptor.pause_seconds
+            for task in self.tasks.values()
+            if task.descriptor.pause_seconds
+        )
+
+    def find_memory_share(self, descriptor: descriptors.Descriptor) -> float:
+        """Return the part of the memory that would be taken with this request."""
+        if not self.memory_tokens:
+            return 0.0
+        taken = sum(task.tokens for task in self.tasks.values())
+        own = descriptor.tokens_in + descriptor.expected_tokens_out
+        return (taken + own) / self.memory_tokens
+
+    # What happens.
+
+    def begin(self, task: Task, now: float) -> None:
+        """Note that a request is being sent here."""
+        self.tasks[task.descriptor.request_id] = task
+        self._read_until = max(self._read_until, now) + task.unread / self.read_rate
+        self._remember(task.descriptor)
+
+    def note_first(self, request_id: str, now: float) -> None:
+        """Note a request's first event: its prompt has been read."""
+        task = self.tasks.get(request_id)
+        if task is None or task.began:
+            return
+        task.began = True
+        self._learn_rate(task, now - task.placed_at)
+        self._settle(now)
+
+    def end(self, request_id: str, now: float) -> Task | None:
+        """Note that a request is no longer here."""
+        task = self.tasks.pop(request_id, None)
+        if task is not None and not task.began:
+            self._read_until -= task.unread / self.read_rate
+        self._settle(now)
+        return task
+
+    def note_outcome(self, failed: bool) -> None:
+        """Learn from an answer or its lack."""
+        self.failure_rate += FAILURE_LEARNING * (float(failed) - self.failure_rate)
+
+    def _learn_rate(self, task: Task, seconds: float) -> None:
+        if task.predicted < SHORTEST_LESSON:
+            return
+        ratio = min(4.0, max(0.25, task.predicted / max(seconds, 0.001)))
+        rate = self.read_rate * ratio**LEARNING
+        self.read_rate = min(RATE_BOUNDS[1], max(RATE_BOUNDS[0], rate))
+
+    def _settle(self, now: float) -> None:
+        """Bound the backlog by what is known to be unread still."""
+        unread = sum(task.unread for task in self.tasks.values() if not task.began)
+        self._read_until = min(self._read_until, now + unread / self.read_rate)
+
+    def _remember(self, descriptor: descriptors.Descriptor) -> None:
+        """Note that the prompt's parts will be held here, the newest longest."""
+        for part in descriptor.parts:
+            key = (descriptor.model, part.identity)
+            self._part_tokens += part.tokens - self._parts.pop(key, 0)
+            self._parts[key] = part.tokens
+        while self._parts and self._is_full():
+            _, tokens = self._parts.popitem(last=False)
+            self._part_tokens -= tokens
+
+    def _is_full(self) -> bool:
+        if not self.memory_tokens:
+            return len(self._parts) > PARTS_KEPT
+        running = sum(task.tokens for task in self.tasks.values())
+        return self._part_tokens > max(0, self.memory_tokens - running)
--- /dev/null
+++ b/packages/forwarding/src/trestlestall/forwarding/model.py
@@ -0,0 +1,110 @@
+"""The configuration of forwarded requests, as an operator declares it in one document.
+
+A request is found by host and path, belongs to a workspace by its key, and goes to one
+of the services of its route. All durations are in seconds.
+"""
+
+import dataclasses
+from collections import abc
+
+
+@dataclasses.dataclass(frozen=True)
+class Target:
+    """A service that takes ``weight`` parts of a route's requests."""
+
+    service: str
+    weight: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Route:
+    """Which requests these are and what was promised for them.
+
+    ``idempotent`` requests may run again after a failure. Those of a ``resumable``
+    route are streams that another upstream may continue after the last event that the
+    caller got. ``attempts`` bounds the upstreams that one request may run on. A lower
+    ``tier`` is more urgent. ``first_seconds`` is the target up to the answer, or to a
+    stream's first event; ``pause_seconds`` the longest pause between two events of a
+    stream that is still on time; after ``whole_seconds`` the caller gets a final
+    answer, whatever runs.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    targets: tuple[Target, ...]
+    streams: bool
+    idempotent: bool
+    resumable: bool
+    attempts: int
+    tier: int
+    public: bool
+    first_seconds: float
+    whole_seconds: float
+    pause_seconds: float | None = None
+
+    @property
+    def may_repeat(self) -> bool:
+        """Whether a second run after a failure is allowed before any answer byte."""
+        return self.idempotent or self.resumable
+
+
+@dataclasses.dataclass(frozen=True)
+class Engine:
+    """What the operator declares of a service whose upstreams are model engines.
+
+    ``slots`` requests run at once; prompts and contexts share ``memory_tokens``.
+    """
+
+    slots: int
+    memory_tokens: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Service:
+    """A set of like upstreams; ``connections`` bounds those open to one of them."""
+
+    name: str
+    health_path: str
+    connections: int
+    engine: Engine | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class Workspace:
+    """A customer with its keys; ``tier``, if given, goes before the route's."""
+
+    name: str
+    keys: tuple[str, ...]
+    tier: int | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class CallerLimits:
+    """What a caller's connection may send, and how long it may take or stay idle."""
+
+    header_bytes: int = 16384
+    body_bytes: int = 4 * 1024 * 1024
+    header_seconds: float = 10.0
+    idle_seconds: float = 60.0
+
+
+DEFAULT_LIMITS = CallerLimits()
+
+
+@dataclasses.dataclass(frozen=True)
+class Configuration:
+    """One whole document under the operator's own version; the highest is in force."""
+
+    version: int
+    routes: tuple[Route, ...] = ()
+    services: abc.Mapping[str, Service] = dataclasses.field(default_factory=dict)
+    workspaces: tuple[Workspace, ...] = ()
+    limits: CallerLimits = DEFAULT_LIMITS
+
+
+@dataclasses.dataclass(frozen=True)
+class Invalid:
+    """Why a document is no configuration; ``reason`` is one line for its sender."""
+
+    reason: str
--- /dev/null
+++ b/packages/forwarding/src/trestlestall/forwarding/placement.py
@@ -0,0 +1,194 @@
+"""The choice of an upstream for a forwarded request; pure.
+
+    placer = Placer()
+    placer.set_upstreams(rows, configuration, now)
+    found = placer.place(descriptor, now)
+
+A choice compares, for each upstream, when the first event is expected against its
+target, what reading the prompt would do to the pauses of the streams that run there,
+and how often the upstream failed lately.
+"""
+
+import dataclasses
+import hashlib
+from collections import abc
+
+from trestlestall.forwarding import descriptors, engines, model, upstreams
+
+#: Cost of a request that would have to wait for a slot, in targets; above that of any
+#: usual delay, so that free slots go first.
+NO_SLOT_COST = 4.0
+#: Cost of an upstream whose memory would overflow: a run there gets preempted.
+NO_MEMORY_COST = 6.0
+MEMORY_SHARE = 0.92
+#: Cost of a certain failure, in targets.
+FAILURE_COST = 6.0
+#: What a second of delay to running streams costs, for each second of tightness.
+PAUSE_COST = 0.25
+#: Cost of a fully taken upstream against an idle one; spreads equal choices.
+LOAD_COST = 0.5
+#: Seconds until the next attempt of a caller whose service has no upstream to go to;
+#: about the time between two announcements.
+RETURN_SECONDS = 1.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Placed:
+    """Send the request there."""
+
+    row: upstreams.Row
+    unread: int
+    predicted: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Refused:
+    """No upstream can take the request; the caller may come again after a while."""
+
+    reason: str
+    return_seconds: float
+
+
+class Placer:
+    """All upstreams as one process, or a group of processes, knows them."""
+
+    def __init__(self) -> None:
+        self.rows: dict[str, upstreams.Row] = {}
+        self.engines: dict[str, engines.Upstream] = {}
+        self._by_service: dict[str, list[upstreams.Row]] = {}
+        self._tasks: dict[str, engines.Upstream] = {}
+
+    def set_upstreams(
+        self,
+        rows: abc.Iterable[upstreams.Row],
+        configuration: model.Configuration | None,
+        now: float,
+    ) -> None:
+        """Take the upstreams that may be chosen from now on."""
+        self.rows = {row.identity: row for row in rows}
+        self._by_service = {}
+        for row in self.rows.values():
+            if row.state is upstreams.State.SERVING:
+                self._by_service.setdefault(row.service, []).append(row)
+            self._ensure_engine(row, configuration)
+        for identity in self.engines.keys() - self.rows.keys():
+            if not self.engines[identity].tasks:
+                del self.engines[identity]
+
+    def place(
+        self,
+        descriptor: descriptors.Descriptor,
+        now: float,
+        tried: abc.Collection[str] = (),
+    ) -> Placed | Refused:
+        """Choose an upstream that was not tried yet, and count the request there."""
+        rows = [
+            row
+            for row in self._by_service.get(descriptor.service, ())
+            if row.identity not in tried
+        ]
+        if not rows:
+            return Refused("no upstream", RETURN_SECONDS)
+        near = [row for row in rows if self.engines[row.identity].reachable]
+        best = min(near or rows, key=lambda row: self._rank(row, descriptor, now))
+        return self._begin(best, descriptor, now)
+
+    def note_first(self, request_id: str, now: float) -> None:
+        """Note the first event, or the answer, of a request."""
+        engine = self._tasks.get(request_id)
+        if engine is not None:
+            engine.note_first(request_id, now)
+
+    def end(self, request_id: str, now: float) -> None:
+        """Note that a request has left its upstream."""
+        engine = self._tasks.pop(request_id, None)
+        if engine is not None:
+            engine.end(request_id, now)
+
+    def note_outcome(self, identity: str, failed: bool) -> None:
+        """Learn from an answer of an upstream, or the lack of one."""
+        engine = self.engines.get(identity)
+        if engine is not None:
+            engine.note_outcome(failed)
+
+    def set_reachable(self, identity: str, reachable: bool) -> None:
+        """Choose the upstream, or only if no other can be reached."""
+        engine = self.engines.get(identity)
+        if engine is not None:
+            engine.reachable = reachable
+
+    def count_places(self, service: str) -> tuple[int, int]:
+        """Return how many slots of the service are taken here, and how many exist."""
+        rows = self._by_service.get(service, ())
+        taken = sum(len(self.engines[row.identity].tasks) for row in rows)
+        return taken, sum(self.engines[row.identity].slots for row in rows)
+
+    # The parts of a choice.
+
+    def _rank(
+        self, row: upstreams.Row, descriptor: descriptors.Descriptor, now: float
+    ) -> tuple[float, int]:
+        engine = self.engines[row.identity]
+        cost = find_cost(engine, descriptor, now)
+        return round(cost, 2), find_rendezvous(descriptor, row.identity)
+
+    def _begin(
+        self, row: upstreams.Row, descriptor: descriptors.Descriptor, now: float
+    ) -> Placed:
+        engine = self.engines[row.identity]
+        unread = engine.count_unread(descriptor)
+        predicted = engine.find_backlog(now) + unread / engine.read_rate
+        task = engines.Task(descriptor, row.identity, unread, now, predicted)
+        engine.begin(task, now)
+        self._tasks[descriptor.request_id] = engine
+        return Placed(row, unread, predicted)
+
+    def _ensure_engine(
+        self, row: upstreams.Row, configuration: model.Configuration | None
+    ) -> None:
+        service = configuration.services.get(row.service) if configuration else None
+        declared = service.engine if service is not None else None
+        memory = declared.memory_tokens if declared is not None else 0
+        slots = declared.slots if declared is not None else row.slots
+        engine = self.engines.get(row.identity)
+        if engine is None:
+            engine = engines.Upstream(row.identity, slots, memory)
+            self.engines[row.identity] = engine
+        engine.memory_tokens = memory
+        engine.slots = max(1, slots)
+
+
+def find_cost(
+    engine: engines.Upstream, descriptor: descriptors.Descriptor, now: float
+) -> float:
+    """Return what it costs to send the request there, in targets of the request.
+
+    The first event's delay counts squared above the target: late is late, but far too
+    late blocks others as well.
+    """
+    reading = engine.count_unread(descriptor) / engine.read_rate
+    backlog = engine.find_backlog(now)
+    delay = (backlog + reading) / max(descriptor.first_seconds, 0.001)
+    cost = delay + max(0.0, delay - 0.5) ** 2
+    if descriptor.pause_seconds:
+        cost += PAUSE_COST * backlog / descriptor.pause_seconds
+    cost += PAUSE_COST * reading * engine.find_tightness()
+    taken = len(engine.tasks) / engine.slots
+    cost += LOAD_COST * taken
+    if taken >= 1.0:
+        cost += NO_SLOT_COST * taken
+    if engine.find_memory_share(descriptor) > MEMORY_SHARE:
+        cost += NO_MEMORY_COST
+    return cost + FAILURE_COST * engine.failure_rate
+
+
+def find_rendezvous(descriptor: descriptors.Descriptor, identity: str) -> int:
+    """Return the upstream's rank for the prompt's beginning, the same everywhere.
+
+    Processes that know nothing of each other's requests still send equal beginnings to
+    the same upstream, as long as the costs are alike.
+    """
+    shared = descriptor.parts[-2].identity if len(descriptor.parts) > 1 else ""
+    seed = f"{descriptor.model}/{shared or descriptor.request_id}/{identity}"
+    digest = hashlib.blake2b(seed.encode(), digest_size=8).digest()
+    return int.from_bytes(digest)
--- /dev/null
+++ b/packages/forwarding/src/trestlestall/forwarding/upstreams.py
@@ -0,0 +1,125 @@
+"""The upstreams that announced themselves; each start of one is an incarnation.
+
+Rows travel from the process that an upstream told to every other; they may come late,
+twice and in any order, and merging them gives the same table in every order:
+
+- an incarnation that has left never comes back;
+- a row with a lower sequence than the one known changes nothing;
+- once an incarnation drains, it drains.
+"""
+
+import dataclasses
+import enum
+
+
+class State(enum.IntEnum):
+    """How far an incarnation has come; it never goes back."""
+
+    SERVING = 0
+    DRAINING = 1
+    GONE = 2
+
+
+@dataclasses.dataclass(frozen=True)
+class Row:
+    """What is known of one incarnation.
+
+    ``sequence`` counts the upstream's own announcements. ``warm_seconds`` is how long
+    it still works slowly after its start. A row of state ``GONE`` may know no more than
+    the identity.
+    """
+
+    identity: str
+    sequence: int
+    state: State
+    service: str = ""
+    address: str = ""
+    data_centre: str = ""
+    slots: int = 0
+    warm_seconds: float = 0.0
+
+
+#: Rows of upstreams that left are kept so long, against late announcements.
+FORGET_SECONDS = 120.0
+
+
+class Table:
+    """Rows by identity, merged; ``now`` is in seconds of one monotonic clock."""
+
+    def __init__(self) -> None:
+        self.rows: dict[str, Row] = {}
+        self.heard: dict[str, float] = {}
+
+    def merge(self, row: Row, now: float) -> Row | None:
+        """Take a row in; return what is known now if anything but the time changed."""
+        known = self.rows.get(row.identity)
+        if known is not None and known.state is State.GONE:
+            return None
+        if known is None or row.sequence >= known.sequence:
+            self.heard[row.identity] = now
+        merged = row if known is None else merge_rows(known, row)
+        if merged == known:
+            return None
+        self.rows[row.identity] = merged
+        changed = known is None or not equals_but_sequence(known, merged)
+        return merged if changed else None
+
+    def list_serving(self, service: str) -> list[Row]:
+        """Return the upstreams of the service that take requests."""
+        return [
+            row
+            for row in self.rows.values()
+            if row.service == service and row.state is State.SERVING
+        ]
+
+    def forget_departed(self, now: float) -> list[str]:
+        """Drop rows of upstreams that left long ago; return their identities."""
+        old = [
+            identity
+            for identity, row in self.rows.items()
+            if row.state is State.GONE
+            and now - self.heard.get(identity, now) > FORGET_SECONDS
+        ]
+        for identity in old:
+            del self.rows[identity]
+            self.heard.pop(identity, None)
+        return old
+
+
+def merge_rows(known: Row, row: Row) -> Row:
+    """Return what two rows of one incarnation amount to."""
+    if row.state is State.GONE:
+        return dataclasses.replace(known, state=State.GONE)
+    newer = row if row.sequence > known.sequence else known
+    state = max(known.state, row.state)
+    return dataclasses.replace(newer, state=state)
+
+
+def equals_but_sequence(one: Row, other: Row) -> bool:
+    """Return whether two rows differ in nothing that a choice depends on."""
+    return dataclasses.replace(one, sequence=0, warm_seconds=0.0) == (
+        dataclasses.replace(other, sequence=0, warm_seconds=0.0)
+    )
+
+
+def encode_row(row: Row) -> list[str | int | float]:
+    """Return the row as plain values, for a message."""
+    return [
+        row.identity,
+        row.sequence,
+        int(row.state),
+        row.service,
+        row.address,
+        row.data_centre,
+        row.slots,
+        row.warm_seconds,
+    ]
+
+
+def decode_row(plain: list) -> Row:
+    """Return the row of a message; raises ``ValueError`` when it is none."""
+    try:
+        identity, sequence, state, *rest = plain
+        return Row(identity, sequence, State(state), *rest)
+    except TypeError as error:
+        raise ValueError(f"no row: {plain!r}") from error
--- a/packages/wire/src/trestlestall/wire/links.py
+++ b/packages/wire/src/trestlestall/wire/links.py
@@ -190,6 +190,18 @@
         """Return the connections of the open links."""
         return [open_link.connection for open_link in self.links.values()]
 
+    def add_peer(self, peer: Peer, patience: float = 0.0) -> None:
+        """Keep a link to a peer that became known later, whoever opens it.
+
+        Both sides may add each other: each dials only while there is no link. The one
+        that should not dial by ``should_dial`` gives a ``patience`` in seconds, which
+        it leaves to the other side before it dials itself.
+        """
+        if peer.name in self.peers or peer.name == self.name:
+            return
+        self.peers[peer.name] = peer
+        self.spawn(self.run_finder, peer, patience)
+
     # The greenlets.
 
     def spawn(self, function: abc.Callable[..., object], *args: object) -> None:
@@ -241,6 +253,17 @@
             wait = FIRST_WAIT if lasted > STABLE_SECONDS else grown
             eventlet.sleep(wait * self.random.uniform(0.5, 1.0))
 
+    def run_finder(self, peer: Peer, patience: float) -> None:
+        """Dial the peer whenever there has been no link for ``patience`` seconds."""
+        wait = FIRST_WAIT
+        while not self.stopping:
+            eventlet.sleep(patience)
+            if peer.name not in self.links:
+                lasted = self.dial(peer)
+                grown = min(LONGEST_WAIT, wait * 2)
+                wait = FIRST_WAIT if lasted > STABLE_SECONDS else grown
+            eventlet.sleep(wait * self.random.uniform(0.5, 1.0))
+
     def dial(self, peer: Peer) -> float:
         """Run a link to the peer to its end; return the seconds that it lasted."""
         deadline = time.monotonic() + HANDSHAKE_SECONDS
--- a/packages/wire/src/trestlestall/wire/messages.py
+++ b/packages/wire/src/trestlestall/wire/messages.py
@@ -180,3 +180,52 @@
 
     name: str
     version: int
+
+
+@registry.register("roster")
+@dataclasses.dataclass(frozen=True)
+class Roster:
+    """The directories that the sender knows, by address; how many gateways it sees."""
+
+    directories: tuple[str, ...]
+    gateways: int
+
+
+@registry.register("declaration_notice")
+@dataclasses.dataclass(frozen=True)
+class DeclarationNotice:
+    """The newest declared configuration that the sender holds."""
+
+    version: int
+
+
+@registry.register("declaration_pull")
+@dataclasses.dataclass(frozen=True)
+class DeclarationPull:
+    """A question for the newest declared configuration."""
+
+
+@registry.register("declaration_document")
+@dataclasses.dataclass(frozen=True)
+class DeclarationDocument:
+    """A declared configuration: the operator's bytes, compressed by zlib."""
+
+    version: int
+    packed: bytes
+
+
+@registry.register("announced")
+@dataclasses.dataclass(frozen=True)
+class Announced:
+    """Rows of upstreams; a token other than 0 asks for ``AnnouncedAnswer``."""
+
+    token: int
+    rows: tuple[typing.Any, ...]
+
+
+@registry.register("announced_answer")
+@dataclasses.dataclass(frozen=True)
+class AnnouncedAnswer:
+    """The rows are merged and passed on to the gateways that the sender sees."""
+
+    token: int
--- a/tools/check_imports.py
+++ b/tools/check_imports.py
@@ -36,9 +36,9 @@
 def main() -> int:
     """Check every Python file of the workspace."""
     sources = [str(path) for path in sorted(ROOT.glob("packages/*/src"))]
-    sys.path[:0] = [str(ROOT), *sources]
+    sys.path[:0] = [str(ROOT), str(ROOT / "platform"), *sources]
     findings = []
-    for folder in ("packages", "tests", "tools"):
+    for folder in ("packages", "platform", "tests", "tools"):
         for path in sorted((ROOT / folder).rglob("*.py")):
             findings += find_name_imports(path)
     print("\n".join(findings) or "imports: modules only")
