--- a/packages/daemon/src/trestlestall/daemon/directory/process.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/process.py
@@ -85,6 +85,7 @@
                 journals.Journal(data),
                 data.identity,
                 linked,
+                self._dialect,
                 self._wake,
             )
             stack.enter_context(linked.open(server.take_message, server.note_link))
--- a/packages/daemon/src/trestlestall/daemon/directory/registrations.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/registrations.py
@@ -39,12 +39,14 @@
         links: directory_links.Links,
         log: logs.Log,
         count_voters: abc.Callable[[], int],
+        note_rows: abc.Callable[[], object],
         clock: abc.Callable[[], float] = time.monotonic,
     ) -> None:
         self.table = upstreams.Table()
         self._links = links
         self._log = log
         self._count_voters = count_voters
+        self._note_rows = note_rows
         self._clock = clock
         self._rounds: dict[int, Round] = {}
         self._last_token = 0
@@ -109,6 +111,7 @@
             self._links.send(peer, message)
 
     def _tell_gateways(self, rows: abc.Sequence[upstreams.Row]) -> None:
+        self._note_rows()
         message = encode(rows, 0)
         gateways = self._links.list_gateways()
         for gateway in gateways:
--- a/packages/daemon/src/trestlestall/daemon/directory/server.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/server.py
@@ -9,7 +9,7 @@
 from collections import abc
 
 from trestlestall.agreement import actions, events as agreement_events, timing
-from trestlestall.daemon import environment, events, logs
+from trestlestall.daemon import dialects, environment, events, logs
 from trestlestall.daemon.control import (
     calls,
     envelopes,
@@ -18,6 +18,7 @@
     voter as voters,
 )
 from trestlestall.daemon.directory import (
+    arbitration,
     links as directory_links,
     registrations,
     settings as directory_settings,
@@ -34,6 +35,13 @@
 #: A document of 4 MiB, the most that operators send, hardly ever grows when packed.
 LIMITS = timing.Limits(payload_bytes=5 * 1024 * 1024)
 CHANGE = "change of voters"
+#: The messages after which the voter has something to do.
+VOTER_MESSAGES = (
+    messages.Agreement,
+    messages.Submit,
+    messages.SubmitAnswer,
+    messages.Roster,
+)
 
 Document = dict[str, typing.Any]
 Handler = abc.Callable[["Server", str, typing.Any], None]
@@ -61,13 +69,14 @@
         journal: journals.Journal,
         identity: str,
         links: directory_links.Links,
+        dialect: dialects.Dialect,
         wake: abc.Callable[[], object],
     ) -> None:
         self.own = group.join_voter(settings.peers, identity)
         self.links = links
         self.voter: voters.Voter | None = None
         self.registrations = registrations.Registrations(
-            links, log, self.count_voters, env.clock.monotonic
+            links, log, self.count_voters, self._note_rows, env.clock.monotonic
         )
         self._settings = settings
         self._env = env
@@ -83,6 +92,8 @@
         self._noticed_at = float("-inf")
         self._roster_at = float("-inf")
         self._told_version = 0
+        self._told_leader: str | None = None
+        self.arbiter = arbitration.Arbiter(links, dialect, env.clock.monotonic)
         self._change: succession.Change | None = None
         if journal.group is not None:
             self._start_voter(journal.group)
@@ -103,6 +114,9 @@
             return False
         return not len(self._calls)
 
+    def _note_rows(self) -> None:
+        self.arbiter.set_rows(self.registrations.table.rows.values())
+
     def count_voters(self) -> int:
         """Return how many directories vote, as far as is known here."""
         return len(self.voter.node.voters) if self.voter is not None else 0
@@ -124,6 +138,7 @@
         handler = HANDLERS.get(type(message))
         if handler is not None:
             handler(self, peer, message)
+        if type(message) in VOTER_MESSAGES:
             self._wake()
 
     def note_link(self, peer: str, linked: bool) -> None:
@@ -132,8 +147,10 @@
         self._log.write(event, peer=peer)
         if linked:
             self._greet(peer)
-        elif peer in self._sights:
-            self._see(peer, None, False)
+        else:
+            self.arbiter.forget(peer)
+            if peer in self._sights:
+                self._see(peer, None, False)
         self._wake()
 
     def _greet(self, peer: str) -> None:
@@ -316,16 +333,19 @@
             self._roster_at = float("-inf")
 
     def _tell_roster(self, now: float) -> None:
-        if now - self._roster_at < ROSTER_SECONDS:
+        due = now - self._roster_at >= ROSTER_SECONDS
+        if not due and self.leader == self._told_leader:
             return
         self._roster_at = now
+        self._told_leader = self.leader
         for peer in self.links.list_directories() + self.links.list_gateways():
             self._send_roster(peer)
 
     def _send_roster(self, peer: str) -> None:
         linked = (*self.links.list_directories(), self.links.own)
         count = len(self.links.list_gateways())
-        self.links.send(peer, messages.Roster(linked, count))
+        leader = self.leader or ""
+        self.links.send(peer, messages.Roster(linked, count, leader))
 
     def _tell_declaration(self) -> None:
         """Tell the gateways of a new version, each directory for itself."""
@@ -340,6 +360,7 @@
             leader=self.leader,
         )
         self._told_version = newest.version
+        self.arbiter.set_declaration(newest.packed)
         for gateway in self.links.list_gateways():
             self.links.send(gateway, messages.DeclarationNotice(newest.version))
 
@@ -408,3 +429,21 @@
         newest = server.voter.machine.declaration
         answer = messages.DeclarationDocument(newest.version, newest.packed)
         server.links.send(peer, answer)
+
+
+@handles(messages.PlaceCall)
+def take_place_call(server: Server, peer: str, message: messages.PlaceCall) -> None:
+    """Choose an upstream for a gateway's request."""
+    server.arbiter.place(peer, message)
+
+
+@handles(messages.PlaceNote)
+def take_place_note(server: Server, peer: str, message: messages.PlaceNote) -> None:
+    """Learn what became of a placed request."""
+    server.arbiter.take_note(peer, message)
+
+
+@handles(messages.PlaceState)
+def take_place_state(server: Server, peer: str, message: messages.PlaceState) -> None:
+    """Learn what a gateway has at upstreams."""
+    server.arbiter.take_state(peer, message)
--- a/packages/daemon/src/trestlestall/daemon/events/forwarding.py
+++ b/packages/daemon/src/trestlestall/daemon/events/forwarding.py
@@ -7,9 +7,11 @@
     "forward_sent",
     catalogue.Level.INFO,
     "request route workspace tier upstream address attempt unread predicted"
-    " taken failure_rate declaration seconds_left reason",
+    " taken failure_rate declaration seconds_left source",
     "A request goes to this upstream; unread are the prompt tokens that it probably has"
-    " to read, predicted the seconds to the first event, taken its requests from here.",
+    " to read, predicted the seconds to the first event, taken its requests from here;"
+    " the source of the choice is a directory that sees all gateways, or own knowledge"
+    " without one.",
 )
 ENDED = catalogue.declare(
     "TS7002",
@@ -72,3 +74,19 @@
     "A version that the directory keeps can't be read here; the former stays in force.",
     "Compare the versions of the programs; a newer one may have accepted it.",
 )
+ARBITER = catalogue.declare(
+    "TS7030",
+    "arbiter_changed",
+    catalogue.Level.INFO,
+    "arbiter previous tasks",
+    "Another directory is asked where requests should go; it was told what runs.",
+)
+ARBITER_SILENT = catalogue.declare(
+    "TS7031",
+    "arbiter_silent",
+    catalogue.Level.WARNING,
+    "arbiter seconds",
+    "The directory that places requests did not answer in time; for a moment this"
+    " gateway chooses by what it knows itself.",
+    "See whether the directory or the link to it is overloaded if this repeats.",
+)
--- a/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
@@ -15,6 +15,7 @@
     events_stream,
     heads,
     knowledge as knowledges,
+    placing,
     reaching,
     settings as gateway_settings,
 )
@@ -71,6 +72,7 @@
         self.draw = draw
         self.pool = connections.Pool()
         self.reaching = reaching.Reaching(knowledge)
+        self.placing = placing.Placing(knowledge, self.reaching)
         self.gateways = GATEWAYS_ASSUMED
 
     def handle(self, request: callers.Request, caller: callers.Caller) -> None:
@@ -207,9 +209,7 @@
     # One attempt.
 
     def _place(self) -> placement.Placed | placement.Refused:
-        found = self.knowledge.placer.place(
-            self.descriptor, time.monotonic(), self.tried
-        )
+        found = self.service.placing.place(self.descriptor, self.tried)
         if isinstance(found, placement.Placed):
             self.tried.append(found.row.identity)
             self._log_sent(found)
@@ -220,20 +220,22 @@
         names = self.service.dialect.headers
         self.attempt = attempts.Attempt(self.service.pool, placed.row, names)
         head = None
+        outcome: Outcome | None = None
         try:
             outcome = self._exchange(placed.row)
-            head = outcome if isinstance(outcome, attempts.AnswerHead) else None
-            if head is not None:
+            if isinstance(outcome, attempts.AnswerHead):
+                head = outcome
                 outcome = self._pass_on(head)
         except attempts.BrokenExchange as error:
             outcome = attempts.Broken(str(error))
         finally:
             self.attempt.finish(head)
-            now = time.monotonic()
-            self.knowledge.placer.end(self.descriptor.request_id, now)
+            self.service.placing.end(
+                self.descriptor, placed.row.identity, has_failed(outcome)
+            )
         if self.caller.left:
             raise callers.CallerLeft()
-        self._learn(placed.row, outcome, head)
+        self._learn(placed.row, outcome)
         return outcome
 
     def _exchange(self, row: upstreams.Row) -> Outcome:
@@ -260,7 +262,7 @@
         if self.began:
             return attempts.Broken(f"status {head.status} for the rest of a stream")
         body = self.attempt.read_body(self.deadline)
-        self.knowledge.placer.note_first(self.descriptor.request_id, time.monotonic())
+        self.service.placing.note_first(self.descriptor)
         if head.status >= SERVER_ERRORS and self._may_repeat():
             self.kept_answer = head, body
             return head
@@ -306,7 +308,7 @@
             return
         now = time.monotonic()
         self.first_seconds = now - self.arrived
-        self.knowledge.placer.note_first(self.descriptor.request_id, now)
+        self.service.placing.note_first(self.descriptor)
 
     @property
     def resumed(self) -> bool:
@@ -346,24 +348,12 @@
         )
         return allowed
 
-    def _learn(
-        self,
-        row: upstreams.Row,
-        outcome: Outcome | None,
-        head: attempts.AnswerHead | None,
-    ) -> None:
+    def _learn(self, row: upstreams.Row, outcome: Outcome | None) -> None:
         """Let the outcome change what is believed of the upstream."""
-        placer = self.knowledge.placer
         if isinstance(outcome, attempts.NotSent):
             self.service.reaching.note_unreachable(row, outcome.reason)
-            return
-        if isinstance(outcome, attempts.NotRun):
-            if outcome.is_misdirected:
-                self.knowledge.note_replaced(row)
-            return
-        failed = isinstance(outcome, attempts.Broken)
-        failed = failed or (head is not None and head.status >= SERVER_ERRORS)
-        placer.note_outcome(row.identity, failed)
+        elif isinstance(outcome, attempts.NotRun) and outcome.is_misdirected:
+            self.knowledge.note_replaced(row)
 
     def _give_up_after(self, outcome: Outcome) -> None:
         """End the request after an attempt that no other may follow."""
@@ -458,6 +448,7 @@
 
     def _log_sent(self, placed: placement.Placed) -> None:
         engine = self.knowledge.placer.engines[placed.row.identity]
+        data_centre = self.descriptor.data_centre
         self.knowledge.log.write(
             events.forwarding.SENT,
             request=self.descriptor.request_id,
@@ -470,7 +461,8 @@
             unread=placed.unread,
             predicted=round(placed.predicted, 4),
             taken=len(engine.tasks),
-            failure_rate=round(engine.failure_rate, 3),
+            failure_rate=round(engine.find_failure_rate(data_centre), 3),
+            source=placed.source,
             declaration=self.knowledge.version,
             seconds_left=round(self.deadline - time.monotonic(), 3),
         )
@@ -497,6 +489,15 @@
         )
 
 
+def has_failed(outcome: Outcome | None) -> bool | None:
+    """Return whether an attempt's end speaks against its upstream; None: neither."""
+    if isinstance(outcome, (attempts.NotSent, attempts.NotRun)):
+        return None
+    if isinstance(outcome, attempts.AnswerHead):
+        return outcome.status >= SERVER_ERRORS
+    return isinstance(outcome, attempts.Broken)
+
+
 def describe_outcome(outcome: Outcome) -> str:
     """Return an attempt's end in a few words, for logs and callers."""
     if isinstance(outcome, (attempts.NotRun, attempts.AnswerHead)):
--- a/packages/daemon/src/trestlestall/daemon/gateway/links.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/links.py
@@ -10,6 +10,7 @@
 from trestlestall.daemon import events, logs
 from trestlestall.daemon.gateway import (
     knowledge as knowledges,
+    placing as placings,
     settings as gateway_settings,
 )
 from trestlestall.forwarding import upstreams
@@ -43,8 +44,10 @@
         knowledge: knowledges.Knowledge,
         log: logs.Log,
         note_gateways: abc.Callable[[int], object],
+        placing: placings.Placing,
     ) -> None:
         self.knowledge = knowledge
+        self.placing = placing
         self.note_gateways = note_gateways
         self._log = log
         self._settings = settings
@@ -63,6 +66,7 @@
     @contextlib.contextmanager
     def open(self) -> abc.Iterator[None]:
         """Keep links while the block runs; raises ``ListenError``."""
+        self.placing.send = self.mesh.send
         self.mesh.start()
         self.add_directories(self._settings.directories)
         asking = eventlet.spawn(self._keep_asking)
@@ -101,7 +105,9 @@
             handler(self, directory, message)
 
     def _note_change(self, peer: str, linked: bool) -> None:
-        if not linked:
+        if linked:
+            self.placing.note_linked(peer)
+        else:
             self._offers.pop(peer, None)
         event = events.links.UP if linked else events.links.DOWN
         self._log.write(event, peer=peer)
@@ -112,6 +118,8 @@
     """Learn of more directories."""
     links.add_directories(message.directories)
     links.note_gateways(message.gateways)
+    if message.leader:
+        links.placing.set_arbiter(message.leader)
 
 
 @handles(messages.Announced)
@@ -135,3 +143,9 @@
 ) -> None:
     """Put a version in force."""
     links.knowledge.take_declaration(message.version, message.packed, directory)
+
+
+@handles(messages.PlaceAnswer)
+def take_placement(links: Links, directory: str, message: messages.PlaceAnswer) -> None:
+    """Hand a placement to the request that waits for it."""
+    links.placing.take_answer(message)
--- /dev/null
+++ b/packages/daemon/src/trestlestall/daemon/gateway/placing.py
@@ -0,0 +1,163 @@
+"""Asking the arbiter where a request should go, or choosing without it."""
+
+import itertools
+import time
+from collections import abc
+
+import eventlet
+import eventlet.event
+
+from trestlestall.daemon import events
+from trestlestall.daemon.gateway import knowledge as knowledges, reaching
+from trestlestall.forwarding import descriptors, placement
+from trestlestall.wire import messages
+
+#: Seconds to wait for the arbiter: some round trips between data centres of a region,
+#: and a small part of the shortest targets.
+ANSWER_SECONDS = 0.03
+#: Seconds in which a silent arbiter is not asked again.
+SILENCE_SECONDS = 0.5
+FIRST = "first"
+ENDS = {True: "failed", False: "succeeded", None: "neither"}
+
+Send = abc.Callable[[str, object], bool]
+
+
+class Placing:
+    """Places requests; ``send`` is set once the gateway has links."""
+
+    def __init__(
+        self, knowledge: knowledges.Knowledge, reach: reaching.Reaching
+    ) -> None:
+        self.send: Send = send_nowhere
+        self._knowledge = knowledge
+        self._reaching = reach
+        self._arbiter: str | None = None
+        self._silent_until = 0.0
+        self._tokens = itertools.count(1)
+        self._waiting: dict[int, eventlet.event.Event] = {}
+        self._tasks: dict[str, list] = {}
+
+    # The arbiter.
+
+    def set_arbiter(self, directory: str) -> None:
+        """Ask this directory from now on, and tell it what runs."""
+        if directory == self._arbiter:
+            return
+        previous, self._arbiter = self._arbiter, directory
+        self._silent_until = 0.0
+        self._tell_state()
+        self._knowledge.log.write(
+            events.forwarding.ARBITER,
+            arbiter=directory,
+            previous=previous,
+            tasks=len(self._tasks),
+        )
+
+    def note_linked(self, directory: str) -> None:
+        """Tell the arbiter what runs, after a new link to it."""
+        if directory == self._arbiter:
+            self._tell_state()
+
+    def take_answer(self, answer: messages.PlaceAnswer) -> None:
+        """Hand an answer to the request that waits for it."""
+        waiting = self._waiting.pop(answer.token, None)
+        if waiting is not None:
+            waiting.send(answer)
+
+    def _tell_state(self) -> None:
+        if self._arbiter is not None:
+            tasks = tuple(list(task) for task in self._tasks.values())
+            self.send(self._arbiter, messages.PlaceState(tasks))
+
+    # Requests.
+
+    def place(
+        self, descriptor: descriptors.Descriptor, tried: abc.Collection[str]
+    ) -> placement.Placed | placement.Refused:
+        """Choose an upstream that was not tried yet, and count the request there."""
+        answer = self._ask(descriptor, tried)
+        if answer is None or not answer.upstream:
+            # Without an answer, or with none but upstreams that can't be connected to.
+            return self._choose(descriptor, tried)
+        now = time.monotonic()
+        placer = self._knowledge.placer
+        found = placer.adopt(descriptor, answer.upstream, now)
+        if isinstance(found, placement.Refused):
+            # The arbiter knows an upstream that this gateway has not heard of yet.
+            self._note(descriptor, ENDS[None])
+            return self._choose(descriptor, tried)
+        self._keep(descriptor, answer.upstream)
+        return placement.Placed(
+            found.row, answer.unread, answer.predicted, self._arbiter or ""
+        )
+
+    def note_first(self, descriptor: descriptors.Descriptor) -> None:
+        """Note a request's first event, or its answer."""
+        task = self._tasks.get(descriptor.request_id)
+        if task is None:
+            return
+        task[-1] = True
+        self._knowledge.placer.note_first(descriptor.request_id, time.monotonic())
+        self._note(descriptor, FIRST)
+
+    def end(
+        self, descriptor: descriptors.Descriptor, identity: str, failed: bool | None
+    ) -> None:
+        """Note that a request has left its upstream, and whether that failed it."""
+        placer = self._knowledge.placer
+        placer.end(descriptor.request_id, time.monotonic())
+        if failed is not None:
+            placer.note_outcome(identity, descriptor.data_centre, failed)
+        self._tasks.pop(descriptor.request_id, None)
+        self._note(descriptor, ENDS[failed])
+
+    def _ask(
+        self, descriptor: descriptors.Descriptor, tried: abc.Collection[str]
+    ) -> messages.PlaceAnswer | None:
+        if self._arbiter is None or time.monotonic() < self._silent_until:
+            return None
+        token = next(self._tokens)
+        waiting = self._waiting[token] = eventlet.event.Event()
+        plain = tuple(descriptors.encode(descriptor))
+        avoided = tuple({*tried, *self._reaching.unreachable})
+        if not self.send(self._arbiter, messages.PlaceCall(token, plain, avoided)):
+            del self._waiting[token]
+            return None
+        with eventlet.Timeout(ANSWER_SECONDS, False):
+            return waiting.wait()
+        self._waiting.pop(token, None)
+        self._note_silent(descriptor)
+        return None
+
+    def _note_silent(self, descriptor: descriptors.Descriptor) -> None:
+        """Go without the arbiter for a moment; it may have counted the request."""
+        self._silent_until = time.monotonic() + SILENCE_SECONDS
+        self._note(descriptor, ENDS[None])
+        self._knowledge.log.write(
+            events.forwarding.ARBITER_SILENT,
+            arbiter=self._arbiter,
+            seconds=ANSWER_SECONDS,
+        )
+
+    def _choose(
+        self, descriptor: descriptors.Descriptor, tried: abc.Collection[str]
+    ) -> placement.Placed | placement.Refused:
+        found = self._knowledge.placer.place(descriptor, time.monotonic(), tried)
+        if isinstance(found, placement.Placed):
+            self._keep(descriptor, found.row.identity)
+        return found
+
+    def _keep(self, descriptor: descriptors.Descriptor, identity: str) -> None:
+        plain = descriptors.encode(descriptor)
+        self._tasks[descriptor.request_id] = [plain, identity, False]
+
+    def _note(self, descriptor: descriptors.Descriptor, kind: str) -> None:
+        if self._arbiter is not None:
+            note = messages.PlaceNote(descriptor.request_id, kind)
+            self.send(self._arbiter, note)
+
+
+def send_nowhere(name: str, message: object) -> bool:
+    """Send nothing: there are no links yet."""
+    return False
--- a/packages/daemon/src/trestlestall/daemon/gateway/process.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/process.py
@@ -52,7 +52,11 @@
             settings, dialect, self._knowledge, self._metrics
         )
         self._links = gateway_links.Links(
-            settings, self._knowledge, self._log, self._note_gateways
+            settings,
+            self._knowledge,
+            self._log,
+            self._note_gateways,
+            self._service.placing,
         )
         self._open: set[callers.Caller] = set()
         self._stopping = False
--- a/packages/daemon/src/trestlestall/daemon/gateway/reaching.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/reaching.py
@@ -23,6 +23,11 @@
         self._knowledge = knowledge
         self._trying: set[str] = set()
 
+    @property
+    def unreachable(self) -> frozenset[str]:
+        """The upstreams that can't be connected to from here, by identity."""
+        return frozenset(self._trying)
+
     def note_unreachable(self, row: upstreams.Row, reason: str) -> None:
         """Leave the upstream alone until a connection to it succeeds."""
         self._knowledge.placer.set_reachable(row.identity, False)
--- a/packages/forwarding/src/trestlestall/forwarding/descriptors.py
+++ b/packages/forwarding/src/trestlestall/forwarding/descriptors.py
@@ -38,3 +38,25 @@
         if self.length_hint is None:
             return self.tokens_out
         return min(self.length_hint, self.tokens_out) or self.length_hint
+
+
+def encode(descriptor: Descriptor) -> list:
+    """Return the descriptor as plain values in the order of its fields."""
+    plain = [
+        getattr(descriptor, field.name) for field in dataclasses.fields(Descriptor)
+    ]
+    plain[PARTS_PLACE] = [[part.identity, part.tokens] for part in descriptor.parts]
+    return plain
+
+
+def decode(plain: list) -> Descriptor:
+    """Return the descriptor of plain values; raises ``ValueError`` if it is none."""
+    try:
+        found = Descriptor(*plain)
+        parts = tuple(Part(identity, tokens) for identity, tokens in found.parts)
+    except TypeError as error:
+        raise ValueError(f"no descriptor: {plain!r}") from error
+    return dataclasses.replace(found, parts=parts)
+
+
+PARTS_PLACE = [field.name for field in dataclasses.fields(Descriptor)].index("parts")
--- a/packages/forwarding/src/trestlestall/forwarding/engines.py
+++ b/packages/forwarding/src/trestlestall/forwarding/engines.py
@@ -53,7 +53,7 @@
         self.slots = max(1, slots)
         self.memory_tokens = memory_tokens
         self.read_rate = FIRST_READ_RATE
-        self.failure_rate = 0.0
+        self.failure_rates: dict[str, float] = {}
         self.reachable = True
         self.tasks: dict[str, Task] = {}
         self._read_until = 0.0
@@ -122,9 +122,14 @@
         self._settle(now)
         return task
 
-    def note_outcome(self, failed: bool) -> None:
-        """Learn from an answer or its lack."""
-        self.failure_rate += FAILURE_LEARNING * (float(failed) - self.failure_rate)
+    def note_outcome(self, data_centre: str, failed: bool) -> None:
+        """Learn from an answer or its lack; some callers may fare worse than others."""
+        known = self.failure_rates.get(data_centre, 0.0)
+        self.failure_rates[data_centre] = known + FAILURE_LEARNING * (failed - known)
+
+    def find_failure_rate(self, data_centre: str) -> float:
+        """Return how often requests from the data centre failed lately."""
+        return self.failure_rates.get(data_centre, 0.0)
 
     def _learn_rate(self, task: Task, seconds: float) -> None:
         if task.predicted < SHORTEST_LESSON:
--- a/packages/forwarding/src/trestlestall/forwarding/placement.py
+++ b/packages/forwarding/src/trestlestall/forwarding/placement.py
@@ -34,11 +34,12 @@
 
 @dataclasses.dataclass(frozen=True)
 class Placed:
-    """Send the request there."""
+    """Send the request there; ``source`` is who chose."""
 
     row: upstreams.Row
     unread: int
     predicted: float
+    source: str = "own"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -105,11 +106,20 @@
         if engine is not None:
             engine.end(request_id, now)
 
-    def note_outcome(self, identity: str, failed: bool) -> None:
+    def note_outcome(self, identity: str, data_centre: str, failed: bool) -> None:
         """Learn from an answer of an upstream, or the lack of one."""
         engine = self.engines.get(identity)
         if engine is not None:
-            engine.note_outcome(failed)
+            engine.note_outcome(data_centre, failed)
+
+    def adopt(
+        self, descriptor: descriptors.Descriptor, identity: str, now: float
+    ) -> Placed | Refused:
+        """Count a request at an upstream that was chosen elsewhere."""
+        row = self.rows.get(identity)
+        if row is None:
+            return Refused("unknown upstream", RETURN_SECONDS)
+        return self._begin(row, descriptor, now)
 
     def set_reachable(self, identity: str, reachable: bool) -> None:
         """Choose the upstream, or only if no other can be reached."""
@@ -179,7 +189,7 @@
         cost += NO_SLOT_COST * taken
     if engine.find_memory_share(descriptor) > MEMORY_SHARE:
         cost += NO_MEMORY_COST
-    return cost + FAILURE_COST * engine.failure_rate
+    return cost + FAILURE_COST * engine.find_failure_rate(descriptor.data_centre)
 
 
 def find_rendezvous(descriptor: descriptors.Descriptor, identity: str) -> int:
--- a/packages/wire/src/trestlestall/wire/messages.py
+++ b/packages/wire/src/trestlestall/wire/messages.py
@@ -185,10 +185,15 @@
 @registry.register("roster")
 @dataclasses.dataclass(frozen=True)
 class Roster:
-    """The directories that the sender knows, by address; how many gateways it sees."""
+    """The directories that the sender knows, by address.
+
+    ``gateways`` is how many of them it sees; ``leader`` is the directory that leads, as
+    far as it knows, or empty.
+    """
 
     directories: tuple[str, ...]
     gateways: int
+    leader: str = ""
 
 
 @registry.register("declaration_notice")
@@ -229,3 +234,46 @@
     """The rows are merged and passed on to the gateways that the sender sees."""
 
     token: int
+
+
+@registry.register("place_call")
+@dataclasses.dataclass(frozen=True)
+class PlaceCall:
+    """A gateway asks where a request should go, and not to the upstreams in ``tried``.
+
+    ``descriptor`` is that of the forwarding package, as plain values.
+    """
+
+    token: int
+    descriptor: tuple[typing.Any, ...]
+    tried: tuple[str, ...]
+
+
+@registry.register("place_answer")
+@dataclasses.dataclass(frozen=True)
+class PlaceAnswer:
+    """Where the request should go; with an empty ``upstream`` nowhere, for a reason."""
+
+    token: int
+    upstream: str
+    unread: int
+    predicted: float
+    reason: str = ""
+    return_seconds: float = 0.0
+
+
+@registry.register("place_note")
+@dataclasses.dataclass(frozen=True)
+class PlaceNote:
+    """What became of a placed request: ``first`` event, or an end and of which kind."""
+
+    request: str
+    kind: str
+
+
+@registry.register("place_state")
+@dataclasses.dataclass(frozen=True)
+class PlaceState:
+    """The requests that a gateway has at upstreams: descriptor, upstream, begun."""
+
+    tasks: tuple[typing.Any, ...]
