Choose by expected lateness and by shared parts read again; ask one directory by name

Ruled out: one weight for all pauses (moves digests without telling 0.6 s pauses from 0.15 s): late helpline answers 39 -> 18 only with the square of the pause. Change: a placement's cost is what it is expected to make late; parts read again cost; the lowest settled directory is asked, no election needed.

--- a/packages/daemon/src/trestlestall/daemon/directory/arbitration.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/arbitration.py
@@ -1,9 +1,11 @@
-"""Placing requests for all gateways, at the directory that leads.
+"""Placing requests for all gateways, at one directory that they all ask.
 
 One process that sees every request can keep long prompts away from streams that must
 not pause, and sends equal beginnings of prompts to where they are held; gateways that
-choose alone each see a part (figures in docs/benchmarks.md). Nothing depends on the
-answer: a gateway without one chooses by itself.
+choose alone each see a part (figures in docs/benchmarks.md). Gateways ask the linked
+directory with the lowest name, so no election is needed, and where a cut makes them ask
+different ones each side still has one. Nothing depends on the answer: a gateway without
+one chooses by itself.
 """
 
 import time
@@ -22,7 +24,7 @@
 
 
 class Arbiter:
-    """What runs where, over all gateways; kept by each directory, asked at the leader.
+    """What runs where, over all gateways; kept at the directory that is asked.
 
     ``configuration`` tells the sizes of engines.
     """
--- a/packages/daemon/src/trestlestall/daemon/directory/server.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/server.py
@@ -95,7 +95,6 @@
         self._noticed_at = float("-inf")
         self._roster_at = float("-inf")
         self._told_version = 0
-        self._told_leader: str | None = None
         self.arbiter = arbitration.Arbiter(links, dialect, env.clock.monotonic)
         self._change: succession.Change | None = None
         if journal.group is not None:
@@ -337,19 +336,16 @@
     # Telling others.
 
     def _tell_roster(self, now: float) -> None:
-        due = now - self._roster_at >= ROSTER_SECONDS
-        if not due and self.leader == self._told_leader:
+        if now - self._roster_at < ROSTER_SECONDS:
             return
         self._roster_at = now
-        self._told_leader = self.leader
         for peer in self.links.list_directories() + self.links.list_gateways():
             self._send_roster(peer)
 
     def _send_roster(self, peer: str) -> None:
         linked = (*self.links.list_directories(), self.links.own)
         count = len(self.links.list_gateways())
-        leader = self.leader or ""
-        self.links.send(peer, messages.Roster(linked, count, leader))
+        self.links.send(peer, messages.Roster(linked, count))
 
     def _tell_declaration(self) -> None:
         """Tell the gateways of a new version, each directory for itself."""
--- a/packages/daemon/src/trestlestall/daemon/gateway/callers.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/callers.py
@@ -25,6 +25,9 @@
 TOO_LARGE = 413
 BAD_REQUEST = 400
 REQUEST_TIMEOUT = 408
+HEADERS_TOO_LARGE = 431
+#: Bytes that a header takes beside its name and value.
+SEPARATOR_BYTES = 4
 
 
 @dataclasses.dataclass(frozen=True)
@@ -88,6 +91,8 @@
         event = self._next_event(self.limits.idle_seconds)
         if not isinstance(event, h11.Request):
             return Ended()
+        if count_bytes(event.headers.raw_items()) > self.limits.header_bytes:
+            return Rejected(HEADERS_TOO_LARGE, "the headers are too long")
         if is_ambiguous(event.headers):
             return Rejected(BAD_REQUEST, "the length of the body is given twice")
         if self._http.they_are_waiting_for_100_continue:
@@ -220,3 +225,8 @@
     """
     names = {name for name, _ in headers}
     return {b"content-length", b"transfer-encoding"} <= names
+
+
+def count_bytes(headers: abc.Iterable[tuple[bytes, bytes]]) -> int:
+    """Return the bytes that the headers take on the wire."""
+    return sum(len(name) + len(value) + SEPARATOR_BYTES for name, value in headers)
--- a/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
@@ -175,6 +175,7 @@
         self.began = False
         self.first_seconds: float | None = None
         self.longest_pause = 0.0
+        self.return_seconds: float | None = None
         self.kept_answer: tuple[attempts.AnswerHead, bytes] | None = None
 
     @property
@@ -251,6 +252,7 @@
         answer = self.attempt.read_head(self._find_patience())
         if isinstance(answer, attempts.NotRun):
             self.runs -= 1
+            self.return_seconds = answer.retry_after
             self.attempt.read_body(self.deadline)
         return answer
 
@@ -362,10 +364,7 @@
         elif self.kept_answer is not None:
             self._answer(*self.kept_answer)
         elif self.runs == 0:
-            after = placement.RETURN_SECONDS
-            if isinstance(outcome, attempts.NotRun) and outcome.retry_after:
-                after = outcome.retry_after
-            self._give_up(describe_outcome(outcome), after)
+            self._give_up(describe_outcome(outcome), placement.RETURN_SECONDS)
         elif time.monotonic() >= self.deadline:
             self._end_with(GATEWAY_TIMEOUT, "no answer in time")
         else:
@@ -380,7 +379,8 @@
         elif self.runs:
             self._end_with(BAD_GATEWAY, reason)
         else:
-            self._end_with(UNAVAILABLE, reason, after)
+            asked = self.return_seconds
+            self._end_with(UNAVAILABLE, reason, after if asked is None else asked)
 
     def _end_with(self, status: int, reason: str, after: float | None = None) -> None:
         request_id = self.descriptor.request_id
--- a/packages/daemon/src/trestlestall/daemon/gateway/links.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/links.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import random
+import time
 import typing
 from collections import abc
 
@@ -20,6 +21,9 @@
 DIRECTORY = "control"
 #: Seconds until a configuration that was asked for is asked for again, elsewhere.
 ASK_AGAIN_SECONDS = 0.3
+#: Seconds that a link must last before its directory is asked to place requests: one
+#: that has just started must hear first what is where.
+SETTLED_SECONDS = 1.0
 
 Handler = abc.Callable[["Links", str, typing.Any], None]
 HANDLERS: dict[type, Handler] = {}
@@ -52,6 +56,7 @@
         self._log = log
         self._settings = settings
         self._offers: dict[str, int] = {}
+        self._linked_at: dict[str, float] = {}
         self.mesh = wire_links.Mesh(
             settings.name,
             GATEWAY,
@@ -91,6 +96,7 @@
     def _keep_asking(self) -> None:
         while True:
             eventlet.sleep(ASK_AGAIN_SECONDS)
+            self._choose_arbiter()
             newer = [
                 directory
                 for directory, version in self._offers.items()
@@ -99,6 +105,14 @@
             if newer:
                 self.mesh.send(random.choice(newer), messages.DeclarationPull())
 
+    def _choose_arbiter(self) -> None:
+        """Ask the lowest of the settled directories, as every other gateway does."""
+        latest = time.monotonic() - SETTLED_SECONDS
+        settled = [name for name, since in self._linked_at.items() if since <= latest]
+        found = settled or list(self._linked_at)
+        if found:
+            self.placing.set_arbiter(min(found))
+
     def _take(self, directory: str, message: typing.Any) -> None:
         handler = HANDLERS.get(type(message))
         if handler is not None:
@@ -106,9 +120,12 @@
 
     def _note_change(self, peer: str, linked: bool) -> None:
         if linked:
+            self._linked_at.setdefault(peer, time.monotonic())
             self.placing.note_linked(peer)
         else:
+            self._linked_at.pop(peer, None)
             self._offers.pop(peer, None)
+        self._choose_arbiter()
         event = events.links.UP if linked else events.links.DOWN
         self._log.write(event, peer=peer)
 
@@ -118,8 +135,6 @@
     """Learn of more directories."""
     links.add_directories(message.directories)
     links.note_gateways(message.gateways)
-    if message.leader:
-        links.placing.set_arbiter(message.leader)
 
 
 @handles(messages.Announced)
--- a/packages/daemon/src/trestlestall/daemon/gateway/process.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/process.py
@@ -56,17 +56,17 @@
         self._dialect = dialect
         self._source = source
         self._log = logs.Log(env.stdout, env.clock, settings.name)
-        self._knowledge = knowledges.Knowledge(dialect, self._log)
+        self.knowledge = knowledges.Knowledge(dialect, self._log)
         self._metrics = gateway_metrics.Metrics()
-        self._service = forwards.Service(
-            settings, dialect, self._knowledge, self._metrics
+        self.service = forwards.Service(
+            settings, dialect, self.knowledge, self._metrics
         )
         self._links = gateway_links.Links(
             settings,
-            self._knowledge,
+            self.knowledge,
             self._log,
             self._note_gateways,
-            self._service.placing,
+            self.service.placing,
         )
         self._open: set[callers.Caller] = set()
         self._stopping = False
@@ -85,24 +85,31 @@
 
     def _run_guarded(self) -> status.ExitStatus:
         try:
-            with contextlib.ExitStack() as stack:
-                stop = stack.enter_context(signals.catch_stop())
-                stack.enter_context(
-                    reloading.watch(self._source, stop, self._log, self._take_settings)
-                )
-                stack.enter_context(self._links.open())
-                stack.enter_context(
-                    listener.open_listener(self._settings.platform, self._build_site())
-                )
-                stack.enter_context(self._serve_callers())
-                eventlet.spawn(self._sweep)
-                stop.wait()
-                self._stop()
+            with signals.catch_stop() as stop, self.open():
+                with reloading.watch(
+                    self._source, stop, self._log, self._take_settings
+                ):
+                    stop.wait()
+                    self._stop()
         except (wire_exceptions.ListenError, OSError) as error:
             self._log.write(events.process.ADDRESS_REFUSED, reason=str(error))
             return status.ExitStatus.ERROR
         return status.ExitStatus.OK
 
+    @contextlib.contextmanager
+    def open(self) -> abc.Iterator[None]:
+        """Serve while the block runs; raises when an address can't be had."""
+        settings = self._settings
+        with contextlib.ExitStack() as stack:
+            stack.enter_context(self._links.open())
+            site = self._build_site()
+            stack.enter_context(listener.open_listener(settings.platform, site))
+            stack.enter_context(self._serve_callers())
+            sweeper = eventlet.spawn(self._sweep)
+            stack.callback(sweeper.kill)
+            self._log.write(events.process.READY, role=ROLE)
+            yield
+
     # Callers.
 
     @contextlib.contextmanager
@@ -130,7 +137,7 @@
 
     def _serve(self, opened: socket.socket) -> None:
         with sockets.hold(opened):
-            caller = callers.Caller(opened, self._knowledge.limits)
+            caller = callers.Caller(opened, self.knowledge.limits)
             caller.closing = self._closing
             self._open.add(caller)
             try:
@@ -149,13 +156,13 @@
             if isinstance(request, callers.Rejected):
                 self._reject(caller, request)
                 return
-            self._service.handle(request, caller)
+            self.service.handle(request, caller)
             if not caller.prepare_next():
                 return
 
     def _reject(self, caller: callers.Caller, rejected: callers.Rejected) -> None:
         now = time.monotonic()
-        self._service.note_refused("", "", rejected.status, rejected.reason, None, now)
+        self.service.note_refused("", "", rejected.status, rejected.reason, None, now)
         caller.closing = True
         caller.reject(rejected.status, forwards.encode_error(rejected.reason))
 
@@ -172,16 +179,16 @@
 
     def show_readiness(self, request: typing.Any) -> answers.Answer:
         """Answer whether new connections should come here."""
-        ready = self._knowledge.is_complete() and not self._stopping
+        ready = self.knowledge.is_complete() and not self._stopping
         return answers.build_json({"ready": ready}, READY if ready else UNREADY)
 
     def show_metrics(self, request: typing.Any) -> answers.Answer:
         """Answer with the metrics as they are now."""
         metrics = self._metrics
-        metrics.version.set(self._knowledge.version)
-        metrics.upstreams.set(len(self._knowledge.table.rows))
+        metrics.version.set(self.knowledge.version)
+        metrics.upstreams.set(len(self.knowledge.table.rows))
         metrics.links.set(len(self._links.mesh.linked()))
-        metrics.opened.set(self._service.pool.opened)
+        metrics.opened.set(self.service.pool.opened)
         return answers.Answer(READY, metrics.render(), gateway_metrics.CONTENT_TYPE)
 
     # The rest.
@@ -189,21 +196,21 @@
     def _take_settings(self, settings: gateway_settings.GatewaySettings) -> None:
         """Use what may change while the process runs."""
         self._links.add_directories(settings.directories)
-        self._service.settings = dataclasses.replace(
+        self.service.settings = dataclasses.replace(
             self._settings,
             retries=settings.retries,
             grace_seconds=settings.grace_seconds,
         )
-        self._settings = self._service.settings
+        self._settings = self.service.settings
 
     def _note_gateways(self, count: int) -> None:
-        self._service.gateways = max(1, count)
+        self.service.gateways = max(1, count)
 
     def _sweep(self) -> None:
         """Close kept connections that went stale."""
         while True:
             eventlet.sleep(SWEEP_SECONDS)
-            self._service.pool.close_stale()
+            self.service.pool.close_stale()
 
     def _stop(self) -> None:
         """Become unready, finish what runs, close connections between requests."""
--- /dev/null
+++ b/packages/daemon/tests/gateway_bench.py
@@ -0,0 +1,298 @@
+"""A gateway in this process, scripted upstreams on local sockets, and raw callers."""
+
+import contextlib
+import dataclasses
+import io
+import json
+import random
+import time
+import zlib
+
+from trestlestall.daemon import patching  # isort: skip
+
+import eventlet
+from eventlet.green import socket
+
+from trestlestall.daemon import environment
+from trestlestall.daemon.gateway import process, settings
+from trestlestall.forwarding import upstreams
+
+__all__ = ["patching"]
+
+SIGNED = "Trestlestall-Signature: s1\r\n"
+OK = "HTTP/1.1 200 OK\r\n" + SIGNED
+STREAM = OK + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+def find_port():
+    """Return a port that is free now."""
+    with contextlib.closing(socket.socket()) as taken:
+        taken.bind(("127.0.0.1", 0))
+        return taken.getsockname()[1]
+
+
+def make_route(name, **changes):
+    """Return a route's document."""
+    route = {
+        "name": name,
+        "host": "api",
+        "prefix": f"/{name}/",
+        "targets": [{"service": "work", "weight": 1}],
+        "streams": False,
+        "idempotent": False,
+        "resumable": False,
+        "attempts": 1,
+        "tier": 1,
+        "public": False,
+        "first_seconds": 0.3,
+        "whole_seconds": 3.0,
+    }
+    return {**route, **changes}
+
+
+#: More than the kernel takes in for a connection whose other side does not read.
+BODY_BYTES = 12_000_000
+ROUTES = (
+    make_route("once"),
+    make_route("again", idempotent=True, attempts=2),
+    make_route("stream", streams=True, pause_seconds=0.1),
+    make_route("resume", streams=True, resumable=True, attempts=2, pause_seconds=0.1),
+    make_route("short", whole_seconds=0.4),
+    make_route("open", public=True),
+)
+DOCUMENT = {
+    "version": 1,
+    "routes": ROUTES,
+    "services": {
+        "work": {"name": "work", "health_path": "/healthz", "connections": 50}
+    },
+    "workspaces": [{"name": "basu", "keys": ["k1"]}],
+    "limits": {"header_bytes": 4000, "body_bytes": BODY_BYTES, "header_seconds": 0.5},
+}
+
+
+def frame(*parts, end=True):
+    """Return the parts as chunks of a chunked body."""
+    chunks = "".join(f"{len(part):x}\r\n{part}\r\n" for part in parts)
+    return chunks + ("0\r\n\r\n" if end else "")
+
+
+def event(number, text="x"):
+    """Return one event of a stream."""
+    return f"id: {number}\ndata: {text}{number}\n\n"
+
+
+@dataclasses.dataclass
+class Received:
+    """One request as an upstream got it."""
+
+    head: str
+    body: bytes
+
+    def find(self, name):
+        """Return the header's value, or None."""
+        for line in self.head.split("\r\n")[1:]:
+            key, _, value = line.partition(":")
+            if key.lower() == name.lower():
+                return value.strip()
+        return None
+
+
+class Upstream:
+    """A server whose answers a test scripts: ``script(connection, received)``."""
+
+    def __init__(self, identity, script):
+        self.identity = identity
+        self.script = script
+        self.received = []
+        self.ended = 0
+        self.connections = 0
+        self.socket = eventlet.listen(("127.0.0.1", 0))
+        self.port = self.socket.getsockname()[1]
+        self.accepting = eventlet.spawn(self.accept)
+
+    @property
+    def row(self):
+        """What the upstream would announce."""
+        return upstreams.Row(
+            self.identity,
+            1,
+            upstreams.State.SERVING,
+            "work",
+            f"127.0.0.1:{self.port}",
+            "a",
+            8,
+        )
+
+    def accept(self):
+        """Serve connections until stopped."""
+        while True:
+            connection, _ = self.socket.accept()
+            self.connections += 1
+            eventlet.spawn(self.serve, connection)
+
+    def serve(self, connection):
+        """Answer each request of a connection by the script."""
+        with contextlib.suppress(OSError), contextlib.closing(connection):
+            while (received := read_request(connection)) is not None:
+                self.received.append(received)
+                if self.script(connection, received) is False:
+                    return
+        self.ended += 1
+
+    def stop(self):
+        """Refuse connections from now on."""
+        self.accepting.kill()
+        self.socket.close()
+
+
+def read_request(connection):
+    """Return the next request, or None at the end."""
+    data = b""
+    while b"\r\n\r\n" not in data:
+        part = connection.recv(65536)
+        if not part:
+            return None
+        data += part
+    head, _, body = data.partition(b"\r\n\r\n")
+    received = Received(head.decode(), body)
+    length = int(received.find("Content-Length") or 0)
+    while len(received.body) < length:
+        received.body += connection.recv(65536)
+    return received
+
+
+def answer(text, body="", status="200 OK"):
+    """Return a script that answers each request with this body."""
+
+    def script(connection, received):
+        head = f"HTTP/1.1 {status}\r\n{SIGNED}{text}Content-Length: {len(body)}"
+        connection.sendall(f"{head}\r\n\r\n{body}".encode())
+
+    return script
+
+
+def send(data, keep=False, after=0.0):
+    """Return a script that sends these bytes, and closes unless ``keep``."""
+
+    def script(connection, received):
+        eventlet.sleep(after)
+        connection.sendall(data.encode())
+        return keep
+
+    return script
+
+
+class Caller:
+    """A raw connection to the gateway."""
+
+    def __init__(self, port):
+        self.socket = socket.create_connection(("127.0.0.1", port), timeout=5)
+        self.data = b""
+
+    def ask(self, path, body=b"", method="POST", **headers):
+        """Send a request."""
+        head = [f"{method} {path} HTTP/1.1", "Host: api"]
+        given = {"Authorization": "Bearer k1", "Trestlestall_Request": "r-1"} | headers
+        head += [f"{key.replace('_', '-')}: {value}" for key, value in given.items()]
+        if body:
+            head.append(f"Content-Length: {len(body)}")
+        self.socket.sendall("\r\n".join([*head, "", ""]).encode() + body)
+
+    def read_head(self):
+        """Return status and the head's text of the next answer; 0 at an end."""
+        while b"\r\n\r\n" not in self.data:
+            part = self.socket.recv(65536)
+            if not part:
+                return 0, self.data.decode()
+            self.data += part
+        head, _, self.data = self.data.partition(b"\r\n\r\n")
+        return int(head.split(b" ")[1]), head.decode()
+
+    def read_answer(self):
+        """Return status, head and whole body of an answer with a length."""
+        status, head = self.read_head()
+        found = [line for line in head.split("\r\n") if "ength:" in line]
+        length = int(found[0].partition(":")[2]) if found else 0
+        while len(self.data) < length:
+            self.data += self.socket.recv(65536)
+        body, self.data = self.data[:length], self.data[length:]
+        return status, head, body.decode()
+
+    def read_to_end(self):
+        """Return all bytes until the gateway closes, or ends a chunked body."""
+        while not self.data.endswith(b"0\r\n\r\n"):
+            part = self.socket.recv(65536)
+            if not part:
+                break
+            self.data += part
+        return self.data.decode()
+
+    def close(self):
+        """Leave."""
+        self.socket.close()
+
+
+class Bench:
+    """A gateway with its upstreams."""
+
+    def __init__(self, stack, document=None):
+        self.stack = stack
+        self.port = find_port()
+        self.platform_port = find_port()
+        self.output = io.StringIO()
+        made = settings.GatewaySettings(
+            name="gateway-1",
+            data_centre="a",
+            callers=f"127.0.0.1:{self.port}",
+            platform=f"127.0.0.1:{self.platform_port}",
+            peers="127.0.0.1:0",
+            secret="s",
+        )
+        env = environment.Environment(
+            None, self.output, None, environment.Clock(), random.Random(1)
+        )
+        self.gateway = process.Gateway(made, env)
+        stack.enter_context(self.gateway.open())
+        self.gateway.service.gateways = 1
+        if document is not None:
+            self.declare(document)
+
+    def declare(self, document, version=1):
+        """Put a configuration in force."""
+        packed = zlib.compress(json.dumps({**document, "version": version}).encode())
+        self.gateway.knowledge.take_declaration(version, packed, "test")
+
+    def add(self, identity, script):
+        """Start an upstream and make it known."""
+        made = Upstream(identity, script)
+        self.stack.callback(made.stop)
+        self.gateway.knowledge.take_rows((made.row,), "test")
+        return made
+
+    def call(self):
+        """Return a new connection of a caller."""
+        caller = Caller(self.port)
+        self.stack.callback(caller.close)
+        return caller
+
+    def ask(self, path, body=b"", method="POST", **headers):
+        """Return status, head and body of one request on a connection of its own."""
+        caller = self.call()
+        caller.ask(path, body, method, **headers)
+        return caller.read_answer()
+
+    def list_lines(self, name):
+        """Return the log lines with this name."""
+        lines = map(json.loads, self.output.getvalue().splitlines())
+        return [line for line in lines if line["name"] == name]
+
+
+def wait_until(condition, seconds=3.0):
+    """Wait for a condition; return whether it came true."""
+    deadline = time.monotonic() + seconds
+    while time.monotonic() < deadline:
+        if condition():
+            return True
+        eventlet.sleep(0.01)
+    return False
--- a/packages/forwarding/src/trestlestall/forwarding/engines.py
+++ b/packages/forwarding/src/trestlestall/forwarding/engines.py
@@ -8,6 +8,7 @@
 
 import collections
 import dataclasses
+from collections import abc
 
 from trestlestall.forwarding import descriptors
 
@@ -24,6 +25,24 @@
 #: Parts that are remembered for each upstream, where its memory isn't declared.
 PARTS_KEPT = 4096
 
+#: A part of a prompt, for one model.
+PartKey = tuple[str, str]
+
+
+#: The pause between two events, in seconds, of a stream whose engine reads a long
+#: prompt all the while: some steps, each with a part of the prompt in it. Measured from
+#: 0.06 to 0.2 s (docs/benchmarks.md).
+READING_PAUSE = 0.1
+
+
+def weigh_pause(pause_seconds: float | None) -> float:
+    """Return how likely a stream is to pause for too long beside a long prompt.
+
+    About 1 where the longest pause that is on time is what reading causes, and falling
+    with the square of it.
+    """
+    return (READING_PAUSE / pause_seconds) ** 2 if pause_seconds else 0.0
+
 
 @dataclasses.dataclass
 class Task:
@@ -57,9 +76,7 @@
         self.reachable = True
         self.tasks: dict[str, Task] = {}
         self._read_until = 0.0
-        self._parts: collections.OrderedDict[tuple[str, str], int] = (
-            collections.OrderedDict()
-        )
+        self._parts: collections.OrderedDict[PartKey, int] = collections.OrderedDict()
         self._part_tokens = 0
 
     # What a choice asks.
@@ -73,20 +90,33 @@
             held += part.tokens
         return max(0, descriptor.tokens_in - held)
 
+    def count_read_again(
+        self, descriptor: descriptors.Descriptor, used: abc.Mapping[PartKey, float]
+    ) -> int:
+        """Return the tokens of shared parts that another engine has read already.
+
+        ``used`` holds the parts that some engine has used lately. The last part belongs
+        to the request itself and is not shared.
+        """
+        tokens, held = 0, True
+        for part in descriptor.parts[:-1]:
+            key = (descriptor.model, part.identity)
+            held = held and key in self._parts
+            if not held and key in used:
+                tokens += part.tokens
+        return tokens
+
     def find_backlog(self, now: float) -> float:
         """Return the seconds of reading that lie before a new prompt."""
         return max(0.0, self._read_until - now)
 
     def find_tightness(self) -> float:
-        """Return how much a pause would hurt the streams that run here.
+        """Return how much a long prompt would hurt the streams that run here.
 
-        The sum, over the streams, of a second divided by the longest pause that is
-        still on time.
+        See ``weigh_pause``.
         """
         return sum(
-            1.0 / task.descriptor.pause_seconds
-            for task in self.tasks.values()
-            if task.descriptor.pause_seconds
+            weigh_pause(task.descriptor.pause_seconds) for task in self.tasks.values()
         )
 
     def find_memory_share(self, descriptor: descriptors.Descriptor) -> float:
--- a/packages/forwarding/src/trestlestall/forwarding/placement.py
+++ b/packages/forwarding/src/trestlestall/forwarding/placement.py
@@ -11,6 +11,7 @@
 
 import dataclasses
 import hashlib
+import itertools
 from collections import abc
 
 from trestlestall.forwarding import descriptors, engines, model, upstreams
@@ -23,8 +24,23 @@
 MEMORY_SHARE = 0.92
 #: Cost of a certain failure, in targets.
 FAILURE_COST = 6.0
-#: What a second of delay to running streams costs, for each second of tightness.
-PAUSE_COST = 0.25
+#: What one stream that surely pauses for too long costs, in targets.
+PAUSE_COST = 1.0
+#: Seconds of reading that no stream notices, and after which each one surely does.
+UNNOTICED_READING = 0.02
+NOTICED_READING = 0.12
+#: Cost of a first event at its target; beyond half of it, later ones cost this much
+#: more for each further target.
+DELAY_COST = 0.3
+LATE_COST = 4.0
+#: Cost of reading a token of a shared part that another engine holds: work that was
+#: done already, and that delays others. In targets; a thousand tokens of it weigh as
+#: much as a first event that is a quarter of its target away.
+READ_AGAIN_COST = 0.25 / 1000
+#: Seconds after its last use in which a part is taken to be held somewhere.
+READ_AGAIN_SECONDS = 10.0
+#: Parts that one choice looks at to forget them; more than one request adds.
+FORGOTTEN_AT_ONCE = 16
 #: Cost of a fully taken upstream against an idle one; spreads equal choices.
 LOAD_COST = 0.5
 #: Seconds until the next attempt of a caller whose service has no upstream to go to;
@@ -58,6 +74,7 @@
         self.engines: dict[str, engines.Upstream] = {}
         self._by_service: dict[str, list[upstreams.Row]] = {}
         self._tasks: dict[str, engines.Upstream] = {}
+        self._used: dict[engines.PartKey, float] = {}
 
     def set_upstreams(
         self,
@@ -91,6 +108,7 @@
         if not rows:
             return Refused("no upstream", RETURN_SECONDS)
         near = [row for row in rows if self.engines[row.identity].reachable]
+        self._forget_parts(now)
         best = min(near or rows, key=lambda row: self._rank(row, descriptor, now))
         return self._begin(best, descriptor, now)
 
@@ -140,6 +158,8 @@
     ) -> tuple[float, int]:
         engine = self.engines[row.identity]
         cost = find_cost(engine, descriptor, now)
+        again = engine.count_read_again(descriptor, self._used)
+        cost += READ_AGAIN_COST * again
         return round(cost, 2), find_rendezvous(descriptor, row.identity)
 
     def _begin(
@@ -151,8 +171,21 @@
         task = engines.Task(descriptor, row.identity, unread, now, predicted)
         engine.begin(task, now)
         self._tasks[descriptor.request_id] = engine
+        for part in descriptor.parts[:-1]:
+            key = (descriptor.model, part.identity)
+            self._used.pop(key, None)
+            self._used[key] = now
         return Placed(row, unread, predicted)
 
+    def _forget_parts(self, now: float) -> None:
+        """Forget parts that no engine has used for a while; the oldest come first."""
+        for key, used_at in tuple(
+            itertools.islice(self._used.items(), FORGOTTEN_AT_ONCE)
+        ):
+            if now - used_at <= READ_AGAIN_SECONDS:
+                return
+            del self._used[key]
+
     def _ensure_engine(
         self, row: upstreams.Row, configuration: model.Configuration | None
     ) -> None:
@@ -173,16 +206,16 @@
 ) -> float:
     """Return what it costs to send the request there, in targets of the request.
 
-    The first event's delay counts squared above the target: late is late, but far too
-    late blocks others as well.
+    A first event well within its target costs little; that leaves long prompts free to
+    queue up where they hurt no stream with tight pauses.
     """
     reading = engine.count_unread(descriptor) / engine.read_rate
     backlog = engine.find_backlog(now)
     delay = (backlog + reading) / max(descriptor.first_seconds, 0.001)
-    cost = delay + max(0.0, delay - 0.5) ** 2
-    if descriptor.pause_seconds:
-        cost += PAUSE_COST * backlog / descriptor.pause_seconds
-    cost += PAUSE_COST * reading * engine.find_tightness()
+    cost = DELAY_COST * delay + LATE_COST * max(0.0, delay - 0.5)
+    own = engines.weigh_pause(descriptor.pause_seconds)
+    cost += PAUSE_COST * own * find_notice(backlog)
+    cost += PAUSE_COST * engine.find_tightness() * find_notice(reading)
     taken = len(engine.tasks) / engine.slots
     cost += LOAD_COST * taken
     if taken >= 1.0:
@@ -192,6 +225,12 @@
     return cost + FAILURE_COST * engine.find_failure_rate(descriptor.data_centre)
 
 
+def find_notice(reading: float) -> float:
+    """Return how surely streams notice so many seconds of reading, from 0 to 1."""
+    share = (reading - UNNOTICED_READING) / (NOTICED_READING - UNNOTICED_READING)
+    return min(1.0, max(0.0, share))
+
+
 def find_rendezvous(descriptor: descriptors.Descriptor, identity: str) -> int:
     """Return the upstream's rank for the prompt's beginning, the same everywhere.
 
--- /dev/null
+++ b/packages/forwarding/tests/test_placement.py
@@ -0,0 +1,120 @@
+"""The choice of an upstream: held prompts, tight pauses, free slots, faults."""
+
+import unittest
+
+from packages.forwarding.tests import samples
+from trestlestall.forwarding import descriptors, placement, upstreams
+
+LONG = {"tokens": 20_000, "first_seconds": 2.0, "pause_seconds": 0.6}
+
+
+class PlacementTest(unittest.TestCase):
+    def setUp(self):
+        self.placer = placement.Placer()
+        self.set_rows("u1", "u2", "u3")
+
+    def set_rows(self, *identities, **changes):
+        rows = [samples.make_row(identity, **changes) for identity in identities]
+        configuration = samples.make_configuration()
+        self.placer.set_upstreams(rows, configuration, 0.0)
+
+    def place(self, request_id, now=0.0, tried=(), **changes):
+        descriptor = samples.make_descriptor(request_id, **changes)
+        found = self.placer.place(descriptor, now, tried)
+        self.assertIsInstance(found, placement.Placed)
+        return found.row.identity
+
+    def test_nothing_to_choose(self):
+        found = self.placer.place(samples.make_descriptor(service="other"), 0.0)
+        self.assertIsInstance(found, placement.Refused)
+        self.assertGreater(found.return_seconds, 0)
+
+    def test_those_tried_are_left_out(self):
+        self.assertEqual(self.place("r1", tried=("u1", "u3")), "u2")
+
+    def test_draining_upstreams_get_nothing_new(self):
+        self.set_rows("u1", state=upstreams.State.DRAINING)
+        found = self.placer.place(samples.make_descriptor(), 0.0)
+        self.assertIsInstance(found, placement.Refused)
+
+    def test_equal_beginnings_go_where_they_are_held(self):
+        parts = (("shared", 5000), ("own-1", 10))
+        first = self.place("r1", tokens=5010, parts=parts)
+        self.placer.note_first("r1", 0.2)
+        parts = (("shared", 5000), ("own-2", 10))
+        self.assertEqual(self.place("r2", 0.3, tokens=5010, parts=parts), first)
+
+    def test_a_part_counts_only_behind_all_parts_before_it(self):
+        engine = self.placer.engines["u1"]
+        known = samples.make_descriptor(tokens=30, parts=(("a", 10), ("b", 20)))
+        engine._remember(known)
+        other = samples.make_descriptor(tokens=30, parts=(("x", 10), ("b", 20)))
+        self.assertEqual(engine.count_unread(known), 0)
+        self.assertEqual(engine.count_unread(other), 30)
+
+    def test_streams_with_tight_pauses_stay_away_from_long_prompts(self):
+        busy = self.place("long", **LONG)
+        for number in range(10):
+            self.assertNotEqual(self.place(f"r{number}"), busy)
+
+    def test_long_prompts_stay_away_from_tight_pauses(self):
+        self.set_rows("u1", "u2")
+        tight = self.place("r1")
+        self.placer.note_first("r1", 0.1)
+        self.assertNotEqual(self.place("long", 0.2, **LONG), tight)
+
+    def test_free_slots_go_first(self):
+        taken = [self.place(f"r{number}", tokens=1) for number in range(24)]
+        for identity in ("u1", "u2", "u3"):
+            self.assertEqual(taken.count(identity), 8)
+
+    def test_ended_requests_free_their_place(self):
+        for number in range(24):
+            self.place(f"r{number}")
+        for number in range(24):
+            self.placer.end(f"r{number}", 1.0)
+        self.assertEqual(self.placer.count_places("engines"), (0, 24))
+        self.assertEqual(self.placer.engines["u1"].find_backlog(1.0), 0.0)
+
+    def test_failures_turn_requests_away_for_those_who_suffer_them(self):
+        for _ in range(10):
+            for identity in ("u1", "u2"):
+                self.placer.note_outcome(identity, "a", True)
+        self.assertEqual(self.place("r1"), "u3")
+        elsewhere = {self.place(f"b{number}", data_centre="b") for number in range(12)}
+        self.assertEqual(elsewhere, {"u1", "u2", "u3"})
+
+    def test_out_of_reach_only_when_nothing_else_is_left(self):
+        for identity in ("u1", "u2"):
+            self.placer.set_reachable(identity, False)
+        self.assertEqual(self.place("r1"), "u3")
+        self.assertIn(self.place("r2", tried=("u3",)), ("u1", "u2"))
+
+    def test_reading_rates_are_learned(self):
+        engine = self.placer.engines["u1"]
+        before = engine.read_rate
+        for number in range(20):
+            name = f"r{number}"
+            found = self.placer.adopt(
+                samples.make_descriptor(name, tokens=10_000), "u1", float(number)
+            )
+            self.placer.note_first(name, number + 4 * found.predicted)
+            self.placer.end(name, number + 5 * found.predicted)
+        self.assertLess(engine.read_rate, before / 2)
+
+
+class DescriptorTest(unittest.TestCase):
+    def test_descriptors_survive_the_wire(self):
+        found = samples.make_descriptor(parts=(("a", 1), ("b", 2)), length_hint=7)
+        plain = descriptors.encode(found)
+        self.assertEqual(descriptors.decode(plain), found)
+        with self.assertRaises(ValueError):
+            descriptors.decode(plain + [1, 2])
+
+    def test_expected_length(self):
+        self.assertEqual(samples.make_descriptor().expected_tokens_out, 50)
+        hinted = samples.make_descriptor(length_hint=20)
+        self.assertEqual(hinted.expected_tokens_out, 20)
+        self.assertEqual(
+            samples.make_descriptor(length_hint=90).expected_tokens_out, 50
+        )
--- /dev/null
+++ b/packages/forwarding/tests/test_upstreams.py
@@ -0,0 +1,78 @@
+"""Rows of upstreams merge to one table, in whatever order they come."""
+
+import random
+import unittest
+
+from packages.forwarding.tests import samples
+from trestlestall.forwarding import upstreams
+
+SERVING, DRAINING, GONE = upstreams.State
+
+
+def merge_all(rows):
+    """Return the table's rows after merging those given."""
+    table = upstreams.Table()
+    for row in rows:
+        table.merge(row, 0.0)
+    return table.rows
+
+
+class MergeTest(unittest.TestCase):
+    def test_late_rows_change_nothing(self):
+        first = samples.make_row(sequence=3)
+        table = upstreams.Table()
+        table.merge(first, 0.0)
+        self.assertIsNone(table.merge(samples.make_row(sequence=2, slots=1), 1.0))
+        self.assertEqual(table.rows["u1"], first)
+
+    def test_one_that_drains_never_serves_again(self):
+        table = upstreams.Table()
+        table.merge(samples.make_row(sequence=3, state=DRAINING), 0.0)
+        for sequence in (2, 4):
+            table.merge(samples.make_row(sequence=sequence), 1.0)
+            self.assertEqual(table.list_serving("engines"), [])
+
+    def test_one_that_left_never_comes_back(self):
+        table = upstreams.Table()
+        table.merge(upstreams.Row("u1", 0, GONE), 0.0)
+        self.assertIsNone(table.merge(samples.make_row(sequence=9), 1.0))
+        self.assertEqual(table.list_serving("engines"), [])
+
+    def test_renewals_are_no_change(self):
+        table = upstreams.Table()
+        self.assertIsNotNone(table.merge(samples.make_row(sequence=1), 0.0))
+        self.assertIsNone(table.merge(samples.make_row(sequence=2), 1.0))
+        self.assertEqual(table.rows["u1"].sequence, 2)
+
+    def test_departed_are_kept_against_late_rows_and_then_forgotten(self):
+        table = upstreams.Table()
+        table.merge(samples.make_row(state=GONE), 0.0)
+        self.assertEqual(table.forget_departed(upstreams.FORGET_SECONDS - 1), [])
+        self.assertEqual(table.forget_departed(upstreams.FORGET_SECONDS + 1), ["u1"])
+
+    def test_every_order_gives_one_table(self):
+        draw = random.Random(7)
+        for _ in range(300):
+            rows = [
+                samples.make_row(
+                    draw.choice(("u1", "u2")),
+                    sequence,
+                    draw.choices(tuple(upstreams.State), (6, 2, 1))[0],
+                    slots=sequence,
+                )
+                for sequence in draw.sample(range(1, 20), 6)
+            ]
+            known = merge_all(rows)
+            again = rows * 2
+            draw.shuffle(again)
+            for identity, row in merge_all(again).items():
+                self.assertEqual(row.state, known[identity].state)
+                if row.state is not GONE:
+                    self.assertEqual(row, known[identity])
+
+    def test_rows_survive_the_wire(self):
+        row = samples.make_row(sequence=5, state=DRAINING, warm_seconds=1.5)
+        self.assertEqual(upstreams.decode_row(upstreams.encode_row(row)), row)
+        for plain in ([], ["u1"], ["u1", 1, 9], ["u1", 1, 0, *range(9)]):
+            with self.subTest(plain=plain), self.assertRaises(ValueError):
+                upstreams.decode_row(plain)
--- a/packages/wire/src/trestlestall/wire/messages.py
+++ b/packages/wire/src/trestlestall/wire/messages.py
@@ -185,15 +185,10 @@
 @registry.register("roster")
 @dataclasses.dataclass(frozen=True)
 class Roster:
-    """The directories that the sender knows, by address.
-
-    ``gateways`` is how many of them it sees; ``leader`` is the directory that leads, as
-    far as it knows, or empty.
-    """
+    """The directories that the sender knows, by address; how many gateways it sees."""
 
     directories: tuple[str, ...]
     gateways: int
-    leader: str = ""
 
 
 @registry.register("declaration_notice")
