Tell a reset connection from an orderly end

Ruled out: h11 (it was told of an end). Change: read the descriptor itself. Test first: test_an_answer_without_a_length_that_is_reset_is_no_success failed before, passes now.

--- a/packages/daemon/src/trestlestall/daemon/gateway/attempts.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/attempts.py
@@ -5,7 +5,6 @@
 """
 
 import dataclasses
-import socket
 import time
 from collections import abc
 
@@ -233,10 +232,8 @@
         left = deadline - time.monotonic()
         if left <= 0:
             raise BrokenExchange("out of time")
-        opened: socket.socket = self._connection.socket
-        opened.settimeout(left)
         try:
-            data = opened.recv(connections.READ_BYTES)
+            data = connections.receive(self._connection.socket, left)
         except TimeoutError as error:
             raise BrokenExchange("out of time") from error
         except OSError as error:
--- a/packages/daemon/src/trestlestall/daemon/gateway/connections.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/connections.py
@@ -11,6 +11,7 @@
 from collections import abc
 
 import h11
+from eventlet import hubs
 
 from trestlestall.wire import addresses
 
@@ -140,3 +141,18 @@
     except OSError:
         return True
     return True
+
+
+def receive(opened: socket.socket, seconds: float) -> bytes:
+    """Return the next bytes, or none at an orderly end; raises ``OSError``.
+
+    eventlet's own ``recv`` returns no bytes for a reset connection too, which would
+    make an answer without a length look whole that was cut off.
+    """
+    deadline = time.monotonic() + seconds
+    while True:
+        try:
+            return opened.fd.recv(READ_BYTES)
+        except BlockingIOError:
+            left = max(0.001, deadline - time.monotonic())
+            hubs.trampoline(opened, read=True, timeout=left, timeout_exc=TimeoutError)
--- a/packages/daemon/tests/gateway_bench.py
+++ b/packages/daemon/tests/gateway_bench.py
@@ -5,6 +5,7 @@
 import io
 import json
 import random
+import struct
 import time
 import zlib
 
@@ -183,6 +184,13 @@
     return script
 
 
+def reset(connection):
+    """End a connection by a reset."""
+    linger = struct.pack("ii", 1, 0)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    connection.close()
+
+
 class Caller:
     """A raw connection to the gateway."""
 
--- a/packages/daemon/tests/test_gateway.py
+++ b/packages/daemon/tests/test_gateway.py
@@ -171,6 +171,16 @@
                 self.assertEqual(status, 502)
                 self.assertNotIn("Signature", head)
 
+    def test_an_answer_without_a_length_that_is_reset_is_no_success(self):
+        def script(connection, received):
+            connection.sendall(f"{OK_HEAD}\r\nhalf of it".encode())
+            bench.eventlet.sleep(0.1)
+            bench.reset(connection)
+            return False
+
+        self.bench.add("u1", script)
+        self.assertEqual(self.bench.ask("/once/x")[0], 502)
+
     def test_an_answer_to_another_request_is_read_over(self):
         foreign = f"{OK_HEAD}Trestlestall-Request: r-0\r\nContent-Length: 3\r\n\r\nbad"
         own = f"{OK_HEAD}Trestlestall-Request: r-1\r\nContent-Length: 4\r\n\r\ngood"
