Take out replaced incarnations; refuse late streams at a stop

Ruled out: the retry budget (its limit was 6 or more at each refusal). Change: a silent incarnation goes once another announces its address, or a gateway reports that another answers there; after the balancer's notice only what surely ends in time is taken, the rest is refused with a time to come back.

--- a/packages/daemon/src/trestlestall/daemon/directory/registrations.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/registrations.py
@@ -58,6 +58,7 @@
         self.table.forget_departed(self._clock())
         if merged is not None:
             self._tell_gateways((merged,))
+        self._withdraw_replaced(row)
         leaves = row.state is not upstreams.State.SERVING
         if leaves and (known is None or known.state < row.state or merged):
             return self._tell_majority(self.table.rows[row.identity])
@@ -66,6 +67,31 @@
         self._tell_directories(row, 0)
         return True
 
+    def _withdraw_replaced(self, row: upstreams.Row) -> None:
+        """Take out the incarnations whose address the upstream has now."""
+        if row.state is upstreams.State.GONE:
+            return
+        now = self._clock()
+        for replaced in self.table.list_replaced(row, now):
+            gone = upstreams.Row(replaced.identity, 0, upstreams.State.GONE)
+            merged = self.table.merge(gone, now)
+            self._tell_gateways((merged,))
+            self._tell_directories(merged, 0)
+
+    def take_report(self, report: messages.Replaced) -> None:
+        """Take a gateway's word that another incarnation answers at an address.
+
+        One that still announces itself is believed more than the report.
+        """
+        now = self._clock()
+        known = self.table.rows.get(report.upstream)
+        if known is None or known.state is upstreams.State.GONE:
+            return
+        silent = now - self.table.heard.get(report.upstream, now)
+        if silent > upstreams.REPLACED_SECONDS:
+            gone = upstreams.Row(report.upstream, 0, upstreams.State.GONE)
+            self._tell_gateways((self.table.merge(gone, now),))
+
     def take(self, peer: str, message: messages.Announced) -> None:
         """Take rows from another directory, pass on what is new, and confirm."""
         now = self._clock()
--- a/packages/daemon/src/trestlestall/daemon/directory/server.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/server.py
@@ -447,3 +447,9 @@
 def take_place_state(server: Server, peer: str, message: messages.PlaceState) -> None:
     """Learn what a gateway has at upstreams."""
     server.arbiter.take_state(peer, message)
+
+
+@handles(messages.Replaced)
+def take_replaced(server: Server, peer: str, message: messages.Replaced) -> None:
+    """Take a gateway's word that an upstream is gone."""
+    server.registrations.take_report(message)
--- a/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
@@ -31,6 +31,9 @@
 JSON = (b"Content-Type", b"application/json")
 #: Seconds that a caller without a deadline of its own is given.
 UNNAMED_DEADLINE = 60.0
+STOPPING = "the gateway stops"
+#: Seconds until the next attempt where that will meet another gateway.
+RETURNS = {STOPPING: 0.05}
 #: Sends of one request in all, also when upstreams say that they did not run it.
 SENDS_LIMIT = 4
 #: Seconds that must be left for another send to be worth it.
@@ -74,6 +77,8 @@
         self.reaching = reaching.Reaching(knowledge)
         self.placing = placing.Placing(knowledge, self.reaching)
         self.gateways = GATEWAYS_ASSUMED
+        self.refuse_at = 0.0
+        self.stop_at: float | None = None
 
     def handle(self, request: callers.Request, caller: callers.Caller) -> None:
         """Answer one request; raises ``CallerLeft``."""
@@ -99,8 +104,23 @@
             name = route.name
             self._refuse(caller, head.request_id, name, UNAUTHORIZED, reason, arrived)
             return
+        if self.is_too_late(route, arrived):
+            self._refuse(
+                caller, head.request_id, route.name, UNAVAILABLE, STOPPING, arrived
+            )
+            return
         Forward(self, caller, head, request.body, route, workspace, arrived).run()
 
+    def is_too_late(self, route: model.Route, now: float) -> bool:
+        """Return whether a stop would cut the request off.
+
+        Until the balancer has noticed the stop, all requests are taken; they have the
+        grace time. Of later ones only those that surely end before it does.
+        """
+        if self.stop_at is None or now < self.refuse_at:
+            return False
+        return route.streams or now + route.whole_seconds > self.stop_at
+
     def find_retry_bound(self) -> budgets.Bound:
         """Return the bound of repeated sends, shared among the gateways."""
         bound = self.settings.retries
@@ -116,7 +136,9 @@
         arrived: float,
     ) -> None:
         """Answer a request that was not given to any upstream."""
-        after = UNKNOWING_RETURN if status == UNAVAILABLE else None
+        after = RETURNS.get(reason, UNKNOWING_RETURN)
+        if status != UNAVAILABLE:
+            after = None
         self.note_refused(request_id, route, status, reason, after, arrived)
         caller.answer(status, list_error_headers(after), encode_error(reason))
 
@@ -356,6 +378,7 @@
             self.service.reaching.note_unreachable(row, outcome.reason)
         elif isinstance(outcome, attempts.NotRun) and outcome.is_misdirected:
             self.knowledge.note_replaced(row)
+            self.service.placing.report_replaced(row.identity)
 
     def _give_up_after(self, outcome: Outcome) -> None:
         """End the request after an attempt that no other may follow."""
--- a/packages/daemon/src/trestlestall/daemon/gateway/placing.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/placing.py
@@ -101,6 +101,11 @@
         self._knowledge.placer.note_first(descriptor.request_id, time.monotonic())
         self._note(descriptor, FIRST)
 
+    def report_replaced(self, identity: str) -> None:
+        """Tell the directory that another incarnation answers at the address."""
+        if self._arbiter is not None:
+            self.send(self._arbiter, messages.Replaced(identity))
+
     def end(
         self, descriptor: descriptors.Descriptor, identity: str, failed: bool | None
     ) -> None:
--- a/packages/daemon/src/trestlestall/daemon/gateway/process.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/process.py
@@ -33,8 +33,10 @@
 #: Seconds after the request to stop in which new connections are still served: the
 #: balancer takes two missed questions, a second apart, to notice.
 NOTICE_SECONDS = 2.5
-#: Part of the grace time after which what still runs is cut off.
-GRACE_SHARE = 0.9
+#: Seconds after the request to stop until which a gateway without callers stays.
+LINGER_SECONDS = 3.5
+#: Seconds before the end of the grace time at which what still runs is cut off.
+KILL_MARGIN = 0.5
 TICK_SECONDS = 0.05
 SWEEP_SECONDS = 1.0
 ACCEPT_PAUSE = 0.05
@@ -216,12 +218,18 @@
         """Become unready, finish what runs, close connections between requests."""
         started = time.monotonic()
         self._stopping = True
+        deadline = started + self._settings.grace_seconds - KILL_MARGIN
+        self.service.stop_at = deadline
+        self.service.refuse_at = started + NOTICE_SECONDS
         self._log.write(events.process.STOPPING, role=ROLE, running=self._count())
         eventlet.sleep(NOTICE_SECONDS)
         self._closing = True
-        deadline = started + GRACE_SHARE * self._settings.grace_seconds
-        while self._open and time.monotonic() < deadline:
+        while time.monotonic() < deadline and self._is_needed(started):
             for caller in list(self._open):
                 caller.closing = True
                 caller.close_if_idle()
             eventlet.sleep(TICK_SECONDS)
+
+    def _is_needed(self, started: float) -> bool:
+        """Return whether callers may still come, or are still here."""
+        return bool(self._open) or time.monotonic() < started + LINGER_SECONDS
--- a/packages/daemon/tests/test_gateway.py
+++ b/packages/daemon/tests/test_gateway.py
@@ -135,6 +135,25 @@
         self.assertEqual(self.bench.ask("/once/x")[0], 404)
 
 
+class StopTest(GatewayCase):
+    """A planned stop."""
+
+    def test_late_streams_are_sent_elsewhere_and_short_requests_are_served(self):
+        self.bench.add("u1", bench.send(bench.STREAM + bench.frame(bench.event(1))))
+        service = self.bench.gateway.service
+        now = bench.time.monotonic()
+        service.stop_at = now + 4.0
+        service.refuse_at = now + 100.0
+        self.assertEqual(self.bench.ask("/stream/x")[0], 200)
+        service.refuse_at = now
+        status, head, _ = self.bench.ask("/stream/x")
+        self.assertEqual(status, 503)
+        self.assertIn("Retry-After: 0.05", head)
+        self.assertEqual(self.bench.ask("/once/x")[0], 200)
+        service.stop_at = now + 1.0
+        self.assertEqual(self.bench.ask("/once/x")[0], 503)
+
+
 class AnswerTest(GatewayCase):
     """What reaches the caller when an upstream misbehaves."""
 
--- a/packages/forwarding/src/trestlestall/forwarding/upstreams.py
+++ b/packages/forwarding/src/trestlestall/forwarding/upstreams.py
@@ -41,6 +41,9 @@
 
 #: Rows of upstreams that left are kept so long, against late announcements.
 FORGET_SECONDS = 120.0
+#: An incarnation that was silent for so long, a little over one announcement, is gone
+#: once another one announces itself at its address.
+REPLACED_SECONDS = 1.5
 
 
 class Table:
@@ -64,6 +67,21 @@
         changed = known is None or not equals_but_sequence(known, merged)
         return merged if changed else None
 
+    def list_replaced(self, row: Row, now: float) -> list[Row]:
+        """Return the incarnations that another one at their address has replaced.
+
+        ``row`` was just announced. One that was heard of lately is left alone: then it
+        is the row that came late.
+        """
+        return [
+            other
+            for other in self.rows.values()
+            if other.address == row.address
+            and other.identity != row.identity
+            and other.state is not State.GONE
+            and now - self.heard.get(other.identity, now) > REPLACED_SECONDS
+        ]
+
     def list_serving(self, service: str) -> list[Row]:
         """Return the upstreams of the service that take requests."""
         return [
--- a/packages/forwarding/tests/test_upstreams.py
+++ b/packages/forwarding/tests/test_upstreams.py
@@ -38,6 +38,16 @@
         self.assertIsNone(table.merge(samples.make_row(sequence=9), 1.0))
         self.assertEqual(table.list_serving("engines"), [])
 
+    def test_a_new_incarnation_replaces_a_silent_one_at_its_address(self):
+        table = upstreams.Table()
+        old = samples.make_row("u1", address="10.0.0.1:1")
+        new = samples.make_row("u2", address="10.0.0.1:1")
+        table.merge(old, 0.0)
+        table.merge(new, 5.0)
+        self.assertEqual(table.list_replaced(new, 5.0), [old])
+        # The row that came late says nothing against the one that announces itself.
+        self.assertEqual(table.list_replaced(old, 5.5), [])
+
     def test_renewals_are_no_change(self):
         table = upstreams.Table()
         self.assertIsNotNone(table.merge(samples.make_row(sequence=1), 0.0))
--- a/packages/wire/src/trestlestall/wire/messages.py
+++ b/packages/wire/src/trestlestall/wire/messages.py
@@ -272,3 +272,11 @@
     """The requests that a gateway has at upstreams: descriptor, upstream, begun."""
 
     tasks: tuple[typing.Any, ...]
+
+
+@registry.register("replaced")
+@dataclasses.dataclass(frozen=True)
+class Replaced:
+    """A gateway found that another incarnation answers at an upstream's address."""
+
+    upstream: str
