Estimate the backlog by tier, as engines read urgent prompts first

Cause: predictions took the prompts of an engine in the order of sending; engines admit urgent tiers first, so urgent requests were kept from engines with digests queued and digests were sent where urgent ones would pass them.

--- a/packages/daemon/src/trestlestall/daemon/gateway/heads.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/heads.py
@@ -184,6 +184,7 @@
         service=service,
         tier=tier,
         first_seconds=route.first_seconds,
+        whole_seconds=route.whole_seconds,
         pause_seconds=route.pause_seconds,
         model=head.model,
         tokens_in=head.tokens_in,
--- a/packages/forwarding/src/trestlestall/forwarding/descriptors.py
+++ b/packages/forwarding/src/trestlestall/forwarding/descriptors.py
@@ -15,6 +15,7 @@
 class Descriptor:
     """A request as its headers describe it.
 
+    ``first_seconds``, ``pause_seconds`` and ``whole_seconds`` are the route's targets.
     ``tokens_in`` are those of the prompt, ``tokens_out`` the most that may be
     generated, ``parts`` the prompt in order: an engine that holds the first parts need
     not read them again.
@@ -24,6 +25,7 @@
     service: str
     tier: int
     first_seconds: float
+    whole_seconds: float
     pause_seconds: float | None = None
     model: str = ""
     tokens_in: int = 0
--- a/packages/forwarding/src/trestlestall/forwarding/engines.py
+++ b/packages/forwarding/src/trestlestall/forwarding/engines.py
@@ -1,9 +1,9 @@
 """The estimated state of one upstream, out of what was sent there and what came back.
 
-An engine reads prompts one after another and generates for all running requests in
-steps; a step that also reads a part of a prompt takes longer, which delays every stream
-on that engine. So the tokens that an engine still has to read matter more than how many
-requests it runs.
+An engine reads prompts one after another, urgent tiers first, and generates for all
+running requests in steps; a step that also reads a part of a prompt takes longer, which
+delays every stream on that engine. So the tokens that an engine still has to read
+matter more than how many requests it runs.
 """
 
 import collections
@@ -13,9 +13,12 @@
 from trestlestall.forwarding import descriptors
 
 #: Prompt tokens that an engine reads in a second, until first events teach better.
-FIRST_READ_RATE = 50_000.0
+FIRST_READ_RATE = 45_000.0
+#: Tokens of a prompt at which reading takes twice as long as their number says, since
+#: each token attends to all before it.
+ATTENTION_TOKENS = 90_000
 #: How far one observed first event moves the estimate of the rate.
-LEARNING = 0.1
+LEARNING = 0.15
 #: Shortest predicted reading, in seconds, that says anything about the rate.
 SHORTEST_LESSON = 0.03
 #: Bounds of a learned rate, against one wild observation.
@@ -48,7 +51,8 @@
 class Task:
     """One request at an upstream; times in seconds of the monotonic clock.
 
-    ``unread`` are the prompt tokens that the engine has to read for it.
+    ``unread`` are the prompt tokens that the engine has to read for it, ``left`` the
+    seconds of reading that are estimated to be left of them.
     """
 
     descriptor: descriptors.Descriptor
@@ -56,6 +60,7 @@
     unread: int
     placed_at: float
     predicted: float
+    left: float = 0.0
     began: bool = False
 
     @property
@@ -64,6 +69,11 @@
         return self.descriptor.tokens_in + self.descriptor.expected_tokens_out
 
 
+def rank_task(task: Task) -> tuple[int, float]:
+    """Return the place of a task in the order of reading."""
+    return task.descriptor.tier, task.placed_at
+
+
 class Upstream:
     """What is estimated of one incarnation."""
 
@@ -75,7 +85,7 @@
         self.failure_rates: dict[str, float] = {}
         self.reachable = True
         self.tasks: dict[str, Task] = {}
-        self._read_until = 0.0
+        self._advanced_at = 0.0
         self._parts: collections.OrderedDict[PartKey, int] = collections.OrderedDict()
         self._part_tokens = 0
 
@@ -106,9 +116,21 @@
                 tokens += part.tokens
         return tokens
 
-    def find_backlog(self, now: float) -> float:
-        """Return the seconds of reading that lie before a new prompt."""
-        return max(0.0, self._read_until - now)
+    def find_reading(self, tokens: int) -> float:
+        """Return the seconds that reading so many tokens of one prompt takes."""
+        return tokens * (1 + tokens / ATTENTION_TOKENS) / self.read_rate
+
+    def find_backlog(self, now: float, tier: int | None = None) -> float:
+        """Return the seconds of reading that come before a new prompt of the tier.
+
+        Without a tier, those of all prompts that wait.
+        """
+        self._advance(now)
+        return sum(
+            task.left
+            for task in self.tasks.values()
+            if tier is None or task.descriptor.tier <= tier
+        )
 
     def find_tightness(self) -> float:
         """Return how much a long prompt would hurt the streams that run here.
@@ -132,7 +154,8 @@
     def begin(self, task: Task, now: float) -> None:
         """Note that a request is being sent here."""
         self.tasks[task.descriptor.request_id] = task
-        self._read_until = max(self._read_until, now) + task.unread / self.read_rate
+        self._advance(now)
+        task.left = self.find_reading(task.unread)
         self._remember(task.descriptor)
 
     def note_first(self, request_id: str, now: float) -> None:
@@ -140,17 +163,15 @@
         task = self.tasks.get(request_id)
         if task is None or task.began:
             return
+        self._advance(now)
         task.began = True
+        task.left = 0.0
         self._learn_rate(task, now - task.placed_at)
-        self._settle(now)
 
     def end(self, request_id: str, now: float) -> Task | None:
         """Note that a request is no longer here."""
-        task = self.tasks.pop(request_id, None)
-        if task is not None and not task.began:
-            self._read_until -= task.unread / self.read_rate
-        self._settle(now)
-        return task
+        self._advance(now)
+        return self.tasks.pop(request_id, None)
 
     def note_outcome(self, data_centre: str, failed: bool) -> None:
         """Learn from an answer or its lack; some callers may fare worse than others."""
@@ -168,10 +189,16 @@
         rate = self.read_rate * ratio**LEARNING
         self.read_rate = min(RATE_BOUNDS[1], max(RATE_BOUNDS[0], rate))
 
-    def _settle(self, now: float) -> None:
-        """Bound the backlog by what is known to be unread still."""
-        unread = sum(task.unread for task in self.tasks.values() if not task.began)
-        self._read_until = min(self._read_until, now + unread / self.read_rate)
+    def _advance(self, now: float) -> None:
+        """Take what was read since the last time off the prompts, in their order."""
+        seconds, self._advanced_at = now - self._advanced_at, now
+        waiting = [task for task in self.tasks.values() if task.left > 0]
+        for task in sorted(waiting, key=rank_task):
+            taken = min(task.left, seconds)
+            task.left -= taken
+            seconds -= taken
+            if seconds <= 0:
+                return
 
     def _remember(self, descriptor: descriptors.Descriptor) -> None:
         """Note that the prompt's parts will be held here, the newest longest."""
--- a/packages/forwarding/src/trestlestall/forwarding/placement.py
+++ b/packages/forwarding/src/trestlestall/forwarding/placement.py
@@ -29,10 +29,14 @@
 #: Seconds of reading that no stream notices, and after which each one surely does.
 UNNOTICED_READING = 0.02
 NOTICED_READING = 0.12
-#: Cost of a first event at its target; beyond half of it, later ones cost this much
-#: more for each further target.
-DELAY_COST = 0.3
-LATE_COST = 4.0
+#: Cost of a first event as its delay grows, in targets: little up to a share of the
+#: target, 1 shortly before it, as predictions are low by that much, and from there on
+#: more, since what is late makes what comes after it late as well.
+DELAY_COSTS = ((0.0, 0.0), (0.3, 0.1), (0.8, 1.0), (10.8, 21.0))
+#: Part of a request's whole time beyond which a first event may come too late for the
+#: rest, and what that costs.
+WHOLE_SHARE = 0.5
+NO_ANSWER_COST = 2.0
 #: Cost of reading a token of a shared part that another engine holds: work that was
 #: done already, and that delays others. In targets; a thousand tokens of it weigh as
 #: much as a first event that is a quarter of its target away.
@@ -167,7 +171,8 @@
     ) -> Placed:
         engine = self.engines[row.identity]
         unread = engine.count_unread(descriptor)
-        predicted = engine.find_backlog(now) + unread / engine.read_rate
+        backlog = engine.find_backlog(now, descriptor.tier)
+        predicted = backlog + engine.find_reading(unread)
         task = engines.Task(descriptor, row.identity, unread, now, predicted)
         engine.begin(task, now)
         self._tasks[descriptor.request_id] = engine
@@ -206,13 +211,15 @@
 ) -> float:
     """Return what it costs to send the request there, in targets of the request.
 
-    A first event well within its target costs little; that leaves long prompts free to
-    queue up where they hurt no stream with tight pauses.
+    Long prompts queue up where they hurt no stream with tight pauses: one that is late
+    costs less than several streams that pause.
     """
-    reading = engine.count_unread(descriptor) / engine.read_rate
+    reading = engine.find_reading(engine.count_unread(descriptor))
     backlog = engine.find_backlog(now)
-    delay = (backlog + reading) / max(descriptor.first_seconds, 0.001)
-    cost = DELAY_COST * delay + LATE_COST * max(0.0, delay - 0.5)
+    predicted = engine.find_backlog(now, descriptor.tier) + reading
+    cost = weigh_delay(predicted / max(descriptor.first_seconds, 0.001))
+    if predicted > WHOLE_SHARE * descriptor.whole_seconds:
+        cost += NO_ANSWER_COST
     own = engines.weigh_pause(descriptor.pause_seconds)
     cost += PAUSE_COST * own * find_notice(backlog)
     cost += PAUSE_COST * engine.find_tightness() * find_notice(reading)
@@ -225,6 +232,18 @@
     return cost + FAILURE_COST * engine.find_failure_rate(descriptor.data_centre)
 
 
+def weigh_delay(delay: float) -> float:
+    """Return the cost of a first event that comes after so many targets.
+
+    >>> round(weigh_delay(0.8), 2)
+    1.0
+    """
+    for (start, low), (end, high) in itertools.pairwise(DELAY_COSTS):
+        if delay < end:
+            return low + (high - low) * (delay - start) / (end - start)
+    return DELAY_COSTS[-1][1]
+
+
 def find_notice(reading: float) -> float:
     """Return how surely streams notice so many seconds of reading, from 0 to 1."""
     share = (reading - UNNOTICED_READING) / (NOTICED_READING - UNNOTICED_READING)
--- a/packages/forwarding/tests/samples.py
+++ b/packages/forwarding/tests/samples.py
@@ -51,6 +51,7 @@
         service=SERVICE.name,
         tier=0,
         first_seconds=0.25,
+        whole_seconds=10.0,
         pause_seconds=0.15,
         model="m",
         tokens_in=tokens,
