Take an overdue first event for a backlog; go on without a disk that is full

A full disk ended the directory's process again and again, each time the one that places requests. Ruled out: the retry budget; the engines' queue (the upstream ran nothing meanwhile). Change: the wait for an engine includes how late it is with what it has; a caller who leaves because nothing came speaks against the upstream; a directory without its disk keeps links, announcements and placing; a directory that was silent twice is not asked for 4 s; a voter that starts again no longer tells of version 0 (found by the new test).

--- a/packages/daemon/src/trestlestall/daemon/directory/arbitration.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/arbitration.py
@@ -95,6 +95,10 @@
             if began:
                 self._placer.note_first(descriptor.request_id, now)
 
+    def count_places(self, service: str) -> tuple[int, int]:
+        """Return how many slots of the service are taken, and how many there are."""
+        return self._placer.count_places(service)
+
     def forget(self, gateway: str) -> None:
         """Forget the requests of a gateway that is no longer linked."""
         now = self._clock()
--- a/packages/daemon/src/trestlestall/daemon/directory/process.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/process.py
@@ -16,14 +16,14 @@
     signals,
     status,
 )
-from trestlestall.daemon.control import journal as journals
 from trestlestall.daemon.directory import (
+    disks,
     links as directory_links,
     server as servers,
     site as sites,
 )
 from trestlestall.daemon.http import listener
-from trestlestall.storage import exceptions as storage_exceptions, folder
+from trestlestall.storage import exceptions as storage_exceptions
 from trestlestall.wire import exceptions as wire_exceptions
 
 ROLE = "directory"
@@ -63,11 +63,7 @@
         try:
             self._serve()
         except storage_exceptions.StorageError as error:
-            self._log.write(
-                events.agreement.STORAGE_REFUSED,
-                folder=self._settings.data_folder,
-                reason=str(error),
-            )
+            disks.log_refusal(self._log, self._settings.data_folder, error)
             return status.ExitStatus.ERROR
         except (wire_exceptions.ListenError, OSError) as error:
             self._log.write(events.process.ADDRESS_REFUSED, reason=str(error))
@@ -82,61 +78,49 @@
     def _serve(self) -> None:
         with contextlib.ExitStack() as stack:
             stop = stack.enter_context(signals.catch_stop())
-            data = stack.enter_context(folder.open_folder(self._settings.data_folder))
             linked = directory_links.Links(self._settings)
             server = servers.Server(
-                self._settings,
-                self._env,
-                self._log,
-                journals.Journal(data),
-                data.identity,
-                linked,
-                self._dialect,
-                self._wake,
+                self._settings, self._env, self._log, linked, self._dialect, self._wake
+            )
+            disk = stack.enter_context(
+                disks.hold(self._settings.data_folder, server, self._log)
             )
             stack.enter_context(linked.open(server.take_message, server.note_link))
             site = sites.Site(
                 server, self._dialect, self._log, self._settings.document_bytes
             )
+            address = str(self._settings.listen.service)
+            served = site.build_application()
+            stack.enter_context(listener.open_listener(address, served))
             stack.enter_context(
-                listener.open_listener(
-                    str(self._settings.listen.service), site.build_application()
-                )
-            )
-            stack.enter_context(
-                reloading.watch(
-                    self._source,
-                    stop,
-                    self._log,
-                    lambda settings: server.add_directories(
-                        map(str, settings.directories)
-                    ),
-                )
+                reloading.watch(self._source, stop, self._log, server.take_settings)
             )
             eventlet.spawn(self._wait_for_stop, stop)
             self._log.write(events.process.READY, role=ROLE)
-            self._turn_until_stopped(server, site)
+            self._turn_until_stopped(server, site, disk)
 
     def _wait_for_stop(self, stop: signals.Stop) -> None:
         stop.wait()
         self._stopping = True
         self._wake()
 
-    def _turn_until_stopped(self, server: servers.Server, site: sites.Site) -> None:
+    def _turn_until_stopped(
+        self, server: servers.Server, site: sites.Site, disk: disks.Disk
+    ) -> None:
         while not self._stopping:
-            self._turn(server)
+            self._turn(disk)
         site.stopping = True
         self._log.write(events.process.STOPPING, role=ROLE)
         server.hand_over()
         deadline = self._env.clock.monotonic() + STOP_SECONDS
         while not server.is_settled and self._env.clock.monotonic() < deadline:
-            self._turn(server)
+            self._turn(disk)
 
-    def _turn(self, server: servers.Server) -> None:
+    def _turn(self, disk: disks.Disk) -> None:
         """Wait for something to do; then let all that has arrived come in first."""
         self._arrived.acquire(timeout=TICK_SECONDS)
         eventlet.sleep(0)
-        server.turn()
+        disk.turn(self._env.clock.monotonic())
 
     def _wake(self) -> None:
         if self._arrived.balance <= 0:
--- a/packages/daemon/src/trestlestall/daemon/directory/server.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/server.py
@@ -21,6 +21,7 @@
     envelopes,
     group,
     journal as journals,
+    machine as machines,
     voter as voters,
 )
 from trestlestall.daemon.directory import (
@@ -74,13 +75,11 @@
         settings: process_settings.DirectorySettings,
         env: environment.Environment,
         log: logs.Log,
-        journal: journals.Journal,
-        identity: str,
         links: directory_links.Links,
         dialect: dialects.Dialect,
         wake: abc.Callable[[], object],
     ) -> None:
-        self.own = group.join_voter(links.own, identity)
+        self.own = links.own
         self.links = links
         self.voter: voters.Voter | None = None
         self.registrations = registrations.Registrations(
@@ -89,7 +88,7 @@
         self._settings = settings
         self._env = env
         self._log = log
-        self._journal = journal
+        self._journal: journals.Journal | None = None
         self._wake = wake
         self._calls = calls.Calls(self._pass_on)
         self._inbox: collections.deque = collections.deque()
@@ -103,9 +102,29 @@
         self._told_version = 0
         self.arbiter = arbitration.Arbiter(links, dialect, env.clock.monotonic)
         self._change: succession.Change | None = None
+
+    # The disk.
+
+    def start(self, journal: journals.Journal, identity: str) -> None:
+        """Go on from what the disk holds."""
+        self.own = group.join_voter(self.links.own, identity)
+        self._journal = journal
+        self._noticed_at = float("-inf")
         if journal.group is not None:
             self._start_voter(journal.group)
 
+    def suspend(self) -> None:
+        """Go on without a disk: nothing is voted, acknowledged or read as newest."""
+        self._journal = None
+        self.voter = None
+        self._change = None
+        self._inbox.clear()
+        self._results.clear()
+
+    def now(self) -> float:
+        """Return the time on the monotonic clock, in seconds."""
+        return self._env.clock.monotonic()
+
     # What the process asks and tells.
 
     @property
@@ -149,6 +168,10 @@
         if type(message) in VOTER_MESSAGES:
             self._wake()
 
+    def take_settings(self, settings: process_settings.DirectorySettings) -> None:
+        """Use what may change while the process runs."""
+        self.add_directories(map(str, settings.directories))
+
     def add_directories(self, names: abc.Iterable[str]) -> None:
         """Keep links to these directories too, and tell everyone of them."""
         new = set(names) - self._known - {self.links.own}
@@ -231,6 +254,8 @@
 
     def _settle_group(self, now: float) -> None:
         """Tell the others who this is; form or join the group once it is known."""
+        if self._journal is None:
+            return
         if now - self._noticed_at >= NOTICE_SECONDS and self._has_unsettled_peer():
             self._noticed_at = now
             for peer in self.links.list_directories():
@@ -255,6 +280,8 @@
         return any(notice.group is None for notice in self._notices.values())
 
     def _send_notice(self, peer: str) -> None:
+        if self._journal is None:
+            return
         notice = group.Notice(self.own, self._journal.group)
         self.links.send(peer, envelopes.seal(self.own, peer, notice))
 
@@ -354,9 +381,13 @@
         self.links.send(peer, messages.Roster(linked, count))
 
     def _tell_declaration(self) -> None:
-        """Tell the gateways of a new version, each directory for itself."""
+        """Tell the gateways of a new version, each directory for itself.
+
+        A voter that starts again knows nothing until a leader tells it what is
+        committed; that is not news.
+        """
         newest = self.voter.machine.declaration
-        if newest.version == self._told_version:
+        if newest.version <= self._told_version:
             return
         self._log.write(
             events.directory.IN_FORCE,
@@ -431,8 +462,10 @@
     server: Server, peer: str, message: messages.DeclarationPull
 ) -> None:
     """Send the newest configuration to a gateway that asks."""
+    newest = machines.NO_DECLARATION
     if server.voter is not None:
         newest = server.voter.machine.declaration
+    if newest.version:
         answer = messages.DeclarationDocument(newest.version, newest.packed)
         server.links.send(peer, answer)
 
--- a/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
@@ -193,6 +193,7 @@
         self.tried: list[str] = []
         self.runs = 0
         self.sends = 0
+        self.sent_at = arrived
         self.last_event: int | None = None
         self.events = 0
         self.began = False
@@ -254,19 +255,26 @@
             outcome = attempts.Broken(str(error))
         finally:
             self.attempt.finish(head)
-            self.service.placing.end(
-                self.descriptor, placed.row.identity, has_failed(outcome)
-            )
+            failed = self._judge_leaving() if self.caller.left else has_failed(outcome)
+            self.service.placing.end(self.descriptor, placed.row.identity, failed)
         if self.caller.left:
             raise callers.CallerLeft()
         self._learn(placed.row, outcome)
         return outcome
 
+    def _judge_leaving(self) -> bool | None:
+        """Return whether the caller left because the upstream kept it waiting."""
+        if self.first_seconds is not None:
+            return None
+        waited = time.monotonic() - self.sent_at
+        return True if waited > self.route.first_seconds else None
+
     def _exchange(self, row: upstreams.Row) -> Outcome:
         names = self.service.dialect.headers
         left = self.deadline - time.monotonic()
         headers = heads.list_forwarded(self.head, names, self._list_added(row, left))
         self.sends += 1
+        self.sent_at = time.monotonic()
         failed = self.attempt.send(self.head, headers, self.body, left)
         if failed is not None:
             self.sends -= isinstance(failed, attempts.NotSent)
--- a/packages/daemon/src/trestlestall/daemon/gateway/links.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/links.py
@@ -107,7 +107,11 @@
     def _choose_arbiter(self) -> None:
         """Ask the lowest of the settled directories, as every other gateway does."""
         latest = time.monotonic() - SETTLED_SECONDS
-        settled = [name for name, since in self._linked_at.items() if since <= latest]
+        settled = [
+            name
+            for name, since in self._linked_at.items()
+            if since <= latest and not self.placing.is_avoided(name)
+        ]
         found = settled or list(self._linked_at)
         if found:
             self.placing.set_arbiter(min(found))
--- a/packages/daemon/src/trestlestall/daemon/gateway/placing.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/placing.py
@@ -17,6 +17,10 @@
 ANSWER_SECONDS = 0.03
 #: Seconds in which a silent arbiter is not asked again.
 SILENCE_SECONDS = 0.5
+#: Questions in a row without an answer until another directory is asked, and for how
+#: many seconds: about as long as a disk or a process usually stands still.
+SILENCES_LIMIT = 2
+AVOIDED_SECONDS = 4.0
 FIRST = "first"
 ENDS = {True: "failed", False: "succeeded", None: "neither"}
 
@@ -34,6 +38,8 @@
         self._reaching = reach
         self._arbiter: str | None = None
         self._silent_until = 0.0
+        self._silences = 0
+        self._avoided: dict[str, float] = {}
         self._tokens = itertools.count(1)
         self._waiting: dict[int, eventlet.event.Event] = {}
         self._tasks: dict[str, list] = {}
@@ -54,6 +60,10 @@
             tasks=len(self._tasks),
         )
 
+    def is_avoided(self, directory: str) -> bool:
+        """Return whether the directory was silent too often to be asked now."""
+        return time.monotonic() < self._avoided.get(directory, 0.0)
+
     def note_linked(self, directory: str) -> None:
         """Tell the arbiter what runs, after a new link to it."""
         if directory == self._arbiter:
@@ -61,6 +71,7 @@
 
     def take_answer(self, answer: messages.PlaceAnswer) -> None:
         """Hand an answer to the request that waits for it."""
+        self._silences = 0
         waiting = self._waiting.pop(answer.token, None)
         if waiting is not None:
             waiting.send(answer)
@@ -137,7 +148,12 @@
 
     def _note_silent(self, descriptor: descriptors.Descriptor) -> None:
         """Go without the arbiter for a moment; it may have counted the request."""
-        self._silent_until = time.monotonic() + SILENCE_SECONDS
+        now = time.monotonic()
+        self._silent_until = now + SILENCE_SECONDS
+        self._silences += 1
+        if self._silences >= SILENCES_LIMIT:
+            self._silences = 0
+            self._avoided[self._arbiter] = now + AVOIDED_SECONDS
         self._note(descriptor, ENDS[None])
         self._knowledge.log.write(
             events.forwarding.ARBITER_SILENT,
--- /dev/null
+++ b/packages/daemon/tests/test_directory.py
@@ -0,0 +1,278 @@
+"""One directory in this process: its disk, its table, and the placing of requests."""
+
+import contextlib
+import errno
+import io
+import random
+import tempfile
+import unittest
+import zlib
+from unittest import mock
+
+from trestlestall.daemon import patching  # isort: skip
+
+import eventlet
+
+from packages.forwarding.tests import samples
+from trestlestall.daemon import dialects, environment, logs, settings
+from trestlestall.daemon.directory import (
+    disks,
+    operations,
+    registrations,
+    server as servers,
+    succession,
+)
+from trestlestall.forwarding import descriptors, upstreams
+from trestlestall.storage import files
+from trestlestall.wire import messages
+
+__all__ = ["patching"]
+
+OWN = "127.0.0.1:7000"
+OTHERS = ("127.0.0.1:7001", "127.0.0.1:7002")
+
+
+class Links:
+    """Links to named processes that keep what was sent."""
+
+    own = OWN
+
+    def __init__(self, directories=(), gateways=()):
+        self.directories = list(directories)
+        self.gateways = list(gateways)
+        self.sent = []
+
+    def add(self, addresses):
+        return None
+
+    def send(self, name, message):
+        self.sent.append((name, message))
+        return name in self.directories or name in self.gateways
+
+    def list_directories(self):
+        return self.directories
+
+    def list_gateways(self):
+        return self.gateways
+
+    def is_directory(self, name):
+        return name in self.directories
+
+    def find(self, kind, name=None):
+        return [
+            message
+            for to, message in self.sent
+            if isinstance(message, kind) and name in (None, to)
+        ]
+
+
+class Clock:
+    """A clock that a test moves."""
+
+    def __init__(self):
+        self.now = 100.0
+
+    def monotonic(self):
+        return self.now
+
+
+class DirectoryCase(unittest.TestCase):
+    def setUp(self):
+        self.stack = contextlib.ExitStack()
+        self.addCleanup(self.stack.close)
+        self.folder = self.stack.enter_context(tempfile.TemporaryDirectory())
+        self.clock = Clock()
+        self.links = Links(gateways=["gateway-1"])
+        self.output = io.StringIO()
+        clock = environment.Clock(self.clock.monotonic, lambda: 0.0)
+        env = environment.Environment(None, None, None, clock, random.Random(1))
+        log = logs.Log(self.output, clock, "directory-1")
+        made = settings.DirectorySettings(
+            role="directory",
+            name="directory-1",
+            data_centre="a",
+            listen=None,
+            secrets_file="",
+            data_folder=self.folder,
+            directories=(settings.Address("127.0.0.1", 7000),),
+            founding=True,
+        )
+        self.server = servers.Server(
+            made, env, log, self.links, dialects.NATIVE, lambda: None
+        )
+        self.disk = self.stack.enter_context(disks.hold(self.folder, self.server, log))
+
+    def turn(self, seconds=1.0):
+        for _ in range(int(seconds / 0.05)):
+            self.clock.now += 0.05
+            self.disk.turn(self.clock.now)
+
+    def call(self, kind, **document):
+        replies = []
+        self.server.open_call(kind, document, replies.append)
+        self.turn(1.5)
+        return replies[0]
+
+    def declare(self, version):
+        packed = zlib.compress(b"{}")
+        found = self.call(operations.Declare.name, version=version, packed=packed)
+        return found["status"]
+
+
+class DiskTest(DirectoryCase):
+    def test_a_full_disk_stops_acknowledgements_and_nothing_else(self):
+        self.turn()
+        self.assertEqual(self.declare(3), 200)
+        full = OSError(errno.ENOSPC, "full")
+        with mock.patch.object(files.SystemFiles, "write", side_effect=full):
+            self.assertEqual(self.declare(4), 503)
+            self.assertIsNone(self.server.voter)
+            read = self.call(operations.ReadDeclaration.name)
+            self.assertEqual(read["status"], 503)
+            self.assertTrue(self.server.registrations.announce(samples.make_row()))
+            self.assertTrue(self.links.find(messages.Announced, "gateway-1"))
+        self.turn(2.0)
+        self.assertEqual(self.declare(5), 200)
+        read = self.call(operations.ReadDeclaration.name)
+        self.assertEqual(read["version"], 5)
+
+    def test_what_was_acknowledged_is_there_after_the_disk_came_back(self):
+        self.turn()
+        self.assertEqual(self.declare(7), 200)
+        self.server.suspend()
+        self.disk.close()
+        self.disk.open(self.clock.now)
+        self.turn()
+        read = self.call(operations.ReadDeclaration.name)
+        self.assertEqual((read["status"], read["version"]), (200, 7))
+
+
+class RegistrationsTest(unittest.TestCase):
+    def make(self, directories, voters=3):
+        self.links = Links(directories, ["gateway-1"])
+        clock = environment.Clock(lambda: 0.0, lambda: 0.0)
+        log = logs.Log(io.StringIO(), clock, "x")
+        return registrations.Registrations(
+            self.links, log, lambda: voters, lambda: None, lambda: 0.0
+        )
+
+    def test_an_ordinary_announcement_needs_nobody(self):
+        made = self.make([])
+        self.assertTrue(made.announce(samples.make_row()))
+
+    def test_a_leave_is_acknowledged_once_a_majority_knows(self):
+        made = self.make(OTHERS)
+        made.announce(samples.make_row())
+        answers = []
+        drains = samples.make_row(sequence=2, state=upstreams.State.DRAINING)
+        waiting = eventlet.spawn(lambda: answers.append(made.announce(drains)))
+        eventlet.sleep(0.05)
+        self.assertEqual(answers, [])
+        asked = self.links.find(messages.Announced, OTHERS[0])[-1]
+        made.take_answer(OTHERS[0], messages.AnnouncedAnswer(asked.token))
+        waiting.wait()
+        self.assertEqual(answers, [True])
+
+    def test_a_leave_that_too_few_know_is_not_acknowledged(self):
+        made = self.make([])
+        with mock.patch.object(registrations, "MAJORITY_SECONDS", 0.05):
+            gone = upstreams.Row("u1", 0, upstreams.State.GONE)
+            self.assertFalse(made.announce(gone))
+            # The same again: what is known already must not pass for acknowledged.
+            self.assertFalse(made.announce(gone))
+
+    def test_rows_from_another_directory_are_passed_on_and_confirmed(self):
+        made = self.make(OTHERS)
+        made.take(OTHERS[0], registrations.encode([samples.make_row()], 9))
+        self.assertEqual(len(self.links.find(messages.Announced, "gateway-1")), 1)
+        self.assertEqual(
+            self.links.find(messages.AnnouncedAnswer, OTHERS[0])[0].token, 9
+        )
+
+
+class SuccessionTest(unittest.TestCase):
+    NOW = 100.0
+
+    def find(self, voters, **sights):
+        """Return the change with sights given as name=(voter, linked, seconds ago)."""
+        known = {
+            name: succession.Sight(voter, linked, self.NOW - ago)
+            for name, (voter, linked, ago) in sights.items()
+        }
+        return succession.find_change("a#1", voters, known, self.NOW)
+
+    def test_nothing_to_do(self):
+        seen = {"b": ("b#1", True, 9), "c": ("c#1", True, 9)}
+        self.assertIsNone(self.find(("a#1", "b#1", "c#1"), **seen))
+
+    def test_a_new_directory_is_added_once_its_link_lasts(self):
+        self.assertIsNone(self.find(("a#1",), b=("b#1", True, 0.1)))
+        self.assertEqual(self.find(("a#1",), b=("b#1", True, 1)).add, "b#1")
+
+    def test_a_replaced_disk_goes_before_the_new_one_comes(self):
+        seen = {"b": ("b#2", True, 9), "c": ("c#1", True, 9)}
+        self.assertEqual(self.find(("a#1", "b#1", "c#1"), **seen).remove, "b#1")
+        self.assertEqual(self.find(("a#1", "c#1"), **seen).add, "b#2")
+
+    def test_a_silent_voter_makes_room_for_one_that_waits(self):
+        seen = {"b": ("b#1", True, 9), "c": ("c#1", False, 3), "d": ("d#1", True, 9)}
+        self.assertEqual(self.find(("a#1", "b#1", "c#1"), **seen).remove, "c#1")
+        seen["c"] = ("c#1", False, 1)
+        self.assertEqual(self.find(("a#1", "b#1", "c#1"), **seen).add, "d#1")
+
+    def test_of_an_even_number_a_silent_one_goes_of_an_odd_none(self):
+        seen = {"b": ("b#1", True, 9), "c": ("c#1", True, 9), "d": ("d#1", False, 5)}
+        four = ("a#1", "b#1", "c#1", "d#1")
+        self.assertEqual(self.find(four, **seen).remove, "d#1")
+        seen["c"] = ("c#1", False, 50)
+        del seen["d"]
+        self.assertIsNone(self.find(four[:3], **seen))
+
+    def test_every_majority_of_all_holds_one_of_the_voters(self):
+        """Of n directories, voters are n or, with n even, n less one silent."""
+        for count in range(2, 12):
+            left = count - 1 if count % 2 == 0 else count
+            majority = count // 2 + 1
+            lost = count - left
+            self.assertGreaterEqual(majority - lost, left // 2 + 1)
+
+
+class ArbiterTest(DirectoryCase):
+    def setUp(self):
+        super().setUp()
+        self.arbiter = self.server.arbiter
+        rows = [samples.make_row(identity) for identity in ("u1", "u2")]
+        self.arbiter.set_rows(rows)
+
+    def place(self, token, request, gateway="gateway-1", tried=()):
+        plain = descriptors.encode(samples.make_descriptor(request))
+        call = messages.PlaceCall(token, tuple(plain), tried)
+        self.arbiter.place(gateway, call)
+        return self.links.find(messages.PlaceAnswer, gateway)[-1]
+
+    def test_requests_of_all_gateways_count(self):
+        self.links.gateways.append("gateway-2")
+        first = self.place(1, "r1")
+        second = self.place(2, "r2", "gateway-2")
+        self.assertNotEqual(first.upstream, second.upstream)
+
+    def test_nothing_left_to_try(self):
+        answer = self.place(1, "r1", tried=("u1", "u2"))
+        self.assertEqual((answer.token, answer.upstream), (1, ""))
+        self.assertTrue(answer.reason)
+
+    def test_a_gateway_that_is_gone_holds_no_places(self):
+        for number in range(6):
+            self.place(number, f"r{number}")
+        self.server.note_link("gateway-1", False)
+        self.assertEqual(self.arbiter.count_places("engines")[0], 0)
+
+    def test_a_new_arbiter_learns_what_runs(self):
+        plain = descriptors.encode(samples.make_descriptor("r1"))
+        state = messages.PlaceState(((plain, "u1", False), (plain, "u9", False)))
+        self.server.take_message("gateway-1", state)
+        self.assertEqual(self.arbiter.count_places("engines")[0], 1)
+        self.assertEqual(self.place(1, "r2").upstream, "u2")
+        note = messages.PlaceNote("r1", "succeeded")
+        self.server.take_message("gateway-1", note)
+        self.assertEqual(self.arbiter.count_places("engines")[0], 1)
--- a/packages/forwarding/src/trestlestall/forwarding/engines.py
+++ b/packages/forwarding/src/trestlestall/forwarding/engines.py
@@ -21,6 +21,10 @@
 LEARNING = 0.15
 #: Shortest predicted reading, in seconds, that says anything about the rate.
 SHORTEST_LESSON = 0.03
+#: A first event is overdue after so many times its prediction and so much of its
+#: target: twice what nine in ten first events took on quiet days.
+OVERDUE_FACTOR = 2.0
+OVERDUE_SHARE = 0.5
 #: Bounds of a learned rate, against one wild observation.
 RATE_BOUNDS = (2_000.0, 500_000.0)
 #: How far one outcome moves the estimate of how often an upstream fails.
@@ -68,6 +72,12 @@
         """Tokens of the engine's memory that the request is expected to take."""
         return self.descriptor.tokens_in + self.descriptor.expected_tokens_out
 
+    def find_overdue(self, now: float) -> float:
+        """Return the seconds by which the first event is late, beyond usual errors."""
+        due = OVERDUE_FACTOR * self.predicted
+        due += OVERDUE_SHARE * self.descriptor.first_seconds
+        return max(0.0, now - self.placed_at - due)
+
 
 def rank_task(task: Task) -> tuple[int, float]:
     """Return the place of a task in the order of reading."""
@@ -120,17 +130,25 @@
         """Return the seconds that reading so many tokens of one prompt takes."""
         return tokens * (1 + tokens / ATTENTION_TOKENS) / self.read_rate
 
-    def find_backlog(self, now: float, tier: int | None = None) -> float:
-        """Return the seconds of reading that come before a new prompt of the tier.
+    def find_backlog(self, now: float) -> float:
+        """Return the seconds of reading that all prompts here still need."""
+        self._advance(now)
+        return sum(task.left for task in self.tasks.values())
+
+    def find_wait(self, now: float, tier: int) -> float:
+        """Return the seconds until the engine gets to a new prompt of the tier.
 
-        Without a tier, those of all prompts that wait.
+        If the engine is late with one that comes before, it is taken to be as late with
+        the next: that is how an upstream shows first that it is slow or stands still.
         """
         self._advance(now)
-        return sum(
-            task.left
+        before = [
+            task
             for task in self.tasks.values()
-            if tier is None or task.descriptor.tier <= tier
-        )
+            if not task.began and task.descriptor.tier <= tier
+        ]
+        overdue = max((task.find_overdue(now) for task in before), default=0.0)
+        return sum(task.left for task in before) + overdue
 
     def find_tightness(self) -> float:
         """Return how much a long prompt would hurt the streams that run here.
--- a/packages/forwarding/src/trestlestall/forwarding/placement.py
+++ b/packages/forwarding/src/trestlestall/forwarding/placement.py
@@ -171,8 +171,8 @@
     ) -> Placed:
         engine = self.engines[row.identity]
         unread = engine.count_unread(descriptor)
-        backlog = engine.find_backlog(now, descriptor.tier)
-        predicted = backlog + engine.find_reading(unread)
+        wait = engine.find_wait(now, descriptor.tier)
+        predicted = wait + engine.find_reading(unread)
         task = engines.Task(descriptor, row.identity, unread, now, predicted)
         engine.begin(task, now)
         self._tasks[descriptor.request_id] = engine
@@ -216,7 +216,7 @@
     """
     reading = engine.find_reading(engine.count_unread(descriptor))
     backlog = engine.find_backlog(now)
-    predicted = engine.find_backlog(now, descriptor.tier) + reading
+    predicted = engine.find_wait(now, descriptor.tier) + reading
     cost = weigh_delay(predicted / max(descriptor.first_seconds, 0.001))
     if predicted > WHOLE_SHARE * descriptor.whole_seconds:
         cost += NO_ANSWER_COST
--- a/packages/forwarding/tests/test_placement.py
+++ b/packages/forwarding/tests/test_placement.py
@@ -84,6 +84,14 @@
         elsewhere = {self.place(f"b{number}", data_centre="b") for number in range(12)}
         self.assertEqual(elsewhere, {"u1", "u2", "u3"})
 
+    def test_an_upstream_that_stands_still_is_left_alone(self):
+        first = self.place("r1", 0.0)
+        others = {self.place(f"b{number}", 1.0) for number in range(10)}
+        self.assertNotIn(first, others)
+        self.placer.note_first("r1", 1.1)
+        later = {self.place(f"c{number}", 1.2, tokens=1) for number in range(10)}
+        self.assertIn(first, later)
+
     def test_out_of_reach_only_when_nothing_else_is_left(self):
         for identity in ("u1", "u2"):
             self.placer.set_reachable(identity, False)
