--- a/packages/client/src/trestlestall/client/cli.py
+++ b/packages/client/src/trestlestall/client/cli.py
@@ -3,6 +3,7 @@
 import dataclasses
 import functools
 import inspect
+import pathlib
 import typing
 from collections import abc
 
@@ -13,6 +14,7 @@
     sessions,
     settings,
     status,
+    stories,
     texts,
 )
 from trestlestall.daemon import checking, commands, environment
@@ -140,9 +142,24 @@
 
 
 @register_command("explain")
-def run_explain(call: Call, request: str) -> int:
-    """Tell how one request was routed."""
-    return run_query(call, f"explain request {request}")
+def run_explain(call: Call, request: str, *, logs: str | None = None) -> int:
+    """Tell how one request was routed, by a server's memory or by log files."""
+    if logs is None:
+        return run_query(call, f"explain request {request}")
+    paths = [pathlib.Path(each) for each in logs.split(",")]
+    try:
+        story = stories.tell(request, paths)
+    except OSError as error:
+        return call.refuse(f"can't read {error.filename}: {error.strerror}")
+    for line in story.lines:
+        first = next(each.at for each in story.lines if "request" in each.fields)
+        call.env.stdout.write(f"{stories.write_line(line, first)}\n")
+    if story.unreadable:
+        _complain(call.env, f"{story.unreadable} unreadable lines were passed over")
+    if not story.lines:
+        _complain(call.env, f"no line of {logs} is about {request}")
+        return status.ExitStatus.REJECTED
+    return status.ExitStatus.OK
 
 
 @register_command("status")
--- a/packages/client/src/trestlestall/client/manual.py
+++ b/packages/client/src/trestlestall/client/manual.py
@@ -8,7 +8,7 @@
     trestlestall command TEXT [--number N] [--request-id ID] [--dry-run]
     trestlestall command - | --file FILE [--number N] [--request-id ID] [--dry-run]
     trestlestall query TEXT
-    trestlestall explain REQUEST
+    trestlestall explain REQUEST [--logs FILE,FILE...]
     trestlestall status
     trestlestall check-settings FILE
     trestlestall --help
@@ -30,7 +30,8 @@
         Ask, for instance: show upstreams where load > 0.8
     explain REQUEST
         Tell how a request was routed; its id stands in the answer's header
-        Trestlestall-Request.
+        Trestlestall-Request. With --logs, tell it out of collected log files, without
+        asking a server: what each process decided, and what it believed meanwhile.
     status
         Show which version is in force where, who leads and who lags.
     check-settings FILE
--- /dev/null
+++ b/packages/client/tests/test_stories.py
@@ -0,0 +1,80 @@
+"""A request's story out of log files: ordered, of several hosts, bad lines counted."""
+
+import io
+import json
+import pathlib
+import random
+import tempfile
+import unittest
+
+from trestlestall.client import cli, stories
+from trestlestall.daemon import environment
+
+
+def make_line(second, process, name, **fields):
+    """Return a log line as a process writes it."""
+    at = f"2026-01-01T00:00:{second:06.3f}Z"
+    head = {"event": "TS1", "at": at, "name": name, "process": process}
+    return json.dumps({**head, **fields})
+
+
+LINES = {
+    "one.log": [
+        make_line(9.5, "gateway-1", "upstream_row", upstream="u1", state="draining"),
+        make_line(1.0, "gateway-1", "upstream_row", upstream="u1", state="serving"),
+        make_line(9.6, "gateway-1", "upstream_row", upstream="u9", state="gone"),
+        "  12.3 gateway-1 "
+        + make_line(10.0, "gateway-1", "forward_sent", request="r1", upstream="u1"),
+        make_line(10.2, "gateway-1", "forward_sent", request="r2", upstream="u1"),
+        '{"event": "TS7002", "at": "2026-01-01T0',
+    ],
+    "two.log": [
+        "plain text",
+        make_line(10.1, "gateway-2", "upstream_row", upstream="u1", state="gone"),
+        make_line(10.5, "gateway-1", "forward_ended", request="r1", upstream="u1"),
+    ],
+}
+
+
+class StoryTest(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.paths = []
+        for name, lines in LINES.items():
+            path = pathlib.Path(folder.name) / name
+            path.write_text("\n".join(lines))
+            self.paths.append(path)
+
+    def test_what_bears_on_the_request_in_the_order_of_time(self):
+        story = stories.tell("r1", self.paths)
+        names = [(line.process, line.name) for line in story.lines]
+        self.assertEqual(
+            names,
+            [
+                ("gateway-1", "upstream_row"),
+                ("gateway-1", "forward_sent"),
+                ("gateway-1", "forward_ended"),
+            ],
+        )
+        self.assertEqual(story.unreadable, 2)
+
+    def run_explain(self, request, logs):
+        output, errors = io.StringIO(), io.StringIO()
+        env = environment.Environment(
+            None, output, errors, environment.Clock(), random.Random(1)
+        )
+        code = cli.main(["explain", request, "--logs", logs], env)
+        return code, output.getvalue(), errors.getvalue()
+
+    def test_command(self):
+        logs = ",".join(map(str, self.paths))
+        code, output, errors = self.run_explain("r1", logs)
+        self.assertEqual(code, 0)
+        self.assertIn("+0.500 s  gateway-1  forward_ended  upstream=u1", output)
+        self.assertIn("2 unreadable lines", errors)
+        code, output, errors = self.run_explain("r7", logs)
+        self.assertEqual((code, output), (1, ""))
+        code, _, errors = self.run_explain("r1", "/nowhere/x.log")
+        self.assertEqual(code, 2)
+        self.assertIn("can't read /nowhere/x.log", errors)
--- a/packages/forwarding/src/trestlestall/forwarding/placement.py
+++ b/packages/forwarding/src/trestlestall/forwarding/placement.py
@@ -112,8 +112,10 @@
         if not rows:
             return Refused("no upstream", RETURN_SECONDS)
         near = [row for row in rows if self.engines[row.identity].reachable]
+        if not near:
+            return Refused("no upstream within reach", RETURN_SECONDS)
         self._forget_parts(now)
-        best = min(near or rows, key=lambda row: self._rank(row, descriptor, now))
+        best = min(near, key=lambda row: self._rank(row, descriptor, now))
         return self._begin(best, descriptor, now)
 
     def note_first(self, request_id: str, now: float) -> None:
@@ -144,7 +146,7 @@
         return self._begin(row, descriptor, now)
 
     def set_reachable(self, identity: str, reachable: bool) -> None:
-        """Choose the upstream, or only if no other can be reached."""
+        """Note whether the upstream can be connected to, and thus chosen."""
         engine = self.engines.get(identity)
         if engine is not None:
             engine.reachable = reachable
