--- a/packages/daemon/src/trestlestall/daemon/bounded.py
+++ b/packages/daemon/src/trestlestall/daemon/bounded.py
@@ -6,7 +6,10 @@
 from collections import abc
 
 import eventlet
-from eventlet import hubs
+from eventlet import hubs, patcher
+
+# eventlet's write would wait for ever for a reader that is gone.
+plain_os = patcher.original("os")
 
 #: Bytes of lines that wait for a slow reader; about two seconds of a busy process.
 WAITING_BYTES = 1024 * 1024
@@ -51,7 +54,7 @@
         self._lines.clear()
         while data and not self._closed:
             try:
-                data = data[os.write(self._descriptor, data) :]
+                data = data[plain_os.write(self._descriptor, data) :]
             except BlockingIOError:
                 self._bytes = len(data) + sum(map(len, self._lines))
                 hubs.trampoline(self._descriptor, write=True)
--- a/packages/daemon/src/trestlestall/daemon/gateway/process.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/process.py
@@ -57,6 +57,7 @@
         self._settings = settings
         self._dialect = dialect
         self._source = source
+        self._output = env.stdout
         self._log = logs.Log(env.stdout, env.clock, settings.name)
         self.knowledge = knowledges.Knowledge(dialect, self._log)
         self._metrics = gateway_metrics.Metrics()
@@ -193,6 +194,7 @@
         metrics.upstreams.set(len(self.knowledge.table.rows))
         metrics.links.set(len(self._links.mesh.linked()))
         metrics.opened.set(self.service.pool.opened)
+        metrics.dropped.set(getattr(self._output, "dropped", 0))
         return answers.Answer(READY, metrics.render(), gateway_metrics.CONTENT_TYPE)
 
     # The rest.
