Probe an upstream that kept a request waiting; keep connections as long as they last

Cause: when the host of an upstream is cut off, requests on kept connections wait in silence until their time is over, and the next ones follow. Ruled out: health requests (priced, and they wait for a slot); one connection is enough. Change: one connection attempt after such a request decides whether the upstream gets more; idle connections are used until 0.3 s before the upstream closes them; a connection that is not there after 0.2 s is given up.

--- a/packages/daemon/src/trestlestall/daemon/gateway/connections.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/connections.py
@@ -16,13 +16,15 @@
 from trestlestall.wire import addresses
 
 READ_BYTES = 65536
-#: Seconds to wait for a connection: some round trips within a region. A host that is
-#: down or cut off answers nothing at all.
-CONNECT_SECONDS = 0.4
+#: Seconds to wait for a connection: many round trips within a region, and half of the
+#: shortest targets. A host that is down or cut off answers nothing at all.
+CONNECT_SECONDS = 0.2
 #: Milliseconds until the kernel gives up on sent bytes that nobody acknowledges.
 UNACKNOWLEDGED_MILLISECONDS = 4000
-#: Part of the upstream's idle time within which a connection is used again, so that
-#: its close and the next request rarely cross.
+#: Seconds before an upstream closes an idle connection, by its own word, until which it
+#: is used again: its close and the next request then hardly ever cross. Of a short time
+#: at least a share is used.
+KEPT_MARGIN = 0.3
 KEPT_SHARE = 0.6
 #: Seconds to keep an idle connection whose upstream names no time.
 KEPT_SECONDS = 4.0
@@ -87,7 +89,8 @@
             return
         connection.http.start_next_cycle()
         seconds = KEPT_SECONDS if kept_seconds is None else kept_seconds
-        connection.kept_until = self._clock() + seconds * KEPT_SHARE
+        usable = max(KEPT_SHARE * seconds, seconds - KEPT_MARGIN)
+        connection.kept_until = self._clock() + usable
         self._idle.setdefault(connection.address, []).append(connection)
 
     def drop(self, address: str) -> None:
--- a/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
@@ -258,6 +258,8 @@
             failed = self._judge_leaving() if self.caller.left else has_failed(outcome)
             self.service.placing.end(self.descriptor, placed.row.identity, failed)
         if self.caller.left:
+            if failed:
+                self.service.reaching.suspect(placed.row)
             raise callers.CallerLeft()
         self._learn(placed.row, outcome)
         return outcome
@@ -385,6 +387,8 @@
         """Let the outcome change what is believed of the upstream."""
         if isinstance(outcome, attempts.NotSent):
             self.service.reaching.note_unreachable(row, outcome.reason)
+        elif isinstance(outcome, attempts.Broken) and self.first_seconds is None:
+            self.service.reaching.suspect(row)
         elif isinstance(outcome, attempts.NotRun) and outcome.is_misdirected:
             self.knowledge.note_replaced(row)
             self.service.placing.report_replaced(row.identity)
--- a/packages/daemon/src/trestlestall/daemon/gateway/reaching.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/reaching.py
@@ -22,12 +22,28 @@
     def __init__(self, knowledge: knowledges.Knowledge) -> None:
         self._knowledge = knowledge
         self._trying: set[str] = set()
+        self._suspected: set[str] = set()
 
     @property
     def unreachable(self) -> frozenset[str]:
         """The upstreams that can't be connected to from here, by identity."""
         return frozenset(self._trying)
 
+    def suspect(self, row: upstreams.Row) -> None:
+        """Find out whether an upstream that kept a request waiting is still there.
+
+        Requests on kept connections wait in silence when its host is cut off.
+        """
+        if row.identity not in self._trying and row.identity not in self._suspected:
+            self._suspected.add(row.identity)
+            eventlet.spawn(self._try_once, row)
+
+    def _try_once(self, row: upstreams.Row) -> None:
+        reached = can_connect(row.address)
+        self._suspected.discard(row.identity)
+        if not reached:
+            self.note_unreachable(row, "kept a request waiting, then no connection")
+
     def note_unreachable(self, row: upstreams.Row, reason: str) -> None:
         """Leave the upstream alone until a connection to it succeeds."""
         self._knowledge.placer.set_reachable(row.identity, False)
--- a/packages/daemon/tests/test_gateway.py
+++ b/packages/daemon/tests/test_gateway.py
@@ -279,6 +279,16 @@
             self.assertEqual(self.bench.ask("/once/x")[2], "done")
         self.assertEqual(len(self.bench.list_lines("upstream_unreachable")), 1)
 
+    def test_an_upstream_that_went_silent_is_tried_once_and_left_alone(self):
+        silent = self.bench.add("u1", bench.send("", keep=True, after=5))
+        self.bench.ask("/short/x")
+        self.assertEqual(self.bench.list_lines("upstream_unreachable"), [])
+        silent.stop()
+        self.bench.ask("/short/x")
+        found = bench.wait_until(lambda: self.bench.list_lines("upstream_unreachable"))
+        self.assertTrue(found)
+        self.assertEqual(self.bench.ask("/short/x")[0], 503)
+
     def test_another_incarnation_at_the_address_gets_nothing_more(self):
         other = self.bench.add("u1", bench.answer("", "", status="421 Other"))
         self.bench.add("u2", bench.answer("", "done"))
