Never change voters without a living quorum; split the forwarding of a request

Cause of a second fault, found while reading: a request that broke while it was being written counted as never sent, so it could be answered 503 though it may have run (test first: 503 where 502 is due).

--- a/packages/daemon/src/trestlestall/daemon/directory/succession.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/succession.py
@@ -69,7 +69,24 @@
     sights: abc.Mapping[str, Sight],
     now: float,
 ) -> Change | None:
-    """Return the next change that the leader ``own`` should make, if any."""
+    """Return the next change that the leader ``own`` should make, if any.
+
+    None is made whose voters could not decide at once: it would be in force here
+    without ever being committed, and no other leader could follow.
+    """
+    found = find_wanted(own, voters, sights, now)
+    if found is None or not has_living_quorum(own, voters, sights, found):
+        return None
+    return found
+
+
+def find_wanted(
+    own: str,
+    voters: abc.Sequence[str],
+    sights: abc.Mapping[str, Sight],
+    now: float,
+) -> Change | None:
+    """Return the change that the rules ask for, if any."""
     if len(voters) > 1:
         replaced = find_replaced(own, voters, sights)
         if replaced is not None:
@@ -85,6 +102,18 @@
     return None
 
 
+def has_living_quorum(
+    own: str,
+    voters: abc.Sequence[str],
+    sights: abc.Mapping[str, Sight],
+    change: Change,
+) -> bool:
+    """Return whether those linked are a majority of the voters after the change."""
+    after = {*voters, change.add} - {change.remove, None}
+    linked = {sight.voter for sight in sights.values() if sight.linked}
+    return len(after & {own, *linked}) > len(after) // 2
+
+
 def find_removal(
     count: int, silent: abc.Sequence[Silent], waits: bool, now: float
 ) -> Change | None:
--- a/packages/daemon/src/trestlestall/daemon/gateway/process.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/process.py
@@ -21,10 +21,11 @@
 )
 from trestlestall.daemon.gateway import (
     callers,
-    forwards,
     knowledge as knowledges,
     links as gateway_links,
     metrics as gateway_metrics,
+    refusals,
+    services,
 )
 from trestlestall.daemon.http import answers, application, listener, routes
 from trestlestall.wire import exceptions as wire_exceptions, sockets
@@ -61,7 +62,7 @@
         self._log = logs.Log(env.stdout, env.clock, settings.name)
         self.knowledge = knowledges.Knowledge(dialect, self._log)
         self._metrics = gateway_metrics.Metrics()
-        self.service = forwards.Service(
+        self.service = services.Service(
             settings, dialect, self.knowledge, self._metrics
         )
         self._links = gateway_links.Links(
@@ -166,10 +167,10 @@
                 return
 
     def _reject(self, caller: callers.Caller, rejected: callers.Rejected) -> None:
-        now = time.monotonic()
-        self.service.note_refused("", "", rejected.status, rejected.reason, None, now)
+        refusal = refusals.Refusal(rejected.status, rejected.reason)
+        self.service.note_refused(refusal, None, time.monotonic())
         caller.closing = True
-        caller.reject(rejected.status, forwards.encode_error(rejected.reason))
+        caller.reject(rejected.status, refusals.encode_error(rejected.reason))
 
     def _count(self) -> int:
         return sum(not caller.idle for caller in self._open)
--- /dev/null
+++ b/packages/daemon/src/trestlestall/daemon/gateway/records.py
@@ -0,0 +1,86 @@
+"""The log lines of one forwarded request."""
+
+from __future__ import annotations
+
+import time
+import typing
+
+from trestlestall.daemon import events
+from trestlestall.daemon.gateway import outcomes
+from trestlestall.forwarding import budgets, placement, upstreams
+
+if typing.TYPE_CHECKING:
+    from trestlestall.daemon.gateway import forwards
+
+
+def write_sent(forward: forwards.Forward, placed: placement.Placed) -> None:
+    """Tell where a request goes, and what decided that."""
+    engine = forward.knowledge.placer.engines[placed.row.identity]
+    data_centre = forward.descriptor.data_centre
+    workspace = forward.workspace
+    forward.knowledge.log.write(
+        events.forwarding.SENT,
+        request=forward.descriptor.request_id,
+        route=forward.route.name,
+        workspace=workspace.name if workspace else None,
+        tier=forward.descriptor.tier,
+        upstream=placed.row.identity,
+        address=placed.row.address,
+        attempt=len(forward.tried),
+        unread=placed.unread,
+        predicted=round(placed.predicted, 4),
+        taken=len(engine.tasks),
+        failure_rate=round(engine.find_failure_rate(data_centre), 3),
+        source=placed.source,
+        declaration=forward.knowledge.version,
+        seconds_left=round(forward.deadline - time.monotonic(), 3),
+    )
+
+
+def write_repeated(
+    forward: forwards.Forward,
+    row: upstreams.Row,
+    outcome: outcomes.Outcome,
+    allowed: bool,
+    bound: budgets.Bound,
+) -> None:
+    """Tell how an attempt ended, and whether another one follows."""
+    now = time.monotonic()
+    budget = forward.knowledge.find_budget(forward.descriptor.service)
+    forward.knowledge.log.write(
+        events.forwarding.REPEATED,
+        request=forward.descriptor.request_id,
+        route=forward.route.name,
+        upstream=row.identity,
+        outcome=type(outcome).__name__,
+        reason=outcomes.describe_outcome(outcome),
+        allowed=allowed,
+        repeats=budget.count_repeats(bound, now),
+        limit=round(budget.find_limit(bound, now), 1),
+        runs=forward.runs,
+        seconds_left=round(forward.deadline - now, 3),
+    )
+
+
+def write_ended(
+    forward: forwards.Forward, status: int, outcome: str, reason: str
+) -> None:
+    """Tell and count how a request ended whose answer came from an upstream."""
+    relay = forward.relay
+    seconds = time.monotonic() - forward.arrived
+    first = relay.first_seconds
+    forward.service.metrics.note_ended(forward.route.name, outcome, seconds, first)
+    forward.knowledge.log.write(
+        events.forwarding.ENDED,
+        request=forward.descriptor.request_id,
+        route=forward.route.name,
+        upstream=forward.tried[-1] if forward.tried else None,
+        status=status,
+        outcome=outcome,
+        reason=reason,
+        attempts=len(forward.tried),
+        events=relay.events,
+        seconds=round(seconds, 4),
+        first_seconds=None if first is None else round(first, 4),
+        longest_pause=round(relay.longest_pause, 4),
+    )
--- /dev/null
+++ b/packages/daemon/src/trestlestall/daemon/gateway/relays.py
@@ -0,0 +1,85 @@
+"""Passing a stream of events on to the caller, over one upstream or several."""
+
+import time
+from collections import abc
+
+from trestlestall.daemon.gateway import attempts, callers, events_stream
+
+
+class Relay:
+    """How far a caller's answer has come; ``on_first`` is called at its first event.
+
+    Times are in seconds; ``first_seconds`` counts from the request's arrival.
+    """
+
+    def __init__(
+        self,
+        caller: callers.Caller,
+        arrived: float,
+        on_first: abc.Callable[[], object],
+    ) -> None:
+        self.began = False
+        self.last_event: int | None = None
+        self.events = 0
+        self.first_seconds: float | None = None
+        self.longest_pause = 0.0
+        self._caller = caller
+        self._arrived = arrived
+        self._on_first = on_first
+
+    def note_first(self) -> None:
+        """Note that the answer, or its first event, is there."""
+        self.first_seconds = time.monotonic() - self._arrived
+        self._on_first()
+
+    def pass_on(
+        self,
+        attempt: attempts.Attempt,
+        head: attempts.AnswerHead,
+        find_deadline: abc.Callable[[], float],
+    ) -> None:
+        """Pass on whole events to the stream's end; raises ``BrokenExchange``.
+
+        ``find_deadline`` tells until when to wait for each part. What an upstream sends
+        that goes on for another one must follow without a gap.
+        """
+        resumed = self.began
+        splitter = events_stream.Splitter()
+        latest = time.monotonic()
+        for part in attempt.read_parts(find_deadline):
+            for event in splitter.take(part):
+                now = time.monotonic()
+                self._note_event(now - latest)
+                latest = now
+                self._pass_on_event(head, event, resumed)
+        if splitter.rest:
+            raise attempts.BrokenExchange("the stream ended within an event")
+        self._begin(head)
+        self._caller.end_answer()
+
+    def _pass_on_event(
+        self, head: attempts.AnswerHead, event: bytes, resumed: bool
+    ) -> None:
+        number = events_stream.read_identity(event)
+        if number is not None and self.last_event is not None:
+            if number <= self.last_event:
+                return
+            if resumed and number > self.last_event + 1:
+                raise attempts.BrokenExchange("events are missing after resuming")
+        self._begin(head)
+        self._caller.write_part(event)
+        if number is not None:
+            self.last_event = number
+
+    def _begin(self, head: attempts.AnswerHead) -> None:
+        """Write the head of the answer once: that of the first upstream."""
+        if not self.began:
+            self._caller.begin_answer(head.status, head.list_passed_on())
+            self.began = True
+
+    def _note_event(self, pause: float) -> None:
+        self.events += 1
+        if self.events == 1:
+            self.note_first()
+        else:
+            self.longest_pause = max(self.longest_pause, pause)
--- /dev/null
+++ b/packages/daemon/src/trestlestall/daemon/gateway/services.py
@@ -0,0 +1,133 @@
+"""What all requests of a gateway share, and the first look at each."""
+
+import random
+import time
+from collections import abc
+
+from trestlestall.daemon import dialects, events, settings as process_settings
+from trestlestall.daemon.gateway import (
+    callers,
+    connections,
+    forwards,
+    heads,
+    knowledge as knowledges,
+    metrics as gateway_metrics,
+    placing,
+    reaching,
+    refusals,
+)
+from trestlestall.forwarding import budgets, directory, model
+
+#: Gateways that share the retry budget, until a directory tells how many there are:
+#: more than most deployments have, so that too little is spent rather than too much.
+GATEWAYS_ASSUMED = 32
+
+
+class Service:
+    """What all requests of a gateway share."""
+
+    def __init__(
+        self,
+        settings: process_settings.GatewaySettings,
+        dialect: dialects.Dialect,
+        knowledge: knowledges.Knowledge,
+        metrics: gateway_metrics.Metrics,
+        draw: abc.Callable[[], float] = random.random,
+    ) -> None:
+        self.settings = settings
+        self.dialect = dialect
+        self.knowledge = knowledge
+        self.metrics = metrics
+        self.draw = draw
+        self.pool = connections.Pool()
+        self.reaching = reaching.Reaching(knowledge)
+        self.placing = placing.Placing(knowledge, self.reaching)
+        self.gateways = GATEWAYS_ASSUMED
+        self.refuse_at = 0.0
+        self.stop_at: float | None = None
+
+    def handle(self, request: callers.Request, caller: callers.Caller) -> None:
+        """Answer one request; raises ``CallerLeft``."""
+        arrived = time.monotonic()
+        admitted = self._admit(request, arrived)
+        if isinstance(admitted, refusals.Refusal):
+            self.refuse(caller, admitted, arrived)
+            return
+        forwards.Forward(self, caller, admitted, request.body, arrived).run()
+
+    def _admit(
+        self, request: callers.Request, now: float
+    ) -> forwards.Admitted | refusals.Refusal:
+        """Find the request's route and workspace, or why it can't be served."""
+        names = self.dialect.headers
+        head = heads.read_head(request.method, request.target, request.headers, names)
+        if isinstance(head, heads.Malformed):
+            return refusals.Refusal(refusals.BAD_REQUEST, head.reason)
+        identity = head.request_id
+        known = self.knowledge.directory
+        if known is None:
+            reason = "no configuration is known yet"
+            return refusals.Refusal(refusals.UNAVAILABLE, reason, identity)
+        route = known.find_route(head.host, head.path)
+        if isinstance(route, directory.Unroutable):
+            return refusals.Refusal(refusals.NOT_FOUND, "no route", identity)
+        workspace = known.find_workspace(route, head.key)
+        if isinstance(workspace, directory.Unknown):
+            reason = "unknown key"
+            status = refusals.UNAUTHORIZED
+            return refusals.Refusal(status, reason, identity, route.name)
+        if self.is_too_late(route, now):
+            reason = refusals.STOPPING
+            status = refusals.UNAVAILABLE
+            return refusals.Refusal(status, reason, identity, route.name)
+        return forwards.Admitted(head, route, workspace)
+
+    def is_too_late(self, route: model.Route, now: float) -> bool:
+        """Return whether a stop would cut the request off.
+
+        Until the balancer has noticed the stop, all requests are taken; they have the
+        grace time. Of later ones only those that surely end before it does.
+        """
+        if self.stop_at is None or now < self.refuse_at:
+            return False
+        return route.streams or now + route.whole_seconds > self.stop_at
+
+    def find_retry_bound(self) -> budgets.Bound:
+        """Return the bound of repeated sends, shared among the gateways."""
+        given = self.settings.retries
+        return budgets.Bound(
+            given.ratio, given.slack, given.window_seconds, self.gateways
+        )
+
+    def refuse(
+        self,
+        caller: callers.Caller,
+        refusal: refusals.Refusal,
+        arrived: float,
+        after: float | None = None,
+    ) -> None:
+        """Answer, log and count a request that ends here; raises ``CallerLeft``.
+
+        ``after`` is when the caller should come back, in seconds, if that is known.
+        """
+        if after is None:
+            after = refusals.find_return(refusal.status, refusal.reason)
+        self.note_refused(refusal, after, arrived)
+        headers = refusals.list_error_headers(after)
+        caller.answer(refusal.status, headers, refusals.encode_error(refusal.reason))
+
+    def note_refused(
+        self, refusal: refusals.Refusal, after: float | None, arrived: float
+    ) -> None:
+        """Log and count a request that ends here."""
+        self.metrics.note_refused(refusal.route, refusal.reason)
+        self.knowledge.log.write(
+            events.forwarding.REFUSED,
+            request=refusal.request_id,
+            route=refusal.route,
+            status=refusal.status,
+            reason=refusal.reason,
+            retry_after=after,
+            declaration=self.knowledge.version,
+            seconds=round(time.monotonic() - arrived, 4),
+        )
--- a/packages/daemon/tests/test_directory.py
+++ b/packages/daemon/tests/test_directory.py
@@ -228,6 +228,12 @@
         del seen["d"]
         self.assertIsNone(self.find(four[:3], **seen))
 
+    def test_no_change_that_the_living_could_not_decide(self):
+        seen = {"b": ("b#1", False, 9), "c": ("c#1", False, 8), "d": ("d#1", True, 9)}
+        self.assertIsNone(self.find(("a#1", "b#1", "c#1"), **seen))
+        seen["c"] = ("c#1", True, 8)
+        self.assertEqual(self.find(("a#1", "b#1", "c#1"), **seen).remove, "b#1")
+
     def test_two_dead_among_an_odd_number_are_removed_in_the_end(self):
         seen = {name: (f"{name}#1", True, 99) for name in "bcde"}
         seen |= {"f": ("f#1", False, 50), "g": ("g#1", False, 11)}
--- a/packages/daemon/tests/test_gateway.py
+++ b/packages/daemon/tests/test_gateway.py
@@ -2,8 +2,10 @@
 
 import contextlib
 import unittest
+from unittest import mock
 
 from packages.daemon.tests import gateway_bench as bench
+from trestlestall.daemon.gateway import attempts
 
 
 class GatewayCase(unittest.TestCase):
@@ -296,6 +298,12 @@
             self.assertEqual(self.bench.ask("/once/x")[2], "done")
         self.assertLessEqual(len(other.received), 1)
 
+    def test_a_request_that_broke_while_it_was_sent_may_have_run(self):
+        self.bench.add("u1", bench.answer(""))
+        broken = attempts.Broken("while sending")
+        with mock.patch.object(attempts.Attempt, "_write", return_value=broken):
+            self.assertEqual(self.bench.ask("/once/x")[0], 502)
+
     def test_refusals_are_passed_on_as_not_run(self):
         full = "Trestlestall-Not-Run: 1\r\nRetry-After: 0.25\r\n"
         self.bench.add("u1", bench.answer(full, "", status="503 Full"))
