--- /dev/null
+++ b/packages/daemon/src/trestlestall/daemon/directory/arrivals.py
@@ -0,0 +1,147 @@
+"""What arrives over a directory's links: a registry by the message's type."""
+
+from __future__ import annotations
+
+import typing
+from collections import abc
+
+from trestlestall.agreement import events as agreement_events
+from trestlestall.daemon.control import calls, envelopes, group, machine as machines
+from trestlestall.wire import messages
+
+if typing.TYPE_CHECKING:
+    from trestlestall.daemon.directory import server as servers
+
+#: The messages after which the voter has something to do.
+VOTER_MESSAGES = (
+    messages.Agreement,
+    messages.Submit,
+    messages.SubmitAnswer,
+    messages.Roster,
+)
+
+Document = dict[str, typing.Any]
+Handler = abc.Callable[["servers.Server", str, typing.Any], None]
+HANDLERS: dict[type, Handler] = {}
+
+
+def handles(kind: type) -> abc.Callable[[Handler], Handler]:
+    """Return a decorator that makes the function handle one kind of message."""
+
+    def enter(function: Handler) -> Handler:
+        HANDLERS[kind] = function
+        return function
+
+    return enter
+
+
+def handle(server: servers.Server, peer: str, message: typing.Any) -> bool:
+    """Hand a message to its handler; return whether the voter has something to do."""
+    handler = HANDLERS.get(type(message))
+    if handler is not None:
+        handler(server, peer, message)
+    return type(message) in VOTER_MESSAGES
+
+
+@handles(messages.Agreement)
+def take_agreement(
+    server: servers.Server, peer: str, message: messages.Agreement
+) -> None:
+    """Take a notice, or a message for this disk's voter."""
+    opened = envelopes.unseal(peer, message)
+    if opened is None:
+        return
+    if isinstance(opened.message, group.Notice):
+        if opened.message.voter == opened.sender:
+            server.members.take_notice(peer, opened.message)
+    elif opened.to == server.own:
+        server.take_event(agreement_events.Receive(opened.sender, opened.message))
+
+
+@handles(messages.Submit)
+def take_call(server: servers.Server, peer: str, message: messages.Submit) -> None:
+    """Take a call that another directory passed on."""
+    document = dict(message.document)
+    kind = document.pop("call", None)
+    if kind not in calls.KINDS:
+        return
+
+    def reply(answer: Document) -> None:
+        server.links.send(peer, messages.SubmitAnswer(message.token, answer))
+
+    server.open_call(kind, document, reply, relayed=True)
+
+
+@handles(messages.SubmitAnswer)
+def take_reply(
+    server: servers.Server, peer: str, message: messages.SubmitAnswer
+) -> None:
+    """Take the leader's reply to a call."""
+    server.take_reply(message.token, peer, dict(message.document))
+
+
+@handles(messages.Roster)
+def take_roster(server: servers.Server, peer: str, message: messages.Roster) -> None:
+    """Learn of more directories."""
+    server.add_directories(message.directories)
+
+
+@handles(messages.Announced)
+def take_announced(
+    server: servers.Server, peer: str, message: messages.Announced
+) -> None:
+    """Take rows of upstreams from another directory."""
+    server.registrations.take(peer, message)
+
+
+@handles(messages.AnnouncedAnswer)
+def take_announced_answer(
+    server: servers.Server, peer: str, message: messages.AnnouncedAnswer
+) -> None:
+    """Take the confirmation of rows."""
+    server.registrations.take_answer(peer, message)
+
+
+@handles(messages.DeclarationPull)
+def send_declaration(
+    server: servers.Server, peer: str, message: messages.DeclarationPull
+) -> None:
+    """Send the newest configuration to a gateway that asks."""
+    newest = machines.NO_DECLARATION
+    if server.voter is not None:
+        newest = server.voter.machine.declaration
+    if newest.version:
+        answer = messages.DeclarationDocument(newest.version, newest.packed)
+        server.links.send(peer, answer)
+
+
+@handles(messages.PlaceCall)
+def take_place_call(
+    server: servers.Server, peer: str, message: messages.PlaceCall
+) -> None:
+    """Choose an upstream for a gateway's request."""
+    server.arbiter.place(peer, message)
+
+
+@handles(messages.PlaceNote)
+def take_place_note(
+    server: servers.Server, peer: str, message: messages.PlaceNote
+) -> None:
+    """Learn what became of a placed request."""
+    server.arbiter.take_note(peer, message)
+
+
+@handles(messages.PlaceState)
+def take_place_state(
+    server: servers.Server, peer: str, message: messages.PlaceState
+) -> None:
+    """Learn what a gateway has at upstreams."""
+    server.arbiter.take_state(peer, message)
+
+
+@handles(messages.Replaced)
+def take_replaced(
+    server: servers.Server, peer: str, message: messages.Replaced
+) -> None:
+    """Take a gateway's word that an upstream is gone."""
+    server.registrations.take_report(message)
--- a/packages/daemon/src/trestlestall/daemon/directory/server.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/server.py
@@ -21,14 +21,14 @@
     envelopes,
     group,
     journal as journals,
-    machine as machines,
     voter as voters,
 )
 from trestlestall.daemon.directory import (
     arbitration,
+    arrivals,
     links as directory_links,
+    members,
     registrations,
-    succession,
 )
 from trestlestall.wire import messages
 
@@ -44,27 +44,8 @@
 #: again wait for a leader before they can serve. Still a hundred round trips and syncs.
 TIMING = timing.Timing(election=0.5, heartbeat=0.1, first_election=0.2)
 CHANGE = "change of voters"
-#: The messages after which the voter has something to do.
-VOTER_MESSAGES = (
-    messages.Agreement,
-    messages.Submit,
-    messages.SubmitAnswer,
-    messages.Roster,
-)
 
 Document = dict[str, typing.Any]
-Handler = abc.Callable[["Server", str, typing.Any], None]
-HANDLERS: dict[type, Handler] = {}
-
-
-def handles(kind: type) -> abc.Callable[[Handler], Handler]:
-    """Return a decorator that makes the function handle one kind of message."""
-
-    def enter(function: Handler) -> Handler:
-        HANDLERS[kind] = function
-        return function
-
-    return enter
 
 
 class Server:
@@ -93,15 +74,13 @@
         self._calls = calls.Calls(self._pass_on)
         self._inbox: collections.deque = collections.deque()
         self._results: list = []
-        self._notices: dict[str, group.Notice] = {}
-        self._sights: dict[str, succession.Sight] = {}
+        self.members = members.Members(log, env.clock.monotonic)
         self._first = tuple(map(str, settings.directories))
         self._known = set(self._first)
         self._noticed_at = float("-inf")
         self._roster_at = float("-inf")
         self._told_version = 0
         self.arbiter = arbitration.Arbiter(links, dialect, env.clock.monotonic)
-        self._change: succession.Change | None = None
 
     # The disk.
 
@@ -117,7 +96,7 @@
         """Go on without a disk: nothing is voted, acknowledged or read as newest."""
         self._journal = None
         self.voter = None
-        self._change = None
+        self.members.forget_change()
         self._inbox.clear()
         self._results.clear()
 
@@ -151,21 +130,35 @@
     def hand_over(self) -> None:
         """Begin to hand the leadership to another directory, before a planned stop."""
         if self.voter is not None and self.voter.leads and self.count_voters() > 1:
-            self._take_event(agreement_events.TransferLeader())
+            self.take_event(agreement_events.TransferLeader())
 
     def open_call(
-        self, kind: str, document: Document, reply: abc.Callable[[Document], object]
+        self,
+        kind: str,
+        document: Document,
+        reply: abc.Callable[[Document], object],
+        relayed: bool = False,
     ) -> None:
-        """Take a call; ``reply`` gets its document in some later turn."""
-        self._calls.open(kind, document, reply, self._env.clock.monotonic())
+        """Take a call; ``reply`` gets its document in some later turn.
+
+        ``relayed`` says that another directory passed it on.
+        """
+        self._calls.open(kind, document, reply, self.now(), relayed)
         self._wake()
 
+    def take_reply(self, token: int, peer: str, document: Document) -> None:
+        """Take the leader's reply to a call that was passed on."""
+        self._calls.note_reply(token, peer, document, self.now())
+
+    def take_event(self, event: agreement_events.Event) -> None:
+        """Take an event for the voter's next turn, if there is a voter."""
+        if self.voter is not None:
+            self._inbox.append(event)
+            self._wake()
+
     def take_message(self, peer: str, message: typing.Any) -> None:
         """Take a message from a link."""
-        handler = HANDLERS.get(type(message))
-        if handler is not None:
-            handler(self, peer, message)
-        if type(message) in VOTER_MESSAGES:
+        if arrivals.handle(self, peer, message):
             self._wake()
 
     def take_settings(self, settings: process_settings.DirectorySettings) -> None:
@@ -188,8 +181,7 @@
             self._greet(peer)
         else:
             self.arbiter.forget(peer)
-            if peer in self._sights:
-                self._see(peer, None, False)
+            self.members.note_unlinked(peer)
         self._wake()
 
     def _greet(self, peer: str) -> None:
@@ -197,7 +189,7 @@
         self._send_roster(peer)
         if self.links.is_directory(peer):
             self.add_directories((peer,))
-            self._see(peer, None, True)
+            self.members.note_linked(peer)
             self._send_notice(peer)
         elif self._told_version:
             self.links.send(peer, messages.DeclarationNotice(self._told_version))
@@ -206,7 +198,7 @@
 
     def turn(self) -> None:
         """Do everything that is due."""
-        now = self._env.clock.monotonic()
+        now = self.now()
         self._settle_group(now)
         self._tell_roster(now)
         if self.voter is None:
@@ -221,7 +213,7 @@
             self._note_results(here, now)
             if not self._inbox:
                 break
-        self._change_voters(now)
+        self._change_voters()
         self._tell_declaration()
 
     def _make_here(self) -> calls.Here:
@@ -237,7 +229,7 @@
         results, self._results = self._results, []
         for token, result in results:
             if token == CHANGE:
-                self._note_changed(result)
+                self.members.note_result(result, self.voter.node.voters)
             else:
                 self._inbox.extend(self._calls.note_result(token, result, here, now))
 
@@ -269,15 +261,11 @@
             self._noticed_at = float("-inf")
 
     def _find_group(self) -> tuple[str, ...] | None:
-        notices = list(self._notices.values())
-        if self._settings.founding and self._first:
-            return group.find_group(self.own, self._first, notices)
-        return next((notice.group for notice in notices if notice.group), None)
+        founders = self._first if self._settings.founding else ()
+        return self.members.find_group(self.own, founders)
 
     def _has_unsettled_peer(self) -> bool:
-        if self.voter is None:
-            return True
-        return any(notice.group is None for notice in self._notices.values())
+        return self.voter is None or self.members.has_unsettled()
 
     def _send_notice(self, peer: str) -> None:
         if self._journal is None:
@@ -285,77 +273,25 @@
         notice = group.Notice(self.own, self._journal.group)
         self.links.send(peer, envelopes.seal(self.own, peer, notice))
 
-    def take_notice(self, peer: str, notice: group.Notice) -> None:
-        """Take what another directory says of itself."""
-        self._notices[peer] = notice
-        self._see(peer, notice.voter, True)
-
-    def _see(self, peer: str, voter: str | None, linked: bool) -> None:
-        known = self._sights.get(peer)
-        changed = known is None or known.linked is not linked
-        since = self._env.clock.monotonic() if changed else known.since
-        if voter is None and known is not None:
-            voter = known.voter
-        self._sights[peer] = succession.Sight(voter, linked, since)
-
-    def _change_voters(self, now: float) -> None:
-        if not self.voter.leads or self._change is not None:
-            return
-        sights = self._list_sights(now)
-        change = succession.find_change(self.own, self.voter.node.voters, sights, now)
-        if change is None:
-            return
-        self._change = change
-        self._log.write(
-            events.directory.VOTER_CHANGE,
-            add=change.add,
-            remove=change.remove,
-            reason=change.reason,
-            voters=list(self.voter.node.voters),
-        )
-        event = agreement_events.ChangeVoters(CHANGE, change.add, change.remove)
-        self._take_event(event)
-
-    def _list_sights(self, now: float) -> dict[str, succession.Sight]:
-        """Return the sights; a voter that was never seen is silent from now on."""
-        for voter in self.voter.node.voters:
-            name = group.find_name(voter)
-            if voter != self.own and name not in self._sights:
-                self._sights[name] = succession.Sight(voter, False, now)
-                self.add_directories((name,))
-        return self._sights
-
-    def _note_changed(self, result: voters.Result) -> None:
-        change, self._change = self._change, None
-        if change is None:
+    def _change_voters(self) -> None:
+        if not self.voter.leads:
             return
-        self._log.write(
-            events.directory.VOTER_CHANGE_ENDED,
-            add=change.add,
-            remove=change.remove,
-            outcome=type(result).__name__,
-            voters=list(self.voter.node.voters),
-        )
+        present = self.voter.node.voters
+        self.add_directories(map(group.find_name, present))
+        change = self.members.decide(self.own, present)
+        if change is not None:
+            event = agreement_events.ChangeVoters(CHANGE, change.add, change.remove)
+            self.take_event(event)
 
     def _note_action(self, action: actions.Action) -> None:
         if isinstance(action, actions.BecameLeader):
-            self._change = None
-            now = self._env.clock.monotonic()
-            # A link that ended before this one led tells nothing about how long.
-            for name, sight in self._sights.items():
-                if not sight.linked:
-                    self._sights[name] = succession.Sight(sight.voter, False, now)
+            self.members.begin_leading()
             names = list(self.voter.node.voters)
             self._log.write(events.agreement.ELECTED, term=action.term, voters=names)
         elif isinstance(action, actions.Deposed):
-            self._change = None
+            self.members.forget_change()
             self._log.write(events.agreement.DEPOSED, term=action.term)
 
-    def _take_event(self, event: agreement_events.Event) -> None:
-        if self.voter is not None:
-            self._inbox.append(event)
-            self._wake()
-
     def _send(self, to: str, message: typing.Any) -> None:
         envelope = envelopes.seal(self.own, to, message)
         self.links.send(group.find_name(to), envelope)
@@ -400,95 +336,3 @@
         self.arbiter.set_declaration(newest.packed)
         for gateway in self.links.list_gateways():
             self.links.send(gateway, messages.DeclarationNotice(newest.version))
-
-
-@handles(messages.Agreement)
-def take_agreement(server: Server, peer: str, message: messages.Agreement) -> None:
-    """Take a notice, or a message for this disk's voter."""
-    opened = envelopes.unseal(peer, message)
-    if opened is None:
-        return
-    if isinstance(opened.message, group.Notice):
-        if opened.message.voter == opened.sender:
-            server.take_notice(peer, opened.message)
-    elif opened.to == server.own:
-        server._take_event(agreement_events.Receive(opened.sender, opened.message))
-
-
-@handles(messages.Submit)
-def take_call(server: Server, peer: str, message: messages.Submit) -> None:
-    """Take a call that another directory passed on."""
-    document = dict(message.document)
-    kind = document.pop("call", None)
-    if kind not in calls.KINDS:
-        return
-
-    def reply(answer: Document) -> None:
-        server.links.send(peer, messages.SubmitAnswer(message.token, answer))
-
-    now = server._env.clock.monotonic()
-    server._calls.open(kind, document, reply, now, relayed=True)
-
-
-@handles(messages.SubmitAnswer)
-def take_reply(server: Server, peer: str, message: messages.SubmitAnswer) -> None:
-    """Take the leader's reply to a call."""
-    now = server._env.clock.monotonic()
-    server._calls.note_reply(message.token, peer, dict(message.document), now)
-
-
-@handles(messages.Roster)
-def take_roster(server: Server, peer: str, message: messages.Roster) -> None:
-    """Learn of more directories."""
-    server.add_directories(message.directories)
-
-
-@handles(messages.Announced)
-def take_announced(server: Server, peer: str, message: messages.Announced) -> None:
-    """Take rows of upstreams from another directory."""
-    server.registrations.take(peer, message)
-
-
-@handles(messages.AnnouncedAnswer)
-def take_announced_answer(
-    server: Server, peer: str, message: messages.AnnouncedAnswer
-) -> None:
-    """Take the confirmation of rows."""
-    server.registrations.take_answer(peer, message)
-
-
-@handles(messages.DeclarationPull)
-def send_declaration(
-    server: Server, peer: str, message: messages.DeclarationPull
-) -> None:
-    """Send the newest configuration to a gateway that asks."""
-    newest = machines.NO_DECLARATION
-    if server.voter is not None:
-        newest = server.voter.machine.declaration
-    if newest.version:
-        answer = messages.DeclarationDocument(newest.version, newest.packed)
-        server.links.send(peer, answer)
-
-
-@handles(messages.PlaceCall)
-def take_place_call(server: Server, peer: str, message: messages.PlaceCall) -> None:
-    """Choose an upstream for a gateway's request."""
-    server.arbiter.place(peer, message)
-
-
-@handles(messages.PlaceNote)
-def take_place_note(server: Server, peer: str, message: messages.PlaceNote) -> None:
-    """Learn what became of a placed request."""
-    server.arbiter.take_note(peer, message)
-
-
-@handles(messages.PlaceState)
-def take_place_state(server: Server, peer: str, message: messages.PlaceState) -> None:
-    """Learn what a gateway has at upstreams."""
-    server.arbiter.take_state(peer, message)
-
-
-@handles(messages.Replaced)
-def take_replaced(server: Server, peer: str, message: messages.Replaced) -> None:
-    """Take a gateway's word that an upstream is gone."""
-    server.registrations.take_report(message)
