Give a caller's head one deadline, however it trickles in

Cause (found while reading): each received byte began the time for the head anew, so a sender of one byte now and then held a connection for ever. Test first: it failed before.

--- a/packages/daemon/src/trestlestall/daemon/gateway/callers.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/callers.py
@@ -8,6 +8,7 @@
 import contextlib
 import dataclasses
 import socket
+import time
 from collections import abc
 
 import eventlet
@@ -110,14 +111,20 @@
         return Request(event.method, event.target, headers, b"".join(parts))
 
     def _next_event(self, idle_seconds: float) -> object:
-        """Return the next event of the parser, reading as needed."""
-        seconds = idle_seconds
+        """Return the next event of the parser, reading as needed.
+
+        From its first byte on, a head has so long to come whole, however it comes.
+        """
+        deadline = None
         while (event := self._http.next_event()) is h11.NEED_DATA:
+            seconds = idle_seconds
+            if not self.idle and self._http.their_state is h11.IDLE:
+                now = time.monotonic()
+                deadline = deadline or now + self.limits.header_seconds
+                seconds = max(0.001, deadline - now)
             self.socket.settimeout(seconds)
             data = self.socket.recv(READ_BYTES)
             self.idle = self.idle and not data
-            if self.idle is False and self._http.their_state is h11.IDLE:
-                seconds = self.limits.header_seconds
             self._http.receive_data(data)
         return event
 
--- a/packages/daemon/tests/test_gateway.py
+++ b/packages/daemon/tests/test_gateway.py
@@ -96,6 +96,21 @@
         self.assertEqual(slow.read_head()[0], 408)
         self.assertEqual(upstream.received, [])
 
+    def test_a_head_that_trickles_in_is_ended_in_time(self):
+        caller = self.bench.call()
+
+        def trickle():
+            with contextlib.suppress(OSError):
+                for _ in range(100):
+                    caller.socket.sendall(b"G")
+                    bench.eventlet.sleep(0.1)
+
+        writer = bench.eventlet.spawn(trickle)
+        self.addCleanup(writer.kill)
+        started = bench.time.monotonic()
+        self.assertEqual(caller.read_head()[0], 408)
+        self.assertLess(bench.time.monotonic() - started, 5.0)
+
     def test_two_requests_on_one_connection(self):
         self.bench.add("u1", bench.answer("", "done"))
         caller = self.bench.call()
