--- a/packages/wire/tests/test_codec.py
+++ b/packages/wire/tests/test_codec.py
@@ -26,6 +26,17 @@
     messages.StatusCall(5),
     messages.StatusAnswer(5, {"version": 4}),
     messages.NotUnderstood("novelty", 1),
+    messages.Roster(("127.0.0.1:7000", "127.0.0.1:7001"), 9),
+    messages.DeclarationNotice(7),
+    messages.DeclarationPull(),
+    messages.DeclarationDocument(7, b"packed"),
+    messages.Announced(3, (["u1", 4, 0, "work", "127.0.0.1:8000", "a", 8, 0.5],)),
+    messages.AnnouncedAnswer(3),
+    messages.PlaceCall(4, ("r1", "work", 0, 0.25), ("u1",)),
+    messages.PlaceAnswer(4, "u1", 800, 0.125, "", 0.0),
+    messages.PlaceNote("r1", "first"),
+    messages.PlaceState(([["r1", "work"], "u1", True],)),
+    messages.Replaced("u1"),
 )
 
 
