--- a/packages/daemon/src/trestlestall/daemon/http/protocol.py
+++ b/packages/daemon/src/trestlestall/daemon/http/protocol.py
@@ -118,7 +118,7 @@
             self.wfile.write(head + answer.body)
             self.wfile.flush()
         except OSError:
-            pass
+            pass  # the sender of the bad request is gone: nobody is left to tell
 
     def _linger(self) -> None:
         """Read off what the client still sends: a reset would destroy our answer."""
