--- a/packages/agreement/src/trestlestall/agreement/roles.py
+++ b/packages/agreement/src/trestlestall/agreement/roles.py
@@ -11,6 +11,16 @@
     state.deadline = state.now + state.timing.election * spread
 
 
+def reset_first_deadline(state: state_module.State) -> None:
+    """Draw the first election timeout after a start, which may be shorter.
+
+    A leader that others hear is safe from it, since they refuse the pre-vote; when all
+    voters start together, nobody has to wait for one that is not there.
+    """
+    spread = 1.0 + state.random.random()
+    state.deadline = state.now + state.timing.first_election * spread
+
+
 def become_follower(
     state: state_module.State, term: int, leader: str | None = None
 ) -> None:
@@ -68,7 +78,7 @@
     """
     if state.now is None:
         state.now = now
-        reset_deadline(state)
+        reset_first_deadline(state)
         return
     leap = now - state.now > state.timing.election
     state.now = max(now, state.now)
--- a/packages/agreement/src/trestlestall/agreement/timing.py
+++ b/packages/agreement/src/trestlestall/agreement/timing.py
@@ -10,12 +10,14 @@
     A voter that hears no leader for ``election`` to twice ``election`` (drawn anew
     each time) stands for election; a leader that hears no quorum for ``election``
     steps down. ``heartbeat`` should be at most a quarter of ``election``. A new voter
-    that is silent for ``catch_up`` is given up.
+    that is silent for ``catch_up`` is given up. ``first_election`` takes the place of
+    ``election`` for the first election after a start.
     """
 
     election: float = 1.0
     heartbeat: float = 0.2
     catch_up: float = 10.0
+    first_election: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/daemon/src/trestlestall/daemon/directory/links.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/links.py
@@ -4,7 +4,7 @@
 import typing
 from collections import abc
 
-from trestlestall.daemon.directory import settings as directory_settings
+from trestlestall.daemon import settings as process_settings
 from trestlestall.wire import links as wire_links
 
 DIRECTORY = "control"
@@ -15,8 +15,8 @@
 class Links:
     """A mesh whose peers become known over time; a directory's name is its address."""
 
-    def __init__(self, settings: directory_settings.DirectorySettings) -> None:
-        self.own = settings.peers
+    def __init__(self, settings: process_settings.DirectorySettings) -> None:
+        self.own = str(settings.listen.peers)
         self._settings = settings
         self._mesh: wire_links.Mesh | None = None
 
@@ -29,17 +29,17 @@
         """Take links and keep them while the block runs; raises ``ListenError``."""
         settings = self._settings
         self._mesh = wire_links.Mesh(
-            settings.peers,
+            self.own,
             DIRECTORY,
             settings.data_centre,
-            settings.secret,
-            settings.peers,
+            settings.secrets.peers,
+            self.own,
             (),
             on_message,
             on_change,
         )
         self._mesh.start()
-        self.add(settings.directories)
+        self.add(map(str, settings.directories))
         try:
             yield
         finally:
--- a/packages/daemon/src/trestlestall/daemon/directory/process.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/process.py
@@ -12,6 +12,7 @@
     events,
     logs,
     reloading,
+    settings as process_settings,
     signals,
     status,
 )
@@ -19,7 +20,6 @@
 from trestlestall.daemon.directory import (
     links as directory_links,
     server as servers,
-    settings as directory_settings,
     site as sites,
 )
 from trestlestall.daemon.http import listener
@@ -37,7 +37,7 @@
 
     def __init__(
         self,
-        settings: directory_settings.DirectorySettings,
+        settings: process_settings.DirectorySettings,
         env: environment.Environment,
         dialect: dialects.Dialect = dialects.NATIVE,
         source: reloading.Source = reloading.FIXED,
@@ -99,14 +99,18 @@
                 server, self._dialect, self._log, self._settings.document_bytes
             )
             stack.enter_context(
-                listener.open_listener(self._settings.service, site.build_application())
+                listener.open_listener(
+                    str(self._settings.listen.service), site.build_application()
+                )
             )
             stack.enter_context(
                 reloading.watch(
                     self._source,
                     stop,
                     self._log,
-                    lambda settings: server.add_directories(settings.directories),
+                    lambda settings: server.add_directories(
+                        map(str, settings.directories)
+                    ),
                 )
             )
             eventlet.spawn(self._wait_for_stop, stop)
--- a/packages/daemon/src/trestlestall/daemon/directory/server.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/server.py
@@ -9,7 +9,13 @@
 from collections import abc
 
 from trestlestall.agreement import actions, events as agreement_events, timing
-from trestlestall.daemon import dialects, environment, events, logs
+from trestlestall.daemon import (
+    dialects,
+    environment,
+    events,
+    logs,
+    settings as process_settings,
+)
 from trestlestall.daemon.control import (
     calls,
     envelopes,
@@ -21,7 +27,6 @@
     arbitration,
     links as directory_links,
     registrations,
-    settings as directory_settings,
     succession,
 )
 from trestlestall.wire import messages
@@ -36,7 +41,7 @@
 LIMITS = timing.Limits(payload_bytes=5 * 1024 * 1024)
 #: Half of the usual times: directories are within one region, and gateways that start
 #: again wait for a leader before they can serve. Still a hundred round trips and syncs.
-TIMING = timing.Timing(election=0.5, heartbeat=0.1)
+TIMING = timing.Timing(election=0.5, heartbeat=0.1, first_election=0.2)
 CHANGE = "change of voters"
 #: The messages after which the voter has something to do.
 VOTER_MESSAGES = (
@@ -66,7 +71,7 @@
 
     def __init__(
         self,
-        settings: directory_settings.DirectorySettings,
+        settings: process_settings.DirectorySettings,
         env: environment.Environment,
         log: logs.Log,
         journal: journals.Journal,
@@ -75,7 +80,7 @@
         dialect: dialects.Dialect,
         wake: abc.Callable[[], object],
     ) -> None:
-        self.own = group.join_voter(settings.peers, identity)
+        self.own = group.join_voter(links.own, identity)
         self.links = links
         self.voter: voters.Voter | None = None
         self.registrations = registrations.Registrations(
@@ -91,7 +96,8 @@
         self._results: list = []
         self._notices: dict[str, group.Notice] = {}
         self._sights: dict[str, succession.Sight] = {}
-        self._known = set(settings.directories)
+        self._first = tuple(map(str, settings.directories))
+        self._known = set(self._first)
         self._noticed_at = float("-inf")
         self._roster_at = float("-inf")
         self._told_version = 0
@@ -239,8 +245,8 @@
 
     def _find_group(self) -> tuple[str, ...] | None:
         notices = list(self._notices.values())
-        if self._settings.founding and self._settings.directories:
-            return group.find_group(self.own, self._settings.directories, notices)
+        if self._settings.founding and self._first:
+            return group.find_group(self.own, self._first, notices)
         return next((notice.group for notice in notices if notice.group), None)
 
     def _has_unsettled_peer(self) -> bool:
--- a/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
@@ -1,13 +1,12 @@
 """One forwarded request, from its arrival to the caller's final answer."""
 
-import dataclasses
 import random
 import time
 from collections import abc
 
 import msgspec
 
-from trestlestall.daemon import dialects, events
+from trestlestall.daemon import dialects, events, settings as process_settings
 from trestlestall.daemon.gateway import (
     attempts,
     callers,
@@ -17,7 +16,6 @@
     knowledge as knowledges,
     placing,
     reaching,
-    settings as gateway_settings,
 )
 from trestlestall.forwarding import (
     budgets,
@@ -38,8 +36,9 @@
 SENDS_LIMIT = 4
 #: Seconds that must be left for another send to be worth it.
 LEAST_SECONDS = 0.05
-#: Seconds until the next attempt of a caller when the gateway knows too little yet.
-UNKNOWING_RETURN = 0.5
+#: Seconds until the next attempt of a caller when the gateway knows too little yet:
+#: about what a whole deployment takes from its start to the first answer.
+UNKNOWING_RETURN = 1.0
 #: Times the target for the first event that an upstream may be silent before a request
 #: that may be repeated goes elsewhere.
 SILENCE_TARGETS = 3.0
@@ -62,7 +61,7 @@
 
     def __init__(
         self,
-        settings: gateway_settings.GatewaySettings,
+        settings: process_settings.GatewaySettings,
         dialect: dialects.Dialect,
         knowledge: knowledges.Knowledge,
         metrics: "object",
@@ -123,8 +122,10 @@
 
     def find_retry_bound(self) -> budgets.Bound:
         """Return the bound of repeated sends, shared among the gateways."""
-        bound = self.settings.retries
-        return dataclasses.replace(bound, processes=self.gateways)
+        given = self.settings.retries
+        return budgets.Bound(
+            given.ratio, given.slack, given.window_seconds, self.gateways
+        )
 
     def _refuse(
         self,
--- a/packages/daemon/src/trestlestall/daemon/gateway/links.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/links.py
@@ -8,11 +8,10 @@
 
 import eventlet
 
-from trestlestall.daemon import events, logs
+from trestlestall.daemon import events, logs, settings as process_settings
 from trestlestall.daemon.gateway import (
     knowledge as knowledges,
     placing as placings,
-    settings as gateway_settings,
 )
 from trestlestall.forwarding import upstreams
 from trestlestall.wire import links as wire_links, messages
@@ -44,7 +43,7 @@
 
     def __init__(
         self,
-        settings: gateway_settings.GatewaySettings,
+        settings: process_settings.GatewaySettings,
         knowledge: knowledges.Knowledge,
         log: logs.Log,
         note_gateways: abc.Callable[[int], object],
@@ -61,8 +60,8 @@
             settings.name,
             GATEWAY,
             settings.data_centre,
-            settings.secret,
-            settings.peers,
+            settings.secrets.peers,
+            str(settings.listen.peers),
             (),
             self._take,
             self._note_change,
@@ -73,7 +72,7 @@
         """Keep links while the block runs; raises ``ListenError``."""
         self.placing.send = self.mesh.send
         self.mesh.start()
-        self.add_directories(self._settings.directories)
+        self.add_directories(map(str, self._settings.directories))
         asking = eventlet.spawn(self._keep_asking)
         try:
             yield
--- a/packages/daemon/src/trestlestall/daemon/gateway/process.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/process.py
@@ -15,6 +15,7 @@
     events,
     logs,
     reloading,
+    settings as process_settings,
     signals,
     status,
 )
@@ -24,7 +25,6 @@
     knowledge as knowledges,
     links as gateway_links,
     metrics as gateway_metrics,
-    settings as gateway_settings,
 )
 from trestlestall.daemon.http import answers, application, listener, routes
 from trestlestall.wire import exceptions as wire_exceptions, sockets
@@ -49,7 +49,7 @@
 
     def __init__(
         self,
-        settings: gateway_settings.GatewaySettings,
+        settings: process_settings.GatewaySettings,
         env: environment.Environment,
         dialect: dialects.Dialect = dialects.NATIVE,
         source: reloading.Source = reloading.FIXED,
@@ -105,7 +105,9 @@
         with contextlib.ExitStack() as stack:
             stack.enter_context(self._links.open())
             site = self._build_site()
-            stack.enter_context(listener.open_listener(settings.platform, site))
+            stack.enter_context(
+                listener.open_listener(str(settings.listen.platform), site)
+            )
             stack.enter_context(self._serve_callers())
             sweeper = eventlet.spawn(self._sweep)
             stack.callback(sweeper.kill)
@@ -116,7 +118,7 @@
 
     @contextlib.contextmanager
     def _serve_callers(self) -> abc.Iterator[None]:
-        host, port = listener.split_address(self._settings.callers)
+        host, port = listener.split_address(str(self._settings.listen.callers))
         accepting = eventlet.listen((host, port), backlog=listener.BACKLOG)
         acceptor = eventlet.spawn(self._accept, accepting)
         try:
@@ -195,9 +197,9 @@
 
     # The rest.
 
-    def _take_settings(self, settings: gateway_settings.GatewaySettings) -> None:
+    def _take_settings(self, settings: process_settings.GatewaySettings) -> None:
         """Use what may change while the process runs."""
-        self._links.add_directories(settings.directories)
+        self._links.add_directories(map(str, settings.directories))
         self.service.settings = dataclasses.replace(
             self._settings,
             retries=settings.retries,
--- a/packages/daemon/src/trestlestall/daemon/settings/__init__.py
+++ b/packages/daemon/src/trestlestall/daemon/settings/__init__.py
@@ -16,16 +16,28 @@
 
 Address = model.Address
 ControlSettings = model.ControlSettings
+DirectoryListen = model.DirectoryListen
+DirectorySettings = model.DirectorySettings
+GatewayListen = model.GatewayListen
+GatewaySettings = model.GatewaySettings
 Limits = model.Limits
 Peer = model.Peer
 Problem = model.Problem
+Retries = model.Retries
 RouterSettings = model.RouterSettings
 Secrets = model.Secrets
 
-ROLES = {"router": RouterSettings, "control": ControlSettings}
+ROLES = {
+    "router": RouterSettings,
+    "control": ControlSettings,
+    "gateway": GatewaySettings,
+    "directory": DirectorySettings,
+}
 
+Settings = RouterSettings | ControlSettings | GatewaySettings | DirectorySettings
 
-def load(path: pathlib.Path | str) -> RouterSettings | ControlSettings | list[Problem]:
+
+def load(path: pathlib.Path | str) -> Settings | list[Problem]:
     """Return the settings in the file, or all of its problems.
 
     Paths in the file are relative to the file's folder; the settings returned hold
@@ -37,7 +49,8 @@
         return [loaded]
     role = loaded.get("role")
     if not isinstance(role, str) or role not in ROLES:
-        return [Problem("role", 'give "router" or "control"')]
+        names = ", ".join(f'"{name}"' for name in ROLES)
+        return [Problem("role", f"give one of {names}")]
     reading = document.Reading()
     found = reading.read_class(ROLES[role], loaded, "")
     reading.problems += checks.find_problems(found, path.parent)
--- a/packages/daemon/src/trestlestall/daemon/settings/checks.py
+++ b/packages/daemon/src/trestlestall/daemon/settings/checks.py
@@ -15,7 +15,12 @@
 
 from trestlestall.daemon.settings import document, model, secrets
 
-Settings = model.RouterSettings | model.ControlSettings
+Settings = (
+    model.RouterSettings
+    | model.ControlSettings
+    | model.GatewaySettings
+    | model.DirectorySettings
+)
 Check = abc.Callable[[Settings, pathlib.Path], abc.Iterator[model.Problem]]
 
 HIGHEST_VOTER_COUNT = 7
@@ -35,14 +40,14 @@
 
 def resolve_files(found: Settings, folder: pathlib.Path) -> Settings:
     """Return the settings with paths joined to the folder and the secrets read."""
-    data_folder = found.data_folder and str(folder / found.data_folder)
     secrets_file = folder / found.secrets_file
-    return dataclasses.replace(
-        found,
-        data_folder=data_folder,
-        secrets_file=str(secrets_file),
-        secrets=secrets.load(secrets_file),
-    )
+    resolved: dict[str, object] = {
+        "secrets_file": str(secrets_file),
+        "secrets": secrets.load(secrets_file),
+    }
+    if getattr(found, "data_folder", None):
+        resolved["data_folder"] = str(folder / found.data_folder)
+    return dataclasses.replace(found, **resolved)
 
 
 def _list_listeners(found: Settings) -> dict[str, model.Address]:
@@ -55,7 +60,7 @@
 
 def _list_peers(found: Settings) -> list[tuple[int, model.Peer]]:
     """Return the readable peers with their place in the list."""
-    if isinstance(found.peers, document.Missing):
+    if isinstance(getattr(found, "peers", document.MISSING), document.Missing):
         return []
     pairs = enumerate(found.peers)
     return [(index, peer) for index, peer in pairs if isinstance(peer, model.Peer)]
@@ -82,7 +87,7 @@
 @register_check
 def check_limits(found: Settings, folder: pathlib.Path) -> abc.Iterator:
     """A limit of zero or less would refuse every request."""
-    if isinstance(found.limits, document.Missing):
+    if isinstance(getattr(found, "limits", document.MISSING), document.Missing):
         return
     for key, value in vars(found.limits).items():
         if not isinstance(value, document.Missing) and not value > 0:
@@ -157,7 +162,7 @@
 @register_check
 def check_data_folder(found: Settings, folder: pathlib.Path) -> abc.Iterator:
     """The data folder, where one is given, exists and can be written."""
-    if not isinstance(found.data_folder, str):
+    if not isinstance(getattr(found, "data_folder", None), str):
         return
     path = folder / found.data_folder
     if not path.is_dir():
@@ -176,3 +181,42 @@
         for problem in loaded:
             place = f" ({problem.path})" if problem.path else ""
             yield model.Problem(f"secrets_file{place}", problem.message)
+
+
+@register_check
+def check_directories(found: Settings, folder: pathlib.Path) -> abc.Iterator:
+    """Some directory must be known, by addresses that can be dialled."""
+    if not isinstance(found, model.GatewaySettings | model.DirectorySettings):
+        return
+    if isinstance(found.directories, document.Missing):
+        return
+    if not found.directories:
+        yield model.Problem("directories", "name at least one directory")
+    for index, address in enumerate(found.directories):
+        if isinstance(address, document.Missing):
+            continue
+        if address.port == 0 or ipaddress.ip_address(address.host).is_unspecified:
+            yield model.Problem(f"directories[{index}]", f"{address} can't be dialled")
+
+
+@register_check
+def check_gateway_bounds(found: Settings, folder: pathlib.Path) -> abc.Iterator:
+    """Times and shares of a gateway are above zero."""
+    if not isinstance(found, model.GatewaySettings):
+        return
+    bounds = {"grace_seconds": found.grace_seconds}
+    if not isinstance(found.retries, document.Missing):
+        bounds["retries.window_seconds"] = found.retries.window_seconds
+    for path, value in bounds.items():
+        if not isinstance(value, document.Missing) and not value > 0:
+            yield model.Problem(path, "must be above 0")
+
+
+@register_check
+def check_document_bytes(found: Settings, folder: pathlib.Path) -> abc.Iterator:
+    """A directory must take documents of some size."""
+    if not isinstance(found, model.DirectorySettings):
+        return
+    size = found.document_bytes
+    if not isinstance(size, document.Missing) and not size > 0:
+        yield model.Problem("document_bytes", "must be above 0")
--- a/packages/daemon/src/trestlestall/daemon/settings/model.py
+++ b/packages/daemon/src/trestlestall/daemon/settings/model.py
@@ -132,3 +132,73 @@
     peers: tuple[Peer, ...] = ()
     limits: Limits = Limits()
     secrets: Secrets | None = dataclasses.field(default=None, metadata={"file": False})
+
+
+@dataclasses.dataclass(frozen=True)
+class GatewayListen:
+    """The addresses that a gateway listens on."""
+
+    callers: Address
+    platform: Address
+    peers: Address
+
+
+@dataclasses.dataclass(frozen=True)
+class Retries:
+    """Bound of repeated sends, over all gateways: a ratio of requests plus a slack."""
+
+    ratio: float = 0.2
+    slack: float = 20.0
+    window_seconds: float = 10.0
+
+
+@dataclasses.dataclass(frozen=True)
+class GatewaySettings:
+    """The settings of ``trestlestalld gateway``.
+
+    ``directories`` are the link addresses of some directories, which tell of the
+    others. ``grace_seconds`` is the time between the request to stop and the kill.
+    """
+
+    role: typing.Literal["gateway"]
+    name: str
+    data_centre: str
+    listen: GatewayListen
+    secrets_file: str
+    directories: tuple[Address, ...]
+    grace_seconds: float = 8.0
+    retries: Retries = Retries()
+    secrets: Secrets | None = dataclasses.field(default=None, metadata={"file": False})
+
+
+@dataclasses.dataclass(frozen=True)
+class DirectoryListen:
+    """The addresses that a directory listens on.
+
+    ``service`` takes operators' documents and upstreams' announcements. ``peers`` is
+    also the directory's name among the others.
+    """
+
+    service: Address
+    peers: Address
+
+
+@dataclasses.dataclass(frozen=True)
+class DirectorySettings:
+    """The settings of ``trestlestalld directory``.
+
+    ``directories`` are the link addresses of some directories, which tell of the
+    others; while ``founding``, those of them that start with empty folders form the
+    first group of voters. ``document_bytes`` bounds an operator's document.
+    """
+
+    role: typing.Literal["directory"]
+    name: str
+    data_centre: str
+    listen: DirectoryListen
+    secrets_file: str
+    data_folder: str
+    directories: tuple[Address, ...]
+    founding: bool = False
+    document_bytes: int = 8 * 1024 * 1024
+    secrets: Secrets | None = dataclasses.field(default=None, metadata={"file": False})
--- a/packages/daemon/tests/test_settings_page.py
+++ b/packages/daemon/tests/test_settings_page.py
@@ -50,6 +50,8 @@
         table = {
             "Router": settings.RouterSettings,
             "Control": settings.ControlSettings,
+            "Gateway": settings.GatewaySettings,
+            "Directory": settings.DirectorySettings,
         }
         for title, data_class in table.items():
             with self.subTest(title=title):
--- /dev/null
+++ b/tests/test_gateway_deployment.py
@@ -0,0 +1,154 @@
+"""Gateways and directories as real processes: what is acknowledged holds."""
+
+import contextlib
+import json
+import shutil
+import signal
+import tempfile
+import unittest
+
+from tests import gateways
+
+
+class DeploymentCase(unittest.TestCase):
+    directories = 3
+
+    def setUp(self):
+        stack = contextlib.ExitStack()
+        self.addCleanup(stack.close)
+        folder = stack.enter_context(tempfile.TemporaryDirectory(prefix="trestle-"))
+        self.system = gateways.Deployment(folder, self.directories)
+        stack.callback(self.system.stop_all)
+        self.upstream = gateways.Upstream("u1")
+        stack.callback(self.upstream.stop)
+        self.system.start_all()
+
+    def serve(self):
+        """Declare, announce, and wait until both gateways are ready."""
+        self.assertEqual(self.system.declare(gateways.make_document(5)), 200)
+        port = self.system.ports[self.system.names[0]]
+        self.assertEqual(self.upstream.announce(port), 200)
+        for name in self.system.gateways:
+            gateways.wait_until(lambda each=name: self.system.is_ready(each), name)
+            gateways.wait_until(lambda each=name: self.is_served(each), name)
+
+    def is_served(self, name):
+        return self.system.ask(name) == 200
+
+    def has_route(self, name, path):
+        return self.system.ask(name, path=path) != 404
+
+
+class ServiceTest(DeploymentCase):
+    def test_declared_announced_served_drained_and_stopped(self):
+        gateway = self.system.gateways[0]
+        gateways.wait_until(lambda: self.system.ask(gateway) == 503, "no configuration")
+        self.serve()
+        document = gateways.make_document(6, prefix="/other/")
+        self.assertEqual(self.system.declare(document), 200)
+        for name in self.system.gateways:
+            gateways.wait_until(
+                lambda each=name: self.has_route(each, "/other/x"), "the new route"
+            )
+            self.assertEqual(self.system.ask(name), 404)
+        port = self.system.ports[self.system.names[1]]
+        self.assertEqual(self.upstream.announce(port, state=1), 200)
+        gateways.wait_until(
+            lambda: self.system.ask(gateway, path="/other/x") == 503, "the drain"
+        )
+        stopped = self.system.running[gateway]
+        stopped.send_signal(signal.SIGHUP)
+        self.assertTrue(self.system.is_ready(gateway))
+        stopped.send_signal(signal.SIGTERM)
+        gateways.wait_until(lambda: not self.system.is_ready(gateway), "unready")
+        self.assertEqual(stopped.child.wait(12), 0)
+
+    def test_documents_are_read_back_as_sent(self):
+        document = gateways.make_document(7, note={"unknown": [1, 2]})
+        self.assertEqual(self.system.declare(document), 200)
+        for name in self.system.names:
+            self.assertEqual(self.system.read(name), document)
+
+    def test_invalid_old_and_doubled_documents(self):
+        names = self.system.names
+        newest = gateways.make_document(9)
+        self.assertEqual(self.system.declare(newest), 200)
+        self.assertEqual(self.system.declare(newest, names[1:2]), 200)
+        older = gateways.make_document(8, prefix="/older/")
+        self.assertEqual(self.system.declare(older, names[2:]), 200)
+        same = gateways.make_document(9, prefix="/same/")
+        self.assertEqual(self.system.declare(same), 200)
+        for invalid in (
+            json.dumps(gateways.make_document(10))[:-9].encode(),
+            gateways.make_document(10, services={}),
+            gateways.make_document(3, services={}),
+        ):
+            self.assertEqual(self.system.declare(invalid), 400)
+        self.assertEqual(self.system.read(names[0]), newest)
+
+
+class FailureTest(DeploymentCase):
+    def test_killed_directories_keep_what_was_acknowledged(self):
+        self.serve()
+        newest = gateways.make_document(20)
+        self.assertEqual(self.system.declare(newest), 200)
+        for name in self.system.names:
+            self.system.running[name].kill()
+        self.assertTrue(self.is_served(self.system.gateways[0]))
+        for name in self.system.names:
+            self.system.start_directory(name)
+        for name in self.system.names:
+            gateways.wait_until(
+                lambda each=name: self.system.read(each) == newest, "read back"
+            )
+
+    def test_one_of_three_is_never_sure(self):
+        self.serve()
+        for name in self.system.names[1:]:
+            self.system.running[name].kill()
+        gateways.wait_until(
+            lambda: self.system.read(self.system.names[0]) == 503, "not sure"
+        )
+        port = self.system.ports[self.system.names[0]]
+        self.assertEqual(self.upstream.announce(port, state=1), 503)
+
+    def test_a_lost_disk_joins_again_and_then_counts(self):
+        self.serve()
+        newest = gateways.make_document(30)
+        self.assertEqual(self.system.declare(newest), 200)
+        lost, other, last = self.system.names
+        self.system.running[lost].kill()
+        shutil.rmtree(self.system.folder / f"{lost}-data")
+        self.system.start_directory(lost)
+        gateways.wait_until(lambda: self.votes(lost), "the new disk votes")
+        self.system.running[other].kill()
+        gateways.wait_until(lambda: self.system.read(lost) == newest, "read back")
+        self.assertEqual(self.system.declare(gateways.make_document(31)), 200)
+        self.assertEqual(self.system.read(last)["version"], 31)
+
+    def votes(self, name):
+        """Return whether some leader has added the directory's new disk."""
+        for process in self.system.running.values():
+            for line in process.read_log().splitlines():
+                ended = '"voter_change_ended"' in line and '"Applied"' in line
+                if ended and f'"add":"127.0.0.1:{self.system.links[name]}#' in line:
+                    return True
+        return False
+
+
+class GrowthTest(DeploymentCase):
+    directories = 4
+
+    def test_a_directory_that_nobody_lists_joins(self):
+        *first, added = self.system.names
+        self.system.running[added].kill()
+        shutil.rmtree(self.system.folder / f"{added}-data")
+        self.system.first = self.system.first[:3]
+        for name in first:
+            self.system.running[name].kill()
+            shutil.rmtree(self.system.folder / f"{name}-data")
+            self.system.start_directory(name, founding=True)
+        self.system.start_directory(added, founding=True)
+        newest = gateways.make_document(40)
+        self.assertEqual(self.system.declare(newest), 200)
+        gateways.wait_until(lambda: self.system.read(added) == newest, "read back")
