--- a/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
@@ -44,17 +44,19 @@
 #: The shortest silence that says anything, in seconds.
 LEAST_SILENCE = 1.0
 OK = 200
-#: The tiers that engines tell apart go from 0 to this.
-LOWEST_TIER = 9
 
 
 @dataclasses.dataclass(frozen=True)
 class Admitted:
-    """A request that the configuration allows; a public one may have no workspace."""
+    """A request that the configuration allows; a public one may have no workspace.
+
+    ``rank`` tells how urgent it is (``urgency``).
+    """
 
     head: heads.Head
     route: model.Route
     workspace: model.Workspace | None
+    rank: int
 
 
 class Forward:
@@ -78,7 +80,7 @@
         given = admitted.head.deadline
         patience = UNNAMED_DEADLINE if given is None else given
         self.deadline = arrived + min(patience, self.route.whole_seconds)
-        self.descriptor = self._describe()
+        self.descriptor = self._describe(admitted.rank)
         self.attempt: attempts.Attempt | None = None
         self.tried: list[str] = []
         self.runs = 0
@@ -280,12 +282,10 @@
 
     # The request in words of others.
 
-    def _describe(self) -> descriptors.Descriptor:
+    def _describe(self, rank: int) -> descriptors.Descriptor:
         service = directory.choose_service(self.route, self.service.draw())
-        own = self.workspace.tier if self.workspace is not None else None
-        tier = self.route.tier if own is None else own
         data_centre = self.service.settings.data_centre
-        return heads.build_descriptor(self.head, self.route, service, tier, data_centre)
+        return heads.build_descriptor(self.head, self.route, service, rank, data_centre)
 
     def _list_added(self, row: upstreams.Row, left: float) -> dict[str, str]:
         names = self.service.dialect.headers
@@ -296,7 +296,7 @@
         if self.workspace is not None:
             added[names.workspace] = self.workspace.name
         if self.route.streams:
-            added[names.tier] = str(min(LOWEST_TIER, max(0, self.descriptor.tier)))
+            added[names.tier] = str(self.descriptor.tier)
         if self.relay.last_event is not None:
             added[names.last_event] = str(self.relay.last_event)
         return added
--- a/packages/daemon/src/trestlestall/daemon/gateway/services.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/services.py
@@ -80,7 +80,8 @@
             reason = refusals.STOPPING
             status = refusals.UNAVAILABLE
             return refusals.Refusal(status, reason, identity, route.name)
-        return forwards.Admitted(head, route, workspace)
+        rank = known.ranks.find(route, workspace)
+        return forwards.Admitted(head, route, workspace, rank)
 
     def is_too_late(self, route: model.Route, now: float) -> bool:
         """Return whether a stop would cut the request off.
--- a/packages/forwarding/src/trestlestall/forwarding/model.py
+++ b/packages/forwarding/src/trestlestall/forwarding/model.py
@@ -72,7 +72,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Workspace:
-    """A customer with its keys; ``tier``, if given, goes before the route's."""
+    """A customer with its keys; ``tier``, if given, weighs more than the route's."""
 
     name: str
     keys: tuple[str, ...]
