Weigh pauses by how long the reading beside a stream lasts

What the placer thought of it was a constant: any reading over 0.12 s made every stream late in part, and each long prompt did so again.

Change: forwarding/pauses.py; the longest pause is learned for each upstream from what gateways report at a stream's end; a long prompt counts for the harm that it adds to the reading that is there anyway.

--- a/packages/daemon/src/trestlestall/daemon/directory/arbitration.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/arbitration.py
@@ -77,7 +77,7 @@
             self._placer.note_first(note.request, now)
             return
         owned = self._owned.get(gateway, {}).pop(note.request, None)
-        self._placer.end(note.request, now)
+        self._placer.end(note.request, now, note.pause)
         if owned is not None and note.kind != NEITHER:
             self._placer.note_outcome(*owned, note.kind == FAILED)
 
--- a/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
@@ -144,7 +144,10 @@
         finally:
             self.attempt.finish(head)
             failed = self._judge(outcome)
-            self.service.placing.end(self.descriptor, placed.row.identity, failed)
+            pause = self.relay.shown_pause
+            self.service.placing.end(
+                self.descriptor, placed.row.identity, failed, pause
+            )
         if self.caller.left:
             if failed:
                 self.service.reaching.suspect(placed.row)
--- a/packages/daemon/src/trestlestall/daemon/gateway/placing.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/placing.py
@@ -118,15 +118,22 @@
             self.send(self._arbiter, messages.Replaced(identity))
 
     def end(
-        self, descriptor: descriptors.Descriptor, identity: str, failed: bool | None
+        self,
+        descriptor: descriptors.Descriptor,
+        identity: str,
+        failed: bool | None,
+        pause: float = 0.0,
     ) -> None:
-        """Note that a request has left its upstream, and whether that failed it."""
+        """Note that a request has left its upstream, and whether that failed it.
+
+        ``pause`` is the longest of its stream, in seconds; 0 if none is known.
+        """
         placer = self._knowledge.placer
-        placer.end(descriptor.request_id, time.monotonic())
+        placer.end(descriptor.request_id, time.monotonic(), pause)
         if failed is not None:
             placer.note_outcome(identity, descriptor.data_centre, failed)
         self._tasks.pop(descriptor.request_id, None)
-        self._note(descriptor, ENDS[failed])
+        self._note(descriptor, ENDS[failed], pause)
 
     def _ask(
         self, descriptor: descriptors.Descriptor, tried: abc.Collection[str]
@@ -173,9 +180,11 @@
         plain = descriptors.encode(descriptor)
         self._tasks[descriptor.request_id] = [plain, identity, False]
 
-    def _note(self, descriptor: descriptors.Descriptor, kind: str) -> None:
+    def _note(
+        self, descriptor: descriptors.Descriptor, kind: str, pause: float = 0.0
+    ) -> None:
         if self._arbiter is not None:
-            note = messages.PlaceNote(descriptor.request_id, kind)
+            note = messages.PlaceNote(descriptor.request_id, kind, pause)
             self.send(self._arbiter, note)
 
 
--- a/packages/daemon/src/trestlestall/daemon/gateway/relays.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/relays.py
@@ -5,6 +5,9 @@
 
 from trestlestall.daemon.gateway import attempts, callers, events_stream
 
+#: Events of a stream from which on its longest pause says something of its upstream.
+TELLING_EVENTS = 8
+
 
 class Relay:
     """How far a caller's answer has come; ``on_first`` is called at its first event.
@@ -27,6 +30,11 @@
         self._arrived = arrived
         self._on_first = on_first
 
+    @property
+    def shown_pause(self) -> float:
+        """The longest pause, in seconds, or 0 while too few events have come."""
+        return self.longest_pause if self.events >= TELLING_EVENTS else 0.0
+
     def note_first(self) -> None:
         """Note that the answer, or its first event, is there."""
         self.first_seconds = time.monotonic() - self._arrived
--- a/packages/forwarding/src/trestlestall/forwarding/engines.py
+++ b/packages/forwarding/src/trestlestall/forwarding/engines.py
@@ -10,7 +10,7 @@
 import dataclasses
 from collections import abc
 
-from trestlestall.forwarding import descriptors
+from trestlestall.forwarding import descriptors, pauses
 
 #: Prompt tokens that an engine reads in a second, until first events teach better.
 FIRST_READ_RATE = 45_000.0
@@ -36,27 +36,13 @@
 PartKey = tuple[str, str]
 
 
-#: The pause between two events, in seconds, of a stream whose engine reads a long
-#: prompt all the while: some steps, each with a part of the prompt in it. Measured from
-#: 0.06 to 0.2 s (docs/benchmarks.md).
-READING_PAUSE = 0.1
-
-
-def weigh_pause(pause_seconds: float | None) -> float:
-    """Return how likely a stream is to pause for too long beside a long prompt.
-
-    About 1 where the longest pause that is on time is what reading causes, and falling
-    with the square of it.
-    """
-    return (READING_PAUSE / pause_seconds) ** 2 if pause_seconds else 0.0
-
-
 @dataclasses.dataclass
 class Task:
     """One request at an upstream; times in seconds of the monotonic clock.
 
     ``unread`` are the prompt tokens that the engine has to read for it, ``left`` the
-    seconds of reading that are estimated to be left of them.
+    seconds of reading that are estimated to be left of them. ``read_before`` are the
+    seconds that the engine had read in all when the first event came.
     """
 
     descriptor: descriptors.Descriptor
@@ -66,6 +52,7 @@
     predicted: float
     left: float = 0.0
     began: bool = False
+    read_before: float = 0.0
 
     @property
     def tokens(self) -> int:
@@ -95,6 +82,9 @@
         self.failure_rates: dict[str, float] = {}
         self.reachable = True
         self.tasks: dict[str, Task] = {}
+        self.pauses = pauses.Pauses()
+        self._targets: collections.Counter[float] = collections.Counter()
+        self._read_seconds = 0.0
         self._advanced_at = 0.0
         self._parts: collections.OrderedDict[PartKey, int] = collections.OrderedDict()
         self._part_tokens = 0
@@ -150,14 +140,20 @@
         overdue = max((task.find_overdue(now) for task in before), default=0.0)
         return sum(task.left for task in before) + overdue
 
-    def find_tightness(self) -> float:
-        """Return how much a long prompt would hurt the streams that run here.
+    def find_pause_risk(
+        self, target: float | None, backlog: float, reading: float
+    ) -> float:
+        """Return how many streams would pause for too long, the new one with them.
 
-        See ``weigh_pause``.
+        ``backlog`` are the seconds of reading that are left here, ``reading`` those
+        that the new request adds. Streams that pause for too long anyway don't count,
+        so long prompts gather where there are some.
         """
-        return sum(
-            weigh_pause(task.descriptor.pause_seconds) for task in self.tasks.values()
-        )
+        risk = self.pauses.find_lateness(target, backlog)
+        for other, count in self._targets.items():
+            after = self.pauses.find_lateness(other, backlog + reading)
+            risk += count * (after - self.pauses.find_lateness(other, backlog))
+        return risk
 
     def find_memory_share(self, descriptor: descriptors.Descriptor) -> float:
         """Return the part of the memory that would be taken with this request."""
@@ -171,7 +167,10 @@
 
     def begin(self, task: Task, now: float) -> None:
         """Note that a request is being sent here."""
+        self._forget(task.descriptor.request_id)
         self.tasks[task.descriptor.request_id] = task
+        if task.descriptor.pause_seconds:
+            self._targets[task.descriptor.pause_seconds] += 1
         self._advance(now)
         task.left = self.find_reading(task.unread)
         self._remember(task.descriptor)
@@ -184,12 +183,28 @@
         self._advance(now)
         task.began = True
         task.left = 0.0
+        task.read_before = self._read_seconds
         self._learn_rate(task, now - task.placed_at)
 
-    def end(self, request_id: str, now: float) -> Task | None:
-        """Note that a request is no longer here."""
+    def end(self, request_id: str, now: float, pause: float = 0.0) -> Task | None:
+        """Note that a request is no longer here.
+
+        ``pause`` is the longest that its stream has shown, in seconds; 0 if none.
+        """
         self._advance(now)
-        return self.tasks.pop(request_id, None)
+        task = self._forget(request_id)
+        if task is not None and task.began and pause:
+            self.pauses.learn(pause, self._read_seconds - task.read_before)
+        return task
+
+    def _forget(self, request_id: str) -> Task | None:
+        task = self.tasks.pop(request_id, None)
+        target = task.descriptor.pause_seconds if task is not None else None
+        if target:
+            self._targets[target] -= 1
+            if not self._targets[target]:
+                del self._targets[target]
+        return task
 
     def note_outcome(self, data_centre: str, failed: bool) -> None:
         """Learn from an answer or its lack; some callers may fare worse than others."""
@@ -214,6 +229,7 @@
         for task in sorted(waiting, key=rank_task):
             taken = min(task.left, seconds)
             task.left -= taken
+            self._read_seconds += taken
             seconds -= taken
             if seconds <= 0:
                 return
--- a/packages/forwarding/src/trestlestall/forwarding/placement.py
+++ b/packages/forwarding/src/trestlestall/forwarding/placement.py
@@ -25,10 +25,7 @@
 #: Cost of a certain failure, in targets.
 FAILURE_COST = 6.0
 #: What one stream that surely pauses for too long costs, in targets.
-PAUSE_COST = 1.0
-#: Seconds of reading that no stream notices, and after which each one surely does.
-UNNOTICED_READING = 0.02
-NOTICED_READING = 0.12
+PAUSE_COST = 2.0
 #: Cost of a first event as its delay grows, in targets: little up to a share of the
 #: target, 1 shortly before it, as predictions are low by that much, and from there on
 #: more, since what is late makes what comes after it late as well.
@@ -124,11 +121,11 @@
         if engine is not None:
             engine.note_first(request_id, now)
 
-    def end(self, request_id: str, now: float) -> None:
-        """Note that a request has left its upstream."""
+    def end(self, request_id: str, now: float, pause: float = 0.0) -> None:
+        """Note that a request has left its upstream; see ``engines.Upstream.end``."""
         engine = self._tasks.pop(request_id, None)
         if engine is not None:
-            engine.end(request_id, now)
+            engine.end(request_id, now, pause)
 
     def note_outcome(self, identity: str, data_centre: str, failed: bool) -> None:
         """Learn from an answer of an upstream, or the lack of one."""
@@ -222,9 +219,8 @@
     cost = weigh_delay(predicted / max(descriptor.first_seconds, 0.001))
     if predicted > WHOLE_SHARE * descriptor.whole_seconds:
         cost += NO_ANSWER_COST
-    own = engines.weigh_pause(descriptor.pause_seconds)
-    cost += PAUSE_COST * own * find_notice(backlog)
-    cost += PAUSE_COST * engine.find_tightness() * find_notice(reading)
+    risk = engine.find_pause_risk(descriptor.pause_seconds, backlog, reading)
+    cost += PAUSE_COST * risk
     taken = len(engine.tasks) / engine.slots
     cost += LOAD_COST * taken
     if taken >= 1.0:
@@ -246,12 +242,6 @@
     return DELAY_COSTS[-1][1]
 
 
-def find_notice(reading: float) -> float:
-    """Return how surely streams notice so many seconds of reading, from 0 to 1."""
-    share = (reading - UNNOTICED_READING) / (NOTICED_READING - UNNOTICED_READING)
-    return min(1.0, max(0.0, share))
-
-
 def find_rendezvous(descriptor: descriptors.Descriptor, identity: str) -> int:
     """Return the upstream's rank for the prompt's beginning, the same everywhere.
 
--- a/packages/forwarding/src/trestlestall/forwarding/urgency.py
+++ b/packages/forwarding/src/trestlestall/forwarding/urgency.py
@@ -3,8 +3,8 @@
     ranks = Ranks(configuration)
     ranks.find(route, workspace)
 
-A workspace's tier alone would make all its requests equal, and its short questions would
-wait behind its own long prompts.
+A workspace's tier alone would make all its requests equal, and its short questions
+would wait behind its own long prompts.
 """
 
 from trestlestall.forwarding import model
--- a/packages/wire/src/trestlestall/wire/messages.py
+++ b/packages/wire/src/trestlestall/wire/messages.py
@@ -260,10 +260,14 @@
 @registry.register("place_note")
 @dataclasses.dataclass(frozen=True)
 class PlaceNote:
-    """What became of a placed request: ``first`` event, or an end and of which kind."""
+    """What became of a placed request: ``first`` event, or an end and of which kind.
+
+    ``pause`` is the longest of a stream that has ended, in seconds; 0 if none is known.
+    """
 
     request: str
     kind: str
+    pause: float = 0.0
 
 
 @registry.register("place_state")
--- a/packages/wire/tests/test_codec.py
+++ b/packages/wire/tests/test_codec.py
@@ -35,6 +35,7 @@
     messages.PlaceCall(4, ("r1", "work", 0, 0.25), ("u1",)),
     messages.PlaceAnswer(4, "u1", 800, 0.125, "", 0.0),
     messages.PlaceNote("r1", "first"),
+    messages.PlaceNote("r1", "succeeded", 0.125),
     messages.PlaceState(([["r1", "work"], "u1", True],)),
     messages.Replaced("u1"),
 )
