Count a prompt that is being read to its end before more urgent ones

Cause: the wait for a request left out all prompts of lower rank. Engines read the prompt that they are at to its end: first events of the most urgent came after 0.028 s in the middle without such a prompt and after 0.07 s to 0.25 s with one, over 0.9 s at the worst.

Ruled out: engines that ignore ranks (behind 1.5 s of waiting prompts of lower rank the first event still came after 0.116 s).

--- a/packages/forwarding/src/trestlestall/forwarding/engines.py
+++ b/packages/forwarding/src/trestlestall/forwarding/engines.py
@@ -85,6 +85,7 @@
         self.pauses = pauses.Pauses()
         self._targets: collections.Counter[float] = collections.Counter()
         self._read_seconds = 0.0
+        self._reading: Task | None = None
         self._advanced_at = 0.0
         self._parts: collections.OrderedDict[PartKey, int] = collections.OrderedDict()
         self._part_tokens = 0
@@ -138,7 +139,12 @@
             if not task.began and task.descriptor.tier <= tier
         ]
         overdue = max((task.find_overdue(now) for task in before), default=0.0)
-        return sum(task.left for task in before) + overdue
+        wait = sum(task.left for task in before) + overdue
+        current = self._reading
+        if current is not None and current.descriptor.tier > tier:
+            # A prompt that is being read is read to its end.
+            wait += current.left
+        return wait
 
     def find_pause_risk(
         self, target: float | None, backlog: float, reading: float
@@ -226,13 +232,20 @@
         """Take what was read since the last time off the prompts, in their order."""
         seconds, self._advanced_at = now - self._advanced_at, now
         waiting = [task for task in self.tasks.values() if task.left > 0]
-        for task in sorted(waiting, key=rank_task):
+        waiting.sort(key=rank_task)
+        if self._reading in waiting:
+            waiting.remove(self._reading)
+            waiting.insert(0, self._reading)
+        self._reading = None
+        for task in waiting:
+            self._reading = task
             taken = min(task.left, seconds)
             task.left -= taken
             self._read_seconds += taken
             seconds -= taken
-            if seconds <= 0:
+            if task.left > 0:
                 return
+        self._reading = None
 
     def _remember(self, descriptor: descriptors.Descriptor) -> None:
         """Note that the prompt's parts will be held here, the newest longest."""
