Refuse requests that would be late while their callers have time to come back

Change: forwarding/shedding.py. A request whose first event is predicted after its target, behind others, is refused at once with a time to come back that is spread over a tenth to three tenths of its time. Callers that come back have less of their time left and are let in. The wait for a slot is estimated from how long requests hold one.

--- a/packages/daemon/src/trestlestall/daemon/gateway/heads.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/heads.py
@@ -24,6 +24,10 @@
     )
 )
 
+#: Part of its route's time that a caller has left at its first attempt; one that comes
+#: back has less.
+WHOLE_TIME_SHARE = 0.99
+
 RawHeaders = abc.Sequence[tuple[bytes, bytes]]
 
 
@@ -179,6 +183,8 @@
     head: Head, route: model.Route, service: str, tier: int, data_centre: str
 ) -> descriptors.Descriptor:
     """Return what the policy is told of the request."""
+    given = head.deadline
+    is_first = given is not None and given >= WHOLE_TIME_SHARE * route.whole_seconds
     return descriptors.Descriptor(
         request_id=head.request_id,
         service=service,
@@ -192,4 +198,5 @@
         parts=head.parts,
         length_hint=head.length_hint,
         data_centre=data_centre,
+        may_return=route.streams and head.tokens_in > 0 and is_first,
     )
--- a/packages/daemon/src/trestlestall/daemon/gateway/placing.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/placing.py
@@ -9,7 +9,7 @@
 
 from trestlestall.daemon import events
 from trestlestall.daemon.gateway import knowledge as knowledges, reaching
-from trestlestall.forwarding import descriptors, placement
+from trestlestall.forwarding import descriptors, placement, shedding
 from trestlestall.wire import messages
 
 #: Seconds to wait for the arbiter: some round trips between data centres of a region,
@@ -88,6 +88,8 @@
     ) -> placement.Placed | placement.Refused:
         """Choose an upstream that was not tried yet, and count the request there."""
         answer = self._ask(descriptor, tried)
+        if answer is not None and answer.reason == shedding.OVERLOADED:
+            return placement.Refused(answer.reason, answer.return_seconds)
         if answer is None or not answer.upstream:
             # Without an answer, or with none but upstreams that can't be connected to.
             return self._choose(descriptor, tried)
--- a/packages/forwarding/src/trestlestall/forwarding/descriptors.py
+++ b/packages/forwarding/src/trestlestall/forwarding/descriptors.py
@@ -19,7 +19,8 @@
     ``first_seconds``, ``pause_seconds`` and ``whole_seconds`` are the route's targets.
     ``tokens_in`` are those of the prompt, ``tokens_out`` the most that may be
     generated, ``parts`` the prompt in order: an engine that holds the first parts need
-    not read them again.
+    not read them again. ``may_return`` tells that the caller has all its time left, so
+    that a refusal leaves it time to come back.
     """
 
     request_id: str
@@ -34,6 +35,7 @@
     parts: tuple[Part, ...] = ()
     length_hint: int | None = None
     data_centre: str = ""
+    may_return: bool = False
 
     @property
     def expected_tokens_out(self) -> int:
--- a/packages/forwarding/src/trestlestall/forwarding/engines.py
+++ b/packages/forwarding/src/trestlestall/forwarding/engines.py
@@ -29,6 +29,10 @@
 RATE_BOUNDS = (2_000.0, 500_000.0)
 #: How far one outcome moves the estimate of how often an upstream fails.
 FAILURE_LEARNING = 0.12
+#: Seconds that a request holds its slot, until ends teach better, and how far one end
+#: moves the estimate.
+FIRST_HOLD = 2.0
+HOLD_LEARNING = 0.05
 #: Parts that are remembered for each upstream, where its memory isn't declared.
 PARTS_KEPT = 4096
 
@@ -83,6 +87,7 @@
         self.reachable = True
         self.tasks: dict[str, Task] = {}
         self.pauses = pauses.Pauses()
+        self.hold_seconds = FIRST_HOLD
         self._targets: collections.Counter[float] = collections.Counter()
         self._read_seconds = 0.0
         self._reading: Task | None = None
@@ -146,6 +151,14 @@
             wait += current.left
         return wait
 
+    def find_slot_wait(self, tier: int) -> float:
+        """Return the seconds until a slot is free for a new request of the tier.
+
+        Less urgent requests give way to it.
+        """
+        before = sum(task.descriptor.tier <= tier for task in self.tasks.values())
+        return max(0, before - self.slots + 1) * self.hold_seconds / self.slots
+
     def find_pause_risk(
         self, target: float | None, backlog: float, reading: float
     ) -> float:
@@ -199,8 +212,11 @@
         """
         self._advance(now)
         task = self._forget(request_id)
-        if task is not None and task.began and pause:
-            self.pauses.learn(pause, self._read_seconds - task.read_before)
+        if task is not None and task.began:
+            held = now - task.placed_at
+            self.hold_seconds += HOLD_LEARNING * (held - self.hold_seconds)
+            if pause:
+                self.pauses.learn(pause, self._read_seconds - task.read_before)
         return task
 
     def _forget(self, request_id: str) -> Task | None:
--- a/packages/forwarding/src/trestlestall/forwarding/placement.py
+++ b/packages/forwarding/src/trestlestall/forwarding/placement.py
@@ -14,7 +14,13 @@
 import itertools
 from collections import abc
 
-from trestlestall.forwarding import descriptors, engines, model, upstreams
+from trestlestall.forwarding import (
+    descriptors,
+    engines,
+    model,
+    shedding,
+    upstreams,
+)
 
 #: Cost of a request that would have to wait for a slot, in targets; above that of any
 #: usual delay, so that free slots go first.
@@ -44,6 +50,8 @@
 FORGOTTEN_AT_ONCE = 16
 #: Cost of a fully taken upstream against an idle one; spreads equal choices.
 LOAD_COST = 0.5
+#: Ranks of ``find_rendezvous`` lie below this.
+RENDEZVOUS_RANGE = 2**64
 #: Seconds until the next attempt of a caller whose service has no upstream to go to;
 #: about the time between two announcements.
 RETURN_SECONDS = 1.0
@@ -113,6 +121,14 @@
             return Refused("no upstream within reach", RETURN_SECONDS)
         self._forget_parts(now)
         best = min(near, key=lambda row: self._rank(row, descriptor, now))
+        if not tried and shedding.is_due(
+            descriptor, self._foresee(best, descriptor, now)
+        ):
+            share = (
+                find_rendezvous(descriptor, descriptor.request_id) / RENDEZVOUS_RANGE
+            )
+            after = shedding.find_return(descriptor, share)
+            return Refused(shedding.OVERLOADED, after)
         return self._begin(best, descriptor, now)
 
     def note_first(self, request_id: str, now: float) -> None:
@@ -165,6 +181,15 @@
         cost += READ_AGAIN_COST * again
         return round(cost, 2), find_rendezvous(descriptor, row.identity)
 
+    def _foresee(
+        self, row: upstreams.Row, descriptor: descriptors.Descriptor, now: float
+    ) -> shedding.Outlook:
+        engine = self.engines[row.identity]
+        wait = engine.find_wait(now, descriptor.tier)
+        wait += engine.find_slot_wait(descriptor.tier)
+        reading = engine.find_reading(engine.count_unread(descriptor))
+        return shedding.Outlook(wait, wait + reading)
+
     def _begin(
         self, row: upstreams.Row, descriptor: descriptors.Descriptor, now: float
     ) -> Placed:
--- /dev/null
+++ b/packages/forwarding/src/trestlestall/forwarding/shedding.py
@@ -0,0 +1,48 @@
+"""Refusing a request at once that would be late, while its caller has time to return.
+
+In a burst beyond what the upstreams can take, every request that is let in makes those
+behind it late as well. A caller who still has nearly all of its time loses less by coming
+back a little later than by waiting in a queue; one that comes back is never refused again
+for this reason, so nobody starves.
+"""
+
+import dataclasses
+
+from trestlestall.forwarding import descriptors
+
+OVERLOADED = "all upstreams are behind"
+#: Predicted first event, in targets, from which on a request is refused.
+LATE_TARGETS = 1.0
+#: Part of the target that has to be waiting for others: a prompt that is too long for
+#: its target by itself gains nothing by coming back.
+WAIT_SHARE = 0.5
+#: When callers come back, in parts of the time that they have: spread, so that they
+#: don't meet again, and early enough that most of the time is left.
+RETURN_SHARES = (0.1, 0.3)
+
+
+@dataclasses.dataclass(frozen=True)
+class Outlook:
+    """What awaits a request at the best upstream, in seconds.
+
+    ``wait`` is the time until the engine gets to it, ``predicted`` that to its first
+    event.
+    """
+
+    wait: float
+    predicted: float
+
+
+def is_due(descriptor: descriptors.Descriptor, outlook: Outlook) -> bool:
+    """Return whether to refuse the request."""
+    if not descriptor.may_return:
+        return False
+    target = descriptor.first_seconds
+    late = outlook.predicted > LATE_TARGETS * target
+    return late and outlook.wait > WAIT_SHARE * target
+
+
+def find_return(descriptor: descriptors.Descriptor, share: float) -> float:
+    """Return when the caller should come back, in seconds; ``share`` is from 0 to 1."""
+    first, last = RETURN_SHARES
+    return descriptor.whole_seconds * (first + (last - first) * share)
