Keep tight streams away from upstreams that read long prompts all the while

Cause: a choice saw only the reading that was left at that moment.

Change: each upstream's share of time spent on long prompts over the last two seconds counts as reading to come. Prompts read in under 60 ms no longer count as long ones.

--- a/packages/forwarding/src/trestlestall/forwarding/engines.py
+++ b/packages/forwarding/src/trestlestall/forwarding/engines.py
@@ -8,6 +8,7 @@
 
 import collections
 import dataclasses
+import math
 from collections import abc
 
 from trestlestall.forwarding import descriptors, pauses
@@ -33,6 +34,12 @@
 #: moves the estimate.
 FIRST_HOLD = 2.0
 HOLD_LEARNING = 0.05
+#: Seconds of reading from which on a prompt is long: streams beside shorter ones don't
+#: pause for longer than between other steps.
+LONG_READING = 0.06
+#: Seconds over which the share of time is taken that an upstream reads long prompts;
+#: about as long as most streams run.
+DUTY_SECONDS = 2.0
 #: Parts that are remembered for each upstream, where its memory isn't declared.
 PARTS_KEPT = 4096
 
@@ -54,6 +61,7 @@
     unread: int
     placed_at: float
     predicted: float
+    reading: float = 0.0
     left: float = 0.0
     began: bool = False
     read_before: float = 0.0
@@ -90,6 +98,7 @@
         self.hold_seconds = FIRST_HOLD
         self._targets: collections.Counter[float] = collections.Counter()
         self._read_seconds = 0.0
+        self._duty = 0.0
         self._reading: Task | None = None
         self._advanced_at = 0.0
         self._parts: collections.OrderedDict[PartKey, int] = collections.OrderedDict()
@@ -129,7 +138,9 @@
     def find_backlog(self, now: float) -> float:
         """Return the seconds of reading that all prompts here still need."""
         self._advance(now)
-        return sum(task.left for task in self.tasks.values())
+        return sum(
+            task.left for task in self.tasks.values() if task.reading >= LONG_READING
+        )
 
     def find_wait(self, now: float, tier: int) -> float:
         """Return the seconds until the engine gets to a new prompt of the tier.
@@ -168,6 +179,7 @@
         that the new request adds. Streams that pause for too long anyway don't count,
         so long prompts gather where there are some.
         """
+        backlog += self._duty * DUTY_SECONDS
         risk = self.pauses.find_lateness(target, backlog)
         for other, count in self._targets.items():
             after = self.pauses.find_lateness(other, backlog + reading)
@@ -191,7 +203,7 @@
         if task.descriptor.pause_seconds:
             self._targets[task.descriptor.pause_seconds] += 1
         self._advance(now)
-        task.left = self.find_reading(task.unread)
+        task.reading = task.left = self.find_reading(task.unread)
         self._remember(task.descriptor)
 
     def note_first(self, request_id: str, now: float) -> None:
@@ -247,6 +259,15 @@
     def _advance(self, now: float) -> None:
         """Take what was read since the last time off the prompts, in their order."""
         seconds, self._advanced_at = now - self._advanced_at, now
+        if seconds <= 0:
+            return
+        before = self._read_seconds
+        self._read(seconds)
+        share = (self._read_seconds - before) / seconds
+        weight = 1 - math.exp(-seconds / DUTY_SECONDS)
+        self._duty += weight * (share - self._duty)
+
+    def _read(self, seconds: float) -> None:
         waiting = [task for task in self.tasks.values() if task.left > 0]
         waiting.sort(key=rank_task)
         if self._reading in waiting:
@@ -257,7 +278,8 @@
             self._reading = task
             taken = min(task.left, seconds)
             task.left -= taken
-            self._read_seconds += taken
+            if task.reading >= LONG_READING:
+                self._read_seconds += taken
             seconds -= taken
             if task.left > 0:
                 return
--- a/packages/forwarding/src/trestlestall/forwarding/shedding.py
+++ b/packages/forwarding/src/trestlestall/forwarding/shedding.py
@@ -1,9 +1,9 @@
 """Refusing a request at once that would be late, while its caller has time to return.
 
 In a burst beyond what the upstreams can take, every request that is let in makes those
-behind it late as well. A caller who still has nearly all of its time loses less by coming
-back a little later than by waiting in a queue; one that comes back is never refused again
-for this reason, so nobody starves.
+behind it late as well. A caller who still has nearly all of its time loses less by
+coming back a little later than by waiting in a queue; one that comes back is never
+refused again for this reason, so nobody starves.
 """
 
 import dataclasses
--- a/packages/forwarding/tests/test_pauses.py
+++ b/packages/forwarding/tests/test_pauses.py
@@ -63,6 +63,29 @@
         self.upstream.end("r1", 2.0, 0.25)
         self.assertGreater(self.upstream.pauses.longest, pauses.FIRST_LONGEST)
 
+    def test_where_long_prompts_are_read_all_the_while_streams_are_at_risk(self):
+        for number in range(3):
+            self.begin(f"long-{number}", number * 0.6, tokens=20_000, tier=3)
+        self.assertEqual(self.upstream.find_backlog(1.8), 0.0)
+        self.assertGreater(self.upstream.find_pause_risk(TIGHT, 0.0, 0.0), 0.2)
+        idle = engines.Upstream("u2", 48, 0)
+        self.assertEqual(idle.find_pause_risk(TIGHT, 0.0, 0.0), 0.0)
+
+    def test_short_prompts_are_no_risk(self):
+        for number in range(100):
+            self.begin(f"r-{number}", number / 50, tokens=500)
+        backlog = self.upstream.find_backlog(2.0)
+        self.assertEqual(self.upstream.find_pause_risk(TIGHT, backlog, 0.01), 0.0)
+
+    def test_a_prompt_that_is_being_read_comes_before_more_urgent_ones(self):
+        self.begin("long", 0.0, tokens=20_000, tier=3)
+        self.begin("later", 0.0, tokens=20_000, tier=3)
+        reading = self.upstream.find_reading(20_000)
+        self.upstream.find_backlog(reading / 2)
+        self.assertAlmostEqual(
+            self.upstream.find_wait(reading / 2, 0), reading / 2, places=3
+        )
+
     def test_streams_on_their_own_teach_nothing(self):
         self.begin("r1", 0.0, tokens=1)
         self.upstream.note_first("r1", 0.01)
--- /dev/null
+++ b/packages/forwarding/tests/test_shedding.py
@@ -0,0 +1,60 @@
+"""Requests that would be late are refused while their callers can come back."""
+
+import unittest
+
+from packages.forwarding.tests import samples
+from trestlestall.forwarding import placement, shedding
+
+LATE = shedding.Outlook(wait=1.0, predicted=1.1)
+
+
+class RefusalTest(unittest.TestCase):
+    def test_only_callers_with_all_their_time_are_refused(self):
+        first = samples.make_descriptor(may_return=True)
+        again = samples.make_descriptor(may_return=False)
+        self.assertTrue(shedding.is_due(first, LATE))
+        self.assertFalse(shedding.is_due(again, LATE))
+
+    def test_a_prompt_that_is_too_long_by_itself_is_let_in(self):
+        outlook = shedding.Outlook(wait=0.0, predicted=9.0)
+        asked = samples.make_descriptor(may_return=True)
+        self.assertFalse(shedding.is_due(asked, outlook))
+
+    def test_returns_are_spread_and_leave_most_of_the_time(self):
+        asked = samples.make_descriptor(may_return=True)
+        found = [shedding.find_return(asked, share / 10) for share in range(11)]
+        self.assertEqual(found, sorted(set(found)))
+        self.assertGreater(found[0], asked.first_seconds)
+        self.assertLess(found[-1], asked.whole_seconds / 3)
+
+
+class PlacerTest(unittest.TestCase):
+    def setUp(self):
+        self.placer = placement.Placer()
+        configuration = samples.make_configuration()
+        self.placer.set_upstreams([samples.make_row()], configuration, 0.0)
+
+    def place(self, request_id, **changes):
+        return self.placer.place(samples.make_descriptor(request_id, **changes), 0.0)
+
+    def test_a_burst_is_refused_and_let_in_when_it_comes_back(self):
+        found = [self.place(f"r{n}", tokens=9000, may_return=True) for n in range(9)]
+        self.assertIsInstance(found[0], placement.Placed)
+        self.assertEqual(found[-1].reason, shedding.OVERLOADED)
+        again = self.place("again", tokens=9000, may_return=False)
+        self.assertIsInstance(again, placement.Placed)
+
+    def test_a_request_that_waits_for_nobody_less_urgent_is_let_in(self):
+        for number in range(9):
+            self.place(f"r{number}", tokens=9000, tier=5)
+        found = self.place("urgent", tokens=10, tier=0, may_return=True)
+        self.assertIsInstance(found, placement.Placed)
+
+    def test_nothing_is_refused_after_an_attempt(self):
+        for number in range(9):
+            self.place(f"r{number}", tokens=9000)
+        rows = [samples.make_row(identity) for identity in ("u1", "u2")]
+        self.placer.set_upstreams(rows, samples.make_configuration(), 0.0)
+        descriptor = samples.make_descriptor("r", may_return=True)
+        found = self.placer.place(descriptor, 0.0, ("u2",))
+        self.assertIsInstance(found, placement.Placed)
