--- a/packages/wire/src/trestlestall/wire/connections.py
+++ b/packages/wire/src/trestlestall/wire/connections.py
@@ -21,6 +21,10 @@
 
 READ_BYTES = 16384
 WRITE_BYTES = 65536
+#: Seconds to wait for a connection: many round trips between regions. The kernel sends
+#: an opening packet that nobody took again after a second, so that a host that has just
+#: started is reached sooner by a new try.
+CONNECT_SECONDS = 0.3
 
 # The library logs what it refuses; the mesh counts it instead.
 LOGGER = logging.getLogger("trestlestall.wire.websockets")
@@ -127,7 +131,7 @@
     address: str, deadline: float, max_size: int
 ) -> abc.Iterator[Connection | None]:
     """Open a connection to ``IP:port`` for the block; ``None`` if that fails."""
-    timeout = max(0.001, deadline - time.monotonic())
+    timeout = min(CONNECT_SECONDS, max(0.001, deadline - time.monotonic()))
     try:
         opened = socket.create_connection(addresses.parse(address), timeout=timeout)
     except OSError:
--- a/packages/wire/src/trestlestall/wire/links.py
+++ b/packages/wire/src/trestlestall/wire/links.py
@@ -13,6 +13,7 @@
 """
 
 import dataclasses
+import math
 import os
 import random
 import socket
@@ -31,17 +32,13 @@
     handshake,
     link,
     messages,
+    redialling,
     sockets,
 )
 
 # What a peer that has proved nothing yet may take: seconds, and bytes a frame.
 HANDSHAKE_SECONDS = 2.0
 HANDSHAKE_FRAME = 4096
-# Seconds between tries to dial: doubled from the first to the longest, and begun anew
-# after a link that was stable for so long.
-FIRST_WAIT = 0.1
-LONGEST_WAIT = 1.5
-STABLE_SECONDS = 1.0
 # Seconds between two looks at all links.
 CHECK_SECONDS = 0.25
 # The longest that ``stop`` waits for the queues to empty.
@@ -246,23 +243,18 @@
 
     def run_dialler(self, peer: Peer) -> None:
         """Keep a link to the peer, with growing and jittered waits between tries."""
-        wait = FIRST_WAIT
+        waits = redialling.Waits(self.random)
         while not self.stopping:
-            lasted = self.dial(peer)
-            grown = min(LONGEST_WAIT, wait * 2)
-            wait = FIRST_WAIT if lasted > STABLE_SECONDS else grown
-            eventlet.sleep(wait * self.random.uniform(0.5, 1.0))
+            eventlet.sleep(waits.find_next(self.dial(peer)))
 
     def run_finder(self, peer: Peer, patience: float) -> None:
         """Dial the peer whenever there has been no link for ``patience`` seconds."""
-        wait = FIRST_WAIT
+        waits = redialling.Waits(self.random)
         while not self.stopping:
             eventlet.sleep(patience)
-            if peer.name not in self.links:
-                lasted = self.dial(peer)
-                grown = min(LONGEST_WAIT, wait * 2)
-                wait = FIRST_WAIT if lasted > STABLE_SECONDS else grown
-            eventlet.sleep(wait * self.random.uniform(0.5, 1.0))
+            # A link that the peer opened counts as a good one.
+            lasted = math.inf if peer.name in self.links else self.dial(peer)
+            eventlet.sleep(waits.find_next(lasted))
 
     def dial(self, peer: Peer) -> float:
         """Run a link to the peer to its end; return the seconds that it lasted."""
