Wait for the arbiter's choice for a part of the request's target

Cause: on the grown sites 5 in 100 questions were not answered within 30 ms in steady state. Hosts have links of 5 Mbit/s there: behind a prompt of 12 KB a question waits 19 ms, behind the longest 115 ms. Each silence made the gateway choose alone for half a second (15 to 38 in 100 requests), two in a row moved it to another arbiter, so that several chose at once without knowing of each other.

Ruled out: a slow arbiter (0.0095 of a core at the most).

Change: the wait is a quarter of the request's target, from 30 ms to 200 ms.

--- a/packages/daemon/src/trestlestall/daemon/gateway/placing.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/placing.py
@@ -12,9 +12,11 @@
 from trestlestall.forwarding import descriptors, placement, shedding
 from trestlestall.wire import messages
 
-#: Seconds to wait for the arbiter: some round trips between data centres of a region,
-#: and a small part of the shortest targets.
-ANSWER_SECONDS = 0.03
+#: How long to wait for the arbiter, in parts of the request's target, and the bounds of
+#: that in seconds: some round trips between data centres of a region, and more than a
+#: long prompt takes on a narrow link (72 KB at 5 Mbit/s), behind which questions wait.
+ANSWER_SHARE = 0.25
+ANSWER_BOUNDS = (0.03, 0.2)
 #: Seconds in which a silent arbiter is not asked again.
 SILENCE_SECONDS = 0.5
 #: Questions in a row without an answer until another directory is asked, and for how
@@ -149,13 +151,14 @@
         if not self.send(self._arbiter, messages.PlaceCall(token, plain, avoided)):
             del self._waiting[token]
             return None
-        with eventlet.Timeout(ANSWER_SECONDS, False):
+        seconds = find_patience(descriptor)
+        with eventlet.Timeout(seconds, False):
             return waiting.wait()
         self._waiting.pop(token, None)
-        self._note_silent(descriptor)
+        self._note_silent(descriptor, seconds)
         return None
 
-    def _note_silent(self, descriptor: descriptors.Descriptor) -> None:
+    def _note_silent(self, descriptor: descriptors.Descriptor, seconds: float) -> None:
         """Go without the arbiter for a moment; it may have counted the request."""
         now = time.monotonic()
         self._silent_until = now + SILENCE_SECONDS
@@ -167,7 +170,7 @@
         self._knowledge.log.write(
             events.forwarding.ARBITER_SILENT,
             arbiter=self._arbiter,
-            seconds=ANSWER_SECONDS,
+            seconds=round(seconds, 3),
         )
 
     def _choose(
@@ -190,6 +193,12 @@
             self.send(self._arbiter, note)
 
 
+def find_patience(descriptor: descriptors.Descriptor) -> float:
+    """Return how long to wait for the arbiter's answer, in seconds."""
+    least, most = ANSWER_BOUNDS
+    return min(most, max(least, ANSWER_SHARE * descriptor.first_seconds))
+
+
 def send_nowhere(name: str, message: object) -> bool:
     """Send nothing: there are no links yet."""
     return False
