Give directories metrics

Choices for gateways by outcome and their time, calls of operators and upstreams by kind, status and time, and gauges of version, voters, leadership, upstreams, links and dropped log lines, at the dialect's metrics path of the service address.

--- a/packages/daemon/src/trestlestall/daemon/directory/arbitration.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/arbitration.py
@@ -13,7 +13,10 @@
 from collections import abc
 
 from trestlestall.daemon import dialects
-from trestlestall.daemon.directory import links as directory_links
+from trestlestall.daemon.directory import (
+    links as directory_links,
+    metrics as directory_metrics,
+)
 from trestlestall.forwarding import descriptors, model, placement, upstreams
 from trestlestall.wire import messages
 
@@ -33,10 +36,12 @@
         self,
         links: directory_links.Links,
         dialect: dialects.Dialect,
+        metrics: directory_metrics.Metrics,
         clock: abc.Callable[[], float] = time.monotonic,
     ) -> None:
         self._links = links
         self._dialect = dialect
+        self._metrics = metrics
         self._clock = clock
         self._placer = placement.Placer()
         self._configuration: model.Configuration | None = None
@@ -57,9 +62,13 @@
 
     def place(self, gateway: str, call: messages.PlaceCall) -> None:
         """Choose an upstream and tell the gateway."""
+        started = time.monotonic()
         descriptor = descriptors.decode(list(call.descriptor))
         found = self._placer.place(descriptor, self._clock(), call.tried)
-        if isinstance(found, placement.Refused):
+        refused = isinstance(found, placement.Refused)
+        outcome = found.reason if refused else directory_metrics.PLACED
+        self._metrics.note_choice(outcome, time.monotonic() - started)
+        if refused:
             answer = messages.PlaceAnswer(
                 call.token, "", 0, 0.0, found.reason, found.return_seconds
             )
--- /dev/null
+++ b/packages/daemon/src/trestlestall/daemon/directory/metrics.py
@@ -0,0 +1,59 @@
+"""A directory's metrics; names and units follow the Prometheus conventions."""
+
+import prometheus_client
+
+CONTENT_TYPE = prometheus_client.CONTENT_TYPE_LATEST
+#: Seconds; a choice takes part of a millisecond, the agreement on a document some.
+CHOICE_BUCKETS = (0.0002, 0.0005, 0.001, 0.002, 0.005, 0.02)
+CALL_BUCKETS = (0.005, 0.02, 0.05, 0.1, 0.25, 1, 4)
+PLACED = "placed"
+
+
+class Metrics:
+    """Counters, gauges and histograms, on a registry of their own."""
+
+    def __init__(self) -> None:
+        self.registry = prometheus_client.CollectorRegistry()
+        self._choices = prometheus_client.Counter(
+            "trestlestall_choices",
+            "Choices of an upstream for gateways' requests, by what came of them.",
+            ["outcome"],
+            registry=self.registry,
+        )
+        self._choice_seconds = prometheus_client.Histogram(
+            "trestlestall_choice_seconds",
+            "Processor's time of a choice.",
+            registry=self.registry,
+            buckets=CHOICE_BUCKETS,
+        )
+        self._calls = prometheus_client.Histogram(
+            "trestlestall_directory_call_seconds",
+            "Calls of operators and upstreams, by kind and status.",
+            ["kind", "status"],
+            registry=self.registry,
+            buckets=CALL_BUCKETS,
+        )
+        self.version = self._gauge("declaration_version", "Configuration in force.")
+        self.voters = self._gauge("directory_voters", "Voters of the group.")
+        self.leads = self._gauge("directory_leads", "1 while this directory leads.")
+        self.upstreams = self._gauge("directory_upstreams", "Upstreams that are known.")
+        self.links = self._gauge("links", "Open links to other processes.")
+        self.dropped = self._gauge("log_lines_dropped", "Since the start.")
+
+    def _gauge(self, name: str, text: str) -> prometheus_client.Gauge:
+        return prometheus_client.Gauge(
+            f"trestlestall_{name}", text, registry=self.registry
+        )
+
+    def note_choice(self, outcome: str, seconds: float) -> None:
+        """Count a choice; ``outcome`` is ``PLACED`` or why there was none."""
+        self._choices.labels(outcome).inc()
+        self._choice_seconds.observe(seconds)
+
+    def note_call(self, kind: str, status: int, seconds: float) -> None:
+        """Count a call of an operator or an upstream."""
+        self._calls.labels(kind, str(status)).observe(seconds)
+
+    def render(self) -> bytes:
+        """Return the exposition text, of the type ``CONTENT_TYPE``."""
+        return prometheus_client.generate_latest(self.registry)
--- a/packages/daemon/src/trestlestall/daemon/directory/server.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/server.py
@@ -28,6 +28,7 @@
     arrivals,
     links as directory_links,
     members,
+    metrics as directory_metrics,
     registrations,
 )
 from trestlestall.wire import messages
@@ -62,6 +63,7 @@
     ) -> None:
         self.own = links.own
         self.links = links
+        self.output = env.stdout
         self.voter: voters.Voter | None = None
         self.registrations = registrations.Registrations(
             links, log, self.count_voters, self._note_rows, env.clock.monotonic
@@ -80,7 +82,10 @@
         self._noticed_at = float("-inf")
         self._roster_at = float("-inf")
         self._told_version = 0
-        self.arbiter = arbitration.Arbiter(links, dialect, env.clock.monotonic)
+        self.metrics = directory_metrics.Metrics()
+        self.arbiter = arbitration.Arbiter(
+            links, dialect, self.metrics, env.clock.monotonic
+        )
 
     # The disk.
 
@@ -123,6 +128,11 @@
     def _note_rows(self) -> None:
         self.arbiter.set_rows(self.registrations.table.rows.values())
 
+    @property
+    def version(self) -> int:
+        """The newest configuration that is known here; 0 without one."""
+        return self.voter.machine.declaration.version if self.voter is not None else 0
+
     def count_voters(self) -> int:
         """Return how many directories vote, as far as is known here."""
         return len(self.voter.node.voters) if self.voter is not None else 0
--- a/packages/daemon/src/trestlestall/daemon/directory/site.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/site.py
@@ -8,7 +8,11 @@
 import eventlet.event
 
 from trestlestall.daemon import dialects, events, logs
-from trestlestall.daemon.directory import operations, server as servers
+from trestlestall.daemon.directory import (
+    metrics as directory_metrics,
+    operations,
+    server as servers,
+)
 from trestlestall.daemon.http import answers, application, limits, requests, routes
 from trestlestall.forwarding import model, upstreams
 
@@ -43,6 +47,7 @@
         table.register("PUT", paths.upstreams)(announce)
         table.register("DELETE", paths.upstreams)(withdraw)
         table.register("GET", paths.ready)(show_readiness)
+        table.register("GET", paths.metrics)(show_metrics)
         bounds = limits.Limits(body_bytes=self.document_bytes)
         return application.Application(
             self, table, bounds, report_error=self.report_error
@@ -84,6 +89,7 @@
         bytes=len(body),
         seconds=round(time.monotonic() - started, 4),
     )
+    note_call(site, "declare", reply["status"], started)
     if reply["status"] != OK:
         return refuse(UNAVAILABLE, "no quorum confirmed it; it may still be in force")
     return answers.build_json({"newest": reply.get("newest")})
@@ -99,6 +105,7 @@
         status=reply["status"],
         seconds=round(time.monotonic() - started, 4),
     )
+    note_call(site, "read", reply["status"], started)
     if reply["status"] != OK:
         return refuse(UNAVAILABLE, "no quorum confirms which one is the newest")
     if not reply["version"]:
@@ -128,7 +135,10 @@
 
 def answer_announced(site: Site, row: upstreams.Row) -> answers.Answer:
     """Answer 200 once everyone who has to know was told."""
-    if site.server.registrations.announce(row):
+    started = time.monotonic()
+    taken = site.server.registrations.announce(row)
+    note_call(site, "announce", OK if taken else UNAVAILABLE, started)
+    if taken:
         return answers.build_json({})
     return refuse(UNAVAILABLE, "too few directories could be told")
 
@@ -139,6 +149,25 @@
     return answers.build_json({"ready": ready}, OK if ready else UNAVAILABLE)
 
 
+def note_call(site: Site, kind: str, status: int, started: float) -> None:
+    """Count a call that began at a reading of the monotonic clock."""
+    site.server.metrics.note_call(kind, status, time.monotonic() - started)
+
+
+def show_metrics(site: Site, request: requests.Request) -> answers.Answer:
+    """Answer with the metrics as they are now."""
+    server = site.server
+    metrics = server.metrics
+    metrics.version.set(server.version)
+    metrics.voters.set(server.count_voters())
+    metrics.leads.set(int(server.leader == server.links.own))
+    metrics.upstreams.set(len(server.registrations.table.rows))
+    links = server.links
+    metrics.links.set(len(links.list_directories()) + len(links.list_gateways()))
+    metrics.dropped.set(getattr(server.output, "dropped", 0))
+    return answers.Answer(OK, metrics.render(), directory_metrics.CONTENT_TYPE)
+
+
 def refuse(status: int, reason: str) -> answers.Answer:
     """Return the answer that says why not."""
     return answers.build_json({"error": reason}, status)
--- a/packages/daemon/tests/test_directory.py
+++ b/packages/daemon/tests/test_directory.py
@@ -272,6 +272,13 @@
         second = self.place(2, "r2", "gateway-2")
         self.assertNotEqual(first.upstream, second.upstream)
 
+    def test_choices_are_counted_by_their_outcome(self):
+        self.place(1, "r1")
+        self.place(2, "r2", tried=("u1", "u2"))
+        shown = self.server.metrics.render().decode()
+        self.assertIn('trestlestall_choices_total{outcome="placed"} 1.0', shown)
+        self.assertIn('trestlestall_choices_total{outcome="no upstream"} 1.0', shown)
+
     def test_nothing_left_to_try(self):
         answer = self.place(1, "r1", tried=("u1", "u2"))
         self.assertEqual((answer.token, answer.upstream), (1, ""))
--- a/tests/test_gateway_deployment.py
+++ b/tests/test_gateway_deployment.py
@@ -69,6 +69,14 @@
         for name in self.system.names:
             self.assertEqual(self.system.read(name), document)
 
+    def test_a_directory_shows_its_metrics(self):
+        self.serve()
+        port = self.system.ports[self.system.names[0]]
+        shown = gateways.ask(port, "GET", "/metrics").body.decode()
+        self.assertIn("trestlestall_declaration_version 5.0", shown)
+        self.assertIn("trestlestall_directory_voters 3.0", shown)
+        self.assertIn('kind="announce",status="200"', shown)
+
     def test_invalid_old_and_doubled_documents(self):
         names = self.system.names
         newest = gateways.make_document(9)
