--- a/packages/daemon/src/trestlestall/daemon/directory/arbitration.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/arbitration.py
@@ -12,7 +12,7 @@
 import zlib
 from collections import abc
 
-from trestlestall.daemon import dialects
+from trestlestall.daemon import dialects, notes
 from trestlestall.daemon.directory import (
     links as directory_links,
     metrics as directory_metrics,
@@ -20,11 +20,6 @@
 from trestlestall.forwarding import descriptors, model, placement, upstreams
 from trestlestall.wire import messages
 
-FIRST = "first"
-SUCCEEDED = "succeeded"
-FAILED = "failed"
-NEITHER = "neither"
-
 
 class Arbiter:
     """What runs where, over all gateways; kept at the directory that is asked.
@@ -82,13 +77,13 @@
     def take_note(self, gateway: str, note: messages.PlaceNote) -> None:
         """Learn what became of a request."""
         now = self._clock()
-        if note.kind == FIRST:
+        if note.kind == notes.FIRST:
             self._placer.note_first(note.request, now)
             return
         owned = self._owned.get(gateway, {}).pop(note.request, None)
         self._placer.end(note.request, now, note.pause)
-        if owned is not None and note.kind != NEITHER:
-            self._placer.note_outcome(*owned, note.kind == FAILED)
+        if owned is not None and note.kind != notes.NEITHER:
+            self._placer.note_outcome(*owned, note.kind == notes.FAILED)
 
     def take_state(self, gateway: str, state: messages.PlaceState) -> None:
         """Learn what a gateway has at upstreams, in the place of what was known."""
--- a/packages/daemon/src/trestlestall/daemon/gateway/placing.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/placing.py
@@ -7,7 +7,7 @@
 import eventlet
 import eventlet.event
 
-from trestlestall.daemon import events
+from trestlestall.daemon import events, notes
 from trestlestall.daemon.gateway import knowledge as knowledges, reaching
 from trestlestall.forwarding import descriptors, placement, shedding
 from trestlestall.wire import messages
@@ -23,8 +23,6 @@
 #: many seconds: about as long as a disk or a process usually stands still.
 SILENCES_LIMIT = 2
 AVOIDED_SECONDS = 4.0
-FIRST = "first"
-ENDS = {True: "failed", False: "succeeded", None: "neither"}
 
 Send = abc.Callable[[str, object], bool]
 
@@ -100,7 +98,7 @@
         found = placer.adopt(descriptor, answer.upstream, now)
         if isinstance(found, placement.Refused):
             # The arbiter knows an upstream that this gateway has not heard of yet.
-            self._note(descriptor, ENDS[None])
+            self._note(descriptor, notes.ENDS[None])
             return self._choose(descriptor, tried)
         self._keep(descriptor, answer.upstream)
         return placement.Placed(
@@ -114,7 +112,7 @@
             return
         task[-1] = True
         self._knowledge.placer.note_first(descriptor.request_id, time.monotonic())
-        self._note(descriptor, FIRST)
+        self._note(descriptor, notes.FIRST)
 
     def report_replaced(self, identity: str) -> None:
         """Tell the directory that another incarnation answers at the address."""
@@ -137,7 +135,7 @@
         if failed is not None:
             placer.note_outcome(identity, descriptor.data_centre, failed)
         self._tasks.pop(descriptor.request_id, None)
-        self._note(descriptor, ENDS[failed], pause)
+        self._note(descriptor, notes.ENDS[failed], pause)
 
     def _ask(
         self, descriptor: descriptors.Descriptor, tried: abc.Collection[str]
@@ -166,7 +164,7 @@
         if self._silences >= SILENCES_LIMIT:
             self._silences = 0
             self._avoided[self._arbiter] = now + AVOIDED_SECONDS
-        self._note(descriptor, ENDS[None])
+        self._note(descriptor, notes.ENDS[None])
         self._knowledge.log.write(
             events.forwarding.ARBITER_SILENT,
             arbiter=self._arbiter,
