Leave the last tenth of all slots to requests that are more urgent

Change: a request that nothing less urgent would make room for is refused in the burst while every upstream has nine tenths of its slots taken, if its caller may come back.

--- a/packages/forwarding/src/trestlestall/forwarding/engines.py
+++ b/packages/forwarding/src/trestlestall/forwarding/engines.py
@@ -170,6 +170,10 @@
         before = sum(task.descriptor.tier <= tier for task in self.tasks.values())
         return max(0, before - self.slots + 1) * self.hold_seconds / self.slots
 
+    def has_less_urgent(self, tier: int) -> bool:
+        """Return whether a request is here that gives way to one of the tier."""
+        return any(task.descriptor.tier > tier for task in self.tasks.values())
+
     def find_pause_risk(
         self, target: float | None, backlog: float, reading: float
     ) -> float:
--- a/packages/forwarding/src/trestlestall/forwarding/placement.py
+++ b/packages/forwarding/src/trestlestall/forwarding/placement.py
@@ -121,12 +121,10 @@
             return Refused("no upstream within reach", RETURN_SECONDS)
         self._forget_parts(now)
         best = min(near, key=lambda row: self._rank(row, descriptor, now))
-        if not tried and shedding.is_due(
-            descriptor, self._foresee(best, descriptor, now)
-        ):
-            share = (
-                find_rendezvous(descriptor, descriptor.request_id) / RENDEZVOUS_RANGE
-            )
+        outlook = self._foresee(best, near, descriptor, now)
+        if not tried and shedding.is_due(descriptor, outlook):
+            drawn = find_rendezvous(descriptor, descriptor.request_id)
+            share = drawn / RENDEZVOUS_RANGE
             after = shedding.find_return(descriptor, share)
             return Refused(shedding.OVERLOADED, after)
         return self._begin(best, descriptor, now)
@@ -181,14 +179,24 @@
         cost += READ_AGAIN_COST * again
         return round(cost, 2), find_rendezvous(descriptor, row.identity)
 
+    def _find_taken(self, row: upstreams.Row) -> float:
+        engine = self.engines[row.identity]
+        return len(engine.tasks) / engine.slots
+
     def _foresee(
-        self, row: upstreams.Row, descriptor: descriptors.Descriptor, now: float
+        self,
+        row: upstreams.Row,
+        near: abc.Iterable[upstreams.Row],
+        descriptor: descriptors.Descriptor,
+        now: float,
     ) -> shedding.Outlook:
         engine = self.engines[row.identity]
         wait = engine.find_wait(now, descriptor.tier)
         wait += engine.find_slot_wait(descriptor.tier)
         reading = engine.find_reading(engine.count_unread(descriptor))
-        return shedding.Outlook(wait, wait + reading)
+        taken = min(self._find_taken(one) for one in near)
+        yields = engine.has_less_urgent(descriptor.tier)
+        return shedding.Outlook(wait, wait + reading, taken, yields)
 
     def _begin(
         self, row: upstreams.Row, descriptor: descriptors.Descriptor, now: float
--- a/packages/forwarding/src/trestlestall/forwarding/shedding.py
+++ b/packages/forwarding/src/trestlestall/forwarding/shedding.py
@@ -16,6 +16,9 @@
 #: Part of the target that has to be waiting for others: a prompt that is too long for
 #: its target by itself gains nothing by coming back.
 WAIT_SHARE = 0.5
+#: Part of the slots that the least urgent requests leave to others: each of those that
+#: finds none puts back one that is running, whose prompt is then read once more.
+CROWDED_SHARE = 0.9
 #: When callers come back, in parts of the time that they have: spread, so that they
 #: don't meet again, and early enough that most of the time is left.
 RETURN_SHARES = (0.1, 0.3)
@@ -26,17 +29,22 @@
     """What awaits a request at the best upstream, in seconds.
 
     ``wait`` is the time until the engine gets to it, ``predicted`` that to its first
-    event.
+    event. ``taken`` is the part of the slots that is taken where the fewest are,
+    ``yields`` whether something less urgent is at the best upstream, which gives way.
     """
 
     wait: float
     predicted: float
+    taken: float = 0.0
+    yields: bool = False
 
 
 def is_due(descriptor: descriptors.Descriptor, outlook: Outlook) -> bool:
     """Return whether to refuse the request."""
     if not descriptor.may_return:
         return False
+    if outlook.taken >= CROWDED_SHARE and not outlook.yields:
+        return True
     target = descriptor.first_seconds
     late = outlook.predicted > LATE_TARGETS * target
     return late and outlook.wait > WAIT_SHARE * target
--- a/packages/forwarding/tests/test_shedding.py
+++ b/packages/forwarding/tests/test_shedding.py
@@ -15,6 +15,14 @@
         self.assertTrue(shedding.is_due(first, LATE))
         self.assertFalse(shedding.is_due(again, LATE))
 
+    def test_the_least_urgent_leave_some_slots_to_others(self):
+        asked = samples.make_descriptor(may_return=True)
+        crowded = shedding.Outlook(0.0, 0.01, taken=0.95)
+        self.assertTrue(shedding.is_due(asked, crowded))
+        self.assertFalse(shedding.is_due(asked, shedding.Outlook(0.0, 0.01, taken=0.8)))
+        gives_way = shedding.Outlook(0.0, 0.01, taken=0.95, yields=True)
+        self.assertFalse(shedding.is_due(asked, gives_way))
+
     def test_a_prompt_that_is_too_long_by_itself_is_let_in(self):
         outlook = shedding.Outlook(wait=0.0, predicted=9.0)
         asked = samples.make_descriptor(may_return=True)
@@ -44,6 +52,23 @@
         again = self.place("again", tokens=9000, may_return=False)
         self.assertIsInstance(again, placement.Placed)
 
+    def test_one_upstream_with_free_slots_is_enough(self):
+        rows = [samples.make_row(identity) for identity in ("u1", "u2")]
+        self.placer.set_upstreams(rows, samples.make_configuration(), 0.0)
+        for number in range(8):
+            descriptor = samples.make_descriptor(f"r{number}", tokens=1)
+            self.placer.adopt(descriptor, "u1", 0.0)
+        found = self.place("next", tokens=1, tier=3, may_return=True)
+        self.assertIsInstance(found, placement.Placed)
+
+    def test_the_last_slots_are_left_to_what_is_more_urgent(self):
+        for number in range(8):
+            self.place(f"r{number}", tokens=1, tier=3)
+        found = self.place("next", tokens=1, tier=3, may_return=True)
+        self.assertEqual(found.reason, shedding.OVERLOADED)
+        found = self.place("urgent", tokens=1, tier=0, may_return=True)
+        self.assertIsInstance(found, placement.Placed)
+
     def test_a_request_that_waits_for_nobody_less_urgent_is_let_in(self):
         for number in range(9):
             self.place(f"r{number}", tokens=9000, tier=5)
