Never refuse a caller twice whose first attempt can't be told

Cause, found by reading: a caller counted as one with all its time if its deadline was at least its route's time. Where callers wait longer than that, one that came back counted so again and could be refused a second time. Now only a deadline that is the route's time (within a hundredth) counts.

A prompt whose caller left while it was read still counted as being read until the next look at the upstream; it is forgotten with its request.

--- a/packages/daemon/src/trestlestall/daemon/directory/metrics.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/metrics.py
@@ -22,7 +22,7 @@
         )
         self._choice_seconds = prometheus_client.Histogram(
             "trestlestall_choice_seconds",
-            "Processor's time of a choice.",
+            "Time that a choice took.",
             registry=self.registry,
             buckets=CHOICE_BUCKETS,
         )
--- a/packages/daemon/src/trestlestall/daemon/gateway/heads.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/heads.py
@@ -24,9 +24,10 @@
     )
 )
 
-#: Part of its route's time that a caller has left at its first attempt; one that comes
-#: back has less.
-WHOLE_TIME_SHARE = 0.99
+#: How far from its route's time, as a part of it, a caller's first deadline may be. One
+#: that comes back has less left. Callers that wait longer than the route's time can't
+#: be told apart so: none of them counts as a first attempt.
+WHOLE_TIME_ERROR = 0.01
 
 RawHeaders = abc.Sequence[tuple[bytes, bytes]]
 
@@ -179,12 +180,19 @@
     }
 
 
+def has_whole_time(head: Head, route: model.Route) -> bool:
+    """Return whether a caller has all its time left: its first attempt."""
+    if head.deadline is None:
+        return False
+    used = abs(head.deadline - route.whole_seconds)
+    return used <= WHOLE_TIME_ERROR * route.whole_seconds
+
+
 def build_descriptor(
     head: Head, route: model.Route, service: str, tier: int, data_centre: str
 ) -> descriptors.Descriptor:
     """Return what the policy is told of the request."""
-    given = head.deadline
-    is_first = given is not None and given >= WHOLE_TIME_SHARE * route.whole_seconds
+    is_first = has_whole_time(head, route)
     return descriptors.Descriptor(
         request_id=head.request_id,
         service=service,
--- a/packages/forwarding/src/trestlestall/forwarding/engines.py
+++ b/packages/forwarding/src/trestlestall/forwarding/engines.py
@@ -237,6 +237,8 @@
 
     def _forget(self, request_id: str) -> Task | None:
         task = self.tasks.pop(request_id, None)
+        if task is self._reading:
+            self._reading = None
         target = task.descriptor.pause_seconds if task is not None else None
         if target:
             self._targets[target] -= 1
--- a/packages/forwarding/tests/test_pauses.py
+++ b/packages/forwarding/tests/test_pauses.py
@@ -86,6 +86,12 @@
             self.upstream.find_wait(reading / 2, 0), reading / 2, places=3
         )
 
+    def test_a_prompt_whose_caller_left_is_no_longer_read(self):
+        self.begin("long", 0.0, tokens=20_000, tier=3)
+        self.upstream.find_backlog(0.1)
+        self.upstream.end("long", 0.1)
+        self.assertEqual(self.upstream.find_wait(0.1, 0), 0.0)
+
     def test_streams_on_their_own_teach_nothing(self):
         self.begin("r1", 0.0, tokens=1)
         self.upstream.note_first("r1", 0.01)
