--- a/packages/daemon/src/trestlestall/daemon/control/operations.py
+++ b/packages/daemon/src/trestlestall/daemon/control/operations.py
@@ -24,6 +24,7 @@
     followers,
     group,
     machine,
+    replies,
     rows,
     voter as voters,
 )
@@ -35,7 +36,6 @@
     voters as voter_commands,
 )
 
-OK = 200
 VOTER_SECONDS = 20.0
 LOOK_SECONDS = 0.5
 UNKNOWN = "No control leader confirmed it in time; send it again to learn the outcome."
@@ -47,37 +47,6 @@
 Document = calls.Document
 
 
-def reply(body: Document, status: int = OK) -> calls.Reply:
-    """Return the reply with that body."""
-    return calls.Reply({"status": status, "body": body})
-
-
-def reply_failure(failure: errors.Failure) -> calls.Reply:
-    """Return the reply that tells a failure in the one error shape."""
-    body = msgspec.json.decode(errors.encode_failure(failure))
-    return reply(body, errors.CODES[failure.code].status)
-
-
-def reply_outcome(outcome: Document, **more: typing.Any) -> calls.Reply:
-    """Return the reply with the outcome of a command."""
-    return reply({"outcome": {**outcome, **more}})
-
-
-def reject(code: str, message: str) -> calls.Reply:
-    """Return the reply that a command was rejected."""
-    return reply_outcome(documents.encode_outcome(outcomes.Rejected(code, message)))
-
-
-def refuse_text(error: language_errors.LanguageError) -> calls.Reply:
-    """Return the reply to a text that isn't in the language; it points at the word.
-
-    The place of the word stands beside the fields that every error has.
-    """
-    refused = reply_failure(errors.Failure("invalid_request", error.message))
-    refused.document["body"]["error"].update(dataclasses.asdict(error))
-    return refused
-
-
 @dataclasses.dataclass(frozen=True)
 class OperatorRequest:
     """What an operator sends; ``operator`` is filled in by who checked the key."""
@@ -99,7 +68,7 @@
     try:
         request = strict.convert(document, OperatorRequest)
     except exceptions.InvalidDocument as error:
-        return reply_failure(errors.Failure("invalid_request", str(error)))
+        return replies.reply_failure(errors.Failure("invalid_request", str(error)))
     return dataclasses.asdict(request)
 
 
@@ -116,11 +85,13 @@
         value = parser.parse(call.document["text"])
         call.state = value
         if isinstance(value, language_errors.LanguageError):
-            return refuse_text(value)
+            return replies.refuse_text(value)
         if isinstance(value, CHANGES):
             return self._begin_voter_change(call, value, here)
         if isinstance(value, queries.Explain):
-            return reply_failure(errors.Failure("unknown_request", ASK_A_ROUTER))
+            return replies.reply_failure(
+                errors.Failure("unknown_request", ASK_A_ROUTER)
+            )
         if isinstance(value, (queries.Show, queries.History)) or _is_dry_run(call):
             return events.Read(call.token)
         document = documents.encode_submission(_make_submission(call, here.wall))
@@ -133,22 +104,22 @@
         if isinstance(call.state, CHANGES):
             return _go_on_voter_change(call, result, here)
         if isinstance(result, voters.Refused):
-            return reply_failure(errors.Failure("overloaded", result.code))
+            return replies.reply_failure(errors.Failure("overloaded", result.code))
         if isinstance(result, voters.Applied):
-            return reply_outcome(result.document)
+            return replies.reply_outcome(result.document)
         if isinstance(call.state, (queries.Show, queries.History)):
             return _answer_query(call.state, here)
         submission = _make_submission(call, here.wall)
         state = here.voter.machine.configuration
         outcome = states.check_submission(state, submission)
-        return reply_outcome(documents.encode_outcome(outcome))
+        return replies.reply_outcome(documents.encode_outcome(outcome))
 
     def give_up(self, call: calls.Call) -> Document:
         if call.tried:
             failure = errors.Failure("outcome_unknown", UNKNOWN, errors.Run.UNKNOWN)
         else:
             failure = errors.Failure("control_unavailable", UNAVAILABLE)
-        return reply_failure(failure).document
+        return replies.reply_failure(failure).document
 
     def _begin_voter_change(
         self, call: calls.Call, value: typing.Any, here: calls.Here
@@ -162,9 +133,9 @@
             here.dial(value.name, value.address)
             return calls.Wait()
         if named is None:
-            return reject(codes.NOT_VOTER, f"{value.name!r} is no voter")
+            return replies.reject(codes.NOT_VOTER, f"{value.name!r} is no voter")
         if _is_dry_run(call):
-            return reply_outcome(_accept(here))
+            return replies.reply_outcome(_accept(here))
         document = {
             "request_id": call.document["request_id"],
             "operator": call.document["operator"],
@@ -212,11 +183,13 @@
         if result.code == codes.CHANGE_IN_FLIGHT:
             return calls.Wait()
         if SETTLED.get(result.code) == _name_change(call.state):
-            return reply_outcome(_accept(here))
-        return reject(result.code, f"the voters were not changed: {result.code}")
+            return replies.reply_outcome(_accept(here))
+        return replies.reject(
+            result.code, f"the voters were not changed: {result.code}"
+        )
     document = result.document
     if not document:
-        return reply_outcome(_accept(here))
+        return replies.reply_outcome(_accept(here))
     if document["change"] == "add":
         return events.ChangeVoters(call.token, add=document["voter"])
     return events.ChangeVoters(call.token, remove=document["voter"])
@@ -231,12 +204,12 @@
 ) -> calls.Reply:
     state = here.voter.machine.configuration
     if isinstance(query, queries.History):
-        return reply({"rows": rows.list_history(state, query.limit)})
+        return replies.reply({"rows": rows.list_history(state, query.limit)})
     build = rows.SUBJECTS.get(query.subject)
     if build is None:
-        return reply_failure(errors.Failure("unknown_request", ASK_A_ROUTER))
+        return replies.reply_failure(errors.Failure("unknown_request", ASK_A_ROUTER))
     found = queries.select_rows(build(state, here.status()), query)
-    return reply({"rows": found})
+    return replies.reply({"rows": found})
 
 
 @calls.register
@@ -251,11 +224,11 @@
     def go_on(
         self, call: calls.Call, result: voters.Result, here: calls.Here
     ) -> calls.Step:
-        return reply(here.status())
+        return replies.reply(here.status())
 
     def give_up(self, call: calls.Call) -> Document:
         failure = errors.Failure("control_unavailable", UNAVAILABLE)
-        return reply_failure(failure).document
+        return replies.reply_failure(failure).document
 
 
 @calls.register
--- /dev/null
+++ b/packages/daemon/src/trestlestall/daemon/control/replies.py
@@ -0,0 +1,46 @@
+"""The replies to operators' calls: the HTTP status and the JSON body."""
+
+import dataclasses
+import typing
+
+import msgspec
+
+from trestlestall.configuration import documents, outcomes
+from trestlestall.daemon.control import calls
+from trestlestall.daemon.http import errors
+from trestlestall.language import errors as language_errors
+
+OK = 200
+
+Document = calls.Document
+
+
+def reply(body: Document, status: int = OK) -> calls.Reply:
+    """Return the reply with that body."""
+    return calls.Reply({"status": status, "body": body})
+
+
+def reply_failure(failure: errors.Failure) -> calls.Reply:
+    """Return the reply that tells a failure in the one error shape."""
+    body = msgspec.json.decode(errors.encode_failure(failure))
+    return reply(body, errors.CODES[failure.code].status)
+
+
+def reply_outcome(outcome: Document, **more: typing.Any) -> calls.Reply:
+    """Return the reply with the outcome of a command."""
+    return reply({"outcome": {**outcome, **more}})
+
+
+def reject(code: str, message: str) -> calls.Reply:
+    """Return the reply that a command was rejected."""
+    return reply_outcome(documents.encode_outcome(outcomes.Rejected(code, message)))
+
+
+def refuse_text(error: language_errors.LanguageError) -> calls.Reply:
+    """Return the reply to a text that isn't in the language; it points at the word.
+
+    The place of the word stands beside the fields that every error has.
+    """
+    refused = reply_failure(errors.Failure("invalid_request", error.message))
+    refused.document["body"]["error"].update(dataclasses.asdict(error))
+    return refused
