Wait in two tests for what they ask about

test_promise_cuts asked a restarted router for its refusal 4.5 s after the restart, whether it listened or not. Reproduced with 24 busy loops beside it: the router's log has no start line yet and nothing answers (status 0). The test now waits until the router answers, and the 4.5 s in which it must not be ready begin there, which is stricter.

test_a_directory_shows_its_metrics read the version from a directory that follows and had not been told of it yet. It waits for the lines now.

--- a/tests/test_gateway_deployment.py
+++ b/tests/test_gateway_deployment.py
@@ -71,11 +71,17 @@
 
     def test_a_directory_shows_its_metrics(self):
         self.serve()
+        # The directory may follow: it learns of a version when the leader tells it.
+        for line in (
+            "trestlestall_declaration_version 5.0",
+            "trestlestall_directory_voters 3.0",
+            'kind="announce",status="200"',
+        ):
+            gateways.wait_until(lambda text=line: text in self.show_metrics(), line)
+
+    def show_metrics(self):
         port = self.system.ports[self.system.names[0]]
-        shown = gateways.ask(port, "GET", "/metrics").body.decode()
-        self.assertIn("trestlestall_declaration_version 5.0", shown)
-        self.assertIn("trestlestall_directory_voters 3.0", shown)
-        self.assertIn('kind="announce",status="200"', shown)
+        return gateways.ask(port, "GET", "/metrics").body.decode()
 
     def test_invalid_old_and_doubled_documents(self):
         names = self.system.names
--- a/tests/test_promise_cuts.py
+++ b/tests/test_promise_cuts.py
@@ -141,6 +141,8 @@
             self.network.find(router).process.kill()
         for router in routers:
             self.network.deployment.restart(self.network.find(router))
+        for router in routers:
+            processes.wait_until(lambda name=router: self.ask(name).status, router)
         give_up = time.monotonic() + PATIENCE_SECONDS
         while time.monotonic() < give_up:
             for router in routers:
