Keep two upstreams of a test from sharing a port

It stopped the first upstream before the second one took a port from the kernel, which may give out the one just freed; the first then answered at its address. The order of ranks can't be it: the request's id and both names are fixed. The second upstream listens first now. Not reproduced at will; found by reading.

--- a/packages/daemon/tests/test_gateway.py
+++ b/packages/daemon/tests/test_gateway.py
@@ -290,8 +290,9 @@
 
     def test_an_upstream_that_is_gone_costs_no_attempt(self):
         gone = self.bench.add("u1", bench.answer(""))
-        gone.stop()
+        # Both listen before one ends: else the other could be given the same port.
         self.bench.add("u2", bench.answer("", "done"))
+        gone.stop()
         for _ in range(4):
             self.assertEqual(self.bench.ask("/once/x")[2], "done")
         self.assertEqual(len(self.bench.list_lines("upstream_unreachable")), 1)
