--- a/packages/daemon/src/trestlestall/daemon/directory/links.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/links.py
@@ -16,7 +16,7 @@
     """A mesh whose peers become known over time; a directory's name is its address."""
 
     def __init__(self, settings: process_settings.DirectorySettings) -> None:
-        self.own = str(settings.listen.peers)
+        self.own = str(settings.listen.peers_reached_at or settings.listen.peers)
         self._settings = settings
         self._mesh: wire_links.Mesh | None = None
 
@@ -33,7 +33,7 @@
             DIRECTORY,
             settings.data_centre,
             settings.secrets.peers,
-            self.own,
+            str(settings.listen.peers),
             (),
             on_message,
             on_change,
--- a/packages/daemon/src/trestlestall/daemon/settings/document.py
+++ b/packages/daemon/src/trestlestall/daemon/settings/document.py
@@ -106,6 +106,8 @@
 
     def read_value(self, kind: object, value: object, path: str) -> object:
         """Return the value as the type hint wants it."""
+        if kind == model.Address | None:
+            return None if value is None else self.read_address(value, path)
         if kind is model.Address:
             return self.read_address(value, path)
         if typing.get_origin(kind) is tuple:
--- a/packages/daemon/src/trestlestall/daemon/settings/model.py
+++ b/packages/daemon/src/trestlestall/daemon/settings/model.py
@@ -175,12 +175,15 @@
 class DirectoryListen:
     """The addresses that a directory listens on.
 
-    ``service`` takes operators' documents and upstreams' announcements. ``peers`` is
-    also the directory's name among the others.
+    ``service`` takes operators' documents and upstreams' announcements.
+    ``peers_reached_at`` is where other processes find ``peers``, if that is another
+    address (behind a relay or a translation of addresses); it is also the directory's
+    name among the others.
     """
 
     service: Address
     peers: Address
+    peers_reached_at: Address | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,124 @@
+"""Play seeds: ``python -m tests.soak --seeds 1-50 --seconds 25 --jobs 3``.
+
+A seed that fails leaves its schedule, its evidence and all logs in the output folder;
+``--shorten`` then looks for the shortest schedule that still fails.
+"""
+
+import argparse
+import concurrent.futures
+import dataclasses
+import json
+import pathlib
+import sys
+import time
+from collections import abc
+
+from tests.soak import evidence as evidences, schedules, worlds
+
+FAILED = 1
+#: Times that a schedule is played while it is made shorter.
+SHORTEN_PLAYS = 3
+
+
+@dataclasses.dataclass(frozen=True)
+class Report:
+    """What one run showed."""
+
+    seed: int
+    steps: tuple[schedules.Step, ...]
+    broken: tuple[evidences.Broken, ...]
+    asked: int
+    served: int
+
+
+def play(
+    seed: int,
+    steps: abc.Sequence[schedules.Step],
+    seconds: float,
+    folder: pathlib.Path,
+) -> Report:
+    """Play a schedule in a folder of its own."""
+    folder.mkdir(parents=True, exist_ok=True)
+    world = worlds.World(folder)
+    with world.open():
+        world.play(steps, seconds)
+        world.ended.set()
+        # Callers end within their last request.
+        time.sleep(1.0)
+    found = world.evidence
+    served = sum(map(evidences.is_served, found.asked))
+    broken = tuple(evidences.find_broken(found))
+    return Report(seed, tuple(steps), broken, len(found.asked), served)
+
+
+def play_seed(seed: int, seconds: float, folder: pathlib.Path) -> Report:
+    """Play the schedule of a seed."""
+    steps = schedules.draw(seed, seconds, worlds.list_targets())
+    return play(seed, steps, seconds, folder / f"seed-{seed}")
+
+
+def shorten(report: Report, seconds: float, folder: pathlib.Path) -> Report:
+    """Return the report of the shortest schedule found that breaks a promise."""
+    latest = [report]
+
+    def fails(steps: abc.Sequence[schedules.Step]) -> bool:
+        for number in range(SHORTEN_PLAYS):
+            place = folder / f"seed-{report.seed}-steps-{len(steps)}-{number}"
+            found = play(report.seed, steps, seconds, place)
+            if found.broken:
+                latest.append(found)
+                return True
+        return False
+
+    schedules.shorten(report.steps, fails)
+    return latest[-1]
+
+
+def describe(report: Report) -> str:
+    """Return a report as text; the steps only if a promise was broken."""
+    lines = [
+        f"seed {report.seed}: {len(report.steps)} faults, {report.asked} requests,"
+        f" {report.served} served, {len(report.broken)} broken"
+    ]
+    if report.broken:
+        lines += [f"  {one.promise}: {one.detail}" for one in report.broken[:20]]
+        lines += [
+            f"  {step.at:6.2f} s {step.kind.name} {step.target} for {step.seconds} s"
+            for step in report.steps
+        ]
+    return "\n".join(lines)
+
+
+def parse_seeds(text: str) -> list[int]:
+    """Return the seeds of ``3`` or ``1-50``."""
+    first, _, last = text.partition("-")
+    return list(range(int(first), int(last or first) + 1))
+
+
+def main(arguments: abc.Sequence[str]) -> int:
+    """Play the seeds asked for; return whether any broke a promise."""
+    parser = argparse.ArgumentParser(prog="soak")
+    parser.add_argument("--seeds", type=parse_seeds, default=[1])
+    parser.add_argument("--seconds", type=float, default=25.0)
+    parser.add_argument("--jobs", type=int, default=1)
+    parser.add_argument("--folder", type=pathlib.Path, default=pathlib.Path("soak-out"))
+    parser.add_argument("--shorten", action="store_true")
+    given = parser.parse_args(arguments)
+    folder = given.folder.resolve()
+    failed = 0
+    with concurrent.futures.ThreadPoolExecutor(given.jobs) as pool:
+        plays = [
+            pool.submit(play_seed, seed, given.seconds, folder) for seed in given.seeds
+        ]
+        for done in concurrent.futures.as_completed(plays):
+            report = done.result()
+            if report.broken and given.shorten:
+                report = shorten(report, given.seconds, folder)
+            print(describe(report), flush=True)
+            failed += bool(report.broken)
+    print(json.dumps({"seeds": len(given.seeds), "failed": failed}))
+    return FAILED if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/tests/soak/schedules.py
@@ -0,0 +1,111 @@
+"""What goes wrong when: drawn from a seed, and made shorter after a failure; pure."""
+
+import dataclasses
+import random
+from collections import abc
+
+#: Seconds of calm at the end of a run, for the promises that hold once faults are over.
+CALM_SECONDS = 6.0
+#: Seconds between the beginnings of two faults, and how long one lasts: some overlap.
+GAPS = (0.2, 1.6)
+LENGTHS = (0.3, 3.0)
+
+
+@dataclasses.dataclass(frozen=True)
+class Kind:
+    """A kind of fault, and the role of the process or relay that it strikes.
+
+    ``loses`` is true if a directory can't vote meanwhile: at most one of three at once.
+    """
+
+    name: str
+    role: str
+    loses: bool = False
+
+
+KINDS = (
+    Kind("kill", "directory", True),
+    Kind("pause", "directory", True),
+    Kind("lose_disk", "directory", True),
+    Kind("fill_disk", "directory", True),
+    Kind("silence", "directory", True),
+    Kind("silence_in", "directory", True),
+    Kind("reset", "directory"),
+    Kind("delay", "directory"),
+    Kind("kill", "gateway"),
+    Kind("pause", "gateway"),
+    Kind("stop", "gateway"),
+    Kind("reload", "gateway"),
+    Kind("silence", "upstream"),
+    Kind("reset", "upstream"),
+    Kind("delay", "upstream"),
+    Kind("cut", "upstream"),
+    Kind("crash", "upstream"),
+    Kind("fail", "upstream"),
+    Kind("drain", "upstream"),
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class Step:
+    """One fault; ``at`` and ``seconds`` count from the start of traffic."""
+
+    at: float
+    seconds: float
+    kind: Kind
+    target: str
+
+    @property
+    def end(self) -> float:
+        """When it is over."""
+        return self.at + self.seconds
+
+
+def draw(
+    seed: int, seconds: float, targets: abc.Mapping[str, abc.Sequence[str]]
+) -> list[Step]:
+    """Return the steps of a run; ``targets`` are the names by role."""
+    source = random.Random(seed)
+    steps: list[Step] = []
+    at = source.uniform(*GAPS)
+    while at < seconds - CALM_SECONDS:
+        kind = source.choice(KINDS)
+        target = source.choice(list(targets[kind.role]))
+        lasting = min(source.uniform(*LENGTHS), seconds - CALM_SECONDS - at)
+        step = Step(round(at, 2), round(lasting, 2), kind, target)
+        if is_allowed(step, steps):
+            steps.append(step)
+        at += source.uniform(*GAPS)
+    return steps
+
+
+def is_allowed(step: Step, steps: abc.Iterable[Step]) -> bool:
+    """Return whether the deployment tolerates the step beside the earlier ones.
+
+    A directory that is back needs some seconds before the next one may go. One target
+    has one fault at a time.
+    """
+    for other in steps:
+        if other.target == step.target and other.end > step.at - 0.5:
+            return False
+        if other.kind.loses and step.kind.loses and other.end > step.at - 4.0:
+            return False
+    return True
+
+
+def shorten(
+    steps: abc.Sequence[Step], fails: abc.Callable[[abc.Sequence[Step]], bool]
+) -> list[Step]:
+    """Return fewer steps that still fail, by leaving out halves, then single ones."""
+    kept = list(steps)
+    size = len(kept) // 2
+    while size:
+        start = 0
+        while start < len(kept):
+            fewer = kept[:start] + kept[start + size :]
+            if fails(fewer):
+                kept = fewer
+            else:
+                start += size
+        size //= 2
+    return kept
