Serve sooner after a start of all processes

The configuration came 0.3 to 0.7 s after the first refusal: the directories' links met hosts that weren't up yet (0.3 s a try, 0.7 s of patience) and the first election that failed was followed by one at the usual pace. Ruled out: readiness (it is right; the balancer uses all hosts when none is ready), disks, the time to apply a configuration (5 ms). Change: a request waits for the first configuration and upstream in the first 1.5 s of the process (startup.find_wait); voters that have known no leader since their start ask every 0.1 to 0.2 s; links are tried for 0.15 s. Also: a caller who left while its request was placed made it reach an upstream all the same; it doesn't any more (test fails before).

--- a/packages/agreement/src/trestlestall/agreement/leadership.py
+++ b/packages/agreement/src/trestlestall/agreement/leadership.py
@@ -20,6 +20,7 @@
     """
     state.role = Role.LEADER
     state.leader = state.voter
+    state.has_known_leader = True
     state.lead = state_module.Leadership(state.log.last_index + 1, state.now)
     for name in state.log.voters:
         if name != state.voter:
--- a/packages/agreement/src/trestlestall/agreement/roles.py
+++ b/packages/agreement/src/trestlestall/agreement/roles.py
@@ -6,19 +6,15 @@
 
 
 def reset_deadline(state: state_module.State) -> None:
-    """Draw a new election timeout, from now on."""
-    spread = 1.0 + state.random.random()
-    state.deadline = state.now + state.timing.election * spread
+    """Draw a new election timeout, from now on.
 
-
-def reset_first_deadline(state: state_module.State) -> None:
-    """Draw the first election timeout after a start, which may be shorter.
-
-    A leader that others hear is safe from it, since they refuse the pre-vote; when all
-    voters start together, nobody has to wait for one that is not there.
+    It may be shorter until the first leader since the start is known: a leader that
+    others hear is safe from it, since they refuse the pre-vote, and when all voters
+    start together nobody has to wait for one that is not there.
     """
-    spread = 1.0 + state.random.random()
-    state.deadline = state.now + state.timing.first_election * spread
+    timing = state.timing
+    timeout = timing.election if state.has_known_leader else timing.first_election
+    state.deadline = state.now + timeout * (1.0 + state.random.random())
 
 
 def become_follower(
@@ -54,6 +50,7 @@
     if term > state.term or state.role is not Role.FOLLOWER:
         become_follower(state, term, leader)
     state.leader = leader
+    state.has_known_leader = True
     state.heard_at = state.now
     reset_deadline(state)
 
@@ -78,7 +75,7 @@
     """
     if state.now is None:
         state.now = now
-        reset_first_deadline(state)
+        reset_deadline(state)
         return
     leap = now - state.now > state.timing.election
     state.now = max(now, state.now)
--- a/packages/agreement/src/trestlestall/agreement/state.py
+++ b/packages/agreement/src/trestlestall/agreement/state.py
@@ -100,7 +100,10 @@
 
 @dataclasses.dataclass
 class State:
-    """All that one node knows; times in seconds of the caller's monotonic clock."""
+    """All that one node knows; times in seconds of the caller's monotonic clock.
+
+    ``has_known_leader`` says whether any leader was known since the start.
+    """
 
     voter: str
     timing: timing_module.Timing
@@ -112,6 +115,7 @@
     now: float | None = None
     role: Role = Role.FOLLOWER
     leader: str | None = None
+    has_known_leader: bool = False
     heard_at: float | None = None
     deadline: float = 0.0
     grants: set[str] = dataclasses.field(default_factory=set)
--- a/packages/agreement/src/trestlestall/agreement/timing.py
+++ b/packages/agreement/src/trestlestall/agreement/timing.py
@@ -11,7 +11,7 @@
     each time) stands for election; a leader that hears no quorum for ``election``
     steps down. ``heartbeat`` should be at most a quarter of ``election``. A new voter
     that is silent for ``catch_up`` is given up. ``first_election`` takes the place of
-    ``election`` for the first election after a start.
+    ``election`` in a voter that has known no leader since its start.
     """
 
     election: float = 1.0
--- a/packages/agreement/tests/test_rules.py
+++ b/packages/agreement/tests/test_rules.py
@@ -3,7 +3,15 @@
 import unittest
 
 from packages.agreement.tests import group
-from trestlestall.agreement import actions, entries, events, messages, node, state
+from trestlestall.agreement import (
+    actions,
+    entries,
+    events,
+    messages,
+    node,
+    state,
+    timing,
+)
 
 VOTERS = ("a", "b", "c")
 LOG = tuple(entries.Entry(n, 1 + n // 3, entries.COMMAND, b"x") for n in range(1, 6))
@@ -91,6 +99,28 @@
                 self.assertEqual(made.term, term)
 
 
+class FirstElectionTest(unittest.TestCase):
+    TIMING = timing.Timing(election=1.0, heartbeat=0.25, first_election=0.1)
+
+    def count_asked(self, made, since, seconds):
+        """Return how often the node asks for the first round of an election."""
+        asked = 0
+        for step in range(int(seconds * 100)):
+            for action in made.handle(events.Tick(), since + step / 100):
+                message = getattr(action, "message", None)
+                asked += isinstance(message, messages.PreVoteRequest)
+        return asked
+
+    def test_a_voter_asks_often_until_it_has_known_a_leader(self):
+        restored = entries.Restored(entries.Vote(3), None, LOG)
+        made = node.Node("b", VOTERS, self.TIMING, 1, restored, group.LIMITS)
+        # Two others are asked each time, after 0.1 s to 0.2 s.
+        self.assertGreaterEqual(self.count_asked(made, 0.0, 1.0), 2 * 4)
+        answer(made, APPEND(3, 5, 2, (), 0, 7), now=1.0)
+        self.assertEqual(self.count_asked(made, 1.0, 0.9), 0)
+        self.assertLessEqual(self.count_asked(made, 1.9, 2.0), 2 * 3)
+
+
 class LeaderRulesTest(unittest.TestCase):
     def test_entry_of_this_term_comes_first(self):
         """Before it no former entry commits, no voter changes and no read is ready."""
--- a/packages/daemon/src/trestlestall/daemon/directory/links.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/links.py
@@ -8,8 +8,9 @@
 from trestlestall.wire import links as wire_links
 
 DIRECTORY = "control"
-#: Seconds that the side with the higher name waits for the other one to dial.
-PATIENCE_SECONDS = 0.7
+#: Seconds that the side with the higher name waits for the other one to dial: two of
+#: that one's tries, of which the first may have met a host that was not up yet.
+PATIENCE_SECONDS = 0.3
 
 
 class Links:
--- a/packages/daemon/src/trestlestall/daemon/directory/server.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/server.py
@@ -42,8 +42,9 @@
 #: A document of 4 MiB, the most that operators send, hardly ever grows when packed.
 LIMITS = timing.Limits(payload_bytes=5 * 1024 * 1024)
 #: Half of the usual times: directories are within one region, and gateways that start
-#: again wait for a leader before they can serve. Still a hundred round trips and syncs.
-TIMING = timing.Timing(election=0.5, heartbeat=0.1, first_election=0.2)
+#: again wait for a leader before they can serve. Still a hundred round trips and syncs,
+#: and thirty for the first election: a vote takes two of each.
+TIMING = timing.Timing(election=0.5, heartbeat=0.1, first_election=0.1)
 CHANGE = "change of voters"
 
 Document = dict[str, typing.Any]
--- a/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
@@ -124,6 +124,9 @@
     def _place(self) -> placement.Placed | placement.Refused:
         found = self.service.placing.place(self.descriptor, self.tried)
         if isinstance(found, placement.Placed):
+            if self.caller.left:
+                self.service.placing.end(self.descriptor, found.row.identity, None)
+                raise callers.CallerLeft()
             self.tried.append(found.row.identity)
             records.write_sent(self, found)
         return found
--- a/packages/daemon/src/trestlestall/daemon/gateway/knowledge.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/knowledge.py
@@ -41,6 +41,18 @@
         """Return whether requests can be served."""
         return self.directory is not None and self.has_rows
 
+    def can_place(self, host: str, path: str) -> bool:
+        """Return whether enough is known to decide on a request to this place.
+
+        Enough is that no route takes it, or an upstream that can.
+        """
+        if self.directory is None:
+            return False
+        route = self.directory.find_route(host, path)
+        if isinstance(route, directory.Unroutable):
+            return True
+        return any(self.placer.has_upstream(one.service) for one in route.targets)
+
     def take_declaration(self, version: int, packed: bytes, source: str) -> None:
         """Put a newer configuration in force; an older one changes nothing."""
         if version <= self.version and self.directory is not None:
--- a/packages/daemon/src/trestlestall/daemon/gateway/services.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/services.py
@@ -4,6 +4,8 @@
 import time
 from collections import abc
 
+import eventlet
+
 from trestlestall.daemon import dialects, events, settings as process_settings
 from trestlestall.daemon.gateway import (
     callers,
@@ -16,7 +18,7 @@
     reaching,
     refusals,
 )
-from trestlestall.forwarding import budgets, directory, model
+from trestlestall.forwarding import budgets, directory, model, startup
 
 #: Gateways that share the retry budget, until a directory tells how many there are:
 #: more than most deployments have, so that too little is spent rather than too much.
@@ -43,26 +45,40 @@
         self.reaching = reaching.Reaching(knowledge)
         self.placing = placing.Placing(knowledge, self.reaching)
         self.gateways = GATEWAYS_ASSUMED
+        self.started_at = time.monotonic()
         self.refuse_at = 0.0
         self.stop_at: float | None = None
 
     def handle(self, request: callers.Request, caller: callers.Caller) -> None:
         """Answer one request; raises ``CallerLeft``."""
         arrived = time.monotonic()
-        admitted = self._admit(request, arrived)
+        names = self.dialect.headers
+        head = heads.read_head(request.method, request.target, request.headers, names)
+        if isinstance(head, heads.Malformed):
+            refusal = refusals.Refusal(refusals.BAD_REQUEST, head.reason)
+            self.refuse(caller, refusal, arrived)
+            return
+        self._wait_for_knowledge(head)
+        admitted = self._admit(head, arrived)
         if isinstance(admitted, refusals.Refusal):
             self.refuse(caller, admitted, arrived)
             return
         forwards.Forward(self, caller, admitted, request.body, arrived).run()
 
+    def _wait_for_knowledge(self, head: heads.Head) -> None:
+        """Let a request wait that came before what serves it could be known."""
+        now = time.monotonic()
+        until = now + startup.find_wait(now - self.started_at, head.deadline)
+        while not self.knowledge.can_place(head.host, head.path):
+            left = until - time.monotonic()
+            if left <= 0:
+                return
+            eventlet.sleep(min(left, startup.LOOK_SECONDS))
+
     def _admit(
-        self, request: callers.Request, now: float
+        self, head: heads.Head, now: float
     ) -> forwards.Admitted | refusals.Refusal:
         """Find the request's route and workspace, or why it can't be served."""
-        names = self.dialect.headers
-        head = heads.read_head(request.method, request.target, request.headers, names)
-        if isinstance(head, heads.Malformed):
-            return refusals.Refusal(refusals.BAD_REQUEST, head.reason)
         identity = head.request_id
         known = self.knowledge.directory
         if known is None:
--- a/packages/daemon/tests/test_gateway.py
+++ b/packages/daemon/tests/test_gateway.py
@@ -5,7 +5,7 @@
 from unittest import mock
 
 from packages.daemon.tests import gateway_bench as bench
-from trestlestall.daemon.gateway import attempts
+from trestlestall.daemon.gateway import attempts, knowledge, placing
 
 
 class GatewayCase(unittest.TestCase):
@@ -136,6 +136,27 @@
         self.assertEqual(status, 503)
         self.assertIn("Retry-After:", head)
 
+    def test_a_request_before_the_configuration_waits_for_it_at_the_start(self):
+        made = bench.Bench(self.stack)
+        made.add("u1", bench.answer("", "done"))
+        bench.eventlet.spawn_after(0.3, made.declare, bench.DOCUMENT)
+        self.assertEqual(made.ask("/once/x")[2], "done")
+
+    def test_a_request_before_the_first_upstream_waits_for_it_at_the_start(self):
+        script = bench.answer("", "done")
+        bench.eventlet.spawn_after(0.3, self.bench.add, "u1", script)
+        self.assertEqual(self.bench.ask("/once/x")[2], "done")
+
+    def test_later_on_a_gateway_without_a_configuration_refuses_at_once(self):
+        made = bench.Bench(self.stack)
+        made.gateway.service.started_at -= 60.0
+        look = mock.patch.object(
+            knowledge.Knowledge, "can_place", autospec=True, return_value=False
+        )
+        with look as looked:
+            self.assertEqual(made.ask("/once/x")[0], 503)
+        looked.assert_called_once()
+
     def test_without_an_upstream(self):
         status, head, _ = self.bench.ask("/once/x")
         self.assertEqual(status, 503)
@@ -409,6 +430,27 @@
         self.bench.add("u1", bench.send(bench.STREAM))
         self.assertEqual(self.bench.ask("/stream/x")[0], 502)
 
+    def test_a_caller_who_leaves_before_the_choice_reaches_no_upstream(self):
+        upstream = self.bench.add("u1", bench.answer("", "done"))
+        choose = placing.Placing.place
+
+        def choose_slowly(*args):
+            bench.eventlet.sleep(0.3)
+            return choose(*args)
+
+        with mock.patch.object(placing.Placing, "place", choose_slowly):
+            caller = self.bench.call()
+            caller.ask("/once/x")
+            bench.eventlet.sleep(0.1)
+            caller.close()
+            ended = bench.wait_until(lambda: self.bench.list_lines("forward_ended"))
+        self.assertTrue(ended)
+        line = self.bench.list_lines("forward_ended")[0]
+        self.assertEqual(line["outcome"], "caller_left")
+        self.assertEqual(upstream.received, [])
+        placer = self.bench.gateway.knowledge.placer
+        self.assertEqual(placer.count_places("work")[0], 0)
+
     def test_a_caller_who_leaves_ends_the_run(self):
         def script(connection, received):
             connection.sendall(bench.STREAM.encode())
--- a/packages/forwarding/src/trestlestall/forwarding/placement.py
+++ b/packages/forwarding/src/trestlestall/forwarding/placement.py
@@ -102,6 +102,10 @@
             if not self.engines[identity].tasks:
                 del self.engines[identity]
 
+    def has_upstream(self, service: str) -> bool:
+        """Return whether any upstream of the service takes requests."""
+        return bool(self._by_service.get(service))
+
     def place(
         self,
         descriptor: descriptors.Descriptor,
--- a/packages/wire/src/trestlestall/wire/connections.py
+++ b/packages/wire/src/trestlestall/wire/connections.py
@@ -21,10 +21,10 @@
 
 READ_BYTES = 16384
 WRITE_BYTES = 65536
-#: Seconds to wait for a connection: many round trips between regions. The kernel sends
+#: Seconds to wait for a connection: some round trips between regions. The kernel sends
 #: an opening packet that nobody took again after a second, so that a host that has just
 #: started is reached sooner by a new try.
-CONNECT_SECONDS = 0.3
+CONNECT_SECONDS = 0.15
 
 # The library logs what it refuses; the mesh counts it instead.
 LOGGER = logging.getLogger("trestlestall.wire.websockets")
