Find upstreams that are cut off by the silence of their requests

Cause: requests on kept connections to a host that is cut off wait in silence; the upstream was suspected only when the first caller gave up, after 2.4 s, and all requests that followed meanwhile were lost as well. Ruled out: the retry budget (not at its limit), the connect time-out.

--- a/packages/daemon/src/trestlestall/daemon/gateway/reaching.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/reaching.py
@@ -13,7 +13,11 @@
 #: Seconds between two tries, doubled from the first to the longest.
 FIRST_SECONDS = 0.25
 LONGEST_SECONDS = 2.0
-CONNECT_SECONDS = 0.4
+#: Seconds to wait for a connection: many round trips within a region.
+CONNECT_SECONDS = 0.2
+#: Seconds after a connection that succeeded in which an upstream isn't suspected again:
+#: one that is only slow isn't burdened with connections.
+TRUSTED_SECONDS = 0.5
 
 
 class Reaching:
@@ -23,6 +27,7 @@
         self._knowledge = knowledge
         self._trying: set[str] = set()
         self._suspected: set[str] = set()
+        self._trusted_until: dict[str, float] = {}
 
     @property
     def unreachable(self) -> frozenset[str]:
@@ -34,14 +39,20 @@
 
         Requests on kept connections wait in silence when its host is cut off.
         """
-        if row.identity not in self._trying and row.identity not in self._suspected:
-            self._suspected.add(row.identity)
-            eventlet.spawn(self._try_once, row)
+        if row.identity in self._trying or row.identity in self._suspected:
+            return
+        if self._knowledge.clock() < self._trusted_until.get(row.identity, 0.0):
+            return
+        self._suspected.add(row.identity)
+        eventlet.spawn(self._try_once, row)
 
     def _try_once(self, row: upstreams.Row) -> None:
         reached = can_connect(row.address)
         self._suspected.discard(row.identity)
-        if not reached:
+        if reached:
+            now = self._knowledge.clock()
+            self._trusted_until[row.identity] = now + TRUSTED_SECONDS
+        else:
             self.note_unreachable(row, "kept a request waiting, then no connection")
 
     def note_unreachable(self, row: upstreams.Row, reason: str) -> None:
@@ -62,6 +73,7 @@
         started = self._knowledge.clock()
         wait = FIRST_SECONDS
         try:
+            self._trusted_until.pop(row.identity, None)
             while self._is_wanted(row):
                 eventlet.sleep(wait)
                 wait = min(LONGEST_SECONDS, 2 * wait)
--- a/packages/daemon/tests/test_gateway.py
+++ b/packages/daemon/tests/test_gateway.py
@@ -328,6 +328,33 @@
         self.assertTrue(found)
         self.assertEqual(self.bench.ask("/short/x")[0], 503)
 
+    def test_an_upstream_that_is_cut_off_is_found_before_its_callers_give_up(self):
+        silent = self.bench.add("u1", bench.send("", keep=True, after=5))
+        caller = self.bench.call()
+        caller.ask("/once/x")
+        self.assertTrue(bench.wait_until(lambda: silent.received))
+        silent.stop()
+        found = bench.wait_until(lambda: self.bench.list_lines("upstream_unreachable"))
+        self.assertTrue(found)
+        self.assertEqual(self.bench.list_lines("forward_ended"), [])
+
+    def test_a_request_that_may_be_repeated_leaves_an_upstream_that_is_cut_off(self):
+        silent = self.bench.add("u1", bench.send("", keep=True, after=5))
+        caller = self.bench.call()
+        caller.ask("/again/x")
+        self.assertTrue(bench.wait_until(lambda: silent.received))
+        self.bench.add("u2", bench.answer("", "done"))
+        silent.stop()
+        self.assertEqual(caller.read_answer()[2], "done")
+        line = self.bench.list_lines("forward_repeated")[0]
+        self.assertEqual((line["outcome"], line["allowed"]), ("Broken", True))
+
+    def test_an_upstream_that_is_only_slow_keeps_its_request(self):
+        slow = self.bench.add("u1", bench.send(f"{OK_HEAD}\r\nlate", after=0.8))
+        self.assertEqual(self.bench.ask("/again/x")[2], "late")
+        self.assertEqual(len(slow.received), 1)
+        self.assertEqual(self.bench.list_lines("upstream_unreachable"), [])
+
     def test_another_incarnation_at_the_address_gets_nothing_more(self):
         other = self.bench.add("u1", bench.answer("", "", status="421 Other"))
         self.bench.add("u2", bench.answer("", "done"))
