Let distance cost what it makes requests fail more often

Cause: placing counted no cost of another data centre. Ruled out: learning by upstream and data centre alone (it knows of a cut only after streams were lost). Change: distance.Distance holds how much more often requests fail that leave, expected at first (0.047) and learned over some thousand requests; a choice weighs it like any failure.

--- a/packages/forwarding/src/trestlestall/forwarding/placement.py
+++ b/packages/forwarding/src/trestlestall/forwarding/placement.py
@@ -16,6 +16,7 @@
 
 from trestlestall.forwarding import (
     descriptors,
+    distance,
     engines,
     model,
     shedding,
@@ -84,6 +85,7 @@
         self._by_service: dict[str, list[upstreams.Row]] = {}
         self._tasks: dict[str, engines.Upstream] = {}
         self._used: dict[engines.PartKey, float] = {}
+        self._distance = distance.Distance()
 
     def set_upstreams(
         self,
@@ -150,6 +152,9 @@
         engine = self.engines.get(identity)
         if engine is not None:
             engine.note_outcome(data_centre, failed)
+        row = self.rows.get(identity)
+        if row is not None:
+            self._distance.note(row.data_centre != data_centre, failed)
 
     def adopt(
         self, descriptor: descriptors.Descriptor, identity: str, now: float
@@ -181,6 +186,8 @@
         cost = find_cost(engine, descriptor, now)
         again = engine.count_read_again(descriptor, self._used)
         cost += READ_AGAIN_COST * again
+        if row.data_centre != descriptor.data_centre:
+            cost += FAILURE_COST * self._distance.find_rate()
         return round(cost, 2), find_rendezvous(descriptor, row.identity)
 
     def _find_taken(self, row: upstreams.Row) -> float:
--- a/packages/forwarding/tests/test_placement.py
+++ b/packages/forwarding/tests/test_placement.py
@@ -84,6 +84,25 @@
         elsewhere = {self.place(f"b{number}", data_centre="b") for number in range(12)}
         self.assertEqual(elsewhere, {"u1", "u2", "u3"})
 
+    def test_requests_stay_in_their_data_centre_where_all_else_is_equal(self):
+        rows = [
+            samples.make_row(f"u{number}", data_centre=name)
+            for number, name in enumerate("abc")
+        ]
+        self.placer.set_upstreams(rows, samples.make_configuration(), 0.0)
+        for number, name in enumerate("abc" * 3):
+            at = self.place(f"r{number}", tokens=1, data_centre=name)
+            self.assertEqual(self.placer.rows[at].data_centre, name)
+
+    def test_requests_leave_their_data_centre_rather_than_wait(self):
+        rows = [
+            samples.make_row("u1", data_centre="a"),
+            samples.make_row("u2", data_centre="b"),
+        ]
+        self.placer.set_upstreams(rows, samples.make_configuration(), 0.0)
+        taken = {self.place(f"r{number}", tokens=10_000) for number in range(2)}
+        self.assertEqual(taken, {"u1", "u2"})
+
     def test_an_upstream_that_stands_still_is_left_alone(self):
         first = self.place("r1", 0.0)
         others = {self.place(f"b{number}", 1.0) for number in range(10)}
