Keep a late row of a crashed upstream from taking its successor out

Cause: an announcement that was delayed by a cut made its incarnation look alive, and if the successor at the address had been silent for 1.5 s at that moment (its own was on its way), the successor was noted as gone for good. Announcements are numbered, which tells which one started first. Ruled out: incarnations that were already noted as gone (they stay so). Change: only one that started later replaces another, and a late row doesn't make an incarnation look alive that has a successor. Before: the test fails, known to the table or not; after: it passes.

--- a/packages/forwarding/src/trestlestall/forwarding/upstreams.py
+++ b/packages/forwarding/src/trestlestall/forwarding/upstreams.py
@@ -10,6 +10,7 @@
 
 import dataclasses
 import enum
+import math
 
 
 class State(enum.IntEnum):
@@ -41,6 +42,8 @@
 
 #: Rows of upstreams that left are kept so long, against late announcements.
 FORGET_SECONDS = 120.0
+#: Seconds between two announcements, about; their number tells when one started.
+ANNOUNCE_SECONDS = 1.0
 #: An incarnation that was silent for so long, a little over one announcement, is gone
 #: once another one announces itself at its address.
 REPLACED_SECONDS = 1.5
@@ -52,6 +55,7 @@
     def __init__(self) -> None:
         self.rows: dict[str, Row] = {}
         self.heard: dict[str, float] = {}
+        self._started: dict[str, float] = {}
 
     def merge(self, row: Row, now: float) -> Row | None:
         """Take a row in; return what is known now if anything but the time changed."""
@@ -59,7 +63,7 @@
         if known is not None and known.state is State.GONE:
             return None
         if known is None or row.sequence >= known.sequence:
-            self.heard[row.identity] = now
+            self._note_heard(row, now)
         merged = row if known is None else merge_rows(known, row)
         if merged == known:
             return None
@@ -67,18 +71,43 @@
         changed = known is None or not equals_but_sequence(known, merged)
         return merged if changed else None
 
+    def _note_heard(self, row: Row, now: float) -> None:
+        """Note when the incarnation was heard of, and about when it started.
+
+        A late row says nothing of an incarnation that has a successor by now.
+        """
+        started = now - row.sequence * ANNOUNCE_SECONDS
+        known = self._started.get(row.identity, started)
+        self._started[row.identity] = min(known, started)
+        if not self._has_successor(row):
+            self.heard[row.identity] = now
+        else:
+            self.heard.setdefault(row.identity, -math.inf)
+
+    def _has_successor(self, row: Row) -> bool:
+        """Return whether an incarnation that started later has the row's address."""
+        started = self._started[row.identity]
+        return any(
+            other.address == row.address
+            and other.state is not State.GONE
+            and self._started.get(other.identity, started) > started
+            for other in self.rows.values()
+        )
+
     def list_replaced(self, row: Row, now: float) -> list[Row]:
         """Return the incarnations that another one at their address has replaced.
 
-        ``row`` was just announced. One that was heard of lately is left alone: then it
-        is the row that came late.
+        ``row`` was just announced. One that started later, or was heard of lately, is
+        left alone: then it is the row that came late.
         """
+        started = self._started.get(row.identity, now)
         return [
             other
             for other in self.rows.values()
             if other.address == row.address
             and other.identity != row.identity
             and other.state is not State.GONE
+            and self._started.get(other.identity, now) < started
             and now - self.heard.get(other.identity, now) > REPLACED_SECONDS
         ]
 
@@ -101,6 +130,7 @@
         for identity in old:
             del self.rows[identity]
             self.heard.pop(identity, None)
+            self._started.pop(identity, None)
         return old
 
 
--- a/packages/forwarding/tests/test_upstreams.py
+++ b/packages/forwarding/tests/test_upstreams.py
@@ -48,6 +48,27 @@
         # The row that came late says nothing against the one that announces itself.
         self.assertEqual(table.list_replaced(old, 5.5), [])
 
+    def test_a_late_row_of_a_crashed_incarnation_never_takes_its_successor_out(self):
+        old, late = (
+            samples.make_row("u1", sequence=number, address="10.0.0.1:1")
+            for number in (29, 30)
+        )
+        first, second = (
+            samples.make_row("u2", sequence=number, address="10.0.0.1:1")
+            for number in (1, 2)
+        )
+        for known in (True, False):
+            with self.subTest(known=known):
+                table = upstreams.Table()
+                if known:
+                    table.merge(old, 0.0)
+                table.merge(first, 1.0)
+                # The successor is silent for a while, as its next row is on its way.
+                table.merge(late, 3.0)
+                self.assertEqual(table.list_replaced(late, 3.0), [])
+                table.merge(second, 3.1)
+                self.assertEqual(table.list_replaced(second, 3.1), [late])
+
     def test_renewals_are_no_change(self):
         table = upstreams.Table()
         self.assertIsNotNone(table.merge(samples.make_row(sequence=1), 0.0))
