Tell a peer of all upstreams as soon as the link to it is up

Cause of the known red test: while the link between two routers is frozen, router-a1 goes on with the lease that it had heard of; the link came back at 52.083, router-a1 served at 52.090 and 52.131 by the old lease, which ended at 52.13, and the peer's rows came only with its next pulse (a second later). So it refused with no_upstream, 50 ms after the link was up. Ruled out: rows in the wrong order, the hold after a return (the upstream was never noted as expired). Change: a new link is told everything at once, not with the next pulse.

--- a/packages/daemon/src/trestlestall/daemon/router/process.py
+++ b/packages/daemon/src/trestlestall/daemon/router/process.py
@@ -214,6 +214,8 @@
         if linked:
             self.journal.write(events.links.UP, peer=name)
             self.members.forget_peer(name)
+            # At once: what the peer knew before a cut may end within the next pulse.
+            self.members.tell(self.list_neighbours())
             if name in self.controls.names:
                 pull = messages.ConfigurationPull(self.agreed.version)
                 self.mesh.send(name, pull)
--- a/packages/daemon/tests/test_router_parts.py
+++ b/packages/daemon/tests/test_router_parts.py
@@ -5,6 +5,7 @@
 import json
 import types
 import unittest
+from unittest import mock
 
 from trestlestall.claims import documents as claim_documents, events, outcomes
 from trestlestall.configuration import commands, documents, model, state as states
@@ -19,6 +20,7 @@
     exchanges,
     journal,
     peers,
+    process,
     streams,
     views,
 )
@@ -332,3 +334,14 @@
             prepare()
             sent.clear()
             self.assertEqual((known.send(message), sent), (reached, names))
+
+
+class LinkTest(unittest.TestCase):
+    def test_a_peer_hears_of_all_upstreams_as_soon_as_the_link_is_up(self):
+        """Leases that it knew before a cut may end before the next pulse."""
+        router = mock.Mock()
+        router.controls.names = ()
+        router.list_neighbours.return_value = ["router-a2"]
+        process.Router._note_link(router, "router-a2", True)
+        expected = [mock.call.forget_peer("router-a2"), mock.call.tell(["router-a2"])]
+        self.assertEqual(router.members.mock_calls, expected)
