--- a/tests/relays.py
+++ b/tests/relays.py
@@ -36,7 +36,8 @@
 
     ``forth`` and ``back`` are open gates while bytes may pass to and from the target;
     a closed gate holds them, as a network that drops packets does, and lets them
-    through once it is opened. ``cut`` ends the connections and refuses new ones.
+    through once it is opened. ``cut`` ends the connections and refuses new ones;
+    ``mute`` drops what open ones carry.
     ``delay_seconds`` holds up each piece. ``accepted`` counts connections on which the
     first bytes have arrived.
     """
@@ -48,6 +49,7 @@
         self.delay_seconds = 0.0
         self.accepted = 0
         self._sockets: set[socket.socket] = set()
+        self._muted: set[socket.socket] = set()
         self._listener = socket.create_server((addresses.LOOPBACK, 0))
         self.address = addresses.Address(*self._listener.getsockname())
         self.thaw()
@@ -70,6 +72,10 @@
             hang_up(each)
         self.thaw()
 
+    def mute(self) -> None:
+        """Drop all bytes of the present connections from now on; new ones work."""
+        self._muted |= self._sockets
+
     def reset(self) -> None:
         """Reset every connection; new ones are taken."""
         for each in list(self._sockets):
@@ -119,6 +125,7 @@
             yield one
         finally:
             self._sockets.discard(one)
+            self._muted.discard(one)
             hang_up(one)
             one.close()
 
@@ -130,7 +137,8 @@
             while data := source.recv(CHUNK):
                 gate.wait()
                 time.sleep(self.delay_seconds)
-                sink.sendall(data)
+                if source not in self._muted:
+                    sink.sendall(data)
         gate.wait()
         hang_up(sink)
         hang_up(source)
--- a/tests/soak/schedules.py
+++ b/tests/soak/schedules.py
@@ -30,6 +30,7 @@
     Kind("fill_disk", "directory", True),
     Kind("silence", "directory", True),
     Kind("silence_in", "directory", True),
+    Kind("mute", "directory", True),
     Kind("reset", "directory"),
     Kind("delay", "directory"),
     Kind("kill", "gateway"),
@@ -41,6 +42,7 @@
     Kind("delay", "upstream"),
     Kind("cut", "upstream"),
     Kind("crash", "upstream"),
+    Kind("crash_late", "upstream"),
     Kind("fail", "upstream"),
     Kind("drain", "upstream"),
 )
--- a/tests/soak/traffic.py
+++ b/tests/soak/traffic.py
@@ -46,7 +46,7 @@
         self.is_failing = False
         self._ports = ports
         self._starts = 0
-        self._sequence = 0
+        self._sequence = self._former_sequence = 0
         self._ended = threading.Event()
         outer = self
 
@@ -74,6 +74,7 @@
     def restart(self) -> None:
         """Become a new incarnation at the same address."""
         self._starts += 1
+        self._former_sequence = self._sequence
         self._sequence = 0
         self._state = RUNNING
 
@@ -140,16 +141,24 @@
     def _put(self) -> bool:
         """Announce the present state at one directory; return whether it agreed."""
         self._sequence += 1
+        return self._send_row(self.identity, self._sequence, self._state)
+
+    def announce_late(self) -> None:
+        """Let an announcement of the former incarnation arrive only now."""
+        former = f"{self.name}-{self._starts - 1}"
+        self._send_row(former, self._former_sequence + 1, RUNNING)
+
+    def _send_row(self, identity: str, sequence: int, state: int) -> bool:
         row = {
-            "sequence": self._sequence,
-            "state": self._state,
+            "sequence": sequence,
+            "state": state,
             "service": "work",
             "address": str(self.relay.address),
             "data_centre": "a",
             "slots": 8,
         }
         port = random.choice(self._ports)
-        return gateways.announce(port, self.identity, row) == 200
+        return gateways.announce(port, identity, row) == 200
 
 
 def send_answer(
--- a/tests/soak/worlds.py
+++ b/tests/soak/worlds.py
@@ -219,6 +219,13 @@
     world.relays[name].thaw()
 
 
+@injects("mute", "directory")
+def mute(world: World, name: str) -> abc.Iterator[None]:
+    """Let open connections go silent for good; new ones work."""
+    world.relays[name].mute()
+    yield
+
+
 @injects("reset", "directory", "upstream")
 def reset(world: World, name: str) -> abc.Iterator[None]:
     """Reset all connections of a relay."""
@@ -251,6 +258,14 @@
     world.relays[name].heal()
 
 
+@injects("crash_late", "upstream")
+def crash_late(world: World, name: str) -> abc.Iterator[None]:
+    """Let an announcement from before a crash arrive after the one that follows it."""
+    world.upstreams[name].restart()
+    yield
+    world.upstreams[name].announce_late()
+
+
 @injects("fail", "upstream")
 def fail(world: World, name: str) -> abc.Iterator[None]:
     """Let an upstream fail what it runs."""
