Refuse new circles of imports in the check of the code's style

Six are known and listed (forwards, records and services of the gateway among them); a new one, a larger one, or one that is open but still listed fails make codestyle.

--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,7 @@
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
 	$(BIN)/python tools/check_imports.py
+	$(BIN)/python tools/check_circles.py
 
 format: install
 	$(BIN)/ruff format .
--- /dev/null
+++ b/tools/check_circles.py
@@ -0,0 +1,114 @@
+"""Check that no more modules of the packages import each other in a circle.
+
+Imports for type checkers alone count as well: a reader has to follow them all the same.
+``KNOWN`` holds the circles that are still to be opened; a module that joins one of
+them, or a new circle, is a finding. So is a known one that is open by now, until its
+line is taken out. Prints one line per finding and exits 1 when there is any.
+"""
+
+import ast
+import pathlib
+import sys
+from collections import abc
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+Graph = dict[str, set[str]]
+
+
+def name_circle(package: str, modules: str) -> frozenset[str]:
+    """Return the modules of a package whose names the text lists."""
+    return frozenset(f"{package}.{module}" for module in modules.split())
+
+
+KNOWN = (
+    name_circle("trestlestall.daemon.control", "arrivals placing reports server"),
+    name_circle("trestlestall.daemon.directory", "arrivals server"),
+    name_circle("trestlestall.daemon.gateway", "forwards records services"),
+    name_circle(
+        "trestlestall.daemon.router",
+        "bodies callers doors gatekeeping operators overview peers platform process"
+        " pulse upstream_doors",
+    ),
+    name_circle("trestlestall.daemon.router", "carriers dispatcher"),
+    name_circle("trestlestall.placement", "inputs rolling steward"),
+)
+
+
+def name_module(path: pathlib.Path, source: pathlib.Path) -> str:
+    """Return the dotted name of a file below a folder of sources."""
+    parts = path.relative_to(source).with_suffix("").parts
+    return ".".join(parts[:-1] if parts[-1] == "__init__" else parts)
+
+
+def list_imports(tree: ast.AST) -> abc.Iterator[str]:
+    """Yield the names that a module imports."""
+    for node in ast.walk(tree):
+        if isinstance(node, ast.ImportFrom) and node.module:
+            for alias in node.names:
+                yield f"{node.module}.{alias.name}"
+        elif isinstance(node, ast.Import):
+            for alias in node.names:
+                yield alias.name
+
+
+def read_graph(sources: abc.Iterable[pathlib.Path]) -> Graph:
+    """Return which modules below the folders import which others of them."""
+    trees = {
+        name_module(path, source): ast.parse(path.read_text())
+        for source in sources
+        for path in source.rglob("*.py")
+    }
+    return {
+        name: {one for one in list_imports(tree) if one in trees and one != name}
+        for name, tree in trees.items()
+    }
+
+
+def find_reached(graph: Graph, start: str) -> set[str]:
+    """Return all modules that the module imports, directly or through others."""
+    reached: set[str] = set()
+    waiting = [start]
+    while waiting:
+        for name in graph[waiting.pop()] - reached:
+            reached.add(name)
+            waiting.append(name)
+    return reached
+
+
+def find_circles(graph: Graph) -> set[frozenset[str]]:
+    """Return the largest sets of modules that all import each other."""
+    reached = {name: find_reached(graph, name) for name in graph}
+    return {
+        frozenset(other for other in reached[name] if name in reached[other])
+        for name in graph
+        if name in reached[name]
+    }
+
+
+def compare(
+    found: abc.Set[frozenset[str]], known: abc.Iterable[frozenset[str]]
+) -> list[str]:
+    """Return a finding for each circle that is new, larger, or open by now."""
+    findings = [
+        f"import each other: {', '.join(sorted(circle))}"
+        for circle in found
+        if not any(circle <= one for one in known)
+    ]
+    findings += [
+        f"open by now, take it out of KNOWN: {', '.join(sorted(one))}"
+        for one in known
+        if not any(circle <= one for circle in found)
+    ]
+    return sorted(findings)
+
+
+def main() -> int:
+    """Check the sources of all packages."""
+    graph = read_graph(sorted(ROOT.glob("packages/*/src")))
+    findings = compare(find_circles(graph), KNOWN)
+    print("\n".join(findings) or f"imports: no circles but {len(KNOWN)} known ones")
+    return 1 if findings else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
