--- a/packages/daemon/tests/test_gateway.py
+++ b/packages/daemon/tests/test_gateway.py
@@ -293,6 +293,26 @@
             self.bench.ask("/once/x")
         self.assertEqual((upstream.connections, len(upstream.received)), (1, 5))
 
+    def test_the_kernel_asks_whether_a_kept_connection_is_still_there(self):
+        """One that went silent without a reset shows in no other way while idle."""
+        upstream = self.bench.add("u1", bench.answer("", "x"))
+        self.bench.ask("/once/x")
+        taken = self.bench.gateway.service.pool.take(upstream.row.address, 1.0)
+        self.addCleanup(taken.close)
+        self.assertEqual(upstream.connections, 1)
+        socket = bench.socket
+        found = [
+            taken.socket.getsockopt(level, option)
+            for level, option in (
+                (socket.SOL_SOCKET, socket.SO_KEEPALIVE),
+                (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE),
+                (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL),
+                (socket.IPPROTO_TCP, socket.TCP_KEEPCNT),
+                (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT),
+            )
+        ]
+        self.assertEqual(found, [1, 1, 1, 2, 1000])
+
 
 class RepeatTest(GatewayCase):
     """When a request is sent again, and when it must not be."""
