--- a/packages/daemon/src/trestlestall/daemon/gateway/silences.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/silences.py
@@ -16,8 +16,9 @@
 
 #: Seconds between two looks at the attempts under way.
 LOOK_SECONDS = 0.05
-#: The shortest silence that makes a new connection worth trying, in seconds: two losses
-#: of a packet in a row take longer, so that hardly any look is wasted on those.
+#: The shortest silence that makes a new connection worth trying, in seconds: a packet
+#: that was lost once is sent again within 0.2 s, and most answers of plain services
+#: come before that.
 LEAST_SECONDS = 0.25
 #: Times the predicted first event that an upstream may be silent at first: nine in ten
 #: first events come before that.
--- a/packages/forwarding/src/trestlestall/forwarding/placement.py
+++ b/packages/forwarding/src/trestlestall/forwarding/placement.py
@@ -34,8 +34,9 @@
 #: ten days the share of worth that callers got rose by 0.010 (0.691 to 0.701).
 FAILURE_COST = 6.0
 REPEAT_COST = 2.5
-#: What one stream that surely pauses for too long costs, in targets: more than the long
-#: prompt that makes it pause would lose by a first event that is two targets late.
+#: What one stream that surely pauses for too long costs, in targets. Over ten days the
+#: worst-served class got 0.014 more of its worth than at two targets, all callers 0.004
+#: more; at four targets all got 0.005 less.
 PAUSE_COST = 3.0
 #: Cost of a first event as its delay grows, in targets: little up to a share of the
 #: target, 1 shortly before it, as predictions are low by that much, and from there on
