--- a/packages/daemon/src/trestlestall/daemon/directory/arbitration.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/arbitration.py
@@ -70,7 +70,11 @@
         else:
             self._own(gateway, descriptor, found.row.identity)
             answer = messages.PlaceAnswer(
-                call.token, found.row.identity, found.unread, found.predicted
+                call.token,
+                found.row.identity,
+                found.unread,
+                found.predicted,
+                taken=found.taken,
             )
         self._links.send(gateway, answer)
 
--- a/packages/daemon/src/trestlestall/daemon/gateway/placing.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/placing.py
@@ -102,7 +102,11 @@
             return self._choose(descriptor, tried)
         self._keep(descriptor, answer.upstream)
         return placement.Placed(
-            found.row, answer.unread, answer.predicted, self._arbiter or ""
+            found.row,
+            answer.unread,
+            answer.predicted,
+            answer.taken,
+            self._arbiter or "",
         )
 
     def note_first(self, descriptor: descriptors.Descriptor) -> None:
--- a/packages/forwarding/src/trestlestall/forwarding/placement.py
+++ b/packages/forwarding/src/trestlestall/forwarding/placement.py
@@ -65,11 +65,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class Placed:
-    """Send the request there; ``source`` is who chose."""
+    """Send the request there; ``source`` is who chose.
+
+    ``taken`` are the requests that the source counts there, this one included.
+    """
 
     row: upstreams.Row
     unread: int
     predicted: float
+    taken: int
     source: str = "own"
 
 
@@ -240,7 +244,7 @@
             key = (descriptor.model, part.identity)
             self._used.pop(key, None)
             self._used[key] = now
-        return Placed(row, unread, predicted)
+        return Placed(row, unread, predicted, len(engine.tasks))
 
     def _forget_parts(self, now: float) -> None:
         """Forget parts that no engine has used for a while; the oldest come first."""
--- a/packages/wire/src/trestlestall/wire/messages.py
+++ b/packages/wire/src/trestlestall/wire/messages.py
@@ -247,7 +247,10 @@
 @registry.register("place_answer")
 @dataclasses.dataclass(frozen=True)
 class PlaceAnswer:
-    """Where the request should go; with an empty ``upstream`` nowhere, for a reason."""
+    """Where the request should go; with an empty ``upstream`` nowhere, for a reason.
+
+    ``taken`` are the requests of all gateways there, this one included.
+    """
 
     token: int
     upstream: str
@@ -255,6 +258,7 @@
     predicted: float
     reason: str = ""
     return_seconds: float = 0.0
+    taken: int = 0
 
 
 @registry.register("place_note")
--- a/packages/wire/tests/test_codec.py
+++ b/packages/wire/tests/test_codec.py
@@ -33,7 +33,7 @@
     messages.Announced(3, (["u1", 4, 0, "work", "127.0.0.1:8000", "a", 8, 0.5],)),
     messages.AnnouncedAnswer(3),
     messages.PlaceCall(4, ("r1", "work", 0, 0.25), ("u1",)),
-    messages.PlaceAnswer(4, "u1", 800, 0.125, "", 0.0),
+    messages.PlaceAnswer(4, "u1", 800, 0.125, "", 0.0, 12),
     messages.PlaceNote("r1", "first"),
     messages.PlaceNote("r1", "succeeded", 0.125),
     messages.PlaceState(([["r1", "work"], "u1", True],)),
