Call a request's place among others its rank, in the code and in forward_sent

The descriptor's field was named tier, as the route's and the workspace's are, and held neither. Field, parameters and the log's field are named rank; no change of behaviour.

--- a/packages/daemon/src/trestlestall/daemon/events/forwarding.py
+++ b/packages/daemon/src/trestlestall/daemon/events/forwarding.py
@@ -6,10 +6,10 @@
     "TS7001",
     "forward_sent",
     catalogue.Level.INFO,
-    "request route workspace tier route_tier workspace_tier upstream address attempt"
+    "request route workspace rank route_tier workspace_tier upstream address attempt"
     " unread predicted taken taken_by_all failure_rate declaration seconds_left source",
-    "A request goes to this upstream; tier is its rank, made of the tiers of its route"
-    " and its workspace, unread are the prompt tokens that it probably has"
+    "A request goes to this upstream; rank, 0 the most urgent, is made of the tiers of"
+    " its route and its workspace; unread are the prompt tokens that it probably has"
     " to read, predicted the seconds to the first event, taken its requests from here,"
     " taken_by_all those that the source of the choice counts there, this one included;"
     " the source of the choice is a directory that sees all gateways, or own knowledge"
--- a/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
@@ -293,7 +293,7 @@
         if self.workspace is not None:
             added[names.workspace] = self.workspace.name
         if self.route.streams:
-            added[names.tier] = str(self.descriptor.tier)
+            added[names.tier] = str(self.descriptor.rank)
         if self.relay.last_event is not None:
             added[names.last_event] = str(self.relay.last_event)
         return added
--- a/packages/daemon/src/trestlestall/daemon/gateway/heads.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/heads.py
@@ -189,14 +189,14 @@
 
 
 def build_descriptor(
-    head: Head, route: model.Route, service: str, tier: int, data_centre: str
+    head: Head, route: model.Route, service: str, rank: int, data_centre: str
 ) -> descriptors.Descriptor:
     """Return what the policy is told of the request."""
     is_first = has_whole_time(head, route)
     return descriptors.Descriptor(
         request_id=head.request_id,
         service=service,
-        tier=tier,
+        rank=rank,
         first_seconds=route.first_seconds,
         whole_seconds=route.whole_seconds,
         pause_seconds=route.pause_seconds,
--- a/packages/daemon/src/trestlestall/daemon/gateway/records.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/records.py
@@ -23,7 +23,7 @@
         request=forward.descriptor.request_id,
         route=forward.route.name,
         workspace=workspace.name if workspace else None,
-        tier=forward.descriptor.tier,
+        rank=forward.descriptor.rank,
         route_tier=forward.route.tier,
         workspace_tier=workspace.tier if workspace else None,
         upstream=placed.row.identity,
--- a/packages/daemon/tests/test_gateway_ranks.py
+++ b/packages/daemon/tests/test_gateway_ranks.py
@@ -131,7 +131,7 @@
         self.declare()
         rank = self.send(DIGESTS, 1)
         (line,) = self.bench.list_lines("forward_sent")
-        told = line["tier"], line["route_tier"], line["workspace_tier"]
+        told = line["rank"], line["route_tier"], line["workspace_tier"]
         self.assertEqual(told, (rank, DIGESTS, 1))
 
     def test_a_send_tells_how_full_the_upstream_is(self):
--- a/packages/forwarding/src/trestlestall/forwarding/descriptors.py
+++ b/packages/forwarding/src/trestlestall/forwarding/descriptors.py
@@ -15,7 +15,7 @@
 class Descriptor:
     """A request as its headers describe it.
 
-    ``tier`` is the rank among all requests of the configuration (``urgency``).
+    ``rank`` tells how urgent it is among all requests (``urgency``).
     ``first_seconds``, ``pause_seconds`` and ``whole_seconds`` are the route's targets.
     ``tokens_in`` are those of the prompt, ``tokens_out`` the most that may be
     generated, ``parts`` the prompt in order: an engine that holds the first parts need
@@ -26,7 +26,7 @@
 
     request_id: str
     service: str
-    tier: int
+    rank: int
     first_seconds: float
     whole_seconds: float
     pause_seconds: float | None = None
--- a/packages/forwarding/src/trestlestall/forwarding/engines.py
+++ b/packages/forwarding/src/trestlestall/forwarding/engines.py
@@ -1,6 +1,6 @@
 """The estimated state of one upstream, out of what was sent there and what came back.
 
-An engine reads prompts one after another, urgent tiers first, and generates for all
+An engine reads prompts one after another, the urgent first, and generates for all
 running requests in steps; a step that also reads a part of a prompt takes longer, which
 delays every stream on that engine. So the tokens that an engine still has to read
 matter more than how many requests it runs.
@@ -81,7 +81,7 @@
 
 def rank_task(task: Task) -> tuple[int, float]:
     """Return the place of a task in the order of reading."""
-    return task.descriptor.tier, task.placed_at
+    return task.descriptor.rank, task.placed_at
 
 
 class Upstream:
@@ -145,8 +145,8 @@
             task.left for task in self.tasks.values() if task.reading >= LONG_READING
         )
 
-    def find_wait(self, now: float, tier: int) -> float:
-        """Return the seconds until the engine gets to a new prompt of the tier.
+    def find_wait(self, now: float, rank: int) -> float:
+        """Return the seconds until the engine gets to a new prompt of the rank.
 
         If the engine is late with one that comes before, it is taken to be as late with
         the next: that is how an upstream shows first that it is slow or stands still.
@@ -155,27 +155,27 @@
         before = [
             task
             for task in self.tasks.values()
-            if not task.began and task.descriptor.tier <= tier
+            if not task.began and task.descriptor.rank <= rank
         ]
         overdue = max((task.find_overdue(now) for task in before), default=0.0)
         wait = sum(task.left for task in before) + overdue
         current = self._reading
-        if current is not None and current.descriptor.tier > tier:
+        if current is not None and current.descriptor.rank > rank:
             # A prompt that is being read is read to its end.
             wait += current.left
         return wait
 
-    def find_slot_wait(self, tier: int) -> float:
-        """Return the seconds until a slot is free for a new request of the tier.
+    def find_slot_wait(self, rank: int) -> float:
+        """Return the seconds until a slot is free for a new request of the rank.
 
         Less urgent requests give way to it.
         """
-        before = sum(task.descriptor.tier <= tier for task in self.tasks.values())
+        before = sum(task.descriptor.rank <= rank for task in self.tasks.values())
         return max(0, before - self.slots + 1) * self.hold_seconds / self.slots
 
-    def has_less_urgent(self, tier: int) -> bool:
-        """Return whether a request is here that gives way to one of the tier."""
-        return any(task.descriptor.tier > tier for task in self.tasks.values())
+    def has_less_urgent(self, rank: int) -> bool:
+        """Return whether a request is here that gives way to one of the rank."""
+        return any(task.descriptor.rank > rank for task in self.tasks.values())
 
     def find_pause_risk(
         self, target: float | None, backlog: float, reading: float
--- a/packages/forwarding/src/trestlestall/forwarding/placement.py
+++ b/packages/forwarding/src/trestlestall/forwarding/placement.py
@@ -223,11 +223,11 @@
         now: float,
     ) -> shedding.Outlook:
         engine = self.engines[row.identity]
-        wait = engine.find_wait(now, descriptor.tier)
-        wait += engine.find_slot_wait(descriptor.tier)
+        wait = engine.find_wait(now, descriptor.rank)
+        wait += engine.find_slot_wait(descriptor.rank)
         reading = engine.find_reading(engine.count_unread(descriptor))
         taken = min(self._find_taken(one) for one in near)
-        yields = engine.has_less_urgent(descriptor.tier)
+        yields = engine.has_less_urgent(descriptor.rank)
         return shedding.Outlook(wait, wait + reading, taken, yields)
 
     def _begin(
@@ -235,7 +235,7 @@
     ) -> Placed:
         engine = self.engines[row.identity]
         unread = engine.count_unread(descriptor)
-        wait = engine.find_wait(now, descriptor.tier)
+        wait = engine.find_wait(now, descriptor.rank)
         predicted = wait + engine.find_reading(unread)
         task = engines.Task(descriptor, row.identity, unread, now, predicted)
         engine.begin(task, now)
@@ -280,7 +280,7 @@
     """
     reading = engine.find_reading(engine.count_unread(descriptor))
     backlog = engine.find_backlog(now)
-    predicted = engine.find_wait(now, descriptor.tier) + reading
+    predicted = engine.find_wait(now, descriptor.rank) + reading
     cost = weigh_delay(predicted / max(descriptor.first_seconds, 0.001))
     if predicted > WHOLE_SHARE * descriptor.whole_seconds:
         cost += NO_ANSWER_COST
--- a/packages/forwarding/tests/samples.py
+++ b/packages/forwarding/tests/samples.py
@@ -49,7 +49,7 @@
     found = descriptors.Descriptor(
         request_id=request_id,
         service=SERVICE.name,
-        tier=0,
+        rank=0,
         first_seconds=0.25,
         whole_seconds=10.0,
         pause_seconds=0.15,
--- a/packages/forwarding/tests/test_pauses.py
+++ b/packages/forwarding/tests/test_pauses.py
@@ -76,13 +76,13 @@
     def test_streams_beside_long_reading_teach(self):
         self.begin("r1", 0.0, tokens=1)
         self.upstream.note_first("r1", 0.01)
-        self.begin("long", 0.01, tokens=60_000, tier=3)
+        self.begin("long", 0.01, tokens=60_000, rank=3)
         self.upstream.end("r1", 2.0, 0.25)
         self.assertGreater(self.upstream.pauses.longest, pauses.FIRST_LONGEST)
 
     def test_where_long_prompts_are_read_all_the_while_streams_are_at_risk(self):
         for number in range(3):
-            self.begin(f"long-{number}", number * 0.6, tokens=20_000, tier=3)
+            self.begin(f"long-{number}", number * 0.6, tokens=20_000, rank=3)
         self.assertEqual(self.upstream.find_backlog(1.8), 0.0)
         self.assertGreater(self.upstream.find_pause_risk(TIGHT, 0.0, 0.0), 0.2)
         idle = engines.Upstream("u2", 48, 0)
@@ -95,8 +95,8 @@
         self.assertEqual(self.upstream.find_pause_risk(TIGHT, backlog, 0.01), 0.0)
 
     def test_a_prompt_that_is_being_read_comes_before_more_urgent_ones(self):
-        self.begin("long", 0.0, tokens=20_000, tier=3)
-        self.begin("later", 0.0, tokens=20_000, tier=3)
+        self.begin("long", 0.0, tokens=20_000, rank=3)
+        self.begin("later", 0.0, tokens=20_000, rank=3)
         reading = self.upstream.find_reading(20_000)
         self.upstream.find_backlog(reading / 2)
         self.assertAlmostEqual(
@@ -104,7 +104,7 @@
         )
 
     def test_a_prompt_whose_caller_left_is_no_longer_read(self):
-        self.begin("long", 0.0, tokens=20_000, tier=3)
+        self.begin("long", 0.0, tokens=20_000, rank=3)
         self.upstream.find_backlog(0.1)
         self.upstream.end("long", 0.1)
         self.assertEqual(self.upstream.find_wait(0.1, 0), 0.0)
--- a/packages/forwarding/tests/test_shedding.py
+++ b/packages/forwarding/tests/test_shedding.py
@@ -58,21 +58,21 @@
         for number in range(8):
             descriptor = samples.make_descriptor(f"r{number}", tokens=1)
             self.placer.adopt(descriptor, "u1", 0.0)
-        found = self.place("next", tokens=1, tier=3, may_return=True)
+        found = self.place("next", tokens=1, rank=3, may_return=True)
         self.assertIsInstance(found, placement.Placed)
 
     def test_the_last_slots_are_left_to_what_is_more_urgent(self):
         for number in range(8):
-            self.place(f"r{number}", tokens=1, tier=3)
-        found = self.place("next", tokens=1, tier=3, may_return=True)
+            self.place(f"r{number}", tokens=1, rank=3)
+        found = self.place("next", tokens=1, rank=3, may_return=True)
         self.assertEqual(found.reason, shedding.OVERLOADED)
-        found = self.place("urgent", tokens=1, tier=0, may_return=True)
+        found = self.place("urgent", tokens=1, rank=0, may_return=True)
         self.assertIsInstance(found, placement.Placed)
 
     def test_a_request_that_waits_for_nobody_less_urgent_is_let_in(self):
         for number in range(9):
-            self.place(f"r{number}", tokens=9000, tier=5)
-        found = self.place("urgent", tokens=10, tier=0, may_return=True)
+            self.place(f"r{number}", tokens=9000, rank=5)
+        found = self.place("urgent", tokens=10, rank=0, may_return=True)
         self.assertIsInstance(found, placement.Placed)
 
     def test_nothing_is_refused_after_an_attempt(self):
--- a/packages/forwarding/tests/world.py
+++ b/packages/forwarding/tests/world.py
@@ -224,7 +224,7 @@
         descriptor = descriptors.Descriptor(
             request_id=run.request,
             service=SERVICE,
-            tier=run.kind.tier,
+            rank=run.kind.tier,
             first_seconds=run.kind.first,
             whole_seconds=run.kind.whole,
             pause_seconds=run.kind.pause,
