--- a/packages/daemon/tests/gateway_bench.py
+++ b/packages/daemon/tests/gateway_bench.py
@@ -7,6 +7,7 @@
 import random
 import struct
 import time
+import unittest
 import zlib
 
 from trestlestall.daemon import patching  # isort: skip
@@ -314,6 +315,17 @@
         return [line for line in lines if line["name"] == name]
 
 
+class GatewayCase(unittest.TestCase):
+    """A test with a gateway of its own, by ``DOCUMENT``."""
+
+    document = DOCUMENT
+
+    def setUp(self):
+        self.stack = contextlib.ExitStack()
+        self.addCleanup(self.stack.close)
+        self.bench = Bench(self.stack, self.document)
+
+
 def wait_until(condition, seconds=3.0):
     """Wait for a condition; return whether it came true."""
     deadline = time.monotonic() + seconds
--- a/packages/daemon/tests/test_gateway_ranks.py
+++ b/packages/daemon/tests/test_gateway_ranks.py
@@ -20,9 +20,7 @@
 the route's tier first no such fault was seen, with as many requests put back.
 """
 
-import contextlib
 import random
-import unittest
 
 from packages.daemon.tests import gateway_bench as bench
 from trestlestall.standins import batching
@@ -47,11 +45,11 @@
     return {**bench.DOCUMENT, "routes": routes, "workspaces": workspaces}
 
 
-class RankCase(unittest.TestCase):
+class RankCase(bench.GatewayCase):
+    document = None
+
     def setUp(self):
-        self.stack = contextlib.ExitStack()
-        self.addCleanup(self.stack.close)
-        self.bench = bench.Bench(self.stack)
+        super().setUp()
         self.upstream = self.bench.add("u1", bench.answer(""))
         self.version = 0
 
--- /dev/null
+++ b/packages/daemon/tests/test_gateway_repeats.py
@@ -0,0 +1,214 @@
+"""When a gateway sends a request again or elsewhere, and how it passes streams on."""
+
+from unittest import mock
+
+from packages.daemon.tests import gateway_bench as bench
+from trestlestall.daemon.gateway import attempts, placing
+
+
+class RepeatTest(bench.GatewayCase):
+    """When a request is sent again, and when it must not be."""
+
+    def test_a_request_that_may_run_once_is_not_sent_again(self):
+        first = self.bench.add("u1", bench.send(""))
+        second = self.bench.add("u2", bench.send(""))
+        self.assertEqual(self.bench.ask("/once/x")[0], 502)
+        self.assertEqual(len(first.received) + len(second.received), 1)
+
+    def test_it_is_sent_again_when_the_upstream_did_not_run_it(self):
+        full = "Trestlestall-Not-Run: 1\r\n"
+        refusing = self.bench.add("u1", bench.answer(full, "", status="503 Full"))
+        serving = self.bench.add("u2", bench.answer("", "done"))
+        for _ in range(2):
+            self.assertEqual(self.bench.ask("/once/x")[2], "done")
+        self.assertGreaterEqual(len(refusing.received), 1)
+        self.assertEqual(len(serving.received), 2)
+
+    def test_an_idempotent_request_is_sent_again_after_a_failure(self):
+        self.bench.add("u1", bench.answer("", "", status="500 No"))
+        serving = self.bench.add("u2", bench.answer("", "done"))
+        self.assertEqual(self.bench.ask("/again/x")[2], "done")
+        self.assertEqual(len(serving.received), 1)
+
+    def test_the_attempts_of_the_route_hold(self):
+        made = [
+            self.bench.add(f"u{number}", bench.answer("", "", status="500 No"))
+            for number in (1, 2, 3)
+        ]
+        self.assertEqual(self.bench.ask("/again/x")[0], 500)
+        self.assertEqual(sum(len(one.received) for one in made), 2)
+
+    def test_an_upstream_that_is_gone_costs_no_attempt(self):
+        gone = self.bench.add("u1", bench.answer(""))
+        # Both listen before one ends: else the other could be given the same port.
+        self.bench.add("u2", bench.answer("", "done"))
+        gone.stop()
+        for _ in range(4):
+            self.assertEqual(self.bench.ask("/once/x")[2], "done")
+        self.assertEqual(len(self.bench.list_lines("upstream_unreachable")), 1)
+
+    def test_an_upstream_that_went_silent_is_tried_once_and_left_alone(self):
+        silent = self.bench.add("u1", bench.send("", keep=True, after=5))
+        self.bench.ask("/short/x")
+        self.assertEqual(self.bench.list_lines("upstream_unreachable"), [])
+        silent.stop()
+        self.bench.ask("/short/x")
+        found = bench.wait_until(lambda: self.bench.list_lines("upstream_unreachable"))
+        self.assertTrue(found)
+        self.assertEqual(self.bench.ask("/short/x")[0], 503)
+
+    def test_an_upstream_that_is_only_slow_keeps_its_request(self):
+        slow = self.bench.add("u1", bench.send(f"{bench.OK}\r\nlate", after=0.8))
+        self.assertEqual(self.bench.ask("/again/x")[2], "late")
+        self.assertEqual(len(slow.received), 1)
+        self.assertEqual(self.bench.list_lines("upstream_unreachable"), [])
+
+    def test_another_incarnation_at_the_address_gets_nothing_more(self):
+        other = self.bench.add("u1", bench.answer("", "", status="421 Other"))
+        self.bench.add("u2", bench.answer("", "done"))
+        for _ in range(4):
+            self.assertEqual(self.bench.ask("/once/x")[2], "done")
+        self.assertLessEqual(len(other.received), 1)
+
+    def test_a_request_that_broke_while_it_was_sent_may_have_run(self):
+        self.bench.add("u1", bench.answer(""))
+        broken = attempts.Broken("while sending")
+        with mock.patch.object(attempts.Attempt, "_write", return_value=broken):
+            self.assertEqual(self.bench.ask("/once/x")[0], 502)
+
+    def test_refusals_are_passed_on_as_not_run(self):
+        full = "Trestlestall-Not-Run: 1\r\nRetry-After: 0.25\r\n"
+        self.bench.add("u1", bench.answer(full, "", status="503 Full"))
+        status, head, _ = self.bench.ask("/once/x")
+        self.assertEqual(status, 503)
+        self.assertIn("Retry-After: 0.25", head)
+        self.assertNotIn("Signature", head)
+
+
+class StreamTest(bench.GatewayCase):
+    """Streams of events."""
+
+    def read_stream(self, path):
+        caller = self.bench.call()
+        caller.ask(path)
+        status, _ = caller.read_head()
+        return status, caller.read_to_end()
+
+    def test_events_are_passed_on_as_they_come(self):
+        def script(connection, received):
+            connection.sendall(
+                (bench.STREAM + bench.frame("id: 1", end=False)).encode()
+            )
+            connection.sendall(bench.frame("\ndata: x\n\n", end=False).encode())
+            bench.wait_until(lambda: self.got)
+            connection.sendall(bench.frame(bench.event(2)).encode())
+
+        self.got = False
+        self.bench.add("u1", script)
+        caller = self.bench.call()
+        caller.ask("/stream/x")
+        self.assertEqual(caller.read_head()[0], 200)
+        self.assertTrue(bench.wait_until(lambda: caller.data or self.read(caller)))
+        self.got = True
+        text = caller.read_to_end()
+        self.assertIn("data: x\n\n", text)
+        self.assertIn("x2", text)
+
+    def read(self, caller):
+        caller.data += caller.socket.recv(1000)
+        return caller.data
+
+    def test_a_stream_cut_off_looks_cut_off(self):
+        part = bench.STREAM + bench.frame(bench.event(1), "id: 2\nda", end=False)
+        self.bench.add("u1", bench.send(part))
+        status, text = self.read_stream("/stream/x")
+        self.assertEqual(status, 200)
+        self.assertIn("x1", text)
+        self.assertNotIn("id: 2", text)
+        self.assertFalse(text.endswith("0\r\n\r\n"))
+
+    def test_a_resumable_stream_goes_on_elsewhere(self):
+        def script(connection, received):
+            latest = received.find("Last-Event-Id")
+            if latest is None:
+                part = bench.frame(bench.event(1), bench.event(2), "id: 3", end=False)
+                connection.sendall((bench.STREAM + part).encode())
+                return False
+            rest = [bench.event(number) for number in range(int(latest) + 1, 5)]
+            connection.sendall((bench.STREAM + bench.frame(*rest)).encode())
+            return True
+
+        self.bench.add("u1", script)
+        self.bench.add("u2", script)
+        status, text = self.read_stream("/resume/x")
+        self.assertEqual(status, 200)
+        self.assertTrue(text.endswith("0\r\n\r\n"))
+        numbers = [line[4:] for line in text.split("\n") if line.startswith("id: ")]
+        self.assertEqual(numbers, ["1", "2", "3", "4"])
+
+    def test_a_gap_after_resuming_is_never_joined(self):
+        def script(connection, received):
+            numbers = (1, 2) if received.find("Last-Event-Id") is None else (4, 5)
+            events = [bench.event(number) for number in numbers]
+            whole = numbers == (4, 5)
+            text = bench.STREAM + bench.frame(*events, end=whole)
+            connection.sendall(text.encode())
+            return whole
+
+        self.bench.add("u1", script)
+        self.bench.add("u2", script)
+        _, text = self.read_stream("/resume/x")
+        self.assertNotIn("id: 4", text)
+        self.assertFalse(text.endswith("0\r\n\r\n"))
+
+    def test_a_stream_that_breaks_before_its_first_event(self):
+        self.bench.add("u1", bench.send(bench.STREAM))
+        self.assertEqual(self.bench.ask("/stream/x")[0], 502)
+
+    def test_a_caller_who_leaves_before_the_choice_reaches_no_upstream(self):
+        upstream = self.bench.add("u1", bench.answer("", "done"))
+        choose = placing.Placing.place
+
+        def choose_slowly(*args):
+            bench.eventlet.sleep(0.3)
+            return choose(*args)
+
+        with mock.patch.object(placing.Placing, "place", choose_slowly):
+            caller = self.bench.call()
+            caller.ask("/once/x")
+            bench.eventlet.sleep(0.1)
+            caller.close()
+            ended = bench.wait_until(lambda: self.bench.list_lines("forward_ended"))
+        self.assertTrue(ended)
+        line = self.bench.list_lines("forward_ended")[0]
+        self.assertEqual(line["outcome"], "caller_left")
+        self.assertEqual(upstream.received, [])
+        placer = self.bench.gateway.knowledge.placer
+        self.assertEqual(placer.count_places("work")[0], 0)
+
+    def test_a_caller_who_leaves_ends_the_run(self):
+        def script(connection, received):
+            connection.sendall(bench.STREAM.encode())
+            for number in range(100):
+                part = bench.frame(bench.event(number), end=False)
+                connection.sendall(part.encode())
+                bench.eventlet.sleep(0.02)
+
+        for path, waits in {"/stream/x": True, "/once/x": False}.items():
+            with self.subTest(path):
+                self.bench = bench.Bench(self.stack, bench.DOCUMENT)
+                quiet = bench.send("", keep=True, after=0.5)
+                upstream = self.bench.add("u1", script if waits else quiet)
+                caller = self.bench.call()
+                caller.ask(path)
+                if waits:
+                    caller.read_head()
+                bench.wait_until(lambda made=upstream: made.received)
+                caller.close()
+                left = bench.wait_until(
+                    lambda made=self.bench: made.list_lines("forward_ended")
+                )
+                self.assertTrue(left)
+                line = self.bench.list_lines("forward_ended")[0]
+                self.assertEqual(line["outcome"], "caller_left")
+                self.assertTrue(bench.wait_until(lambda made=upstream: made.ended))
