--- a/packages/forwarding/src/trestlestall/forwarding/urgency.py
+++ b/packages/forwarding/src/trestlestall/forwarding/urgency.py
@@ -2,11 +2,15 @@
 
     find_rank(route, workspace)
 
+    route's tier    0     1     2  3  4  5  6  7 and above
+    rank            0, 1  2, 3  4  5  6  7  8  9
+
 An engine that is full puts back the newest of its requests with the largest rank. A
 route's tier says how long its callers can wait, so a workspace's tier decides among the
-requests of one route alone: with the workspace first, engines put back questions with a
-target of 0.25 s in the middle of their answers while digests with one of 2 s ran on (15
-to 30 at one engine within a second, on overloaded days of 9 engines; none since).
+requests of one route alone. With the workspace first, engines put back questions with a
+target of 0.25 s in the middle of their answers while digests with one of 2 s ran on: 15
+to 30 at one engine within a second, on five plays of overloaded days with 9 engines; on
+none of six with the route first, where 59 to 162 were put back in all.
 
 A rank depends on nothing but the request's own two tiers. Engines, and the directory
 that places for all gateways, compare requests of several gateways and declarations, so
