Keep the counts of repeated sends of all services in one ledger

Cause: the budget of repeated sends stood in three places (a dictionary in the gateway's knowledge, the number of processes in its service, the bound between them), so no test could play a fleet without a gateway. Change: budgets.Ledger holds the counts by service and the number of processes. Conclusion: no change of behaviour.

--- a/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
@@ -17,6 +17,7 @@
     relays,
 )
 from trestlestall.forwarding import (
+    budgets,
     descriptors,
     directory,
     model,
@@ -89,7 +90,7 @@
     def run(self) -> None:
         """Serve the request to its final answer; raises ``CallerLeft``."""
         now = time.monotonic()
-        self.knowledge.find_budget(self.descriptor.service).note_request(now)
+        self.knowledge.ledger.note_request(self.descriptor.service, now)
         try:
             with self.caller.watch(self._note_left):
                 self._run_attempts()
@@ -211,17 +212,20 @@
         """Return whether to try another upstream after this outcome."""
         now = time.monotonic()
         left = self.deadline - now
-        budget = self.knowledge.find_budget(self.descriptor.service)
         bound = self.service.find_retry_bound()
         allowed = left > LEAST_SECONDS and self.sends < SENDS_LIMIT
         if isinstance(outcome, (attempts.Broken, attempts.AnswerHead)):
             allowed = allowed and self._may_repeat()
             allowed = allowed and (not self.relay.began or self.route.resumable)
         if allowed and not isinstance(outcome, attempts.NotSent):
-            allowed = budget.spend(bound, now)
+            allowed = self._spend_repeat(bound, now)
         records.write_repeated(self, row, outcome, allowed, bound)
         return allowed
 
+    def _spend_repeat(self, bound: budgets.Bound, now: float) -> bool:
+        """Take one repeated send from the budget that all gateways share."""
+        return self.knowledge.ledger.spend(self.descriptor.service, bound, now)
+
     def _learn(self, row: upstreams.Row, outcome: outcomes.Outcome | None) -> None:
         """Let the outcome change what is believed of the upstream."""
         if isinstance(outcome, attempts.NotSent):
--- a/packages/daemon/src/trestlestall/daemon/gateway/knowledge.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/knowledge.py
@@ -28,7 +28,7 @@
         self.has_rows = False
         self.table = upstreams.Table()
         self.placer = placement.Placer()
-        self.budgets: dict[str, budgets.Budget] = {}
+        self.ledger = budgets.Ledger()
 
     @property
     def limits(self) -> model.CallerLimits:
@@ -104,10 +104,6 @@
         gone = upstreams.Row(row.identity, row.sequence, upstreams.State.GONE)
         self.take_rows((gone,), "upstream")
 
-    def find_budget(self, service: str) -> budgets.Budget:
-        """Return the count of repeated sends of a service."""
-        return self.budgets.setdefault(service, budgets.Budget())
-
     def _refresh(self) -> None:
         known = self.directory.configuration if self.directory else None
         rows = self.table.rows.values()
--- a/packages/daemon/src/trestlestall/daemon/gateway/process.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/process.py
@@ -216,7 +216,7 @@
         self._settings = self.service.settings
 
     def _note_gateways(self, count: int) -> None:
-        self.service.gateways = max(1, count)
+        self.knowledge.ledger.note_processes(count, time.monotonic())
 
     def _sweep(self) -> None:
         """Close kept connections that went stale."""
--- a/packages/daemon/src/trestlestall/daemon/gateway/records.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/records.py
@@ -49,7 +49,8 @@
 ) -> None:
     """Tell how an attempt ended, and whether another one follows."""
     now = time.monotonic()
-    budget = forward.knowledge.find_budget(forward.descriptor.service)
+    ledger = forward.knowledge.ledger
+    service = forward.descriptor.service
     forward.knowledge.log.write(
         events.forwarding.REPEATED,
         request=forward.descriptor.request_id,
@@ -58,8 +59,8 @@
         outcome=type(outcome).__name__,
         reason=outcomes.describe_outcome(outcome),
         allowed=allowed,
-        repeats=budget.count_repeats(bound, now),
-        limit=round(budget.find_limit(bound, now), 1),
+        repeats=ledger.count_repeats(service, bound, now),
+        limit=round(ledger.find_limit(service, bound, now), 1),
         runs=forward.runs,
         seconds_left=round(forward.deadline - now, 3),
     )
--- a/packages/daemon/src/trestlestall/daemon/gateway/services.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/services.py
@@ -20,10 +20,6 @@
 )
 from trestlestall.forwarding import budgets, directory, model, startup, urgency
 
-#: Gateways that share the retry budget, until a directory tells how many there are:
-#: more than most deployments have, so that too little is spent rather than too much.
-GATEWAYS_ASSUMED = 32
-
 
 class Service:
     """What all requests of a gateway share."""
@@ -44,7 +40,6 @@
         self.pool = connections.Pool()
         self.reaching = reaching.Reaching(knowledge)
         self.placing = placing.Placing(knowledge, self.reaching)
-        self.gateways = GATEWAYS_ASSUMED
         self.started_at = time.monotonic()
         self.refuse_at = 0.0
         self.stop_at: float | None = None
@@ -110,11 +105,9 @@
         return route.streams or now + route.whole_seconds > self.stop_at
 
     def find_retry_bound(self) -> budgets.Bound:
-        """Return the bound of repeated sends, shared among the gateways."""
+        """Return the bound of repeated sends, over all gateways."""
         given = self.settings.retries
-        return budgets.Bound(
-            given.ratio, given.slack, given.window_seconds, self.gateways
-        )
+        return budgets.Bound(given.ratio, given.slack, given.window_seconds)
 
     def refuse(
         self,
--- a/packages/daemon/tests/gateway_bench.py
+++ b/packages/daemon/tests/gateway_bench.py
@@ -281,7 +281,7 @@
             early(self.port)
         self.gateway = process.Gateway(made, env, accepting=accepting)
         stack.enter_context(self.gateway.open())
-        self.gateway.service.gateways = 1
+        self.gateway.knowledge.ledger.note_processes(1, time.monotonic())
         if document is not None:
             self.declare(document)
 
