Know an upstream's start by its name and when it was born

Cause: a row was known by the announced identity alone. A start that drained or left kept its state for the next one, and a crash was followed by a start whose sequence had to pass the old one first. Ruled out: a state per identity that is reset (every place that keeps something by identity would need the same care: engines, failure rates, parts held, tried upstreams, connections). Change: the identity of a row is that of the start (name@born), so all that is kept by it is of that start alone; of one name only the start born last is known; its predecessor's rows go, late ones change nothing, and a late leave of it is acknowledged without a majority. A leave that names no start means the latest. Upstreams are expected under the name that they announce. Rows without born are as before.

--- a/packages/daemon/src/trestlestall/daemon/dialects.py
+++ b/packages/daemon/src/trestlestall/daemon/dialects.py
@@ -86,9 +86,13 @@
     if isinstance(plain, model.Invalid):
         return plain
     try:
-        return msgspec.convert({**plain, "identity": identity}, upstreams.Row)
+        row = msgspec.convert({**plain, "identity": identity}, upstreams.Row)
     except msgspec.ValidationError as error:
         return model.Invalid(str(error))
+    if not row.born:
+        return dataclasses.replace(row, name="")
+    start = upstreams.name_start(identity, row.born)
+    return dataclasses.replace(row, identity=start, name=identity)
 
 
 def decode_json(body: bytes, shape: typing.Any) -> typing.Any:
--- a/packages/daemon/src/trestlestall/daemon/directory/registrations.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/registrations.py
@@ -53,17 +53,17 @@
 
     def announce(self, row: upstreams.Row) -> bool:
         """Take an upstream's word; false when too few directories could be told."""
-        known = self.table.rows.get(row.identity)
         merged = self.table.merge(row, self._clock())
         self.table.forget_departed(self._clock())
         if merged is not None:
             self._tell_gateways((merged,))
+        latest = self.table.find_latest(row.announced_name)
+        if latest is None or latest.born > row.born > 0:
+            # A start that has been replaced gets no requests from anyone.
+            return True
         self._withdraw_replaced(row)
-        leaves = row.state is not upstreams.State.SERVING
-        if leaves and (known is None or known.state < row.state or merged):
-            return self._tell_majority(self.table.rows[row.identity])
-        if leaves:
-            return self._tell_majority(known)
+        if row.state is not upstreams.State.SERVING:
+            return self._tell_majority(latest)
         self._tell_directories(row, 0)
         return True
 
@@ -73,7 +73,7 @@
             return
         now = self._clock()
         for replaced in self.table.list_replaced(row, now):
-            gone = upstreams.Row(replaced.identity, 0, upstreams.State.GONE)
+            gone = upstreams.end_row(replaced)
             merged = self.table.merge(gone, now)
             self._tell_gateways((merged,))
             self._tell_directories(merged, 0)
@@ -89,7 +89,7 @@
             return
         silent = now - self.table.heard.get(report.upstream, now)
         if silent > upstreams.REPLACED_SECONDS:
-            gone = upstreams.Row(report.upstream, 0, upstreams.State.GONE)
+            gone = upstreams.end_row(known)
             self._tell_gateways((self.table.merge(gone, now),))
 
     def take(self, peer: str, message: messages.Announced) -> None:
--- a/packages/daemon/src/trestlestall/daemon/directory/site.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/site.py
@@ -128,8 +128,9 @@
 
 def withdraw(site: Site, request: requests.Request) -> answers.Answer:
     """Take an upstream's word that it leaves."""
-    identity = request.path.removeprefix(site.dialect.paths.upstreams)
-    row = upstreams.Row(identity, 0, upstreams.State.GONE)
+    name = request.path.removeprefix(site.dialect.paths.upstreams)
+    latest = site.server.registrations.table.find_latest(name)
+    row = upstreams.end_row(latest or upstreams.Row(name, 0, upstreams.State.GONE))
     return answer_announced(site, row)
 
 
--- a/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
@@ -300,7 +300,7 @@
         names = self.service.dialect.headers
         added = {
             names.deadline: str(max(1, int(left * 1000))),
-            names.expected_upstream: row.identity,
+            names.expected_upstream: row.announced_name,
         }
         if self.workspace is not None:
             added[names.workspace] = self.workspace.name
--- a/packages/daemon/src/trestlestall/daemon/gateway/knowledge.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/knowledge.py
@@ -104,8 +104,7 @@
 
     def note_replaced(self, row: upstreams.Row) -> None:
         """Note that another incarnation answers at the upstream's address."""
-        gone = upstreams.Row(row.identity, row.sequence, upstreams.State.GONE)
-        self.take_rows((gone,), "upstream")
+        self.take_rows((upstreams.end_row(row),), "upstream")
 
     def _refresh(self) -> None:
         known = self.directory.configuration if self.directory else None
--- a/packages/daemon/tests/test_directory.py
+++ b/packages/daemon/tests/test_directory.py
@@ -1,6 +1,7 @@
 """One directory in this process: its disk, its table, and the placing of requests."""
 
 import contextlib
+import dataclasses
 import errno
 import io
 import random
@@ -147,6 +148,12 @@
         self.assertEqual((read["status"], read["version"]), (200, 7))
 
 
+def make_start(born):
+    """Return a row of one start of the upstream named u1."""
+    identity = upstreams.name_start("u1", born)
+    return samples.make_row(identity, name="u1", born=born, address="10.0.0.1:1")
+
+
 class RegistrationsTest(unittest.TestCase):
     def make(self, directories, voters=3):
         self.links = Links(directories, ["gateway-1"])
@@ -160,6 +167,27 @@
         made = self.make([])
         self.assertTrue(made.announce(samples.make_row()))
 
+    def test_late_words_of_a_start_before_are_acknowledged_and_change_nothing(self):
+        made = self.make(OTHERS)
+        old, new = (make_start(born) for born in (1000, 2000))
+        made.announce(old)
+        made.announce(new)
+        self.links.sent.clear()
+        drains = dataclasses.replace(old, sequence=9, state=upstreams.State.DRAINING)
+        for late in (drains, dataclasses.replace(old, sequence=8)):
+            self.assertTrue(made.announce(late))
+        self.assertEqual(self.links.sent, [])
+        self.assertEqual(list(made.table.rows), [new.identity])
+
+    def test_a_leave_names_the_latest_start(self):
+        made = self.make([], voters=1)
+        made.announce(make_start(1000))
+        made.announce(make_start(2000))
+        self.assertTrue(made.announce(upstreams.Row("u1", 0, upstreams.State.GONE)))
+        told = self.links.find(messages.Announced, "gateway-1")[-1]
+        (row,) = map(upstreams.decode_row, told.rows)
+        self.assertEqual((row.born, row.state), (2000, upstreams.State.GONE))
+
     def test_a_leave_is_acknowledged_once_a_majority_knows(self):
         made = self.make(OTHERS)
         made.announce(samples.make_row())
--- a/packages/daemon/tests/test_gateway.py
+++ b/packages/daemon/tests/test_gateway.py
@@ -1,11 +1,13 @@
 """A gateway passes requests and answers on unchanged, whatever the other side does."""
 
 import contextlib
+import dataclasses
 import unittest
 from unittest import mock
 
 from packages.daemon.tests import gateway_bench as bench
 from trestlestall.daemon.gateway import knowledge
+from trestlestall.forwarding import upstreams
 
 
 class RequestTest(bench.GatewayCase):
@@ -46,6 +48,16 @@
         self.assertIsNone(received.find("Authorization"))
         self.assertNotIn("k1", received.head)
 
+    def test_an_upstream_is_expected_under_the_name_that_it_announces(self):
+        made = self.bench.add("u1", bench.answer("", "done"))
+        start = dataclasses.replace(
+            made.row, identity=upstreams.name_start("u1", 1000), name="u1", born=1000
+        )
+        self.bench.gateway.knowledge.take_rows((start,), "test")
+        self.assertEqual(self.bench.ask("/once/x")[2], "done")
+        expected = made.received[0].find("Trestlestall-Expected-Upstream")
+        self.assertEqual(expected, "u1")
+
     def test_headers_of_the_connection_stay_there(self):
         upstream = self.bench.add("u1", bench.answer(""))
         self.bench.ask(
--- a/packages/forwarding/src/trestlestall/forwarding/upstreams.py
+++ b/packages/forwarding/src/trestlestall/forwarding/upstreams.py
@@ -5,7 +5,9 @@
 
 - an incarnation that has left never comes back;
 - a row with a lower sequence than the one known changes nothing;
-- once an incarnation drains, it drains.
+- once an incarnation drains, it drains;
+- of one name only the start that was born last is known; it takes the place of those
+  before it, with all that was believed of them.
 """
 
 import dataclasses
@@ -25,9 +27,12 @@
 class Row:
     """What is known of one incarnation.
 
-    ``sequence`` counts the upstream's own announcements. ``warm_seconds`` is how long
-    it still works slowly after its start. A row of state ``GONE`` may know no more than
-    the identity.
+    ``identity`` is that of the start, ``name`` the one under which the upstream
+    announces itself, which a later start may have again; ``born`` is when it started,
+    in milliseconds of the Unix time, 0 if it doesn't say (``name_start``).
+    ``sequence`` counts the start's own announcements. ``warm_seconds`` is how long it
+    still works slowly after its start. A row of state ``GONE`` may know no more than
+    which start it is.
     """
 
     identity: str
@@ -38,6 +43,13 @@
     data_centre: str = ""
     slots: int = 0
     warm_seconds: float = 0.0
+    name: str = ""
+    born: int = 0
+
+    @property
+    def announced_name(self) -> str:
+        """The name under which the upstream announces itself and answers."""
+        return self.name or self.identity
 
 
 #: Rows of upstreams that left are kept so long, against late announcements.
@@ -56,9 +68,13 @@
         self.rows: dict[str, Row] = {}
         self.heard: dict[str, float] = {}
         self._started: dict[str, float] = {}
+        self._latest: dict[str, Row] = {}
 
     def merge(self, row: Row, now: float) -> Row | None:
         """Take a row in; return what is known now if anything but the time changed."""
+        row = self._find_start(row)
+        if not self._take_start(row):
+            return None
         known = self.rows.get(row.identity)
         if known is not None and known.state is State.GONE:
             return None
@@ -67,10 +83,40 @@
         merged = row if known is None else merge_rows(known, row)
         if merged == known:
             return None
-        self.rows[row.identity] = merged
+        self.rows[row.identity] = self._latest[row.announced_name] = merged
         changed = known is None or not equals_but_sequence(known, merged)
         return merged if changed else None
 
+    def find_latest(self, name: str) -> Row | None:
+        """Return the latest start that announced itself under the name."""
+        return self._latest.get(name)
+
+    def _find_start(self, row: Row) -> Row:
+        """Return the row of the start that is meant.
+
+        A leave that doesn't say of which start it is means the latest one.
+        """
+        latest = self._latest.get(row.announced_name)
+        if latest is None or row.born or row.state is not State.GONE:
+            return row
+        return end_row(latest)
+
+    def _take_start(self, row: Row) -> bool:
+        """Make room for the row's start; false if a later one is known."""
+        latest = self._latest.get(row.announced_name)
+        if latest is None or latest.identity == row.identity:
+            return True
+        if row.born <= latest.born:
+            return False
+        self._drop(latest.identity)
+        return True
+
+    def _drop(self, identity: str) -> None:
+        row = self.rows.pop(identity)
+        self._latest.pop(row.announced_name, None)
+        self.heard.pop(identity, None)
+        self._started.pop(identity, None)
+
     def _note_heard(self, row: Row, now: float) -> None:
         """Note when the incarnation was heard of, and about when it started.
 
@@ -128,12 +174,24 @@
             and now - self.heard.get(identity, now) > FORGET_SECONDS
         ]
         for identity in old:
-            del self.rows[identity]
-            self.heard.pop(identity, None)
-            self._started.pop(identity, None)
+            self._drop(identity)
         return old
 
 
+def name_start(name: str, born: int) -> str:
+    """Return the identity of the start that was born at a time, 0 if that is unknown.
+
+    >>> name_start("u1", 1790000000000)
+    'u1@1790000000000'
+    """
+    return f"{name}@{born}" if born else name
+
+
+def end_row(row: Row) -> Row:
+    """Return the row of the same start that says no more than that it is gone."""
+    return Row(row.identity, 0, State.GONE, name=row.name, born=row.born)
+
+
 def merge_rows(known: Row, row: Row) -> Row:
     """Return what two rows of one incarnation amount to."""
     if row.state is State.GONE:
@@ -161,6 +219,8 @@
         row.data_centre,
         row.slots,
         row.warm_seconds,
+        row.name,
+        row.born,
     ]
 
 
--- a/packages/forwarding/tests/test_upstreams.py
+++ b/packages/forwarding/tests/test_upstreams.py
@@ -17,6 +17,13 @@
     return table.rows
 
 
+def make_start(born, **changes):
+    """Return a row of one start of the upstream named u1."""
+    identity = upstreams.name_start("u1", born)
+    changes.setdefault("address", f"10.0.0.{born // 1000}:1")
+    return samples.make_row(identity, name="u1", born=born, **changes)
+
+
 class MergeTest(unittest.TestCase):
     def test_late_rows_change_nothing(self):
         first = samples.make_row(sequence=3)
@@ -69,6 +76,24 @@
                 table.merge(second, 3.1)
                 self.assertEqual(table.list_replaced(second, 3.1), [late])
 
+    def test_a_leave_without_a_start_means_the_latest(self):
+        table = upstreams.Table()
+        for born in (1000, 2000):
+            table.merge(make_start(born), 0.0)
+        merged = table.merge(upstreams.Row("u1", 0, GONE), 1.0)
+        self.assertEqual(merged.identity, "u1@2000")
+        self.assertEqual(table.list_serving("engines"), [])
+        self.assertIsNone(table.merge(make_start(1000, sequence=9), 1.0))
+        self.assertIsNotNone(table.merge(make_start(3000), 1.0))
+        self.assertEqual(len(table.list_serving("engines")), 1)
+
+    def test_a_start_that_was_forgotten_leaves_nothing(self):
+        table = upstreams.Table()
+        table.merge(make_start(1000, state=GONE), 0.0)
+        table.forget_departed(upstreams.FORGET_SECONDS + 1)
+        self.assertEqual(table.rows, {})
+        self.assertIsNone(table.find_latest("u1"))
+
     def test_renewals_are_no_change(self):
         table = upstreams.Table()
         self.assertIsNotNone(table.merge(samples.make_row(sequence=1), 0.0))
