Check all that is announced: words of other writers change nothing

Cause: heartbeats and rows of peers were checked for their types alone. Ruled out: refusing services that no declaration names (a runner may announce itself before its service is declared; no route leads there, so it gets nothing). Change: daemon/announcements.py holds one registry of checks for both dialects and for rows of peers (names that fit a path and a header, whole counts in bounds, an address with a port, a known state); a row that is none is left out and logged, the others of its message hold, and the link stays. A start keeps its service and address, so another writer can't move it. Announcements are 64 KiB at most. One line a second at most, with the sender and how many were left out; a counter trestlestall_announcements_refused. Open: where runners have no born, a row of another writer that comes first, under the name of a runner that nobody knows yet, keeps that runner out until it starts anew.

--- a/packages/daemon/src/trestlestall/daemon/dialects.py
+++ b/packages/daemon/src/trestlestall/daemon/dialects.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from trestlestall.daemon import announcements
 from trestlestall.forwarding import checks, model, upstreams
 
 
@@ -89,10 +90,9 @@
         row = msgspec.convert({**plain, "identity": identity}, upstreams.Row)
     except msgspec.ValidationError as error:
         return model.Invalid(str(error))
-    if not row.born:
-        return dataclasses.replace(row, name="")
     start = upstreams.name_start(identity, row.born)
-    return dataclasses.replace(row, identity=start, name=identity)
+    row = dataclasses.replace(row, identity=start, name=identity if row.born else "")
+    return announcements.find_fault(row) or row
 
 
 def decode_json(body: bytes, shape: typing.Any) -> typing.Any:
--- a/packages/daemon/src/trestlestall/daemon/directory/metrics.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/metrics.py
@@ -33,6 +33,11 @@
             registry=self.registry,
             buckets=CALL_BUCKETS,
         )
+        self.refused = prometheus_client.Counter(
+            "trestlestall_announcements_refused",
+            "Announcements that name no upstream to use.",
+            registry=self.registry,
+        )
         self.version = self._gauge("declaration_version", "Configuration in force.")
         self.voters = self._gauge("directory_voters", "Voters of the group.")
         self.leads = self._gauge("directory_leads", "1 while this directory leads.")
--- a/packages/daemon/src/trestlestall/daemon/directory/registrations.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/registrations.py
@@ -12,7 +12,7 @@
 
 import eventlet.event
 
-from trestlestall.daemon import events, logs
+from trestlestall.daemon import announcements, events, logs
 from trestlestall.daemon.directory import links as directory_links
 from trestlestall.forwarding import upstreams
 from trestlestall.wire import messages
@@ -95,13 +95,18 @@
     def take(self, peer: str, message: messages.Announced) -> None:
         """Take rows from another directory, pass on what is new, and confirm."""
         now = self._clock()
-        rows = [upstreams.decode_row(plain) for plain in message.rows]
+        rows = announcements.decode_rows(message.rows, self._report_row)
         merged = [one for row in rows if (one := self.table.merge(row, now))]
         if merged:
             self._tell_gateways(merged)
         if message.token:
             self._links.send(peer, messages.AnnouncedAnswer(message.token))
 
+    def _report_row(self, identity: str, reason: str) -> None:
+        self._log.write(
+            events.directory.ANNOUNCEMENT_REFUSED, upstream=identity, reason=reason
+        )
+
     def take_answer(self, peer: str, message: messages.AnnouncedAnswer) -> None:
         """Count a directory that has the rows."""
         waiting = self._rounds.get(message.token)
--- a/packages/daemon/src/trestlestall/daemon/directory/repeats.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/repeats.py
@@ -38,7 +38,7 @@
         self._count_voters = count_voters
         self._wake = wake
         self._clock = clock
-        self._line_at: dict[str, float] = {}
+        self._lines: dict[str, logs.Sparing] = {}
 
     @property
     def bound(self) -> budgets.Bound:
@@ -102,9 +102,10 @@
     def _write_exhausted(
         self, service: str, standing: budgets.Standing, now: float
     ) -> None:
-        if now - self._line_at.get(service, float("-inf")) < LINE_SECONDS:
+        lines = self._lines.setdefault(service, logs.Sparing(LINE_SECONDS, self._clock))
+        left_out = lines.count()
+        if left_out is None:
             return
-        self._line_at[service] = now
         requests, repeats = self.ledger.count(service, self.bound, now)
         self._log.write(
             events.directory.EXHAUSTED,
@@ -113,4 +114,5 @@
             repeats=repeats,
             limit=round(self.bound.find_limit(requests, standing), 1),
             standing=standing.value,
+            left_out=left_out,
         )
--- a/packages/daemon/src/trestlestall/daemon/directory/site.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/site.py
@@ -7,7 +7,7 @@
 import eventlet
 import eventlet.event
 
-from trestlestall.daemon import dialects, events, logs
+from trestlestall.daemon import announcements, dialects, events, logs
 from trestlestall.daemon.directory import (
     metrics as directory_metrics,
     operations,
@@ -20,6 +20,10 @@
 BAD_REQUEST, TOO_LARGE, UNAVAILABLE = 400, 413, 503
 #: Documents compress well; a higher level costs more time than it saves bytes.
 PACKING_LEVEL = 1
+#: The largest announcement; those of runners with a hundred models take a tenth of it.
+ANNOUNCEMENT_BYTES = 64 * 1024
+#: Seconds between two lines on announcements that can't be read.
+REFUSAL_LINE_SECONDS = 1.0
 
 
 class Site:
@@ -37,6 +41,7 @@
         self.log = log
         self.document_bytes = document_bytes
         self.stopping = False
+        self.refusals = logs.Sparing(REFUSAL_LINE_SECONDS)
 
     def build_application(self) -> application.Application:
         """Return the application with its routes at the dialect's paths."""
@@ -115,14 +120,11 @@
 
 def announce(site: Site, request: requests.Request) -> answers.Answer:
     """Take an upstream's announcement."""
-    identity = request.path.removeprefix(site.dialect.paths.upstreams)
-    body = read_whole(request, site.document_bytes)
-    row = site.dialect.decode_announcement(identity, body or b"")
+    name = request.path.removeprefix(site.dialect.paths.upstreams)
+    body = read_whole(request, ANNOUNCEMENT_BYTES)
+    row = site.dialect.decode_announcement(name, body or b"")
     if isinstance(row, model.Invalid):
-        site.log.write(
-            events.directory.ANNOUNCEMENT_REFUSED, upstream=identity, reason=row.reason
-        )
-        return refuse(BAD_REQUEST, row.reason)
+        return refuse_announcement(site, request, name, row.reason)
     return answer_announced(site, row)
 
 
@@ -131,9 +133,29 @@
     name = request.path.removeprefix(site.dialect.paths.upstreams)
     latest = site.server.registrations.table.find_latest(name)
     row = upstreams.end_row(latest or upstreams.Row(name, 0, upstreams.State.GONE))
+    fault = announcements.find_fault(row)
+    if fault is not None:
+        return refuse_announcement(site, request, name, fault.reason)
     return answer_announced(site, row)
 
 
+def refuse_announcement(
+    site: Site, request: requests.Request, name: str, reason: str
+) -> answers.Answer:
+    """Answer that no upstream was named, and log who sent it, but not too often."""
+    site.server.metrics.refused.inc()
+    left_out = site.refusals.count()
+    if left_out is not None:
+        site.log.write(
+            events.directory.ANNOUNCEMENT_REFUSED,
+            upstream=name[: announcements.NAME_LENGTH],
+            sender=request.environ.get("REMOTE_ADDR"),
+            reason=reason,
+            left_out=left_out,
+        )
+    return refuse(BAD_REQUEST, reason)
+
+
 def answer_announced(site: Site, row: upstreams.Row) -> answers.Answer:
     """Answer 200 once everyone who has to know was told."""
     started = time.monotonic()
--- a/packages/daemon/src/trestlestall/daemon/events/directory.py
+++ b/packages/daemon/src/trestlestall/daemon/events/directory.py
@@ -42,15 +42,16 @@
     "TS8011",
     "announcement_unreadable",
     catalogue.Level.WARNING,
-    "upstream reason",
-    "An announcement can't be read.",
+    "upstream sender reason left_out",
+    "An announcement names no upstream to use, and changed nothing; left_out counts"
+    " those since the last line, as there is one line a second at most.",
     "Compare the upstream's version with the documented form.",
 )
 EXHAUSTED = catalogue.declare(
     "TS8012",
     "repeats_exhausted",
     catalogue.Level.WARNING,
-    "service requests repeats limit standing",
+    "service requests repeats limit standing left_out",
     "A repeated send was not granted; at most one line a second for each service."
     " requests and repeats are those of the window, over all gateways; standing is"
     " whole, or part for a directory that can't know all of the window.",
--- a/packages/daemon/src/trestlestall/daemon/events/forwarding.py
+++ b/packages/daemon/src/trestlestall/daemon/events/forwarding.py
@@ -70,6 +70,14 @@
     "upstream address seconds",
     "An upstream that could not be connected to accepts connections again.",
 )
+ROW_REFUSED = catalogue.declare(
+    "TS7013",
+    "upstream_row_refused",
+    catalogue.Level.WARNING,
+    "upstream source reason",
+    "A directory told of an upstream in words that name none; the others hold.",
+    "Compare the versions of the programs.",
+)
 APPLIED = catalogue.declare(
     "TS7020",
     "declaration_applied",
--- a/packages/daemon/src/trestlestall/daemon/gateway/knowledge.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/knowledge.py
@@ -4,7 +4,7 @@
 import zlib
 from collections import abc
 
-from trestlestall.daemon import dialects, events, logs
+from trestlestall.daemon import announcements, dialects, events, logs
 from trestlestall.forwarding import budgets, directory, model, placement, upstreams
 
 #: The only source of a gateway's own counts: no other process hears of them.
@@ -81,6 +81,19 @@
             workspaces=len(found.workspaces),
         )
 
+    def take_plain_rows(self, plain: abc.Iterable[object], source: str) -> None:
+        """Merge the rows of a directory's message; what is none is logged."""
+
+        def report(identity: str, reason: str) -> None:
+            self.log.write(
+                events.forwarding.ROW_REFUSED,
+                upstream=identity,
+                source=source,
+                reason=reason,
+            )
+
+        self.take_rows(announcements.decode_rows(plain, report), source)
+
     def take_rows(self, rows: abc.Iterable[upstreams.Row], source: str) -> None:
         """Merge rows that a directory sent."""
         now = self.clock()
--- a/packages/daemon/src/trestlestall/daemon/gateway/links.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/links.py
@@ -13,7 +13,6 @@
     knowledge as knowledges,
     placing as placings,
 )
-from trestlestall.forwarding import upstreams
 from trestlestall.wire import links as wire_links, messages
 
 GATEWAY = "router"
@@ -140,8 +139,7 @@
 @handles(messages.Announced)
 def take_rows(links: Links, directory: str, message: messages.Announced) -> None:
     """Learn of upstreams."""
-    rows = [upstreams.decode_row(plain) for plain in message.rows]
-    links.knowledge.take_rows(rows, directory)
+    links.knowledge.take_plain_rows(message.rows, directory)
 
 
 @handles(messages.DeclarationNotice)
--- a/packages/daemon/src/trestlestall/daemon/logs.py
+++ b/packages/daemon/src/trestlestall/daemon/logs.py
@@ -9,7 +9,9 @@
 
 import datetime
 import json
+import time
 import typing
+from collections import abc
 
 import msgspec
 import structlog
@@ -49,6 +51,33 @@
         self._logger.msg(event.number, **line)
 
 
+class Sparing:
+    """Lets a line through each so many seconds, and counts those in between.
+
+    >>> sparing = Sparing(1.0, iter((0.0, 0.4, 0.9, 1.2)).__next__)
+    >>> [sparing.count() for _ in range(4)]
+    [0, None, None, 2]
+    """
+
+    def __init__(
+        self, seconds: float, clock: abc.Callable[[], float] = time.monotonic
+    ) -> None:
+        self._seconds = seconds
+        self._clock = clock
+        self._last = float("-inf")
+        self._left_out = 0
+
+    def count(self) -> int | None:
+        """Return how many were left out if a line is due now, else None."""
+        now = self._clock()
+        if now - self._last < self._seconds:
+            self._left_out += 1
+            return None
+        self._last = now
+        left_out, self._left_out = self._left_out, 0
+        return left_out
+
+
 def _encode(line: dict, **options: object) -> str:
     """Return the line as JSON; what JSON can't carry is written as its repr."""
     try:
--- a/packages/forwarding/src/trestlestall/forwarding/upstreams.py
+++ b/packages/forwarding/src/trestlestall/forwarding/upstreams.py
@@ -76,6 +76,8 @@
         if not self._take_start(row):
             return None
         known = self.rows.get(row.identity)
+        if known is not None and not is_of_start(known, row):
+            return None
         if known is not None and known.state is State.GONE:
             return None
         if known is None or row.sequence >= known.sequence:
@@ -192,6 +194,17 @@
     return Row(row.identity, 0, State.GONE, name=row.name, born=row.born)
 
 
+def is_of_start(known: Row, row: Row) -> bool:
+    """Return whether a row may be of the start that is known.
+
+    A start keeps its service and its address; a row with another one is of another
+    writer, and would take a good upstream out.
+    """
+    if row.state is State.GONE or not known.service:
+        return True
+    return (row.service, row.address) == (known.service, known.address)
+
+
 def merge_rows(known: Row, row: Row) -> Row:
     """Return what two rows of one incarnation amount to."""
     if row.state is State.GONE:
@@ -229,5 +242,5 @@
     try:
         identity, sequence, state, *rest = plain
         return Row(identity, sequence, State(state), *rest)
-    except TypeError as error:
+    except (TypeError, ValueError) as error:
         raise ValueError(f"no row: {plain!r}") from error
--- a/tests/test_gateway_deployment.py
+++ b/tests/test_gateway_deployment.py
@@ -9,6 +9,20 @@
 
 from tests import gateways
 
+#: What an announcement can't hold, by its field.
+FOREIGN = (
+    ("sequence", -1),
+    ("sequence", "x"),
+    ("state", 7),
+    ("service", ""),
+    ("service", 3),
+    ("address", "nowhere:1"),
+    ("address", f"{gateways.HOST}:0"),
+    ("slots", -3),
+    ("warm_seconds", 1e300),
+    ("born", 1.5),
+)
+
 
 class DeploymentCase(unittest.TestCase):
     directories = 3
@@ -69,6 +83,30 @@
         for name in self.system.names:
             self.assertEqual(self.system.read(name), document)
 
+    def test_words_of_other_writers_change_nothing(self):
+        self.serve()
+        good = {
+            "sequence": 99,
+            "state": 0,
+            "service": "work",
+            "address": f"{gateways.HOST}:9",
+            "data_centre": "a",
+            "slots": 8,
+        }
+        bodies = [{**good, field: value} for field, value in FOREIGN]
+        bodies += [b"", b"\xff", b"[" * 50_000, b"{" + b" " * 200_000 + b"}"]
+        port = self.system.ports[self.system.names[0]]
+        for body in bodies:
+            plain = body if isinstance(body, bytes) else json.dumps(body)
+            for name in ("u1", "u7", "a b"):
+                path = f"/v1/upstreams/{name}"
+                found = gateways.ask(port, "PUT", path, plain)
+                self.assertNotEqual(found.status, 200, (name, body))
+        for name in self.system.gateways:
+            self.assertEqual(self.system.ask(name), 200)
+        self.assertIn("trestlestall_announcements_refused_total", self.show_metrics())
+        self.assertTrue(self.system.running[self.system.names[0]].running)
+
     def test_a_directory_shows_its_metrics(self):
         self.serve()
         # The directory may follow: it learns of a version when the leader tells it.
