--- a/packages/daemon/src/trestlestall/daemon/directory/arbitration.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/arbitration.py
@@ -84,13 +84,12 @@
         """Choose an upstream and tell the gateway."""
         started = time.monotonic()
         descriptor = descriptors.decode(list(call.descriptor))
-        if call.purpose == notes.REPEAT:
-            verdict = self._repeats.judge(descriptor.service)
-            if verdict is budgets.Verdict.LATER:
-                until = self._clock() + WAITING_SECONDS
-                self._waiting.append(Waiting(gateway, call, until))
-                return
-        found = self._find_place(descriptor, call)
+        verdict = self._judge(call.purpose, descriptor.service)
+        if verdict is budgets.Verdict.LATER:
+            until = self._clock() + WAITING_SECONDS
+            self._waiting.append(Waiting(gateway, call, until))
+            return
+        found = self._find_place(descriptor, call, verdict)
         refused = isinstance(found, placement.Refused)
         outcome = found.reason if refused else directory_metrics.PLACED
         self._metrics.note_choice(outcome, time.monotonic() - started)
@@ -116,19 +115,26 @@
             if self._clock() < one.until:
                 self.place(one.gateway, one.call)
 
+    def _judge(self, purpose: str, service: str) -> budgets.Verdict:
+        """Count a caller's request; return whether the send may be made at all."""
+        if purpose == notes.FIRST_SEND:
+            self._repeats.note_request(service)
+        if purpose == notes.REPEAT:
+            return self._repeats.judge(service)
+        return budgets.Verdict.GRANTED
+
     def _find_place(
-        self, descriptor: descriptors.Descriptor, call: messages.PlaceCall
+        self,
+        descriptor: descriptors.Descriptor,
+        call: messages.PlaceCall,
+        verdict: budgets.Verdict,
     ) -> placement.Placed | placement.Refused:
-        """Choose an upstream; a repeated send needs one that is left in the budget."""
-        service = descriptor.service
-        repeats = call.purpose == notes.REPEAT
-        if call.purpose == notes.FIRST_SEND:
-            self._repeats.note_request(service)
-        if repeats and self._repeats.judge(service) is budgets.Verdict.DENIED:
+        """Choose an upstream; count a repeated send once it has one."""
+        if verdict is budgets.Verdict.DENIED:
             return placement.Refused(budgets.EXHAUSTED, placement.RETURN_SECONDS)
         found = self._placer.place(descriptor, self._clock(), call.tried)
-        if repeats and isinstance(found, placement.Placed):
-            self._repeats.grant(service)
+        if call.purpose == notes.REPEAT and isinstance(found, placement.Placed):
+            self._repeats.note_repeat(descriptor.service)
         return found
 
     def take_note(self, gateway: str, note: messages.PlaceNote) -> None:
--- a/packages/daemon/src/trestlestall/daemon/directory/repeats.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/repeats.py
@@ -60,12 +60,9 @@
             self._write_exhausted(service, standing, now)
         return verdict
 
-    def grant(self, service: str) -> None:
-        """Take the repeated send that ``judge`` granted, and tell of it soon."""
-        now = self._clock()
-        majority = self._count_voters() // 2
-        standing = self._find_standing(now)
-        self.ledger.spend(service, self.bound, standing, now, majority)
+    def note_repeat(self, service: str) -> None:
+        """Count the repeated send that ``judge`` granted, and tell of it soon."""
+        self.ledger.note_repeat(service, self._clock())
         self._wake()
 
     def turn(self) -> None:
--- a/packages/forwarding/src/trestlestall/forwarding/budgets.py
+++ b/packages/forwarding/src/trestlestall/forwarding/budgets.py
@@ -178,10 +178,14 @@
         """Take one repeated send from the budget, if ``judge`` grants it."""
         verdict = self.judge(service, bound, standing, now, majority)
         if verdict is Verdict.GRANTED:
-            self._find_tally(service, now).repeats += 1
-            self._granted += 1
+            self.note_repeat(service, now)
         return verdict
 
+    def note_repeat(self, service: str, now: float) -> None:
+        """Count a repeated send that ``judge`` has granted."""
+        self._find_tally(service, now).repeats += 1
+        self._granted += 1
+
     def note_seen(self, peer: str, granted: int) -> None:
         """Note that a peer has seen what was granted here up to this number."""
         self._seen[peer] = max(granted, self._seen.get(peer, 0))
