Drop what a ledger holds without being asked; keep tallies and their words apart

Change: a new slot drops what is older than the longest window, 60 s, which settings check; the tallies and their words on the wire are a module of their own.

--- a/packages/daemon/src/trestlestall/daemon/directory/repeats.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/repeats.py
@@ -5,7 +5,7 @@
 
 from trestlestall.daemon import events, logs, settings as process_settings
 from trestlestall.daemon.directory import links as directory_links
-from trestlestall.forwarding import budgets
+from trestlestall.forwarding import budgets, tallies
 from trestlestall.wire import messages
 
 #: Seconds between two lines that a service's budget is spent; each request that ends
@@ -81,14 +81,14 @@
 
     def take(self, peer: str, message: messages.Spent) -> None:
         """Take in what another directory counted, and say so if it asks."""
-        told = budgets.decode_told(
+        told = tallies.decode_told(
             message.source, message.known, message.tallies, message.granted
         )
         self.ledger.take(told, self._clock())
         if told.granted:
             self._links.send(peer, messages.SpentAnswer(told.granted))
 
-    def _send(self, peer: str, told: budgets.Told) -> None:
+    def _send(self, peer: str, told: tallies.Told) -> None:
         spent = messages.Spent(told.source, told.known, told.tallies, told.granted)
         self._links.send(peer, spent)
 
--- a/packages/daemon/src/trestlestall/daemon/settings/checks.py
+++ b/packages/daemon/src/trestlestall/daemon/settings/checks.py
@@ -14,6 +14,7 @@
 from collections import abc
 
 from trestlestall.daemon.settings import document, model, secrets
+from trestlestall.forwarding import budgets
 
 Settings = (
     model.RouterSettings
@@ -211,7 +212,7 @@
 
 @register_check
 def check_retries(found: Settings, folder: pathlib.Path) -> abc.Iterator:
-    """The window of the retry budget has a length."""
+    """The window of the retry budget has a length, and is kept as long as that."""
     if not isinstance(found, model.GatewaySettings | model.DirectorySettings):
         return
     if isinstance(found.retries, document.Missing):
@@ -219,6 +220,9 @@
     seconds = found.retries.window_seconds
     if not isinstance(seconds, document.Missing) and not seconds > 0:
         yield model.Problem("retries.window_seconds", "must be above 0")
+    longest = budgets.LONGEST_WINDOW
+    if not isinstance(seconds, document.Missing) and seconds > longest:
+        yield model.Problem("retries.window_seconds", f"at most {longest:g}")
 
 
 @register_check
--- a/packages/daemon/tests/test_settings.py
+++ b/packages/daemon/tests/test_settings.py
@@ -45,6 +45,28 @@
     "peers": [CONTROL_PEER],
 }
 
+GATEWAY = {
+    "role": "gateway",
+    "name": "gateway-1",
+    "data_centre": "a",
+    "listen": {
+        "callers": "127.0.0.1:8000",
+        "platform": "127.0.0.1:8001",
+        "peers": "127.0.0.1:8002",
+    },
+    "secrets_file": "secrets.json",
+    "directories": ["127.0.0.1:9001"],
+}
+DIRECTORY = {
+    "role": "directory",
+    "name": "directory-1",
+    "data_centre": "a",
+    "listen": {"service": "127.0.0.1:9000", "peers": "127.0.0.1:9001"},
+    "secrets_file": "secrets.json",
+    "data_folder": "data",
+    "directories": ["127.0.0.1:9001"],
+}
+
 
 def change(base, **changes):
     """Return a copy of the document with changed keys; ``listen__x`` goes inside."""
@@ -94,6 +116,16 @@
         self.assertEqual(control.data_folder, str(self.folder / "data"))
         self.assertNotIn("'a'", repr(control.secrets))
 
+    def test_the_window_of_the_retry_budget(self):
+        for base in (GATEWAY, DIRECTORY):
+            self.assertNotIsInstance(self.load(base), list)
+            for seconds, problem in ((0, "must be above 0"), (61, "at most 60")):
+                changed = change(base, retries={"window_seconds": seconds})
+                with self.subTest(role=base["role"], seconds=seconds):
+                    (found,) = self.load(changed)
+                    self.assertEqual(found.path, "retries.window_seconds")
+                    self.assertEqual(found.message, problem)
+
     def test_single_problems(self):
         peers = [CONTROL_PEER, change(CONTROL_PEER, address="127.0.0.1:9009")]
         own = [CONTROL_PEER, change(CONTROL_PEER, name="router-1", address="1.2.3.4:5")]
--- a/packages/forwarding/src/trestlestall/forwarding/budgets.py
+++ b/packages/forwarding/src/trestlestall/forwarding/budgets.py
@@ -22,13 +22,13 @@
 import dataclasses
 import enum
 import math
-from collections import abc
+
+from trestlestall.forwarding import tallies
 
 #: Why a request is not sent again.
 EXHAUSTED = "no repeated send is left"
-#: Seconds that one tally covers. A window of ten seconds is 40 of them; its edges are
-#: known to a fortieth, and a directory tells the others of four tallies a second.
-SLOT_SECONDS = 0.25
+#: The longest window of a bound, in seconds: so long is kept what nobody asks for.
+LONGEST_WINDOW = 60.0
 #: Seconds between two looks at the clock after which a process stood still, and others
 #: may have spent meanwhile: twenty of its turns.
 STALL_SECONDS = 1.0
@@ -82,34 +82,6 @@
         return SHARES[standing] * (self.ratio * requests + slack)
 
 
-@dataclasses.dataclass
-class Tally:
-    """Requests and repeats of one service in one slot, as one source counted them.
-
-    ``at`` is when the slot began, by the clock of who holds the tally.
-    """
-
-    at: float
-    requests: int = 0
-    repeats: int = 0
-
-
-@dataclasses.dataclass(frozen=True)
-class Told:
-    """Tallies of one source for another ledger.
-
-    ``known`` are the seconds before now of which the teller has all tallies, of every
-    source; 0 if it tells only news. ``granted`` is how many repeats the source itself
-    had granted in all, if it asks who has seen them. A tally is its service, the slot's
-    number, its age in seconds, its requests and its repeats.
-    """
-
-    source: str
-    known: float
-    tallies: tuple[tuple[str, int, float, int, int], ...]
-    granted: int = 0
-
-
 class Ledger:
     """What was asked for and spent, by all sources; times are monotonic seconds.
 
@@ -120,11 +92,15 @@
         self.source = source
         self._since = now
         self._looked_at = now
-        self._tallies: dict[tuple[str, str, int], Tally] = {}
-        self._news: dict[tuple[str, int], Tally] = {}
+        self._tallies: dict[tuple[str, str, int], tallies.Tally] = {}
+        self._news: dict[tuple[str, int], tallies.Tally] = {}
         self._granted = 0
         self._seen: dict[str, int] = {}
 
+    def __len__(self) -> int:
+        """Return how many tallies are held."""
+        return len(self._tallies)
+
     def note_first_start(self) -> None:
         """Note that there was nothing before: the whole deployment starts now."""
         self._since = -math.inf
@@ -203,35 +179,38 @@
 
     def count(self, service: str, bound: Bound, now: float) -> tuple[int, int]:
         """Return the requests and the repeats of the window."""
-        self._drop_before(now - bound.window - SLOT_SECONDS)
+        self._drop_before(now - bound.window - tallies.SLOT_SECONDS)
         found = [
             tally for (_, name, _), tally in self._tallies.items() if name == service
         ]
         requests = sum(tally.requests for tally in found)
         return requests, sum(tally.repeats for tally in found)
 
-    def _find_tally(self, service: str, now: float) -> Tally:
-        number = int(now / SLOT_SECONDS)
-        tally = self._tallies.setdefault(
-            (self.source, service, number), Tally(number * SLOT_SECONDS)
-        )
+    def _find_tally(self, service: str, now: float) -> tallies.Tally:
+        number = int(now / tallies.SLOT_SECONDS)
+        key = self.source, service, number
+        tally = self._tallies.get(key)
+        if tally is None:
+            self._drop_before(now - LONGEST_WINDOW)
+            tally = tallies.Tally(number * tallies.SLOT_SECONDS)
+            self._tallies[key] = tally
         self._news[service, number] = tally
         return tally
 
     def _drop_before(self, limit: float) -> None:
-        old = [key for key, tally in self._tallies.items() if tally.at < limit]
-        for key in old:
-            del self._tallies[key]
+        for held in (self._tallies, self._news):
+            for key in [key for key, tally in held.items() if tally.at < limit]:
+                del held[key]
 
     # What ledgers tell each other.
 
-    def list_news(self, now: float) -> Told | None:
+    def list_news(self, now: float) -> tallies.Told | None:
         """Return what was counted here since the last call, if others must know.
 
         A repeat is told at once; requests alone, which only allow more, are told once
         their slot is over.
         """
-        current = int(now / SLOT_SECONDS)
+        current = int(now / tallies.SLOT_SECONDS)
         due = {
             key: tally
             for key, tally in self._news.items()
@@ -242,11 +221,13 @@
         for key in due:
             del self._news[key]
         plain = ((*key, tally) for key, tally in due.items())
-        return Told(self.source, 0.0, encode_tallies(plain, now), self._granted)
+        return tallies.Told(
+            self.source, 0.0, tallies.encode_tallies(plain, now), self._granted
+        )
 
-    def list_whole(self, window: float, now: float) -> list[Told]:
+    def list_whole(self, window: float, now: float) -> list[tallies.Told]:
         """Return all that is known of the window, for a ledger that may know less."""
-        self._drop_before(now - window - SLOT_SECONDS)
+        self._drop_before(now - window - tallies.SLOT_SECONDS)
         sources = collections.defaultdict(list)
         for (source, service, number), tally in self._tallies.items():
             sources[source].append((service, number, tally))
@@ -254,59 +235,21 @@
         known = min(window, max(0.0, now - self._since))
         *others, last = sources.items()
         # Only the last message says that what came before it is all.
-        told = [Told(source, 0.0, encode_tallies(own, now)) for source, own in others]
-        return [*told, Told(last[0], known, encode_tallies(last[1], now))]
+        told = [
+            tallies.Told(source, 0.0, tallies.encode_tallies(own, now))
+            for source, own in others
+        ]
+        return [
+            *told,
+            tallies.Told(last[0], known, tallies.encode_tallies(last[1], now)),
+        ]
 
-    def take(self, told: Told, now: float) -> None:
+    def take(self, told: tallies.Told, now: float) -> None:
         """Take in what another ledger told."""
         for service, number, age, requests, repeats in told.tallies:
             key = told.source, service, number
-            tally = self._tallies.setdefault(key, Tally(now - age))
+            tally = self._tallies.setdefault(key, tallies.Tally(now - age))
             tally.requests = max(tally.requests, requests)
             tally.repeats = max(tally.repeats, repeats)
         if told.known:
             self._since = min(self._since, now - told.known)
-
-
-def encode_tallies(
-    tallies: abc.Iterable[tuple[str, int, Tally]], now: float
-) -> tuple[tuple[str, int, float, int, int], ...]:
-    """Return tallies as plain values, with their ages."""
-    return tuple(
-        (service, number, round(now - tally.at, 3), tally.requests, tally.repeats)
-        for service, number, tally in tallies
-    )
-
-
-def decode_told(
-    source: object, known: object, tallies: abc.Iterable, granted: object
-) -> Told:
-    """Return what a message tells; raises ``ValueError`` when it can't be so."""
-    if not isinstance(source, str) or not is_span(known) or not is_count(granted):
-        raise ValueError(f"no ledger of {source!r}")
-    decoded = tuple(decode_tally(plain) for plain in tallies)
-    return Told(source, known, decoded, granted)
-
-
-def decode_tally(plain: object) -> tuple[str, int, float, int, int]:
-    """Return one tally of a message; raises ``ValueError`` when it is none."""
-    try:
-        service, number, age, requests, repeats = plain
-    except (TypeError, ValueError) as error:
-        raise ValueError(f"no tally: {plain!r}") from error
-    counted = all(is_count(count) for count in (number, requests, repeats))
-    if not (counted and isinstance(service, str) and is_span(age)):
-        raise ValueError(f"no tally: {plain!r}")
-    return service, number, age, requests, repeats
-
-
-def is_count(number: object) -> bool:
-    """Return whether the value is a whole number of things."""
-    return type(number) is int and number >= 0
-
-
-def is_span(seconds: object) -> bool:
-    """Return whether the value is a length of time."""
-    if isinstance(seconds, bool) or not isinstance(seconds, (int, float)):
-        return False
-    return math.isfinite(seconds) and seconds >= 0
--- a/packages/wire/src/trestlestall/wire/messages.py
+++ b/packages/wire/src/trestlestall/wire/messages.py
@@ -289,7 +289,7 @@
 class Spent:
     """What one source counted of requests and repeated sends, by service and slot.
 
-    The fields are those of ``budgets.Told`` of the forwarding package.
+    The fields are those of ``tallies.Told`` of the forwarding package.
     """
 
     source: str
