Never place a repeat that waited for a gateway that went on; tell of requests by the slot

Cause, found by reading: a call that waits until others have seen the grants before it was given its whole wait anew at each look, and was placed though its gateway had gone on, whose note had come before; such a task stayed counted at the upstream until the link ended. And once a slot had a repeat, each turn told of each request in it. Ruled out: nothing else keeps calls. Change: a call keeps its limit; a gateway's note, and the end of its link, drop it. Only a new repeat is told at once.

--- a/packages/daemon/src/trestlestall/daemon/directory/arbitration.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/arbitration.py
@@ -82,12 +82,15 @@
 
     def place(self, gateway: str, call: messages.PlaceCall) -> None:
         """Choose an upstream and tell the gateway."""
+        self._place(Waiting(gateway, call, self._clock() + WAITING_SECONDS))
+
+    def _place(self, asked: Waiting) -> None:
         started = time.monotonic()
+        gateway, call = asked.gateway, asked.call
         descriptor = descriptors.decode(list(call.descriptor))
         verdict = self._judge(call.purpose, descriptor.service)
         if verdict is budgets.Verdict.LATER:
-            until = self._clock() + WAITING_SECONDS
-            self._waiting.append(Waiting(gateway, call, until))
+            self._waiting.append(asked)
             return
         found = self._find_place(descriptor, call, verdict)
         refused = isinstance(found, placement.Refused)
@@ -113,7 +116,7 @@
         waiting, self._waiting = self._waiting, collections.deque()
         for one in waiting:
             if self._clock() < one.until:
-                self.place(one.gateway, one.call)
+                self._place(one)
 
     def _judge(self, purpose: str, service: str) -> budgets.Verdict:
         """Count a caller's request; return whether the send may be made at all."""
@@ -143,11 +146,23 @@
         if note.kind == notes.FIRST:
             self._placer.note_first(note.request, now)
             return
+        self._forget_waiting(gateway, note.request)
         owned = self._owned.get(gateway, {}).pop(note.request, None)
         self._placer.end(note.request, now, note.pause)
         if owned is not None and note.kind != notes.NEITHER:
             self._placer.note_outcome(*owned, note.kind == notes.FAILED)
 
+    def _forget_waiting(self, gateway: str, request: str) -> None:
+        """Drop the call of a gateway that went on without an answer.
+
+        Placed later, it would be counted at an upstream that never gets it.
+        """
+        self._waiting = collections.deque(
+            one
+            for one in self._waiting
+            if one.gateway != gateway or one.call.descriptor[0] != request
+        )
+
     def take_state(self, gateway: str, state: messages.PlaceState) -> None:
         """Learn what a gateway has at upstreams, in the place of what was known."""
         self.forget(gateway)
@@ -169,6 +184,9 @@
     def forget(self, gateway: str) -> None:
         """Forget the requests of a gateway that is no longer linked."""
         now = self._clock()
+        self._waiting = collections.deque(
+            one for one in self._waiting if one.gateway != gateway
+        )
         for request in self._owned.pop(gateway, {}):
             self._placer.end(request, now)
 
--- a/packages/daemon/tests/test_repeats.py
+++ b/packages/daemon/tests/test_repeats.py
@@ -83,6 +83,28 @@
         found = self.links.find(messages.PlaceAnswer, "gateway-1")
         self.assertEqual(len(found), 4)
 
+    def test_a_call_whose_gateway_went_on_is_never_placed(self):
+        arbiter = self.server.arbiter
+        with mock.patch.object(self.server.repeats, "_count_voters", return_value=3):
+            for _ in range(5):
+                self.ask(notes.REPEAT)
+            taken = arbiter.count_places(SERVICE)
+            note = messages.PlaceNote(f"r{self.token}", notes.NEITHER)
+            arbiter.take_note("gateway-1", note)
+            self.server.take_message("other", messages.SpentAnswer(100))
+        self.assertEqual(arbiter.count_places(SERVICE), taken)
+
+    def test_a_call_waits_no_longer_for_being_looked_at(self):
+        with mock.patch.object(self.server.repeats, "_count_voters", return_value=3):
+            for _ in range(5):
+                self.ask(notes.REPEAT)
+            for _ in range(10):
+                self.clock.now += 0.05
+                self.server.arbiter.place_waiting()
+            self.server.take_message("other", messages.SpentAnswer(100))
+        found = self.links.find(messages.PlaceAnswer, "gateway-1")
+        self.assertEqual(len(found), 4)
+
     def test_what_another_directory_spent_is_confirmed_and_counted(self):
         ledger = budgets.Ledger("d2#1", 0.0)
         ledger.note_first_start()
--- a/packages/forwarding/src/trestlestall/forwarding/budgets.py
+++ b/packages/forwarding/src/trestlestall/forwarding/budgets.py
@@ -103,6 +103,7 @@
         self._tallies: dict[tuple[str, str, int], tallies.Tally] = {}
         self._news: dict[tuple[str, int], tallies.Tally] = {}
         self._granted = 0
+        self._told_granted = 0
         self._seen: dict[str, int] = {}
 
     def __len__(self) -> int:
@@ -224,17 +225,18 @@
     def list_news(self, now: float) -> tallies.Told | None:
         """Return what was counted here since the last call, if others must know.
 
-        A repeat is told at once; requests alone, which only allow more, are told once
+        Repeats are told at once; requests alone, which only allow more, are told once
         their slot is over.
         """
         current = int(now / tallies.SLOT_SECONDS)
         due = {
             key: tally
             for key, tally in self._news.items()
-            if tally.repeats or key[1] < current
+            if self._granted > self._told_granted or key[1] < current
         }
         if not due:
             return None
+        self._told_granted = self._granted
         for key in due:
             del self._news[key]
         plain = ((*key, tally) for key, tally in due.items())
--- a/packages/forwarding/tests/test_budgets.py
+++ b/packages/forwarding/tests/test_budgets.py
@@ -154,6 +154,10 @@
         told = ledger.list_news(1.0)
         self.assertEqual(told.granted, 1)
         self.assertIsNone(ledger.list_news(1.0))
+        # The slot has a repeat, but what is new in it can wait.
+        ledger.note_request("s", 1.1)
+        self.assertIsNone(ledger.list_news(1.1))
+        self.assertIsNotNone(ledger.list_news(1.0 + tallies.SLOT_SECONDS))
 
     def test_every_order_gives_one_ledger(self):
         draw = random.Random(5)
