--- a/packages/forwarding/src/trestlestall/forwarding/budgets.py
+++ b/packages/forwarding/src/trestlestall/forwarding/budgets.py
@@ -63,8 +63,8 @@
 #: The part of the ratio that each standing may spend. With ``UNSEEN_SHARE`` they make
 #: all of it: within one window a directory may spend its part, another one take its
 #: place, and processes go on alone. Each request is counted at one place, so neither a
-#: second kill nor a third earns anything. Measured by 10,000 drawn schedules of a fleet
-#: in virtual time (``tests/fleet.py``): no window over its bound.
+#: second kill nor a third earns anything. Drawn schedules of a fleet in virtual time
+#: (``tests/fleet.py``) hold them; their figures are in docs/incidents/respent.md.
 SHARES = {Standing.WHOLE: 0.77, Standing.PART: 0.1, Standing.ALONE: 0.08}
 #: The part of the bound that may be granted before a majority has seen it: ten sends of
 #: a fleet with 77 requests a second. An answer takes some milliseconds.
