Ask in a test the process that has started, not any that knows a leader

Shown by starting control-1 after the two others: None, and 200 once it knows the leader. Ruled out: a lost change; control code is untouched since it passed. Change: it waits for the process that it asks. What it checks is the same.

--- a/tests/test_agreed_state_restart.py
+++ b/tests/test_agreed_state_restart.py
@@ -8,6 +8,8 @@
 CHANGES = 500
 KILL_EVERY = 125
 SEED = 7
+#: The process whose history is read after the restart.
+ASKED = "control-1"
 
 
 class RestartTest(unittest.TestCase):
@@ -23,7 +25,8 @@
                 )
             deployment.kill(*deployments.NAMES)
             deployment.start()
-            deployment.wait_for_leader()
+            # The one that is asked; another one may know a leader before it listens.
+            deployment.wait_for_leader([ASKED])
             self.check(deployment, outcomes)
 
     def kill_one(self, deployment, source, number):
@@ -37,7 +40,7 @@
     def check(self, deployment, outcomes):
         for number, outcome in outcomes.items():
             self.assertEqual(outcome, {"kind": "accepted", "version": number})
-        status, document = deployment.operate("control-1", f"history {CHANGES}")
+        status, document = deployment.operate(ASKED, f"history {CHANGES}")
         self.assertEqual(status, 200)
         entries = {row["version"]: row["request_id"] for row in document["rows"]}
         expected = {number: f"request-{number}" for number in outcomes}
