--- a/packages/daemon/src/trestlestall/daemon/events/forwarding.py
+++ b/packages/daemon/src/trestlestall/daemon/events/forwarding.py
@@ -6,13 +6,16 @@
     "TS7001",
     "forward_sent",
     catalogue.Level.INFO,
-    "request route workspace rank route_tier workspace_tier upstream address attempt"
-    " unread predicted taken taken_by_all failure_rate declaration seconds_left source",
-    "A request goes to this upstream; rank, 0 the most urgent, is made of the tiers of"
-    " its route and its workspace; unread are the prompt tokens that it probably has"
-    " to read, predicted the seconds to the first event, taken its requests from here,"
-    " taken_by_all those that the source of the choice counts there, this one included;"
-    " the source of the choice is a directory that sees all gateways, or own knowledge"
+    "request route workspace digest rank route_tier workspace_tier upstream address"
+    " attempt unread predicted taken taken_by_all failure_rate declaration seconds_left"
+    " source",
+    "A request goes to this upstream; digest is the same for all attempts of a caller"
+    " with one method, host, target and body; rank, 0 the most urgent, is made of the"
+    " tiers of its route and its workspace; unread are the prompt tokens that it"
+    " probably has to read, predicted the seconds to the first event, taken its"
+    " requests from here, taken_by_all those that the source of the choice counts"
+    " there, this one included; the source of the choice is a directory that sees all"
+    " gateways, or own knowledge"
     " without one.",
 )
 ENDED = catalogue.declare(
@@ -35,7 +38,7 @@
     "TS7004",
     "forward_repeated",
     catalogue.Level.INFO,
-    "request route upstream outcome reason allowed runs seconds_left",
+    "request route digest upstream outcome reason allowed runs seconds_left",
     "An attempt did not end with an answer that is final; allowed says whether another"
     " one may follow, if the retry budget has one left.",
 )
@@ -78,6 +81,17 @@
     "A directory told of an upstream in words that name none; the others hold.",
     "Compare the versions of the programs.",
 )
+ENDED_UNDER = catalogue.declare(
+    "TS7014",
+    "upstream_ended",
+    catalogue.Level.WARNING,
+    "upstream address broken seconds",
+    "An upstream closed connections while requests ran there, and refuses new ones:"
+    " its process has ended. broken counts the requests from this gateway that broke"
+    " off until that was known, seconds after the first of them.",
+    "forward_repeated of this upstream has the digests of what ran there; one that"
+    " several upstreams that ended have in common is what to look at.",
+)
 APPLIED = catalogue.declare(
     "TS7020",
     "declaration_applied",
--- a/packages/daemon/src/trestlestall/daemon/gateway/attempts.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/attempts.py
@@ -77,13 +77,17 @@
 
 
 class Attempt:
-    """One exchange with an upstream; ``abort`` may be called from anywhere."""
+    """One exchange with an upstream; ``abort`` may be called from anywhere.
+
+    ``is_closed`` tells that the upstream, or its host, closed the connection.
+    """
 
     def __init__(
         self, pool: connections.Pool, row: upstreams.Row, names: dialects.Headers
     ) -> None:
         self.row = row
         self.whole = False
+        self.is_closed = False
         self._pool = pool
         self._names = names
         self._connection: connections.Connection | None = None
@@ -122,7 +126,10 @@
         taken.socket.settimeout(max(0.001, seconds))
         try:
             taken.socket.sendall(data[:WRITTEN_AT_ONCE])
+        except TimeoutError as error:
+            return Broken(f"while sending: {error}")
         except OSError as error:
+            self.is_closed = True
             return Broken(f"while sending: {error}")
         if len(data) > WRITTEN_AT_ONCE:
             eventlet.spawn(self._write_rest, data[WRITTEN_AT_ONCE:])
@@ -237,9 +244,11 @@
         except TimeoutError as error:
             raise BrokenExchange("out of time") from error
         except OSError as error:
+            self.is_closed = not self._aborted
             raise BrokenExchange(f"connection lost: {error}") from error
         if self._aborted:
             raise BrokenExchange("aborted")
+        self.is_closed = not data
         return data
 
 
--- a/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
@@ -70,6 +70,8 @@
         self.route = admitted.route
         self.workspace = admitted.workspace
         self.arrived = arrived
+        caller_name = self.workspace.name if self.workspace is not None else ""
+        self.digest = heads.find_digest(self.head, caller_name, body)
         given = admitted.head.deadline
         named = UNNAMED_DEADLINE if given is None else given
         self.deadline = arrived + min(named, self.route.whole_seconds)
@@ -228,8 +230,11 @@
         """Let the outcome change what is believed of the upstream."""
         if isinstance(outcome, attempts.NotSent):
             self.service.reaching.note_unreachable(row, outcome.reason)
-        elif isinstance(outcome, attempts.Broken) and self.relay.first_seconds is None:
-            self.service.reaching.suspect(row)
+        elif isinstance(outcome, attempts.Broken):
+            if self.attempt.is_closed:
+                self.service.endings.note_broken(row)
+            if self.relay.first_seconds is None:
+                self.service.reaching.suspect(row)
         elif isinstance(outcome, attempts.NotRun) and outcome.is_misdirected:
             self.knowledge.note_replaced(row)
             self.service.placing.report_replaced(row.identity)
--- a/packages/daemon/src/trestlestall/daemon/gateway/heads.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/heads.py
@@ -1,6 +1,7 @@
 """The head of a request, read by the dialect's names into typed fields."""
 
 import dataclasses
+import hashlib
 from collections import abc
 
 from trestlestall.daemon import dialects
@@ -29,6 +30,9 @@
 #: be told apart so: none of them counts as a first attempt.
 WHOLE_TIME_ERROR = 0.01
 
+#: Bytes of a digest: too many for two requests to share one by chance or by intent.
+DIGEST_BYTES = 16
+
 RawHeaders = abc.Sequence[tuple[bytes, bytes]]
 
 
@@ -180,6 +184,18 @@
     }
 
 
+def find_digest(head: Head, caller: str, body: bytes) -> str:
+    """Return what a request that comes again has in common with its former attempts.
+
+    ``caller`` is part of it, so that no caller's requests speak against another's.
+    """
+    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    for part in (caller.encode(), head.method, head.host.encode(), head.target, body):
+        digest.update(len(part).to_bytes(8))
+        digest.update(part)
+    return digest.hexdigest()
+
+
 def has_whole_time(head: Head, route: model.Route) -> bool:
     """Return whether a caller has all its time left: its first attempt."""
     if head.deadline is None:
--- a/packages/daemon/src/trestlestall/daemon/gateway/services.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/services.py
@@ -10,6 +10,7 @@
 from trestlestall.daemon.gateway import (
     callers,
     connections,
+    endings,
     forwards,
     heads,
     knowledge as knowledges,
@@ -39,6 +40,7 @@
         self.draw = draw
         self.pool = connections.Pool()
         self.reaching = reaching.Reaching(knowledge)
+        self.endings = endings.Endings(knowledge)
         self.placing = placing.Placing(knowledge, self.reaching, self.find_retry_bound)
         self.started_at = time.monotonic()
         self.refuse_at = 0.0
--- a/packages/daemon/tests/test_gateway_repeats.py
+++ b/packages/daemon/tests/test_gateway_repeats.py
@@ -2,7 +2,10 @@
 
 from unittest import mock
 
-from packages.daemon.tests import gateway_bench as bench
+from packages.daemon.tests import gateway_bench as bench  # isort: skip
+
+import eventlet
+
 from trestlestall.daemon.gateway import attempts, placing
 
 
@@ -70,6 +73,27 @@
             self.assertEqual(self.bench.ask("/once/x")[2], "done")
         self.assertLessEqual(len(other.received), 1)
 
+    def test_an_upstream_that_ended_under_a_request_is_told_from_a_cut_connection(self):
+        lasting = self.bench.add("u1", bench.send(""))
+        self.bench.ask("/once/x", b"body", Trestlestall_Request="r-1")
+        eventlet.sleep(0.05)
+        self.assertEqual(self.bench.list_lines("upstream_ended"), [])
+        lasting.script = lambda connection, received: lasting.stop() or False
+        self.bench.ask("/once/x", b"body", Trestlestall_Request="r-2")
+        found = bench.wait_until(lambda: self.bench.list_lines("upstream_ended"))
+        self.assertTrue(found)
+        lines = self.bench.list_lines("upstream_ended")
+        self.assertEqual([line["upstream"] for line in lines], ["u1"])
+
+    def test_attempts_of_one_caller_with_the_same_body_share_a_digest(self):
+        self.bench.add("u1", bench.answer("", "done"))
+        for number, body in enumerate((b"one", b"one", b"two")):
+            self.bench.ask("/once/x", body, Trestlestall_Request=f"r-{number}")
+        self.bench.ask("/open/x", b"one")
+        digests = [line["digest"] for line in self.bench.list_lines("forward_sent")]
+        self.assertEqual(digests[0], digests[1])
+        self.assertEqual(len(set(digests)), 3)
+
     def test_a_request_that_broke_while_it_was_sent_may_have_run(self):
         self.bench.add("u1", bench.answer(""))
         broken = attempts.Broken("while sending")
