Know a request again under which upstreams ended, and send it no more after three

Cause: sends and failures were counted for one attempt of one caller at one gateway; each attempt under a new id began with a clean record, and each end was held against the upstream alone. Ruled out: one forwarded request that goes on for too long (no id was sent more than twice), the retry budget (bystanders end nothing). Upstreams that end by themselves stay possible for part of the ends and are told apart by what is counted.

Change: requests are known by a digest of caller, method, host, target and body. A gateway that sees an upstream close connections and its host refuse new ones tells all directories which digests ran there; directories tell each other what is new and gateways what is held, also when they are linked anew, so it outlives any of them. From the third start that ended under it a request is not sent: 502, no Retry-After. A whole answer excuses it, an upstream that answers what was sent to it later has not ended, and a harmful request explains its ends to those that ran beside it. Bounded: 4,096 digests, 1,024 starts.

The stand-in of the first test closed its listener while a thread polled it, so its port took connections for half a second more, which no process does that has ended (shown by connecting); it now shuts the socket down.

--- a/packages/daemon/src/trestlestall/daemon/directory/arbitration.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/arbitration.py
@@ -10,18 +10,21 @@
 
 import collections
 import dataclasses
+import math
 import time
 import zlib
 from collections import abc
 
 from trestlestall.daemon import dialects, notes
 from trestlestall.daemon.directory import (
+    harm as directory_harm,
     links as directory_links,
     metrics as directory_metrics,
     repeats as directory_repeats,
 )
 from trestlestall.forwarding import (
     budgets,
+    crashes,
     descriptors,
     model,
     placement,
@@ -43,6 +46,19 @@
     until: float
 
 
+@dataclasses.dataclass(frozen=True)
+class Owned:
+    """A gateway's request at an upstream.
+
+    ``placed_at`` is when it was chosen here; minus infinity if it was chosen elsewhere.
+    """
+
+    upstream: str
+    data_centre: str
+    digest: str
+    placed_at: float
+
+
 class Arbiter:
     """What runs where, over all gateways; kept at the directory that is asked.
 
@@ -55,17 +71,19 @@
         dialect: dialects.Dialect,
         metrics: directory_metrics.Metrics,
         repeats: directory_repeats.Repeats,
+        harm: directory_harm.Harm,
         clock: abc.Callable[[], float] = time.monotonic,
     ) -> None:
         self._links = links
         self._dialect = dialect
         self._metrics = metrics
         self._repeats = repeats
+        self._harm = harm
         self._clock = clock
         self._placer = placement.Placer()
         self._configuration: model.Configuration | None = None
         self._rows: tuple[upstreams.Row, ...] = ()
-        self._owned: dict[str, dict[str, tuple[str, str]]] = {}
+        self._owned: dict[str, dict[str, Owned]] = {}
         self._waiting: collections.deque[Waiting] = collections.deque()
 
     def set_declaration(self, packed: bytes) -> None:
@@ -101,7 +119,7 @@
                 call.token, "", 0, 0.0, found.reason, found.return_seconds
             )
         else:
-            self._own(gateway, descriptor, found.row.identity)
+            self._own(gateway, descriptor, found.row.identity, self._clock())
             answer = messages.PlaceAnswer(
                 call.token,
                 found.row.identity,
@@ -133,6 +151,8 @@
         verdict: budgets.Verdict,
     ) -> placement.Placed | placement.Refused:
         """Choose an upstream; count a repeated send once it has one."""
+        if self._harm.is_harmful(descriptor.digest):
+            return placement.Refused(crashes.HARMFUL, 0.0)
         if verdict is budgets.Verdict.DENIED:
             return placement.Refused(budgets.EXHAUSTED, placement.RETURN_SECONDS)
         found = self._placer.place(descriptor, self._clock(), call.tried)
@@ -149,8 +169,12 @@
         self._forget_waiting(gateway, note.request)
         owned = self._owned.get(gateway, {}).pop(note.request, None)
         self._placer.end(note.request, now, note.pause)
-        if owned is not None and note.kind != notes.NEITHER:
-            self._placer.note_outcome(*owned, note.kind == notes.FAILED)
+        if owned is None or note.kind == notes.NEITHER:
+            return
+        failed = note.kind == notes.FAILED
+        self._placer.note_outcome(owned.upstream, owned.data_centre, failed)
+        if not failed:
+            self._harm.note_success(owned.digest, owned.upstream, owned.placed_at)
 
     def _forget_waiting(self, gateway: str, request: str) -> None:
         """Drop the call of a gateway that went on without an answer.
@@ -173,7 +197,7 @@
                 self._placer.adopt(descriptor, identity, now), placement.Refused
             ):
                 continue
-            self._own(gateway, descriptor, identity)
+            self._own(gateway, descriptor, identity, -math.inf)
             if began:
                 self._placer.note_first(descriptor.request_id, now)
 
@@ -191,7 +215,13 @@
             self._placer.end(request, now)
 
     def _own(
-        self, gateway: str, descriptor: descriptors.Descriptor, identity: str
+        self,
+        gateway: str,
+        descriptor: descriptors.Descriptor,
+        identity: str,
+        placed_at: float,
     ) -> None:
         owned = self._owned.setdefault(gateway, {})
-        owned[descriptor.request_id] = (identity, descriptor.data_centre)
+        owned[descriptor.request_id] = Owned(
+            identity, descriptor.data_centre, descriptor.digest, placed_at
+        )
--- a/packages/daemon/src/trestlestall/daemon/directory/arrivals.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/arrivals.py
@@ -162,6 +162,12 @@
     server.arbiter.place_waiting()
 
 
+@handles(messages.Crashed)
+def take_crashed(server: servers.Server, peer: str, message: messages.Crashed) -> None:
+    """Learn of upstreams that ended while requests ran there."""
+    server.harm.take(peer, message)
+
+
 @handles(messages.Replaced)
 def take_replaced(
     server: servers.Server, peer: str, message: messages.Replaced
--- /dev/null
+++ b/packages/daemon/src/trestlestall/daemon/directory/harm.py
@@ -0,0 +1,119 @@
+"""Requests under which upstreams ended, at a directory: kept, judged, told on.
+
+Gateways tell all directories what they saw, and directories tell each other what was
+new to them, so that it outlives any of these. Gateways are told of the requests that
+must not be sent alone: those are few, and the others concern who places requests.
+"""
+
+import time
+from collections import abc
+
+from trestlestall.daemon import events, logs
+from trestlestall.daemon.directory import links as directory_links
+from trestlestall.forwarding import crash_reports, crashes
+from trestlestall.wire import messages
+
+
+class Harm:
+    """The record of one directory; ``wake`` asks for a turn."""
+
+    def __init__(
+        self,
+        links: directory_links.Links,
+        log: logs.Log,
+        wake: abc.Callable[[], object],
+        clock: abc.Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.record = crashes.Record()
+        self._links = links
+        self._log = log
+        self._wake = wake
+        self._clock = clock
+        self._news: list[crash_reports.Report] = []
+        self._held: set[str] = set()
+
+    def is_harmful(self, digest: str) -> bool:
+        """Return whether the request must not be sent."""
+        return self.record.judge(digest, self._clock()) is crashes.Verdict.HARMFUL
+
+    def take(self, peer: str, message: messages.Crashed) -> None:
+        """Take in what a gateway or another directory tells."""
+        try:
+            told = crash_reports.decode_report(
+                message.ends, message.answers, message.alive
+            )
+        except ValueError as error:
+            reason = str(error)
+            self._log.write(events.directory.REPORT_REFUSED, source=peer, reason=reason)
+            return
+        self._note_news(self.record.take(told, self._clock()))
+
+    def note_success(self, digest: str, start: str, sent_at: float) -> None:
+        """Note that a request which was sent to a start then got its answer."""
+        now = self._clock()
+        if self.record.note_answer(digest, now):
+            self._note_news(crash_reports.Report(answers=((digest, 0.0),)))
+        if self.record.note_success(start, sent_at):
+            self._note_news(crash_reports.Report(alive=(start,)))
+
+    def greet(self, peer: str) -> None:
+        """Tell a process that was just linked."""
+        now = self._clock()
+        digests = None if self._links.is_directory(peer) else self._list_held(now)
+        self._send(peer, self.record.report(now, digests))
+
+    def turn(self) -> None:
+        """Tell the others what is new since the last turn."""
+        if not self._news:
+            return
+        news, self._news = join(self._news), []
+        now = self._clock()
+        for peer in self._links.list_directories():
+            self._send(peer, news)
+        for_gateways = self._choose_for_gateways(news, now)
+        for gateway in self._links.list_gateways():
+            self._send(gateway, for_gateways)
+
+    def _choose_for_gateways(
+        self, news: crash_reports.Report, now: float
+    ) -> crash_reports.Report:
+        """Return what gateways must know: all of the requests that are held now."""
+        touched = {digest for digest, _, _ in news.ends}
+        held = touched.intersection(self._list_held(now))
+        whole = self.record.report(now, sorted(held))
+        answers = dict((*whole.answers, *news.answers))
+        return crash_reports.Report(whole.ends, tuple(answers.items()), news.alive)
+
+    def _list_held(self, now: float) -> list[str]:
+        """Return the requests that must not be sent; log those that are new."""
+        held = self.record.list_harmful(now)
+        for digest in set(held) - self._held:
+            self._log.write(
+                events.directory.HARMFUL,
+                digest=digest,
+                ends=self.record.list_ends(digest, now),
+            )
+        for digest in self._held.difference(held):
+            self._log.write(events.directory.EXCUSED, digest=digest)
+        self._held = set(held)
+        return held
+
+    def _note_news(self, news: crash_reports.Report) -> None:
+        if news:
+            self._news.append(news)
+            self._wake()
+
+    def _send(self, peer: str, report: crash_reports.Report) -> None:
+        if report:
+            message = messages.Crashed(report.ends, report.answers, report.alive)
+            self._links.send(peer, message)
+
+
+def join(reports: abc.Iterable[crash_reports.Report]) -> crash_reports.Report:
+    """Return all that several reports tell, of a moment ago, as one."""
+    reports = tuple(reports)
+    return crash_reports.Report(
+        tuple(end for report in reports for end in report.ends),
+        tuple(answer for report in reports for answer in report.answers),
+        tuple(start for report in reports for start in report.alive),
+    )
--- a/packages/daemon/src/trestlestall/daemon/directory/server.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/server.py
@@ -27,6 +27,7 @@
     arbitration,
     arrivals,
     broadcasts,
+    harm,
     links as directory_links,
     members,
     metrics as directory_metrics,
@@ -93,8 +94,9 @@
             f"{env.random.getrandbits(64):x}",
             env.clock.monotonic,
         )
+        self.harm = harm.Harm(links, log, wake, env.clock.monotonic)
         self.arbiter = arbitration.Arbiter(
-            links, dialect, self.metrics, self.repeats, env.clock.monotonic
+            links, dialect, self.metrics, self.repeats, self.harm, env.clock.monotonic
         )
 
     # The disk.
@@ -211,6 +213,7 @@
     def _greet(self, peer: str) -> None:
         self.registrations.send_all(peer)
         self._broadcasts.greet(peer)
+        self.harm.greet(peer)
         if self.links.is_directory(peer):
             self.add_directories((peer,))
             self.members.note_linked(peer)
@@ -225,6 +228,7 @@
         self._settle_group(now)
         self._broadcasts.tell_roster(now)
         self.repeats.turn()
+        self.harm.turn()
         if self.voter is None:
             self._calls.expire(now)
             return
--- a/packages/daemon/src/trestlestall/daemon/events/directory.py
+++ b/packages/daemon/src/trestlestall/daemon/events/directory.py
@@ -57,6 +57,32 @@
     " whole, or part for a directory that can't know all of the window.",
     "Look for what fails at the service; a request that ends for it has repeat_denied.",
 )
+HARMFUL = catalogue.declare(
+    "TS8013",
+    "request_found_harmful",
+    catalogue.Level.WARNING,
+    "digest ends",
+    "Several upstreams ended while they ran requests of this digest; it is not sent any"
+    " more. ends are their starts and how many seconds ago each ended.",
+    "request_held at the gateways has the ids and the route of its attempts.",
+)
+EXCUSED = catalogue.declare(
+    "TS8014",
+    "request_excused",
+    catalogue.Level.INFO,
+    "digest",
+    "Requests of this digest are sent again: one was answered, the upstreams have not"
+    " ended, or it was held for its time.",
+)
+REPORT_REFUSED = catalogue.declare(
+    "TS8015",
+    "crash_report_refused",
+    catalogue.Level.WARNING,
+    "source reason",
+    "Another process told of upstreams that ended in words that can't be so; nothing"
+    " changed.",
+    "Compare the versions of the programs.",
+)
 VOTER_CHANGE = catalogue.declare(
     "TS8020",
     "voter_change_begun",
--- a/packages/daemon/src/trestlestall/daemon/events/forwarding.py
+++ b/packages/daemon/src/trestlestall/daemon/events/forwarding.py
@@ -51,6 +51,17 @@
     " that grants them, or own knowledge without one.",
     "repeats_exhausted at the directory tells how much was spent.",
 )
+HELD = catalogue.declare(
+    "TS7006",
+    "request_held",
+    catalogue.Level.WARNING,
+    "request route digest ends source sends",
+    "The request is not sent, or not sent again: upstreams ended while they ran it,"
+    " under this or another id. ends are their starts and how many seconds ago, as far"
+    " as they are known here; the source is the directory that says so, or own"
+    " knowledge.",
+    "Look at what the request does at the upstream: forward_sent has its digest too.",
+)
 ROW = catalogue.declare(
     "TS7010",
     "upstream_row",
--- a/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
@@ -6,6 +6,8 @@
 import time
 import typing
 
+import eventlet
+
 from trestlestall.daemon import notes
 from trestlestall.daemon.gateway import (
     attempts,
@@ -19,6 +21,7 @@
 )
 from trestlestall.forwarding import (
     budgets,
+    crashes,
     descriptors,
     directory,
     model,
@@ -152,7 +155,10 @@
                 self.descriptor, placed.row.identity, failed, pause
             )
         if self.caller.left:
-            if failed:
+            if self.attempt.is_closed:
+                note = self.service.endings.note_broken
+                eventlet.spawn_n(note, placed.row, self.digest)
+            elif failed:
                 self.service.reaching.suspect(placed.row)
             raise callers.CallerLeft()
         self._learn(placed.row, outcome)
@@ -195,6 +201,7 @@
         """Pass the answer on to the caller; None once it has all of it."""
         if head.status == OK and (head.streams or self.route.streams):
             self.relay.pass_on(self.attempt, head, self._find_event_deadline)
+            self.service.endings.note_answered(self.digest)
             records.write_ended(self, head.status, "answered", "")
             return None
         if self.relay.began:
@@ -204,6 +211,8 @@
         if head.status >= outcomes.SERVER_ERRORS and self._may_repeat():
             self.kept_answer = head, body
             return head
+        if head.status < outcomes.SERVER_ERRORS:
+            self.service.endings.note_answered(self.digest)
         self._answer(head, body)
         return None
 
@@ -231,9 +240,9 @@
         if isinstance(outcome, attempts.NotSent):
             self.service.reaching.note_unreachable(row, outcome.reason)
         elif isinstance(outcome, attempts.Broken):
-            if self.attempt.is_closed:
-                self.service.endings.note_broken(row)
-            if self.relay.first_seconds is None:
+            closed = self.attempt.is_closed
+            ended = closed and self.service.endings.note_broken(row, self.digest)
+            if not ended and self.relay.first_seconds is None:
                 self.service.reaching.suspect(row)
         elif isinstance(outcome, attempts.NotRun) and outcome.is_misdirected:
             self.knowledge.note_replaced(row)
@@ -243,7 +252,10 @@
         self, refused: placement.Refused, outcome: outcomes.Outcome | None
     ) -> None:
         """End the request that gets no upstream, after the last attempt if any."""
-        if refused.reason == budgets.EXHAUSTED and outcome is not None:
+        if refused.reason == crashes.HARMFUL:
+            records.write_held(self, refused)
+            self._give_up_harmful()
+        elif refused.reason == budgets.EXHAUSTED and outcome is not None:
             records.write_denied(self, refused)
             self._give_up_after(outcome)
         else:
@@ -262,6 +274,19 @@
         else:
             self._end_with(refusals.BAD_GATEWAY, outcomes.describe_outcome(outcome))
 
+    def _give_up_harmful(self) -> None:
+        """End a request that is not sent for what it does to upstreams.
+
+        It has run, in this attempt or in one before, so no status that promises that it
+        did not; and none that invites the caller to come back.
+        """
+        if self.relay.began:
+            self._break_off(crashes.HARMFUL)
+        elif self.kept_answer is not None:
+            self._answer(*self.kept_answer)
+        else:
+            self._end_with(refusals.BAD_GATEWAY, crashes.HARMFUL)
+
     def _give_up(self, reason: str, after: float) -> None:
         """Tell the caller that the request did not run, unless something else holds."""
         if self.relay.began:
@@ -299,7 +324,9 @@
     def _describe(self, rank: int) -> descriptors.Descriptor:
         service = directory.choose_service(self.route, self.service.draw())
         data_centre = self.service.settings.data_centre
-        return heads.build_descriptor(self.head, self.route, service, rank, data_centre)
+        return heads.build_descriptor(
+            self.head, self.route, service, rank, data_centre, self.digest
+        )
 
     def _list_added(self, row: upstreams.Row, left: float) -> dict[str, str]:
         names = self.service.dialect.headers
--- a/packages/daemon/src/trestlestall/daemon/gateway/heads.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/heads.py
@@ -205,7 +205,12 @@
 
 
 def build_descriptor(
-    head: Head, route: model.Route, service: str, rank: int, data_centre: str
+    head: Head,
+    route: model.Route,
+    service: str,
+    rank: int,
+    data_centre: str,
+    digest: str,
 ) -> descriptors.Descriptor:
     """Return what the policy is told of the request."""
     is_first = has_whole_time(head, route)
@@ -224,4 +229,5 @@
         data_centre=data_centre,
         may_return=route.streams and head.tokens_in > 0 and is_first,
         may_repeat=route.may_repeat,
+        digest=digest,
     )
--- a/packages/daemon/src/trestlestall/daemon/gateway/knowledge.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/knowledge.py
@@ -5,7 +5,14 @@
 from collections import abc
 
 from trestlestall.daemon import announcements, dialects, events, logs
-from trestlestall.forwarding import budgets, directory, model, placement, upstreams
+from trestlestall.forwarding import (
+    budgets,
+    crashes,
+    directory,
+    model,
+    placement,
+    upstreams,
+)
 
 #: The only source of a gateway's own counts: no other process hears of them.
 OWN = "own"
@@ -32,6 +39,7 @@
         self.table = upstreams.Table()
         self.placer = placement.Placer()
         self.ledger = budgets.Ledger(OWN, clock())
+        self.crashes = crashes.Record()
 
     @property
     def limits(self) -> model.CallerLimits:
@@ -40,6 +48,14 @@
             return model.DEFAULT_LIMITS
         return self.directory.configuration.limits
 
+    def is_harmful(self, digest: str) -> bool:
+        """Return whether the request must not be sent, as far as is known here."""
+        return self.crashes.judge(digest, self.clock()) is crashes.Verdict.HARMFUL
+
+    def count_held(self) -> int:
+        """Return how many requests are not sent, as upstreams ended under them."""
+        return len(self.crashes.list_harmful(self.clock()))
+
     def is_complete(self) -> bool:
         """Return whether requests can be served."""
         return self.directory is not None and self.has_rows
--- a/packages/daemon/src/trestlestall/daemon/gateway/links.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/links.py
@@ -10,6 +10,7 @@
 
 from trestlestall.daemon import events, logs, settings as process_settings
 from trestlestall.daemon.gateway import (
+    endings as gateway_endings,
     knowledge as knowledges,
     placing as placings,
 )
@@ -46,9 +47,11 @@
         knowledge: knowledges.Knowledge,
         log: logs.Log,
         placing: placings.Placing,
+        endings: gateway_endings.Endings,
     ) -> None:
         self.knowledge = knowledge
         self.placing = placing
+        self.endings = endings
         self._log = log
         self._settings = settings
         self._offers: dict[str, int] = {}
@@ -68,6 +71,7 @@
     def open(self) -> abc.Iterator[None]:
         """Keep links while the block runs; raises ``ListenError``."""
         self.placing.send = self.mesh.send
+        self.endings.tell = self._tell_all
         self.mesh.start()
         self.add_directories(map(str, self._settings.directories))
         asking = eventlet.spawn(self._keep_asking)
@@ -113,6 +117,10 @@
         if found:
             self.placing.set_arbiter(min(found))
 
+    def _tell_all(self, message: typing.Any) -> None:
+        for directory in self.mesh.linked():
+            self.mesh.send(directory, message)
+
     def _take(self, directory: str, message: typing.Any) -> None:
         handler = HANDLERS.get(type(message))
         if handler is not None:
@@ -122,6 +130,7 @@
         if linked:
             self._linked_at.setdefault(peer, time.monotonic())
             self.placing.note_linked(peer)
+            self.mesh.send(peer, self.endings.report())
         else:
             self._linked_at.pop(peer, None)
             self._offers.pop(peer, None)
@@ -158,6 +167,12 @@
     links.knowledge.take_declaration(message.version, message.packed, directory)
 
 
+@handles(messages.Crashed)
+def take_crashed(links: Links, directory: str, message: messages.Crashed) -> None:
+    """Learn of requests under which upstreams ended."""
+    links.endings.take(message)
+
+
 @handles(messages.PlaceAnswer)
 def take_placement(links: Links, directory: str, message: messages.PlaceAnswer) -> None:
     """Hand a placement to the request that waits for it."""
--- a/packages/daemon/src/trestlestall/daemon/gateway/metrics.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/metrics.py
@@ -28,6 +28,15 @@
             ["route", "reason"],
             registry=self.registry,
         )
+        self.ended_upstreams = prometheus_client.Counter(
+            "trestlestall_upstreams_ended",
+            "Upstreams that ended while requests from here ran there.",
+            registry=self.registry,
+        )
+        self.held = self._gauge(
+            "requests_held",
+            "Requests that are not sent, as upstreams ended under them.",
+        )
         self.first = self._time("first", "Arrival to the first event or the answer.")
         self.whole = self._time("whole", "Arrival to the end of the answer.")
         self.version = self._gauge("declaration_version", "Configuration in force.")
--- a/packages/daemon/src/trestlestall/daemon/gateway/placing.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/placing.py
@@ -9,7 +9,13 @@
 
 from trestlestall.daemon import events, notes
 from trestlestall.daemon.gateway import knowledge as knowledges, reaching
-from trestlestall.forwarding import budgets, descriptors, placement, shedding
+from trestlestall.forwarding import (
+    budgets,
+    crashes,
+    descriptors,
+    placement,
+    shedding,
+)
 from trestlestall.wire import messages
 
 #: How long to wait for the arbiter, in parts of the request's target, and the bounds of
@@ -25,7 +31,7 @@
 AVOIDED_SECONDS = 4.0
 
 #: Reasons of the arbiter after which no other upstream is looked for.
-FINAL_REASONS = (shedding.OVERLOADED, budgets.EXHAUSTED)
+FINAL_REASONS = (shedding.OVERLOADED, budgets.EXHAUSTED, crashes.HARMFUL)
 
 Send = abc.Callable[[str, object], bool]
 
@@ -101,6 +107,8 @@
         ``purpose`` is one of ``notes``: a repeated send needs one that is left in the
         budget, which the arbiter keeps for all gateways.
         """
+        if self._knowledge.is_harmful(descriptor.digest):
+            return placement.Refused(crashes.HARMFUL, 0.0)
         answer = self._ask(descriptor, tried, purpose)
         if answer is not None and answer.reason in FINAL_REASONS:
             source = self._arbiter or ""
--- a/packages/daemon/src/trestlestall/daemon/gateway/process.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/process.py
@@ -76,6 +76,7 @@
             self.knowledge,
             self._log,
             self.service.placing,
+            self.service.endings,
         )
         self._open: set[callers.Caller] = set()
         self._stopping = False
@@ -198,6 +199,7 @@
         metrics.version.set(self.knowledge.version)
         metrics.upstreams.set(len(self.knowledge.table.rows))
         metrics.links.set(len(self._links.mesh.linked()))
+        metrics.held.set(self.knowledge.count_held())
         metrics.opened.set(self.service.pool.opened)
         metrics.dropped.set(getattr(self._output, "dropped", 0))
         return answers.Answer(READY, metrics.render(), gateway_metrics.CONTENT_TYPE)
--- a/packages/daemon/src/trestlestall/daemon/gateway/records.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/records.py
@@ -73,6 +73,21 @@
     )
 
 
+def write_held(forward: forwards.Forward, refused: placement.Refused) -> None:
+    """Tell that a request is not sent, and the ends that are held against it."""
+    knowledge = forward.knowledge
+    ends = knowledge.crashes.list_ends(forward.digest, knowledge.clock())
+    forward.knowledge.log.write(
+        events.forwarding.HELD,
+        request=forward.descriptor.request_id,
+        route=forward.route.name,
+        digest=forward.digest,
+        ends=ends,
+        source=refused.source or placement.OWN,
+        sends=forward.sends,
+    )
+
+
 def write_ended(
     forward: forwards.Forward, status: int, outcome: str, reason: str
 ) -> None:
--- a/packages/daemon/src/trestlestall/daemon/gateway/services.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/services.py
@@ -40,7 +40,7 @@
         self.draw = draw
         self.pool = connections.Pool()
         self.reaching = reaching.Reaching(knowledge)
-        self.endings = endings.Endings(knowledge)
+        self.endings = endings.Endings(knowledge, self.reaching, metrics)
         self.placing = placing.Placing(knowledge, self.reaching, self.find_retry_bound)
         self.started_at = time.monotonic()
         self.refuse_at = 0.0
--- a/packages/daemon/tests/test_gateway_crashes.py
+++ b/packages/daemon/tests/test_gateway_crashes.py
@@ -1,9 +1,13 @@
 """What a gateway makes of a request under which upstreams end."""
 
+import dataclasses
+
 from packages.daemon.tests import gateway_bench as bench
+from trestlestall.forwarding import crash_reports, crashes, upstreams
 
 UPSTREAMS = 7
 FATAL = b"fatal"
+CUT = b"cut"
 
 
 class CrashTest(bench.GatewayCase):
@@ -21,6 +25,7 @@
         def script(connection, received):
             if received.body == FATAL:
                 self.fleet[identity].stop()
+            if received.body in (FATAL, CUT):
                 return False
             return bench.answer("", "done")(connection, received)
 
@@ -42,3 +47,77 @@
             self.assertEqual(status, 502)
             self.assertNotIn("Retry-After", head)
         self.assertEqual(self.ask(5, b"good")[2], "done")
+
+    def test_what_is_held_against_it_is_logged_and_counted(self):
+        for number in range(3):
+            self.ask(number)
+        (line, *_) = self.bench.list_lines("request_held")
+        ended = {line["upstream"] for line in self.bench.list_lines("upstream_ended")}
+        self.assertEqual({start for start, _ in line["ends"]}, ended)
+        self.assertEqual(len(ended), 3)
+        sent = self.bench.list_lines("forward_sent")
+        self.assertEqual({one["digest"] for one in sent}, {line["digest"]})
+        shown = bench.Caller(self.bench.platform_port)
+        shown.ask("/metrics", method="GET")
+        text = shown.read_answer()[2]
+        self.assertIn("trestlestall_requests_held 1.0", text)
+        self.assertIn("trestlestall_upstreams_ended_total 3.0", text)
+
+    def test_a_repeat_within_one_request_counts(self):
+        self.ask(1)
+        self.assertEqual(self.count_ended(), 2)
+        self.ask(2)
+        self.assertEqual(self.count_ended(), 3)
+
+    def test_a_connection_that_is_closed_is_no_end(self):
+        for number in range(6):
+            self.ask(number, CUT)
+        self.assertEqual(self.bench.list_lines("upstream_ended"), [])
+        self.assertEqual(self.bench.list_lines("request_held"), [])
+
+    def test_it_is_held_for_its_caller_and_place_alone(self):
+        for number in range(3):
+            self.ask(number)
+        self.assertEqual(self.count_ended(), 3)
+        self.ask(4, path="/open/x")
+        self.ask(5, path="/again/y")
+        self.assertEqual(self.count_ended(), 6)
+
+    def test_an_upstream_that_leaves_is_no_end(self):
+        for identity, one in self.fleet.items():
+            row = dataclasses.replace(one.row, sequence=2)
+            self.bench.gateway.knowledge.take_rows((row,), "test")
+            leaving = dataclasses.replace(row, state=upstreams.State.DRAINING)
+
+            def script(connection, received, at=identity, row=leaving):
+                self.bench.gateway.knowledge.take_rows((row,), "test")
+                self.fleet[at].stop()
+                return False
+
+            one.script = script
+        for number in range(3):
+            self.ask(number)
+        self.assertEqual(self.bench.list_lines("request_held"), [])
+        self.assertGreaterEqual(len(self.bench.list_lines("upstream_ended")), 3)
+
+    def test_directories_are_told_of_ends_and_answers(self):
+        told = []
+        self.bench.gateway.service.endings.tell = told.append
+        self.ask(1, b"good")
+        self.assertEqual(told, [])
+        self.ask(2)
+        starts = {end[1] for message in told for end in message.ends}
+        self.assertEqual(len(starts), 2)
+        self.assertEqual(len(told), 2)
+
+    def test_what_a_directory_tells_is_held_here_and_again_excused(self):
+        self.bench.ask("/again/x", b"good", Trestlestall_Request="r-1")
+        digest = self.bench.list_lines("forward_sent")[0]["digest"]
+        knowledge = self.bench.gateway.knowledge
+        ends = tuple((digest, f"s{number}", 0.0) for number in range(6))
+        knowledge.crashes.take(crash_reports.Report(ends), knowledge.clock())
+        self.assertEqual(self.ask(2, b"good")[0], 502)
+        excuse = crash_reports.Report(alive=("s1",))
+        knowledge.crashes.take(excuse, knowledge.clock())
+        self.assertEqual(self.ask(3, b"good")[0], 200)
+        self.assertEqual(crashes.ANSWERED_ENDS_LIMIT, 6)
--- /dev/null
+++ b/packages/daemon/tests/test_harm.py
@@ -0,0 +1,146 @@
+"""What a directory makes of requests under which upstreams ended."""
+
+from packages.daemon.tests import test_directory
+from packages.forwarding.tests import samples
+from trestlestall.daemon import notes
+from trestlestall.forwarding import crashes, descriptors
+from trestlestall.wire import messages
+
+DIGEST = "d1"
+OTHER = test_directory.OTHERS[0]
+
+
+class HarmCase(test_directory.DirectoryCase):
+    def setUp(self):
+        super().setUp()
+        self.links.directories = [OTHER]
+        for number in range(5):
+            row = samples.make_row(f"u{number}")
+            self.server.registrations.announce(row)
+        self.token = 0
+
+    def tell(self, *starts, peer="gateway-1", digest=DIGEST):
+        """Let a gateway tell that these ended under the request, one by one."""
+        for start in starts:
+            message = messages.Crashed(((digest, start, 0.0),))
+            self.server.take_message(peer, message)
+
+    def ask(self, purpose=notes.FIRST_SEND, digest=DIGEST):
+        """Return the answer to a gateway's call."""
+        self.token += 1
+        descriptor = samples.make_descriptor(f"r{self.token}", digest=digest)
+        plain = tuple(descriptors.encode(descriptor))
+        call = messages.PlaceCall(self.token, plain, (), purpose)
+        self.server.take_message("gateway-1", call)
+        return self.links.find(messages.PlaceAnswer, "gateway-1")[-1]
+
+    def note(self, kind):
+        """Tell what became of the request that was asked for last."""
+        self.server.take_message(
+            "gateway-1", messages.PlaceNote(f"r{self.token}", kind)
+        )
+
+    def find_told(self, name):
+        """Return the ends that a process was told of."""
+        return [
+            tuple(end[:2])
+            for message in self.links.find(messages.Crashed, name)
+            for end in message.ends
+        ]
+
+
+class PlaceTest(HarmCase):
+    def test_it_is_placed_until_three_have_ended(self):
+        self.tell("s1", "s2")
+        self.assertTrue(self.ask().upstream)
+        self.tell("s3")
+        answer = self.ask()
+        self.assertEqual((answer.upstream, answer.reason), ("", crashes.HARMFUL))
+        self.assertTrue(self.ask(digest="another").upstream)
+
+    def test_sends_side_by_side_and_repeats_count_together(self):
+        self.tell("s1")
+        self.tell("s2", peer="gateway-2")
+        self.tell("s3", peer=OTHER)
+        for purpose in (notes.FIRST_SEND, notes.MOVED, notes.REPEAT):
+            self.assertEqual(self.ask(purpose).reason, crashes.HARMFUL)
+
+    def test_a_whole_answer_lets_it_be_placed_again(self):
+        self.ask()
+        self.tell("s1", "s2", "s3")
+        self.note(notes.SUCCEEDED)
+        self.assertTrue(self.ask().upstream)
+
+    def test_a_failure_is_no_answer(self):
+        self.ask()
+        self.tell("s1", "s2", "s3")
+        self.note(notes.FAILED)
+        self.assertFalse(self.ask().upstream)
+
+    def test_one_that_was_answered_before_takes_more(self):
+        self.ask()
+        self.note(notes.SUCCEEDED)
+        self.clock.now += 1.0
+        self.tell("s1", "s2", "s3")
+        self.assertTrue(self.ask().upstream)
+
+    def test_an_upstream_that_serves_what_came_later_has_not_ended(self):
+        chosen = self.ask(digest="another").upstream
+        self.tell(chosen, "s2", "s3")
+        self.note(notes.SUCCEEDED)
+        self.assertFalse(self.ask().upstream, "placed before the end")
+        self.clock.now += 1.0
+        while self.ask(digest="another").upstream != chosen:
+            self.note(notes.NEITHER)
+        self.note(notes.SUCCEEDED)
+        self.assertTrue(self.ask().upstream)
+
+
+class TellTest(HarmCase):
+    def test_directories_are_told_of_each_end_and_gateways_of_what_is_held(self):
+        self.tell("s1", "s2")
+        self.turn(0.05)
+        self.assertEqual(self.find_told(OTHER), [(DIGEST, "s1"), (DIGEST, "s2")])
+        self.assertEqual(self.find_told("gateway-1"), [])
+        self.tell("s3")
+        self.turn(0.05)
+        whole = [(DIGEST, "s1"), (DIGEST, "s2"), (DIGEST, "s3")]
+        self.assertEqual(self.find_told("gateway-1"), whole)
+        self.assertEqual(self.output.getvalue().count('"request_found_harmful"'), 1)
+
+    def test_what_is_known_is_not_told_again(self):
+        self.tell("s1")
+        self.turn(0.05)
+        self.tell("s1", peer=OTHER)
+        self.turn(0.05)
+        self.assertEqual(len(self.find_told(OTHER)), 1)
+
+    def test_a_process_that_is_linked_is_told_what_it_must_know(self):
+        self.tell("s1", "s2", "s3")
+        self.tell("s1", digest="beside")
+        self.turn(0.05)
+        self.links.sent.clear()
+        self.server.note_link("gateway-1", True)
+        self.server.note_link(OTHER, True)
+        whole = [(DIGEST, "s1"), (DIGEST, "s2"), (DIGEST, "s3")]
+        self.assertEqual(self.find_told("gateway-1"), whole)
+        self.assertEqual(self.find_told(OTHER), [*whole, ("beside", "s1")])
+
+    def test_gateways_learn_that_one_is_excused(self):
+        self.ask()
+        self.tell("s1", "s2", "s3")
+        self.turn(0.05)
+        self.note(notes.SUCCEEDED)
+        self.turn(0.05)
+        last = self.links.find(messages.Crashed, "gateway-1")[-1]
+        self.assertEqual([digest for digest, _ in last.answers], [DIGEST])
+        self.assertIn('"request_excused"', self.output.getvalue())
+
+    def test_words_that_can_not_be_so_change_nothing(self):
+        self.server.take_message("gateway-1", messages.Crashed((("d", 1, 2),)))
+        self.assertIn('"crash_report_refused"', self.output.getvalue())
+        self.assertEqual(len(self.server.harm.record), 0)
+
+    def test_a_call_without_a_digest_is_never_held(self):
+        self.tell("s1", "s2", "s3")
+        self.assertTrue(self.ask(digest="").upstream)
--- /dev/null
+++ b/packages/forwarding/src/trestlestall/forwarding/crashes.py
@@ -0,0 +1,266 @@
+"""Requests under which upstreams ended, known again by their digest; pure.
+
+A request may end each upstream that begins to run it. Its caller sends it again, under
+a new id and to any process that forwards, so what is known of it is kept by digest
+(caller, method, place and body) and told to all who send or place requests.
+
+    record = Record()
+    record.note_end("d1", "upstream-4", now)
+    record.judge("d1", now)
+
+An end is the start of an upstream that ended while the request ran there; the same
+start counts once, whoever tells of it. An upstream takes all of its requests with it,
+most of which did nothing, and upstreams also end by themselves. So these speak for a
+request:
+
+- it got a whole answer: earlier ends no longer count, and for a minute it takes twice
+  as many new ones;
+- another request explains the end, as enough upstreams have ended under that one;
+- the upstream has not ended after all.
+"""
+
+import collections
+import enum
+import heapq
+from collections import abc
+
+from trestlestall.forwarding import crash_reports
+
+#: Why a request is not sent.
+HARMFUL = "upstreams ended while they ran this request"
+#: Ends after which a request is not sent any more: the users' bound.
+ENDS_LIMIT = 3
+#: The same within ``ANSWERED_SECONDS`` of a whole answer. A request that many callers
+#: send alike is at several upstreams at once, and one cause may end several of these.
+ANSWERED_ENDS_LIMIT = 6
+ANSWERED_SECONDS = 60.0
+#: Seconds after the last end until one more send is tried, by how many ends there were
+#: beyond the limit. So a request that was blamed wrongly, or that upstreams learned to
+#: bear, is served again, and another one ends two more upstreams in a day.
+HELD_SECONDS = (600.0, 3600.0, 86_400.0)
+#: Seconds after a request was found harmful until it explains its ends. All have told
+#: of an end by then, so that of two requests that ran together both are held.
+SETTLED_SECONDS = 0.5
+#: Seconds for which ends that are too few are kept.
+FORGET_SECONDS = 600.0
+#: Seconds by which an answer must be later than the known one to be told on: more than
+#: words take on their way, which make it look later.
+ANSWER_STEP_SECONDS = 1.0
+#: The most digests with ends, digests with answers, and starts that are kept. An
+#: upstream that ends adds as many digests as ran there: 64 such ends fill the first.
+DIGESTS_LIMIT = 4096
+ANSWERS_LIMIT = 4096
+STARTS_LIMIT = 1024
+#: Digests that are dropped at once where there is no room, so that one crash of a flood
+#: costs one look at all of them.
+DROPPED_AT_ONCE = 128
+
+
+class Verdict(enum.Enum):
+    """What the ends under a request say of it."""
+
+    HARMLESS = enum.auto()
+    #: One more end makes it harmful.
+    DOUBTFUL = enum.auto()
+    #: It must not be sent.
+    HARMFUL = enum.auto()
+
+
+class Latest(collections.OrderedDict):
+    """A mapping that keeps the keys that were set last, at most ``limit`` of them."""
+
+    def __init__(self, limit: int) -> None:
+        super().__init__()
+        self._limit = limit
+
+    def __setitem__(self, key: str, value: object) -> None:
+        """Set a key, and drop the one that was set longest ago if there is no room."""
+        super().__setitem__(key, value)
+        self.move_to_end(key)
+        if len(self) > self._limit:
+            self.popitem(last=False)
+
+
+class Record:
+    """Ends, answers and verdicts by digest; times are of one process's clock."""
+
+    def __init__(self) -> None:
+        self._ends: dict[str, dict[str, float]] = {}
+        self._answered = Latest(ANSWERS_LIMIT)
+        self._ended_at = Latest(STARTS_LIMIT)
+        self._alive = Latest(STARTS_LIMIT)
+        self._explained = Latest(STARTS_LIMIT)
+        #: When a digest was found harmful, until it explains its ends.
+        self._unsettled: dict[str, float] = {}
+
+    def __len__(self) -> int:
+        """Return how many digests are kept with ends."""
+        return len(self._ends)
+
+    # What is noted.
+
+    def note_end(self, digest: str, start: str, at: float) -> bool:
+        """Note that a start ended while the request ran there; return whether new."""
+        self._settle(at)
+        if start in self._alive or self._explained.get(start, digest) != digest:
+            return False
+        ends = self._ends.get(digest, {})
+        if start in ends or at <= self._answered.get(digest, float("-inf")):
+            return False
+        if not ends:
+            self._make_room(at)
+        ends = self._ends.setdefault(digest, {})
+        ends[start] = at
+        self._ended_at.setdefault(start, at)
+        if len(ends) == self._find_limit(digest):
+            self._unsettled[digest] = at
+        return True
+
+    def note_answer(self, digest: str, at: float) -> bool:
+        """Note a whole answer; return whether others must know."""
+        known = self._answered.get(digest, float("-inf"))
+        self._answered[digest] = max(at, known)
+        ends = dict(self._ends.get(digest, {}))
+        for start, ended_at in ends.items():
+            if ended_at <= at:
+                self._drop_end(digest, start)
+        return bool(ends) and at > known + ANSWER_STEP_SECONDS
+
+    def note_success(self, start: str, sent_at: float) -> bool:
+        """Note that a start answered what was sent to it; return whether others must
+        know that it has not ended."""
+        if sent_at <= self._ended_at.get(start, float("inf")):
+            return False
+        return self.note_alive(start)
+
+    def note_alive(self, start: str) -> bool:
+        """Note that a start has not ended after all; return whether that is new."""
+        if start in self._alive:
+            return False
+        self._alive[start] = None
+        self._ended_at.pop(start, None)
+        for digest in [one for one, ends in self._ends.items() if start in ends]:
+            self._drop_end(digest, start)
+        return True
+
+    # What is asked.
+
+    def judge(self, digest: str, now: float) -> Verdict:
+        """Return what is known of a request."""
+        ends = self._ends.get(digest)
+        if ends is None:
+            return Verdict.HARMLESS
+        limit = self._find_limit(digest)
+        if len(ends) < limit:
+            return Verdict.DOUBTFUL if len(ends) == limit - 1 else Verdict.HARMLESS
+        beyond = min(len(ends) - limit, len(HELD_SECONDS) - 1)
+        held_until = max(ends.values()) + HELD_SECONDS[beyond]
+        return Verdict.HARMFUL if now < held_until else Verdict.DOUBTFUL
+
+    def list_ends(self, digest: str, now: float) -> list[tuple[str, float]]:
+        """Return the starts that ended under a request, and how long ago each did."""
+        ends = self._ends.get(digest, {})
+        return [(start, round(max(0.0, now - at), 3)) for start, at in ends.items()]
+
+    # What records tell each other.
+
+    def report(
+        self, now: float, digests: abc.Iterable[str] | None = None
+    ) -> crash_reports.Report:
+        """Return what is known of these requests, or all that others must know."""
+        wanted = tuple(self._ends if digests is None else digests)
+        ends = tuple(
+            (digest, *end) for digest in wanted for end in self.list_ends(digest, now)
+        )
+        alive = tuple(self._alive) if digests is None else ()
+        return crash_reports.Report(ends, self._list_answers(wanted, now), alive)
+
+    def _list_answers(
+        self, digests: abc.Iterable[str], now: float
+    ) -> tuple[tuple[str, float], ...]:
+        return tuple(
+            (digest, round(max(0.0, now - self._answered[digest]), 3))
+            for digest in digests
+            if digest in self._answered
+        )
+
+    def list_harmful(self, now: float) -> list[str]:
+        """Return the digests of the requests that must not be sent."""
+        return [one for one in self._ends if self.judge(one, now) is Verdict.HARMFUL]
+
+    def take(self, told: crash_reports.Report, now: float) -> crash_reports.Report:
+        """Take in what another record told; return what others must know of it."""
+        alive = tuple(start for start in told.alive if self.note_alive(start))
+        # Answers first: one that came before an end counts for it.
+        answered = {
+            digest
+            for digest, age in told.answers
+            if self.note_answer(digest, now - age)
+        }
+        ends = tuple(end for end in told.ends if self.note_end(*end[:2], now - end[2]))
+        answered.update(digest for digest, _, _ in ends)
+        answers = self._list_answers(sorted(answered), now)
+        return crash_reports.Report(ends, answers, alive)
+
+    # Parts.
+
+    def _find_limit(self, digest: str) -> int:
+        """Return how many ends make the request harmful."""
+        answered_at = self._answered.get(digest)
+        ends = self._ends.get(digest)
+        if answered_at is None or not ends:
+            return ENDS_LIMIT
+        lately = min(ends.values()) - answered_at <= ANSWERED_SECONDS
+        return ANSWERED_ENDS_LIMIT if lately else ENDS_LIMIT
+
+    def _drop_end(self, digest: str, start: str) -> None:
+        ends = self._ends[digest]
+        del ends[start]
+        if len(ends) < self._find_limit(digest):
+            self._unsettled.pop(digest, None)
+        if not ends:
+            del self._ends[digest]
+
+    def _settle(self, now: float) -> None:
+        """Let harmful requests explain their ends to those that ran beside them."""
+        due = [
+            digest
+            for digest, at in self._unsettled.items()
+            if now - at >= SETTLED_SECONDS
+        ]
+        for digest in due:
+            del self._unsettled[digest]
+            for start in self._ends[digest]:
+                self._explained[start] = digest
+                self._excuse_others(start, digest)
+
+    def _excuse_others(self, start: str, harmful: str) -> None:
+        others = [
+            digest
+            for digest, ends in self._ends.items()
+            if start in ends
+            and digest != harmful
+            and len(ends) < self._find_limit(digest)
+        ]
+        for digest in others:
+            self._drop_end(digest, start)
+
+    def _make_room(self, now: float) -> None:
+        """Forget ends that are old and too few, else those of the weakest digests."""
+        if len(self._ends) < DIGESTS_LIMIT:
+            return
+        due = [
+            digest
+            for digest, ends in self._ends.items()
+            if len(ends) < ENDS_LIMIT and now - max(ends.values()) > FORGET_SECONDS
+        ]
+        if not due:
+            due = heapq.nsmallest(DROPPED_AT_ONCE, self._ends, self._find_strength)
+        for digest in due:
+            del self._ends[digest]
+            self._unsettled.pop(digest, None)
+
+    def _find_strength(self, digest: str) -> tuple[int, float]:
+        """Return what is kept longest: many ends, then late ones."""
+        ends = self._ends[digest]
+        return len(ends), max(ends.values())
--- a/packages/forwarding/src/trestlestall/forwarding/descriptors.py
+++ b/packages/forwarding/src/trestlestall/forwarding/descriptors.py
@@ -21,7 +21,8 @@
     generated, ``parts`` the prompt in order: an engine that holds the first parts need
     not read them again. ``may_return`` tells that the caller has all its time left, so
     that a refusal leaves it time to come back. ``may_repeat`` tells that another
-    upstream may run it, or go on with it, after a failure.
+    upstream may run it, or go on with it, after a failure. ``digest`` is the same for
+    all attempts of one request (``crashes``).
     """
 
     request_id: str
@@ -38,6 +39,7 @@
     data_centre: str = ""
     may_return: bool = False
     may_repeat: bool = False
+    digest: str = ""
 
     @property
     def expected_tokens_out(self) -> int:
--- a/packages/forwarding/src/trestlestall/forwarding/placement.py
+++ b/packages/forwarding/src/trestlestall/forwarding/placement.py
@@ -63,6 +63,10 @@
 RETURN_SECONDS = 1.0
 
 
+#: The source of a choice that a process made by what it knows itself.
+OWN = "own"
+
+
 @dataclasses.dataclass(frozen=True)
 class Placed:
     """Send the request there; ``source`` is who chose.
@@ -74,7 +78,7 @@
     unread: int
     predicted: float
     taken: int
-    source: str = "own"
+    source: str = OWN
 
 
 @dataclasses.dataclass(frozen=True)
--- /dev/null
+++ b/packages/forwarding/tests/test_crashes.py
@@ -0,0 +1,174 @@
+"""Which requests are held to have ended upstreams, and what speaks for them."""
+
+import itertools
+import unittest
+
+from trestlestall.forwarding import crash_reports, crashes
+
+HARMLESS, DOUBTFUL, HARMFUL = crashes.Verdict
+
+
+class RecordCase(unittest.TestCase):
+    def setUp(self):
+        self.record = crashes.Record()
+
+    def note_ends(self, digest, *starts, at=0.0):
+        for start in starts:
+            self.record.note_end(digest, start, at)
+
+    def check(self, digest, verdict, now=1.0):
+        self.assertIs(self.record.judge(digest, now), verdict)
+
+
+class VerdictTest(RecordCase):
+    def test_it_is_held_after_three_ends(self):
+        for start, verdict in (("s1", HARMLESS), ("s2", DOUBTFUL), ("s3", HARMFUL)):
+            self.note_ends("d", start)
+            self.check("d", verdict)
+        self.check("other", HARMLESS)
+
+    def test_one_start_counts_once_whoever_tells_of_it(self):
+        self.note_ends("d", "s1", "s1", "s1", "s2")
+        self.check("d", DOUBTFUL)
+
+    def test_a_whole_answer_excuses_what_came_before_it(self):
+        self.note_ends("d", "s1", "s2", "s3")
+        self.assertTrue(self.record.note_answer("d", 5.0))
+        self.check("d", HARMLESS, 5.0)
+        self.note_ends("d", "s4", "s5", "s6", at=100.0)
+        self.check("d", HARMFUL, 100.0)
+
+    def test_one_that_was_answered_lately_takes_twice_as_many(self):
+        self.record.note_answer("d", 0.0)
+        self.note_ends("d", *"abcde", at=2.0)
+        self.check("d", DOUBTFUL, 2.0)
+        self.note_ends("d", "f", at=2.0)
+        self.check("d", HARMFUL, 2.0)
+
+    def test_an_upstream_that_answers_later_has_not_ended(self):
+        self.note_ends("d", "s1", "s2", "s3", at=10.0)
+        self.assertFalse(self.record.note_success("s2", 9.9))
+        self.check("d", HARMFUL, 11.0)
+        self.assertTrue(self.record.note_success("s2", 10.1))
+        self.check("d", DOUBTFUL, 11.0)
+        self.note_ends("d", "s2", at=12.0)
+        self.check("d", DOUBTFUL, 12.0)
+
+    def test_it_is_tried_again_after_a_while_and_then_held_for_longer(self):
+        self.note_ends("d", "s1", "s2", "s3", at=0.0)
+        self.check("d", HARMFUL, 599.0)
+        self.check("d", DOUBTFUL, 601.0)
+        self.note_ends("d", "s4", at=602.0)
+        self.check("d", HARMFUL, 602.0 + 3599.0)
+        self.check("d", DOUBTFUL, 602.0 + 3601.0)
+
+
+class ExplainedTest(RecordCase):
+    def test_what_ran_beside_a_harmful_one_is_excused(self):
+        self.note_ends("d", "s1", "s2", "s3", at=0.0)
+        self.note_ends("beside", "s1", "s2", at=0.0)
+        self.note_ends("beside", "s9", at=1.0)
+        self.check("beside", HARMLESS)
+        self.assertFalse(self.record.note_end("late", "s3", 1.1))
+
+    def test_of_two_that_always_ran_together_both_are_held(self):
+        for start in ("s1", "s2", "s3"):
+            self.note_ends("one", start, at=0.0)
+            self.note_ends("two", start, at=0.3)
+        self.note_ends("x", "s9", at=1.0)
+        self.check("one", HARMFUL)
+        self.check("two", HARMFUL)
+
+
+class BoundsTest(RecordCase):
+    def test_a_flood_of_digests_drops_none_that_is_held(self):
+        self.note_ends("d", "s1", "s2", "s3")
+        for number in range(2 * crashes.DIGESTS_LIMIT):
+            self.note_ends(f"d{number}", f"s{number}", at=1.0)
+        self.assertLessEqual(len(self.record), crashes.DIGESTS_LIMIT)
+        self.check("d", HARMFUL)
+
+    def test_old_ends_that_are_too_few_are_forgotten_for_room(self):
+        for number in range(crashes.DIGESTS_LIMIT):
+            self.note_ends(f"d{number}", "s1", at=0.0)
+        self.note_ends("new", "s2", at=crashes.FORGET_SECONDS + 1.0)
+        self.assertEqual(len(self.record), 1)
+
+    def test_answers_and_starts_are_bounded(self):
+        for number in range(2 * crashes.ANSWERS_LIMIT):
+            self.record.note_answer(f"d{number}", 0.0)
+            self.record.note_alive(f"s{number}")
+        told = self.record.report(0.0)
+        self.assertEqual(len(told.alive), crashes.STARTS_LIMIT)
+
+
+class ReportTest(RecordCase):
+    def test_records_agree_in_any_order_and_however_often(self):
+        told = [
+            crash_reports.Report(ends=(("d", "s1", 0.3),)),
+            crash_reports.Report(ends=(("d", "s2", 0.2), ("e", "s2", 0.2))),
+            crash_reports.Report(ends=(("d", "s3", 0.1),)),
+            crash_reports.Report(alive=("s4",)),
+            crash_reports.Report(ends=(("e", "s4", 0.1), ("e", "s5", 0.1))),
+        ]
+        found = set()
+        for order in itertools.permutations(told):
+            record = crashes.Record()
+            for one in (*order, *order):
+                record.take(one, 1.0)
+            verdicts = record.judge("d", 1.0), record.judge("e", 1.0)
+            found.add(verdicts)
+        self.assertEqual(found, {(HARMFUL, DOUBTFUL)})
+
+    def test_only_what_is_new_is_told_on(self):
+        told = crash_reports.Report(ends=(("d", "s1", 0.0),), alive=("s2",))
+        self.assertEqual(self.record.take(told, 1.0), told)
+        self.assertFalse(self.record.take(told, 1.1))
+
+    def test_an_answer_that_is_known_here_goes_with_an_end(self):
+        self.record.note_answer("d", 0.0)
+        told = crash_reports.Report(ends=(("d", "s1", 0.0),))
+        self.assertEqual(self.record.take(told, 5.0).answers, (("d", 5.0),))
+
+    def test_answers_do_not_go_round(self):
+        other = crashes.Record()
+        ends = crash_reports.Report(ends=tuple(("d", s, 0.0) for s in "abc"))
+        for record in (self.record, other):
+            record.take(ends, 0.0)
+        self.record.note_answer("d", 10.0)
+        told = crash_reports.Report(answers=(("d", 0.0),))
+        self.assertTrue(other.take(told, 10.01))
+        self.assertFalse(self.record.take(told, 10.02))
+
+    def test_all_that_is_held_is_told_to_a_new_record(self):
+        self.note_ends("d", "s1", "s2", "s3", at=0.0)
+        self.note_ends("e", "s1", at=0.0)
+        self.record.note_alive("s7")
+        other = crashes.Record()
+        other.take(self.record.report(2.0), 50.0)
+        self.assertIs(other.judge("d", 50.0), HARMFUL)
+        self.assertEqual(other.list_ends("e", 50.0), [("s1", 2.0)])
+        few = self.record.report(2.0, self.record.list_harmful(2.0))
+        self.assertEqual({digest for digest, _, _ in few.ends}, {"d"})
+
+    def test_what_can_not_be_so_is_refused(self):
+        good = ((("d", "s", 1.0),), (("d", 1.0),), ("s",))
+        self.assertTrue(crash_reports.decode_report(*good))
+        for place, bad in (
+            (0, (("d", "s", -1.0),)),
+            (0, (("d", "s", float("nan")),)),
+            (0, (("", "s", 1.0),)),
+            (0, (("d" * 65, "s", 1.0),)),
+            (0, (("d", 3, 1.0),)),
+            (0, (("d", "s"),)),
+            (0, 3),
+            (1, (("d", True),)),
+            (1, (("d", "x"),)),
+            (2, (None,)),
+        ):
+            with self.assertRaises(ValueError):
+                crash_reports.decode_report(*good[:place], bad, *good[place + 1 :])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/wire/src/trestlestall/wire/messages.py
+++ b/packages/wire/src/trestlestall/wire/messages.py
@@ -316,6 +316,19 @@
     granted: int
 
 
+@registry.register("crashed")
+@dataclasses.dataclass(frozen=True)
+class Crashed:
+    """Upstreams that ended while requests ran there, and what speaks for these.
+
+    The fields are those of ``crash_reports.Report`` of the forwarding package.
+    """
+
+    ends: tuple[typing.Any, ...]
+    answers: tuple[typing.Any, ...] = ()
+    alive: tuple[typing.Any, ...] = ()
+
+
 @registry.register("replaced")
 @dataclasses.dataclass(frozen=True)
 class Replaced:
--- a/tests/fragile.py
+++ b/tests/fragile.py
@@ -84,6 +84,8 @@
             return
         self.ended.set()
         self.fleet.ends.append((time.monotonic(), self.identity))
+        # A close alone takes effect only once the thread that polls the socket wakes.
+        self.server.socket.shutdown(socket.SHUT_RDWR)
         self.server.socket.close()
         for connection in list(self.connections):
             with contextlib.suppress(OSError):
