--- a/packages/daemon/src/trestlestall/daemon/directory/arbitration.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/arbitration.py
@@ -151,7 +151,7 @@
         verdict: budgets.Verdict,
     ) -> placement.Placed | placement.Refused:
         """Choose an upstream; count a repeated send once it has one."""
-        if self._harm.is_harmful(descriptor.digest):
+        if self._is_held(descriptor.digest):
             return placement.Refused(crashes.HARMFUL, 0.0)
         if verdict is budgets.Verdict.DENIED:
             return placement.Refused(budgets.EXHAUSTED, placement.RETURN_SECONDS)
@@ -160,6 +160,20 @@
             self._repeats.note_repeat(descriptor.service)
         return found
 
+    def _is_held(self, digest: str) -> bool:
+        """Return whether a request is not sent for what it does to upstreams.
+
+        On trial one send of it is under way at a time.
+        """
+        verdict = self._harm.judge(digest)
+        if verdict is not crashes.Verdict.ON_TRIAL:
+            return verdict is crashes.Verdict.HARMFUL
+        return any(
+            owned.digest == digest
+            for requests in self._owned.values()
+            for owned in requests.values()
+        )
+
     def take_note(self, gateway: str, note: messages.PlaceNote) -> None:
         """Learn what became of a request."""
         now = self._clock()
--- a/packages/daemon/src/trestlestall/daemon/directory/harm.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/harm.py
@@ -32,9 +32,9 @@
         self._news: list[crash_reports.Report] = []
         self._held: set[str] = set()
 
-    def is_harmful(self, digest: str) -> bool:
-        """Return whether the request must not be sent."""
-        return self.record.judge(digest, self._clock()) is crashes.Verdict.HARMFUL
+    def judge(self, digest: str) -> crashes.Verdict:
+        """Return what the ends under a request say of it."""
+        return self.record.judge(digest, self._clock())
 
     def take(self, peer: str, message: messages.Crashed) -> None:
         """Take in what a gateway or another directory tells."""
--- a/packages/daemon/src/trestlestall/daemon/gateway/knowledge.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/knowledge.py
@@ -48,9 +48,9 @@
             return model.DEFAULT_LIMITS
         return self.directory.configuration.limits
 
-    def is_harmful(self, digest: str) -> bool:
-        """Return whether the request must not be sent, as far as is known here."""
-        return self.crashes.judge(digest, self.clock()) is crashes.Verdict.HARMFUL
+    def judge(self, digest: str) -> crashes.Verdict:
+        """Return what the ends under a request say of it, as far as is known here."""
+        return self.crashes.judge(digest, self.clock())
 
     def count_held(self) -> int:
         """Return how many requests are not sent, as upstreams ended under them."""
--- a/packages/daemon/src/trestlestall/daemon/gateway/placing.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/placing.py
@@ -107,7 +107,8 @@
         ``purpose`` is one of ``notes``: a repeated send needs one that is left in the
         budget, which the arbiter keeps for all gateways.
         """
-        if self._knowledge.is_harmful(descriptor.digest):
+        verdict = self._knowledge.judge(descriptor.digest)
+        if verdict is crashes.Verdict.HARMFUL:
             return placement.Refused(crashes.HARMFUL, 0.0)
         answer = self._ask(descriptor, tried, purpose)
         if answer is not None and answer.reason in FINAL_REASONS:
@@ -115,6 +116,9 @@
             return placement.Refused(answer.reason, answer.return_seconds, source)
         if answer is None or not answer.upstream:
             # Without an answer, or with none but upstreams that can't be connected to.
+            if verdict is crashes.Verdict.ON_TRIAL:
+                # Others may be trying it as well.
+                return placement.Refused(crashes.HARMFUL, 0.0)
             if purpose == notes.REPEAT and not self._may_repeat_alone(descriptor):
                 return placement.Refused(budgets.EXHAUSTED, placement.RETURN_SECONDS)
             return self._choose(descriptor, tried)
--- a/packages/forwarding/src/trestlestall/forwarding/crashes.py
+++ b/packages/forwarding/src/trestlestall/forwarding/crashes.py
@@ -13,8 +13,8 @@
 most of which did nothing, and upstreams also end by themselves. So these speak for a
 request:
 
-- it got a whole answer: earlier ends no longer count, and for a minute it takes twice
-  as many new ones;
+- it got a whole answer: earlier ends no longer count, and for a minute it takes more
+  new ones, and these at several times;
 - another request explains the end, as enough upstreams have ended under that one;
 - the upstream has not ended after all.
 """
@@ -22,6 +22,7 @@
 import collections
 import enum
 import heapq
+import math
 from collections import abc
 
 from trestlestall.forwarding import crash_reports
@@ -30,14 +31,19 @@
 HARMFUL = "upstreams ended while they ran this request"
 #: Ends after which a request is not sent any more: the users' bound.
 ENDS_LIMIT = 3
-#: The same within ``ANSWERED_SECONDS`` of a whole answer. A request that many callers
-#: send alike is at several upstreams at once, and one cause may end several of these.
+#: The same within ``ANSWERED_SECONDS`` of a whole answer, and at how many times, each
+#: ``APART_SECONDS`` after the one before. A request that many callers send alike is at
+#: all upstreams at once, and one cause may end any number of these.
 ANSWERED_ENDS_LIMIT = 6
+ANSWERED_TIMES_LIMIT = 3
 ANSWERED_SECONDS = 60.0
+APART_SECONDS = 1.0
 #: Seconds after the last end until one more send is tried, by how many ends there were
 #: beyond the limit. So a request that was blamed wrongly, or that upstreams learned to
 #: bear, is served again, and another one ends two more upstreams in a day.
 HELD_SECONDS = (600.0, 3600.0, 86_400.0)
+#: The same while all ends came at one time, which a common cause may have had.
+HELD_AT_FIRST_SECONDS = 10.0
 #: Seconds after a request was found harmful until it explains its ends. All have told
 #: of an end by then, so that of two requests that ran together both are held.
 SETTLED_SECONDS = 0.5
@@ -64,6 +70,8 @@
     DOUBTFUL = enum.auto()
     #: It must not be sent.
     HARMFUL = enum.auto()
+    #: It was held for its time: one send may show whether it still ends upstreams.
+    ON_TRIAL = enum.auto()
 
 
 class Latest(collections.OrderedDict):
@@ -120,11 +128,13 @@
         """Note a whole answer; return whether others must know."""
         known = self._answered.get(digest, float("-inf"))
         self._answered[digest] = max(at, known)
-        ends = dict(self._ends.get(digest, {}))
-        for start, ended_at in ends.items():
-            if ended_at <= at:
-                self._drop_end(digest, start)
-        return bool(ends) and at > known + ANSWER_STEP_SECONDS
+        ends = self._ends.get(digest)
+        if ends is None:
+            return False
+        excused = [start for start, ended_at in ends.items() if ended_at <= at]
+        for start in excused:
+            self._drop_end(digest, start)
+        return bool(excused) or at > known + ANSWER_STEP_SECONDS
 
     def note_success(self, start: str, sent_at: float) -> bool:
         """Note that a start answered what was sent to it; return whether others must
@@ -150,12 +160,17 @@
         ends = self._ends.get(digest)
         if ends is None:
             return Verdict.HARMLESS
-        limit = self._find_limit(digest)
-        if len(ends) < limit:
-            return Verdict.DOUBTFUL if len(ends) == limit - 1 else Verdict.HARMLESS
-        beyond = min(len(ends) - limit, len(HELD_SECONDS) - 1)
-        held_until = max(ends.values()) + HELD_SECONDS[beyond]
-        return Verdict.HARMFUL if now < held_until else Verdict.DOUBTFUL
+        beyond = len(ends) - self._find_limit(digest)
+        if beyond < 0:
+            return Verdict.DOUBTFUL if beyond == -1 else Verdict.HARMLESS
+        times = count_times(ends.values())
+        if self._was_answered(digest) and times < ANSWERED_TIMES_LIMIT:
+            return Verdict.DOUBTFUL
+        seconds = HELD_SECONDS[min(beyond, len(HELD_SECONDS) - 1)]
+        if times == 1:
+            seconds = HELD_AT_FIRST_SECONDS
+        held_until = max(ends.values()) + seconds
+        return Verdict.HARMFUL if now < held_until else Verdict.ON_TRIAL
 
     def list_ends(self, digest: str, now: float) -> list[tuple[str, float]]:
         """Return the starts that ended under a request, and how long ago each did."""
@@ -206,12 +221,15 @@
 
     def _find_limit(self, digest: str) -> int:
         """Return how many ends make the request harmful."""
+        return ANSWERED_ENDS_LIMIT if self._was_answered(digest) else ENDS_LIMIT
+
+    def _was_answered(self, digest: str) -> bool:
+        """Return whether it got a whole answer shortly before its first end."""
         answered_at = self._answered.get(digest)
         ends = self._ends.get(digest)
         if answered_at is None or not ends:
-            return ENDS_LIMIT
-        lately = min(ends.values()) - answered_at <= ANSWERED_SECONDS
-        return ANSWERED_ENDS_LIMIT if lately else ENDS_LIMIT
+            return False
+        return min(ends.values()) - answered_at <= ANSWERED_SECONDS
 
     def _drop_end(self, digest: str, start: str) -> None:
         ends = self._ends[digest]
@@ -264,3 +282,16 @@
         """Return what is kept longest: many ends, then late ones."""
         ends = self._ends[digest]
         return len(ends), max(ends.values())
+
+
+def count_times(moments: abc.Iterable[float]) -> int:
+    """Return how many times these are that lie apart.
+
+    >>> count_times([5.0, 5.4, 7.0, 7.9, 8.1])
+    3
+    """
+    counted, latest = 0, -math.inf
+    for moment in sorted(moments):
+        if moment - latest >= APART_SECONDS:
+            counted, latest = counted + 1, moment
+    return counted
