Tell ends apart by successors too; one that was alive may end later; soak and schedules

Another one met a KeyError where of two requests that were to explain their ends the first excused the second; one that turns out to have been answered explains nothing now.

An upstream behind something that keeps its address open refuses no connection: its end is known by the start that takes its place within 6 s without having announced that it leaves (our own soak's relays are such).

--- a/packages/client/src/trestlestall/client/stories.py
+++ b/packages/client/src/trestlestall/client/stories.py
@@ -2,8 +2,9 @@
 
 The lines that carry the request's id come first. Beside them stand those in which the
 same process changed what it believed of an upstream that the request was sent to,
-shortly before or while it ran. Lines that can't be read are counted and passed over:
-logs end in the middle of a line when a host does.
+shortly before or while it ran, and what any process found of requests with its digest,
+which all attempts of one request share. Lines that can't be read are counted and passed
+over: logs end in the middle of a line when a host does.
 """
 
 import dataclasses
@@ -75,7 +76,12 @@
 
 def bears_on(line: Line, own: abc.Sequence[Line]) -> bool:
     """Return whether the line is a change of belief that the request met."""
-    if "request" in line.fields or "upstream" not in line.fields:
+    if "request" in line.fields:
+        return False
+    if "digest" in line.fields:
+        digests = {each.fields.get("digest") for each in own}
+        return line.fields["digest"] in digests
+    if "upstream" not in line.fields:
         return False
     upstreams = {each.fields.get("upstream") for each in own}
     processes = {each.process for each in own}
--- a/packages/client/tests/test_stories.py
+++ b/packages/client/tests/test_stories.py
@@ -28,6 +28,12 @@
         make_line(10.2, "gateway-1", "forward_sent", request="r2", upstream="u1"),
         '{"event": "TS7002", "at": "2026-01-01T0',
     ],
+    "three.log": [
+        make_line(8.0, "gateway-2", "forward_sent", request="r3", digest="d1"),
+        make_line(9.0, "directory-1", "request_found_harmful", digest="d1"),
+        make_line(9.0, "directory-1", "request_found_harmful", digest="d2"),
+        make_line(10.0, "gateway-1", "request_held", request="r4", digest="d1"),
+    ],
     "two.log": [
         "plain text",
         make_line(10.1, "gateway-2", "upstream_row", upstream="u1", state="gone"),
@@ -46,6 +52,11 @@
             path.write_text("\n".join(lines))
             self.paths.append(path)
 
+    def test_what_was_found_of_other_attempts_of_the_request(self):
+        story = stories.tell("r4", self.paths)
+        names = [line.name for line in story.lines]
+        self.assertEqual(names, ["request_found_harmful", "request_held"])
+
     def test_what_bears_on_the_request_in_the_order_of_time(self):
         story = stories.tell("r1", self.paths)
         names = [(line.process, line.name) for line in story.lines]
--- a/packages/daemon/src/trestlestall/daemon/directory/harm.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/harm.py
@@ -54,7 +54,8 @@
         if self.record.note_answer(digest, now):
             self._note_news(crash_reports.Report(answers=((digest, 0.0),)))
         if self.record.note_success(start, sent_at):
-            self._note_news(crash_reports.Report(alive=(start,)))
+            alive = (start, max(0.0, now - sent_at))
+            self._note_news(crash_reports.Report(alive=(alive,)))
 
     def greet(self, peer: str) -> None:
         """Tell a process that was just linked."""
--- a/packages/daemon/src/trestlestall/daemon/events/forwarding.py
+++ b/packages/daemon/src/trestlestall/daemon/events/forwarding.py
@@ -96,10 +96,11 @@
     "TS7014",
     "upstream_ended",
     catalogue.Level.WARNING,
-    "upstream address broken seconds",
-    "An upstream closed connections while requests ran there, and refuses new ones:"
-    " its process has ended. broken counts the requests from this gateway that broke"
-    " off until that was known, seconds after the first of them.",
+    "upstream address broken blamed seconds",
+    "An upstream closed connections while requests ran there, and refuses new ones or"
+    " another start took its place: its process has ended. broken counts the requests"
+    " from this gateway that broke off, blamed those that the end is held against (none"
+    " if it had announced that it leaves), seconds since the first of them.",
     "forward_repeated of this upstream has the digests of what ran there; one that"
     " several upstreams that ended have in common is what to look at.",
 )
--- a/packages/daemon/src/trestlestall/daemon/gateway/endings.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/endings.py
@@ -1,8 +1,9 @@
 """Upstreams that ended while requests ran there, and requests that are held for it.
 
 A connection also ends with a reset, a release or a spoiled answer, and a host that is
-cut off answers nothing. A process that has ended is told from these by its host: it
-refuses connections at once.
+cut off answers nothing. A process that has ended is told from these by its host, which
+refuses connections at once; or, where something else holds the address, by another
+start that takes its place soon after, although it had not announced that it leaves.
 """
 
 import errno
@@ -23,18 +24,32 @@
 
 #: Seconds within which a host answers a connection: many round trips of a region.
 REFUSAL_SECONDS = 0.1
+#: Seconds within which another start takes the place of one that ended, and between two
+#: looks. Upstreams that ended were back after 3 to 4 s.
+REPLACED_SECONDS = 6.0
+LOOK_SECONDS = 0.1
 ENDED = "ended while requests ran there"
 
 Tell = abc.Callable[[messages.Crashed], object]
 
 
 class Doubt:
-    """An upstream that closed connections, and the requests that ran there."""
+    """An upstream that closed connections; ``broken`` is when, by digest."""
 
-    def __init__(self, started: float) -> None:
-        self.started = started
-        self.digests: list[str] = []
-        self.cleared = eventlet.event.Event()
+    def __init__(self, row: upstreams.Row) -> None:
+        self.row = row
+        self.broken: dict[str, float] = {}
+        self.count = 0
+        self.refused = eventlet.event.Event()
+
+    def add(self, digest: str, now: float) -> None:
+        """Add a request that ran there."""
+        self.broken[digest] = now
+        self.count += 1
+
+    def list_since(self, moment: float) -> list[str]:
+        """Return the requests that broke off since then."""
+        return [digest for digest, at in self.broken.items() if at >= moment]
 
 
 class Endings:
@@ -50,26 +65,25 @@
         self._knowledge = knowledge
         self._reaching = reach
         self._metrics = metrics
-        self._doubts: dict[str, Doubt] = {}
+        self._asked: dict[str, Doubt] = {}
+        self._watched: dict[str, Doubt] = {}
 
     def note_broken(self, row: upstreams.Row, digest: str) -> bool:
-        """Return whether an upstream that closed a connection has ended.
+        """Return whether an upstream that closed a connection surely has ended.
 
-        Returns once that is known, so that the request's next send can be judged by it:
-        after a round trip, at the latest after ``REFUSAL_SECONDS``.
+        Returns once its host was asked, so that the request's next send can be judged
+        by it: after a round trip, at the latest after ``REFUSAL_SECONDS``.
         """
-        doubt = self._doubts.get(row.identity)
+        doubt = self._asked.get(row.identity)
         if doubt is None:
-            doubt = self._doubts[row.identity] = Doubt(self._knowledge.clock())
-            eventlet.spawn(self._look, row, doubt)
-        doubt.digests.append(digest)
-        return doubt.cleared.wait()
+            doubt = self._asked[row.identity] = Doubt(row)
+            eventlet.spawn(self._ask_host, doubt)
+        doubt.add(digest, self._knowledge.clock())
+        return doubt.refused.wait()
 
     def note_answered(self, digest: str) -> None:
         """Note that a request got a whole answer."""
-        record = self._knowledge.crashes
-        now = self._knowledge.clock()
-        if record.note_answer(digest, now):
+        if self._knowledge.crashes.note_answer(digest, self._knowledge.clock()):
             self._tell(crash_reports.Report(answers=((digest, 0.0),)))
 
     def take(self, message: messages.Crashed) -> None:
@@ -81,40 +95,66 @@
         """Return all that is known here, for a directory that was just linked."""
         return encode(self._knowledge.crashes.report(self._knowledge.clock()))
 
-    def _look(self, row: upstreams.Row, doubt: Doubt) -> None:
-        ended = is_refused(row.address)
-        del self._doubts[row.identity]
-        if ended:
-            self._note_ended(row, doubt)
-        doubt.cleared.send(ended)
-
-    def _note_ended(self, row: upstreams.Row, doubt: Doubt) -> None:
-        now = self._knowledge.clock()
-        self._reaching.note_unreachable(row, ENDED)
+    # Finding out.
+
+    def _ask_host(self, doubt: Doubt) -> None:
+        row = doubt.row
+        refused = is_refused(row.address)
+        del self._asked[row.identity]
+        leaving = self._find_state(row) is not upstreams.State.SERVING
+        if refused:
+            self._reaching.note_unreachable(row, ENDED)
+            self._note_ended(doubt, () if leaving else doubt.broken)
+        doubt.refused.send(refused)
+        if not refused and not leaving:
+            self._watch(doubt)
+
+    def _watch(self, doubt: Doubt) -> None:
+        """Wait whether another start takes the upstream's place; one wait for each."""
+        watched = self._watched.get(doubt.row.identity)
+        if watched is not None:
+            watched.broken.update(doubt.broken)
+            return
+        self._watched[doubt.row.identity] = doubt
+        replaced = self._is_replaced(doubt)
+        del self._watched[doubt.row.identity]
+        if replaced:
+            latest = self._knowledge.clock() - REPLACED_SECONDS
+            self._note_ended(doubt, doubt.list_since(latest))
+
+    def _is_replaced(self, doubt: Doubt) -> bool:
+        """Return whether the upstream is gone, of a sudden, within its time."""
+        while self._knowledge.clock() < max(doubt.broken.values()) + REPLACED_SECONDS:
+            eventlet.sleep(LOOK_SECONDS)
+            state = self._find_state(doubt.row)
+            if state is not upstreams.State.SERVING:
+                return state is upstreams.State.GONE
+        return False
+
+    def _find_state(self, row: upstreams.Row) -> upstreams.State:
+        """Return the upstream's state; one whose place was taken is gone."""
+        known = self._knowledge.table.rows.get(row.identity)
+        return upstreams.State.GONE if known is None else known.state
+
+    # What follows.
+
+    def _note_ended(self, doubt: Doubt, blamed: abc.Collection[str]) -> None:
+        """Hold the end against the requests that ran there, and tell of it."""
+        row, now = doubt.row, self._knowledge.clock()
         self._metrics.ended_upstreams.inc()
         self._knowledge.log.write(
             events.forwarding.ENDED_UNDER,
             upstream=row.identity,
             address=row.address,
-            broken=len(doubt.digests),
-            seconds=round(now - doubt.started, 4),
+            broken=doubt.count,
+            blamed=len(blamed),
+            seconds=round(now - min(doubt.broken.values()), 4),
         )
-        if self._is_leaving(row):
-            return
         record = self._knowledge.crashes
-        fresh = [
-            digest
-            for digest in dict.fromkeys(doubt.digests)
-            if record.note_end(digest, row.identity, now)
-        ]
-        told = tuple((digest, row.identity, 0.0) for digest in fresh)
+        fresh = [one for one in blamed if record.note_end(one, row.identity, now)]
+        ends = tuple((digest, row.identity, 0.0) for digest in fresh)
         answers = record.report(now, fresh).answers
-        self._tell(crash_reports.Report(told, answers))
-
-    def _is_leaving(self, row: upstreams.Row) -> bool:
-        """Return whether the upstream announced its end: no request is to blame."""
-        known = self._knowledge.table.rows.get(row.identity, row)
-        return known.state is not upstreams.State.SERVING
+        self._tell(crash_reports.Report(ends, answers))
 
     def _tell(self, report: crash_reports.Report) -> None:
         if report:
--- a/packages/daemon/tests/test_gateway_crashes.py
+++ b/packages/daemon/tests/test_gateway_crashes.py
@@ -2,7 +2,10 @@
 
 import dataclasses
 
-from packages.daemon.tests import gateway_bench as bench
+from packages.daemon.tests import gateway_bench as bench  # isort: skip
+
+import eventlet
+
 from trestlestall.forwarding import crash_reports, upstreams
 
 UPSTREAMS = 7
@@ -100,6 +103,34 @@
         self.assertEqual(self.bench.list_lines("request_held"), [])
         self.assertGreaterEqual(len(self.bench.list_lines("upstream_ended")), 3)
 
+    def test_a_start_whose_place_is_taken_has_ended(self):
+        for number in range(3):
+            self.ask(number, CUT, path="/once/x")
+        self.assertEqual(self.bench.list_lines("upstream_ended"), [])
+        met = [one for one in self.fleet.values() if one.received]
+        for one in met:
+            gone = upstreams.end_row(one.row)
+            self.bench.gateway.knowledge.take_rows((gone,), "test")
+        ended = bench.wait_until(
+            lambda: len(self.bench.list_lines("upstream_ended")) == len(met)
+        )
+        self.assertTrue(ended)
+        self.assertEqual(len(met), 3)
+        self.assertEqual(self.ask(4, CUT, path="/once/x")[0], 502)
+        self.assertEqual(len(self.bench.list_lines("request_held")), 1)
+
+    def test_one_that_drains_before_it_goes_has_not_ended(self):
+        for number in range(3):
+            self.ask(number, CUT, path="/once/x")
+        for state in (upstreams.State.DRAINING, upstreams.State.GONE):
+            rows = [
+                dataclasses.replace(one.row, sequence=2, state=state)
+                for one in self.fleet.values()
+            ]
+            self.bench.gateway.knowledge.take_rows(rows, "test")
+            eventlet.sleep(0.15)
+        self.assertEqual(self.bench.list_lines("upstream_ended"), [])
+
     def test_directories_are_told_of_ends_and_answers(self):
         told = []
         self.bench.gateway.service.endings.tell = told.append
@@ -118,5 +149,5 @@
         ends = tuple((digest, f"s{number}", 6.0 - number) for number in range(6))
         record.take(crash_reports.Report(ends), now + 10.0)
         self.assertEqual(self.ask(2, b"good")[0], 502)
-        record.take(crash_reports.Report(alive=("s1",)), now)
+        record.take(crash_reports.Report(alive=(("s1", 0.0),)), now + 10.0)
         self.assertEqual(self.ask(3, b"good")[0], 200)
--- a/packages/forwarding/src/trestlestall/forwarding/crash_reports.py
+++ b/packages/forwarding/src/trestlestall/forwarding/crash_reports.py
@@ -18,12 +18,12 @@
 
     ``ends`` are digest, start and age of the upstreams that ended while a request ran
     there; ``answers`` are digest and age of whole answers; ``alive`` are starts that
-    were taken to have ended and have not.
+    were taken to have ended, and the age of the moment at which they had not.
     """
 
     ends: tuple[tuple[str, str, float], ...] = ()
     answers: tuple[tuple[str, float], ...] = ()
-    alive: tuple[str, ...] = ()
+    alive: tuple[tuple[str, float], ...] = ()
 
     def __bool__(self) -> bool:
         """Return whether anything is told."""
@@ -38,7 +38,7 @@
         found = Report(
             tuple((digest, start, age) for digest, start, age in ends),
             tuple((digest, age) for digest, age in answers),
-            tuple(alive),
+            tuple((start, age) for start, age in alive),
         )
     except (TypeError, ValueError) as error:
         raise ValueError("no report of ends") from error
@@ -49,8 +49,9 @@
     for digest, age in found.answers:
         check_name(digest, DIGEST_LENGTH)
         check_age(age)
-    for start in found.alive:
+    for start, age in found.alive:
         check_name(start, START_LENGTH)
+        check_age(age)
     return found
 
 
--- a/packages/forwarding/src/trestlestall/forwarding/crashes.py
+++ b/packages/forwarding/src/trestlestall/forwarding/crashes.py
@@ -49,9 +49,9 @@
 SETTLED_SECONDS = 0.5
 #: Seconds for which ends that are too few are kept.
 FORGET_SECONDS = 600.0
-#: Seconds by which an answer must be later than the known one to be told on: more than
-#: words take on their way, which make it look later.
-ANSWER_STEP_SECONDS = 1.0
+#: Seconds by which what speaks for a request must be later than the same that is known,
+#: to be told on: more than words take on their way, which make it look later.
+STEP_SECONDS = 1.0
 #: The most digests with ends, digests with answers, and starts that are kept. An
 #: upstream that ends adds as many digests as ran there: 64 such ends fill the first.
 DIGESTS_LIMIT = 4096
@@ -110,10 +110,13 @@
     def note_end(self, digest: str, start: str, at: float) -> bool:
         """Note that a start ended while the request ran there; return whether new."""
         self._settle(at)
-        if start in self._alive or self._explained.get(start, digest) != digest:
+        excused_at = max(
+            self._alive.get(start, -math.inf), self._answered.get(digest, -math.inf)
+        )
+        if at <= excused_at or self._explained.get(start, digest) != digest:
             return False
         ends = self._ends.get(digest, {})
-        if start in ends or at <= self._answered.get(digest, float("-inf")):
+        if start in ends:
             return False
         if not ends:
             self._make_room(at)
@@ -126,7 +129,7 @@
 
     def note_answer(self, digest: str, at: float) -> bool:
         """Note a whole answer; return whether others must know."""
-        known = self._answered.get(digest, float("-inf"))
+        known = self._answered.get(digest, -math.inf)
         self._answered[digest] = max(at, known)
         ends = self._ends.get(digest)
         if ends is None:
@@ -134,22 +137,28 @@
         excused = [start for start, ended_at in ends.items() if ended_at <= at]
         for start in excused:
             self._drop_end(digest, start)
-        return bool(excused) or at > known + ANSWER_STEP_SECONDS
+        return bool(excused) or at > known + STEP_SECONDS
 
     def note_success(self, start: str, sent_at: float) -> bool:
         """Note that a start answered what was sent to it; return whether others must
-        know that it has not ended."""
-        if sent_at <= self._ended_at.get(start, float("inf")):
+        know that it had not ended by then.
+        """
+        if sent_at <= self._ended_at.get(start, math.inf):
             return False
-        return self.note_alive(start)
+        return self.note_alive(start, sent_at)
 
-    def note_alive(self, start: str) -> bool:
-        """Note that a start has not ended after all; return whether that is new."""
-        if start in self._alive:
+    def note_alive(self, start: str, at: float) -> bool:
+        """Note that a start had not ended at a time; return whether that is new."""
+        if at <= self._alive.get(start, -math.inf) + STEP_SECONDS:
             return False
-        self._alive[start] = None
+        self._alive[start] = at
         self._ended_at.pop(start, None)
-        for digest in [one for one, ends in self._ends.items() if start in ends]:
+        excused = [
+            digest
+            for digest, ends in self._ends.items()
+            if ends.get(start, math.inf) <= at
+        ]
+        for digest in excused:
             self._drop_end(digest, start)
         return True
 
@@ -187,7 +196,7 @@
         ends = tuple(
             (digest, *end) for digest in wanted for end in self.list_ends(digest, now)
         )
-        alive = tuple(self._alive) if digests is None else ()
+        alive = self._list_alive(now) if digests is None else ()
         return crash_reports.Report(ends, self._list_answers(wanted, now), alive)
 
     def _list_answers(
@@ -199,13 +208,20 @@
             if digest in self._answered
         )
 
+    def _list_alive(self, now: float) -> tuple[tuple[str, float], ...]:
+        return tuple(
+            (one, round(max(0.0, now - at), 3)) for one, at in self._alive.items()
+        )
+
     def list_harmful(self, now: float) -> list[str]:
         """Return the digests of the requests that must not be sent."""
         return [one for one in self._ends if self.judge(one, now) is Verdict.HARMFUL]
 
     def take(self, told: crash_reports.Report, now: float) -> crash_reports.Report:
         """Take in what another record told; return what others must know of it."""
-        alive = tuple(start for start in told.alive if self.note_alive(start))
+        alive = tuple(
+            one for one in told.alive if self.note_alive(one[0], now - one[1])
+        )
         # Answers first: one that came before an end counts for it.
         answered = {
             digest
@@ -247,7 +263,10 @@
             if now - at >= SETTLED_SECONDS
         ]
         for digest in due:
-            del self._unsettled[digest]
+            # An answer that became known later, or the one before, may have excused it.
+            waited = self._unsettled.pop(digest, None) is not None
+            if not waited or len(self._ends[digest]) < self._find_limit(digest):
+                continue
             for start in self._ends[digest]:
                 self._explained[start] = digest
                 self._excuse_others(start, digest)
--- a/packages/forwarding/tests/crash_world.py
+++ b/packages/forwarding/tests/crash_world.py
@@ -126,7 +126,7 @@
     def send(self, task):
         """Let a gateway place a request and send it."""
         gateway = task.gateway
-        if not self.is_awake(gateway):
+        if not self.is_awake(gateway) or not self.upstreams:
             self.retry(task)
             return
         records = [gateway.record]
@@ -176,7 +176,8 @@
         if arbiter.record.note_answer(task.digest, self.now):
             arbiter.news.append(crash_reports.Report(answers=((task.digest, 0.0),)))
         if arbiter.record.note_success(upstream.name, task.sent_at):
-            arbiter.news.append(crash_reports.Report(alive=(upstream.name,)))
+            alive = (upstream.name, self.now - task.sent_at)
+            arbiter.news.append(crash_reports.Report(alive=(alive,)))
 
     def end_under(self, upstream, task):
         if upstream in self.upstreams:
@@ -348,10 +349,9 @@
 
     def end_some(self, share):
         """End some upstreams at the same moment, by themselves."""
-        count = max(1, round(share * len(self.upstreams)))
-        for upstream in self.random.sample(self.upstreams, count):
-            if len(self.upstreams) > 2:
-                self.end(upstream)
+        count = min(round(share * len(self.upstreams)) or 1, len(self.upstreams) - 2)
+        for upstream in self.random.sample(self.upstreams, max(0, count)):
+            self.end(upstream)
 
     def refuse_some(self, share):
         """Let a gateway be refused by some upstreams, which live on."""
--- a/packages/forwarding/tests/test_crashes.py
+++ b/packages/forwarding/tests/test_crashes.py
@@ -60,9 +60,15 @@
         self.check("d", HARMFUL, 11.0)
         self.assertTrue(self.record.note_success("s2", 10.1))
         self.check("d", DOUBTFUL, 11.0)
-        self.note_ends("d", "s2", at=12.0)
+        self.note_ends("d", "s2", at=10.05)
         self.check("d", DOUBTFUL, 12.0)
 
+    def test_one_that_was_alive_may_end_later(self):
+        self.note_ends("d", "s1", "s2", "s3", at=10.0)
+        self.record.note_success("s2", 10.1)
+        self.note_ends("d", "s2", at=12.0)
+        self.check("d", HARMFUL, 12.0)
+
     def test_it_is_tried_again_after_a_while_and_then_held_for_longer(self):
         for at, start in enumerate(("s1", "s2", "s3")):
             self.note_ends("d", start, at=2.0 * at)
@@ -89,6 +95,16 @@
         self.check("one", HARMFUL)
         self.check("two", HARMFUL)
 
+    def test_one_that_turns_out_to_have_been_answered_explains_nothing(self):
+        for digest in ("one", "two"):
+            self.note_ends(digest, "s1", "s2", "s3", at=10.0)
+        told = crash_reports.Report(answers=(("two", 5.0),))
+        self.record.take(told, 10.1)
+        self.note_ends("x", "s9", at=11.0)
+        self.check("one", HARMFUL, 11.0)
+        self.assertEqual(self.record.list_ends("two", 11.0), [])
+        self.assertFalse(self.record.note_end("beside", "s1", 11.0))
+
 
 class BoundsTest(RecordCase):
     def test_a_flood_of_digests_drops_none_that_is_held(self):
@@ -107,7 +123,7 @@
     def test_answers_and_starts_are_bounded(self):
         for number in range(2 * crashes.ANSWERS_LIMIT):
             self.record.note_answer(f"d{number}", 0.0)
-            self.record.note_alive(f"s{number}")
+            self.record.note_alive(f"s{number}", 0.0)
         told = self.record.report(0.0)
         self.assertEqual(len(told.alive), crashes.STARTS_LIMIT)
 
@@ -118,7 +134,7 @@
             crash_reports.Report(ends=(("d", "s1", 0.3),)),
             crash_reports.Report(ends=(("d", "s2", 0.2), ("e", "s2", 0.2))),
             crash_reports.Report(ends=(("d", "s3", 0.1),)),
-            crash_reports.Report(alive=("s4",)),
+            crash_reports.Report(alive=(("s4", 0.05),)),
             crash_reports.Report(ends=(("e", "s4", 0.1), ("e", "s5", 0.1))),
         ]
         found = set()
@@ -131,7 +147,7 @@
         self.assertEqual(found, {(HARMFUL, DOUBTFUL)})
 
     def test_only_what_is_new_is_told_on(self):
-        told = crash_reports.Report(ends=(("d", "s1", 0.0),), alive=("s2",))
+        told = crash_reports.Report(ends=(("d", "s1", 0.0),), alive=(("s2", 0.0),))
         self.assertEqual(self.record.take(told, 1.0), told)
         self.assertFalse(self.record.take(told, 1.1))
 
@@ -153,7 +169,7 @@
     def test_all_that_is_held_is_told_to_a_new_record(self):
         self.note_ends("d", "s1", "s2", "s3", at=0.0)
         self.note_ends("e", "s1", at=0.0)
-        self.record.note_alive("s7")
+        self.record.note_alive("s7", 0.0)
         other = crashes.Record()
         other.take(self.record.report(2.0), 50.0)
         self.assertIs(other.judge("d", 50.0), HARMFUL)
@@ -162,7 +178,7 @@
         self.assertEqual({digest for digest, _, _ in few.ends}, {"d"})
 
     def test_what_can_not_be_so_is_refused(self):
-        good = ((("d", "s", 1.0),), (("d", 1.0),), ("s",))
+        good = ((("d", "s", 1.0),), (("d", 1.0),), (("s", 1.0),))
         self.assertTrue(crash_reports.decode_report(*good))
         for place, bad in (
             (0, (("d", "s", -1.0),)),
@@ -175,6 +191,8 @@
             (1, (("d", True),)),
             (1, (("d", "x"),)),
             (2, (None,)),
+            (2, ("s",)),
+            (2, (("s", -1.0),)),
         ):
             with self.assertRaises(ValueError):
                 crash_reports.decode_report(*good[:place], bad, *good[place + 1 :])
--- a/packages/wire/tests/test_codec.py
+++ b/packages/wire/tests/test_codec.py
@@ -41,7 +41,7 @@
     messages.PlaceNote("r1", "first"),
     messages.PlaceNote("r1", "succeeded", 0.125),
     messages.PlaceState(([["r1", "work"], "u1", True],)),
-    messages.Crashed((["d1", "u1", 0.25],), (["d2", 1.5],), ("u2",)),
+    messages.Crashed((["d1", "u1", 0.25],), (["d2", 1.5],), (["u2", 0.5],)),
     messages.Replaced("u1"),
 )
 
--- a/tests/soak/evidence.py
+++ b/tests/soak/evidence.py
@@ -16,6 +16,13 @@
 APPLY_SECONDS = 3.0
 #: Seconds before a request in which a fault may still have an effect on it.
 BEFORE_SECONDS = 2.0
+#: What the body of a request that ends upstreams begins with.
+FATAL = b"fatal"
+#: Ends of upstreams after which such a request is known, seconds until it is known
+#: everywhere, and the runs that are accepted from then on.
+FATAL_ENDS = 3
+FATAL_SECONDS = 3.0
+FATAL_RUNS = 3
 #: Events of a stream; the last one ends it.
 EVENTS = 6
 
@@ -293,6 +300,22 @@
             yield f"{asked.request} was cut off at {asked.gateway}"
 
 
+@promises("a request that ends upstreams is soon sent to none of them")
+def check_fatal(evidence: Evidence) -> abc.Iterator[str]:
+    """Yield each that ran on after several upstreams had ended under it."""
+    runs = collections.defaultdict(list)
+    for run in sorted(evidence.runs, key=lambda one: one.at):
+        if run.body.startswith(FATAL):
+            runs[run.path, run.body].append(run.at)
+    for (path, _), moments in runs.items():
+        if len(moments) < FATAL_ENDS:
+            continue
+        known_at = moments[FATAL_ENDS - 1] + FATAL_SECONDS
+        late = [at for at in moments if at > known_at]
+        if len(late) > FATAL_RUNS:
+            yield f"{path} ran {len(late)} times more, {len(moments)} in all"
+
+
 def is_served(asked: Asked) -> bool:
     """Return whether the request was answered whole and in time."""
     return asked.status == 200 and asked.whole
--- a/tests/soak/schedules.py
+++ b/tests/soak/schedules.py
@@ -37,6 +37,7 @@
     Kind("pause", "gateway"),
     Kind("stop", "gateway"),
     Kind("reload", "gateway"),
+    Kind("fatal", "gateway"),
     Kind("silence", "upstream"),
     Kind("reset", "upstream"),
     Kind("delay", "upstream"),
--- a/tests/soak/traffic.py
+++ b/tests/soak/traffic.py
@@ -22,6 +22,10 @@
 #: Seconds between two requests of one caller, and how long one waits for an answer.
 PAUSE_SECONDS = 0.05
 CALLER_SECONDS = 8.0
+#: Seconds between two attempts of a request that ends upstreams, and until one that
+#: ended is back.
+FATAL_PAUSE_SECONDS = 0.15
+BACK_SECONDS = 0.8
 KINDS = ("once", "again", "stream")
 RUNNING, DRAINING = 0, 1
 
@@ -48,6 +52,8 @@
         self._starts = 0
         self._sequence = self._former_sequence = 0
         self._ended = threading.Event()
+        self._is_up = threading.Event()
+        self._is_up.set()
         outer = self
 
         class Handler(http.server.BaseHTTPRequestHandler):
@@ -93,7 +99,9 @@
         self.evidence.add(
             evidences.Run(request, identity, at, path, body, workspace, first)
         )
-        if self.is_failing:
+        if body.startswith(evidences.FATAL):
+            self._crash(identity)
+        elif self.is_failing:
             send_answer(handler, 500, b"broken")
         elif path.startswith("/stream/"):
             self._stream(handler, request, first)
@@ -114,6 +122,19 @@
             handler.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
         handler.wfile.write(b"0\r\n\r\n")
 
+    def _crash(self, identity: str) -> None:
+        """End under a request: refuse all, and come back as another start later."""
+        if identity != self.identity or not self._is_up.is_set():
+            return
+        self._is_up.clear()
+        self.relay.cut()
+        threading.Timer(BACK_SECONDS, self._come_back).start()
+
+    def _come_back(self) -> None:
+        self.restart()
+        self.relay.heal()
+        self._is_up.set()
+
     def leave(self) -> None:
         """Announce the leave until it is acknowledged, go on a little, and return."""
         self._state = DRAINING
@@ -135,7 +156,7 @@
 
     def _announce(self) -> None:
         while not self._ended.wait(ANNOUNCE_SECONDS):
-            if self._state == RUNNING:
+            if self._state == RUNNING and self._is_up.is_set():
                 self._put()
 
     def _put(self) -> bool:
@@ -217,10 +238,33 @@
         evidence.add(asked)
         return evidences.is_served(asked)
 
+    def bring_fatal(self, ended: threading.Event) -> None:
+        """Send the one fatal request again and again, each time under a new id."""
+        number = len(self.evidence.asked)
+        while not ended.wait(FATAL_PAUSE_SECONDS):
+            number += 1
+            connection = http.client.HTTPConnection(
+                gateways.HOST, self.port, timeout=CALLER_SECONDS
+            )
+            asked = self._ask(
+                connection,
+                f"{self.gateway}-fatal-{number}",
+                f"{self.gateway}/{self.find_start()}",
+                f"/{self.kind}/fatal",
+                evidences.FATAL,
+            )
+            connection.close()
+            self.evidence.add(asked)
+
     def _ask(
-        self, connection: http.client.HTTPConnection, request: str, gateway: str
+        self,
+        connection: http.client.HTTPConnection,
+        request: str,
+        gateway: str,
+        path: str = "",
+        body: bytes = b"",
     ) -> evidences.Asked:
-        path, body = f"/{self.kind}/{request}", request.encode() * 3
+        path, body = path or f"/{self.kind}/{request}", body or request.encode() * 3
         at, status, parts, whole = time.monotonic(), 0, [], False
         headers = {
             "Host": "api",
--- a/tests/soak/worlds.py
+++ b/tests/soak/worlds.py
@@ -184,6 +184,25 @@
     yield
 
 
+@injects("fatal", "gateway")
+def bring_fatal(world: World, name: str) -> abc.Iterator[None]:
+    """Let a request that ends upstreams come again and again."""
+    ended = threading.Event()
+    caller = traffic.Caller(
+        name,
+        world.system.ports[name],
+        "again",
+        world.evidence,
+        lambda: world.starts[name],
+        world.ended,
+    )
+    bringing = threading.Thread(target=caller.bring_fatal, args=(ended,))
+    bringing.start()
+    yield
+    ended.set()
+    bringing.join()
+
+
 @injects("lose_disk", "directory")
 def lose_disk(world: World, name: str) -> abc.Iterator[None]:
     """Start a directory again without its data."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -66,6 +66,15 @@
         self.evidence.add(make_run(self.asked))
         self.check("at most once")
 
+    def test_a_request_that_ends_upstreams_and_goes_on(self):
+        for number in range(evidences.FATAL_ENDS + evidences.FATAL_RUNS + 1):
+            at = 10.0 + (number if number < evidences.FATAL_ENDS else 10.0 + number)
+            request = f"gateway-0-fatal-{number}"
+            asked = make_asked(request, "again", at, body=evidences.FATAL, status=502)
+            self.evidence.add(asked)
+            self.evidence.add(make_run(asked, upstream=f"u-{number}"))
+        self.check("ends upstreams")
+
     def test_a_refusal_that_is_not_true(self):
         self.replace(status=503, answer=b"{}")
         self.check("has not run")
