Postmortem of requests that end upstreams; the soak's one comes from one caller

A play begins in an empty folder: data of an earlier one name voters at other ports, and it waited for ever.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -9,6 +9,7 @@
 import dataclasses
 import json
 import pathlib
+import shutil
 import sys
 import time
 from collections import abc
@@ -38,7 +39,9 @@
     folder: pathlib.Path,
 ) -> Report:
     """Play a schedule in a folder of its own."""
-    folder.mkdir(parents=True, exist_ok=True)
+    # Data of an earlier play name voters at other ports: no quorum would ever form.
+    shutil.rmtree(folder, ignore_errors=True)
+    folder.mkdir(parents=True)
     world = worlds.World(folder)
     with world.open():
         world.play(steps, seconds)
--- a/tests/soak/evidence.py
+++ b/tests/soak/evidence.py
@@ -18,6 +18,9 @@
 BEFORE_SECONDS = 2.0
 #: What the body of a request that ends upstreams begins with.
 FATAL = b"fatal"
+#: What its path begins with: a public route, as the workspace of the others is renamed
+#: with each version, and so is another caller.
+FATAL_PREFIX = "/fatal/"
 #: Ends of upstreams after which such a request is known, seconds until it is known
 #: everywhere, and the runs that are accepted from then on.
 FATAL_ENDS = 3
@@ -221,6 +224,9 @@
             yield f"{run.request} ran and was never sent"
         elif (known.path, known.body) != (run.path, run.body):
             yield f"{run.request} ran as {run.path} with {run.body[:40]!r}"
+        elif run.path.startswith(FATAL_PREFIX):
+            if run.workspace:
+                yield f"{run.request} of a public route ran as {run.workspace!r}"
         elif not run.workspace.startswith("version-"):
             yield f"{run.request} ran in the name of {run.workspace!r}"
 
--- a/tests/soak/traffic.py
+++ b/tests/soak/traffic.py
@@ -250,7 +250,7 @@
                 connection,
                 f"{self.gateway}-fatal-{number}",
                 f"{self.gateway}/{self.find_start()}",
-                f"/{self.kind}/fatal",
+                f"{evidences.FATAL_PREFIX}x",
                 evidences.FATAL,
             )
             connection.close()
@@ -266,11 +266,9 @@
     ) -> evidences.Asked:
         path, body = path or f"/{self.kind}/{request}", body or request.encode() * 3
         at, status, parts, whole = time.monotonic(), 0, [], False
-        headers = {
-            "Host": "api",
-            "Trestlestall-Request": request,
-            "Authorization": "Bearer k",
-        }
+        headers = {"Host": "api", "Trestlestall-Request": request}
+        if not path.startswith(evidences.FATAL_PREFIX):
+            headers["Authorization"] = "Bearer k"
         try:
             connection.request("POST", path, body, headers)
             answer = connection.getresponse()
@@ -344,5 +342,7 @@
             "public": False,
         }
         routes.append({**route, **changes})
+    fatal = gateways.make_document(1, prefix=evidences.FATAL_PREFIX)["routes"][0]
+    routes.append({**fatal, "name": "fatal", "idempotent": True, "attempts": 3})
     workspaces = [{"name": f"version-{number}", "keys": ["k"]}]
     return gateways.write_document(number, routes=routes, workspaces=workspaces)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -70,9 +70,9 @@
         for number in range(evidences.FATAL_ENDS + evidences.FATAL_RUNS + 1):
             at = 10.0 + (number if number < evidences.FATAL_ENDS else 10.0 + number)
             request = f"gateway-0-fatal-{number}"
-            asked = make_asked(request, "again", at, body=evidences.FATAL, status=502)
+            asked = make_asked(request, "fatal", at, body=evidences.FATAL, status=502)
             self.evidence.add(asked)
-            self.evidence.add(make_run(asked, upstream=f"u-{number}"))
+            self.evidence.add(make_run(asked, upstream=f"u-{number}", workspace=""))
         self.check("ends upstreams")
 
     def test_a_refusal_that_is_not_true(self):
