One clock that counts a suspension of the host, for every decision and the event loop

Cause: 60 readings of the steady clock in 20 files, the event loop's timers among them; it stands still while a host is suspended. A request whose 3 s were over was waited for another 2.95 s after the host went on, and sent to a second upstream.

Change: trestlestall.wire.clocks names the clock (CLOCK_BOOTTIME; the steady one with a line where there is none); the event loop has it too; make codestyle refuses another one in the product.

The tests' gateway takes reserved ports now, as deployments do.

--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,7 @@
 	$(BIN)/ruff check .
 	$(BIN)/python tools/check_imports.py
 	$(BIN)/python tools/check_circles.py
+	$(BIN)/python tools/check_clocks.py
 
 format: install
 	$(BIN)/ruff format .
--- a/packages/daemon/src/trestlestall/daemon/control/process.py
+++ b/packages/daemon/src/trestlestall/daemon/control/process.py
@@ -16,6 +16,7 @@
     metrics as process_metrics,
     settings as process_settings,
     status,
+    suspensions,
 )
 from trestlestall.daemon.control import journal as journals, links, server, site
 from trestlestall.daemon.http import application, limits, listener
@@ -77,6 +78,7 @@
     def _serve(self) -> None:
         with contextlib.ExitStack() as stack:
             stack.enter_context(catch_signals(self.stop))
+            stack.enter_context(suspensions.Watch(self._log).open())
             data = stack.enter_context(folder.open_folder(self._settings.data_folder))
             linked = links.Links(self._settings)
             served = server.Server(
--- a/packages/daemon/src/trestlestall/daemon/directory/arbitration.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/arbitration.py
@@ -11,7 +11,6 @@
 import collections
 import dataclasses
 import math
-import time
 import zlib
 from collections import abc
 
@@ -30,7 +29,7 @@
     placement,
     upstreams,
 )
-from trestlestall.wire import messages
+from trestlestall.wire import clocks, messages
 
 #: Seconds for which a repeated send waits until others have seen the ones before it;
 #: its gateway waits no longer for an answer (``gateway.placing``).
@@ -72,7 +71,7 @@
         metrics: directory_metrics.Metrics,
         repeats: directory_repeats.Repeats,
         harm: directory_harm.Harm,
-        clock: abc.Callable[[], float] = time.monotonic,
+        clock: abc.Callable[[], float] = clocks.read,
     ) -> None:
         self._links = links
         self._dialect = dialect
@@ -103,7 +102,7 @@
         self._place(Waiting(gateway, call, self._clock() + WAITING_SECONDS))
 
     def _place(self, asked: Waiting) -> None:
-        started = time.monotonic()
+        started = clocks.read()
         gateway, call = asked.gateway, asked.call
         descriptor = descriptors.decode(list(call.descriptor))
         verdict = self._judge(call.purpose, descriptor.service)
@@ -113,7 +112,7 @@
         found = self._find_place(descriptor, call, verdict)
         refused = isinstance(found, placement.Refused)
         outcome = found.reason if refused else directory_metrics.PLACED
-        self._metrics.note_choice(outcome, time.monotonic() - started)
+        self._metrics.note_choice(outcome, clocks.read() - started)
         if refused:
             answer = messages.PlaceAnswer(
                 call.token, "", 0, 0.0, found.reason, found.return_seconds
--- a/packages/daemon/src/trestlestall/daemon/directory/harm.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/harm.py
@@ -5,13 +5,12 @@
 must not be sent alone: those are few, and the others concern who places requests.
 """
 
-import time
 from collections import abc
 
 from trestlestall.daemon import events, logs
 from trestlestall.daemon.directory import links as directory_links
 from trestlestall.forwarding import crash_reports, crashes
-from trestlestall.wire import messages
+from trestlestall.wire import clocks, messages
 
 
 class Harm:
@@ -22,7 +21,7 @@
         links: directory_links.Links,
         log: logs.Log,
         wake: abc.Callable[[], object],
-        clock: abc.Callable[[], float] = time.monotonic,
+        clock: abc.Callable[[], float] = clocks.read,
     ) -> None:
         self.record = crashes.Record()
         self._links = links
--- a/packages/daemon/src/trestlestall/daemon/directory/metrics.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/metrics.py
@@ -43,6 +43,7 @@
         self.leads = self._gauge("directory_leads", "1 while this directory leads.")
         self.upstreams = self._gauge("directory_upstreams", "Upstreams that are known.")
         self.links = self._gauge("links", "Open links to other processes.")
+        self.suspended = self._gauge("host_suspended_seconds", "Since the start.")
         self.dropped = self._gauge("log_lines_dropped", "Since the start.")
 
     def _gauge(self, name: str, text: str) -> prometheus_client.Gauge:
--- a/packages/daemon/src/trestlestall/daemon/directory/process.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/process.py
@@ -82,6 +82,7 @@
             server = servers.Server(
                 self._settings, self._env, self._log, linked, self._dialect, self._wake
             )
+            stack.enter_context(server.suspensions.open())
             disk = stack.enter_context(
                 disks.hold(self._settings.data_folder, server, self._log)
             )
--- a/packages/daemon/src/trestlestall/daemon/directory/registrations.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/registrations.py
@@ -6,7 +6,6 @@
 """
 
 import dataclasses
-import time
 import typing
 from collections import abc
 
@@ -15,7 +14,7 @@
 from trestlestall.daemon import announcements, events, logs
 from trestlestall.daemon.directory import links as directory_links
 from trestlestall.forwarding import upstreams
-from trestlestall.wire import messages
+from trestlestall.wire import clocks, messages
 
 #: Seconds to wait for a majority; below the second after which upstreams turn to
 #: another directory.
@@ -40,7 +39,7 @@
         log: logs.Log,
         count_voters: abc.Callable[[], int],
         note_rows: abc.Callable[[], object],
-        clock: abc.Callable[[], float] = time.monotonic,
+        clock: abc.Callable[[], float] = clocks.read,
     ) -> None:
         self.table = upstreams.Table()
         self._links = links
--- a/packages/daemon/src/trestlestall/daemon/directory/repeats.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/repeats.py
@@ -1,12 +1,11 @@
 """The retry budget at a directory: what it counts, grants and tells the others."""
 
-import time
 from collections import abc
 
 from trestlestall.daemon import events, logs, settings as process_settings
 from trestlestall.daemon.directory import links as directory_links
 from trestlestall.forwarding import budgets, tallies
-from trestlestall.wire import messages
+from trestlestall.wire import clocks, messages
 
 #: Seconds between two lines that a service's budget is spent; each request that ends
 #: for it has a line of its own at its gateway.
@@ -30,7 +29,7 @@
         count_voters: abc.Callable[[], int],
         wake: abc.Callable[[], object],
         start: str,
-        clock: abc.Callable[[], float] = time.monotonic,
+        clock: abc.Callable[[], float] = clocks.read,
     ) -> None:
         self.retries = retries
         self.ledger = budgets.Ledger(f"{links.own}#{start}", clock())
--- a/packages/daemon/src/trestlestall/daemon/directory/server.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/server.py
@@ -15,6 +15,7 @@
     events,
     logs,
     settings as process_settings,
+    suspensions,
 )
 from trestlestall.daemon.control import (
     calls,
@@ -84,6 +85,7 @@
         self._noticed_at = float("-inf")
         self._broadcasts = broadcasts.Broadcasts(links, log)
         self.metrics = directory_metrics.Metrics()
+        self.suspensions = suspensions.Watch(log)
         self.repeats = repeats.Repeats(
             links,
             settings.retries,
--- a/packages/daemon/src/trestlestall/daemon/directory/site.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/site.py
@@ -1,6 +1,5 @@
 """The directory's HTTP interface: operators' documents and upstreams' announcements."""
 
-import time
 import typing
 import zlib
 
@@ -15,6 +14,7 @@
 )
 from trestlestall.daemon.http import answers, application, limits, requests, routes
 from trestlestall.forwarding import model, upstreams
+from trestlestall.wire import clocks
 
 OK = 200
 BAD_REQUEST, TOO_LARGE, UNAVAILABLE = 400, 413, 503
@@ -75,7 +75,7 @@
 
 def put_configuration(site: Site, request: requests.Request) -> answers.Answer:
     """Put a whole configuration in force; 200 once a quorum has it."""
-    started = time.monotonic()
+    started = clocks.read()
     body = read_whole(request, site.document_bytes)
     if body is None:
         return refuse(TOO_LARGE, "the document is too large, or was cut off")
@@ -92,7 +92,7 @@
         status=reply["status"],
         newest=reply.get("newest"),
         bytes=len(body),
-        seconds=round(time.monotonic() - started, 4),
+        seconds=round(clocks.read() - started, 4),
     )
     note_call(site, "declare", reply["status"], started)
     if reply["status"] != OK:
@@ -102,13 +102,13 @@
 
 def get_configuration(site: Site, request: requests.Request) -> answers.Answer:
     """Answer with the newest configuration, as its operator sent it."""
-    started = time.monotonic()
+    started = clocks.read()
     reply = site.ask(operations.ReadDeclaration.name, {})
     site.log.write(
         events.directory.READ,
         declaration=reply.get("version"),
         status=reply["status"],
-        seconds=round(time.monotonic() - started, 4),
+        seconds=round(clocks.read() - started, 4),
     )
     note_call(site, "read", reply["status"], started)
     if reply["status"] != OK:
@@ -158,7 +158,7 @@
 
 def answer_announced(site: Site, row: upstreams.Row) -> answers.Answer:
     """Answer 200 once everyone who has to know was told."""
-    started = time.monotonic()
+    started = clocks.read()
     taken = site.server.registrations.announce(row)
     note_call(site, "announce", OK if taken else UNAVAILABLE, started)
     if taken:
@@ -174,7 +174,7 @@
 
 def note_call(site: Site, kind: str, status: int, started: float) -> None:
     """Count a call that began at a reading of the monotonic clock."""
-    site.server.metrics.note_call(kind, status, time.monotonic() - started)
+    site.server.metrics.note_call(kind, status, clocks.read() - started)
 
 
 def show_metrics(site: Site, request: requests.Request) -> answers.Answer:
@@ -187,6 +187,7 @@
     metrics.upstreams.set(len(server.registrations.table.rows))
     links = server.links
     metrics.links.set(len(links.list_directories()) + len(links.list_gateways()))
+    metrics.suspended.set(server.suspensions.seconds)
     metrics.dropped.set(getattr(server.output, "dropped", 0))
     return answers.Answer(OK, metrics.render(), directory_metrics.CONTENT_TYPE)
 
--- a/packages/daemon/src/trestlestall/daemon/environment.py
+++ b/packages/daemon/src/trestlestall/daemon/environment.py
@@ -11,16 +11,19 @@
 import typing
 from collections import abc
 
+from trestlestall.wire import clocks
+
 
 @dataclasses.dataclass(frozen=True)
 class Clock:
     """The two clocks of a host, both in seconds.
 
-    ``monotonic`` is for leases, timeouts and every decision; it never goes back.
+    ``monotonic`` is for leases, timeouts and every decision; it never goes back, and
+    also counts the time for which the host was suspended.
     ``wall`` is the Unix time, for time stamps that people or other hosts read.
     """
 
-    monotonic: abc.Callable[[], float] = time.monotonic
+    monotonic: abc.Callable[[], float] = clocks.read
     wall: abc.Callable[[], float] = time.time
 
 
--- a/packages/daemon/src/trestlestall/daemon/events/process.py
+++ b/packages/daemon/src/trestlestall/daemon/events/process.py
@@ -70,3 +70,22 @@
     "The settings file was read again; refused says why it could not be used, if so.",
     "Correct the file if it was refused; the former settings stay in use.",
 )
+SUSPENDED = catalogue.declare(
+    "TS1010",
+    "host_suspended",
+    catalogue.Level.WARNING,
+    "seconds",
+    "The host was suspended for so long until now. What was due meanwhile is over:"
+    " requests whose time has passed end, links that were silent are given up, a leader"
+    " steps down. The lines that follow tell of each.",
+    "Look at what suspended the host if this repeats.",
+)
+SUSPENSION_UNSEEN = catalogue.declare(
+    "TS1011",
+    "suspension_unseen",
+    catalogue.Level.WARNING,
+    "",
+    "This system has no clock that counts a suspension of the host: deadlines and"
+    " leases last longer by as much.",
+    "Run the process where hosts are not suspended.",
+)
--- a/packages/daemon/src/trestlestall/daemon/gateway/attempts.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/attempts.py
@@ -5,7 +5,6 @@
 """
 
 import dataclasses
-import time
 from collections import abc
 
 import eventlet
@@ -14,6 +13,7 @@
 from trestlestall.daemon import dialects
 from trestlestall.daemon.gateway import connections, heads
 from trestlestall.forwarding import upstreams
+from trestlestall.wire import clocks
 
 #: Bytes that are written before the answer is read: what socket buffers surely take.
 #: More is written beside the reading, as an upstream may answer before it has read all.
@@ -236,7 +236,7 @@
         return event
 
     def _receive(self, deadline: float) -> bytes:
-        left = deadline - time.monotonic()
+        left = deadline - clocks.read()
         if left <= 0:
             raise BrokenExchange("out of time")
         try:
--- a/packages/daemon/src/trestlestall/daemon/gateway/callers.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/callers.py
@@ -8,7 +8,6 @@
 import contextlib
 import dataclasses
 import socket
-import time
 from collections import abc
 
 import eventlet
@@ -16,6 +15,7 @@
 from eventlet import hubs
 
 from trestlestall.forwarding import model
+from trestlestall.wire import clocks
 
 READ_BYTES = 65536
 #: Bytes that a caller may send ahead while its request is answered.
@@ -119,7 +119,7 @@
         while (event := self._http.next_event()) is h11.NEED_DATA:
             seconds = idle_seconds
             if not self.idle and self._http.their_state is h11.IDLE:
-                now = time.monotonic()
+                now = clocks.read()
                 deadline = deadline or now + self.limits.header_seconds
                 seconds = max(0.001, deadline - now)
             self.socket.settimeout(seconds)
--- a/packages/daemon/src/trestlestall/daemon/gateway/connections.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/connections.py
@@ -7,13 +7,12 @@
 import contextlib
 import dataclasses
 import socket
-import time
 from collections import abc
 
 import h11
 from eventlet import hubs
 
-from trestlestall.wire import addresses
+from trestlestall.wire import addresses, clocks
 
 READ_BYTES = 65536
 #: Seconds to wait for a connection: many round trips within a region, and half of the
@@ -67,7 +66,7 @@
 class Pool:
     """Kept connections by address of the upstream, the latest used last."""
 
-    def __init__(self, clock: abc.Callable[[], float] = time.monotonic) -> None:
+    def __init__(self, clock: abc.Callable[[], float] = clocks.read) -> None:
         self._clock = clock
         self._idle: dict[str, list[Connection]] = {}
         self.opened = 0
@@ -152,10 +151,10 @@
     eventlet's own ``recv`` returns no bytes for a reset connection too, which would
     make an answer without a length look whole that was cut off.
     """
-    deadline = time.monotonic() + seconds
+    deadline = clocks.read() + seconds
     while True:
         try:
             return opened.fd.recv(READ_BYTES)
         except BlockingIOError:
-            left = max(0.001, deadline - time.monotonic())
+            left = max(0.001, deadline - clocks.read())
             hubs.trampoline(opened, read=True, timeout=left, timeout_exc=TimeoutError)
--- a/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import dataclasses
-import time
 import typing
 
 import eventlet
@@ -29,6 +28,7 @@
     placement,
     upstreams,
 )
+from trestlestall.wire import clocks
 
 if typing.TYPE_CHECKING:
     from trestlestall.daemon.gateway import services
@@ -95,7 +95,7 @@
 
     def run(self) -> None:
         """Serve the request to its final answer; raises ``CallerLeft``."""
-        now = time.monotonic()
+        now = clocks.read()
         self.knowledge.ledger.note_request(self.descriptor.service, now)
         try:
             with self.caller.watch(self._note_left):
@@ -173,15 +173,15 @@
             return outcomes.has_failed(outcome)
         if self.relay.first_seconds is not None:
             return None
-        waited = time.monotonic() - self.sent_at
+        waited = clocks.read() - self.sent_at
         return True if waited > self.route.first_seconds else None
 
     def _exchange(self, row: upstreams.Row) -> outcomes.Outcome:
         names = self.service.dialect.headers
-        left = self.deadline - time.monotonic()
+        left = self.deadline - clocks.read()
         headers = heads.list_forwarded(self.head, names, self._list_added(row, left))
         self.sends += 1
-        self.sent_at = time.monotonic()
+        self.sent_at = clocks.read()
         failed = self.attempt.send(self.head, headers, self.body, left)
         if isinstance(failed, attempts.NotSent):
             self.sends -= 1
@@ -227,7 +227,7 @@
 
     def _may_go_on(self, row: upstreams.Row, outcome: outcomes.Outcome) -> bool:
         """Return whether to try another upstream after this outcome."""
-        left = self.deadline - time.monotonic()
+        left = self.deadline - clocks.read()
         allowed = left > LEAST_SECONDS and self.sends < SENDS_LIMIT
         if isinstance(outcome, (attempts.Broken, attempts.AnswerHead)):
             allowed = allowed and self._may_repeat()
@@ -269,7 +269,7 @@
             self._answer(*self.kept_answer)
         elif self.runs == 0:
             self._give_up(outcomes.describe_outcome(outcome), placement.RETURN_SECONDS)
-        elif time.monotonic() >= self.deadline:
+        elif clocks.read() >= self.deadline:
             self._end_with(refusals.GATEWAY_TIMEOUT, "no answer in time")
         else:
             self._end_with(refusals.BAD_GATEWAY, outcomes.describe_outcome(outcome))
@@ -347,16 +347,16 @@
         if not self._may_move():
             return self.deadline
         silence = patience.find_first_silence(self.route)
-        return min(self.deadline, time.monotonic() + silence)
+        return min(self.deadline, clocks.read() + silence)
 
     def _find_event_deadline(self) -> float:
         """Return until when to wait for the next event."""
         if not self.route.resumable or not self._may_move():
             return self.deadline
         silence = patience.find_later_silence(self.route)
-        return min(self.deadline, time.monotonic() + silence)
+        return min(self.deadline, clocks.read() + silence)
 
     def _may_move(self) -> bool:
         """Return whether to leave a silent upstream for another one."""
-        left = self.deadline - time.monotonic()
+        left = self.deadline - clocks.read()
         return self._may_repeat() and patience.is_worth_moving(left)
--- a/packages/daemon/src/trestlestall/daemon/gateway/knowledge.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/knowledge.py
@@ -1,6 +1,5 @@
 """What a gateway believes: the configuration in force and the upstreams."""
 
-import time
 import zlib
 from collections import abc
 
@@ -13,6 +12,7 @@
     placement,
     upstreams,
 )
+from trestlestall.wire import clocks
 
 #: The only source of a gateway's own counts: no other process hears of them.
 OWN = "own"
@@ -28,7 +28,7 @@
         self,
         dialect: dialects.Dialect,
         log: logs.Log,
-        clock: abc.Callable[[], float] = time.monotonic,
+        clock: abc.Callable[[], float] = clocks.read,
     ) -> None:
         self.dialect = dialect
         self.log = log
--- a/packages/daemon/src/trestlestall/daemon/gateway/links.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/links.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import random
-import time
 import typing
 from collections import abc
 
@@ -14,7 +13,7 @@
     knowledge as knowledges,
     placing as placings,
 )
-from trestlestall.wire import links as wire_links, messages
+from trestlestall.wire import clocks, links as wire_links, messages
 
 GATEWAY = "router"
 DIRECTORY = "control"
@@ -107,7 +106,7 @@
 
     def _choose_arbiter(self) -> None:
         """Ask the lowest of the settled directories, as every other gateway does."""
-        latest = time.monotonic() - SETTLED_SECONDS
+        latest = clocks.read() - SETTLED_SECONDS
         settled = [
             name
             for name, since in self._linked_at.items()
@@ -128,7 +127,7 @@
 
     def _note_change(self, peer: str, linked: bool) -> None:
         if linked:
-            self._linked_at.setdefault(peer, time.monotonic())
+            self._linked_at.setdefault(peer, clocks.read())
             self.placing.note_linked(peer)
             self.mesh.send(peer, self.endings.report())
         else:
--- a/packages/daemon/src/trestlestall/daemon/gateway/metrics.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/metrics.py
@@ -43,6 +43,7 @@
         self.upstreams = self._gauge("forward_upstreams", "Upstreams that serve.")
         self.links = self._gauge("links", "Open links to other processes.")
         self.opened = self._gauge("upstream_connections_opened", "Since the start.")
+        self.suspended = self._gauge("host_suspended_seconds", "Since the start.")
         self.dropped = self._gauge("log_lines_dropped", "Since the start.")
 
     def _time(self, name: str, text: str) -> prometheus_client.Histogram:
--- a/packages/daemon/src/trestlestall/daemon/gateway/placing.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/placing.py
@@ -1,7 +1,6 @@
 """Asking the arbiter where a request should go, or choosing without it."""
 
 import itertools
-import time
 from collections import abc
 
 import eventlet
@@ -16,7 +15,7 @@
     placement,
     shedding,
 )
-from trestlestall.wire import messages
+from trestlestall.wire import clocks, messages
 
 #: How long to wait for the arbiter, in parts of the request's target, and the bounds of
 #: that in seconds: some round trips between data centres of a region, and more than a
@@ -75,7 +74,7 @@
 
     def is_avoided(self, directory: str) -> bool:
         """Return whether the directory was silent too often to be asked now."""
-        return time.monotonic() < self._avoided.get(directory, 0.0)
+        return clocks.read() < self._avoided.get(directory, 0.0)
 
     def note_linked(self, directory: str) -> None:
         """Tell the arbiter what runs, after a new link to it."""
@@ -122,7 +121,7 @@
             if purpose == notes.REPEAT and not self._may_repeat_alone(descriptor):
                 return placement.Refused(budgets.EXHAUSTED, placement.RETURN_SECONDS)
             return self._choose(descriptor, tried)
-        now = time.monotonic()
+        now = clocks.read()
         placer = self._knowledge.placer
         found = placer.adopt(descriptor, answer.upstream, now)
         if isinstance(found, placement.Refused):
@@ -144,7 +143,7 @@
         if task is None:
             return
         task[-1] = True
-        self._knowledge.placer.note_first(descriptor.request_id, time.monotonic())
+        self._knowledge.placer.note_first(descriptor.request_id, clocks.read())
         self._note(descriptor, notes.FIRST)
 
     def report_replaced(self, identity: str) -> None:
@@ -164,7 +163,7 @@
         ``pause`` is the longest of its stream, in seconds; 0 if none is known.
         """
         placer = self._knowledge.placer
-        placer.end(descriptor.request_id, time.monotonic(), pause)
+        placer.end(descriptor.request_id, clocks.read(), pause)
         if failed is not None:
             placer.note_outcome(identity, descriptor.data_centre, failed)
         self._tasks.pop(descriptor.request_id, None)
@@ -176,7 +175,7 @@
             descriptor.service,
             self._find_retry_bound(),
             budgets.Standing.ALONE,
-            time.monotonic(),
+            clocks.read(),
         )
         return verdict is budgets.Verdict.GRANTED
 
@@ -186,7 +185,7 @@
         tried: abc.Collection[str],
         purpose: str,
     ) -> messages.PlaceAnswer | None:
-        if self._arbiter is None or time.monotonic() < self._silent_until:
+        if self._arbiter is None or clocks.read() < self._silent_until:
             return None
         token = next(self._tokens)
         waiting = self._waiting[token] = eventlet.event.Event()
@@ -205,7 +204,7 @@
 
     def _note_silent(self, descriptor: descriptors.Descriptor, seconds: float) -> None:
         """Go without the arbiter for a moment; it may have counted the request."""
-        now = time.monotonic()
+        now = clocks.read()
         self._silent_until = now + SILENCE_SECONDS
         self._silences += 1
         if self._silences >= SILENCES_LIMIT:
@@ -221,7 +220,7 @@
     def _choose(
         self, descriptor: descriptors.Descriptor, tried: abc.Collection[str]
     ) -> placement.Placed | placement.Refused:
-        found = self._knowledge.placer.place(descriptor, time.monotonic(), tried)
+        found = self._knowledge.placer.place(descriptor, clocks.read(), tried)
         if isinstance(found, placement.Placed):
             self._keep(descriptor, found.row.identity)
         return found
--- a/packages/daemon/src/trestlestall/daemon/gateway/process.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/process.py
@@ -3,7 +3,6 @@
 import contextlib
 import dataclasses
 import socket
-import time
 import typing
 from collections import abc
 
@@ -18,6 +17,7 @@
     settings as process_settings,
     signals,
     status,
+    suspensions,
 )
 from trestlestall.daemon.gateway import (
     callers,
@@ -29,7 +29,7 @@
     services,
 )
 from trestlestall.daemon.http import answers, application, listener, routes
-from trestlestall.wire import exceptions as wire_exceptions, sockets
+from trestlestall.wire import clocks, exceptions as wire_exceptions, sockets
 
 ROLE = "gateway"
 #: Seconds after the request to stop in which new connections are still served: the
@@ -78,6 +78,7 @@
             self.service.placing,
             self.service.endings,
         )
+        self._suspensions = suspensions.Watch(self._log)
         self._open: set[callers.Caller] = set()
         self._stopping = False
         self._closing = False
@@ -111,6 +112,7 @@
         """Serve while the block runs; raises when an address can't be had."""
         settings = self._settings
         with contextlib.ExitStack() as stack:
+            stack.enter_context(self._suspensions.open())
             stack.enter_context(self._links.open())
             site = self._build_site()
             stack.enter_context(
@@ -173,7 +175,7 @@
 
     def _reject(self, caller: callers.Caller, rejected: callers.Rejected) -> None:
         refusal = refusals.Refusal(rejected.status, rejected.reason)
-        self.service.note_refused(refusal, None, time.monotonic())
+        self.service.note_refused(refusal, None, clocks.read())
         caller.closing = True
         caller.reject(rejected.status, refusals.encode_error(rejected.reason))
 
@@ -200,6 +202,7 @@
         metrics.upstreams.set(len(self.knowledge.table.rows))
         metrics.links.set(len(self._links.mesh.linked()))
         metrics.held.set(self.knowledge.count_held())
+        metrics.suspended.set(self._suspensions.seconds)
         metrics.opened.set(self.service.pool.opened)
         metrics.dropped.set(getattr(self._output, "dropped", 0))
         return answers.Answer(READY, metrics.render(), gateway_metrics.CONTENT_TYPE)
@@ -224,7 +227,7 @@
 
     def _stop(self) -> None:
         """Become unready, finish what runs, close connections between requests."""
-        started = time.monotonic()
+        started = clocks.read()
         self._stopping = True
         deadline = started + self._settings.grace_seconds - KILL_MARGIN
         self.service.stop_at = deadline
@@ -232,7 +235,7 @@
         self._log.write(events.process.STOPPING, role=ROLE, running=self._count())
         eventlet.sleep(NOTICE_SECONDS)
         self._closing = True
-        while time.monotonic() < deadline and self._is_needed(started):
+        while clocks.read() < deadline and self._is_needed(started):
             for caller in list(self._open):
                 caller.closing = True
                 caller.close_if_idle()
@@ -240,4 +243,4 @@
 
     def _is_needed(self, started: float) -> bool:
         """Return whether callers may still come, or are still here."""
-        return bool(self._open) or time.monotonic() < started + LINGER_SECONDS
+        return bool(self._open) or clocks.read() < started + LINGER_SECONDS
--- a/packages/daemon/src/trestlestall/daemon/gateway/records.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/records.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import time
 import typing
 
 from trestlestall.daemon import events
 from trestlestall.daemon.gateway import outcomes
 from trestlestall.forwarding import placement, upstreams
+from trestlestall.wire import clocks
 
 if typing.TYPE_CHECKING:
     from trestlestall.daemon.gateway import forwards
@@ -37,7 +37,7 @@
         failure_rate=round(engine.find_failure_rate(data_centre), 3),
         source=placed.source,
         declaration=forward.knowledge.version,
-        seconds_left=round(forward.deadline - time.monotonic(), 3),
+        seconds_left=round(forward.deadline - clocks.read(), 3),
     )
 
 
@@ -58,7 +58,7 @@
         reason=outcomes.describe_outcome(outcome),
         allowed=allowed,
         runs=forward.runs,
-        seconds_left=round(forward.deadline - time.monotonic(), 3),
+        seconds_left=round(forward.deadline - clocks.read(), 3),
     )
 
 
@@ -93,7 +93,7 @@
 ) -> None:
     """Tell and count how a request ended whose answer came from an upstream."""
     relay = forward.relay
-    seconds = time.monotonic() - forward.arrived
+    seconds = clocks.read() - forward.arrived
     first = relay.first_seconds
     forward.service.metrics.note_ended(forward.route.name, outcome, seconds, first)
     forward.knowledge.log.write(
--- a/packages/daemon/src/trestlestall/daemon/gateway/relays.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/relays.py
@@ -1,9 +1,9 @@
 """Passing a stream of events on to the caller, over one upstream or several."""
 
-import time
 from collections import abc
 
 from trestlestall.daemon.gateway import attempts, callers, events_stream
+from trestlestall.wire import clocks
 
 #: Events of a stream from which on its longest pause says something of its upstream.
 TELLING_EVENTS = 8
@@ -37,7 +37,7 @@
 
     def note_first(self) -> None:
         """Note that the answer, or its first event, is there."""
-        self.first_seconds = time.monotonic() - self._arrived
+        self.first_seconds = clocks.read() - self._arrived
         self._on_first()
 
     def pass_on(
@@ -53,10 +53,10 @@
         """
         resumed = self.began
         splitter = events_stream.Splitter()
-        latest = time.monotonic()
+        latest = clocks.read()
         for part in attempt.read_parts(find_deadline):
             for event in splitter.take(part):
-                now = time.monotonic()
+                now = clocks.read()
                 self._note_event(now - latest)
                 latest = now
                 self._pass_on_event(head, event, resumed)
--- a/packages/daemon/src/trestlestall/daemon/gateway/services.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/services.py
@@ -1,7 +1,6 @@
 """What all requests of a gateway share, and the first look at each."""
 
 import random
-import time
 from collections import abc
 
 import eventlet
@@ -20,6 +19,7 @@
     refusals,
 )
 from trestlestall.forwarding import budgets, directory, model, startup, urgency
+from trestlestall.wire import clocks
 
 
 class Service:
@@ -42,13 +42,13 @@
         self.reaching = reaching.Reaching(knowledge)
         self.endings = endings.Endings(knowledge, self.reaching, metrics)
         self.placing = placing.Placing(knowledge, self.reaching, self.find_retry_bound)
-        self.started_at = time.monotonic()
+        self.started_at = clocks.read()
         self.refuse_at = 0.0
         self.stop_at: float | None = None
 
     def handle(self, request: callers.Request, caller: callers.Caller) -> None:
         """Answer one request; raises ``CallerLeft``."""
-        arrived = time.monotonic()
+        arrived = clocks.read()
         names = self.dialect.headers
         head = heads.read_head(request.method, request.target, request.headers, names)
         if isinstance(head, heads.Malformed):
@@ -64,10 +64,10 @@
 
     def _wait_for_knowledge(self, head: heads.Head) -> None:
         """Let a request wait that came before what serves it could be known."""
-        now = time.monotonic()
+        now = clocks.read()
         until = now + startup.find_wait(now - self.started_at, head.deadline)
         while not self.knowledge.can_place(head.host, head.path):
-            left = until - time.monotonic()
+            left = until - clocks.read()
             if left <= 0:
                 return
             eventlet.sleep(min(left, startup.LOOK_SECONDS))
@@ -141,5 +141,5 @@
             reason=refusal.reason,
             retry_after=after,
             declaration=self.knowledge.version,
-            seconds=round(time.monotonic() - arrived, 4),
+            seconds=round(clocks.read() - arrived, 4),
         )
--- a/packages/daemon/src/trestlestall/daemon/logs.py
+++ b/packages/daemon/src/trestlestall/daemon/logs.py
@@ -9,7 +9,6 @@
 
 import datetime
 import json
-import time
 import typing
 from collections import abc
 
@@ -17,6 +16,7 @@
 import structlog
 
 from trestlestall.daemon import environment, events, exceptions
+from trestlestall.wire import clocks
 
 ENCODER = msgspec.json.Encoder(enc_hook=repr)
 
@@ -60,7 +60,7 @@
     """
 
     def __init__(
-        self, seconds: float, clock: abc.Callable[[], float] = time.monotonic
+        self, seconds: float, clock: abc.Callable[[], float] = clocks.read
     ) -> None:
         self._seconds = seconds
         self._clock = clock
--- a/packages/daemon/src/trestlestall/daemon/router/process.py
+++ b/packages/daemon/src/trestlestall/daemon/router/process.py
@@ -14,6 +14,7 @@
     settings as daemon_settings,
     signals,
     status,
+    suspensions,
 )
 from trestlestall.daemon.http import errors, listener
 from trestlestall.daemon.router import (
@@ -232,6 +233,7 @@
         self.journal.write(
             events.process.STARTED, role="router", data_centre=found.data_centre
         )
+        stack.enter_context(suspensions.Watch(self.journal).open())
         self.mesh.start()
         stack.callback(self.mesh.stop)
         opened = stack.enter_context(doors.open_all(self))
--- a/packages/daemon/tests/gateway_bench.py
+++ b/packages/daemon/tests/gateway_bench.py
@@ -18,6 +18,7 @@
 from trestlestall.daemon import environment, settings
 from trestlestall.daemon.gateway import entrance, process
 from trestlestall.forwarding import upstreams
+from trestlestall.standins import addresses
 
 __all__ = ["patching"]
 
@@ -26,13 +27,6 @@
 STREAM = OK + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
-def find_port():
-    """Return a port that is free now."""
-    with contextlib.closing(socket.socket()) as taken:
-        taken.bind(("127.0.0.1", 0))
-        return taken.getsockname()[1]
-
-
 def make_route(name, **changes):
     """Return a route's document."""
     route = {
@@ -270,8 +264,8 @@
 
     def __init__(self, stack, document=None, early=None):
         self.stack = stack
-        self.port = find_port()
-        self.platform_port = find_port()
+        self.port = addresses.reserve_port()
+        self.platform_port = addresses.reserve_port()
         self.output = io.StringIO()
         made = make_settings(self.port, self.platform_port)
         env = environment.Environment(
--- a/packages/wire/src/trestlestall/wire/connections.py
+++ b/packages/wire/src/trestlestall/wire/connections.py
@@ -11,13 +11,12 @@
 import contextlib
 import logging
 import socket
-import time
 from collections import abc
 
 import eventlet
 from websockets import client, frames, http11, protocol, server, uri
 
-from trestlestall.wire import addresses, sockets
+from trestlestall.wire import addresses, clocks, sockets
 
 READ_BYTES = 16384
 WRITE_BYTES = 65536
@@ -49,7 +48,7 @@
         self.bytes_received = 0
         self.reading_since: float | None = None
         self.sending_since: float | None = None
-        self.sent_at = time.monotonic()
+        self.sent_at = clocks.read()
 
     def receive(self, deadline: float | None = None) -> bytes | None:
         """Wait for a message; return ``None`` at the end or after the deadline."""
@@ -70,7 +69,7 @@
         try:
             for data in self.protocol.data_to_send():
                 for start in range(0, len(data), WRITE_BYTES):
-                    self.sending_since = time.monotonic()
+                    self.sending_since = clocks.read()
                     part = memoryview(data)[start : start + WRITE_BYTES]
                     self.socket.sendall(part)
                     self.bytes_sent += len(part)
@@ -78,14 +77,14 @@
             return False
         finally:
             self.sending_since = None
-            self.sent_at = time.monotonic()
+            self.sent_at = clocks.read()
         return True
 
     def read(self, deadline: float | None) -> bool:
         """Read once; return false at the end of the connection or the deadline."""
         if deadline is not None:
-            self.socket.settimeout(max(0.001, deadline - time.monotonic()))
-        self.reading_since = time.monotonic()
+            self.socket.settimeout(max(0.001, deadline - clocks.read()))
+        self.reading_since = clocks.read()
         try:
             data = self.socket.recv(READ_BYTES)
         except OSError:
@@ -131,7 +130,7 @@
     address: str, deadline: float, max_size: int
 ) -> abc.Iterator[Connection | None]:
     """Open a connection to ``IP:port`` for the block; ``None`` if that fails."""
-    timeout = min(CONNECT_SECONDS, max(0.001, deadline - time.monotonic()))
+    timeout = min(CONNECT_SECONDS, max(0.001, deadline - clocks.read()))
     try:
         opened = socket.create_connection(addresses.parse(address), timeout=timeout)
     except OSError:
--- a/packages/wire/src/trestlestall/wire/links.py
+++ b/packages/wire/src/trestlestall/wire/links.py
@@ -17,7 +17,6 @@
 import os
 import random
 import socket
-import time
 import typing
 from collections import abc
 
@@ -26,6 +25,7 @@
 
 from trestlestall.wire import (
     addresses,
+    clocks,
     codec,
     connections,
     exceptions,
@@ -140,8 +140,8 @@
 
     def flush(self) -> None:
         """Wait until the queues are empty, at most ``FLUSH_SECONDS``."""
-        deadline = time.monotonic() + FLUSH_SECONDS
-        while time.monotonic() < deadline:
+        deadline = clocks.read() + FLUSH_SECONDS
+        while clocks.read() < deadline:
             if not any(one.is_sending() for one in self.links.values()):
                 return
             eventlet.sleep(FLUSH_SECONDS / 10)
@@ -226,7 +226,7 @@
 
     def run_accepted(self, opened: socket.socket) -> None:
         """Authenticate whoever connected, and run the link to its end."""
-        deadline = time.monotonic() + HANDSHAKE_SECONDS
+        deadline = clocks.read() + HANDSHAKE_SECONDS
         try:
             with connections.accept(opened, deadline, HANDSHAKE_FRAME) as connection:
                 if connection is None:
@@ -258,7 +258,7 @@
 
     def dial(self, peer: Peer) -> float:
         """Run a link to the peer to its end; return the seconds that it lasted."""
-        deadline = time.monotonic() + HANDSHAKE_SECONDS
+        deadline = clocks.read() + HANDSHAKE_SECONDS
         connecting = connections.dial(peer.address, deadline, HANDSHAKE_FRAME)
         with connecting as connection:
             if connection is None:
@@ -267,16 +267,16 @@
             answer = handshake.prove_dialled(
                 connection, own, self.secret, deadline, peer.check
             )
-            started = time.monotonic()
+            started = clocks.read()
             self.run_link(connection, answer)
-            return time.monotonic() - started
+            return clocks.read() - started
 
     def run_checks(self) -> None:
         """Keep links alive and cut those whose peer is gone."""
-        last = time.monotonic()
+        last = clocks.read()
         while not self.stopping:
             eventlet.sleep(CHECK_SECONDS)
-            now = time.monotonic()
+            now = clocks.read()
             stood_still = now - last - CHECK_SECONDS
             last = now
             for open_link in list(self.links.values()):
--- a/packages/wire/tests/test_redialling.py
+++ b/packages/wire/tests/test_redialling.py
@@ -4,7 +4,7 @@
 import unittest
 from unittest import mock
 
-from trestlestall.wire import connections, redialling
+from trestlestall.wire import clocks, connections, redialling
 
 
 class WaitsTest(unittest.TestCase):
@@ -37,7 +37,7 @@
             connections.socket, "create_connection", side_effect=TimeoutError
         )
         with refusing as create:
-            deadline = connections.time.monotonic() + 5.0
+            deadline = clocks.read() + 5.0
             with connections.dial("127.0.0.1:1", deadline, 100) as opened:
                 self.assertIsNone(opened)
         self.assertLess(create.call_args.kwargs["timeout"], 1.0)
--- a/tests/test_suspended.py
+++ b/tests/test_suspended.py
@@ -6,6 +6,7 @@
 """
 
 import contextlib
+import json
 import tempfile
 import threading
 import time
@@ -83,11 +84,23 @@
         ((status, at),) = ended
         return status, at - resumed
 
+    def list_suspensions(self):
+        """Return the seconds of each suspension that the gateway has logged."""
+        lines = self.system.running[self.gateway].read_log().splitlines()
+        found = [json.loads(line) for line in lines if '"host_suspended"' in line]
+        return [line["seconds"] for line in found]
+
     def count_runs(self):
         return sum(len(one.seen) for one in self.silent)
 
     def test_a_request_whose_time_is_over_is_ended_and_not_waited_for(self):
         status, seconds = self.suspend_at_work(lambda: None)
+        gateways.wait_until(lambda: self.list_suspensions(), "the line")
+        (noticed,) = self.list_suspensions()
+        self.assertAlmostEqual(noticed, SUSPENDED_SECONDS, delta=0.5)
+        port = self.system.ready[self.gateway]
+        shown = gateways.ask(port, "GET", "/metrics").body.decode()
+        self.assertNotIn("trestlestall_host_suspended_seconds 0.0", shown)
         self.assertEqual(status, 504)
         # By the steady clock it would be waited for another 2.9 s.
         self.assertLess(seconds, 0.6 * WHOLE_SECONDS)
