--- a/packages/standins/src/trestlestall/standins/processes.py
+++ b/packages/standins/src/trestlestall/standins/processes.py
@@ -67,11 +67,16 @@
 
 
 def start(
-    name: str, module: str, arguments: abc.Sequence[str], folder: pathlib.Path
+    name: str,
+    module: str,
+    arguments: abc.Sequence[str],
+    folder: pathlib.Path,
+    variables: abc.Mapping[str, str] | None = None,
 ) -> Process:
     """Start ``python -m module arguments`` with its output in ``folder/name.log``.
 
-    It looks for the packages where this process found them.
+    It looks for the packages where this process found them. ``variables`` are added to
+    its environment.
     """
     log = folder / f"{name}.log"
     with log.open("ab") as output:
@@ -80,7 +85,7 @@
             stdin=subprocess.DEVNULL,
             stdout=output,
             stderr=subprocess.STDOUT,
-            env=write_environment(),
+            env={**write_environment(), **(variables or {})},
             cwd=folder,
         )
     return Process(name, child, log)
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -134,7 +134,8 @@
 class Deployment:
     """Directories and gateways; each has a folder, a file and a process.
 
-    ``settings`` are further ones of all processes, for those that are started next.
+    ``settings`` are further ones of all processes, and ``hosts`` those that can be
+    suspended, by the process's name; both for what is started next.
     """
 
     def __init__(self, folder, directories=3, gateways=2):
@@ -153,6 +154,7 @@
             self.ports[name] = port
         self.running = {}
         self.settings = {}
+        self.hosts = {}
         self.reached_at = {}
 
     def start_all(self, founding=True):
@@ -203,7 +205,10 @@
         }
         file.write_text(json.dumps(settings))
         arguments = [role, "--settings", str(file)]
-        self.running[name] = processes.start(name, MODULE, arguments, self.folder)
+        host = self.hosts.get(name)
+        self.running[name] = processes.start(
+            name, MODULE, arguments, self.folder, host.variables if host else None
+        )
 
     def stop_all(self):
         """End what still runs."""
--- a/tests/soak/schedules.py
+++ b/tests/soak/schedules.py
@@ -26,6 +26,7 @@
 KINDS = (
     Kind("kill", "directory", True),
     Kind("pause", "directory", True),
+    Kind("suspend", "directory", True),
     Kind("lose_disk", "directory", True),
     Kind("fill_disk", "directory", True),
     Kind("silence", "directory", True),
@@ -35,6 +36,7 @@
     Kind("delay", "directory"),
     Kind("kill", "gateway"),
     Kind("pause", "gateway"),
+    Kind("suspend", "gateway"),
     Kind("stop", "gateway"),
     Kind("reload", "gateway"),
     Kind("fatal", "gateway"),
--- a/tests/soak/worlds.py
+++ b/tests/soak/worlds.py
@@ -9,7 +9,7 @@
 import time
 from collections import abc
 
-from tests import gateways, relays
+from tests import gateways, relays, suspension
 from tests.soak import evidence as evidences, schedules, traffic
 from trestlestall.standins import addresses
 
@@ -44,6 +44,9 @@
             stack.callback(self.system.stop_all)
             stack.callback(self.ended.set)
             self._start_relays(stack)
+            for name in (*self.system.names, *self.system.gateways):
+                folder = self.system.folder / f"{name}-host"
+                self.system.hosts[name] = suspension.Host(folder)
             self.system.start_all()
             ports = [self.system.ports[name] for name in self.system.names]
             for number in range(UPSTREAMS):
@@ -167,6 +170,13 @@
     process.send_signal(signal.SIGCONT)
 
 
+@injects("suspend", "directory", "gateway")
+def suspend(world: World, name: str) -> abc.Iterator[None]:
+    """Let a process stand still together with its steady clock."""
+    with world.system.hosts[name].suspended(world.system.running[name]):
+        yield
+
+
 @injects("stop", "gateway")
 def stop(world: World, name: str) -> abc.Iterator[None]:
     """Stop a process as planned and start it again once it has ended."""
--- a/tests/suspension.py
+++ b/tests/suspension.py
@@ -6,13 +6,11 @@
 """
 
 import contextlib
-import os
 import pathlib
 import signal
 import struct
 import subprocess
 import time
-from unittest import mock
 
 SOURCE = r"""
 #define _GNU_SOURCE
@@ -56,6 +54,7 @@
 
     def __init__(self, folder):
         self.folder = pathlib.Path(folder)
+        self.folder.mkdir(exist_ok=True)
         self.library = self.folder / "suspended.so"
         self.file = self.folder / "suspended-seconds"
         self.seconds = 0.0
@@ -65,15 +64,13 @@
         command = ["cc", "-shared", "-fPIC", "-o", self.library, source, "-ldl"]
         subprocess.run(command, check=True)
 
-    @contextlib.contextmanager
-    def starting(self):
-        """Let the processes that are started in the block be on this host."""
-        added = {
+    @property
+    def variables(self):
+        """What the environment of its processes must have."""
+        return {
             "LD_PRELOAD": str(self.library),
             "SUSPENDED_SECONDS_FILE": str(self.file),
         }
-        with mock.patch.dict(os.environ, added):
-            yield
 
     @contextlib.contextmanager
     def suspended(self, *processes):
--- a/tests/test_suspended.py
+++ b/tests/test_suspended.py
@@ -48,8 +48,9 @@
             stack.callback(one.let_go.set)
         # Its link ends meanwhile, and alone a gateway has a small part.
         self.system.settings["retries"] = {"ratio": 50.0}
-        with self.host.starting():
-            self.system.start_all()
+        (gateway,) = self.system.gateways
+        self.system.hosts[gateway] = self.host
+        self.system.start_all()
         document = gateways.make_document(5)
         document["routes"][0].update(
             idempotent=True, attempts=2, whole_seconds=WHOLE_SECONDS, first_seconds=2.9
