A failure that is passed on to the caller speaks against its upstream

Cause: an attempt whose answer was passed on counted as a success, also with a status of 500: requests that may run once, and the last run of others, told placing that a failing upstream was well (failure_rate 0.0 after four failures of four). Found by reading, shown by a test that failed. Ruled out: that it is meant (a failure that is followed by a repeat did count).

--- a/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
@@ -149,7 +149,8 @@
             outcome = attempts.Broken(str(error))
         finally:
             self.attempt.finish(head)
-            failed = self._judge(outcome)
+            # A failure that was passed on to the caller ends the request as well.
+            failed = self._judge(outcome or head)
             pause = self.relay.shown_pause
             self.service.placing.end(
                 self.descriptor, placed.row.identity, failed, pause
--- a/packages/daemon/tests/test_gateway_repeats.py
+++ b/packages/daemon/tests/test_gateway_repeats.py
@@ -33,6 +33,13 @@
         self.assertEqual(self.bench.ask("/again/x")[2], "done")
         self.assertEqual(len(serving.received), 1)
 
+    def test_a_failure_that_is_passed_on_speaks_against_its_upstream(self):
+        self.bench.add("u1", bench.answer("", "", status="500 No"))
+        for _ in range(4):
+            self.assertEqual(self.bench.ask("/once/x")[0], 500)
+        last = self.bench.list_lines("forward_sent")[-1]
+        self.assertGreater(last["failure_rate"], 0.2)
+
     def test_the_attempts_of_the_route_hold(self):
         made = [
             self.bench.add(f"u{number}", bench.answer("", "", status="500 No"))
