--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -73,6 +73,19 @@
             time.sleep(pause)
         return found
 
+    def test_it_is_known_after_all_processes_lost_power(self):
+        self.keep_asking(fragile.FATAL, PAUSE_SECONDS)
+        for process in self.system.running.values():
+            process.kill()
+        self.system.start_all(founding=False)
+        for name in self.system.gateways:
+            gateways.wait_until(lambda each=name: self.ask(each, b"x") == 200, name)
+        time.sleep(KNOWN_SECONDS)
+        before = len(self.fleet.list_runs(fragile.FATAL))
+        self.keep_asking(fragile.FATAL, PAUSE_SECONDS)
+        after = len(self.fleet.list_runs(fragile.FATAL))
+        self.assertEqual(after, before)
+
     def test_it_ends_no_more_upstreams_once_that_is_known(self):
         with concurrent.futures.ThreadPoolExecutor() as pool:
             fatal = pool.submit(self.keep_asking, fragile.FATAL, PAUSE_SECONDS)
