Keep the requests that are held in a file of each directory

Ruled out: the agreed log (a sync at a majority for each end, nothing in a part without a quorum; the file is written by each for itself).

Change: directory/held_file.py, replaced as a whole when what is held changes, with ages by the time of day; a file that can't be read or written is told of and changes nothing.

--- a/packages/daemon/src/trestlestall/daemon/directory/harm.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/harm.py
@@ -8,7 +8,7 @@
 from collections import abc
 
 from trestlestall.daemon import events, logs
-from trestlestall.daemon.directory import links as directory_links
+from trestlestall.daemon.directory import held_file, links as directory_links
 from trestlestall.forwarding import crash_reports, crashes
 from trestlestall.wire import clocks, messages
 
@@ -20,16 +20,19 @@
         self,
         links: directory_links.Links,
         log: logs.Log,
+        file: held_file.HeldFile,
         wake: abc.Callable[[], object],
         clock: abc.Callable[[], float] = clocks.read,
     ) -> None:
         self.record = crashes.Record()
+        self._file = file
         self._links = links
         self._log = log
         self._wake = wake
         self._clock = clock
         self._news: list[crash_reports.Report] = []
         self._held: set[str] = set()
+        self.record.take(file.load(), clock())
 
     def judge(self, digest: str) -> crashes.Verdict:
         """Return what the ends under a request say of it."""
@@ -68,6 +71,7 @@
             return
         news, self._news = join(self._news), []
         now = self._clock()
+        self._file.save(self.record.report(now, self._list_held(now)))
         for peer in self._links.list_directories():
             self._send(peer, news)
         for_gateways = self._choose_for_gateways(news, now)
--- a/packages/daemon/src/trestlestall/daemon/directory/server.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/server.py
@@ -29,6 +29,7 @@
     arrivals,
     broadcasts,
     harm,
+    held_file,
     links as directory_links,
     members,
     metrics as directory_metrics,
@@ -96,7 +97,8 @@
             f"{env.random.getrandbits(64):x}",
             env.clock.monotonic,
         )
-        self.harm = harm.Harm(links, log, wake, env.clock.monotonic)
+        file = held_file.HeldFile(settings.data_folder, log, env.clock.wall)
+        self.harm = harm.Harm(links, log, file, wake, env.clock.monotonic)
         self.arbiter = arbitration.Arbiter(
             links, dialect, self.metrics, self.repeats, self.harm, env.clock.monotonic
         )
--- a/packages/daemon/src/trestlestall/daemon/events/directory.py
+++ b/packages/daemon/src/trestlestall/daemon/events/directory.py
@@ -83,6 +83,15 @@
     " changed.",
     "Compare the versions of the programs.",
 )
+HELD_FILE_REFUSED = catalogue.declare(
+    "TS8016",
+    "held_file_refused",
+    catalogue.Level.WARNING,
+    "folder reason",
+    "The file of the requests that are not sent can't be read or written; what is held"
+    " stays known to the processes that run.",
+    "Look at the disk; a file that can't be read may be removed.",
+)
 VOTER_CHANGE = catalogue.declare(
     "TS8020",
     "voter_change_begun",
--- a/packages/daemon/tests/test_harm.py
+++ b/packages/daemon/tests/test_harm.py
@@ -1,9 +1,14 @@
 """What a directory makes of requests under which upstreams ended."""
 
+import pathlib
+
+import cbor2
+
 from packages.daemon.tests import test_directory
 from packages.forwarding.tests import samples
-from trestlestall.daemon import notes
-from trestlestall.forwarding import crashes, descriptors
+from trestlestall.daemon import environment, logs, notes
+from trestlestall.daemon.directory import harm, held_file
+from trestlestall.forwarding import crash_reports, crashes, descriptors
 from trestlestall.wire import messages
 
 DIGEST = "d1"
@@ -96,6 +101,58 @@
         self.assertTrue(self.ask().upstream)
 
 
+class FileTest(HarmCase):
+    def start_again(self, wall=0.0):
+        """Return the record of a directory that starts in the same folder."""
+        log = logs.Log(self.output, environment.Clock(wall=lambda: wall))
+        file = held_file.HeldFile(self.folder, log, lambda: wall)
+        self.clock.now += 1000.0
+        return harm.Harm(
+            self.links, log, file, lambda: None, self.clock.monotonic
+        ).record
+
+    def test_what_is_held_outlives_the_process_with_its_age(self):
+        for start in ("s1", "s2", "s3"):
+            self.tell(start)
+            self.clock.now += 2.0
+        self.tell("s1", digest="beside")
+        self.turn(0.05)
+        record = self.start_again(wall=100.0)
+        now = self.clock.now
+        self.assertIs(record.judge(DIGEST, now), crashes.Verdict.HARMFUL)
+        ages = [round(age) for _, age in record.list_ends(DIGEST, now)]
+        self.assertEqual(ages, [106, 104, 102])
+        self.assertEqual(record.list_ends("beside", now), [])
+
+    def test_a_clock_that_was_set_back_makes_nothing_older(self):
+        self.tell("s1", "s2", "s3")
+        self.turn(0.05)
+        record = self.start_again(wall=-500.0)
+        self.assertEqual(record.list_ends(DIGEST, self.clock.now)[0][1], 0.05)
+
+    def test_what_is_excused_is_not_kept(self):
+        self.ask()
+        self.tell("s1", "s2", "s3")
+        self.turn(0.05)
+        self.note(notes.SUCCEEDED)
+        self.turn(0.05)
+        self.assertEqual(len(self.start_again()), 0)
+
+    def test_a_file_that_can_not_be_read_changes_nothing(self):
+        path = pathlib.Path(self.folder) / held_file.NAME
+        for data in (b"", b"\xff", cbor2.dumps([2, 0.0, [], []]), cbor2.dumps([1, 2])):
+            path.write_bytes(data)
+            self.assertEqual(len(self.start_again()), 0)
+        self.assertEqual(self.output.getvalue().count('"held_file_refused"'), 4)
+
+    def test_a_folder_that_takes_nothing_is_told_of_and_nothing_else(self):
+        missing = str(pathlib.Path(self.folder) / "missing")
+        log = logs.Log(self.output, environment.Clock())
+        file = held_file.HeldFile(missing, log, lambda: 0.0)
+        file.save(crash_reports.Report(((DIGEST, "s1", 0.0),)))
+        self.assertIn('"held_file_refused"', self.output.getvalue())
+
+
 class TellTest(HarmCase):
     def test_directories_are_told_of_each_end_and_gateways_of_what_is_held(self):
         self.tell("s1", "s2")
