--- a/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
@@ -11,16 +11,14 @@
 from trestlestall.daemon.gateway import (
     attempts,
     callers,
+    finals,
     heads,
     knowledge as knowledges,
     outcomes,
     records,
-    refusals,
     relays,
 )
 from trestlestall.forwarding import (
-    budgets,
-    crashes,
     descriptors,
     directory,
     model,
@@ -110,13 +108,13 @@
         while True:
             placed = self._place(purpose)
             if isinstance(placed, placement.Refused):
-                self._end_unplaced(placed, outcome)
+                finals.end_unplaced(self, placed, outcome)
                 return
             outcome = self._run_attempt(placed)
             if outcome is None:
                 return
             if not self._may_go_on(placed.row, outcome):
-                self._give_up_after(outcome)
+                finals.give_up_after(self, outcome)
                 return
             moves = isinstance(outcome, attempts.NotSent)
             purpose = notes.MOVED if moves else notes.REPEAT
@@ -214,7 +212,7 @@
             return head
         if head.status < outcomes.SERVER_ERRORS:
             self.service.endings.note_answered(self.digest)
-        self._answer(head, body)
+        finals.answer(self, head, body)
         return None
 
     def _note_first(self) -> None:
@@ -249,73 +247,6 @@
             self.knowledge.note_replaced(row)
             self.service.placing.report_replaced(row.identity)
 
-    def _end_unplaced(
-        self, refused: placement.Refused, outcome: outcomes.Outcome | None
-    ) -> None:
-        """End the request that gets no upstream, after the last attempt if any."""
-        if refused.reason == crashes.HARMFUL:
-            records.write_held(self, refused)
-            self._give_up_harmful()
-        elif refused.reason == budgets.EXHAUSTED and outcome is not None:
-            records.write_denied(self, refused)
-            self._give_up_after(outcome)
-        else:
-            self._give_up(refused.reason, refused.return_seconds)
-
-    def _give_up_after(self, outcome: outcomes.Outcome) -> None:
-        """End the request after an attempt that no other may follow."""
-        if self.relay.began:
-            self._break_off(outcomes.describe_outcome(outcome))
-        elif self.kept_answer is not None:
-            self._answer(*self.kept_answer)
-        elif self.runs == 0:
-            self._give_up(outcomes.describe_outcome(outcome), placement.RETURN_SECONDS)
-        elif clocks.read() >= self.deadline:
-            self._end_with(refusals.GATEWAY_TIMEOUT, "no answer in time")
-        else:
-            self._end_with(refusals.BAD_GATEWAY, outcomes.describe_outcome(outcome))
-
-    def _give_up_harmful(self) -> None:
-        """End a request that is not sent for what it does to upstreams.
-
-        It has run, in this attempt or in one before, so no status that promises that it
-        did not; and none that invites the caller to come back.
-        """
-        if self.relay.began:
-            self._break_off(crashes.HARMFUL)
-        elif self.kept_answer is not None:
-            self._answer(*self.kept_answer)
-        else:
-            self._end_with(refusals.BAD_GATEWAY, crashes.HARMFUL)
-
-    def _give_up(self, reason: str, after: float) -> None:
-        """Tell the caller that the request did not run, unless something else holds."""
-        if self.relay.began:
-            self._break_off(reason)
-        elif self.kept_answer is not None:
-            self._answer(*self.kept_answer)
-        elif self.runs:
-            self._end_with(refusals.BAD_GATEWAY, reason)
-        else:
-            asked = self.return_seconds
-            after = after if asked is None else asked
-            self._end_with(refusals.UNAVAILABLE, reason, after)
-
-    def _end_with(self, status: int, reason: str, after: float | None = None) -> None:
-        request_id = self.descriptor.request_id
-        refusal = refusals.Refusal(status, reason, request_id, self.route.name)
-        self.service.refuse(self.caller, refusal, self.arrived, after)
-
-    def _break_off(self, reason: str) -> None:
-        """End a stream that can't be finished, so that it can't look finished."""
-        self.caller.closing = True
-        self.caller.cut()
-        records.write_ended(self, OK, "broken_off", reason)
-
-    def _answer(self, head: attempts.AnswerHead, body: bytes) -> None:
-        self.caller.answer(head.status, head.list_passed_on(), body)
-        records.write_ended(self, head.status, "answered", "")
-
     def _note_left(self) -> None:
         if self.attempt is not None:
             self.attempt.abort()
