--- a/packages/daemon/src/trestlestall/daemon/gateway/finals.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/finals.py
@@ -1,21 +1,20 @@
 """How a request ends that gets no upstream any more, or has its answer."""
 
-from __future__ import annotations
-
-import typing
-
-from trestlestall.daemon.gateway import attempts, outcomes, records, refusals
+from trestlestall.daemon.gateway import (
+    attempts,
+    outcomes,
+    progress,
+    records,
+    refusals,
+)
 from trestlestall.forwarding import budgets, crashes, placement
 from trestlestall.wire import clocks
 
-if typing.TYPE_CHECKING:
-    from trestlestall.daemon.gateway import forwards
-
 OK = 200
 
 
 def end_unplaced(
-    forward: forwards.Forward,
+    forward: progress.Progress,
     refused: placement.Refused,
     outcome: outcomes.Outcome | None,
 ) -> None:
@@ -30,7 +29,7 @@
         give_up(forward, refused.reason, refused.return_seconds)
 
 
-def give_up_after(forward: forwards.Forward, outcome: outcomes.Outcome) -> None:
+def give_up_after(forward: progress.Progress, outcome: outcomes.Outcome) -> None:
     """End the request after an attempt that no other may follow."""
     reason = outcomes.describe_outcome(outcome)
     if end_begun(forward, reason):
@@ -43,7 +42,7 @@
         end_with(forward, refusals.BAD_GATEWAY, reason)
 
 
-def give_up_harmful(forward: forwards.Forward) -> None:
+def give_up_harmful(forward: progress.Progress) -> None:
     """End a request that is not sent for what it does to upstreams.
 
     It has run, in this attempt or in one before, so no status that promises that it
@@ -53,7 +52,7 @@
         end_with(forward, refusals.BAD_GATEWAY, crashes.HARMFUL)
 
 
-def give_up(forward: forwards.Forward, reason: str, after: float) -> None:
+def give_up(forward: progress.Progress, reason: str, after: float) -> None:
     """Tell the caller that the request did not run, unless something else holds."""
     if end_begun(forward, reason):
         return
@@ -65,7 +64,7 @@
         end_with(forward, refusals.UNAVAILABLE, reason, after)
 
 
-def end_begun(forward: forwards.Forward, reason: str) -> bool:
+def end_begun(forward: progress.Progress, reason: str) -> bool:
     """End a request whose answer has begun, or that has one of a failed run.
 
     Returns whether it was such a request.
@@ -80,7 +79,7 @@
 
 
 def end_with(
-    forward: forwards.Forward, status: int, reason: str, after: float | None = None
+    forward: progress.Progress, status: int, reason: str, after: float | None = None
 ) -> None:
     """Answer with a refusal; ``after`` are the seconds until it helps to come back."""
     request_id = forward.descriptor.request_id
@@ -88,14 +87,14 @@
     forward.service.refuse(forward.caller, refusal, forward.arrived, after)
 
 
-def break_off(forward: forwards.Forward, reason: str) -> None:
+def break_off(forward: progress.Progress, reason: str) -> None:
     """End a stream that can't be finished, so that it can't look finished."""
     forward.caller.closing = True
     forward.caller.cut()
     records.write_ended(forward, OK, "broken_off", reason)
 
 
-def answer(forward: forwards.Forward, head: attempts.AnswerHead, body: bytes) -> None:
+def answer(forward: progress.Progress, head: attempts.AnswerHead, body: bytes) -> None:
     """Pass a whole answer on to the caller."""
     forward.caller.answer(head.status, head.list_passed_on(), body)
     records.write_ended(forward, head.status, "answered", "")
--- a/packages/daemon/src/trestlestall/daemon/gateway/records.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/records.py
@@ -1,19 +1,12 @@
 """The log lines of one forwarded request."""
 
-from __future__ import annotations
-
-import typing
-
 from trestlestall.daemon import events
-from trestlestall.daemon.gateway import outcomes
+from trestlestall.daemon.gateway import outcomes, progress
 from trestlestall.forwarding import placement, upstreams
 from trestlestall.wire import clocks
 
-if typing.TYPE_CHECKING:
-    from trestlestall.daemon.gateway import forwards
-
 
-def write_sent(forward: forwards.Forward, placed: placement.Placed) -> None:
+def write_sent(forward: progress.Progress, placed: placement.Placed) -> None:
     """Tell where a request goes, and what decided that."""
     engine = forward.knowledge.placer.engines[placed.row.identity]
     data_centre = forward.descriptor.data_centre
@@ -42,7 +35,7 @@
 
 
 def write_repeated(
-    forward: forwards.Forward,
+    forward: progress.Progress,
     row: upstreams.Row,
     outcome: outcomes.Outcome,
     allowed: bool,
@@ -62,7 +55,7 @@
     )
 
 
-def write_denied(forward: forwards.Forward, refused: placement.Refused) -> None:
+def write_denied(forward: progress.Progress, refused: placement.Refused) -> None:
     """Tell that the retry budget has no further send for a request."""
     forward.knowledge.log.write(
         events.forwarding.DENIED,
@@ -73,7 +66,7 @@
     )
 
 
-def write_held(forward: forwards.Forward, refused: placement.Refused) -> None:
+def write_held(forward: progress.Progress, refused: placement.Refused) -> None:
     """Tell that a request is not sent, and the ends that are held against it."""
     knowledge = forward.knowledge
     ends = knowledge.crashes.list_ends(forward.digest, knowledge.clock())
@@ -89,7 +82,7 @@
 
 
 def write_ended(
-    forward: forwards.Forward, status: int, outcome: str, reason: str
+    forward: progress.Progress, status: int, outcome: str, reason: str
 ) -> None:
     """Tell and count how a request ended whose answer came from an upstream."""
     relay = forward.relay
