--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -87,6 +87,25 @@
         # All ends came within a second, so after ten of them one send is tried.
         self.assertLessEqual(after, before + 1)
 
+    def test_it_is_known_though_those_end_who_learned_of_it(self):
+        first, second = self.system.gateways
+        self.ask(first, fragile.FATAL)
+        gateways.wait_until(lambda: len(self.fleet.ends) == 2, "two ended")
+        # The directory that places, and the gateway that saw both ends.
+        self.system.running[min(self.system.names, key=self.find_link)].kill()
+        self.system.running[first].kill()
+        self.ask(second, fragile.FATAL)
+        self.system.start_gateway(first)
+        gateways.wait_until(lambda: self.ask(first, b"x") == 200, first)
+        time.sleep(KNOWN_SECONDS)
+        for gateway in (first, second, first, second):
+            self.ask(gateway, fragile.FATAL)
+        self.assertEqual(len(self.fleet.list_runs(fragile.FATAL)), ENDS)
+
+    def find_link(self, name):
+        """Return by what gateways choose the directory that they ask."""
+        return f"{gateways.HOST}:{self.system.links[name]}"
+
     def test_it_ends_no_more_upstreams_once_that_is_known(self):
         with concurrent.futures.ThreadPoolExecutor() as pool:
             fatal = pool.submit(self.keep_asking, fragile.FATAL, PAUSE_SECONDS)
