Keep what is on trial too, and tell a process that missed it what was excused

Found by reading the diff: a request on trial left the file of what is held, and would have been new after a loss of power; a gateway that was not linked when a request was excused went on holding it for its ten minutes. A directory that is told of ends which it knows excused says so now.

--- a/packages/daemon/src/trestlestall/daemon/directory/harm.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/harm.py
@@ -48,7 +48,9 @@
             reason = str(error)
             self._log.write(events.directory.REPORT_REFUSED, source=peer, reason=reason)
             return
-        self._note_news(self.record.take(told, self._clock()))
+        now = self._clock()
+        self._note_news(self.record.take(told, now))
+        self._send(peer, self.record.list_excuses(told, now))
 
     def note_success(self, digest: str, start: str, sent_at: float) -> None:
         """Note that a request which was sent to a start then got its answer."""
@@ -90,7 +92,7 @@
 
     def _list_held(self, now: float) -> list[str]:
         """Return the requests that must not be sent; log those that are new."""
-        held = self.record.list_harmful(now)
+        held = self.record.list_held(now)
         for digest in set(held) - self._held:
             self._log.write(
                 events.directory.HARMFUL,
--- a/packages/daemon/src/trestlestall/daemon/gateway/knowledge.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/knowledge.py
@@ -54,7 +54,7 @@
 
     def count_held(self) -> int:
         """Return how many requests are not sent, as upstreams ended under them."""
-        return len(self.crashes.list_harmful(self.clock()))
+        return len(self.crashes.list_held(self.clock()))
 
     def is_complete(self) -> bool:
         """Return whether requests can be served."""
--- a/packages/daemon/tests/test_harm.py
+++ b/packages/daemon/tests/test_harm.py
@@ -130,6 +130,13 @@
         record = self.start_again(wall=-500.0)
         self.assertEqual(record.list_ends(DIGEST, self.clock.now)[0][1], 0.05)
 
+    def test_what_is_on_trial_is_kept(self):
+        self.tell("s1", "s2", "s3")
+        self.clock.now += 60.0
+        self.tell("s9", digest="beside")
+        self.turn(0.05)
+        self.assertEqual(len(self.start_again()), 1)
+
     def test_what_is_excused_is_not_kept(self):
         self.ask()
         self.tell("s1", "s2", "s3")
@@ -193,6 +200,17 @@
         self.assertEqual([digest for digest, _ in last.answers], [DIGEST])
         self.assertIn('"request_excused"', self.output.getvalue())
 
+    def test_one_that_holds_what_was_excused_meanwhile_is_told(self):
+        self.ask()
+        self.note(notes.SUCCEEDED)
+        self.clock.now += 5.0
+        self.links.sent.clear()
+        ends = tuple((DIGEST, f"s{number}", 6.0) for number in range(3))
+        self.server.take_message("gateway-1", messages.Crashed(ends))
+        (told,) = self.links.find(messages.Crashed, "gateway-1")
+        self.assertEqual(told.answers, ((DIGEST, 5.0),))
+        self.assertEqual(len(self.server.harm.record), 0)
+
     def test_words_that_can_not_be_so_change_nothing(self):
         self.server.take_message("gateway-1", messages.Crashed((("d", 1, 2),)))
         self.assertIn('"crash_report_refused"', self.output.getvalue())
--- a/packages/forwarding/src/trestlestall/forwarding/crashes.py
+++ b/packages/forwarding/src/trestlestall/forwarding/crashes.py
@@ -213,9 +213,33 @@
             (one, round(max(0.0, now - at), 3)) for one, at in self._alive.items()
         )
 
-    def list_harmful(self, now: float) -> list[str]:
-        """Return the digests of the requests that must not be sent."""
-        return [one for one in self._ends if self.judge(one, now) is Verdict.HARMFUL]
+    def list_held(self, now: float) -> list[str]:
+        """Return the digests of the requests that are held or on trial."""
+        held = (Verdict.HARMFUL, Verdict.ON_TRIAL)
+        return [one for one in self._ends if self.judge(one, now) in held]
+
+    def list_excuses(
+        self, told: crash_reports.Report, now: float
+    ) -> crash_reports.Report:
+        """Return what speaks for requests that another record holds ends against.
+
+        It may have missed that: a process that was not linked was not told.
+        """
+        answered = {
+            digest
+            for digest, _, age in told.ends
+            if self._answered.get(digest, -math.inf) >= now - age
+        }
+        alive = {
+            start
+            for _, start, age in told.ends
+            if self._alive.get(start, -math.inf) >= now - age
+        }
+        return crash_reports.Report(
+            (),
+            self._list_answers(sorted(answered), now),
+            tuple(one for one in self._list_alive(now) if one[0] in alive),
+        )
 
     def take(self, told: crash_reports.Report, now: float) -> crash_reports.Report:
         """Take in what another record told; return what others must know of it."""
--- a/packages/forwarding/tests/crash_world.py
+++ b/packages/forwarding/tests/crash_world.py
@@ -304,7 +304,7 @@
     def report_for(self, process, peer):
         digests = None
         if peer in self.gateways:
-            digests = process.record.list_harmful(self.now)
+            digests = process.record.list_held(self.now)
         return process.record.report(self.now, digests)
 
     # What goes wrong.
--- a/packages/forwarding/tests/test_crashes.py
+++ b/packages/forwarding/tests/test_crashes.py
@@ -174,7 +174,7 @@
         other.take(self.record.report(2.0), 50.0)
         self.assertIs(other.judge("d", 50.0), HARMFUL)
         self.assertEqual(other.list_ends("e", 50.0), [("s1", 2.0)])
-        few = self.record.report(2.0, self.record.list_harmful(2.0))
+        few = self.record.report(2.0, self.record.list_held(2.0))
         self.assertEqual({digest for digest, _, _ in few.ends}, {"d"})
 
     def test_what_can_not_be_so_is_refused(self):
