--- a/packages/daemon/tests/test_harm.py
+++ b/packages/daemon/tests/test_harm.py
@@ -101,6 +101,27 @@
         self.assertTrue(self.ask().upstream)
 
 
+class TrialTest(HarmCase):
+    def test_after_its_hold_one_send_at_a_time_is_tried(self):
+        self.tell("s1", "s2", "s3")
+        self.clock.now += crashes.HELD_AT_FIRST_SECONDS + 1.0
+        self.assertTrue(self.ask().upstream)
+        tried = self.token
+        self.assertEqual(self.ask().reason, crashes.HARMFUL)
+        note = messages.PlaceNote(f"r{tried}", notes.NEITHER)
+        self.server.take_message("gateway-1", note)
+        self.assertTrue(self.ask().upstream)
+
+    def test_a_trial_that_ends_one_more_holds_it_for_longer(self):
+        self.tell("s1", "s2", "s3")
+        self.clock.now += crashes.HELD_AT_FIRST_SECONDS + 1.0
+        self.ask()
+        self.tell("s4")
+        self.note(notes.FAILED)
+        self.clock.now += crashes.HELD_AT_FIRST_SECONDS + 1.0
+        self.assertEqual(self.ask().reason, crashes.HARMFUL)
+
+
 class FileTest(HarmCase):
     def start_again(self, wall=0.0):
         """Return the record of a directory that starts in the same folder."""
