--- /dev/null
+++ b/tests/test_suspended.py
@@ -0,0 +1,106 @@
+"""A host that is suspended for seconds: its processes know that the time has passed.
+
+The steady clock does not count a suspension. A process that measured by it would go on
+as if nothing had been: it would wait for answers whose time is over, and send requests
+whose callers have long stopped waiting.
+"""
+
+import contextlib
+import tempfile
+import threading
+import time
+import unittest
+
+from tests import gateways, suspension
+
+#: Seconds that callers wait, and of a suspension: longer than that.
+WHOLE_SECONDS = 3.0
+SUSPENDED_SECONDS = 4.0
+
+
+class Silent(gateways.Upstream):
+    """An upstream that keeps each request until it is told to close the connection."""
+
+    def __init__(self, identity):
+        self.let_go = threading.Event()
+        super().__init__(identity)
+
+    def answer(self, handler):
+        """Run one request without ever answering it."""
+        handler.rfile.read(int(handler.headers.get("Content-Length") or 0))
+        self.seen.append(handler.headers["Trestlestall-Request"])
+        self.let_go.wait(60.0)
+        handler.close_connection = True
+
+
+class SuspendedGatewayTest(unittest.TestCase):
+    def setUp(self):
+        stack = contextlib.ExitStack()
+        self.addCleanup(stack.close)
+        folder = stack.enter_context(tempfile.TemporaryDirectory(prefix="trestle-"))
+        self.host = suspension.Host(folder)
+        self.system = gateways.Deployment(folder, directories=1, gateways=1)
+        stack.callback(self.system.stop_all)
+        self.silent = [Silent("u1"), Silent("u2")]
+        for one in self.silent:
+            stack.callback(one.stop)
+            stack.callback(one.let_go.set)
+        # Its link ends meanwhile, and alone a gateway has a small part.
+        self.system.settings["retries"] = {"ratio": 50.0}
+        with self.host.starting():
+            self.system.start_all()
+        document = gateways.make_document(5)
+        document["routes"][0].update(
+            idempotent=True, attempts=2, whole_seconds=WHOLE_SECONDS, first_seconds=2.9
+        )
+        self.assertEqual(self.system.declare(document), 200)
+        (self.directory,) = self.system.names
+        (self.gateway,) = self.system.gateways
+        for one in self.silent:
+            self.assertEqual(one.announce(self.system.ports[self.directory]), 200)
+        gateways.wait_until(lambda: self.system.is_ready(self.gateway), "ready")
+
+    def suspend_at_work(self, meanwhile):
+        """Suspend the gateway while a request runs; return its status, and when it
+        ended, in seconds after the gateway went on.
+        """
+        ended = []
+
+        def ask():
+            port = self.system.ports[self.gateway]
+            headers = {"Host": "api", "Trestlestall_Request": "r1"}
+            found = gateways.ask(port, "POST", "/work/x", b"b", timeout=20.0, **headers)
+            ended.append((found.status, time.monotonic()))
+
+        asking = threading.Thread(target=ask)
+        asking.start()
+        gateways.wait_until(lambda: self.count_runs() == 1, "it runs")
+        with self.host.suspended(self.system.running[self.gateway]):
+            meanwhile()
+            time.sleep(SUSPENDED_SECONDS)
+        resumed = time.monotonic()
+        asking.join(20.0)
+        ((status, at),) = ended
+        return status, at - resumed
+
+    def count_runs(self):
+        return sum(len(one.seen) for one in self.silent)
+
+    def test_a_request_whose_time_is_over_is_ended_and_not_waited_for(self):
+        status, seconds = self.suspend_at_work(lambda: None)
+        self.assertEqual(status, 504)
+        # By the steady clock it would be waited for another 2.9 s.
+        self.assertLess(seconds, 0.6 * WHOLE_SECONDS)
+
+    def test_a_request_whose_time_is_over_is_sent_nowhere(self):
+        def break_off():
+            for one in self.silent:
+                one.let_go.set()
+
+        status, _ = self.suspend_at_work(break_off)
+        self.assertEqual(self.count_runs(), 1)
+        self.assertIn(status, (502, 504))
+
+
+if __name__ == "__main__":
+    unittest.main()
