Duties, pure: a lease in the agreed log, windows of usage, orders of upstreams

Weighed: the leader of the log as holder, a lease in the log apart from leadership, a lease for each duty; ruled out: the first, as leadership comes and goes within the lease and a leader that was cut off finds out too late; the third, which costs entries and plans one service four times.

--- /dev/null
+++ b/packages/duties/src/trestlestall/duties/fleet.py
@@ -0,0 +1,160 @@
+"""How many upstreams to order, where and of which kind.
+
+There are two kinds: firm ones, which stay until they are let go, and reclaimable ones,
+which cost a part of that and may all be taken back in a data centre, with a notice that
+is shorter than another one takes to start. So most are reclaimable, spread over all
+data centres alike, and some are firm everywhere; what is taken back is made up for
+elsewhere, and by firm ones where no others are to be had.
+
+    orders = fleet.plan(terms, need=31.0, sights={"a": fleet.Sight(14, 0, 14)})
+"""
+
+import dataclasses
+import math
+from collections import abc
+
+#: The part of the most upstreams that always stands, however little is asked for.
+#: Starting one takes seconds, in which a burst asks for several times as much as
+#: before; reclaimable ones at half of the most cost a tenth of firm ones at the most.
+FLOOR_SHARE = 0.5
+#: The part of what is wanted that is firm. What serves through a loss of all
+#: reclaimable ones until others have started: with less urgent requests refused, a
+#: seventh of the places still takes the most urgent ones.
+FIRM_SHARE = 0.15
+#: An order of reclaimable ones is lowered by no fewer at once, so that noise does not
+#: start and end upstreams; firm ones are let go one by one.
+LEAST_CHANGE = 2
+
+
+@dataclasses.dataclass(frozen=True)
+class Terms:
+    """What may be ordered of a service, in each data centre.
+
+    ``least`` and ``most`` bound both kinds together. ``prices`` are those of a firm
+    one by data centre, ``reclaimable_price`` the part of it that a reclaimable one
+    costs; None if there are none.
+    """
+
+    least: int
+    most: int
+    start_seconds: float
+    prices: abc.Mapping[str, float]
+    reclaimable_price: float | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class Sight:
+    """The upstreams of a service in a data centre.
+
+    ``firm`` and ``reclaimable`` take requests, ``ordered`` firm ones are wanted there
+    so far. While it is ``closed`` no more reclaimable ones are to be had.
+    """
+
+    firm: int
+    reclaimable: int
+    ordered: int
+    closed: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class Count:
+    """How many upstreams of each kind a data centre should have."""
+
+    firm: int
+    reclaimable: int
+
+
+def plan(
+    terms: Terms, need: float, sights: abc.Mapping[str, Sight]
+) -> dict[str, Count]:
+    """Return what each data centre should have for a ``need`` of upstreams."""
+    size = find_size(terms, need, len(sights))
+    if terms.reclaimable_price is None:
+        return {name: Count(size, 0) for name in sights}
+    firm = min(size, max(terms.least, math.ceil(FIRM_SHARE * size)))
+    reclaimable = spread(terms, size - firm, firm, sights)
+    missing = len(sights) * size - sum(reclaimable.values()) - firm * len(sights)
+    firms = fill(terms, firm, reclaimable, max(0, missing))
+    firms = keep_firm(terms, firms, reclaimable, sights)
+    return {
+        name: Count(firms[name], min(reclaimable[name], terms.most - firms[name]))
+        for name in sights
+    }
+
+
+def find_size(terms: Terms, need: float, data_centres: int) -> int:
+    """Return how many upstreams each data centre should have in all."""
+    least = max(terms.least, math.ceil(FLOOR_SHARE * terms.most))
+    wanted = math.ceil(need / max(1, data_centres))
+    return min(terms.most, max(least, wanted))
+
+
+def spread(
+    terms: Terms, wanted: int, firm: int, sights: abc.Mapping[str, Sight]
+) -> dict[str, int]:
+    """Return the reclaimable ones by data centre, ``wanted`` in the mean.
+
+    A closed one keeps those that it has; the others take over what it lacks.
+    """
+    counts = {
+        name: min(wanted, sight.reclaimable) if sight.closed else wanted
+        for name, sight in sights.items()
+    }
+    missing = wanted * len(sights) - sum(counts.values())
+    opened = sorted(name for name, sight in sights.items() if not sight.closed)
+    for place, name in enumerate(opened):
+        share = math.ceil(missing / (len(opened) - place))
+        added = min(share, terms.most - firm - counts[name])
+        counts[name] += added
+        missing -= added
+    return counts
+
+
+def fill(
+    terms: Terms, firm: int, reclaimable: abc.Mapping[str, int], missing: int
+) -> dict[str, int]:
+    """Return the firm ones by data centre, with the missing ones where they cost least.
+
+    >>> terms = Terms(1, 6, 4.0, {"a": 1.0, "b": 0.8})
+    >>> fill(terms, 1, {"a": 0, "b": 0}, 7)
+    {'a': 3, 'b': 6}
+    """
+    firms = {name: firm for name in reclaimable}
+    for name in sorted(firms, key=lambda one: (terms.prices.get(one, 1.0), one)):
+        added = min(missing, terms.most - firm - reclaimable[name])
+        firms[name] += added
+        missing -= added
+    return firms
+
+
+def keep_firm(
+    terms: Terms,
+    wanted: abc.Mapping[str, int],
+    reclaimable: abc.Mapping[str, int],
+    sights: abc.Mapping[str, Sight],
+) -> dict[str, int]:
+    """Return the firm ones, of which no more are let go than what serves allows.
+
+    Those that cost most go first. Where firm ones take the places of reclaimable ones,
+    they go before these can start, as long as enough serve in all.
+    """
+    serving = sum(sight.firm + sight.reclaimable for sight in sights.values())
+    spare = max(0, serving - sum(wanted.values()) - sum(reclaimable.values()))
+    kept = {}
+    for name in sorted(wanted, key=lambda one: (-terms.prices.get(one, 1.0), one)):
+        too_many = max(0, sights[name].ordered - wanted[name])
+        gone = min(too_many, spare)
+        spare -= gone
+        kept[name] = wanted[name] + too_many - gone
+    return kept
+
+
+def is_change(standing: int, wanted: int, enough: bool, reclaimable: bool) -> bool:
+    """Return whether an order should be given in the place of a standing one.
+
+    Some are let go only while ``enough`` serve in all.
+    """
+    if wanted > standing:
+        return True
+    least = LEAST_CHANGE if reclaimable else 1
+    return enough and wanted <= standing - least
--- /dev/null
+++ b/packages/duties/tests/duty_world.py
@@ -0,0 +1,281 @@
+"""Directories, their agreed log and a platform as pure values, under drawn trouble.
+
+The log is one list: what is committed stands, a proposal may be lost, be committed
+though its answer is lost, or be committed twice. Each host sees it with a lag, acts by
+a clock of its own and may be killed, frozen, suspended or cut off, from the log, from
+the platform or from both. The platform keeps what it gets; ``checks`` judges it.
+"""
+
+import dataclasses
+import random
+
+from packages.duties.tests import checks
+from trestlestall.duties import leases, state, windows
+
+LEASE = 3.0
+WINDOW = 5.0
+STEP = 0.05
+HOSTS = 4
+#: What a call may take once the process has handed it to its kernel.
+CALL_SECONDS = 1.0
+#: The same as ``posting.LEAST_SECONDS`` of the daemon.
+LEAST_SECONDS = 0.1
+#: How far the clocks of two hosts run apart, each way.
+DRIFT = 0.02
+TROUBLES = ("kill", "freeze", "log_cut", "platform_cut", "both_cut", "power", "slow")
+
+
+@dataclasses.dataclass
+class Host:
+    """One directory: what it knows, its clock, and what is wrong with it."""
+
+    name: str
+    rate: float
+    start: int = 0
+    tenure: leases.Tenure | None = None
+    applied: int = 0
+    asking: bool = False
+    fixing: bool = False
+    down_until: float = 0.0
+    frozen_until: float = 0.0
+    log_cut_until: float = 0.0
+    platform_cut_until: float = 0.0
+    excused_until: float = 0.0
+    answers: list = dataclasses.field(default_factory=list)
+    sent: dict = dataclasses.field(default_factory=dict)
+
+    def read_clock(self, now):
+        """Return the host's own steady time; it counts while the host is frozen."""
+        return now * self.rate
+
+
+class World:
+    """One schedule; ``make_tenure`` and ``may_send`` can be replaced by faulty ones."""
+
+    def __init__(self, seed, make_tenure=leases.Tenure, may_send=None):
+        self.random = random.Random(seed)
+        self.now = 1000.0
+        self.make_tenure = make_tenure
+        self.may_send = may_send or self.is_allowed
+        self.committed = [state.EMPTY]
+        self.seen_at = [self.now]
+        self.pending = []
+        self.calls = []
+        self.platform = checks.Platform(LEASE)
+        self.slow_until = 0.0
+        self.hosts = [
+            Host(f"host-{number}", 1.0 + self.random.uniform(-DRIFT, DRIFT))
+            for number in range(HOSTS)
+        ]
+        for host in self.hosts:
+            self.boot(host)
+
+    # Processes.
+
+    def boot(self, host):
+        """Start the host's process; it has forgotten all but the log."""
+        host.start += 1
+        host.asking = host.fixing = False
+        host.applied = 0
+        host.answers, host.sent = [], {}
+        times = leases.Times(LEASE)
+        clock = host.read_clock(self.now)
+        host.tenure = self.make_tenure(host.name, str(host.start), times, clock)
+
+    def is_running(self, host):
+        """Return whether the host's process can do anything now."""
+        return self.now >= max(host.down_until, host.frozen_until)
+
+    def run(self, seconds):
+        """Let time pass."""
+        end = self.now + seconds
+        while self.now < end:
+            self.now += STEP
+            self.commit_due()
+            self.deliver_due()
+            for host in self.hosts:
+                if self.is_running(host):
+                    self.step(host)
+
+    def step(self, host):
+        """Let one process do what is due, as the daemon does in a turn."""
+        if host.tenure is None:
+            self.boot(host)
+        clock = host.read_clock(self.now)
+        self.apply_seen(host)
+        known = self.committed[host.applied]
+        host.tenure.observe(known.lease, clock)
+        self.take_answers(host)
+        wish = None if host.asking else host.tenure.find_wish(clock)
+        if wish is not None:
+            host.asking = True
+            host.tenure.note_asked(clock)
+            self.propose(host, wish, "lease", clock)
+        if self.may_send(host, clock):
+            self.fix(host, known)
+            self.report(host, known, clock)
+
+    def is_allowed(self, host, clock):
+        """Return whether the lease allows a call, as the daemon asks it."""
+        return host.tenure.find_left(clock) > LEAST_SECONDS
+
+    # The log.
+
+    def apply_seen(self, host):
+        if self.now < host.log_cut_until:
+            return
+        while host.applied + 1 < len(self.committed):
+            lag = 2.0 if self.now < self.slow_until else 0.1
+            if self.now - self.seen_at[host.applied + 1] < self.random.random() * lag:
+                return
+            host.applied += 1
+
+    def propose(self, host, event, purpose, asked_at):
+        """Put an event to the log; an answer may come, late or never."""
+        document = state.encode_event(event)
+        if self.now < host.log_cut_until or self.random.random() < 0.05:
+            self.answer_later(host, None, purpose, asked_at, 0.9)
+            return
+        late = self.random.random() < 0.1 or self.now < self.slow_until
+        delay = self.random.random() * (0.9 if late else 0.1)
+        lost = self.random.random() < 0.05
+        copies = 2 if self.random.random() < 0.05 else 1
+        for copy in range(copies):
+            due = self.now + delay * (copy + 1)
+            whom = None if lost or copy else (host, host.start, purpose, asked_at)
+            self.pending.append((due, document, whom))
+        if lost:
+            self.answer_later(host, None, purpose, asked_at, 0.9)
+
+    def commit_due(self):
+        due = [one for one in self.pending if one[0] <= self.now]
+        self.pending = [one for one in self.pending if one[0] > self.now]
+        for _, document, whom in sorted(due, key=lambda one: one[0]):
+            after, outcome = state.apply(self.committed[-1], document)
+            self.committed.append(after)
+            self.seen_at.append(self.now)
+            if whom is not None:
+                host, start, purpose, asked_at = whom
+                answer = state.decode_answer(outcome)
+                if host.start == start:
+                    self.answer_later(host, answer, purpose, asked_at, 0.1)
+
+    def answer_later(self, host, answer, purpose, asked_at, seconds):
+        due = self.now + self.random.random() * seconds
+        host.answers.append((due, answer, purpose, asked_at))
+
+    def take_answers(self, host):
+        due = [one for one in host.answers if one[0] <= self.now]
+        host.answers = [one for one in host.answers if one[0] > self.now]
+        for _, answer, purpose, asked_at in due:
+            if purpose == "lease":
+                host.asking = False
+                if answer is not None:
+                    host.tenure.note_answer(answer, asked_at)
+            else:
+                host.fixing = False
+
+    # Usage.
+
+    def fix(self, host, known):
+        """Enter counts that no other host would: each has seen something else."""
+        first = windows.find_window(1000.0, WINDOW)
+        number = max(known.windows.newest + 1, first)
+        if self.now < windows.find_end(number, WINDOW) + 0.5 or host.fixing:
+            return
+        host.fixing = True
+        counts = {"a": 1 + self.random.randrange(10**6)}
+        event = windows.Fix(host.tenure.token, number, counts)
+        self.propose(host, event, "fix", self.now)
+
+    def report(self, host, known, clock):
+        """Report the first window that waits, again and again until it is dropped."""
+        for number, counts in known.windows.waiting.items():
+            if self.now < host.sent.get(number, 0.0):
+                continue
+            host.sent[number] = self.now + 0.5
+            self.call(host, number, counts)
+            return
+
+    # The platform.
+
+    def call(self, host, number, counts):
+        """Send a call; a freeze may fall between the decision and the sending."""
+        token = host.tenure.token
+        arrival = self.now + self.random.random() ** 4 * CALL_SECONDS * 0.8
+        if self.random.random() < 0.01:
+            self.freeze(host)
+            arrival = host.frozen_until + self.random.random() * checks.THAW_SECONDS
+        if self.now < host.platform_cut_until:
+            # What was not delivered in time is reset with its connection.
+            if host.platform_cut_until > self.now + CALL_SECONDS:
+                return
+            arrival = host.platform_cut_until + self.random.random() * 0.2
+        self.calls.append((arrival, host, token, number, dict(counts)))
+
+    def deliver_due(self):
+        due = [one for one in self.calls if one[0] <= self.now]
+        self.calls = [one for one in self.calls if one[0] > self.now]
+        for arrival, host, token, number, counts in sorted(due, key=lambda one: one[0]):
+            excused = arrival < host.excused_until
+            call = checks.Call(arrival, host.name, token, number, counts, excused)
+            taken = self.platform.take(call)
+            if taken and self.is_running(host):
+                event = windows.Reported(token, number)
+                self.propose(host, event, "reported", self.now)
+
+    # Trouble.
+
+    def freeze(self, host, seconds=None):
+        """Stop the process; its kernel and the clocks go on."""
+        seconds = seconds or self.random.uniform(0.3, 6.0)
+        host.frozen_until = max(host.frozen_until, self.now + seconds)
+        self.excuse(host, host.frozen_until)
+
+    def excuse(self, host, until):
+        """Note when the trouble of a host ends; what comes right after is excused."""
+        end = until + checks.THAW_SECONDS
+        host.excused_until = max(host.excused_until, end)
+
+    def kill(self, host, seconds):
+        """End the process; another one starts after a while."""
+        host.down_until = self.now + seconds
+        host.tenure = None
+        host.start += 1
+        host.answers = []
+
+    def trouble(self):
+        """Draw one trouble, more often for the host that holds the lease."""
+        kind = self.random.choice(TROUBLES)
+        host = self.random.choice(self.hosts)
+        holder = self.committed[-1].lease.holder
+        if self.random.random() < 0.7:
+            host = next((one for one in self.hosts if one.name == holder), host)
+        seconds = self.random.choice((0.3, 1.0, 2.0, 3.1, 5.0, 7.0))
+        if kind == "kill":
+            self.kill(host, seconds)
+        elif kind == "freeze":
+            self.freeze(host, seconds)
+        elif kind == "power":
+            for one in self.hosts:
+                self.kill(one, seconds)
+        elif kind == "slow":
+            self.slow_until = self.now + seconds
+        if kind in ("log_cut", "both_cut"):
+            host.log_cut_until = self.now + seconds
+        if kind in ("platform_cut", "both_cut"):
+            host.platform_cut_until = self.now + seconds
+            self.excuse(host, host.platform_cut_until)
+
+
+def play(seed, **faults):
+    """Play one schedule to its end and return the world."""
+    world = World(seed, **faults)
+    for _ in range(8):
+        world.run(world.random.uniform(0.2, 6.0))
+        world.trouble()
+    for host in world.hosts:
+        host.log_cut_until = host.platform_cut_until = 0.0
+    world.slow_until = 0.0
+    world.run(16.0)
+    return world
