Directories report usage by window and order upstreams; gateways count starts

Change: the holder of the lease (packages/duties) asks all directories for a window's counts, enters them in the log and then reports them; it plans firm and reclaimable upstreams by need. Shown by: real processes with a stand-in of the platform (killed, stopped and resumed holders, a kill of all, a platform that fails, is silent or refuses).

--- a/packages/daemon/src/trestlestall/daemon/announcements.py
+++ b/packages/daemon/src/trestlestall/daemon/announcements.py
@@ -86,6 +86,12 @@
     return None
 
 
+@check
+def check_kind(row: upstreams.Row) -> str | None:
+    """Whether it may be taken back is said or not."""
+    return None if isinstance(row.reclaimable, bool) else "no kind of upstream"
+
+
 @check
 def check_warming(row: upstreams.Row) -> str | None:
     """The time for which an upstream is still slow is a length of time."""
--- a/packages/daemon/src/trestlestall/daemon/control/machine.py
+++ b/packages/daemon/src/trestlestall/daemon/control/machine.py
@@ -2,9 +2,9 @@
 
 Every voter applies the same committed entries in the same order, so all of them hold
 equal machines. An entry is CBOR ``[kind, at, document]``; ``at`` is the wall clock of
-the leader that proposed it, in seconds since the epoch. Five kinds of entries exist:
+the leader that proposed it, in seconds since the epoch. Six kinds of entries exist:
 operators' submissions, routers' claims, what operators ask of the voters, events of
-placement, and whole configurations that an operator declares.
+placement, whole configurations that an operator declares, and events of the duties.
 
     payload = machine.encode_entry(machine.SUBMISSION, 12.5, document)
     state, outcome = machine.apply(state, payload)
@@ -18,6 +18,7 @@
 
 from trestlestall.claims import claims as claim_machine, documents as claim_documents
 from trestlestall.configuration import documents, state as states
+from trestlestall.duties import state as duty_states
 from trestlestall.placement import documents as order_documents, orders
 
 FORMAT = 1
@@ -26,6 +27,7 @@
 VOTERS = "voters"
 PLACEMENT = "placement"
 DECLARATION = "declaration"
+DUTY = "duty"
 VOTER_ANSWERS = 1000
 
 Document = dict[str, typing.Any]
@@ -55,6 +57,7 @@
     voter_changes: abc.Mapping[str, Document] = dataclasses.field(default_factory=dict)
     placement: orders.Orders = orders.EMPTY
     declaration: Declaration = NO_DECLARATION
+    duties: duty_states.State = duty_states.EMPTY
 
     @property
     def version(self) -> int:
@@ -154,11 +157,20 @@
     return machine, {"newest": newest.version}
 
 
+@register(DUTY)
+def apply_duty(
+    machine: Machine, at: float, document: Document
+) -> tuple[Machine, Document]:
+    """Apply an event of the duties: their lease, fixed windows, orders."""
+    after, outcome = duty_states.apply(machine.duties, document)
+    return dataclasses.replace(machine, duties=after), outcome
+
+
 def encode(machine: Machine) -> bytes:
     """Return the machine as a snapshot's state.
 
-    Where nothing was ever placed or declared, the field is left out: such a snapshot is
-    the same as those of versions without it, which can read it.
+    Where nothing was ever placed, declared or made a duty, the field is left out: such
+    a snapshot is the same as those of versions without it, which can read it.
     """
     document = {
         "format": FORMAT,
@@ -170,6 +182,8 @@
         document[PLACEMENT] = order_documents.encode(machine.placement)
     if machine.declaration != NO_DECLARATION:
         document[DECLARATION] = dataclasses.asdict(machine.declaration)
+    if machine.duties != duty_states.EMPTY:
+        document[DUTY] = duty_states.encode(machine.duties)
     return cbor2.dumps(document)
 
 
@@ -177,10 +191,12 @@
     """Return the machine of a snapshot; raises ``InvalidDocument`` when it is none."""
     document = cbor2.loads(data)
     placed = document.get(PLACEMENT)
+    duties = document.get(DUTY)
     return Machine(
         documents.decode_state(document["configuration"]),
         claim_documents.decode(document["claims"]),
         document["voter_changes"],
         orders.EMPTY if placed is None else order_documents.decode(placed),
         Declaration(**document.get(DECLARATION, {})),
+        duty_states.EMPTY if duties is None else duty_states.decode(duties),
     )
--- a/packages/daemon/src/trestlestall/daemon/dialects.py
+++ b/packages/daemon/src/trestlestall/daemon/dialects.py
@@ -6,12 +6,14 @@
 """
 
 import dataclasses
+import enum
 import typing
 from collections import abc
 
 import msgspec
 
 from trestlestall.daemon import announcements
+from trestlestall.duties import orders
 from trestlestall.forwarding import checks, model, upstreams
 
 
@@ -59,6 +61,45 @@
     upstreams: str = "/v1/upstreams/"
 
 
+@dataclasses.dataclass(frozen=True)
+class Post:
+    """A call to the platform: its path and its JSON body."""
+
+    path: str
+    body: bytes
+
+
+class Verdict(enum.Enum):
+    """What the platform's answer to a call amounts to.
+
+    ``SUPERSEDED``: it has seen a higher token. ``NONE_LEFT``: there are no upstreams of
+    that kind to be had now. ``LIMITED``: too many calls. ``UNKNOWN``: anything that it
+    does not document; it says nothing of whether the call was taken.
+    """
+
+    TAKEN = "taken"
+    SUPERSEDED = "superseded"
+    NONE_LEFT = "none left"
+    LIMITED = "limited"
+    UNKNOWN = "unknown"
+
+
+@dataclasses.dataclass(frozen=True)
+class DutyCalls:
+    """The calls of the duties; ``holder`` and ``token`` are headers' names.
+
+    ``encode_usage(window, counts)`` and ``encode_order(subject, count)`` return a call,
+    ``read_usage_verdict`` and ``read_order_verdict`` tell what an answer's status says.
+    """
+
+    holder: str
+    token: str
+    encode_usage: abc.Callable[[int, abc.Mapping[str, int]], Post]
+    encode_order: abc.Callable[[orders.Subject, int], Post]
+    read_usage_verdict: abc.Callable[[int], Verdict]
+    read_order_verdict: abc.Callable[[int], Verdict]
+
+
 DecodeConfiguration = abc.Callable[[bytes], model.Configuration | model.Invalid]
 DecodeAnnouncement = abc.Callable[[str, bytes], upstreams.Row | model.Invalid]
 
@@ -71,6 +112,7 @@
     paths: Paths
     decode_configuration: DecodeConfiguration
     decode_announcement: DecodeAnnouncement
+    duties: DutyCalls
 
 
 def decode_configuration(body: bytes) -> model.Configuration | model.Invalid:
@@ -103,4 +145,40 @@
         return model.Invalid(f"not the expected JSON: {error}")
 
 
-NATIVE = Dialect(Headers(), Paths(), decode_configuration, decode_announcement)
+def encode_usage(window: int, counts: abc.Mapping[str, int]) -> Post:
+    """Return the call that reports a window."""
+    body = {"window": window, "requests": dict(counts)}
+    return Post("/v1/usage", msgspec.json.encode(body))
+
+
+def encode_order(subject: orders.Subject, count: int) -> Post:
+    """Return the call that orders upstreams."""
+    body = {**dataclasses.asdict(subject), "count": count}
+    return Post("/v1/orders", msgspec.json.encode(body))
+
+
+#: The verdict of each status that the platform documents.
+VERDICTS = {
+    200: Verdict.TAKEN,
+    409: Verdict.SUPERSEDED,
+    410: Verdict.NONE_LEFT,
+    429: Verdict.LIMITED,
+}
+
+
+def read_verdict(status: int) -> Verdict:
+    """Return what the status of an answer says of the call."""
+    return VERDICTS.get(status, Verdict.UNKNOWN)
+
+
+DUTY_CALLS = DutyCalls(
+    holder="Trestlestall-Holder",
+    token="Trestlestall-Token",
+    encode_usage=encode_usage,
+    encode_order=encode_order,
+    read_usage_verdict=read_verdict,
+    read_order_verdict=read_verdict,
+)
+NATIVE = Dialect(
+    Headers(), Paths(), decode_configuration, decode_announcement, DUTY_CALLS
+)
--- a/packages/daemon/src/trestlestall/daemon/directory/arbitration.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/arbitration.py
@@ -61,7 +61,8 @@
 class Arbiter:
     """What runs where, over all gateways; kept at the directory that is asked.
 
-    ``configuration`` tells the sizes of engines.
+    ``configuration`` tells the sizes of engines. ``note_reading(service, seconds)``
+    is told how long the prompt of each request takes to read.
     """
 
     def __init__(
@@ -71,6 +72,7 @@
         metrics: directory_metrics.Metrics,
         repeats: directory_repeats.Repeats,
         harm: directory_harm.Harm,
+        note_reading: abc.Callable[[str, float], object],
         clock: abc.Callable[[], float] = clocks.read,
     ) -> None:
         self._links = links
@@ -78,6 +80,7 @@
         self._metrics = metrics
         self._repeats = repeats
         self._harm = harm
+        self._note_reading = note_reading
         self._clock = clock
         self._placer = placement.Placer()
         self._configuration: model.Configuration | None = None
@@ -111,6 +114,9 @@
             return
         found = self._find_place(descriptor, call, verdict)
         refused = isinstance(found, placement.Refused)
+        self._note_reading(
+            descriptor.service, self._placer.find_reading(descriptor, found)
+        )
         outcome = found.reason if refused else directory_metrics.PLACED
         self._metrics.note_choice(outcome, clocks.read() - started)
         if refused:
@@ -214,6 +220,22 @@
             if began:
                 self._placer.note_first(descriptor.request_id, now)
 
+    def list_scaled(self) -> list[model.Service]:
+        """Return the services whose upstreams may be ordered."""
+        if self._configuration is None:
+            return []
+        services = self._configuration.services.values()
+        return [one for one in services if one.scaling is not None]
+
+    def count_load(self, service: str) -> float:
+        """Return the requests of a service that run, in upstreams."""
+        taken, places = self._placer.count_places(service)
+        serving = sum(
+            row.service == service and row.state is upstreams.State.SERVING
+            for row in self._rows
+        )
+        return taken * serving / places if places else 0.0
+
     def count_places(self, service: str) -> tuple[int, int]:
         """Return how many slots of the service are taken, and how many there are."""
         return self._placer.count_places(service)
--- a/packages/daemon/src/trestlestall/daemon/directory/arrivals.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/arrivals.py
@@ -129,6 +129,7 @@
 ) -> None:
     """Learn what became of a placed request."""
     server.arbiter.take_note(peer, message)
+    server.duties.usage.take_start(peer, message.start)
 
 
 @handles(messages.PlaceState)
@@ -174,3 +175,23 @@
 ) -> None:
     """Take a gateway's word that an upstream is gone."""
     server.registrations.take_report(message)
+
+
+@handles(messages.Starts)
+def take_starts(server: servers.Server, peer: str, message: messages.Starts) -> None:
+    """Learn how many requests began to run."""
+    server.duties.usage.take(peer, message)
+
+
+@handles(messages.StartsCall)
+def answer_starts_call(
+    server: servers.Server, peer: str, message: messages.StartsCall
+) -> None:
+    """Tell another directory how many requests began to run."""
+    server.duties.usage.answer(peer, message)
+
+
+@handles(messages.Demand)
+def take_demand(server: servers.Server, peer: str, message: messages.Demand) -> None:
+    """Learn of the load that another directory sees."""
+    server.duties.demands.take(peer, message, server.now())
--- a/packages/daemon/src/trestlestall/daemon/directory/held_file.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/held_file.py
@@ -6,18 +6,16 @@
 changes, a few times on a day with such requests.
 """
 
-import contextlib
-import os
 import pathlib
 from collections import abc
 
 import cbor2
 
 from trestlestall.daemon import events, logs
+from trestlestall.daemon.directory import whole_files
 from trestlestall.forwarding import crash_reports
 
 NAME = "held"
-NEW_NAME = "held.new"
 VERSION = 1
 
 
@@ -64,7 +62,7 @@
         self._kept = report
         plain = VERSION, self._wall(), report.ends, report.answers
         try:
-            self._replace(cbor2.dumps(plain))
+            whole_files.replace(self._folder, NAME, cbor2.dumps(plain))
         except OSError as error:
             self._refuse(str(error))
 
@@ -72,27 +70,7 @@
         before = () if self._kept is None else self._kept.ends
         return {end[:2] for end in report.ends} != {end[:2] for end in before}
 
-    def _replace(self, data: bytes) -> None:
-        """Write the file anew; returns once a loss of power can't undo it."""
-        with (self._folder / NEW_NAME).open("wb") as stream:
-            stream.write(data)
-            stream.flush()
-            os.fsync(stream.fileno())
-        os.rename(self._folder / NEW_NAME, self._folder / NAME)
-        with open_folder(self._folder) as folder:
-            os.fsync(folder)
-
     def _refuse(self, reason: str) -> crash_reports.Report:
         path = str(self._folder / NAME)
         self._log.write(events.directory.HELD_FILE_REFUSED, folder=path, reason=reason)
         return crash_reports.Report()
-
-
-@contextlib.contextmanager
-def open_folder(path: pathlib.Path) -> abc.Iterator[int]:
-    """Yield a descriptor of a folder."""
-    descriptor = os.open(path, os.O_RDONLY)
-    try:
-        yield descriptor
-    finally:
-        os.close(descriptor)
--- a/packages/daemon/src/trestlestall/daemon/directory/operations.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/operations.py
@@ -1,4 +1,4 @@
-"""The calls on the declared configuration: put a new one in force, read the newest."""
+"""The calls on what directories agree on: the declared configuration, the duties."""
 
 from trestlestall.agreement import events
 from trestlestall.daemon.control import calls, machine, voter as voters
@@ -61,3 +61,29 @@
 
     def give_up(self, call: calls.Call) -> calls.Document:
         return {"status": UNAVAILABLE}
+
+
+@calls.register
+class EnterDuty(calls.Kind):
+    """Enter an event of the duties in the log; the document is the event's.
+
+    The reply holds the outcome; without one it may have been entered or not. Entering
+    the same event again changes nothing more.
+    """
+
+    name = "enter_duty"
+    seconds = SECONDS
+
+    def begin(self, call: calls.Call, here: calls.Here) -> calls.Step:
+        payload = machine.encode_entry(machine.DUTY, here.wall, call.document)
+        return events.Propose(call.token, payload)
+
+    def go_on(
+        self, call: calls.Call, result: voters.Result, here: calls.Here
+    ) -> calls.Step:
+        if isinstance(result, voters.Applied):
+            return reply_status(OK, outcome=result.document)
+        return calls.Wait()
+
+    def give_up(self, call: calls.Call) -> calls.Document:
+        return {"status": UNAVAILABLE}
--- a/packages/daemon/src/trestlestall/daemon/directory/server.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/server.py
@@ -28,6 +28,7 @@
     arbitration,
     arrivals,
     broadcasts,
+    duties,
     harm,
     held_file,
     links as directory_links,
@@ -100,7 +101,21 @@
         file = held_file.HeldFile(settings.data_folder, log, env.clock.wall)
         self.harm = harm.Harm(links, log, file, wake, env.clock.monotonic)
         self.arbiter = arbitration.Arbiter(
-            links, dialect, self.metrics, self.repeats, self.harm, env.clock.monotonic
+            links,
+            dialect,
+            self.metrics,
+            self.repeats,
+            self.harm,
+            self._note_reading,
+            env.clock.monotonic,
+        )
+        fleet = duties.Fleet(
+            self.registrations.table.rows.values,
+            self.arbiter.list_scaled,
+            self.arbiter.count_load,
+        )
+        self.duties = duties.Duties(
+            settings, env, log, links, dialect.duties, self.open_call, fleet
         )
 
     # The disk.
@@ -143,6 +158,9 @@
             return False
         return not len(self._calls)
 
+    def _note_reading(self, service: str, seconds: float) -> None:
+        self.duties.demands.note_reading(service, seconds)
+
     def _note_rows(self) -> None:
         self.arbiter.set_rows(self.registrations.table.rows.values())
 
@@ -247,6 +265,12 @@
                 break
         self._change_voters()
         self._tell_declaration()
+        self.duties.turn(self.voter.machine.duties, self._list_others())
+
+    def _list_others(self) -> list[str]:
+        """Return the other directories that vote."""
+        names = map(group.find_name, self.voter.node.voters)
+        return [name for name in names if name != self.links.own]
 
     def _make_here(self) -> calls.Here:
         return calls.Here(
--- a/packages/daemon/src/trestlestall/daemon/events/__init__.py
+++ b/packages/daemon/src/trestlestall/daemon/events/__init__.py
@@ -6,13 +6,14 @@
 
     TS1xxx process    TS2xxx routing    TS3xxx upstreams
     TS4xxx agreement  TS5xxx links      TS6xxx placement
-    TS7xxx forwarding TS8xxx directory
+    TS7xxx forwarding TS8xxx directory  TS9xxx duties
 """
 
 from trestlestall.daemon.events import (
     agreement,
     catalogue,
     directory,
+    duties,
     forwarding,
     links,
     placement,
@@ -33,4 +34,5 @@
     placement,
     forwarding,
     directory,
+    duties,
 )
--- a/packages/daemon/src/trestlestall/daemon/events/catalogue.py
+++ b/packages/daemon/src/trestlestall/daemon/events/catalogue.py
@@ -6,7 +6,7 @@
 
 from trestlestall.daemon import exceptions
 
-NUMBER = re.compile(r"TS[1-8]\d{3}")
+NUMBER = re.compile(r"TS[1-9]\d{3}")
 NAME = re.compile(r"[a-z]+(_[a-z]+)*")
 # Keys that the log itself writes on each line.
 RESERVED_FIELDS = frozenset({"at", "level", "event", "name", "process"})
--- a/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
@@ -81,6 +81,7 @@
         self.tried: list[str] = []
         self.runs = 0
         self.sends = 0
+        self.counted = False
         self.sent_at = arrived
         self.relay = relays.Relay(caller, arrived, self._note_first)
         self.return_seconds: float | None = None
@@ -216,7 +217,14 @@
         return None
 
     def _note_first(self) -> None:
-        self.service.placing.note_first(self.descriptor)
+        self.service.placing.note_first(self.descriptor, self._count_start())
+
+    def _count_start(self) -> tuple:
+        """Count the request once, however often it is sent; return the count's row."""
+        if self.counted or self.workspace is None:
+            return ()
+        self.counted = True
+        return self.service.usage.note_start(self.workspace.name)
 
     # What follows an attempt.
 
--- a/packages/daemon/src/trestlestall/daemon/gateway/links.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/links.py
@@ -12,6 +12,7 @@
     endings as gateway_endings,
     knowledge as knowledges,
     placing as placings,
+    usage as gateway_usage,
 )
 from trestlestall.wire import clocks, links as wire_links, messages
 
@@ -47,10 +48,12 @@
         log: logs.Log,
         placing: placings.Placing,
         endings: gateway_endings.Endings,
+        usage: gateway_usage.Usage,
     ) -> None:
         self.knowledge = knowledge
         self.placing = placing
         self.endings = endings
+        self.usage = usage
         self._log = log
         self._settings = settings
         self._offers: dict[str, int] = {}
@@ -70,6 +73,8 @@
     def open(self) -> abc.Iterator[None]:
         """Keep links while the block runs; raises ``ListenError``."""
         self.placing.send = self.mesh.send
+        self.placing.on_arbiter = self.usage.tell_all
+        self.usage.tell = self.placing.tell_arbiter
         self.endings.tell = self._tell_all
         self.mesh.start()
         self.add_directories(map(str, self._settings.directories))
--- a/packages/daemon/src/trestlestall/daemon/gateway/placing.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/placing.py
@@ -36,7 +36,11 @@
 
 
 class Placing:
-    """Places requests; ``send`` is set once the gateway has links."""
+    """Places requests; ``send`` is set once the gateway has links.
+
+    ``on_arbiter`` is called when a directory is asked that may know nothing of this
+    gateway: another one, or over a new link.
+    """
 
     def __init__(
         self,
@@ -45,6 +49,7 @@
         find_retry_bound: abc.Callable[[], budgets.Bound],
     ) -> None:
         self.send: Send = send_nowhere
+        self.on_arbiter: abc.Callable[[], object] = lambda: None
         self._knowledge = knowledge
         self._reaching = reach
         self._find_retry_bound = find_retry_bound
@@ -92,6 +97,12 @@
         if self._arbiter is not None:
             tasks = tuple(list(task) for task in self._tasks.values())
             self.send(self._arbiter, messages.PlaceState(tasks))
+            self.on_arbiter()
+
+    def tell_arbiter(self, message: object) -> None:
+        """Send a message to the directory that is asked, if there is one."""
+        if self._arbiter is not None:
+            self.send(self._arbiter, message)
 
     # Requests.
 
@@ -137,14 +148,17 @@
             self._arbiter or "",
         )
 
-    def note_first(self, descriptor: descriptors.Descriptor) -> None:
-        """Note a request's first event, or its answer."""
+    def note_first(self, descriptor: descriptors.Descriptor, start: tuple = ()) -> None:
+        """Note a request's first event, or its answer.
+
+        ``start`` is the count of starts that it raised, if it was not counted before.
+        """
         task = self._tasks.get(descriptor.request_id)
         if task is None:
             return
         task[-1] = True
         self._knowledge.placer.note_first(descriptor.request_id, clocks.read())
-        self._note(descriptor, notes.FIRST)
+        self._note(descriptor, notes.FIRST, start=start)
 
     def report_replaced(self, identity: str) -> None:
         """Tell the directory that another incarnation answers at the address."""
@@ -230,11 +244,14 @@
         self._tasks[descriptor.request_id] = [plain, identity, False]
 
     def _note(
-        self, descriptor: descriptors.Descriptor, kind: str, pause: float = 0.0
+        self,
+        descriptor: descriptors.Descriptor,
+        kind: str,
+        pause: float = 0.0,
+        start: tuple = (),
     ) -> None:
-        if self._arbiter is not None:
-            note = messages.PlaceNote(descriptor.request_id, kind, pause)
-            self.send(self._arbiter, note)
+        note = messages.PlaceNote(descriptor.request_id, kind, pause, start)
+        self.tell_arbiter(note)
 
 
 def find_patience(descriptor: descriptors.Descriptor) -> float:
--- a/packages/daemon/src/trestlestall/daemon/gateway/process.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/process.py
@@ -27,8 +27,10 @@
     metrics as gateway_metrics,
     refusals,
     services,
+    usage as gateway_usage,
 )
 from trestlestall.daemon.http import answers, application, listener, routes
+from trestlestall.duties import starts
 from trestlestall.wire import clocks, exceptions as wire_exceptions, sockets
 
 ROLE = "gateway"
@@ -68,8 +70,10 @@
         self._log = logs.Log(env.stdout, env.clock, settings.name)
         self.knowledge = knowledges.Knowledge(dialect, self._log)
         self._metrics = gateway_metrics.Metrics()
+        source = starts.name_source(settings.name, env.clock.wall())
+        self._usage = gateway_usage.Usage(settings.duties, source, env.clock.wall)
         self.service = services.Service(
-            settings, dialect, self.knowledge, self._metrics
+            settings, dialect, self.knowledge, self._metrics, self._usage
         )
         self._links = gateway_links.Links(
             settings,
@@ -77,6 +81,7 @@
             self._log,
             self.service.placing,
             self.service.endings,
+            self._usage,
         )
         self._suspensions = suspensions.Watch(self._log)
         self._open: set[callers.Caller] = set()
@@ -119,8 +124,8 @@
                 listener.open_listener(str(settings.listen.platform), site)
             )
             stack.enter_context(self._serve_callers())
-            sweeper = eventlet.spawn(self._sweep)
-            stack.callback(sweeper.kill)
+            stack.callback(eventlet.spawn(self._sweep).kill)
+            stack.callback(eventlet.spawn(self._usage.run).kill)
             self._log.write(events.process.READY, role=ROLE)
             yield
 
--- a/packages/daemon/src/trestlestall/daemon/gateway/services.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/services.py
@@ -17,6 +17,7 @@
     placing,
     reaching,
     refusals,
+    usage as gateway_usage,
 )
 from trestlestall.forwarding import budgets, directory, model, startup, urgency
 from trestlestall.wire import clocks
@@ -31,9 +32,11 @@
         dialect: dialects.Dialect,
         knowledge: knowledges.Knowledge,
         metrics: gateway_metrics.Metrics,
+        usage: gateway_usage.Usage,
         draw: abc.Callable[[], float] = random.random,
     ) -> None:
         self.settings = settings
+        self.usage = usage
         self.dialect = dialect
         self.knowledge = knowledge
         self.metrics = metrics
--- a/packages/daemon/src/trestlestall/daemon/settings/__init__.py
+++ b/packages/daemon/src/trestlestall/daemon/settings/__init__.py
@@ -18,6 +18,7 @@
 ControlSettings = model.ControlSettings
 DirectoryListen = model.DirectoryListen
 DirectorySettings = model.DirectorySettings
+Duties = model.Duties
 GatewayListen = model.GatewayListen
 GatewaySettings = model.GatewaySettings
 Limits = model.Limits
--- a/packages/daemon/src/trestlestall/daemon/settings/checks.py
+++ b/packages/daemon/src/trestlestall/daemon/settings/checks.py
@@ -225,6 +225,23 @@
         yield model.Problem("retries.window_seconds", f"at most {longest:g}")
 
 
+@register_check
+def check_duties(found: Settings, folder: pathlib.Path) -> abc.Iterator:
+    """The times and rates of the duties are above zero, and the platform is known."""
+    if not isinstance(found, model.GatewaySettings | model.DirectorySettings):
+        return
+    duties = found.duties
+    if isinstance(duties, document.Missing):
+        return
+    for key in ("lease_seconds", "window_seconds", "late_seconds", "calls_per_second"):
+        value = getattr(duties, key)
+        if not isinstance(value, document.Missing) and not value > 0:
+            yield model.Problem(f"duties.{key}", "must be above 0")
+    address = duties.platform
+    if isinstance(address, model.Address) and address.port == 0:
+        yield model.Problem("duties.platform", f"{address} can't be dialled")
+
+
 @register_check
 def check_document_bytes(found: Settings, folder: pathlib.Path) -> abc.Iterator:
     """A directory must take documents of some size."""
--- a/packages/daemon/src/trestlestall/daemon/settings/model.py
+++ b/packages/daemon/src/trestlestall/daemon/settings/model.py
@@ -152,12 +152,39 @@
     window_seconds: float = 10.0
 
 
+@dataclasses.dataclass(frozen=True)
+class Duties:
+    """Calls to the platform that one directory at a time makes for all.
+
+    ``platform`` is where they go; without it there are none. A holder that is silent
+    for ``lease_seconds`` is followed by another one; the platform takes
+    ``calls_per_second`` of all processes. With ``reports_usage``, the requests of each
+    window of ``window_seconds`` of the Unix time are reported at most ``late_seconds``
+    after its end; with ``orders_upstreams``, upstreams are ordered and let go as they
+    are needed.
+    """
+
+    platform: Address | None = None
+    lease_seconds: float = 3.0
+    window_seconds: float = 5.0
+    late_seconds: float = 10.0
+    calls_per_second: float = 10.0
+    reports_usage: bool = True
+    orders_upstreams: bool = True
+
+    @property
+    def counts_usage(self) -> bool:
+        """Whether requests are counted by window."""
+        return self.platform is not None and self.reports_usage
+
+
 @dataclasses.dataclass(frozen=True)
 class GatewaySettings:
     """The settings of ``trestlestalld gateway``.
 
     ``directories`` are the link addresses of some directories, which tell of the
     others. ``grace_seconds`` is the time between the request to stop and the kill.
+    ``duties`` are those of the directories, for which gateways count requests.
     """
 
     role: typing.Literal["gateway"]
@@ -168,6 +195,7 @@
     directories: tuple[Address, ...]
     grace_seconds: float = 8.0
     retries: Retries = Retries()
+    duties: Duties = Duties()
     secrets: Secrets | None = dataclasses.field(default=None, metadata={"file": False})
 
 
@@ -205,4 +233,5 @@
     founding: bool = False
     document_bytes: int = 8 * 1024 * 1024
     retries: Retries = Retries()
+    duties: Duties = Duties()
     secrets: Secrets | None = dataclasses.field(default=None, metadata={"file": False})
--- a/packages/forwarding/src/trestlestall/forwarding/model.py
+++ b/packages/forwarding/src/trestlestall/forwarding/model.py
@@ -7,6 +7,8 @@
 import dataclasses
 from collections import abc
 
+from trestlestall.duties import fleet
+
 
 @dataclasses.dataclass(frozen=True)
 class Target:
@@ -62,12 +64,16 @@
 
 @dataclasses.dataclass(frozen=True)
 class Service:
-    """A set of like upstreams; ``connections`` bounds those open to one of them."""
+    """A set of like upstreams; ``connections`` bounds those open to one of them.
+
+    ``scaling`` is what may be ordered, if their number may be changed.
+    """
 
     name: str
     health_path: str
     connections: int
     engine: Engine | None = None
+    scaling: fleet.Terms | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/forwarding/src/trestlestall/forwarding/placement.py
+++ b/packages/forwarding/src/trestlestall/forwarding/placement.py
@@ -152,6 +152,17 @@
             return Refused(shedding.OVERLOADED, after)
         return self._begin(best, descriptor, now)
 
+    def find_reading(
+        self, descriptor: descriptors.Descriptor, found: Placed | Refused
+    ) -> float:
+        """Return the seconds that reading the prompt takes where the request went.
+
+        For one that went nowhere, those at an upstream that holds none of it.
+        """
+        if isinstance(found, Refused):
+            return descriptor.tokens_in / engines.FIRST_READ_RATE
+        return self.engines[found.row.identity].find_reading(found.unread)
+
     def note_first(self, request_id: str, now: float) -> None:
         """Note the first event, or the answer, of a request."""
         engine = self._tasks.get(request_id)
--- a/packages/forwarding/src/trestlestall/forwarding/upstreams.py
+++ b/packages/forwarding/src/trestlestall/forwarding/upstreams.py
@@ -32,7 +32,7 @@
     in milliseconds of the Unix time, 0 if it doesn't say (``name_start``).
     ``sequence`` counts the start's own announcements. ``warm_seconds`` is how long it
     still works slowly after its start. A row of state ``GONE`` may know no more than
-    which start it is.
+    which start it is. A ``reclaimable`` one may be taken back by the platform.
     """
 
     identity: str
@@ -45,6 +45,7 @@
     warm_seconds: float = 0.0
     name: str = ""
     born: int = 0
+    reclaimable: bool = False
 
     @property
     def announced_name(self) -> str:
@@ -221,7 +222,7 @@
     )
 
 
-def encode_row(row: Row) -> list[str | int | float]:
+def encode_row(row: Row) -> list[str | int | float | bool]:
     """Return the row as plain values, for a message."""
     return [
         row.identity,
@@ -234,6 +235,7 @@
         row.warm_seconds,
         row.name,
         row.born,
+        row.reclaimable,
     ]
 
 
--- a/packages/wire/src/trestlestall/wire/messages.py
+++ b/packages/wire/src/trestlestall/wire/messages.py
@@ -269,11 +269,13 @@
     """What became of a placed request: ``first`` event, or an end and of which kind.
 
     ``pause`` is the longest of a stream that has ended, in seconds; 0 if none is known.
+    ``start`` is the count of starts that this one raised, a row of ``Starts``.
     """
 
     request: str
     kind: str
     pause: float = 0.0
+    start: tuple[typing.Any, ...] = ()
 
 
 @registry.register("place_state")
@@ -335,3 +337,36 @@
     """A gateway found that another incarnation answers at an upstream's address."""
 
     upstream: str
+
+
+@registry.register("starts")
+@dataclasses.dataclass(frozen=True)
+class Starts:
+    """How many requests began to run, by source, window of time and workspace.
+
+    ``rows`` are those of ``starts.Starts`` of the duties package, ``done`` pairs of a
+    source and the last window of which it has told everything. ``asked`` is the window
+    of the question that this answers; 0 without one.
+    """
+
+    rows: tuple[typing.Any, ...]
+    done: tuple[typing.Any, ...] = ()
+    asked: int = 0
+
+
+@registry.register("starts_call")
+@dataclasses.dataclass(frozen=True)
+class StartsCall:
+    """A question for all starts that are known from a window on."""
+
+    window: int
+
+
+@registry.register("demand")
+@dataclasses.dataclass(frozen=True)
+class Demand:
+    """The load of a service that a directory sees, in upstreams (``demand.Load``)."""
+
+    service: str
+    reading: float
+    places: float
