Parts of prompts are fetched from the engine that holds them instead of read again

Ways: the one that stands (nothing moved; a part that another engine holds weighs as reading it again), and fetching, chosen with the place: each candidate weighs the transfer that saves it most time, from an engine that has surely read the part, does not fail and was not tried; transfers queue on links. Not built: upstreams' own events of what they hold; what is believed may be wrong, then the part is read.

--- a/packages/daemon/src/trestlestall/daemon/directory/arbitration.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/arbitration.py
@@ -131,6 +131,7 @@
                 found.unread,
                 found.predicted,
                 taken=found.taken,
+                fetch_from=found.fetch_from,
             )
         self._links.send(gateway, answer)
 
--- a/packages/daemon/src/trestlestall/daemon/events/forwarding.py
+++ b/packages/daemon/src/trestlestall/daemon/events/forwarding.py
@@ -8,15 +8,15 @@
     catalogue.Level.INFO,
     "request route workspace digest rank route_tier workspace_tier upstream address"
     " attempt unread predicted taken taken_by_all failure_rate declaration seconds_left"
-    " source",
+    " source fetch_from",
     "A request goes to this upstream; digest is the same for all attempts of a caller"
     " with one method, host, target and body; rank, 0 the most urgent, is made of the"
     " tiers of its route and its workspace; unread are the prompt tokens that it"
     " probably has to read, predicted the seconds to the first event, taken its"
     " requests from here, taken_by_all those that the source of the choice counts"
     " there, this one included; the source of the choice is a directory that sees all"
-    " gateways, or own knowledge"
-    " without one.",
+    " gateways, or own knowledge without one; fetch_from is the upstream from which it"
+    " has the first parts of its prompt.",
 )
 ENDED = catalogue.declare(
     "TS7002",
--- a/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
@@ -140,7 +140,7 @@
         head = None
         outcome: outcomes.Outcome | None = None
         try:
-            outcome = self._exchange(placed.row)
+            outcome = self._exchange(placed)
             if isinstance(outcome, attempts.AnswerHead):
                 head = outcome
                 outcome = self._pass_on(head)
@@ -176,10 +176,10 @@
         waited = clocks.read() - self.sent_at
         return True if waited > self.route.first_seconds else None
 
-    def _exchange(self, row: upstreams.Row) -> outcomes.Outcome:
+    def _exchange(self, placed: placement.Placed) -> outcomes.Outcome:
         names = self.service.dialect.headers
         left = self.deadline - clocks.read()
-        headers = heads.list_forwarded(self.head, names, self._list_added(row, left))
+        headers = heads.list_forwarded(self.head, names, self._list_added(placed, left))
         self.sends += 1
         self.sent_at = clocks.read()
         failed = self.attempt.send(self.head, headers, self.body, left)
@@ -268,12 +268,14 @@
             self.head, self.route, service, rank, data_centre, self.digest
         )
 
-    def _list_added(self, row: upstreams.Row, left: float) -> dict[str, str]:
+    def _list_added(self, placed: placement.Placed, left: float) -> dict[str, str]:
         names = self.service.dialect.headers
         added = {
             names.deadline: str(max(1, int(left * 1000))),
-            names.expected_upstream: row.announced_name,
+            names.expected_upstream: placed.row.announced_name,
         }
+        if placed.fetch_from:
+            added[names.fetch_from] = placed.fetch_from
         if self.workspace is not None:
             added[names.workspace] = self.workspace.name
         if self.route.streams:
--- a/packages/daemon/src/trestlestall/daemon/gateway/heads.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/heads.py
@@ -165,7 +165,13 @@
 
 def list_reserved(names: dialects.Headers) -> tuple[str, ...]:
     """Return the headers that a caller can't set for an upstream."""
-    own = (names.key, names.workspace, names.expected_upstream, names.tier)
+    own = (
+        names.key,
+        names.workspace,
+        names.expected_upstream,
+        names.tier,
+        names.fetch_from,
+    )
     return own + names.reserved
 
 
--- a/packages/daemon/src/trestlestall/daemon/gateway/placing.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/placing.py
@@ -146,6 +146,7 @@
             answer.predicted,
             answer.taken,
             self._arbiter or "",
+            answer.fetch_from,
         )
 
     def note_first(self, descriptor: descriptors.Descriptor, start: tuple = ()) -> None:
--- a/packages/daemon/src/trestlestall/daemon/gateway/records.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/records.py
@@ -24,6 +24,7 @@
         address=placed.row.address,
         attempt=len(forward.tried),
         unread=placed.unread,
+        fetch_from=placed.fetch_from,
         predicted=round(placed.predicted, 4),
         taken=len(engine.tasks),
         taken_by_all=placed.taken,
--- a/packages/daemon/src/trestlestall/daemon/gateway/usage.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/usage.py
@@ -6,7 +6,7 @@
 import eventlet
 
 from trestlestall.daemon import settings as process_settings
-from trestlestall.duties import starts, windows
+from trestlestall.duties import spans, starts
 from trestlestall.wire import messages
 
 #: Seconds after a window's end at which the gateway says that it has told all of it:
@@ -54,7 +54,7 @@
         length = self._settings.window_seconds
         while self._settings.counts_usage:
             window = self._find_window()
-            end = windows.find_end(window, length)
+            end = spans.find_end(window, length)
             eventlet.sleep(max(0.0, end - self._wall()) + DONE_SECONDS)
             self._finish(window)
 
@@ -65,7 +65,7 @@
         self.tell(messages.Starts(rows, ((self._source, window),)))
 
     def _find_window(self) -> int:
-        return windows.find_window(self._wall(), self._settings.window_seconds)
+        return spans.find_window(self._wall(), self._settings.window_seconds)
 
 
 def tell_nobody(message: typing.Any) -> None:
--- a/packages/forwarding/src/trestlestall/forwarding/engines.py
+++ b/packages/forwarding/src/trestlestall/forwarding/engines.py
@@ -94,6 +94,8 @@
         self.read_rate = FIRST_READ_RATE
         self.failure_rates: dict[str, float] = {}
         self.reachable = True
+        self.token_seconds = 0.0
+        self.link_free_at = float("-inf")
         self.tasks: dict[str, Task] = {}
         self.pauses = pauses.Pauses()
         self.hold_seconds = FIRST_HOLD
@@ -106,6 +108,7 @@
         self._advanced_at = 0.0
         self._parts: collections.OrderedDict[PartKey, int] = collections.OrderedDict()
         self._part_tokens = 0
+        self._read_parts: set[PartKey] = set()
 
     # What a choice asks.
 
@@ -118,6 +121,15 @@
             held += part.tokens
         return max(0, descriptor.tokens_in - held)
 
+    def count_read(self, descriptor: descriptors.Descriptor) -> int:
+        """Return the first tokens of the prompt that this engine has surely read."""
+        read = 0
+        for part in descriptor.parts:
+            if (descriptor.model, part.identity) not in self._read_parts:
+                break
+            read += part.tokens
+        return read
+
     def count_read_again(
         self, descriptor: descriptors.Descriptor, used: abc.Mapping[PartKey, float]
     ) -> int:
@@ -221,6 +233,7 @@
         self._advance(now)
         task.began = True
         task.left = 0.0
+        self._note_read(task.descriptor)
         task.read_before = self._read_seconds
         self._learn_rate(task, now - task.placed_at)
 
@@ -304,8 +317,16 @@
             self._part_tokens += part.tokens - self._parts.pop(key, 0)
             self._parts[key] = part.tokens
         while self._parts and self._is_full():
-            _, tokens = self._parts.popitem(last=False)
+            key, tokens = self._parts.popitem(last=False)
             self._part_tokens -= tokens
+            self._read_parts.discard(key)
+
+    def _note_read(self, descriptor: descriptors.Descriptor) -> None:
+        """Note that the prompt's parts are held here by now."""
+        for part in descriptor.parts:
+            key = (descriptor.model, part.identity)
+            if key in self._parts:
+                self._read_parts.add(key)
 
     def _is_full(self) -> bool:
         if not self.memory_tokens:
--- a/packages/forwarding/src/trestlestall/forwarding/placement.py
+++ b/packages/forwarding/src/trestlestall/forwarding/placement.py
@@ -18,6 +18,7 @@
     descriptors,
     distance,
     engines,
+    fetching,
     model,
     shedding,
     upstreams,
@@ -50,6 +51,9 @@
 #: done already, and that delays others. In targets; a thousand tokens of it weigh as
 #: much as a first event that is a quarter of its target away.
 READ_AGAIN_COST = 0.25 / 1000
+#: The same for a token that is fetched from there: it takes no time of reading, and
+#: what it takes until the first event is counted with the delay.
+FETCH_COST = READ_AGAIN_COST / 14
 #: Seconds after its last use in which a part is taken to be held somewhere.
 READ_AGAIN_SECONDS = 10.0
 #: Parts that one choice looks at to forget them; more than one request adds.
@@ -72,6 +76,8 @@
     """Send the request there; ``source`` is who chose.
 
     ``taken`` are the requests that the source counts there, this one included.
+    ``fetch_from`` is the address of the engine from which the first parts of its prompt
+    are to be fetched; empty for none.
     """
 
     row: upstreams.Row
@@ -79,6 +85,20 @@
     predicted: float
     taken: int
     source: str = OWN
+    fetch_from: str = ""
+
+
+@dataclasses.dataclass(frozen=True)
+class Candidate:
+    """An upstream, what sending a request there costs, and what it would fetch.
+
+    ``unread`` are the tokens that are left to be read.
+    """
+
+    row: upstreams.Row
+    cost: float
+    unread: int
+    fetch: fetching.Fetch | None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -150,7 +170,7 @@
             share = drawn / RENDEZVOUS_RANGE
             after = shedding.find_return(descriptor, share)
             return Refused(shedding.OVERLOADED, after)
-        return self._begin(best, descriptor, now)
+        return self._begin(best.row, descriptor, now, best.fetch)
 
     def find_reading(
         self, descriptor: descriptors.Descriptor, found: Placed | Refused
@@ -209,26 +229,40 @@
 
     def _find_best(
         self,
-        rows: abc.Iterable[upstreams.Row],
+        rows: abc.Sequence[upstreams.Row],
         descriptor: descriptors.Descriptor,
         now: float,
-    ) -> upstreams.Row:
+    ) -> Candidate:
         """Return the upstream of the least cost; of equal ones by their rendezvous."""
-        costs = [(self._weigh(row, descriptor, now), row) for row in rows]
-        least = min(cost for cost, _ in costs)
-        equal = [row for cost, row in costs if cost == least]
-        return min(equal, key=lambda row: find_rendezvous(descriptor, row.identity))
+        sources = fetching.list_sources(rows, self.engines, descriptor)
+        found = [self._weigh(row, descriptor, sources, now) for row in rows]
+        least = min(one.cost for one in found)
+        equal = [one for one in found if one.cost == least]
+        return min(equal, key=lambda one: find_rendezvous(descriptor, one.row.identity))
 
     def _weigh(
-        self, row: upstreams.Row, descriptor: descriptors.Descriptor, now: float
-    ) -> float:
+        self,
+        row: upstreams.Row,
+        descriptor: descriptors.Descriptor,
+        sources: abc.Sequence[fetching.Source],
+        now: float,
+    ) -> Candidate:
         engine = self.engines[row.identity]
-        cost = find_cost(engine, descriptor, now)
+        unread = engine.count_unread(descriptor)
         again = engine.count_read_again(descriptor, self._used)
+        fetch = fetching.find_fetch(row, engine, unread, descriptor, sources, now)
+        seconds = 0.0
+        if fetch is not None:
+            unread -= fetch.tokens
+            again = max(0, again - fetch.tokens)
+            seconds = fetch.seconds
+        cost = find_cost(engine, descriptor, unread, seconds, now)
         cost += READ_AGAIN_COST * again
+        if fetch is not None:
+            cost += FETCH_COST * fetch.tokens
         if row.data_centre != descriptor.data_centre:
             cost += weigh_failure(descriptor, self._distance.find_rate())
-        return round(cost, 2)
+        return Candidate(row, round(cost, 2), unread, fetch)
 
     def _find_taken(self, row: upstreams.Row) -> float:
         engine = self.engines[row.identity]
@@ -236,26 +270,33 @@
 
     def _foresee(
         self,
-        row: upstreams.Row,
+        best: Candidate,
         near: abc.Iterable[upstreams.Row],
         descriptor: descriptors.Descriptor,
         now: float,
     ) -> shedding.Outlook:
-        engine = self.engines[row.identity]
+        engine = self.engines[best.row.identity]
         wait = engine.find_wait(now, descriptor.rank)
         wait += engine.find_slot_wait(descriptor.rank)
-        reading = engine.find_reading(engine.count_unread(descriptor))
+        reading = find_preparation(engine, best.unread, best.fetch)
         taken = min(self._find_taken(one) for one in near)
         yields = engine.has_less_urgent(descriptor.rank)
         return shedding.Outlook(wait, wait + reading, taken, yields)
 
     def _begin(
-        self, row: upstreams.Row, descriptor: descriptors.Descriptor, now: float
+        self,
+        row: upstreams.Row,
+        descriptor: descriptors.Descriptor,
+        now: float,
+        fetch: fetching.Fetch | None = None,
     ) -> Placed:
         engine = self.engines[row.identity]
         unread = engine.count_unread(descriptor)
+        if fetch is not None:
+            unread -= fetch.tokens
+            fetching.note_fetch(engine, fetch, now)
         wait = engine.find_wait(now, descriptor.rank)
-        predicted = wait + engine.find_reading(unread)
+        predicted = wait + find_preparation(engine, unread, fetch)
         task = engines.Task(descriptor, row.identity, unread, now, predicted)
         engine.begin(task, now)
         self._tasks[descriptor.request_id] = engine
@@ -263,7 +304,8 @@
             key = (descriptor.model, part.identity)
             self._used.pop(key, None)
             self._used[key] = now
-        return Placed(row, unread, predicted, len(engine.tasks))
+        address = fetch.source.row.address if fetch is not None else ""
+        return Placed(row, unread, predicted, len(engine.tasks), fetch_from=address)
 
     def _forget_parts(self, now: float) -> None:
         """Forget parts that no engine has used for a while; the oldest come first."""
@@ -287,19 +329,32 @@
             self.engines[row.identity] = engine
         engine.memory_tokens = memory
         engine.slots = max(1, slots)
+        engine.token_seconds = declared.token_seconds if declared is not None else 0.0
+
+
+def find_preparation(
+    engine: engines.Upstream, unread: int, fetch: fetching.Fetch | None
+) -> float:
+    """Return the seconds of fetching and reading before the first event."""
+    return engine.find_reading(unread) + (fetch.seconds if fetch is not None else 0.0)
 
 
 def find_cost(
-    engine: engines.Upstream, descriptor: descriptors.Descriptor, now: float
+    engine: engines.Upstream,
+    descriptor: descriptors.Descriptor,
+    unread: int,
+    fetching_seconds: float,
+    now: float,
 ) -> float:
     """Return what it costs to send the request there, in targets of the request.
 
-    Long prompts queue up where they hurt no stream with tight pauses: one that is late
-    costs less than several streams that pause.
+    ``unread`` tokens are to be read there, after others were fetched. Long prompts
+    queue up where they hurt no stream with tight pauses: one that is late costs less
+    than several streams that pause.
     """
-    reading = engine.find_reading(engine.count_unread(descriptor))
+    reading = engine.find_reading(unread)
     backlog = engine.find_backlog(now)
-    predicted = engine.find_wait(now, descriptor.rank) + reading
+    predicted = engine.find_wait(now, descriptor.rank) + fetching_seconds + reading
     cost = weigh_delay(predicted / max(descriptor.first_seconds, 0.001))
     if predicted > WHOLE_SHARE * descriptor.whole_seconds:
         cost += NO_ANSWER_COST
--- a/packages/wire/src/trestlestall/wire/messages.py
+++ b/packages/wire/src/trestlestall/wire/messages.py
@@ -251,7 +251,8 @@
 class PlaceAnswer:
     """Where the request should go; with an empty ``upstream`` nowhere, for a reason.
 
-    ``taken`` are the requests of all gateways there, this one included.
+    ``taken`` are the requests of all gateways there, this one included. ``fetch_from``
+    is the address of the upstream that holds parts of the prompt; empty for none.
     """
 
     token: int
@@ -261,6 +262,7 @@
     reason: str = ""
     return_seconds: float = 0.0
     taken: int = 0
+    fetch_from: str = ""
 
 
 @registry.register("place_note")
