Orders make room for what takes its place, and are given again where too few came

The platform takes such an order. Change: reclaimable ones are ordered up to what the firm ones leave that may still stay; an order of which some have not come after their time to start and 3 s is given again.

--- a/packages/daemon/src/trestlestall/daemon/directory/ordering.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/ordering.py
@@ -9,7 +9,7 @@
     posting,
     retrying,
 )
-from trestlestall.duties import fleet, leases, orders
+from trestlestall.duties import fleet, leases, orders, supply
 from trestlestall.forwarding import model, upstreams
 
 #: Seconds between two looks at what should be ordered.
@@ -19,6 +19,10 @@
 #: The part of the reclaimable ones that served, below which they are taken to be
 #: reclaimed there: one that ends by itself is no sign.
 RECLAIMED_SHARE = 0.5
+#: Seconds beyond the time that one takes to start after which an order is given again
+#: of which some never came: the platform takes an order also where it gives fewer, for
+#: instance while others that were let go have not left yet.
+MISSING_SECONDS = 3.0
 #: Seconds from its first look on for which a holder orders nothing: all upstreams that
 #: are there have announced themselves twice by then.
 LISTEN_SECONDS = 3.0
@@ -42,6 +46,7 @@
         self._closed: dict[orders.Subject, float] = {}
         self._reached: dict[orders.Subject, int] = {}
         self._again: set[orders.Subject] = set()
+        self._short_since: dict[orders.Subject, float] = {}
         self._first_at: float | None = None
 
     def carry_out(
@@ -88,14 +93,16 @@
         terms = service.scaling
         need = self._demands.find_need(service.name, acting.now)
         sights = {
-            name: self._see(service.name, name, known, serving, acting.now)
+            name: self._see(service, name, known, serving, acting.now)
             for name in terms.prices
         }
         planned = fleet.plan(terms, need, sights)
         serves = sum(sight.firm + sight.reclaimable for sight in sights.values())
         enough = serves >= sum(one.firm + one.reclaimable for one in planned.values())
         for name, count in planned.items():
-            for reclaimable, number in ((True, count.reclaimable), (False, count.firm)):
+            room = terms.most - max(count.firm, sights[name].ordered)
+            pairs = ((False, count.firm), (True, min(count.reclaimable, room)))
+            for reclaimable, number in pairs:
                 subject = orders.Subject(service.name, name, reclaimable)
                 standing = known.standing.get(subject)
                 before = serving.get(subject, 0) if standing is None else standing.count
@@ -106,23 +113,23 @@
 
     def _see(
         self,
-        service: str,
+        service: model.Service,
         data_centre: str,
         known: orders.Orders,
         serving: abc.Mapping[orders.Subject, int],
         now: float,
     ) -> fleet.Sight:
-        firm = orders.Subject(service, data_centre)
-        taken_back = orders.Subject(service, data_centre, True)
+        firm = orders.Subject(service.name, data_centre)
+        taken_back = orders.Subject(service.name, data_centre, True)
         here = serving.get(taken_back, 0)
         standing = known.standing.get(taken_back)
         self._note_reclaimed(taken_back, here, standing, now)
-        ordered = known.standing.get(firm)
+        self._note_missing(taken_back, here, standing, service.scaling, now)
         present = serving.get(firm, 0)
         return fleet.Sight(
             present,
             here,
-            present if ordered is None else ordered.count,
+            count_ordered(known.standing.get(firm), present),
             self._is_closed(taken_back, now),
         )
 
@@ -143,6 +150,23 @@
             reached = here
         self._reached[subject] = reached
 
+    def _note_missing(
+        self,
+        subject: orders.Subject,
+        here: int,
+        standing: orders.Standing | None,
+        terms: supply.Terms,
+        now: float,
+    ) -> None:
+        """Note when some of those that were ordered have not come for too long."""
+        if standing is None or not standing.taken or here >= standing.count:
+            self._short_since.pop(subject, None)
+            return
+        since = self._short_since.setdefault(subject, now)
+        if now - since >= terms.start_seconds + MISSING_SECONDS:
+            self._short_since[subject] = now
+            self._again.add(subject)
+
     def _enter(
         self,
         subject: orders.Subject,
@@ -221,6 +245,16 @@
         acting.enter(placed, lambda answer: self._entering.discard(subject))
 
 
+def count_ordered(standing: orders.Standing | None, present: int) -> int:
+    """Return the firm ones that a data centre may have, by their latest order.
+
+    Until the platform has taken it those that are there may stay.
+    """
+    if standing is None:
+        return present
+    return standing.count if standing.taken else max(standing.count, present)
+
+
 def count_serving(rows: abc.Iterable[upstreams.Row]) -> dict[orders.Subject, int]:
     """Return how many upstreams take requests, by subject."""
     counts: dict[orders.Subject, int] = {}
