--- a/tests/duty_platform.py
+++ b/tests/duty_platform.py
@@ -21,13 +21,14 @@
 
 
 class Platform:
-    """Takes reports and orders; ``faults`` is what went wrong.
+    """Takes reports and orders; ``faults`` is what went wrong, ``note`` gets each call.
 
     ``script`` names the statuses of the next calls, ``silent`` keeps calls waiting. No
     call is excused: nothing here cuts the way of one that was sent.
     """
 
-    def __init__(self, lease):
+    def __init__(self, lease, note=lambda call: None):
+        self.note = note
         self.record = checks.Platform(lease)
         self.faults = []
         self.usage = {}
@@ -82,6 +83,7 @@
             window, counts = -len(self.calls), {}
         try:
             call = checks.Call(time.monotonic(), holder, token, window, counts)
+            self.note(call)
             self.record.take(call)
         except checks.Breach as breach:
             self.faults.append(str(breach))
--- a/tests/soak/evidence.py
+++ b/tests/soak/evidence.py
@@ -10,6 +10,8 @@
 import threading
 from collections import abc
 
+from packages.duties.tests import checks
+
 #: Seconds after an acknowledged leave in which requests may still arrive.
 LEAVE_SECONDS = 2.0
 #: Seconds after an acknowledgement from which on a calm gateway applies a version.
@@ -115,6 +117,7 @@
         self.leaves: list[Acknowledged] = []
         self.reads: list[Read] = []
         self.disturbed: list[Disturbed] = []
+        self.calls: list[checks.Call] = []
         self.calm_at = float("inf")
         self.lock = threading.Lock()
 
@@ -125,11 +128,14 @@
             Asked: self.asked,
             Read: self.reads,
             Disturbed: self.disturbed,
+            checks.Call: self.calls,
         }
         with self.lock:
             places[type(observation)].append(observation)
 
 
+#: The lease of the duties' holder, as the soak sets it.
+LEASE_SECONDS = 1.5
 Check = abc.Callable[[Evidence], abc.Iterator[str]]
 PROMISES: dict[str, Check] = {}
 
@@ -322,6 +328,32 @@
             yield f"{path} ran {len(late)} times more, {len(moments)} in all"
 
 
+@promises("one process at a time makes the calls of duties, and never two reports")
+def check_duties(evidence: Evidence) -> abc.Iterator[str]:
+    """Yield each call that breaks what the platform may rely on.
+
+    One that comes right after its sender stood still may have left its hands before.
+    """
+    platform = checks.Platform(LEASE_SECONDS)
+    for call in sorted(evidence.calls, key=lambda one: one.at):
+        excused = any(
+            one.target == call.holder and 0 <= call.at - one.end <= checks.THAW_SECONDS
+            for one in evidence.disturbed
+        )
+        try:
+            platform.take(dataclasses.replace(call, excused=excused))
+        except checks.Breach as breach:
+            yield str(breach)
+
+
+@promises("a window of usage is reported once the deployment is calm")
+def check_reported(evidence: Evidence) -> abc.Iterator[str]:
+    """Yield if no report came in the calm."""
+    reports = [call.at for call in evidence.calls if call.window > 0]
+    if evidence.calls and max(reports, default=0.0) < evidence.calm_at:
+        yield "no report after the last fault"
+
+
 def is_served(asked: Asked) -> bool:
     """Return whether the request was answered whole and in time."""
     return asked.status == 200 and asked.whole
--- a/tests/soak/worlds.py
+++ b/tests/soak/worlds.py
@@ -9,11 +9,13 @@
 import time
 from collections import abc
 
-from tests import gateways, relays, suspension
+from tests import duty_platform, gateways, relays, suspension
 from tests.soak import evidence as evidences, schedules, traffic
 from trestlestall.standins import addresses
 
 DIRECTORIES, GATEWAYS, UPSTREAMS = 3, 2, 3
+#: Length of a window of usage: a run has several.
+WINDOW_SECONDS = 1.0
 #: Seconds that one piece of bytes takes longer on a delayed relay.
 DELAY_SECONDS = 0.15
 #: Seconds that a process has for a planned stop: its grace and some more.
@@ -27,6 +29,15 @@
     def __init__(self, folder: pathlib.Path) -> None:
         self.evidence = evidences.Evidence()
         self.system = gateways.Deployment(folder, DIRECTORIES, GATEWAYS)
+        self.platform = duty_platform.Platform(
+            evidences.LEASE_SECONDS, self.evidence.add
+        )
+        self.system.settings["duties"] = {
+            "platform": self.platform.address,
+            "lease_seconds": evidences.LEASE_SECONDS,
+            "window_seconds": WINDOW_SECONDS,
+            "late_seconds": 3 * WINDOW_SECONDS,
+        }
         self.relays: dict[str, relays.Relay] = {}
         self.upstreams: dict[str, traffic.Upstream] = {}
         self.starts = dict.fromkeys(self.system.gateways, 0)
@@ -41,6 +52,7 @@
     def open(self) -> abc.Iterator[None]:
         """Run the deployment and its traffic during the block."""
         with contextlib.ExitStack() as stack:
+            stack.callback(self.platform.stop)
             stack.callback(self.system.stop_all)
             stack.callback(self.ended.set)
             self._start_relays(stack)
