--- a/packages/forwarding/src/trestlestall/forwarding/engines.py
+++ b/packages/forwarding/src/trestlestall/forwarding/engines.py
@@ -97,6 +97,8 @@
         self.token_seconds = 0.0
         self.link_free_at = float("-inf")
         self.tasks: dict[str, Task] = {}
+        #: Tasks whose first event has not come; each choice asks every upstream.
+        self.waiting = 0
         self.pauses = pauses.Pauses()
         self.hold_seconds = FIRST_HOLD
         self._targets: collections.Counter[float] = collections.Counter()
@@ -218,6 +220,7 @@
         """Note that a request is being sent here."""
         self._forget(task.descriptor.request_id)
         self.tasks[task.descriptor.request_id] = task
+        self.waiting += 1
         self._task_tokens += task.tokens
         if task.descriptor.pause_seconds:
             self._targets[task.descriptor.pause_seconds] += 1
@@ -232,6 +235,7 @@
             return
         self._advance(now)
         task.began = True
+        self.waiting -= 1
         task.left = 0.0
         self._note_read(task.descriptor)
         task.read_before = self._read_seconds
@@ -256,6 +260,7 @@
         if task is None:
             return None
         self._task_tokens -= task.tokens
+        self.waiting -= not task.began
         if task is self._reading:
             self._reading = None
         target = task.descriptor.pause_seconds
--- a/packages/forwarding/src/trestlestall/forwarding/placement.py
+++ b/packages/forwarding/src/trestlestall/forwarding/placement.py
@@ -21,6 +21,7 @@
     fetching,
     model,
     shedding,
+    shortlists,
     upstreams,
 )
 
@@ -235,7 +236,8 @@
     ) -> Candidate:
         """Return the upstream of the least cost; of equal ones by their rendezvous."""
         sources = fetching.list_sources(rows, self.engines, descriptor)
-        found = [self._weigh(row, descriptor, sources, now) for row in rows]
+        few = shortlists.choose(rows, self.engines, descriptor)
+        found = [self._weigh(row, descriptor, sources, now) for row in few]
         least = min(one.cost for one in found)
         equal = [one for one in found if one.cost == least]
         return min(equal, key=lambda one: find_rendezvous(descriptor, one.row.identity))
