--- a/packages/duties/src/trestlestall/duties/orders.py
+++ b/packages/duties/src/trestlestall/duties/orders.py
@@ -36,19 +36,8 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Placed:
-    """The order of ``count`` upstreams of a subject was taken."""
-
-    token: int
-    service: str
-    data_centre: str
-    reclaimable: bool
-    count: int
-
-    @property
-    def subject(self) -> Subject:
-        """What was ordered where."""
-        return Subject(self.service, self.data_centre, self.reclaimable)
+class Placed(Order):
+    """The platform has taken the order of ``count`` upstreams of a subject."""
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/duties/src/trestlestall/duties/state.py
+++ b/packages/duties/src/trestlestall/duties/state.py
@@ -70,10 +70,13 @@
     return {EVENT: type(event).__name__.lower(), **dataclasses.asdict(event)}
 
 
-def check_holder(state: State, token: int) -> leases.Answer:
-    """Return whether an event comes from who holds the lease."""
-    held = token == state.lease.token
-    return (leases.Granted if held else leases.Refused)(state.lease.token)
+def change_for_holder(
+    state: State, token: int, change: abc.Callable[[State], State]
+) -> tuple[State, Document]:
+    """Make a change if it comes from who holds the lease; return the answer too."""
+    if token != state.lease.token:
+        return state, encode_answer(leases.Refused(state.lease.token))
+    return change(state), encode_answer(leases.Granted(token))
 
 
 @register("take")
@@ -94,11 +97,12 @@
 def apply_fix(state: State, document: Document) -> tuple[State, Document]:
     """Enter the counts of a window."""
     wanted = usage_windows.Fix(**document)
-    answer = check_holder(state, wanted.token)
-    if isinstance(answer, leases.Granted):
-        fixed = usage_windows.fix(state.windows, wanted)
-        state = dataclasses.replace(state, windows=fixed)
-    return state, encode_answer(answer)
+
+    def change(before: State) -> State:
+        fixed = usage_windows.fix(before.windows, wanted)
+        return dataclasses.replace(before, windows=fixed)
+
+    return change_for_holder(state, wanted.token, change)
 
 
 @register("reported")
@@ -106,30 +110,32 @@
     """Drop a window whose report was taken, whoever says so."""
     reported = usage_windows.Reported(**document)
     left = usage_windows.drop(state.windows, reported)
-    answer = check_holder(state, reported.token)
-    return dataclasses.replace(state, windows=left), encode_answer(answer)
+    dropped = dataclasses.replace(state, windows=left)
+    return change_for_holder(dropped, reported.token, lambda same: same)
 
 
 @register("order")
 def apply_order(state: State, document: Document) -> tuple[State, Document]:
     """Enter an order before it is given."""
     wanted = upstream_orders.Order(**document)
-    answer = check_holder(state, wanted.token)
-    if isinstance(answer, leases.Granted):
-        entered = upstream_orders.enter(state.orders, wanted)
-        state = dataclasses.replace(state, orders=entered)
-    return state, encode_answer(answer)
+
+    def change(before: State) -> State:
+        entered = upstream_orders.enter(before.orders, wanted)
+        return dataclasses.replace(before, orders=entered)
+
+    return change_for_holder(state, wanted.token, change)
 
 
 @register("placed")
 def apply_placed(state: State, document: Document) -> tuple[State, Document]:
     """Note that an order was taken."""
     placed = upstream_orders.Placed(**document)
-    answer = check_holder(state, placed.token)
-    if isinstance(answer, leases.Granted):
-        noted = upstream_orders.note_placed(state.orders, placed)
-        state = dataclasses.replace(state, orders=noted)
-    return state, encode_answer(answer)
+
+    def change(before: State) -> State:
+        noted = upstream_orders.note_placed(before.orders, placed)
+        return dataclasses.replace(before, orders=noted)
+
+    return change_for_holder(state, placed.token, change)
 
 
 def encode(state: State) -> Document:
--- a/packages/forwarding/tests/test_load.py
+++ b/packages/forwarding/tests/test_load.py
@@ -8,7 +8,7 @@
 from unittest import mock
 
 from packages.forwarding.tests import world
-from trestlestall.forwarding import distance, pauses, placement
+from trestlestall.forwarding import costs, distance, pauses
 
 SEEDS = (1, 2)
 #: A load that the engines bear, in three data centres.
@@ -44,7 +44,7 @@
         self.assertLess(self.count_lost(), 0.8 * before)
 
     def test_they_lose_fewer_where_those_that_may_be_repeated_give_way(self):
-        alike = mock.patch.object(placement, "REPEAT_COST", placement.FAILURE_COST)
+        alike = mock.patch.object(costs, "REPEAT_COST", costs.FAILURE_COST)
         with alike:
             before = self.count_lost()
         self.assertLessEqual(self.count_lost(), before)
