--- a/packages/daemon/tests/test_ordering.py
+++ b/packages/daemon/tests/test_ordering.py
@@ -145,6 +145,23 @@
         self.run_for(30.0)
         self.assertEqual(self.count(True), {"a": 11, "b": 11})
 
+    def test_an_order_of_more_is_not_taken_for_a_reclaim(self):
+        """Those that still start are fewer than half of what is ordered then."""
+        self.need = 56.0
+        self.run_for(3.0)
+        self.assertEqual(self.count(False), {"a": 5, "b": 5})
+        self.assertEqual(self.count(True), {"a": 23, "b": 23})
+
+    def test_nothing_is_ordered_before_upstreams_had_time_to_announce_themselves(self):
+        log = logs.Log(io.StringIO(), environment.Clock(), "directory-2")
+        demands = types.SimpleNamespace(find_need=lambda service, now: 56.0)
+        self.ordering = ordering.Ordering(dialects.DUTY_CALLS, demands, log)
+        calls = len(self.platform.calls)
+        self.run_for(ordering.LISTEN_SECONDS - 0.2)
+        self.assertEqual(len(self.platform.calls), calls)
+        self.run_for(1.0)
+        self.assertGreater(len(self.platform.calls), calls)
+
     def test_a_successor_gives_only_what_was_not_taken(self):
         calls = len(self.platform.calls)
         log = logs.Log(io.StringIO(), environment.Clock(), "directory-2")
