Sight: what an upstream says of itself in an answer is read, logged and counted

Nothing told when a gateway had heard a limit, a leave or a wish for rest: the headers went to the caller and into no log. They are read once, into forwarding/notices.Notice; a value that can't be read, or a header twice with different values, says nothing and is counted. The line upstream_notice is written when what an upstream says changes, and with each wish for rest. No decision uses it yet.

--- a/packages/daemon/src/trestlestall/daemon/dialects.py
+++ b/packages/daemon/src/trestlestall/daemon/dialects.py
@@ -9,13 +9,14 @@
 
 import dataclasses
 import enum
+import functools
 import typing
 from collections import abc
 
 import msgspec
 
 from trestlestall.daemon import announcements
-from trestlestall.forwarding import checks, model, upstreams
+from trestlestall.forwarding import checks, model, notices, upstreams
 
 if typing.TYPE_CHECKING:
     from trestlestall.duties import orders
@@ -35,7 +36,8 @@
     of ``reserved``, which a caller may not set.
 
     On answers: ``signature`` marks an upstream's own, ``not_run`` that it did not begin
-    to work, ``upstream`` which incarnation answered.
+    to work, ``upstream`` which incarnation answered; ``limit`` are the requests a
+    second that it takes from all gateways together, ``leaving`` is 1 once it leaves.
     """
 
     request_id: str = "Trestlestall-Request"
@@ -55,6 +57,13 @@
     signature: str = "Trestlestall-Signature"
     not_run: str = "Trestlestall-Not-Run"
     upstream: str = "Trestlestall-Upstream"
+    limit: str = "Trestlestall-Limit"
+    leaving: str = "Trestlestall-Leaving"
+
+    @functools.cached_property
+    def notices(self) -> notices.Names:
+        """The names of what an upstream says of itself."""
+        return notices.Names(self.limit.lower(), self.leaving.lower())
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/daemon/src/trestlestall/daemon/events/forwarding.py
+++ b/packages/daemon/src/trestlestall/daemon/events/forwarding.py
@@ -104,6 +104,18 @@
     "forward_repeated of this upstream has the digests of what ran there; one that"
     " several upstreams that ended have in common is what to look at.",
 )
+NOTICE = catalogue.declare(
+    "TS7015",
+    "upstream_notice",
+    catalogue.Level.INFO,
+    "upstream service address request limit leaves rest_seconds unreadable",
+    "What an upstream says of itself in its answers changed, or it asks for rest: limit"
+    " are the requests a second that it takes from all gateways together (null for no"
+    " limit), leaves that it takes no new ones, rest_seconds for how long it wants none"
+    " from this gateway, unreadable the headers whose values say nothing and change"
+    " nothing. The request is the one that was answered.",
+    "If a header is unreadable, look at the upstream's version.",
+)
 APPLIED = catalogue.declare(
     "TS7020",
     "declaration_applied",
--- a/packages/daemon/src/trestlestall/daemon/gateway/attempts.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/attempts.py
@@ -12,7 +12,7 @@
 
 from trestlestall.daemon import dialects
 from trestlestall.daemon.gateway import connections, heads
-from trestlestall.forwarding import upstreams
+from trestlestall.forwarding import notices, upstreams
 from trestlestall.wire import clocks
 
 #: Bytes that are written before the answer is read: what socket buffers surely take.
@@ -37,6 +37,7 @@
 
     status: int
     retry_after: float | None
+    notice: notices.Notice
 
     @property
     def is_misdirected(self) -> bool:
@@ -58,6 +59,7 @@
     status: int
     headers: tuple[tuple[bytes, bytes], ...]
     found: dict[str, str]
+    notice: notices.Notice
 
     @property
     def streams(self) -> bool:
@@ -173,10 +175,12 @@
     def _judge(
         self, response: h11.Response, found: dict[str, str]
     ) -> AnswerHead | NotRun:
-        if self._names.not_run.lower() in found or response.status_code == MISDIRECTED:
-            return NotRun(response.status_code, read_seconds(found.get("retry-after")))
+        status = response.status_code
+        notice = read_notice(response, self._names)
+        if self._names.not_run.lower() in found or status == MISDIRECTED:
+            return NotRun(status, read_seconds(found.get("retry-after")), notice)
         headers = tuple(response.headers.raw_items())
-        return AnswerHead(response.status_code, headers, found)
+        return AnswerHead(status, headers, found, notice)
 
     def _skip_foreign(self, deadline: float) -> None:
         """Read over an answer to another request; then wait for ours again."""
@@ -252,6 +256,14 @@
         return data
 
 
+def read_notice(response: h11.Response, names: dialects.Headers) -> notices.Notice:
+    """Return what the upstream says of itself; all values of a header count."""
+    values: dict[str, list[str]] = {}
+    for name, value in response.headers:
+        values.setdefault(name.decode("latin-1"), []).append(value.decode("latin-1"))
+    return notices.read(values, response.status_code, names.notices)
+
+
 def read_seconds(value: str | None) -> float | None:
     """Return a ``Retry-After`` in seconds, or None where there is none to be read."""
     try:
--- a/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
@@ -191,6 +191,7 @@
         if failed is not None:
             return failed
         answer = self.attempt.read_head(self._find_head_deadline())
+        self.service.notices.take(placed.row, answer, self.descriptor.request_id)
         if isinstance(answer, attempts.NotRun):
             self.runs -= 1
             self.return_seconds = answer.retry_after
--- a/packages/daemon/src/trestlestall/daemon/gateway/metrics.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/metrics.py
@@ -33,6 +33,12 @@
             "Upstreams that ended while requests from here ran there.",
             registry=self.registry,
         )
+        self.notices = prometheus_client.Counter(
+            "trestlestall_upstream_notices",
+            "What upstreams said of themselves in answers, by kind.",
+            ["kind"],
+            registry=self.registry,
+        )
         self.held = self._gauge(
             "requests_held",
             "Requests that are not sent, as upstreams ended under them.",
--- a/packages/daemon/src/trestlestall/daemon/gateway/services.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/services.py
@@ -14,6 +14,7 @@
     heads,
     knowledge as knowledges,
     metrics as gateway_metrics,
+    notices,
     placing,
     reaching,
     refusals,
@@ -44,6 +45,7 @@
         self.pool = connections.Pool()
         self.reaching = reaching.Reaching(knowledge)
         self.endings = endings.Endings(knowledge, self.reaching, metrics)
+        self.notices = notices.Notices(knowledge, metrics)
         self.placing = placing.Placing(knowledge, self.reaching, self.find_retry_bound)
         self.started_at = clocks.read()
         self.refuse_at = 0.0
