Mend: requests for an upstream that states a limit are counted where all are placed

Callers saw an upstream in need get 18 requests in 4 s at a stated limit of 1.2 a second (12 allowed): the limit stood in its answers, and no process read it there. What an upstream says of itself in an answer was forgotten with that answer.

A statement is a belief now, by start of the upstream, with a time and an end; gateways tell all directories, and the directory that places counts what it places. Why it holds: a limit is shared by all gateways, and only who places for all of them sees the sum; gateways tell a directory of a statement over the link by which they ask it, so it knows before it is asked; a directory that takes over, or places beside another, is told what the other one placed; a gateway without a directory sends nothing there. Each course is a test.

--- a/packages/daemon/src/trestlestall/daemon/directory/arbitration.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/arbitration.py
@@ -27,6 +27,8 @@
     descriptors,
     model,
     placement,
+    rate_limits,
+    shedding,
     upstreams,
 )
 from trestlestall.wire import clocks, messages
@@ -72,6 +74,7 @@
         metrics: directory_metrics.Metrics,
         repeats: directory_repeats.Repeats,
         harm: directory_harm.Harm,
+        limits: rate_limits.RateLimits,
         note_reading: abc.Callable[[str, float], object],
         clock: abc.Callable[[], float] = clocks.read,
     ) -> None:
@@ -80,6 +83,7 @@
         self._metrics = metrics
         self._repeats = repeats
         self._harm = harm
+        self._limits = limits
         self._note_reading = note_reading
         self._clock = clock
         self._placer = placement.Placer()
@@ -132,6 +136,7 @@
                 found.predicted,
                 taken=found.taken,
                 fetch_from=found.fetch_from,
+                limit=found.limit,
             )
         self._links.send(gateway, answer)
 
@@ -161,11 +166,35 @@
             return placement.Refused(crashes.HARMFUL, 0.0)
         if verdict is budgets.Verdict.DENIED:
             return placement.Refused(budgets.EXHAUSTED, placement.RETURN_SECONDS)
-        found = self._placer.place(descriptor, self._clock(), call.tried)
+        found = self._place_within_limits(descriptor, call.tried)
         if call.purpose == notes.REPEAT and isinstance(found, placement.Placed):
             self._repeats.note_repeat(descriptor.service)
         return found
 
+    def _place_within_limits(
+        self, descriptor: descriptors.Descriptor, tried: abc.Collection[str]
+    ) -> placement.Placed | placement.Refused:
+        """Choose among the upstreams that take a request now, and count it there."""
+        now = self._clock()
+        spent = self._limits.list_spent(now)
+        found = self._placer.place(descriptor, now, tried, spent)
+        if isinstance(found, placement.Placed):
+            self._limits.take(found.row.identity, now)
+            limit = self._limits.find_limit(found.row.identity)
+            return dataclasses.replace(found, limit=limit)
+        if found.reason == shedding.OVERLOADED:
+            return found
+        serving = self._placer.list_serving(descriptor.service)
+        waits = [
+            self._limits.find_wait(one, now)
+            for one in spent
+            if one in serving and one not in tried
+        ]
+        if not waits:
+            return found
+        after = rate_limits.find_return(waits, placement.draw_share(descriptor))
+        return placement.Refused(rate_limits.LIMITED, after)
+
     def _is_held(self, digest: str) -> bool:
         """Return whether a request is not sent for what it does to upstreams.
 
--- a/packages/daemon/src/trestlestall/daemon/directory/arrivals.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/arrivals.py
@@ -169,6 +169,14 @@
     server.harm.take(peer, message)
 
 
+@handles(messages.RateLimits)
+def take_rate_limits(
+    server: servers.Server, peer: str, message: messages.RateLimits
+) -> None:
+    """Learn of the limits that upstreams state, and of what was sent to these."""
+    server.limiting.take(peer, message)
+
+
 @handles(messages.Replaced)
 def take_replaced(
     server: servers.Server, peer: str, message: messages.Replaced
--- a/packages/daemon/src/trestlestall/daemon/directory/metrics.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/metrics.py
@@ -42,6 +42,7 @@
         self.voters = self._gauge("directory_voters", "Voters of the group.")
         self.leads = self._gauge("directory_leads", "1 while this directory leads.")
         self.upstreams = self._gauge("directory_upstreams", "Upstreams that are known.")
+        self.limited = self._gauge("upstreams_limited", "Those that state a limit.")
         self.links = self._gauge("links", "Open links to other processes.")
         self.suspended = self._gauge("host_suspended_seconds", "Since the start.")
         self.dropped = self._gauge("log_lines_dropped", "Since the start.")
--- a/packages/daemon/src/trestlestall/daemon/directory/server.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/server.py
@@ -31,6 +31,7 @@
     duties,
     harm,
     held_file,
+    limiting,
     links as directory_links,
     members,
     metrics as directory_metrics,
@@ -100,12 +101,14 @@
         )
         file = held_file.HeldFile(settings.data_folder, log, env.clock.wall)
         self.harm = harm.Harm(links, log, file, wake, env.clock.monotonic)
+        self.limiting = limiting.Limiting(log, env.clock.monotonic)
         self.arbiter = arbitration.Arbiter(
             links,
             dialect,
             self.metrics,
             self.repeats,
             self.harm,
+            self.limiting.limits,
             self._note_reading,
             env.clock.monotonic,
         )
--- a/packages/daemon/src/trestlestall/daemon/directory/site.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/site.py
@@ -185,6 +185,7 @@
     metrics.voters.set(server.count_voters())
     metrics.leads.set(int(server.leader == server.links.own))
     metrics.upstreams.set(len(server.registrations.table.rows))
+    metrics.limited.set(len(server.limiting.limits.list_limited()))
     links = server.links
     metrics.links.set(len(links.list_directories()) + len(links.list_gateways()))
     metrics.suspended.set(server.suspensions.seconds)
--- a/packages/daemon/src/trestlestall/daemon/events/directory.py
+++ b/packages/daemon/src/trestlestall/daemon/events/directory.py
@@ -92,6 +92,24 @@
     " stays known to the processes that run.",
     "Look at the disk; a file that can't be read may be removed.",
 )
+LIMIT_STATED = catalogue.declare(
+    "TS8017",
+    "upstream_limit",
+    catalogue.Level.INFO,
+    "upstream limit age source",
+    "An upstream states another limit of requests a second from all gateways together,"
+    " or none any more (null), by the word of the gateway that it answered so many"
+    " seconds ago; requests for it are counted here.",
+    "The upstream is in need while it states one: look at its load and its memory.",
+)
+LIMITS_REFUSED = catalogue.declare(
+    "TS8018",
+    "upstream_limit_refused",
+    catalogue.Level.WARNING,
+    "source reason",
+    "A gateway told of limits in words that can't be so; nothing changed.",
+    "Compare the versions of the programs.",
+)
 VOTER_CHANGE = catalogue.declare(
     "TS8020",
     "voter_change_begun",
--- a/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
@@ -14,6 +14,7 @@
     finals,
     heads,
     knowledge as knowledges,
+    notices,
     outcomes,
     records,
     relays,
@@ -130,6 +131,7 @@
                 placing.end(self.descriptor, found.row.identity, None)
                 raise callers.CallerLeft()
             self.tried.append(found.row.identity)
+            self.service.notices.note_placed(found)
             records.write_sent(self, found)
         return found
 
@@ -191,7 +193,8 @@
         if failed is not None:
             return failed
         answer = self.attempt.read_head(self._find_head_deadline())
-        self.service.notices.take(placed.row, answer, self.descriptor.request_id)
+        request = notices.Request(self.descriptor.request_id, self.sent_at)
+        self.service.notices.take(placed.row, answer, request)
         if isinstance(answer, attempts.NotRun):
             self.runs -= 1
             self.return_seconds = answer.retry_after
--- a/packages/daemon/src/trestlestall/daemon/gateway/knowledge.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/knowledge.py
@@ -10,6 +10,7 @@
     directory,
     model,
     placement,
+    rate_limits,
     upstreams,
 )
 from trestlestall.wire import clocks
@@ -40,6 +41,7 @@
         self.placer = placement.Placer()
         self.ledger = budgets.Ledger(OWN, clock())
         self.crashes = crashes.Record()
+        self.limits_stated = rate_limits.RateLimits(share=0.0)
 
     @property
     def limits(self) -> model.CallerLimits:
--- a/packages/daemon/src/trestlestall/daemon/gateway/links.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/links.py
@@ -11,6 +11,7 @@
 from trestlestall.daemon.gateway import (
     endings as gateway_endings,
     knowledge as knowledges,
+    notices as gateway_notices,
     placing as placings,
     usage as gateway_usage,
 )
@@ -48,11 +49,13 @@
         log: logs.Log,
         placing: placings.Placing,
         endings: gateway_endings.Endings,
+        notices: gateway_notices.Notices,
         usage: gateway_usage.Usage,
     ) -> None:
         self.knowledge = knowledge
         self.placing = placing
         self.endings = endings
+        self.notices = notices
         self.usage = usage
         self._log = log
         self._settings = settings
@@ -75,7 +78,7 @@
         self.placing.send = self.mesh.send
         self.placing.on_arbiter = self.usage.tell_all
         self.usage.tell = self.placing.tell_arbiter
-        self.endings.tell = self._tell_all
+        self.endings.tell = self.notices.tell = self._tell_all
         self.mesh.start()
         self.add_directories(map(str, self._settings.directories))
         asking = eventlet.spawn(self._keep_asking)
@@ -121,9 +124,10 @@
         if found:
             self.placing.set_arbiter(min(found))
 
-    def _tell_all(self, message: typing.Any) -> None:
+    def _tell_all(self, message: typing.Any, besides: str = "") -> None:
         for directory in self.mesh.linked():
-            self.mesh.send(directory, message)
+            if directory != besides:
+                self.mesh.send(directory, message)
 
     def _take(self, directory: str, message: typing.Any) -> None:
         handler = HANDLERS.get(type(message))
@@ -135,6 +139,8 @@
             self._linked_at.setdefault(peer, clocks.read())
             self.placing.note_linked(peer)
             self.mesh.send(peer, self.endings.report())
+            for message in self.notices.report():
+                self.mesh.send(peer, message)
         else:
             self._linked_at.pop(peer, None)
             self._offers.pop(peer, None)
--- a/packages/daemon/src/trestlestall/daemon/gateway/notices.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/notices.py
@@ -1,4 +1,12 @@
-"""What upstreams say of themselves in answers, at one gateway."""
+"""What upstreams say of themselves in answers, at one gateway.
+
+It concerns all further requests, and what is said of a limit all gateways: it becomes a
+belief here, and every directory is told, also one that is linked later.
+"""
+
+import dataclasses
+import typing
+from collections import abc
 
 from trestlestall.daemon import events
 from trestlestall.daemon.gateway import (
@@ -6,18 +14,40 @@
     knowledge as knowledges,
     metrics as gateway_metrics,
 )
-from trestlestall.forwarding import notices, upstreams
+from trestlestall.forwarding import notices, placement, upstreams
+from trestlestall.wire import messages
 
 #: What an upstream says that says nothing.
 NOTHING = notices.Notice()
+#: Statuses from here on are failures: they may lack what other answers state.
+SERVER_ERRORS = 500
+
+
+class Tell(typing.Protocol):
+    """Sends a message to all linked directories but one."""
+
+    def __call__(self, message: typing.Any, besides: str = "") -> object:
+        """Send it."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Request:
+    """A request that was answered, and when it was sent."""
+
+    identity: str
+    sent_at: float
 
 
 class Notices:
-    """Takes what each answer says of its upstream; the latest by start."""
+    """Takes what each answer says of its upstream; the latest by start.
+
+    ``tell`` is set once the gateway has links.
+    """
 
     def __init__(
         self, knowledge: knowledges.Knowledge, metrics: gateway_metrics.Metrics
     ) -> None:
+        self.tell: Tell = tell_nobody
         self._knowledge = knowledge
         self._metrics = metrics
         self._latest: dict[str, notices.Notice] = {}
@@ -26,18 +56,53 @@
         self,
         row: upstreams.Row,
         answer: attempts.AnswerHead | attempts.NotRun,
-        request: str,
+        request: Request,
     ) -> None:
         """Take what an answer to the request says of the upstream."""
         if answer.status == attempts.MISDIRECTED:
             return  # another incarnation speaks
         notice = answer.notice
+        self._take_limit(row, answer, request)
         former = self._latest.get(row.identity, NOTHING)
         if notice != former or notice.rest_seconds:
             self._note_changed(row, notice, request)
 
+    def note_placed(self, placed: placement.Placed) -> None:
+        """Tell the directories that did not place a request of a limited upstream."""
+        if placed.limit is None:
+            return
+        known, now = self._knowledge.limits_stated, self._knowledge.clock()
+        identity = placed.row.identity
+        if known.find_limit(identity) is None:
+            known.note_stated(identity, placed.limit, now, now)
+        self.tell(messages.RateLimits(sent=(identity,)), placed.source)
+
+    def report(self) -> abc.Iterator[typing.Any]:
+        """Yield all that is believed here, for a directory that was just linked."""
+        now = self._knowledge.clock()
+        stated = tuple(self._knowledge.limits_stated.list_statements(now))
+        if stated:
+            yield messages.RateLimits(stated=stated)
+
+    def _take_limit(
+        self,
+        row: upstreams.Row,
+        answer: attempts.AnswerHead | attempts.NotRun,
+        request: Request,
+    ) -> None:
+        """Take a limit, or an answer that states none any more."""
+        known, now = self._knowledge.limits_stated, self._knowledge.clock()
+        limit = answer.notice.limit
+        if limit is not None:
+            known.note_stated(row.identity, limit, now, now)
+            self.tell(messages.RateLimits(stated=((row.identity, limit, 0.0),)))
+        elif known.find_limit(row.identity) is not None and says_no_limit(answer):
+            known.note_unstated(row.identity, request.sent_at)
+            age = now - request.sent_at
+            self.tell(messages.RateLimits(unstated=((row.identity, age),)))
+
     def _note_changed(
-        self, row: upstreams.Row, notice: notices.Notice, request: str
+        self, row: upstreams.Row, notice: notices.Notice, request: Request
     ) -> None:
         known = self._knowledge.table.rows
         if len(self._latest) > len(known):
@@ -51,7 +116,7 @@
             upstream=row.identity,
             service=row.service,
             address=row.address,
-            request=request,
+            request=request.identity,
             limit=notice.limit,
             leaves=notice.leaves,
             rest_seconds=notice.rest_seconds,
@@ -59,6 +124,21 @@
         )
 
 
+def says_no_limit(answer: attempts.AnswerHead | attempts.NotRun) -> bool:
+    """Return whether an answer without a limit says that there is none.
+
+    Refusals and failures don't: one that lacks the header would let everything through
+    to an upstream in need, until its next good answer.
+    """
+    if isinstance(answer, attempts.NotRun) or answer.notice.unreadable:
+        return False
+    return answer.status < SERVER_ERRORS
+
+
+def tell_nobody(message: typing.Any, besides: str = "") -> None:
+    """Tell nobody: there are no links yet."""
+
+
 def list_kinds(notice: notices.Notice) -> list[str]:
     """Return the kinds of what a notice says, for the metrics."""
     found = {
--- a/packages/daemon/src/trestlestall/daemon/gateway/placing.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/placing.py
@@ -13,6 +13,7 @@
     crashes,
     descriptors,
     placement,
+    rate_limits,
     shedding,
 )
 from trestlestall.wire import clocks, messages
@@ -29,8 +30,17 @@
 SILENCES_LIMIT = 2
 AVOIDED_SECONDS = 4.0
 
+#: Seconds without an answer after which a gateway is cut off: longer than all
+#: directories together take to start again and to be asked.
+CUT_OFF_SECONDS = 6.0
+
 #: Reasons of the arbiter after which no other upstream is looked for.
-FINAL_REASONS = (shedding.OVERLOADED, budgets.EXHAUSTED, crashes.HARMFUL)
+FINAL_REASONS = (
+    shedding.OVERLOADED,
+    budgets.EXHAUSTED,
+    crashes.HARMFUL,
+    rate_limits.LIMITED,
+)
 
 Send = abc.Callable[[str, object], bool]
 
@@ -56,6 +66,7 @@
         self._arbiter: str | None = None
         self._silent_until = 0.0
         self._silences = 0
+        self._answered_at = float("-inf")
         self._avoided: dict[str, float] = {}
         self._tokens = itertools.count(1)
         self._waiting: dict[int, eventlet.event.Event] = {}
@@ -89,6 +100,7 @@
     def take_answer(self, answer: messages.PlaceAnswer) -> None:
         """Hand an answer to the request that waits for it."""
         self._silences = 0
+        self._answered_at = clocks.read()
         waiting = self._waiting.pop(answer.token, None)
         if waiting is not None:
             waiting.send(answer)
@@ -147,6 +159,7 @@
             answer.taken,
             self._arbiter or "",
             answer.fetch_from,
+            answer.limit,
         )
 
     def note_first(self, descriptor: descriptors.Descriptor, start: tuple = ()) -> None:
@@ -235,11 +248,32 @@
     def _choose(
         self, descriptor: descriptors.Descriptor, tried: abc.Collection[str]
     ) -> placement.Placed | placement.Refused:
-        found = self._knowledge.placer.place(descriptor, clocks.read(), tried)
+        """Choose by own knowledge."""
+        now = clocks.read()
+        limited = self._list_limited(now)
+        placer = self._knowledge.placer
+        found = placer.place(descriptor, now, tried, limited)
         if isinstance(found, placement.Placed):
+            self._knowledge.limits_stated.take(found.row.identity, now)
             self._keep(descriptor, found.row.identity)
+        elif set(limited).intersection(placer.list_serving(descriptor.service)):
+            share = placement.draw_share(descriptor)
+            after = rate_limits.find_return((placement.RETURN_SECONDS,), share)
+            return placement.Refused(rate_limits.LIMITED, after)
         return found
 
+    def _list_limited(self, now: float) -> list[str]:
+        """Return the upstreams that get nothing, as they state a limit.
+
+        How much others send is not known here, and a share for each of many gateways
+        would be a request a minute. Only a gateway that is cut off for long sends one
+        now and then, as nobody else tells it that a limit has ended.
+        """
+        known = self._knowledge.limits_stated
+        if now - self._answered_at < CUT_OFF_SECONDS:
+            return known.list_limited()
+        return known.list_spent(now)
+
     def _keep(self, descriptor: descriptors.Descriptor, identity: str) -> None:
         plain = descriptors.encode(descriptor)
         self._tasks[descriptor.request_id] = [plain, identity, False]
--- a/packages/daemon/src/trestlestall/daemon/gateway/process.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/process.py
@@ -81,6 +81,7 @@
             self._log,
             self.service.placing,
             self.service.endings,
+            self.service.notices,
             self._usage,
         )
         self._suspensions = suspensions.Watch(self._log)
--- a/packages/daemon/src/trestlestall/daemon/gateway/records.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/records.py
@@ -28,6 +28,7 @@
         predicted=round(placed.predicted, 4),
         taken=len(engine.tasks),
         taken_by_all=placed.taken,
+        limit=placed.limit,
         failure_rate=round(engine.find_failure_rate(data_centre), 3),
         source=placed.source,
         declaration=forward.knowledge.version,
--- a/packages/daemon/tests/test_gateway_notices.py
+++ b/packages/daemon/tests/test_gateway_notices.py
@@ -2,46 +2,136 @@
 
 from packages.daemon.tests import gateway_bench as bench  # isort: skip
 
+from trestlestall.daemon.gateway import attempts, notices as gateway_notices
+from trestlestall.forwarding import notices, placement
+from trestlestall.wire import clocks, messages
+
 
 def say(text, body="done", status="200 OK"):
     """Return a script that answers with further headers."""
     return bench.answer(text, body, status=status)
 
 
-class SightTest(bench.GatewayCase):
+def make_answer(status=200, **said):
+    """Return the head of an answer that says this of its upstream."""
+    return attempts.AnswerHead(status, (), {}, notices.Notice(**said))
+
+
+class NoticeCase(bench.GatewayCase):
+    """A gateway with an upstream, whose directories are told into ``told``."""
+
+    def setUp(self):
+        super().setUp()
+        self.upstream = self.bench.add("u1", say("", "done"))
+        self.row = self.upstream.row
+        self.now = clocks.read()
+        self.bench.gateway.knowledge.clock = lambda: self.now
+        self.notices = self.bench.gateway.service.notices
+        self.told = []
+        self.notices.tell = lambda message, besides="": self.told.append(
+            (message, besides)
+        )
+
+    def take(self, answer, age=0.1):
+        """Take the answer to a request that was sent so many seconds ago."""
+        request = gateway_notices.Request("r1", self.now - age)
+        self.notices.take(self.row, answer, request)
+
     def list_notices(self):
         """Return what was logged of upstreams' words, without the common fields."""
         fields = ("upstream", "limit", "leaves", "rest_seconds", "unreadable")
         lines = self.bench.list_lines("upstream_notice")
         return [tuple(line[field] for field in fields) for line in lines]
 
+
+class SightTest(NoticeCase):
     def test_it_is_logged_when_it_changes(self):
-        told = ["", "Trestlestall-Limit: 2.5\r\n", "Trestlestall-Limit: 2.5\r\n", ""]
-        upstream = self.bench.add("u1", lambda *given: say(told.pop(0))(*given))
-        for _ in range(4):
-            self.assertEqual(self.bench.ask("/once/x")[2], "done")
-        self.assertEqual(len(upstream.received), 4)
+        for limit in (None, 2.5, 2.5, None):
+            self.take(make_answer(limit=limit))
         self.assertEqual(
             self.list_notices(),
             [("u1", 2.5, False, 0.0, []), ("u1", None, False, 0.0, [])],
         )
 
     def test_what_cannot_be_read_is_logged_once_and_changes_nothing(self):
-        self.bench.add(
-            "u1", say("Trestlestall-Limit: lots\r\nTrestlestall-Leaving: \r\n")
-        )
+        unreadable = "Trestlestall-Limit: lots\r\nTrestlestall-Leaving:\r\n"
+        self.upstream.script = say(unreadable)
         for _ in range(3):
             self.assertEqual(self.bench.ask("/once/x")[2], "done")
         names = ["trestlestall-limit", "trestlestall-leaving"]
         self.assertEqual(self.list_notices(), [("u1", None, False, 0.0, names)])
+        self.assertEqual(self.told, [])
 
     def test_it_is_counted(self):
-        self.bench.add("u1", say("Trestlestall-Limit: 5\r\n"))
+        self.upstream.script = say("Trestlestall-Limit: 5\r\n")
         self.bench.ask("/once/x")
         text = self.bench.gateway._metrics.render().decode()
         self.assertIn('trestlestall_upstream_notices_total{kind="limit"} 1.0', text)
 
     def test_another_incarnation_speaks_for_itself(self):
-        self.bench.add("u1", say("Trestlestall-Limit: 5\r\n", status="421 Other"))
+        self.upstream.script = say("Trestlestall-Limit: 5\r\n", status="421 Other")
         self.bench.ask("/once/x")
         self.assertEqual(self.list_notices(), [])
+        self.assertEqual(self.told, [])
+
+
+class LimitTest(NoticeCase):
+    def find_limit(self):
+        """Return the limit that the gateway believes in."""
+        return self.bench.gateway.knowledge.limits_stated.find_limit("u1")
+
+    def test_each_statement_is_told_to_all_directories(self):
+        for _ in range(2):
+            self.take(make_answer(limit=1.5))
+        stated = messages.RateLimits(stated=(("u1", 1.5, 0.0),))
+        self.assertEqual(self.told, [(stated, ""), (stated, "")])
+
+    def test_a_good_answer_without_it_ends_it(self):
+        self.take(make_answer(limit=1.5))
+        self.now += 5.0
+        self.take(make_answer(), age=1.0)
+        self.assertIsNone(self.find_limit())
+        ended = messages.RateLimits(unstated=(("u1", 1.0),))
+        self.assertEqual(self.told[1:], [(ended, "")])
+
+    def test_answers_that_say_nothing_of_it_do_not_end_it(self):
+        self.take(make_answer(limit=1.5))
+        self.now += 5.0
+        self.take(make_answer(500))
+        self.take(attempts.NotRun(503, None, notices.Notice()))
+        self.take(make_answer(unreadable=("trestlestall-limit",)))
+        self.assertEqual(self.find_limit(), 1.5)
+        self.assertEqual(len(self.told), 1)
+
+    def test_an_answer_to_a_request_of_before_does_not_end_it(self):
+        self.now += 5.0
+        self.take(make_answer(limit=1.5))
+        self.take(make_answer(), age=2.0)
+        self.assertEqual(self.find_limit(), 1.5)
+
+    def test_a_directory_that_is_linked_later_hears_of_it_with_its_age(self):
+        self.assertEqual(list(self.notices.report()), [])
+        self.take(make_answer(limit=1.5))
+        self.now += 5.0
+        told = messages.RateLimits(stated=(("u1", 1.5, 5.0),))
+        self.assertEqual(list(self.notices.report()), [told])
+
+    def test_the_directories_that_did_not_place_a_request_count_it_too(self):
+        placed = placement.Placed(self.row, 0, 0.0, 1, "directory-1", limit=1.5)
+        self.notices.note_placed(placed)
+        sent = messages.RateLimits(sent=("u1",))
+        self.assertEqual(self.told, [(sent, "directory-1")])
+        self.assertEqual(self.find_limit(), 1.5)
+
+    def test_without_a_directory_a_limited_upstream_is_left_alone(self):
+        self.bench.add("u2", say("", "other"))
+        self.take(make_answer(limit=1.5))
+        for _ in range(4):
+            self.assertEqual(self.bench.ask("/once/x")[2], "other")
+
+    def test_one_that_no_other_can_stand_in_for_is_refused_with_a_time(self):
+        self.take(make_answer(limit=1.5))
+        status, head, body = self.bench.ask("/once/x")
+        self.assertEqual(status, 503)
+        self.assertIn("Retry-After: 1.", head)
+        self.assertIn("limits that they state", body)
--- /dev/null
+++ b/packages/daemon/tests/test_limiting.py
@@ -0,0 +1,95 @@
+"""What a directory makes of the limits that upstreams state."""
+
+import json
+
+from packages.daemon.tests import test_directory
+from packages.forwarding.tests import samples
+from trestlestall.daemon import notes
+from trestlestall.forwarding import descriptors, rate_limits
+from trestlestall.wire import messages
+
+GATEWAY = "gateway-1"
+OTHER = test_directory.OTHERS[0]
+
+
+class LimitingCase(test_directory.DirectoryCase):
+    def setUp(self):
+        super().setUp()
+        self.links.directories = [OTHER]
+        self.server.registrations.announce(samples.make_row("u1"))
+        self.server.registrations.announce(samples.make_row("u2"))
+        self.token = 0
+
+    def tell(self, **words):
+        """Let a gateway tell of limits."""
+        self.server.take_message(GATEWAY, messages.RateLimits(**words))
+
+    def ask(self, tried=()):
+        """Return the answer to a gateway's call."""
+        self.token += 1
+        descriptor = samples.make_descriptor(f"r{self.token}")
+        plain = tuple(descriptors.encode(descriptor))
+        call = messages.PlaceCall(self.token, plain, tuple(tried), notes.FIRST_SEND)
+        self.server.take_message(GATEWAY, call)
+        return self.links.find(messages.PlaceAnswer, GATEWAY)[-1]
+
+    def list_lines(self, name):
+        """Return the log lines with this name."""
+        lines = map(json.loads, self.output.getvalue().splitlines())
+        return [line for line in lines if line["name"] == name]
+
+
+class LimitingTest(LimitingCase):
+    def test_a_limited_upstream_gets_what_it_takes_and_others_the_rest(self):
+        self.tell(stated=(("u1", 1.5, 0.0),))
+        begun = self.clock.now
+        placed = []
+        while self.clock.now < begun + 10.0:
+            placed.append(self.ask().upstream)
+            self.clock.now += 0.05
+        self.assertIn(placed.count("u1"), range(12, 17))
+        self.assertEqual(placed.count("u1") + placed.count("u2"), len(placed))
+
+    def test_the_answer_tells_the_limit(self):
+        self.tell(stated=(("u1", 1.5, 0.0),))
+        self.clock.now += 1.0
+        self.assertEqual(self.ask(tried=("u2",)).limit, 1.5)
+        self.assertIsNone(self.ask(tried=("u1",)).limit)
+
+    def test_what_no_upstream_takes_now_gets_a_time_to_return(self):
+        self.tell(stated=(("u1", 0.5, 0.0), ("u2", 0.25, 0.0)))
+        answer = self.ask()
+        self.assertEqual((answer.upstream, answer.reason), ("", rate_limits.LIMITED))
+        self.assertGreaterEqual(answer.return_seconds, 2.0)
+        self.assertLessEqual(answer.return_seconds, 4.0)
+        self.assertGreaterEqual(self.ask(tried=("u1",)).return_seconds, 4.0)
+
+    def test_what_other_directories_placed_counts(self):
+        self.tell(stated=(("u1", 1.0, 0.0),))
+        self.clock.now += 1.0
+        self.tell(sent=("u1",))
+        self.assertEqual(self.ask(tried=("u2",)).reason, rate_limits.LIMITED)
+
+    def test_its_end_is_logged_as_its_beginning_is(self):
+        self.tell(stated=(("u1", 1.0, 2.0),))
+        self.tell(stated=(("u1", 1.0, 0.0),))
+        self.clock.now += 3.0
+        self.tell(unstated=(("u1", 1.0),))
+        self.assertIsNone(self.ask(tried=("u2",)).limit)
+        lines = self.list_lines("upstream_limit")
+        self.assertEqual([line["limit"] for line in lines], [1.0, None])
+        self.assertEqual(lines[0]["source"], GATEWAY)
+
+    def test_words_that_cannot_be_so_change_nothing(self):
+        for words in (
+            {"stated": (("u1", "x", 0.0),)},
+            {"stated": (("u1",),)},
+            {"stated": ((1, 1.0, 0.0),)},
+            {"stated": (("u1", float("nan"), 0.0),)},
+            {"stated": (("u1", 1.0, -5.0),)},
+            {"unstated": ("u1",)},
+            {"sent": (1,)},
+        ):
+            self.tell(**words)
+        self.assertEqual(len(self.list_lines("upstream_limit_refused")), 7)
+        self.assertEqual(self.server.limiting.limits.list_limited(), [])
--- a/packages/forwarding/src/trestlestall/forwarding/placement.py
+++ b/packages/forwarding/src/trestlestall/forwarding/placement.py
@@ -47,7 +47,8 @@
 
     ``taken`` are the requests that the source counts there, this one included.
     ``fetch_from`` is the address of the engine from which the first parts of its prompt
-    are to be fetched; empty for none.
+    are to be fetched; empty for none. ``limit`` are the requests a second that the
+    upstream takes in all, of which the source has counted this one; None for no limit.
     """
 
     row: upstreams.Row
@@ -56,6 +57,7 @@
     taken: int
     source: str = OWN
     fetch_from: str = ""
+    limit: float | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -120,12 +122,16 @@
         descriptor: descriptors.Descriptor,
         now: float,
         tried: abc.Collection[str] = (),
+        barred: abc.Collection[str] = (),
     ) -> Placed | Refused:
-        """Choose an upstream that was not tried yet, and count the request there."""
+        """Choose an upstream that was not tried yet, and count the request there.
+
+        ``barred`` are those that want no request now.
+        """
         rows = [
             row
             for row in self._by_service.get(descriptor.service, ())
-            if row.identity not in tried
+            if row.identity not in tried and row.identity not in barred
         ]
         if not rows:
             return Refused("no upstream", RETURN_SECONDS)
@@ -136,12 +142,15 @@
         best = self._find_best(near, descriptor, now)
         outlook = self._foresee(best, near, descriptor, now)
         if not tried and shedding.is_due(descriptor, outlook):
-            drawn = find_rendezvous(descriptor, descriptor.request_id)
-            share = drawn / RENDEZVOUS_RANGE
-            after = shedding.find_return(descriptor, share)
+            after = shedding.find_return(descriptor, draw_share(descriptor))
             return Refused(shedding.OVERLOADED, after)
         return self._begin(best.row, descriptor, now, best.fetch)
 
+    def list_serving(self, service: str) -> list[str]:
+        """Return the upstreams of a service that can be connected to."""
+        rows = self._by_service.get(service, ())
+        return [row.identity for row in rows if self.engines[row.identity].reachable]
+
     def find_reading(
         self, descriptor: descriptors.Descriptor, found: Placed | Refused
     ) -> float:
@@ -303,6 +312,12 @@
         engine.token_seconds = declared.token_seconds if declared is not None else 0.0
 
 
+def draw_share(descriptor: descriptors.Descriptor) -> float:
+    """Return a number from 0 to 1, the same for a request wherever it is drawn."""
+    drawn = find_rendezvous(descriptor, descriptor.request_id)
+    return drawn / RENDEZVOUS_RANGE
+
+
 def find_rendezvous(descriptor: descriptors.Descriptor, identity: str) -> int:
     """Return the upstream's rank for the prompt's beginning, the same everywhere.
 
--- /dev/null
+++ b/packages/forwarding/src/trestlestall/forwarding/rate_limits.py
@@ -0,0 +1,155 @@
+"""The requests a second that upstreams take in all, by their own answers; pure.
+
+A stated limit is shared by all gateways, so whoever sees all their requests counts: the
+directory that places them. It hears of statements from every gateway, late and in any
+order, so each has its time, and the latest counts:
+
+    limits = RateLimits()
+    limits.note_stated("u1", 1.5, now, now)
+    if "u1" not in limits.list_spent(now):
+        limits.take("u1", now)
+
+An upstream may be sent one request at once, or those of ``BURST_SECONDS``, and from
+then on as many as it takes. One that takes none still gets a request now and then: who
+sends nothing never hears that a limit has ended.
+"""
+
+import dataclasses
+import math
+from collections import abc
+
+#: Why a request is placed nowhere.
+LIMITED = "all upstreams are at the limits that they state"
+#: Seconds of a limit that may be sent at once, where that is more than one request.
+BURST_SECONDS = 0.25
+#: Seconds between two requests to an upstream that takes fewer.
+LONGEST_PAUSE = 5.0
+#: An answer without a limit ends it if its request was sent so many seconds after the
+#: last statement: words of several gateways overtake each other by less.
+OVERTAKING_SECONDS = 0.5
+#: Seconds over which callers come back that are sent away, where the wait is shorter.
+SPREAD_SECONDS = 0.5
+#: Upstreams of which statements are kept; the one of the oldest statement goes first.
+KEPT = 4096
+
+
+@dataclasses.dataclass
+class State:
+    """What is known of one start's limit; times in seconds of the monotonic clock.
+
+    ``share`` is the part of the limit that this process may send, ``level`` are the
+    requests that it may send at once, as of ``filled_at``.
+    """
+
+    limit: float
+    stated_at: float
+    filled_at: float
+    share: float
+    free_at: float = -math.inf
+    level: float = 0.0
+
+    @property
+    def holds(self) -> bool:
+        """Whether the last statement is later than what says that it has ended."""
+        return self.stated_at > self.free_at
+
+    @property
+    def rate(self) -> float:
+        """The requests a second that this process may send."""
+        return max(self.share * self.limit, 1.0 / LONGEST_PAUSE)
+
+    def fill(self, now: float) -> None:
+        """Bring the level up to date."""
+        added = max(0.0, now - self.filled_at) * self.rate
+        most = max(1.0, BURST_SECONDS * self.rate)
+        self.level = min(most, self.level + added)
+        self.filled_at = now
+
+
+class RateLimits:
+    """The limits that are known to one process, by start of the upstream.
+
+    ``share`` is the part of each that the process may send: all, if it sees what all
+    gateways send, or none but a request each ``LONGEST_PAUSE``.
+    """
+
+    def __init__(self, share: float = 1.0) -> None:
+        self._share = share
+        self._states: dict[str, State] = {}
+
+    def find_limit(self, identity: str) -> float | None:
+        """Return the limit that holds, in requests a second; None without one."""
+        state = self._states.get(identity)
+        return state.limit if state is not None and state.holds else None
+
+    def list_limited(self) -> list[str]:
+        """Return the upstreams whose limit holds."""
+        return [one for one, state in self._states.items() if state.holds]
+
+    def note_stated(self, identity: str, limit: float, at: float, now: float) -> bool:
+        """Take a statement that came at a time; return whether anything changed."""
+        before = self.find_limit(identity)
+        state = self._states.get(identity)
+        if state is None:
+            # Nothing may be sent at once: it got as much as others until now.
+            self._states[identity] = State(limit, at, now, self._share)
+            self._drop_oldest()
+        elif at > state.stated_at:
+            state.fill(now)
+            state.limit, state.stated_at = limit, at
+        return self.find_limit(identity) != before
+
+    def note_unstated(self, identity: str, sent_at: float) -> bool:
+        """Take an answer without a limit; return whether that ended one.
+
+        ``sent_at`` is when its request was sent: then at the latest the upstream had
+        not stopped stating its limit.
+        """
+        state = self._states.get(identity)
+        if state is None:
+            return False
+        held = state.holds
+        state.free_at = max(state.free_at, sent_at - OVERTAKING_SECONDS)
+        return held and not state.holds
+
+    def list_spent(self, now: float) -> list[str]:
+        """Return the upstreams that take no further request now."""
+        return [one for one in self.list_limited() if self.find_wait(one, now) > 0.0]
+
+    def find_wait(self, identity: str, now: float) -> float:
+        """Return the seconds until the upstream takes a request."""
+        state = self._states.get(identity)
+        if state is None or not state.holds:
+            return 0.0
+        state.fill(now)
+        return max(0.0, 1.0 - state.level) / state.rate
+
+    def take(self, identity: str, now: float) -> None:
+        """Count a request that is sent to the upstream, whoever placed it."""
+        state = self._states.get(identity)
+        if state is not None:
+            state.fill(now)
+            state.level -= 1.0
+
+    def list_statements(self, now: float) -> list[tuple[str, float, float]]:
+        """Return the limits that hold: upstream, limit, age in seconds."""
+        return [
+            (identity, state.limit, now - state.stated_at)
+            for identity, state in self._states.items()
+            if state.holds
+        ]
+
+    def _drop_oldest(self) -> None:
+        if len(self._states) > KEPT:
+            oldest = min(self._states, key=lambda one: self._states[one].stated_at)
+            del self._states[oldest]
+
+
+def find_return(waits: abc.Iterable[float], share: float) -> float:
+    """Return when a caller should come back, in seconds, that no upstream takes now.
+
+    ``waits`` are the seconds until each takes requests again; ``share``, from 0 to 1,
+    draws callers apart, so that they don't all come back at that moment.
+    """
+    wait = min(waits)
+    return wait + share * max(SPREAD_SECONDS, wait)
--- /dev/null
+++ b/packages/forwarding/tests/test_rate_limits.py
@@ -0,0 +1,144 @@
+"""The limits that upstreams state: what may be sent, and when one ends."""
+
+import random
+import unittest
+
+from trestlestall.forwarding import rate_limits
+
+LIMIT = 1.5
+#: What the promise allows in four seconds: one and a half times the limit, and five.
+SPAN_SECONDS, FACTOR, EXTRA = 4.0, 1.5, 5
+
+
+def make(limit=LIMIT, now=0.0, **changes):
+    """Return the limits of one upstream that has just stated one."""
+    made = rate_limits.RateLimits(**changes)
+    made.note_stated("u1", limit, now, now)
+    return made
+
+
+def send(limits, demand, seconds, now=0.0):
+    """Return when requests are sent, asked for ``demand`` times a second."""
+    sent = []
+    for step in range(int(demand * seconds)):
+        at = now + step / demand
+        if "u1" not in limits.list_spent(at):
+            limits.take("u1", at)
+            sent.append(at)
+    return sent
+
+
+def find_most(sent):
+    """Return the most requests in a span."""
+    spans = (sum(at <= one < at + SPAN_SECONDS for one in sent) for at in sent)
+    return max(spans, default=0)
+
+
+class RateTest(unittest.TestCase):
+    def test_as_many_are_sent_as_it_takes_and_no_more(self):
+        for limit in (0.3, 1.1, LIMIT, 7.0, 40.0):
+            with self.subTest(limit):
+                sent = send(make(limit), 200, 20.0)
+                self.assertLessEqual(
+                    find_most(sent), FACTOR * limit * SPAN_SECONDS + EXTRA
+                )
+                self.assertGreaterEqual(len(sent), 0.9 * (20.0 * limit - 1))
+
+    def test_one_that_takes_none_is_asked_now_and_then(self):
+        sent = send(make(0.0), 20, 21.0)
+        self.assertEqual(len(sent), 4)
+        self.assertLessEqual(find_most(sent), EXTRA)
+
+    def test_idle_time_saves_up_no_burst(self):
+        limits = make()
+        self.assertLessEqual(len(send(limits, 200, 0.1, now=1000.0)), 1)
+
+    def test_what_others_placed_counts(self):
+        limits = make()
+        for _ in range(4):
+            limits.take("u1", 1.0)
+        self.assertGreater(limits.find_wait("u1", 1.0), 1.0 / LIMIT)
+
+    def test_two_that_place_side_by_side_and_tell_each_other_keep_to_it(self):
+        drawn = random.Random(1)
+        first, second = make(), make()
+        sent = []
+        for step in range(4000):
+            at = step / 200
+            own, other = drawn.sample((first, second), 2)
+            if "u1" not in own.list_spent(at):
+                own.take("u1", at)
+                other.take("u1", at)
+                sent.append(at)
+        allowed = FACTOR * LIMIT * SPAN_SECONDS + EXTRA
+        self.assertLessEqual(find_most(sent), allowed)
+
+    def test_one_that_takes_over_without_the_count_keeps_to_it(self):
+        sent = []
+        for number in range(10):
+            now = number * 2.0
+            sent += send(make(now=now), 200, 2.0, now)
+        self.assertLessEqual(find_most(sent), FACTOR * LIMIT * SPAN_SECONDS + EXTRA)
+
+    def test_without_a_share_of_it_few_are_sent(self):
+        sent = send(make(30.0, share=0.0), 20, 21.0)
+        self.assertEqual(len(sent), 4)
+
+
+class BeliefTest(unittest.TestCase):
+    def test_words_in_any_order_amount_to_the_same(self):
+        told = [("stated", 1.0, 1.0), ("stated", 4.0, 2.0), ("unstated", 3.0, None)]
+        told += [("unstated", 4.2, None), ("unstated", 4.6, None)]
+        for count, limit in ((3, 2.0), (4, 2.0), (5, None)):
+            for seed in range(20):
+                limits = rate_limits.RateLimits()
+                words = told[:count]
+                random.Random(seed).shuffle(words)
+                # An end means something only to who knows of a limit.
+                words.sort(key=lambda word: word[0] == "unstated")
+                for kind, at, value in words:
+                    if kind == "stated":
+                        limits.note_stated("u1", value, at, 10.0)
+                    else:
+                        limits.note_unstated("u1", at)
+                self.assertEqual(limits.find_limit("u1"), limit)
+
+    def test_a_statement_that_comes_after_its_end_changes_nothing(self):
+        limits = make(now=1.0)
+        limits.note_unstated("u1", 4.0)
+        limits.note_stated("u1", 9.0, 3.0, 5.0)
+        self.assertIsNone(limits.find_limit("u1"))
+        limits.note_stated("u1", 9.0, 4.0, 5.0)
+        self.assertEqual(limits.find_limit("u1"), 9.0)
+
+    def test_only_a_change_is_one(self):
+        limits = rate_limits.RateLimits()
+        self.assertTrue(limits.note_stated("u1", 1.0, 1.0, 1.0))
+        self.assertFalse(limits.note_stated("u1", 1.0, 2.0, 2.0))
+        self.assertTrue(limits.note_stated("u1", 3.0, 3.0, 3.0))
+        self.assertFalse(limits.note_stated("u1", 9.0, 0.5, 3.0), "an old one")
+        self.assertFalse(limits.note_unstated("u1", 3.1))
+        self.assertTrue(limits.note_unstated("u1", 4.0))
+        self.assertFalse(limits.note_unstated("u1", 5.0))
+        self.assertFalse(limits.note_unstated("u2", 5.0))
+
+    def test_what_is_kept_is_bounded(self):
+        limits = rate_limits.RateLimits()
+        for number in range(rate_limits.KEPT + 10):
+            limits.note_stated(f"u{number}", 1.0, number, number)
+        self.assertEqual(len(limits.list_limited()), rate_limits.KEPT)
+        self.assertIsNone(limits.find_limit("u0"))
+
+    def test_statements_go_on_with_their_age(self):
+        self.assertEqual(make(now=3.0).list_statements(5.0), [("u1", LIMIT, 2.0)])
+
+
+class ReturnTest(unittest.TestCase):
+    def test_callers_come_back_once_one_takes_requests_and_apart(self):
+        found = [rate_limits.find_return((3.0, 2.0), share) for share in (0, 0.5, 1)]
+        self.assertEqual(found, [2.0, 3.0, 4.0])
+        self.assertEqual(rate_limits.find_return((0.1,), 1.0), 0.6)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/wire/src/trestlestall/wire/messages.py
+++ b/packages/wire/src/trestlestall/wire/messages.py
@@ -253,6 +253,8 @@
 
     ``taken`` are the requests of all gateways there, this one included. ``fetch_from``
     is the address of the upstream that holds parts of the prompt; empty for none.
+    ``limit`` are the requests a second that the upstream takes in all, of which this
+    one has been counted; None for no limit.
     """
 
     token: int
@@ -263,6 +265,7 @@
     return_seconds: float = 0.0
     taken: int = 0
     fetch_from: str = ""
+    limit: float | None = None
 
 
 @registry.register("place_note")
@@ -333,6 +336,22 @@
     alive: tuple[typing.Any, ...] = ()
 
 
+@registry.register("rate_limits")
+@dataclasses.dataclass(frozen=True)
+class RateLimits:
+    """What a gateway heard of the limits that upstreams state, and sent to these.
+
+    ``stated`` are rows of an upstream, its requests a second and how many seconds ago
+    it stated them; ``unstated`` of an upstream that answered without a limit and how
+    many seconds ago that request was sent; ``sent`` are upstreams, one for each request
+    that another directory placed there.
+    """
+
+    stated: tuple[typing.Any, ...] = ()
+    unstated: tuple[typing.Any, ...] = ()
+    sent: tuple[str, ...] = ()
+
+
 @registry.register("replaced")
 @dataclasses.dataclass(frozen=True)
 class Replaced:
--- a/tests/test_stated_limits.py
+++ b/tests/test_stated_limits.py
@@ -125,6 +125,15 @@
         self.assertEqual(served, sent, "the other upstream takes the rest")
         self.assertTrue(free.list_arrivals())
 
+    def test_what_no_upstream_takes_is_refused_with_a_time_to_return(self):
+        limited = self.add("u1", state(LIMIT))
+        self.wait_until_served()
+        with self.callers.keep_asking(self.system.gateways):
+            time.sleep(SECONDS)
+        self.check_held(limited)
+        statuses = {found.status for _, _, found in self.callers.answers}
+        self.assertEqual(statuses, {200, 503})
+
     def test_it_holds_while_the_directory_that_places_is_replaced(self):
         limited = self.add("u1", state(LIMIT))
         self.add("u2")
@@ -138,6 +147,31 @@
             time.sleep(5.0)
         self.check_held(limited)
 
+    def test_a_gateway_that_starts_again_does_not_break_it_for_the_others(self):
+        limited = self.add("u1", state(LIMIT))
+        self.add("u2")
+        self.wait_until_served()
+        first = self.system.gateways[0]
+        with self.callers.keep_asking(self.system.gateways):
+            time.sleep(4.0)
+            self.system.running[first].kill()
+            time.sleep(0.5)
+            self.system.start_gateway(first)
+            time.sleep(6.0)
+        self.check_held(limited, excused=(first,))
+
+    def test_it_ends_when_answers_no_longer_state_it(self):
+        limited = self.add("u1", state(LIMIT))
+        self.wait_until_served()
+        with self.callers.keep_asking(self.system.gateways):
+            time.sleep(4.0)
+            limited.say = lambda gateway: telling.Said()
+            time.sleep(3.0)
+            freed_at = time.monotonic()
+            time.sleep(2.0)
+        served, sent = self.callers.count_served(since=freed_at)
+        self.assertEqual(served, sent)
+
 
 class TwoDirectoriesTest(LimitCase):
     directories = 2
