--- a/packages/daemon/src/trestlestall/daemon/events/forwarding.py
+++ b/packages/daemon/src/trestlestall/daemon/events/forwarding.py
@@ -8,7 +8,7 @@
     catalogue.Level.INFO,
     "request route workspace digest rank route_tier workspace_tier upstream address"
     " attempt unread predicted taken taken_by_all failure_rate declaration seconds_left"
-    " source fetch_from limit",
+    " source fetch_from limit state",
     "A request goes to this upstream; digest is the same for all attempts of a caller"
     " with one method, host, target and body; rank, 0 the most urgent, is made of the"
     " tiers of its route and its workspace; unread are the prompt tokens that it"
@@ -17,7 +17,8 @@
     " there, this one included; the source of the choice is a directory that sees all"
     " gateways, or own knowledge without one; fetch_from is the upstream from which it"
     " has the first parts of its prompt; limit are the requests a second that the"
-    " upstream takes in all, by the source, which has counted this one.",
+    " upstream takes in all, by the source, which has counted this one;"
+    " state is what this gateway itself believes of the upstream.",
 )
 ENDED = catalogue.declare(
     "TS7002",
--- a/packages/daemon/src/trestlestall/daemon/gateway/records.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/records.py
@@ -29,6 +29,7 @@
         taken=len(engine.tasks),
         taken_by_all=placed.taken,
         limit=placed.limit,
+        state=find_state(forward, placed.row.identity),
         failure_rate=round(engine.find_failure_rate(data_centre), 3),
         source=placed.source,
         declaration=forward.knowledge.version,
@@ -36,6 +37,12 @@
     )
 
 
+def find_state(forward: progress.Progress, identity: str) -> str | None:
+    """Return what this gateway itself believes of an upstream; None without a row."""
+    row = forward.knowledge.table.rows.get(identity)
+    return None if row is None else row.state.name.lower()
+
+
 def write_repeated(
     forward: progress.Progress,
     row: upstreams.Row,
