Tests: an upstream that leaves gets no new request from a gateway that was told; they fail

Real gateways: 25 and 51 requests arrive later than 2 s after an answer through the same gateway had said that the upstream leaves. In one process: a directory that was cut off places at an upstream whose row the gateway has as draining or gone, and the gateway sends there.

--- a/packages/daemon/tests/test_gateway_notices.py
+++ b/packages/daemon/tests/test_gateway_notices.py
@@ -2,8 +2,12 @@
 
 from packages.daemon.tests import gateway_bench as bench  # isort: skip
 
+import dataclasses
+
+import eventlet
+
 from trestlestall.daemon.gateway import attempts, notices as gateway_notices
-from trestlestall.forwarding import notices, placement
+from trestlestall.forwarding import notices, placement, upstreams
 from trestlestall.wire import clocks, messages
 
 
@@ -135,3 +139,52 @@
         self.assertEqual(status, 503)
         self.assertIn("Retry-After: 1.", head)
         self.assertIn("limits that they state", body)
+
+
+class Arbiter:
+    """A directory that places requests at the first upstream that is not left out."""
+
+    def __init__(self, placing, choices):
+        self.placing = placing
+        self.choices = choices
+        self.calls = []
+        self.told = []
+        placing.send = self.take
+        placing.set_arbiter("directory-1")
+
+    def take(self, name, message):
+        """Take a message of the gateway; answer a call."""
+        if not isinstance(message, messages.PlaceCall):
+            self.told.append(message)
+            return True
+        self.calls.append(message)
+        left_out = {*message.tried, *getattr(message, "barred", ())}
+        left = [one for one in self.choices if one not in left_out]
+        answer = messages.PlaceAnswer(message.token, left[0] if left else "", 0, 0.0)
+        eventlet.spawn_n(self.placing.take_answer, answer)
+        return True
+
+
+class OverruledTest(NoticeCase):
+    """A directory that was cut off places where the gateway knows better."""
+
+    def setUp(self):
+        super().setUp()
+        self.other = self.bench.add("u2", say("", "other"))
+        self.arbiter = Arbiter(self.bench.gateway.service.placing, ["u1", "u2"])
+
+    def set_state(self, state):
+        """Let the gateway know that the upstream is in this state."""
+        row = dataclasses.replace(self.row, state=state, sequence=2)
+        self.bench.gateway.knowledge.take_rows((row,), "directory-2")
+
+    def test_an_upstream_that_serves_gets_what_is_placed_there(self):
+        self.assertEqual(self.bench.ask("/once/x")[2], "done")
+        self.assertEqual(len(self.arbiter.calls), 1)
+
+    def test_one_that_leaves_gets_nothing_whoever_places_it_there(self):
+        for state in (upstreams.State.DRAINING, upstreams.State.GONE):
+            self.set_state(state)
+            for _ in range(3):
+                self.assertEqual(self.bench.ask("/once/x")[2], "other")
+        self.assertEqual(self.upstream.received, [])
