Mend: a gateway does not send where it knows that an upstream leaves, whoever placed it there

Callers' requests reached an upstream 2.8 and 3.4 s after its gateway had been told that it leaves. All gateways had its row as draining; the directory that places was cut off from the others, did not hear of it, and gateways sent where they were told without a look at what they knew themselves.

A gateway now follows a choice only if its own row serves; else it tells the directory the row and asks once more with the upstream left out, without counting the request twice. Why it holds: the gateway's row never goes back to serving within one start, so it does not matter which directory answers or from which state; and a directory that is cut off learns of the leave from the first gateway that it still has. That an upstream is gone is not told on, as that may be the gateway's conclusion from a refusal (421), which directories weigh against announcements.

One function that encodes rows stands in announcements.py, for both roles.

--- a/packages/daemon/src/trestlestall/daemon/directory/registrations.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/registrations.py
@@ -6,7 +6,6 @@
 """
 
 import dataclasses
-import typing
 from collections import abc
 
 import eventlet.event
@@ -117,7 +116,7 @@
 
     def send_all(self, peer: str) -> None:
         """Send the whole table to a process that was just linked."""
-        self._links.send(peer, encode(self.table.rows.values(), 0))
+        self._links.send(peer, announcements.encode(self.table.rows.values(), 0))
 
     def _tell_majority(self, row: upstreams.Row) -> bool:
         needed = self._count_voters() // 2
@@ -136,13 +135,13 @@
             del self._rounds[token]
 
     def _tell_directories(self, row: upstreams.Row, token: int) -> None:
-        message = encode((row,), token)
+        message = announcements.encode((row,), token)
         for peer in self._links.list_directories():
             self._links.send(peer, message)
 
     def _tell_gateways(self, rows: abc.Sequence[upstreams.Row]) -> None:
         self._note_rows()
-        message = encode(rows, 0)
+        message = announcements.encode(rows, 0)
         gateways = self._links.list_gateways()
         for gateway in gateways:
             self._links.send(gateway, message)
@@ -156,9 +155,3 @@
                 sequence=row.sequence,
                 told=len(gateways),
             )
-
-
-def encode(rows: abc.Iterable[upstreams.Row], token: int) -> typing.Any:
-    """Return the message that carries the rows."""
-    plain = tuple(upstreams.encode_row(row) for row in rows)
-    return messages.Announced(token, plain)
--- a/packages/daemon/src/trestlestall/daemon/events/forwarding.py
+++ b/packages/daemon/src/trestlestall/daemon/events/forwarding.py
@@ -149,3 +149,12 @@
     " gateway chooses by what it knows itself.",
     "See whether the directory or the link to it is overloaded if this repeats.",
 )
+OVERRULED = catalogue.declare(
+    "TS7032",
+    "choice_not_followed",
+    catalogue.Level.INFO,
+    "request upstream state arbiter",
+    "The directory that places requests chose an upstream that takes none by what this"
+    " gateway knows; it is asked for another one.",
+    "If it goes on, the directory is cut off from the others: look at its links.",
+)
--- a/packages/daemon/src/trestlestall/daemon/gateway/placing.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/placing.py
@@ -6,7 +6,7 @@
 import eventlet
 import eventlet.event
 
-from trestlestall.daemon import events, notes
+from trestlestall.daemon import announcements, events, notes
 from trestlestall.daemon.gateway import knowledge as knowledges, reaching
 from trestlestall.forwarding import (
     budgets,
@@ -15,6 +15,7 @@
     placement,
     rate_limits,
     shedding,
+    upstreams,
 )
 from trestlestall.wire import clocks, messages
 
@@ -34,6 +35,9 @@
 #: directories together take to start again and to be asked.
 CUT_OFF_SECONDS = 6.0
 
+#: Questions for one send: another one where this gateway knew better.
+ASKS = 2
+
 #: Reasons of the arbiter after which no other upstream is looked for.
 FINAL_REASONS = (
     shedding.OVERLOADED,
@@ -132,7 +136,7 @@
         verdict = self._knowledge.judge(descriptor.digest)
         if verdict is crashes.Verdict.HARMFUL:
             return placement.Refused(crashes.HARMFUL, 0.0)
-        answer = self._ask(descriptor, tried, purpose)
+        answer = self._ask_within_beliefs(descriptor, tried, purpose)
         if answer is not None and answer.reason in FINAL_REASONS:
             source = self._arbiter or ""
             return placement.Refused(answer.reason, answer.return_seconds, source)
@@ -144,23 +148,7 @@
             if purpose == notes.REPEAT and not self._may_repeat_alone(descriptor):
                 return placement.Refused(budgets.EXHAUSTED, placement.RETURN_SECONDS)
             return self._choose(descriptor, tried)
-        now = clocks.read()
-        placer = self._knowledge.placer
-        found = placer.adopt(descriptor, answer.upstream, now)
-        if isinstance(found, placement.Refused):
-            # The arbiter knows an upstream that this gateway has not heard of yet.
-            self._note(descriptor, notes.ENDS[None])
-            return self._choose(descriptor, tried)
-        self._keep(descriptor, answer.upstream)
-        return placement.Placed(
-            found.row,
-            answer.unread,
-            answer.predicted,
-            answer.taken,
-            self._arbiter or "",
-            answer.fetch_from,
-            answer.limit,
-        )
+        return self._adopt(descriptor, tried, answer)
 
     def note_first(self, descriptor: descriptors.Descriptor, start: tuple = ()) -> None:
         """Note a request's first event, or its answer.
@@ -207,6 +195,75 @@
         )
         return verdict is budgets.Verdict.GRANTED
 
+    def _adopt(
+        self,
+        descriptor: descriptors.Descriptor,
+        tried: abc.Collection[str],
+        answer: messages.PlaceAnswer,
+    ) -> placement.Placed | placement.Refused:
+        """Count the request at the upstream that the arbiter chose."""
+        placer = self._knowledge.placer
+        found = placer.adopt(descriptor, answer.upstream, clocks.read())
+        if isinstance(found, placement.Refused):
+            # The arbiter knows an upstream that this gateway has not heard of yet.
+            self._note(descriptor, notes.ENDS[None])
+            return self._choose(descriptor, tried)
+        self._keep(descriptor, answer.upstream)
+        return placement.Placed(
+            found.row,
+            answer.unread,
+            answer.predicted,
+            answer.taken,
+            self._arbiter or "",
+            answer.fetch_from,
+            answer.limit,
+        )
+
+    def _ask_within_beliefs(
+        self,
+        descriptor: descriptors.Descriptor,
+        tried: abc.Collection[str],
+        purpose: str,
+    ) -> messages.PlaceAnswer | None:
+        """Ask the arbiter; None where its choices are not to be followed.
+
+        An arbiter that is cut off from other directories may not have heard that an
+        upstream leaves. A gateway that knows better tells it, and asks once more.
+        """
+        left_out = set(tried)
+        for _ in range(ASKS):
+            answer = self._ask(descriptor, left_out, purpose)
+            row = self._find_row(answer)
+            if row is None or row.state is upstreams.State.SERVING:
+                return answer
+            self._correct(descriptor, row)
+            left_out.add(row.identity)
+            # The arbiter has counted the request already.
+            purpose = notes.MOVED
+        return None
+
+    def _correct(self, descriptor: descriptors.Descriptor, row: upstreams.Row) -> None:
+        """Tell the arbiter that a request does not go where it was placed, and why.
+
+        That an upstream is gone may be no more than this gateway's conclusion.
+        """
+        self._note(descriptor, notes.ENDS[None])
+        if row.state is upstreams.State.DRAINING:
+            self.tell_arbiter(announcements.encode((row,)))
+        self._knowledge.log.write(
+            events.forwarding.OVERRULED,
+            request=descriptor.request_id,
+            upstream=row.identity,
+            state=row.state.name.lower(),
+            arbiter=self._arbiter,
+        )
+
+    def _find_row(self, answer: messages.PlaceAnswer | None) -> upstreams.Row | None:
+        """Return what is known here of the upstream that was chosen."""
+        if answer is None:
+            return None
+        return self._knowledge.table.rows.get(answer.upstream)
+
     def _ask(
         self,
         descriptor: descriptors.Descriptor,
--- a/packages/daemon/tests/test_directory.py
+++ b/packages/daemon/tests/test_directory.py
@@ -15,7 +15,7 @@
 import eventlet
 
 from packages.forwarding.tests import samples
-from trestlestall.daemon import dialects, environment, logs, settings
+from trestlestall.daemon import announcements, dialects, environment, logs, settings
 from trestlestall.daemon.directory import (
     disks,
     operations,
@@ -211,7 +211,7 @@
 
     def test_rows_from_another_directory_are_passed_on_and_confirmed(self):
         made = self.make(OTHERS)
-        made.take(OTHERS[0], registrations.encode([samples.make_row()], 9))
+        made.take(OTHERS[0], announcements.encode([samples.make_row()], 9))
         self.assertEqual(len(self.links.find(messages.Announced, "gateway-1")), 1)
         self.assertEqual(
             self.links.find(messages.AnnouncedAnswer, OTHERS[0])[0].token, 9
--- a/packages/daemon/tests/test_gateway_notices.py
+++ b/packages/daemon/tests/test_gateway_notices.py
@@ -188,3 +188,19 @@
             for _ in range(3):
                 self.assertEqual(self.bench.ask("/once/x")[2], "other")
         self.assertEqual(self.upstream.received, [])
+
+    def test_a_directory_that_does_not_know_of_a_leave_is_told(self):
+        self.set_state(upstreams.State.DRAINING)
+        self.bench.ask("/once/x")
+        told = [one for one in self.arbiter.told if isinstance(one, messages.Announced)]
+        self.assertEqual([row[:3] for one in told for row in one.rows], [["u1", 2, 1]])
+        purposes = [call.purpose for call in self.arbiter.calls]
+        self.assertEqual(purposes, ["first", "moved"], "a request is counted once")
+        lines = self.bench.list_lines("choice_not_followed")
+        self.assertEqual([line["state"] for line in lines], ["draining"])
+
+    def test_that_one_is_gone_is_not_told_as_its_own_word(self):
+        self.set_state(upstreams.State.GONE)
+        self.bench.ask("/once/x")
+        told = [type(one) for one in self.arbiter.told]
+        self.assertNotIn(messages.Announced, told)
