Mend: an upstream that says in an answer that it leaves is taken out at once, and all are told

Callers' requests went on to an upstream whose answers said that it leaves, where no announcement had told the gateway so: answers were not read. The gateway takes the word as an announcement of that start and tells every directory, also one that is linked later. Why it holds: a start that drains never serves again in the table, whatever announcements or directories say afterwards, and the gateway follows no choice against its own row; a later start under the same name is another row. Streams that run there go on.

--- a/packages/daemon/src/trestlestall/daemon/gateway/notices.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/notices.py
@@ -8,7 +8,7 @@
 import typing
 from collections import abc
 
-from trestlestall.daemon import events
+from trestlestall.daemon import announcements, events
 from trestlestall.daemon.gateway import (
     attempts,
     knowledge as knowledges,
@@ -19,6 +19,8 @@
 
 #: What an upstream says that says nothing.
 NOTHING = notices.Notice()
+#: The source of what an upstream's answer says.
+ANSWER = "answer"
 #: Statuses from here on are failures: they may lack what other answers state.
 SERVER_ERRORS = 500
 
@@ -51,6 +53,7 @@
         self._knowledge = knowledge
         self._metrics = metrics
         self._latest: dict[str, notices.Notice] = {}
+        self._leaving: list[str] = []
 
     def take(
         self,
@@ -63,6 +66,8 @@
             return  # another incarnation speaks
         notice = answer.notice
         self._take_limit(row, answer, request)
+        if notice.leaves:
+            self._take_leave(row)
         former = self._latest.get(row.identity, NOTHING)
         if notice != former or notice.rest_seconds:
             self._note_changed(row, notice, request)
@@ -83,6 +88,26 @@
         stated = tuple(self._knowledge.limits_stated.list_statements(now))
         if stated:
             yield messages.RateLimits(stated=stated)
+        known = self._knowledge.table.rows
+        leaving = [known[one] for one in self._leaving if one in known]
+        if leaving:
+            yield announcements.encode(leaving)
+
+    def _take_leave(self, row: upstreams.Row) -> None:
+        """Take out an upstream that says that it leaves, as if it had announced it.
+
+        For this gateway it holds whatever others say of the same start.
+        """
+        known = self._knowledge.table.rows.get(row.identity)
+        if known is None or known.state is not upstreams.State.SERVING:
+            return
+        leaving = dataclasses.replace(known, state=upstreams.State.DRAINING)
+        self._knowledge.take_rows((leaving,), ANSWER)
+        self._leaving = [
+            one for one in self._leaving if one in self._knowledge.table.rows
+        ]
+        self._leaving.append(row.identity)
+        self.tell(announcements.encode((leaving,)))
 
     def _take_limit(
         self,
--- a/packages/daemon/tests/test_gateway_notices.py
+++ b/packages/daemon/tests/test_gateway_notices.py
@@ -141,6 +141,58 @@
         self.assertIn("limits that they state", body)
 
 
+class LeaveTest(NoticeCase):
+    def find_state(self):
+        """Return what the gateway believes of the upstream."""
+        return self.bench.gateway.knowledge.table.rows["u1"].state
+
+    def list_told(self):
+        """Return the rows that directories were told: identity and state."""
+        return [tuple(row[0:3:2]) for message, _ in self.told for row in message.rows]
+
+    def test_it_gets_no_more_requests_and_all_directories_are_told(self):
+        self.bench.add("u2", say("", "other"))
+        self.upstream.script = say("Trestlestall-Leaving: 1\r\n")
+        answers = [self.bench.ask("/once/x")[2] for _ in range(6)]
+        self.assertLessEqual(answers.count("done"), 1)
+        self.assertEqual(self.find_state(), upstreams.State.DRAINING)
+        self.assertEqual(self.list_told(), [("u1", 1)])
+
+    def test_announcements_that_it_serves_change_nothing_for_this_start(self):
+        self.take(make_answer(leaves=True))
+        later = dataclasses.replace(self.row, sequence=9)
+        self.bench.gateway.knowledge.take_rows((later,), "directory-1")
+        self.assertEqual(self.find_state(), upstreams.State.DRAINING)
+
+    def test_a_later_start_under_its_name_serves(self):
+        self.take(make_answer(leaves=True))
+        later = dataclasses.replace(
+            self.row, identity="u1@5", name="u1", born=5, sequence=1
+        )
+        self.bench.gateway.knowledge.take_rows((later,), "directory-1")
+        self.assertEqual(self.bench.ask("/once/x")[2], "done")
+
+    def test_a_stream_that_runs_there_goes_on(self):
+        told = "HTTP/1.1 200 OK\r\nTrestlestall-Leaving: 1\r\n"
+        told += "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+        parts = bench.frame(bench.event(1), bench.event(2))
+        self.upstream.script = bench.send(told + parts, keep=True)
+        caller = self.bench.call()
+        caller.ask("/stream/x")
+        self.assertEqual(caller.read_head()[0], 200)
+        self.assertIn("x2", caller.read_to_end())
+
+    def test_a_directory_that_is_linked_later_hears_of_it(self):
+        self.take(make_answer(leaves=True))
+        rows = [row for message in self.notices.report() for row in message.rows]
+        self.assertEqual([row[0:3:2] for row in rows], [["u1", 1]])
+
+    def test_it_is_told_once(self):
+        for _ in range(3):
+            self.take(make_answer(leaves=True))
+        self.assertEqual(self.list_told(), [("u1", 1)])
+
+
 class Arbiter:
     """A directory that places requests at the first upstream that is not left out."""
 
