Mend: a gateway leaves an upstream alone that asked it for rest, and callers come back apart

Callers were turned away in rows: an upstream that had asked a gateway for 3 s of rest got 11 requests from it in that time (two allowed), and looked idle to who places, so that it drew up to five times as many as before. The wish was told to the caller of the one request that was turned away, and forgotten.

A wish is kept by start of the upstream for this gateway, the longest of several, by the clock that counts suspensions; the directory that places hears with each question which upstreams want nothing from this gateway, and a choice of one is not followed. Why it holds: it does not matter who places or what that one knows, as the gateway looks at its own wishes last. What only resting upstreams could take is refused at once, with the time until the first of them takes requests again, drawn apart for each caller. Values that can't be meant ban nobody.

--- a/packages/daemon/src/trestlestall/daemon/directory/arbitration.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/arbitration.py
@@ -166,30 +166,28 @@
             return placement.Refused(crashes.HARMFUL, 0.0)
         if verdict is budgets.Verdict.DENIED:
             return placement.Refused(budgets.EXHAUSTED, placement.RETURN_SECONDS)
-        found = self._place_within_limits(descriptor, call.tried)
+        found = self._place_within_limits(descriptor, call)
         if call.purpose == notes.REPEAT and isinstance(found, placement.Placed):
             self._repeats.note_repeat(descriptor.service)
         return found
 
     def _place_within_limits(
-        self, descriptor: descriptors.Descriptor, tried: abc.Collection[str]
+        self, descriptor: descriptors.Descriptor, call: messages.PlaceCall
     ) -> placement.Placed | placement.Refused:
         """Choose among the upstreams that take a request now, and count it there."""
         now = self._clock()
         spent = self._limits.list_spent(now)
-        found = self._placer.place(descriptor, now, tried, spent)
+        barred = {*spent, *call.barred}
+        found = self._placer.place(descriptor, now, call.tried, barred)
         if isinstance(found, placement.Placed):
             self._limits.take(found.row.identity, now)
             limit = self._limits.find_limit(found.row.identity)
             return dataclasses.replace(found, limit=limit)
         if found.reason == shedding.OVERLOADED:
             return found
-        serving = self._placer.list_serving(descriptor.service)
-        waits = [
-            self._limits.find_wait(one, now)
-            for one in spent
-            if one in serving and one not in tried
-        ]
+        left_out = {*call.tried, *call.barred}
+        serving = set(self._placer.list_serving(descriptor.service)) - left_out
+        waits = [self._limits.find_wait(one, now) for one in spent if one in serving]
         if not waits:
             return found
         after = rate_limits.find_return(waits, placement.draw_share(descriptor))
--- a/packages/daemon/src/trestlestall/daemon/gateway/finals.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/finals.py
@@ -7,10 +7,13 @@
     records,
     refusals,
 )
-from trestlestall.forwarding import budgets, crashes, placement
+from trestlestall.forwarding import budgets, crashes, placement, rate_limits, rests
 from trestlestall.wire import clocks
 
 OK = 200
+#: Reasons that come with the time at which some upstream takes requests again; the wish
+#: of the one that turned the request away last says less.
+TIMED_REASONS = (rests.RESTING, rate_limits.LIMITED)
 
 
 def end_unplaced(
@@ -60,7 +63,8 @@
         end_with(forward, refusals.BAD_GATEWAY, reason)
     else:
         asked = forward.return_seconds
-        after = after if asked is None else asked
+        if asked is not None and reason not in TIMED_REASONS:
+            after = asked
         end_with(forward, refusals.UNAVAILABLE, reason, after)
 
 
--- a/packages/daemon/src/trestlestall/daemon/gateway/knowledge.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/knowledge.py
@@ -11,6 +11,7 @@
     model,
     placement,
     rate_limits,
+    rests,
     upstreams,
 )
 from trestlestall.wire import clocks
@@ -41,6 +42,7 @@
         self.placer = placement.Placer()
         self.ledger = budgets.Ledger(OWN, clock())
         self.crashes = crashes.Record()
+        self.rests = rests.Rests()
         self.limits_stated = rate_limits.RateLimits(share=0.0)
 
     @property
--- a/packages/daemon/src/trestlestall/daemon/gateway/metrics.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/metrics.py
@@ -43,6 +43,10 @@
             "requests_held",
             "Requests that are not sent, as upstreams ended under them.",
         )
+        self.limited = self._gauge("upstreams_limited", "Those that state a limit.")
+        self.resting = self._gauge(
+            "upstreams_resting", "Those that asked this gateway for rest."
+        )
         self.first = self._time("first", "Arrival to the first event or the answer.")
         self.whole = self._time("whole", "Arrival to the end of the answer.")
         self.version = self._gauge("declaration_version", "Configuration in force.")
--- a/packages/daemon/src/trestlestall/daemon/gateway/placing.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/placing.py
@@ -14,6 +14,7 @@
     descriptors,
     placement,
     rate_limits,
+    rests,
     shedding,
     upstreams,
 )
@@ -234,7 +235,7 @@
         for _ in range(ASKS):
             answer = self._ask(descriptor, left_out, purpose)
             row = self._find_row(answer)
-            if row is None or row.state is upstreams.State.SERVING:
+            if row is None or self._may_be_sent(row):
                 return answer
             self._correct(descriptor, row)
             left_out.add(row.identity)
@@ -242,6 +243,15 @@
             purpose = notes.MOVED
         return None
 
+    def _may_be_sent(self, row: upstreams.Row) -> bool:
+        """Return whether the upstream takes requests, by what is known here now.
+
+        It may have answered another request while this one was being placed.
+        """
+        if row.state is not upstreams.State.SERVING:
+            return False
+        return not self._knowledge.rests.find_wait(row.identity, clocks.read())
+
     def _correct(self, descriptor: descriptors.Descriptor, row: upstreams.Row) -> None:
         """Tell the arbiter that a request does not go where it was placed, and why.
 
@@ -276,7 +286,8 @@
         waiting = self._waiting[token] = eventlet.event.Event()
         plain = tuple(descriptors.encode(descriptor))
         avoided = tuple({*tried, *self._reaching.unreachable})
-        call = messages.PlaceCall(token, plain, avoided, purpose)
+        barred = tuple(self._knowledge.rests.list_resting(clocks.read()))
+        call = messages.PlaceCall(token, plain, avoided, purpose, barred)
         if not self.send(self._arbiter, call):
             del self._waiting[token]
             return None
@@ -307,17 +318,30 @@
     ) -> placement.Placed | placement.Refused:
         """Choose by own knowledge."""
         now = clocks.read()
-        limited = self._list_limited(now)
+        barred = {*self._list_limited(now), *self._knowledge.rests.list_resting(now)}
         placer = self._knowledge.placer
-        found = placer.place(descriptor, now, tried, limited)
+        found = placer.place(descriptor, now, tried, barred)
         if isinstance(found, placement.Placed):
             self._knowledge.limits_stated.take(found.row.identity, now)
             self._keep(descriptor, found.row.identity)
-        elif set(limited).intersection(placer.list_serving(descriptor.service)):
-            share = placement.draw_share(descriptor)
-            after = rate_limits.find_return((placement.RETURN_SECONDS,), share)
-            return placement.Refused(rate_limits.LIMITED, after)
-        return found
+            return found
+        serving = set(placer.list_serving(descriptor.service)).difference(tried)
+        return self._find_return(descriptor, serving & barred) or found
+
+    def _find_return(
+        self, descriptor: descriptors.Descriptor, barred: abc.Collection[str]
+    ) -> placement.Refused | None:
+        """Refuse a request that only these could take, until one of them does."""
+        if not barred:
+            return None
+        now = clocks.read()
+        known = self._knowledge.rests
+        rest = {one: wait for one in barred if (wait := known.find_wait(one, now))}
+        # When a limit lets one through is known to the directories alone.
+        waits = [rest.get(one, placement.RETURN_SECONDS) for one in barred]
+        after = rate_limits.find_return(waits, placement.draw_share(descriptor))
+        reason = rests.RESTING if rest else rate_limits.LIMITED
+        return placement.Refused(reason, after)
 
     def _list_limited(self, now: float) -> list[str]:
         """Return the upstreams that get nothing, as they state a limit.
--- a/packages/daemon/tests/test_gateway_notices.py
+++ b/packages/daemon/tests/test_gateway_notices.py
@@ -193,6 +193,60 @@
         self.assertEqual(self.list_told(), [("u1", 1)])
 
 
+class RestTest(NoticeCase):
+    def rest(self, seconds):
+        """Return a script that turns requests away and asks for rest."""
+        text = f"Trestlestall-Not-Run: 1\r\nRetry-After: {seconds}\r\n"
+        return say(text, "", "503 Full")
+
+    def test_it_is_left_alone_until_its_rest_is_over(self):
+        self.bench.gateway.knowledge.clock = clocks.read
+        self.bench.add("u2", say("", "other"))
+        self.upstream.script = self.rest(0.4)
+        self.bench.ask("/once/x")
+        if not self.upstream.received:
+            self.take(attempts.NotRun(503, 0.4, notices.Notice(rest_seconds=0.4)))
+        self.upstream.received.clear()
+        for _ in range(5):
+            self.assertEqual(self.bench.ask("/once/x")[2], "other")
+        self.assertEqual(self.upstream.received, [])
+        self.upstream.script = say("", "done")
+        self.assertTrue(
+            bench.wait_until(lambda: self.bench.ask("/once/x")[2] == "done")
+        )
+
+    def test_all_rest_a_true_refusal_with_a_time_drawn_apart(self):
+        self.take(attempts.NotRun(503, 2.0, notices.Notice(rest_seconds=2.0)))
+        times = set()
+        for number in range(4):
+            status, head, body = self.bench.ask(
+                "/once/x", Trestlestall_Request=f"r-{number}"
+            )
+            self.assertEqual(status, 503)
+            self.assertIn("asked for rest", body)
+            found = next(line for line in head.split("\r\n") if "Retry-After" in line)
+            times.add(float(found.partition(":")[2]))
+        self.assertEqual(self.upstream.received, [])
+        self.assertEqual(len(times), 4)
+        self.assertGreaterEqual(min(times), 1.5)
+        self.assertLessEqual(max(times), 4.0)
+
+    def test_turned_away_last_by_one_that_rests_longer_than_another(self):
+        self.bench.add("u2", self.rest(1.0))
+        self.upstream.script = self.rest(3.0)
+        self.bench.ask("/once/x")
+        _, head, _ = self.bench.ask("/once/x")
+        found = next(line for line in head.split("\r\n") if "Retry-After" in line)
+        self.assertLess(float(found.partition(":")[2]), 2.1)
+
+    def test_what_cannot_be_meant_bans_nobody(self):
+        for value in ("-1", "nan", "1e300", "999999999", "", "tomorrow"):
+            self.upstream.script = self.rest(value)
+            self.bench.ask("/once/x")
+        self.upstream.script = say("", "done")
+        self.assertEqual(self.bench.ask("/once/x")[2], "done")
+
+
 class Arbiter:
     """A directory that places requests at the first upstream that is not left out."""
 
@@ -256,3 +310,22 @@
         self.bench.ask("/once/x")
         told = [type(one) for one in self.arbiter.told]
         self.assertNotIn(messages.Announced, told)
+
+    def test_a_directory_hears_which_upstreams_rest(self):
+        self.take(attempts.NotRun(503, 2.0, notices.Notice(rest_seconds=2.0)))
+        self.assertEqual(self.bench.ask("/once/x")[2], "other")
+        self.assertEqual([call.barred for call in self.arbiter.calls], [("u1",)])
+
+    def test_a_wish_that_comes_while_a_request_is_being_placed(self):
+        take = self.arbiter.take
+
+        def take_late(name, message):
+            found = take(name, message)
+            if isinstance(message, messages.PlaceCall) and not message.barred:
+                self.take(attempts.NotRun(503, 2.0, notices.Notice(rest_seconds=2.0)))
+            return found
+
+        self.arbiter.placing.send = take_late
+        self.assertEqual(self.bench.ask("/once/x")[2], "other")
+        self.assertEqual(self.upstream.received, [])
+        self.assertEqual(len(self.arbiter.calls), 2)
--- a/packages/daemon/tests/test_limiting.py
+++ b/packages/daemon/tests/test_limiting.py
@@ -24,12 +24,14 @@
         """Let a gateway tell of limits."""
         self.server.take_message(GATEWAY, messages.RateLimits(**words))
 
-    def ask(self, tried=()):
+    def ask(self, tried=(), barred=()):
         """Return the answer to a gateway's call."""
         self.token += 1
         descriptor = samples.make_descriptor(f"r{self.token}")
         plain = tuple(descriptors.encode(descriptor))
-        call = messages.PlaceCall(self.token, plain, tuple(tried), notes.FIRST_SEND)
+        call = messages.PlaceCall(
+            self.token, plain, tuple(tried), notes.FIRST_SEND, tuple(barred)
+        )
         self.server.take_message(GATEWAY, call)
         return self.links.find(messages.PlaceAnswer, GATEWAY)[-1]
 
@@ -93,3 +95,12 @@
             self.tell(**words)
         self.assertEqual(len(self.list_lines("upstream_limit_refused")), 7)
         self.assertEqual(self.server.limiting.limits.list_limited(), [])
+
+    def test_what_its_gateway_must_not_send_to_is_left_out(self):
+        for _ in range(5):
+            self.assertEqual(self.ask(barred=("u1",)).upstream, "u2")
+        self.assertEqual(self.ask(barred=("u1", "u2")).upstream, "")
+        self.tell(stated=(("u1", 1.0, 0.0),))
+        self.assertNotEqual(
+            self.ask(barred=("u1", "u2")).reason, rate_limits.LIMITED, "it rests"
+        )
--- a/packages/wire/src/trestlestall/wire/messages.py
+++ b/packages/wire/src/trestlestall/wire/messages.py
@@ -238,12 +238,14 @@
     ``descriptor`` is that of the forwarding package, as plain values. ``purpose`` is
     ``first`` for a caller's request, ``repeat`` for one that has reached an upstream
     and draws on the budget of repeated sends, or ``moved`` for one that has not.
+    ``barred`` are upstreams that want no request from the gateway now.
     """
 
     token: int
     descriptor: tuple[typing.Any, ...]
     tried: tuple[str, ...]
     purpose: str = "moved"
+    barred: tuple[str, ...] = ()
 
 
 @registry.register("place_answer")
