--- a/packages/daemon/src/trestlestall/daemon/events/forwarding.py
+++ b/packages/daemon/src/trestlestall/daemon/events/forwarding.py
@@ -153,8 +153,9 @@
     "TS7032",
     "choice_not_followed",
     catalogue.Level.INFO,
-    "request upstream state arbiter",
+    "request upstream state rest_seconds arbiter",
     "The directory that places requests chose an upstream that takes none by what this"
-    " gateway knows; it is asked for another one.",
+    " gateway knows, since it leaves or has asked for rest meanwhile; another one is"
+    " asked for.",
     "If it goes on, the directory is cut off from the others: look at its links.",
 )
--- a/packages/daemon/src/trestlestall/daemon/gateway/placing.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/placing.py
@@ -139,8 +139,9 @@
             return placement.Refused(crashes.HARMFUL, 0.0)
         answer = self._ask_within_beliefs(descriptor, tried, purpose)
         if answer is not None and answer.reason in FINAL_REASONS:
-            source = self._arbiter or ""
-            return placement.Refused(answer.reason, answer.return_seconds, source)
+            return placement.Refused(
+                answer.reason, answer.return_seconds, self._arbiter or ""
+            )
         if answer is None or not answer.upstream:
             # Without an answer, or with none but upstreams that can't be connected to.
             if verdict is crashes.Verdict.ON_TRIAL:
@@ -248,9 +249,11 @@
 
         It may have answered another request while this one was being placed.
         """
-        if row.state is not upstreams.State.SERVING:
-            return False
-        return not self._knowledge.rests.find_wait(row.identity, clocks.read())
+        return row.state is upstreams.State.SERVING and not self._find_rest(row)
+
+    def _find_rest(self, row: upstreams.Row) -> float:
+        """Return for how many seconds the upstream wants nothing from this gateway."""
+        return self._knowledge.rests.find_wait(row.identity, clocks.read())
 
     def _correct(self, descriptor: descriptors.Descriptor, row: upstreams.Row) -> None:
         """Tell the arbiter that a request does not go where it was placed, and why.
@@ -265,6 +268,7 @@
             request=descriptor.request_id,
             upstream=row.identity,
             state=row.state.name.lower(),
+            rest_seconds=round(self._find_rest(row), 3),
             arbiter=self._arbiter,
         )
 
