--- a/packages/daemon/src/trestlestall/daemon/gateway/placing.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/placing.py
@@ -7,14 +7,13 @@
 import eventlet.event
 
 from trestlestall.daemon import announcements, events, notes
-from trestlestall.daemon.gateway import knowledge as knowledges, reaching
+from trestlestall.daemon.gateway import choosing, knowledge as knowledges, reaching
 from trestlestall.forwarding import (
     budgets,
     crashes,
     descriptors,
     placement,
     rate_limits,
-    rests,
     shedding,
     upstreams,
 )
@@ -68,6 +67,7 @@
         self._knowledge = knowledge
         self._reaching = reach
         self._find_retry_bound = find_retry_bound
+        self._chooser = choosing.Chooser(knowledge)
         self._arbiter: str | None = None
         self._silent_until = 0.0
         self._silences = 0
@@ -230,13 +230,14 @@
         """Ask the arbiter; None where its choices are not to be followed.
 
         An arbiter that is cut off from other directories may not have heard that an
-        upstream leaves. A gateway that knows better tells it, and asks once more.
+        upstream leaves, and an upstream may ask for rest while a request is placed. A
+        gateway that knows better tells it, and asks once more.
         """
         left_out = set(tried)
         for _ in range(ASKS):
             answer = self._ask(descriptor, left_out, purpose)
             row = self._find_row(answer)
-            if row is None or self._may_be_sent(row):
+            if row is None or self._chooser.may_be_sent(row):
                 return answer
             self._correct(descriptor, row)
             left_out.add(row.identity)
@@ -244,17 +245,6 @@
             purpose = notes.MOVED
         return None
 
-    def _may_be_sent(self, row: upstreams.Row) -> bool:
-        """Return whether the upstream takes requests, by what is known here now.
-
-        It may have answered another request while this one was being placed.
-        """
-        return row.state is upstreams.State.SERVING and not self._find_rest(row)
-
-    def _find_rest(self, row: upstreams.Row) -> float:
-        """Return for how many seconds the upstream wants nothing from this gateway."""
-        return self._knowledge.rests.find_wait(row.identity, clocks.read())
-
     def _correct(self, descriptor: descriptors.Descriptor, row: upstreams.Row) -> None:
         """Tell the arbiter that a request does not go where it was placed, and why.
 
@@ -268,7 +258,7 @@
             request=descriptor.request_id,
             upstream=row.identity,
             state=row.state.name.lower(),
-            rest_seconds=round(self._find_rest(row), 3),
+            rest_seconds=round(self._chooser.find_rest(row), 3),
             arbiter=self._arbiter,
         )
 
@@ -320,44 +310,12 @@
     def _choose(
         self, descriptor: descriptors.Descriptor, tried: abc.Collection[str]
     ) -> placement.Placed | placement.Refused:
-        """Choose by own knowledge."""
-        now = clocks.read()
-        barred = {*self._list_limited(now), *self._knowledge.rests.list_resting(now)}
-        placer = self._knowledge.placer
-        found = placer.place(descriptor, now, tried, barred)
+        """Choose by own knowledge, and count the request."""
+        is_cut_off = clocks.read() - self._answered_at > CUT_OFF_SECONDS
+        found = self._chooser.choose(descriptor, tried, is_cut_off)
         if isinstance(found, placement.Placed):
-            self._knowledge.limits_stated.take(found.row.identity, now)
             self._keep(descriptor, found.row.identity)
-            return found
-        serving = set(placer.list_serving(descriptor.service)).difference(tried)
-        return self._find_return(descriptor, serving & barred) or found
-
-    def _find_return(
-        self, descriptor: descriptors.Descriptor, barred: abc.Collection[str]
-    ) -> placement.Refused | None:
-        """Refuse a request that only these could take, until one of them does."""
-        if not barred:
-            return None
-        now = clocks.read()
-        known = self._knowledge.rests
-        rest = {one: wait for one in barred if (wait := known.find_wait(one, now))}
-        # When a limit lets one through is known to the directories alone.
-        waits = [rest.get(one, placement.RETURN_SECONDS) for one in barred]
-        after = rate_limits.find_return(waits, placement.draw_share(descriptor))
-        reason = rests.RESTING if rest else rate_limits.LIMITED
-        return placement.Refused(reason, after)
-
-    def _list_limited(self, now: float) -> list[str]:
-        """Return the upstreams that get nothing, as they state a limit.
-
-        How much others send is not known here, and a share for each of many gateways
-        would be a request a minute. Only a gateway that is cut off for long sends one
-        now and then, as nobody else tells it that a limit has ended.
-        """
-        known = self._knowledge.limits_stated
-        if now - self._answered_at < CUT_OFF_SECONDS:
-            return known.list_limited()
-        return known.list_spent(now)
+        return found
 
     def _keep(self, descriptor: descriptors.Descriptor, identity: str) -> None:
         plain = descriptors.encode(descriptor)
