Mend: the own router leaves an engine or service alone that asked it for rest

Callers of the own interface were turned away again by an engine that had asked for rest, after each of its renewals. The table of upstreams keeps the wish by incarnation, the longest of several, for this router alone; a renewal does not end it, a new start does. Unreadable values say nothing.

A wish that can't be meant still bans nobody. Own upstreams announce load and leave, and are known to routers by these; they state no limit.

--- a/packages/daemon/src/trestlestall/daemon/events/upstreams.py
+++ b/packages/daemon/src/trestlestall/daemon/events/upstreams.py
@@ -70,3 +70,12 @@
     "Tokens come much more slowly than from its peers; it is chosen less.",
     "Look at the upstream's host; drain it if it stays slow.",
 )
+RESTS = catalogue.declare(
+    "TS3010",
+    "upstream_rests",
+    catalogue.Level.INFO,
+    "upstream incarnation seconds",
+    "The upstream turned a request away and asked for rest: for so long it gets no new"
+    " work from this router, whatever it renews.",
+    "Look at its load if it goes on asking.",
+)
--- a/packages/daemon/src/trestlestall/daemon/router/attempts.py
+++ b/packages/daemon/src/trestlestall/daemon/router/attempts.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from trestlestall.daemon.router import calls, connections, streams
+from trestlestall.forwarding import notices
 
 ANSWER_LIMIT = 16 * 1024 * 1024
 STREAM_TYPE = "text/event-stream"
@@ -16,6 +17,8 @@
 BUSY_STATUS = 503
 # What an engine says about the caller's own body; any other error is the engine's.
 PASSED_STATUSES = frozenset({400, 422})
+# Own upstreams announce their load and their leave; only the wish for rest is read.
+NOTICES = notices.Names(limit="", leaves="")
 PASSED_HEADERS = ("Content-Encoding", "Location", "ETag", "Last-Modified")
 
 
@@ -63,7 +66,8 @@
     ``tokens`` counts what the upstream has sent so far, without those that an earlier
     attempt had already brought (``resumed_tokens``). ``answered`` tells that the
     upstream gave this call a response, be it an error, and not just a refusal of all
-    work: one that doesn't is at fault itself.
+    work: one that doesn't is at fault itself. ``rest_seconds`` is for how long it wants
+    no work from this router; 0 if it didn't say.
     """
 
     def __init__(
@@ -84,6 +88,7 @@
         self.cancelled = False
         self.sent = False
         self.answered = False
+        self.rest_seconds = 0.0
         self._link: connections.Link | None = None
 
     def run(self, sink: Sink) -> None:
@@ -130,6 +135,7 @@
             self._make_body(),
         )
         self.answered = response.status != BUSY_STATUS
+        self.rest_seconds = read_rest(response)
         if self.call.is_service:
             return self._read_service(response)
         if response.status != 200 and "resume" in self.extra:
@@ -193,6 +199,12 @@
         return Ending.COMPLETED, "", make_response(response, body)
 
 
+def read_rest(response) -> float:
+    """Return for how many seconds the upstream wants no work; 0 if it doesn't say."""
+    values = {name.lower(): [value] for name, value in response.headers.items()}
+    return notices.read(values, response.status, NOTICES).rest_seconds
+
+
 def make_response(response, body: bytes) -> Response:
     """Return the whole response with the headers that pass on to the caller."""
     found = [(name, response.headers.get(name)) for name in PASSED_HEADERS]
--- a/packages/daemon/src/trestlestall/daemon/router/dispatcher.py
+++ b/packages/daemon/src/trestlestall/daemon/router/dispatcher.py
@@ -47,6 +47,7 @@
     desk: claims.Desk
     lookups: lookups.Lookups
     on_refused_connection: abc.Callable[[object], None]
+    on_rest: abc.Callable[[object, float], None]
     on_pressure: abc.Callable[[abc.Mapping[str, int]], None]
     exchanges: dict[str, exchanges.Exchange] = dataclasses.field(default_factory=dict)
     attempts: dict[str, attempts.Attempt] = dataclasses.field(default_factory=dict)
@@ -124,6 +125,8 @@
             attempt, ending, exchange
         ):
             self.on_refused_connection(attempt.upstream)
+        if attempt.upstream is not None and attempt.rest_seconds:
+            self.on_rest(attempt.upstream, attempt.rest_seconds)
         now = self.clock.monotonic()
         total = attempt.resumed_tokens + attempt.tokens
         actions = self.policy.finish(attempt.identity, OUTCOMES[ending], total, now)
--- a/packages/daemon/src/trestlestall/daemon/router/members.py
+++ b/packages/daemon/src/trestlestall/daemon/router/members.py
@@ -76,6 +76,18 @@
         now = self._clock.monotonic()
         self._note(self.table.fail(upstream.name, upstream.incarnation, now))
 
+    def rest(self, upstream: upstreams.Upstream, seconds: float) -> None:
+        """Note that an upstream wants no new work from this router for so long."""
+        now = self._clock.monotonic()
+        self.table.rest(upstream.name, upstream.incarnation, seconds, now)
+        self._views.drop()
+        self._journal.write(
+            events.upstreams.RESTS,
+            upstream=upstream.name,
+            incarnation=upstream.incarnation,
+            seconds=seconds,
+        )
+
     def expire(self) -> None:
         """Note the leases that have run out."""
         self._note(self.table.expire(self._clock.monotonic()))
--- a/packages/daemon/src/trestlestall/daemon/router/process.py
+++ b/packages/daemon/src/trestlestall/daemon/router/process.py
@@ -196,6 +196,7 @@
             desk=self.desk,
             lookups=self.lookups,
             on_refused_connection=self.members.fail,
+            on_rest=self.members.rest,
             on_pressure=lambda levels: self.pulse.report_pressure(levels),
         )
         self.desk.answered = self.dispatcher.claim_answered
--- a/packages/membership/src/trestlestall/membership/entries.py
+++ b/packages/membership/src/trestlestall/membership/entries.py
@@ -1,6 +1,7 @@
 """One upstream in a router's table: the shared fact and what only this router knows."""
 
 import dataclasses
+import math
 
 from trestlestall.membership import facts, holds, outcomes, upstreams
 
@@ -15,10 +16,12 @@
 
     ``suspect``: a connection was refused since the newest renewal; this is never told
     to peers, since the fault may lie between this router and the upstream.
-    ``told_expired``: the end of the lease has been reported once. ``changed_at`` and
-    ``renewed_at`` are marks: the table's count of changes when the whole row, or its
-    renewal, was last to be passed on, at ``passed_at``. ``known_by``: the peers that
-    told the newest renewal, which need not hear it again.
+    ``rests_until``: until then the upstream wants no work from this router, which is no
+    fault of it and outlasts renewals. ``told_expired``: the end of the lease has been
+    reported once. ``changed_at`` and ``renewed_at`` are marks: the table's count of
+    changes when the whole row, or its renewal, was last to be passed on, at
+    ``passed_at``. ``known_by``: the peers that told the newest renewal, which need not
+    hear it again.
     """
 
     fact: facts.Fact
@@ -26,6 +29,7 @@
     renewed_at: int
     passed_at: float
     suspect: bool = False
+    rests_until: float = -math.inf
     told_expired: bool = False
     hold: holds.Hold = holds.Hold()
     known_by: frozenset[str] = frozenset()
--- a/packages/membership/src/trestlestall/membership/live.py
+++ b/packages/membership/src/trestlestall/membership/live.py
@@ -35,7 +35,7 @@
             continue
         if entry.find_state(now, grace) is not outcomes.State.LIVE:
             continue
-        held_until = entry.hold.held_until
+        held_until = max(entry.hold.held_until, entry.rests_until)
         if held_until > now:
             until = min(until, held_until)
         else:
--- a/packages/membership/src/trestlestall/membership/table.py
+++ b/packages/membership/src/trestlestall/membership/table.py
@@ -2,7 +2,8 @@
 
 Upstreams announce themselves, renew a lease, and leave. A lease that runs out makes an
 upstream ``expired`` and a refused connection makes it ``suspect``: neither gets new
-work until it renews or announces. Leaving ends an incarnation for good. Routers pass
+work until it renews or announces. One that asked for rest gets none until that is
+over (``rest``). Leaving ends an incarnation for good. Routers pass
 rows to each other (``rows_since``, ``merge``); see ``facts`` for why their order is
 irrelevant.
 
@@ -134,6 +135,19 @@
         self.live = None
         return self.report(entry, outcomes.Reason.REFUSED_CONNECTION, now)
 
+    def rest(self, name: str, incarnation: int, seconds: float, now: float) -> None:
+        """Note that an upstream wants no new work for so long; the longest counts.
+
+        The wish is for this router alone, and holds whatever the upstream renews.
+        """
+        self.note_time(now)
+        known = self.entries.get(name)
+        if known is None or not known.is_same(incarnation):
+            return
+        until = max(known.rests_until, now + seconds)
+        self.entries[name] = dataclasses.replace(known, rests_until=until)
+        self.live = None
+
     def expire(self, now: float) -> list[outcomes.Change]:
         """Report leases that ended since the last call, and forget what is long over.
 
--- a/packages/membership/src/trestlestall/membership/transitions.py
+++ b/packages/membership/src/trestlestall/membership/transitions.py
@@ -1,5 +1,7 @@
 """How an entry of the table moves on when its fact does: pure functions."""
 
+import math
+
 from trestlestall.membership import entries, facts, holds, outcomes
 
 
@@ -40,12 +42,18 @@
         renewed_at=mark if passed else known.renewed_at,
         passed_at=now if passed else known.passed_at,
         suspect=known.suspect and not renewed,
+        rests_until=known.rests_until if is_same(known, joined) else -math.inf,
         told_expired=known.told_expired and not renewed,
         hold=count_return(known, joined, now, grace) if renewed else known.hold,
         known_by=tellers if newer else known.known_by | tellers,
     )
 
 
+def is_same(known: entries.Entry, joined: facts.Fact) -> bool:
+    """Return whether the fact is of the incarnation that is known."""
+    return known.is_same(joined.upstream.incarnation)
+
+
 def name_tellers(teller: str | None) -> frozenset[str]:
     """Return the set of the one peer that told, empty if it was the upstream."""
     return frozenset({teller} if teller else ())
--- a/packages/membership/tests/test_table.py
+++ b/packages/membership/tests/test_table.py
@@ -184,6 +184,22 @@
                 come_back(known)
                 self.assertEqual(list_names(known, 11.0), [NAME])
 
+    def test_one_that_rests_gets_no_work_though_it_renews(self) -> None:
+        known = start(10.0)
+        known.rest(NAME, FIRST, 2.0, 10.0)
+        known.rest(NAME, FIRST, 1.0, 10.1)
+        renew(known, 1001.0, 11.0)
+        self.assertEqual(list_names(known, 11.9), [])
+        self.assertEqual(list_names(known, 12.0), [NAME])
+
+    def test_a_rest_is_of_one_incarnation(self) -> None:
+        known = start(10.0)
+        known.rest(NAME, SECOND, 2.0, 10.0)
+        self.assertEqual(list_names(known, 10.0), [NAME])
+        known.rest(NAME, FIRST, 2.0, 10.0)
+        known.announce(RESTARTED, 11.0)
+        self.assertEqual(list_names(known, 11.0), [NAME])
+
     def test_a_suspicion_outlasts_rows_that_are_no_newer(self) -> None:
         known = start(10.0)
         (row,) = known.rows_since(0, 10.0).rows
