--- /dev/null
+++ b/packages/forwarding/tests/limit_world.py
@@ -0,0 +1,310 @@
+"""A fleet in virtual time whose upstream states a limit, for drawn schedules.
+
+Gateways ask the lowest directory that they are linked to, as the real ones do, and go
+without one that is silent. Links are cut and slow, gateways and directories end and
+start again. What is counted is the product's own ``RateLimits``; what the processes
+tell each other is written down here as ``daemon/gateway`` and ``daemon/directory`` do.
+"""
+
+import collections
+import dataclasses
+import heapq
+import itertools
+import random
+
+from trestlestall.forwarding import rate_limits
+
+LIMITED, FREE = "limited", "free"
+#: Seconds: patience with a directory, until it is asked again, a link must last, and
+#: until a cut link is noticed.
+PATIENCE, SILENCE, SETTLED, NOTICED = 0.1, 0.5, 1.0, 1.5
+SILENCES, AVOIDED = 2, 4.0
+CUT_OFF = 6.0
+#: Seconds until one that was killed, or cut, is back; the longest.
+BACK = 2.5
+SECONDS = 24.0
+#: When the upstream begins to state its limit.
+BEGIN = 4.0
+
+
+@dataclasses.dataclass
+class Gateway:
+    """A gateway: what it believes, and whom it asks."""
+
+    limits: rate_limits.RateLimits
+    told_at: float | None = None
+    disturbed_at: float = -100.0
+    silent_until: float = 0.0
+    silences: int = 0
+    answered_at: float = 0.0
+    start: int = 0
+    avoided: dict = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(frozen=True)
+class Arrival:
+    """A request at the limited upstream, and since when its gateway was told."""
+
+    at: float
+    gateway: int
+    told_at: float | None
+    disturbed_at: float
+
+
+class World:
+    """One drawn schedule; ``play`` returns the arrivals at the limited upstream."""
+
+    def __init__(self, seed, shares_counts=True, disturbs=True):
+        self.drawn = random.Random(seed)
+        self.shares_counts = shares_counts
+        self.disturbs = disturbs
+        self.now = 0.0
+        self.events = []
+        self.order = itertools.count()
+        self.limit = self.drawn.choice((0.0, 0.4, 1.2, 2.0, 5.0, 12.0))
+        self.demand = self.drawn.uniform(20.0, 120.0)
+        self.gateways = [
+            Gateway(rate_limits.RateLimits(share=0.0))
+            for _ in range(self.drawn.randint(2, 20))
+        ]
+        count = self.drawn.randint(2, 5)
+        self.directories = [rate_limits.RateLimits() for _ in range(count)]
+        self.dead = set()
+        self.linked_at = {pair: -10.0 for pair in self.list_pairs()}
+        self.cut = set()
+        self.slow = collections.defaultdict(float)
+        self.arrivals = []
+
+    def list_pairs(self):
+        """Return all pairs of a gateway and a directory."""
+        return list(
+            itertools.product(range(len(self.gateways)), range(len(self.directories)))
+        )
+
+    def after(self, seconds, work, *given):
+        """Do something later."""
+        entry = (self.now + seconds, next(self.order), work, given)
+        heapq.heappush(self.events, entry)
+
+    def play(self):
+        """Play the schedule to its end."""
+        self.after(0.0, self.ask_next)
+        if self.disturbs:
+            self.after(self.drawn.uniform(0.0, 6.0), self.disturb)
+        while self.events and self.events[0][0] < SECONDS:
+            self.now, _, work, given = heapq.heappop(self.events)
+            work(*given)
+        return self.arrivals
+
+    # Disturbances.
+
+    def disturb(self):
+        """Let something happen, and the next thing later."""
+        kinds = (
+            self.kill_directory,
+            self.kill_gateway,
+            self.cut_links,
+            self.slow_links,
+        )
+        self.drawn.choice(kinds)()
+        self.after(self.drawn.uniform(0.2, 4.0), self.disturb)
+
+    def kill_directory(self):
+        """End a directory; it starts again and knows nothing."""
+        number = self.drawn.randrange(len(self.directories))
+        if number in self.dead or len(self.dead) + 1 == len(self.directories):
+            return
+        self.dead.add(number)
+        for gateway in range(len(self.gateways)):
+            self.linked_at.pop((gateway, number), None)
+        self.after(self.drawn.uniform(0.3, BACK), self.start_directory, number)
+
+    def start_directory(self, number):
+        """Start a directory, to which gateways link again."""
+        self.dead.discard(number)
+        self.directories[number] = rate_limits.RateLimits()
+        for gateway in range(len(self.gateways)):
+            self.after(self.drawn.uniform(0.0, 0.5), self.link, gateway, number)
+
+    def link(self, gateway, number):
+        """Open a link, over which a gateway tells all that it believes."""
+        pair = gateway, number
+        if number in self.dead or pair in self.cut or pair in self.linked_at:
+            return
+        self.linked_at[pair] = self.now
+        statements = self.gateways[gateway].limits.list_statements(self.now)
+        for identity, limit, age in statements:
+            self.tell(gateway, number, "stated", identity, limit, self.now - age)
+
+    def kill_gateway(self):
+        """End a gateway; it starts again and knows nothing."""
+        gateway = self.drawn.randrange(len(self.gateways))
+        former = self.gateways[gateway]
+        self.gateways[gateway] = Gateway(
+            rate_limits.RateLimits(share=0.0),
+            disturbed_at=self.now,
+            answered_at=self.now,
+            start=former.start + 1,
+        )
+        for number in range(len(self.directories)):
+            self.linked_at.pop((gateway, number), None)
+            self.after(self.drawn.uniform(0.3, BACK), self.link, gateway, number)
+
+    def cut_links(self):
+        """Cut some gateways off from some directories."""
+        for gateway, number in self.list_pairs():
+            if self.drawn.random() < 0.15:
+                self.cut.add((gateway, number))
+                seconds = self.drawn.uniform(0.3, BACK)
+                self.gateways[gateway].disturbed_at = self.now + seconds
+                self.after(NOTICED, self.linked_at.pop, (gateway, number), None)
+                self.after(seconds, self.heal, gateway, number)
+
+    def heal(self, gateway, number):
+        """Let messages pass again; what was noticed as cut is linked anew."""
+        self.cut.discard((gateway, number))
+        self.after(NOTICED, self.link, gateway, number)
+
+    def slow_links(self):
+        """Let messages between some take longer than a gateway waits for an answer."""
+        for pair in self.list_pairs():
+            self.slow[pair] = 0.0
+            if self.drawn.random() < 0.2:
+                self.slow[pair] = self.drawn.uniform(0.02, 0.3)
+
+    # Messages.
+
+    def tell(self, gateway, number, kind, *given):
+        """Send a message to a directory, if there is a link; it may be lost."""
+        pair = gateway, number
+        if pair in self.linked_at and pair not in self.cut:
+            delay = 0.002 + self.slow[pair]
+            self.after(delay, self.take, pair, kind, given)
+
+    def tell_all(self, gateway, kind, *given, besides=None):
+        """Send a message to all linked directories but one."""
+        for number in range(len(self.directories)):
+            if number != besides:
+                self.tell(gateway, number, kind, *given)
+
+    def take(self, pair, kind, given):
+        """Take a message at a directory."""
+        gateway, number = pair
+        if number in self.dead or pair not in self.linked_at:
+            return
+        limits = self.directories[number]
+        if kind == "stated":
+            identity, limit, at = given
+            limits.note_stated(identity, limit, at, self.now)
+        elif kind == "unstated":
+            limits.note_unstated(*given)
+        elif kind == "sent" and self.shares_counts:
+            limits.take(*given, self.now)
+        elif kind == "ask":
+            self.place(pair, *given)
+
+    def place(self, pair, request, start):
+        """Choose an upstream, the limited one first, and answer."""
+        gateway, number = pair
+        limits = self.directories[number]
+        chosen = FREE if LIMITED in limits.list_spent(self.now) else LIMITED
+        limits.take(chosen, self.now)
+        limit = limits.find_limit(chosen)
+        if pair not in self.cut:
+            delay = 0.002 + self.slow[pair]
+            self.after(delay, self.take_answer, pair, request, start, chosen, limit)
+
+    # Requests.
+
+    def ask_next(self):
+        """Let a caller's request come to a gateway, and the next one later."""
+        gateway = self.drawn.randrange(len(self.gateways))
+        self.ask(gateway)
+        self.after(self.drawn.expovariate(self.demand), self.ask_next)
+
+    def ask(self, gateway):
+        """Ask a directory for a place, or choose without one."""
+        own = self.gateways[gateway]
+        number = self.find_arbiter(gateway)
+        if number is None or self.now < own.silent_until:
+            self.choose(gateway)
+            return
+        request = {"open": True}
+        self.tell(gateway, number, "ask", request, own.start)
+        self.after(PATIENCE, self.give_up, gateway, number, request, own.start)
+
+    def find_arbiter(self, gateway):
+        """Return the directory that a gateway asks."""
+        own = self.gateways[gateway]
+        linked = [
+            (number, since)
+            for number in range(len(self.directories))
+            if (since := self.linked_at.get((gateway, number))) is not None
+        ]
+        settled = [
+            number
+            for number, since in linked
+            if since <= self.now - SETTLED and own.avoided.get(number, 0.0) <= self.now
+        ]
+        return min(settled or [number for number, _ in linked], default=None)
+
+    def give_up(self, gateway, number, request, start):
+        """Go without a directory that did not answer in time."""
+        own = self.gateways[gateway]
+        if not request["open"] or start != own.start:
+            return
+        request["open"] = False
+        own.silent_until = self.now + SILENCE
+        own.silences += 1
+        if own.silences >= SILENCES:
+            own.silences = 0
+            own.avoided[number] = self.now + AVOIDED
+        self.choose(gateway)
+
+    def take_answer(self, pair, request, start, chosen, limit):
+        """Send a request where it was placed."""
+        gateway, number = pair
+        own = self.gateways[gateway]
+        if not request["open"] or start != own.start or pair not in self.linked_at:
+            return
+        request["open"] = False
+        own.silences, own.answered_at = 0, self.now
+        if limit is not None:
+            if own.limits.find_limit(chosen) is None:
+                own.limits.note_stated(chosen, limit, self.now, self.now)
+            self.tell_all(gateway, "sent", chosen, besides=number)
+        self.send(gateway, chosen)
+
+    def choose(self, gateway):
+        """Choose by own knowledge."""
+        limits = self.gateways[gateway].limits
+        is_cut_off = self.now - self.gateways[gateway].answered_at > CUT_OFF
+        limited = limits.list_spent(self.now) if is_cut_off else limits.list_limited()
+        chosen = FREE if LIMITED in limited else LIMITED
+        limits.take(chosen, self.now)
+        self.send(gateway, chosen)
+
+    def send(self, gateway, upstream):
+        """Send a request, which is answered after a while."""
+        if upstream != LIMITED:
+            return
+        own = self.gateways[gateway]
+        arrived = self.now + 0.001
+        arrival = Arrival(arrived, gateway, own.told_at, own.disturbed_at)
+        self.arrivals.append(arrival)
+        work = self.drawn.uniform(0.01, 1.0)
+        self.after(work, self.take_reply, gateway, own.start, self.now, self.now + work)
+
+    def take_reply(self, gateway, start, sent_at, answered_at):
+        """Take what an answer says."""
+        own = self.gateways[gateway]
+        if start != own.start:
+            return
+        if answered_at >= BEGIN:
+            if own.told_at is None:
+                own.told_at = self.now
+            own.limits.note_stated(LIMITED, self.limit, self.now, self.now)
+            self.tell_all(gateway, "stated", LIMITED, self.limit, self.now)
+        elif own.limits.find_limit(LIMITED) is not None:
+            own.limits.note_unstated(LIMITED, sent_at)
+            self.tell_all(gateway, "unstated", LIMITED, sent_at)
--- /dev/null
+++ b/packages/forwarding/tests/test_limit_schedules.py
@@ -0,0 +1,74 @@
+"""Drawn schedules of a fleet whose upstream states a limit: the promise holds.
+
+The promise: from 3 s after the first statement, an upstream gets in no 4 s more than
+one and a half times what its limit allows, and five, summed over the gateways that had
+been told half a second before; one that was cut off or started again lately is excused.
+"""
+
+import unittest
+
+from packages.forwarding.tests import limit_world
+
+SPAN, KNOWN, TOLD, EXCUSED = 4.0, 3.0, 0.5, 3.0
+FACTOR, EXTRA = 1.5, 5
+SEEDS = 60
+
+
+def find_excess(world, arrivals):
+    """Return by how many requests the promise is broken at worst; 0 if it holds."""
+    told = [one.told_at for one in arrivals if one.told_at is not None]
+    if not told:
+        return 0
+    begin = min(told) + KNOWN
+    counted = [
+        one.at
+        for one in arrivals
+        if one.at >= begin
+        and one.told_at is not None
+        and one.at >= one.told_at + TOLD
+        and one.at >= one.disturbed_at + EXCUSED
+    ]
+    allowed = FACTOR * world.limit * SPAN + EXTRA
+    spans = (sum(at <= one < at + SPAN for one in counted) for at in counted)
+    return max(0, max(spans, default=0) - allowed)
+
+
+def list_broken(seeds, **changes):
+    """Return the seeds whose schedule breaks the promise, and by how much."""
+    broken = {}
+    for seed in seeds:
+        world = limit_world.World(seed, **changes)
+        excess = find_excess(world, world.play())
+        if excess:
+            broken[seed] = excess
+    return broken
+
+
+class ScheduleTest(unittest.TestCase):
+    def test_the_promise_holds(self):
+        self.assertEqual(list_broken(range(SEEDS)), {})
+
+    def test_the_upstream_is_not_left_idle(self):
+        for seed in range(20):
+            world = limit_world.World(seed, disturbs=False)
+            late = [one for one in world.play() if one.at >= limit_world.BEGIN + KNOWN]
+            seconds = limit_world.SECONDS - limit_world.BEGIN - KNOWN
+            with self.subTest(seed):
+                self.assertGreaterEqual(len(late), 0.9 * world.limit * seconds - 2)
+
+    def test_directories_that_do_not_hear_of_each_others_sends_break_it(self):
+        self.assertEqual(set(list_broken((510, 984), shares_counts=False)), {510, 984})
+
+    def test_the_checker_sees_a_breach(self):
+        world = limit_world.World(1, disturbs=False)
+        world.limit = 1.0
+        arrivals = [
+            limit_world.Arrival(10.0 + number / 10, 0, 5.0, -100.0)
+            for number in range(12)
+        ]
+        self.assertEqual(find_excess(world, arrivals), 1)
+        self.assertEqual(find_excess(world, arrivals[1:]), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
