Soak: upstreams state limits, ask for rest and say that they leave, each with its promise

Three more faults of upstreams and three promises, checked by what upstreams and callers see; a mutation of the evidence breaks exactly its promise. Faults of a gateway excuse what it sends.

--- a/tests/soak/evidence.py
+++ b/tests/soak/evidence.py
@@ -6,6 +6,7 @@
 
 import collections
 import dataclasses
+import enum
 import hashlib
 import threading
 from collections import abc
@@ -28,6 +29,17 @@
 FATAL_ENDS = 3
 FATAL_SECONDS = 3.0
 FATAL_RUNS = 3
+#: Requests a second that an upstream states as its limit, and what is allowed in each
+#: span of so many seconds, from a while after the first statement on.
+LIMIT = 2.0
+LIMIT_SPAN, LIMIT_FACTOR, LIMIT_EXTRA, LIMIT_KNOWN = 4.0, 1.5, 5, 3.0
+#: Seconds after an answer from which its gateway counts as told of a limit.
+TOLD_SECONDS = 0.5
+#: Seconds of rest that an upstream asks for, from when on requests count, and how many
+#: are allowed.
+REST, REST_COUNTED, REST_ALLOWED = 2.0, 0.5, 2
+#: Seconds for which a fault of a gateway excuses what it sends.
+EXCUSED_SECONDS = 3.0
 #: Events of a stream; the last one ends it.
 EVENTS = 6
 
@@ -45,6 +57,25 @@
     first_event: int = 0
 
 
+class Wish(enum.Enum):
+    """What an upstream says of itself in an answer."""
+
+    NONE = ""
+    LIMIT = "limit"
+    REST = "rest"
+    LEAVE = "leave"
+
+
+@dataclasses.dataclass(frozen=True)
+class Arrived:
+    """A request that reached an upstream, run or not, and what its answer said."""
+
+    request: str
+    upstream: str
+    at: float
+    wish: Wish
+
+
 @dataclasses.dataclass(frozen=True)
 class Asked:
     """A request as its caller sent it, and what came back.
@@ -112,6 +143,7 @@
 
     def __init__(self) -> None:
         self.runs: list[Run] = []
+        self.arrived: list[Arrived] = []
         self.asked: list[Asked] = []
         self.versions: list[Acknowledged] = []
         self.leaves: list[Acknowledged] = []
@@ -125,6 +157,7 @@
         """Note one observation."""
         places = {
             Run: self.runs,
+            Arrived: self.arrived,
             Asked: self.asked,
             Read: self.reads,
             Disturbed: self.disturbed,
@@ -248,6 +281,87 @@
             yield f"{run.request} reached {run.upstream} {run.at - until:.1f} s late"
 
 
+@promises("gateways together keep to the limit that an upstream states")
+def check_limits(evidence: Evidence) -> abc.Iterator[str]:
+    """Yield each upstream that got too many requests of gateways that had been told."""
+    for upstream, arrived in group_arrived(evidence, Wish.LIMIT).items():
+        told = find_told(evidence, arrived)
+        if not told:
+            continue
+        begin = min(told.values()) + LIMIT_KNOWN
+        counted = [
+            one.at
+            for one, asked in arrived
+            if one.at >= begin
+            and one.at >= told.get(asked.gateway, one.at) + TOLD_SECONDS
+            and not is_excused(evidence, asked, one.at - EXCUSED_SECONDS, one.at)
+        ]
+        spans = (sum(at <= one < at + LIMIT_SPAN for one in counted) for at in counted)
+        most = max(spans, default=0)
+        if most > LIMIT_FACTOR * LIMIT * LIMIT_SPAN + LIMIT_EXTRA:
+            yield f"{upstream} got {most} in {LIMIT_SPAN} s"
+
+
+@promises("an upstream that asked a gateway for rest gets none from it")
+def check_rests(evidence: Evidence) -> abc.Iterator[str]:
+    """Yield each wish after which its gateway sent more than a few."""
+    for upstream, arrived in group_arrived(evidence, Wish.REST).items():
+        for wish, by in arrived:
+            first, last = wish.at + REST_COUNTED, wish.at + REST
+            if is_excused(evidence, by, wish.at, last):
+                continue
+            later = [
+                one.request
+                for one, asked in arrived
+                if asked.gateway == by.gateway and first < one.at < last
+            ]
+            if len(later) > REST_ALLOWED:
+                yield f"{upstream} got {len(later)} from {by.gateway} in its rest"
+
+
+@promises("a gateway that an answer told of a leave sends nothing new there")
+def check_said_leaves(evidence: Evidence) -> abc.Iterator[str]:
+    """Yield each request that was sent and arrived too late."""
+    for upstream, arrived in group_arrived(evidence, Wish.LEAVE).items():
+        told = find_told(evidence, arrived)
+        for one, asked in arrived:
+            known_at = told.get(asked.gateway, asked.at)
+            if asked.at > known_at + LEAVE_SECONDS:
+                if not is_excused(evidence, asked, known_at, one.at):
+                    yield f"{one.request} reached {upstream} by {asked.gateway}"
+
+
+def group_arrived(
+    evidence: Evidence, wish: Wish
+) -> dict[str, list[tuple[Arrived, Asked]]]:
+    """Return what reached upstreams while they said so, with how it was asked for."""
+    asked = {one.request: one for one in evidence.asked}
+    found = collections.defaultdict(list)
+    for one in sorted(evidence.arrived, key=lambda one: one.at):
+        if one.wish is wish and one.request in asked:
+            found[one.upstream].append((one, asked[one.request]))
+    return found
+
+
+def find_told(
+    evidence: Evidence, arrived: abc.Iterable[tuple[Arrived, Asked]]
+) -> dict[str, float]:
+    """Return when each gateway had surely passed on an answer that said so."""
+    told: dict[str, float] = {}
+    for _, asked in arrived:
+        if is_served(asked):
+            told[asked.gateway] = min(asked.ended, told.get(asked.gateway, asked.ended))
+    return told
+
+
+def is_excused(evidence: Evidence, asked: Asked, start: float, end: float) -> bool:
+    """Return whether a fault of its gateway excuses a request."""
+    return any(
+        asked.is_at(one.target) and one.overlaps(start, end)
+        for one in evidence.disturbed
+    )
+
+
 @promises("an acknowledged version is never lost")
 def check_versions(evidence: Evidence) -> abc.Iterator[str]:
     """Yield each read that is older than what was acknowledged before it."""
--- a/tests/soak/schedules.py
+++ b/tests/soak/schedules.py
@@ -48,6 +48,9 @@
     Kind("crash_late", "upstream"),
     Kind("fail", "upstream"),
     Kind("drain", "upstream"),
+    Kind("state_limit", "upstream"),
+    Kind("ask_for_rest", "upstream"),
+    Kind("say_leave", "upstream"),
 )
 
 
--- a/tests/soak/traffic.py
+++ b/tests/soak/traffic.py
@@ -28,6 +28,12 @@
 BACK_SECONDS = 0.8
 KINDS = ("once", "again", "stream")
 RUNNING, DRAINING = 0, 1
+#: What an upstream's answers say by its wish.
+TURNED_AWAY = {"Trestlestall-Not-Run": "1", "Retry-After": str(evidences.REST)}
+SAID = {
+    evidences.Wish.LIMIT: {"Trestlestall-Limit": str(evidences.LIMIT)},
+    evidences.Wish.LEAVE: {"Trestlestall-Leaving": "1"},
+}
 
 
 class Server(http.server.ThreadingHTTPServer):
@@ -48,6 +54,7 @@
         self.name = name
         self.evidence = evidence
         self.is_failing = False
+        self.wish = evidences.Wish.NONE
         self._ports = ports
         self._starts = 0
         self._sequence = self._former_sequence = 0
@@ -83,6 +90,7 @@
         self._former_sequence = self._sequence
         self._sequence = 0
         self._state = RUNNING
+        self.wish = evidences.Wish.NONE
 
     def answer(self, handler: http.server.BaseHTTPRequestHandler) -> None:
         """Run one request."""
@@ -92,6 +100,12 @@
             send_answer(handler, 421, b"", {"Trestlestall-Not-Run": "1"})
             return
         request = handler.headers["Trestlestall-Request"]
+        wish = self.wish
+        self.evidence.add(evidences.Arrived(request, identity, time.monotonic(), wish))
+        if wish is evidences.Wish.REST:
+            send_answer(handler, 503, b"", TURNED_AWAY)
+            return
+        handler.said = SAID.get(wish, {})
         first = int(handler.headers.get("Last-Event-Id") or 0)
         workspace = handler.headers.get("Trestlestall-Workspace") or ""
         at = time.monotonic()
@@ -102,12 +116,12 @@
         if body.startswith(evidences.FATAL):
             self._crash(identity)
         elif self.is_failing:
-            send_answer(handler, 500, b"broken")
+            send_answer(handler, 500, b"broken", handler.said)
         elif path.startswith("/stream/"):
             self._stream(handler, request, first)
         else:
             time.sleep(WORK_SECONDS)
-            send_answer(handler, 200, evidences.make_answer(request))
+            send_answer(handler, 200, evidences.make_answer(request), handler.said)
 
     def _stream(
         self, handler: http.server.BaseHTTPRequestHandler, request: str, first: int
@@ -115,6 +129,8 @@
         handler.send_response(200)
         handler.send_header("Content-Type", "text/event-stream")
         handler.send_header("Transfer-Encoding", "chunked")
+        for name, value in handler.said.items():
+            handler.send_header(name, value)
         handler.end_headers()
         for number in range(first + 1, evidences.EVENTS + 1):
             time.sleep(EVENT_SECONDS)
--- a/tests/soak/worlds.py
+++ b/tests/soak/worlds.py
@@ -322,6 +322,38 @@
     yield
 
 
+@injects("state_limit", "upstream")
+def state_limit(world: World, name: str) -> abc.Iterator[None]:
+    """Let an upstream state a limit, for longer than it takes to be known."""
+    world.upstreams[name].wish = evidences.Wish.LIMIT
+    yield
+    time.sleep(evidences.LIMIT_KNOWN + evidences.LIMIT_SPAN)
+    if world.upstreams[name].wish is evidences.Wish.LIMIT:
+        world.upstreams[name].wish = evidences.Wish.NONE
+
+
+@injects("ask_for_rest", "upstream")
+def ask_for_rest(world: World, name: str) -> abc.Iterator[None]:
+    """Let an upstream turn each request away and ask for rest."""
+    world.upstreams[name].wish = evidences.Wish.REST
+    yield
+    time.sleep(evidences.REST)
+    if world.upstreams[name].wish is evidences.Wish.REST:
+        world.upstreams[name].wish = evidences.Wish.NONE
+
+
+@injects("say_leave", "upstream")
+def say_leave(world: World, name: str) -> abc.Iterator[None]:
+    """Let an upstream say in answers alone that it leaves, then start again."""
+    upstream = world.upstreams[name]
+    leaving = upstream.identity
+    upstream.wish = evidences.Wish.LEAVE
+    yield
+    time.sleep(evidences.LEAVE_SECONDS + 1.0)
+    if upstream.identity == leaving:
+        upstream.restart()
+
+
 def list_targets() -> dict[str, list[str]]:
     """Return the names that faults may strike, by role."""
     counts = {"directory": DIRECTORIES, "gateway": GATEWAYS, "upstream": UPSTREAMS}
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -75,6 +75,41 @@
             self.evidence.add(make_run(asked, upstream=f"u-{number}", workspace=""))
         self.check("ends upstreams")
 
+    def add_arrived(self, wish, moments, gateway="gateway-0/0"):
+        """Let requests reach an upstream that says so, each answered at once."""
+        for seen in (self.evidence.runs, self.evidence.asked, self.evidence.arrived):
+            seen.clear()
+        for number, at in enumerate(moments):
+            asked = make_asked(f"{gateway[:9]}-once-{number}", at=at, gateway=gateway)
+            self.evidence.add(asked)
+            arrived = evidences.Arrived(asked.request, "u-1", at + 0.01, wish)
+            self.evidence.add(arrived)
+
+    def test_more_than_a_stated_limit(self):
+        steady = [10.0 + number / 2 for number in range(20)]
+        self.add_arrived(evidences.Wish.LIMIT, steady)
+        self.assertEqual(evidences.find_broken(self.evidence), [])
+        burst = [16.0 + number / 20 for number in range(18)]
+        self.add_arrived(evidences.Wish.LIMIT, [*steady, *burst])
+        self.check("keep to the limit")
+
+    def test_requests_in_a_rest(self):
+        self.add_arrived(evidences.Wish.REST, [10.0, 10.2, 10.6, 11.0])
+        self.assertEqual(evidences.find_broken(self.evidence), [])
+        self.add_arrived(evidences.Wish.REST, [10.0, 10.2, 10.6, 11.0, 11.4])
+        self.check("asked a gateway for rest")
+
+    def test_a_request_after_a_leave_that_an_answer_told(self):
+        self.add_arrived(evidences.Wish.LEAVE, [10.0, 11.9])
+        self.assertEqual(evidences.find_broken(self.evidence), [])
+        self.add_arrived(evidences.Wish.LEAVE, [10.0, 12.5])
+        self.check("told of a leave")
+
+    def test_a_gateway_that_stood_still_is_excused(self):
+        self.add_arrived(evidences.Wish.LEAVE, [10.0, 12.5])
+        self.evidence.add(evidences.Disturbed("gateway-0", False, 11.0, 12.0))
+        self.assertEqual(evidences.find_broken(self.evidence), [])
+
     def test_a_refusal_that_is_not_true(self):
         self.replace(status=503, answer=b"{}")
         self.check("has not run")
