--- a/packages/daemon/src/trestlestall/daemon/gateway/attempts.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/attempts.py
@@ -258,10 +258,13 @@
 
 def read_notice(response: h11.Response, names: dialects.Headers) -> notices.Notice:
     """Return what the upstream says of itself; all values of a header count."""
+    wanted = names.notices
     values: dict[str, list[str]] = {}
-    for name, value in response.headers:
-        values.setdefault(name.decode("latin-1"), []).append(value.decode("latin-1"))
-    return notices.read(values, response.status_code, names.notices)
+    for raw, value in response.headers:
+        name = raw.decode("latin-1")
+        if name in (wanted.limit, wanted.leaves, wanted.rest):
+            values.setdefault(name, []).append(value.decode("latin-1"))
+    return notices.read(values, response.status_code, wanted)
 
 
 def read_seconds(value: str | None) -> float | None:
--- a/packages/forwarding/src/trestlestall/forwarding/rate_limits.py
+++ b/packages/forwarding/src/trestlestall/forwarding/rate_limits.py
@@ -9,8 +9,8 @@
     if "u1" not in limits.list_spent(now):
         limits.take("u1", now)
 
-An upstream may be sent one request at once, or those of ``BURST_SECONDS``, and from
-then on as many as it takes. One that takes none still gets a request now and then: who
+An upstream may be sent the requests of ``BURST_SECONDS`` at once, and from then on as
+many as it takes. One that takes none still gets a request now and then: who
 sends nothing never hears that a limit has ended.
 """
 
@@ -20,8 +20,10 @@
 
 #: Why a request is placed nowhere.
 LIMITED = "all upstreams are at the limits that they state"
-#: Seconds of a limit that may be sent at once, where that is more than one request.
-BURST_SECONDS = 0.25
+#: Seconds of a limit that may be sent at once, and the least requests: they come in no
+#: even rhythm, and with less many are sent away though the upstream takes more in all.
+BURST_SECONDS = 1.0
+LEAST_BURST = 1.0
 #: Seconds between two requests to an upstream that takes fewer.
 LONGEST_PAUSE = 5.0
 #: An answer without a limit ends it if its request was sent so many seconds after the
@@ -61,7 +63,7 @@
     def fill(self, now: float) -> None:
         """Bring the level up to date."""
         added = max(0.0, now - self.filled_at) * self.rate
-        most = max(1.0, BURST_SECONDS * self.rate)
+        most = max(LEAST_BURST, BURST_SECONDS * self.rate)
         self.level = min(most, self.level + added)
         self.filled_at = now
 
