explain shows what upstreams said of themselves in answers to other requests

A request refused because all upstreams rest, or are at their limits, was shown alone: the lines that say since when name the request that was answered, and were passed over. They count as beliefs that it met: of its upstreams, or of all where it was sent nowhere. Test red before.

--- a/packages/client/src/trestlestall/client/stories.py
+++ b/packages/client/src/trestlestall/client/stories.py
@@ -16,6 +16,8 @@
 
 #: Seconds before the request's first line in which a change of belief may bear on it.
 BEFORE_SECONDS = 5.0
+#: Beliefs that came with the answer to a request: to another one mostly.
+HEARD_IN_ANSWERS = frozenset({"upstream_notice"})
 #: Keys of a line that are shown by themselves, before the other fields.
 HEAD_KEYS = frozenset({"event", "at", "level", "name", "process", "request"})
 
@@ -75,17 +77,24 @@
 
 
 def bears_on(line: Line, own: abc.Sequence[Line]) -> bool:
-    """Return whether the line is a change of belief that the request met."""
-    if "request" in line.fields:
+    """Return whether the line is a change of belief that the request met.
+
+    One that was sent nowhere met all that its process believed of upstreams.
+    """
+    if "request" in line.fields and line.name not in HEARD_IN_ANSWERS:
         return False
     if "digest" in line.fields:
         digests = {each.fields.get("digest") for each in own}
         return line.fields["digest"] in digests
     if "upstream" not in line.fields:
         return False
-    upstreams = {each.fields.get("upstream") for each in own}
+    upstreams = {each.fields.get("upstream") for each in own} - {None}
     processes = {each.process for each in own}
-    if line.process not in processes or line.fields["upstream"] not in upstreams:
+    if line.process not in processes:
+        return False
+    if line.fields["upstream"] not in upstreams and (
+        upstreams or line.name not in HEARD_IN_ANSWERS
+    ):
         return False
     start = min(each.at for each in own) - BEFORE_SECONDS
     return start <= line.at <= max(each.at for each in own)
--- a/packages/client/tests/test_stories.py
+++ b/packages/client/tests/test_stories.py
@@ -28,6 +28,13 @@
         make_line(10.2, "gateway-1", "forward_sent", request="r2", upstream="u1"),
         '{"event": "TS7002", "at": "2026-01-01T0',
     ],
+    "four.log": [
+        make_line(20.0, "gateway-3", "upstream_notice", request="x", upstream="u7"),
+        make_line(28.0, "gateway-3", "upstream_notice", request="x", upstream="u8"),
+        make_line(28.5, "gateway-4", "upstream_notice", request="x", upstream="u8"),
+        make_line(30.0, "gateway-3", "forward_refused", request="r5", status=503),
+        make_line(31.0, "gateway-3", "forward_sent", request="r6", upstream="u8"),
+    ],
     "three.log": [
         make_line(8.0, "gateway-2", "forward_sent", request="r3", digest="d1"),
         make_line(9.0, "directory-1", "request_found_harmful", digest="d1"),
@@ -57,6 +64,13 @@
         names = [line.name for line in story.lines]
         self.assertEqual(names, ["request_found_harmful", "request_held"])
 
+    def test_what_upstreams_said_of_themselves_in_answers_to_others(self):
+        for request in ("r5", "r6"):
+            story = stories.tell(request, self.paths)
+            found = [(line.name, line.fields.get("upstream")) for line in story.lines]
+            self.assertEqual(found[0], ("upstream_notice", "u8"), request)
+            self.assertEqual(len(found), 2, request)
+
     def test_what_bears_on_the_request_in_the_order_of_time(self):
         story = stories.tell("r1", self.paths)
         names = [(line.process, line.name) for line in story.lines]
