--- a/packages/daemon/src/trestlestall/daemon/announcements.py
+++ b/packages/daemon/src/trestlestall/daemon/announcements.py
@@ -10,7 +10,7 @@
 from collections import abc
 
 from trestlestall.forwarding import model, upstreams
-from trestlestall.wire import addresses, exceptions, messages
+from trestlestall.wire import addresses, directory_messages, exceptions
 
 #: The longest name of an upstream, a service or a data centre, in characters; several
 #: times those that deployments give.
@@ -43,10 +43,12 @@
     return None
 
 
-def encode(rows: abc.Iterable[upstreams.Row], token: int = 0) -> messages.Announced:
+def encode(
+    rows: abc.Iterable[upstreams.Row], token: int = 0
+) -> directory_messages.Announced:
     """Return the message that carries rows; one with a token asks for an answer."""
     plain = tuple(upstreams.encode_row(row) for row in rows)
-    return messages.Announced(token, plain)
+    return directory_messages.Announced(token, plain)
 
 
 def decode_rows(
--- a/packages/daemon/src/trestlestall/daemon/directory/arbitration.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/arbitration.py
@@ -31,7 +31,7 @@
     shedding,
     upstreams,
 )
-from trestlestall.wire import clocks, messages
+from trestlestall.wire import clocks, directory_messages
 
 #: Seconds for which a repeated send waits until others have seen the ones before it;
 #: its gateway waits no longer for an answer (``gateway.placing``).
@@ -46,7 +46,7 @@
     """A gateway's call that can't be decided yet."""
 
     gateway: str
-    call: messages.PlaceCall
+    call: directory_messages.PlaceCall
     until: float
 
 
@@ -108,7 +108,7 @@
         self._rows = tuple(rows)
         self._placer.set_upstreams(self._rows, self._configuration, self._clock())
 
-    def place(self, gateway: str, call: messages.PlaceCall) -> None:
+    def place(self, gateway: str, call: directory_messages.PlaceCall) -> None:
         """Choose an upstream and tell the gateway."""
         self._place(Waiting(gateway, call, self._clock() + WAITING_SECONDS))
 
@@ -128,12 +128,12 @@
         outcome = found.reason if refused else directory_metrics.PLACED
         self._metrics.note_choice(outcome, clocks.read() - started)
         if refused:
-            answer = messages.PlaceAnswer(
+            answer = directory_messages.PlaceAnswer(
                 call.token, "", 0, 0.0, found.reason, found.return_seconds
             )
         else:
             self._own(gateway, descriptor, found.row.identity, self._clock())
-            answer = messages.PlaceAnswer(
+            answer = directory_messages.PlaceAnswer(
                 call.token,
                 found.row.identity,
                 found.unread,
@@ -162,7 +162,7 @@
     def _find_place(
         self,
         descriptor: descriptors.Descriptor,
-        call: messages.PlaceCall,
+        call: directory_messages.PlaceCall,
         verdict: budgets.Verdict,
     ) -> placement.Placed | placement.Refused:
         """Choose an upstream; count a repeated send once it has one."""
@@ -176,7 +176,7 @@
         return found
 
     def _place_within_limits(
-        self, descriptor: descriptors.Descriptor, call: messages.PlaceCall
+        self, descriptor: descriptors.Descriptor, call: directory_messages.PlaceCall
     ) -> placement.Placed | placement.Refused:
         """Choose among the upstreams that take a request now, and count it there."""
         now = self._clock()
@@ -222,7 +222,7 @@
         }
         return self._broken_trials.keys()
 
-    def take_note(self, gateway: str, note: messages.PlaceNote) -> None:
+    def take_note(self, gateway: str, note: directory_messages.PlaceNote) -> None:
         """Learn what became of a request."""
         now = self._clock()
         if note.kind == notes.FIRST:
@@ -251,7 +251,7 @@
             if one.gateway != gateway or one.call.descriptor[0] != request
         )
 
-    def take_state(self, gateway: str, state: messages.PlaceState) -> None:
+    def take_state(self, gateway: str, state: directory_messages.PlaceState) -> None:
         """Learn what a gateway has at upstreams, in the place of what was known."""
         self.forget(gateway)
         now = self._clock()
--- a/packages/daemon/src/trestlestall/daemon/directory/arrivals.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/arrivals.py
@@ -7,7 +7,7 @@
 
 from trestlestall.agreement import events as agreement_events
 from trestlestall.daemon.control import calls, envelopes, group, machine as machines
-from trestlestall.wire import messages
+from trestlestall.wire import directory_messages, messages
 
 if typing.TYPE_CHECKING:
     from trestlestall.daemon.directory import server as servers
@@ -17,7 +17,7 @@
     messages.Agreement,
     messages.Submit,
     messages.SubmitAnswer,
-    messages.Roster,
+    directory_messages.Roster,
 )
 
 Document = dict[str, typing.Any]
@@ -80,126 +80,136 @@
     server.take_reply(message.token, peer, dict(message.document))
 
 
-@handles(messages.Roster)
-def take_roster(server: servers.Server, peer: str, message: messages.Roster) -> None:
+@handles(directory_messages.Roster)
+def take_roster(
+    server: servers.Server, peer: str, message: directory_messages.Roster
+) -> None:
     """Learn of more directories."""
     server.add_directories(message.directories)
 
 
-@handles(messages.Announced)
+@handles(directory_messages.Announced)
 def take_announced(
-    server: servers.Server, peer: str, message: messages.Announced
+    server: servers.Server, peer: str, message: directory_messages.Announced
 ) -> None:
     """Take rows of upstreams from another directory."""
     server.registrations.take(peer, message)
 
 
-@handles(messages.AnnouncedAnswer)
+@handles(directory_messages.AnnouncedAnswer)
 def take_announced_answer(
-    server: servers.Server, peer: str, message: messages.AnnouncedAnswer
+    server: servers.Server, peer: str, message: directory_messages.AnnouncedAnswer
 ) -> None:
     """Take the confirmation of rows."""
     server.registrations.take_answer(peer, message)
 
 
-@handles(messages.DeclarationPull)
+@handles(directory_messages.DeclarationPull)
 def send_declaration(
-    server: servers.Server, peer: str, message: messages.DeclarationPull
+    server: servers.Server, peer: str, message: directory_messages.DeclarationPull
 ) -> None:
     """Send the newest configuration to a gateway that asks."""
     newest = machines.NO_DECLARATION
     if server.voter is not None:
         newest = server.voter.machine.declaration
     if newest.version:
-        answer = messages.DeclarationDocument(newest.version, newest.packed)
+        answer = directory_messages.DeclarationDocument(newest.version, newest.packed)
         server.links.send(peer, answer)
 
 
-@handles(messages.PlaceCall)
+@handles(directory_messages.PlaceCall)
 def take_place_call(
-    server: servers.Server, peer: str, message: messages.PlaceCall
+    server: servers.Server, peer: str, message: directory_messages.PlaceCall
 ) -> None:
     """Choose an upstream for a gateway's request."""
     server.arbiter.place(peer, message)
 
 
-@handles(messages.PlaceNote)
+@handles(directory_messages.PlaceNote)
 def take_place_note(
-    server: servers.Server, peer: str, message: messages.PlaceNote
+    server: servers.Server, peer: str, message: directory_messages.PlaceNote
 ) -> None:
     """Learn what became of a placed request."""
     server.arbiter.take_note(peer, message)
     server.duties.usage.take_start(peer, message.start)
 
 
-@handles(messages.PlaceState)
+@handles(directory_messages.PlaceState)
 def take_place_state(
-    server: servers.Server, peer: str, message: messages.PlaceState
+    server: servers.Server, peer: str, message: directory_messages.PlaceState
 ) -> None:
     """Learn what a gateway has at upstreams."""
     server.arbiter.take_state(peer, message)
 
 
-@handles(messages.Spent)
-def take_spent(server: servers.Server, peer: str, message: messages.Spent) -> None:
+@handles(directory_messages.Spent)
+def take_spent(
+    server: servers.Server, peer: str, message: directory_messages.Spent
+) -> None:
     """Learn what another directory counted of requests and repeated sends."""
     server.repeats.take(peer, message)
 
 
-@handles(messages.SpentCall)
+@handles(directory_messages.SpentCall)
 def answer_spent_call(
-    server: servers.Server, peer: str, message: messages.SpentCall
+    server: servers.Server, peer: str, message: directory_messages.SpentCall
 ) -> None:
     """Tell another directory all that is known of the window."""
     server.repeats.answer(peer, message)
 
 
-@handles(messages.SpentAnswer)
+@handles(directory_messages.SpentAnswer)
 def take_spent_answer(
-    server: servers.Server, peer: str, message: messages.SpentAnswer
+    server: servers.Server, peer: str, message: directory_messages.SpentAnswer
 ) -> None:
     """Learn that another directory has seen what was granted here."""
     server.repeats.ledger.note_seen(peer, message.granted)
     server.arbiter.place_waiting()
 
 
-@handles(messages.Crashed)
-def take_crashed(server: servers.Server, peer: str, message: messages.Crashed) -> None:
+@handles(directory_messages.Crashed)
+def take_crashed(
+    server: servers.Server, peer: str, message: directory_messages.Crashed
+) -> None:
     """Learn of upstreams that ended while requests ran there."""
     server.harm.take(peer, message)
 
 
-@handles(messages.RateLimits)
+@handles(directory_messages.RateLimits)
 def take_rate_limits(
-    server: servers.Server, peer: str, message: messages.RateLimits
+    server: servers.Server, peer: str, message: directory_messages.RateLimits
 ) -> None:
     """Learn of the limits that upstreams state, and of what was sent to these."""
     server.limiting.take(peer, message)
 
 
-@handles(messages.Replaced)
+@handles(directory_messages.Replaced)
 def take_replaced(
-    server: servers.Server, peer: str, message: messages.Replaced
+    server: servers.Server, peer: str, message: directory_messages.Replaced
 ) -> None:
     """Take a gateway's word that an upstream is gone."""
     server.registrations.take_report(message)
 
 
-@handles(messages.Starts)
-def take_starts(server: servers.Server, peer: str, message: messages.Starts) -> None:
+@handles(directory_messages.Starts)
+def take_starts(
+    server: servers.Server, peer: str, message: directory_messages.Starts
+) -> None:
     """Learn how many requests began to run."""
     server.duties.usage.take(peer, message)
 
 
-@handles(messages.StartsCall)
+@handles(directory_messages.StartsCall)
 def answer_starts_call(
-    server: servers.Server, peer: str, message: messages.StartsCall
+    server: servers.Server, peer: str, message: directory_messages.StartsCall
 ) -> None:
     """Tell another directory how many requests began to run."""
     server.duties.usage.answer(peer, message)
 
 
-@handles(messages.Demand)
-def take_demand(server: servers.Server, peer: str, message: messages.Demand) -> None:
+@handles(directory_messages.Demand)
+def take_demand(
+    server: servers.Server, peer: str, message: directory_messages.Demand
+) -> None:
     """Learn of the load that another directory sees."""
     server.duties.demands.take(peer, message, server.now())
--- a/packages/daemon/src/trestlestall/daemon/directory/broadcasts.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/broadcasts.py
@@ -3,7 +3,7 @@
 from trestlestall.daemon import events, logs
 from trestlestall.daemon.control import machine as machines
 from trestlestall.daemon.directory import links as directory_links
-from trestlestall.wire import messages
+from trestlestall.wire import directory_messages
 
 #: Seconds between two rosters to everyone.
 ROSTER_SECONDS = 2.0
@@ -26,7 +26,9 @@
         """Tell a process that was just linked."""
         self._send_roster(peer)
         if self._told_version and not self._links.is_directory(peer):
-            self._links.send(peer, messages.DeclarationNotice(self._told_version))
+            self._links.send(
+                peer, directory_messages.DeclarationNotice(self._told_version)
+            )
 
     def tell_roster(self, now: float) -> None:
         """Tell everyone of the directories, if that is due."""
@@ -55,9 +57,11 @@
         )
         self._told_version = newest.version
         for gateway in self._links.list_gateways():
-            self._links.send(gateway, messages.DeclarationNotice(newest.version))
+            self._links.send(
+                gateway, directory_messages.DeclarationNotice(newest.version)
+            )
         return True
 
     def _send_roster(self, peer: str) -> None:
         linked = (*self._links.list_directories(), self._links.own)
-        self._links.send(peer, messages.Roster(linked))
+        self._links.send(peer, directory_messages.Roster(linked))
--- a/packages/daemon/src/trestlestall/daemon/directory/demands.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/demands.py
@@ -4,7 +4,7 @@
 
 from trestlestall.daemon.directory import links as directory_links
 from trestlestall.duties import demand
-from trestlestall.wire import messages
+from trestlestall.wire import directory_messages
 
 #: Seconds over which arrivals are counted, and between two tellings.
 TELL_SECONDS = 1.0
@@ -36,7 +36,7 @@
         known = self._demands.get(service)
         return known.find_need(now) if known is not None else 0.0
 
-    def take(self, peer: str, message: messages.Demand, now: float) -> None:
+    def take(self, peer: str, message: directory_messages.Demand, now: float) -> None:
         """Take what another directory tells."""
         load = demand.Load(message.reading, message.places)
         self._note(message.service, peer, load, now)
@@ -55,11 +55,13 @@
             )
             self._note(service, self._links.own, load, now)
             if load.reading or load.places:
-                self._tell(messages.Demand(service, load.reading, load.places))
+                self._tell(
+                    directory_messages.Demand(service, load.reading, load.places)
+                )
 
     def _note(self, service: str, source: str, load: demand.Load, now: float) -> None:
         self._demands.setdefault(service, demand.Demand()).note(source, load, now)
 
-    def _tell(self, message: messages.Demand) -> None:
+    def _tell(self, message: directory_messages.Demand) -> None:
         for peer in self._links.list_directories():
             self._links.send(peer, message)
--- a/packages/daemon/src/trestlestall/daemon/directory/harm.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/harm.py
@@ -10,7 +10,7 @@
 from trestlestall.daemon import events, logs
 from trestlestall.daemon.directory import held_file, links as directory_links
 from trestlestall.forwarding import crash_reports, crashes
-from trestlestall.wire import clocks, messages
+from trestlestall.wire import clocks, directory_messages
 
 
 class Harm:
@@ -38,7 +38,7 @@
         """Return what the ends under a request say of it."""
         return self.record.judge(digest, self._clock())
 
-    def take(self, peer: str, message: messages.Crashed) -> None:
+    def take(self, peer: str, message: directory_messages.Crashed) -> None:
         """Take in what a gateway or another directory tells."""
         try:
             told = crash_reports.decode_report(
@@ -111,7 +111,9 @@
 
     def _send(self, peer: str, report: crash_reports.Report) -> None:
         if report:
-            message = messages.Crashed(report.ends, report.answers, report.alive)
+            message = directory_messages.Crashed(
+                report.ends, report.answers, report.alive
+            )
             self._links.send(peer, message)
 
 
--- a/packages/daemon/src/trestlestall/daemon/directory/limiting.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/limiting.py
@@ -13,7 +13,7 @@
 
 from trestlestall.daemon import events, logs
 from trestlestall.forwarding import rate_limits
-from trestlestall.wire import clocks, messages
+from trestlestall.wire import clocks, directory_messages
 
 #: From 0 up, and a number.
 Amount = typing.Annotated[float, msgspec.Meta(ge=0.0)]
@@ -31,7 +31,7 @@
         self._log = log
         self._clock = clock
 
-    def take(self, gateway: str, message: messages.RateLimits) -> None:
+    def take(self, gateway: str, message: directory_messages.RateLimits) -> None:
         """Take what a gateway tells; words that can't be so change nothing."""
         try:
             stated = msgspec.convert(message.stated, tuple[Stated, ...])
--- a/packages/daemon/src/trestlestall/daemon/directory/registrations.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/registrations.py
@@ -13,7 +13,7 @@
 from trestlestall.daemon import announcements, events, logs
 from trestlestall.daemon.directory import links as directory_links
 from trestlestall.forwarding import upstreams
-from trestlestall.wire import clocks, messages
+from trestlestall.wire import clocks, directory_messages
 
 #: Seconds to wait for a majority; below the second after which upstreams turn to
 #: another directory.
@@ -76,7 +76,7 @@
             self._tell_gateways((merged,))
             self._tell_directories(merged, 0)
 
-    def take_report(self, report: messages.Replaced) -> None:
+    def take_report(self, report: directory_messages.Replaced) -> None:
         """Take a gateway's word that another incarnation answers at an address.
 
         One that still announces itself is believed more than the report.
@@ -90,7 +90,7 @@
             gone = upstreams.end_row(known)
             self._tell_gateways((self.table.merge(gone, now),))
 
-    def take(self, peer: str, message: messages.Announced) -> None:
+    def take(self, peer: str, message: directory_messages.Announced) -> None:
         """Take rows from another directory, pass on what is new, and confirm."""
         now = self._clock()
         rows = announcements.decode_rows(message.rows, self._report_row)
@@ -98,14 +98,16 @@
         if merged:
             self._tell_gateways(merged)
         if message.token:
-            self._links.send(peer, messages.AnnouncedAnswer(message.token))
+            self._links.send(peer, directory_messages.AnnouncedAnswer(message.token))
 
     def _report_row(self, identity: str, reason: str) -> None:
         self._log.write(
             events.directory.ANNOUNCEMENT_REFUSED, upstream=identity, reason=reason
         )
 
-    def take_answer(self, peer: str, message: messages.AnnouncedAnswer) -> None:
+    def take_answer(
+        self, peer: str, message: directory_messages.AnnouncedAnswer
+    ) -> None:
         """Count a directory that has the rows."""
         waiting = self._rounds.get(message.token)
         if waiting is None:
--- a/packages/daemon/src/trestlestall/daemon/directory/repeats.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/repeats.py
@@ -5,7 +5,7 @@
 from trestlestall.daemon import events, logs, settings as process_settings
 from trestlestall.daemon.directory import links as directory_links
 from trestlestall.forwarding import budgets, tallies
-from trestlestall.wire import clocks, messages
+from trestlestall.wire import clocks, directory_messages
 
 #: Seconds between two lines that a service's budget is spent; each request that ends
 #: for it has a line of its own at its gateway.
@@ -84,24 +84,24 @@
 
     def ask(self, peer: str) -> None:
         """Ask a directory for all of the window."""
-        self._links.send(peer, messages.SpentCall(self._clock()))
+        self._links.send(peer, directory_messages.SpentCall(self._clock()))
 
-    def answer(self, peer: str, call: messages.SpentCall) -> None:
+    def answer(self, peer: str, call: directory_messages.SpentCall) -> None:
         """Tell a directory that asks all of the window."""
         for told in self.ledger.list_whole(self.bound.window, self._clock()):
             self._send(peer, told, call.asked_at)
 
-    def take(self, peer: str, message: messages.Spent) -> None:
+    def take(self, peer: str, message: directory_messages.Spent) -> None:
         """Take in what another directory counted, and say so if it asks."""
         told = tallies.decode_told(
             message.source, message.known, message.tallies, message.granted
         )
         self.ledger.take(told, self._clock(), message.asked_at)
         if told.granted:
-            self._links.send(peer, messages.SpentAnswer(told.granted))
+            self._links.send(peer, directory_messages.SpentAnswer(told.granted))
 
     def _send(self, peer: str, told: tallies.Told, asked_at: float = 0.0) -> None:
-        spent = messages.Spent(
+        spent = directory_messages.Spent(
             told.source, told.known, told.tallies, told.granted, asked_at
         )
         self._links.send(peer, spent)
--- a/packages/daemon/src/trestlestall/daemon/directory/usage.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/usage.py
@@ -17,7 +17,7 @@
     starts_file,
 )
 from trestlestall.duties import leases, reporting, spans, starts, windows
-from trestlestall.wire import messages
+from trestlestall.wire import directory_messages
 
 #: Seconds between two questions for a window that is not known whole.
 ASK_SECONDS = 0.5
@@ -66,7 +66,7 @@
 
     # What is told.
 
-    def take(self, peer: str, message: messages.Starts) -> None:
+    def take(self, peer: str, message: directory_messages.Starts) -> None:
         """Take in the counts of a gateway, or those that a directory knows."""
         try:
             rows = starts.decode_rows(message.rows)
@@ -86,13 +86,13 @@
     def take_start(self, peer: str, plain: abc.Sequence[typing.Any]) -> None:
         """Take in the count that one request has raised."""
         if plain:
-            self.take(peer, messages.Starts((plain,)))
+            self.take(peer, directory_messages.Starts((plain,)))
 
-    def answer(self, peer: str, call: messages.StartsCall) -> None:
+    def answer(self, peer: str, call: directory_messages.StartsCall) -> None:
         """Tell another directory what is known from a window on."""
         rows = tuple(self.starts.list_rows(call.window - 1))
         done = tuple(self.starts.done.items())
-        self._links.send(peer, messages.Starts(rows, done, call.window))
+        self._links.send(peer, directory_messages.Starts(rows, done, call.window))
 
     def _take_row(self, row: starts.Row) -> None:
         latest = spans.find_window(self._wall(), self._rules.window) + AHEAD
@@ -148,7 +148,7 @@
         elif acting.now - self._asked_at >= ASK_SECONDS:
             self._asked_at = acting.now
             for peer in others:
-                self._links.send(peer, messages.StartsCall(window))
+                self._links.send(peer, directory_messages.StartsCall(window))
 
     def _fix(self, window: int, sight: reporting.Sight, acting: acting.Acting) -> None:
         counts = self.starts.total(window)
--- a/packages/daemon/src/trestlestall/daemon/gateway/endings.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/endings.py
@@ -20,7 +20,7 @@
     reaching,
 )
 from trestlestall.forwarding import crash_reports, upstreams
-from trestlestall.wire import addresses, messages
+from trestlestall.wire import addresses, directory_messages
 
 #: Seconds within which a host answers a connection: many round trips of a region.
 REFUSAL_SECONDS = 0.1
@@ -30,7 +30,7 @@
 LOOK_SECONDS = 0.1
 ENDED = "ended while requests ran there"
 
-Tell = abc.Callable[[messages.Crashed], object]
+Tell = abc.Callable[[directory_messages.Crashed], object]
 
 
 class Doubt:
@@ -86,12 +86,12 @@
         if self._knowledge.crashes.note_answer(digest, self._knowledge.clock()):
             self._tell(crash_reports.Report(answers=((digest, 0.0),)))
 
-    def take(self, message: messages.Crashed) -> None:
+    def take(self, message: directory_messages.Crashed) -> None:
         """Take in what a directory tells; raises ``ValueError`` if it can't be so."""
         told = decode(message)
         self._knowledge.crashes.take(told, self._knowledge.clock())
 
-    def report(self) -> messages.Crashed:
+    def report(self) -> directory_messages.Crashed:
         """Return all that is known here, for a directory that was just linked."""
         return encode(self._knowledge.crashes.report(self._knowledge.clock()))
 
@@ -161,17 +161,17 @@
             self.tell(encode(report))
 
 
-def encode(report: crash_reports.Report) -> messages.Crashed:
+def encode(report: crash_reports.Report) -> directory_messages.Crashed:
     """Return the message that carries a report."""
-    return messages.Crashed(report.ends, report.answers, report.alive)
+    return directory_messages.Crashed(report.ends, report.answers, report.alive)
 
 
-def decode(message: messages.Crashed) -> crash_reports.Report:
+def decode(message: directory_messages.Crashed) -> crash_reports.Report:
     """Return what a message tells; raises ``ValueError`` when it can't be so."""
     return crash_reports.decode_report(message.ends, message.answers, message.alive)
 
 
-def tell_nobody(message: messages.Crashed) -> None:
+def tell_nobody(message: directory_messages.Crashed) -> None:
     """Tell nobody: there are no links yet."""
 
 
--- a/packages/daemon/src/trestlestall/daemon/gateway/links.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/links.py
@@ -15,7 +15,7 @@
     placing as placings,
     usage as gateway_usage,
 )
-from trestlestall.wire import clocks, links as wire_links, messages
+from trestlestall.wire import clocks, directory_messages, links as wire_links
 
 GATEWAY = "router"
 DIRECTORY = "control"
@@ -98,7 +98,7 @@
         """Note which version a directory holds, and ask for it if it is newer."""
         self._offers[directory] = version
         if version > self.knowledge.version:
-            self.mesh.send(directory, messages.DeclarationPull())
+            self.mesh.send(directory, directory_messages.DeclarationPull())
 
     def _keep_asking(self) -> None:
         while True:
@@ -110,7 +110,9 @@
                 if version > self.knowledge.version
             ]
             if newer:
-                self.mesh.send(random.choice(newer), messages.DeclarationPull())
+                self.mesh.send(
+                    random.choice(newer), directory_messages.DeclarationPull()
+                )
 
     def _choose_arbiter(self) -> None:
         """Ask the lowest of the settled directories, as every other gateway does."""
@@ -149,41 +151,49 @@
         self._log.write(event, peer=peer)
 
 
-@handles(messages.Roster)
-def take_roster(links: Links, directory: str, message: messages.Roster) -> None:
+@handles(directory_messages.Roster)
+def take_roster(
+    links: Links, directory: str, message: directory_messages.Roster
+) -> None:
     """Learn of more directories."""
     links.add_directories(message.directories)
 
 
-@handles(messages.Announced)
-def take_rows(links: Links, directory: str, message: messages.Announced) -> None:
+@handles(directory_messages.Announced)
+def take_rows(
+    links: Links, directory: str, message: directory_messages.Announced
+) -> None:
     """Learn of upstreams."""
     links.knowledge.take_plain_rows(message.rows, directory)
 
 
-@handles(messages.DeclarationNotice)
+@handles(directory_messages.DeclarationNotice)
 def take_notice(
-    links: Links, directory: str, message: messages.DeclarationNotice
+    links: Links, directory: str, message: directory_messages.DeclarationNotice
 ) -> None:
     """Learn that a version exists."""
     links.note_offer(directory, message.version)
 
 
-@handles(messages.DeclarationDocument)
+@handles(directory_messages.DeclarationDocument)
 def take_document(
-    links: Links, directory: str, message: messages.DeclarationDocument
+    links: Links, directory: str, message: directory_messages.DeclarationDocument
 ) -> None:
     """Put a version in force."""
     links.knowledge.take_declaration(message.version, message.packed, directory)
 
 
-@handles(messages.Crashed)
-def take_crashed(links: Links, directory: str, message: messages.Crashed) -> None:
+@handles(directory_messages.Crashed)
+def take_crashed(
+    links: Links, directory: str, message: directory_messages.Crashed
+) -> None:
     """Learn of requests under which upstreams ended."""
     links.endings.take(message)
 
 
-@handles(messages.PlaceAnswer)
-def take_placement(links: Links, directory: str, message: messages.PlaceAnswer) -> None:
+@handles(directory_messages.PlaceAnswer)
+def take_placement(
+    links: Links, directory: str, message: directory_messages.PlaceAnswer
+) -> None:
     """Hand a placement to the request that waits for it."""
     links.placing.take_answer(message)
--- a/packages/daemon/src/trestlestall/daemon/gateway/notices.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/notices.py
@@ -15,7 +15,7 @@
     metrics as gateway_metrics,
 )
 from trestlestall.forwarding import notices, placement, upstreams
-from trestlestall.wire import messages
+from trestlestall.wire import directory_messages
 
 #: What an upstream says that says nothing.
 NOTHING = notices.Notice()
@@ -83,14 +83,14 @@
         identity = placed.row.identity
         if known.find_limit(identity) is None:
             known.note_stated(identity, placed.limit, now, now)
-        self.tell(messages.RateLimits(sent=(identity,)), placed.source)
+        self.tell(directory_messages.RateLimits(sent=(identity,)), placed.source)
 
     def report(self) -> abc.Iterator[typing.Any]:
         """Yield all that is believed here, for a directory that was just linked."""
         now = self._knowledge.clock()
         stated = tuple(self._knowledge.limits_stated.list_statements(now))
         if stated:
-            yield messages.RateLimits(stated=stated)
+            yield directory_messages.RateLimits(stated=stated)
         known = self._knowledge.table.rows
         leaving = [known[one] for one in self._leaving if one in known]
         if leaving:
@@ -123,11 +123,13 @@
         limit = answer.notice.limit
         if limit is not None:
             known.note_stated(row.identity, limit, now, now)
-            self.tell(messages.RateLimits(stated=((row.identity, limit, 0.0),)))
+            self.tell(
+                directory_messages.RateLimits(stated=((row.identity, limit, 0.0),))
+            )
         elif known.find_limit(row.identity) is not None and says_no_limit(answer):
             known.note_unstated(row.identity, request.sent_at)
             age = now - request.sent_at
-            self.tell(messages.RateLimits(unstated=((row.identity, age),)))
+            self.tell(directory_messages.RateLimits(unstated=((row.identity, age),)))
 
     def _note_changed(
         self, row: upstreams.Row, notice: notices.Notice, request: Request
--- a/packages/daemon/src/trestlestall/daemon/gateway/placing.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/placing.py
@@ -17,7 +17,7 @@
     shedding,
     upstreams,
 )
-from trestlestall.wire import clocks, messages
+from trestlestall.wire import clocks, directory_messages
 
 #: How long to wait for the arbiter, in parts of the request's target, and the bounds of
 #: that in seconds: some round trips between data centres of a region, and more than a
@@ -102,7 +102,7 @@
         if directory == self._arbiter:
             self._tell_state()
 
-    def take_answer(self, answer: messages.PlaceAnswer) -> None:
+    def take_answer(self, answer: directory_messages.PlaceAnswer) -> None:
         """Hand an answer to the request that waits for it."""
         self._silences = 0
         self._answered_at = clocks.read()
@@ -113,7 +113,7 @@
     def _tell_state(self) -> None:
         if self._arbiter is not None:
             tasks = tuple(list(task) for task in self._tasks.values())
-            self.send(self._arbiter, messages.PlaceState(tasks))
+            self.send(self._arbiter, directory_messages.PlaceState(tasks))
             self.on_arbiter()
 
     def tell_arbiter(self, message: object) -> None:
@@ -167,7 +167,7 @@
     def report_replaced(self, identity: str) -> None:
         """Tell the directory that another incarnation answers at the address."""
         if self._arbiter is not None:
-            self.send(self._arbiter, messages.Replaced(identity))
+            self.send(self._arbiter, directory_messages.Replaced(identity))
 
     def end(
         self,
@@ -201,7 +201,7 @@
         self,
         descriptor: descriptors.Descriptor,
         tried: abc.Collection[str],
-        answer: messages.PlaceAnswer,
+        answer: directory_messages.PlaceAnswer,
     ) -> placement.Placed | placement.Refused:
         """Count the request at the upstream that the arbiter chose."""
         placer = self._knowledge.placer
@@ -226,7 +226,7 @@
         descriptor: descriptors.Descriptor,
         tried: abc.Collection[str],
         purpose: str,
-    ) -> messages.PlaceAnswer | None:
+    ) -> directory_messages.PlaceAnswer | None:
         """Ask the arbiter; None where its choices are not to be followed.
 
         An arbiter that is cut off from other directories may not have heard that an
@@ -262,7 +262,9 @@
             arbiter=self._arbiter,
         )
 
-    def _find_row(self, answer: messages.PlaceAnswer | None) -> upstreams.Row | None:
+    def _find_row(
+        self, answer: directory_messages.PlaceAnswer | None
+    ) -> upstreams.Row | None:
         """Return what is known here of the upstream that was chosen."""
         if answer is None:
             return None
@@ -273,7 +275,7 @@
         descriptor: descriptors.Descriptor,
         tried: abc.Collection[str],
         purpose: str,
-    ) -> messages.PlaceAnswer | None:
+    ) -> directory_messages.PlaceAnswer | None:
         if self._arbiter is None or clocks.read() < self._silent_until:
             return None
         token = next(self._tokens)
@@ -281,7 +283,7 @@
         plain = tuple(descriptors.encode(descriptor))
         avoided = tuple({*tried, *self._reaching.unreachable})
         barred = tuple(self._knowledge.rests.list_resting(clocks.read()))
-        call = messages.PlaceCall(token, plain, avoided, purpose, barred)
+        call = directory_messages.PlaceCall(token, plain, avoided, purpose, barred)
         if not self.send(self._arbiter, call):
             del self._waiting[token]
             return None
@@ -328,7 +330,7 @@
         pause: float = 0.0,
         start: tuple = (),
     ) -> None:
-        note = messages.PlaceNote(descriptor.request_id, kind, pause, start)
+        note = directory_messages.PlaceNote(descriptor.request_id, kind, pause, start)
         self.tell_arbiter(note)
 
 
--- a/packages/daemon/src/trestlestall/daemon/gateway/usage.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/usage.py
@@ -7,7 +7,7 @@
 
 from trestlestall.daemon import settings as process_settings
 from trestlestall.duties import spans, starts
-from trestlestall.wire import messages
+from trestlestall.wire import directory_messages
 
 #: Seconds after a window's end at which the gateway says that it has told all of it:
 #: events that came before the end have been handled by then.
@@ -47,7 +47,7 @@
         """Tell everything that is kept, to a directory that may not know it."""
         rows = tuple(self._starts.list_rows())
         if rows:
-            self.tell(messages.Starts(rows, tuple(self._starts.done.items())))
+            self.tell(directory_messages.Starts(rows, tuple(self._starts.done.items())))
 
     def run(self) -> None:
         """Say of each window, shortly after its end, that all of it is told."""
@@ -62,7 +62,7 @@
         self._starts.note_done(self._source, window)
         self._starts.forget(window - KEPT)
         rows = tuple(self._starts.list_rows(window))
-        self.tell(messages.Starts(rows, ((self._source, window),)))
+        self.tell(directory_messages.Starts(rows, ((self._source, window),)))
 
     def _find_window(self) -> int:
         return spans.find_window(self._wall(), self._settings.window_seconds)
--- a/packages/daemon/tests/test_directory.py
+++ b/packages/daemon/tests/test_directory.py
@@ -25,7 +25,7 @@
 )
 from trestlestall.forwarding import descriptors, upstreams
 from trestlestall.storage import files
-from trestlestall.wire import messages
+from trestlestall.wire import directory_messages
 
 __all__ = ["patching"]
 
@@ -131,7 +131,7 @@
             read = self.call(operations.ReadDeclaration.name)
             self.assertEqual(read["status"], 503)
             self.assertTrue(self.server.registrations.announce(samples.make_row()))
-            self.assertTrue(self.links.find(messages.Announced, "gateway-1"))
+            self.assertTrue(self.links.find(directory_messages.Announced, "gateway-1"))
         self.turn(2.0)
         self.assertEqual(self.declare(5), 200)
         read = self.call(operations.ReadDeclaration.name)
@@ -184,7 +184,7 @@
         made.announce(make_start(1000))
         made.announce(make_start(2000))
         self.assertTrue(made.announce(upstreams.Row("u1", 0, upstreams.State.GONE)))
-        told = self.links.find(messages.Announced, "gateway-1")[-1]
+        told = self.links.find(directory_messages.Announced, "gateway-1")[-1]
         (row,) = map(upstreams.decode_row, told.rows)
         self.assertEqual((row.born, row.state), (2000, upstreams.State.GONE))
 
@@ -196,8 +196,8 @@
         waiting = eventlet.spawn(lambda: answers.append(made.announce(drains)))
         eventlet.sleep(0.05)
         self.assertEqual(answers, [])
-        asked = self.links.find(messages.Announced, OTHERS[0])[-1]
-        made.take_answer(OTHERS[0], messages.AnnouncedAnswer(asked.token))
+        asked = self.links.find(directory_messages.Announced, OTHERS[0])[-1]
+        made.take_answer(OTHERS[0], directory_messages.AnnouncedAnswer(asked.token))
         waiting.wait()
         self.assertEqual(answers, [True])
 
@@ -212,9 +212,11 @@
     def test_rows_from_another_directory_are_passed_on_and_confirmed(self):
         made = self.make(OTHERS)
         made.take(OTHERS[0], announcements.encode([samples.make_row()], 9))
-        self.assertEqual(len(self.links.find(messages.Announced, "gateway-1")), 1)
         self.assertEqual(
-            self.links.find(messages.AnnouncedAnswer, OTHERS[0])[0].token, 9
+            len(self.links.find(directory_messages.Announced, "gateway-1")), 1
+        )
+        self.assertEqual(
+            self.links.find(directory_messages.AnnouncedAnswer, OTHERS[0])[0].token, 9
         )
 
 
@@ -290,9 +292,9 @@
 
     def place(self, token, request, gateway="gateway-1", tried=()):
         plain = descriptors.encode(samples.make_descriptor(request))
-        call = messages.PlaceCall(token, tuple(plain), tried)
+        call = directory_messages.PlaceCall(token, tuple(plain), tried)
         self.arbiter.place(gateway, call)
-        return self.links.find(messages.PlaceAnswer, gateway)[-1]
+        return self.links.find(directory_messages.PlaceAnswer, gateway)[-1]
 
     def test_requests_of_all_gateways_count(self):
         self.links.gateways.append("gateway-2")
@@ -320,10 +322,12 @@
 
     def test_a_new_arbiter_learns_what_runs(self):
         plain = descriptors.encode(samples.make_descriptor("r1"))
-        state = messages.PlaceState(((plain, "u1", False), (plain, "u9", False)))
+        state = directory_messages.PlaceState(
+            ((plain, "u1", False), (plain, "u9", False))
+        )
         self.server.take_message("gateway-1", state)
         self.assertEqual(self.arbiter.count_places("engines")[0], 1)
         self.assertEqual(self.place(1, "r2").upstream, "u2")
-        note = messages.PlaceNote("r1", "succeeded")
+        note = directory_messages.PlaceNote("r1", "succeeded")
         self.server.take_message("gateway-1", note)
         self.assertEqual(self.arbiter.count_places("engines")[0], 1)
--- a/packages/daemon/tests/test_gateway_notices.py
+++ b/packages/daemon/tests/test_gateway_notices.py
@@ -8,7 +8,7 @@
 
 from trestlestall.daemon.gateway import attempts, notices as gateway_notices
 from trestlestall.forwarding import notices, placement, upstreams
-from trestlestall.wire import clocks, messages
+from trestlestall.wire import clocks, directory_messages
 
 
 def say(text, body="done", status="200 OK"):
@@ -87,7 +87,7 @@
     def test_each_statement_is_told_to_all_directories(self):
         for _ in range(2):
             self.take(make_answer(limit=1.5))
-        stated = messages.RateLimits(stated=(("u1", 1.5, 0.0),))
+        stated = directory_messages.RateLimits(stated=(("u1", 1.5, 0.0),))
         self.assertEqual(self.told, [(stated, ""), (stated, "")])
 
     def test_a_good_answer_without_it_ends_it(self):
@@ -95,7 +95,7 @@
         self.now += 5.0
         self.take(make_answer(), age=1.0)
         self.assertIsNone(self.find_limit())
-        ended = messages.RateLimits(unstated=(("u1", 1.0),))
+        ended = directory_messages.RateLimits(unstated=(("u1", 1.0),))
         self.assertEqual(self.told[1:], [(ended, "")])
 
     def test_answers_that_say_nothing_of_it_do_not_end_it(self):
@@ -117,13 +117,13 @@
         self.assertEqual(list(self.notices.report()), [])
         self.take(make_answer(limit=1.5))
         self.now += 5.0
-        told = messages.RateLimits(stated=(("u1", 1.5, 5.0),))
+        told = directory_messages.RateLimits(stated=(("u1", 1.5, 5.0),))
         self.assertEqual(list(self.notices.report()), [told])
 
     def test_the_directories_that_did_not_place_a_request_count_it_too(self):
         placed = placement.Placed(self.row, 0, 0.0, 1, "directory-1", limit=1.5)
         self.notices.note_placed(placed)
-        sent = messages.RateLimits(sent=("u1",))
+        sent = directory_messages.RateLimits(sent=("u1",))
         self.assertEqual(self.told, [(sent, "directory-1")])
         self.assertEqual(self.find_limit(), 1.5)
 
@@ -260,13 +260,15 @@
 
     def take(self, name, message):
         """Take a message of the gateway; answer a call."""
-        if not isinstance(message, messages.PlaceCall):
+        if not isinstance(message, directory_messages.PlaceCall):
             self.told.append(message)
             return True
         self.calls.append(message)
         left_out = {*message.tried, *getattr(message, "barred", ())}
         left = [one for one in self.choices if one not in left_out]
-        answer = messages.PlaceAnswer(message.token, left[0] if left else "", 0, 0.0)
+        answer = directory_messages.PlaceAnswer(
+            message.token, left[0] if left else "", 0, 0.0
+        )
         eventlet.spawn_n(self.placing.take_answer, answer)
         return True
 
@@ -298,7 +300,11 @@
     def test_a_directory_that_does_not_know_of_a_leave_is_told(self):
         self.set_state(upstreams.State.DRAINING)
         self.bench.ask("/once/x")
-        told = [one for one in self.arbiter.told if isinstance(one, messages.Announced)]
+        told = [
+            one
+            for one in self.arbiter.told
+            if isinstance(one, directory_messages.Announced)
+        ]
         self.assertEqual([row[:3] for one in told for row in one.rows], [["u1", 2, 1]])
         purposes = [call.purpose for call in self.arbiter.calls]
         self.assertEqual(purposes, ["first", "moved"], "a request is counted once")
@@ -309,7 +315,7 @@
         self.set_state(upstreams.State.GONE)
         self.bench.ask("/once/x")
         told = [type(one) for one in self.arbiter.told]
-        self.assertNotIn(messages.Announced, told)
+        self.assertNotIn(directory_messages.Announced, told)
 
     def test_a_directory_hears_which_upstreams_rest(self):
         self.take(attempts.NotRun(503, 2.0, notices.Notice(rest_seconds=2.0)))
@@ -321,7 +327,7 @@
 
         def take_late(name, message):
             found = take(name, message)
-            if isinstance(message, messages.PlaceCall) and not message.barred:
+            if isinstance(message, directory_messages.PlaceCall) and not message.barred:
                 self.take(attempts.NotRun(503, 2.0, notices.Notice(rest_seconds=2.0)))
             return found
 
--- a/packages/daemon/tests/test_harm.py
+++ b/packages/daemon/tests/test_harm.py
@@ -9,7 +9,7 @@
 from trestlestall.daemon import environment, logs, notes
 from trestlestall.daemon.directory import harm, held_file
 from trestlestall.forwarding import crash_reports, crashes, descriptors
-from trestlestall.wire import messages
+from trestlestall.wire import directory_messages
 
 DIGEST = "d1"
 OTHER = test_directory.OTHERS[0]
@@ -27,7 +27,7 @@
     def tell(self, *starts, peer="gateway-1", digest=DIGEST):
         """Let a gateway tell that these ended under the request, one by one."""
         for start in starts:
-            message = messages.Crashed(((digest, start, 0.0),))
+            message = directory_messages.Crashed(((digest, start, 0.0),))
             self.server.take_message(peer, message)
 
     def ask(self, purpose=notes.FIRST_SEND, digest=DIGEST):
@@ -35,21 +35,21 @@
         self.token += 1
         descriptor = samples.make_descriptor(f"r{self.token}", digest=digest)
         plain = tuple(descriptors.encode(descriptor))
-        call = messages.PlaceCall(self.token, plain, (), purpose)
+        call = directory_messages.PlaceCall(self.token, plain, (), purpose)
         self.server.take_message("gateway-1", call)
-        return self.links.find(messages.PlaceAnswer, "gateway-1")[-1]
+        return self.links.find(directory_messages.PlaceAnswer, "gateway-1")[-1]
 
     def note(self, kind):
         """Tell what became of the request that was asked for last."""
         self.server.take_message(
-            "gateway-1", messages.PlaceNote(f"r{self.token}", kind)
+            "gateway-1", directory_messages.PlaceNote(f"r{self.token}", kind)
         )
 
     def find_told(self, name):
         """Return the ends that a process was told of."""
         return [
             tuple(end[:2])
-            for message in self.links.find(messages.Crashed, name)
+            for message in self.links.find(directory_messages.Crashed, name)
             for end in message.ends
         ]
 
@@ -108,7 +108,7 @@
         self.assertTrue(self.ask().upstream)
         tried = self.token
         self.assertEqual(self.ask().reason, crashes.HARMFUL)
-        note = messages.PlaceNote(f"r{tried}", notes.NEITHER)
+        note = directory_messages.PlaceNote(f"r{tried}", notes.NEITHER)
         self.server.take_message("gateway-1", note)
         self.assertTrue(self.ask().upstream)
 
@@ -233,7 +233,7 @@
         self.turn(0.05)
         self.note(notes.SUCCEEDED)
         self.turn(0.05)
-        last = self.links.find(messages.Crashed, "gateway-1")[-1]
+        last = self.links.find(directory_messages.Crashed, "gateway-1")[-1]
         self.assertEqual([digest for digest, _ in last.answers], [DIGEST])
         self.assertIn('"request_excused"', self.output.getvalue())
 
@@ -243,13 +243,15 @@
         self.clock.now += 5.0
         self.links.sent.clear()
         ends = tuple((DIGEST, f"s{number}", 6.0) for number in range(3))
-        self.server.take_message("gateway-1", messages.Crashed(ends))
-        (told,) = self.links.find(messages.Crashed, "gateway-1")
+        self.server.take_message("gateway-1", directory_messages.Crashed(ends))
+        (told,) = self.links.find(directory_messages.Crashed, "gateway-1")
         self.assertEqual(told.answers, ((DIGEST, 5.0),))
         self.assertEqual(len(self.server.harm.record), 0)
 
     def test_words_that_can_not_be_so_change_nothing(self):
-        self.server.take_message("gateway-1", messages.Crashed((("d", 1, 2),)))
+        self.server.take_message(
+            "gateway-1", directory_messages.Crashed((("d", 1, 2),))
+        )
         self.assertIn('"crash_report_refused"', self.output.getvalue())
         self.assertEqual(len(self.server.harm.record), 0)
 
--- a/packages/daemon/tests/test_limiting.py
+++ b/packages/daemon/tests/test_limiting.py
@@ -6,7 +6,7 @@
 from packages.forwarding.tests import samples
 from trestlestall.daemon import notes
 from trestlestall.forwarding import descriptors, rate_limits
-from trestlestall.wire import messages
+from trestlestall.wire import directory_messages
 
 GATEWAY = "gateway-1"
 OTHER = test_directory.OTHERS[0]
@@ -22,18 +22,18 @@
 
     def tell(self, **words):
         """Let a gateway tell of limits."""
-        self.server.take_message(GATEWAY, messages.RateLimits(**words))
+        self.server.take_message(GATEWAY, directory_messages.RateLimits(**words))
 
     def ask(self, tried=(), barred=()):
         """Return the answer to a gateway's call."""
         self.token += 1
         descriptor = samples.make_descriptor(f"r{self.token}")
         plain = tuple(descriptors.encode(descriptor))
-        call = messages.PlaceCall(
+        call = directory_messages.PlaceCall(
             self.token, plain, tuple(tried), notes.FIRST_SEND, tuple(barred)
         )
         self.server.take_message(GATEWAY, call)
-        return self.links.find(messages.PlaceAnswer, GATEWAY)[-1]
+        return self.links.find(directory_messages.PlaceAnswer, GATEWAY)[-1]
 
     def list_lines(self, name):
         """Return the log lines with this name."""
--- a/packages/daemon/tests/test_repeats.py
+++ b/packages/daemon/tests/test_repeats.py
@@ -6,7 +6,7 @@
 from packages.forwarding.tests import samples
 from trestlestall.daemon import notes, settings
 from trestlestall.forwarding import budgets, descriptors
-from trestlestall.wire import messages
+from trestlestall.wire import directory_messages
 
 SERVICE = samples.SERVICE.name
 
@@ -25,9 +25,9 @@
         """Return the answer to a gateway's call, or None while there is none."""
         self.token += 1
         plain = descriptors.encode(samples.make_descriptor(f"r{self.token}"))
-        call = messages.PlaceCall(self.token, tuple(plain), (), purpose)
+        call = directory_messages.PlaceCall(self.token, tuple(plain), (), purpose)
         self.server.arbiter.place("gateway-1", call)
-        found = self.links.find(messages.PlaceAnswer, "gateway-1")
+        found = self.links.find(directory_messages.PlaceAnswer, "gateway-1")
         return next((one for one in found if one.token == self.token), None)
 
     def count(self):
@@ -67,11 +67,11 @@
             waiting = [answer for answer in answers if answer is None]
             self.assertEqual(len(waiting), 4)
             self.server.repeats.turn()
-            told = self.links.find(messages.Spent, others[0])[-1]
+            told = self.links.find(directory_messages.Spent, others[0])[-1]
             self.assertEqual(told.granted, 4)
-            seen = messages.SpentAnswer(told.granted)
+            seen = directory_messages.SpentAnswer(told.granted)
             self.server.take_message(others[0], seen)
-        found = self.links.find(messages.PlaceAnswer, "gateway-1")
+        found = self.links.find(directory_messages.PlaceAnswer, "gateway-1")
         self.assertEqual(len([one for one in found if one.upstream]), 8)
 
     def test_a_call_that_waited_too_long_is_dropped(self):
@@ -79,8 +79,8 @@
             answers = [self.ask(notes.REPEAT) for _ in range(5)]
             self.assertIsNone(answers[-1])
             self.clock.now += 0.5
-            self.server.take_message("other", messages.SpentAnswer(100))
-        found = self.links.find(messages.PlaceAnswer, "gateway-1")
+            self.server.take_message("other", directory_messages.SpentAnswer(100))
+        found = self.links.find(directory_messages.PlaceAnswer, "gateway-1")
         self.assertEqual(len(found), 4)
 
     def test_a_call_whose_gateway_went_on_is_never_placed(self):
@@ -89,9 +89,9 @@
             for _ in range(5):
                 self.ask(notes.REPEAT)
             taken = arbiter.count_places(SERVICE)
-            note = messages.PlaceNote(f"r{self.token}", notes.NEITHER)
+            note = directory_messages.PlaceNote(f"r{self.token}", notes.NEITHER)
             arbiter.take_note("gateway-1", note)
-            self.server.take_message("other", messages.SpentAnswer(100))
+            self.server.take_message("other", directory_messages.SpentAnswer(100))
         self.assertEqual(arbiter.count_places(SERVICE), taken)
 
     def test_a_call_waits_no_longer_for_being_looked_at(self):
@@ -101,8 +101,8 @@
             for _ in range(10):
                 self.clock.now += 0.05
                 self.server.arbiter.place_waiting()
-            self.server.take_message("other", messages.SpentAnswer(100))
-        found = self.links.find(messages.PlaceAnswer, "gateway-1")
+            self.server.take_message("other", directory_messages.SpentAnswer(100))
+        found = self.links.find(directory_messages.PlaceAnswer, "gateway-1")
         self.assertEqual(len(found), 4)
 
     def test_what_another_directory_spent_is_confirmed_and_counted(self):
@@ -111,12 +111,14 @@
         bound = self.server.repeats.bound
         ledger.spend(SERVICE, bound, budgets.Standing.WHOLE, 0.0)
         told = ledger.list_news(0.0)
-        spent = messages.Spent(told.source, told.known, told.tallies, told.granted)
+        spent = directory_messages.Spent(
+            told.source, told.known, told.tallies, told.granted
+        )
         for _ in range(2):
             self.server.take_message("other", spent)
         self.assertEqual(self.count(), (0, 1))
-        confirmed = self.links.find(messages.SpentAnswer, "other")
-        self.assertEqual(confirmed, [messages.SpentAnswer(1)] * 2)
+        confirmed = self.links.find(directory_messages.SpentAnswer, "other")
+        self.assertEqual(confirmed, [directory_messages.SpentAnswer(1)] * 2)
 
 
 class DeniedTest(bench.GatewayCase):
--- a/packages/wire/tests/test_codec.py
+++ b/packages/wire/tests/test_codec.py
@@ -4,7 +4,7 @@
 
 import cbor2
 
-from trestlestall.wire import codec, exceptions, messages, registry
+from trestlestall.wire import codec, directory_messages, exceptions, messages, registry
 
 HELLO = messages.Hello("router-a1", "router", "a", "9f3a")
 SAMPLES = (
@@ -26,27 +26,32 @@
     messages.StatusCall(5),
     messages.StatusAnswer(5, {"version": 4}),
     messages.NotUnderstood("novelty", 1),
-    messages.Roster(("127.0.0.1:7000", "127.0.0.1:7001")),
-    messages.DeclarationNotice(7),
-    messages.DeclarationPull(),
-    messages.DeclarationDocument(7, b"packed"),
-    messages.Announced(3, (["u1", 4, 0, "work", "127.0.0.1:8000", "a", 8, 0.5],)),
-    messages.AnnouncedAnswer(3),
-    messages.PlaceCall(4, ("r1", "work", 0, 0.25), ("u1",)),
-    messages.PlaceCall(4, ("r1", "work", 0, 0.25), ("u1",), "repeat"),
-    messages.Spent("d1#5f", 10.0, (["work", 40, 0.25, 9, 2],), 7, 8.5),
-    messages.SpentCall(8.5),
-    messages.SpentAnswer(7),
-    messages.PlaceAnswer(4, "u1", 800, 0.125, "", 0.0, 12),
-    messages.PlaceNote("r1", "first"),
-    messages.PlaceNote("r1", "succeeded", 0.125),
-    messages.PlaceNote("r1", "first", 0.0, ("g1#019b", 7, "basu", 3)),
-    messages.Starts((["g1#019b", 7, "basu", 3],), (["g1#019b", 6],), 7),
-    messages.StartsCall(7),
-    messages.Demand("work", 0.5, 3.25),
-    messages.PlaceState(([["r1", "work"], "u1", True],)),
-    messages.Crashed((["d1", "u1", 0.25],), (["d2", 1.5],), (["u2", 0.5],)),
-    messages.Replaced("u1"),
+    directory_messages.Roster(("127.0.0.1:7000", "127.0.0.1:7001")),
+    directory_messages.DeclarationNotice(7),
+    directory_messages.DeclarationPull(),
+    directory_messages.DeclarationDocument(7, b"packed"),
+    directory_messages.Announced(
+        3, (["u1", 4, 0, "work", "127.0.0.1:8000", "a", 8, 0.5],)
+    ),
+    directory_messages.AnnouncedAnswer(3),
+    directory_messages.PlaceCall(4, ("r1", "work", 0, 0.25), ("u1",)),
+    directory_messages.PlaceCall(4, ("r1", "work", 0, 0.25), ("u1",), "repeat"),
+    directory_messages.Spent("d1#5f", 10.0, (["work", 40, 0.25, 9, 2],), 7, 8.5),
+    directory_messages.SpentCall(8.5),
+    directory_messages.SpentAnswer(7),
+    directory_messages.PlaceAnswer(4, "u1", 800, 0.125, "", 0.0, 12),
+    directory_messages.PlaceNote("r1", "first"),
+    directory_messages.PlaceNote("r1", "succeeded", 0.125),
+    directory_messages.PlaceNote("r1", "first", 0.0, ("g1#019b", 7, "basu", 3)),
+    directory_messages.Starts((["g1#019b", 7, "basu", 3],), (["g1#019b", 6],), 7),
+    directory_messages.StartsCall(7),
+    directory_messages.Demand("work", 0.5, 3.25),
+    directory_messages.PlaceState(([["r1", "work"], "u1", True],)),
+    directory_messages.Crashed((["d1", "u1", 0.25],), (["d2", 1.5],), (["u2", 0.5],)),
+    directory_messages.RateLimits((["u1", 1.5, 0.25],), (["u2", 3.0],), ("u1",)),
+    directory_messages.PlaceCall(4, ("r1", "work"), (), "first", ("u1",)),
+    directory_messages.PlaceAnswer(4, "u1", 0, 0.0, limit=1.5),
+    directory_messages.Replaced("u1"),
 )
 
 
@@ -59,7 +64,8 @@
 
 class RoundTripTest(unittest.TestCase):
     def test_every_message_survives_the_way(self) -> None:
-        own = {kind for kind in registry.NAMES if kind.__module__ == messages.__name__}
+        modules = {messages.__name__, directory_messages.__name__}
+        own = {kind for kind in registry.NAMES if kind.__module__ in modules}
         self.assertEqual({type(sample) for sample in SAMPLES}, own)
         for sample in SAMPLES:
             with self.subTest(message=type(sample).__name__):
