--- a/packages/forwarding/src/trestlestall/forwarding/rate_limits.py
+++ b/packages/forwarding/src/trestlestall/forwarding/rate_limits.py
@@ -19,7 +19,7 @@
 from collections import abc
 
 #: Why a request is placed nowhere.
-LIMITED = "all upstreams are at the limits that they state"
+LIMITED = "all upstreams are at the limits that they found"
 #: Seconds of a limit that may be sent at once, and the least requests: they come in no
 #: even rhythm, and with less many are sent away though the upstream takes more in all.
 BURST_SECONDS = 1.0
@@ -36,14 +36,15 @@
 
 
 @dataclasses.dataclass
-class State:
+class Limit:
     """What is known of one start's limit; times in seconds of the monotonic clock.
 
-    ``share`` is the part of the limit that this process may send, ``level`` are the
-    requests that it may send at once, as of ``filled_at``.
+    It was stated at ``stated_at``, and had ended by ``free_at``. ``share`` is the part
+    of it that this process may send, ``level`` are the requests that it may send at
+    once, as of ``filled_at``.
     """
 
-    limit: float
+    per_second: float
     stated_at: float
     filled_at: float
     share: float
@@ -58,7 +59,7 @@
     @property
     def rate(self) -> float:
         """The requests a second that this process may send."""
-        return max(self.share * self.limit, 1.0 / LONGEST_PAUSE)
+        return max(self.share * self.per_second, 1.0 / LONGEST_PAUSE)
 
     def fill(self, now: float) -> None:
         """Bring the level up to date."""
@@ -77,42 +78,42 @@
 
     def __init__(self, share: float = 1.0) -> None:
         self._share = share
-        self._states: dict[str, State] = {}
+        self._limits: dict[str, Limit] = {}
 
     def find_limit(self, identity: str) -> float | None:
         """Return the limit that holds, in requests a second; None without one."""
-        state = self._states.get(identity)
-        return state.limit if state is not None and state.holds else None
+        found = self._limits.get(identity)
+        return found.per_second if found is not None and found.holds else None
 
     def list_limited(self) -> list[str]:
         """Return the upstreams whose limit holds."""
-        return [one for one, state in self._states.items() if state.holds]
+        return [one for one, found in self._limits.items() if found.holds]
 
     def note_stated(self, identity: str, limit: float, at: float, now: float) -> bool:
         """Take a statement that came at a time; return whether anything changed."""
         before = self.find_limit(identity)
-        state = self._states.get(identity)
-        if state is None:
+        found = self._limits.get(identity)
+        if found is None:
             # Nothing may be sent at once: it got as much as others until now.
-            self._states[identity] = State(limit, at, now, self._share)
+            self._limits[identity] = Limit(limit, at, now, self._share)
             self._drop_oldest()
-        elif at > state.stated_at:
-            state.fill(now)
-            state.limit, state.stated_at = limit, at
+        elif at > found.stated_at:
+            found.fill(now)
+            found.per_second, found.stated_at = limit, at
         return self.find_limit(identity) != before
 
     def note_unstated(self, identity: str, sent_at: float) -> bool:
         """Take an answer without a limit; return whether that ended one.
 
-        ``sent_at`` is when its request was sent: then at the latest the upstream had
-        not stopped stating its limit.
+        ``sent_at`` is when its request was sent. The upstream answered it after that,
+        so any statement that is older has ended.
         """
-        state = self._states.get(identity)
-        if state is None:
+        found = self._limits.get(identity)
+        if found is None:
             return False
-        held = state.holds
-        state.free_at = max(state.free_at, sent_at - OVERTAKING_SECONDS)
-        return held and not state.holds
+        held = found.holds
+        found.free_at = max(found.free_at, sent_at - OVERTAKING_SECONDS)
+        return held and not found.holds
 
     def list_spent(self, now: float) -> list[str]:
         """Return the upstreams that take no further request now."""
@@ -120,31 +121,31 @@
 
     def find_wait(self, identity: str, now: float) -> float:
         """Return the seconds until the upstream takes a request."""
-        state = self._states.get(identity)
-        if state is None or not state.holds:
+        found = self._limits.get(identity)
+        if found is None or not found.holds:
             return 0.0
-        state.fill(now)
-        return max(0.0, 1.0 - state.level) / state.rate
+        found.fill(now)
+        return max(0.0, 1.0 - found.level) / found.rate
 
     def take(self, identity: str, now: float) -> None:
         """Count a request that is sent to the upstream, whoever placed it."""
-        state = self._states.get(identity)
-        if state is not None:
-            state.fill(now)
-            state.level -= 1.0
+        found = self._limits.get(identity)
+        if found is not None:
+            found.fill(now)
+            found.level -= 1.0
 
     def list_statements(self, now: float) -> list[tuple[str, float, float]]:
         """Return the limits that hold: upstream, limit, age in seconds."""
         return [
-            (identity, state.limit, now - state.stated_at)
-            for identity, state in self._states.items()
-            if state.holds
+            (identity, found.per_second, now - found.stated_at)
+            for identity, found in self._limits.items()
+            if found.holds
         ]
 
     def _drop_oldest(self) -> None:
-        if len(self._states) > KEPT:
-            oldest = min(self._states, key=lambda one: self._states[one].stated_at)
-            del self._states[oldest]
+        if len(self._limits) > KEPT:
+            oldest = min(self._limits, key=lambda one: self._limits[one].stated_at)
+            del self._limits[oldest]
 
 
 def find_return(waits: abc.Iterable[float], share: float) -> float:
