--- a/tests/fragile.py
+++ b/tests/fragile.py
@@ -67,14 +67,8 @@
         sequence = 0
         while not self.ended.wait(ANNOUNCE_SECONDS if sequence else 0.0):
             sequence += 1
-            row = {
-                "sequence": sequence,
-                "state": 0,
-                "service": "work",
-                "address": f"{gateways.HOST}:{self.server.server_address[1]}",
-                "data_centre": "a",
-                "slots": 8,
-            }
+            address = f"{gateways.HOST}:{self.server.server_address[1]}"
+            row = gateways.make_row(address, sequence)
             port = self.fleet.ports[sequence % len(self.fleet.ports)]
             gateways.announce(port, self.identity, row)
 
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -73,6 +73,19 @@
         connection.close()
 
 
+def make_row(address, sequence, state=0, **changes):
+    """Return what an upstream of the service ``work`` announces."""
+    row = {
+        "sequence": sequence,
+        "state": state,
+        "service": "work",
+        "address": address,
+        "data_centre": "a",
+        "slots": 8,
+    }
+    return {**row, **changes}
+
+
 def announce(port, identity, row):
     """Announce an upstream's row at a directory; return the status."""
     path = f"/v1/upstreams/{identity}"
@@ -115,14 +128,8 @@
     def announce(self, port, state=0):
         """Announce the upstream at a directory; return the status."""
         self.sequence += 1
-        row = {
-            "sequence": self.sequence,
-            "state": state,
-            "service": "work",
-            "address": f"{HOST}:{self.server.server_address[1]}",
-            "data_centre": "a",
-            "slots": 8,
-        }
+        address = f"{HOST}:{self.server.server_address[1]}"
+        row = make_row(address, self.sequence, state)
         return announce(port, self.identity, row)
 
     def stop(self):
--- a/tests/soak/traffic.py
+++ b/tests/soak/traffic.py
@@ -186,14 +186,7 @@
         self._send_row(former, self._former_sequence + 1, RUNNING)
 
     def _send_row(self, identity: str, sequence: int, state: int) -> bool:
-        row = {
-            "sequence": sequence,
-            "state": state,
-            "service": "work",
-            "address": str(self.relay.address),
-            "data_centre": "a",
-            "slots": 8,
-        }
+        row = gateways.make_row(str(self.relay.address), sequence, state)
         port = random.choice(self._ports)
         return gateways.announce(port, identity, row) == 200
 
--- a/tests/telling.py
+++ b/tests/telling.py
@@ -40,7 +40,7 @@
 class Upstream:
     """One start of an upstream; ``say`` may be changed while it serves.
 
-    ``born`` tells starts under one name apart; 0 leaves it out. ``state`` is announced.
+    ``born`` tells starts under one name apart; 0 leaves it out.
     """
 
     def __init__(self, ports, identity, say=None, born=0):
@@ -48,7 +48,6 @@
         self.identity = identity
         self.born = born
         self.say = say or (lambda gateway: Said())
-        self.state = 0
         self.arrivals = []
         self.lock = threading.Lock()
         self.stopped = threading.Event()
@@ -93,15 +92,7 @@
         sequence = 0
         while not self.stopped.wait(ANNOUNCE_SECONDS if sequence else 0.0):
             sequence += 1
-            row = {
-                "sequence": sequence,
-                "state": self.state,
-                "service": "work",
-                "address": self.address,
-                "data_centre": "a",
-                "slots": 8,
-                "born": self.born,
-            }
+            row = gateways.make_row(self.address, sequence, born=self.born)
             port = self.ports[sequence % len(self.ports)]
             gateways.announce(port, self.identity, row)
 
