Mend: a time to return that an upstream can't mean reaches no caller

Callers who were turned away got "Retry-After: 0.00" for -1 and hundreds of digits for 1e300: the value was read a second time for them, more loosely than for the wish. It is read once now; one that says nothing leaves the usual second. The test of such values checks what callers get, red before.

--- a/packages/daemon/src/trestlestall/daemon/gateway/attempts.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/attempts.py
@@ -36,7 +36,6 @@
     """The upstream says that it did not begin to work on the request."""
 
     status: int
-    retry_after: float | None
     notice: notices.Notice
 
     @property
@@ -178,7 +177,7 @@
         status = response.status_code
         notice = read_notice(response, self._names)
         if self._names.not_run.lower() in found or status == MISDIRECTED:
-            return NotRun(status, read_seconds(found.get("retry-after")), notice)
+            return NotRun(status, notice)
         headers = tuple(response.headers.raw_items())
         return AnswerHead(status, headers, found, notice)
 
@@ -267,14 +266,6 @@
     return notices.read(values, response.status_code, wanted)
 
 
-def read_seconds(value: str | None) -> float | None:
-    """Return a ``Retry-After`` in seconds, or None where there is none to be read."""
-    try:
-        return None if value is None else max(0.0, float(value))
-    except ValueError:
-        return None
-
-
 def read_kept_seconds(value: str | None) -> float | None:
     """Return how long an upstream keeps an idle connection.
 
@@ -284,5 +275,5 @@
     for part in (value or "").split(","):
         name, _, seconds = part.strip().partition("=")
         if name.lower() == "timeout":
-            return read_seconds(seconds)
+            return notices.read_decimal((seconds,))
     return None
--- a/packages/daemon/src/trestlestall/daemon/gateway/choosing.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/choosing.py
@@ -66,7 +66,7 @@
         """Return the upstreams that get nothing, as they state a limit.
 
         How much others send is not known here, and a share for each of many gateways
-        would be a request a minute. Only a gateway that is cut off for long sends one
+        would be next to nothing. Only a gateway that is cut off for long sends one
         now and then, as nobody else tells it that a limit has ended.
         """
         known = self._knowledge.limits_stated
--- a/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
@@ -197,7 +197,7 @@
         self.service.notices.take(placed.row, answer, request)
         if isinstance(answer, attempts.NotRun):
             self.runs -= 1
-            self.return_seconds = answer.retry_after
+            self.return_seconds = answer.notice.rest_seconds or None
             self.attempt.read_body(self.deadline)
         return answer
 
--- a/packages/daemon/tests/test_gateway_notices.py
+++ b/packages/daemon/tests/test_gateway_notices.py
@@ -102,7 +102,7 @@
         self.take(make_answer(limit=1.5))
         self.now += 5.0
         self.take(make_answer(500))
-        self.take(attempts.NotRun(503, None, notices.Notice()))
+        self.take(attempts.NotRun(503, notices.Notice()))
         self.take(make_answer(unreadable=("trestlestall-limit",)))
         self.assertEqual(self.find_limit(), 1.5)
         self.assertEqual(len(self.told), 1)
@@ -205,7 +205,7 @@
         self.upstream.script = self.rest(0.4)
         self.bench.ask("/once/x")
         if not self.upstream.received:
-            self.take(attempts.NotRun(503, 0.4, notices.Notice(rest_seconds=0.4)))
+            self.take(attempts.NotRun(503, notices.Notice(rest_seconds=0.4)))
         self.upstream.received.clear()
         for _ in range(5):
             self.assertEqual(self.bench.ask("/once/x")[2], "other")
@@ -216,7 +216,7 @@
         )
 
     def test_all_rest_a_true_refusal_with_a_time_drawn_apart(self):
-        self.take(attempts.NotRun(503, 2.0, notices.Notice(rest_seconds=2.0)))
+        self.take(attempts.NotRun(503, notices.Notice(rest_seconds=2.0)))
         times = set()
         for number in range(4):
             status, head, body = self.bench.ask(
@@ -240,9 +240,11 @@
         self.assertLess(float(found.partition(":")[2]), 2.1)
 
     def test_what_cannot_be_meant_bans_nobody(self):
-        for value in ("-1", "nan", "1e300", "999999999", "", "tomorrow"):
+        for value in ("-1", "nan", "inf", "1e300", "999999999", "", "tomorrow"):
             self.upstream.script = self.rest(value)
-            self.bench.ask("/once/x")
+            status, head, _ = self.bench.ask("/once/x")
+            self.assertEqual(status, 503)
+            self.assertIn("Retry-After: 1.00\r\n", f"{head}\r\n", value)
         self.upstream.script = say("", "done")
         self.assertEqual(self.bench.ask("/once/x")[2], "done")
 
@@ -318,7 +320,7 @@
         self.assertNotIn(directory_messages.Announced, told)
 
     def test_a_directory_hears_which_upstreams_rest(self):
-        self.take(attempts.NotRun(503, 2.0, notices.Notice(rest_seconds=2.0)))
+        self.take(attempts.NotRun(503, notices.Notice(rest_seconds=2.0)))
         self.assertEqual(self.bench.ask("/once/x")[2], "other")
         self.assertEqual([call.barred for call in self.arbiter.calls], [("u1",)])
 
@@ -328,7 +330,7 @@
         def take_late(name, message):
             found = take(name, message)
             if isinstance(message, directory_messages.PlaceCall) and not message.barred:
-                self.take(attempts.NotRun(503, 2.0, notices.Notice(rest_seconds=2.0)))
+                self.take(attempts.NotRun(503, notices.Notice(rest_seconds=2.0)))
             return found
 
         self.arbiter.placing.send = take_late
--- a/packages/forwarding/src/trestlestall/forwarding/rate_limits.py
+++ b/packages/forwarding/src/trestlestall/forwarding/rate_limits.py
@@ -10,8 +10,8 @@
         limits.take("u1", now)
 
 An upstream may be sent the requests of ``BURST_SECONDS`` at once, and from then on as
-many as it takes. One that takes none still gets a request now and then: who
-sends nothing never hears that a limit has ended.
+many as it takes. One that takes none still gets a request now and then: who sends
+nothing never hears that a limit has ended.
 """
 
 import dataclasses
@@ -19,7 +19,7 @@
 from collections import abc
 
 #: Why a request is placed nowhere.
-LIMITED = "all upstreams are at the limits that they found"
+LIMITED = "all upstreams are at the limits that they state"
 #: Seconds of a limit that may be sent at once, and the least requests: they come in no
 #: even rhythm, and with less many are sent away though the upstream takes more in all.
 BURST_SECONDS = 1.0
