Forwarding: kinds kept apart, refused by forecast, speeds learned from evidence; all off

Cause (docs/design/demands.md): in a burst of long prompts every engine reads without a gap, so every stream pauses; who would be late is let in all the same, holds memory and ends at its deadline. Change: groups.py gives kinds upstreams of their own by demand, shedding.is_too_late refuses by forecast whether the caller came back or not, speeds.py learns what each upstream reads and what any first event takes besides; parts.py says where they are used. Who takes over hears for how long requests have been at upstreams.

--- a/packages/forwarding/benchmarks/measure_choice.py
+++ b/packages/forwarding/benchmarks/measure_choice.py
@@ -2,13 +2,14 @@
 
 ``python packages/forwarding/benchmarks/measure_choice.py`` plays a mix of long and
 short prompts, drawn with a fixed seed, in virtual time; only choosing is timed. It
-prints a line for each number of upstreams: the mean of a choice in milliseconds.
+prints a line for each number of upstreams: the mean of a choice in milliseconds, as it
+is, and with kinds of requests kept apart where the size calls for it.
 """
 
 import random
 import time
 
-from trestlestall.forwarding import descriptors, model, placement, upstreams
+from trestlestall.forwarding import descriptors, model, parts, placement, upstreams
 
 SIZES = (10, 60, 200, 600)
 WARMING, MEASURED = 800, 1200
@@ -17,15 +18,18 @@
 PLACES = ("a", "b", "c", "d")
 #: Seconds that a request goes on after its first event.
 LASTING = 1.2
-#: Share, shared parts with how many there are of each, own tokens, target, rank.
+#: Share, shared parts with how many there are of each, own tokens, target, rank, pause.
 KINDS = (
-    (0.27, ((512, 1), (4870, 743)), 6610, 2.0, 2),
-    (0.40, ((119, 80), (79, 1494)), 628, 0.27, 0),
-    (0.33, ((341, 16), (227, 964)), 1800, 0.42, 1),
+    (0.27, ((512, 1), (4870, 743)), 6610, 2.0, 2, 0.8),
+    (0.40, ((119, 80), (79, 1494)), 628, 0.27, 0, 0.2),
+    (0.33, ((341, 16), (227, 964)), 1800, 0.42, 1, 0.3),
+)
+APART = parts.Features(
+    keeps_apart=True, refuses_by_forecast=True, learns_speeds=True, least_slots=1
 )
 
 
-def make_placer(size: int) -> placement.Placer:
+def make_placer(size: int, features: parts.Features) -> placement.Placer:
     """Return a placer of so many like engines in four data centres."""
     engine = model.Engine(12, 400_000, 5e-6)
     service = model.Service("engines", "/", 500, engine)
@@ -42,7 +46,7 @@
         )
         for number in range(size)
     ]
-    placer = placement.Placer()
+    placer = placement.Placer(features)
     placer.set_upstreams(rows, configuration, 0.0)
     return placer
 
@@ -50,7 +54,7 @@
 def draw_request(source: random.Random, number: int) -> descriptors.Descriptor:
     """Return the next request of the mix."""
     shares = [kind[0] for kind in KINDS]
-    _, shared, own, target, rank = source.choices(KINDS, shares)[0]
+    _, shared, own, target, rank, pause = source.choices(KINDS, shares)[0]
     parts = [
         descriptors.Part(f"{rank}-{place}-{source.randrange(count)}", tokens)
         for place, (tokens, count) in enumerate(shared)
@@ -62,7 +66,7 @@
         rank=rank,
         first_seconds=target,
         whole_seconds=10.0,
-        pause_seconds=0.3,
+        pause_seconds=pause,
         model="m",
         tokens_in=sum(part.tokens for part in parts),
         tokens_out=300,
@@ -71,9 +75,9 @@
     )
 
 
-def measure(size: int) -> float:
+def measure(size: int, features: parts.Features) -> float:
     """Return the mean time of a choice, in milliseconds."""
-    placer, source = make_placer(size), random.Random(1)
+    placer, source = make_placer(size, features), random.Random(1)
     now, spent, due = 0.0, 0.0, []
     for number in range(WARMING + MEASURED):
         now += 1.0 / (RATE * size)
@@ -96,7 +100,8 @@
 def main() -> None:
     """Print a line for each size."""
     for size in SIZES:
-        print(f"{size:4} upstreams: {measure(size):.2f} ms a choice")
+        plain, apart = measure(size, parts.NONE), measure(size, APART)
+        print(f"{size:4} upstreams: {plain:.2f} ms a choice, {apart:.2f} kept apart")
 
 
 if __name__ == "__main__":
--- a/packages/forwarding/src/trestlestall/forwarding/costs.py
+++ b/packages/forwarding/src/trestlestall/forwarding/costs.py
@@ -61,6 +61,7 @@
     reading = engine.find_reading(unread)
     backlog = engine.find_backlog(now)
     predicted = engine.find_wait(now, descriptor.rank) + fetching_seconds + reading
+    predicted += engine.learner.delay
     cost = weigh_delay(predicted / max(descriptor.first_seconds, 0.001))
     if predicted > WHOLE_SHARE * descriptor.whole_seconds:
         cost += NO_ANSWER_COST
--- a/packages/forwarding/src/trestlestall/forwarding/engines.py
+++ b/packages/forwarding/src/trestlestall/forwarding/engines.py
@@ -11,24 +11,19 @@
 import math
 from collections import abc
 
-from trestlestall.forwarding import descriptors, pauses
+from trestlestall.forwarding import descriptors, pauses, speeds
 
-#: Prompt tokens that an engine reads in a second, until first events teach better.
-FIRST_READ_RATE = 45_000.0
 #: Tokens of a prompt at which reading takes twice as long as their number says, since
 #: each token attends to all before it.
 ATTENTION_TOKENS = 90_000
-#: How far one observed first event moves the estimate of the rate. Twice as much
-#: follows the noise of predictions: in virtual time callers got 0.01 less.
-LEARNING = 0.08
-#: Shortest predicted reading, in seconds, that says anything about the rate.
-SHORTEST_LESSON = 0.03
 #: A first event is overdue after so many times its prediction and so much of its
 #: target: twice what nine in ten first events took on quiet days.
 OVERDUE_FACTOR = 2.0
 OVERDUE_SHARE = 0.5
-#: Bounds of a learned rate, against one wild observation.
-RATE_BOUNDS = (2_000.0, 500_000.0)
+#: The same where predictions rest on evidence: what is let in behind a prompt that is
+#: late would be late as well.
+EVIDENT_FACTOR = 1.0
+EVIDENT_SHARE = 0.05
 #: How far one outcome moves the estimate of how often an upstream fails.
 FAILURE_LEARNING = 0.12
 #: Seconds that a request holds its slot, until ends teach better, and how far one end
@@ -65,6 +60,7 @@
     reading: float = 0.0
     left: float = 0.0
     began: bool = False
+    waited: bool = False
     read_before: float = 0.0
 
     @property
@@ -72,10 +68,14 @@
         """Tokens of the engine's memory that the request is expected to take."""
         return self.descriptor.tokens_in + self.descriptor.expected_tokens_out
 
-    def find_overdue(self, now: float) -> float:
-        """Return the seconds by which the first event is late, beyond usual errors."""
-        due = OVERDUE_FACTOR * self.predicted
-        due += OVERDUE_SHARE * self.descriptor.first_seconds
+    def find_overdue(self, now: float, evident: bool = False) -> float:
+        """Return the seconds by which the first event is late, beyond usual errors.
+
+        ``evident`` tells that its prediction rests on evidence.
+        """
+        factor = EVIDENT_FACTOR if evident else OVERDUE_FACTOR
+        share = EVIDENT_SHARE if evident else OVERDUE_SHARE
+        due = factor * self.predicted + share * self.descriptor.first_seconds
         return max(0.0, now - self.placed_at - due)
 
 
@@ -91,7 +91,7 @@
         self.identity = identity
         self.slots = max(1, slots)
         self.memory_tokens = memory_tokens
-        self.read_rate = FIRST_READ_RATE
+        self.learner: speeds.Learner = speeds.Ratio()
         self.failure_rates: dict[str, float] = {}
         self.reachable = True
         self.token_seconds = 0.0
@@ -101,12 +101,14 @@
         self.waiting = 0
         self.pauses = pauses.Pauses()
         self.hold_seconds = FIRST_HOLD
-        self._targets: collections.Counter[float] = collections.Counter()
+        #: Requests that are here, by how long their streams may pause, in seconds.
+        self.targets: collections.Counter[float] = collections.Counter()
         #: Tokens of all tasks, kept up to date: each choice asks every upstream.
         self._task_tokens = 0
         self._read_seconds = 0.0
         self._duty = 0.0
         self._reading: Task | None = None
+        self._read_at = float("-inf")
         self._advanced_at = 0.0
         self._parts: collections.OrderedDict[PartKey, int] = collections.OrderedDict()
         self._part_tokens = 0
@@ -114,6 +116,11 @@
 
     # What a choice asks.
 
+    @property
+    def read_rate(self) -> float:
+        """Prompt tokens that the engine reads in a second, as far as is known."""
+        return self.learner.rate
+
     def count_unread(self, descriptor: descriptors.Descriptor) -> int:
         """Return the prompt tokens that this engine would have to read."""
         held = 0
@@ -150,7 +157,7 @@
 
     def find_reading(self, tokens: int) -> float:
         """Return the seconds that reading so many tokens of one prompt takes."""
-        return tokens * (1 + tokens / ATTENTION_TOKENS) / self.read_rate
+        return find_work(tokens) / self.read_rate
 
     def find_backlog(self, now: float) -> float:
         """Return the seconds of reading that all prompts here still need."""
@@ -171,7 +178,9 @@
             for task in self.tasks.values()
             if not task.began and task.descriptor.rank <= rank
         ]
-        overdue = max((task.find_overdue(now) for task in before), default=0.0)
+        evident = isinstance(self.learner, speeds.Evidence)
+        late = (task.find_overdue(now, evident) for task in before)
+        overdue = max(late, default=0.0)
         wait = sum(task.left for task in before) + overdue
         current = self._reading
         if current is not None and current.descriptor.rank > rank:
@@ -202,7 +211,7 @@
         """
         backlog += self._duty * DUTY_SECONDS
         risk = self.pauses.find_lateness(target, backlog)
-        for other, count in self._targets.items():
+        for other, count in self.targets.items():
             after = self.pauses.find_lateness(other, backlog + reading)
             risk += count * (after - self.pauses.find_lateness(other, backlog))
         return risk
@@ -223,8 +232,9 @@
         self.waiting += 1
         self._task_tokens += task.tokens
         if task.descriptor.pause_seconds:
-            self._targets[task.descriptor.pause_seconds] += 1
+            self.targets[task.descriptor.pause_seconds] += 1
         self._advance(now)
+        task.waited = any(one.left > 0 for one in self.tasks.values())
         task.reading = task.left = self.find_reading(task.unread)
         self._remember(task.descriptor)
 
@@ -239,7 +249,15 @@
         task.left = 0.0
         self._note_read(task.descriptor)
         task.read_before = self._read_seconds
-        self._learn_rate(task, now - task.placed_at)
+        lesson = speeds.Lesson(
+            task.predicted,
+            now - task.placed_at,
+            find_work(task.unread),
+            self._read_at - task.placed_at,
+            task.waited,
+        )
+        self._read_at = now
+        self.learner.learn(lesson)
 
     def end(self, request_id: str, now: float, pause: float = 0.0) -> Task | None:
         """Note that a request is no longer here.
@@ -265,9 +283,9 @@
             self._reading = None
         target = task.descriptor.pause_seconds
         if target:
-            self._targets[target] -= 1
-            if not self._targets[target]:
-                del self._targets[target]
+            self.targets[target] -= 1
+            if not self.targets[target]:
+                del self.targets[target]
         return task
 
     def note_outcome(self, data_centre: str, failed: bool) -> None:
@@ -279,13 +297,6 @@
         """Return how often requests from the data centre failed lately."""
         return self.failure_rates.get(data_centre, 0.0)
 
-    def _learn_rate(self, task: Task, seconds: float) -> None:
-        if task.predicted < SHORTEST_LESSON:
-            return
-        ratio = min(4.0, max(0.25, task.predicted / max(seconds, 0.001)))
-        rate = self.read_rate * ratio**LEARNING
-        self.read_rate = min(RATE_BOUNDS[1], max(RATE_BOUNDS[0], rate))
-
     def _advance(self, now: float) -> None:
         """Take what was read since the last time off the prompts, in their order."""
         seconds, self._advanced_at = now - self._advanced_at, now
@@ -337,3 +348,12 @@
         if not self.memory_tokens:
             return len(self._parts) > PARTS_KEPT
         return self._part_tokens > max(0, self.memory_tokens - self._task_tokens)
+
+
+def find_work(tokens: int) -> float:
+    """Return what reading so many tokens of one prompt costs, in tokens of a short one.
+
+    >>> find_work(45_000)
+    67500.0
+    """
+    return tokens * (1 + tokens / ATTENTION_TOKENS)
--- a/packages/forwarding/src/trestlestall/forwarding/placement.py
+++ b/packages/forwarding/src/trestlestall/forwarding/placement.py
@@ -12,6 +12,7 @@
 import dataclasses
 import hashlib
 import itertools
+import math
 from collections import abc
 
 from trestlestall.forwarding import (
@@ -20,9 +21,12 @@
     distance,
     engines,
     fetching,
+    groups,
     model,
+    parts,
     shedding,
     shortlists,
+    speeds,
     upstreams,
 )
 
@@ -30,6 +34,9 @@
 READ_AGAIN_SECONDS = 10.0
 #: Parts that one choice looks at to forget them; more than one request adds.
 FORGOTTEN_AT_ONCE = 16
+#: An upstream that fails more often than this, for callers of some data centre, is not
+#: counted as room that a kind of requests has.
+FAILING_RATE = 0.5
 #: Ranks of ``find_rendezvous`` lie below this.
 RENDEZVOUS_RANGE = 2**64
 #: Seconds until the next attempt of a caller whose service has no upstream to go to;
@@ -88,13 +95,16 @@
 class Placer:
     """All upstreams as one process, or a group of processes, knows them."""
 
-    def __init__(self) -> None:
+    def __init__(self, features: parts.Features = parts.NONE) -> None:
+        self.features = features
+        self.groups: dict[str, groups.Groups] = {}
         self.rows: dict[str, upstreams.Row] = {}
         self.engines: dict[str, engines.Upstream] = {}
         self._by_service: dict[str, list[upstreams.Row]] = {}
         self._tasks: dict[str, engines.Upstream] = {}
         self._used: dict[engines.PartKey, float] = {}
         self._distance = distance.Distance()
+        self._delays: dict[str, speeds.Delay] = {}
 
     def set_upstreams(
         self,
@@ -112,6 +122,9 @@
         for identity in self.engines.keys() - self.rows.keys():
             if not self.engines[identity].tasks:
                 del self.engines[identity]
+        for service, serving in self._by_service.items():
+            if self.find_features(service).learns_speeds:
+                self._learn_from_evidence(service, serving)
 
     def has_upstream(self, service: str) -> bool:
         """Return whether any upstream of the service takes requests."""
@@ -139,9 +152,18 @@
         if not near:
             return Refused("no upstream within reach", RETURN_SECONDS)
         self._forget_parts(now)
-        best = self._find_best(near, descriptor, now)
-        outlook = self._foresee(best, near, descriptor, now)
-        if not tried and shedding.is_due(descriptor, outlook):
+        features = self.find_features(descriptor.service)
+        by_forecast = features.refuses_by_forecast
+        is_due = shedding.is_too_late if by_forecast else shedding.is_due
+        for allowed in self._list_groups(features, near, descriptor, now):
+            best = self._find_best(allowed, descriptor, now)
+            outlook = self._foresee(best, allowed, descriptor, now)
+            is_refused = not tried and is_due(descriptor, outlook)
+            if not is_refused:
+                break
+        if features.keeps_apart:
+            self._note_demand(best, descriptor, now)
+        if is_refused:
             after = shedding.find_return(descriptor, draw_share(descriptor))
             return Refused(shedding.OVERLOADED, after)
         return self._begin(best.row, descriptor, now, best.fetch)
@@ -159,7 +181,7 @@
         For one that went nowhere, those at an upstream that holds none of it.
         """
         if isinstance(found, Refused):
-            return descriptor.tokens_in / engines.FIRST_READ_RATE
+            return descriptor.tokens_in / speeds.FIRST_READ_RATE
         return self.engines[found.row.identity].find_reading(found.unread)
 
     def note_first(self, request_id: str, now: float) -> None:
@@ -184,13 +206,19 @@
             self._distance.note(row.data_centre != data_centre, failed)
 
     def adopt(
-        self, descriptor: descriptors.Descriptor, identity: str, now: float
+        self,
+        descriptor: descriptors.Descriptor,
+        identity: str,
+        now: float,
+        age: float = 0.0,
     ) -> Placed | Refused:
-        """Count a request at an upstream that was chosen elsewhere."""
+        """Count a request at an upstream that was chosen elsewhere, ``age`` ago."""
         row = self.rows.get(identity)
         if row is None:
             return Refused("unknown upstream", RETURN_SECONDS)
-        return self._begin(row, descriptor, now)
+        found = self._begin(row, descriptor, now)
+        self.engines[identity].tasks[descriptor.request_id].placed_at -= age
+        return found
 
     def set_reachable(self, identity: str, reachable: bool) -> None:
         """Note whether the upstream can be connected to, and thus chosen."""
@@ -204,6 +232,127 @@
         taken = sum(len(self.engines[row.identity].tasks) for row in rows)
         return taken, sum(self.engines[row.identity].slots for row in rows)
 
+    # Parts that a deployment calls for.
+
+    def find_features(self, service: str) -> parts.Features:
+        """Return which parts are on for a service."""
+        called_for = parts.are_called_for(self.features, *self.count_size(service))
+        return self.features if called_for else parts.NONE
+
+    def count_size(self, service: str) -> tuple[int, int]:
+        """Return how many upstreams serve, and the least slots that one of them has."""
+        rows = self._by_service.get(service, ())
+        slots = min((self.engines[row.identity].slots for row in rows), default=0)
+        return len(rows), slots
+
+    def list_services(self) -> list[str]:
+        """Return the services that some upstream serves."""
+        return list(self._by_service)
+
+    def _learn_from_evidence(
+        self, service: str, rows: abc.Iterable[upstreams.Row]
+    ) -> None:
+        """Let the upstreams of a service learn so, those that don't do it yet."""
+        delay = self._delays.setdefault(service, speeds.Delay())
+        for row in rows:
+            engine = self.engines[row.identity]
+            if not isinstance(engine.learner, speeds.Evidence):
+                engine.learner = speeds.Evidence(speeds.UNKNOWN, delay)
+
+    def list_speeds(self) -> dict[str, speeds.Speed]:
+        """Return how fast upstreams read, of those that have shown it."""
+        return {
+            identity: learner.speed
+            for identity, learner in self._list_learners()
+            if learner.speed.observed
+        }
+
+    def take_speeds(self, told: abc.Mapping[str, speeds.Speed]) -> None:
+        """Learn from who placed before, where that rests on more than what is known."""
+        for identity, learner in self._list_learners():
+            speed = told.get(identity)
+            if speed is not None and speed.observed > learner.speed.observed:
+                learner.speed = speed
+
+    def _list_learners(self) -> abc.Iterator[tuple[str, speeds.Evidence]]:
+        for identity, engine in self.engines.items():
+            if isinstance(engine.learner, speeds.Evidence):
+                yield identity, engine.learner
+
+    def _arrange(self, service: str, now: float) -> None:
+        """Look at the groups of a service, if that is due."""
+        known = self.groups.setdefault(service, groups.Groups())
+        if not known.is_due(now):
+            return
+        present = [
+            self._describe(row, now)
+            for row in self._by_service[service]
+            if self._is_sound(row)
+        ]
+        self._expect_speeds(service)
+        known.arrange(present, now)
+
+    def _is_sound(self, row: upstreams.Row) -> bool:
+        """Return whether an upstream counts as room of its service."""
+        engine = self.engines[row.identity]
+        rates = engine.failure_rates.values()
+        return engine.reachable and max(rates, default=0.0) < FAILING_RATE
+
+    def _describe(self, row: upstreams.Row, now: float) -> groups.Member:
+        engine = self.engines[row.identity]
+        return groups.Member(
+            row.identity,
+            row.data_centre,
+            engine.read_rate,
+            engine.find_backlog(now),
+            engine.slots,
+            engine.targets,
+        )
+
+    def _list_groups(
+        self,
+        features: parts.Features,
+        near: list[upstreams.Row],
+        descriptor: descriptors.Descriptor,
+        now: float,
+    ) -> list[list[upstreams.Row]]:
+        """Return the upstreams to choose from, in the order of trying.
+
+        A request goes to its own group. Where it would be refused there, those that
+        serve longer pauses come next, and all where neither has one within reach.
+        """
+        if not features.keeps_apart:
+            return [near]
+        self._arrange(descriptor.service, now)
+        known = self.groups[descriptor.service]
+        number = known.find_group(find_kind(descriptor))
+        if number is None:
+            return [near]
+        choices = (known.list_members(number), known.list_later(number))
+        found = [
+            [row for row in near if row.identity in members] for members in choices
+        ]
+        return [rows for rows in found if rows] or [near]
+
+    def _note_demand(
+        self, best: Candidate, descriptor: descriptors.Descriptor, now: float
+    ) -> None:
+        demand = self.groups[descriptor.service].demand
+        size = engines.find_work(descriptor.tokens_in)
+        unread = engines.find_work(best.unread)
+        demand.note(find_kind(descriptor), size, unread, now)
+
+    def _expect_speeds(self, service: str) -> None:
+        """Let upstreams that have shown nothing count as fast as their peers."""
+        learners = [
+            learner
+            for identity, learner in self._list_learners()
+            if identity in self.rows and self.rows[identity].service == service
+        ]
+        prior = speeds.find_prior(learner.speed for learner in learners)
+        for learner in learners:
+            learner.expect(prior)
+
     # The parts of a choice.
 
     def _find_best(
@@ -259,6 +408,7 @@
         wait = engine.find_wait(now, descriptor.rank)
         wait += engine.find_slot_wait(descriptor.rank)
         reading = costs.find_preparation(engine, best.unread, best.fetch)
+        reading += engine.learner.delay
         taken = min(self._find_taken(one) for one in near)
         yields = engine.has_less_urgent(descriptor.rank)
         return shedding.Outlook(wait, wait + reading, taken, yields)
@@ -277,6 +427,7 @@
             fetching.note_fetch(engine, fetch, now)
         wait = engine.find_wait(now, descriptor.rank)
         predicted = wait + costs.find_preparation(engine, unread, fetch)
+        predicted += engine.learner.delay
         task = engines.Task(descriptor, row.identity, unread, now, predicted)
         engine.begin(task, now)
         self._tasks[descriptor.request_id] = engine
@@ -312,6 +463,11 @@
         engine.token_seconds = declared.token_seconds if declared is not None else 0.0
 
 
+def find_kind(descriptor: descriptors.Descriptor) -> groups.Kind:
+    """Return how long the request's stream may pause, in seconds."""
+    return descriptor.pause_seconds or math.inf
+
+
 def draw_share(descriptor: descriptors.Descriptor) -> float:
     """Return a number from 0 to 1, the same for a request wherever it is drawn."""
     drawn = find_rendezvous(descriptor, descriptor.request_id)
--- a/packages/forwarding/src/trestlestall/forwarding/shedding.py
+++ b/packages/forwarding/src/trestlestall/forwarding/shedding.py
@@ -19,6 +19,9 @@
 #: Part of the slots that the least urgent requests leave to others: each of those that
 #: finds none puts back one that is running, whose prompt is then read once more.
 CROWDED_SHARE = 0.9
+#: The same where requests are refused by forecast, whether they came back or not.
+FORECAST_TARGETS = 0.5
+FORECAST_WAIT_SHARE = 0.2
 #: When callers come back, in parts of the time that they have: spread, so that they
 #: don't meet again, and early enough that most of the time is left.
 RETURN_SHARES = (0.1, 0.3)
@@ -50,6 +53,19 @@
     return late and outlook.wait > WAIT_SHARE * target
 
 
+def is_too_late(descriptor: descriptors.Descriptor, outlook: Outlook) -> bool:
+    """Return whether to refuse a request, new or not, that would begin too late.
+
+    The load is a burst beyond what the upstreams can take, for longer than callers
+    wait: who returns meets it again. What is let in then and begins too late takes the
+    time of others that would not. Predictions are of reading alone; the steps of other
+    streams and slow spells take the rest of the target.
+    """
+    target = descriptor.first_seconds
+    late = outlook.predicted > FORECAST_TARGETS * target
+    return late and outlook.wait > FORECAST_WAIT_SHARE * target
+
+
 def find_return(descriptor: descriptors.Descriptor, share: float) -> float:
     """Return when the caller should come back, in seconds; ``share`` is from 0 to 1."""
     first, last = RETURN_SHARES
--- /dev/null
+++ b/packages/forwarding/tests/room.py
@@ -0,0 +1,76 @@
+"""A load for which there is too little room at times, in virtual time.
+
+Half of a deployment's engines, of which a quarter is half as fast as the others, and
+three kinds of requests: recaps with long prompts, whose callers wait, questions, and
+descriptions with short prompts, whose streams may not pause. Recaps come at two and a
+half times their rate for as long as callers wait for an answer.
+"""
+
+import operator
+
+from packages.forwarding.tests import world
+
+RECAP = world.Class("recap", 2, 1.58, 0.8, 8.45, 3720, 20, 0, 1, 13_300, 580, 1.9, 0.19)
+QUESTION = world.Class(
+    "question", 1, 0.66, 0.3, 5.5, 2890, 9, 2520, 4, 3780, 530, 3.0, 0.3, True
+)
+DESCRIPTION = world.Class(
+    "description", 0, 0.435, 0.2, 10.9, 1110, 29, 210, 80, 140, 735, 1.1, 0.03
+)
+KINDS = (RECAP, QUESTION, DESCRIPTION)
+ENGINES = 24
+SPEEDS = (0.55, 1.2, 1.2, 1.2)
+BURST = (
+    world.Phase(RECAP, 40.0, 0.0, 11.0),
+    world.Phase(RECAP, 95.0, 0.5, 5.0),
+    world.Phase(RECAP, 45.0, 5.0, 9.5),
+    world.Phase(QUESTION, 40.0, 0.0, 5.0),
+    world.Phase(QUESTION, 25.0, 5.0, 11.0),
+    world.Phase(DESCRIPTION, 70.0, 0.0, 5.0),
+    world.Phase(DESCRIPTION, 40.0, 5.0, 11.0),
+)
+
+
+class Engine(world.Engine):
+    """One that reads much and fast; an event of a stream holds six tokens."""
+
+    step = 0.00329
+    step_of_run = 0.0
+    step_of_thousand = 0.0000262
+    read_rate = 93_000.0
+    pairs = 0.442e-9
+    stride = 6
+    spells = True
+    first_seconds = 0.08
+    bounds_memory = True
+
+
+def build(features):
+    """Return the engines behind a placer with these parts."""
+    made = world.World(ENGINES, 48, 444_000, "abcd", Engine, features, 2.83e-6)
+    for number, engine in enumerate(made.engines.values()):
+        engine.speed = SPEEDS[number // 4 % len(SPEEDS)]
+    return made
+
+
+def play(features, phases=BURST, seed=1):
+    """Return what the callers of each kind got."""
+    return world.play(build(features), phases, seed)
+
+
+def find_share(tallies, kind):
+    """Return the part of what the requests of a kind were worth that was earned.
+
+    Who was refused at once, came back when told and was on time from then on has lost
+    half of what being late costs.
+    """
+    tally = tallies[kind.name]
+    returned = (1 - kind.late_worth / kind.worth) / 2
+    return tally.find_share(kind) + tally.returned_on_time * returned / tally.asked
+
+
+def find_whole_share(tallies):
+    """Return the same for the requests of all kinds."""
+    owed = [tallies[kind.name].asked * kind.worth for kind in KINDS]
+    shares = [find_share(tallies, kind) for kind in KINDS]
+    return sum(map(operator.mul, owed, shares)) / sum(owed)
--- /dev/null
+++ b/packages/forwarding/tests/test_groups.py
@@ -0,0 +1,231 @@
+"""Kinds of requests get groups of upstreams, and keep them as long as they can."""
+
+import unittest
+
+from packages.forwarding.tests import room, samples, world
+from trestlestall.forwarding import groups, model, parts, placement, upstreams
+
+SHORT, MIDDLE, LONG = 0.2, 0.3, 0.8
+SIZES = {SHORT: 1_500.0, MIDDLE: 10_000.0, LONG: 20_000.0}
+ALL = parts.Features(keeps_apart=True, refuses_by_forecast=True, learns_speeds=True)
+
+
+def make_members(count=24, **changes):
+    """Return upstreams of one speed in four data centres."""
+    made = {"rate": 90_000.0, "backlog": 0.0, "slots": 48, "streams": {}, **changes}
+    return [
+        groups.Member(f"u{number}", "abcd"[number % 4], **made)
+        for number in range(count)
+    ]
+
+
+def ask(known, rates, seconds=2.0, begin=0.0):
+    """Let requests of each kind come at so many tokens a second."""
+    for step in range(int(seconds * 20)):
+        for kind, rate in rates.items():
+            known.demand.note(kind, SIZES[kind], rate / 20, begin + step / 20)
+    return begin + seconds
+
+
+class KindTest(unittest.TestCase):
+    def test_a_prompt_shares_upstreams_with_streams_that_bear_it_in_a_spell(self):
+        found = groups.part_kinds(SIZES, 90_000.0)
+        self.assertEqual(found, ((SHORT,), (MIDDLE,), (LONG,)))
+        found = groups.part_kinds(SIZES, 900_000.0)
+        self.assertEqual(found, ((SHORT, MIDDLE, LONG),))
+
+
+class GroupsTest(unittest.TestCase):
+    rates = {SHORT: 60_000.0, MIDDLE: 200_000.0, LONG: 900_000.0}
+
+    def arrange(self, rates, members):
+        """Return groups that have seen the rates for a while."""
+        known = groups.Groups()
+        now = ask(known, rates)
+        known.arrange(members, now)
+        return known
+
+    def count(self, known):
+        return [known.count().get(kind, 0) for kind in (SHORT, MIDDLE, LONG)]
+
+    def test_short_pauses_get_a_multiple_of_what_their_reading_takes(self):
+        short, middle, long = self.count(self.arrange(self.rates, make_members()))
+        self.assertGreaterEqual(short, groups.LEAST_MEMBERS)
+        self.assertGreaterEqual(middle, 200_000 / 90_000 / groups.SHORT_SHARE)
+        self.assertGreater(long, middle)
+
+    def test_where_room_is_short_the_kind_that_waits_keeps_most_of_it(self):
+        burst = {**self.rates, LONG: 4_000_000.0}
+        calm = self.count(self.arrange(self.rates, make_members()))
+        short = self.count(self.arrange(burst, make_members()))
+        self.assertGreater(short[2], calm[2])
+        self.assertGreaterEqual(short[1], 200_000 / 90_000)
+
+    def test_data_centres_take_turns(self):
+        members = make_members()
+        known = self.arrange(self.rates, members)
+        mine = known.list_members(known.find_group(MIDDLE))
+        places = {one.data_centre for one in members if one.identity in mine}
+        self.assertGreater(len(places), 2)
+
+    def test_a_lost_member_is_replaced_and_the_others_stay(self):
+        members = make_members()
+        known = self.arrange(self.rates, members)
+        before = known.list_members(0)
+        lost = min(before)
+        left = [one for one in members if one.identity != lost]
+        known.arrange(left, 2.0)
+        after = known.list_members(0)
+        self.assertEqual(len(after), len(before))
+        self.assertLessEqual(before - {lost}, after)
+
+    def test_the_same_demand_changes_nothing(self):
+        members = make_members()
+        known = self.arrange(self.rates, members)
+        before = [known.list_members(number) for number in range(3)]
+        now = 2.0
+        for _ in range(20):
+            now = ask(known, self.rates, 0.25, now)
+            known.arrange(members, now)
+        after = [known.list_members(number) for number in range(3)]
+        self.assertEqual(before, after)
+
+    def test_who_takes_over_finds_streams_where_they_are(self):
+        streams = {SHORT: 20}
+        members = [
+            *make_members(20),
+            *(
+                groups.Member(f"v{number}", "abcd"[number], 90_000.0, 0.0, 48, streams)
+                for number in range(4)
+            ),
+        ]
+        known = self.arrange(self.rates, members)
+        self.assertLessEqual(known.list_members(0), {"v0", "v1", "v2", "v3"})
+
+    def test_one_kind_alone_has_all(self):
+        known = self.arrange({LONG: 900_000.0}, make_members())
+        self.assertIsNone(known.find_group(LONG))
+
+    def test_too_few_upstreams_are_not_parted(self):
+        known = self.arrange(self.rates, make_members(5))
+        self.assertIsNone(known.find_group(LONG))
+
+    def test_an_empty_service_has_no_groups(self):
+        known = self.arrange(self.rates, [])
+        self.assertIsNone(known.find_group(LONG))
+
+
+class PlacerTest(unittest.TestCase):
+    """Groups are used where settings and size call for them, and nowhere else."""
+
+    def build(self, features, count=24, slots=48):
+        placer = placement.Placer(features)
+        stated = model.Service("engines", "/healthz", 100, model.Engine(slots, 400_000))
+        configuration = samples.make_configuration(services={"engines": stated})
+        rows = [
+            samples.make_row(f"u{number}", slots=slots, data_centre="abcd"[number % 4])
+            for number in range(count)
+        ]
+        placer.set_upstreams(rows, configuration, 0.0)
+        return placer
+
+    def place(self, placer, number, now, pause, tokens, **changes):
+        descriptor = samples.make_descriptor(
+            f"r{number}", tokens, pause_seconds=pause, first_seconds=9.0, **changes
+        )
+        return placer.place(descriptor, now)
+
+    def place_mixed(self, placer):
+        """Place short and long prompts in turns; return where each kind went."""
+        went = {SHORT: set(), LONG: set()}
+        for number in range(300):
+            pause, tokens = ((SHORT, 1_500), (LONG, 20_000))[number % 2]
+            found = self.place(placer, number, number / 100, pause, tokens)
+            if number >= 100:
+                went[pause].add(found.row.identity)
+        return went
+
+    def test_kinds_are_kept_apart(self):
+        went = self.place_mixed(self.build(ALL))
+        self.assertFalse(went[SHORT] & went[LONG])
+
+    def test_switched_off_all_serve_all(self):
+        placer = self.build(parts.NONE)
+        self.place_mixed(placer)
+        self.assertFalse(placer.groups)
+
+    def test_a_small_service_is_served_as_before(self):
+        for count, slots in ((23, 48), (24, 24)):
+            with self.subTest(count=count, slots=slots):
+                on = self.build(ALL, count, slots)
+                off = self.build(parts.NONE, count, slots)
+                self.assertEqual(self.place_mixed(on), self.place_mixed(off))
+                self.assertEqual(on.list_speeds(), {})
+
+    def test_a_group_that_is_out_of_reach_is_not_waited_for(self):
+        placer = self.build(ALL)
+        self.place_mixed(placer)
+        number = placer.groups["engines"].find_group(SHORT)
+        mine = placer.groups["engines"].list_members(number)
+        descriptor = samples.make_descriptor("late", 1_500, pause_seconds=SHORT)
+        found = placer.place(descriptor, 3.01, mine)
+        self.assertIsInstance(found, placement.Placed)
+        self.assertNotIn(found.row.identity, mine)
+
+    def test_an_upstream_that_fails_counts_as_no_room(self):
+        placer = self.build(ALL)
+        self.place_mixed(placer)
+        known = placer.groups["engines"]
+        mine = known.list_members(known.find_group(SHORT))
+        for identity in mine:
+            for _ in range(10):
+                placer.note_outcome(identity, "a", True)
+        self.place(placer, "after", 4.0, SHORT, 1_500)
+        self.assertFalse(known.list_members(known.find_group(SHORT)) & mine)
+
+    def test_a_draining_upstream_leaves_its_group(self):
+        placer = self.build(ALL, 30)
+        self.place_mixed(placer)
+        known = placer.groups["engines"]
+        gone = min(known.list_members(known.find_group(SHORT)))
+        left = [
+            row if row.identity != gone else samples.make_row(gone, 2, DRAINING)
+            for row in placer.rows.values()
+        ]
+        placer.set_upstreams(left, None, 4.0)
+        found = self.place(placer, "after", 4.0, SHORT, 1_500)
+        self.assertNotEqual(found.row.identity, gone)
+        self.assertNotIn(gone, known.list_members(known.find_group(SHORT)))
+
+
+DRAINING = upstreams.State.DRAINING
+
+
+class BurstTest(unittest.TestCase):
+    """Too little room: what each kind gets, against placing one request at a time."""
+
+    def find_shares(self, features):
+        tallies = room.play(features)
+        kinds = [room.find_share(tallies, kind) for kind in room.KINDS]
+        return room.find_whole_share(tallies), kinds
+
+    def play_takeovers(self, told):
+        """Return what all got while another process took over each second."""
+        made = room.build(ALL)
+        for second in range(1, 9):
+            made.at(float(second), made.take_over, told)
+        return room.find_whole_share(world.play(made, room.BURST))
+
+    def test_takeovers_cost_callers_little(self):
+        undisturbed, _ = self.find_shares(ALL)
+        told = self.play_takeovers(told=True)
+        self.assertGreater(told, undisturbed - 0.1)
+        self.assertGreater(told, self.play_takeovers(told=False) + 0.03)
+
+    def test_all_get_more_and_the_worst_kind_most(self):
+        before, kinds_before = self.find_shares(parts.NONE)
+        after, kinds_after = self.find_shares(ALL)
+        self.assertGreater(after, before + 0.1)
+        self.assertGreater(min(kinds_after), min(kinds_before) + 0.05)
+        for urgent, less in zip(kinds_after[1:], kinds_after, strict=False):
+            self.assertGreater(urgent, less - 0.15)
--- a/packages/forwarding/tests/world.py
+++ b/packages/forwarding/tests/world.py
@@ -7,7 +7,9 @@
 first, keep the parts of prompts until their memory is full, and make one event of
 ``stride`` tokens. The figures of ``Engine`` are those that an operator states of real
 ones. A caller whose request is refused comes back once, when it was told to; one that
-gets no event for too long leaves. What counts is measured from its first try. A cut
+gets no event for too long leaves. What counts is measured from its first try. Engines
+may differ in speed, and each has spells in which its steps take longer. What is fetched
+from another engine comes over the links of both, one transfer after another. A cut
 between data centres ends all that runs over it: a stream that may be resumed is placed
 again, another is lost.
 """
@@ -18,11 +20,23 @@
 import itertools
 import random
 
-from trestlestall.forwarding import descriptors, model, placement, upstreams
+from trestlestall.forwarding import (
+    descriptors,
+    fetching,
+    model,
+    parts as features,
+    placement,
+    upstreams,
+)
 
 #: One way between a gateway and an engine, in seconds.
 NETWORK_SECONDS = 0.004
 SERVICE = "engines"
+#: Spells: how many times as long a step takes in one, the part of the time that an
+#: engine has one, and the seconds after which that is drawn anew.
+SPELL_FACTOR = 2.5
+SPELL_SHARE = 0.15
+SPELL_SECONDS = 0.6
 
 
 @dataclasses.dataclass(frozen=True)
@@ -72,10 +86,14 @@
 
 @dataclasses.dataclass
 class Tally:
-    """What the callers of one kind got."""
+    """What the callers of one kind got.
+
+    Of those that are ``late``, ``returned_on_time`` were on time from their second try.
+    """
 
     asked: int = 0
     on_time: int = 0
+    returned_on_time: int = 0
     late: int = 0
     left: int = 0
     refused: int = 0
@@ -100,6 +118,7 @@
     events: int
     data_centre: str = "a"
     returned: bool = False
+    tried_at: float = 0.0
     unread: int = 0
     context: int = 0
     tokens: int = 0
@@ -107,6 +126,7 @@
     first: float | None = None
     longest: float = 0.0
     order: tuple = ()
+    fetch_from: str = ""
     done: bool = False
     engine: object = None
 
@@ -126,6 +146,12 @@
     pairs = 0.55e-9
     chunk = 2048
     stride = 3
+    speed = 1.0
+    spells = False
+    #: Seconds from a prompt's last piece to its first event.
+    first_seconds = 0.0
+    #: Whether a request waits until its prompt and answer fit beside those that run.
+    bounds_memory = False
 
     def __init__(self, identity, slots, memory, data_centre):
         self.identity = identity
@@ -137,11 +163,21 @@
         self.held = collections.OrderedDict()
         self.busy = False
         self.read_tokens = 0
+        self.link_free_at = 0.0
+
+    def find_pace(self, now):
+        """Return how long a step takes now, in times its usual length."""
+        if not self.spells:
+            return 1 / self.speed
+        drawn = random.Random(f"{self.identity}/{int(now / SPELL_SECONDS)}").random()
+        return (SPELL_FACTOR if drawn < SPELL_SHARE else 1.0) / self.speed
 
     def admit(self):
         """Let in as many as there are slots, the most urgent first."""
         self.queue.sort(key=lambda run: run.order)
         while self.queue and len(self.running) < self.slots:
+            if not self.has_memory(self.queue[0]):
+                break
             run = self.queue.pop(0)
             self.running.append(run)
             held, kept = 0, True
@@ -157,6 +193,13 @@
         while self.held and sum(self.held.values()) + taken > self.memory:
             self.held.popitem(last=False)
 
+    def has_memory(self, run):
+        """Return whether a request fits beside those that run."""
+        if not self.bounds_memory or not self.running:
+            return True
+        taken = sum(one.size + one.tokens for one in self.running)
+        return taken + run.size <= self.memory
+
     def make_step(self):
         """Return how long the next step takes, and the runs that made a token."""
         left, seconds = self.chunk, self.step + self.step_of_run * len(self.running)
@@ -179,11 +222,21 @@
 class World:
     """Engines behind one placer, and the callers' requests."""
 
-    def __init__(self, engines=5, slots=64, memory=332_405, data_centres="a"):
-        self.placer = placement.Placer()
+    def __init__(
+        self,
+        engines=5,
+        slots=64,
+        memory=332_405,
+        data_centres="a",
+        kind=Engine,
+        parts=features.NONE,
+        token_seconds=0.0,
+    ):
+        self.placer = placement.Placer(parts)
+        self.token_seconds = token_seconds
         self.data_centres = data_centres
         self.engines = {
-            f"u{number}": Engine(
+            f"u{number}": kind(
                 f"u{number}",
                 slots,
                 memory,
@@ -191,15 +244,17 @@
             )
             for number in range(engines)
         }
-        declared = model.Service(SERVICE, "/healthz", 400, model.Engine(slots, memory))
-        configuration = model.Configuration(1, (), {SERVICE: declared})
+        stated = model.Engine(slots, memory, token_seconds)
+        declared = model.Service(SERVICE, "/healthz", 400, stated)
+        self.configuration = model.Configuration(1, (), {SERVICE: declared})
         rows = [
             upstreams.Row(
                 name, 1, upstreams.State.SERVING, SERVICE, name, one.data_centre, slots
             )
             for name, one in self.engines.items()
         ]
-        self.placer.set_upstreams(rows, configuration, 0.0)
+        self.placer.set_upstreams(rows, self.configuration, 0.0)
+        self.stride = kind.stride
         self.events = []
         self.numbers = itertools.count()
         self.tallies = collections.defaultdict(Tally)
@@ -230,7 +285,7 @@
             pause_seconds=run.kind.pause,
             model="m",
             tokens_in=run.size,
-            tokens_out=run.events * Engine.stride,
+            tokens_out=run.events * self.stride,
             parts=tuple(descriptors.Part(*part) for part in run.parts)
             + (descriptors.Part(run.request, run.own),),
             data_centre=run.data_centre,
@@ -242,6 +297,7 @@
             self.take_refusal(run, found)
             return
         run.engine = self.engines[found.row.identity]
+        run.fetch_from = found.fetch_from
         run.order = (run.kind.tier, self.now)
         run.told_at = self.now
         self.at(self.now + NETWORK_SECONDS, self.arrive, run)
@@ -256,7 +312,8 @@
             return
         run.returned = True
         wait = min(refused.return_seconds, run.kind.whole / 3)
-        self.at(self.now + wait + 2 * NETWORK_SECONDS, self.ask, run)
+        run.tried_at = self.now + wait + 2 * NETWORK_SECONDS
+        self.at(run.tried_at, self.ask, run)
 
     def check_patience(self, run):
         """The caller leaves if it has heard nothing for too long."""
@@ -280,6 +337,23 @@
         self.placer.end(run.request, self.now, 0.0)
         self.finish(run)
 
+    def take_over(self, told=True):
+        """Let another process place from now on, which hears what runs where.
+
+        ``told`` says whether it was told what the one before had learned.
+        """
+        before, after = self.placer, placement.Placer(self.placer.features)
+        after.set_upstreams(before.rows.values(), self.configuration, self.now)
+        if told:
+            after.take_speeds(before.list_speeds())
+        for identity, engine in before.engines.items():
+            for task in engine.tasks.values():
+                age = self.now - task.placed_at
+                after.adopt(task.descriptor, identity, self.now, age)
+                if task.began:
+                    after.note_first(task.descriptor.request_id, self.now)
+        self.placer = after
+
     def cut(self, data_centre):
         """End all that runs between the data centre and the others."""
         for engine in self.engines.values():
@@ -299,6 +373,10 @@
         else:
             self.finish(run)
 
+    def note_first(self, run):
+        """Whoever places by now hears of a first event."""
+        self.placer.note_first(run.request, self.now)
+
     def finish(self, run, whole=False):
         """Count what the caller got."""
         run.done = True
@@ -310,10 +388,12 @@
         late_pause = run.longest > run.kind.pause
         tally.late_first += late_first
         tally.late_pause += late_pause
-        if late_first or late_pause:
-            tally.late += 1
-        else:
+        if not late_first and not late_pause:
             tally.on_time += 1
+        else:
+            tally.late += 1
+            in_time = run.first - run.tried_at <= run.kind.first
+            tally.returned_on_time += run.returned and in_time and not late_pause
 
     # Engines.
 
@@ -321,6 +401,9 @@
         """A request reaches its engine."""
         if run.done:
             return
+        if run.fetch_from:
+            self.fetch(run)
+            return
         held = True
         for part, tokens in run.parts:
             held = held and part in run.engine.held
@@ -330,6 +413,24 @@
         run.engine.queue.append(run)
         self.wake(run.engine)
 
+    def fetch(self, run):
+        """Let the engine have the first parts of the prompt from another one."""
+        source, run.fetch_from = self.engines[run.fetch_from], ""
+        kept = list(itertools.takewhile(lambda part: part[0] in source.held, run.parts))
+        wanted = [part for part in kept if part[0] not in run.engine.held]
+        far = source.data_centre != run.engine.data_centre
+        seconds = sum(tokens for _, tokens in wanted) * self.token_seconds
+        seconds *= fetching.FAR_FACTOR if far else 1.0
+        begins = max(self.now, source.link_free_at, run.engine.link_free_at)
+        ends = begins + fetching.SETUP_SECONDS + seconds
+        source.link_free_at = run.engine.link_free_at = ends
+        self.at(ends, self.take_fetched, run, wanted)
+
+    def take_fetched(self, run, wanted):
+        """The parts have come: the request begins."""
+        run.engine.held.update(wanted)
+        self.arrive(run)
+
     def wake(self, engine):
         """Let the engine begin a step if it doesn't make one."""
         if engine.busy:
@@ -339,6 +440,7 @@
             return
         engine.busy = True
         seconds, made = engine.make_step()
+        seconds *= engine.find_pace(self.now)
         self.at(self.now + seconds, self.end_step, engine, made)
 
     def end_step(self, engine, made):
@@ -348,7 +450,7 @@
             if run not in engine.running:
                 continue  # it left, or was placed elsewhere, during the step
             run.tokens += 1
-            if run.tokens % engine.stride == 0 or run.tokens == 1:
+            if run.tokens % self.stride == 0 or run.tokens == 1:
                 self.tell(engine, run)
         self.wake(engine)
 
@@ -356,12 +458,16 @@
         """An event reaches the caller."""
         at = self.now + NETWORK_SECONDS
         if run.first is None:
+            at += engine.first_seconds
             run.first = at
-            self.placer.note_first(run.request, at)
+            if engine.first_seconds:
+                self.at(at, self.note_first, run)
+            else:
+                self.placer.note_first(run.request, at)
         else:
             run.longest = max(run.longest, at - run.told_at)
         run.told_at = at
-        if run.tokens >= run.events * engine.stride:
+        if run.tokens >= run.events * self.stride:
             engine.running.remove(run)
             pause = run.longest if run.events >= 8 else 0.0
             self.placer.end(run.request, at, pause)
--- a/packages/wire/src/trestlestall/wire/directory_messages.py
+++ b/packages/wire/src/trestlestall/wire/directory_messages.py
@@ -116,7 +116,11 @@
 @registry.register("place_state")
 @dataclasses.dataclass(frozen=True)
 class PlaceState:
-    """The requests that a gateway has at upstreams: descriptor, upstream, begun."""
+    """The requests that a gateway has at upstreams.
+
+    Each is its descriptor, its upstream, whether it began, and for how many seconds it
+    has been there.
+    """
 
     tasks: tuple[typing.Any, ...]
 
@@ -182,6 +186,17 @@
     sent: tuple[str, ...] = ()
 
 
+@registry.register("speeds")
+@dataclasses.dataclass(frozen=True)
+class Speeds:
+    """How fast upstreams read, as the sender has learned while it placed requests.
+
+    ``rows`` are those of the forwarding package, as plain values.
+    """
+
+    rows: tuple[typing.Any, ...]
+
+
 @registry.register("replaced")
 @dataclasses.dataclass(frozen=True)
 class Replaced:
