--- a/packages/daemon/src/trestlestall/daemon/directory/arbitration.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/arbitration.py
@@ -26,6 +26,7 @@
     crashes,
     descriptors,
     model,
+    parts,
     placement,
     rate_limits,
     shedding,
@@ -79,6 +80,7 @@
         harm: directory_harm.Harm,
         limits: rate_limits.RateLimits,
         note_reading: abc.Callable[[str, float], object],
+        features: parts.Features = parts.NONE,
         clock: abc.Callable[[], float] = clocks.read,
     ) -> None:
         self._links = links
@@ -89,7 +91,7 @@
         self._limits = limits
         self._note_reading = note_reading
         self._clock = clock
-        self._placer = placement.Placer()
+        self.placer = placement.Placer(features)
         self._configuration: model.Configuration | None = None
         self._rows: tuple[upstreams.Row, ...] = ()
         self._owned: dict[str, dict[str, Owned]] = {}
@@ -106,7 +108,7 @@
     def set_rows(self, rows: abc.Iterable[upstreams.Row]) -> None:
         """Take the upstreams as they are known."""
         self._rows = tuple(rows)
-        self._placer.set_upstreams(self._rows, self._configuration, self._clock())
+        self.placer.set_upstreams(self._rows, self._configuration, self._clock())
 
     def place(self, gateway: str, call: directory_messages.PlaceCall) -> None:
         """Choose an upstream and tell the gateway."""
@@ -123,7 +125,7 @@
         found = self._find_place(descriptor, call, verdict)
         refused = isinstance(found, placement.Refused)
         self._note_reading(
-            descriptor.service, self._placer.find_reading(descriptor, found)
+            descriptor.service, self.placer.find_reading(descriptor, found)
         )
         outcome = found.reason if refused else directory_metrics.PLACED
         self._metrics.note_choice(outcome, clocks.read() - started)
@@ -182,7 +184,7 @@
         now = self._clock()
         spent = self._limits.list_spent(now)
         barred = {*spent, *call.barred}
-        found = self._placer.place(descriptor, now, call.tried, barred)
+        found = self.placer.place(descriptor, now, call.tried, barred)
         if isinstance(found, placement.Placed):
             self._limits.take(found.row.identity, now)
             limit = self._limits.find_limit(found.row.identity)
@@ -190,7 +192,7 @@
         if found.reason == shedding.OVERLOADED:
             return found
         left_out = {*call.tried, *call.barred}
-        serving = set(self._placer.list_serving(descriptor.service)) - left_out
+        serving = set(self.placer.list_serving(descriptor.service)) - left_out
         waits = [self._limits.find_wait(one, now) for one in spent if one in serving]
         if not waits:
             return found
@@ -226,15 +228,15 @@
         """Learn what became of a request."""
         now = self._clock()
         if note.kind == notes.FIRST:
-            self._placer.note_first(note.request, now)
+            self.placer.note_first(note.request, now)
             return
         self._forget_waiting(gateway, note.request)
         owned = self._owned.get(gateway, {}).pop(note.request, None)
-        self._placer.end(note.request, now, note.pause)
+        self.placer.end(note.request, now, note.pause)
         if owned is None or note.kind == notes.NEITHER:
             return
         failed = note.kind == notes.FAILED
-        self._placer.note_outcome(owned.upstream, owned.data_centre, failed)
+        self.placer.note_outcome(owned.upstream, owned.data_centre, failed)
         if failed and self._harm.judge(owned.digest) is crashes.Verdict.ON_TRIAL:
             self._broken_trials[owned.digest] = now
         if not failed:
@@ -255,15 +257,15 @@
         """Learn what a gateway has at upstreams, in the place of what was known."""
         self.forget(gateway)
         now = self._clock()
-        for plain, identity, began in state.tasks:
+        for plain, identity, began, *rest in state.tasks:
             descriptor = descriptors.decode(plain)
-            if isinstance(
-                self._placer.adopt(descriptor, identity, now), placement.Refused
-            ):
+            age = max(0.0, rest[0]) if rest else 0.0
+            found = self.placer.adopt(descriptor, identity, now, age)
+            if isinstance(found, placement.Refused):
                 continue
             self._own(gateway, descriptor, identity, -math.inf)
             if began:
-                self._placer.note_first(descriptor.request_id, now)
+                self.placer.note_first(descriptor.request_id, now)
 
     def list_scaled(self) -> list[model.Service]:
         """Return the services whose upstreams may be ordered."""
@@ -274,7 +276,7 @@
 
     def count_load(self, service: str) -> float:
         """Return the requests of a service that run, in upstreams."""
-        taken, places = self._placer.count_places(service)
+        taken, places = self.placer.count_places(service)
         serving = sum(
             row.service == service and row.state is upstreams.State.SERVING
             for row in self._rows
@@ -283,7 +285,7 @@
 
     def count_places(self, service: str) -> tuple[int, int]:
         """Return how many slots of the service are taken, and how many there are."""
-        return self._placer.count_places(service)
+        return self.placer.count_places(service)
 
     def forget(self, gateway: str) -> None:
         """Forget the requests of a gateway that is no longer linked."""
@@ -292,7 +294,7 @@
             one for one in self._waiting if one.gateway != gateway
         )
         for request in self._owned.pop(gateway, {}):
-            self._placer.end(request, now)
+            self.placer.end(request, now)
 
     def _own(
         self,
--- a/packages/daemon/src/trestlestall/daemon/directory/arrivals.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/arrivals.py
@@ -183,6 +183,14 @@
     server.limiting.take(peer, message)
 
 
+@handles(directory_messages.Speeds)
+def take_speeds(
+    server: servers.Server, peer: str, message: directory_messages.Speeds
+) -> None:
+    """Learn how fast upstreams read from who places, or placed, requests."""
+    server.learned.take(peer, message)
+
+
 @handles(directory_messages.Replaced)
 def take_replaced(
     server: servers.Server, peer: str, message: directory_messages.Replaced
--- a/packages/daemon/src/trestlestall/daemon/directory/metrics.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/metrics.py
@@ -38,6 +38,12 @@
             "Announcements that name no upstream to use.",
             registry=self.registry,
         )
+        self._groups = prometheus_client.Gauge(
+            "trestlestall_group_upstreams",
+            "Upstreams of a group of kinds of requests, by its shortest pause.",
+            ["service", "pause_seconds"],
+            registry=self.registry,
+        )
         self.version = self._gauge("declaration_version", "Configuration in force.")
         self.voters = self._gauge("directory_voters", "Voters of the group.")
         self.leads = self._gauge("directory_leads", "1 while this directory leads.")
@@ -57,6 +63,10 @@
         self._choices.labels(outcome).inc()
         self._choice_seconds.observe(seconds)
 
+    def note_group(self, service: str, pause: float, size: int) -> None:
+        """Set how many upstreams a group has; its shortest pause is in seconds."""
+        self._groups.labels(service, str(pause)).set(size)
+
     def note_call(self, kind: str, status: int, seconds: float) -> None:
         """Count a call of an operator or an upstream."""
         self._calls.labels(kind, str(status)).observe(seconds)
--- a/packages/daemon/src/trestlestall/daemon/directory/server.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/server.py
@@ -31,6 +31,7 @@
     duties,
     harm,
     held_file,
+    learned,
     limiting,
     links as directory_links,
     members,
@@ -110,8 +111,10 @@
             self.harm,
             self.limiting.limits,
             self._note_reading,
+            settings.placing,
             env.clock.monotonic,
         )
+        self.learned = learned.Learned(links, log, self.metrics, self.arbiter.placer)
         fleet = duties.Fleet(
             self.registrations.table.rows.values,
             self.arbiter.list_scaled,
@@ -254,6 +257,7 @@
         self._broadcasts.tell_roster(now)
         self.repeats.turn()
         self.harm.turn()
+        self.learned.turn(now)
         if self.voter is None:
             self._calls.expire(now)
             return
--- a/packages/daemon/src/trestlestall/daemon/events/directory.py
+++ b/packages/daemon/src/trestlestall/daemon/events/directory.py
@@ -110,6 +110,14 @@
     "A gateway told of limits in words that can't be so; nothing changed.",
     "Compare the versions of the programs.",
 )
+GROUPS = catalogue.declare(
+    "TS8019",
+    "upstream_groups",
+    catalogue.Level.INFO,
+    "service upstreams tokens_per_second",
+    "Kinds of requests of a service are kept apart: how many upstreams each group has,"
+    " by its shortest pause in seconds, and the prompt tokens that each kind brings.",
+)
 VOTER_CHANGE = catalogue.declare(
     "TS8020",
     "voter_change_begun",
@@ -132,3 +140,19 @@
     "voters own",
     "The first voters are known to this process.",
 )
+SPEEDS_REFUSED = catalogue.declare(
+    "TS8023",
+    "speeds_refused",
+    catalogue.Level.WARNING,
+    "source reason",
+    "A directory told of upstreams' speeds in words that can't be so; nothing changed.",
+    "Compare the versions of the programs.",
+)
+PARTS = catalogue.declare(
+    "TS8024",
+    "placing_parts",
+    catalogue.Level.INFO,
+    "service upstreams slots on allowed least_upstreams least_slots",
+    "Parts of the choice of upstreams that the settings allow, at the start (without a"
+    " service), and whether a service is large enough for them, when that changes.",
+)
--- a/packages/daemon/src/trestlestall/daemon/gateway/placing.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/placing.py
@@ -76,6 +76,7 @@
         self._tokens = itertools.count(1)
         self._waiting: dict[int, eventlet.event.Event] = {}
         self._tasks: dict[str, list] = {}
+        self._kept_at: dict[str, float] = {}
 
     # The arbiter.
 
@@ -112,7 +113,11 @@
 
     def _tell_state(self) -> None:
         if self._arbiter is not None:
-            tasks = tuple(list(task) for task in self._tasks.values())
+            now = clocks.read()
+            tasks = tuple(
+                [*task, now - self._kept_at[request]]
+                for request, task in self._tasks.items()
+            )
             self.send(self._arbiter, directory_messages.PlaceState(tasks))
             self.on_arbiter()
 
@@ -185,6 +190,7 @@
         if failed is not None:
             placer.note_outcome(identity, descriptor.data_centre, failed)
         self._tasks.pop(descriptor.request_id, None)
+        self._kept_at.pop(descriptor.request_id, None)
         self._note(descriptor, notes.ENDS[failed], pause)
 
     def _may_repeat_alone(self, descriptor: descriptors.Descriptor) -> bool:
@@ -322,6 +328,7 @@
     def _keep(self, descriptor: descriptors.Descriptor, identity: str) -> None:
         plain = descriptors.encode(descriptor)
         self._tasks[descriptor.request_id] = [plain, identity, False]
+        self._kept_at[descriptor.request_id] = clocks.read()
 
     def _note(
         self,
--- a/packages/daemon/src/trestlestall/daemon/settings/model.py
+++ b/packages/daemon/src/trestlestall/daemon/settings/model.py
@@ -6,6 +6,7 @@
 from collections import abc
 
 from trestlestall.daemon import printing
+from trestlestall.forwarding import parts
 
 
 @dataclasses.dataclass(frozen=True)
@@ -221,6 +222,7 @@
     ``directories`` are the link addresses of some directories, which tell of the
     others; while ``founding``, those of them that start with empty folders form the
     first group of voters. ``document_bytes`` bounds an operator's document.
+    ``placing`` are the parts of the choice of upstreams that are allowed.
     """
 
     role: typing.Literal["directory"]
@@ -234,4 +236,5 @@
     document_bytes: int = 8 * 1024 * 1024
     retries: Retries = Retries()
     duties: Duties = Duties()
+    placing: parts.Features = parts.NONE
     secrets: Secrets | None = dataclasses.field(default=None, metadata={"file": False})
--- a/packages/daemon/tests/test_directory.py
+++ b/packages/daemon/tests/test_directory.py
@@ -23,7 +23,7 @@
     server as servers,
     succession,
 )
-from trestlestall.forwarding import descriptors, upstreams
+from trestlestall.forwarding import descriptors, parts, upstreams
 from trestlestall.storage import files
 from trestlestall.wire import directory_messages
 
@@ -78,6 +78,8 @@
 
 
 class DirectoryCase(unittest.TestCase):
+    placing = parts.NONE
+
     def setUp(self):
         self.stack = contextlib.ExitStack()
         self.addCleanup(self.stack.close)
@@ -97,6 +99,7 @@
             data_folder=self.folder,
             directories=(settings.Address("127.0.0.1", 7000),),
             founding=True,
+            placing=self.placing,
         )
         self.server = servers.Server(
             made, env, log, self.links, dialects.NATIVE, lambda: None
--- a/packages/forwarding/src/trestlestall/forwarding/engines.py
+++ b/packages/forwarding/src/trestlestall/forwarding/engines.py
@@ -26,6 +26,8 @@
 EVIDENT_SHARE = 0.05
 #: How far one outcome moves the estimate of how often an upstream fails.
 FAILURE_LEARNING = 0.12
+#: Part of the memory that may be taken for a first event to show how fast it is read.
+LESSON_MEMORY = 0.9
 #: Seconds that a request holds its slot, until ends teach better, and how far one end
 #: moves the estimate.
 FIRST_HOLD = 2.0
@@ -216,6 +218,15 @@
             risk += count * (after - self.pauses.find_lateness(other, backlog))
         return risk
 
+    def _has_memory(self) -> bool:
+        """Return whether prompts are read as they come.
+
+        One that waits for memory to become free says nothing about reading.
+        """
+        if not isinstance(self.learner, speeds.Evidence) or not self.memory_tokens:
+            return True
+        return self._task_tokens <= LESSON_MEMORY * self.memory_tokens
+
     def find_memory_share(self, descriptor: descriptors.Descriptor) -> float:
         """Return the part of the memory that would be taken with this request."""
         if not self.memory_tokens:
@@ -257,7 +268,8 @@
             task.waited,
         )
         self._read_at = now
-        self.learner.learn(lesson)
+        if self._has_memory():
+            self.learner.learn(lesson)
 
     def end(self, request_id: str, now: float, pause: float = 0.0) -> Task | None:
         """Note that a request is no longer here.
--- a/packages/forwarding/src/trestlestall/forwarding/groups.py
+++ b/packages/forwarding/src/trestlestall/forwarding/groups.py
@@ -27,6 +27,11 @@
 #: streams stand for as long as a spell lasts.
 EASY_SHARE = 0.3
 SHORT_SHARE = 0.6
+#: The part of all upstreams that the groups with short pauses have at most together,
+#: unless they would have to read for more than nine tenths of the time: at the start of
+#: a burst speeds may be unknown, and what seems too little is enough.
+MOST_SHARE = 0.6
+FULL_SHARE = 0.9
 #: The same for the kind that waits: reading without a gap leaves no time for steps, and
 #: streams that never end take the memory of those that come.
 WAITING_SHARE = 0.85
@@ -229,9 +234,10 @@
     """Return which part of their time the groups with short pauses may read."""
     left = capacity - needs[-1].tokens / WAITING_SHARE
     reading = sum(need.tokens for need in needs[:-1])
-    if left <= 0:
-        return SHORT_SHARE
-    return min(SHORT_SHARE, max(EASY_SHARE, reading / left))
+    share = SHORT_SHARE
+    if left > 0:
+        share = min(SHORT_SHARE, max(EASY_SHARE, reading / left))
+    return max(share, min(FULL_SHARE, reading / (MOST_SHARE * capacity)))
 
 
 def settle(
--- a/packages/forwarding/src/trestlestall/forwarding/shedding.py
+++ b/packages/forwarding/src/trestlestall/forwarding/shedding.py
@@ -19,9 +19,11 @@
 #: Part of the slots that the least urgent requests leave to others: each of those that
 #: finds none puts back one that is running, whose prompt is then read once more.
 CROWDED_SHARE = 0.9
-#: The same where requests are refused by forecast, whether they came back or not.
+#: The same where requests are refused by forecast, and the part of the target that one
+#: which came back may wait for others, however long its own prompt is.
 FORECAST_TARGETS = 0.5
-FORECAST_WAIT_SHARE = 0.2
+FORECAST_WAIT_SHARE = 0.25
+RETURNED_WAIT_SHARE = 0.3
 #: When callers come back, in parts of the time that they have: spread, so that they
 #: don't meet again, and early enough that most of the time is left.
 RETURN_SHARES = (0.1, 0.3)
@@ -60,8 +62,13 @@
     wait: who returns meets it again. What is let in then and begins too late takes the
     time of others that would not. Predictions are of reading alone; the steps of other
     streams and slow spells take the rest of the target.
+
+    One that came back is judged by its wait alone and goes ahead of new ones: the
+    longest prompts, which are refused first, would else begin only by chance.
     """
     target = descriptor.first_seconds
+    if not descriptor.may_return:
+        return outlook.wait > RETURNED_WAIT_SHARE * target
     late = outlook.predicted > FORECAST_TARGETS * target
     return late and outlook.wait > FORECAST_WAIT_SHARE * target
 
--- a/packages/forwarding/tests/room.py
+++ b/packages/forwarding/tests/room.py
@@ -69,6 +69,23 @@
     return tally.find_share(kind) + tally.returned_on_time * returned / tally.asked
 
 
+def count_served(made, phases, seed=1):
+    """Return how often recaps are served: the largest tenth, and all of them."""
+    served = []
+    count = made.finish
+
+    def finish(run, whole=False):
+        if run.kind is RECAP:
+            served.append((run.size, whole))
+        count(run, whole)
+
+    made.finish = finish
+    world.play(made, phases, seed)
+    served.sort()
+    largest = served[-len(served) // 10 :]
+    return [sum(whole for _, whole in some) / len(some) for some in (largest, served)]
+
+
 def find_whole_share(tallies):
     """Return the same for the requests of all kinds."""
     owed = [tallies[kind.name].asked * kind.worth for kind in KINDS]
--- a/packages/forwarding/tests/test_shedding.py
+++ b/packages/forwarding/tests/test_shedding.py
@@ -36,6 +36,26 @@
         self.assertLess(found[-1], asked.whole_seconds / 3)
 
 
+class ForecastTest(unittest.TestCase):
+    """Refusing by forecast, also those who came back."""
+
+    def is_refused(self, wait, predicted, may_return):
+        asked = samples.make_descriptor(may_return=may_return, first_seconds=1.0)
+        return shedding.is_too_late(asked, shedding.Outlook(wait, predicted))
+
+    def test_who_would_begin_too_late_is_refused_also_a_second_time(self):
+        for may_return in (True, False):
+            self.assertTrue(self.is_refused(0.9, 1.1, may_return))
+            self.assertFalse(self.is_refused(0.1, 0.2, may_return))
+
+    def test_who_came_back_goes_ahead_of_who_is_new(self):
+        self.assertTrue(self.is_refused(0.28, 0.9, may_return=True))
+        self.assertFalse(self.is_refused(0.28, 0.9, may_return=False))
+
+    def test_a_long_prompt_that_waits_for_nobody_is_let_in(self):
+        self.assertFalse(self.is_refused(0.0, 9.0, may_return=True))
+
+
 class PlacerTest(unittest.TestCase):
     def setUp(self):
         self.placer = placement.Placer()
