A directory that stands still is left after 0.3 s, and the request goes to the next one

Cause: a frozen directory was asked again half a second after its first silence only, so that each of 56 gateways chose alone for 0.5 to 1.2 s. Ruled out: the end of the link (a frozen host keeps its connections), the time to the next directory's first answer. Change: asked again after 0.1 s; left when two questions in a row and 0.3 s are without an answer, and the request that finds this out is placed by the next one. The pure part is silences.py; placing.py is shorter by it. A pause below 0.3 s parts nobody. Of three new tests two were red before (the second directory was never asked); the third holds that a short pause changes nothing.

--- a/packages/daemon/src/trestlestall/daemon/gateway/links.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/links.py
@@ -77,6 +77,7 @@
         """Keep links while the block runs; raises ``ListenError``."""
         self.placing.send = self.mesh.send
         self.placing.on_arbiter = self.usage.tell_all
+        self.placing.choose_arbiter = self._choose_arbiter
         self.usage.tell = self.placing.tell_arbiter
         self.endings.tell = self.notices.tell = self._tell_all
         self.mesh.start()
--- a/packages/daemon/src/trestlestall/daemon/gateway/placing.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/placing.py
@@ -7,7 +7,12 @@
 import eventlet.event
 
 from trestlestall.daemon import announcements, events, notes
-from trestlestall.daemon.gateway import choosing, knowledge as knowledges, reaching
+from trestlestall.daemon.gateway import (
+    choosing,
+    knowledge as knowledges,
+    reaching,
+    silences,
+)
 from trestlestall.forwarding import (
     budgets,
     crashes,
@@ -19,23 +24,12 @@
 )
 from trestlestall.wire import clocks, directory_messages
 
-#: How long to wait for the arbiter, in parts of the request's target, and the bounds of
-#: that in seconds: some round trips between data centres of a region, and more than a
-#: long prompt takes on a narrow link (72 KB at 5 Mbit/s), behind which questions wait.
-ANSWER_SHARE = 0.25
-ANSWER_BOUNDS = (0.03, 0.2)
-#: Seconds in which a silent arbiter is not asked again.
-SILENCE_SECONDS = 0.5
-#: Questions in a row without an answer until another directory is asked, and for how
-#: many seconds: about as long as a disk or a process usually stands still.
-SILENCES_LIMIT = 2
-AVOIDED_SECONDS = 4.0
-
 #: Seconds without an answer after which a gateway is cut off: longer than all
 #: directories together take to start again and to be asked.
 CUT_OFF_SECONDS = 6.0
 
-#: Questions for one send: another one where this gateway knew better.
+#: Questions for one send: another one where this gateway knew better, or where another
+#: directory is asked by now.
 ASKS = 2
 
 #: Reasons of the arbiter after which no other upstream is looked for.
@@ -53,7 +47,8 @@
     """Places requests; ``send`` is set once the gateway has links.
 
     ``on_arbiter`` is called when a directory is asked that may know nothing of this
-    gateway: another one, or over a new link.
+    gateway: another one, or over a new link. ``choose_arbiter`` is called when the one
+    that is asked stands still.
     """
 
     def __init__(
@@ -64,13 +59,13 @@
     ) -> None:
         self.send: Send = send_nowhere
         self.on_arbiter: abc.Callable[[], object] = lambda: None
+        self.choose_arbiter: abc.Callable[[], object] = lambda: None
         self._knowledge = knowledge
         self._reaching = reach
         self._find_retry_bound = find_retry_bound
         self._chooser = choosing.Chooser(knowledge)
         self._arbiter: str | None = None
-        self._silent_until = 0.0
-        self._silences = 0
+        self._silences = silences.Silences()
         self._answered_at = float("-inf")
         self._avoided: dict[str, float] = {}
         self._tokens = itertools.count(1)
@@ -85,7 +80,7 @@
         if directory == self._arbiter:
             return
         previous, self._arbiter = self._arbiter, directory
-        self._silent_until = 0.0
+        self._silences = silences.Silences()
         self._tell_state()
         self._knowledge.log.write(
             events.forwarding.ARBITER,
@@ -105,7 +100,7 @@
 
     def take_answer(self, answer: directory_messages.PlaceAnswer) -> None:
         """Hand an answer to the request that waits for it."""
-        self._silences = 0
+        self._silences.note_answered()
         self._answered_at = clocks.read()
         waiting = self._waiting.pop(answer.token, None)
         if waiting is not None:
@@ -241,7 +236,12 @@
         """
         left_out = set(tried)
         for _ in range(ASKS):
+            asked = self._arbiter
             answer = self._ask(descriptor, left_out, purpose)
+            if answer is None and self._arbiter != asked:
+                # The one that stands still may have counted the caller's request.
+                purpose = notes.MOVED if purpose == notes.FIRST_SEND else purpose
+                continue
             row = self._find_row(answer)
             if row is None or self._chooser.may_be_sent(row):
                 return answer
@@ -282,7 +282,7 @@
         tried: abc.Collection[str],
         purpose: str,
     ) -> directory_messages.PlaceAnswer | None:
-        if self._arbiter is None or clocks.read() < self._silent_until:
+        if self._arbiter is None or not self._silences.may_be_asked(clocks.read()):
             return None
         token = next(self._tokens)
         waiting = self._waiting[token] = eventlet.event.Event()
@@ -293,7 +293,8 @@
         if not self.send(self._arbiter, call):
             del self._waiting[token]
             return None
-        seconds = find_patience(descriptor)
+        seconds = silences.find_patience(descriptor)
+        self._silences.note_asked(clocks.read())
         with eventlet.Timeout(seconds, False):
             return waiting.wait()
         self._waiting.pop(token, None)
@@ -303,17 +304,16 @@
     def _note_silent(self, descriptor: descriptors.Descriptor, seconds: float) -> None:
         """Go without the arbiter for a moment; it may have counted the request."""
         now = clocks.read()
-        self._silent_until = now + SILENCE_SECONDS
-        self._silences += 1
-        if self._silences >= SILENCES_LIMIT:
-            self._silences = 0
-            self._avoided[self._arbiter] = now + AVOIDED_SECONDS
+        stands_still = self._silences.note_silent(now)
         self._note(descriptor, notes.ENDS[None])
         self._knowledge.log.write(
             events.forwarding.ARBITER_SILENT,
             arbiter=self._arbiter,
             seconds=round(seconds, 3),
         )
+        if stands_still:
+            self._avoided[self._arbiter] = now + silences.AVOIDED_SECONDS
+            self.choose_arbiter()
 
     def _choose(
         self, descriptor: descriptors.Descriptor, tried: abc.Collection[str]
@@ -341,12 +341,6 @@
         self.tell_arbiter(note)
 
 
-def find_patience(descriptor: descriptors.Descriptor) -> float:
-    """Return how long to wait for the arbiter's answer, in seconds."""
-    least, most = ANSWER_BOUNDS
-    return min(most, max(least, ANSWER_SHARE * descriptor.first_seconds))
-
-
 def send_nowhere(name: str, message: object) -> bool:
     """Send nothing: there are no links yet."""
     return False
--- a/packages/daemon/tests/test_placing.py
+++ b/packages/daemon/tests/test_placing.py
@@ -1,15 +1,18 @@
-"""How long a gateway waits for the arbiter's choice."""
+"""How long a gateway waits for the arbiter's choice, and when it asks another one."""
+
+from packages.daemon.tests import test_gateway_notices  # isort: skip
 
 import unittest
 
 from packages.forwarding.tests import samples
-from trestlestall.daemon.gateway import placing
+from trestlestall.daemon.gateway import silences
+from trestlestall.wire import clocks, directory_messages
 
 
 class PatienceTest(unittest.TestCase):
     def test_it_is_a_part_of_the_target_within_bounds(self):
         found = [
-            placing.find_patience(samples.make_descriptor(first_seconds=target))
+            silences.find_patience(samples.make_descriptor(first_seconds=target))
             for target in (0.01, 0.25, 0.4, 30.0)
         ]
         self.assertEqual(found, [0.03, 0.0625, 0.1, 0.2])
@@ -17,5 +20,58 @@
     def test_a_prompt_on_a_narrow_link_does_not_hide_the_answer(self):
         bytes_before, bytes_per_second = 12_000, 5_000_000 / 8
         descriptor = samples.make_descriptor(first_seconds=0.25)
-        patience = placing.find_patience(descriptor)
+        patience = silences.find_patience(descriptor)
         self.assertGreater(patience, 2 * bytes_before / bytes_per_second)
+
+
+class StillArbiterTest(test_gateway_notices.NoticeCase):
+    """The directory that places stands still, and another one takes over."""
+
+    def setUp(self):
+        super().setUp()
+        self.placing = self.bench.gateway.service.placing
+        self.arbiter = test_gateway_notices.Arbiter(self.placing, ["u1"])
+        self.answering, self.asked = self.arbiter.take, []
+        self.placing.send = self.take
+        self.placing.choose_arbiter = self.choose
+
+    def take(self, name, message):
+        """Answer in the name of the second directory alone."""
+        if isinstance(message, directory_messages.PlaceCall):
+            self.asked.append((name, message.purpose))
+        if name == "directory-2":
+            return self.answering(name, message)
+        return True
+
+    def choose(self):
+        """Choose the second directory, unless that one is avoided."""
+        if self.placing.is_avoided("directory-1"):
+            self.placing.set_arbiter("directory-2")
+
+    def ask_until_another(self):
+        """Ask until the second directory is asked; return the seconds that it took."""
+        started = clocks.read()
+        while self.asked[-1:] != [("directory-2", "moved")]:
+            self.assertEqual(self.bench.ask("/once/x")[2], "done")
+            self.assertLess(len(self.asked), 20)
+        return clocks.read() - started
+
+    def test_the_request_that_finds_out_is_placed_by_the_other_one(self):
+        self.ask_until_another()
+        names = [name for name, _ in self.asked]
+        self.assertEqual(names.count("directory-2"), 1)
+        self.assertGreaterEqual(names.count("directory-1"), silences.SILENCES_LIMIT)
+        self.assertEqual(self.bench.ask("/once/x")[2], "done")
+        self.assertEqual(self.asked[-1], ("directory-2", "first"))
+
+    def test_the_other_one_is_told_what_runs(self):
+        self.ask_until_another()
+        told = [type(one) for one in self.arbiter.told]
+        self.assertIn(directory_messages.PlaceState, told)
+
+    def test_a_short_pause_parts_nobody(self):
+        self.bench.ask("/once/x")
+        self.assertFalse(self.placing.is_avoided("directory-1"))
+        self.placing.take_answer(directory_messages.PlaceAnswer(0, "u1", 0, 0.0))
+        self.bench.ask("/once/x")
+        self.assertFalse(self.placing.is_avoided("directory-1"))
