--- a/packages/forwarding/src/trestlestall/forwarding/placement.py
+++ b/packages/forwarding/src/trestlestall/forwarding/placement.py
@@ -12,16 +12,15 @@
 import dataclasses
 import hashlib
 import itertools
-import math
 from collections import abc
 
 from trestlestall.forwarding import (
+    arranging,
     costs,
     descriptors,
     distance,
     engines,
     fetching,
-    groups,
     model,
     parts,
     shedding,
@@ -34,9 +33,6 @@
 READ_AGAIN_SECONDS = 10.0
 #: Parts that one choice looks at to forget them; more than one request adds.
 FORGOTTEN_AT_ONCE = 16
-#: An upstream that fails more often than this, for callers of some data centre, is not
-#: counted as room that a kind of requests has.
-FAILING_RATE = 0.5
 #: Ranks of ``find_rendezvous`` lie below this.
 RENDEZVOUS_RANGE = 2**64
 #: Seconds until the next attempt of a caller whose service has no upstream to go to;
@@ -97,14 +93,13 @@
 
     def __init__(self, features: parts.Features = parts.NONE) -> None:
         self.features = features
-        self.groups: dict[str, groups.Groups] = {}
         self.rows: dict[str, upstreams.Row] = {}
         self.engines: dict[str, engines.Upstream] = {}
         self._by_service: dict[str, list[upstreams.Row]] = {}
         self._tasks: dict[str, engines.Upstream] = {}
         self._used: dict[engines.PartKey, float] = {}
         self._distance = distance.Distance()
-        self._delays: dict[str, speeds.Delay] = {}
+        self.arranging = arranging.Arranging(features, self.engines)
 
     def set_upstreams(
         self,
@@ -123,8 +118,7 @@
             if not self.engines[identity].tasks:
                 del self.engines[identity]
         for service, serving in self._by_service.items():
-            if self.find_features(service).learns_speeds:
-                self._learn_from_evidence(service, serving)
+            self.arranging.note_serving(service, serving)
 
     def has_upstream(self, service: str) -> bool:
         """Return whether any upstream of the service takes requests."""
@@ -152,17 +146,21 @@
         if not near:
             return Refused("no upstream within reach", RETURN_SECONDS)
         self._forget_parts(now)
-        features = self.find_features(descriptor.service)
+        serving = self._by_service[descriptor.service]
+        features = self.arranging.find_features(serving)
         by_forecast = features.refuses_by_forecast
         is_due = shedding.is_too_late if by_forecast else shedding.is_due
-        for allowed in self._list_groups(features, near, descriptor, now):
+        choices = [near]
+        if features.keeps_apart:
+            choices = self.arranging.list_choices(serving, near, descriptor, now)
+        for allowed in choices:
             best = self._find_best(allowed, descriptor, now)
             outlook = self._foresee(best, allowed, descriptor, now)
             is_refused = not tried and is_due(descriptor, outlook)
             if not is_refused:
                 break
         if features.keeps_apart:
-            self._note_demand(best, descriptor, now)
+            self.arranging.note_demand(descriptor, best.unread, now)
         if is_refused:
             after = shedding.find_return(descriptor, draw_share(descriptor))
             return Refused(shedding.OVERLOADED, after)
@@ -236,123 +234,16 @@
 
     def find_features(self, service: str) -> parts.Features:
         """Return which parts are on for a service."""
-        called_for = parts.are_called_for(self.features, *self.count_size(service))
-        return self.features if called_for else parts.NONE
+        return self.arranging.find_features(self._by_service.get(service, ()))
 
     def count_size(self, service: str) -> tuple[int, int]:
         """Return how many upstreams serve, and the least slots that one of them has."""
-        rows = self._by_service.get(service, ())
-        slots = min((self.engines[row.identity].slots for row in rows), default=0)
-        return len(rows), slots
+        return self.arranging.count_size(self._by_service.get(service, ()))
 
     def list_services(self) -> list[str]:
         """Return the services that some upstream serves."""
         return list(self._by_service)
 
-    def _learn_from_evidence(
-        self, service: str, rows: abc.Iterable[upstreams.Row]
-    ) -> None:
-        """Let the upstreams of a service learn so, those that don't do it yet."""
-        delay = self._delays.setdefault(service, speeds.Delay())
-        for row in rows:
-            engine = self.engines[row.identity]
-            if not isinstance(engine.learner, speeds.Evidence):
-                engine.learner = speeds.Evidence(speeds.UNKNOWN, delay)
-
-    def list_speeds(self) -> dict[str, speeds.Speed]:
-        """Return how fast upstreams read, of those that have shown it."""
-        return {
-            identity: learner.speed
-            for identity, learner in self._list_learners()
-            if learner.speed.observed
-        }
-
-    def take_speeds(self, told: abc.Mapping[str, speeds.Speed]) -> None:
-        """Learn from who placed before, where that rests on more than what is known."""
-        for identity, learner in self._list_learners():
-            speed = told.get(identity)
-            if speed is not None and speed.observed > learner.speed.observed:
-                learner.speed = speed
-
-    def _list_learners(self) -> abc.Iterator[tuple[str, speeds.Evidence]]:
-        for identity, engine in self.engines.items():
-            if isinstance(engine.learner, speeds.Evidence):
-                yield identity, engine.learner
-
-    def _arrange(self, service: str, now: float) -> None:
-        """Look at the groups of a service, if that is due."""
-        known = self.groups.setdefault(service, groups.Groups())
-        if not known.is_due(now):
-            return
-        present = [
-            self._describe(row, now)
-            for row in self._by_service[service]
-            if self._is_sound(row)
-        ]
-        self._expect_speeds(service)
-        known.arrange(present, now)
-
-    def _is_sound(self, row: upstreams.Row) -> bool:
-        """Return whether an upstream counts as room of its service."""
-        engine = self.engines[row.identity]
-        rates = engine.failure_rates.values()
-        return engine.reachable and max(rates, default=0.0) < FAILING_RATE
-
-    def _describe(self, row: upstreams.Row, now: float) -> groups.Member:
-        engine = self.engines[row.identity]
-        return groups.Member(
-            row.identity,
-            row.data_centre,
-            engine.read_rate,
-            engine.find_backlog(now),
-            engine.slots,
-            engine.targets,
-        )
-
-    def _list_groups(
-        self,
-        features: parts.Features,
-        near: list[upstreams.Row],
-        descriptor: descriptors.Descriptor,
-        now: float,
-    ) -> list[list[upstreams.Row]]:
-        """Return the upstreams to choose from, in the order of trying.
-
-        A request goes to its own group. Where it would be refused there, those that
-        serve longer pauses come next, and all where neither has one within reach.
-        """
-        if not features.keeps_apart:
-            return [near]
-        self._arrange(descriptor.service, now)
-        known = self.groups[descriptor.service]
-        number = known.find_group(find_kind(descriptor))
-        if number is None:
-            return [near]
-        choices = (known.list_members(number), known.list_later(number))
-        found = [
-            [row for row in near if row.identity in members] for members in choices
-        ]
-        return [rows for rows in found if rows] or [near]
-
-    def _note_demand(
-        self, best: Candidate, descriptor: descriptors.Descriptor, now: float
-    ) -> None:
-        demand = self.groups[descriptor.service].demand
-        size = engines.find_work(descriptor.tokens_in)
-        unread = engines.find_work(best.unread)
-        demand.note(find_kind(descriptor), size, unread, now)
-
-    def _expect_speeds(self, service: str) -> None:
-        """Let upstreams that have shown nothing count as fast as their peers."""
-        learners = [
-            learner
-            for identity, learner in self._list_learners()
-            if identity in self.rows and self.rows[identity].service == service
-        ]
-        prior = speeds.find_prior(learner.speed for learner in learners)
-        for learner in learners:
-            learner.expect(prior)
-
     # The parts of a choice.
 
     def _find_best(
@@ -463,11 +354,6 @@
         engine.token_seconds = declared.token_seconds if declared is not None else 0.0
 
 
-def find_kind(descriptor: descriptors.Descriptor) -> groups.Kind:
-    """Return how long the request's stream may pause, in seconds."""
-    return descriptor.pause_seconds or math.inf
-
-
 def draw_share(descriptor: descriptors.Descriptor) -> float:
     """Return a number from 0 to 1, the same for a request wherever it is drawn."""
     drawn = find_rendezvous(descriptor, descriptor.request_id)
--- a/packages/forwarding/src/trestlestall/forwarding/shedding.py
+++ b/packages/forwarding/src/trestlestall/forwarding/shedding.py
@@ -19,11 +19,14 @@
 #: Part of the slots that the least urgent requests leave to others: each of those that
 #: finds none puts back one that is running, whose prompt is then read once more.
 CROWDED_SHARE = 0.9
-#: The same where requests are refused by forecast, and the part of the target that one
-#: which came back may wait for others, however long its own prompt is.
+#: The same where requests are refused by forecast.
 FORECAST_TARGETS = 0.5
 FORECAST_WAIT_SHARE = 0.25
-RETURNED_WAIT_SHARE = 0.3
+#: What one that came back may wait for others in any case, in parts of the target and
+#: of what its own prompt takes: without the latter the longest prompts are served less
+#: than half as often as the rest in a burst.
+RETURNED_WAIT_SHARE = 0.22
+RETURNED_READING_SHARE = 0.2
 #: When callers come back, in parts of the time that they have: spread, so that they
 #: don't meet again, and early enough that most of the time is left.
 RETURN_SHARES = (0.1, 0.3)
@@ -63,14 +66,16 @@
     time of others that would not. Predictions are of reading alone; the steps of other
     streams and slow spells take the rest of the target.
 
-    One that came back is judged by its wait alone and goes ahead of new ones: the
-    longest prompts, which are refused first, would else begin only by chance.
+    One that came back goes ahead of new ones, the more so the longer its prompt is:
+    the longest are refused first, and would else begin only by chance.
     """
     target = descriptor.first_seconds
-    if not descriptor.may_return:
-        return outlook.wait > RETURNED_WAIT_SHARE * target
     late = outlook.predicted > FORECAST_TARGETS * target
-    return late and outlook.wait > FORECAST_WAIT_SHARE * target
+    if descriptor.may_return:
+        return late and outlook.wait > FORECAST_WAIT_SHARE * target
+    own = outlook.predicted - outlook.wait
+    allowed = RETURNED_WAIT_SHARE * target + RETURNED_READING_SHARE * own
+    return late and outlook.wait > allowed
 
 
 def find_return(descriptor: descriptors.Descriptor, share: float) -> float:
--- a/packages/forwarding/tests/test_groups.py
+++ b/packages/forwarding/tests/test_groups.py
@@ -153,7 +153,7 @@
     def test_switched_off_all_serve_all(self):
         placer = self.build(parts.NONE)
         self.place_mixed(placer)
-        self.assertFalse(placer.groups)
+        self.assertFalse(placer.arranging.groups)
 
     def test_a_small_service_is_served_as_before(self):
         for count, slots in ((23, 48), (24, 24)):
@@ -161,13 +161,13 @@
                 on = self.build(ALL, count, slots)
                 off = self.build(parts.NONE, count, slots)
                 self.assertEqual(self.place_mixed(on), self.place_mixed(off))
-                self.assertEqual(on.list_speeds(), {})
+                self.assertEqual(on.arranging.list_speeds(), {})
 
     def test_a_group_that_is_out_of_reach_is_not_waited_for(self):
         placer = self.build(ALL)
         self.place_mixed(placer)
-        number = placer.groups["engines"].find_group(SHORT)
-        mine = placer.groups["engines"].list_members(number)
+        number = placer.arranging.groups["engines"].find_group(SHORT)
+        mine = placer.arranging.groups["engines"].list_members(number)
         descriptor = samples.make_descriptor("late", 1_500, pause_seconds=SHORT)
         found = placer.place(descriptor, 3.01, mine)
         self.assertIsInstance(found, placement.Placed)
@@ -176,7 +176,7 @@
     def test_an_upstream_that_fails_counts_as_no_room(self):
         placer = self.build(ALL)
         self.place_mixed(placer)
-        known = placer.groups["engines"]
+        known = placer.arranging.groups["engines"]
         mine = known.list_members(known.find_group(SHORT))
         for identity in mine:
             for _ in range(10):
@@ -187,7 +187,7 @@
     def test_a_draining_upstream_leaves_its_group(self):
         placer = self.build(ALL, 30)
         self.place_mixed(placer)
-        known = placer.groups["engines"]
+        known = placer.arranging.groups["engines"]
         gone = min(known.list_members(known.find_group(SHORT)))
         left = [
             row if row.identity != gone else samples.make_row(gone, 2, DRAINING)
