Learned speeds are told when they have moved by a tenth

Cause: each first event moves a speed a little, so that all of them were told to all directories each second: 25 KB/s at 60 upstreams. Change: a tenth, or half of the spread, is news; the test failed with a third telling.

--- a/packages/daemon/src/trestlestall/daemon/directory/learned.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/learned.py
@@ -45,9 +45,11 @@
         news = {
             identity: speed
             for identity, speed in known.items()
-            if self._told.get(identity) != speed
+            if speeds.is_news(self._told.get(identity), speed)
+        }
+        self._told = {
+            identity: news.get(identity) or self._told[identity] for identity in known
         }
-        self._told = known
         if news:
             message = directory_messages.Speeds(tuple(speeds.encode(news)))
             for peer in self._links.list_directories():
--- a/packages/daemon/tests/test_learned.py
+++ b/packages/daemon/tests/test_learned.py
@@ -42,6 +42,15 @@
         self.turn(3.0)
         self.assertEqual(self.list_told(), [{"u1": KNOWN}])
 
+    def test_what_hardly_changed_is_not_told_again(self):
+        self.placer.arranging.take_speeds({"u1": KNOWN})
+        self.turn(2.0)
+        for observed, logarithm in ((8, 0.01), (9, 0.2)):
+            changed = speeds.Speed(KNOWN.logarithm + logarithm, 0.2, observed)
+            self.placer.arranging.take_speeds({"u1": changed})
+            self.turn(2.0)
+        self.assertEqual(self.list_told(), [{"u1": KNOWN}, {"u1": changed}])
+
     def test_nothing_is_told_before_anything_is_learned(self):
         self.turn(3.0)
         self.assertEqual(self.list_told(), [])
--- a/packages/forwarding/src/trestlestall/forwarding/speeds.py
+++ b/packages/forwarding/src/trestlestall/forwarding/speeds.py
@@ -32,6 +32,9 @@
 WILD_DEVIATIONS = 2.0
 #: Bounds of a learned speed, in tokens a second, against a teller or a clock gone mad.
 RATE_BOUNDS = (2_000.0, 500_000.0)
+#: How far the logarithm of a speed has to move until others are told: a tenth, which
+#: changes hardly a choice.
+NEWS_STEP = 0.1
 #: Observations from which on an upstream's speed says something about others.
 LEAST_EVIDENCE = 3
 #: Shortest reading, in seconds, that says anything about the speed: what the way and
@@ -195,6 +198,17 @@
     return Speed(middle, max(KIN_SPREAD, statistics.pstdev(shown)))
 
 
+def is_news(told: Speed | None, known: Speed) -> bool:
+    """Return whether others would choose differently by what is known now.
+
+    >>> is_news(Speed(11.0, 0.2, 7), Speed(11.01, 0.19, 8))
+    False
+    """
+    if told is None or known.spread < told.spread / 2:
+        return True
+    return abs(known.logarithm - told.logarithm) >= NEWS_STEP
+
+
 def clamp(rate: float) -> float:
     """Return the nearest rate that an upstream may have."""
     return max(RATE_BOUNDS[0], min(RATE_BOUNDS[1], rate))
