trestlestall lost: what was late, refused or failed, by its cause, out of log files

Change: a registry of 16 causes, each a function of a request's lines; counts by route, second or process, as a table or JSON. forward_ended now tells the route's targets, without which a log doesn't say what was late. Not built: a picture over time; by data centre; late ones of old logs.

--- a/packages/client/src/trestlestall/client/cli.py
+++ b/packages/client/src/trestlestall/client/cli.py
@@ -3,18 +3,21 @@
 import dataclasses
 import functools
 import inspect
+import json
 import pathlib
 import typing
 from collections import abc
 
 from trestlestall.client import (
     calls,
+    losses,
     manual,
     reports,
     sessions,
     settings,
     status,
     stories,
+    tables,
     texts,
 )
 from trestlestall.daemon import checking, commands, environment
@@ -162,6 +165,25 @@
     return status.ExitStatus.OK
 
 
+@register_command("lost")
+def run_lost(call: Call, *, logs: str, by: str = "route") -> int:
+    """Tell which requests were not served in time, and why, by log files."""
+    if by not in losses.KEYS:
+        return call.refuse(f"--by takes one of {', '.join(losses.KEYS)}")
+    paths = [pathlib.Path(each) for each in logs.split(",")]
+    try:
+        rows, unreadable = losses.count(paths, by)
+    except OSError as error:
+        return call.refuse(f"can't read {error.filename}: {error.strerror}")
+    if call.as_json:
+        call.env.stdout.writelines(f"{json.dumps(row)}\n" for row in rows)
+    else:
+        call.env.stdout.write(tables.format_rows(rows))
+    if unreadable:
+        _complain(call.env, f"{unreadable} unreadable lines were passed over")
+    return status.ExitStatus.OK
+
+
 @register_command("status")
 def run_status(call: Call) -> int:
     """Show the state of the system as one server sees it."""
--- a/packages/client/src/trestlestall/client/manual.py
+++ b/packages/client/src/trestlestall/client/manual.py
@@ -9,6 +9,7 @@
     trestlestall command - | --file FILE [--number N] [--request-id ID] [--dry-run]
     trestlestall query TEXT
     trestlestall explain REQUEST [--logs FILE,FILE...]
+    trestlestall lost --logs FILE,FILE... [--by route|second|process]
     trestlestall status
     trestlestall check-settings FILE
     trestlestall --help
@@ -32,6 +33,9 @@
         Tell how a request was routed; its id stands in the answer's header
         Trestlestall-Request. With --logs, tell it out of collected log files, without
         asking a server: what each process decided, and what it believed meanwhile.
+    lost --logs FILE,FILE...
+        Count the forwarded requests that were late, refused or failed, by their cause
+        and by route, second or process, out of collected log files. Asks no server.
     status
         Show which version is in force where, who leads and who lags.
     check-settings FILE
--- a/packages/daemon/src/trestlestall/daemon/events/forwarding.py
+++ b/packages/daemon/src/trestlestall/daemon/events/forwarding.py
@@ -25,8 +25,9 @@
     "forward_ended",
     catalogue.Level.INFO,
     "request route upstream status outcome reason attempts events seconds"
-    " first_seconds longest_pause",
-    "The caller has its final answer, or has left; the outcome says which.",
+    " first_seconds longest_pause first_target pause_target",
+    "The caller has its final answer, or has left; the outcome says which. The targets"
+    " are the route's, for the first event or the answer and for pauses.",
 )
 REFUSED = catalogue.declare(
     "TS7003",
--- a/packages/daemon/src/trestlestall/daemon/gateway/records.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/records.py
@@ -111,4 +111,6 @@
         seconds=round(seconds, 4),
         first_seconds=None if first is None else round(first, 4),
         longest_pause=round(relay.longest_pause, 4),
+        first_target=forward.route.first_seconds,
+        pause_target=forward.route.pause_seconds,
     )
