Groups: a kind that nobody asks for is forgotten, and kinds part or meet with a margin

Cause, found by reading: a route that is gone kept two upstreams or more for good, and where the reading of one kind lies near the pause of another the groups would be made anew with each step of the learned speeds (vspa: 0.27 s of 0.25 s). Change: forgotten after 30 s; kinds that were apart share upstreams once reading is a fifth shorter than it must be. Both tests failed before (the margin's by its missing argument).

--- a/packages/forwarding/src/trestlestall/forwarding/groups.py
+++ b/packages/forwarding/src/trestlestall/forwarding/groups.py
@@ -37,12 +37,16 @@
 WAITING_SHARE = 0.85
 #: Part of the slots of a group that its streams may take.
 SLOTS_SHARE = 0.7
+#: How much shorter reading has to be until kinds that were apart share upstreams.
+APART_FACTOR = 1.25
 #: The least upstreams of a group: one of them may fail.
 LEAST_MEMBERS = 2
 #: Seconds over which demand is taken: the greater of both counts, so that a burst is
 #: met within a second and its end is believed later.
 SHORT_SECONDS = 1.0
 LONG_SECONDS = 4.0
+#: Seconds without a request after which a kind has no group any more.
+FORGET_SECONDS = 30.0
 #: Seconds of one count, and between two looks at the groups.
 COUNT_SECONDS = 0.25
 #: How much more than its need a group may have before it gives an upstream back.
@@ -108,6 +112,12 @@
         while now - counts[0][0] > LONG_SECONDS:
             counts.popleft()
 
+    def forget(self, now: float) -> None:
+        """Forget kinds that nobody has asked for lately: their route may be gone."""
+        for kind, counts in tuple(self._counts.items()):
+            if now - counts[-1][0] > FORGET_SECONDS:
+                del self._counts[kind], self.sizes[kind]
+
     def find_rate(self, kind: Kind, now: float) -> float:
         """Return the tokens that a second of the kind's requests brings.
 
@@ -125,7 +135,7 @@
 
 
 class Groups:
-    """The groups of one service; ``members`` are by kind."""
+    """The groups of one service, numbered from the one with the shortest pauses."""
 
     def __init__(self) -> None:
         self.demand = Demand()
@@ -142,7 +152,8 @@
         self._looked_at = now
         rates = [one.rate for one in present]
         middle = statistics.median(rates) if rates else 0.0
-        kinds = part_kinds(self.demand.sizes, middle)
+        self.demand.forget(now)
+        kinds = part_kinds(self.demand.sizes, middle, self._kinds)
         if kinds != self._kinds:
             self._kinds = kinds
             self._assigned = {}
@@ -191,11 +202,14 @@
 
 
 def part_kinds(
-    sizes: abc.Mapping[Kind, float], rate: float
+    sizes: abc.Mapping[Kind, float],
+    rate: float,
+    before: abc.Iterable[tuple[Kind, ...]] = (),
 ) -> tuple[tuple[Kind, ...], ...]:
     """Return the kinds that may share upstreams of this speed, shortest pauses first.
 
-    ``sizes`` are the tokens of a prompt, by kind.
+    ``sizes`` are the tokens of a prompt, by kind. Those of different groups ``before``
+    share upstreams only once they clearly may: each change moves many upstreams.
 
     >>> part_kinds({0.2: 1_500, 0.3: 9_000, 0.4: 5_000}, 100_000)
     ((0.2,), (0.3, 0.4))
@@ -203,8 +217,11 @@
     if not rate:
         return ()
     groups: list[tuple[Kind, ...]] = []
+    numbers = {kind: number for number, some in enumerate(before) for kind in some}
     for kind in sorted(sizes):
         reading = SPELL_FACTOR * sizes[kind] / rate
+        if groups and numbers.get(kind) != numbers.get(groups[-1][0]):
+            reading *= APART_FACTOR
         if groups and reading <= groups[-1][0]:
             groups[-1] += (kind,)
         else:
--- a/packages/forwarding/tests/test_groups.py
+++ b/packages/forwarding/tests/test_groups.py
@@ -35,6 +35,14 @@
         found = groups.part_kinds(SIZES, 900_000.0)
         self.assertEqual(found, ((SHORT, MIDDLE, LONG),))
 
+    def test_kinds_that_were_apart_stay_so_near_the_bound(self):
+        sizes = {SHORT: 1_500.0, MIDDLE: 7_500.0}
+        shared = ((SHORT, MIDDLE),)
+        apart = ((SHORT,), (MIDDLE,))
+        self.assertEqual(groups.part_kinds(sizes, 100_000.0, shared), shared)
+        self.assertEqual(groups.part_kinds(sizes, 100_000.0, apart), apart)
+        self.assertEqual(groups.part_kinds(sizes, 130_000.0, apart), shared)
+
 
 class GroupsTest(unittest.TestCase):
     rates = {SHORT: 60_000.0, MIDDLE: 200_000.0, LONG: 900_000.0}
@@ -103,6 +111,16 @@
         known = self.arrange(self.rates, members)
         self.assertLessEqual(known.list_members(0), {"v0", "v1", "v2", "v3"})
 
+    def test_a_kind_that_nobody_asks_for_gives_its_upstreams_back(self):
+        members = make_members()
+        known = self.arrange(self.rates, members)
+        left = {kind: self.rates[kind] for kind in (SHORT, LONG)}
+        now = ask(known, left, groups.FORGET_SECONDS + 1.0, 2.0)
+        known.arrange(members, now)
+        self.assertEqual(known.count().keys(), {SHORT, LONG})
+        self.assertEqual(sum(known.count().values()), len(members))
+        self.assertIsNone(known.find_group(MIDDLE))
+
     def test_one_kind_alone_has_all(self):
         known = self.arrange({LONG: 900_000.0}, make_members())
         self.assertIsNone(known.find_group(LONG))
