--- a/packages/forwarding/src/trestlestall/forwarding/arranging.py
+++ b/packages/forwarding/src/trestlestall/forwarding/arranging.py
@@ -67,7 +67,7 @@
 
         ``near`` are those of the service that are within reach and may be chosen. A
         request goes to its own group. Where it would be refused there, those that serve
-        longer pauses come next, and all where neither has one.
+        longer pauses come next, then any that does nothing now.
         """
         found = self.groups.setdefault(descriptor.service, groups.Groups())
         if found.is_due(now):
@@ -79,6 +79,7 @@
             return [near]
         members = (found.list_members(number), found.list_later(number))
         choices = [[row for row in near if row.identity in some] for some in members]
+        choices.append([row for row in near if not self._known[row.identity].tasks])
         return [rows for rows in choices if rows] or [near]
 
     def note_demand(
--- a/packages/forwarding/tests/test_groups.py
+++ b/packages/forwarding/tests/test_groups.py
@@ -191,6 +191,20 @@
         self.assertIsInstance(found, placement.Placed)
         self.assertNotIn(found.row.identity, mine)
 
+    def test_an_idle_upstream_of_another_group_is_not_left_idle(self):
+        placer = self.build(ALL)
+        self.place_mixed(placer)
+        known = placer.arranging.groups["engines"]
+        number = known.find_group(SHORT)
+        idle = min(known.list_members(number))
+        for request in tuple(placer.engines[idle].tasks):
+            placer.end(request, 3.0)
+        descriptor = samples.make_descriptor(
+            "late", 20_000, pause_seconds=LONG, first_seconds=0.5, may_return=True
+        )
+        found = placer.place(descriptor, 3.01)
+        self.assertEqual(found.row.identity, idle)
+
     def test_an_upstream_that_fails_counts_as_no_room(self):
         placer = self.build(ALL)
         self.place_mixed(placer)
