Parts of a prompt are fetched from upstreams of other groups too

Cause: sources of a transfer were looked for among the upstreams of the request's own group, so that what an upstream held when it changed groups was read again. Change: sources are all upstreams within reach. The test failed before.

--- a/packages/forwarding/src/trestlestall/forwarding/placement.py
+++ b/packages/forwarding/src/trestlestall/forwarding/placement.py
@@ -154,7 +154,7 @@
         if features.keeps_apart:
             choices = self.arranging.list_choices(serving, near, descriptor, now)
         for allowed in choices:
-            best = self._find_best(allowed, descriptor, now)
+            best = self._find_best(allowed, near, descriptor, now)
             outlook = self._foresee(best, allowed, descriptor, now)
             is_refused = not tried and is_due(descriptor, outlook)
             if not is_refused:
@@ -249,11 +249,15 @@
     def _find_best(
         self,
         rows: abc.Sequence[upstreams.Row],
+        near: abc.Sequence[upstreams.Row],
         descriptor: descriptors.Descriptor,
         now: float,
     ) -> Candidate:
-        """Return the upstream of the least cost; of equal ones by their rendezvous."""
-        sources = fetching.list_sources(rows, self.engines, descriptor)
+        """Return the upstream of the least cost; of equal ones by their rendezvous.
+
+        Parts of the prompt may be fetched from all that are ``near``.
+        """
+        sources = fetching.list_sources(near, self.engines, descriptor)
         few = shortlists.choose(rows, self.engines, descriptor)
         found = [self._weigh(row, descriptor, sources, now) for row in few]
         least = min(one.cost for one in found)
--- a/packages/forwarding/tests/test_groups.py
+++ b/packages/forwarding/tests/test_groups.py
@@ -137,9 +137,10 @@
 class PlacerTest(unittest.TestCase):
     """Groups are used where settings and size call for them, and nowhere else."""
 
-    def build(self, features, count=24, slots=48):
+    def build(self, features, count=24, slots=48, token_seconds=0.0):
         placer = placement.Placer(features)
-        stated = model.Service("engines", "/healthz", 100, model.Engine(slots, 400_000))
+        engine = model.Engine(slots, 400_000, token_seconds)
+        stated = model.Service("engines", "/healthz", 100, engine)
         configuration = samples.make_configuration(services={"engines": stated})
         rows = [
             samples.make_row(f"u{number}", slots=slots, data_centre="abcd"[number % 4])
@@ -191,6 +192,23 @@
         self.assertIsInstance(found, placement.Placed)
         self.assertNotIn(found.row.identity, mine)
 
+    def test_parts_are_fetched_from_upstreams_of_other_groups(self):
+        placer = self.build(ALL, token_seconds=1e-7)
+        self.place_mixed(placer)
+        known = placer.arranging.groups["engines"]
+        holder = min(known.list_members(known.find_group(SHORT)))
+        parts_held = (("shared", 18_000), ("own", 100))
+        for request in ("first", "second"):
+            descriptor = samples.make_descriptor(
+                request, 18_100, parts_held, pause_seconds=LONG, first_seconds=90.0
+            )
+            if request == "first":
+                placer.adopt(descriptor, holder, 3.0)
+                placer.note_first(request, 3.2)
+        found = placer.place(descriptor, 3.3)
+        self.assertNotEqual(found.row.identity, holder)
+        self.assertEqual(found.fetch_from, placer.rows[holder].address)
+
     def test_an_idle_upstream_of_another_group_is_not_left_idle(self):
         placer = self.build(ALL)
         self.place_mixed(placer)
