--- a/packages/forwarding/src/trestlestall/forwarding/arranging.py
+++ b/packages/forwarding/src/trestlestall/forwarding/arranging.py
@@ -30,6 +30,8 @@
         self, features: parts.Features, known: abc.Mapping[str, engines.Upstream]
     ) -> None:
         self.groups: dict[str, groups.Groups] = {}
+        #: Services whose upstreams may be ordered and let go.
+        self.ordered: frozenset[str] = frozenset()
         self._features = features
         self._known = known
         self._delays: dict[str, speeds.Delay] = {}
@@ -39,8 +41,14 @@
         slots = min((self._known[row.identity].slots for row in rows), default=0)
         return len(rows), slots
 
-    def find_features(self, rows: abc.Collection[upstreams.Row]) -> parts.Features:
-        """Return which parts are on for a service that these upstreams serve."""
+    def find_features(self, rows: abc.Sequence[upstreams.Row]) -> parts.Features:
+        """Return which parts are on for a service that these upstreams serve.
+
+        None where more upstreams may be ordered: a fleet that follows demand is short
+        of room for a moment, and each change of the groups costs parts that are held.
+        """
+        if any(row.service in self.ordered for row in rows[:1]):
+            return parts.NONE
         called_for = parts.are_called_for(self._features, *self.count_size(rows))
         return self._features if called_for else parts.NONE
 
--- a/packages/forwarding/src/trestlestall/forwarding/placement.py
+++ b/packages/forwarding/src/trestlestall/forwarding/placement.py
@@ -117,6 +117,11 @@
         for identity in self.engines.keys() - self.rows.keys():
             if not self.engines[identity].tasks:
                 del self.engines[identity]
+        if configuration is not None:
+            services = configuration.services.values()
+            self.arranging.ordered = frozenset(
+                one.name for one in services if one.scaling is not None
+            )
         for service, serving in self._by_service.items():
             self.arranging.note_serving(service, serving)
 
--- a/packages/forwarding/tests/test_groups.py
+++ b/packages/forwarding/tests/test_groups.py
@@ -4,6 +4,7 @@
 import unittest
 
 from packages.forwarding.tests import room, samples, world
+from trestlestall.duties import supply
 from trestlestall.forwarding import groups, model, parts, placement, upstreams
 
 SHORT, MIDDLE, LONG = 0.2, 0.3, 0.8
@@ -137,10 +138,10 @@
 class PlacerTest(unittest.TestCase):
     """Groups are used where settings and size call for them, and nowhere else."""
 
-    def build(self, features, count=24, slots=48, token_seconds=0.0):
+    def build(self, features, count=24, slots=48, token_seconds=0.0, scaling=None):
         placer = placement.Placer(features)
         engine = model.Engine(slots, 400_000, token_seconds)
-        stated = model.Service("engines", "/healthz", 100, engine)
+        stated = model.Service("engines", "/healthz", 100, engine, scaling)
         configuration = samples.make_configuration(services={"engines": stated})
         rows = [
             samples.make_row(f"u{number}", slots=slots, data_centre="abcd"[number % 4])
@@ -182,6 +183,11 @@
                 self.assertEqual(self.place_mixed(on), self.place_mixed(off))
                 self.assertEqual(on.arranging.list_speeds(), {})
 
+    def test_where_upstreams_may_be_ordered_all_serve_all(self):
+        terms = supply.Terms(1, 60, 4.0, {})
+        ordered, off = self.build(ALL, scaling=terms), self.build(parts.NONE)
+        self.assertEqual(self.place_mixed(ordered), self.place_mixed(off))
+
     def test_a_group_that_is_out_of_reach_is_not_waited_for(self):
         placer = self.build(ALL)
         self.place_mixed(placer)
