Requests that waited under another process teach no speed

What callers saw: after each takeover of the directory that places, engines counted as slow as their requests were old, so that requests were refused and placed by false speeds.

Cause: an adopted request's first event was taken for a lesson with the time since it was placed, though what it waited for, and often the event itself, came before the adoption.

Why this mends it: a request that was adopted with an age teaches neither speed nor pauses, whatever comes of it. Gateways adopt with age 0 and learn as before.

--- a/packages/forwarding/src/trestlestall/forwarding/engines.py
+++ b/packages/forwarding/src/trestlestall/forwarding/engines.py
@@ -51,7 +51,9 @@
 
     ``unread`` are the prompt tokens that the engine has to read for it, ``left`` the
     seconds of reading that are estimated to be left of them. ``read_before`` are the
-    seconds that the engine had read in all when the first event came.
+    seconds that the engine had read in all when the first event came. ``teaches`` tells
+    whether all of its course was seen here: else its times don't show what the engine
+    does.
     """
 
     descriptor: descriptors.Descriptor
@@ -64,6 +66,7 @@
     began: bool = False
     waited: bool = False
     read_before: float = 0.0
+    teaches: bool = True
 
     @property
     def tokens(self) -> int:
@@ -268,7 +271,7 @@
             task.waited,
         )
         self._read_at = now
-        if self._has_memory():
+        if task.teaches and self._has_memory():
             self.learner.learn(lesson)
 
     def end(self, request_id: str, now: float, pause: float = 0.0) -> Task | None:
@@ -281,7 +284,7 @@
         if task is not None and task.began:
             held = now - task.placed_at
             self.hold_seconds += HOLD_LEARNING * (held - self.hold_seconds)
-            if pause:
+            if pause and task.teaches:
                 self.pauses.learn(pause, self._read_seconds - task.read_before)
         return task
 
--- a/packages/forwarding/src/trestlestall/forwarding/placement.py
+++ b/packages/forwarding/src/trestlestall/forwarding/placement.py
@@ -220,7 +220,12 @@
         if row is None:
             return Refused("unknown upstream", RETURN_SECONDS)
         found = self._begin(row, descriptor, now)
-        self.engines[identity].tasks[descriptor.request_id].placed_at -= age
+        if age:
+            task = self.engines[identity].tasks[descriptor.request_id]
+            task.placed_at -= age
+            # What it waited for until now was not seen here: its first event would show
+            # an engine that is as slow as the request is old.
+            task.teaches = False
         return found
 
     def set_reachable(self, identity: str, reachable: bool) -> None:
--- a/packages/forwarding/tests/test_placement.py
+++ b/packages/forwarding/tests/test_placement.py
@@ -145,6 +145,18 @@
             self.placer.end(name, number + 5 * found.predicted)
         self.assertLess(engine.read_rate, before / 2)
 
+    def test_a_request_that_waited_elsewhere_shows_no_speed(self):
+        # Each takeover taught that engines read as slowly as requests are old.
+        engine = self.placer.engines["u1"]
+        before = engine.read_rate
+        for number in range(20):
+            name = f"r{number}"
+            request = samples.make_descriptor(name, tokens=10_000)
+            self.placer.adopt(request, "u1", float(number), age=3.0)
+            self.placer.note_first(name, number + 0.001)
+            self.placer.end(name, number + 0.5, pause=2.0)
+        self.assertEqual(engine.read_rate, before)
+
 
 class DescriptorTest(unittest.TestCase):
     def test_descriptors_survive_the_wire(self):
