A successor counts what runs as demand, so kinds stay apart after a takeover

What callers saw: in a burst, for about a second after another directory began to place, long prompts were let in beside streams that may not pause.

Cause: kinds and groups come from the demand, and a process counted only what it had placed itself.

Why this mends it: gateways tell each new arbiter what runs, with ages; each of these now counts at the time at which it was placed, once, however often it is told. No message is new.

--- a/packages/forwarding/src/trestlestall/forwarding/arranging.py
+++ b/packages/forwarding/src/trestlestall/forwarding/arranging.py
@@ -3,6 +3,7 @@
 ``Placer`` chooses among what ``list_choices`` returns, and tells what was asked for.
 """
 
+import collections
 import math
 from collections import abc
 
@@ -35,6 +36,8 @@
         self._features = features
         self._known = known
         self._delays: dict[str, speeds.Delay] = {}
+        #: When each request was counted, for those that the demand still holds.
+        self._counted: collections.OrderedDict[str, float] = collections.OrderedDict()
 
     def count_size(self, rows: abc.Collection[upstreams.Row]) -> tuple[int, int]:
         """Return how many upstreams there are, and the least slots of one of them."""
@@ -97,6 +100,35 @@
         size = engines.find_work(descriptor.tokens_in)
         demand = self.groups[descriptor.service].demand
         demand.note(find_kind(descriptor), size, engines.find_work(unread), now)
+        self._keep_counted(descriptor.request_id, now)
+
+    def note_earlier(
+        self,
+        descriptor: descriptors.Descriptor,
+        unread: int,
+        placed_at: float,
+        now: float,
+    ) -> None:
+        """Count a request that another process placed, as ``note_demand`` does.
+
+        A process that takes over in a burst has the kinds and the demand of the seconds
+        before from it; until it has seen them itself, long prompts would be let in
+        beside streams that may not pause. A gateway whose link is new tells all that it
+        has, also what was placed here.
+        """
+        if descriptor.request_id in self._counted:
+            return
+        self._keep_counted(descriptor.request_id, now)
+        found = self.groups.setdefault(descriptor.service, groups.Groups())
+        size = engines.find_work(descriptor.tokens_in)
+        work = engines.find_work(unread)
+        found.demand.note_earlier(find_kind(descriptor), size, work, placed_at)
+
+    def _keep_counted(self, request_id: str, now: float) -> None:
+        self._counted[request_id] = now
+        self._counted.move_to_end(request_id)
+        while now - next(iter(self._counted.values())) > groups.LONG_SECONDS:
+            self._counted.popitem(last=False)
 
     def _is_sound(self, row: upstreams.Row) -> bool:
         """Return whether an upstream counts as room of its service."""
--- a/packages/forwarding/src/trestlestall/forwarding/groups.py
+++ b/packages/forwarding/src/trestlestall/forwarding/groups.py
@@ -14,9 +14,11 @@
 little for all, their part is cut down to what still keeps their pauses.
 """
 
+import bisect
 import collections
 import dataclasses
 import math
+import operator
 import statistics
 from collections import abc
 
@@ -101,8 +103,7 @@
         """Count a request whose prompt has a size, and so many tokens left to read."""
         if self._began_at is None:
             self._began_at = now
-        known = self.sizes.get(kind, size)
-        self.sizes[kind] = known + SIZE_LEARNING * (size - known)
+        self._learn_size(kind, size)
         counts = self._counts.setdefault(kind, collections.deque())
         if counts and now - counts[-1][0] < COUNT_SECONDS:
             began, before = counts.pop()
@@ -112,6 +113,25 @@
         while now - counts[0][0] > LONG_SECONDS:
             counts.popleft()
 
+    def note_earlier(self, kind: Kind, size: float, tokens: float, at: float) -> None:
+        """Count a request that another process placed at a time before now.
+
+        Such are told in any order.
+        """
+        self._began_at = at if self._began_at is None else min(self._began_at, at)
+        self._learn_size(kind, size)
+        counts = self._counts.setdefault(kind, collections.deque())
+        place = bisect.bisect(counts, at, key=operator.itemgetter(0))
+        if place and at - counts[place - 1][0] < COUNT_SECONDS:
+            began, before = counts[place - 1]
+            counts[place - 1] = (began, before + tokens)
+        else:
+            counts.insert(place, (at, tokens))
+
+    def _learn_size(self, kind: Kind, size: float) -> None:
+        known = self.sizes.get(kind, size)
+        self.sizes[kind] = known + SIZE_LEARNING * (size - known)
+
     def forget(self, now: float) -> None:
         """Forget kinds that nobody has asked for lately: their route may be gone."""
         for kind, counts in tuple(self._counts.items()):
--- a/packages/forwarding/src/trestlestall/forwarding/placement.py
+++ b/packages/forwarding/src/trestlestall/forwarding/placement.py
@@ -226,6 +226,10 @@
             # What it waited for until now was not seen here: its first event would show
             # an engine that is as slow as the request is old.
             task.teaches = False
+            if self.find_features(descriptor.service).keeps_apart:
+                self.arranging.note_earlier(
+                    descriptor, found.unread, task.placed_at, now
+                )
         return found
 
     def set_reachable(self, identity: str, reachable: bool) -> None:
--- a/packages/forwarding/tests/test_groups.py
+++ b/packages/forwarding/tests/test_groups.py
@@ -45,6 +45,20 @@
         self.assertEqual(groups.part_kinds(sizes, 130_000.0, apart), shared)
 
 
+class DemandTest(unittest.TestCase):
+    def test_what_is_told_in_any_order_counts_where_it_belongs(self):
+        at = [number / 20 for number in range(100)]
+        seen, told = groups.Demand(), groups.Demand()
+        for when in at:
+            seen.note(LONG, SIZES[LONG], 1_000, when)
+        for when in at[::2] + at[::-2]:
+            told.note_earlier(LONG, SIZES[LONG], 1_000, when)
+        for demand in (seen, told):
+            self.assertAlmostEqual(demand.find_rate(LONG, 5.0), 20_000, delta=5_000)
+            self.assertEqual(demand.find_rate(LONG, 15.0), 0.0)
+        self.assertEqual(seen.sizes, told.sizes)
+
+
 class GroupsTest(unittest.TestCase):
     rates = {SHORT: 60_000.0, MIDDLE: 200_000.0, LONG: 900_000.0}
 
@@ -170,6 +184,39 @@
         went = self.place_mixed(self.build(ALL))
         self.assertFalse(went[SHORT] & went[LONG])
 
+    def take_over(self, before, now, tellings=1):
+        """Return a placer that was told, so many times, what runs where."""
+        after = self.build(ALL)
+        for _ in range(tellings):
+            for engine in before.engines.values():
+                for task in tuple(engine.tasks.values()):
+                    after.end(task.descriptor.request_id, now)
+                    age = now - task.placed_at
+                    after.adopt(task.descriptor, engine.identity, now, age)
+        return after
+
+    def test_who_takes_over_keeps_kinds_apart_from_the_first_request_on(self):
+        before = self.build(ALL)
+        self.place_mixed(before)
+        short = before.arranging.groups["engines"].find_group(SHORT)
+        mine = before.arranging.groups["engines"].list_members(short)
+        after = self.take_over(before, 3.01)
+        found = self.place(after, "next", 3.01, LONG, 20_000)
+        self.assertNotIn(found.row.identity, mine)
+        self.assertIsNotNone(after.arranging.groups["engines"].find_group(SHORT))
+
+    def test_what_is_told_twice_is_one_demand(self):
+        before = self.build(ALL)
+        self.place_mixed(before)
+        rates = [
+            self.take_over(before, 3.01, tellings)
+            .arranging.groups["engines"]
+            .demand.find_rate(LONG, 3.01)
+            for tellings in (1, 2)
+        ]
+        self.assertGreater(rates[0], 0)
+        self.assertEqual(rates[0], rates[1])
+
     def test_switched_off_all_serve_all(self):
         placer = self.build(parts.NONE)
         self.place_mixed(placer)
@@ -280,6 +327,7 @@
         self.assertGreater(largest, 0.5 * all_served)
 
     def test_takeovers_cost_callers_little(self):
+        # A successor without demand let long prompts in beside streams' pauses.
         undisturbed, _ = self.find_shares(ALL)
         told = self.play_takeovers(told=True)
         self.assertGreater(told, undisturbed - 0.1)
