Log when the answer under a key is on record, and how long that took

claim_finished stood in the catalogue and was never written, so that a resend's refusal could not be told from a finish that was on its way, lost or refused. No logic changed.

--- a/packages/daemon/src/trestlestall/daemon/events/routing.py
+++ b/packages/daemon/src/trestlestall/daemon/events/routing.py
@@ -102,8 +102,10 @@
     "TS2014",
     "claim_finished",
     catalogue.Level.INFO,
-    "request workspace key attempt status kept",
-    "The answer under a key was recorded, so that a resend gets it again.",
+    "request workspace key status outcome seconds",
+    "Control has answered, after so many seconds, that the answer under a key is on"
+    " record: from now on a resend gets it. With any other outcome than recorded it"
+    " never will.",
 )
 REPLAYED = catalogue.declare(
     "TS2015",
--- a/packages/daemon/src/trestlestall/daemon/router/claims.py
+++ b/packages/daemon/src/trestlestall/daemon/router/claims.py
@@ -39,10 +39,15 @@
 
 @dataclasses.dataclass
 class Report:
-    """A finish or release that control has not acknowledged yet."""
+    """A finish or release that control has not acknowledged yet.
+
+    ``exchange`` is the request whose answer is to be recorded, None for a release.
+    """
 
     event: claim_events.Event
     sent_at: float
+    first_sent_at: float
+    exchange: exchanges.Exchange | None = None
 
 
 class Desk:
@@ -95,7 +100,7 @@
         event = claim_events.Finish(
             exchange.request, answer.status, answer.content_type, body
         )
-        self._report(exchange.request, event)
+        self._report(exchange.request, event, exchange)
 
     def release(self, request: str) -> None:
         """Give a claim back: this router never sent the request and never will."""
@@ -114,7 +119,7 @@
         if exchange is not None:
             self._take_outcome(exchange, outcome)
         elif request in self._reports and not isinstance(outcome, outcomes.Granted):
-            del self._reports[request]
+            self._write_finished(self._reports.pop(request), outcome)
 
     def redirect(self, token: int) -> None:
         """Make a call again, now to the leader that another control process named."""
@@ -160,12 +165,31 @@
         kind = document.pop(kinds.KIND)
         self._send(messages.ClaimCall(self._token, kind, document))
 
-    def _report(self, request: str, event: claim_events.Event) -> None:
-        self._reports[request] = Report(event, self._monotonic())
+    def _report(
+        self,
+        request: str,
+        event: claim_events.Event,
+        exchange: exchanges.Exchange | None = None,
+    ) -> None:
+        now = self._monotonic()
+        self._reports[request] = Report(event, now, now, exchange)
         if len(self._reports) > REPORT_LIMIT:
             del self._reports[next(iter(self._reports))]
         self._call(request, event)
 
+    def _write_finished(self, report: Report, outcome: outcomes.Outcome) -> None:
+        if report.exchange is None:
+            return
+        self._journal.write(
+            events.routing.CLAIM_FINISHED,
+            request=report.exchange.request,
+            workspace=report.exchange.workspace.name,
+            key=report.exchange.claim_key,
+            status=report.event.status,
+            outcome=type(outcome).__name__.lower(),
+            seconds=round(self._monotonic() - report.first_sent_at, 4),
+        )
+
     def give_up(self, request: str) -> None:
         exchange = self._asked.pop(request, None)
         if exchange is None:
