A request counts as under way until its answer is on record

What callers saw: a caller had left, the router said that its request was over, and the resend at another router was told 409 request_in_progress, outcome unknown, and to wait a second; the same call 0.06 s later got the answer.

Cause: the router forgot the request once its finish was sent, before control had put the answer on record. Ruled out: a voter that doesn't answer (503), a finish that is lost (the next call was replayed).

Why this mends it: show requests and the status' count hold a request that may run only once until control has acknowledged its finish, whatever that takes.

--- a/packages/daemon/src/trestlestall/daemon/router/claims.py
+++ b/packages/daemon/src/trestlestall/daemon/router/claims.py
@@ -142,6 +142,11 @@
         """Whether the request's own claim is on its way."""
         return request in self._asked
 
+    def list_unrecorded(self) -> list[exchanges.Exchange]:
+        """Return the requests whose answer control has not put on record yet."""
+        reports = self._reports.values()
+        return [one.exchange for one in reports if one.exchange is not None]
+
     @property
     def is_idle(self) -> bool:
         """Whether control has acknowledged everything."""
--- a/packages/daemon/src/trestlestall/daemon/router/dispatcher.py
+++ b/packages/daemon/src/trestlestall/daemon/router/dispatcher.py
@@ -167,6 +167,15 @@
         """Whether any request or attempt is under way."""
         return bool(self.exchanges or self.attempts)
 
+    def list_open(self) -> list[exchanges.Exchange]:
+        """Return the requests under way.
+
+        One that may run only once is under way until its answer is on record: whoever
+        is told earlier that it is over would resend it and learn of no outcome.
+        """
+        recording = {one.request: one for one in self.desk.list_unrecorded()}
+        return list({**self.exchanges, **recording}.values())
+
     # The parts of the above.
 
     def start(self, attempt: attempts.Attempt) -> None:
--- a/packages/daemon/src/trestlestall/daemon/router/operators.py
+++ b/packages/daemon/src/trestlestall/daemon/router/operators.py
@@ -140,7 +140,7 @@
             "tokens": exchange.tokens,
             "age": round(now - exchange.arrived_at, 3),
         }
-        for exchange in site.dispatcher.exchanges.values()
+        for exchange in site.dispatcher.list_open()
     ]
 
 
--- a/packages/daemon/src/trestlestall/daemon/router/overview.py
+++ b/packages/daemon/src/trestlestall/daemon/router/overview.py
@@ -30,7 +30,7 @@
         "cut_off": site.agreed.is_cut_off(now),
         "ready": find_unready_reason(site) is None,
         "stopping": site.stopping,
-        "requests": len(site.dispatcher.exchanges),
+        "requests": len(site.dispatcher.list_open()),
         "upstreams": len(site.members.table.list_live(now)),
         "links": sorted(site.mesh.linked()),
         "control_leader": site.controls.leader,
--- a/packages/daemon/tests/test_router_claims.py
+++ b/packages/daemon/tests/test_router_claims.py
@@ -6,7 +6,7 @@
 import unittest
 
 from packages.daemon.tests import router_bench
-from trestlestall.standins import processes
+from trestlestall.standins import calls, processes
 
 
 class ClaimsTest(unittest.TestCase):
@@ -94,6 +94,7 @@
         self.assertEqual(self.count("k5"), 1)
 
     def test_a_caller_who_is_gone_finds_the_answer_by_a_resend(self):
+        # A request was shown as over while its answer was not on record yet.
         self.bench.set_fault(self.service, kind="stall")
         with self.bench.leave_service("/book", "k6"):
             self.wait_for_work("k6")
@@ -103,6 +104,24 @@
         self.assertEqual((answer.status, answer.document["times"]), (200, 1))
         self.assertEqual(self.count("k6"), 1)
 
+    def test_a_request_is_shown_until_its_answer_is_on_record(self):
+        self.bench.set_fault(self.service, kind="stall")
+        with self.bench.leave_service("/book", "k9"):
+            self.wait_for_work("k9")
+        self.bench.control.send_signal(signal.SIGSTOP)
+        self.bench.set_fault(self.service, kind="none")
+        processes.wait_until(self.has_completed, "the service has answered")
+        self.assertEqual(len(self.bench.read_rows("show requests")), 1)
+        self.bench.control.send_signal(signal.SIGCONT)
+        self.wait_until_idle()
+        self.assertEqual(self.call("k9", 1).status, 200)
+
+    def has_completed(self) -> bool:
+        """Return whether an attempt of the first router has completed."""
+        where = self.bench.routers[0].platform
+        text = calls.call("GET", where, "/metrics").data.decode()
+        return 'attempts_total{outcome="completed"} 1.0' in text
+
     def test_without_control_nothing_runs_and_the_key_stays_free(self):
         self.bench.control.send_signal(signal.SIGSTOP)
         self.check(self.call("k7"), 503, "claim_unavailable", "not_run")
--- a/packages/daemon/tests/test_router_lookups.py
+++ b/packages/daemon/tests/test_router_lookups.py
@@ -1,10 +1,20 @@
-"""Lookups before a refusal: one question each, bounded, settled once in any case."""
+"""Lookups before a refusal, settled once in any case; answers that go on record."""
 
+import io
+import json
 import types
 import unittest
 
 from trestlestall.claims import documents, events, outcomes
-from trestlestall.daemon.router import calls, exchanges, lookups
+from trestlestall.daemon import environment, logs, metrics
+from trestlestall.daemon.router import (
+    attempts,
+    calls,
+    claims,
+    exchanges,
+    journal,
+    lookups,
+)
 
 HELD = outcomes.Held("router-2")
 
@@ -66,5 +76,47 @@
         self.assertEqual(len(self.sent), len(tokens) + 1)
 
 
+class RecordTest(unittest.TestCase):
+    """A request that may run only once is open until its answer is on record."""
+
+    def setUp(self):
+        self.sent, self.now = [], 0.0
+        self.output = io.StringIO()
+        clock = environment.Clock()
+        self.desk = claims.Desk(
+            "router-1",
+            self.sent.append,
+            lambda: self.now,
+            journal.Journal(logs.Log(self.output, clock, "router-1"), clock),
+            metrics.Metrics(),
+        )
+
+    def tell(self, outcome: outcomes.Outcome) -> None:
+        """Let control answer the last call."""
+        fields = documents.encode_outcome(outcome)
+        self.desk.take_answer(self.sent[-1].token, fields.pop("kind"), fields)
+
+    def test_an_answer_is_unrecorded_until_control_says_that_it_is(self):
+        exchange = make_exchange()
+        self.desk.finish(exchange, attempts.Response(200, "text/plain", b"x"))
+        self.tell(outcomes.Granted("r1"))
+        self.assertEqual(self.desk.list_unrecorded(), [exchange])
+        self.now = claims.RESEND_SECONDS
+        self.desk.resend()
+        self.assertEqual(self.desk.list_unrecorded(), [exchange])
+        self.tell(outcomes.Recorded())
+        self.assertEqual(self.desk.list_unrecorded(), [])
+        (line,) = map(json.loads, self.output.getvalue().splitlines())
+        found = (line["name"], line["outcome"], line["seconds"])
+        self.assertEqual(found, ("claim_finished", "recorded", self.now))
+
+    def test_a_release_has_no_answer_to_record(self):
+        self.desk.release("r1")
+        self.assertEqual(self.desk.list_unrecorded(), [])
+        self.tell(outcomes.Recorded())
+        self.assertTrue(self.desk.is_idle)
+        self.assertEqual(self.output.getvalue(), "")
+
+
 if __name__ == "__main__":
     unittest.main()
