A request leaves an upstream that is out of view for the time of a stall

What callers saw: an idempotent request without a token, at an upstream that had dropped out of the view, waited there for as long as its caller did, up to 120 s.

Cause: a hedge needs a straggler, and stragglers are judged among the upstreams in view; one that is gone counts as none.

--- a/packages/policy/src/trestlestall/policy/hedges.py
+++ b/packages/policy/src/trestlestall/policy/hedges.py
@@ -1,7 +1,9 @@
-"""Hedges: a second attempt for a request that sits at a straggler.
+"""Hedges: a second attempt for a request that sits at a straggler, or at one gone.
 
 Only for idempotent classes, before the first token, within the budget, and once for a
-request. The attempt that brings a token first answers; the other one is cancelled.
+request. The attempt that brings a token first answers; the other one is cancelled. An
+upstream that is out of view may only be leaving as planned, and finish what it has: it
+is given the time of a stall.
 """
 
 import heapq
@@ -18,6 +20,8 @@
         self._sender = sender
         self._heap: list[tuple[float, int, str]] = []
         self._numbers = itertools.count()
+        #: When the upstream of an attempt was first seen to be out of view.
+        self._gone_at: dict[str, float] = {}
 
     def watch(self, sent: list[actions.Action], now: float) -> None:
         """Watch the attempts among some actions."""
@@ -31,15 +35,13 @@
         while self._heap and self._heap[0][0] <= now:
             _, _, name = heapq.heappop(self._heap)
             attempt = self._core.attempts.get(name)
-            if attempt is None or attempt.started:
-                continue
-            if len(attempt.flight.attempts) > 1 or not attempt.flight.idempotent:
-                continue
-            hedge = self._hedge(attempt, now)
-            if hedge is None:
-                self._push(name, now)
-            else:
+            if attempt is not None and may_hedge(attempt):
+                hedge = self._hedge(attempt, now)
+                if hedge is None:
+                    self._push(name, now)
+                    continue
                 decided.append(hedge)
+            self._gone_at.pop(name, None)
         return decided
 
     def _push(self, name: str, now: float) -> None:
@@ -48,7 +50,8 @@
 
     def _hedge(self, attempt: flights.Attempt, now: float) -> actions.Send | None:
         flight = attempt.flight
-        if not self._core.watch.is_straggling(attempt.upstream):
+        is_slow = self._core.watch.is_straggling(attempt.upstream)
+        if not is_slow and not self._is_lost(attempt, now):
             return None
         if flight.sends >= self._core.settings.attempts_most:
             return None
@@ -57,3 +60,21 @@
         if place is None or not self._core.budget.take():
             return None
         return self._sender.send(flight, place, flight.tier, now)
+
+    def _is_lost(self, attempt: flights.Attempt, now: float) -> bool:
+        """Return whether the upstream has been out of view for the time of a stall.
+
+        No straggler is judged among those in view any more: without this a request that
+        it never answers would stay there for as long as its caller waits.
+        """
+        if self._core.fleet.find(attempt.upstream, attempt.incarnation) is not None:
+            self._gone_at.pop(attempt.name, None)
+            return False
+        gone_at = self._gone_at.setdefault(attempt.name, now)
+        return now - gone_at >= self._core.settings.stall_time
+
+
+def may_hedge(attempt: flights.Attempt) -> bool:
+    """Return whether a second attempt may run beside this one."""
+    flight = attempt.flight
+    return not attempt.started and len(flight.attempts) == 1 and flight.idempotent
--- a/packages/policy/tests/test_attempts.py
+++ b/packages/policy/tests/test_attempts.py
@@ -188,3 +188,43 @@
 
     def test_no_hedge_without_budget_or_for_at_most_once(self):
         self.assertEqual([], self.run_with_straggler(ALERT, 0.1)[1])
+
+
+class GoneTest(unittest.TestCase):
+    """Requests whose upstream, or every upstream of whose target, left the view."""
+
+    def tick_for(self, policy, view, begin, seconds):
+        """Return what is decided in some seconds of ticks, with its times."""
+        times = [begin + number / 10 for number in range(round(seconds * 10))]
+        return [(now, one) for now in times for one in policy.tick(view, now)]
+
+    def send_one(self, request_class):
+        """Return a policy, and the attempt that it sent to one of two upstreams."""
+        policy = router_policy.Policy(1)
+        [first] = arrive(policy, "r", request_class, make_view("u1", "u2"))
+        if isinstance(first, actions.Ask):
+            [first] = policy.claim_answered("r", True, 0.0)
+        return policy, first
+
+    def test_a_request_without_a_token_leaves_an_upstream_that_is_gone(self):
+        # It waited for as long as its caller did: the gone are no one's stragglers.
+        policy, first = self.send_one(QUESTION)
+        left = {"u1", "u2"} - {first.upstream}
+        decided = self.tick_for(policy, make_view(*left), 1.0, 60.0)
+        [(now, hedge)] = decided
+        self.assertEqual((hedge.request, {hedge.upstream}), ("r", left))
+        self.assertLess(now, 1.0 + settings.DEFAULT.stall_time + 0.5)
+
+    def test_an_upstream_that_is_back_in_view_keeps_its_request(self):
+        policy, first = self.send_one(QUESTION)
+        left = {"u1", "u2"} - {first.upstream}
+        both, one = make_view("u1", "u2"), make_view(*left)
+        decided = self.tick_for(policy, one, 1.0, 0.8)
+        decided += self.tick_for(policy, both, 1.8, 0.2)
+        decided += self.tick_for(policy, one, 2.0, 0.8)
+        self.assertEqual(decided, [])
+
+    def test_what_runs_once_stays_where_it_is(self):
+        policy, first = self.send_one(ALERT)
+        left = {"u1", "u2"} - {first.upstream}
+        self.assertEqual(self.tick_for(policy, make_view(*left), 1.0, 60.0), [])
