Waiting requests are refused a second after their last upstream left

What callers saw: a request that waited as the last upstream of its target left was answered only when its target's time was over (seen for 20 s), while new ones were refused at once.

Cause: a waiting request is looked at when its target's time is out of reach; whether any upstream is left was asked on entry alone. Ruled out: a view that does not reach the policy (the tick takes it), deadlines that hold it up (there was no less urgent work).

Why this mends it: a target that no upstream has served for a second gives up what waits for it, truthfully, with a time to return. One upstream that is followed by another within that second changes nothing.

Failing run before: 5 s of ticks without an action, 1 of 1 (test_waiting_requests_are_refused_soon_after_the_last_upstream_left).

--- a/packages/policy/src/trestlestall/policy/lanes.py
+++ b/packages/policy/src/trestlestall/policy/lanes.py
@@ -21,6 +21,8 @@
 
     ``full_tier`` is the most urgent tier that found no upstream open since the last
     change; arrivals of it and of less urgent tiers need not look again.
+    ``unserved_since`` is when no upstream took work of the target any more, None while
+    some do.
     """
 
     def __init__(self, target: str, seed: int, settings: defaults.Settings):
@@ -35,6 +37,7 @@
         self.full_tier = NEVER_FULL
         self.rates: dict[int, float] = {}
         self.peer_level: int | None = None
+        self.unserved_since: float | None = None
         self._peer_since: dict[int, float] = {}
 
     def note_peers(self, level: int | None, now: float) -> None:
@@ -57,6 +60,13 @@
             return None
         return now - self._peer_since.get(tier, now)
 
+    def note_served(self, served: bool, now: float) -> None:
+        """Note whether any upstream takes work of the target."""
+        if served:
+            self.unserved_since = None
+        elif self.unserved_since is None:
+            self.unserved_since = now
+
     def refresh(self) -> None:
         """Look again at what was known to be so until the next tick."""
         self.full_tier = NEVER_FULL
--- a/packages/policy/src/trestlestall/policy/router_policy.py
+++ b/packages/policy/src/trestlestall/policy/router_policy.py
@@ -109,7 +109,8 @@
         for target in self._core.fleet.list_targets():
             found = self._core.fleet.list_loads(target)
             self._core.watch.judge(target, found, now)
-        decided = self._end_claims(now) + self._give_up(now)
+        decided = self._end_claims(now) + self._give_up_unserved(now)
+        decided += self._give_up(now)
         for lane in self._core.lanes.values():
             lane.refresh()
             for tier in lane.floors.list_tiers():
@@ -183,13 +184,44 @@
             self._core.find_lane, self._core.is_crowded, now
         )
         for flight in due:
-            lane = self._core.find_lane(flight.arrival.target)
-            lane.dequeue(flight, flights.Stage.DONE)
-            self._core.tracker.note(lane.target, flight.tier, now)
+            self._core.tracker.note(flight.arrival.target, flight.tier, now)
             reason = "its target can no longer be met"
-            decided.append(self._core.fail(flight, reason, now))
+            decided.append(self._drop_waiting(flight, reason, now))
         return decided
 
+    def _give_up_unserved(self, now: float) -> list[actions.Action]:
+        """Answer the waiting requests of targets that no upstream serves any more.
+
+        New ones are refused at once there; those that wait would do so in vain until
+        their target's time.
+        """
+        unserved = {name for name in self._core.lanes if self._is_unserved(name, now)}
+        if not unserved:
+            return []
+        reason = "no upstream takes work for its target any more"
+        return [
+            self._drop_waiting(flight, reason, now)
+            for flight in list(self._core.flights.values())
+            if flight.arrival.target in unserved
+            and flight.stage is flights.Stage.WAITING
+        ]
+
+    def _is_unserved(self, target: str, now: float) -> bool:
+        """Return whether no upstream has served a target with waiting work for long."""
+        lane = self._core.lanes[target]
+        lane.note_served(bool(self._core.fleet.list_open(target)), now)
+        if lane.unserved_since is None or lane.backlog.waiting.find_first() is None:
+            return False
+        return now - lane.unserved_since >= self._core.settings.unserved_wait
+
+    def _drop_waiting(
+        self, flight: flights.Flight, reason: str, now: float
+    ) -> actions.Fail:
+        """Take a request out of its queue and give it its final answer."""
+        lane = self._core.find_lane(flight.arrival.target)
+        lane.dequeue(flight, flights.Stage.DONE)
+        return self._core.fail(flight, reason, now)
+
     def _note_pressure(self, now: float) -> None:
         grace = self._core.settings.pressure_grace
         for lane in self._core.lanes.values():
--- a/packages/policy/src/trestlestall/policy/settings.py
+++ b/packages/policy/src/trestlestall/policy/settings.py
@@ -15,6 +15,9 @@
     router: str = "router"
     claim_timeout: float = 1.0
     queue_limit: int = 5000
+    # How long waiting requests stay after the last upstream of their target has left: a
+    # change of the view, or one upstream followed by another, takes less.
+    unserved_wait: float = 1.0
 
     # What is assumed of an upstream until it has been observed.
     default_first_token: float = 0.2
--- a/packages/policy/tests/test_attempts.py
+++ b/packages/policy/tests/test_attempts.py
@@ -228,3 +228,32 @@
         policy, first = self.send_one(ALERT)
         left = {"u1", "u2"} - {first.upstream}
         self.assertEqual(self.tick_for(policy, make_view(*left), 1.0, 60.0), [])
+
+    def fill_and_wait(self, policy, view):
+        """Let requests come until four run and two wait; return all that was decided.
+
+        The two come last.
+        """
+        return [arrive(policy, f"r{number}", QUESTION, view) for number in range(6)]
+
+    def test_waiting_requests_are_refused_soon_after_the_last_upstream_left(self):
+        # They waited for their target's time, 20 s.
+        policy = router_policy.Policy(1)
+        decided = self.fill_and_wait(policy, make_view("u1"))
+        self.assertEqual([len(one) for one in decided], [1, 1, 1, 1, 0, 0])
+        decided = self.tick_for(policy, arrivals.View(), 1.0, 5.0)
+        fails = [(now, one) for now, one in decided if isinstance(one, actions.Fail)]
+        self.assertEqual({one.request for _, one in fails}, {"r4", "r5"})
+        for now, one in fails:
+            self.assertEqual(one.code, actions.NOT_RUN)
+            self.assertGreater(one.retry_after, 0)
+            self.assertLess(now, 1.0 + settings.DEFAULT.unserved_wait + 0.2)
+
+    def test_waiting_requests_go_on_where_another_upstream_follows(self):
+        policy = router_policy.Policy(1)
+        self.fill_and_wait(policy, make_view("u1"))
+        self.tick_for(policy, arrivals.View(), 1.0, 0.8)
+        decided = self.tick_for(policy, make_view("u2"), 1.8, 1.0)
+        sent = {one.request for _, one in decided if isinstance(one, actions.Send)}
+        self.assertLessEqual({"r4", "r5"}, sent)
+        self.assertFalse([one for _, one in decided if isinstance(one, actions.Fail)])
