Counts of usage are copied to as many directories as the log may lose disks of

What was seen: after a loss of all processes in which the directory that places lost its disk too, no count since the last fixed window was reported.

Cause: gateways told their counts to the directory that places alone, which alone kept them. The log bears the loss of a minority of disks; the counts bore none.

Why this mends it: each half second a gateway copies what is new to (n - 1) / 2 further directories, rounded down, which sync it as the placing one does. The holder asks all of them already. Off where usage is not counted.

--- a/packages/daemon/src/trestlestall/daemon/gateway/links.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/links.py
@@ -79,6 +79,7 @@
         self.placing.on_arbiter = self.usage.tell_all
         self.placing.choose_arbiter = self._choose_arbiter
         self.usage.tell = self.placing.tell_arbiter
+        self.usage.copy = self._tell_keepers
         self.endings.tell = self.notices.tell = self._tell_all
         self.mesh.start()
         self.add_directories(map(str, self._settings.directories))
@@ -132,6 +133,12 @@
             if directory != besides:
                 self.mesh.send(directory, message)
 
+    def _tell_keepers(self, message: typing.Any) -> None:
+        """Tell as many directories besides the arbiter as the log may lose disks of."""
+        others = sorted(set(self._linked_at) - {self.placing.arbiter})
+        for directory in others[: (len(self._linked_at) - 1) // 2]:
+            self.mesh.send(directory, message)
+
     def _take(self, directory: str, message: typing.Any) -> None:
         handler = HANDLERS.get(type(message))
         if handler is not None:
--- a/packages/daemon/src/trestlestall/daemon/gateway/placing.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/placing.py
@@ -89,6 +89,11 @@
             tasks=len(self._tasks),
         )
 
+    @property
+    def arbiter(self) -> str | None:
+        """The directory that is asked where requests go."""
+        return self._arbiter
+
     def is_avoided(self, directory: str) -> bool:
         """Return whether the directory was silent too often to be asked now."""
         return clocks.read() < self._avoided.get(directory, 0.0)
--- a/packages/daemon/src/trestlestall/daemon/gateway/process.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/process.py
@@ -127,6 +127,7 @@
             stack.enter_context(self._serve_callers())
             stack.callback(eventlet.spawn(self._sweep).kill)
             stack.callback(eventlet.spawn(self._usage.run).kill)
+            stack.callback(eventlet.spawn(self._usage.keep_copying).kill)
             self._log.write(events.process.READY, role=ROLE)
             yield
 
--- a/tests/test_duties_deployment.py
+++ b/tests/test_duties_deployment.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import json
+import shutil
 import signal
 import tempfile
 import time
@@ -129,6 +130,22 @@
             gateways.wait_until(lambda each=name: self.send(each) == 200, name)
         self.wait_for_reports()
 
+    def test_a_loss_of_all_processes_and_of_one_disk_loses_no_count(self):
+        # Only the directory that placed requests kept their counts on its disk.
+        self.send_for(1.0)
+        time.sleep(1.0)
+        for process in self.system.running.values():
+            process.kill()
+        placing = min(self.system.links, key=self.find_address)
+        shutil.rmtree(self.system.folder / f"{placing}-data")
+        self.system.start_all(founding=False)
+        gateways.wait_until(lambda: self.try_announce(), "a directory")
+        self.wait_for_reports()
+
+    def find_address(self, name):
+        """Return the address by which gateways know a directory."""
+        return f"{gateways.HOST}:{self.system.links[name]}"
+
     def try_announce(self):
         return self.upstream.announce(self.system.ports[self.system.names[0]]) == 200
 
