--- a/packages/forwarding/src/trestlestall/forwarding/engines.py
+++ b/packages/forwarding/src/trestlestall/forwarding/engines.py
@@ -9,9 +9,8 @@
 import collections
 import dataclasses
 import math
-from collections import abc
 
-from trestlestall.forwarding import descriptors, pauses, speeds
+from trestlestall.forwarding import descriptors, held_parts, pauses, speeds
 
 #: Tokens of a prompt at which reading takes twice as long as their number says, since
 #: each token attends to all before it.
@@ -38,11 +37,6 @@
 #: Seconds over which the share of time is taken that an upstream reads long prompts;
 #: about as long as most streams run.
 DUTY_SECONDS = 2.0
-#: Parts that are remembered for each upstream, where its memory isn't declared.
-PARTS_KEPT = 4096
-
-#: A part of a prompt, for one model.
-PartKey = tuple[str, str]
 
 
 @dataclasses.dataclass
@@ -115,9 +109,7 @@
         self._reading: Task | None = None
         self._read_at = float("-inf")
         self._advanced_at = 0.0
-        self._parts: collections.OrderedDict[PartKey, int] = collections.OrderedDict()
-        self._part_tokens = 0
-        self._read_parts: set[PartKey] = set()
+        self.held = held_parts.HeldParts()
 
     # What a choice asks.
 
@@ -128,37 +120,7 @@
 
     def count_unread(self, descriptor: descriptors.Descriptor) -> int:
         """Return the prompt tokens that this engine would have to read."""
-        held = 0
-        for part in descriptor.parts:
-            if (descriptor.model, part.identity) not in self._parts:
-                break
-            held += part.tokens
-        return max(0, descriptor.tokens_in - held)
-
-    def count_read(self, descriptor: descriptors.Descriptor) -> int:
-        """Return the first tokens of the prompt that this engine has surely read."""
-        read = 0
-        for part in descriptor.parts:
-            if (descriptor.model, part.identity) not in self._read_parts:
-                break
-            read += part.tokens
-        return read
-
-    def count_read_again(
-        self, descriptor: descriptors.Descriptor, used: abc.Mapping[PartKey, float]
-    ) -> int:
-        """Return the tokens of shared parts that another engine has read already.
-
-        ``used`` holds the parts that some engine has used lately. The last part belongs
-        to the request itself and is not shared.
-        """
-        tokens, held = 0, True
-        for part in descriptor.parts[:-1]:
-            key = (descriptor.model, part.identity)
-            held = held and key in self._parts
-            if not held and key in used:
-                tokens += part.tokens
-        return tokens
+        return self.held.count_unread(descriptor)
 
     def find_reading(self, tokens: int) -> float:
         """Return the seconds that reading so many tokens of one prompt takes."""
@@ -250,7 +212,7 @@
         self._advance(now)
         task.waited = any(one.left > 0 for one in self.tasks.values())
         task.reading = task.left = self.find_reading(task.unread)
-        self._remember(task.descriptor)
+        self.held.remember(task.descriptor, self._find_free_tokens())
 
     def note_first(self, request_id: str, now: float) -> None:
         """Note a request's first event: its prompt has been read."""
@@ -261,7 +223,7 @@
         task.began = True
         self.waiting -= 1
         task.left = 0.0
-        self._note_read(task.descriptor)
+        self.held.note_read(task.descriptor)
         task.read_before = self._read_seconds
         lesson = speeds.Lesson(
             task.predicted,
@@ -288,6 +250,12 @@
                 self.pauses.learn(pause, self._read_seconds - task.read_before)
         return task
 
+    def _find_free_tokens(self) -> int | None:
+        """Return the memory that no task is expected to take; None if not declared."""
+        if not self.memory_tokens:
+            return None
+        return max(0, self.memory_tokens - self._task_tokens)
+
     def _forget(self, request_id: str) -> Task | None:
         task = self.tasks.pop(request_id, None)
         if task is None:
@@ -341,29 +309,6 @@
                 return
         self._reading = None
 
-    def _remember(self, descriptor: descriptors.Descriptor) -> None:
-        """Note that the prompt's parts will be held here, the newest longest."""
-        for part in descriptor.parts:
-            key = (descriptor.model, part.identity)
-            self._part_tokens += part.tokens - self._parts.pop(key, 0)
-            self._parts[key] = part.tokens
-        while self._parts and self._is_full():
-            key, tokens = self._parts.popitem(last=False)
-            self._part_tokens -= tokens
-            self._read_parts.discard(key)
-
-    def _note_read(self, descriptor: descriptors.Descriptor) -> None:
-        """Note that the prompt's parts are held here by now."""
-        for part in descriptor.parts:
-            key = (descriptor.model, part.identity)
-            if key in self._parts:
-                self._read_parts.add(key)
-
-    def _is_full(self) -> bool:
-        if not self.memory_tokens:
-            return len(self._parts) > PARTS_KEPT
-        return self._part_tokens > max(0, self.memory_tokens - self._task_tokens)
-
 
 def find_work(tokens: int) -> float:
     """Return what reading so many tokens of one prompt costs, in tokens of a short one.
--- a/packages/forwarding/src/trestlestall/forwarding/fetching.py
+++ b/packages/forwarding/src/trestlestall/forwarding/fetching.py
@@ -56,7 +56,7 @@
     found = []
     for row in rows:
         engine = known[row.identity]
-        tokens = engine.count_read(descriptor)
+        tokens = engine.held.count_read(descriptor)
         if tokens < LEAST_TOKENS or not engine.token_seconds:
             continue
         if engine.find_failure_rate(descriptor.data_centre) <= FAILING_RATE:
--- a/packages/forwarding/src/trestlestall/forwarding/placement.py
+++ b/packages/forwarding/src/trestlestall/forwarding/placement.py
@@ -11,7 +11,6 @@
 
 import dataclasses
 import hashlib
-import itertools
 from collections import abc
 
 from trestlestall.forwarding import (
@@ -21,6 +20,7 @@
     distance,
     engines,
     fetching,
+    held_parts,
     model,
     parts,
     shedding,
@@ -29,10 +29,6 @@
     upstreams,
 )
 
-#: Seconds after its last use in which a part is taken to be held somewhere.
-READ_AGAIN_SECONDS = 10.0
-#: Parts that one choice looks at to forget them; more than one request adds.
-FORGOTTEN_AT_ONCE = 16
 #: Ranks of ``find_rendezvous`` lie below this.
 RENDEZVOUS_RANGE = 2**64
 #: Seconds until the next attempt of a caller whose service has no upstream to go to;
@@ -97,7 +93,7 @@
         self.engines: dict[str, engines.Upstream] = {}
         self._by_service: dict[str, list[upstreams.Row]] = {}
         self._tasks: dict[str, engines.Upstream] = {}
-        self._used: dict[engines.PartKey, float] = {}
+        self._used = held_parts.RecentParts()
         self._distance = distance.Distance()
         self.arranging = arranging.Arranging(features, self.engines)
 
@@ -150,7 +146,7 @@
         near = [row for row in rows if self.engines[row.identity].reachable]
         if not near:
             return Refused("no upstream within reach", RETURN_SECONDS)
-        self._forget_parts(now)
+        self._used.forget(now)
         serving = self._by_service[descriptor.service]
         features = self.arranging.find_features(serving)
         by_forecast = features.refuses_by_forecast
@@ -287,7 +283,7 @@
     ) -> Candidate:
         engine = self.engines[row.identity]
         unread = engine.count_unread(descriptor)
-        again = engine.count_read_again(descriptor, self._used)
+        again = engine.held.count_read_again(descriptor, self._used)
         fetch = fetching.find_fetch(row, engine, unread, descriptor, sources, now)
         seconds = 0.0
         if fetch is not None:
@@ -340,22 +336,10 @@
         task = engines.Task(descriptor, row.identity, unread, now, predicted)
         engine.begin(task, now)
         self._tasks[descriptor.request_id] = engine
-        for part in descriptor.parts[:-1]:
-            key = (descriptor.model, part.identity)
-            self._used.pop(key, None)
-            self._used[key] = now
+        self._used.note(descriptor, now)
         address = fetch.source.row.address if fetch is not None else ""
         return Placed(row, unread, predicted, len(engine.tasks), fetch_from=address)
 
-    def _forget_parts(self, now: float) -> None:
-        """Forget parts that no engine has used for a while; the oldest come first."""
-        for key, used_at in tuple(
-            itertools.islice(self._used.items(), FORGOTTEN_AT_ONCE)
-        ):
-            if now - used_at <= READ_AGAIN_SECONDS:
-                return
-            del self._used[key]
-
     def _ensure_engine(
         self, row: upstreams.Row, configuration: model.Configuration | None
     ) -> None:
--- a/packages/forwarding/tests/test_placement.py
+++ b/packages/forwarding/tests/test_placement.py
@@ -47,7 +47,7 @@
     def test_a_part_counts_only_behind_all_parts_before_it(self):
         engine = self.placer.engines["u1"]
         known = samples.make_descriptor(tokens=30, parts=(("a", 10), ("b", 20)))
-        engine._remember(known)
+        engine.held.remember(known, engine.memory_tokens)
         other = samples.make_descriptor(tokens=30, parts=(("x", 10), ("b", 20)))
         self.assertEqual(engine.count_unread(known), 0)
         self.assertEqual(engine.count_unread(other), 30)
