--- a/packages/daemon/src/trestlestall/daemon/gateway/placing.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/placing.py
@@ -12,6 +12,7 @@
     knowledge as knowledges,
     reaching,
     silences,
+    tasks,
 )
 from trestlestall.forwarding import (
     budgets,
@@ -70,8 +71,7 @@
         self._avoided: dict[str, float] = {}
         self._tokens = itertools.count(1)
         self._waiting: dict[int, eventlet.event.Event] = {}
-        self._tasks: dict[str, list] = {}
-        self._kept_at: dict[str, float] = {}
+        self._tasks = tasks.Tasks()
 
     # The arbiter.
 
@@ -113,12 +113,8 @@
 
     def _tell_state(self) -> None:
         if self._arbiter is not None:
-            now = clocks.read()
-            tasks = tuple(
-                [*task, now - self._kept_at[request]]
-                for request, task in self._tasks.items()
-            )
-            self.send(self._arbiter, directory_messages.PlaceState(tasks))
+            rows = self._tasks.encode(clocks.read())
+            self.send(self._arbiter, directory_messages.PlaceState(rows))
             self.on_arbiter()
 
     def tell_arbiter(self, message: object) -> None:
@@ -162,10 +158,8 @@
 
         ``start`` is the count of starts that it raised, if it was not counted before.
         """
-        task = self._tasks.get(descriptor.request_id)
-        if task is None:
+        if not self._tasks.note_began(descriptor.request_id):
             return
-        task[-1] = True
         self._knowledge.placer.note_first(descriptor.request_id, clocks.read())
         self._note(descriptor, notes.FIRST, start=start)
 
@@ -189,8 +183,7 @@
         placer.end(descriptor.request_id, clocks.read(), pause)
         if failed is not None:
             placer.note_outcome(identity, descriptor.data_centre, failed)
-        self._tasks.pop(descriptor.request_id, None)
-        self._kept_at.pop(descriptor.request_id, None)
+        self._tasks.drop(descriptor.request_id)
         self._note(descriptor, notes.ENDS[failed], pause)
 
     def _may_repeat_alone(self, descriptor: descriptors.Descriptor) -> bool:
@@ -216,7 +209,7 @@
             # The arbiter knows an upstream that this gateway has not heard of yet.
             self._note(descriptor, notes.ENDS[None])
             return self._choose(descriptor, tried)
-        self._keep(descriptor, answer.upstream)
+        self._tasks.keep(descriptor, answer.upstream, clocks.read())
         return placement.Placed(
             found.row,
             answer.unread,
@@ -327,14 +320,9 @@
         is_cut_off = clocks.read() - self._answered_at > CUT_OFF_SECONDS
         found = self._chooser.choose(descriptor, tried, is_cut_off)
         if isinstance(found, placement.Placed):
-            self._keep(descriptor, found.row.identity)
+            self._tasks.keep(descriptor, found.row.identity, clocks.read())
         return found
 
-    def _keep(self, descriptor: descriptors.Descriptor, identity: str) -> None:
-        plain = descriptors.encode(descriptor)
-        self._tasks[descriptor.request_id] = [plain, identity, False]
-        self._kept_at[descriptor.request_id] = clocks.read()
-
     def _note(
         self,
         descriptor: descriptors.Descriptor,
--- /dev/null
+++ b/packages/daemon/src/trestlestall/daemon/gateway/tasks.py
@@ -0,0 +1,52 @@
+"""What a gateway has at upstreams, as it tells it to the directory that places."""
+
+import dataclasses
+import typing
+
+from trestlestall.forwarding import descriptors
+
+
+@dataclasses.dataclass
+class Task:
+    """One request at an upstream; ``descriptor`` is encoded, ``kept_at`` in seconds."""
+
+    descriptor: list[typing.Any]
+    upstream: str
+    kept_at: float
+    began: bool = False
+
+
+class Tasks:
+    """The requests under way, by id."""
+
+    def __init__(self) -> None:
+        self._tasks: dict[str, Task] = {}
+
+    def __len__(self) -> int:
+        return len(self._tasks)
+
+    def keep(
+        self, descriptor: descriptors.Descriptor, upstream: str, now: float
+    ) -> None:
+        """Note that a request goes to an upstream."""
+        plain = descriptors.encode(descriptor)
+        self._tasks[descriptor.request_id] = Task(plain, upstream, now)
+
+    def note_began(self, request_id: str) -> bool:
+        """Note a first event; return whether the request is known."""
+        task = self._tasks.get(request_id)
+        if task is None:
+            return False
+        task.began = True
+        return True
+
+    def drop(self, request_id: str) -> None:
+        """Note that a request has left its upstream."""
+        self._tasks.pop(request_id, None)
+
+    def encode(self, now: float) -> tuple[list[typing.Any], ...]:
+        """Return the rows of ``directory_messages.PlaceState``."""
+        return tuple(
+            [task.descriptor, task.upstream, task.began, now - task.kept_at]
+            for task in self._tasks.values()
+        )
