--- a/packages/daemon/src/trestlestall/daemon/directory/usage.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/usage.py
@@ -52,6 +52,7 @@
         self._news: list[starts.Row] = []
         self._synced_at = float("-inf")
         self._inquiry = reporting.NOTHING_ASKED
+        self._answered: set[str] = set()
         self._sent_at = float("-inf")
         self._entering = False
         self._entered = 0
@@ -78,7 +79,7 @@
         for source, window in done:
             self.starts.note_done(source, window)
         if message.asked and message.asked == self._inquiry.first:
-            self._inquiry.answered.add(peer)
+            self._answered.add(peer)
 
     def take_start(self, peer: str, plain: abc.Sequence[typing.Any]) -> None:
         """Take in the count that one request has raised."""
@@ -136,6 +137,7 @@
             self._inquiry = reporting.ask(
                 known, acting.token, wall, acting.now, self._rules
             )
+            self._answered.clear()
             self._sent_at = float("-inf")
         others = sorted(list_directories())
         sight = self._look(window, others, acting.now)
@@ -159,9 +161,8 @@
     def _look(
         self, window: int, others: abc.Iterable[str], now: float
     ) -> reporting.Sight:
-        answered = self._inquiry.answered
         return reporting.Sight(
-            tuple(one for one in others if one not in answered),
+            tuple(one for one in others if one not in self._answered),
             tuple(self.starts.list_unfinished(window)),
             now - self._inquiry.asked_at,
         )
--- a/packages/duties/src/trestlestall/duties/reporting.py
+++ b/packages/duties/src/trestlestall/duties/reporting.py
@@ -58,7 +58,7 @@
         return not self.silent_directories and not self.silent_sources
 
 
-@dataclasses.dataclass
+@dataclasses.dataclass(frozen=True)
 class Inquiry:
     """The windows from ``first`` to ``last``, for which one holder asked at a time.
 
@@ -70,7 +70,6 @@
     first: int
     last: int
     asked_at: float
-    answered: set[str] = dataclasses.field(default_factory=set)
 
     def covers(self, window: int, token: int) -> bool:
         """Return whether the holder under ``token`` has asked for a window."""
