After a stall, the event loop reads what arrived before it runs overdue timers

Callers saw 503 claim_unavailable or not_run though their key had been granted, and 502 for an idempotent request while a good engine was free, each after the router had been held up.

Cause: eventlet runs overdue timers before the greenlets that arrived data wakes, so that a process counts its own pause as its peers' silence.

Ruled out: an interrupted wait of the kernel without ready sockets (it returns them); a late leader (it ran all the time); the network (loopback).

--- a/packages/daemon/src/trestlestall/daemon/patching.py
+++ b/packages/daemon/src/trestlestall/daemon/patching.py
@@ -11,16 +11,14 @@
 another greenlet runs. Searching all loaded modules for such locks takes 45 ms of a
 start of 330 ms.
 
-eventlet's timers use the clock that includes suspensions of the host: a deadline that
-passes during a suspension fires in the first turn of the event loop afterwards, instead
-of being delayed by the length of the suspension.
+The event loop is ``event_loop.Hub``. Its timers use the clock that includes suspensions
+of the host: a deadline that passes during a suspension fires in the first turn of the
+event loop afterwards, instead of being delayed by the length of the suspension.
 """
 
 import os
 import warnings
 
-from trestlestall.wire import clocks
-
 os.environ.setdefault("EVENTLET_NO_GREENDNS", "yes")
 
 WARNING_START = r"\s*Eventlet is deprecated"
@@ -30,8 +28,9 @@
     import eventlet
     from eventlet import hubs
 
+    from trestlestall.daemon import event_loop
+
+    hubs.use_hub(event_loop.Hub)
     eventlet.monkey_patch(
         os=True, select=True, socket=True, subprocess=True, time=True, thread=False
     )
-
-hubs.get_hub().clock = clocks.read
--- a/packages/wire/src/trestlestall/wire/clocks.py
+++ b/packages/wire/src/trestlestall/wire/clocks.py
@@ -19,6 +19,30 @@
     return time.clock_gettime(_SOURCE)
 
 
+class StallCount:
+    """The total time for which this process was held up, as its event loop measures."""
+
+    def __init__(self) -> None:
+        self.seconds = 0.0
+
+
+_STALLS = StallCount()
+
+
+def record_stall(seconds: float) -> None:
+    """Count a time for which this process did not run, in seconds."""
+    _STALLS.seconds += seconds
+
+
+def read_running() -> float:
+    """Return the seconds of ``read`` without those for which this process was held up.
+
+    For the timeout of a peer's answer: a peer is not late for as long as this process
+    could not send its request. Leases and deadlines of callers go by ``read``.
+    """
+    return read() - _STALLS.seconds
+
+
 class Suspensions:
     """Detects suspensions of the host, by comparison with a clock that stops then."""
 
