A claim's wait has one timeout, so that caller and log get the same code

Callers saw 503 not_run where the log of the same request said claim_unavailable. not_run says more: that no earlier sending ran either, which nobody had looked up.

Cause: the policy's timeout of 1 s beside the claim client's of 0.5 s; after a pause of the router both are overdue and the policy's was first.

Change: the claim client alone ends the wait; it answers each claim once in any case.

--- a/packages/daemon/src/trestlestall/daemon/router/process.py
+++ b/packages/daemon/src/trestlestall/daemon/router/process.py
@@ -1,6 +1,7 @@
 """The router process: its components, listeners and loops, and its planned stop."""
 
 import contextlib
+import math
 
 import eventlet
 
@@ -199,7 +200,11 @@
         self.dispatcher = dispatcher.Dispatcher(
             policy=router_policy.Policy(
                 self.env.random.getrandbits(32),
-                policy_settings.Settings(router=self._make_attempt_prefix()),
+                policy_settings.Settings(
+                    router=self._make_attempt_prefix(),
+                    # The claim client ends each claim, and knows why.
+                    claim_timeout=math.inf,
+                ),
             ),
             views=self.views,
             clock=clock,
