Requests that may run once wait for the next leader of the control processes

Callers saw 503 claim_unavailable for every request that may run once while the leader was held up for over 0.5 s, or was followed by another one, though their class allowed 60 s.

Cause: one bound of 0.5 s for a router that is cut off and for one that waits for a leader.

Ruled out: to wait as long as the target allows, since the request holds its slot at an upstream meanwhile; to wait when cut off, since a retry may reach another data centre.

Change: 3 s or a quarter of the target while most control processes are linked, 0.5 s otherwise, in time for which the router ran; copies to all control processes from 0.5 s on. claim_unknown says what was waited for.

--- a/packages/daemon/src/trestlestall/daemon/environment.py
+++ b/packages/daemon/src/trestlestall/daemon/environment.py
@@ -16,15 +16,17 @@
 
 @dataclasses.dataclass(frozen=True)
 class Clock:
-    """The two clocks of a host, both in seconds.
+    """The clocks of a host, in seconds.
 
     ``monotonic`` is for leases, timeouts and every decision; it never goes back, and
     it includes the time for which the host was suspended. ``wall`` is the Unix time,
-    for timestamps that people or other hosts read.
+    for timestamps that people or other hosts read. ``running`` is ``monotonic`` without
+    the time for which this process was held up, for timeouts of peers' answers.
     """
 
     monotonic: abc.Callable[[], float] = clocks.read
     wall: abc.Callable[[], float] = time.time
+    running: abc.Callable[[], float] = clocks.read_running
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/daemon/src/trestlestall/daemon/events/routing.py
+++ b/packages/daemon/src/trestlestall/daemon/events/routing.py
@@ -98,9 +98,10 @@
     "TS2013",
     "claim_unknown",
     catalogue.Level.WARNING,
-    "request workspace key reason",
+    "request workspace key reason waited_seconds sent cut_off",
     "No quorum answered for the key in time; the request was refused, and this sending"
-    " did not run.",
+    " did not run. waited_seconds excludes the time for which this process was held up;"
+    " cut_off is true when most control processes were not linked.",
     "See TS4xxx and TS5xxx: this data centre may be partitioned from the control"
     " voters.",
 )
--- a/packages/daemon/src/trestlestall/daemon/router/claims.py
+++ b/packages/daemon/src/trestlestall/daemon/router/claims.py
@@ -1,9 +1,12 @@
 """Client of the at-most-once claims: a key is claimed before a request is sent.
 
-The control leader answers a claim within ``ANSWER_TIMEOUT_SECONDS``, or the request is
-refused as not run: it was never sent and never will be. Reports to control (that a
-claimed request finished, or was never sent) are repeated until control acknowledges
-them.
+A claim is repeated until the control leader answers it. Without an answer the request
+is refused as not run: it was never sent and never will be. That is after
+``ANSWER_TIMEOUT_SECONDS`` if this router is cut off from most control processes.
+Otherwise it is after ``LEADER_CHANGE_SECONDS``, so that requests outlast a change of
+the leader, but at most a part of the target of the request's class. Reports to control
+(that a claimed request finished, or was never sent) are repeated until control
+acknowledges them.
 
 The response goes to the caller without waiting for control. A caller that retries in
 the few milliseconds before the response is recorded gets ``request_in_progress``, never
@@ -26,7 +29,15 @@
 from trestlestall.wire import messages
 
 ANSWER_TIMEOUT_SECONDS = 0.5
+#: The longest election timeout of the control processes, and half of it for the votes
+#: and for routers to find the new leader. A request holds its slot meanwhile.
+LEADER_CHANGE_SECONDS = 3.0
+#: Part of the class's target for which a claim may wait, so that the rest is left for
+#: the answer, or for a retry elsewhere.
+TARGET_SHARE = 0.25
+#: Interval between copies of a claim, doubled with each copy up to the maximum.
 CLAIM_RETRY_SECONDS = 0.1
+MAX_CLAIM_RETRY_SECONDS = 0.4
 REPORT_RETRY_SECONDS = 1.0
 MAX_CALL_TOKEN = 2**48
 # Unacknowledged reports; beyond this the oldest is dropped.
@@ -47,9 +58,10 @@
 
 @dataclasses.dataclass
 class PendingClaim:
-    """A claim without an answer yet, and how often it was sent."""
+    """A claim without an answer yet, when it was first sent, and how often."""
 
     exchange: exchanges.Exchange
+    first_sent_at: float
     sent_count: int = 0
 
 
@@ -70,21 +82,24 @@
     """Claims keys, and reports the ends of claimed requests until acknowledged.
 
     ``send`` passes a message to the control leader, as far as it is known, and returns
-    false when there is no link. ``answered`` is called once for each claim, and says
-    whether it was granted. ``on_timeout`` is called when a claim got no answer in time.
+    false when there is no link. ``running`` is a clock without the time for which this
+    process was held up, which is not counted as control's silence. ``answered`` is
+    called once for each claim, and says whether it was granted. ``is_cut_off`` returns
+    whether most control processes are unreachable. ``on_timeout`` is called when the
+    presumed leader has not answered within ``ANSWER_TIMEOUT_SECONDS``.
     """
 
     def __init__(
         self,
         router: str,
         send: Send,
-        monotonic: abc.Callable[[], float],
+        running: abc.Callable[[], float],
         log: journal.Journal,
         metrics: daemon_metrics.Metrics,
     ):
         self._router = router
         self._send = send
-        self._monotonic = monotonic
+        self._running = running
         self._journal = log
         self._metrics = metrics
         # A random start, so that answers to a previous process match no call here.
@@ -93,25 +108,35 @@
         self._calls: dict[int, Call] = {}
         self._reports: dict[str, Report] = {}
         self.answered: OnAnswer = lambda exchange, granted: None
+        self.is_cut_off: abc.Callable[[], bool] = lambda: False
         self.on_timeout: abc.Callable[[], None] = lambda: None
 
     def claim(self, exchange: exchanges.Exchange) -> None:
         """Claim the exchange's key; ``answered`` is called once in any case."""
-        self._pending_claims[exchange.request] = PendingClaim(exchange)
-        self.send_claim(exchange.request, self._monotonic() + ANSWER_TIMEOUT_SECONDS)
+        pending = PendingClaim(exchange, self._running())
+        self._pending_claims[exchange.request] = pending
+        self.send_claim(exchange.request)
 
-    def send_claim(self, request: str, deadline: float) -> None:
+    def send_claim(self, request: str) -> None:
         """Send the claim, repeatedly: a message may be lost, and the leader may change.
 
-        ``deadline`` is the time on the monotonic clock at which the claim times out.
+        From ``ANSWER_TIMEOUT_SECONDS`` on, each copy goes to all control processes.
         """
-        if request not in self._pending_claims:
-            return
-        if self._monotonic() >= deadline:
-            self.time_out(request)
+        pending = self._pending_claims.get(request)
+        if pending is None:
             return
+        waited = self._running() - pending.first_sent_at
+        if waited >= ANSWER_TIMEOUT_SECONDS:
+            # The presumed leader may be partitioned from the other voters.
+            self.on_timeout()
+            if self.is_cut_off() or waited >= find_claim_timeout(pending.exchange):
+                self.time_out(request)
+                return
+        delay = min(
+            MAX_CLAIM_RETRY_SECONDS, CLAIM_RETRY_SECONDS * 2**pending.sent_count
+        )
         self._send_claim_call(request)
-        eventlet.spawn_after(CLAIM_RETRY_SECONDS, self.send_claim, request, deadline)
+        eventlet.spawn_after(delay, self.send_claim, request)
 
     def finish(self, exchange: exchanges.Exchange, answer: attempts.Response) -> None:
         """Report the complete response of a claimed request, to be recorded."""
@@ -150,7 +175,7 @@
 
     def retry_reports(self) -> None:
         """Send again the reports that control has not acknowledged."""
-        now = self._monotonic()
+        now = self._running()
         for request, report in list(self._reports.items()):
             if now - report.sent_at >= REPORT_RETRY_SECONDS:
                 report.sent_at = now
@@ -201,7 +226,7 @@
         event: claim_events.Event,
         exchange: exchanges.Exchange | None = None,
     ) -> None:
-        now = self._monotonic()
+        now = self._running()
         self._reports[request] = Report(event, now, now, exchange)
         if len(self._reports) > REPORT_LIMIT:
             del self._reports[next(iter(self._reports))]
@@ -237,16 +262,15 @@
             key=report.exchange.claim_key,
             status=report.event.status,
             outcome=type(outcome).__name__.lower(),
-            seconds=round(self._monotonic() - report.first_sent_at, 4),
+            seconds=round(self._running() - report.first_sent_at, 4),
         )
 
     def time_out(self, request: str) -> None:
+        """Refuse a request whose claim got no answer; set its verdict."""
         pending = self._pending_claims.pop(request, None)
         if pending is None:
             return
         exchange = pending.exchange
-        # The presumed leader may be partitioned from the other voters.
-        self.on_timeout()
         self.release(request)
         self._metrics.claims.labels("unanswered").inc()
         self._journal.write(
@@ -255,6 +279,9 @@
             workspace=exchange.workspace.name,
             key=exchange.claim_key,
             reason="no answer from control in time",
+            waited_seconds=round(self._running() - pending.first_sent_at, 4),
+            sent=pending.sent_count,
+            cut_off=self.is_cut_off(),
         )
         message = "Control could not confirm the key; the request did not run."
         self._refuse(exchange, "claim_unavailable", message, errors.Run.NOT_RUN)
@@ -344,6 +371,13 @@
 }
 
 
+def find_claim_timeout(exchange: exchanges.Exchange) -> float:
+    """Return for how many seconds the request may wait for its claim."""
+    if exchange.request_class is None:
+        return LEADER_CHANGE_SECONDS
+    return min(LEADER_CHANGE_SECONDS, TARGET_SHARE * exchange.request_class.target)
+
+
 def compute_fingerprint(exchange: exchanges.Exchange) -> str:
     """Return the digest that tells a retry of a request from a different request."""
     call = exchange.call
--- a/packages/daemon/src/trestlestall/daemon/router/process.py
+++ b/packages/daemon/src/trestlestall/daemon/router/process.py
@@ -192,7 +192,7 @@
         self.claim_client = claims.ClaimClient(
             settings.name,
             self.controls.send,
-            clock.monotonic,
+            clock.running,
             self.journal,
             self.metrics,
         )
@@ -218,6 +218,12 @@
         )
         self.claim_client.answered = self.dispatcher.claim_answered
         self.claim_client.on_timeout = self.controls.clear_leader
+        self.claim_client.is_cut_off = self._is_cut_off_from_control
+
+    def _is_cut_off_from_control(self) -> bool:
+        """Return whether at most half of the control processes are linked."""
+        linked = self.controls.names & self.mesh.linked()
+        return 2 * len(linked) <= len(self.controls.names)
 
     def _make_attempt_prefix(self) -> str:
         """Return a prefix that is unique to this start of the router."""
