A refused token is checked against the refusal that its holder has read

A holder that goes on after a refusal would be a fault of fencing.

Cause: the test's process was late, so that its 409 reached nobody. Ruled out: a holder that goes on after a 409 it has read (release ends the tenure before the next turn; one call at a time).

Change: the test refuses until a holder logs that it has seen it, and checks all later calls, in the order of their connections, where it checked the next accepted one. As strict or stricter; the disturbance itself is a test.

--- a/tests/test_duties_deployment.py
+++ b/tests/test_duties_deployment.py
@@ -9,6 +9,7 @@
 import unittest
 
 from tests import duty_platform, gateways
+from trestlestall.daemon.directory import platform_client
 
 LEASE = 1.2
 WINDOW = 1.0
@@ -158,14 +159,62 @@
         self.wait_for_reports()
 
     def test_no_call_is_made_after_a_higher_token_was_seen(self):
+        # Guards against a holder that goes on with a token that was refused.
+        self.check_superseded()
+
+    def test_a_refusal_of_a_token_that_reaches_nobody(self):
+        # Its caller has timed out, knows of no higher token, and repeats the call.
+        self.platform.delay_seconds = platform_client.CALL_TIMEOUT_SECONDS + 0.3
         self.send_for(1.0)
         gateways.wait_until(lambda: self.find_holder(), "a holder")
         self.platform.script += [409]
+        gateways.wait_until(lambda: self.list_refused(), "a refusal")
+        self.platform.delay_seconds = 0.0
+        self.check_superseded()
+
+    def check_superseded(self):
+        """Check that a holder whose token is refused makes no further call under it."""
+        self.send_for(1.0)
+        gateways.wait_until(lambda: self.find_holder(), "a holder")
+        self.refuse_until_seen()
         self.send_for(1.0)
         self.wait_for_reports()
-        tokens = [call.token for call in self.platform.record.calls]
-        refused = [status for _, status in self.platform.calls].index(409)
-        self.assertGreater(tokens[refused], tokens[refused - 1])
+        (seen,) = self.list_superseded()
+        refusal = self.list_refused()[-1]
+        self.assertEqual(refusal.token, seen)
+        later = [one for one in self.platform.calls if one.number > refusal.number]
+        self.assertTrue(later)
+        self.assertEqual([one for one in later if one.token <= seen], [])
+
+    def refuse_until_seen(self):
+        """Refuse calls for their token, one after another, until a holder has seen it.
+
+        A refusal that is late, as this process is, reaches nobody.
+        """
+        end = time.monotonic() + gateways.WAIT_SECONDS
+        while not self.list_superseded():
+            self.assertLess(time.monotonic(), end, "no holder has seen a refusal")
+            refused = len(self.list_refused())
+            self.platform.script.append(409)
+            gateways.wait_until(
+                lambda count=refused: len(self.list_refused()) > count, "a refusal"
+            )
+            deadline = time.monotonic() + 2 * platform_client.CALL_TIMEOUT_SECONDS
+            while not self.list_superseded() and time.monotonic() < deadline:
+                self.send_for(0.1)
+
+    def list_refused(self):
+        return [one for one in list(self.platform.calls) if one.status == 409]
+
+    def list_superseded(self):
+        """Return the tokens that their holders know to be superseded."""
+        lines = [
+            line
+            for process in self.system.running.values()
+            for line in process.read_log().splitlines()
+            if '"duties_superseded"' in line
+        ]
+        return [json.loads(line)["token"] for line in lines]
 
 
 class LogTest(DutyCase):
