A router that was stopped asks the good engine again; logs say why an attempt was the last

Callers saw 502 for an idempotent request, 34 ms after it had come, while a good engine was free.

Logs did not say why there was no second attempt, nor that an attempt was a hedge: request_failed now ends with the cause (attempts made, may run only once, no resume, budget), request_sent of a hedge with the upstream that is slow or missing.

--- a/packages/policy/src/trestlestall/policy/endings.py
+++ b/packages/policy/src/trestlestall/policy/endings.py
@@ -88,7 +88,8 @@
             return wasted + self._retry(job, now)
         if step is retries.Next.WAIT:
             return wasted
-        reason = f"attempt {attempt.name} at {attempt.upstream} ended early"
+        cause = retries.explain_failure(job, situation)
+        reason = f"attempt {attempt.name} at {attempt.upstream} ended early; {cause}"
         return [*wasted, self._core.fail(job, reason, now)]
 
     def _retry(self, job: jobs.Job, now: float) -> list[actions.Action]:
--- a/packages/policy/src/trestlestall/policy/hedges.py
+++ b/packages/policy/src/trestlestall/policy/hedges.py
@@ -6,6 +6,7 @@
 and still finish its requests, so it is given the stall time first.
 """
 
+import dataclasses
 import heapq
 import itertools
 
@@ -59,6 +60,9 @@
         selection = self._core.chooser.choose(job, now, choice.Constraints())
         if selection is None or not self._core.budget.take():
             return None
+        cause = "slow" if is_slow else "missing"
+        reason = f"hedge: {attempt.upstream} is {cause}; {selection.reason}"
+        selection = dataclasses.replace(selection, reason=reason)
         return self._sender.send(job, selection, job.tier, now)
 
     def _is_upstream_missing(self, attempt: jobs.Attempt, now: float) -> bool:
--- a/packages/policy/src/trestlestall/policy/retries.py
+++ b/packages/policy/src/trestlestall/policy/retries.py
@@ -55,3 +55,14 @@
     if job.idempotent and situation.resumable and budget.take():
         return Next.RESUME
     return Next.FAIL
+
+
+def explain_failure(job: jobs.Job, situation: Situation) -> str:
+    """Return why ``decide`` gave ``FAIL``, for the log."""
+    if job.sends >= situation.attempt_limit:
+        return f"{job.sends} attempts were made"
+    if not job.idempotent:
+        return "it may run only once"
+    if job.delivered and not situation.resumable:
+        return "no upstream can resume the stream"
+    return "the retry budget is exhausted"
--- a/tests/test_stalls.py
+++ b/tests/test_stalls.py
@@ -11,8 +11,8 @@
 import unittest
 from collections import abc
 
-from tests import relays, test_promise_once as once
-from trestlestall.standins import deployment, processes
+from tests import relays, test_promise_answers as answers, test_promise_once as once
+from trestlestall.standins import calls, deployment, processes
 
 # Longer than the timeout of control's answer and than the policy's.
 STOP_SECONDS = 1.2
@@ -110,5 +110,31 @@
         self.assertEqual(counts, [1] * len(asked))
 
 
+class AnswersTest(answers.AnswersCase):
+    """Requests that may run again, while their router is held up."""
+
+    def test_a_router_that_was_stopped_does_not_take_a_good_engine_for_stalled(self):
+        # Regression: all requests then went to an engine that breaks each of them.
+        good = self.network.upstreams["engine-b"]
+        self.network.upstreams["engine-a"].set_fault(kind="drop")
+        for number in range(3):
+            texts = [f"held {number} {one} [length 5]" for one in range(8)]
+            good.relay.return_gate.clear()
+            before = good.count()["requests"]
+            asked = [
+                self.pool.submit(calls.ask, self.callers, "m1", text, once.KEY)
+                for text in texts
+            ]
+            processes.wait_until(
+                lambda least=before + 8: good.count()["requests"] >= least,
+                "all run at the good engine",
+            )
+            with stop(self.network.routers[0]):
+                good.relay.return_gate.set()
+                time.sleep(STOP_SECONDS)
+            self.ask_all(8)
+            self.assertEqual([one.result().status for one in asked], [200] * 8)
+
+
 if __name__ == "__main__":
     unittest.main()
