A request waits for its only upstream while a connect that timed out is probed

Callers saw 503 "all upstreams are at the limits that they state" 0.26 s after the request had come, with 4.75 s left, though one upstream stated none.

Cause: a connect that timed out (0.2 s) took that upstream away until a probe succeeded, the request was refused at once, and with the reason of the others.

Ruled out: a refused connection (no wait: nothing listens there); a cut of seconds (requests wait 0.8 s from the time-out of the upstream, not of their own).

Change: gateway/selection.py; the reason names upstreams within reach where others are not.

--- a/packages/daemon/src/trestlestall/daemon/events/forwarding.py
+++ b/packages/daemon/src/trestlestall/daemon/events/forwarding.py
@@ -70,6 +70,16 @@
     " of this gateway.",
     "Find out what the request does at the upstream: forward_sent has its digest too.",
 )
+UPSTREAM_AWAITED = catalogue.declare(
+    "TS7007",
+    "upstream_awaited",
+    catalogue.Level.INFO,
+    "request route reason reached seconds seconds_left",
+    "No upstream took the request, for the reason, but a connection to another one had"
+    " timed out just before, as after a lost packet. The request waited for seconds;"
+    " reached lists the upstreams that can be connected to again, empty if none can.",
+    "If this repeats, look at the listen queue of the upstream (upstream_unreachable).",
+)
 UPSTREAM_CHANGED = catalogue.declare(
     "TS7010",
     "upstream_row",
--- a/packages/daemon/src/trestlestall/daemon/gateway/attempts.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/attempts.py
@@ -27,9 +27,13 @@
 
 @dataclasses.dataclass(frozen=True)
 class NotSent:
-    """No connection could be opened, so no upstream has received the request."""
+    """No connection could be opened, so no upstream has received the request.
+
+    ``timed_out`` is whether the upstream's host did not reply at all.
+    """
 
     reason: str
+    timed_out: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -108,7 +112,7 @@
         """Connect and send the request; return None unless that failed."""
         connection = self._pool.acquire(self.row.address, seconds)
         if isinstance(connection, connections.Unreachable):
-            return NotSent(connection.reason)
+            return NotSent(connection.reason, connection.timed_out)
         self._connection = connection
         if self._aborted:
             connection.close()
--- a/packages/daemon/src/trestlestall/daemon/gateway/connections.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/connections.py
@@ -31,9 +31,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class Unreachable:
-    """No connection could be opened, so nothing was sent."""
+    """No connection could be opened, so nothing was sent.
+
+    ``timed_out`` is whether there was no reply at all, as from a host whose listen
+    queue is full. A host on which nothing listens replies at once.
+    """
 
     reason: str
+    timed_out: bool = False
 
 
 class Connection:
@@ -120,7 +125,8 @@
                 addresses.parse(address), timeout=max(0.001, seconds)
             )
         except OSError as error:
-            return Unreachable(str(error) or type(error).__name__)
+            timed_out = isinstance(error, TimeoutError)
+            return Unreachable(str(error) or type(error).__name__, timed_out)
         opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, True)
         opened.setsockopt(
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS
--- a/packages/daemon/src/trestlestall/daemon/gateway/final_answers.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/final_answers.py
@@ -13,7 +13,11 @@
 OK = 200
 #: Reasons whose ``Retry-After`` is known from all upstreams of the service; it takes
 #: precedence over that of the upstream that turned the request away last.
-TIMED_REASONS = (backoffs.BACKING_OFF, rate_limits.LIMITED)
+TIMED_REASONS = (
+    backoffs.BACKING_OFF,
+    rate_limits.LIMITED,
+    rate_limits.LIMITED_WITHIN_REACH,
+)
 
 
 def end_unplaced(
--- a/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
@@ -17,6 +17,7 @@
     outcomes,
     records,
     relays,
+    selection,
     signal_tracker,
 )
 from trestlestall.forwarding import (
@@ -36,8 +37,6 @@
 DEFAULT_DEADLINE_SECONDS = 60.0
 #: Sends of one request in total, including those that upstreams did not run.
 MAX_SENDS = 4
-#: Time that must be left before the deadline for another send to be worthwhile.
-MIN_LEFT_SECONDS = 0.05
 OK = 200
 
 
@@ -81,6 +80,7 @@
         self.descriptor = self._describe(admitted.priority)
         self.attempt: attempts.Attempt | None = None
         self.tried: list[str] = []
+        self.excluded: set[str] = set()
         self.runs = 0
         self.sends = 0
         self.counted = False
@@ -129,15 +129,16 @@
     # Attempts.
 
     def _place(self, purpose: str) -> placement.Placed | placement.Refused:
-        placing = self.handler.placing
-        found = placing.place(self.descriptor, self.tried, purpose)
-        if isinstance(found, placement.Placed):
-            if self.caller.left:
-                placing.end(self.descriptor, found.row.identity, None)
-                raise callers.CallerLeft()
-            self.tried.append(found.row.identity)
-            self.handler.signals.record_placed(found)
-            records.write_sent(self, found)
+        found = selection.select(self, purpose)
+        if isinstance(found, placement.Refused):
+            return found
+        if self.caller.left:
+            self.handler.placing.end(self.descriptor, found.row.identity, None)
+            raise callers.CallerLeft()
+        self.tried.append(found.row.identity)
+        self.excluded.add(found.row.identity)
+        self.handler.signals.record_placed(found)
+        records.write_sent(self, found)
         return found
 
     def _run_attempt(self, placed: placement.Placed) -> outcomes.Outcome | None:
@@ -251,7 +252,7 @@
     def _may_try_another(self, row: upstreams.Row, outcome: outcomes.Outcome) -> bool:
         """Return whether to try another upstream after this outcome."""
         left = self.deadline - clocks.read()
-        allowed = left > MIN_LEFT_SECONDS and self.sends < MAX_SENDS
+        allowed = left > selection.MIN_LEFT_SECONDS and self.sends < MAX_SENDS
         if isinstance(outcome, (attempts.Broken, attempts.AnswerHead)):
             allowed = allowed and self._may_retry()
             allowed = allowed and (not self.relay.began or self.route.resumable)
@@ -263,7 +264,7 @@
     ) -> None:
         """Update the cached view of the upstream by the outcome."""
         if isinstance(outcome, attempts.NotSent):
-            self.handler.prober.mark_unreachable(row, outcome.reason)
+            self.handler.prober.mark_unreachable(row, outcome.reason, outcome.timed_out)
         elif isinstance(outcome, attempts.Broken):
             closed = self.attempt.is_closed
             has_crashed = closed and self.handler.crash_detector.record_broken(
--- a/packages/daemon/src/trestlestall/daemon/gateway/placing.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/placing.py
@@ -44,6 +44,9 @@
     rate_limits.LIMITED,
 )
 
+#: Reasons that hold for the request, whichever upstreams can be reached.
+REASONS_OF_REQUEST = (shedding.OVERLOADED, budgets.EXHAUSTED, crashes.HARMFUL)
+
 Send = abc.Callable[[str, object], bool]
 
 
--- a/packages/daemon/src/trestlestall/daemon/gateway/progress.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/progress.py
@@ -7,6 +7,8 @@
     cached_view,
     callers,
     metrics as gateway_metrics,
+    placing,
+    reachability,
     refusals,
     relays,
 )
@@ -17,6 +19,8 @@
     """What a request shares with the gateway's other requests."""
 
     metrics: gateway_metrics.Metrics
+    placing: placing.Placing
+    prober: reachability.Prober
 
     def refuse(
         self,
@@ -31,7 +35,8 @@
 class Progress(typing.Protocol):
     """A request and its progress; see ``forwards``.
 
-    ``tried`` are the upstreams that it was sent to. ``fallback_answer`` is the response
+    ``tried`` are the upstreams that it was sent to, ``excluded`` those of them to which
+    it is not sent again. ``fallback_answer`` is the response
     of a failed run, which is forwarded if no other run succeeds.
     """
 
@@ -44,6 +49,7 @@
     arrived: float
     deadline: float
     tried: list[str]
+    excluded: set[str]
     runs: int
     sends: int
     relay: relays.Relay
--- a/packages/daemon/src/trestlestall/daemon/gateway/reachability.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/reachability.py
@@ -1,7 +1,12 @@
-"""Probes upstreams that could not be connected to until they are reachable again."""
+"""Probes upstreams that could not be connected to until they are reachable again.
+
+A connection that times out may be a lost packet or a full listen queue, over within the
+first probes. Requests that no other upstream takes may wait for these.
+"""
 
 import contextlib
 import socket
+from collections import abc
 
 import eventlet
 
@@ -14,6 +19,9 @@
 FIRST_DELAY_SECONDS = 0.25
 MAX_DELAY_SECONDS = 2.0
 CONNECT_TIMEOUT_SECONDS = 0.4
+#: Seconds after a connection timed out for which requests wait: two probes.
+MAY_RECOVER_SECONDS = 3 * FIRST_DELAY_SECONDS + 0.05
+POLL_SECONDS = 0.02
 
 
 class Prober:
@@ -23,6 +31,8 @@
         self._view = view
         self._probing: set[str] = set()
         self._suspected: set[str] = set()
+        # When a connection to an upstream has just timed out.
+        self._timed_out_at: dict[str, float] = {}
 
     @property
     def unreachable(self) -> frozenset[str]:
@@ -39,6 +49,41 @@
             self._suspected.add(row.identity)
             eventlet.spawn(self._probe_once, row)
 
+    def list_unreachable(self, service: str) -> list[str]:
+        """Return the upstreams of a service that can't be connected to from here."""
+        rows = self._view.table.rows
+        return [
+            one for one in self._probing if one in rows and rows[one].service == service
+        ]
+
+    def wait_until_reached(
+        self, service: str, deadline: float, is_wanted: abc.Callable[[], bool]
+    ) -> list[str]:
+        """Wait for upstreams of a service to which connections timed out just now.
+
+        Return those that were reached as soon as there are any, or none once all have
+        been unreachable for ``MAY_RECOVER_SECONDS``, after the deadline, or when
+        ``is_wanted`` returns false.
+        """
+        awaited = self._list_recovering(service)
+        while awaited and is_wanted() and self._view.clock() < deadline:
+            eventlet.sleep(POLL_SECONDS)
+            reached = [one for one in awaited if one not in self._probing]
+            if reached:
+                return reached
+            awaited = self._list_recovering(service)
+        return []
+
+    def _list_recovering(self, service: str) -> list[str]:
+        """Return the upstreams of a service that may be reached again at once."""
+        earliest = self._view.clock() - MAY_RECOVER_SECONDS
+        never = float("-inf")
+        return [
+            one
+            for one in self.list_unreachable(service)
+            if self._timed_out_at.get(one, never) > earliest
+        ]
+
     def _probe_once(self, row: upstreams.Row) -> None:
         reached = can_connect(row.address)
         self._suspected.discard(row.identity)
@@ -47,12 +92,19 @@
                 row, "request left unanswered, then a new connection failed"
             )
 
-    def mark_unreachable(self, row: upstreams.Row, reason: str) -> None:
-        """Send the upstream no requests until a connection to it succeeds."""
+    def mark_unreachable(
+        self, row: upstreams.Row, reason: str, timed_out: bool = False
+    ) -> None:
+        """Send the upstream no requests until a connection to it succeeds.
+
+        ``timed_out`` is whether its host did not reply at all.
+        """
         self._view.placer.set_reachable(row.identity, False)
         if row.identity in self._probing:
             return
         self._probing.add(row.identity)
+        if timed_out:
+            self._timed_out_at[row.identity] = self._view.clock()
         self._view.log.write(
             events.forwarding.UNREACHABLE,
             upstream=row.identity,
@@ -73,6 +125,7 @@
                     return
         finally:
             self._probing.discard(row.identity)
+            self._timed_out_at.pop(row.identity, None)
 
     def _is_serving(self, row: upstreams.Row) -> bool:
         known = self._view.table.rows.get(row.identity)
--- a/packages/daemon/src/trestlestall/daemon/gateway/records.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/records.py
@@ -75,6 +75,24 @@
     )
 
 
+def write_awaited(
+    forward: progress.Progress,
+    refused: placement.Refused,
+    reached: list[str],
+    seconds: float,
+) -> None:
+    """Log that a request waited for upstreams that did not reply to a connection."""
+    forward.view.log.write(
+        events.forwarding.UPSTREAM_AWAITED,
+        request=forward.descriptor.request_id,
+        route=forward.route.name,
+        reason=refused.reason,
+        reached=reached,
+        seconds=round(seconds, 4),
+        seconds_left=round(forward.deadline - clocks.read(), 3),
+    )
+
+
 def write_quarantined(forward: progress.Progress, refused: placement.Refused) -> None:
     """Log that a request is quarantined, and the crashes that it is blamed for."""
     view = forward.view
--- /dev/null
+++ b/packages/daemon/src/trestlestall/daemon/gateway/selection.py
@@ -0,0 +1,75 @@
+"""Selects the upstream of a forwarded request, or says why there is none.
+
+A request that no upstream takes waits for one to which a connection has just timed out:
+most such time-outs end within the first probes, and a caller who is refused comes back
+later than that.
+"""
+
+import dataclasses
+
+from trestlestall.daemon import placement_protocol
+from trestlestall.daemon.gateway import (
+    callers,
+    placing,
+    progress,
+    reachability,
+    records,
+)
+from trestlestall.forwarding import placement, rate_limits
+from trestlestall.wire import clocks
+
+#: Time that must be left before the deadline for a send to be worthwhile.
+MIN_LEFT_SECONDS = 0.05
+
+
+def select(
+    forward: progress.Progress, purpose: str
+) -> placement.Placed | placement.Refused:
+    """Return the upstream to send to, or a refusal with a reason that is true.
+
+    ``purpose`` is one of those in ``placement_protocol``. Raises ``CallerLeft``.
+    """
+    placer = forward.handler.placing
+    found = placer.place(forward.descriptor, forward.excluded, purpose)
+    if isinstance(found, placement.Refused) and wait_for_upstream(forward, found):
+        if purpose == placement_protocol.FIRST_SEND:
+            # The scheduler has counted the request already.
+            purpose = placement_protocol.REROUTED
+        found = placer.place(forward.descriptor, forward.excluded, purpose)
+    if isinstance(found, placement.Refused):
+        return explain_refusal(forward, found)
+    return found
+
+
+def wait_for_upstream(forward: progress.Progress, refused: placement.Refused) -> bool:
+    """Wait for an upstream that may be reached again at once.
+
+    Return whether one was reached, so that the request is worth placing again. Raises
+    ``CallerLeft``.
+    """
+    if refused.reason in placing.REASONS_OF_REQUEST:
+        return False
+    started = clocks.read()
+    reached = forward.handler.prober.wait_until_reached(
+        forward.descriptor.service,
+        forward.deadline - MIN_LEFT_SECONDS,
+        lambda: not forward.caller.left,
+    )
+    if forward.caller.left:
+        raise callers.CallerLeft()
+    forward.excluded.difference_update(reached)
+    waited = clocks.read() - started
+    if waited >= reachability.POLL_SECONDS:
+        records.write_awaited(forward, refused, reached, waited)
+    return bool(reached)
+
+
+def explain_refusal(
+    forward: progress.Progress, refused: placement.Refused
+) -> placement.Refused:
+    """Return the refusal with a reason that is true of all upstreams."""
+    unreachable = forward.handler.prober.list_unreachable(forward.descriptor.service)
+    if refused.reason == rate_limits.LIMITED and unreachable:
+        reason = rate_limits.LIMITED_WITHIN_REACH
+        return dataclasses.replace(refused, reason=reason)
+    return refused
--- a/packages/daemon/tests/test_gateway_repeats.py
+++ b/packages/daemon/tests/test_gateway_repeats.py
@@ -1,10 +1,12 @@
 """When a gateway retries a request, and how it relays streams."""
 
+import contextlib
 from unittest import mock
 
 from packages.daemon.tests import gateway_bench as bench  # isort: skip
 
 import eventlet
+from eventlet.green import socket
 
 from trestlestall.daemon.gateway import attempts, placing
 
@@ -57,6 +59,43 @@
             self.assertEqual(self.bench.ask("/once/x")[2], "done")
         self.assertEqual(len(self.bench.list_lines("upstream_unreachable")), 1)
 
+    def fill_listen_queue(self, made):
+        """Make an upstream accept nothing, and fill its queue; return the sockets."""
+        made.accepting.kill()
+        made.socket.listen(0)
+        filling = []
+        with contextlib.suppress(TimeoutError):
+            while len(filling) < 10:
+                address = ("127.0.0.1", made.port)
+                filling.append(socket.create_connection(address, timeout=0.05))
+        return filling
+
+    def test_a_request_waits_for_the_only_upstream_if_its_queue_was_full(self):
+        # Regression: refused 0.26 s after it came, with 4.75 s left.
+        only = self.bench.add("u1", bench.answer("", "done"))
+        filling = self.fill_listen_queue(only)
+
+        def accept():
+            for each in filling:
+                each.close()
+            only.accepting = eventlet.spawn(only.accept)
+
+        eventlet.spawn_after(0.4, accept)
+        self.assertEqual(self.bench.ask("/once/x")[2], "done")
+        (line,) = self.bench.list_lines("upstream_awaited")
+        self.assertEqual(line["reached"], ["u1"])
+
+    def test_a_request_does_not_wait_long_for_an_upstream_that_stays_silent(self):
+        only = self.bench.add("u1", bench.answer("", "done"))
+        filling = self.fill_listen_queue(only)
+        self.assertEqual(self.bench.ask("/once/x")[0], 503)
+        (waited,) = self.bench.list_lines("upstream_awaited")
+        self.assertLess(waited["seconds"], 1.0)
+        self.assertEqual(self.bench.ask("/once/x")[0], 503)
+        self.assertEqual(len(self.bench.list_lines("upstream_awaited")), 1)
+        for each in filling:
+            each.close()
+
     def test_an_unresponsive_upstream_is_probed_and_then_avoided(self):
         silent = self.bench.add("u1", bench.send("", keep=True, after=5))
         self.bench.ask("/short/x")
--- a/packages/forwarding/src/trestlestall/forwarding/rate_limits.py
+++ b/packages/forwarding/src/trestlestall/forwarding/rate_limits.py
@@ -20,6 +20,8 @@
 
 #: The reason for placing a request nowhere.
 LIMITED = "all upstreams are at the limits that they state"
+#: The same where others can't be connected to.
+LIMITED_WITHIN_REACH = "all upstreams within reach are at the limits that they state"
 #: Burst in seconds of a limit, and the smallest burst: requests arrive unevenly, and
 #: with smaller bursts many are rejected though the upstream takes more in total.
 BURST_SECONDS = 1.0
