The last span of a stated limit ends with the load, not with the last answer

Two listed tests found the limited upstream idle: 2, or 0, requests in the last 4 s where 3 are asked for. Cause: the callers' waiting for late answers counted as load.

Ruled out: permits that wait with a paused gateway, a wrong count after a change of the scheduler (the other gateways were served at the limit's rate in both runs).

Change: the span ends with the load; as many requests are asked for in as long a load.

--- a/tests/signalling.py
+++ b/tests/signalling.py
@@ -112,13 +112,17 @@
 
 
 class Callers:
-    """Callers that send requests to gateways in turn; ``answers`` has the results."""
+    """Callers that send requests to gateways in turn; ``answers`` has the results.
+
+    ``load_ended_at`` is when the last load ended; its answers may come later.
+    """
 
     def __init__(self, system, rate):
         self.system = system
         self.pause = 1.0 / rate
         self.answers = []
         self.stopped = threading.Event()
+        self.load_ended_at = 0.0
         self.numbers = itertools.count(1)
         self.threads = []
 
@@ -158,6 +162,7 @@
         try:
             yield
         finally:
+            self.load_ended_at = time.monotonic()
             self.stopped.set()
             runner.join()
             for worker in self.threads:
--- a/tests/test_stated_limits.py
+++ b/tests/test_stated_limits.py
@@ -12,7 +12,9 @@
 """
 
 import contextlib
+import signal
 import tempfile
+import threading
 import time
 import unittest
 
@@ -109,8 +111,13 @@
         """Check that the limit is respected, and that the upstream is not left idle."""
         allowed = FACTOR * LIMIT * SPAN_SECONDS + EXTRA
         self.assertLessEqual(find_most_in_span(upstream, excused), allowed)
-        late = time.monotonic() - SPAN_SECONDS
-        lately = [one for one in upstream.list_arrivals() if one.at >= late]
+        # Answers may be late, and nobody sends while the callers wait for them.
+        ended = self.callers.load_ended_at
+        lately = [
+            one
+            for one in upstream.list_arrivals()
+            if ended - SPAN_SECONDS <= one.at <= ended
+        ]
         self.assertGreaterEqual(len(lately), 0.5 * LIMIT * SPAN_SECONDS)
 
 
@@ -160,6 +167,21 @@
             time.sleep(6.0)
         self.check_limit_respected(limited, excused=(first,))
 
+    def test_callers_of_a_gateway_that_is_held_up_at_the_end(self):
+        """The upstream is not idle, though one gateway's answers are late."""
+        limited = self.add("u1", advertise(LIMIT))
+        self.add("u2")
+        self.wait_until_served()
+        held = self.system.running[self.system.gateways[0]]
+        resuming = threading.Timer(SPAN_SECONDS, held.send_signal, (signal.SIGCONT,))
+        with self.callers.generate_load(self.system.gateways):
+            time.sleep(SECONDS)
+            held.send_signal(signal.SIGSTOP)
+            resuming.start()
+            time.sleep(2.0 / RATE * len(self.system.gateways))
+        resuming.join()
+        self.check_limit_respected(limited)
+
     def test_it_ends_when_answers_no_longer_state_it(self):
         limited = self.add("u1", advertise(LIMIT))
         self.wait_until_served()
