A gateway that was held up does not count it as its scheduler's silence

Two queries that waited while the gateway had no processor time timed out at once on its waking, unsent or unanswered; as 0.3 s had passed since the first one, the scheduler was avoided for 4 s and the gateway's requests moved to another directory, or were placed locally. The new test failed before (avoided: True).

Change: the scheduler's health and the gateway's isolation go by the clock without stalls.

--- a/packages/daemon/src/trestlestall/daemon/gateway/placing.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/placing.py
@@ -112,7 +112,7 @@
     def handle_answer(self, answer: directory_messages.PlaceAnswer) -> None:
         """Pass an answer to the request that waits for it."""
         self._health.record_answered()
-        self._answered_at = clocks.read()
+        self._answered_at = clocks.read_running()
         waiting = self._waiting.pop(answer.token, None)
         if waiting is not None:
             waiting.send(answer)
@@ -300,7 +300,9 @@
         tried: abc.Collection[str],
         purpose: str,
     ) -> directory_messages.PlaceAnswer | None:
-        if self._scheduler is None or not self._health.may_be_queried(clocks.read()):
+        if self._scheduler is None or not self._health.may_be_queried(
+            clocks.read_running()
+        ):
             return None
         token = next(self._tokens)
         waiting = self._waiting[token] = eventlet.event.Event()
@@ -312,7 +314,7 @@
             del self._waiting[token]
             return None
         seconds = scheduler_health.compute_wait_timeout(descriptor)
-        self._health.record_query(clocks.read())
+        self._health.record_query(clocks.read_running())
         with eventlet.Timeout(seconds, False):
             return waiting.wait()
         self._waiting.pop(token, None)
@@ -323,8 +325,7 @@
         self, descriptor: descriptors.Descriptor, seconds: float
     ) -> None:
         """Pause queries to the scheduler, which may have counted the request."""
-        now = clocks.read()
-        is_unresponsive = self._health.record_timeout(now)
+        is_unresponsive = self._health.record_timeout(clocks.read_running())
         self._send_note(descriptor, placement_protocol.OUTCOMES[None])
         self._view.log.write(
             events.forwarding.SCHEDULER_UNRESPONSIVE,
@@ -332,14 +333,16 @@
             seconds=round(seconds, 3),
         )
         if is_unresponsive:
-            self._avoided[self._scheduler] = now + scheduler_health.AVOIDANCE_SECONDS
+            until = clocks.read() + scheduler_health.AVOIDANCE_SECONDS
+            self._avoided[self._scheduler] = until
             self.choose_scheduler()
 
     def _choose_locally(
         self, descriptor: descriptors.Descriptor, tried: abc.Collection[str]
     ) -> placement.Placed | placement.Refused:
         """Choose from the cached view, and count the request."""
-        is_isolated = clocks.read() - self._answered_at > ISOLATED_SECONDS
+        silent_seconds = clocks.read_running() - self._answered_at
+        is_isolated = silent_seconds > ISOLATED_SECONDS
         found = self._chooser.choose(descriptor, tried, is_isolated)
         if isinstance(found, placement.Placed):
             self._tasks.add(descriptor, found.row.identity, clocks.read())
--- a/packages/daemon/src/trestlestall/daemon/gateway/scheduler_health.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/scheduler_health.py
@@ -24,7 +24,10 @@
 
 
 class SchedulerHealth:
-    """Tracks the unanswered queries to one directory; times are in seconds.
+    """Tracks the unanswered queries to one directory.
+
+    Times are in seconds on a clock without those for which this process was held up: a
+    directory can't answer queries that were not sent.
 
     >>> health = SchedulerHealth()
     >>> health.record_query(0.0)
--- a/packages/daemon/tests/test_placing.py
+++ b/packages/daemon/tests/test_placing.py
@@ -4,10 +4,16 @@
 
 import unittest
 
+import eventlet
+from eventlet import patcher
+
 from packages.forwarding.tests import samples
 from trestlestall.daemon.gateway import scheduler_health
 from trestlestall.wire import clocks, directory_messages
 
+block = patcher.original("time").sleep
+STALL_SECONDS = 2 * scheduler_health.UNRESPONSIVE_SECONDS
+
 
 class WaitTimeoutTest(unittest.TestCase):
     def test_the_timeout_is_a_share_of_the_target_within_bounds(self):
@@ -79,3 +85,12 @@
         self.placing.handle_answer(directory_messages.PlaceAnswer(0, "u1", 0, 0.0))
         self.bench.ask("/once/x")
         self.assertFalse(self.placing.is_avoided("directory-1"))
+
+    def test_a_stall_of_the_gateway_does_not_cause_a_switch(self):
+        # Regression: two queries that it had not sent yet counted as unanswered.
+        asking = [eventlet.spawn(self.bench.ask, "/once/x") for _ in range(2)]
+        while len(self.asked) < len(asking):
+            eventlet.sleep(0)
+        block(STALL_SECONDS)
+        self.assertEqual([one.wait()[2] for one in asking], ["done"] * 2)
+        self.assertFalse(self.placing.is_avoided("directory-1"))
