--- a/packages/standins/src/trestlestall/standins/processes.py
+++ b/packages/standins/src/trestlestall/standins/processes.py
@@ -66,6 +66,11 @@
         """Return what the process has printed so far."""
         return self.log.read_text(errors="replace")
 
+    def describe(self) -> str:
+        """Return whether the process runs, and the end of its output."""
+        state = "runs" if self.running else f"exited {self.child.returncode}"
+        return f"{self.name} {state}:\n{self.read_log()[-LOG_TAIL_CHARACTERS:]}"
+
 
 def start(
     name: str,
@@ -130,17 +135,22 @@
 
 
 def wait_until(
-    is_true: abc.Callable[[], bool], what: str, limit: float = START_TIMEOUT_SECONDS
+    is_true: abc.Callable[[], bool],
+    what: str,
+    limit: float = START_TIMEOUT_SECONDS,
+    explain: abc.Callable[[], str] = str,
 ) -> None:
     """Poll until the condition holds.
 
     Raises ``DeploymentError`` after ``limit`` seconds; ``what`` describes the condition
-    in its message.
+    in its message, and ``explain`` returns what else is known by then.
     """
     deadline = time.monotonic() + limit
     while not is_true():
         if time.monotonic() > deadline:
-            raise exceptions.DeploymentError(f"timed out after {limit} s: {what}")
+            raise exceptions.DeploymentError(
+                f"timed out after {limit} s: {what}\n{explain()}".rstrip()
+            )
         time.sleep(POLL_INTERVAL_SECONDS)
 
 
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -236,7 +236,10 @@
                 if status not in (0, 503):
                     return status
             if time.monotonic() > deadline:
-                raise AssertionError("no directory acknowledged the document")
+                ends = [self.running[name].describe() for name in self.names]
+                raise AssertionError(
+                    "no directory acknowledged the document\n" + "\n".join(ends)
+                )
 
     def read(self, name):
         """Return the newest declaration known to a directory, or the error status."""
--- a/tests/test_promise_cuts.py
+++ b/tests/test_promise_cuts.py
@@ -75,6 +75,14 @@
         where = self.network.find(router).callers
         return calls.ask(where, model, f"to {router} [length 3]", once.KEY)
 
+    def describe(self, *names: str) -> str:
+        """Return what is known of some processes, for the message of a failure."""
+        lines = []
+        for name in names:
+            lines.append(str(self.network.read_status(name)))
+            lines.append(self.network.find(name).process.describe())
+        return "\n".join(lines)
+
     def is_cut_off(self, router: str) -> bool:
         return self.network.read_status(router)["cut_off"]
 
@@ -172,7 +180,11 @@
         network.freeze_data_centre("c")
         self.wait_until_cut_off("router-c2")
         self.restart("router-c1")
-        processes.wait_until(lambda: self.is_ready("router-c1"), "it is ready")
+        processes.wait_until(
+            lambda: self.is_ready("router-c1"),
+            "it is ready",
+            explain=lambda: self.describe("router-c1", "router-c2", "control-3"),
+        )
         status = network.read_status("router-c1")
         self.assertIn("control-3", status["links"])
         self.assertEqual(status["version"], network.version)
