Election timeouts outlast the syncs of slow disks

Nothing was served while the disks of the directories were slow: none acknowledged the first document.

Cause: an election takes three syncs one after another, and until a leader was known a voter waited 0.1 to 0.2 s, so that elections ended one another; a voter back from its own sync judged its leader before it read its messages.

Change: the folder measures its syncs; election timeouts are at least four of them and at most 5 s; a voter that was held up reads before it judges; each round of a turn has its own time; control and directories read their sockets before each turn.

--- a/packages/agreement/src/trestlestall/agreement/actions.py
+++ b/packages/agreement/src/trestlestall/agreement/actions.py
@@ -128,6 +128,14 @@
     term: int
 
 
+@dataclasses.dataclass(frozen=True)
+class TimingAdapted:
+    """The election timeout was adapted to the time of a sync, both in seconds."""
+
+    sync: float
+    election: float
+
+
 Action = (
     Persist
     | PersistSnapshot
@@ -139,4 +147,5 @@
     | ReadRefused
     | BecameLeader
     | Deposed
+    | TimingAdapted
 )
--- a/packages/agreement/src/trestlestall/agreement/node.py
+++ b/packages/agreement/src/trestlestall/agreement/node.py
@@ -39,6 +39,9 @@
     snapshot_transfers,
 )
 
+#: Change of the election timeout, as a ratio, that is reported.
+REPORTED_RATIO = 1.5
+
 
 class Node:
     """A voter, a learner, or a node that waits to be added to the group.
@@ -71,6 +74,8 @@
         vote = restored.vote or entries_module.Vote(0)
         if vote.term < log.last_term:
             vote = entries_module.Vote(log.last_term)
+        self._timing = timing
+        self._reported_election = timing.election
         self._state = state_module.State(
             voter=voter,
             timing=timing,
@@ -133,6 +138,20 @@
             and self._state.leader_state.handover is not None
         )
 
+    def adapt_timing(self, sync_seconds: float) -> None:
+        """Adapt the election timeouts to the time of a sync of this voter's disk.
+
+        A running timeout is not changed. Considerable changes are reported by a
+        ``TimingAdapted`` action of the next step.
+        """
+        self._state.timing = timing_module.adapt_to_syncs(self._timing, sync_seconds)
+        election_timeout = self._state.timing.election
+        ratio = election_timeout / self._reported_election
+        if max(ratio, 1.0 / ratio) >= REPORTED_RATIO:
+            self._reported_election = election_timeout
+            action = actions.TimingAdapted(round(sync_seconds, 4), election_timeout)
+            self._state.emit(action)
+
     def handle(self, event: events.Event, now: float) -> list[actions.Action]:
         """Handle one event at the time ``now`` and return the actions to execute."""
         return self.handle_batch((event,), now)
--- a/packages/agreement/src/trestlestall/agreement/timing.py
+++ b/packages/agreement/src/trestlestall/agreement/timing.py
@@ -13,7 +13,8 @@
     down. ``heartbeat`` is the heartbeat interval, and should be at most a quarter of
     ``election``. A learner that doesn't respond for ``catch_up`` is dropped.
     ``first_election`` replaces ``election`` in a voter that has known no leader since
-    its start.
+    its start. Both have to exceed the time of an election, in which several syncs of
+    disks follow one another; ``adapt_to_syncs`` lengthens them for slow disks.
     """
 
     election: float = 1.0
@@ -43,3 +44,26 @@
 
 
 DEFAULT_LIMITS = Limits()
+
+#: Syncs in an election: the candidate's vote, another voter's and the new leader's
+#: first entry, and one in which a process may be when a message arrives.
+SYNCS_PER_ELECTION = 4
+#: Longest election timeout for slow disks, in seconds.
+MAX_ADAPTED_SECONDS = 5.0
+
+
+def adapt_to_syncs(timing: Timing, sync_seconds: float) -> Timing:
+    """Return the timing with election timeouts that outlast an election.
+
+    ``sync_seconds`` is how long a sync of this voter's disk takes. A voter whose disk
+    holds it up hears from no leader meanwhile, and the leader not from it.
+
+    >>> adapt_to_syncs(Timing(election=0.5, first_election=0.1), 0.05).first_election
+    0.2
+    """
+    needed = min(MAX_ADAPTED_SECONDS, round(SYNCS_PER_ELECTION * sync_seconds, 3))
+    return dataclasses.replace(
+        timing,
+        election=max(timing.election, needed),
+        first_election=max(timing.first_election, needed),
+    )
--- a/packages/agreement/tests/test_rules.py
+++ b/packages/agreement/tests/test_rules.py
@@ -18,6 +18,7 @@
 COMPACTED = entries.Snapshot(3, 2, VOTERS, b"state")
 APPEND = messages.AppendRequest
 COVERED = messages.InstallRequest(3, 2, 1, VOTERS, 1, 0, b"s", 7)
+REPORT = actions.TimingAdapted
 REJECTED = messages.AppendResponse(3, False, 0, 0)
 
 
@@ -153,5 +154,30 @@
         self.assertEqual(raft_node.handle(events.Receive("b", late), 2.5), [])
 
 
+class TimingTest(unittest.TestCase):
+    def test_slow_syncs_lengthen_the_election_timeout(self):
+        slow = 2 * group.TIMING.election
+        heartbeat = events.Receive("a", APPEND(3, 5, 2, (), 0, 7))
+        for sync_seconds, is_waiting in ((0.0, False), (slow, True)):
+            with self.subTest(sync_seconds):
+                raft_node = make_node()
+                raft_node.adapt_timing(sync_seconds)
+                emitted = raft_node.handle(heartbeat, 0.1)
+                found = [one for one in emitted if isinstance(one, REPORT)]
+                self.assertEqual([one.sync for one in found], [slow] * is_waiting)
+                for now in (0.9, 1.8, 0.1 + slow):
+                    raft_node.handle(events.Tick(), now)
+                follows = raft_node.role is state.Role.FOLLOWER
+                self.assertEqual(follows, is_waiting)
+
+    def test_a_change_is_reported_once(self):
+        raft_node = make_node()
+        for sync_seconds in (5.0, 5.0, 4.9, 0.0, 0.0):
+            raft_node.adapt_timing(sync_seconds)
+        emitted = raft_node.handle(events.Tick(), 0.0)
+        found = [one.sync for one in emitted if isinstance(one, REPORT)]
+        self.assertEqual(found, [5.0, 0.0])
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/packages/daemon/src/trestlestall/daemon/control/journal.py
+++ b/packages/daemon/src/trestlestall/daemon/control/journal.py
@@ -41,6 +41,11 @@
             tuple(decode_entry(record) for record in loaded.records),
         )
 
+    @property
+    def sync_seconds(self) -> float:
+        """How long a sync of the folder takes, as a moving average."""
+        return self._folder.sync_seconds
+
     def save_group(self, voters: tuple[str, ...]) -> None:
         """Store the group of the initial voters."""
         self.group = voters
--- a/packages/daemon/src/trestlestall/daemon/control/process.py
+++ b/packages/daemon/src/trestlestall/daemon/control/process.py
@@ -11,6 +11,7 @@
 from trestlestall.agreement import exceptions as agreement_exceptions
 from trestlestall.daemon import (
     environment,
+    event_loop,
     events,
     logs,
     metrics as process_metrics,
@@ -84,7 +85,11 @@
         with contextlib.ExitStack() as stack:
             stack.enter_context(catch_signals(self.stop))
             stack.enter_context(suspensions.Monitor(self._log).open())
-            data = stack.enter_context(folder.open_folder(self._settings.data_folder))
+            data = stack.enter_context(
+                folder.open_folder(
+                    self._settings.data_folder, clock=self._env.clock.monotonic
+                )
+            )
             links = control_links.Links(self._settings)
             server = servers.Server(
                 self._settings,
@@ -140,7 +145,7 @@
     def _turn(self, server: servers.Server) -> None:
         """Wait for something to do, let the links queue all that arrived, and turn."""
         self._wakeups.acquire(timeout=TICK_SECONDS)
-        eventlet.sleep(0)
+        event_loop.read_sockets()
         server.turn()
 
     def _wake(self) -> None:
--- a/packages/daemon/src/trestlestall/daemon/control/reports.py
+++ b/packages/daemon/src/trestlestall/daemon/control/reports.py
@@ -70,6 +70,15 @@
     ]
 
 
+def write_timing(log: logs.Log, action: actions.TimingAdapted) -> None:
+    """Log that a voter's election timeout was adapted to its disk."""
+    log.write(
+        events.agreement.TIMING_ADAPTED,
+        sync_seconds=action.sync,
+        election_seconds=action.election,
+    )
+
+
 class Reporter:
     """Writes log lines on changes of the replicated state and its voters."""
 
@@ -89,6 +98,8 @@
             self._log.write(events.agreement.ELECTED, term=action.term)
         elif isinstance(action, actions.Deposed):
             self._log.write(events.agreement.DEPOSED, term=action.term)
+        elif isinstance(action, actions.TimingAdapted):
+            write_timing(self._log, action)
         elif isinstance(action, actions.PersistSnapshot):
             self._log.write(
                 events.agreement.SNAPSHOT_SAVED,
--- a/packages/daemon/src/trestlestall/daemon/control/server.py
+++ b/packages/daemon/src/trestlestall/daemon/control/server.py
@@ -170,6 +170,8 @@
         for _ in range(VOTER_ROUNDS_LIMIT):
             batch = list(self._inbox)
             self._inbox.clear()
+            # Each round may take a sync.
+            now = self._env.clock.monotonic()
             self.voter.turn(batch, now)
             self._process_results(context, now)
             if not self._inbox:
--- a/packages/daemon/src/trestlestall/daemon/control/voter.py
+++ b/packages/daemon/src/trestlestall/daemon/control/voter.py
@@ -22,6 +22,8 @@
 #: Bytes of entries after which the log is rewritten, whatever their number: a sixteenth
 #: of the smallest disk of a deployment (128 MB).
 SNAPSHOT_BYTES = 8 * 1024 * 1024
+#: Time between two turns in which a voter was held up: twice the usual one.
+HELD_UP_SECONDS = 0.2
 
 Token = typing.Hashable
 
@@ -61,7 +63,8 @@
     """Callbacks for a voter's actions, other than those of its journal.
 
     ``send(to, message)`` must not block; ``answer(token, result)`` ends a proposal or a
-    read; ``notify(action)`` is called on changes of leadership and on snapshots.
+    read; ``notify(action)`` is called on changes of leadership or of timeouts, and on
+    snapshots.
     """
 
     send: abc.Callable[[str, typing.Any], None]
@@ -90,6 +93,7 @@
         self._outcomes: dict[int, machines.Document] = {}
         self._bytes_since_snapshot = 0
         self._snapshot_bytes = 0
+        self._turned_at = float("-inf")
 
     @property
     def leads(self) -> bool:
@@ -97,12 +101,20 @@
         return self.node.role is state.Role.LEADER
 
     def turn(self, batch: abc.Sequence[events.Event], now: float) -> None:
-        """Handle the events that have arrived, after a tick.
+        """Handle the events that have arrived, and a tick.
 
         The tick comes first: a leader that was suspended steps down before it handles
-        the events that were queued meanwhile.
+        the events that were queued meanwhile. It comes last at another voter that was
+        held up, by its disk for example: that has to read what its leader sent before
+        it judges that it is silent.
         """
-        self._execute(self.node.handle_batch([events.Tick(), *batch], now))
+        self.node.adapt_timing(self._journal.sync_seconds)
+        tick = events.Tick()
+        was_held_up = now - self._turned_at > HELD_UP_SECONDS
+        self._turned_at = now
+        reads_first = was_held_up and not self.leads
+        ordered = [*batch, tick] if reads_first else [tick, *batch]
+        self._execute(self.node.handle_batch(ordered, now))
         if self._is_snapshot_due():
             snapshot = machines.encode(self.machine)
             compact = events.Compact(self.node.commit_index, snapshot)
@@ -206,6 +218,7 @@
 
 @handles(actions.BecameLeader)
 @handles(actions.Deposed)
-def notify_leader_change(voter: Voter, action: actions.Action) -> None:
-    """Notify of a change of leadership."""
+@handles(actions.TimingAdapted)
+def notify_change(voter: Voter, action: actions.Action) -> None:
+    """Notify of a change of leadership or of timeouts."""
     voter._effects.notify(action)
--- a/packages/daemon/src/trestlestall/daemon/directory/disks.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/disks.py
@@ -33,7 +33,9 @@
     def open(self, now: float) -> None:
         """Open the folder and start the voter; retry later if that fails."""
         try:
-            data = self._stack.enter_context(folder.open_folder(self._path))
+            data = self._stack.enter_context(
+                folder.open_folder(self._path, clock=self._server.now)
+            )
             self._server.start(journals.Journal(data), data.identity)
             self._retry_at = None
         except TRANSIENT_ERRORS as error:
--- a/packages/daemon/src/trestlestall/daemon/directory/process.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/process.py
@@ -9,6 +9,7 @@
 from trestlestall.daemon import (
     dialects,
     environment,
+    event_loop,
     events,
     logs,
     reloading,
@@ -122,7 +123,7 @@
     def _turn(self, disk: disks.Disk) -> None:
         """Wait for work, let other green threads queue what arrived, and run a turn."""
         self._work_ready.acquire(timeout=TURN_INTERVAL_SECONDS)
-        eventlet.sleep(0)
+        event_loop.read_sockets()
         disk.turn(self._env.clock.monotonic())
 
     def _wake(self) -> None:
--- a/packages/daemon/src/trestlestall/daemon/directory/server.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/server.py
@@ -22,6 +22,7 @@
     envelopes,
     group,
     journal as journals,
+    reports as control_reports,
     voter as voters,
 )
 from trestlestall.daemon.directory import (
@@ -277,6 +278,8 @@
         for _ in range(VOTER_ROUNDS_LIMIT):
             batch = list(self._inbox)
             self._inbox.clear()
+            # Each round may take a sync.
+            now = self.now()
             self.voter.turn(batch, now)
             self._process_results(context, now)
             if not self._inbox:
@@ -374,6 +377,8 @@
         elif isinstance(action, actions.Deposed):
             self.members.clear_change()
             self._log.write(events.agreement.DEPOSED, term=action.term)
+        elif isinstance(action, actions.TimingAdapted):
+            control_reports.write_timing(self._log, action)
 
     def _send(self, to: str, message: typing.Any) -> None:
         envelope = envelopes.wrap(self.own, to, message)
--- a/packages/daemon/src/trestlestall/daemon/event_loop.py
+++ b/packages/daemon/src/trestlestall/daemon/event_loop.py
@@ -13,6 +13,7 @@
 import heapq
 from collections import abc
 
+import eventlet
 from eventlet.hubs import epolls
 
 from trestlestall.wire import clocks
@@ -66,14 +67,24 @@
     def _handle_arrived_data(self) -> None:
         """Run greenlets until none is ready and no data waits in a socket."""
         for _ in range(MAX_CATCH_UP_TURNS):
-            # Timers without a delay are greenlets that are ready to run.
-            super().fire_timers(self.clock())
             self._has_ready = False
             self.wait(0)
             self.prepare_timers()
             is_idle = not self.timers or self.timers[0][0] > self.clock()
             if is_idle and not self._has_ready:
                 return
+            # Timers without a delay are greenlets that are ready to run.
+            super().fire_timers(self.clock())
+
+
+def read_sockets() -> None:
+    """Let other greenlets read what has arrived, before the calling one goes on.
+
+    One turn of the loop runs the greenlets that are ready, and reads the sockets after
+    that; so it takes two.
+    """
+    eventlet.sleep(0)
+    eventlet.sleep(0)
 
 
 def is_overdue(item: tuple, when: float) -> bool:
--- a/packages/daemon/src/trestlestall/daemon/events/agreement.py
+++ b/packages/daemon/src/trestlestall/daemon/events/agreement.py
@@ -122,3 +122,13 @@
     "configuration offered source",
     "An older version than the one in force was received and not applied.",
 )
+TIMING_ADAPTED = catalogue.declare(
+    "TS4017",
+    "election_timeout_adapted",
+    catalogue.Level.INFO,
+    "sync_seconds election_seconds",
+    "Syncs of this voter's data folder take so long that an election takes longer: it"
+    " waits for a silent leader for election_seconds, up to twice that, before it"
+    " stands for election; or its disk has become faster again.",
+    "Find out what else writes to the disk.",
+)
--- a/packages/daemon/tests/test_event_loop.py
+++ b/packages/daemon/tests/test_event_loop.py
@@ -8,6 +8,7 @@
 import textwrap
 import time
 import unittest
+from unittest import mock
 
 from trestlestall.daemon import patching  # isort: skip
 
@@ -91,10 +92,18 @@
         self.assertLess(clocks.read_running() - running, elapsed - 0.9 * STALL_SECONDS)
 
     def test_turns_in_time_are_no_stall(self):
-        before = clocks.read() - clocks.read_running()
-        for _ in range(5):
-            eventlet.sleep(event_loop.STALL_SECONDS / 5)
-        self.assertEqual(round(clocks.read() - clocks.read_running() - before, 6), 0)
+        now = 0.0
+        loop = event_loop.Hub(lambda: now)
+        fired = []
+        for late in (event_loop.STALL_SECONDS / 2, 2 * event_loop.STALL_SECONDS):
+            now = 0.0
+            loop.schedule_call_global(1.0, fired.append, late)
+            loop.prepare_timers()
+            now = 1.0 + late
+            with mock.patch.object(clocks, "record_stall") as recorded:
+                loop.fire_timers(now)
+            self.assertEqual(fired[-1], late)
+            self.assertEqual(recorded.called, late > event_loop.STALL_SECONDS)
 
 
 class StoppedProcessTest(unittest.TestCase):
--- a/packages/storage/src/trestlestall/storage/folder.py
+++ b/packages/storage/src/trestlestall/storage/folder.py
@@ -14,6 +14,7 @@
 import os
 import secrets
 import typing
+from collections import abc
 
 from trestlestall.storage import contents, exceptions, files, frames, mark
 
@@ -22,19 +23,27 @@
 MARK = "mark"
 LOCK = "lock"
 IDENTITY_BYTES = 8
+#: Weight of the latest sync in the average.
+SYNC_WEIGHT = 0.3
+
+Clock: typing.TypeAlias = abc.Callable[[], float]
 
 
 class Folder:
     """An open data folder, locked by this process; create it with ``open_folder``.
 
+    ``sync_seconds`` is how long a sync takes, as a moving average.
+
     After an operation has failed, each later one raises ``FolderFailed``: which data
     reached the disk is only known once the folder is opened again.
     """
 
-    def __init__(self, path: str, store: files.Files):
+    def __init__(self, path: str, store: files.Files, clock: Clock):
         self._path = path
         self._files = store
+        self._clock = clock
         self._failed = False
+        self.sync_seconds = 0.0
         with self._guard(LOG):
             self._open()
 
@@ -76,7 +85,7 @@
         frame = frames.encode_frame(self._sequence, contents.encode_change(change))
         with self._guard(LOG):
             self._files.write(LOG, self._length, frame)
-            self._files.sync(LOG)
+            self._sync(LOG)
             self._sequence += 1
             self._length += len(frame)
             self._write_mark()
@@ -95,14 +104,14 @@
         with self._guard(NEW_LOG):
             self._replace_log(base)
             self._write_mark()
-            self._files.sync(MARK)
+            self._sync(MARK)
 
     def close(self) -> None:
         """Sync the mark, so that it is exact, and release the folder's lock."""
         try:
             if not self._failed:
                 with self._guard(MARK):
-                    self._files.sync(MARK)
+                    self._sync(MARK)
         finally:
             self._files.unlock()
 
@@ -129,12 +138,12 @@
         base = contents.Base(secrets.token_hex(IDENTITY_BYTES), 0)
         self._mark = mark.Mark(0, 0, 0)
         self._files.write(MARK, 0, mark.encode_mark(self._mark))
-        self._files.sync(MARK)
+        self._sync(MARK)
         self._files.sync_folder()
         self._replace_log(base)
         self._loaded = contents.replay(base, ())
         self._write_mark()
-        self._files.sync(MARK)
+        self._sync(MARK)
 
     def _recover(self, data: bytes) -> None:
         """Read the log file, truncate a torn tail, and sync the rest.
@@ -152,10 +161,10 @@
         self._length = scan.end
         if scan.torn:
             self._files.truncate(LOG, scan.end)
-        self._files.sync(LOG)
+        self._sync(LOG)
         self._files.sync_folder()
         self._write_mark()
-        self._files.sync(MARK)
+        self._sync(MARK)
 
     def _check(self, scan: frames.Scan) -> None:
         if scan.damage is not None:
@@ -177,7 +186,7 @@
         frame = frames.encode_frame(0, contents.encode_base(base))
         self._files.remove(NEW_LOG)
         self._files.write(NEW_LOG, 0, frame)
-        self._files.sync(NEW_LOG)
+        self._sync(NEW_LOG)
         self._files.rename(NEW_LOG, LOG)
         self._files.sync_folder()
         self._base = base
@@ -193,6 +202,13 @@
     def _raise_damaged(self, name: str, problem: str) -> typing.NoReturn:
         raise exceptions.DamagedLog(os.path.join(self._path, name), problem)
 
+    def _sync(self, name: str) -> None:
+        """Return once the file's content is durable; measure how long that takes."""
+        started = self._clock()
+        self._files.sync(name)
+        seconds = self._clock() - started
+        self.sync_seconds += SYNC_WEIGHT * (seconds - self.sync_seconds)
+
     @contextlib.contextmanager
     def _guard(self, name: str) -> typing.Iterator[None]:
         """Translate the system's errors, and reject operations after a failed one."""
@@ -217,10 +233,14 @@
 
 @contextlib.contextmanager
 def open_folder(
-    path: str | os.PathLike[str], store: files.Files | None = None
+    path: str | os.PathLike[str],
+    store: files.Files | None = None,
+    clock: Clock = lambda: 0.0,
 ) -> typing.Iterator[Folder]:
     """Lock, check and read the folder; release it at the end.
 
+    ``clock`` returns seconds, with which the syncs are measured.
+
     Raises ``FolderMissing``, ``FolderInUse``, ``DamagedLog``, ``DiskFull`` or
     ``DiskFailed``. ``store`` lets tests substitute their own file system.
     """
@@ -233,7 +253,7 @@
         store.unlock()
         raise exceptions.FolderInUse(path)
     try:
-        opened = Folder(path, store)
+        opened = Folder(path, store, clock)
     except BaseException:
         store.unlock()
         raise
