A forwarded request knows its handler by an interface: one circle of imports less

forwards and request_handler imported each other for a type; the interface of the handler stood in progress already, in part. tools/check_circles.py: five known circles, of six.

--- a/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
@@ -1,9 +1,6 @@
 """One forwarded request, from its arrival to the final response."""
 
-from __future__ import annotations
-
 import dataclasses
-import typing
 
 import eventlet
 
@@ -15,6 +12,7 @@
     final_answers,
     heads,
     outcomes,
+    progress,
     records,
     relays,
     selection,
@@ -30,9 +28,6 @@
 )
 from trestlestall.wire import clocks
 
-if typing.TYPE_CHECKING:
-    from trestlestall.daemon.gateway import request_handler
-
 #: Deadline of a request that states none.
 DEFAULT_DEADLINE_SECONDS = 60.0
 #: Sends of one request in total, including those that upstreams did not run.
@@ -59,7 +54,7 @@
 
     def __init__(
         self,
-        handler: request_handler.RequestHandler,
+        handler: progress.Handler,
         caller: callers.Caller,
         admitted: Admitted,
         body: bytes,
--- a/packages/daemon/src/trestlestall/daemon/gateway/progress.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/progress.py
@@ -1,16 +1,22 @@
 """The interface of a forwarded request for log lines and final responses."""
 
 import typing
+from collections import abc
 
+from trestlestall.daemon import dialects, settings as process_settings
 from trestlestall.daemon.gateway import (
     attempts,
     cached_view,
     callers,
+    connections,
+    crash_detection,
     metrics as gateway_metrics,
     placing,
     reachability,
     refusals,
     relays,
+    signal_tracker,
+    usage as gateway_usage,
 )
 from trestlestall.forwarding import descriptors, model
 
@@ -18,9 +24,17 @@
 class Handler(typing.Protocol):
     """What a request shares with the gateway's other requests."""
 
+    settings: process_settings.GatewaySettings
+    dialect: dialects.Dialect
+    view: cached_view.CachedView
     metrics: gateway_metrics.Metrics
-    placing: placing.Placing
+    usage: gateway_usage.Usage
+    draw: abc.Callable[[], float]
+    pool: connections.Pool
     prober: reachability.Prober
+    crash_detector: crash_detection.CrashDetector
+    signals: signal_tracker.UpstreamSignals
+    placing: placing.Placing
 
     def refuse(
         self,
@@ -36,8 +50,8 @@
     """A request and its progress; see ``forwards``.
 
     ``tried`` are the upstreams that it was sent to, ``excluded`` those of them to which
-    it is not sent again. ``fallback_answer`` is the response
-    of a failed run, which is forwarded if no other run succeeds.
+    it is not sent again. ``fallback_answer`` is the response of a failed run, which is
+    forwarded if no other run succeeds.
     """
 
     handler: Handler
--- a/tools/check_circles.py
+++ b/tools/check_circles.py
@@ -23,7 +23,6 @@
 KNOWN = (
     name_cycle("trestlestall.daemon.control", "arrivals placing reports server"),
     name_cycle("trestlestall.daemon.directory", "arrivals server"),
-    name_cycle("trestlestall.daemon.gateway", "forwards request_handler"),
     name_cycle(
         "trestlestall.daemon.router",
         "callers gatekeeping listeners operators overview peers platform process"
