--- a/packages/daemon/src/trestlestall/daemon/router/action_handlers.py
+++ b/packages/daemon/src/trestlestall/daemon/router/action_handlers.py
@@ -1,20 +1,14 @@
 """Handlers that carry out the policy's actions, registered by the action's type."""
 
-from __future__ import annotations
-
 import dataclasses
-import typing
 from collections import abc
 
 from trestlestall.claims import outcomes
 from trestlestall.daemon import events
 from trestlestall.daemon.http import errors
-from trestlestall.daemon.router import attempts, exchanges
+from trestlestall.daemon.router import action_context, attempts, exchanges
 from trestlestall.policy import actions
 
-if typing.TYPE_CHECKING:
-    from trestlestall.daemon.router import dispatcher
-
 ACTION_HANDLERS: dict[type, abc.Callable] = {}
 
 NOT_RUN_MESSAGE = "The request ran on no upstream and will not run."
@@ -35,7 +29,7 @@
 
 
 @register_handler(actions.Refuse)
-def refuse(owner: dispatcher.Dispatcher, action: actions.Refuse) -> None:
+def refuse(owner: action_context.ActionContext, action: actions.Refuse) -> None:
     """Answer the caller at once that the request did not run."""
     exchange = owner.exchanges.get(action.request)
     if exchange is None:
@@ -63,7 +57,9 @@
 
 
 @register_handler(actions.RequestClaim)
-def request_claim(owner: dispatcher.Dispatcher, action: actions.RequestClaim) -> None:
+def request_claim(
+    owner: action_context.ActionContext, action: actions.RequestClaim
+) -> None:
     """Claim the request's idempotency key before anything is sent."""
     exchange = owner.exchanges.get(action.request)
     if exchange is not None:
@@ -71,7 +67,7 @@
 
 
 @register_handler(actions.Send)
-def send(owner: dispatcher.Dispatcher, action: actions.Send) -> None:
+def send(owner: action_context.ActionContext, action: actions.Send) -> None:
     """Start an attempt at an upstream."""
     exchange = owner.exchanges.get(action.request)
     if exchange is None:
@@ -93,7 +89,7 @@
 
 
 @register_handler(actions.Resume)
-def resume(owner: dispatcher.Dispatcher, action: actions.Resume) -> None:
+def resume(owner: action_context.ActionContext, action: actions.Resume) -> None:
     """Resume a broken stream exactly where the caller's bytes end."""
     exchange = owner.exchanges.get(action.request)
     if exchange is None:
@@ -118,7 +114,7 @@
 
 
 @register_handler(actions.Cancel)
-def cancel(owner: dispatcher.Dispatcher, action: actions.Cancel) -> None:
+def cancel(owner: action_context.ActionContext, action: actions.Cancel) -> None:
     """Close an attempt's connection."""
     attempt = owner.attempts.get(action.attempt)
     if attempt is not None:
@@ -126,7 +122,7 @@
 
 
 @register_handler(actions.Answer)
-def answer(owner: dispatcher.Dispatcher, action: actions.Answer) -> None:
+def answer(owner: action_context.ActionContext, action: actions.Answer) -> None:
     """Forward an attempt's bytes to the caller."""
     exchange = owner.exchanges.get(action.request)
     if exchange is not None:
@@ -134,7 +130,7 @@
 
 
 @register_handler(actions.Fail)
-def fail(owner: dispatcher.Dispatcher, action: actions.Fail) -> None:
+def fail(owner: action_context.ActionContext, action: actions.Fail) -> None:
     """End a request with an error, or with the verdict that its claim already gave."""
     exchange = owner.exchanges.get(action.request)
     if exchange is None:
@@ -166,20 +162,20 @@
 
 @register_handler(actions.ReportPressure)
 def report_pressure(
-    owner: dispatcher.Dispatcher, action: actions.ReportPressure
+    owner: action_context.ActionContext, action: actions.ReportPressure
 ) -> None:
     """Notify the other routers of the data centre."""
     owner.on_pressure(action.levels)
 
 
 @register_handler(actions.Wasted)
-def count_wasted(owner: dispatcher.Dispatcher, action: actions.Wasted) -> None:
+def count_wasted(owner: action_context.ActionContext, action: actions.Wasted) -> None:
     """Count tokens that no caller receives."""
     owner.metrics.wasted_tokens.labels("dropped").inc(action.tokens)
 
 
 def _end(
-    owner: dispatcher.Dispatcher,
+    owner: action_context.ActionContext,
     exchange: exchanges.Exchange,
     failure: errors.Failure,
     record: abc.Callable[[errors.Failure], None],
@@ -212,7 +208,7 @@
 
 
 def _may_have_run_before(
-    owner: dispatcher.Dispatcher, exchange: exchanges.Exchange
+    owner: action_context.ActionContext, exchange: exchanges.Exchange
 ) -> bool:
     """Return whether an earlier request under the key may have run.
 
@@ -236,7 +232,9 @@
     )
 
 
-def _log_unanswered(owner: dispatcher.Dispatcher, exchange: exchanges.Exchange) -> None:
+def _log_unanswered(
+    owner: action_context.ActionContext, exchange: exchanges.Exchange
+) -> None:
     owner.journal.write(
         events.routing.CLAIM_UNKNOWN,
         request=exchange.request,
@@ -247,7 +245,7 @@
 
 
 def _start(
-    owner: dispatcher.Dispatcher,
+    owner: action_context.ActionContext,
     exchange: exchanges.Exchange,
     identity: str,
     upstream: str,
--- a/tools/check_circles.py
+++ b/tools/check_circles.py
@@ -28,7 +28,6 @@
         "callers gatekeeping listeners operators overview peers platform process"
         " responses ticker upstream_endpoints",
     ),
-    name_cycle("trestlestall.daemon.router", "action_handlers dispatcher"),
     name_cycle("trestlestall.placement", "controller inputs rolling"),
 )
 
