A reserved port stays reserved while the program that uses it restarts

While a program runs its port is its own, while it restarts it was anybody's.

Change: a socket stays bound to the port until the process ends.

--- a/packages/standins/src/trestlestall/standins/addresses.py
+++ b/packages/standins/src/trestlestall/standins/addresses.py
@@ -7,6 +7,9 @@
 
 LOOPBACK = "127.0.0.1"
 
+#: The sockets that reserve ports, open until the process ends.
+RESERVATIONS: list[socket.socket] = []
+
 
 @dataclasses.dataclass(frozen=True)
 class Address:
@@ -37,21 +40,17 @@
 
 
 def reserve_port() -> int:
-    """Return a loopback port that the kernel assigns to nobody else for a while.
+    """Return a loopback port that is reserved until this process ends.
 
-    A connection made and closed from the listening side leaves the port in TIME_WAIT.
-    While it is in that state, the kernel assigns the port neither to a ``bind`` to port
-    0 nor to an outgoing connection, but a listener that sets ``SO_REUSEADDR`` can still
-    bind it.
+    A socket stays bound to it, which never listens. So the kernel assigns the port
+    neither to a ``bind`` to port 0 nor to an outgoing connection, also while a program
+    that uses it restarts, but a listener that sets ``SO_REUSEADDR`` can bind it.
     """
-    with socket.socket() as listener, socket.socket() as caller:
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind((LOOPBACK, 0))
-        listener.listen(1)
-        caller.connect(listener.getsockname())
-        accepted, _ = listener.accept()
-        accepted.close()
-        return listener.getsockname()[1]
+    reservation = socket.socket()
+    reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    reservation.bind((LOOPBACK, 0))
+    RESERVATIONS.append(reservation)
+    return reservation.getsockname()[1]
 
 
 def reserve_address() -> Address:
