The policy leaves stalls of the router out of the silence of upstreams

Cause: the router read the clock for the arrival, was held up for 1.2 s, sent the request and judged 5 ms later by the time of the arrival.

Change: at each tick the policy is told for how long the process was held up, and shifts what it knows of activity, occupation and absence of upstreams. The new pure test has one hedge without the discount and none with it.

--- a/packages/daemon/src/trestlestall/daemon/environment.py
+++ b/packages/daemon/src/trestlestall/daemon/environment.py
@@ -21,12 +21,14 @@
     ``monotonic`` is for leases, timeouts and every decision; it never goes back, and
     it includes the time for which the host was suspended. ``wall`` is the Unix time,
     for timestamps that people or other hosts read. ``running`` is ``monotonic`` without
-    the time for which this process was held up, for timeouts of peers' answers.
+    the time for which this process was held up, for timeouts of peers' answers;
+    ``stalled`` is that time alone.
     """
 
     monotonic: abc.Callable[[], float] = clocks.read
     wall: abc.Callable[[], float] = time.time
     running: abc.Callable[[], float] = clocks.read_running
+    stalled: abc.Callable[[], float] = clocks.read_stalled
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/daemon/src/trestlestall/daemon/router/dispatcher.py
+++ b/packages/daemon/src/trestlestall/daemon/router/dispatcher.py
@@ -51,6 +51,7 @@
     on_pressure: abc.Callable[[abc.Mapping[str, int]], None]
     exchanges: dict[str, exchanges.Exchange] = dataclasses.field(default_factory=dict)
     attempts: dict[str, attempts.Attempt] = dataclasses.field(default_factory=dict)
+    stalled_seconds: float = 0.0
 
     # Events of callers.
 
@@ -148,6 +149,7 @@
 
     def tick(self) -> None:
         """Let the policy handle what is due by time alone."""
+        self._discount_stall()
         now = self.clock.monotonic()
         self.carry_out(self.policy.tick(self.views.get_view(now), now))
 
@@ -180,6 +182,12 @@
 
     # Helpers of the above.
 
+    def _discount_stall(self) -> None:
+        """Report to the policy for how long this process was held up meanwhile."""
+        before, self.stalled_seconds = self.stalled_seconds, self.clock.stalled()
+        if self.stalled_seconds > before:
+            self.policy.discount_stall(self.stalled_seconds - before)
+
     def start(self, attempt: attempts.Attempt) -> None:
         """Run an attempt in a greenlet of its own."""
         self.attempts[attempt.identity] = attempt
--- a/packages/policy/src/trestlestall/policy/fleet.py
+++ b/packages/policy/src/trestlestall/policy/fleet.py
@@ -53,6 +53,11 @@
             return found
         return [load for load in found if load.upstream.name not in self.drained]
 
+    def discount_stall(self, seconds: float) -> None:
+        """Exclude the seconds for which this process was held up from all work."""
+        for load in self._loads.values():
+            load.busy_since += seconds
+
     def list_targets(self) -> list[str]:
         """Return every target that some upstream serves."""
         return list(self._by_target)
--- a/packages/policy/src/trestlestall/policy/hedges.py
+++ b/packages/policy/src/trestlestall/policy/hedges.py
@@ -45,6 +45,11 @@
             self._missing_since.pop(name, None)
         return decided
 
+    def discount_stall(self, seconds: float) -> None:
+        """Exclude the seconds for which this process was held up from absences."""
+        for name in self._missing_since:
+            self._missing_since[name] += seconds
+
     def _push(self, name: str, now: float) -> None:
         at = now + self._core.settings.hedge_wait
         heapq.heappush(self._heap, (at, next(self._numbers), name))
--- a/packages/policy/src/trestlestall/policy/router_policy.py
+++ b/packages/policy/src/trestlestall/policy/router_policy.py
@@ -121,6 +121,12 @@
         self._record_pressure(now)
         return self._finalize(decided, now, due=True)
 
+    def discount_stall(self, seconds: float) -> None:
+        """Exclude a time from the silence of upstreams: this process was held up."""
+        self._core.detector.discount_stall(seconds)
+        self._core.fleet.discount_stall(seconds)
+        self._hedges.discount_stall(seconds)
+
     def claim_answered(
         self, request: str, granted: bool, now: float
     ) -> list[actions.Action]:
--- a/packages/policy/src/trestlestall/policy/stragglers.py
+++ b/packages/policy/src/trestlestall/policy/stragglers.py
@@ -110,6 +110,11 @@
             return 1.0
         return min(MAX_SLOWNESS, max(MIN_SLOWNESS, pace.gap / median))
 
+    def discount_stall(self, seconds: float) -> None:
+        """Exclude the seconds for which this process was held up from all silence."""
+        for pace in self._paces.values():
+            pace.active_at += seconds
+
     def forget(self, names: set[str]) -> None:
         """Drop removed upstreams, and restarted ones, which are evaluated afresh."""
         for name in names:
--- a/packages/policy/tests/test_attempts.py
+++ b/packages/policy/tests/test_attempts.py
@@ -216,6 +216,19 @@
         self.assertEqual((hedge.request, {hedge.upstream}), ("r", left))
         self.assertLess(now, 1.0 + settings.DEFAULT.stall_time + 0.5)
 
+    def test_a_stall_of_the_router_is_no_silence_of_the_upstream(self):
+        # Regression: a router that was held up hedged what it had just sent.
+        now = 1.3 * settings.DEFAULT.stall_time
+        for stalled_seconds, hedges in ((0.0, 1), (now, 0)):
+            with self.subTest(stalled_seconds):
+                view = make_view("u1", "u2")
+                policy = router_policy.Policy(1)
+                arrive(policy, "r", QUESTION, view)
+                policy.discount_stall(stalled_seconds)
+                decided = policy.tick(view, now)
+                sent = [one for one in decided if isinstance(one, actions.Send)]
+                self.assertEqual(len(sent), hedges)
+
     def test_an_upstream_that_is_back_in_view_keeps_its_request(self):
         policy, first = self.send_one(QUESTION)
         left = {"u1", "u2"} - {first.upstream}
--- a/packages/wire/src/trestlestall/wire/clocks.py
+++ b/packages/wire/src/trestlestall/wire/clocks.py
@@ -34,13 +34,18 @@
     _STALLS.seconds += seconds
 
 
+def read_stalled() -> float:
+    """Return the seconds for which this process was held up since its start."""
+    return _STALLS.seconds
+
+
 def read_running() -> float:
     """Return the seconds of ``read`` without those for which this process was held up.
 
     For the timeout of a peer's answer: a peer is not late for as long as this process
     could not send its request. Leases and deadlines of callers go by ``read``.
     """
-    return read() - _STALLS.seconds
+    return read() - read_stalled()
 
 
 class Suspensions:
