Tests read complete lines only of logs that are still written

Cause: the system shows a reader a write page by page. Evidence: one process appends lines of 490 bytes with one write each, another reads: 7,424 of 125,492 reads ended in the middle of a line, 9 of the first 10 of them at a multiple of 4,096 bytes. Ruled out: a process killed in the middle of a line (the test kills nobody before that read), two writers of one log.

Change: Process.read_events and processes.read_lines leave the last line out until its end is written; the six places that parsed logs on their own use them. LogTest still parses every complete line, whatever it begins with.

--- a/packages/daemon/tests/router_bench.py
+++ b/packages/daemon/tests/router_bench.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import dataclasses
-import json
 import pathlib
 import socket
 import tempfile
@@ -110,8 +109,7 @@
 
     def read_events(self, router: int = 0) -> list[dict]:
         """Return the lines of a router's log."""
-        lines = self.routers[router].process.read_log().splitlines()
-        return [json.loads(line) for line in lines if line.startswith("{")]
+        return self.routers[router].process.read_events()
 
     def read_counts(self, standin: deployment.Standin) -> dict:
         """Return what a stand-in has counted."""
--- a/packages/standins/src/trestlestall/standins/processes.py
+++ b/packages/standins/src/trestlestall/standins/processes.py
@@ -66,12 +66,25 @@
         """Return what the process has printed so far."""
         return self.log.read_text(errors="replace")
 
+    def read_events(self) -> list[dict]:
+        """Return the JSON lines that the process has logged so far."""
+        return [json.loads(line) for line in read_lines(self.log) if line[:1] == "{"]
+
     def describe(self) -> str:
         """Return whether the process runs, and the end of its output."""
         state = "runs" if self.running else f"exited {self.child.returncode}"
         return f"{self.name} {state}:\n{self.read_log()[-LOG_TAIL_CHARACTERS:]}"
 
 
+def read_lines(log: pathlib.Path) -> list[str]:
+    """Return the lines of a log that may still be written.
+
+    The last line is left out until its end is written: a reader may see a part of what
+    another process writes at once.
+    """
+    return log.read_text(errors="replace").rpartition("\n")[0].splitlines()
+
+
 def start(
     name: str,
     module: str,
--- a/packages/standins/tests/test_processes.py
+++ b/packages/standins/tests/test_processes.py
@@ -53,6 +53,17 @@
             with self.assertRaisesRegex(Exception, "No module named no_such_module"):
                 processes.check_running(process)
 
+    def test_a_line_that_is_not_yet_written_completely_is_no_event(self):
+        """Guards against a test that fails as it reads while a process logs."""
+        with tempfile.TemporaryDirectory() as folder:
+            log = pathlib.Path(folder) / "x.log"
+            process = processes.Process("x", None, log)
+            log.write_text('{"name": "first"}\n{"name": "sec')
+            self.assertEqual(process.read_events(), [{"name": "first"}])
+            log.write_text('{"name": "first"}\nnot JSON\n{"name": "second"}\n')
+            names = [one["name"] for one in process.read_events()]
+        self.assertEqual(names, ["first", "second"])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/relays.py
+++ b/tests/relays.py
@@ -226,8 +226,7 @@
 
     def read_events(self, name: str) -> list[dict]:
         """Return the parsed JSON lines of a daemon's log."""
-        lines = self.find(name).process.read_log().splitlines()
-        return [json.loads(line) for line in lines if line[:1] + line[-1:] == "{}"]
+        return self.find(name).process.read_events()
 
     def find_leader(self, *names: str) -> str:
         """Wait until one of the control processes reports a leader; return its name."""
--- a/tests/test_agreed_state_deployment.py
+++ b/tests/test_agreed_state_deployment.py
@@ -17,7 +17,7 @@
 from collections import abc
 from concurrent import futures
 
-from trestlestall.standins import addresses
+from trestlestall.standins import addresses, processes
 
 NAMES = ("control-1", "control-2", "control-3")
 KEYS = {"alice": "key-of-alice", "bela": "key-of-bela"}
@@ -149,7 +149,7 @@
         return wait_for(ask, "a leader")
 
     def read_events(self, name: str) -> list[dict]:
-        lines = (self.path / f"{name}.log").read_text().splitlines()
+        lines = processes.read_lines(self.path / f"{name}.log")
         return [json.loads(line) for line in lines if line.startswith("{")]
 
 
--- a/tests/test_duties_deployment.py
+++ b/tests/test_duties_deployment.py
@@ -10,6 +10,7 @@
 
 from tests import duty_platform, gateways
 from trestlestall.daemon.directory import platform_client
+from trestlestall.standins import processes
 
 LEASE = 1.2
 WINDOW = 1.0
@@ -208,13 +209,12 @@
 
     def list_superseded(self):
         """Return the tokens that their holders know to be superseded."""
-        lines = [
-            line
+        return [
+            one["token"]
             for process in self.system.running.values()
-            for line in process.read_log().splitlines()
-            if '"duties_superseded"' in line
+            for one in process.read_events()
+            if one["name"] == "duties_superseded"
         ]
-        return [json.loads(line)["token"] for line in lines]
 
 
 class LogTest(DutyCase):
@@ -223,7 +223,7 @@
         self.wait_for_reports()
         names = set()
         for process in self.system.running.values():
-            for line in process.read_log().splitlines():
+            for line in processes.read_lines(process.log):
                 names.add(json.loads(line).get("name"))
         wanted = {"duties_taken", "usage_fixed", "usage_reported"}
         self.assertLessEqual(wanted, names)
--- a/tests/test_placement_orders.py
+++ b/tests/test_placement_orders.py
@@ -4,7 +4,6 @@
 processes. The tests check the list of accepted orders that each engine keeps.
 """
 
-import json
 import unittest
 
 from tests import helpers
@@ -57,8 +56,7 @@
 
     def read_events(self, control: deployment.Daemon) -> list[dict]:
         """Return a control voter's placement events, also from before a restart."""
-        lines = control.process.read_log().splitlines()
-        read = [json.loads(line) for line in lines if line.startswith("{")]
+        read = control.process.read_events()
         return [one for one in read if one["event"].startswith("TS6")]
 
     def count_events(self, name: str, **fields) -> int:
--- a/tests/test_suspended.py
+++ b/tests/test_suspended.py
@@ -6,7 +6,6 @@
 """
 
 import contextlib
-import json
 import tempfile
 import threading
 import time
@@ -89,9 +88,8 @@
 
     def list_suspensions(self):
         """Return the length in seconds of each suspension that the gateway logged."""
-        lines = self.system.running[self.gateway].read_log().splitlines()
-        found = [json.loads(line) for line in lines if '"host_suspended"' in line]
-        return [line["seconds"] for line in found]
+        events = self.system.running[self.gateway].read_events()
+        return [one["seconds"] for one in events if one["name"] == "host_suspended"]
 
     def count_runs(self):
         return sum(len(one.seen) for one in self.silent)
