A directory that was held up counts what others sent against that time's refill

Where it is the only one, callers are refused although it could run them.

Cause: on waking the directory reads at once every request that the others placed meanwhile. Its refill over the same time is capped by the burst of one second, so it is in debt by the rest, and sends nothing until that is paid.

Ruled out: permits held by a gateway (none was stopped), the burst of another directory (the others log no excess).

Change: what the limit allowed during a stall beyond the burst is kept for half a second, and only requests that others placed are counted against it; so nobody can send more at once than before. The stall is the one that the event loop measures.

--- a/packages/daemon/src/trestlestall/daemon/directory/server.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/server.py
@@ -111,7 +111,7 @@
             links, log, file, wake, env.clock.monotonic
         )
         self.advertised_limits = advertised_limits.AdvertisedLimits(
-            log, env.clock.monotonic
+            log, env.clock.monotonic, env.clock.stalled
         )
         self.scheduler = scheduling.Scheduler(
             links,
--- a/packages/daemon/src/trestlestall/daemon/events/directory.py
+++ b/packages/daemon/src/trestlestall/daemon/events/directory.py
@@ -161,3 +161,15 @@
     " at the start (without a service), and whether a service is large enough for"
     " them, when that changes.",
 )
+LIMIT_EXCEEDED = catalogue.declare(
+    "TS8025",
+    "limit_exceeded",
+    catalogue.Level.WARNING,
+    "upstream limit excess source suppressed",
+    "Other directories placed more requests at an upstream than its limit allows, as"
+    " counted here: this directory places none there for excess seconds and more."
+    " source is the gateway that reported the latest request, suppressed the number of"
+    " lines left out before.",
+    "Several directories place requests at once: look for links that are lost and for"
+    " processes that are held up.",
+)
--- a/packages/forwarding/src/trestlestall/forwarding/rate_limits.py
+++ b/packages/forwarding/src/trestlestall/forwarding/rate_limits.py
@@ -12,6 +12,9 @@
 Each limit is a token bucket: an upstream may be sent the requests of ``BURST_SECONDS``
 at once, and from then on as many as it takes. An upstream that takes none still gets a
 request now and then, as only its answers can show that a limit has ended.
+
+A process that was held up reads at once what others sent over that time. These requests
+are compared with what the limit allowed over that time, and not with a burst.
 """
 
 import dataclasses
@@ -32,6 +35,8 @@
 #: many seconds after the last advertisement: messages of several gateways are reordered
 #: by less.
 REORDERING_SECONDS = 0.5
+#: Seconds after a process was held up in which it reads what others sent meanwhile.
+CATCH_UP_SECONDS = 0.5
 #: Seconds over which callers' retries are spread where the wait is shorter.
 JITTER_SECONDS = 0.5
 #: Capacity in upstreams; the one with the oldest advertisement is evicted first.
@@ -44,7 +49,9 @@
 
     It was advertised at ``advertised_at``, and had ended by ``ended_at``. ``share`` is
     the part of it that this process may send; ``level`` is how many requests it may
-    send at once, as of ``refilled_at``.
+    send at once, as of ``refilled_at``; the process had been held up for ``stalled``
+    seconds by then. ``missed`` is how many requests the limit allowed in its last stall
+    beyond a burst; others may have sent them, if they are reported by ``missed_until``.
     """
 
     per_second: float
@@ -53,6 +60,9 @@
     share: float
     ended_at: float = -math.inf
     level: float = 0.0
+    stalled: float = 0.0
+    missed: float = 0.0
+    missed_until: float = -math.inf
 
     @property
     def is_in_force(self) -> bool:
@@ -64,12 +74,30 @@
         """The requests a second that this process may send."""
         return max(self.share * self.per_second, 1.0 / MAX_PAUSE_SECONDS)
 
-    def refill(self, now: float) -> None:
-        """Add the requests that were allowed since the last refill."""
-        added = max(0.0, now - self.refilled_at) * self.rate
+    def refill(self, now: float, stalled: float) -> None:
+        """Add the requests that were allowed since the last refill.
+
+        ``stalled`` is for how many seconds the process was held up since its start.
+        """
+        elapsed = max(0.0, now - self.refilled_at)
+        filled = self.level + elapsed * self.rate
         most = max(MIN_BURST_REQUESTS, BURST_SECONDS * self.rate)
-        self.level = min(most, self.level + added)
-        self.refilled_at = now
+        held_up = min(elapsed, stalled - self.stalled)
+        if held_up > 0.0:
+            beyond = min(max(0.0, filled - most), held_up * self.rate)
+            self.missed = beyond + self._find_missed(now)
+            self.missed_until = now + CATCH_UP_SECONDS
+        self.level = min(most, filled)
+        self.refilled_at, self.stalled = now, stalled
+
+    def consume_elsewhere(self, now: float) -> None:
+        """Count a request that another process sent, first against a stall's."""
+        covered = min(1.0, self._find_missed(now))
+        self.missed -= covered
+        self.level -= 1.0 - covered
+
+    def _find_missed(self, now: float) -> float:
+        return self.missed if now <= self.missed_until else 0.0
 
 
 class RateLimits:
@@ -77,10 +105,14 @@
 
     ``share`` is the part of each limit that the process may send: all if it sees what
     all gateways send, or none but one request each ``MAX_PAUSE_SECONDS``.
+    ``read_stalled`` returns for how many seconds the process was held up so far.
     """
 
-    def __init__(self, share: float = 1.0) -> None:
+    def __init__(
+        self, share: float = 1.0, read_stalled: abc.Callable[[], float] = float
+    ) -> None:
         self._share = share
+        self._read_stalled = read_stalled
         self._limits: dict[str, Limit] = {}
 
     def find_limit(self, identity: str) -> float | None:
@@ -98,10 +130,11 @@
         found = self._limits.get(identity)
         if found is None:
             # No burst at first: until now the upstream got as many as the others.
-            self._limits[identity] = Limit(limit, at, now, self._share)
+            stalled = self._read_stalled()
+            self._limits[identity] = Limit(limit, at, now, self._share, stalled=stalled)
             self._evict_oldest()
         elif at > found.advertised_at:
-            found.refill(now)
+            found.refill(now, self._read_stalled())
             found.per_second, found.advertised_at = limit, at
         return self.find_limit(identity) != previous
 
@@ -127,16 +160,31 @@
         found = self._limits.get(identity)
         if found is None or not found.is_in_force:
             return 0.0
-        found.refill(now)
+        found.refill(now, self._read_stalled())
         return max(0.0, 1.0 - found.level) / found.rate
 
+    def find_excess(self, identity: str, now: float) -> float:
+        """Return over how many seconds the limit allows what was sent too much."""
+        found = self._limits.get(identity)
+        if found is None:
+            return 0.0
+        found.refill(now, self._read_stalled())
+        return max(0.0, -found.level) / found.rate
+
     def consume(self, identity: str, now: float) -> None:
-        """Count a request that is sent to the upstream, whichever process placed it."""
+        """Count a request to the upstream that this process placed."""
         found = self._limits.get(identity)
         if found is not None:
-            found.refill(now)
+            found.refill(now, self._read_stalled())
             found.level -= 1.0
 
+    def consume_elsewhere(self, identity: str, now: float) -> None:
+        """Count a request to the upstream that another process placed."""
+        found = self._limits.get(identity)
+        if found is not None:
+            found.refill(now, self._read_stalled())
+            found.consume_elsewhere(now)
+
     def list_advertised(self, now: float) -> list[tuple[str, float, float]]:
         """Return the limits in force: upstream, limit, age in seconds."""
         return [
--- a/packages/forwarding/tests/limit_world.py
+++ b/packages/forwarding/tests/limit_world.py
@@ -2,8 +2,9 @@
 
 Gateways ask the lowest directory that they are linked to, as the real ones do, and go
 on without an unresponsive one. Links are partitioned and slow, gateways and directories
-are killed and restarted. Counting uses the product's own ``RateLimits``; the messages
-between processes are modelled here after ``daemon/gateway`` and ``daemon/directory``.
+are killed and restarted, directories are held up. Counting uses the product's own
+``RateLimits``; the messages between processes are modelled here after
+``daemon/gateway`` and ``daemon/directory``.
 """
 
 import collections
@@ -27,6 +28,9 @@
 ISOLATED_SECONDS = 6.0
 #: The longest time until a killed or partitioned process is back, in seconds.
 LONGEST_FAULT_SECONDS = 2.5
+#: The longest time for which a directory is held up, shorter than until its links are
+#: lost, in seconds.
+LONGEST_STALL_SECONDS = 1.9
 SECONDS = 24.0
 #: When the upstream begins to advertise its limit.
 BEGIN_SECONDS = 4.0
@@ -59,10 +63,13 @@
 class World:
     """One random schedule; ``play`` returns the arrivals at the limited upstream."""
 
-    def __init__(self, seed, shares_counts=True, disturbs=True):
+    def __init__(self, seed, shares_counts=True, disturbs=True, stalls=False):
         self.drawn = random.Random(seed)
         self.shares_counts = shares_counts
         self.disturbs = disturbs
+        self.stalls = stalls
+        self.stalled = collections.defaultdict(float)
+        self.held_until = collections.defaultdict(float)
         self.now = 0.0
         self.events = []
         self.order = itertools.count()
@@ -73,13 +80,17 @@
             for _ in range(self.drawn.randint(2, 20))
         ]
         count = self.drawn.randint(2, 5)
-        self.directories = [rate_limits.RateLimits() for _ in range(count)]
+        self.directories = [self.make_directory(one) for one in range(count)]
         self.dead = set()
         self.linked_at = {pair: -10.0 for pair in self.list_pairs()}
         self.partitioned = set()
         self.slow = collections.defaultdict(float)
         self.arrivals = []
 
+    def make_directory(self, number):
+        """Return the limits of a directory that has just started."""
+        return rate_limits.RateLimits(read_stalled=lambda: self.stalled[number])
+
     def list_pairs(self):
         """Return all pairs of a gateway and a directory."""
         return list(
@@ -96,6 +107,8 @@
         self.after(0.0, self.ask_next)
         if self.disturbs:
             self.after(self.drawn.uniform(0.0, 6.0), self.disturb)
+        if self.stalls:
+            self.after(BEGIN_SECONDS, self.hold_up_directory)
         while self.events and self.events[0][0] < SECONDS:
             self.now, _, work, given = heapq.heappop(self.events)
             work(*given)
@@ -129,7 +142,7 @@
     def start_directory(self, number):
         """Start a directory, to which gateways link again."""
         self.dead.discard(number)
-        self.directories[number] = rate_limits.RateLimits()
+        self.directories[number] = self.make_directory(number)
         for gateway in range(len(self.gateways)):
             self.after(self.drawn.uniform(0.0, 0.5), self.link, gateway, number)
 
@@ -186,6 +199,17 @@
             if self.drawn.random() < 0.2:
                 self.slow[pair] = self.drawn.uniform(0.02, 0.3)
 
+    def hold_up_directory(self):
+        """Hold up the directory that is asked most; it reads nothing meanwhile."""
+        seconds = self.drawn.uniform(0.3, LONGEST_STALL_SECONDS)
+        self.held_until[0] = self.now + seconds
+        self.after(seconds, self.resume_directory, seconds)
+        self.after(seconds + self.drawn.uniform(0.2, 3.0), self.hold_up_directory)
+
+    def resume_directory(self, seconds):
+        """Count the stall, before the directory reads what has arrived meanwhile."""
+        self.stalled[0] += seconds
+
     # Messages.
 
     def send_message(self, gateway, number, kind, *given):
@@ -206,6 +230,11 @@
         gateway, number = pair
         if number in self.dead or pair not in self.linked_at:
             return
+        if self.now < self.held_until[number]:
+            self.after(
+                self.held_until[number] - self.now, self.handle, pair, kind, given
+            )
+            return
         limits = self.directories[number]
         if kind == "stated":
             identity, limit, at = given
@@ -213,7 +242,7 @@
         elif kind == "unstated":
             limits.record_no_limit(*given)
         elif kind == "sent" and self.shares_counts:
-            limits.consume(*given, self.now)
+            limits.consume_elsewhere(*given, self.now)
         elif kind == "ask":
             self.place(pair, *given)
 
--- a/packages/forwarding/tests/test_limit_schedules.py
+++ b/packages/forwarding/tests/test_limit_schedules.py
@@ -61,6 +61,9 @@
             with self.subTest(seed):
                 self.assertGreaterEqual(len(late), 0.9 * world.limit * seconds - 2)
 
+    def test_directories_that_are_held_up_keep_the_promise(self):
+        self.assertEqual(list_broken(range(SEEDS), stalls=True), {})
+
     def test_directories_that_do_not_share_counts_break_it(self):
         self.assertEqual(set(list_broken((510, 984), shares_counts=False)), {510, 984})
 
--- a/packages/forwarding/tests/test_rate_limits.py
+++ b/packages/forwarding/tests/test_rate_limits.py
@@ -17,6 +17,16 @@
     return made
 
 
+def make_stalled(seconds):
+    """Return the limits of a process that was held up from 1 s on, as of its end."""
+    stalled = [0.0]
+    limits = make(read_stalled=lambda: stalled[0])
+    limits.list_exhausted(1.0)
+    stalled[0] = seconds
+    limits.list_exhausted(1.0 + seconds)
+    return limits
+
+
 def send(limits, demand, seconds, now=0.0):
     """Return when requests are sent, with ``demand`` requests a second."""
     sent = []
@@ -71,6 +81,26 @@
             limits.consume("u1", 1.0)
         self.assertGreater(limits.find_wait("u1", 1.0), 1.0 / LIMIT)
 
+    def test_requests_that_others_placed_during_a_stall_count_against_its_refill(self):
+        """Guards against an upstream left idle after a stall of the process."""
+        limits = make_stalled(4.0)
+        for _ in range(6):
+            limits.consume_elsewhere("u1", 5.0)
+        self.assertEqual(limits.list_exhausted(5.0), [])
+        for _ in range(2):
+            limits.consume_elsewhere("u1", 5.0)
+        self.assertGreater(limits.find_wait("u1", 5.0), 0.0, "more than allowed")
+
+    def test_a_stall_saves_up_no_more_than_a_burst(self):
+        self.assertEqual(len(send(make_stalled(4.0), 200, 0.1, now=5.0)), 1)
+
+    def test_requests_that_are_reported_later_were_not_sent_during_the_stall(self):
+        limits = make_stalled(4.0)
+        reported_at = 5.0 + rate_limits.CATCH_UP_SECONDS + 0.1
+        for _ in range(3):
+            limits.consume_elsewhere("u1", reported_at)
+        self.assertGreater(limits.find_wait("u1", reported_at), 1.0 / LIMIT)
+
     def test_two_placers_that_share_counts_keep_the_limit(self):
         drawn = random.Random(1)
         first, second = make(), make()
