A request that its gateway withdraws is not counted against a stated limit

Cause: a directory that was held up reads the calls of that time, too, and places them. Their gateways have gone on without an answer and say so in a note behind the call, which ended the request in the placement, but not in the count of the limit: one or two requests after each stall that no upstream got.

Change: the note says that the request is withdrawn, in the three cases in which a gateway doesn't follow a choice; the directory takes the count back, up to the burst. An older directory ignores the field, an older gateway never sets it.

Tests: test_a_request_that_its_gateway_did_not_send_is_not_counted failed before (the upstream refused for 5 s).

--- a/packages/daemon/src/trestlestall/daemon/directory/scheduling.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/scheduling.py
@@ -240,7 +240,11 @@
         self._remove_pending(gateway, note.request)
         running = self._running.get(gateway, {}).pop(note.request, None)
         self.placer.end(note.request, now, note.pause)
-        if running is None or note.kind == placement_protocol.INCONCLUSIVE:
+        if running is None:
+            return
+        if note.is_withdrawn:
+            self._limits.restore(running.upstream, now)
+        if note.kind == placement_protocol.INCONCLUSIVE:
             return
         failed = note.kind == placement_protocol.FAILED
         self.placer.record_outcome(running.upstream, running.data_centre, failed)
--- a/packages/daemon/src/trestlestall/daemon/gateway/placing.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/placing.py
@@ -220,7 +220,7 @@
         found = placer.adopt(descriptor, answer.upstream, clocks.read())
         if isinstance(found, placement.Refused):
             # The scheduler knows an upstream that this gateway has not discovered yet.
-            self._send_note(descriptor, placement_protocol.OUTCOMES[None])
+            self._withdraw(descriptor)
             return self._choose_locally(descriptor, tried)
         self._tasks.add(descriptor, answer.upstream, clocks.read())
         return placement.Placed(
@@ -274,7 +274,7 @@
         Only a drain notice is passed on: that an upstream was removed may be no more
         than this gateway's own conclusion.
         """
-        self._send_note(descriptor, placement_protocol.OUTCOMES[None])
+        self._withdraw(descriptor)
         if row.state is upstreams.State.DRAINING:
             self.send_to_scheduler(announcements.encode((row,)))
         self._view.log.write(
@@ -326,7 +326,7 @@
     ) -> None:
         """Pause queries to the scheduler, which may have counted the request."""
         is_unresponsive = self._health.record_timeout(clocks.read_running())
-        self._send_note(descriptor, placement_protocol.OUTCOMES[None])
+        self._withdraw(descriptor)
         self._view.log.write(
             events.forwarding.SCHEDULER_UNRESPONSIVE,
             arbiter=self._scheduler,
@@ -348,6 +348,13 @@
             self._tasks.add(descriptor, found.row.identity, clocks.read())
         return found
 
+    def _withdraw(self, descriptor: descriptors.Descriptor) -> None:
+        """Notify the scheduler that the request is not sent to its choice."""
+        note = directory_messages.PlaceNote(
+            descriptor.request_id, placement_protocol.INCONCLUSIVE, is_withdrawn=True
+        )
+        self.send_to_scheduler(note)
+
     def _send_note(
         self,
         descriptor: descriptors.Descriptor,
--- a/packages/daemon/tests/test_limiting.py
+++ b/packages/daemon/tests/test_limiting.py
@@ -76,6 +76,20 @@
         self.receive(sent=("u1",))
         self.assertEqual(self.ask(tried=("u2",)).reason, rate_limits.LIMITED)
 
+    def test_a_request_that_its_gateway_did_not_send_is_not_counted(self):
+        """Guards against an upstream left idle for calls that were answered late."""
+        self.receive(stated=(("u1", 0.2, 0.0),))
+        for kind, is_withdrawn in (("neither", False), ("neither", True)):
+            self.clock.now += 5.0
+            self.assertEqual(self.ask(tried=("u2",)).upstream, "u1")
+            note = directory_messages.PlaceNote(
+                f"r{self.token}", kind, is_withdrawn=is_withdrawn
+            )
+            self.server.handle_message(GATEWAY, note)
+            again = self.ask(tried=("u2",))
+            with self.subTest(is_withdrawn=is_withdrawn):
+                self.assertEqual(again.upstream, "u1" if is_withdrawn else "")
+
     def test_the_start_and_end_of_a_limit_are_logged(self):
         self.receive(stated=(("u1", 1.0, 2.0),))
         self.receive(stated=(("u1", 1.0, 0.0),))
--- a/packages/forwarding/src/trestlestall/forwarding/rate_limits.py
+++ b/packages/forwarding/src/trestlestall/forwarding/rate_limits.py
@@ -74,6 +74,11 @@
         """The requests a second that this process may send."""
         return max(self.share * self.per_second, 1.0 / MAX_PAUSE_SECONDS)
 
+    @property
+    def burst(self) -> float:
+        """The most requests that this process may send at once."""
+        return max(MIN_BURST_REQUESTS, BURST_SECONDS * self.rate)
+
     def refill(self, now: float, stalled: float) -> None:
         """Add the requests that were allowed since the last refill.
 
@@ -81,13 +86,12 @@
         """
         elapsed = max(0.0, now - self.refilled_at)
         filled = self.level + elapsed * self.rate
-        most = max(MIN_BURST_REQUESTS, BURST_SECONDS * self.rate)
         held_up = min(elapsed, stalled - self.stalled)
         if held_up > 0.0:
-            beyond = min(max(0.0, filled - most), held_up * self.rate)
+            beyond = min(max(0.0, filled - self.burst), held_up * self.rate)
             self.missed = beyond + self._find_missed(now)
             self.missed_until = now + CATCH_UP_SECONDS
-        self.level = min(most, filled)
+        self.level = min(self.burst, filled)
         self.refilled_at, self.stalled = now, stalled
 
     def consume_elsewhere(self, now: float) -> None:
@@ -178,6 +182,13 @@
             found.refill(now, self._read_stalled())
             found.level -= 1.0
 
+    def restore(self, identity: str, now: float) -> None:
+        """Take back the count of a request that was not sent after all."""
+        found = self._limits.get(identity)
+        if found is not None:
+            found.refill(now, self._read_stalled())
+            found.level = min(found.burst, found.level + 1.0)
+
     def consume_elsewhere(self, identity: str, now: float) -> None:
         """Count a request to the upstream that another process placed."""
         found = self._limits.get(identity)
--- a/packages/wire/src/trestlestall/wire/directory_messages.py
+++ b/packages/wire/src/trestlestall/wire/directory_messages.py
@@ -105,13 +105,15 @@
 
     ``kind`` says which. ``pause`` is the longest pause in seconds of a stream that has
     ended; 0 if none is known. ``start`` is the count of starts that this request
-    raised, as a row of ``Starts``.
+    raised, as a row of ``Starts``. ``is_withdrawn`` is whether the request was not sent
+    to the upstream that the directory chose or may still choose.
     """
 
     request: str
     kind: str
     pause: float = 0.0
     start: tuple[typing.Any, ...] = ()
+    is_withdrawn: bool = False
 
 
 @registry.register("place_state")
--- a/tests/test_stated_limits.py
+++ b/tests/test_stated_limits.py
@@ -31,6 +31,9 @@
 KNOWN_SECONDS = 3.0
 #: Seconds after an answer with the limit from which a gateway's requests count.
 TOLD_SECONDS = 0.5
+#: How often a directory is held up, for how many seconds each time, which is shorter
+#: than the silence that ends a link, and for how many it runs in between.
+STOPS, STOP_SECONDS, RUN_SECONDS = 5, 1.8, 0.2
 #: Seconds for which callers send requests.
 SECONDS = 10.0
 
@@ -66,6 +69,15 @@
     return max(map(len, spans), default=0)
 
 
+def find_least_in_span(upstream, begin, end):
+    """Return the least requests in a span between these times."""
+    arrivals = [one.at for one in upstream.list_arrivals() if begin <= one.at <= end]
+    starts = [at for at in (begin, *arrivals) if at + SPAN_SECONDS <= end]
+    return min(
+        sum(start < at <= start + SPAN_SECONDS for at in arrivals) for start in starts
+    )
+
+
 class LimitCase(unittest.TestCase):
     """A deployment with several gateways, and directories that schedule requests."""
 
@@ -182,6 +194,26 @@
         resuming.join()
         self.check_limit_respected(limited)
 
+    def test_a_directory_that_was_held_up_does_not_leave_the_upstream_idle(self):
+        """Guards against a count of what the others sent, without its refill."""
+        limited = self.add("u1", advertise(LIMIT))
+        self.add("u2")
+        self.wait_until_served()
+        directory = self.system.running[self.find_scheduler()]
+        with self.callers.generate_load(self.system.gateways):
+            time.sleep(SPAN_SECONDS)
+            for _ in range(STOPS):
+                directory.send_signal(signal.SIGSTOP)
+                time.sleep(STOP_SECONDS)
+                directory.send_signal(signal.SIGCONT)
+                time.sleep(RUN_SECONDS)
+            resumed_at = time.monotonic()
+            time.sleep(SECONDS)
+        self.check_limit_respected(limited)
+        ended_at = self.callers.load_ended_at
+        least = find_least_in_span(limited, resumed_at, ended_at)
+        self.assertGreaterEqual(least, 0.5 * LIMIT * SPAN_SECONDS)
+
     def test_it_ends_when_answers_no_longer_state_it(self):
         limited = self.add("u1", advertise(LIMIT))
         self.wait_until_served()
