A silent upstream is left only for another one that takes the request

Cause: the gateway broke off the exchange after a timeout of silence, and asked for another upstream afterwards: the retry budget denied it, or there was none.

The gateway's log of such a request: left after 1.5 s, left again at the second upstream with 1.7 s to go, then repeat_denied.

Change: the gateway places the request at another upstream first. Only then is the silent one left; else its answer is awaited on, the question asked again each second, and the log has silence_borne. An answer that arrives meanwhile is used and the other choice withdrawn. A quarantined request is left as before.

Tests: the only upstream (502 no upstream before), a denied retry of an answer and of a stream, an answer that arrives while another upstream is chosen: five of the new tests failed before.

--- a/packages/daemon/src/trestlestall/daemon/events/forwarding.py
+++ b/packages/daemon/src/trestlestall/daemon/events/forwarding.py
@@ -80,6 +80,17 @@
     " reached lists the upstreams that can be connected to again, empty if none can.",
     "If this repeats, look at the listen queue of the upstream (upstream_unreachable).",
 )
+SILENCE_BORNE = catalogue.declare(
+    "TS7008",
+    "silence_borne",
+    catalogue.Level.INFO,
+    "request route upstream reason seconds seconds_left",
+    "The upstream has been silent for longer than the timeout, seconds after the"
+    " request was sent there. No other one takes the request, for the reason, so its"
+    " answer is awaited on.",
+    "Look at the upstream; if the retry budget is the reason, at the failures that used"
+    " it up.",
+)
 UPSTREAM_CHANGED = catalogue.declare(
     "TS7010",
     "upstream_row",
--- a/packages/daemon/src/trestlestall/daemon/gateway/attempts.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/attempts.py
@@ -87,16 +87,23 @@
     """One exchange with an upstream; ``abort`` may be called from any green thread.
 
     ``is_closed`` is true once the upstream, or its host, has closed the connection.
+    ``find_extension`` is called when the upstream has been silent until a deadline; it
+    returns a later deadline, or None to break off the exchange.
     """
 
     def __init__(
-        self, pool: connections.Pool, row: upstreams.Row, names: dialects.Headers
+        self,
+        pool: connections.Pool,
+        row: upstreams.Row,
+        names: dialects.Headers,
+        find_extension: abc.Callable[[], float | None],
     ) -> None:
         self.row = row
         self.whole = False
         self.is_closed = False
         self._pool = pool
         self._names = names
+        self._find_extension = find_extension
         self._connection: connections.Connection | None = None
         self._sent = False
         self._aborted = False
@@ -247,14 +254,27 @@
             raise BrokenExchange(str(error)) from error
         return event
 
+    def has_arrived(self) -> bool:
+        """Return whether data of the upstream, or its end, waits to be read."""
+        return connections.is_readable(self._connection.socket)
+
     def _receive(self, deadline: float) -> bytes:
+        while (data := self._receive_until(deadline)) is None:
+            extended = self._find_extension()
+            if extended is None:
+                raise BrokenExchange("out of time")
+            deadline = extended
+        return data
+
+    def _receive_until(self, deadline: float) -> bytes | None:
+        """Return what the upstream sends until the deadline; None for nothing."""
         left = deadline - clocks.read()
         if left <= 0:
-            raise BrokenExchange("out of time")
+            return None
         try:
             data = connections.receive(self._connection.socket, left)
-        except TimeoutError as error:
-            raise BrokenExchange("out of time") from error
+        except TimeoutError:
+            return None
         except OSError as error:
             self.is_closed = not self._aborted
             raise BrokenExchange(f"connection lost: {error}") from error
--- /dev/null
+++ b/packages/daemon/src/trestlestall/daemon/gateway/failover.py
@@ -0,0 +1,50 @@
+"""Moves a request from a silent upstream to another one that takes it.
+
+An upstream that is silent may be merely slow. It is left only once another one is
+chosen and the retry budget allows the retry; otherwise its answer is awaited on, and
+the question asked again later. An answer that arrives meanwhile is used.
+"""
+
+from trestlestall.daemon import placement_protocol
+from trestlestall.daemon.gateway import progress, records, selection
+from trestlestall.forwarding import crashes, placement, timeouts, upstreams
+from trestlestall.wire import clocks
+
+
+def find_extension(
+    forward: progress.Progress, row: upstreams.Row, has_arrived: progress.HasArrived
+) -> float | None:
+    """Return until when to wait on for a silent upstream; None to leave it.
+
+    If it is to be left, ``forward.successor`` is the upstream that takes the request.
+    ``has_arrived`` returns whether the silence is over. Raises ``CallerLeft``.
+    """
+    placing = forward.handler.placing
+    started = forward.relay.first_seconds is not None
+    # Only the first silence counts as a failure of the upstream.
+    failed = None if forward.was_silent else True
+    placing.end(forward.descriptor, row.identity, failed)
+    forward.was_silent = True
+    found = selection.select(forward, placement_protocol.RETRY)
+    if isinstance(found, placement.Refused) and found.reason == crashes.HARMFUL:
+        return None
+    if isinstance(found, placement.Placed):
+        forward.successor = found
+        if not has_arrived():
+            return None
+        withdraw_successor(forward)
+    else:
+        records.write_silence_borne(forward, row, found)
+        if not started:
+            forward.handler.prober.suspect(row)
+    age = clocks.read() - forward.sent_at
+    if not placing.resume(forward.descriptor, row.identity, age, started):
+        return None
+    return min(forward.deadline, clocks.read() + timeouts.MIN_TIMEOUT_SECONDS)
+
+
+def withdraw_successor(forward: progress.Progress) -> None:
+    """Withdraw the request from an upstream that it was not sent to after all."""
+    found, forward.successor = forward.successor, None
+    if found is not None:
+        forward.handler.placing.withdraw(forward.descriptor)
--- a/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
@@ -9,6 +9,7 @@
     attempts,
     cached_view,
     callers,
+    failover,
     final_answers,
     heads,
     outcomes,
@@ -83,6 +84,8 @@
         self.relay = relays.Relay(caller, arrived, self._on_first)
         self.return_seconds: float | None = None
         self.fallback_answer: tuple[attempts.AnswerHead, bytes] | None = None
+        self.successor: placement.Placed | None = None
+        self.was_silent = False
 
     @property
     def view(self) -> cached_view.CachedView:
@@ -99,6 +102,8 @@
         except callers.CallerLeft:
             records.write_completed(self, 0, "caller_left", "")
             raise
+        finally:
+            failover.withdraw_successor(self)
 
     def _run_attempts(self) -> None:
         purpose = placement_protocol.FIRST_SEND
@@ -124,11 +129,12 @@
     # Attempts.
 
     def _place(self, purpose: str) -> placement.Placed | placement.Refused:
-        found = selection.select(self, purpose)
+        found = self.successor or selection.select(self, purpose)
+        self.successor = None
         if isinstance(found, placement.Refused):
             return found
         if self.caller.left:
-            self.handler.placing.end(self.descriptor, found.row.identity, None)
+            self.handler.placing.withdraw(self.descriptor)
             raise callers.CallerLeft()
         self.tried.append(found.row.identity)
         self.excluded.add(found.row.identity)
@@ -139,7 +145,13 @@
     def _run_attempt(self, placed: placement.Placed) -> outcomes.Outcome | None:
         """Return the attempt's outcome, or None once the caller has its response."""
         names = self.handler.dialect.headers
-        self.attempt = attempts.Attempt(self.handler.pool, placed.row, names)
+        self.was_silent = False
+        self.attempt = attempts.Attempt(
+            self.handler.pool,
+            placed.row,
+            names,
+            lambda: self._find_extension(placed.row),
+        )
         head = None
         outcome: outcomes.Outcome | None = None
         try:
@@ -153,10 +165,11 @@
             self.attempt.finish(head)
             # A failure counts against the upstream also if the caller received it.
             failed = self._evaluate(outcome or head)
-            pause = self.relay.reportable_pause
-            self.handler.placing.end(
-                self.descriptor, placed.row.identity, failed, pause
-            )
+            if self.successor is None:
+                pause = self.relay.reportable_pause
+                self.handler.placing.end(
+                    self.descriptor, placed.row.identity, failed, pause
+                )
         if self.caller.left:
             if self.attempt.is_closed:
                 record = self.handler.crash_detector.record_broken
@@ -317,4 +330,11 @@
     def _may_switch_upstream(self) -> bool:
         """Return whether to move from an unresponsive upstream to another one."""
         left = self.deadline - clocks.read()
-        return self._may_retry() and timeouts.allows_failover(left)
+        allowed = self._may_retry() and self.sends < MAX_SENDS
+        return allowed and timeouts.allows_failover(left)
+
+    def _find_extension(self, row: upstreams.Row) -> float | None:
+        """Return until when to wait on for a silent upstream; None to leave it."""
+        if self._may_switch_upstream():
+            return failover.find_extension(self, row, self.attempt.has_arrived)
+        return None
--- a/packages/daemon/src/trestlestall/daemon/gateway/placing.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/placing.py
@@ -199,6 +199,34 @@
         self._tasks.drop(descriptor.request_id)
         self._send_note(descriptor, placement_protocol.OUTCOMES[failed], pause)
 
+    def withdraw(self, descriptor: descriptors.Descriptor) -> None:
+        """Record that a request is not sent to the upstream chosen for it."""
+        self._view.placer.end(descriptor.request_id, clocks.read())
+        self._tasks.drop(descriptor.request_id)
+        self._send_withdrawal(descriptor)
+
+    def resume(
+        self,
+        descriptor: descriptors.Descriptor,
+        identity: str,
+        age: float,
+        started: bool,
+    ) -> bool:
+        """Count the request at its upstream again, since it was not left after all.
+
+        It was sent there ``age`` seconds ago; ``started`` is whether it has had its
+        first event. Return whether the upstream is still known.
+        """
+        now = clocks.read()
+        found = self._view.placer.adopt(descriptor, identity, now, age)
+        if isinstance(found, placement.Refused):
+            return False
+        self._tasks.add(descriptor, identity, now - age)
+        if started:
+            self._tasks.mark_started(descriptor.request_id)
+            self._view.placer.record_first_event(descriptor.request_id, now)
+        return True
+
     def _may_retry_alone(self, descriptor: descriptors.Descriptor) -> bool:
         """Consume one retry from the part of the budget that needs no scheduler."""
         verdict = self._view.retry_ledger.consume(
@@ -220,7 +248,7 @@
         found = placer.adopt(descriptor, answer.upstream, clocks.read())
         if isinstance(found, placement.Refused):
             # The scheduler knows an upstream that this gateway has not discovered yet.
-            self._withdraw(descriptor)
+            self._send_withdrawal(descriptor)
             return self._choose_locally(descriptor, tried)
         self._tasks.add(descriptor, answer.upstream, clocks.read())
         return placement.Placed(
@@ -274,7 +302,7 @@
         Only a drain notice is passed on: that an upstream was removed may be no more
         than this gateway's own conclusion.
         """
-        self._withdraw(descriptor)
+        self._send_withdrawal(descriptor)
         if row.state is upstreams.State.DRAINING:
             self.send_to_scheduler(announcements.encode((row,)))
         self._view.log.write(
@@ -326,7 +354,7 @@
     ) -> None:
         """Pause queries to the scheduler, which may have counted the request."""
         is_unresponsive = self._health.record_timeout(clocks.read_running())
-        self._withdraw(descriptor)
+        self._send_withdrawal(descriptor)
         self._view.log.write(
             events.forwarding.SCHEDULER_UNRESPONSIVE,
             arbiter=self._scheduler,
@@ -348,7 +376,7 @@
             self._tasks.add(descriptor, found.row.identity, clocks.read())
         return found
 
-    def _withdraw(self, descriptor: descriptors.Descriptor) -> None:
+    def _send_withdrawal(self, descriptor: descriptors.Descriptor) -> None:
         """Notify the scheduler that the request is not sent to its choice."""
         note = directory_messages.PlaceNote(
             descriptor.request_id, placement_protocol.INCONCLUSIVE, is_withdrawn=True
--- a/packages/daemon/src/trestlestall/daemon/gateway/progress.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/progress.py
@@ -18,7 +18,10 @@
     signal_tracker,
     usage as gateway_usage,
 )
-from trestlestall.forwarding import descriptors, model
+from trestlestall.forwarding import descriptors, model, placement
+
+#: Returns whether data of the upstream waits to be read.
+HasArrived = abc.Callable[[], bool]
 
 
 class Handler(typing.Protocol):
@@ -51,7 +54,9 @@
 
     ``tried`` are the upstreams that it was sent to, ``excluded`` those of them to which
     it is not sent again. ``fallback_answer`` is the response of a failed run, which is
-    forwarded if no other run succeeds.
+    forwarded if no other run succeeds. ``sent_at`` is when the request was last sent.
+    ``successor`` is the upstream that takes it next, if one was chosen already.
+    ``was_silent`` is whether the present one was silent for a timeout.
     """
 
     handler: Handler
@@ -69,6 +74,9 @@
     relay: relays.Relay
     return_seconds: float | None
     fallback_answer: tuple[attempts.AnswerHead, bytes] | None
+    sent_at: float
+    successor: placement.Placed | None
+    was_silent: bool
 
     @property
     def view(self) -> cached_view.CachedView:
--- a/packages/daemon/src/trestlestall/daemon/gateway/records.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/records.py
@@ -93,6 +93,22 @@
     )
 
 
+def write_silence_borne(
+    forward: progress.Progress, row: upstreams.Row, refused: placement.Refused
+) -> None:
+    """Log that a silent upstream is not left, as no other one takes the request."""
+    now = clocks.read()
+    forward.view.log.write(
+        events.forwarding.SILENCE_BORNE,
+        request=forward.descriptor.request_id,
+        route=forward.route.name,
+        upstream=row.identity,
+        reason=refused.reason,
+        seconds=round(now - forward.sent_at, 3),
+        seconds_left=round(forward.deadline - now, 3),
+    )
+
+
 def write_quarantined(forward: progress.Progress, refused: placement.Refused) -> None:
     """Log that a request is quarantined, and the crashes that it is blamed for."""
     view = forward.view
--- a/packages/daemon/tests/test_gateway_repeats.py
+++ b/packages/daemon/tests/test_gateway_repeats.py
@@ -8,6 +8,7 @@
 import eventlet
 from eventlet.green import socket
 
+from trestlestall.daemon import placement_protocol
 from trestlestall.daemon.gateway import attempts, placing
 
 
@@ -112,6 +113,35 @@
         self.assertEqual(len(slow.received), 1)
         self.assertEqual(self.bench.list_lines("upstream_unreachable"), [])
 
+    def test_the_only_upstream_is_not_left_while_it_is_silent(self):
+        """Guards against a 502 while the answer is under way, for want of another."""
+        slow = self.bench.add("u1", bench.send(f"{bench.OK}\r\nlate", after=1.8))
+        self.assertEqual(self.bench.ask("/again/x")[::2], (200, "late"))
+        self.assertEqual(len(slow.received), 1)
+
+    def test_a_silent_upstream_is_left_for_another_one(self):
+        silent = self.bench.add("u1", bench.send("", keep=True, after=5))
+        serving = self.bench.add("u2", bench.answer("", "done"))
+        bodies = [self.bench.ask("/again/x")[2] for _ in range(2)]
+        self.assertEqual(bodies, ["done", "done"])
+        self.assertEqual((len(silent.received), len(serving.received)), (1, 2))
+
+    def test_an_answer_that_comes_while_another_upstream_is_placed_is_used(self):
+        slow = self.bench.add("u1", bench.send(f"{bench.OK}\r\nlate", after=1.2))
+        other = self.bench.add("u2", bench.send(f"{bench.OK}\r\nlate", after=1.2))
+        handler = self.bench.gateway.handler
+        place = handler.placing.place
+
+        def place_slowly(descriptor, tried, purpose):
+            if purpose == placement_protocol.RETRY:
+                eventlet.sleep(0.5)
+            return place(descriptor, tried, purpose)
+
+        with mock.patch.object(handler.placing, "place", place_slowly):
+            self.assertEqual(self.bench.ask("/again/x")[::2], (200, "late"))
+        self.assertEqual(len(slow.received) + len(other.received), 1)
+        self.assertEqual(handler.view.placer.count_slots("work")[0], 0)
+
     def test_another_incarnation_at_the_address_gets_no_more_requests(self):
         other = self.bench.add("u1", bench.answer("", "", status="421 Other"))
         self.bench.add("u2", bench.answer("", "done"))
--- a/packages/daemon/tests/test_repeats.py
+++ b/packages/daemon/tests/test_repeats.py
@@ -2,7 +2,10 @@
 
 from unittest import mock
 
-from packages.daemon.tests import gateway_bench as bench, test_directory
+from packages.daemon.tests import gateway_bench as bench, test_directory  # isort: skip
+
+import eventlet
+
 from packages.forwarding.tests import samples
 from trestlestall.daemon import placement_protocol, settings
 from trestlestall.forwarding import budgets, descriptors
@@ -168,6 +171,48 @@
         self.assertEqual((status, body), (500, "no"))
         self.assertEqual(sum(len(one.received) for one in made), 1)
 
+    def test_a_silent_upstream_is_not_left_without_a_permitted_retry(self):
+        """Guards against a 502 by a gateway that leaves and may not send again."""
+        made = [
+            self.bench.add(name, bench.send(f"{bench.OK}\r\nlate", after=1.8))
+            for name in ("u1", "u2")
+        ]
+        self.deny()
+        self.assertEqual(self.bench.ask("/again/x")[::2], (200, "late"))
+        self.assertEqual(sum(len(one.received) for one in made), 1)
+        lines = self.bench.list_lines("silence_borne")
+        self.assertGreaterEqual(len(lines), 1)
+        self.assertEqual(lines[0]["reason"], budgets.EXHAUSTED)
+
+    def test_a_silent_stream_is_not_cut_without_a_permitted_retry(self):
+        """Guards against a stream cut by a gateway that may not send it again."""
+
+        def script(connection, received):
+            connection.sendall(
+                f"{bench.STREAM}{bench.frame(bench.event(1), end=False)}".encode()
+            )
+            eventlet.sleep(1.8)
+            connection.sendall(bench.frame(bench.event(2)).encode())
+
+        for name in ("u1", "u2"):
+            self.bench.add(name, script)
+        self.deny()
+        caller = self.bench.call()
+        caller.ask("/resume/x")
+        whole = caller.read_to_end()
+        self.assertIn(bench.event(2), whole)
+        self.assertTrue(whole.endswith("0\r\n\r\n"))
+
+    def test_a_silent_upstream_is_left_once_a_retry_is_permitted(self):
+        self.bench.add("u1", bench.send("", keep=True, after=5))
+        serving = self.bench.add("u2", bench.answer("", "done"))
+        with mock.patch.object(
+            self.bench.gateway.handler.placing, "_may_retry_alone"
+        ) as permitted:
+            permitted.side_effect = [False, True]
+            while not serving.received or permitted.call_count < 2:
+                self.assertEqual(self.bench.ask("/again/x")[::2], (200, "done"))
+
     def test_an_unreachable_upstream_costs_no_retry(self):
         gone = self.bench.add("u1", bench.answer(""))
         self.bench.add("u2", bench.answer("", "done"))
