--- a/packages/daemon/src/trestlestall/daemon/gateway/links.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/links.py
@@ -76,10 +76,10 @@
     @contextlib.contextmanager
     def open(self) -> abc.Iterator[None]:
         """Maintain the links during the block; raises ``ListenError``."""
-        self.placing.send = self.mesh.send
-        self.placing.on_scheduler_changed = self.usage.send_all
-        self.placing.choose_scheduler = self._choose_scheduler
-        self.usage.send = self.placing.send_to_scheduler
+        self.placing.scheduler_client.send = self.mesh.send
+        self.placing.scheduler_client.on_scheduler_changed = self.usage.send_all
+        self.placing.scheduler_client.choose_scheduler = self._choose_scheduler
+        self.usage.send = self.placing.scheduler_client.send_message
         self.usage.copy = self._send_copies
         self.crash_detector.broadcast = self.signals.broadcast = self._broadcast
         self.mesh.start()
@@ -123,11 +123,11 @@
         settled = [
             name
             for name, since in self._linked_at.items()
-            if since <= latest and not self.placing.is_avoided(name)
+            if since <= latest and not self.placing.scheduler_client.is_avoided(name)
         ]
         found = settled or list(self._linked_at)
         if found:
-            self.placing.set_scheduler(min(found))
+            self.placing.scheduler_client.set_scheduler(min(found))
 
     def _broadcast(self, message: typing.Any, excluded: str = "") -> None:
         for directory in self.mesh.linked():
@@ -139,7 +139,9 @@
 
         These are as many as may lose their disks without loss of the replicated log.
         """
-        others = sorted(set(self._linked_at) - {self.placing.scheduler})
+        others = sorted(
+            set(self._linked_at) - {self.placing.scheduler_client.scheduler}
+        )
         for directory in others[: (len(self._linked_at) - 1) // 2]:
             self.mesh.send(directory, message)
 
@@ -151,7 +153,7 @@
     def _on_link_change(self, peer: str, linked: bool) -> None:
         if linked:
             self._linked_at.setdefault(peer, clocks.read())
-            self.placing.resend_state(peer)
+            self.placing.scheduler_client.resend_state(peer)
             self.mesh.send(peer, self.crash_detector.report())
             for message in self.signals.report():
                 self.mesh.send(peer, message)
@@ -208,4 +210,4 @@
     links: Links, directory: str, message: directory_messages.PlaceAnswer
 ) -> None:
     """Pass the scheduler's answer to the request that waits for it."""
-    links.placing.handle_answer(message)
+    links.placing.scheduler_client.handle_answer(message)
--- a/packages/daemon/src/trestlestall/daemon/gateway/placing.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/placing.py
@@ -3,18 +3,14 @@
 The scheduler is the directory that places the requests of all gateways.
 """
 
-import itertools
 from collections import abc
 
-import eventlet
-import eventlet.event
-
 from trestlestall.daemon import announcements, events, placement_protocol
 from trestlestall.daemon.gateway import (
     cached_view,
     choosing,
     reachability,
-    scheduler_health,
+    scheduler_client,
     tasks,
 )
 from trestlestall.forwarding import (
@@ -47,16 +43,9 @@
 #: Reasons that hold for the request, whichever upstreams can be reached.
 REASONS_OF_REQUEST = (shedding.OVERLOADED, budgets.EXHAUSTED, crashes.HARMFUL)
 
-Send = abc.Callable[[str, object], bool]
-
 
 class Placing:
-    """Places requests; ``send`` is set once the gateway has links.
-
-    ``on_scheduler_changed`` is called when the scheduler may know nothing of this
-    gateway, because it is another directory or has a new link. ``choose_scheduler`` is
-    called when the scheduler is unresponsive.
-    """
+    """Places requests; ``scheduler_client`` is for the links to set up and to feed."""
 
     def __init__(
         self,
@@ -64,72 +53,14 @@
         prober: reachability.Prober,
         find_retry_bound: abc.Callable[[], budgets.Bound],
     ) -> None:
-        self.send: Send = drop_message
-        self.on_scheduler_changed: abc.Callable[[], object] = lambda: None
-        self.choose_scheduler: abc.Callable[[], object] = lambda: None
         self._view = view
-        self._prober = prober
         self._find_retry_bound = find_retry_bound
         self._chooser = choosing.Chooser(view)
-        self._scheduler: str | None = None
-        self._health = scheduler_health.SchedulerHealth()
-        self._answered_at = float("-inf")
-        self._avoided: dict[str, float] = {}
-        self._tokens = itertools.count(1)
-        self._waiting: dict[int, eventlet.event.Event] = {}
         self._tasks = tasks.Tasks()
-
-    # The scheduler.
-
-    def set_scheduler(self, directory: str) -> None:
-        """Query this directory from now on, and send it the requests in flight."""
-        if directory == self._scheduler:
-            return
-        previous, self._scheduler = self._scheduler, directory
-        self._health = scheduler_health.SchedulerHealth()
-        self._send_state()
-        self._view.log.write(
-            events.forwarding.SCHEDULER_CHANGED,
-            arbiter=directory,
-            previous=previous,
-            tasks=len(self._tasks),
+        self.scheduler_client = scheduler_client.SchedulerClient(
+            view, prober, self._tasks
         )
 
-    @property
-    def scheduler(self) -> str | None:
-        """The directory that places requests; None before one is linked."""
-        return self._scheduler
-
-    def is_avoided(self, directory: str) -> bool:
-        """Return whether the directory was unresponsive too recently to be queried."""
-        return clocks.read() < self._avoided.get(directory, 0.0)
-
-    def resend_state(self, directory: str) -> None:
-        """Send the requests in flight if the new link leads to the scheduler."""
-        if directory == self._scheduler:
-            self._send_state()
-
-    def handle_answer(self, answer: directory_messages.PlaceAnswer) -> None:
-        """Pass an answer to the request that waits for it."""
-        self._health.record_answered()
-        self._answered_at = clocks.read_running()
-        waiting = self._waiting.pop(answer.token, None)
-        if waiting is not None:
-            waiting.send(answer)
-
-    def _send_state(self) -> None:
-        if self._scheduler is not None:
-            rows = self._tasks.encode(clocks.read())
-            self.send(self._scheduler, directory_messages.PlaceState(rows))
-            self.on_scheduler_changed()
-
-    def send_to_scheduler(self, message: object) -> None:
-        """Send a message to the scheduler, if there is one."""
-        if self._scheduler is not None:
-            self.send(self._scheduler, message)
-
-    # Requests.
-
     def place(
         self,
         descriptor: descriptors.Descriptor,
@@ -147,7 +78,9 @@
         answer = self._query_and_check(descriptor, tried, purpose)
         if answer is not None and answer.reason in FINAL_REASONS:
             return placement.Refused(
-                answer.reason, answer.return_seconds, self._scheduler or ""
+                answer.reason,
+                answer.return_seconds,
+                self.scheduler_client.scheduler or "",
             )
         if answer is None or not answer.upstream:
             # No answer, or the scheduler found only upstreams that are unreachable.
@@ -172,12 +105,13 @@
         if not self._tasks.mark_started(descriptor.request_id):
             return
         self._view.placer.record_first_event(descriptor.request_id, clocks.read())
-        self._send_note(descriptor, placement_protocol.FIRST_EVENT, start=start)
+        self.scheduler_client.send_note(
+            descriptor, placement_protocol.FIRST_EVENT, start=start
+        )
 
     def report_replaced(self, identity: str) -> None:
         """Report that another incarnation of the upstream now uses its address."""
-        if self._scheduler is not None:
-            self.send(self._scheduler, directory_messages.Replaced(identity))
+        self.scheduler_client.send_message(directory_messages.Replaced(identity))
 
     def end(
         self,
@@ -197,13 +131,15 @@
         if failed is not None:
             placer.record_outcome(identity, descriptor.data_centre, failed)
         self._tasks.drop(descriptor.request_id)
-        self._send_note(descriptor, placement_protocol.OUTCOMES[failed], pause)
+        self.scheduler_client.send_note(
+            descriptor, placement_protocol.OUTCOMES[failed], pause
+        )
 
     def withdraw(self, descriptor: descriptors.Descriptor) -> None:
         """Record that a request is not sent to the upstream chosen for it."""
         self._view.placer.end(descriptor.request_id, clocks.read())
         self._tasks.drop(descriptor.request_id)
-        self._send_withdrawal(descriptor)
+        self.scheduler_client.withdraw(descriptor)
 
     def resume(
         self,
@@ -248,7 +184,7 @@
         found = placer.adopt(descriptor, answer.upstream, clocks.read())
         if isinstance(found, placement.Refused):
             # The scheduler knows an upstream that this gateway has not discovered yet.
-            self._send_withdrawal(descriptor)
+            self.scheduler_client.withdraw(descriptor)
             return self._choose_locally(descriptor, tried)
         self._tasks.add(descriptor, answer.upstream, clocks.read())
         return placement.Placed(
@@ -256,7 +192,7 @@
             answer.unread,
             answer.predicted,
             answer.taken,
-            self._scheduler or "",
+            self.scheduler_client.scheduler or "",
             answer.fetch_from,
             answer.limit,
         )
@@ -275,9 +211,9 @@
         """
         excluded = set(tried)
         for _ in range(QUERIES_PER_SEND):
-            queried = self._scheduler
-            answer = self._query(descriptor, excluded, purpose)
-            if answer is None and self._scheduler != queried:
+            queried = self.scheduler_client.scheduler
+            answer = self.scheduler_client.query(descriptor, excluded, purpose)
+            if answer is None and self.scheduler_client.scheduler != queried:
                 # The unresponsive scheduler may have counted the caller's request.
                 purpose = (
                     placement_protocol.REROUTED
@@ -302,16 +238,16 @@
         Only a drain notice is passed on: that an upstream was removed may be no more
         than this gateway's own conclusion.
         """
-        self._send_withdrawal(descriptor)
+        self.scheduler_client.withdraw(descriptor)
         if row.state is upstreams.State.DRAINING:
-            self.send_to_scheduler(announcements.encode((row,)))
+            self.scheduler_client.send_message(announcements.encode((row,)))
         self._view.log.write(
             events.forwarding.CHOICE_OVERRIDDEN,
             request=descriptor.request_id,
             upstream=row.identity,
             state=row.state.name.lower(),
             rest_seconds=round(self._chooser.get_backoff(row), 3),
-            arbiter=self._scheduler,
+            arbiter=self.scheduler_client.scheduler,
         )
 
     def _get_row(
@@ -322,78 +258,13 @@
             return None
         return self._view.table.rows.get(answer.upstream)
 
-    def _query(
-        self,
-        descriptor: descriptors.Descriptor,
-        tried: abc.Collection[str],
-        purpose: str,
-    ) -> directory_messages.PlaceAnswer | None:
-        if self._scheduler is None or not self._health.may_be_queried(
-            clocks.read_running()
-        ):
-            return None
-        token = next(self._tokens)
-        waiting = self._waiting[token] = eventlet.event.Event()
-        plain = tuple(descriptors.encode(descriptor))
-        avoided = tuple({*tried, *self._prober.unreachable})
-        backing_off = tuple(self._view.backoffs.list_backing_off(clocks.read()))
-        call = directory_messages.PlaceCall(token, plain, avoided, purpose, backing_off)
-        if not self.send(self._scheduler, call):
-            del self._waiting[token]
-            return None
-        seconds = scheduler_health.compute_wait_timeout(descriptor)
-        self._health.record_query(clocks.read_running())
-        with eventlet.Timeout(seconds, False):
-            return waiting.wait()
-        self._waiting.pop(token, None)
-        self._record_timeout(descriptor, seconds)
-        return None
-
-    def _record_timeout(
-        self, descriptor: descriptors.Descriptor, seconds: float
-    ) -> None:
-        """Pause queries to the scheduler, which may have counted the request."""
-        is_unresponsive = self._health.record_timeout(clocks.read_running())
-        self._send_withdrawal(descriptor)
-        self._view.log.write(
-            events.forwarding.SCHEDULER_UNRESPONSIVE,
-            arbiter=self._scheduler,
-            seconds=round(seconds, 3),
-        )
-        if is_unresponsive:
-            until = clocks.read() + scheduler_health.AVOIDANCE_SECONDS
-            self._avoided[self._scheduler] = until
-            self.choose_scheduler()
-
     def _choose_locally(
         self, descriptor: descriptors.Descriptor, tried: abc.Collection[str]
     ) -> placement.Placed | placement.Refused:
         """Choose from the cached view, and count the request."""
-        silent_seconds = clocks.read_running() - self._answered_at
+        silent_seconds = self.scheduler_client.count_silent_seconds()
         is_isolated = silent_seconds > ISOLATED_SECONDS
         found = self._chooser.choose(descriptor, tried, is_isolated)
         if isinstance(found, placement.Placed):
             self._tasks.add(descriptor, found.row.identity, clocks.read())
         return found
-
-    def _send_withdrawal(self, descriptor: descriptors.Descriptor) -> None:
-        """Notify the scheduler that the request is not sent to its choice."""
-        note = directory_messages.PlaceNote(
-            descriptor.request_id, placement_protocol.INCONCLUSIVE, is_withdrawn=True
-        )
-        self.send_to_scheduler(note)
-
-    def _send_note(
-        self,
-        descriptor: descriptors.Descriptor,
-        kind: str,
-        pause: float = 0.0,
-        start: tuple = (),
-    ) -> None:
-        note = directory_messages.PlaceNote(descriptor.request_id, kind, pause, start)
-        self.send_to_scheduler(note)
-
-
-def drop_message(name: str, message: object) -> bool:
-    """Drop a message because there are no links yet."""
-    return False
--- a/packages/daemon/tests/test_gateway_notices.py
+++ b/packages/daemon/tests/test_gateway_notices.py
@@ -262,8 +262,8 @@
         self.choices = choices
         self.calls = []
         self.received = []
-        placing.send = self.handle
-        placing.set_scheduler("directory-1")
+        placing.scheduler_client.send = self.handle
+        placing.scheduler_client.set_scheduler("directory-1")
 
     def handle(self, name, message):
         """Record a message of the gateway, and answer it if it is a call."""
@@ -276,7 +276,7 @@
         answer = directory_messages.PlaceAnswer(
             message.token, allowed[0] if allowed else "", 0, 0.0
         )
-        eventlet.spawn_n(self.placing.handle_answer, answer)
+        eventlet.spawn_n(self.placing.scheduler_client.handle_answer, answer)
         return True
 
 
@@ -340,7 +340,7 @@
                 )
             return found
 
-        self.scheduler.placing.send = handle_late
+        self.scheduler.placing.scheduler_client.send = handle_late
         self.assertEqual(self.bench.ask("/once/x")[2], "other")
         self.assertEqual(self.upstream.received, [])
         self.assertEqual(len(self.scheduler.calls), 2)
--- a/packages/daemon/tests/test_placing.py
+++ b/packages/daemon/tests/test_placing.py
@@ -40,8 +40,8 @@
         self.placing = self.bench.gateway.handler.placing
         self.scheduler = test_gateway_notices.FakeScheduler(self.placing, ["u1"])
         self.answering, self.asked = self.scheduler.handle, []
-        self.placing.send = self.take
-        self.placing.choose_scheduler = self.choose
+        self.placing.scheduler_client.send = self.take
+        self.placing.scheduler_client.choose_scheduler = self.choose
 
     def take(self, name, message):
         """Record calls; answer only those to the second directory."""
@@ -53,8 +53,8 @@
 
     def choose(self):
         """Switch to the second directory once the first is avoided."""
-        if self.placing.is_avoided("directory-1"):
-            self.placing.set_scheduler("directory-2")
+        if self.placing.scheduler_client.is_avoided("directory-1"):
+            self.placing.scheduler_client.set_scheduler("directory-2")
 
     def ask_until_another(self):
         """Send requests until the second directory is asked; return the duration."""
@@ -81,10 +81,12 @@
 
     def test_a_short_pause_does_not_cause_a_switch(self):
         self.bench.ask("/once/x")
-        self.assertFalse(self.placing.is_avoided("directory-1"))
-        self.placing.handle_answer(directory_messages.PlaceAnswer(0, "u1", 0, 0.0))
+        self.assertFalse(self.placing.scheduler_client.is_avoided("directory-1"))
+        self.placing.scheduler_client.handle_answer(
+            directory_messages.PlaceAnswer(0, "u1", 0, 0.0)
+        )
         self.bench.ask("/once/x")
-        self.assertFalse(self.placing.is_avoided("directory-1"))
+        self.assertFalse(self.placing.scheduler_client.is_avoided("directory-1"))
 
     def test_a_stall_of_the_gateway_does_not_cause_a_switch(self):
         # Regression: two queries that it had not sent yet counted as unanswered.
@@ -93,4 +95,4 @@
             eventlet.sleep(0)
         block(STALL_SECONDS)
         self.assertEqual([one.wait()[2] for one in asking], ["done"] * 2)
-        self.assertFalse(self.placing.is_avoided("directory-1"))
+        self.assertFalse(self.placing.scheduler_client.is_avoided("directory-1"))
