A withdrawn request has a message of its own, which older directories skip

Change: PlaceWithdrawn goes before the note, whose form is as before. An older directory answers that it doesn't know the message, and takes the note.

Test: test_a_choice_that_is_not_followed_is_withdrawn checks both messages and their order; it failed before.

--- a/packages/daemon/src/trestlestall/daemon/directory/arrivals.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/arrivals.py
@@ -125,6 +125,14 @@
     server.scheduler.place(peer, message)
 
 
+@handles(directory_messages.PlaceWithdrawn)
+def handle_place_withdrawn(
+    server: servers.Server, peer: str, message: directory_messages.PlaceWithdrawn
+) -> None:
+    """Record that a placed request was not sent to its upstream."""
+    server.scheduler.handle_withdrawn(peer, message)
+
+
 @handles(directory_messages.PlaceNote)
 def handle_place_note(
     server: servers.Server, peer: str, message: directory_messages.PlaceNote
--- a/packages/daemon/src/trestlestall/daemon/directory/scheduling.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/scheduling.py
@@ -231,6 +231,14 @@
         }
         return self._failed_trials.keys()
 
+    def handle_withdrawn(
+        self, gateway: str, message: directory_messages.PlaceWithdrawn
+    ) -> None:
+        """Take back the count of a request that was not sent; its end follows."""
+        running = self._running.get(gateway, {}).get(message.request)
+        if running is not None:
+            self._limits.restore(running.upstream, self._clock())
+
     def handle_note(self, gateway: str, note: directory_messages.PlaceNote) -> None:
         """Record the first event or the outcome of a request."""
         now = self._clock()
@@ -240,11 +248,7 @@
         self._remove_pending(gateway, note.request)
         running = self._running.get(gateway, {}).pop(note.request, None)
         self.placer.end(note.request, now, note.pause)
-        if running is None:
-            return
-        if note.is_withdrawn:
-            self._limits.restore(running.upstream, now)
-        if note.kind == placement_protocol.INCONCLUSIVE:
+        if running is None or note.kind == placement_protocol.INCONCLUSIVE:
             return
         failed = note.kind == placement_protocol.FAILED
         self.placer.record_outcome(running.upstream, running.data_centre, failed)
--- a/packages/daemon/src/trestlestall/daemon/gateway/scheduler_client.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/scheduler_client.py
@@ -124,10 +124,9 @@
 
     def withdraw(self, descriptor: descriptors.Descriptor) -> None:
         """Notify the scheduler that the request is not sent to its choice."""
-        note = directory_messages.PlaceNote(
-            descriptor.request_id, placement_protocol.INCONCLUSIVE, is_withdrawn=True
-        )
-        self.send_message(note)
+        request = descriptor.request_id
+        self.send_message(directory_messages.PlaceWithdrawn(request))
+        self.send_note(descriptor, placement_protocol.INCONCLUSIVE)
 
     def send_note(
         self,
--- a/packages/daemon/tests/test_gateway_notices.py
+++ b/packages/daemon/tests/test_gateway_notices.py
@@ -318,6 +318,14 @@
         lines = self.bench.list_lines("choice_not_followed")
         self.assertEqual([line["state"] for line in lines], ["draining"])
 
+    def test_a_choice_that_is_not_followed_is_withdrawn(self):
+        """Guards against a mixed deployment: older directories know only the note."""
+        self.set_state(upstreams.State.GONE)
+        self.bench.ask("/once/x")
+        withdrawn = directory_messages.PlaceWithdrawn("r-1")
+        note = directory_messages.PlaceNote("r-1", "neither")
+        self.assertEqual(self.scheduler.received[1:3], [withdrawn, note])
+
     def test_a_removal_is_not_passed_on_as_an_announcement(self):
         self.set_state(upstreams.State.GONE)
         self.bench.ask("/once/x")
--- a/packages/daemon/tests/test_limiting.py
+++ b/packages/daemon/tests/test_limiting.py
@@ -79,12 +79,14 @@
     def test_a_request_that_its_gateway_did_not_send_is_not_counted(self):
         """Guards against an upstream left idle for calls that were answered late."""
         self.receive(stated=(("u1", 0.2, 0.0),))
-        for kind, is_withdrawn in (("neither", False), ("neither", True)):
+        for is_withdrawn in (False, True):
             self.clock.now += 5.0
             self.assertEqual(self.ask(tried=("u2",)).upstream, "u1")
-            note = directory_messages.PlaceNote(
-                f"r{self.token}", kind, is_withdrawn=is_withdrawn
-            )
+            request = f"r{self.token}"
+            if is_withdrawn:
+                message = directory_messages.PlaceWithdrawn(request)
+                self.server.handle_message(GATEWAY, message)
+            note = directory_messages.PlaceNote(request, "neither")
             self.server.handle_message(GATEWAY, note)
             again = self.ask(tried=("u2",))
             with self.subTest(is_withdrawn=is_withdrawn):
--- a/packages/wire/src/trestlestall/wire/directory_messages.py
+++ b/packages/wire/src/trestlestall/wire/directory_messages.py
@@ -105,15 +105,24 @@
 
     ``kind`` says which. ``pause`` is the longest pause in seconds of a stream that has
     ended; 0 if none is known. ``start`` is the count of starts that this request
-    raised, as a row of ``Starts``. ``is_withdrawn`` is whether the request was not sent
-    to the upstream that the directory chose or may still choose.
+    raised, as a row of ``Starts``.
     """
 
     request: str
     kind: str
     pause: float = 0.0
     start: tuple[typing.Any, ...] = ()
-    is_withdrawn: bool = False
+
+
+@registry.register("place_withdrawn")
+@dataclasses.dataclass(frozen=True)
+class PlaceWithdrawn:
+    """A request that was not sent to the upstream that the directory chose for it.
+
+    The ``PlaceNote`` of its end follows, which older directories understand as well.
+    """
+
+    request: str
 
 
 @registry.register("place_state")
--- a/packages/wire/tests/test_codec.py
+++ b/packages/wire/tests/test_codec.py
@@ -42,7 +42,7 @@
     directory_messages.PlaceAnswer(4, "u1", 800, 0.125, "", 0.0, 12),
     directory_messages.PlaceNote("r1", "first"),
     directory_messages.PlaceNote("r1", "succeeded", 0.125),
-    directory_messages.PlaceNote("r1", "neither", is_withdrawn=True),
+    directory_messages.PlaceWithdrawn("r1"),
     directory_messages.PlaceNote("r1", "first", 0.0, ("g1#019b", 7, "basu", 3)),
     directory_messages.Starts((["g1#019b", 7, "basu", 3],), (["g1#019b", 6],), 7),
     directory_messages.StartsCall(7),
