A header with a number that is none is refused, and drops no connection

What callers saw: an estimated length of inf, or a deadline of nan, ended their connection without an answer; a deadline of nan that got through would never have come.

Cause: int(float("inf")) raises OverflowError, which nobody expected here, and nan passes every comparison.

Change: both are a 400 as other unreadable headers are. Negative and infinite deadlines mean what they did.

Test: test_a_number_that_is_none_is_refused got status 0 twice before.

--- a/packages/daemon/src/trestlestall/daemon/gateway/heads.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/heads.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import hashlib
+import math
 from collections import abc
 
 from trestlestall.daemon import dialects
@@ -114,12 +115,22 @@
 
 def read_milliseconds(value: str | None) -> float | None:
     """Return a duration given in milliseconds as seconds; raises ``ValueError``."""
-    return None if value is None else float(value) / 1000.0
+    if value is None:
+        return None
+    seconds = float(value) / 1000.0
+    if math.isnan(seconds):
+        raise ValueError(f"not a duration: {value}")
+    return seconds
 
 
 def read_count(value: str | None) -> int | None:
     """Return a number truncated to an integer; raises ``ValueError``."""
-    return None if value is None else int(float(value))
+    if value is None:
+        return None
+    number = float(value)
+    if not math.isfinite(number):
+        raise ValueError(f"not a count: {value}")
+    return int(number)
 
 
 def read_tokens(value: str | None) -> tuple[int, int]:
--- a/packages/daemon/tests/test_gateway.py
+++ b/packages/daemon/tests/test_gateway.py
@@ -85,6 +85,18 @@
         self.assertLessEqual(second, 500)
         self.assertGreater(second, 300)
 
+    def test_a_number_that_is_none_is_refused(self):
+        """Guards against a dropped connection, and a deadline that never comes."""
+        upstream = self.bench.add("u1", bench.answer(""))
+        for given in (
+            {"Trestlestall_Length_Estimate": "inf"},
+            {"Trestlestall_Length_Estimate": "nan"},
+            {"Trestlestall_Deadline_Milliseconds": "nan"},
+        ):
+            with self.subTest(given):
+                self.assertEqual(self.bench.ask("/once/x", **given)[0], 400)
+        self.assertEqual(upstream.received, [])
+
     def test_a_body_framed_by_both_length_and_chunks_is_refused(self):
         upstream = self.bench.add("u1", bench.answer(""))
         status, _, _ = self.bench.ask(
