A report of crashes that could not be stored is stored later

What callers could see: after a restart a directory whose disk had been full lets a request run that it had found harmful.

Cause: the report counted as stored before it was written, so that the same one was not written again.

Test: test_a_report_that_could_not_be_stored_is_stored_later failed before.

--- a/packages/daemon/src/trestlestall/daemon/directory/quarantine_file.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/quarantine_file.py
@@ -59,12 +59,13 @@
         """Store a report if its crashes differ from those stored last."""
         if not self._has_changed(report):
             return
-        self._saved = report
         document = VERSION, self._wall(), report.ends, report.answers
         try:
             atomic_files.replace(self._folder, NAME, cbor2.dumps(document))
         except OSError as error:
             self._refuse(str(error))
+        else:
+            self._saved = report
 
     def _has_changed(self, report: crash_reports.Report) -> bool:
         before = () if self._saved is None else self._saved.ends
--- a/packages/daemon/tests/test_harm.py
+++ b/packages/daemon/tests/test_harm.py
@@ -202,6 +202,18 @@
         file.save(crash_reports.Report(((DIGEST, "s1", 0.0),)))
         self.assertIn('"held_file_refused"', self.output.getvalue())
 
+    def test_a_report_that_could_not_be_stored_is_stored_later(self):
+        """Guards against crashes forgotten at a restart after a full disk."""
+        folder = pathlib.Path(self.folder) / "later"
+        file = quarantine_file.QuarantineFile(
+            str(folder), logs.Log(self.output, environment.Clock()), lambda: 0.0
+        )
+        report = crash_reports.Report(((DIGEST, "s1", 0.0),))
+        file.save(report)
+        folder.mkdir()
+        file.save(report)
+        self.assertEqual(file.load().ends, report.ends)
+
 
 class DistributionTest(QuarantineCase):
     def test_directories_receive_each_crash_and_gateways_the_quarantine(self):
