A reload signal during its start ends no process

What callers saw: connection refused at a gateway that was stopped, started and reloaded in a row, until somebody starts it again.

Cause: until a process sets its handlers SIGHUP ends it, and it loads libraries before. Evidence: the log of the gateway ends with the planned stop at 17:12:17.5, the schedule reloads it at 17:12:18.2, and there is no line of the process in between. Ruled out: a port that was taken (would be logged).

Change: the entry points ignore the signal before they load anything else. The settings are read later, so no reload is lost.

Test: a gateway and a directory that get the signal while they load a library both ended before; they serve now.

--- a/packages/daemon/src/trestlestall/daemon/__main__.py
+++ b/packages/daemon/src/trestlestall/daemon/__main__.py
@@ -1,13 +1,16 @@
 """The entry point of ``trestlestalld``."""
 
-# Imported first: it patches sockets and locks before other modules load them.
+# Imported first: a reload signal must not end the process while it loads the others.
+from trestlestall.daemon import startup  # isort: skip
+
+# Imported next: it patches sockets and locks before other modules load them.
 from trestlestall.daemon import patching  # isort: skip
 
 import sys
 
 from trestlestall.daemon import cli, environment
 
-__all__ = ["patching", "run"]
+__all__ = ["patching", "run", "startup"]
 
 
 def run() -> None:
--- a/tests/test_gateway_deployment.py
+++ b/tests/test_gateway_deployment.py
@@ -2,12 +2,14 @@
 
 import contextlib
 import json
+import os
 import shutil
 import signal
 import tempfile
 import unittest
 
 from tests import gateways
+from trestlestall.standins import processes
 
 #: Invalid values of an announcement's fields.
 FOREIGN = (
@@ -53,6 +55,27 @@
         return self.system.ask(name, path=path) != 404
 
 
+class Signalled:
+    """A host on which a process gets a reload signal while it loads its libraries."""
+
+    SOURCE = """
+import os, signal, sys
+
+class Finder:
+    def find_spec(self, name, path=None, target=None):
+        if name == "eventlet":
+            os.kill(os.getpid(), signal.SIGHUP)
+
+sys.meta_path.insert(0, Finder())
+"""
+
+    def __init__(self, folder):
+        folder.mkdir()
+        (folder / "sitecustomize.py").write_text(self.SOURCE)
+        paths = processes.make_environment()["PYTHONPATH"]
+        self.variables = {"PYTHONPATH": os.pathsep.join([str(folder), paths])}
+
+
 class ServiceTest(DeploymentCase):
     def test_declared_announced_served_drained_and_stopped(self):
         gateway = self.system.gateways[0]
@@ -77,6 +100,18 @@
         gateways.wait_until(lambda: not self.system.is_ready(gateway), "unready")
         self.assertEqual(stopped.child.wait(12), 0)
 
+    def test_a_reload_signal_during_the_start_ends_no_process(self):
+        """Guards against a process that is gone after a restart and a reload."""
+        signalled = Signalled(self.system.folder / "signalled")
+        for name in (self.system.gateways[0], self.system.names[0]):
+            self.system.hosts[name] = signalled
+            self.system.running[name].kill()
+        self.system.start_gateway(self.system.gateways[0])
+        self.system.start_directory(self.system.names[0])
+        self.serve()
+        for name in (self.system.gateways[0], self.system.names[0]):
+            self.assertTrue(self.system.running[name].running, name)
+
     def test_documents_are_read_back_as_sent(self):
         document = gateways.make_document(7, note={"unknown": [1, 2]})
         self.assertEqual(self.system.declare(document), 200)
