Names that a newcomer knows: an extended timeout, a remote request; short functions

silence_borne is timeout_extended, consume_elsewhere is consume_remote, and failover.find_extension has its steps as functions. No change of behaviour.

--- a/packages/daemon/src/trestlestall/daemon/directory/advertised_limits.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/advertised_limits.py
@@ -61,7 +61,7 @@
             if self.limits.record_no_limit(identity, now - age):
                 self._log_limit(identity, None, age, gateway)
         for identity in sent:
-            self.limits.consume_elsewhere(identity, now)
+            self.limits.consume_remote(identity, now)
             self._log_excess(identity, gateway, now)
 
     def _log_excess(self, identity: str, gateway: str, now: float) -> None:
--- a/packages/daemon/src/trestlestall/daemon/events/forwarding.py
+++ b/packages/daemon/src/trestlestall/daemon/events/forwarding.py
@@ -80,9 +80,9 @@
     " reached lists the upstreams that can be connected to again, empty if none can.",
     "If this repeats, look at the listen queue of the upstream (upstream_unreachable).",
 )
-SILENCE_BORNE = catalogue.declare(
+TIMEOUT_EXTENDED = catalogue.declare(
     "TS7008",
-    "silence_borne",
+    "timeout_extended",
     catalogue.Level.INFO,
     "request route upstream reason seconds seconds_left",
     "The upstream has been silent for longer than the timeout, seconds after the"
--- a/packages/daemon/src/trestlestall/daemon/gateway/failover.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/failover.py
@@ -22,25 +22,37 @@
     If it is to be left, ``forward.successor`` is the upstream that takes the request.
     ``has_arrived`` returns whether the silence is over. Raises ``CallerLeft``.
     """
-    placing = forward.handler.placing
-    started = forward.relay.first_seconds is not None
-    # Only the first silence counts as a failure of the upstream.
-    failed = None if forward.was_silent else True
-    placing.end(forward.descriptor, row.identity, failed)
-    forward.was_silent = True
+    end_placement(forward, row)
     found = selection.select(forward, placement_protocol.RETRY)
-    if isinstance(found, placement.Refused) and found.reason == crashes.HARMFUL:
-        return None
     if isinstance(found, placement.Placed):
         forward.successor = found
         if not has_arrived():
             return None
         withdraw_successor(forward)
+    elif found.reason == crashes.HARMFUL:
+        return None
     else:
-        records.write_silence_borne(forward, row, found)
-        if not started:
+        records.write_timeout_extended(forward, row, found)
+        if forward.relay.first_seconds is None:
             forward.handler.prober.suspect(row)
+    return resume_placement(forward, row)
+
+
+def end_placement(forward: progress.Progress, row: upstreams.Row) -> None:
+    """End the request's count at its upstream; the first silence is a failure of it."""
+    failed = None if forward.was_silent else True
+    forward.handler.placing.end(forward.descriptor, row.identity, failed)
+    forward.was_silent = True
+
+
+def resume_placement(forward: progress.Progress, row: upstreams.Row) -> float | None:
+    """Count the request at its upstream again; return until when to wait for it.
+
+    None if the upstream is no longer known.
+    """
+    started = forward.relay.first_seconds is not None
     age = clocks.read() - forward.sent_at
+    placing = forward.handler.placing
     if not placing.resume(forward.descriptor, row.identity, age, started):
         return None
     return min(forward.deadline, clocks.read() + INTERVAL_SECONDS)
--- a/packages/daemon/src/trestlestall/daemon/gateway/records.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/records.py
@@ -93,13 +93,13 @@
     )
 
 
-def write_silence_borne(
+def write_timeout_extended(
     forward: progress.Progress, row: upstreams.Row, refused: placement.Refused
 ) -> None:
     """Log that a silent upstream is not left, as no other one takes the request."""
     now = clocks.read()
     forward.view.log.write(
-        events.forwarding.SILENCE_BORNE,
+        events.forwarding.TIMEOUT_EXTENDED,
         request=forward.descriptor.request_id,
         route=forward.route.name,
         upstream=row.identity,
--- a/packages/daemon/tests/test_repeats.py
+++ b/packages/daemon/tests/test_repeats.py
@@ -185,7 +185,7 @@
     def test_a_silent_upstream_is_not_left_without_a_permitted_retry(self):
         """Guards against a 502 by a gateway that leaves and may not send again."""
         self.assertEqual(self.ask_slow(1.8), (200, "late"))
-        lines = self.bench.list_lines("silence_borne")
+        lines = self.bench.list_lines("timeout_extended")
         self.assertEqual({line["reason"] for line in lines}, {budgets.EXHAUSTED})
 
     def test_a_silent_upstream_is_awaited_until_the_deadline(self):
--- a/packages/forwarding/src/trestlestall/forwarding/rate_limits.py
+++ b/packages/forwarding/src/trestlestall/forwarding/rate_limits.py
@@ -94,7 +94,7 @@
         self.level = min(self.burst, filled)
         self.refilled_at, self.stalled = now, stalled
 
-    def consume_elsewhere(self, now: float) -> None:
+    def consume_remote(self, now: float) -> None:
         """Count a request that another process sent, first against a stall's."""
         covered = min(1.0, self._find_missed(now))
         self.missed -= covered
@@ -189,12 +189,12 @@
             found.refill(now, self._read_stalled())
             found.level = min(found.burst, found.level + 1.0)
 
-    def consume_elsewhere(self, identity: str, now: float) -> None:
+    def consume_remote(self, identity: str, now: float) -> None:
         """Count a request to the upstream that another process placed."""
         found = self._limits.get(identity)
         if found is not None:
             found.refill(now, self._read_stalled())
-            found.consume_elsewhere(now)
+            found.consume_remote(now)
 
     def list_advertised(self, now: float) -> list[tuple[str, float, float]]:
         """Return the limits in force: upstream, limit, age in seconds."""
--- a/packages/forwarding/tests/limit_world.py
+++ b/packages/forwarding/tests/limit_world.py
@@ -242,7 +242,7 @@
         elif kind == "unstated":
             limits.record_no_limit(*given)
         elif kind == "sent" and self.shares_counts:
-            limits.consume_elsewhere(*given, self.now)
+            limits.consume_remote(*given, self.now)
         elif kind == "ask":
             self.place(pair, *given)
 
--- a/packages/forwarding/tests/test_rate_limits.py
+++ b/packages/forwarding/tests/test_rate_limits.py
@@ -85,10 +85,10 @@
         """Guards against an upstream left idle after a stall of the process."""
         limits = make_stalled(4.0)
         for _ in range(6):
-            limits.consume_elsewhere("u1", 5.0)
+            limits.consume_remote("u1", 5.0)
         self.assertEqual(limits.list_exhausted(5.0), [])
         for _ in range(2):
-            limits.consume_elsewhere("u1", 5.0)
+            limits.consume_remote("u1", 5.0)
         self.assertGreater(limits.find_wait("u1", 5.0), 0.0, "more than allowed")
 
     def test_a_stall_saves_up_no_more_than_a_burst(self):
@@ -98,7 +98,7 @@
         limits = make_stalled(4.0)
         reported_at = 5.0 + rate_limits.CATCH_UP_SECONDS + 0.1
         for _ in range(3):
-            limits.consume_elsewhere("u1", reported_at)
+            limits.consume_remote("u1", reported_at)
         self.assertGreater(limits.find_wait("u1", reported_at), 1.0 / LIMIT)
 
     def test_two_placers_that_share_counts_keep_the_limit(self):
