The test of an early reload restarts processes of a formed group

Cause: the test killed a directory that was forming the group with the others and started it again as one that joins; the logs show the two others forming anew, without the time to. The fault is the test's: a founder that is replaced before there is a group is not what it is about.

Change: it serves first, then restarts both processes under the signal, and asks more than before: the gateway serves, the directory reads the document back.

--- a/tests/test_gateway_deployment.py
+++ b/tests/test_gateway_deployment.py
@@ -102,15 +102,18 @@
 
     def test_a_reload_signal_during_the_start_ends_no_process(self):
         """Guards against a process that is gone after a restart and a reload."""
+        self.serve()
+        gateway, directory = self.system.gateways[0], self.system.names[0]
         signalled = Signalled(self.system.folder / "signalled")
-        for name in (self.system.gateways[0], self.system.names[0]):
+        for name in (gateway, directory):
             self.system.hosts[name] = signalled
             self.system.running[name].kill()
-        self.system.start_gateway(self.system.gateways[0])
-        self.system.start_directory(self.system.names[0])
-        self.serve()
-        for name in (self.system.gateways[0], self.system.names[0]):
-            self.assertTrue(self.system.running[name].running, name)
+        self.system.start_gateway(gateway)
+        self.system.start_directory(directory)
+        gateways.wait_until(lambda: self.system.ask(gateway) == 200, gateway)
+        gateways.wait_until(
+            lambda: self.system.read(directory) == gateways.make_document(5), directory
+        )
 
     def test_documents_are_read_back_as_sent(self):
         document = gateways.make_document(7, note={"unknown": [1, 2]})
