--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -214,6 +214,10 @@
     def test_a_short_run(self):
         self.play(SEED)
 
+    def test_a_seed_whose_directories_had_no_leader_for_long(self):
+        """Guards against usage that nobody reports once the faults are over."""
+        self.play(5, 25.0)
+
     def test_seeds_that_failed_once(self):
         for seed, (seconds, cause) in FAILED_SEEDS.items():
             with self.subTest(seed=seed, cause=cause):
