A silent upstream that is gone is left, also without another one

What callers would have seen since: a request whose upstream is known to be gone waits until its deadline, up to 60 s, for an answer that can't come.

Change: the wait goes on only while the upstream is there, as before.

Test: 504 at the deadline before, 502 within 2 s now.

--- a/packages/daemon/src/trestlestall/daemon/gateway/failover.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/failover.py
@@ -48,7 +48,7 @@
 def resume_placement(forward: progress.Progress, row: upstreams.Row) -> float | None:
     """Count the request at its upstream again; return until when to wait for it.
 
-    None if the upstream is no longer known.
+    None if the upstream is no longer there.
     """
     started = forward.relay.first_seconds is not None
     age = clocks.read() - forward.sent_at
--- a/packages/daemon/src/trestlestall/daemon/gateway/placing.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/placing.py
@@ -151,8 +151,11 @@
         """Count the request at its upstream again, since it was not left after all.
 
         It was sent there ``age`` seconds ago; ``started`` is whether it has had its
-        first event. Return whether the upstream is still known.
+        first event. Return whether the upstream is still there.
         """
+        row = self._view.table.rows.get(identity)
+        if row is None or row.state is upstreams.State.GONE:
+            return False
         now = clocks.read()
         found = self._view.placer.adopt(descriptor, identity, now, age)
         if isinstance(found, placement.Refused):
--- a/packages/daemon/tests/test_gateway_repeats.py
+++ b/packages/daemon/tests/test_gateway_repeats.py
@@ -1,6 +1,7 @@
 """When a gateway retries a request, and how it relays streams."""
 
 import contextlib
+import dataclasses
 from unittest import mock
 
 from packages.daemon.tests import gateway_bench as bench  # isort: skip
@@ -10,6 +11,8 @@
 
 from trestlestall.daemon import placement_protocol
 from trestlestall.daemon.gateway import attempts, placing
+from trestlestall.forwarding import upstreams
+from trestlestall.wire import clocks
 
 
 class RetryTest(bench.GatewayCase):
@@ -119,6 +122,15 @@
         self.assertEqual(self.bench.ask("/again/x")[::2], (200, "late"))
         self.assertEqual(len(slow.received), 1)
 
+    def test_a_silent_upstream_that_is_gone_is_left(self):
+        """Guards against a request that waits until its deadline for nobody."""
+        gone = self.bench.add("u1", bench.send("", keep=True, after=5))
+        row = dataclasses.replace(gone.row, state=upstreams.State.GONE, sequence=2)
+        eventlet.spawn_after(0.5, self.bench.gateway.view.merge_rows, (row,), "test")
+        started = clocks.read()
+        self.assertEqual(self.bench.ask("/again/x")[0], 502)
+        self.assertLess(clocks.read() - started, 2.0)
+
     def test_a_silent_upstream_is_left_for_another_one(self):
         silent = self.bench.add("u1", bench.send("", keep=True, after=5))
         serving = self.bench.add("u2", bench.answer("", "done"))
