--- a/tests/test_agreed_state_stop.py
+++ b/tests/test_agreed_state_stop.py
@@ -34,5 +34,7 @@
         """Check that a new leader replaced this one before its process exited."""
         names = [line["name"] for line in deployment.read_events(leader)]
         last = len(names) - names[::-1].index("process_stopping")
-        self.assertEqual(names[last:].count("leader_deposed"), 1, names[last:])
+        leads = [name for name in names if name.startswith("leader_")]
+        seen = f"{leads} of {leader}, then {names[last:]}"
+        self.assertEqual(names[last:].count("leader_deposed"), 1, seen)
         self.assertIn(deployment.wait_for_leader(others), others)
