--- a/packages/daemon/src/trestlestall/daemon/events/forwarding.py
+++ b/packages/daemon/src/trestlestall/daemon/events/forwarding.py
@@ -147,6 +147,26 @@
     " and were ignored. The request is the one that was answered.",
     "If a header is unreadable, look at the upstream's version.",
 )
+SERVICE_UNREACHABLE = catalogue.declare(
+    "TS7016",
+    "service_unreachable",
+    catalogue.Level.ERROR,
+    "service known unreachable refused timed_out seconds",
+    "No upstream of the service can be connected to from this gateway. known counts"
+    " those that serve; refused those whose host refused the connection or closed"
+    " others, timed_out those whose host did not reply; seconds is the time since the"
+    " first of them became unreachable.",
+    "If other gateways reach them, this gateway is partitioned from them: look at its"
+    " network links. If none does, look at the upstreams.",
+)
+SERVICE_REACHED = catalogue.declare(
+    "TS7017",
+    "service_reached",
+    catalogue.Level.INFO,
+    "service known unreachable seconds",
+    "An upstream of a service can be connected to again, after seconds in which none"
+    " could be.",
+)
 APPLIED = catalogue.declare(
     "TS7020",
     "declaration_applied",
--- a/packages/daemon/src/trestlestall/daemon/gateway/metrics.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/metrics.py
@@ -49,6 +49,9 @@
         self.backing_off = self._gauge(
             "upstreams_resting", "Those that asked this gateway for rest."
         )
+        self.unreachable = self._gauge(
+            "upstreams_unreachable", "Those that can't be connected to from here."
+        )
         self.first_event = self._time(
             "first", "Arrival to the first event or the answer."
         )
--- a/packages/daemon/src/trestlestall/daemon/gateway/process.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/process.py
@@ -219,6 +219,7 @@
         now = clocks.read()
         metrics.rate_limited.set(len(self.view.advertised_limits.list_limited()))
         metrics.backing_off.set(len(self.view.backoffs.list_backing_off(now)))
+        metrics.unreachable.set(len(self.handler.prober.unreachable))
         metrics.suspended_seconds.set(self._suspensions.seconds)
         metrics.connections_opened.set(self.handler.pool.opened)
         metrics.dropped_log_lines.set(getattr(self._output, "dropped", 0))
--- a/packages/daemon/src/trestlestall/daemon/gateway/reachability.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/reachability.py
@@ -11,7 +11,7 @@
 import eventlet
 
 from trestlestall.daemon import events
-from trestlestall.daemon.gateway import cached_view
+from trestlestall.daemon.gateway import cached_view, service_reach
 from trestlestall.forwarding import upstreams
 from trestlestall.wire import addresses
 
@@ -29,10 +29,9 @@
 
     def __init__(self, view: cached_view.CachedView) -> None:
         self._view = view
-        self._probing: set[str] = set()
+        self._probing: dict[str, service_reach.Loss] = {}
         self._suspected: set[str] = set()
-        # When a connection to an upstream has just timed out.
-        self._timed_out_at: dict[str, float] = {}
+        self._service_reach = service_reach.ServiceReach(view, self._probing)
 
     @property
     def unreachable(self) -> frozenset[str]:
@@ -77,11 +76,11 @@
     def _list_recovering(self, service: str) -> list[str]:
         """Return the upstreams of a service that may be reached again at once."""
         earliest = self._view.clock() - MAY_RECOVER_SECONDS
-        never = float("-inf")
+        losses = {one: self._probing[one] for one in self.list_unreachable(service)}
         return [
             one
-            for one in self.list_unreachable(service)
-            if self._timed_out_at.get(one, never) > earliest
+            for one, loss in losses.items()
+            if loss.timed_out and loss.since > earliest
         ]
 
     def _probe_once(self, row: upstreams.Row) -> None:
@@ -102,15 +101,14 @@
         self._view.placer.set_reachable(row.identity, False)
         if row.identity in self._probing:
             return
-        self._probing.add(row.identity)
-        if timed_out:
-            self._timed_out_at[row.identity] = self._view.clock()
+        self._probing[row.identity] = service_reach.Loss(self._view.clock(), timed_out)
         self._view.log.write(
             events.forwarding.UNREACHABLE,
             upstream=row.identity,
             address=row.address,
             reason=reason,
         )
+        self._service_reach.update(row.service)
         eventlet.spawn(self._probe_until_reached, row)
 
     def _probe_until_reached(self, row: upstreams.Row) -> None:
@@ -124,8 +122,8 @@
                     self._mark_reachable(row, self._view.clock() - started)
                     return
         finally:
-            self._probing.discard(row.identity)
-            self._timed_out_at.pop(row.identity, None)
+            self._probing.pop(row.identity, None)
+            self._service_reach.update(row.service)
 
     def _is_serving(self, row: upstreams.Row) -> bool:
         known = self._view.table.rows.get(row.identity)
