A gateway that can't reach an upstream sends its requests through a peer gateway

Cause: there was no second way. A gateway connects to upstreams itself or not at all, knew no other gateway, and found the upstreams out of reach one by one, each by a request that failed on it (0.7 to 3.4 s for all of them).

Ruled out: a belief that outlives the cut (no upstream was reachable while the refusals lasted), refusals of the scheduler (no such reason, no request held, no upstream taken for crashed).

Change: - a tunnel stands in for a connection: the peer connects to the upstream and passes bytes both ways; request, placing, counts, budget and log stay with the gateway that admitted it. If no tunnel opens, nothing was sent; a lost peer is never an orderly end of an answer, and no crash of the upstream. - directories name peers: each gateway tells them where it opens tunnels and what it can't connect to; no gateway probes another one. - links are checked before requests fail on them: an upstream that is silent beyond what its first event should take, and after a loss others too. - a refused connection is a crash only if a peer is refused as well. - back to direct connections after two that succeed in a row.

--- a/packages/daemon/src/trestlestall/daemon/directory/arrivals.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/arrivals.py
@@ -7,7 +7,7 @@
 
 from trestlestall.agreement import events as agreement_events
 from trestlestall.daemon.control import calls, envelopes, group, machine as machines
-from trestlestall.wire import directory_messages, messages
+from trestlestall.wire import directory_messages, messages, tunnel_messages
 
 if typing.TYPE_CHECKING:
     from trestlestall.daemon.directory import server as servers
@@ -229,3 +229,19 @@
 ) -> None:
     """Record the load that another directory reports."""
     server.duties.demands.handle_demand(peer, message, server.now())
+
+
+@handles(tunnel_messages.PeerOffer)
+def handle_peer_offer(
+    server: servers.Server, peer: str, message: tunnel_messages.PeerOffer
+) -> None:
+    """Record where a gateway opens tunnels for others."""
+    server.peer_registry.record_offer(peer, message)
+
+
+@handles(tunnel_messages.PeersCall)
+def answer_peers_call(
+    server: servers.Server, peer: str, message: tunnel_messages.PeersCall
+) -> None:
+    """Name peers to a gateway that can't reach some upstreams."""
+    server.peer_registry.answer(peer, message)
--- a/packages/daemon/src/trestlestall/daemon/directory/links.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/links.py
@@ -76,6 +76,11 @@
         link = self._mesh.links.get(name) if self._mesh is not None else None
         return link is not None and link.peer.role == DIRECTORY
 
+    def find_data_centre(self, name: str) -> str:
+        """Return the data centre of a linked process; empty if it isn't linked."""
+        link = self._mesh.links.get(name) if self._mesh is not None else None
+        return link.peer.data_centre if link is not None else ""
+
     def _list_linked(self) -> tuple[list[str], list[str]]:
         """Return directories and gateways; recomputed only when a link changes.
 
--- a/packages/daemon/src/trestlestall/daemon/directory/server.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/server.py
@@ -33,6 +33,7 @@
     links as directory_links,
     members,
     metrics as directory_metrics,
+    peer_registry,
     quarantine,
     quarantine_file,
     registrations,
@@ -113,6 +114,7 @@
         self.advertised_limits = advertised_limits.AdvertisedLimits(
             log, env.clock.monotonic, env.clock.stalled
         )
+        self.peer_registry = peer_registry.PeerRegistry(links)
         self.scheduler = scheduling.Scheduler(
             links,
             dialect,
@@ -246,6 +248,7 @@
             self._sync_peer(peer)
         else:
             self.scheduler.remove_gateway(peer)
+            self.peer_registry.remove(peer)
             self.members.record_unlinked(peer)
             self.retry_budget.ledger.remove_peer(peer)
         self._wake()
--- a/packages/daemon/src/trestlestall/daemon/events/forwarding.py
+++ b/packages/daemon/src/trestlestall/daemon/events/forwarding.py
@@ -167,6 +167,23 @@
     "An upstream of a service can be connected to again, after seconds in which none"
     " could be.",
 )
+REACHED_BY_PEER = catalogue.declare(
+    "TS7018",
+    "upstream_reached_by_peer",
+    catalogue.Level.WARNING,
+    "upstream address seconds",
+    "A peer connects to an upstream that this gateway itself can't connect to, seconds"
+    " after its loss; requests are sent through peers until it is reached again.",
+    "This gateway is partitioned from the upstream: look at its network links.",
+)
+PEER_LOST = catalogue.declare(
+    "TS7019",
+    "upstream_lost_by_peers",
+    catalogue.Level.WARNING,
+    "upstream address seconds",
+    "No peer connects to the upstream any more, seconds after this gateway lost it.",
+    "Look at the upstream, and at tunnel_opened for the reasons.",
+)
 APPLIED = catalogue.declare(
     "TS7020",
     "declaration_applied",
@@ -183,6 +200,38 @@
     " in force.",
     "Compare the versions of the programs; a newer one may have accepted it.",
 )
+TUNNEL_OPENED = catalogue.declare(
+    "TS7022",
+    "tunnel_opened",
+    catalogue.Level.INFO,
+    "upstream address peer data_centre reason seconds",
+    "A tunnel to an upstream through a peer was asked for, which took seconds; reason"
+    " is why it did not open, empty if it did.",
+)
+TUNNEL_USED = catalogue.declare(
+    "TS7023",
+    "tunnel_used",
+    catalogue.Level.INFO,
+    "request gateway upstream address",
+    "Another gateway sends the request to the upstream through this one. The lines of"
+    " the request itself are in the log of that gateway.",
+)
+TUNNEL_REFUSED = catalogue.declare(
+    "TS7024",
+    "tunnel_refused",
+    catalogue.Level.INFO,
+    "gateway upstream reason",
+    "No tunnel was opened for another gateway, for the reason; gateway is empty if it"
+    " could not prove to be one.",
+    "If an unknown process asks, look for who has the address.",
+)
+SENT_BY_PEER = catalogue.declare(
+    "TS7025",
+    "forward_sent_by_peer",
+    catalogue.Level.INFO,
+    "request upstream address peer",
+    "The request is sent through a peer, whose log has tunnel_used for it.",
+)
 SCHEDULER_CHANGED = catalogue.declare(
     "TS7030",
     "arbiter_changed",
--- a/packages/daemon/src/trestlestall/daemon/gateway/attempts.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/attempts.py
@@ -11,7 +11,7 @@
 import h11
 
 from trestlestall.daemon import dialects
-from trestlestall.daemon.gateway import connections, heads
+from trestlestall.daemon.gateway import connections, exchanges, heads
 from trestlestall.forwarding import upstream_signals, upstreams
 from trestlestall.wire import clocks
 
@@ -23,6 +23,12 @@
 #: Responses to other requests that are skipped before the attempt counts as broken.
 MAX_FOREIGN_ANSWERS = 3
 MISDIRECTED = 421
+#: Connections tried for a request: the first may be an idle one through a lost peer.
+CONNECTIONS_TRIED = 2
+
+Acquire = abc.Callable[
+    [upstreams.Row, float], connections.Connection | connections.Unreachable
+]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -51,9 +57,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class Broken:
-    """No complete response arrived, so it is unknown whether the request ran."""
+    """No complete response arrived, so it is unknown whether the request ran.
+
+    ``path_lost`` is whether the way to the upstream was lost, so that nothing is known
+    of the upstream itself.
+    """
 
     reason: str
+    path_lost: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -82,11 +93,21 @@
 class BrokenExchange(Exception):  # noqa: N818 (an event, not an error)
     """The connection ended or failed, or the data is not a valid response."""
 
+    path_lost = False
+
+
+class LostPath(BrokenExchange):
+    """The way to the upstream was lost."""
+
+    path_lost = True
+
 
 class Attempt:
     """One exchange with an upstream; ``abort`` may be called from any green thread.
 
-    ``is_closed`` is true once the upstream, or its host, has closed the connection.
+    ``acquire`` returns a connection to the upstream within some seconds, and
+    ``exchange`` records what is sent and heard. ``is_closed`` is true once the
+    upstream, or its host, has closed the connection.
     ``find_extension`` is called when the upstream has been silent until a deadline; it
     returns a later deadline, or None to break off the exchange.
     """
@@ -94,7 +115,9 @@
     def __init__(
         self,
         pool: connections.Pool,
+        acquire: Acquire,
         row: upstreams.Row,
+        exchange: exchanges.Exchange,
         names: dialects.Headers,
         find_extension: abc.Callable[[], float | None],
     ) -> None:
@@ -102,6 +125,10 @@
         self.whole = False
         self.is_closed = False
         self._pool = pool
+        self._acquire = acquire
+        self._exchange = exchange
+        exchange.leave = self.leave
+        self._has_lost_path = False
         self._names = names
         self._find_extension = find_extension
         self._connection: connections.Connection | None = None
@@ -117,7 +144,7 @@
         seconds: float,
     ) -> NotSent | Broken | None:
         """Connect and send the request; return None unless that failed."""
-        connection = self._pool.acquire(self.row.address, seconds)
+        connection = self._begin(head.request_id, seconds)
         if isinstance(connection, connections.Unreachable):
             return NotSent(connection.reason, connection.timed_out)
         self._connection = connection
@@ -134,27 +161,49 @@
         data += connection.http.send(h11.EndOfMessage())
         return self._write(data, seconds)
 
+    @property
+    def peer(self) -> str:
+        """The peer through which the request was sent; empty for none."""
+        return "" if self._connection is None else self._connection.peer
+
+    def _begin(
+        self, request_id: str, seconds: float
+    ) -> connections.Connection | connections.Unreachable:
+        """Return a connection that is ready for the request."""
+        for _ in range(CONNECTIONS_TRIED):
+            connection = self._acquire(self.row, seconds)
+            if isinstance(connection, connections.Unreachable):
+                return connection
+            try:
+                connection.begin(request_id)
+                return connection
+            except OSError:
+                connection.close()
+        return connections.Unreachable("the peer is lost")
+
     def _write(self, data: bytes, seconds: float) -> Broken | None:
         connection = self._connection
         connection.exchanges += 1
-        connection.socket.settimeout(max(0.001, seconds))
+        self._exchange.begin(connection)
         try:
-            connection.socket.sendall(data[:FIRST_WRITE_BYTES])
+            connection.send(data[:FIRST_WRITE_BYTES], seconds)
+        except connections.PathLostError as error:
+            return Broken(f"while sending: {error}", path_lost=True)
         except TimeoutError as error:
             return Broken(f"while sending: {error}")
         except OSError as error:
             self.is_closed = True
             return Broken(f"while sending: {error}")
         if len(data) > FIRST_WRITE_BYTES:
-            eventlet.spawn(self._write_rest, data[FIRST_WRITE_BYTES:])
+            eventlet.spawn(self._write_rest, data[FIRST_WRITE_BYTES:], seconds)
         else:
             self._sent = True
         return None
 
-    def _write_rest(self, data: bytes) -> None:
+    def _write_rest(self, data: bytes, seconds: float) -> None:
         """Send the remaining bytes; a failure surfaces when the response is read."""
         try:
-            self._connection.socket.sendall(data)
+            self._connection.send(data, seconds)
             self._sent = True
         except OSError:
             return
@@ -165,6 +214,12 @@
         if self._connection is not None:
             self._connection.abort()
 
+    def leave(self) -> None:
+        """Break the exchange off, as the way to the upstream is lost."""
+        self._has_lost_path = True
+        if self._connection is not None:
+            self._connection.abort()
+
     def read_head(self, deadline: float) -> AnswerHead | NotRun:
         """Return the head of the response to this request.
 
@@ -256,7 +311,7 @@
 
     def has_arrived(self) -> bool:
         """Return whether data of the upstream, or its end, waits to be read."""
-        return connections.is_readable(self._connection.socket)
+        return self._connection.is_readable()
 
     def _receive(self, deadline: float) -> bytes:
         while (data := self._receive_until(deadline)) is None:
@@ -272,14 +327,19 @@
         if left <= 0:
             return None
         try:
-            data = connections.receive(self._connection.socket, left)
+            data = self._connection.receive(left)
         except TimeoutError:
             return None
         except OSError as error:
+            if self._has_lost_path or isinstance(error, connections.PathLostError):
+                raise LostPath(str(error)) from error
             self.is_closed = not self._aborted
             raise BrokenExchange(f"connection lost: {error}") from error
         if self._aborted:
             raise BrokenExchange("aborted")
+        if self._has_lost_path:
+            raise LostPath("the way to the upstream is lost")
+        self._exchange.record_heard()
         self.is_closed = not data
         return data
 
--- a/packages/daemon/src/trestlestall/daemon/gateway/connections.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/connections.py
@@ -6,6 +6,7 @@
 
 import contextlib
 import dataclasses
+import errno
 import socket
 from collections import abc
 
@@ -34,15 +35,26 @@
     """No connection could be opened, so nothing was sent.
 
     ``timed_out`` is whether there was no reply at all, as from a host whose listen
-    queue is full. A host on which nothing listens replies at once.
+    queue is full. A host on which nothing listens replies at once; ``refused`` is
+    whether this one did.
     """
 
     reason: str
     timed_out: bool = False
+    refused: bool = False
+
+
+class PathLostError(OSError):
+    """The way to the upstream was lost, which says nothing about the upstream."""
 
 
 class Connection:
-    """A connection to one upstream, with the parser of the current exchange."""
+    """A connection to one upstream, with the parser of the current exchange.
+
+    ``peer`` is the gateway through which it leads; empty for none.
+    """
+
+    peer = ""
 
     def __init__(self, address: str, opened: socket.socket) -> None:
         self.address = address
@@ -52,6 +64,22 @@
         self.reusable_until = 0.0
         self.aborted = False
 
+    def begin(self, request_id: str) -> None:
+        """Prepare for the bytes of a request; raises ``OSError``."""
+
+    def send(self, data: bytes, seconds: float) -> None:
+        """Send bytes; raises ``OSError``, ``TimeoutError`` if it takes longer."""
+        self.socket.settimeout(max(0.001, seconds))
+        self.socket.sendall(data)
+
+    def receive(self, seconds: float) -> bytes:
+        """Return the next bytes, or none at an orderly end; raises ``OSError``."""
+        return receive(self.socket, seconds)
+
+    def is_readable(self) -> bool:
+        """Return whether data, an end of file or an error is pending."""
+        return is_readable(self.socket)
+
     def abort(self) -> None:
         """Shut the connection down, which wakes whoever waits for its data."""
         self.aborted = True
@@ -65,7 +93,7 @@
 
     def is_fresh(self, now: float) -> bool:
         """Return whether the idle connection may carry another request."""
-        return now < self.reusable_until and not is_readable(self.socket)
+        return now < self.reusable_until and not self.is_readable()
 
 
 class Pool:
@@ -76,15 +104,29 @@
         self._idle: dict[str, list[Connection]] = {}
         self.opened = 0
 
-    def acquire(self, address: str, seconds: float) -> Connection | Unreachable:
-        """Return an idle connection, or a new one opened within ``seconds``."""
+    def take(self, address: str) -> Connection | None:
+        """Return an idle connection to the address; None if there is none."""
         idle = self._idle.get(address, [])
         while idle:
             connection = idle.pop()
             if connection.is_fresh(self._clock()):
                 return connection
             connection.close()
-        return self._open(address, min(seconds, CONNECT_TIMEOUT_SECONDS))
+        return None
+
+    def open(self, address: str, seconds: float) -> Connection | Unreachable:
+        """Return a new connection, opened within ``seconds``."""
+        opened = connect(address, min(seconds, CONNECT_TIMEOUT_SECONDS))
+        if isinstance(opened, Unreachable):
+            return opened
+        self.opened += 1
+        return Connection(address, opened)
+
+    def store(self, connection: Connection) -> None:
+        """Keep a new connection that was opened to check the way to an upstream."""
+        usable = self._clock() + KEEP_ALIVE_SHARE * DEFAULT_KEEP_ALIVE_SECONDS
+        connection.reusable_until = usable
+        self._idle.setdefault(connection.address, []).insert(0, connection)
 
     def release(self, connection: Connection, keep_alive_seconds: float | None) -> None:
         """Return a connection to the pool, or close it if it can't be reused."""
@@ -101,10 +143,12 @@
         connection.reusable_until = self._clock() + usable
         self._idle.setdefault(connection.address, []).append(connection)
 
-    def drop(self, address: str) -> None:
-        """Close the idle connections to an address that is no longer used."""
-        for connection in self._idle.pop(address, []):
-            connection.close()
+    def drop(self, address: str, peer: str = "") -> None:
+        """Close the idle connections to an address that lead through a lost path."""
+        for connection in self._idle.get(address, ()):
+            if connection.peer == peer:
+                connection.close()
+                connection.reusable_until = 0.0
 
     def close_stale(self) -> None:
         """Close idle connections that can no longer be reused."""
@@ -119,20 +163,22 @@
             else:
                 del self._idle[address]
 
-    def _open(self, address: str, seconds: float) -> Connection | Unreachable:
-        try:
-            opened = socket.create_connection(
-                addresses.parse(address), timeout=max(0.001, seconds)
-            )
-        except OSError as error:
-            timed_out = isinstance(error, TimeoutError)
-            return Unreachable(str(error) or type(error).__name__, timed_out)
-        opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, True)
-        opened.setsockopt(
-            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS
+
+def connect(address: str, seconds: float) -> socket.socket | Unreachable:
+    """Return a socket connected to ``IP:port`` within ``seconds``."""
+    try:
+        opened = socket.create_connection(
+            addresses.parse(address), timeout=max(0.001, seconds)
         )
-        self.opened += 1
-        return Connection(address, opened)
+    except OSError as error:
+        reason = str(error) or type(error).__name__
+        refused = error.errno == errno.ECONNREFUSED
+        return Unreachable(reason, isinstance(error, TimeoutError), refused)
+    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, True)
+    opened.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS
+    )
+    return opened
 
 
 def is_reusable(connection: Connection) -> bool:
@@ -140,7 +186,7 @@
     http = connection.http
     if (http.our_state, http.their_state) != (h11.DONE, h11.DONE):
         return False
-    return not http.trailing_data[0] and not is_readable(connection.socket)
+    return not http.trailing_data[0] and not connection.is_readable()
 
 
 def is_readable(opened: socket.socket) -> bool:
@@ -155,16 +201,18 @@
     return True
 
 
-def receive(opened: socket.socket, seconds: float) -> bytes:
+def receive(opened: socket.socket, seconds: float | None) -> bytes:
     """Return the next bytes, or none at an orderly end of file; raises ``OSError``.
 
+    Without ``seconds`` it waits for as long as it takes.
+
     eventlet's own ``recv`` also returns no bytes for a reset connection, so that a
     truncated response without a length would look complete.
     """
-    deadline = clocks.read() + seconds
+    deadline = None if seconds is None else clocks.read() + seconds
     while True:
         try:
             return opened.fd.recv(READ_BYTES)
         except BlockingIOError:
-            left = max(0.001, deadline - clocks.read())
+            left = None if deadline is None else max(0.001, deadline - clocks.read())
             hubs.trampoline(opened, read=True, timeout=left, timeout_exc=TimeoutError)
--- a/packages/daemon/src/trestlestall/daemon/gateway/crash_detection.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/crash_detection.py
@@ -10,8 +10,6 @@
 quarantined (``forwarding.crashes``).
 """
 
-import errno
-import socket
 from collections import abc
 
 import eventlet
@@ -24,10 +22,8 @@
     reachability,
 )
 from trestlestall.forwarding import crash_reports, upstreams
-from trestlestall.wire import addresses, directory_messages
+from trestlestall.wire import directory_messages
 
-#: Time-out for probing a host: many round trips within a region.
-CONNECT_TIMEOUT_SECONDS = 0.1
 #: Seconds within which a new incarnation replaces a crashed one. Restarts after a crash
 #: took 3 to 4 s.
 REPLACEMENT_SECONDS = 6.0
@@ -80,7 +76,7 @@
         """Return whether an upstream that closed a connection has certainly crashed.
 
         Blocks until its host has been probed, so that the result is known before the
-        request is retried: one round trip, at most ``CONNECT_TIMEOUT_SECONDS``.
+        request is retried: one round trip, or several where peers are asked as well.
         """
         suspected = self._probing.get(row.identity)
         if suspected is None:
@@ -107,7 +103,7 @@
 
     def _probe_host(self, suspected: SuspectedCrash) -> None:
         row = suspected.row
-        refused = is_connection_refused(row.address)
+        refused = self._prober.is_refused(row)
         del self._probing[row.identity]
         draining = self._get_state(row) is not upstreams.State.SERVING
         if refused:
@@ -183,13 +179,3 @@
 
 def drop_message(message: directory_messages.Crashed) -> None:
     """Drop a message because there are no links yet."""
-
-
-def is_connection_refused(address: str) -> bool:
-    """Return whether the host of ``IP:port`` refuses connections to the port."""
-    pair = addresses.parse(address)
-    try:
-        socket.create_connection(pair, timeout=CONNECT_TIMEOUT_SECONDS).close()
-    except OSError as error:
-        return error.errno == errno.ECONNREFUSED
-    return False
--- a/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
@@ -146,21 +146,28 @@
         """Return the attempt's outcome, or None once the caller has its response."""
         names = self.handler.dialect.headers
         self.was_silent = False
-        self.attempt = attempts.Attempt(
-            self.handler.pool,
-            placed.row,
-            names,
-            lambda: self._find_extension(placed.row),
+        prober = self.handler.prober
+        tracked = prober.exchanges.track(
+            placed.row.identity, placed.predicted, self._may_move
         )
         head = None
         outcome: outcomes.Outcome | None = None
         try:
-            outcome = self._exchange(placed)
-            if isinstance(outcome, attempts.AnswerHead):
-                head = outcome
-                outcome = self._relay_answer(head)
+            with tracked as exchange:
+                self.attempt = attempts.Attempt(
+                    self.handler.pool,
+                    prober.acquire,
+                    placed.row,
+                    exchange,
+                    names,
+                    lambda: self._find_extension(placed.row),
+                )
+                outcome = self._exchange(placed)
+                if isinstance(outcome, attempts.AnswerHead):
+                    head = outcome
+                    outcome = self._relay_answer(head)
         except attempts.BrokenExchange as error:
-            outcome = attempts.Broken(str(error))
+            outcome = attempts.Broken(str(error), error.path_lost)
         finally:
             self.attempt.finish(head)
             # A failure counts against the upstream also if the caller received it.
@@ -206,6 +213,9 @@
         if isinstance(failed, attempts.NotSent):
             self.sends -= 1
             return failed
+        if self.attempt.peer:
+            self.handler.metrics.relayed.inc()
+            records.write_sent_by_peer(self, placed.row, self.attempt.peer)
         # From here on it may have run, even if only a part of it was written.
         self.runs += 1
         if failed is not None:
@@ -273,6 +283,9 @@
         """Update the cached view of the upstream by the outcome."""
         if isinstance(outcome, attempts.NotSent):
             self.handler.prober.mark_unreachable(row, outcome.reason, outcome.timed_out)
+        elif isinstance(outcome, attempts.Broken) and outcome.path_lost:
+            # The upstream itself may take the request on another way.
+            self.excluded.discard(row.identity)
         elif isinstance(outcome, attempts.Broken):
             closed = self.attempt.is_closed
             has_crashed = closed and self.handler.crash_detector.record_broken(
@@ -333,6 +346,11 @@
         allowed = self._may_retry() and self.sends < MAX_SENDS
         return allowed and timeouts.allows_failover(left)
 
+    def _may_move(self) -> bool:
+        """Return whether the request may leave its upstream for another one."""
+        resumes = not self.relay.began or self.route.resumable
+        return resumes and self._may_switch_upstream()
+
     def _find_extension(self, row: upstreams.Row) -> float | None:
         """Return until when to wait on for a silent upstream; None to leave it."""
         if self._may_switch_upstream():
--- a/packages/daemon/src/trestlestall/daemon/gateway/links.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/links.py
@@ -11,11 +11,17 @@
 from trestlestall.daemon.gateway import (
     cached_view,
     crash_detection,
+    peers as gateway_peers,
     placing as placings,
     signal_tracker,
     usage as gateway_usage,
 )
-from trestlestall.wire import clocks, directory_messages, links as wire_links
+from trestlestall.wire import (
+    clocks,
+    directory_messages,
+    links as wire_links,
+    tunnel_messages,
+)
 
 GATEWAY = "router"
 DIRECTORY = "control"
@@ -52,7 +58,9 @@
         crash_detector: crash_detection.CrashDetector,
         signals: signal_tracker.UpstreamSignals,
         usage: gateway_usage.Usage,
+        peers: gateway_peers.Peers,
     ) -> None:
+        self.peers = peers
         self.view = view
         self.placing = placing
         self.crash_detector = crash_detector
@@ -82,6 +90,7 @@
         self.usage.send = self.placing.scheduler_client.send_message
         self.usage.copy = self._send_copies
         self.crash_detector.broadcast = self.signals.broadcast = self._broadcast
+        self.peers.broadcast = self._broadcast
         self.mesh.start()
         self.add_directories(map(str, self._settings.directories))
         pulling = eventlet.spawn(self._pull_periodically)
@@ -155,7 +164,7 @@
             self._linked_at.setdefault(peer, clocks.read())
             self.placing.scheduler_client.resend_state(peer)
             self.mesh.send(peer, self.crash_detector.report())
-            for message in self.signals.report():
+            for message in (*self.signals.report(), *self.peers.report()):
                 self.mesh.send(peer, message)
         else:
             self._linked_at.pop(peer, None)
@@ -211,3 +220,11 @@
 ) -> None:
     """Pass the scheduler's answer to the request that waits for it."""
     links.placing.scheduler_client.handle_answer(message)
+
+
+@handles(tunnel_messages.PeersAnswer)
+def handle_peers_answer(
+    links: Links, directory: str, message: tunnel_messages.PeersAnswer
+) -> None:
+    """Keep the peers that a directory named."""
+    links.peers.handle_answer(directory, message)
--- a/packages/daemon/src/trestlestall/daemon/gateway/metrics.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/metrics.py
@@ -52,6 +52,19 @@
         self.unreachable = self._gauge(
             "upstreams_unreachable", "Those that can't be connected to from here."
         )
+        self.tunnels = self._gauge(
+            "tunnels_open", "Connections to upstreams through peers."
+        )
+        self.tunnels_served = prometheus_client.Counter(
+            "trestlestall_tunnels_served",
+            "Tunnels that were opened for other gateways.",
+            registry=self.registry,
+        )
+        self.relayed = prometheus_client.Counter(
+            "trestlestall_forwards_by_peer",
+            "Requests that were sent through a peer.",
+            registry=self.registry,
+        )
         self.first_event = self._time(
             "first", "Arrival to the first event or the answer."
         )
--- a/packages/daemon/src/trestlestall/daemon/gateway/outcomes.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/outcomes.py
@@ -16,7 +16,9 @@
         return None
     if isinstance(outcome, attempts.AnswerHead):
         return outcome.status >= SERVER_ERRORS
-    return isinstance(outcome, attempts.Broken)
+    if isinstance(outcome, attempts.Broken):
+        return None if outcome.path_lost else True
+    return False
 
 
 def describe_outcome(outcome: Outcome) -> str:
--- a/packages/daemon/src/trestlestall/daemon/gateway/process.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/process.py
@@ -27,6 +27,7 @@
     metrics as gateway_metrics,
     refusals,
     request_handler,
+    tunnel_server,
     usage as gateway_usage,
 )
 from trestlestall.daemon.http import answers, application, listener, routes
@@ -84,6 +85,10 @@
             self.handler.crash_detector,
             self.handler.signals,
             self._usage,
+            self.handler.peers,
+        )
+        self._tunnels = tunnel_server.TunnelServer(
+            settings, self.view, self.handler.prober, self._metrics
         )
         self._suspensions = suspensions.Monitor(self._log)
         self._open: set[callers.Caller] = set()
@@ -127,6 +132,8 @@
         with contextlib.ExitStack() as stack:
             stack.enter_context(self._suspensions.open())
             stack.enter_context(self._links.open())
+            stack.enter_context(self._tunnels.open())
+            stack.enter_context(self.handler.prober.watch())
             app = self._build_application()
             stack.enter_context(
                 listener.open_listener(str(settings.listen.platform), app)
@@ -220,6 +227,7 @@
         metrics.rate_limited.set(len(self.view.advertised_limits.list_limited()))
         metrics.backing_off.set(len(self.view.backoffs.list_backing_off(now)))
         metrics.unreachable.set(len(self.handler.prober.unreachable))
+        metrics.tunnels.set(self.handler.peers.tunnels_open)
         metrics.suspended_seconds.set(self._suspensions.seconds)
         metrics.connections_opened.set(self.handler.pool.opened)
         metrics.dropped_log_lines.set(getattr(self._output, "dropped", 0))
@@ -253,6 +261,7 @@
         self._log.write(
             events.process.STOPPING, role=ROLE, running=self._count_running()
         )
+        self._tunnels.stop()
         eventlet.sleep(BALANCER_NOTICE_SECONDS)
         self._closing = True
         while clocks.read() < deadline and self._is_needed(started):
@@ -262,5 +271,8 @@
             eventlet.sleep(TICK_SECONDS)
 
     def _is_needed(self, started: float) -> bool:
-        """Return whether callers are connected or may still connect."""
-        return bool(self._open) or clocks.read() < started + LINGER_SECONDS
+        """Return whether callers or peers are connected, or callers may be."""
+        return (
+            bool(self._open or self._tunnels.count)
+            or clocks.read() < started + LINGER_SECONDS
+        )
--- a/packages/daemon/src/trestlestall/daemon/gateway/reachability.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/reachability.py
@@ -1,64 +1,199 @@
-"""Probes upstreams that could not be connected to until they are reachable again.
+"""Finds out which upstreams this gateway reaches, and a second way to the others.
 
-A connection that times out may be a lost packet or a full listen queue, over within the
-first probes. Requests that no other upstream takes may wait for these.
+An upstream that can't be connected to is probed until it can be again. A connection
+that times out may be a lost packet or a full listen queue, over within the first
+probes; requests that no other upstream takes may wait for these. Meanwhile a peer
+gateway is asked to connect to it: if that succeeds, requests go through the peer.
+
+Links are checked before a request fails on them: those to upstreams that are silent,
+and after a loss those to others (``forwarding.silence``).
 """
 
 import contextlib
-import socket
 from collections import abc
 
 import eventlet
 
 from trestlestall.daemon import events
-from trestlestall.daemon.gateway import cached_view, service_reach
-from trestlestall.forwarding import upstreams
-from trestlestall.wire import addresses
+from trestlestall.daemon.gateway import (
+    cached_view,
+    connections,
+    exchanges as gateway_exchanges,
+    peers as gateway_peers,
+    service_reach,
+    tunnels,
+)
+from trestlestall.forwarding import reach as reaches, upstreams
+from trestlestall.wire import clocks
 
 #: The delay between two probes doubles from the first value to the maximum.
 FIRST_DELAY_SECONDS = 0.25
 MAX_DELAY_SECONDS = 2.0
+#: The first delay between two tries to reach an upstream through peers; it doubles too.
+FIRST_SEEK_SECONDS = 0.05
 CONNECT_TIMEOUT_SECONDS = 0.4
-#: Seconds after a connection timed out for which requests wait: two probes.
+#: Timeout of a check: as for a request's connection, since one waits for its result.
+CHECK_TIMEOUT_SECONDS = connections.CONNECT_TIMEOUT_SECONDS
+#: Seconds after a connection failed for which requests wait: two probes.
 MAY_RECOVER_SECONDS = 3 * FIRST_DELAY_SECONDS + 0.05
 POLL_SECONDS = 0.02
+#: Interval at which silent upstreams are looked for, and losses are reported.
+WATCH_SECONDS = 0.1
+#: Interval at which peers are asked for again, with and without a loss.
+ASK_SECONDS = 0.1
+REFRESH_SECONDS = 5.0
+FAILED_CHECK = "request left unanswered, then a new connection failed"
 
 
 class Prober:
-    """Probes unreachable upstreams in the background, so that no request waits."""
+    """Checks and probes upstreams in the background, so that no request waits."""
 
-    def __init__(self, view: cached_view.CachedView) -> None:
+    def __init__(
+        self,
+        view: cached_view.CachedView,
+        pool: connections.Pool,
+        peers: gateway_peers.Peers,
+    ) -> None:
+        self.reach = reaches.Reach()
+        self.exchanges = gateway_exchanges.Exchanges()
         self._view = view
-        self._probing: dict[str, service_reach.Loss] = {}
-        self._suspected: set[str] = set()
-        self._service_reach = service_reach.ServiceReach(view, self._probing)
+        self._pool = pool
+        self._peers = peers
+        self._probing: set[str] = set()
+        self._checking: set[str] = set()
+        self._seeking: set[str] = set()
+        self._reported: frozenset[str] = frozenset()
+        self._asked_at = float("-inf")
+        self._service_reach = service_reach.ServiceReach(view, self.reach)
+        peers.on_failed = self._leave_peer
 
     @property
     def unreachable(self) -> frozenset[str]:
-        """The identities of the upstreams that can't be connected to from here."""
-        return frozenset(self._probing)
+        """The identities of the upstreams that this gateway reaches in no way."""
+        return self.reach.unreachable
+
+    @contextlib.contextmanager
+    def watch(self) -> abc.Iterator[None]:
+        """Check silent upstreams, and report losses, during the block."""
+        watching = eventlet.spawn(self._watch)
+        try:
+            yield
+        finally:
+            watching.kill()
+
+    def is_partitioned(self) -> bool:
+        """Return whether this gateway can't connect to most of the upstreams."""
+        serving = self._list_serving()
+        return self.reach.is_partition(serving)
+
+    # Connections.
+
+    def acquire(
+        self, row: upstreams.Row, seconds: float
+    ) -> connections.Connection | connections.Unreachable:
+        """Return an idle connection to an upstream, or a new one in time."""
+        idle = self._pool.take(row.address)
+        if idle is not None:
+            return idle
+        if self.reach.find_way(row.identity) is not reaches.Way.PEER:
+            return self._pool.open(row.address, seconds)
+        found = self._peers.open(row)
+        if isinstance(found, connections.Unreachable):
+            self._record_peer(row, reached=False)
+        return found
+
+    def is_refused(self, row: upstreams.Row) -> bool:
+        """Return whether the upstream's host refuses connections, also of a peer.
+
+        A host that only this gateway can't reach may seem to refuse them as well.
+        """
+        opened = connections.connect(row.address, CHECK_TIMEOUT_SECONDS)
+        if not isinstance(opened, connections.Unreachable):
+            opened.close()
+            return False
+        if not opened.refused:
+            return False
+        found = self._peers.open(row)
+        if isinstance(found, tunnels.Tunnel):
+            self._pool.store(found)
+            self.mark_unreachable(row, opened.reason)
+            self._record_peer(row, reached=True)
+            return False
+        return True
+
+    # Checks.
 
     def suspect(self, row: upstreams.Row) -> None:
-        """Probe an upstream that kept a request waiting.
+        """Check an upstream that kept a request waiting.
 
         Requests on idle connections that are reused get no error when the upstream's
         host is partitioned; only a new connection shows it.
         """
-        if row.identity not in self._probing and row.identity not in self._suspected:
-            self._suspected.add(row.identity)
-            eventlet.spawn(self._probe_once, row)
+        if row.identity not in self._checking:
+            self._checking.add(row.identity)
+            eventlet.spawn(self._check, row)
+
+    def _check(self, row: upstreams.Row) -> None:
+        silence = self.exchanges.silence
+        silence.record_check(row.identity, clocks.read_running())
+        try:
+            if self.reach.find_way(row.identity) is reaches.Way.DIRECT:
+                found = self._pool.open(row.address, CHECK_TIMEOUT_SECONDS)
+            else:
+                peer = self.exchanges.find_silent_peer(row.identity)
+                found = self._peers.open(row, peer)
+        finally:
+            self._checking.discard(row.identity)
+        if not isinstance(found, connections.Unreachable):
+            silence.record_reached(row.identity, clocks.read_running())
+            self._pool.store(found)
+        elif self.reach.find_way(row.identity) is reaches.Way.PEER:
+            self._record_peer(row, reached=False)
+        else:
+            self.mark_unreachable(row, FAILED_CHECK, found.timed_out)
+
+    def _watch(self) -> None:
+        while True:
+            eventlet.sleep(WATCH_SECONDS)
+            rows = self._view.table.rows
+            self.exchanges.silence.forget(rows)
+            for identity in self.exchanges.silence.list_suspects(clocks.read_running()):
+                if identity in rows:
+                    self.suspect(rows[identity])
+            self._report()
+            if self._view.clock() - self._asked_at >= REFRESH_SECONDS:
+                self._ask()
+
+    def _check_related(self) -> None:
+        """Check further upstreams, since more links may be lost together."""
+        rows = self._view.table.rows
+        serving = self._list_serving()
+        losses = {one: loss.since for one, loss in self.reach.losses.items()}
+        related = self.exchanges.silence.list_related(
+            losses, serving, clocks.read_running()
+        )
+        for identity in related:
+            self.suspect(rows[identity])
+
+    def _list_serving(self) -> list[str]:
+        rows = self._view.table.rows.items()
+        return [one for one, row in rows if row.state is upstreams.State.SERVING]
+
+    # Losses.
 
     def list_unreachable(self, service: str) -> list[str]:
-        """Return the upstreams of a service that can't be connected to from here."""
+        """Return the upstreams of a service that are reached in no way."""
         rows = self._view.table.rows
         return [
-            one for one in self._probing if one in rows and rows[one].service == service
+            one
+            for one in self.unreachable
+            if one in rows and rows[one].service == service
         ]
 
     def wait_until_reached(
         self, service: str, deadline: float, is_wanted: abc.Callable[[], bool]
     ) -> list[str]:
-        """Wait for upstreams of a service to which connections timed out just now.
+        """Wait for upstreams of a service to which connections failed just now.
 
         Return those that were reached as soon as there are any, or none once all have
         been unreachable for ``MAY_RECOVER_SECONDS``, after the deadline, or when
@@ -67,41 +202,40 @@
         awaited = self._list_recovering(service)
         while awaited and is_wanted() and self._view.clock() < deadline:
             eventlet.sleep(POLL_SECONDS)
-            reached = [one for one in awaited if one not in self._probing]
+            unreachable = self.unreachable
+            reached = [one for one in awaited if one not in unreachable]
             if reached:
                 return reached
             awaited = self._list_recovering(service)
         return []
 
     def _list_recovering(self, service: str) -> list[str]:
-        """Return the upstreams of a service that may be reached again at once."""
-        earliest = self._view.clock() - MAY_RECOVER_SECONDS
-        losses = {one: self._probing[one] for one in self.list_unreachable(service)}
+        """Return the upstreams of a service that may be reached again at once.
+
+        That is the case for those whose hosts did not reply, and for those for which
+        peers are being tried.
+        """
+        earliest = clocks.read_running() - MAY_RECOVER_SECONDS
+        losses = {one: self.reach.losses[one] for one in self.list_unreachable(service)}
         return [
             one
             for one, loss in losses.items()
-            if loss.timed_out and loss.since > earliest
+            if loss.lost_at > earliest and (loss.timed_out or one in self._seeking)
         ]
 
-    def _probe_once(self, row: upstreams.Row) -> None:
-        reached = can_connect(row.address)
-        self._suspected.discard(row.identity)
-        if not reached:
-            self.mark_unreachable(
-                row, "request left unanswered, then a new connection failed"
-            )
-
     def mark_unreachable(
         self, row: upstreams.Row, reason: str, timed_out: bool = False
     ) -> None:
-        """Send the upstream no requests until a connection to it succeeds.
+        """Send the upstream no requests until it is reached, directly or by a peer.
 
         ``timed_out`` is whether its host did not reply at all.
         """
-        self._view.placer.set_reachable(row.identity, False)
-        if row.identity in self._probing:
+        if timed_out:
+            self._pool.drop(row.address)
+        now = clocks.read_running()
+        if not self.reach.record_loss(row.identity, now, timed_out):
             return
-        self._probing[row.identity] = service_reach.Loss(self._view.clock(), timed_out)
+        self._view.placer.set_reachable(row.identity, False)
         self._view.log.write(
             events.forwarding.UNREACHABLE,
             upstream=row.identity,
@@ -109,20 +243,33 @@
             reason=reason,
         )
         self._service_reach.update(row.service)
-        eventlet.spawn(self._probe_until_reached, row)
+        if timed_out:
+            self.exchanges.leave_silent(row.identity, "")
+        self._check_related()
+        if row.identity not in self._probing:
+            self._probing.add(row.identity)
+            eventlet.spawn(self._probe_until_reached, row)
 
     def _probe_until_reached(self, row: upstreams.Row) -> None:
-        started = self._view.clock()
+        started = clocks.read_running()
         wait = FIRST_DELAY_SECONDS
+        eventlet.spawn(self._seek_peer, row)
         try:
             while self._is_serving(row):
                 eventlet.sleep(wait)
                 wait = min(MAX_DELAY_SECONDS, 2 * wait)
-                if can_connect(row.address):
-                    self._mark_reachable(row, self._view.clock() - started)
+                opened = connections.connect(row.address, CONNECT_TIMEOUT_SECONDS)
+                if isinstance(opened, connections.Unreachable):
+                    self.reach.record_loss(row.identity, started, opened.timed_out)
+                    continue
+                opened.close()
+                wait = FIRST_DELAY_SECONDS
+                if self.reach.record_connected(row.identity):
+                    self._mark_reachable(row, clocks.read_running() - started)
                     return
         finally:
-            self._probing.pop(row.identity, None)
+            self._probing.discard(row.identity)
+            self.reach.forget(row.identity)
             self._service_reach.update(row.service)
 
     def _is_serving(self, row: upstreams.Row) -> bool:
@@ -138,11 +285,59 @@
             seconds=round(seconds, 3),
         )
 
+    # Peers.
 
-def can_connect(address: str) -> bool:
-    """Return whether a connection to ``IP:port`` can be opened."""
-    pair = addresses.parse(address)
-    with contextlib.suppress(OSError):
-        socket.create_connection(pair, timeout=CONNECT_TIMEOUT_SECONDS).close()
-        return True
-    return False
+    def _seek_peer(self, row: upstreams.Row) -> None:
+        """Try to reach a lost upstream through peers until it is reached."""
+        wait = FIRST_SEEK_SECONDS
+        while self.reach.find_way(row.identity) is reaches.Way.NONE:
+            self._ask()
+            self._seeking.add(row.identity)
+            found = self._peers.open(row)
+            self._seeking.discard(row.identity)
+            if not isinstance(found, connections.Unreachable):
+                self._pool.store(found)
+                self._record_peer(row, reached=True)
+                return
+            eventlet.sleep(wait)
+            wait = min(MAX_DELAY_SECONDS, 2 * wait)
+
+    def _record_peer(self, row: upstreams.Row, reached: bool) -> None:
+        """Record whether a lost upstream is reached through a peer."""
+        now = clocks.read_running()
+        if not self.reach.record_peer(row.identity, reached, now):
+            return
+        self._view.placer.set_reachable(row.identity, reached)
+        loss = self.reach.losses[row.identity]
+        self._view.log.write(
+            events.forwarding.REACHED_BY_PEER
+            if reached
+            else events.forwarding.PEER_LOST,
+            upstream=row.identity,
+            address=row.address,
+            seconds=round(now - loss.since, 3),
+        )
+        self._service_reach.update(row.service)
+        if not reached:
+            eventlet.spawn(self._seek_peer, row)
+
+    def _leave_peer(self, peer: str) -> None:
+        """Use no tunnel of a peer that has failed."""
+        for row in self._view.table.rows.values():
+            self._pool.drop(row.address, peer)
+            self.exchanges.leave_silent(row.identity, peer)
+
+    def _ask(self) -> None:
+        """Ask all directories for peers, unless that was done just now."""
+        now = self._view.clock()
+        if now - self._asked_at >= ASK_SECONDS:
+            self._asked_at = now
+            self._report()
+            self._peers.ask()
+
+    def _report(self) -> None:
+        """Tell directories what can't be reached directly, when that has changed."""
+        lost = frozenset(self.reach.losses)
+        if lost != self._reported:
+            self._reported = lost
+            self._peers.offer(lost)
--- a/packages/daemon/src/trestlestall/daemon/gateway/records.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/records.py
@@ -37,6 +37,19 @@
     )
 
 
+def write_sent_by_peer(
+    forward: progress.Progress, row: upstreams.Row, peer: str
+) -> None:
+    """Log that a request is sent through a peer."""
+    forward.view.log.write(
+        events.forwarding.SENT_BY_PEER,
+        request=forward.descriptor.request_id,
+        upstream=row.identity,
+        address=row.address,
+        peer=peer,
+    )
+
+
 def get_state(forward: progress.Progress, identity: str) -> str | None:
     """Return an upstream's state in the cached view; None if it is unknown."""
     row = forward.view.table.rows.get(identity)
--- a/packages/daemon/src/trestlestall/daemon/gateway/request_handler.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/request_handler.py
@@ -14,6 +14,7 @@
     forwards,
     heads,
     metrics as gateway_metrics,
+    peers,
     placing,
     reachability,
     refusals,
@@ -48,7 +49,8 @@
         self.metrics = metrics
         self.draw = draw
         self.pool = connections.Pool()
-        self.prober = reachability.Prober(view)
+        self.peers = peers.Peers(settings, view)
+        self.prober = reachability.Prober(view, self.pool, self.peers)
         self.crash_detector = crash_detection.CrashDetector(view, self.prober, metrics)
         self.signals = signal_tracker.UpstreamSignals(view, metrics)
         self.placing = placing.Placing(view, self.prober, self.find_retry_bound)
--- a/packages/daemon/src/trestlestall/daemon/gateway/service_reach.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/service_reach.py
@@ -1,36 +1,22 @@
 """Logs when no upstream of a service can be connected to, and when one can be again."""
 
-import dataclasses
 from collections import abc
 
 from trestlestall.daemon import events
 from trestlestall.daemon.gateway import cached_view
-from trestlestall.forwarding import upstreams
-
-
-@dataclasses.dataclass(frozen=True)
-class Loss:
-    """An upstream that can't be connected to, since when (monotonic seconds).
-
-    ``timed_out`` is whether its host did not reply at all.
-    """
-
-    since: float
-    timed_out: bool
+from trestlestall.forwarding import reach as reaches, upstreams
+from trestlestall.wire import clocks
 
 
 class ServiceReach:
     """Whether this gateway reaches any upstream of each service.
 
-    ``losses`` are the unreachable upstreams by identity; ``update`` is called after
-    each change of them.
+    ``update`` is called after each change of ``reach``.
     """
 
-    def __init__(
-        self, view: cached_view.CachedView, losses: abc.Mapping[str, Loss]
-    ) -> None:
+    def __init__(self, view: cached_view.CachedView, reach: reaches.Reach) -> None:
         self._view = view
-        self._losses = losses
+        self._reach = reach
         #: When the service's first upstream became unreachable, if all are.
         self._lost_since: dict[str, float] = {}
 
@@ -41,7 +27,7 @@
             for row in self._view.table.rows.values()
             if row.service == service and row.state is upstreams.State.SERVING
         ]
-        lost = [self._losses[one] for one in serving if one in self._losses]
+        lost = self._reach.list_losses(serving)
         is_lost = bool(serving) and len(lost) == len(serving)
         if is_lost and service not in self._lost_since:
             self._lost_since[service] = min(one.since for one in lost)
@@ -53,10 +39,10 @@
                 service=service,
                 known=len(serving),
                 unreachable=len(lost),
-                seconds=round(self._view.clock() - since, 3),
+                seconds=round(clocks.read_running() - since, 3),
             )
 
-    def _write_lost(self, service: str, lost: abc.Sequence[Loss]) -> None:
+    def _write_lost(self, service: str, lost: abc.Sequence[reaches.Loss]) -> None:
         timed_out = sum(one.timed_out for one in lost)
         self._view.log.write(
             events.forwarding.SERVICE_UNREACHABLE,
@@ -65,5 +51,5 @@
             unreachable=len(lost),
             refused=len(lost) - timed_out,
             timed_out=timed_out,
-            seconds=round(self._view.clock() - self._lost_since[service], 3),
+            seconds=round(clocks.read_running() - self._lost_since[service], 3),
         )
--- a/packages/daemon/src/trestlestall/daemon/settings/model.py
+++ b/packages/daemon/src/trestlestall/daemon/settings/model.py
@@ -140,11 +140,16 @@
 
 @dataclasses.dataclass(frozen=True)
 class GatewayListen:
-    """The addresses that a gateway listens on."""
+    """The addresses that a gateway listens on.
+
+    ``tunnels`` is for other gateways that can't reach an upstream themselves; without
+    it, this gateway connects to none for them.
+    """
 
     callers: Address
     platform: Address
     peers: Address
+    tunnels: Address | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/daemon/tests/test_directory.py
+++ b/packages/daemon/tests/test_directory.py
@@ -59,6 +59,9 @@
     def is_directory(self, name):
         return name in self.directories
 
+    def find_data_centre(self, name):
+        return name.partition("-")[0]
+
     def find(self, kind, name=None):
         return [
             message
--- a/packages/wire/src/trestlestall/wire/sockets.py
+++ b/packages/wire/src/trestlestall/wire/sockets.py
@@ -6,6 +6,15 @@
 
 from trestlestall.wire import addresses, exceptions
 
+#: Seconds of silence until the first probe and between probes, and how many may stay
+#: unanswered. The last option, in milliseconds, also ends the probes.
+KEEP_ALIVE = {
+    socket.TCP_KEEPIDLE: 1,
+    socket.TCP_KEEPINTVL: 1,
+    socket.TCP_KEEPCNT: 3,
+    socket.TCP_USER_TIMEOUT: 4000,
+}
+
 
 def open_listener(address: str) -> socket.socket:
     """Return a listening socket, or raise ``ListenError``."""
@@ -29,6 +38,13 @@
     opened.close()
 
 
+def keep_alive(opened: socket.socket) -> None:
+    """Let the kernel end the connection once the other host has been lost."""
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, True)
+    for option, value in KEEP_ALIVE.items():
+        opened.setsockopt(socket.IPPROTO_TCP, option, value)
+
+
 @contextlib.contextmanager
 def hold(opened: socket.socket) -> abc.Iterator[None]:
     """Set ``TCP_NODELAY`` for the block, and close the socket after it."""
--- a/packages/wire/tests/test_codec.py
+++ b/packages/wire/tests/test_codec.py
@@ -4,7 +4,14 @@
 
 import cbor2
 
-from trestlestall.wire import codec, directory_messages, exceptions, messages, registry
+from trestlestall.wire import (
+    codec,
+    directory_messages,
+    exceptions,
+    messages,
+    registry,
+    tunnel_messages,
+)
 
 HELLO = messages.Hello("router-a1", "router", "a", "9f3a")
 SAMPLES = (
@@ -54,6 +61,15 @@
     directory_messages.PlaceCall(4, ("r1", "work"), (), "first", ("u1",)),
     directory_messages.PlaceAnswer(4, "u1", 0, 0.0, limit=1.5),
     directory_messages.Replaced("u1"),
+    tunnel_messages.TunnelCall("u1"),
+    tunnel_messages.TunnelAnswer("connection refused", False, True),
+    tunnel_messages.TunnelUse("r1"),
+    tunnel_messages.TunnelData(b"bytes"),
+    tunnel_messages.TunnelEnd(True),
+    tunnel_messages.TunnelClosing(),
+    tunnel_messages.PeerOffer("127.0.0.1:7001", ("u1",)),
+    tunnel_messages.PeersCall(("u1",)),
+    tunnel_messages.PeersAnswer((["gateway-2", "127.0.0.1:7001", "a", ["u1"]],)),
 )
 
 
@@ -66,8 +82,9 @@
 
 class RoundTripTest(unittest.TestCase):
     def test_every_message_survives_a_round_trip(self) -> None:
-        modules = {messages.__name__, directory_messages.__name__}
-        own = {kind for kind in registry.NAMES if kind.__module__ in modules}
+        modules = (messages, directory_messages, tunnel_messages)
+        names = {module.__name__ for module in modules}
+        own = {kind for kind in registry.NAMES if kind.__module__ in names}
         self.assertEqual({type(sample) for sample in SAMPLES}, own)
         for sample in SAMPLES:
             with self.subTest(message=type(sample).__name__):
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -196,6 +196,7 @@
             "callers": f"{HOST}:{self.ports[name]}",
             "platform": f"{HOST}:{self.ready[name]}",
             "peers": f"{HOST}:{find_ports(1)[0]}",
+            "tunnels": f"{HOST}:{find_ports(1)[0]}",
         }
         self.start("gateway", name, {"listen": listen})
 
