Brittle upstreams are kept within the room that is known

What callers saw: nothing yet; the users' pages say from today that upstreams may state in all answers how many rejections a second they survive. No code read it.

Change: the signal is read with the others and told to every directory. A request without room asks again for a quarter of its target, then is refused with a spread time to return. A gateway without a directory uses an eighth. The signal ends with a later answer that lacks it. The end of a brittle upstream is blamed on no request, at gateways and at directories.

Not solved: who waits for room is served by chance, not by rank.

--- a/packages/daemon/src/trestlestall/daemon/dialects.py
+++ b/packages/daemon/src/trestlestall/daemon/dialects.py
@@ -49,6 +49,7 @@
     - ``upstream``: the incarnation that answered
     - ``limit``: requests a second that the upstream accepts from all gateways together
     - ``leaving``: 1 once the upstream drains
+    - ``brittle``: the upstream ends if it rejects more requests than this in a second
     """
 
     request_id: str = "Trestlestall-Request"
@@ -70,11 +71,14 @@
     upstream: str = "Trestlestall-Upstream"
     limit: str = "Trestlestall-Limit"
     leaving: str = "Trestlestall-Leaving"
+    brittle: str = "Trestlestall-Brittle"
 
     @functools.cached_property
     def signal_headers(self) -> upstream_signals.HeaderNames:
         """The headers of an upstream's signals: rate limit and drain notice."""
-        return upstream_signals.HeaderNames(self.limit.lower(), self.leaving.lower())
+        return upstream_signals.HeaderNames(
+            self.limit.lower(), self.leaving.lower(), brittle=self.brittle.lower()
+        )
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/daemon/src/trestlestall/daemon/directory/arrivals.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/arrivals.py
@@ -191,6 +191,14 @@
     server.advertised_limits.handle_limits(peer, message)
 
 
+@handles(directory_messages.BrittleUpstreams)
+def handle_brittle_upstreams(
+    server: servers.Server, peer: str, message: directory_messages.BrittleUpstreams
+) -> None:
+    """Record upstreams that survive few rejections, and what they rejected."""
+    server.brittle_upstreams.handle(peer, message)
+
+
 @handles(directory_messages.Speeds)
 def handle_speeds(
     server: servers.Server, peer: str, message: directory_messages.Speeds
--- a/packages/daemon/src/trestlestall/daemon/directory/quarantine.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/quarantine.py
@@ -6,6 +6,7 @@
 directory that places requests.
 """
 
+import dataclasses
 from collections import abc
 
 from trestlestall.daemon import events, logs
@@ -15,7 +16,10 @@
 
 
 class Quarantine:
-    """The crash record of one directory; ``wake`` requests a turn."""
+    """The crash record of one directory; ``wake`` requests a turn.
+
+    ``is_brittle`` returns whether an upstream ends if it rejects too many requests.
+    """
 
     def __init__(
         self,
@@ -26,6 +30,7 @@
         clock: abc.Callable[[], float] = clocks.read,
     ) -> None:
         self.record = crashes.Record()
+        self.is_brittle: abc.Callable[[str], bool] = lambda upstream: False
         self._file = file
         self._links = links
         self._log = log
@@ -49,10 +54,16 @@
             reason = str(error)
             self._log.write(events.directory.REPORT_REFUSED, source=peer, reason=reason)
             return
+        report = self._exclude_brittle(report)
         now = self._clock()
         self._queue_update(self.record.merge(report, now))
         self._send(peer, self.record.list_exonerations(report, now))
 
+    def _exclude_brittle(self, report: crash_reports.Report) -> crash_reports.Report:
+        """Leave out upstreams that end for lack of room, not for what requests do."""
+        ends = tuple(end for end in report.ends if not self.is_brittle(end[1]))
+        return dataclasses.replace(report, ends=ends)
+
     def record_success(self, digest: str, start: str, sent_at: float) -> None:
         """Record the answer to a request sent to the incarnation ``start``."""
         now = self._clock()
--- a/packages/daemon/src/trestlestall/daemon/directory/scheduling.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/scheduling.py
@@ -23,6 +23,7 @@
     retry_budget as directory_retry_budget,
 )
 from trestlestall.forwarding import (
+    brittleness,
     budgets,
     crashes,
     descriptors,
@@ -42,6 +43,8 @@
 #: known whether its upstream crashed, even if that shows only once another incarnation
 #: has taken its place.
 TRIAL_INTERVAL_SECONDS = 6.0
+#: Seconds after which a caller returns at the earliest if brittle upstreams are full.
+FULL_WAIT_SECONDS = 0.25
 
 
 @dataclasses.dataclass(frozen=True)
@@ -82,6 +85,7 @@
         retry_budget: directory_retry_budget.RetryBudget,
         quarantine: directory_quarantine.Quarantine,
         limits: rate_limits.RateLimits,
+        brittle: brittleness.Brittleness,
         record_prefill: abc.Callable[[str, float], object],
         features: feature_flags.Features = feature_flags.NONE,
         clock: abc.Callable[[], float] = clocks.read,
@@ -92,6 +96,7 @@
         self._retry_budget = retry_budget
         self._quarantine = quarantine
         self._limits = limits
+        self._brittle = brittle
         self._record_prefill = record_prefill
         self._clock = clock
         self.placer = placement.Placer(features)
@@ -188,7 +193,8 @@
         """Choose among upstreams whose rate limit allows a request, and count it."""
         now = self._clock()
         spent = self._limits.list_exhausted(now)
-        excluded = {*spent, *call.barred}
+        full = self._list_full(descriptor.service, now)
+        excluded = {*spent, *full, *call.barred}
         found = self.placer.place(descriptor, now, call.tried, excluded)
         if isinstance(found, placement.Placed):
             self._limits.consume(found.row.identity, now)
@@ -199,12 +205,22 @@
         left_out = {*call.tried, *call.barred}
         serving = set(self.placer.list_serving(descriptor.service)) - left_out
         waits = [self._limits.find_wait(one, now) for one in spent if one in serving]
-        if not waits:
+        if not waits and serving.intersection(full):
+            waits, reason = [FULL_WAIT_SECONDS], brittleness.FULL
+        elif not waits:
             return found
+        else:
+            reason = rate_limits.LIMITED
         after = rate_limits.compute_retry_after(
             waits, placement.compute_jitter(descriptor)
         )
-        return placement.Refused(rate_limits.LIMITED, after)
+        return placement.Refused(reason, after)
+
+    def _list_full(self, service: str, now: float) -> list[str]:
+        """Return the brittle upstreams of a service that should get no request now."""
+        if not self._brittle.is_active:
+            return []
+        return self._brittle.list_full(service, self.placer.measure_load(service), now)
 
     def _is_quarantined(self, digest: str) -> bool:
         """Return whether a request is not sent because upstreams crash under it.
--- a/packages/daemon/src/trestlestall/daemon/directory/server.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/server.py
@@ -28,6 +28,7 @@
 from trestlestall.daemon.directory import (
     advertised_limits,
     arrivals,
+    brittle_upstreams,
     broadcasts,
     duties,
     links as directory_links,
@@ -115,6 +116,9 @@
             log, env.clock.monotonic, env.clock.stalled
         )
         self.peer_registry = peer_registry.PeerRegistry(links)
+        self.brittle_upstreams = brittle_upstreams.BrittleUpstreams(
+            log, env.clock.monotonic
+        )
         self.scheduler = scheduling.Scheduler(
             links,
             dialect,
@@ -122,10 +126,13 @@
             self.retry_budget,
             self.quarantine,
             self.advertised_limits.limits,
+            self.brittle_upstreams.known,
             self._record_prefill,
             settings.placing,
             env.clock.monotonic,
         )
+        self.quarantine.is_brittle = self.brittle_upstreams.known.is_brittle
+        self.brittle_upstreams.count_requests = self.scheduler.placer.count_requests
         self.speed_exchange = speed_exchange.SpeedExchange(
             links, log, self.metrics, self.scheduler.placer
         )
--- a/packages/daemon/src/trestlestall/daemon/events/directory.py
+++ b/packages/daemon/src/trestlestall/daemon/events/directory.py
@@ -173,3 +173,29 @@
     "Several directories place requests at once: look for links that are lost and for"
     " processes that are held up.",
 )
+BRITTLE = catalogue.declare(
+    "TS8026",
+    "upstream_brittle",
+    catalogue.Level.WARNING,
+    "upstream rejections age source",
+    "An upstream ends if it rejects more requests in a second than rejections (null: it"
+    " no longer says so), by the word of this gateway, age seconds ago. Requests for"
+    " its service are kept within the room that is known.",
+    "Its service needs more upstreams, or less load.",
+)
+REJECTION = catalogue.declare(
+    "TS8027",
+    "brittle_rejection",
+    catalogue.Level.INFO,
+    "upstream held source",
+    "A brittle upstream rejected a request of this gateway for lack of room, while held"
+    " requests were counted there; it is sent fewer from now on.",
+)
+BRITTLE_REFUSED = catalogue.declare(
+    "TS8028",
+    "brittle_refused",
+    catalogue.Level.WARNING,
+    "source reason",
+    "A gateway sent an invalid report of brittle upstreams; nothing changed.",
+    "Compare the versions of the programs.",
+)
--- a/packages/daemon/src/trestlestall/daemon/events/forwarding.py
+++ b/packages/daemon/src/trestlestall/daemon/events/forwarding.py
@@ -139,11 +139,12 @@
     "TS7015",
     "upstream_notice",
     catalogue.Level.INFO,
-    "upstream service address request limit leaves rest_seconds unreadable",
+    "upstream service address request limit leaves rest_seconds brittle unreadable",
     "The signals in an upstream's answers changed, or it asked for backoff: limit is"
     " its rate limit in requests a second from all gateways together (null for no"
     " limit), leaves that it accepts no new requests, rest_seconds the time for which"
-    " it wants none from this gateway, unreadable the headers whose values are invalid"
+    " it wants none from this gateway, brittle how many rejections a second it survives"
+    " (null if it states none), unreadable the headers whose values are invalid"
     " and were ignored. The request is the one that was answered.",
     "If a header is unreadable, look at the upstream's version.",
 )
--- a/packages/daemon/src/trestlestall/daemon/gateway/attempts.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/attempts.py
@@ -352,7 +352,7 @@
     values: dict[str, list[str]] = {}
     for raw, value in response.headers:
         name = raw.decode("latin-1")
-        if name in (wanted.limit, wanted.leaves, wanted.rest):
+        if name in (wanted.limit, wanted.leaves, wanted.rest, wanted.brittle):
             values.setdefault(name, []).append(value.decode("latin-1"))
     return upstream_signals.read(values, response.status_code, wanted)
 
--- a/packages/daemon/src/trestlestall/daemon/gateway/cached_view.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/cached_view.py
@@ -6,6 +6,7 @@
 from trestlestall.daemon import announcements, dialects, events, logs
 from trestlestall.forwarding import (
     backoffs,
+    brittleness,
     budgets,
     crashes,
     model,
@@ -46,6 +47,7 @@
         self.crashes = crashes.Record()
         self.backoffs = backoffs.Backoffs()
         self.advertised_limits = rate_limits.RateLimits(share=0.0)
+        self.brittleness = brittleness.Brittleness()
 
     @property
     def limits(self) -> model.CallerLimits:
@@ -58,6 +60,15 @@
         """Return whether a request seems to crash upstreams, by what is known here."""
         return self.crashes.evaluate(digest, self.clock())
 
+    def is_brittle(self, row: upstreams.Row) -> bool:
+        """Return whether an upstream of the row's service says that it is brittle."""
+        if not self.brittleness.is_active:
+            return False
+        rows = self.table.rows.values()
+        return self.brittleness.is_any_brittle(
+            one.identity for one in rows if one.service == row.service
+        )
+
     def count_quarantined(self) -> int:
         """Return how many requests are quarantined for crashing upstreams."""
         return len(self.crashes.list_quarantined(self.clock()))
--- a/packages/daemon/src/trestlestall/daemon/gateway/choosing.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/choosing.py
@@ -5,6 +5,7 @@
 from trestlestall.daemon.gateway import cached_view
 from trestlestall.forwarding import (
     backoffs,
+    brittleness,
     descriptors,
     placement,
     rate_limits,
@@ -12,6 +13,9 @@
 )
 from trestlestall.wire import clocks
 
+#: Part of a brittle upstream's slots that a gateway uses without a directory.
+ROOM_DIVISOR = 8
+
 
 class Chooser:
     """Chooses among the upstreams that accept requests from this gateway now."""
@@ -39,7 +43,8 @@
         """
         now = clocks.read()
         limited = self._list_rate_limited(now, is_isolated)
-        excluded = {*limited, *self._view.backoffs.list_backing_off(now)}
+        full = self._list_full(descriptor.service, now)
+        excluded = {*limited, *full, *self._view.backoffs.list_backing_off(now)}
         placer = self._view.placer
         found = placer.place(descriptor, now, tried, excluded)
         if isinstance(found, placement.Placed):
@@ -69,8 +74,23 @@
             waits, placement.compute_jitter(descriptor)
         )
         reason = backoffs.BACKING_OFF if waiting else rate_limits.LIMITED
+        if not waiting and not self._view.advertised_limits.list_limited():
+            reason = brittleness.FULL
         return placement.Refused(reason, after)
 
+    def _list_full(self, service: str, now: float) -> list[str]:
+        """Return the brittle upstreams that get no more from this gateway alone.
+
+        It doesn't know how much others send, so it uses a small part of the room.
+        """
+        if not self._view.brittleness.is_active:
+            return []
+        load = {
+            identity: brittleness.Load(one.requests, max(1, one.slots // ROOM_DIVISOR))
+            for identity, one in self._view.placer.measure_load(service).items()
+        }
+        return self._view.brittleness.list_full(service, load, now)
+
     def _list_rate_limited(self, now: float, is_isolated: bool) -> list[str]:
         """Return the upstreams that get no request because of their rate limit.
 
--- a/packages/daemon/src/trestlestall/daemon/gateway/crash_detection.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/crash_detection.py
@@ -147,6 +147,8 @@
     ) -> None:
         """Blame the crash on the requests that ran there, and report it."""
         row, now = suspected.row, self._view.clock()
+        if self._view.is_brittle(row):
+            blamed = ()  # it ends for lack of room, not for what a request does
         self._metrics.crashed_upstreams.inc()
         self._view.log.write(
             events.forwarding.UPSTREAM_CRASHED,
--- a/packages/daemon/src/trestlestall/daemon/gateway/final_answers.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/final_answers.py
@@ -7,7 +7,14 @@
     records,
     refusals,
 )
-from trestlestall.forwarding import backoffs, budgets, crashes, placement, rate_limits
+from trestlestall.forwarding import (
+    backoffs,
+    brittleness,
+    budgets,
+    crashes,
+    placement,
+    rate_limits,
+)
 from trestlestall.wire import clocks
 
 OK = 200
@@ -17,6 +24,7 @@
     backoffs.BACKING_OFF,
     rate_limits.LIMITED,
     rate_limits.LIMITED_WITHIN_REACH,
+    brittleness.FULL,
 )
 
 
--- a/packages/daemon/src/trestlestall/daemon/gateway/placing.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/placing.py
@@ -14,6 +14,7 @@
     tasks,
 )
 from trestlestall.forwarding import (
+    brittleness,
     budgets,
     crashes,
     descriptors,
@@ -38,6 +39,7 @@
     budgets.EXHAUSTED,
     crashes.HARMFUL,
     rate_limits.LIMITED,
+    brittleness.FULL,
 )
 
 #: Reasons that hold for the request, whichever upstreams can be reached.
--- a/packages/daemon/src/trestlestall/daemon/gateway/selection.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/selection.py
@@ -7,6 +7,8 @@
 
 import dataclasses
 
+import eventlet
+
 from trestlestall.daemon import placement_protocol
 from trestlestall.daemon.gateway import (
     callers,
@@ -15,11 +17,15 @@
     reachability,
     records,
 )
-from trestlestall.forwarding import placement, rate_limits
+from trestlestall.forwarding import brittleness, placement, rate_limits
 from trestlestall.wire import clocks
 
 #: Time that must be left before the deadline for a send to be worthwhile.
 MIN_LEFT_SECONDS = 0.05
+#: Interval at which a request asks again for room at brittle upstreams, and the share
+#: of its target for the first event in which it does.
+ROOM_POLL_SECONDS = 0.03
+ROOM_WAIT_SHARE = 0.25
 
 
 def select(
@@ -31,7 +37,7 @@
     """
     placer = forward.handler.placing
     found = placer.place(forward.descriptor, forward.excluded, purpose)
-    if isinstance(found, placement.Refused) and wait_for_upstream(forward, found):
+    while isinstance(found, placement.Refused) and wait(forward, found):
         if purpose == placement_protocol.FIRST_SEND:
             # The scheduler has counted the request already.
             purpose = placement_protocol.REROUTED
@@ -41,6 +47,30 @@
     return found
 
 
+def wait(forward: progress.Progress, refused: placement.Refused) -> bool:
+    """Wait for a change after which the request is worth placing again.
+
+    Return whether there may be one. Raises ``CallerLeft``.
+    """
+    if refused.reason == brittleness.FULL:
+        return wait_for_room(forward)
+    return wait_for_upstream(forward, refused)
+
+
+def wait_for_room(forward: progress.Progress) -> bool:
+    """Wait a moment for room at brittle upstreams; return whether it is worth it.
+
+    A caller who would be late anyway is told so early, and comes back.
+    """
+    waited = clocks.read() - forward.arrived
+    if waited + ROOM_POLL_SECONDS > ROOM_WAIT_SHARE * forward.route.first_seconds:
+        return False
+    eventlet.sleep(ROOM_POLL_SECONDS)
+    if forward.caller.left:
+        raise callers.CallerLeft()
+    return True
+
+
 def wait_for_upstream(forward: progress.Progress, refused: placement.Refused) -> bool:
     """Wait for an upstream that may be reached again at once.
 
--- a/packages/daemon/src/trestlestall/daemon/gateway/signal_tracker.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/signal_tracker.py
@@ -24,6 +24,8 @@
 ANSWER = "answer"
 #: Statuses from here on are failures, which may lack headers of other responses.
 SERVER_ERRORS = 500
+#: Interval at which directories are told again that an upstream is brittle.
+TELL_SECONDS = 0.5
 
 
 class Broadcast(typing.Protocol):
@@ -55,6 +57,7 @@
         self._metrics = metrics
         self._latest: dict[str, upstream_signals.Signal] = {}
         self._draining: list[str] = []
+        self._told_at: dict[str, float] = {}
 
     def handle(
         self,
@@ -67,6 +70,7 @@
             return  # the response is from another incarnation
         signal = answer.signal
         self._handle_limit(row, answer, request)
+        self._handle_brittle(row, answer, request)
         if signal.leaves:
             self._handle_drain_notice(row)
         if signal.rest_seconds:
@@ -96,6 +100,9 @@
         if stated:
             yield directory_messages.RateLimits(stated=stated)
         known = self._view.table.rows
+        brittle = tuple(self._view.brittleness.list_advertised(now))
+        if brittle:
+            yield directory_messages.BrittleUpstreams(stated=brittle)
         draining = [known[one] for one in self._draining if one in known]
         if draining:
             yield announcements.encode(draining)
@@ -128,13 +135,38 @@
             self.broadcast(
                 directory_messages.RateLimits(stated=((row.identity, limit, 0.0),))
             )
-        elif known.find_limit(row.identity) is not None and withdraws_limit(answer):
+        elif known.find_limit(row.identity) is not None and withdraws_signal(answer):
             known.record_no_limit(row.identity, request.sent_at)
             age = now - request.sent_at
             self.broadcast(
                 directory_messages.RateLimits(unstated=((row.identity, age),))
             )
 
+    def _handle_brittle(
+        self,
+        row: upstreams.Row,
+        answer: attempts.AnswerHead | attempts.NotRun,
+        request: Request,
+    ) -> None:
+        """Record that an upstream is brittle, or no longer, and what it rejects."""
+        known, now = self._view.brittleness, self._view.clock()
+        tolerated = answer.signal.brittle
+        if tolerated is not None:
+            has_changed = known.record_brittle(row.identity, tolerated, now)
+            if has_changed or now - self._told_at[row.identity] >= TELL_SECONDS:
+                self._told_at[row.identity] = now
+                stated = ((row.identity, tolerated, 0.0),)
+                self.broadcast(directory_messages.BrittleUpstreams(stated=stated))
+        elif known.is_brittle(row.identity) and withdraws_signal(answer):
+            known.record_sturdy(row.identity, request.sent_at)
+            unstated = ((row.identity, now - request.sent_at),)
+            self.broadcast(directory_messages.BrittleUpstreams(unstated=unstated))
+        if isinstance(answer, attempts.NotRun) and self._view.is_brittle(row):
+            held = self._view.placer.count_requests(row.identity)
+            known.record_rejection(row.identity, held, now)
+            message = directory_messages.BrittleUpstreams(rejected=(row.identity,))
+            self.broadcast(message)
+
     def _record_change(
         self, row: upstreams.Row, signal: upstream_signals.Signal, request: Request
     ) -> None:
@@ -142,6 +174,8 @@
         if len(self._latest) > len(known):
             latest = {one: last for one, last in self._latest.items() if one in known}
             self._latest = latest
+            told = {one: at for one, at in self._told_at.items() if one in known}
+            self._told_at = told
         self._latest[row.identity] = signal
         for kind in list_kinds(signal):
             self._metrics.signals.labels(kind).inc()
@@ -154,12 +188,13 @@
             limit=signal.limit,
             leaves=signal.leaves,
             rest_seconds=signal.rest_seconds,
+            brittle=signal.brittle,
             unreadable=list(signal.unreadable),
         )
 
 
-def withdraws_limit(answer: attempts.AnswerHead | attempts.NotRun) -> bool:
-    """Return whether a response without a limit means that there is none.
+def withdraws_signal(answer: attempts.AnswerHead | attempts.NotRun) -> bool:
+    """Return whether a response without a limit, or such a signal, ends it.
 
     Refusals and failures don't. If one that lacks the header lifted the limit, an
     overloaded upstream would get all requests until its next successful response.
@@ -179,6 +214,7 @@
         "limit": signal.limit is not None,
         "leaves": signal.leaves,
         "rest": signal.rest_seconds > 0,
+        "brittle": signal.brittle is not None,
         "unreadable": bool(signal.unreadable),
     }
     return [kind for kind, is_present in found.items() if is_present]
--- a/packages/daemon/tests/test_gateway_crashes.py
+++ b/packages/daemon/tests/test_gateway_crashes.py
@@ -82,6 +82,19 @@
         self.assertEqual(self.bench.list_lines("upstream_ended"), [])
         self.assertEqual(self.bench.list_lines("request_held"), [])
 
+    def test_the_end_of_a_brittle_upstream_is_blamed_on_no_request(self):
+        known, now = (
+            self.bench.gateway.view.brittleness,
+            self.bench.gateway.view.clock(),
+        )
+        known.record_brittle("u0", 4.0, now)
+        for number in range(4):
+            self.ask(number)
+        lines = self.bench.list_lines("upstream_ended")
+        self.assertTrue(lines)
+        self.assertEqual({line["blamed"] for line in lines}, {0})
+        self.assertEqual(self.bench.list_lines("request_held"), [])
+
     def test_it_is_quarantined_for_its_caller_and_target_alone(self):
         for number in range(3):
             self.ask(number)
--- a/packages/daemon/tests/test_harm.py
+++ b/packages/daemon/tests/test_harm.py
@@ -80,6 +80,14 @@
         self.note(placement_protocol.SUCCEEDED)
         self.assertTrue(self.ask().upstream)
 
+    def test_a_brittle_upstream_that_ends_is_no_crash(self):
+        for number in range(4):
+            stated = ((f"s{number}", 4.0, 0.0),)
+            message = directory_messages.BrittleUpstreams(stated=stated)
+            self.server.handle_message("gateway-1", message)
+        self.report("s0", "s1", "s2", "s3")
+        self.assertTrue(self.ask().upstream)
+
     def test_a_failure_does_not_end_the_quarantine(self):
         self.ask()
         self.report("s1", "s2", "s3")
--- a/packages/forwarding/src/trestlestall/forwarding/placement.py
+++ b/packages/forwarding/src/trestlestall/forwarding/placement.py
@@ -14,6 +14,7 @@
 from collections import abc
 
 from trestlestall.forwarding import (
+    brittleness,
     costs,
     descriptors,
     engines,
@@ -248,6 +249,22 @@
 
     # Optional features.
 
+    def count_requests(self, identity: str) -> int:
+        """Return how many requests are counted at an upstream."""
+        engine = self.engines.get(identity)
+        return 0 if engine is None else len(engine.tasks)
+
+    def measure_load(self, service: str) -> dict[str, brittleness.Load]:
+        """Return the requests and slots of the upstreams of a service."""
+        engines_of_service = {
+            row.identity: self.engines[row.identity]
+            for row in self._by_service.get(service, ())
+        }
+        return {
+            identity: brittleness.Load(len(engine.tasks), engine.slots)
+            for identity, engine in engines_of_service.items()
+        }
+
     def find_features(self, service: str) -> feature_flags.Features:
         """Return the features that are on for a service."""
         return self.pooling.find_features(self._by_service.get(service, ()))
--- a/packages/forwarding/src/trestlestall/forwarding/upstream_signals.py
+++ b/packages/forwarding/src/trestlestall/forwarding/upstream_signals.py
@@ -26,6 +26,7 @@
     ``limit`` is the rate limit in requests a second over all gateways, None if none is
     advertised. ``leaves`` says that the upstream drains and accepts no new requests.
     ``rest_seconds`` is the backoff for the gateway that got the answer, 0 for none.
+    ``brittle`` is how many rejections a second it survives, None if it states none.
     ``unreadable`` are the names of headers with invalid values.
     """
 
@@ -33,6 +34,7 @@
     leaves: bool = False
     rest_seconds: float = 0.0
     unreadable: tuple[str, ...] = ()
+    brittle: float | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -42,6 +44,7 @@
     limit: str
     leaves: str
     rest: str = "retry-after"
+    brittle: str = "brittle"
 
 
 def read(
@@ -51,9 +54,10 @@
 
     >>> names = HeaderNames("limit", "leaving")
     >>> read({"limit": ["1.5"], "retry-after": ["2"]}, 503, names)
-    Signal(limit=1.5, leaves=False, rest_seconds=2.0, unreadable=())
-    >>> read({"limit": ["-1"], "retry-after": ["2"]}, 200, names)
-    Signal(limit=None, leaves=False, rest_seconds=0.0, unreadable=('limit',))
+    Signal(limit=1.5, leaves=False, rest_seconds=2.0, unreadable=(), brittle=None)
+    >>> found = read({"limit": ["-1"], "brittle": ["4"]}, 200, names)
+    >>> found.limit, found.unreadable, found.brittle
+    (None, ('limit',), 4.0)
     """
     limit = read_decimal(values.get(names.limit))
     leaves = read_flag(values.get(names.leaves))
@@ -62,13 +66,14 @@
         backoff = read_decimal(values.get(names.rest))
     if backoff is not None and backoff > MAX_BACKOFF_SECONDS:
         backoff = None
-    parsed = {names.limit: limit, names.leaves: leaves}
+    brittle = read_decimal(values.get(names.brittle))
+    parsed = {names.limit: limit, names.leaves: leaves, names.brittle: brittle}
     if status in REJECTION_STATUSES:
         parsed[names.rest] = backoff
     unreadable = tuple(
         name for name, value in parsed.items() if name in values and value is None
     )
-    return Signal(limit, bool(leaves), backoff or 0.0, unreadable)
+    return Signal(limit, bool(leaves), backoff or 0.0, unreadable, brittle)
 
 
 def read_decimal(values: abc.Sequence[str] | None) -> float | None:
--- a/packages/forwarding/tests/test_upstream_signals.py
+++ b/packages/forwarding/tests/test_upstream_signals.py
@@ -45,6 +45,15 @@
                 self.assertEqual(found.rest_seconds, 0.0)
                 self.assertEqual(found.unreadable, ("limit", "retry-after"))
 
+    def test_a_brittle_upstream_states_a_number(self):
+        self.assertEqual(read(503, brittle="4").brittle, 4.0)
+        for text in UNREADABLE:
+            with self.subTest(text):
+                found = read(brittle=text)
+                self.assertEqual(
+                    (found.brittle, found.unreadable), (None, ("brittle",))
+                )
+
     def test_a_date_or_years_of_backoff_are_invalid(self):
         for text in ("Thu, 03 Dec 2026 06:00:00 GMT", "999999999"):
             found = read(503, retry_after=text)
--- a/packages/wire/src/trestlestall/wire/directory_messages.py
+++ b/packages/wire/src/trestlestall/wire/directory_messages.py
@@ -199,6 +199,22 @@
     sent: tuple[str, ...] = ()
 
 
+@registry.register("brittle_upstreams")
+@dataclasses.dataclass(frozen=True)
+class BrittleUpstreams:
+    """What a gateway received from upstreams that survive few rejections a second.
+
+    ``stated`` are rows of an upstream, the rejections and the seconds since it said so.
+    ``unstated`` are rows of an upstream that answered without the signal and the
+    seconds since that request was sent. ``rejected`` holds an upstream for each request
+    that it rejected for lack of room.
+    """
+
+    stated: tuple[typing.Any, ...] = ()
+    unstated: tuple[typing.Any, ...] = ()
+    rejected: tuple[str, ...] = ()
+
+
 @registry.register("speeds")
 @dataclasses.dataclass(frozen=True)
 class Speeds:
--- a/packages/wire/tests/test_codec.py
+++ b/packages/wire/tests/test_codec.py
@@ -61,6 +61,7 @@
     directory_messages.PlaceCall(4, ("r1", "work"), (), "first", ("u1",)),
     directory_messages.PlaceAnswer(4, "u1", 0, 0.0, limit=1.5),
     directory_messages.Replaced("u1"),
+    directory_messages.BrittleUpstreams((["u1", 4.0, 0.5],), (["u2", 1.0],), ("u1",)),
     tunnel_messages.TunnelCall("u1"),
     tunnel_messages.TunnelAnswer("connection refused", False, True),
     tunnel_messages.TunnelUse("r1"),
