A directory logs the group before it stores it, and a sync that took over a second

Two set-ups of the users' runs had no acknowledged document within 15 s; in one, two directories had formed the group and the third never said so, and then none wrote a line. Suspected are syncs of seconds, during which nothing is logged. group_chosen without group_formed now tells it while it lasts, sync_slow afterwards.

That the users' disk did this is not shown.

--- a/packages/daemon/src/trestlestall/daemon/directory/server.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/server.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+import contextlib
 import typing
 from collections import abc
 
@@ -56,6 +57,8 @@
 #: syncs, and thirty for the first election; a vote takes two of each.
 TIMING = timing.Timing(election=0.5, heartbeat=0.1, first_election=0.1)
 CHANGE_TOKEN = "change of voters"
+#: A turn whose syncs take longer is logged: peers take a silent leader for lost sooner.
+SLOW_SYNC_SECONDS = 1.0
 
 Document = dict[str, typing.Any]
 
@@ -290,7 +293,8 @@
             self._inbox.clear()
             # Each round may take a sync.
             now = self.now()
-            self.voter.turn(batch, now)
+            with self._report_slow_sync():
+                self.voter.turn(batch, now)
             self._process_results(context, now)
             if not self._inbox:
                 break
@@ -298,6 +302,15 @@
         self._broadcast_declaration()
         self.duties.turn(self.voter.machine.duties, self._list_other_voters)
 
+    @contextlib.contextmanager
+    def _report_slow_sync(self) -> abc.Iterator[None]:
+        """Log that the block, which waits for the disk, took long."""
+        started = self.now()
+        yield
+        seconds = self.now() - started
+        if seconds >= SLOW_SYNC_SECONDS:
+            self._log.write(events.directory.SYNC_SLOW, seconds=round(seconds, 3))
+
     def _list_other_voters(self) -> list[str]:
         """Return the other directories that vote."""
         names = map(group.get_process_name, self.voter.node.voters)
@@ -350,7 +363,11 @@
             return
         initial_voters = self._find_group()
         if initial_voters is not None:
-            self._journal.save_group(initial_voters)
+            self._log.write(
+                events.directory.GROUP_CHOSEN, voters=list(initial_voters), own=self.own
+            )
+            with self._report_slow_sync():
+                self._journal.save_group(initial_voters)
             self._start_voter(initial_voters)
             self._notices_sent_at = float("-inf")
 
--- a/packages/daemon/src/trestlestall/daemon/events/directory.py
+++ b/packages/daemon/src/trestlestall/daemon/events/directory.py
@@ -199,3 +199,20 @@
     "A gateway sent an invalid report of brittle upstreams; nothing changed.",
     "Compare the versions of the programs.",
 )
+GROUP_CHOSEN = catalogue.declare(
+    "TS8029",
+    "group_chosen",
+    catalogue.Level.INFO,
+    "voters own",
+    "The first group of voters is known, and is stored before it takes effect; without"
+    " a group_formed after it, the disk has not confirmed it yet.",
+    "Look at the disk of the data folder.",
+)
+SYNC_SLOW = catalogue.declare(
+    "TS8030",
+    "sync_slow",
+    catalogue.Level.WARNING,
+    "seconds",
+    "The process waited for its disk for so long, in which it did nothing else.",
+    "Look at the disk of the data folder, and at who else writes to it.",
+)
