A set-up that failed tells how long its processes waited for a processor; fewer questions for peers

Sampled each half a second, the third: all nine processes stood on one processor, ready to run; each had run for 0.3 to 0.5 s and waited for 3 to 12 s, and none was in a sync. The first line of one came after 7 s, the document after 14.7 s. So what the record shows (no line of any process for seconds, no election) is the machine's scheduling of runnable processes, beside others that are bound to single processors; the suspected sync is not needed for it.

Peers are asked for less and less often while none helps, by a gateway without a loss from one directory each 10 s, and peers that have lost the same upstream aren't tried: a crash of one upstream must not make each of 200 gateways try four peers.

--- a/packages/daemon/src/trestlestall/daemon/gateway/links.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/links.py
@@ -91,6 +91,7 @@
         self.usage.copy = self._send_copies
         self.crash_detector.broadcast = self.signals.broadcast = self._broadcast
         self.peers.broadcast = self._broadcast
+        self.peers.send_one = self._send_one
         self.mesh.start()
         self.add_directories(map(str, self._settings.directories))
         pulling = eventlet.spawn(self._pull_periodically)
@@ -143,6 +144,12 @@
             if directory != excluded:
                 self.mesh.send(directory, message)
 
+    def _send_one(self, message: typing.Any) -> None:
+        """Send to any of the linked directories."""
+        linked = sorted(self.mesh.linked())
+        if linked:
+            self.mesh.send(random.choice(linked), message)
+
     def _send_copies(self, message: typing.Any) -> None:
         """Send to some directories besides the scheduler.
 
--- a/packages/daemon/src/trestlestall/daemon/gateway/peers.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/peers.py
@@ -43,7 +43,7 @@
 
 
 class Peers:
-    """Opens tunnels; ``broadcast`` is set once there are links.
+    """Opens tunnels; ``broadcast`` and ``send_one`` are set once there are links.
 
     ``on_failed`` is called with the name of a peer that can't be reached.
     """
@@ -52,6 +52,7 @@
         self, settings: process_settings.GatewaySettings, view: cached_view.CachedView
     ) -> None:
         self.broadcast: abc.Callable[[typing.Any], object] = drop_message
+        self.send_one: abc.Callable[[typing.Any], object] = drop_message
         self.on_failed: abc.Callable[[str], object] = drop_message
         self._view = view
         self._listen = settings.listen.tunnels
@@ -72,8 +73,12 @@
         self.broadcast(self._make_offer())
 
     def ask(self) -> None:
-        """Ask all directories for peers that may reach what this gateway has lost."""
-        self.broadcast(tunnel_messages.PeersCall(self._lost))
+        """Ask for peers that may reach what this gateway has lost.
+
+        A gateway that has lost nothing asks one directory, to know peers beforehand.
+        """
+        send = self.broadcast if self._lost else self.send_one
+        send(tunnel_messages.PeersCall(self._lost))
 
     def report(self) -> abc.Iterator[typing.Any]:
         """Yield the messages for a newly linked directory."""
@@ -104,12 +109,17 @@
     ) -> tunnels.Tunnel | connections.Unreachable:
         """Open a tunnel to an upstream through the best of the peers.
 
-        ``first`` is a peer to try before the others. The connection counts as refused
-        if the upstream's host refused it to all that were tried.
+        ``first`` is a peer to try before the others. Peers that have lost the upstream
+        as well are not tried. The connection counts as refused if its host refused it
+        to all that were tried, or if all known peers have lost it.
         """
+        known = self._rank(first)
+        untried = [one for one in known if row.identity not in one.lost]
+        if known and not untried:
+            return connections.Unreachable("lost to all known peers", refused=True)
         race = TunnelRace(lambda record: self._try(row, record))
         failed: list[tunnels.PeerFailed | tunnels.UpstreamFailed] = []
-        for record in self._rank(row.identity, first)[:PEERS_TRIED]:
+        for record in untried[:PEERS_TRIED]:
             race.start(record)
             found = race.wait(STAGGER_SECONDS)
             if isinstance(found, tunnels.Tunnel):
@@ -159,11 +169,11 @@
         if failed.is_lost:
             self.on_failed(record.peer.name)
 
-    def _rank(self, upstream: str, first: str) -> list[Record]:
-        """Return the peers for an upstream, the best first.
+    def _rank(self, first: str) -> list[Record]:
+        """Return the peers, the best first.
 
-        Those come first that reach it as far as is known and have not just failed, then
-        those that carry few tunnels from here, then those that have proved to work.
+        Those come first that have not just failed, then those that carry few tunnels
+        from here, then those that have proved to work.
         """
         carried: dict[str, int] = {}
         for one in self._list_open():
@@ -174,7 +184,6 @@
             return (
                 record.peer.name != first,
                 record.failed_at > earliest,
-                upstream in record.lost,
                 carried.get(record.peer.name, 0) // TUNNELS_EACH,
                 record.works is None,
                 random.random(),
--- a/packages/daemon/src/trestlestall/daemon/gateway/reachability.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/reachability.py
@@ -39,9 +39,10 @@
 POLL_SECONDS = 0.02
 #: Interval at which silent upstreams are looked for, and losses are reported.
 WATCH_SECONDS = 0.1
-#: Interval at which peers are asked for again, with and without a loss.
-ASK_SECONDS = 0.1
-REFRESH_SECONDS = 5.0
+#: The first interval at which peers are asked for after a loss, which doubles to the
+#: maximum, and the interval without one.
+FIRST_ASK_SECONDS = 0.1
+REFRESH_SECONDS = 10.0
 FAILED_CHECK = "request left unanswered, then a new connection failed"
 
 
@@ -65,6 +66,7 @@
         self._seeking: dict[str, bool] = {}
         self._reported: frozenset[str] = frozenset()
         self._asked_at = float("-inf")
+        self._ask_pause = FIRST_ASK_SECONDS
         self._service_reach = service_reach.ServiceReach(view, self.reach)
         peers.on_failed = self._leave_peer
 
@@ -163,6 +165,7 @@
                     self.suspect(rows[identity])
             self._report()
             if self._view.clock() - self._asked_at >= REFRESH_SECONDS:
+                self._ask_pause = FIRST_ASK_SECONDS
                 self._ask()
 
     def _check_related(self) -> None:
@@ -338,10 +341,11 @@
             self.exchanges.leave_silent(row.identity, peer)
 
     def _ask(self) -> None:
-        """Ask all directories for peers, unless that was done just now."""
+        """Ask for peers, less and less often while that does not help."""
         now = self._view.clock()
-        if now - self._asked_at >= ASK_SECONDS:
+        if now - self._asked_at >= self._ask_pause:
             self._asked_at = now
+            self._ask_pause = min(MAX_DELAY_SECONDS, 2 * self._ask_pause)
             self._report()
             self._peers.ask()
 
@@ -349,5 +353,7 @@
         """Tell directories what can't be reached directly, when that has changed."""
         lost = frozenset(self.reach.losses)
         if lost != self._reported:
+            if lost - self._reported:
+                self._ask_pause = FIRST_ASK_SECONDS
             self._reported = lost
             self._peers.offer(lost)
--- a/packages/standins/src/trestlestall/standins/processes.py
+++ b/packages/standins/src/trestlestall/standins/processes.py
@@ -18,6 +18,7 @@
 STOP_TIMEOUT_SECONDS = 10.0
 RUN_TIMEOUT_SECONDS = 90.0
 LOG_TAIL_CHARACTERS = 2000
+NANOSECONDS = 1e9
 
 
 @dataclasses.dataclass(frozen=True)
@@ -73,9 +74,24 @@
     def describe(self) -> str:
         """Return whether the process runs, and the end of its output."""
         state = "runs" if self.running else f"exited {self.child.returncode}"
+        state += describe_processor_time(self.pid)
         return f"{self.name} {state}:\n{self.read_log()[-LOG_TAIL_CHARACTERS:]}"
 
 
+def describe_processor_time(pid: int) -> str:
+    """Return for how long a process ran, and waited for a processor; empty if unknown.
+
+    On a busy machine several processes may share one processor for seconds, though
+    others are idle.
+    """
+    try:
+        fields = pathlib.Path(f"/proc/{pid}/schedstat").read_text().split()
+    except OSError:
+        return ""
+    ran, waited = (int(field) / NANOSECONDS for field in fields[:2])
+    return f", ran {ran:.2f} s, waited {waited:.2f} s for a processor"
+
+
 def read_lines(log: pathlib.Path) -> list[str]:
     """Return the lines of a log that may still be written.
 
