--- a/packages/daemon/src/trestlestall/daemon/gateway/attempts.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/attempts.py
@@ -304,7 +304,10 @@
         http = self._connection.http
         try:
             while (event := http.next_event()) is h11.NEED_DATA:
-                http.receive_data(self._receive(deadline))
+                data = self._receive(deadline)
+                if not data and http.their_state is h11.SEND_RESPONSE:
+                    raise BrokenExchange("the connection ended before an answer")
+                http.receive_data(data)
         except h11.RemoteProtocolError as error:
             raise BrokenExchange(str(error)) from error
         return event
--- a/packages/daemon/src/trestlestall/daemon/gateway/cached_view.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/cached_view.py
@@ -60,6 +60,11 @@
         """Return whether a request seems to crash upstreams, by what is known here."""
         return self.crashes.evaluate(digest, self.clock())
 
+    def list_serving(self) -> list[str]:
+        """Return the identities of the upstreams that take requests."""
+        rows = self.table.rows.items()
+        return [one for one, row in rows if row.state is upstreams.State.SERVING]
+
     def is_brittle(self, row: upstreams.Row) -> bool:
         """Return whether an upstream of the row's service says that it is brittle."""
         if not self.brittleness.is_active:
--- a/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
@@ -1,6 +1,7 @@
 """One forwarded request, from its arrival to the final response."""
 
 import dataclasses
+import functools
 
 import eventlet
 
@@ -16,6 +17,7 @@
     progress,
     records,
     relays,
+    retry_rules,
     selection,
     signal_tracker,
 )
@@ -24,15 +26,12 @@
     model,
     placement,
     routing,
-    timeouts,
     upstreams,
 )
 from trestlestall.wire import clocks
 
 #: Deadline of a request that states none.
 DEFAULT_DEADLINE_SECONDS = 60.0
-#: Sends of one request in total, including those that upstreams did not run.
-MAX_SENDS = 4
 OK = 200
 
 
@@ -148,7 +147,9 @@
         self.was_silent = False
         prober = self.handler.prober
         tracked = prober.exchanges.track(
-            placed.row.identity, placed.predicted, self._may_move
+            placed.row.identity,
+            placed.predicted,
+            functools.partial(retry_rules.may_move, self),
         )
         head = None
         outcome: outcomes.Outcome | None = None
@@ -220,7 +221,7 @@
         self.runs += 1
         if failed is not None:
             return failed
-        answer = self.attempt.read_head(self._find_head_deadline())
+        answer = self.attempt.read_head(retry_rules.find_head_deadline(self))
         request = signal_tracker.Request(self.descriptor.request_id, self.sent_at)
         self.handler.signals.handle(placed.row, answer, request)
         if isinstance(answer, attempts.NotRun):
@@ -232,7 +233,8 @@
     def _relay_answer(self, head: attempts.AnswerHead) -> outcomes.Outcome | None:
         """Forward the response; return None once the caller has all of it."""
         if head.status == OK and (head.streams or self.route.streams):
-            self.relay.relay_events(self.attempt, head, self._find_event_deadline)
+            find_deadline = functools.partial(retry_rules.find_event_deadline, self)
+            self.relay.relay_events(self.attempt, head, find_deadline)
             self.handler.crash_detector.record_answered(self.digest)
             records.write_completed(self, head.status, "answered", "")
             return None
@@ -240,7 +242,7 @@
             return attempts.Broken(f"status {head.status} for the rest of a stream")
         body = self.attempt.read_body(self.deadline)
         self.relay.record_first()
-        if head.status >= outcomes.SERVER_ERRORS and self._may_retry():
+        if head.status >= outcomes.SERVER_ERRORS and retry_rules.may_retry(self):
             self.fallback_answer = head, body
             return head
         if head.status < outcomes.SERVER_ERRORS:
@@ -263,17 +265,9 @@
 
     # After an attempt.
 
-    def _may_retry(self) -> bool:
-        """Return whether the route allows another run of the request."""
-        return self.route.may_repeat and self.runs < self.route.attempts
-
     def _may_try_another(self, row: upstreams.Row, outcome: outcomes.Outcome) -> bool:
         """Return whether to try another upstream after this outcome."""
-        left = self.deadline - clocks.read()
-        allowed = left > selection.MIN_LEFT_SECONDS and self.sends < MAX_SENDS
-        if isinstance(outcome, (attempts.Broken, attempts.AnswerHead)):
-            allowed = allowed and self._may_retry()
-            allowed = allowed and (not self.relay.began or self.route.resumable)
+        allowed = retry_rules.may_follow(self, outcome)
         records.write_attempt_ended(self, row, outcome, allowed)
         return allowed
 
@@ -326,33 +320,8 @@
             added[names.last_event] = str(self.relay.last_event)
         return added
 
-    def _find_head_deadline(self) -> float:
-        """Return until when to wait for the head of the response."""
-        if not self._may_switch_upstream():
-            return self.deadline
-        timeout = timeouts.find_first_event_timeout(self.route)
-        return min(self.deadline, clocks.read() + timeout)
-
-    def _find_event_deadline(self) -> float:
-        """Return until when to wait for the next event."""
-        if not self.route.resumable or not self._may_switch_upstream():
-            return self.deadline
-        timeout = timeouts.find_gap_timeout(self.route)
-        return min(self.deadline, clocks.read() + timeout)
-
-    def _may_switch_upstream(self) -> bool:
-        """Return whether to move from an unresponsive upstream to another one."""
-        left = self.deadline - clocks.read()
-        allowed = self._may_retry() and self.sends < MAX_SENDS
-        return allowed and timeouts.allows_failover(left)
-
-    def _may_move(self) -> bool:
-        """Return whether the request may leave its upstream for another one."""
-        resumes = not self.relay.began or self.route.resumable
-        return resumes and self._may_switch_upstream()
-
     def _find_extension(self, row: upstreams.Row) -> float | None:
         """Return until when to wait on for a silent upstream; None to leave it."""
-        if self._may_switch_upstream():
+        if retry_rules.may_switch_upstream(self):
             return failover.find_extension(self, row, self.attempt.has_arrived)
         return self.deadline if clocks.read() < self.deadline else None
--- a/packages/daemon/src/trestlestall/daemon/gateway/reachability.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/reachability.py
@@ -5,8 +5,7 @@
 probes; requests that no other upstream takes may wait for these. Meanwhile a peer
 gateway is asked to connect to it: if that succeeds, requests go through the peer.
 
-Links are checked before a request fails on them: those to upstreams that are silent,
-and after a loss those to others (``forwarding.silence``).
+Links are checked before a request fails on them (``link_checks``).
 """
 
 import contextlib
@@ -19,6 +18,7 @@
     cached_view,
     connections,
     exchanges as gateway_exchanges,
+    link_checks,
     peers as gateway_peers,
     service_reach,
     tunnels,
@@ -32,7 +32,7 @@
 #: The first delay between two tries to reach an upstream through peers; it doubles too.
 FIRST_SEEK_SECONDS = 0.05
 CONNECT_TIMEOUT_SECONDS = 0.4
-#: Timeout of a check: as for a request's connection, since one waits for its result.
+#: Timeout of a check, for whose result a request may wait.
 CHECK_TIMEOUT_SECONDS = connections.CONNECT_TIMEOUT_SECONDS
 #: Seconds after a connection failed for which requests wait: two probes.
 MAY_RECOVER_SECONDS = 3 * FIRST_DELAY_SECONDS + 0.05
@@ -60,8 +60,15 @@
         self._view = view
         self._pool = pool
         self._peers = peers
+        self._checks = link_checks.LinkChecks(
+            view,
+            self.reach,
+            self.exchanges.silence,
+            self._connect,
+            pool.store,
+            self._record_failed_check,
+        )
         self._probing: set[str] = set()
-        self._checking: set[str] = set()
         #: Upstreams for which peers are tried, and whether there is no result yet.
         self._seeking: dict[str, bool] = {}
         self._reported: frozenset[str] = frozenset()
@@ -86,8 +93,7 @@
 
     def is_partitioned(self) -> bool:
         """Return whether this gateway can't connect to most of the upstreams."""
-        serving = self._list_serving()
-        return self.reach.is_partition(serving)
+        return self.reach.is_partition(self._view.list_serving())
 
     # Connections.
 
@@ -105,6 +111,22 @@
             self._record_peer(row, reached=False)
         return found
 
+    def _connect(
+        self, row: upstreams.Row
+    ) -> connections.Connection | connections.Unreachable:
+        """Return a new connection on the way by which an upstream is reached now."""
+        if self.reach.find_way(row.identity) is reaches.Way.DIRECT:
+            return self._pool.open(row.address, CHECK_TIMEOUT_SECONDS)
+        return self._peers.open(row, self.exchanges.find_silent_peer(row.identity))
+
+    def _record_failed_check(
+        self, row: upstreams.Row, failed: connections.Unreachable
+    ) -> None:
+        if self.reach.find_way(row.identity) is reaches.Way.PEER:
+            self._record_peer(row, reached=False)
+        else:
+            self.mark_unreachable(row, FAILED_CHECK, failed.timed_out)
+
     def is_refused(self, row: upstreams.Row) -> bool:
         """Return whether the upstream's host refuses connections, also of a peer.
 
@@ -127,62 +149,18 @@
     # Checks.
 
     def suspect(self, row: upstreams.Row) -> None:
-        """Check an upstream that kept a request waiting.
-
-        Requests on idle connections that are reused get no error when the upstream's
-        host is partitioned; only a new connection shows it.
-        """
-        if row.identity not in self._checking:
-            self._checking.add(row.identity)
-            eventlet.spawn(self._check, row)
-
-    def _check(self, row: upstreams.Row) -> None:
-        silence = self.exchanges.silence
-        silence.record_check(row.identity, clocks.read_running())
-        try:
-            if self.reach.find_way(row.identity) is reaches.Way.DIRECT:
-                found = self._pool.open(row.address, CHECK_TIMEOUT_SECONDS)
-            else:
-                peer = self.exchanges.find_silent_peer(row.identity)
-                found = self._peers.open(row, peer)
-        finally:
-            self._checking.discard(row.identity)
-        if not isinstance(found, connections.Unreachable):
-            silence.record_reached(row.identity, clocks.read_running())
-            self._pool.store(found)
-        elif self.reach.find_way(row.identity) is reaches.Way.PEER:
-            self._record_peer(row, reached=False)
-        else:
-            self.mark_unreachable(row, FAILED_CHECK, found.timed_out)
+        """Check the link to an upstream that kept a request waiting."""
+        self._checks.suspect(row)
 
     def _watch(self) -> None:
         while True:
             eventlet.sleep(WATCH_SECONDS)
-            rows = self._view.table.rows
-            self.exchanges.silence.forget(rows)
-            for identity in self.exchanges.silence.list_suspects(clocks.read_running()):
-                if identity in rows:
-                    self.suspect(rows[identity])
+            self._checks.check_silent()
             self._report()
             if self._view.clock() - self._asked_at >= REFRESH_SECONDS:
                 self._ask_pause = FIRST_ASK_SECONDS
                 self._ask()
 
-    def _check_related(self) -> None:
-        """Check further upstreams, since more links may be lost together."""
-        rows = self._view.table.rows
-        serving = self._list_serving()
-        losses = {one: loss.since for one, loss in self.reach.losses.items()}
-        related = self.exchanges.silence.list_related(
-            losses, serving, clocks.read_running()
-        )
-        for identity in related:
-            self.suspect(rows[identity])
-
-    def _list_serving(self) -> list[str]:
-        rows = self._view.table.rows.items()
-        return [one for one, row in rows if row.state is upstreams.State.SERVING]
-
     # Losses.
 
     def list_unreachable(self, service: str) -> list[str]:
@@ -247,7 +225,7 @@
             reason=reason,
         )
         self._service_reach.update(row.service)
-        self._check_related()
+        self._checks.check_related()
         self._start_seeking(row)
         if row.identity not in self._probing:
             self._probing.add(row.identity)
