Tunnels that open after the first one are closed, and a race ends

Read in the diff: two tunnels that opened at the same moment left one in the queue, unused until it was collected, and a try that raised an error would have left the race waiting for it for ever. Tested without the network.

--- a/packages/daemon/src/trestlestall/daemon/gateway/peers.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/peers.py
@@ -128,11 +128,11 @@
                 failed.append(found)
             if sum(map(is_refusal, failed)) >= WITNESSES:
                 break
-        while race.running:
-            found = race.wait(tunnels.OPEN_SECONDS)
+        while race.running and (found := race.wait(tunnels.OPEN_SECONDS)) is not None:
             if isinstance(found, tunnels.Tunnel):
                 return self._keep(found)
             failed.append(found)
+        race.abandon()
         refused = bool(failed) and all(map(is_refusal, failed))
         reason = failed[-1].reason if failed else "no peer is known"
         return connections.Unreachable(reason, not refused, refused)
@@ -234,7 +234,7 @@
         self.running = 0
         self._attempt = attempt
         self._found = queue.LightQueue()
-        self._is_won = False
+        self._is_over = False
 
     def start(self, record: Record) -> None:
         """Start to open a tunnel through a peer."""
@@ -250,17 +250,32 @@
         except queue.Empty:
             return None
         self.running -= 1
-        self._is_won = self._is_won or isinstance(found, tunnels.Tunnel)
+        if isinstance(found, tunnels.Tunnel):
+            self.abandon()
         return found
 
+    def abandon(self) -> None:
+        """Close the tunnels that have opened, or open later, without being used."""
+        self._is_over = True
+        while not self._found.empty():
+            close_unused(self._found.get())
+
     def _run(self, record: Record) -> None:
         found = self._attempt(record)
-        if self._is_won and isinstance(found, tunnels.Tunnel):
-            found.close()
+        if self._is_over:
+            close_unused(found)
         else:
             self._found.put(found)
 
 
+def close_unused(
+    found: tunnels.Tunnel | tunnels.PeerFailed | tunnels.UpstreamFailed,
+) -> None:
+    """Close a tunnel that another one was faster than."""
+    if isinstance(found, tunnels.Tunnel):
+        found.close()
+
+
 def is_refusal(found: tunnels.PeerFailed | tunnels.UpstreamFailed) -> bool:
     """Return whether the upstream's host refused a connection of the peer."""
     return isinstance(found, tunnels.UpstreamFailed) and found.refused
--- a/packages/daemon/tests/test_tunnels.py
+++ b/packages/daemon/tests/test_tunnels.py
@@ -6,6 +6,7 @@
 import json
 import random
 import time
+import unittest
 import zlib
 from unittest import mock
 
@@ -14,7 +15,7 @@
 import eventlet
 
 from trestlestall.daemon import environment, settings
-from trestlestall.daemon.gateway import process, tunnel_server
+from trestlestall.daemon.gateway import peers, process, tunnel_server, tunnels
 from trestlestall.standins import addresses
 from trestlestall.wire import tunnel_messages
 
@@ -29,11 +30,11 @@
         self.address = f"127.0.0.1:{addresses.reserve_port()}"
         self.output = io.StringIO()
         made = bench.make_settings(addresses.reserve_port(), addresses.reserve_port())
-        tunnels = settings.Address("127.0.0.1", int(self.address.rpartition(":")[2]))
+        listening = settings.Address("127.0.0.1", int(self.address.rpartition(":")[2]))
         made = dataclasses.replace(
             made,
             name=name,
-            listen=dataclasses.replace(made.listen, tunnels=tunnels),
+            listen=dataclasses.replace(made.listen, tunnels=listening),
             secrets=settings.Secrets(secret, "", {}),
         )
         env = environment.Environment(
@@ -69,8 +70,8 @@
         made = Peer(self.stack, name, **changes)
         self.peers.append(made)
         rows = tuple([one.name, one.address, "a", []] for one in self.peers)
-        peers = self.bench.gateway.handler.peers
-        peers.handle_answer("directory", tunnel_messages.PeersAnswer(rows))
+        known = self.bench.gateway.handler.peers
+        known.handle_answer("directory", tunnel_messages.PeersAnswer(rows))
         return made
 
     def add(self, identity, script, known_to=None):
@@ -323,6 +324,26 @@
         self.assertEqual(reasons, {tunnel_server.FULL})
 
 
+class RaceTest(unittest.TestCase):
+    def test_only_the_first_tunnel_is_kept(self):
+        made = []
+
+        def open_one(record):
+            tunnel = mock.create_autospec(tunnels.Tunnel, instance=True)
+            made.append(tunnel)
+            eventlet.sleep(record)
+            return tunnel
+
+        race = peers.TunnelRace(open_one)
+        for seconds in (0.02, 0.02, 0.1):
+            race.start(seconds)
+        kept = race.wait(1.0)
+        eventlet.sleep(0.2)
+        closed = [one for one in made if one.close.called]
+        self.assertEqual(len(closed), 2)
+        self.assertNotIn(kept, closed)
+
+
 class ReturnTest(TunnelCase):
     def test_the_direct_way_is_taken_again_as_soon_as_it_is_steady(self):
         peer = self.add_peer()
