A request that hangs on a lost path no longer makes its upstream seem slow to all

Cause: a request that may run once stays on the lost connection until its deadline. The scheduler counted it as running there and overdue, so that the upstream seemed slow to all gateways, and its end as a failure of it.

Change: once a peer shows that the upstream is sound, such a request is no longer counted there, and its end says nothing of the upstream.

--- a/packages/daemon/src/trestlestall/daemon/gateway/exchanges.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/exchanges.py
@@ -12,7 +12,11 @@
 
 
 class Exchange:
-    """One exchange; ``may_move`` returns whether another upstream may take it over."""
+    """One exchange; ``may_move`` returns whether another upstream may take it over.
+
+    ``leave`` breaks it off; ``release`` is called if it must stay on a lost path, where
+    it takes none of the upstream's room.
+    """
 
     def __init__(
         self,
@@ -20,11 +24,13 @@
         upstream: str,
         expected_seconds: float,
         may_move: abc.Callable[[], bool],
+        release: abc.Callable[[], object],
     ) -> None:
         self.upstream = upstream
         self.peer = ""
         self.leave: abc.Callable[[], object] | None = None
         self.may_move = may_move
+        self.release = release
         self._silence = silence
         self._expected_seconds = expected_seconds
         self._observed: silences.Exchange | None = None
@@ -66,9 +72,10 @@
         upstream: str,
         expected_seconds: float,
         may_move: abc.Callable[[], bool],
+        release: abc.Callable[[], object],
     ) -> abc.Iterator[Exchange]:
         """Yield the record of an exchange that takes place during the block."""
-        exchange = Exchange(self.silence, upstream, expected_seconds, may_move)
+        exchange = Exchange(self.silence, upstream, expected_seconds, may_move, release)
         self._running.add(exchange)
         try:
             yield exchange
@@ -84,9 +91,11 @@
         return ""
 
     def leave_silent(self, upstream: str, peer: str) -> None:
-        """Break off silent exchanges on a lost path that another one may take over."""
+        """Break off silent exchanges on a lost path, or release those that stay."""
         for one in list(self._running):
-            if (one.upstream, one.peer) != (upstream, peer):
+            if (one.upstream, one.peer) != (upstream, peer) or not one.is_silent():
                 continue
-            if one.leave is not None and one.is_silent() and one.may_move():
+            if one.leave is not None and one.may_move():
                 one.leave()
+            else:
+                one.release()
--- a/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
@@ -85,6 +85,7 @@
         self.fallback_answer: tuple[attempts.AnswerHead, bytes] | None = None
         self.successor: placement.Placed | None = None
         self.was_silent = False
+        self.has_lost_path = False
 
     @property
     def view(self) -> cached_view.CachedView:
@@ -144,12 +145,13 @@
     def _run_attempt(self, placed: placement.Placed) -> outcomes.Outcome | None:
         """Return the attempt's outcome, or None once the caller has its response."""
         names = self.handler.dialect.headers
-        self.was_silent = False
+        self.was_silent = self.has_lost_path = False
         prober = self.handler.prober
         tracked = prober.exchanges.track(
             placed.row.identity,
             placed.predicted,
             functools.partial(retry_rules.may_move, self),
+            functools.partial(self._release, placed.row),
         )
         head = None
         outcome: outcomes.Outcome | None = None
@@ -195,6 +197,8 @@
         disconnected after waiting longer than the target for the first event counts as
         a failure.
         """
+        if self.has_lost_path:
+            return None
         if not self.caller.left:
             return outcomes.has_failed(outcome)
         if self.relay.first_seconds is not None:
@@ -291,6 +295,15 @@
             self.view.record_replaced(row)
             self.handler.placing.report_replaced(row.identity)
 
+    def _release(self, row: upstreams.Row) -> None:
+        """Stop counting the request at an upstream to which its path was lost.
+
+        It waits on, as it may run only once, but the upstream is not slow for it.
+        """
+        if not self.has_lost_path:
+            self.has_lost_path = True
+            self.handler.placing.end(self.descriptor, row.identity, None)
+
     def _on_caller_left(self) -> None:
         if self.attempt is not None:
             self.attempt.abort()
