--- a/packages/daemon/tests/test_gateway_repeats.py
+++ b/packages/daemon/tests/test_gateway_repeats.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import dataclasses
+import errno
 from unittest import mock
 
 from packages.daemon.tests import gateway_bench as bench  # isort: skip
@@ -10,7 +11,7 @@
 from eventlet.green import socket
 
 from trestlestall.daemon import placement_protocol
-from trestlestall.daemon.gateway import attempts, placing
+from trestlestall.daemon.gateway import attempts, connections, placing
 from trestlestall.forwarding import upstreams
 from trestlestall.wire import clocks
 
@@ -116,6 +117,18 @@
         self.assertEqual(len(slow.received), 1)
         self.assertEqual(self.bench.list_lines("upstream_unreachable"), [])
 
+    def test_the_reason_of_a_connection_without_an_answer_is_readable(self):
+        self.bench.add("u1", lambda connection, received: False)
+        status, _, body = self.bench.ask("/once/x")
+        self.assertEqual(status, 502)
+        self.assertIn("the connection ended before an answer", body)
+
+    def test_unacknowledged_data_is_a_lost_path_and_no_silence(self):
+        opened = mock.Mock()
+        opened.fd.recv.side_effect = TimeoutError(errno.ETIMEDOUT, "timed out")
+        with self.assertRaises(connections.PathLostError):
+            connections.receive(opened, 1.0)
+
     def test_an_upstream_that_is_silent_for_a_second_is_not_left(self):
         silent = bench.send(f"{bench.OK}\r\nlate", after=1.1)
         both = [self.bench.add(name, silent) for name in ("u1", "u2")]
