Rows of upstreams carry the software version; logs show it, and what a request takes up

Missing to tell the hypotheses apart: no line named the version of the upstream that a request goes to, and a request that takes up a stream looked like a new one.

Announcements' version is decoded at the edge and merged with the row. Between processes it travels in a message of its own ahead of the rows: processes of the last build refuse a row with one more value, and drop a message that they don't know. Two versions under one identity count as unknown. No choice depends on it yet.

A row with twelve values is refused as before.

--- a/packages/daemon/src/trestlestall/daemon/announcements.py
+++ b/packages/daemon/src/trestlestall/daemon/announcements.py
@@ -56,6 +56,42 @@
     return directory_messages.Announced(token, encoded)
 
 
+def encode_versions(
+    rows: abc.Iterable[upstreams.Row],
+) -> directory_messages.UpstreamVersions:
+    """Return the message that carries the known versions of the rows."""
+    known = ((row.identity, row.version) for row in rows if row.version is not None)
+    return directory_messages.UpstreamVersions(tuple(known))
+
+
+def decode_versions(
+    encoded: abc.Iterable[object], report: abc.Callable[[str, str], object]
+) -> list[tuple[str, str]]:
+    """Return the valid pairs of a message; ``report`` is that of ``decode_rows``."""
+    found = []
+    for item in encoded:
+        identity, version = item if is_pair(item) else ("", None)
+        if isinstance(identity, str) and is_version(version):
+            found.append((identity, version))
+        else:
+            report("", f"invalid version of an upstream: {item!r}"[:NAME_LENGTH_LIMIT])
+    return found
+
+
+def is_pair(item: object) -> bool:
+    """Return whether a plain value is a list of two."""
+    return isinstance(item, (list, tuple)) and len(item) == 2
+
+
+def is_version(value: object) -> bool:
+    """Return whether a value is a software version that can be shown and compared."""
+    return (
+        isinstance(value, str)
+        and len(value) <= NAME_LENGTH_LIMIT
+        and value.isprintable()
+    )
+
+
 def decode_rows(
     encoded: abc.Iterable[object], report: abc.Callable[[str, str], object]
 ) -> list[upstreams.Row]:
@@ -109,6 +145,14 @@
     return None if isinstance(row.reclaimable, bool) else "no kind of upstream"
 
 
+@check
+def check_version(row: upstreams.Row) -> str | None:
+    """``version`` is a short printable text, or unknown."""
+    if row.version is None or is_version(row.version):
+        return None
+    return "no version of an upstream"
+
+
 @check
 def check_warming(row: upstreams.Row) -> str | None:
     """The remaining warm-up is a finite number of seconds within the limit."""
--- a/packages/daemon/src/trestlestall/daemon/dialects.py
+++ b/packages/daemon/src/trestlestall/daemon/dialects.py
@@ -36,6 +36,7 @@
     - ``parts``: the prefix blocks of the prompt, as ``ID:TOKENS,…``
     - ``length_hint``: the caller's estimate of the answer's length
     - ``last_event``: the last event received of a stream that is to be resumed
+    - ``resumes``: the id of the caller's request that brought this stream's first event
 
     Headers of requests that only the gateway sets: ``workspace``, ``tier``,
     ``expected_upstream`` (any other upstream refuses the request) and ``fetch_from``
@@ -61,6 +62,7 @@
     parts: str = "Trestlestall-Parts"
     length_hint: str = "Trestlestall-Length-Estimate"
     last_event: str = "Last-Event-Id"
+    resumes: str = "Trestlestall-Resumes"
     workspace: str = "Trestlestall-Workspace"
     expected_upstream: str = "Trestlestall-Expected-Upstream"
     tier: str = "Trestlestall-Tier"
@@ -170,7 +172,10 @@
         return model.Invalid(str(error))
     incarnation = upstreams.format_identity(identity, row.born)
     row = dataclasses.replace(
-        row, identity=incarnation, name=identity if row.born else ""
+        row,
+        identity=incarnation,
+        name=identity if row.born else "",
+        version=row.version or "",
     )
     return announcements.find_fault(row) or row
 
--- a/packages/daemon/src/trestlestall/daemon/directory/arrivals.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/arrivals.py
@@ -96,6 +96,14 @@
     server.registrations.handle_announced(peer, message)
 
 
+@handles(directory_messages.UpstreamVersions)
+def handle_versions(
+    server: servers.Server, peer: str, message: directory_messages.UpstreamVersions
+) -> None:
+    """Merge versions of upstreams from another directory."""
+    server.registrations.handle_versions(message)
+
+
 @handles(directory_messages.AnnouncedAnswer)
 def handle_announced_answer(
     server: servers.Server, peer: str, message: directory_messages.AnnouncedAnswer
--- a/packages/daemon/src/trestlestall/daemon/directory/registrations.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/registrations.py
@@ -59,6 +59,7 @@
         self.table.expire_tombstones(self._clock())
         if merged is not None:
             self._notify_gateways((merged,))
+            self._send_versions(self._links.list_directories(), (merged,))
         latest = self.table.find_latest(row.announced_name)
         if latest is None or latest.born > row.born > 0:
             # An incarnation that was replaced gets no requests anyway.
@@ -106,6 +107,13 @@
         if message.token:
             self._links.send(peer, directory_messages.AnnouncedAnswer(message.token))
 
+    def handle_versions(self, message: directory_messages.UpstreamVersions) -> None:
+        """Merge the versions of upstreams that another directory knows."""
+        pairs = announcements.decode_versions(message.pairs, self._log_refused_row)
+        changed = self.table.merge_versions(pairs)
+        if changed:
+            self._notify_gateways(changed)
+
     def _log_refused_row(self, identity: str, reason: str) -> None:
         self._log.write(
             events.directory.ANNOUNCEMENT_REFUSED, upstream=identity, reason=reason
@@ -124,7 +132,17 @@
 
     def send_all(self, peer: str) -> None:
         """Send the complete table to a newly linked process."""
-        self._links.send(peer, announcements.encode(self.table.rows.values(), 0))
+        rows = list(self.table.rows.values())
+        self._send_versions((peer,), rows)
+        self._links.send(peer, announcements.encode(rows, 0))
+
+    def _send_versions(
+        self, peers: abc.Iterable[str], rows: abc.Sequence[upstreams.Row]
+    ) -> None:
+        message = announcements.encode_versions(rows)
+        if message.pairs:
+            for peer in peers:
+                self._links.send(peer, message)
 
     def _notify_majority(self, row: upstreams.Row) -> bool:
         needed = self._count_voters() // 2
@@ -151,6 +169,7 @@
         self._on_rows_changed()
         message = announcements.encode(rows, 0)
         gateways = self._links.list_gateways()
+        self._send_versions(gateways, rows)
         for gateway in gateways:
             self._links.send(gateway, message)
         for row in rows:
@@ -160,6 +179,7 @@
                 service=row.service,
                 address=row.address,
                 state=row.state.name.lower(),
+                version=row.version,
                 sequence=row.sequence,
                 told=len(gateways),
             )
--- a/packages/daemon/src/trestlestall/daemon/events/directory.py
+++ b/packages/daemon/src/trestlestall/daemon/events/directory.py
@@ -35,7 +35,7 @@
     "TS8010",
     "announcement_taken",
     catalogue.Level.INFO,
-    "upstream service address state sequence told",
+    "upstream service address state version sequence told",
     "An upstream announced a change; told counts the processes that it was sent to.",
 )
 ANNOUNCEMENT_REFUSED = catalogue.declare(
--- a/packages/daemon/src/trestlestall/daemon/events/forwarding.py
+++ b/packages/daemon/src/trestlestall/daemon/events/forwarding.py
@@ -8,7 +8,7 @@
     catalogue.Level.INFO,
     "request route workspace digest rank route_tier workspace_tier upstream address"
     " attempt unread predicted taken taken_by_all failure_rate declaration seconds_left"
-    " source fetch_from limit state",
+    " source fetch_from limit state version resumes",
     "An attempt of a request was sent to this upstream. digest is the same for all"
     " attempts of a caller with the same method, host, target and body; rank, with 0"
     " the most urgent, is derived from the tiers of the route and the workspace;"
@@ -20,7 +20,8 @@
     " fetch_from is the upstream from which it fetches cached prefixes of the prompt;"
     " limit is the rate limit of the upstream in requests a second from all gateways,"
     " as known to the source, which has counted this request; state is the state of"
-    " the upstream in the cached view of this gateway.",
+    " the upstream in the cached view of this gateway, version that of its software;"
+    " resumes is the caller's request whose stream it takes up.",
 )
 ENDED = catalogue.declare(
     "TS7002",
@@ -95,7 +96,7 @@
     "TS7010",
     "upstream_row",
     catalogue.Level.INFO,
-    "upstream service address state sequence source",
+    "upstream service address state version sequence source",
     "The cached row of an upstream changed, by an update from the source.",
 )
 UNREACHABLE = catalogue.declare(
--- a/packages/daemon/src/trestlestall/daemon/gateway/cached_view.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/cached_view.py
@@ -1,5 +1,6 @@
 """A gateway's cached view: the configuration in force and the known upstreams."""
 
+import functools
 import zlib
 from collections import abc
 
@@ -121,16 +122,22 @@
 
     def merge_plain_rows(self, plain: abc.Iterable[object], source: str) -> None:
         """Merge the rows of a directory's message; malformed rows are logged."""
+        report = functools.partial(self._report_refused, source)
+        self.merge_rows(announcements.decode_rows(plain, report), source)
 
-        def report(identity: str, reason: str) -> None:
-            self.log.write(
-                events.forwarding.ROW_REFUSED,
-                upstream=identity,
-                source=source,
-                reason=reason,
-            )
+    def merge_plain_versions(self, plain: abc.Iterable[object], source: str) -> None:
+        """Merge the versions of a directory's message; malformed ones are logged."""
+        report = functools.partial(self._report_refused, source)
+        pairs = announcements.decode_versions(plain, report)
+        self._apply_changed(self.table.merge_versions(pairs), source)
 
-        self.merge_rows(announcements.decode_rows(plain, report), source)
+    def _report_refused(self, source: str, identity: str, reason: str) -> None:
+        self.log.write(
+            events.forwarding.ROW_REFUSED,
+            upstream=identity,
+            source=source,
+            reason=reason,
+        )
 
     def merge_rows(self, rows: abc.Iterable[upstreams.Row], source: str) -> None:
         """Merge decoded rows; ``source`` names their sender in the log."""
@@ -140,6 +147,10 @@
             merged for row in rows if (merged := self.table.merge(row, now)) is not None
         ]
         self.table.expire_tombstones(now)
+        self._apply_changed(changed, source)
+
+    def _apply_changed(self, changed: list[upstreams.Row], source: str) -> None:
+        """Use rows that changed, and log them."""
         if changed:
             self._refresh()
         for row in changed:
@@ -149,6 +160,7 @@
                 service=row.service,
                 address=row.address,
                 state=row.state.name.lower(),
+                version=row.version,
                 sequence=row.sequence,
                 source=source,
             )
--- a/packages/daemon/src/trestlestall/daemon/gateway/heads.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/heads.py
@@ -42,6 +42,8 @@
     """The head of a request; ``headers`` keep the caller's order and case.
 
     ``deadline`` is how long the caller waits, in seconds; None if it states nothing.
+    A caller that takes up a stream names the ``last_event`` that it has; ``resumes``
+    are the distinct requests that it names as the one that began the stream.
     """
 
     method: bytes
@@ -57,6 +59,8 @@
     tokens_out: int
     parts: tuple[descriptors.PrefixBlock, ...]
     length_hint: int | None
+    last_event: str = ""
+    resumes: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -92,6 +96,8 @@
             tokens_out=tokens_out,
             parts=read_parts(found.get(names.parts.lower())),
             length_hint=read_count(found.get(names.length_hint.lower())),
+            last_event=found.get(names.last_event.lower(), ""),
+            resumes=list_values(headers, names.resumes),
         )
     except ValueError as error:
         return Malformed(f"unreadable header: {error}")
@@ -105,6 +111,13 @@
     return found
 
 
+def list_values(headers: RawHeaders, name: str) -> tuple[str, ...]:
+    """Return the distinct values of a header that are not empty, in their order."""
+    wanted = name.lower().encode()
+    found = [value.decode("latin-1") for key, value in headers if key.lower() == wanted]
+    return tuple(dict.fromkeys(filter(None, found)))
+
+
 def read_key(value: str | None, scheme: str) -> str | None:
     """Return the key of an ``Authorization`` value; None without the right scheme."""
     if value is None:
--- a/packages/daemon/src/trestlestall/daemon/gateway/links.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/links.py
@@ -197,6 +197,14 @@
     links.view.merge_plain_rows(message.rows, directory)
 
 
+@handles(directory_messages.UpstreamVersions)
+def handle_versions(
+    links: Links, directory: str, message: directory_messages.UpstreamVersions
+) -> None:
+    """Merge versions of upstreams."""
+    links.view.merge_plain_versions(message.pairs, directory)
+
+
 @handles(directory_messages.DeclarationNotice)
 def handle_declaration_notice(
     links: Links, directory: str, message: directory_messages.DeclarationNotice
--- a/packages/daemon/src/trestlestall/daemon/gateway/progress.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/progress.py
@@ -10,6 +10,7 @@
     callers,
     connections,
     crash_detection,
+    heads,
     metrics as gateway_metrics,
     placing,
     reachability,
@@ -61,6 +62,7 @@
 
     handler: Handler
     caller: callers.Caller
+    head: heads.Head
     route: model.Route
     workspace: model.Workspace | None
     descriptor: descriptors.Descriptor
--- a/packages/daemon/src/trestlestall/daemon/gateway/records.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/records.py
@@ -30,6 +30,8 @@
         taken_by_all=placed.taken,
         limit=placed.limit,
         state=get_state(forward, placed.row.identity),
+        version=placed.row.version,
+        resumes=forward.head.resumes[0] if forward.head.resumes else None,
         failure_rate=round(engine.find_failure_rate(data_centre), 3),
         source=placed.source,
         declaration=forward.view.version,
--- a/packages/forwarding/src/trestlestall/forwarding/upstreams.py
+++ b/packages/forwarding/src/trestlestall/forwarding/upstreams.py
@@ -13,6 +13,9 @@
 import dataclasses
 import enum
 import math
+from collections import abc
+
+from trestlestall.forwarding import versions
 
 
 class State(enum.IntEnum):
@@ -33,6 +36,8 @@
     ``sequence`` counts the incarnation's own announcements. ``warm_seconds`` is how
     long it is still slow after its start. A row of state ``GONE`` may hold nothing but
     its identity. A ``reclaimable`` incarnation may be taken back by the platform.
+    ``version`` is that of its software, empty if it announces none; None if it is not
+    known here.
     """
 
     identity: str
@@ -46,6 +51,7 @@
     name: str = ""
     born: int = 0
     reclaimable: bool = False
+    version: str | None = None
 
     @property
     def announced_name(self) -> str:
@@ -53,6 +59,8 @@
         return self.name or self.identity
 
 
+#: Values of an encoded row: all fields but the version.
+ENCODED_VALUES = 11
 #: Seconds for which rows of upstreams that left are retained, against late rows.
 TOMBSTONE_SECONDS = 120.0
 #: Approximate interval of announcements; their number gives the time of the start.
@@ -70,6 +78,7 @@
         self.last_received: dict[str, float] = {}
         self._started_at: dict[str, float] = {}
         self._latest: dict[str, Row] = {}
+        self._versions = versions.Versions()
 
     def merge(self, row: Row, now: float) -> Row | None:
         """Merge a row; return the result if it changed in more than its sequence."""
@@ -84,12 +93,29 @@
         if existing is None or row.sequence >= existing.sequence:
             self._record_receipt(row, now)
         merged = row if existing is None else merge_rows(existing, row)
+        version = self._versions.record(row.identity, row.version)
+        merged = dataclasses.replace(merged, version=version)
         if merged == existing:
             return None
         self.rows[row.identity] = self._latest[row.announced_name] = merged
         changed = existing is None or not is_equivalent(existing, merged)
         return merged if changed else None
 
+    def merge_versions(self, pairs: abc.Iterable[tuple[str, str]]) -> list[Row]:
+        """Merge the versions of incarnations, whose rows may follow.
+
+        Return the rows that changed.
+        """
+        changed = []
+        for identity, announced in pairs:
+            version = self._versions.record(identity, announced)
+            existing = self.rows.get(identity)
+            if existing is not None and existing.version != version:
+                merged = dataclasses.replace(existing, version=version)
+                self.rows[identity] = self._latest[existing.announced_name] = merged
+                changed.append(merged)
+        return changed
+
     def find_latest(self, name: str) -> Row | None:
         """Return the latest incarnation that announced itself under the name."""
         return self._latest.get(name)
@@ -119,6 +145,7 @@
         self._latest.pop(row.announced_name, None)
         self.last_received.pop(identity, None)
         self._started_at.pop(identity, None)
+        self._versions.drop(identity)
 
     def _record_receipt(self, row: Row, now: float) -> None:
         """Record when a row was received, and about when the incarnation started.
@@ -223,7 +250,11 @@
 
 
 def encode_row(row: Row) -> list[str | int | float | bool]:
-    """Return the row as a list of plain values, for a message."""
+    """Return the row as a list of plain values, for a message.
+
+    It lacks the version, which travels apart (``UpstreamVersions``): processes of
+    earlier builds refuse a row with more values.
+    """
     return [
         row.identity,
         row.sequence,
@@ -243,6 +274,8 @@
     """Return the row of a message; raise ``ValueError`` if it is invalid."""
     try:
         identity, sequence, state, *rest = encoded
+        if len(encoded) > ENCODED_VALUES:
+            raise ValueError("too many values")
         return Row(identity, sequence, State(state), *rest)
     except (TypeError, ValueError) as error:
         raise ValueError(f"invalid row of an upstream: {encoded!r}") from error
--- a/packages/wire/src/trestlestall/wire/directory_messages.py
+++ b/packages/wire/src/trestlestall/wire/directory_messages.py
@@ -50,6 +50,17 @@
     rows: tuple[typing.Any, ...]
 
 
+@registry.register("upstream_versions")
+@dataclasses.dataclass(frozen=True)
+class UpstreamVersions:
+    """The software versions of upstreams, as pairs of an identity and a version.
+
+    They are sent before the rows of ``Announced`` that they belong to.
+    """
+
+    pairs: tuple[typing.Any, ...]
+
+
 @registry.register("announced_answer")
 @dataclasses.dataclass(frozen=True)
 class AnnouncedAnswer:
--- a/packages/wire/tests/test_codec.py
+++ b/packages/wire/tests/test_codec.py
@@ -40,6 +40,7 @@
     directory_messages.Announced(
         3, (["u1", 4, 0, "work", "127.0.0.1:8000", "a", 8, 0.5],)
     ),
+    directory_messages.UpstreamVersions((["u1", "v1"],)),
     directory_messages.AnnouncedAnswer(3),
     directory_messages.PlaceCall(4, ("r1", "work", 0, 0.25), ("u1",)),
     directory_messages.PlaceCall(4, ("r1", "work", 0, 0.25), ("u1",), "repeat"),
