--- /dev/null
+++ b/tests/test_stream_versions.py
@@ -0,0 +1,100 @@
+"""A stream goes on only at the software version that began it.
+
+Failure guarded against: with two versions in one service, half of the streams that went
+on elsewhere, within an answer or at another gateway, held events of both.
+"""
+
+import contextlib
+import tempfile
+import time
+import unittest
+
+from tests import gateways, versioned_streams
+
+#: Share of taken-up streams that go on, against that of new ones that begin.
+LEAST_RATIO = 0.95
+RATE = 20.0
+VERSIONS = ("v1", "v2")
+
+
+class VersionsCase(unittest.TestCase):
+    """Three directories, four gateways, and six upstreams of two versions in turn."""
+
+    upstreams = 6
+    break_share = 0.0
+
+    def setUp(self):
+        self.stack = contextlib.ExitStack()
+        self.addCleanup(self.stack.close)
+        temporary = tempfile.TemporaryDirectory(prefix="trestle-")
+        folder = self.stack.enter_context(temporary)
+        self.system = gateways.Deployment(folder, gateways=4)
+        self.system.settings["retries"] = {"ratio": 5.0, "slack": 50.0}
+        self.stack.callback(self.system.stop_all)
+        self.system.start_all()
+        self.assertEqual(self.system.declare(versioned_streams.make_document()), 200)
+        self.ports = [self.system.ports[name] for name in self.system.names]
+        self.made = [
+            self.add(f"u{number}", VERSIONS[number % len(VERSIONS)])
+            for number in range(self.upstreams)
+        ]
+        self.callers = versioned_streams.Callers(self.system, RATE)
+        for name in self.system.gateways:
+            gateways.wait_until(lambda one=name: self.knows_all(one), name)
+
+    def add(self, identity, version, **options):
+        """Start an upstream."""
+        made = versioned_streams.Upstream(
+            self.ports, identity, version, self.break_share, **options
+        )
+        self.stack.callback(made.stop)
+        return made
+
+    def knows_all(self, name):
+        """Return whether a gateway has every upstream."""
+        text = gateways.ask(self.system.ready[name], "GET", "/metrics").body.decode()
+        wanted = f"trestlestall_forward_upstreams {float(self.upstreams)}"
+        return wanted in text and self.system.is_ready(name)
+
+    def kill_gateways(self, *names, after=0.8):
+        """Kill gateways in the middle of streams, one after the other, for good."""
+        for name in names:
+            time.sleep(after)
+            self.system.running[name].kill()
+
+    def check_versions(self):
+        """Check that each stream is of one version, without a gap or a repetition."""
+        mixed = len(self.callers.list_mixed())
+        told = f"{mixed} of {len(self.callers.streams)} hold two versions"
+        self.assertEqual(mixed, 0, told)
+        self.assertEqual(self.callers.list_out_of_order(), [])
+
+    def check_streams(self, least_taken_up=1):
+        """Check that each stream is of one version, and that enough went on."""
+        self.check_versions()
+        went_on, taken_up = self.callers.count_taken_up()
+        self.assertGreaterEqual(taken_up, least_taken_up)
+        begun, new = self.callers.count_begun()
+        told = f"{went_on} of {taken_up} went on, {begun} of {new} began"
+        self.assertGreaterEqual(went_on / taken_up, LEAST_RATIO * begun / new, told)
+
+
+class WithinAnswerTest(VersionsCase):
+    break_share = 0.5
+
+    def test_a_gateway_goes_on_only_at_the_version_that_began_the_answer(self):
+        self.callers.run(4.0)
+        broken = [
+            one
+            for one in self.callers.streams
+            if len({u for _, _, u in one.events}) > 1
+        ]
+        self.assertGreater(len(broken), 10)
+        self.check_versions()
+
+
+class OtherGatewayTest(VersionsCase):
+    def test_a_stream_taken_up_at_another_gateway_goes_on_at_its_version(self):
+        first, second = self.system.gateways[:2]
+        self.callers.run(4.0, lambda: self.kill_gateways(first, second, after=1.3))
+        self.check_streams(least_taken_up=8)
