Within an answer a stream goes on only at the version that began it

Cause: the relay kept the last event, not who wrote the first, and each going on was placed like a new request.

The request now keeps the service and version of the upstream that wrote the first event, and all others of the service are excluded when it is placed again; the choice is checked once more when it is there. Before the first event any version may serve. An unknown version matches none, also not itself. No upstream of the version: the answer is broken off at once, as without any upstream, with a reason of its own.

The scripted upstreams of the gateway's tests announce a version, as all upstreams of the platform do.

--- a/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
@@ -24,6 +24,7 @@
 from trestlestall.forwarding import (
     descriptors,
     model,
+    origins,
     placement,
     routing,
     upstreams,
@@ -83,6 +84,8 @@
         self.relay = relays.Relay(caller, arrived, self._on_first)
         self.return_seconds: float | None = None
         self.fallback_answer: tuple[attempts.AnswerHead, bytes] | None = None
+        self.origin: origins.Origin | None = None
+        self.placed: placement.Placed | None = None
         self.successor: placement.Placed | None = None
         self.was_silent = False
         self.has_lost_path = False
@@ -136,6 +139,7 @@
         if self.caller.left:
             self.handler.placing.withdraw(self.descriptor)
             raise callers.CallerLeft()
+        self.placed = found
         self.tried.append(found.row.identity)
         self.excluded.add(found.row.identity)
         self.handler.signals.record_placed(found)
@@ -255,6 +259,8 @@
         return None
 
     def _on_first(self) -> None:
+        row = self.placed.row
+        self.origin = self.origin or origins.Origin(row.service, row.version)
         self.handler.placing.record_first(self.descriptor, self._count_start())
 
     def _count_start(self) -> tuple:
--- a/packages/daemon/src/trestlestall/daemon/gateway/progress.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/progress.py
@@ -19,7 +19,7 @@
     signal_tracker,
     usage as gateway_usage,
 )
-from trestlestall.forwarding import descriptors, model, placement
+from trestlestall.forwarding import descriptors, model, origins, placement
 
 #: Returns whether data of the upstream waits to be read.
 HasArrived = abc.Callable[[], bool]
@@ -56,6 +56,7 @@
     ``tried`` are the upstreams that it was sent to, ``excluded`` those of them to which
     it is not sent again. ``fallback_answer`` is the response of a failed run, which is
     forwarded if no other run succeeds. ``sent_at`` is when the request was last sent.
+    ``origin`` is the software that wrote its first event; None before that.
     ``successor`` is the upstream that takes it next, if one was chosen already.
     ``was_silent`` is whether the present one was silent for a timeout.
     """
@@ -77,6 +78,7 @@
     return_seconds: float | None
     fallback_answer: tuple[attempts.AnswerHead, bytes] | None
     sent_at: float
+    origin: origins.Origin | None
     successor: placement.Placed | None
     was_silent: bool
 
--- a/packages/daemon/src/trestlestall/daemon/gateway/selection.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/selection.py
@@ -17,7 +17,7 @@
     reachability,
     records,
 )
-from trestlestall.forwarding import brittleness, placement, rate_limits
+from trestlestall.forwarding import brittleness, origins, placement, rate_limits
 from trestlestall.wire import clocks
 
 #: Time that must be left before the deadline for a send to be worthwhile.
@@ -35,18 +35,34 @@
 
     ``purpose`` is one of those in ``placement_protocol``. Raises ``CallerLeft``.
     """
-    placer = forward.handler.placing
-    found = placer.place(forward.descriptor, forward.excluded, purpose)
+    found = place(forward, purpose)
     while isinstance(found, placement.Refused) and wait(forward, found):
         if purpose == placement_protocol.FIRST_SEND:
             # The scheduler has counted the request already.
             purpose = placement_protocol.REROUTED
-        found = placer.place(forward.descriptor, forward.excluded, purpose)
+        found = place(forward, purpose)
     if isinstance(found, placement.Refused):
         return explain_refusal(forward, found)
     return found
 
 
+def place(
+    forward: progress.Progress, purpose: str
+) -> placement.Placed | placement.Refused:
+    """Choose an upstream; for a stream that has begun, only one of its version."""
+    placer = forward.handler.placing
+    origin = forward.origin
+    if origin is None:
+        return placer.place(forward.descriptor, forward.excluded, purpose)
+    others = origins.list_others(origin, forward.view.table.rows.values())
+    found = placer.place(forward.descriptor, forward.excluded | others, purpose)
+    if isinstance(found, placement.Placed) and not origin.matches(found.row):
+        # The upstream, or its version, became known only during the choice.
+        placer.withdraw(forward.descriptor)
+        return placement.Refused(origins.NO_UPSTREAM, placement.RETURN_SECONDS)
+    return found
+
+
 def wait(forward: progress.Progress, refused: placement.Refused) -> bool:
     """Wait for a change after which the request is worth placing again.
 
@@ -102,4 +118,6 @@
     if refused.reason == rate_limits.LIMITED and unreachable:
         reason = rate_limits.LIMITED_WITHIN_REACH
         return dataclasses.replace(refused, reason=reason)
+    if refused.reason == placement.NO_UPSTREAM and forward.origin is not None:
+        return dataclasses.replace(refused, reason=origins.NO_UPSTREAM)
     return refused
--- a/packages/daemon/tests/gateway_bench.py
+++ b/packages/daemon/tests/gateway_bench.py
@@ -103,6 +103,7 @@
     def __init__(self, identity, script):
         self.identity = identity
         self.script = script
+        self.version = "v1"
         self.received = []
         self.ended = 0
         self.connections = 0
@@ -121,6 +122,7 @@
             f"127.0.0.1:{self.port}",
             "a",
             8,
+            version=self.version,
         )
 
     def accept(self):
--- a/packages/forwarding/src/trestlestall/forwarding/placement.py
+++ b/packages/forwarding/src/trestlestall/forwarding/placement.py
@@ -37,6 +37,8 @@
 RETURN_SECONDS = 1.0
 
 
+#: Why a request is refused if no upstream that may take it serves.
+NO_UPSTREAM = "no upstream"
 #: The source of a choice that the process made by its own cached view.
 OWN = "own"
 
@@ -146,7 +148,7 @@
         ]
         after = RETURN_SECONDS * (0.5 + compute_jitter(descriptor))
         if not rows:
-            return Refused("no upstream", after)
+            return Refused(NO_UPSTREAM, after)
         reachable = [row for row in rows if self.engines[row.identity].reachable]
         if not reachable:
             return Refused("no upstream within reach", after)
