A stream that a caller takes up goes on only at the version that began it

Cause: that a stream began, and at which software, was known to its gateway alone; the request that a caller named was read by nobody.

A gateway reports the first event of a stream that may be resumed to three directories, before it passes the event on: a digest of workspace and request, service, version, and for how long. It keeps the record itself and sends it to directories that link later. The gateway that a caller comes back to asks all linked directories at once, uses the first that knows, and places among that version alone. Not known is refused with 503 (not run) and a time to return.

Without a record it goes on only if one version alone can have begun it: a majority of the directories vouches that the service had no other one for longer than a stream lives. To make that true, a version that is new to a service serves once a majority has heard of it. Directories of the last build don't vouch, and hold nothing back.

--- a/packages/daemon/src/trestlestall/daemon/directory/arrivals.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/arrivals.py
@@ -7,7 +7,12 @@
 
 from trestlestall.agreement import events as agreement_events
 from trestlestall.daemon.control import calls, envelopes, group, machine as machines
-from trestlestall.wire import directory_messages, messages, tunnel_messages
+from trestlestall.wire import (
+    directory_messages,
+    messages,
+    stream_messages,
+    tunnel_messages,
+)
 
 if typing.TYPE_CHECKING:
     from trestlestall.daemon.directory import server as servers
@@ -104,6 +109,39 @@
     server.registrations.handle_versions(message)
 
 
+@handles(directory_messages.VersionProposed)
+def handle_proposed(
+    server: servers.Server, peer: str, message: directory_messages.VersionProposed
+) -> None:
+    """Record a version that another directory is about to let serve."""
+    server.registrations.handle_proposed(peer, message)
+
+
+@handles(messages.NotUnderstood)
+def handle_not_understood(
+    server: servers.Server, peer: str, message: messages.NotUnderstood
+) -> None:
+    """Handle the answer of an earlier build to a message that it does not know."""
+    if server.links.is_directory(peer):
+        server.registrations.handle_not_understood(peer, message.name)
+
+
+@handles(stream_messages.StreamsBegan)
+def handle_streams_began(
+    server: servers.Server, peer: str, message: stream_messages.StreamsBegan
+) -> None:
+    """Keep which software began streams."""
+    server.stream_registry.handle_began(message)
+
+
+@handles(stream_messages.StreamCall)
+def answer_stream_call(
+    server: servers.Server, peer: str, message: stream_messages.StreamCall
+) -> None:
+    """Tell a gateway which software began a stream."""
+    server.stream_registry.answer(peer, message)
+
+
 @handles(directory_messages.AnnouncedAnswer)
 def handle_announced_answer(
     server: servers.Server, peer: str, message: directory_messages.AnnouncedAnswer
--- a/packages/daemon/src/trestlestall/daemon/directory/endpoints.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/endpoints.py
@@ -195,6 +195,9 @@
     metrics.leads.set(int(server.leader == server.links.own))
     metrics.upstreams.set(len(server.registrations.table.rows))
     metrics.limited.set(len(server.advertised_limits.limits.list_limited()))
+    records = server.stream_registry.records
+    metrics.stream_records.set(len(records))
+    metrics.dropped_records.set(records.dropped)
     links = server.links
     metrics.links.set(len(links.list_directories()) + len(links.list_gateways()))
     metrics.suspended.set(server.suspensions.seconds)
--- a/packages/daemon/src/trestlestall/daemon/directory/metrics.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/metrics.py
@@ -49,6 +49,12 @@
         self.voters = self._gauge("directory_voters", "Voters of the group.")
         self.leads = self._gauge("directory_leads", "1 while this directory leads.")
         self.upstreams = self._gauge("directory_upstreams", "Upstreams that are known.")
+        self.stream_records = self._gauge(
+            "stream_records", "Streams whose version is kept."
+        )
+        self.dropped_records = self._gauge(
+            "stream_records_dropped", "Before their end, since the start."
+        )
         self.limited = self._gauge("upstreams_limited", "Those that state a limit.")
         self.links = self._gauge("links", "Open links to other processes.")
         self.suspended = self._gauge("host_suspended_seconds", "Since the start.")
--- a/packages/daemon/src/trestlestall/daemon/directory/registrations.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/registrations.py
@@ -2,7 +2,8 @@
 
 An ordinary announcement is acknowledged at once. One that takes an upstream out of
 service is acknowledged once a majority of the directories has it and has sent it on, so
-that every gateway linked to one of them knows.
+that every gateway linked to one of them knows. One that brings a version which is new
+to its service is distributed once a majority has heard of that version.
 """
 
 import dataclasses
@@ -12,8 +13,8 @@
 
 from trestlestall.daemon import announcements, events, logs
 from trestlestall.daemon.directory import links as directory_links
-from trestlestall.forwarding import upstreams
-from trestlestall.wire import clocks, directory_messages
+from trestlestall.forwarding import upstreams, version_history
+from trestlestall.wire import clocks, directory_messages, registry
 
 #: Seconds to wait for a majority; below the second after which upstreams try another
 #: directory.
@@ -22,11 +23,15 @@
 
 @dataclasses.dataclass
 class PendingAnnouncement:
-    """An announcement that waits for confirmations of other directories."""
+    """An announcement that waits for confirmations of other directories.
+
+    ``is_proposal`` is whether it proposes a version.
+    """
 
     needed: int
     confirmed: set[str]
     done: eventlet.event.Event
+    is_proposal: bool = False
 
 
 class Registrations:
@@ -45,6 +50,7 @@
         clock: abc.Callable[[], float] = clocks.read,
     ) -> None:
         self.table = upstreams.Table()
+        self.history = version_history.VersionHistory()
         self._links = links
         self._log = log
         self._count_voters = count_voters
@@ -55,6 +61,8 @@
 
     def announce(self, row: upstreams.Row) -> bool:
         """Register an announcement; false if too few directories confirmed it."""
+        if not self._introduce(row):
+            return False
         merged = self.table.merge(row, self._clock())
         self.table.expire_tombstones(self._clock())
         if merged is not None:
@@ -70,6 +78,43 @@
         self._notify_directories(row, 0)
         return True
 
+    def _introduce(self, row: upstreams.Row) -> bool:
+        """Tell a majority of a version that is new to its service.
+
+        Return whether the version may serve.
+        """
+        serves = row.state is upstreams.State.SERVING and row.version is not None
+        if not serves or not self.history.is_new(row):
+            return True
+        self.history.record_proposed(row.service, row.version, self._clock())
+        proposed = directory_messages.VersionProposed(0, row.service, row.version)
+
+        def send(token: int) -> None:
+            message = dataclasses.replace(proposed, token=token)
+            for peer in self._links.list_directories():
+                self._links.send(peer, message)
+
+        return self._ask_majority(send, is_proposal=True)
+
+    def handle_proposed(
+        self, peer: str, message: directory_messages.VersionProposed
+    ) -> None:
+        """Record a version that another directory is about to let serve."""
+        service, version = message.service, message.version
+        self.history.record_proposed(service, version, self._clock())
+        self._links.send(peer, directory_messages.AnnouncedAnswer(message.token))
+
+    def handle_not_understood(self, peer: str, name: str) -> None:
+        """Count a directory of an earlier build for all versions that are proposed.
+
+        It is never asked for the only version, so nothing relies on what it knows.
+        """
+        if name != registry.NAMES[directory_messages.VersionProposed]:
+            return
+        for token, pending in list(self._pending.items()):
+            if pending.is_proposal:
+                self.handle_answer(peer, directory_messages.AnnouncedAnswer(token))
+
     def _end_replaced(self, row: upstreams.Row) -> None:
         """End the incarnations whose address the upstream has taken over."""
         if row.state is upstreams.State.GONE:
@@ -145,15 +190,22 @@
                 self._links.send(peer, message)
 
     def _notify_majority(self, row: upstreams.Row) -> bool:
+        return self._ask_majority(lambda token: self._notify_directories(row, token))
+
+    def _ask_majority(
+        self, send: abc.Callable[[int], object], is_proposal: bool = False
+    ) -> bool:
+        """Send a message with a token; return whether a majority has confirmed it."""
         needed = self._count_voters() // 2
         if needed == 0:
             return True
         self._last_token += 1
         token = self._last_token
-        pending = PendingAnnouncement(needed, set(), eventlet.event.Event())
+        done = eventlet.event.Event()
+        pending = PendingAnnouncement(needed, set(), done, is_proposal)
         self._pending[token] = pending
         try:
-            self._notify_directories(row, token)
+            send(token)
             with eventlet.Timeout(MAJORITY_TIMEOUT_SECONDS, False):
                 return pending.done.wait()
             return False
@@ -167,6 +219,7 @@
 
     def _notify_gateways(self, rows: abc.Sequence[upstreams.Row]) -> None:
         self._on_rows_changed()
+        self.history.record(rows, self._clock())
         message = announcements.encode(rows, 0)
         gateways = self._links.list_gateways()
         self._send_versions(gateways, rows)
--- a/packages/daemon/src/trestlestall/daemon/directory/server.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/server.py
@@ -42,6 +42,7 @@
     retry_budget,
     scheduling,
     speed_exchange,
+    stream_registry,
 )
 from trestlestall.wire import messages
 
@@ -86,6 +87,13 @@
             self._update_scheduler_rows,
             env.clock.monotonic,
         )
+        self.stream_registry = stream_registry.StreamRegistry(
+            links,
+            self.registrations.table.rows.values,
+            self.registrations.history,
+            self.count_voters,
+            env.clock.monotonic,
+        )
         self._settings = settings
         self._env = env
         self._log = log
@@ -159,6 +167,7 @@
             self._start_voter(journal.group)
         elif self._settings.founding:
             self.retry_budget.ledger.record_first_start()
+            self.stream_registry.record_first_start()
 
     def suspend(self) -> None:
         """Continue without a disk: no votes, acknowledgements or confirmed reads."""
--- a/packages/daemon/src/trestlestall/daemon/events/forwarding.py
+++ b/packages/daemon/src/trestlestall/daemon/events/forwarding.py
@@ -92,6 +92,18 @@
     "Look at the upstream; if the retry budget is the reason, at the failures that used"
     " it up.",
 )
+TAKEN_UP = catalogue.declare(
+    "TS7009",
+    "stream_taken_up",
+    catalogue.Level.INFO,
+    "request route resumes last_event service version source reason seconds",
+    "A caller takes up a stream, naming in resumes the request that began it. service"
+    " and version are of the software that began it, so only its upstreams go on;"
+    " source is who knew it: a directory, own for this gateway, or the only version"
+    " that has served for longer than the stream can last. reason says why it was"
+    " refused instead, and seconds how long finding out took.",
+    "Many that are not known: compare links and stream_records of the directories.",
+)
 UPSTREAM_CHANGED = catalogue.declare(
     "TS7010",
     "upstream_row",
--- a/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
@@ -20,6 +20,7 @@
     retry_rules,
     selection,
     signal_tracker,
+    takeups,
 )
 from trestlestall.forwarding import (
     descriptors,
@@ -101,7 +102,11 @@
         self.view.retry_ledger.record_request(self.descriptor.service, now)
         try:
             with self.caller.watch(self._on_caller_left):
-                self._run_attempts()
+                refused = takeups.resolve(self)
+                if refused is not None:
+                    final_answers.end_unplaced(self, refused, None)
+                else:
+                    self._run_attempts()
         except callers.CallerLeft:
             records.write_completed(self, 0, "caller_left", "")
             raise
@@ -261,6 +266,7 @@
     def _on_first(self) -> None:
         row = self.placed.row
         self.origin = self.origin or origins.Origin(row.service, row.version)
+        takeups.record_first(self)
         self.handler.placing.record_first(self.descriptor, self._count_start())
 
     def _count_start(self) -> tuple:
--- a/packages/daemon/src/trestlestall/daemon/gateway/links.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/links.py
@@ -14,12 +14,14 @@
     peers as gateway_peers,
     placing as placings,
     signal_tracker,
+    stream_origins,
     usage as gateway_usage,
 )
 from trestlestall.wire import (
     clocks,
     directory_messages,
     links as wire_links,
+    stream_messages,
     tunnel_messages,
 )
 
@@ -59,8 +61,10 @@
         signals: signal_tracker.UpstreamSignals,
         usage: gateway_usage.Usage,
         peers: gateway_peers.Peers,
+        origins: stream_origins.StreamOrigins,
     ) -> None:
         self.peers = peers
+        self.origins = origins
         self.view = view
         self.placing = placing
         self.crash_detector = crash_detector
@@ -92,6 +96,8 @@
         self.crash_detector.broadcast = self.signals.broadcast = self._broadcast
         self.peers.broadcast = self._broadcast
         self.peers.send_one = self._send_one
+        self.origins.send = self.mesh.send
+        self.origins.list_directories = self.mesh.linked
         self.mesh.start()
         self.add_directories(map(str, self._settings.directories))
         pulling = eventlet.spawn(self._pull_periodically)
@@ -173,6 +179,7 @@
             self.mesh.send(peer, self.crash_detector.report())
             for message in (*self.signals.report(), *self.peers.report()):
                 self.mesh.send(peer, message)
+            self.origins.resend(peer)
         else:
             self._linked_at.pop(peer, None)
             self._offers.pop(peer, None)
@@ -237,6 +244,14 @@
     links.placing.scheduler_client.handle_answer(message)
 
 
+@handles(stream_messages.StreamAnswer)
+def handle_stream_answer(
+    links: Links, directory: str, message: stream_messages.StreamAnswer
+) -> None:
+    """Pass on what a directory knows of a stream that is taken up."""
+    links.origins.handle_answer(directory, message)
+
+
 @handles(tunnel_messages.PeersAnswer)
 def handle_peers_answer(
     links: Links, directory: str, message: tunnel_messages.PeersAnswer
--- a/packages/daemon/src/trestlestall/daemon/gateway/metrics.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/metrics.py
@@ -65,6 +65,12 @@
             "Requests that were sent through a peer.",
             registry=self.registry,
         )
+        self.taken_up = prometheus_client.Counter(
+            "trestlestall_streams_taken_up",
+            "Streams that callers took up, by whether they may go on, or why not.",
+            ["outcome"],
+            registry=self.registry,
+        )
         self.first_event = self._time(
             "first", "Arrival to the first event or the answer."
         )
--- a/packages/daemon/src/trestlestall/daemon/gateway/process.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/process.py
@@ -86,6 +86,7 @@
             self.handler.signals,
             self._usage,
             self.handler.peers,
+            self.handler.origins,
         )
         self._tunnels = tunnel_server.TunnelServer(
             settings, self.view, self.handler.prober, self._metrics
--- a/packages/daemon/src/trestlestall/daemon/gateway/progress.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/progress.py
@@ -17,6 +17,7 @@
     refusals,
     relays,
     signal_tracker,
+    stream_origins,
     usage as gateway_usage,
 )
 from trestlestall.forwarding import descriptors, model, origins, placement
@@ -39,6 +40,7 @@
     crash_detector: crash_detection.CrashDetector
     signals: signal_tracker.UpstreamSignals
     placing: placing.Placing
+    origins: stream_origins.StreamOrigins
 
     def refuse(
         self,
--- a/packages/daemon/src/trestlestall/daemon/gateway/request_handler.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/request_handler.py
@@ -19,6 +19,7 @@
     reachability,
     refusals,
     signal_tracker,
+    stream_origins,
     usage as gateway_usage,
 )
 from trestlestall.forwarding import budgets, model, routing, startup, urgency
@@ -54,6 +55,7 @@
         self.crash_detector = crash_detection.CrashDetector(view, self.prober, metrics)
         self.signals = signal_tracker.UpstreamSignals(view, metrics)
         self.placing = placing.Placing(view, self.prober, self.find_retry_bound)
+        self.origins = stream_origins.StreamOrigins()
         self.started_at = clocks.read()
         self.refuse_at = 0.0
         self.stop_at: float | None = None
--- a/packages/daemon/tests/gateway_bench.py
+++ b/packages/daemon/tests/gateway_bench.py
@@ -100,10 +100,10 @@
     The connection is closed if the script returns False.
     """
 
-    def __init__(self, identity, script):
+    def __init__(self, identity, script, version="v1"):
         self.identity = identity
         self.script = script
-        self.version = "v1"
+        self.version = version
         self.received = []
         self.ended = 0
         self.connections = 0
@@ -291,9 +291,9 @@
         packed = zlib.compress(json.dumps({**document, "version": version}).encode())
         self.gateway.view.apply_declaration(version, packed, "test")
 
-    def add(self, identity, script):
+    def add(self, identity, script, **options):
         """Start an upstream and announce it to the gateway."""
-        made = Upstream(identity, script)
+        made = Upstream(identity, script, **options)
         self.stack.callback(made.stop)
         self.gateway.view.merge_rows((made.row,), "test")
         return made
--- a/packages/daemon/tests/test_directory.py
+++ b/packages/daemon/tests/test_directory.py
@@ -215,6 +215,43 @@
             # A repetition is already in the table, but must not count as acknowledged.
             self.assertFalse(made.announce(gone))
 
+    def check_proposed(self, confirm):
+        """Check that a new version is held back until it is confirmed."""
+        made = self.make(OTHERS)
+        answers = []
+        row = samples.make_row(version="v2")
+        waiting = eventlet.spawn(lambda: answers.append(made.announce(row)))
+        eventlet.sleep(0.05)
+        self.assertEqual(self.links.find(directory_messages.Announced, "gateway-1"), [])
+        self.assertEqual(answers, [])
+        (asked,) = self.links.find(directory_messages.VersionProposed, OTHERS[0])
+        confirm(made, asked.token)
+        waiting.wait()
+        self.assertEqual(answers, [True])
+        (told,) = self.links.find(directory_messages.UpstreamVersions, "gateway-1")
+        self.assertEqual(told.pairs, (("u1", "v2"),))
+        self.assertTrue(made.announce(samples.make_row("u2", version="v2")))
+
+    def test_a_version_that_is_new_serves_once_a_majority_has_heard_of_it(self):
+        self.check_proposed(
+            lambda made, token: made.handle_answer(
+                OTHERS[0], directory_messages.AnnouncedAnswer(token)
+            )
+        )
+
+    def test_a_directory_of_an_earlier_build_holds_no_new_version_back(self):
+        self.check_proposed(
+            lambda made, token: made.handle_not_understood(
+                OTHERS[0], "version_proposed"
+            )
+        )
+
+    def test_a_version_that_is_new_does_not_serve_without_a_majority(self):
+        made = self.make([])
+        with mock.patch.object(registrations, "MAJORITY_TIMEOUT_SECONDS", 0.05):
+            self.assertFalse(made.announce(samples.make_row(version="v2")))
+        self.assertEqual(made.table.rows, {})
+
     def test_rows_from_another_directory_are_forwarded_and_confirmed(self):
         made = self.make(OTHERS)
         made.handle_announced(OTHERS[0], announcements.encode([samples.make_row()], 9))
--- a/packages/wire/src/trestlestall/wire/directory_messages.py
+++ b/packages/wire/src/trestlestall/wire/directory_messages.py
@@ -61,6 +61,19 @@
     pairs: tuple[typing.Any, ...]
 
 
+@registry.register("version_proposed")
+@dataclasses.dataclass(frozen=True)
+class VersionProposed:
+    """A version that is new to its service; confirmed by an ``AnnouncedAnswer``.
+
+    It serves once a majority of the directories has confirmed it.
+    """
+
+    token: int
+    service: str
+    version: str
+
+
 @registry.register("announced_answer")
 @dataclasses.dataclass(frozen=True)
 class AnnouncedAnswer:
--- a/packages/wire/tests/test_codec.py
+++ b/packages/wire/tests/test_codec.py
@@ -10,6 +10,7 @@
     exceptions,
     messages,
     registry,
+    stream_messages,
     tunnel_messages,
 )
 
@@ -41,6 +42,10 @@
         3, (["u1", 4, 0, "work", "127.0.0.1:8000", "a", 8, 0.5],)
     ),
     directory_messages.UpstreamVersions((["u1", "v1"],)),
+    stream_messages.StreamsBegan(([b"k" * 12, "llm", "v1", 15.0],)),
+    stream_messages.StreamCall(4, b"k" * 12, "llm", 15.0),
+    stream_messages.StreamAnswer(4, ("llm", "v1"), None, 60.0, 3),
+    directory_messages.VersionProposed(2, "llm", "v1"),
     directory_messages.AnnouncedAnswer(3),
     directory_messages.PlaceCall(4, ("r1", "work", 0, 0.25), ("u1",)),
     directory_messages.PlaceCall(4, ("r1", "work", 0, 0.25), ("u1",), "repeat"),
@@ -84,7 +89,7 @@
 
 class RoundTripTest(unittest.TestCase):
     def test_every_message_survives_a_round_trip(self) -> None:
-        modules = (messages, directory_messages, tunnel_messages)
+        modules = (messages, directory_messages, stream_messages, tunnel_messages)
         names = {module.__name__ for module in modules}
         own = {kind for kind in registry.NAMES if kind.__module__ in names}
         self.assertEqual({type(sample) for sample in SAMPLES}, own)
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+import signal
 import tempfile
 import time
 import unittest
@@ -98,3 +99,102 @@
         first, second = self.system.gateways[:2]
         self.callers.run(4.0, lambda: self.kill_gateways(first, second, after=1.3))
         self.check_streams(least_taken_up=8)
+
+    def test_a_stream_goes_on_after_the_gateway_of_its_second_try_is_gone_as_well(self):
+        first, second, third = self.system.gateways[:3]
+
+        def kill():
+            time.sleep(1.0)
+            self.kill_gateways(first, second, third, after=0.5)
+
+        self.callers.run(4.0, kill)
+        self.check_streams(least_taken_up=8)
+        most = max(len(one.list_takeups()) for one in self.callers.streams)
+        self.assertGreaterEqual(most, 2)
+
+    def test_a_stream_goes_on_without_its_gateway_and_the_directory_that_places(self):
+        placing = min(self.system.names, key=lambda one: str(self.system.links[one]))
+
+        def kill():
+            time.sleep(1.5)
+            self.system.running[placing].kill()
+            self.system.running[self.system.gateways[0]].kill()
+
+        self.callers.run(4.0, kill)
+        self.check_streams(least_taken_up=4)
+
+
+class LostDirectoriesTest(VersionsCase):
+    def check_refusals(self):
+        """Check that what was refused has not run, and that callers may come back."""
+        seen = {request for one in self.made for request, _ in one.seen}
+        for stream in self.callers.streams:
+            for one in stream.tries:
+                if one.status == 503:
+                    self.assertNotIn(one.request, seen)
+                    self.assertIn("Retry-After", one.headers)
+
+    def test_no_stream_is_of_two_versions_after_all_directories_started_again(self):
+        def restart():
+            time.sleep(1.0)
+            for name in self.system.names:
+                self.system.running[name].kill()
+            for name in self.system.names:
+                self.system.start_directory(name)
+            self.kill_gateways(*self.system.gateways[:2], after=0.3)
+
+        self.callers.run(4.0, restart)
+        self.check_versions()
+        self.check_refusals()
+
+    def test_a_gateway_that_no_directory_answers_goes_on_with_what_it_began_only(self):
+        def stop():
+            time.sleep(1.0)
+            for name in self.system.names:
+                self.system.running[name].send_signal(signal.SIGSTOP)
+            self.kill_gateways(*self.system.gateways[:2], after=0.2)
+            time.sleep(2.5)
+            for name in self.system.names:
+                self.system.running[name].send_signal(signal.SIGCONT)
+
+        self.callers.run(4.0, stop)
+        self.check_versions()
+        self.check_refusals()
+
+
+class LastUpstreamTest(VersionsCase):
+    upstreams = 3
+
+    def test_streams_of_a_version_that_is_gone_are_refused_and_others_served(self):
+        def stop():
+            time.sleep(1.5)
+            self.made[1].stop()
+
+        self.callers.run(4.0, stop)
+        self.check_versions()
+        cut = [one for one in self.callers.streams if one.versions == {VERSIONS[1]}]
+        tries = [made for one in cut for made in one.list_takeups()]
+        self.assertEqual({made.status for made in tries}, {503})
+        begun, new = self.callers.count_begun()
+        self.assertEqual(begun, new)
+
+
+class OneVersionTest(VersionsCase):
+    def add(self, identity, version, **options):
+        return super().add(identity, VERSIONS[0], **options)
+
+    def test_all_streams_go_on_while_there_is_one_version(self):
+        self.callers.run(3.0, lambda: self.kill_gateways(*self.system.gateways[:2]))
+        self.check_streams(least_taken_up=8)
+
+    def test_callers_who_name_no_first_request_go_on_while_there_is_one_version(self):
+        make = self.callers.make_headers
+
+        def make_without(stream):
+            headers = make(stream)
+            headers.pop(versioned_streams.RESUMES, None)
+            return headers
+
+        self.callers.make_headers = make_without
+        self.callers.run(3.0, lambda: self.kill_gateways(*self.system.gateways[:2]))
+        self.check_streams(least_taken_up=8)
--- a/tests/versioned_streams.py
+++ b/tests/versioned_streams.py
@@ -40,10 +40,21 @@
 class Upstream:
     """One upstream of one software version; ``break_share`` of streams break midway.
 
-    It resumes whatever it is asked for, and doesn't check who began.
+    It announces itself from ``silent_seconds`` after its start on. It resumes whatever
+    it is asked for, and doesn't check who began.
     """
 
-    def __init__(self, ports, identity, version, break_share=0.0, port=0, born=0):
+    def __init__(
+        self,
+        ports,
+        identity,
+        version,
+        break_share=0.0,
+        port=0,
+        born=0,
+        silent_seconds=0.0,
+    ):
+        self.silent_seconds = silent_seconds
         self.ports = ports
         self.identity = identity
         self.version = version
@@ -116,8 +127,10 @@
     def announce_periodically(self):
         """Announce this upstream periodically until it is stopped."""
         sequence = 0
-        while not self.stopped.wait(ANNOUNCE_SECONDS if sequence else 0.0):
+        pause = self.silent_seconds
+        while not self.stopped.wait(pause):
             sequence += 1
+            pause = ANNOUNCE_SECONDS
             self.announce(sequence)
 
     def announce(self, sequence):
