The own interface resumes a stream only at the version that began it

An engine that announces none stands with the others that announce none, as before.

The new test resumed at v2 before.

--- a/packages/membership/src/trestlestall/membership/documents.py
+++ b/packages/membership/src/trestlestall/membership/documents.py
@@ -50,7 +50,21 @@
 
 def encode_upstream(upstream: upstreams.Upstream) -> dict[str, typing.Any]:
     """Return the announcement as a plain value, in the form that upstreams send."""
-    return msgspec.to_builtins(upstream, builtin_types=(bytes,))
+    return strip_version(msgspec.to_builtins(upstream, builtin_types=(bytes,)))
+
+
+def encode_row(row: rows.Row) -> dict[str, typing.Any]:
+    """Return the whole row as a plain value."""
+    form = msgspec.to_builtins(row, builtin_types=(bytes,))
+    strip_version(form["upstream"])
+    return form
+
+
+def strip_version(form: dict[str, typing.Any]) -> dict[str, typing.Any]:
+    """Leave out a version that was not announced: earlier builds refuse the key."""
+    if not form["version"]:
+        del form["version"]
+    return form
 
 
 def decode_upstream(document: object) -> upstreams.Upstream | outcomes.Malformed:
@@ -66,9 +80,7 @@
 def encode_rows(updates: abc.Iterable[rows.Row | rows.Renewal]) -> tuple[object, ...]:
     """Return the rows and renewals as plain values."""
     return tuple(
-        encode_renewal(row)
-        if isinstance(row, rows.Renewal)
-        else msgspec.to_builtins(row, builtin_types=(bytes,))
+        encode_renewal(row) if isinstance(row, rows.Renewal) else encode_row(row)
         for row in updates
     )
 
--- a/packages/membership/src/trestlestall/membership/upstreams.py
+++ b/packages/membership/src/trestlestall/membership/upstreams.py
@@ -50,7 +50,8 @@
     ``incarnation`` grows with each start of the process (for example its start time in
     milliseconds), so that a restart under the same name and address is another
     upstream. ``address`` is ``IP:port``; ``slots`` is how many requests it runs at a
-    time.
+    time. ``version`` is that of its software, empty if it announces none: streams are
+    resumed only at the version that began them.
     """
 
     name: limits.Name
@@ -63,6 +64,7 @@
     capabilities: Capabilities = Capabilities()
     slots: limits.Count = 1
     report: Report = Report()
+    version: limits.Text = ""
 
 
 def with_report(upstream: Upstream, report: Report) -> Upstream:
@@ -82,6 +84,7 @@
         upstream.capabilities,
         upstream.slots,
         report,
+        upstream.version,
     )
 
 
--- a/packages/policy/src/trestlestall/policy/core.py
+++ b/packages/policy/src/trestlestall/policy/core.py
@@ -129,6 +129,7 @@
         attempt.floor = priority != job.tier
         attempt.non_preemptible = attempt.floor or not upstream.capabilities.priorities
         attempt.sampled_at = now
+        attempt.version = upstream.version
         job.attempts.append(attempt)
         self.attempts[name] = attempt
         load.add(job.tier, attempt.floor, now)
--- a/packages/policy/src/trestlestall/policy/endings.py
+++ b/packages/policy/src/trestlestall/policy/endings.py
@@ -126,7 +126,8 @@
     ) -> choice.Selection | None:
         """Return the same upstream if it is still live, else another that can resume.
 
-        An upstream that refused to resume is excluded.
+        It has to be of the version that began the stream. An upstream that refused to
+        resume is excluded.
         """
         if not attempt.job.delivered:
             return None
@@ -138,6 +139,7 @@
             if load.upstream.capabilities.resume
             and now >= load.backoff_until
             and (load is not same or not refused)
+            and load.upstream.version == attempt.version
         ]
         if not candidates:
             return None
--- a/packages/policy/src/trestlestall/policy/jobs.py
+++ b/packages/policy/src/trestlestall/policy/jobs.py
@@ -20,8 +20,9 @@
     """One send of a request to one upstream.
 
     ``tokens`` counts answer tokens from the answer's first; a resumed attempt begins at
-    ``resumed_at``. ``floor`` says that it was sent under its class's floor,
-    ``non_preemptible`` that its upstream would not preempt it for more urgent work.
+    ``resumed_at``. ``version`` is that of its upstream's software. ``floor`` says that
+    it was sent under its class's floor, ``non_preemptible`` that its upstream would not
+    preempt it for more urgent work.
     """
 
     name: str
@@ -37,6 +38,7 @@
     first_at: float | None = None
     sampled_at: float = 0.0
     sampled_tokens: int = 0
+    version: str = ""
 
     @property
     def started(self) -> bool:
--- a/packages/policy/tests/test_attempts.py
+++ b/packages/policy/tests/test_attempts.py
@@ -1,5 +1,6 @@
 """Attempts: at most once, right caller, complete answers, budgets, removals."""
 
+import dataclasses
 import unittest
 
 from packages.policy.tests import drivers
@@ -131,6 +132,22 @@
                 if isinstance(last, actions.Fail):
                     self.assertEqual(actions.OUTCOME_UNKNOWN, last.code)
 
+    def test_a_stream_is_resumed_only_at_the_version_that_began_it(self):
+        """Guards against a stream that holds tokens of two software versions."""
+        for version, expected in (("v1", [actions.Resume]), ("v2", [actions.Fail])):
+            policy = router_policy.Policy(1)
+            one, other = make_view("u1", "u2", resume=True).upstreams
+            one = dataclasses.replace(one, version="v1")
+            [first] = arrive(policy, "r", QUESTION, arrivals.View((one,)))
+            policy.progress(first.attempt, 5, 0.2)
+            other = dataclasses.replace(other, version=version)
+            policy.tick(arrivals.View((other,)), 0.25)
+            decided = policy.finish(first.attempt, outcomes.Broken(), 5, 0.3)
+            kinds = [
+                type(one) for one in decided if not isinstance(one, actions.Wasted)
+            ]
+            self.assertEqual(kinds, expected)
+
     def test_a_request_that_may_have_run_never_fails_as_not_run(self):
         policy = router_policy.Policy(1)
         view = make_view("u1")
