Cached prefixes are fetched only from an engine of the same software version

The new test fetched across versions before. The simulated upstreams of the tests announce a version.

--- a/packages/forwarding/src/trestlestall/forwarding/fetching.py
+++ b/packages/forwarding/src/trestlestall/forwarding/fetching.py
@@ -1,5 +1,8 @@
 """Fetching the first blocks of a prompt from an engine that has cached them; pure.
 
+Blocks are fetched only from an engine of the same software version: another one may
+have laid them out in another way.
+
 An engine that lacks blocks of a prompt can fetch their prefilled state from another
 one before it prefills the rest. That takes a fraction of the time of prefill, and no
 time in which the engine prefills for others. Transfers queue on the links of both ends.
@@ -83,6 +86,8 @@
         tokens = source.tokens - cached
         if source.engine is engine or tokens < MIN_TOKENS:
             continue
+        if row.version is None or source.row.version != row.version:
+            continue
         link_seconds = SETUP_SECONDS + tokens * get_token_seconds(row, source)
         free_at = max(now, source.engine.link_free_at, engine.link_free_at)
         seconds = free_at - now + link_seconds
--- a/packages/forwarding/tests/test_fetching.py
+++ b/packages/forwarding/tests/test_fetching.py
@@ -31,14 +31,20 @@
     return dataclasses.replace(made, **changes)
 
 
-def make_placer(token_seconds=TOKEN_SECONDS, **data_centres):
-    """Return a placer of upstreams by name and data centre."""
+def make_placer(token_seconds=TOKEN_SECONDS, versions=None, **data_centres):
+    """Return a placer of upstreams by name and data centre.
+
+    ``versions`` are those of upstreams that are not of v1.
+    """
     engine = model.Engine(8, 400_000, token_seconds)
     service = model.Service("engines", "/healthz", 100, engine)
     configuration = samples.make_configuration(services={"engines": service})
     rows = [
         samples.make_row(
-            identity=name, address=f"10.0.0.{number}:80", data_centre=place
+            identity=name,
+            address=f"10.0.0.{number}:80",
+            data_centre=place,
+            version=(versions or {}).get(name, "v1"),
         )
         for number, (name, place) in enumerate(data_centres.items(), 1)
     ]
@@ -91,6 +97,12 @@
         self.fill(placer, "u1")
         self.assertEqual(self.place(placer).fetch_from, "")
 
+    def test_nothing_is_fetched_from_another_software_version(self):
+        placer = make_placer(versions={"u1": "v2"}, u1="a", u2="a")
+        prefill_at(placer, "u1")
+        self.fill(placer, "u1")
+        self.assertEqual(self.place(placer).fetch_from, "")
+
     def test_nothing_is_fetched_from_one_that_fails(self):
         placer = make_placer(u1="a", u2="a")
         prefill_at(placer, "u1")
--- a/packages/forwarding/tests/world.py
+++ b/packages/forwarding/tests/world.py
@@ -254,7 +254,14 @@
         self.configuration = model.Configuration(1, (), {SERVICE: declared})
         rows = [
             upstreams.Row(
-                name, 1, upstreams.State.SERVING, SERVICE, name, one.data_centre, slots
+                name,
+                1,
+                upstreams.State.SERVING,
+                SERVICE,
+                name,
+                one.data_centre,
+                slots,
+                version="v1",
             )
             for name, one in self.engines.items()
         ]
