A stream goes on only at a process that is proven to be the one announced

Before a request that goes on with a stream is sent, a directory must have received an announcement that is younger than a connection to the upstream which is still alive: its own, or another one on which data came since. Two processes can't listen at one address, so the one behind the connection announced itself. Asked of all directories, it takes a round trip for a connection that is older than the last announcement; else up to two announcements are waited for, and nothing is sent without a proof, so that a refusal is true. What a directory learned from another one does not count.

Without any directory a gateway goes on with no stream; the tests' gateway gets a directory that has heard all upstreams.

--- a/packages/daemon/src/trestlestall/daemon/directory/arrivals.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/arrivals.py
@@ -142,6 +142,14 @@
     server.stream_registry.answer(peer, message)
 
 
+@handles(stream_messages.HeardCall)
+def answer_heard_call(
+    server: servers.Server, peer: str, message: stream_messages.HeardCall
+) -> None:
+    """Tell a gateway when an upstream last announced itself."""
+    server.registrations.answer_heard(peer, message)
+
+
 @handles(directory_messages.AnnouncedAnswer)
 def handle_announced_answer(
     server: servers.Server, peer: str, message: directory_messages.AnnouncedAnswer
--- a/packages/daemon/src/trestlestall/daemon/directory/registrations.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/registrations.py
@@ -14,7 +14,12 @@
 from trestlestall.daemon import announcements, events, logs
 from trestlestall.daemon.directory import links as directory_links
 from trestlestall.forwarding import upstreams, version_history
-from trestlestall.wire import clocks, directory_messages, registry
+from trestlestall.wire import (
+    clocks,
+    directory_messages,
+    registry,
+    stream_messages,
+)
 
 #: Seconds to wait for a majority; below the second after which upstreams try another
 #: directory.
@@ -56,6 +61,7 @@
         self._count_voters = count_voters
         self._on_rows_changed = on_rows_changed
         self._clock = clock
+        self._heard_at: dict[str, float] = {}
         self._pending: dict[int, PendingAnnouncement] = {}
         self._last_token = 0
 
@@ -65,6 +71,7 @@
             return False
         merged = self.table.merge(row, self._clock())
         self.table.expire_tombstones(self._clock())
+        self._record_heard(row)
         if merged is not None:
             self._notify_gateways((merged,))
             self._send_versions(self._links.list_directories(), (merged,))
@@ -78,6 +85,22 @@
         self._notify_directories(row, 0)
         return True
 
+    def answer_heard(self, peer: str, call: stream_messages.HeardCall) -> None:
+        """Tell a gateway when an upstream last announced itself here.
+
+        What other directories heard does not count: its age is not known.
+        """
+        heard_at = self._heard_at.get(call.upstream)
+        seconds = None if heard_at is None else round(self._clock() - heard_at, 4)
+        self._links.send(peer, stream_messages.HeardAnswer(call.token, seconds))
+
+    def _record_heard(self, row: upstreams.Row) -> None:
+        known = self.table.rows.get(row.identity)
+        if known is not None and row.sequence >= known.sequence:
+            self._heard_at[row.identity] = self._clock()
+        for identity in self._heard_at.keys() - self.table.rows.keys():
+            del self._heard_at[identity]
+
     def _introduce(self, row: upstreams.Row) -> bool:
         """Tell a majority of a version that is new to its service.
 
--- a/packages/daemon/src/trestlestall/daemon/gateway/attempts.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/attempts.py
@@ -42,6 +42,11 @@
     timed_out: bool = False
 
 
+@dataclasses.dataclass(frozen=True)
+class NotProven(NotSent):
+    """Nothing was sent, as another process than the chosen one may answer."""
+
+
 @dataclasses.dataclass(frozen=True)
 class NotRun:
     """The upstream states that it did not start processing the request."""
@@ -109,7 +114,8 @@
     ``exchange`` records what is sent and heard. ``is_closed`` is true once the
     upstream, or its host, has closed the connection.
     ``find_extension`` is called when the upstream has been silent until a deadline; it
-    returns a later deadline, or None to break off the exchange.
+    returns a later deadline, or None to break off the exchange. ``may_send`` is called
+    with the connection before anything is sent.
     """
 
     def __init__(
@@ -120,6 +126,7 @@
         exchange: exchanges.Exchange,
         names: dialects.Headers,
         find_extension: abc.Callable[[], float | None],
+        may_send: abc.Callable[[connections.Connection], bool],
     ) -> None:
         self.row = row
         self.whole = False
@@ -131,6 +138,7 @@
         self._has_lost_path = False
         self._names = names
         self._find_extension = find_extension
+        self._may_send = may_send
         self._connection: connections.Connection | None = None
         self._sent = False
         self._aborted = False
@@ -147,6 +155,9 @@
         connection = self._begin(head.request_id, seconds)
         if isinstance(connection, connections.Unreachable):
             return NotSent(connection.reason, connection.timed_out)
+        if not self._may_send(connection):
+            self._pool.store(connection)
+            return NotProven("the upstream may have started again")
         self._connection = connection
         if self._aborted:
             connection.close()
--- a/packages/daemon/src/trestlestall/daemon/gateway/connections.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/connections.py
@@ -63,6 +63,8 @@
         self.exchanges = 0
         self.reusable_until = 0.0
         self.aborted = False
+        self.opened_at = self.received_at = clocks.read()
+        self.on_closed: abc.Callable[[Connection], object] = lambda connection: None
 
     def begin(self, request_id: str) -> None:
         """Prepare for the bytes of a request; raises ``OSError``."""
@@ -74,7 +76,10 @@
 
     def receive(self, seconds: float) -> bytes:
         """Return the next bytes, or none at an orderly end; raises ``OSError``."""
-        return receive(self.socket, seconds)
+        data = receive(self.socket, seconds)
+        if data:
+            self.received_at = clocks.read()
+        return data
 
     def is_readable(self) -> bool:
         """Return whether data, an end of file or an error is pending."""
@@ -88,6 +93,7 @@
 
     def close(self) -> None:
         """Close the connection."""
+        self.on_closed(self)
         self.abort()
         self.socket.close()
 
@@ -102,6 +108,7 @@
     def __init__(self, clock: abc.Callable[[], float] = clocks.read) -> None:
         self._clock = clock
         self._idle: dict[str, list[Connection]] = {}
+        self._open: dict[str, set[Connection]] = {}
         self.opened = 0
 
     def take(self, address: str) -> Connection | None:
@@ -120,7 +127,20 @@
         if isinstance(opened, Unreachable):
             return opened
         self.opened += 1
-        return Connection(address, opened)
+        made = Connection(address, opened)
+        made.on_closed = self._forget
+        self._open.setdefault(address, set()).add(made)
+        return made
+
+    def list_open(self, address: str) -> list[Connection]:
+        """Return the connections to an address that are open, idle or in use."""
+        return list(self._open.get(address, ()))
+
+    def _forget(self, connection: Connection) -> None:
+        remaining = self._open.get(connection.address, set())
+        remaining.discard(connection)
+        if not remaining:
+            self._open.pop(connection.address, None)
 
     def store(self, connection: Connection) -> None:
         """Keep a new connection that was opened to check the way to an upstream."""
--- a/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
@@ -10,9 +10,11 @@
     attempts,
     cached_view,
     callers,
+    connections,
     failover,
     final_answers,
     heads,
+    identity_proofs,
     outcomes,
     progress,
     records,
@@ -87,6 +89,7 @@
         self.fallback_answer: tuple[attempts.AnswerHead, bytes] | None = None
         self.origin: origins.Origin | None = None
         self.placed: placement.Placed | None = None
+        self.proof_until: float | None = None
         self.successor: placement.Placed | None = None
         self.was_silent = False
         self.has_lost_path = False
@@ -173,6 +176,7 @@
                     exchange,
                     names,
                     lambda: self._find_extension(placed.row),
+                    self._may_send,
                 )
                 outcome = self._exchange(placed)
                 if isinstance(outcome, attempts.AnswerHead):
@@ -263,10 +267,28 @@
         final_answers.send_answer(self, head, body)
         return None
 
+    def _may_send(self, connection: connections.Connection) -> bool:
+        """Return whether an upstream is the one that was chosen, as far as it matters.
+
+        A stream that goes on must not meet another version at the same address.
+        """
+        if self.origin is None:
+            return True
+        if self.proof_until is None:
+            self.proof_until = clocks.read() + identity_proofs.PATIENCE_SECONDS
+        return self.handler.identities.prove(
+            self.descriptor.request_id,
+            self.placed.row,
+            self.origin,
+            connection,
+            min(self.proof_until, self.deadline - selection.MIN_LEFT_SECONDS),
+        )
+
     def _on_first(self) -> None:
-        row = self.placed.row
-        self.origin = self.origin or origins.Origin(row.service, row.version)
-        takeups.record_first(self)
+        if self.relay.events:
+            row = self.placed.row
+            self.origin = self.origin or origins.Origin(row.service, row.version)
+            takeups.record_first(self)
         self.handler.placing.record_first(self.descriptor, self._count_start())
 
     def _count_start(self) -> tuple:
@@ -291,6 +313,8 @@
         self, row: upstreams.Row, outcome: outcomes.Outcome | None
     ) -> None:
         """Update the cached view of the upstream by the outcome."""
+        if isinstance(outcome, attempts.NotProven):
+            return
         if isinstance(outcome, attempts.NotSent):
             self.handler.prober.mark_unreachable(row, outcome.reason, outcome.timed_out)
         elif isinstance(outcome, attempts.Broken) and outcome.path_lost:
--- a/packages/daemon/src/trestlestall/daemon/gateway/links.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/links.py
@@ -13,6 +13,7 @@
     crash_detection,
     peers as gateway_peers,
     placing as placings,
+    questions,
     signal_tracker,
     stream_origins,
     usage as gateway_usage,
@@ -62,9 +63,11 @@
         usage: gateway_usage.Usage,
         peers: gateway_peers.Peers,
         origins: stream_origins.StreamOrigins,
+        asking: questions.Questions,
     ) -> None:
         self.peers = peers
         self.origins = origins
+        self.questions = asking
         self.view = view
         self.placing = placing
         self.crash_detector = crash_detector
@@ -96,8 +99,8 @@
         self.crash_detector.broadcast = self.signals.broadcast = self._broadcast
         self.peers.broadcast = self._broadcast
         self.peers.send_one = self._send_one
-        self.origins.send = self.mesh.send
-        self.origins.list_directories = self.mesh.linked
+        self.questions.send = self.mesh.send
+        self.questions.list_directories = self.mesh.linked
         self.mesh.start()
         self.add_directories(map(str, self._settings.directories))
         pulling = eventlet.spawn(self._pull_periodically)
@@ -245,11 +248,14 @@
 
 
 @handles(stream_messages.StreamAnswer)
+@handles(stream_messages.HeardAnswer)
 def handle_stream_answer(
-    links: Links, directory: str, message: stream_messages.StreamAnswer
+    links: Links,
+    directory: str,
+    message: stream_messages.StreamAnswer | stream_messages.HeardAnswer,
 ) -> None:
-    """Pass on what a directory knows of a stream that is taken up."""
-    links.origins.handle_answer(directory, message)
+    """Pass an answer to the question that it belongs to."""
+    links.questions.handle_answer(directory, message)
 
 
 @handles(tunnel_messages.PeersAnswer)
--- a/packages/daemon/src/trestlestall/daemon/gateway/process.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/process.py
@@ -87,6 +87,7 @@
             self._usage,
             self.handler.peers,
             self.handler.origins,
+            self.handler.questions,
         )
         self._tunnels = tunnel_server.TunnelServer(
             settings, self.view, self.handler.prober, self._metrics
--- a/packages/daemon/src/trestlestall/daemon/gateway/progress.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/progress.py
@@ -11,6 +11,7 @@
     connections,
     crash_detection,
     heads,
+    identity_proofs,
     metrics as gateway_metrics,
     placing,
     reachability,
@@ -41,6 +42,7 @@
     signals: signal_tracker.UpstreamSignals
     placing: placing.Placing
     origins: stream_origins.StreamOrigins
+    identities: identity_proofs.IdentityProofs
 
     def refuse(
         self,
--- a/packages/daemon/src/trestlestall/daemon/gateway/request_handler.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/request_handler.py
@@ -13,9 +13,11 @@
     crash_detection,
     forwards,
     heads,
+    identity_proofs,
     metrics as gateway_metrics,
     peers,
     placing,
+    questions,
     reachability,
     refusals,
     signal_tracker,
@@ -55,7 +57,11 @@
         self.crash_detector = crash_detection.CrashDetector(view, self.prober, metrics)
         self.signals = signal_tracker.UpstreamSignals(view, metrics)
         self.placing = placing.Placing(view, self.prober, self.find_retry_bound)
-        self.origins = stream_origins.StreamOrigins()
+        self.questions = questions.Questions()
+        self.origins = stream_origins.StreamOrigins(self.questions)
+        self.identities = identity_proofs.IdentityProofs(
+            view, self.pool, self.questions
+        )
         self.started_at = clocks.read()
         self.refuse_at = 0.0
         self.stop_at: float | None = None
--- a/packages/daemon/src/trestlestall/daemon/gateway/stream_origins.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/stream_origins.py
@@ -7,13 +7,11 @@
 
 import dataclasses
 import hashlib
-import itertools
-import typing
 from collections import abc
 
 import eventlet
-import eventlet.event
 
+from trestlestall.daemon.gateway import questions
 from trestlestall.forwarding import origins, stream_records
 from trestlestall.wire import clocks, stream_messages
 
@@ -21,8 +19,6 @@
 COPIES = 3
 #: Records that a gateway keeps, and sends to a newly linked directory.
 OWN_LIMIT = 2_000
-#: Seconds to wait for answers to one question; most come within milliseconds.
-ANSWER_SECONDS = 0.25
 #: Seconds for which a record is asked for that directories may yet be sent, and the
 #: pause between two questions.
 PATIENCE_SECONDS = 1.0
@@ -45,34 +41,29 @@
 UNKNOWN = Found(None)
 
 
-class Question:
-    """A question to several directories, and their answers so far."""
+class Answers:
+    """The answers of directories about one stream."""
 
-    def __init__(self, asked: int) -> None:
-        self.asked = asked
-        self.answers: list[stream_messages.StreamAnswer] = []
-        self.found: Found | None = None
-        self.done = eventlet.event.Event()
+    def __init__(self, by_directory: dict[str, stream_messages.StreamAnswer]) -> None:
+        self._by_directory = by_directory
+        self._answers = list(by_directory.values())
 
-    def record(self, directory: str, answer: stream_messages.StreamAnswer) -> None:
-        """Record an answer; the question is done with a record or with the last one."""
-        self.answers.append(answer)
-        if len(answer.origin) == 2:
-            self.found = self.found or Found(origins.Origin(*answer.origin), directory)
-        if not self.done.ready() and (
-            self.found is not None or len(self.answers) == self.asked
-        ):
-            self.done.send(None)
+    def find_record(self) -> Found:
+        """Return the origin that a directory has a record of."""
+        for directory, answer in self._by_directory.items():
+            if has_record(answer):
+                return Found(origins.Origin(*answer.origin), directory)
+        return UNKNOWN
 
     def has_majority(self) -> bool:
         """Return whether directories have answered that any majority intersects."""
-        voters = max((one.voters for one in self.answers), default=0)
-        return voters > 0 and len(self.answers) > voters // 2
+        voters = max((one.voters for one in self._answers), default=0)
+        return voters > 0 and len(self._answers) > voters // 2
 
     def is_final(self) -> bool:
         """Return whether later answers can't bring a record any more."""
         return self.has_majority() and all(
-            one.kept_seconds > SETTLING_SECONDS for one in self.answers
+            one.kept_seconds > SETTLING_SECONDS for one in self._answers
         )
 
     def find_sole(self, service: str) -> Found:
@@ -81,21 +72,18 @@
         A version that is new to a service serves only once a majority of the
         directories knows it, so a majority that knows only one settles it.
         """
-        versions = {one.sole for one in self.answers}
+        versions = {one.sole for one in self._answers}
         if not self.has_majority() or len(versions) != 1 or None in versions:
             return UNKNOWN
         return Found(origins.Origin(service, versions.pop()), SOLE)
 
 
 class StreamOrigins:
-    """The records of one gateway; ``send`` and ``list_directories`` come with links."""
+    """The records of one gateway, and its questions about others."""
 
-    def __init__(self) -> None:
-        self.send: abc.Callable[[str, typing.Any], bool] = drop_message
-        self.list_directories: abc.Callable[[], abc.Iterable[str]] = tuple
+    def __init__(self, asking: questions.Questions) -> None:
         self.records = stream_records.Records(OWN_LIMIT)
-        self._tokens = itertools.count(1)
-        self._questions: dict[int, Question] = {}
+        self._questions = asking
 
     def record(self, key: bytes, origin: origins.Origin, seconds: float) -> None:
         """Record a stream's first event, for as long as callers may take it up."""
@@ -104,22 +92,15 @@
         self.records.record(key, origin, seconds, clocks.read())
         row = stream_records.encode_row(key, origin, seconds)
         message = stream_messages.StreamsBegan((row,))
-        for directory in choose_holders(self.list_directories(), key):
-            self.send(directory, message)
+        for directory in choose_holders(self._questions.list_directories(), key):
+            self._questions.send(directory, message)
 
     def resend(self, directory: str) -> None:
         """Send the records to a newly linked directory."""
         rows = self.records.list_newest(OWN_LIMIT, clocks.read())
         if rows:
-            self.send(directory, stream_messages.StreamsBegan(tuple(rows)))
-
-    def handle_answer(
-        self, directory: str, answer: stream_messages.StreamAnswer
-    ) -> None:
-        """Pass an answer to the question that it belongs to."""
-        question = self._questions.get(answer.token)
-        if question is not None:
-            question.record(directory, answer)
+            message = stream_messages.StreamsBegan(tuple(rows))
+            self._questions.send(directory, message)
 
     def find(
         self,
@@ -141,28 +122,27 @@
                 return Found(own, OWN)
         until = min(until, clocks.read() + PATIENCE_SECONDS)
         while True:
-            question = self._ask(keys[0] if keys else b"", service, seconds)
-            found = question.found or question.find_sole(service)
+            answers = self._ask(keys[0] if keys else b"", service, seconds)
+            found = answers.find_record()
+            if found.origin is None:
+                found = answers.find_sole(service)
             is_over = clocks.read() + PAUSE_SECONDS >= until or not is_wanted()
-            if found.origin is not None or question.is_final() or is_over:
+            if found.origin is not None or answers.is_final() or is_over:
                 return found
             eventlet.sleep(PAUSE_SECONDS)
 
-    def _ask(self, key: bytes, service: str, seconds: float) -> Question:
-        """Ask all linked directories; return once that is decided, or time is over."""
-        token = next(self._tokens)
-        call = stream_messages.StreamCall(token, key, service, seconds)
-        linked = list(self.list_directories())
-        question = self._questions[token] = Question(len(linked))
-        try:
-            for directory in linked:
-                self.send(directory, call)
-            if linked:
-                with eventlet.Timeout(ANSWER_SECONDS, False):
-                    question.done.wait()
-        finally:
-            del self._questions[token]
-        return question
+    def _ask(self, key: bytes, service: str, seconds: float) -> Answers:
+        return Answers(
+            self._questions.ask(
+                lambda token: stream_messages.StreamCall(token, key, service, seconds),
+                has_record,
+            )
+        )
+
+
+def has_record(answer: stream_messages.StreamAnswer) -> bool:
+    """Return whether a directory has a record of the stream."""
+    return len(answer.origin) == 2
 
 
 def choose_holders(directories: abc.Iterable[str], key: bytes) -> list[str]:
@@ -172,8 +152,3 @@
         return hashlib.blake2b(key + directory.encode(), digest_size=8).digest()
 
     return sorted(directories, key=rank)[:COPIES]
-
-
-def drop_message(name: str, message: typing.Any) -> bool:
-    """Drop a message because there are no links yet."""
-    return False
--- a/packages/daemon/tests/gateway_bench.py
+++ b/packages/daemon/tests/gateway_bench.py
@@ -19,6 +19,7 @@
 from trestlestall.daemon.gateway import entrance, process
 from trestlestall.forwarding import upstreams
 from trestlestall.standins import addresses
+from trestlestall.wire import stream_messages
 
 __all__ = ["patching"]
 
@@ -283,9 +284,20 @@
             early(self.port)
         self.gateway = process.Gateway(made, env, accepting=accepting)
         stack.enter_context(self.gateway.open())
+        asking = self.gateway.handler.questions
+        asking.list_directories = lambda: ["directory-1"]
+        asking.send = self.hear
         if document is not None:
             self.declare(document)
 
+    def hear(self, directory, call):
+        """Answer as a directory that has just heard every upstream."""
+        if isinstance(call, stream_messages.HeardCall):
+            answer = stream_messages.HeardAnswer(call.token, float("-inf"))
+            handle = self.gateway.handler.questions.handle_answer
+            eventlet.spawn_n(handle, directory, answer)
+        return True
+
     def declare(self, document, version=1):
         """Apply a configuration."""
         packed = zlib.compress(json.dumps({**document, "version": version}).encode())
--- a/packages/daemon/tests/test_gateway_repeats.py
+++ b/packages/daemon/tests/test_gateway_repeats.py
@@ -12,7 +12,7 @@
 
 from trestlestall.daemon import placement_protocol
 from trestlestall.daemon.gateway import attempts, connections, placing
-from trestlestall.forwarding import upstreams
+from trestlestall.forwarding import origins, upstreams
 from trestlestall.wire import clocks
 
 
@@ -40,6 +40,11 @@
         self.assertEqual(self.bench.ask("/again/x")[2], "done")
         self.assertEqual(len(serving.received), 1)
 
+    def test_a_request_that_is_no_stream_is_retried_at_any_version(self):
+        self.bench.add("u1", bench.answer("", "", status="500 No"))
+        self.bench.add("u2", bench.answer("", "done"), version="v2")
+        self.assertEqual(self.bench.ask("/again/x")[2], "done")
+
     def test_a_forwarded_failure_counts_against_its_upstream(self):
         self.bench.add("u1", bench.answer("", "", status="500 No"))
         for _ in range(4):
@@ -278,6 +283,18 @@
         numbers = [line[4:] for line in text.split("\n") if line.startswith("id: ")]
         self.assertEqual(numbers, ["1", "2", "3", "4"])
 
+    def test_a_stream_that_broke_goes_on_at_no_other_version(self):
+        broken = bench.STREAM + bench.frame(bench.event(1), end=False)
+        self.bench.add("u1", bench.send(broken))
+        other = self.bench.add("u2", bench.send(broken), version="v2")
+        _, text = self.read_stream("/resume/x")
+        self.assertIn("id: 1", text)
+        self.assertFalse(text.endswith("0\r\n\r\n"))
+        resumed = [one for one in other.received if one.find("Last-Event-Id")]
+        self.assertEqual(resumed, [])
+        (line,) = self.bench.list_lines("forward_ended")
+        self.assertEqual(line["reason"], origins.NO_UPSTREAM)
+
     def test_a_stream_is_truncated_at_a_gap_after_resuming(self):
         def script(connection, received):
             numbers = (1, 2) if received.find("Last-Event-Id") is None else (4, 5)
--- a/packages/daemon/tests/test_takeups.py
+++ b/packages/daemon/tests/test_takeups.py
@@ -5,7 +5,7 @@
 import dataclasses
 
 from trestlestall.daemon.directory import stream_registry
-from trestlestall.daemon.gateway import stream_origins
+from trestlestall.daemon.gateway import questions, stream_origins
 from trestlestall.forwarding import (
     origins,
     stream_records,
@@ -38,10 +38,12 @@
         )
         self.silent = False
         self.asked = 0
+        # As if an announcement came in each moment.
+        self.heard_at = float("inf")
 
     def send(self, peer, answer):
         """Send an answer to the gateway."""
-        self.gateway.handler.origins.handle_answer(self.name, answer)
+        self.gateway.handler.questions.handle_answer(self.name, answer)
 
     def handle(self, message):
         """Handle a message of the gateway."""
@@ -49,6 +51,9 @@
             return
         if hasattr(message, "rows"):
             self.registry.handle_began(message)
+        elif isinstance(message, stream_messages.HeardCall):
+            seconds = clocks.read() - self.heard_at
+            self.send("", stream_messages.HeardAnswer(message.token, seconds))
         else:
             self.asked += 1
             self.registry.answer("gateway-1", message)
@@ -71,8 +76,8 @@
         names = ("d1", "d2", "d3")
         self.directories = {name: Directory(name, gateway) for name in names}
         self.linked = list(names)
-        self.origins.list_directories = lambda: self.linked
-        self.origins.send = self.send
+        gateway.handler.questions.list_directories = lambda: self.linked
+        gateway.handler.questions.send = self.send
         self.made = {}
         for number, version in enumerate(self.versions):
             made = self.bench.add(f"u{number}", go_on, version=version)
@@ -143,9 +148,10 @@
             headers = {"Last_Event_Id": "2", "Trestlestall_Resumes": "r-1"}
             self.assertEqual(self.take_up(**headers), (200, [version]))
 
-    def test_a_gateway_knows_the_streams_that_it_began_without_directories(self):
+    def test_a_gateway_knows_the_streams_that_it_began(self):
         _, (version,) = self.take_up()
-        self.linked.clear()
+        for directory in self.directories.values():
+            directory.registry.records = stream_records.Records()
         headers = {"Last_Event_Id": "2", "Trestlestall_Resumes": "r-1"}
         self.assertEqual(self.take_up(**headers), (200, [version]))
 
@@ -219,7 +225,7 @@
         self.record(names=("d2",))
         started = clocks.read()
         self.assertEqual(self.take_up(**FIRST), (200, ["v1"]))
-        self.assertLess(clocks.read() - started, stream_origins.ANSWER_SECONDS)
+        self.assertLess(clocks.read() - started, questions.ANSWER_SECONDS)
 
     def test_a_stream_without_an_upstream_of_its_version_is_refused_at_once(self):
         self.record()
@@ -289,3 +295,51 @@
         for directory in self.directories.values():
             directory.age(-98.0)
         self.check_refused(**FIRST)
+
+
+class IdentityTest(TakeUpCase):
+    """An upstream may have started again as another version at its address."""
+
+    versions = ("v1",)
+
+    def hear(self, seconds):
+        """Let the last announcement be that old from now on."""
+        for directory in self.directories.values():
+            directory.heard_at = clocks.read() - seconds
+
+    def test_a_stream_waits_for_an_announcement_that_is_younger_than_the_link(self):
+        self.hear(0.0)
+        bench.eventlet.spawn_after(0.6, self.hear, 0.0)
+        started = clocks.read()
+        self.assertEqual(self.take_up(**FIRST), (200, ["v1"]))
+        self.assertGreater(clocks.read() - started, 0.5)
+        (line,) = self.bench.list_lines("identity_proven")
+        self.assertEqual(line["version"], "v1")
+
+    def test_a_link_that_is_older_than_the_last_announcement_costs_no_wait(self):
+        self.assertEqual(self.take_up()[0], 200)
+        bench.eventlet.sleep(0.4)
+        self.hear(0.0)
+        bench.eventlet.sleep(0.1)
+        started = clocks.read()
+        self.assertEqual(self.take_up(**FIRST), (200, ["v1"]))
+        self.assertLess(clocks.read() - started, 0.1)
+
+    def test_a_stream_is_not_sent_to_an_upstream_that_no_directory_heard(self):
+        self.hear(1.0)
+        self.check_refused(**FIRST)
+        self.assertTrue(self.bench.list_lines("identity_unproven"))
+        self.assertEqual(self.bench.list_lines("upstream_unreachable"), [])
+
+    def test_an_upstream_that_announces_another_version_is_left_at_once(self):
+        self.hear(1.0)
+        other = dataclasses.replace(self.made["v1"].row, version="v2", sequence=2)
+        bench.eventlet.spawn_after(0.3, self.view.merge_rows, (other,), "test")
+        started = clocks.read()
+        self.check_refused(**FIRST)
+        self.assertLess(clocks.read() - started, 1.0)
+
+    def test_a_new_stream_needs_no_proof(self):
+        self.hear(1.0)
+        self.linked.clear()
+        self.assertEqual(self.take_up(), (200, ["v1"]))
--- a/packages/wire/src/trestlestall/wire/stream_messages.py
+++ b/packages/wire/src/trestlestall/wire/stream_messages.py
@@ -32,6 +32,24 @@
     seconds: float
 
 
+@registry.register("heard_call")
+@dataclasses.dataclass(frozen=True)
+class HeardCall:
+    """A gateway asks when an upstream last announced itself to the directory."""
+
+    token: int
+    upstream: str
+
+
+@registry.register("heard_answer")
+@dataclasses.dataclass(frozen=True)
+class HeardAnswer:
+    """Seconds since an upstream's last announcement here; None if there was none."""
+
+    token: int
+    seconds: float | None
+
+
 @registry.register("stream_answer")
 @dataclasses.dataclass(frozen=True)
 class StreamAnswer:
--- a/packages/wire/tests/test_codec.py
+++ b/packages/wire/tests/test_codec.py
@@ -44,6 +44,8 @@
     directory_messages.UpstreamVersions((["u1", "v1"],)),
     stream_messages.StreamsBegan(([b"k" * 12, "llm", "v1", 15.0],)),
     stream_messages.StreamCall(4, b"k" * 12, "llm", 15.0),
+    stream_messages.HeardCall(5, "u1"),
+    stream_messages.HeardAnswer(5, None),
     stream_messages.StreamAnswer(4, ("llm", "v1"), None, 60.0, 3),
     directory_messages.VersionProposed(2, "llm", "v1"),
     directory_messages.AnnouncedAnswer(3),
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -162,6 +162,33 @@
         self.check_refusals()
 
 
+class RebornTest(VersionsCase):
+    upstreams = 4
+
+    def start_as_other(self, old):
+        """Start an upstream under the identity and address of another one."""
+        other = VERSIONS[1 - VERSIONS.index(old.version)]
+        born = int(time.time() * 1000)
+        return self.add(
+            old.identity, other, port=old.port, born=born, silent_seconds=0.8
+        )
+
+    def test_no_stream_goes_on_at_an_upstream_that_started_again_as_another_version(
+        self,
+    ):
+        def crash():
+            time.sleep(1.5)
+            self.made[2].stop()
+            self.start_as_other(self.made[2])
+            time.sleep(0.1)
+            self.made[0].stop()
+
+        self.callers.run(3.0, crash)
+        self.check_versions()
+        cut = [one for one in self.callers.streams if one.list_takeups()]
+        self.assertGreater(len(cut), 0)
+
+
 class LastUpstreamTest(VersionsCase):
     upstreams = 3
 
--- a/tests/versioned_streams.py
+++ b/tests/versioned_streams.py
@@ -19,6 +19,7 @@
 EVENTS = 20
 EVENT_SECONDS = 0.05
 ANNOUNCE_SECONDS = 0.3
+STOP_POLL_SECONDS = 0.01
 #: Seconds after which a caller takes a stream up at another gateway.
 RETURN_SECONDS = 0.3
 TRIES = 6
@@ -97,8 +98,12 @@
         self.server = Server((gateways.HOST, port), Handler)
         self.port = self.server.server_address[1]
         self.address = f"{gateways.HOST}:{self.port}"
-        for work in (self.server.serve_forever, self.announce_periodically):
-            threading.Thread(target=work, daemon=True).start()
+        threading.Thread(target=self.serve, daemon=True).start()
+        threading.Thread(target=self.announce_periodically, daemon=True).start()
+
+    def serve(self):
+        """Accept connections until stopped, which is noticed soon."""
+        self.server.serve_forever(STOP_POLL_SECONDS)
 
     def answer(self, handler):
         """Stream the events after the last one that the request names."""
