--- a/packages/daemon/src/trestlestall/daemon/events/forwarding.py
+++ b/packages/daemon/src/trestlestall/daemon/events/forwarding.py
@@ -104,24 +104,6 @@
     " refused instead, and seconds how long finding out took.",
     "Many that are not known: compare links and stream_records of the directories.",
 )
-IDENTITY_PROVEN = catalogue.declare(
-    "TS7026",
-    "identity_proven",
-    catalogue.Level.INFO,
-    "request upstream address version seconds",
-    "An upstream goes on with a stream: an announcement that is younger than a"
-    " connection to it shows which version answers. seconds is how long the request"
-    " waited for that.",
-)
-IDENTITY_UNPROVEN = catalogue.declare(
-    "TS7027",
-    "identity_unproven",
-    catalogue.Level.WARNING,
-    "request upstream address version seconds",
-    "An upstream was chosen to go on with a stream, but may have started again as"
-    " another version since it was announced; the request was not sent there.",
-    "If this repeats, compare its announcements with the links of this gateway.",
-)
 UPSTREAM_CHANGED = catalogue.declare(
     "TS7010",
     "upstream_row",
@@ -264,6 +246,24 @@
     "request upstream address peer",
     "The request is sent through a peer, whose log has tunnel_used for it.",
 )
+IDENTITY_PROVEN = catalogue.declare(
+    "TS7026",
+    "identity_proven",
+    catalogue.Level.INFO,
+    "request upstream address version seconds",
+    "An upstream goes on with a stream: an announcement that is younger than a"
+    " connection to it shows which version answers. seconds is how long the request"
+    " waited for that.",
+)
+IDENTITY_UNPROVEN = catalogue.declare(
+    "TS7027",
+    "identity_unproven",
+    catalogue.Level.WARNING,
+    "request upstream address version seconds",
+    "An upstream was chosen to go on with a stream, but may have started again as"
+    " another version since it was announced; the request was not sent there.",
+    "If this repeats, compare its announcements with the links of this gateway.",
+)
 SCHEDULER_CHANGED = catalogue.declare(
     "TS7030",
     "arbiter_changed",
