A resumable stream avoids the last upstream of its version where costs are equal

A stream that begins at the last upstream of a version that leaves can't be taken up by anybody. Of upstreams with equal costs another one is chosen, so that no first event comes later for it.

--- a/packages/forwarding/src/trestlestall/forwarding/origins.py
+++ b/packages/forwarding/src/trestlestall/forwarding/origins.py
@@ -4,6 +4,7 @@
 stream goes on only at the service and the version that wrote its first event.
 """
 
+import collections
 import dataclasses
 from collections import abc
 
@@ -36,6 +37,16 @@
         return known and (row.service, row.version) == (self.service, self.version)
 
 
+def list_last(by_service: abc.Mapping[str, list[upstreams.Row]]) -> frozenset[str]:
+    """Return the upstreams that alone serve their version, beside others."""
+    found = set()
+    for rows in by_service.values():
+        counts = collections.Counter(row.version for row in rows)
+        if len(counts) > 1:
+            found |= {row.identity for row in rows if counts[row.version] == 1}
+    return frozenset(found)
+
+
 def list_others(origin: Origin, rows: abc.Iterable[upstreams.Row]) -> set[str]:
     """Return the upstreams of the service that may not go on with the stream."""
     return {
--- a/packages/forwarding/src/trestlestall/forwarding/placement.py
+++ b/packages/forwarding/src/trestlestall/forwarding/placement.py
@@ -21,6 +21,7 @@
     feature_flags,
     fetching,
     model,
+    origins,
     pooling,
     prefix_cache,
     remote_failures,
@@ -97,6 +98,7 @@
         self.rows: dict[str, upstreams.Row] = {}
         self.engines: dict[str, engines.Upstream] = {}
         self._by_service: dict[str, list[upstreams.Row]] = {}
+        self._last_of_version: frozenset[str] = frozenset()
         self._tasks: dict[str, engines.Upstream] = {}
         self._recent_blocks = prefix_cache.RecentBlocks()
         self._remote_failures = remote_failures.RemoteFailures()
@@ -115,6 +117,7 @@
             if row.state is upstreams.State.SERVING:
                 self._by_service.setdefault(row.service, []).append(row)
             self._ensure_engine(row, configuration)
+        self._last_of_version = origins.list_last(self._by_service)
         for identity in self.engines.keys() - self.rows.keys():
             if not self.engines[identity].tasks:
                 del self.engines[identity]
@@ -291,15 +294,22 @@
     ) -> Candidate:
         """Return the upstream of the least cost; among equal ones by rendezvous hash.
 
-        Blocks of the prompt may be fetched from all ``reachable`` upstreams.
+        Of equal ones, the last of its version takes a stream that may be resumed only
+        if there is no other one: nobody could go on with it. Blocks of the prompt may
+        be fetched from all ``reachable`` upstreams.
         """
         sources = fetching.list_sources(reachable, self.engines, descriptor)
         shortlist = shortlists.choose(rows, self.engines, descriptor)
         found = [self._evaluate(row, descriptor, sources, now) for row in shortlist]
         least = min(one.cost for one in found)
         equal = [one for one in found if one.cost == least]
+        last = self._last_of_version if descriptor.may_repeat else ()
         return min(
-            equal, key=lambda one: compute_rendezvous_hash(descriptor, one.row.identity)
+            equal,
+            key=lambda one: (
+                one.row.identity in last,
+                compute_rendezvous_hash(descriptor, one.row.identity),
+            ),
         )
 
     def _evaluate(
--- a/packages/forwarding/tests/test_placement.py
+++ b/packages/forwarding/tests/test_placement.py
@@ -37,6 +37,22 @@
         found = self.placer.place(samples.make_descriptor(), 0.0)
         self.assertIsInstance(found, placement.Refused)
 
+    def test_a_stream_avoids_the_last_upstream_of_its_version_where_costs_are_equal(
+        self,
+    ):
+        """Guards against a stream that nobody can go on with."""
+        rows = [
+            samples.make_row(f"u{number}", version="v2" if number == 2 else "v1")
+            for number in range(1, 4)
+        ]
+        self.placer.set_upstreams(rows, samples.make_configuration(), 0.0)
+        found = set()
+        for number in range(20):
+            found.add(self.place(f"r{number}", may_repeat=True))
+            self.placer.end(f"r{number}", 0.0)
+        self.assertEqual(found, {"u1", "u3"})
+        self.assertEqual(self.place("r", tried=("u1", "u3"), may_repeat=True), "u2")
+
     def test_equal_prefixes_go_where_they_are_cached(self):
         parts = (("shared", 5000), ("own-1", 10))
         first = self.place("r1", tokens=5010, parts=parts)
