A directory that links later confirms a version that is new to its service

Upstreams whose announcement proposes a version while all directories start waited for 0.8 s in vain, since the proposal went to linked directories alone; it is sent again to those that link meanwhile. Found by reading; the new test fails before. A version that did not change is not written again into a row, and old times of announcements are dropped only when there are some.

--- a/packages/daemon/src/trestlestall/daemon/directory/registrations.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/registrations.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import typing
 from collections import abc
 
 import eventlet.event
@@ -26,17 +27,22 @@
 MAJORITY_TIMEOUT_SECONDS = 0.8
 
 
+Confirmable = directory_messages.Announced | directory_messages.VersionProposed
+
+
 @dataclasses.dataclass
 class PendingAnnouncement:
-    """An announcement that waits for confirmations of other directories.
-
-    ``is_proposal`` is whether it proposes a version.
-    """
+    """A message that waits for confirmations of other directories."""
 
+    message: Confirmable
     needed: int
     confirmed: set[str]
     done: eventlet.event.Event
-    is_proposal: bool = False
+
+    @property
+    def is_proposal(self) -> bool:
+        """Whether it proposes a version."""
+        return isinstance(self.message, directory_messages.VersionProposed)
 
 
 class Registrations:
@@ -82,7 +88,7 @@
         self._end_replaced(row)
         if row.state is not upstreams.State.SERVING:
             return self._notify_majority(latest)
-        self._notify_directories(row, 0)
+        self._send_directories(announcements.encode((row,)))
         return True
 
     def answer_heard(self, peer: str, call: stream_messages.HeardCall) -> None:
@@ -98,8 +104,9 @@
         known = self.table.rows.get(row.identity)
         if known is not None and row.sequence >= known.sequence:
             self._heard_at[row.identity] = self._clock()
-        for identity in self._heard_at.keys() - self.table.rows.keys():
-            del self._heard_at[identity]
+        if len(self._heard_at) > len(self.table.rows):
+            for identity in self._heard_at.keys() - self.table.rows.keys():
+                del self._heard_at[identity]
 
     def _introduce(self, row: upstreams.Row) -> bool:
         """Tell a majority of a version that is new to its service.
@@ -110,14 +117,8 @@
         if not serves or not self.history.is_new(row):
             return True
         self.history.record_proposed(row.service, row.version, self._clock())
-        proposed = directory_messages.VersionProposed(0, row.service, row.version)
-
-        def send(token: int) -> None:
-            message = dataclasses.replace(proposed, token=token)
-            for peer in self._links.list_directories():
-                self._links.send(peer, message)
-
-        return self._ask_majority(send, is_proposal=True)
+        proposal = directory_messages.VersionProposed(0, row.service, row.version)
+        return self._ask_majority(proposal)
 
     def handle_proposed(
         self, peer: str, message: directory_messages.VersionProposed
@@ -147,7 +148,7 @@
             ended = upstreams.make_tombstone(replaced)
             merged = self.table.merge(ended, now)
             self._notify_gateways((merged,))
-            self._notify_directories(merged, 0)
+            self._send_directories(announcements.encode((merged,)))
 
     def handle_replaced(self, report: directory_messages.Replaced) -> None:
         """Handle a gateway's report that another incarnation answers at an address.
@@ -199,10 +200,13 @@
             pending.done.send(True)
 
     def send_all(self, peer: str) -> None:
-        """Send the complete table to a newly linked process."""
+        """Send a newly linked process the table, and what it has yet to confirm."""
         rows = list(self.table.rows.values())
         self._send_versions((peer,), rows)
         self._links.send(peer, announcements.encode(rows, 0))
+        if self._links.is_directory(peer):
+            for pending in self._pending.values():
+                self._links.send(peer, pending.message)
 
     def _send_versions(
         self, peers: abc.Iterable[str], rows: abc.Sequence[upstreams.Row]
@@ -213,30 +217,27 @@
                 self._links.send(peer, message)
 
     def _notify_majority(self, row: upstreams.Row) -> bool:
-        return self._ask_majority(lambda token: self._notify_directories(row, token))
+        return self._ask_majority(announcements.encode((row,)))
 
-    def _ask_majority(
-        self, send: abc.Callable[[int], object], is_proposal: bool = False
-    ) -> bool:
-        """Send a message with a token; return whether a majority has confirmed it."""
+    def _ask_majority(self, message: Confirmable) -> bool:
+        """Send a message to all directories; return whether a majority confirms it."""
         needed = self._count_voters() // 2
         if needed == 0:
             return True
         self._last_token += 1
         token = self._last_token
-        done = eventlet.event.Event()
-        pending = PendingAnnouncement(needed, set(), done, is_proposal)
+        message = dataclasses.replace(message, token=token)
+        pending = PendingAnnouncement(message, needed, set(), eventlet.event.Event())
         self._pending[token] = pending
         try:
-            send(token)
+            self._send_directories(message)
             with eventlet.Timeout(MAJORITY_TIMEOUT_SECONDS, False):
                 return pending.done.wait()
             return False
         finally:
             del self._pending[token]
 
-    def _notify_directories(self, row: upstreams.Row, token: int) -> None:
-        message = announcements.encode((row,), token)
+    def _send_directories(self, message: typing.Any) -> None:
         for peer in self._links.list_directories():
             self._links.send(peer, message)
 
--- a/packages/daemon/tests/test_directory.py
+++ b/packages/daemon/tests/test_directory.py
@@ -246,6 +246,20 @@
             )
         )
 
+    def test_a_directory_that_links_later_confirms_a_new_version(self):
+        """Guards against upstreams that wait when all directories start at once."""
+        made = self.make([])
+        answers = []
+        row = samples.make_row(version="v2")
+        waiting = eventlet.spawn(lambda: answers.append(made.announce(row)))
+        eventlet.sleep(0.05)
+        self.links.directories.append(OTHERS[0])
+        made.send_all(OTHERS[0])
+        (asked,) = self.links.find(directory_messages.VersionProposed, OTHERS[0])
+        made.handle_answer(OTHERS[0], directory_messages.AnnouncedAnswer(asked.token))
+        waiting.wait()
+        self.assertEqual(answers, [True])
+
     def test_a_version_that_is_new_does_not_serve_without_a_majority(self):
         made = self.make([])
         with mock.patch.object(registrations, "MAJORITY_TIMEOUT_SECONDS", 0.05):
--- a/packages/forwarding/src/trestlestall/forwarding/upstreams.py
+++ b/packages/forwarding/src/trestlestall/forwarding/upstreams.py
@@ -94,7 +94,8 @@
             self._record_receipt(row, now)
         merged = row if existing is None else merge_rows(existing, row)
         version = self._versions.record(row.identity, row.version)
-        merged = dataclasses.replace(merged, version=version)
+        if merged.version != version:
+            merged = dataclasses.replace(merged, version=version)
         if merged == existing:
             return None
         self.rows[row.identity] = self._latest[row.announced_name] = merged
