A request that waits for a proof is not sent to an upstream that drains meanwhile

The wait of up to two seconds could outlast the time in which a draining upstream still takes requests; the new test sent one there before. A caller who left ends the wait as well.

--- a/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
@@ -282,6 +282,7 @@
             self.origin,
             connection,
             min(self.proof_until, self.deadline - selection.MIN_LEFT_SECONDS),
+            lambda: not self.caller.left,
         )
 
     def _on_first(self) -> None:
--- a/packages/daemon/src/trestlestall/daemon/gateway/identity_proofs.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/identity_proofs.py
@@ -8,6 +8,8 @@
 listen at one address.
 """
 
+from collections import abc
+
 import eventlet
 
 from trestlestall.daemon import events
@@ -44,14 +46,16 @@
         origin: origins.Origin,
         connection: connections.Connection,
         until: float,
+        is_wanted: abc.Callable[[], bool],
     ) -> bool:
         """Return whether the process behind a connection is proven to be the row's.
 
-        A proof is waited for up to the clock reading ``until``.
+        A proof is waited for up to the clock reading ``until``, while ``is_wanted`` and
+        while the upstream serves.
         """
         started = clocks.read()
         is_proven = False
-        while not is_proven and self._is_current(row, origin):
+        while not is_proven and is_wanted() and self._is_current(row, origin):
             is_proven = self._is_proven(row, connection)
             if not is_proven:
                 if clocks.read() + PAUSE_SECONDS >= until:
@@ -61,10 +65,10 @@
         return is_proven
 
     def _is_current(self, row: upstreams.Row, origin: origins.Origin) -> bool:
-        """Return whether the row still counts, at the version that it had."""
+        """Return whether the upstream still serves, at the version that it had."""
         known = self._view.table.rows.get(row.identity)
-        is_gone = known is None or known.state is upstreams.State.GONE
-        return not is_gone and origin.matches(known)
+        serves = known is not None and known.state is upstreams.State.SERVING
+        return serves and origin.matches(known)
 
     def _is_proven(
         self, row: upstreams.Row, connection: connections.Connection
--- a/packages/daemon/tests/test_takeups.py
+++ b/packages/daemon/tests/test_takeups.py
@@ -339,6 +339,27 @@
         self.check_refused(**FIRST)
         self.assertLess(clocks.read() - started, 1.0)
 
+    def test_an_upstream_that_drains_meanwhile_gets_nothing(self):
+        self.hear(1.0)
+        drains = dataclasses.replace(
+            self.made["v1"].row, state=upstreams.State.DRAINING, sequence=2
+        )
+        bench.eventlet.spawn_after(0.3, self.view.merge_rows, (drains,), "test")
+        bench.eventlet.spawn_after(0.6, self.hear, -1.0)
+        self.check_refused(**FIRST)
+
+    def test_a_caller_who_leaves_before_the_proof_reaches_no_upstream(self):
+        self.hear(0.0)
+        caller = self.bench.call()
+        caller.ask("/resume/x", **FIRST)
+        bench.eventlet.sleep(0.2)
+        caller.close()
+        found = bench.wait_until(lambda: self.bench.list_lines("identity_unproven"))
+        self.assertTrue(found)
+        self.hear(-1.0)
+        bench.eventlet.sleep(0.3)
+        self.assertEqual(self.made["v1"].received, [])
+
     def test_a_new_stream_needs_no_proof(self):
         self.hear(1.0)
         self.linked.clear()
--- a/packages/forwarding/src/trestlestall/forwarding/stream_records.py
+++ b/packages/forwarding/src/trestlestall/forwarding/stream_records.py
@@ -14,7 +14,7 @@
 #: Bytes of a key: large enough that collisions occur neither by chance nor by intent.
 KEY_BYTES = 12
 #: Records that are kept, the newest: over a minute of streams at the largest planned
-#: deployment, some 25 MB.
+#: deployment, some 30 MB.
 RECORDS_LIMIT = 100_000
 #: The longest time for which a record is kept, in seconds.
 LONGEST_SECONDS = 600.0
