--- a/packages/daemon/src/trestlestall/daemon/gateway/attempts.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/attempts.py
@@ -11,7 +11,12 @@
 import h11
 
 from trestlestall.daemon import dialects
-from trestlestall.daemon.gateway import connections, exchanges, heads
+from trestlestall.daemon.gateway import (
+    answer_headers,
+    connections,
+    exchanges,
+    heads,
+)
 from trestlestall.forwarding import upstream_signals, upstreams
 from trestlestall.wire import clocks
 
@@ -19,7 +24,6 @@
 #: buffers. The rest is written concurrently with reading, because an upstream may
 #: respond before it has read the whole request.
 FIRST_WRITE_BYTES = 8192
-KEEP_ALIVE = "keep-alive"
 #: Responses to other requests that are skipped before the attempt counts as broken.
 MAX_FOREIGN_ANSWERS = 3
 MISDIRECTED = 421
@@ -257,7 +261,7 @@
         self, response: h11.Response, found: dict[str, str]
     ) -> AnswerHead | NotRun:
         status = response.status_code
-        signal = read_signal(response, self._names)
+        signal = answer_headers.read_signal(response, self._names)
         if self._names.not_run.lower() in found or status == MISDIRECTED:
             return NotRun(status, signal)
         headers = tuple(response.headers.raw_items())
@@ -308,7 +312,7 @@
         if not (self.whole and self._sent) or self._aborted:
             connection.close()
             return
-        seconds = read_keep_alive_seconds(head.found.get(KEEP_ALIVE)) if head else None
+        seconds = answer_headers.read_keep_alive_seconds(head.found) if head else None
         self._pool.release(connection, seconds)
 
     def _next_event(self, deadline: float) -> object:
@@ -356,29 +360,3 @@
         self._exchange.record_heard()
         self.is_closed = not data
         return data
-
-
-def read_signal(
-    response: h11.Response, names: dialects.Headers
-) -> upstream_signals.Signal:
-    """Return the upstream's signals; every value of a repeated header is considered."""
-    wanted = names.signal_headers
-    values: dict[str, list[str]] = {}
-    for raw, value in response.headers:
-        name = raw.decode("latin-1")
-        if name in (wanted.limit, wanted.leaves, wanted.rest, wanted.brittle):
-            values.setdefault(name, []).append(value.decode("latin-1"))
-    return upstream_signals.read(values, response.status_code, wanted)
-
-
-def read_keep_alive_seconds(value: str | None) -> float | None:
-    """Return after how many seconds the upstream closes an idle connection.
-
-    >>> read_keep_alive_seconds("timeout=5, max=100")
-    5.0
-    """
-    for part in (value or "").split(","):
-        name, _, seconds = part.strip().partition("=")
-        if name.lower() == "timeout":
-            return upstream_signals.read_decimal((seconds,))
-    return None
--- a/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
@@ -19,6 +19,7 @@
     progress,
     records,
     relays,
+    request_headers,
     retry_rules,
     selection,
     signal_tracker,
@@ -220,11 +221,8 @@
         return True if waited > self.route.first_seconds else None
 
     def _exchange(self, placed: placement.Placed) -> outcomes.Outcome:
-        names = self.handler.dialect.headers
         left = self.deadline - clocks.read()
-        headers = heads.list_forwarded(
-            self.head, names, self._build_headers(placed, left)
-        )
+        headers = request_headers.list_sent(self, placed, left)
         self.sends += 1
         self.sent_at = clocks.read()
         failed = self.attempt.send(self.head, headers, self.body, left)
@@ -354,22 +352,6 @@
             self.head, self.route, service, priority, data_centre, self.digest
         )
 
-    def _build_headers(self, placed: placement.Placed, left: float) -> dict[str, str]:
-        names = self.handler.dialect.headers
-        added = {
-            names.deadline: str(max(1, int(left * 1000))),
-            names.expected_upstream: placed.row.announced_name,
-        }
-        if placed.fetch_from:
-            added[names.fetch_from] = placed.fetch_from
-        if self.workspace is not None:
-            added[names.workspace] = self.workspace.name
-        if self.route.streams:
-            added[names.tier] = str(self.descriptor.rank)
-        if self.relay.last_event is not None:
-            added[names.last_event] = str(self.relay.last_event)
-        return added
-
     def _find_extension(self, row: upstreams.Row) -> float | None:
         """Return until when to wait on for a silent upstream; None to leave it."""
         if retry_rules.may_switch_upstream(self):
