An upstream gets the time that is left once its process is proven

The deadline was computed before the connection was opened and the proof waited for, so an upstream could get up to two seconds more than the caller waits; the new check saw 2,998 ms of 3,000 after a wait of 0.6 s. A connection is now opened first and the headers are made afterwards. A caller who leaves during the wait is no failure of the upstream. Found by reading.

--- a/packages/daemon/src/trestlestall/daemon/gateway/attempts.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/attempts.py
@@ -148,14 +148,8 @@
         self._aborted = False
         self._request: tuple[h11.Request, str] | None = None
 
-    def send(
-        self,
-        head: heads.Head,
-        headers: abc.Sequence[tuple[bytes, bytes]],
-        body: bytes,
-        seconds: float,
-    ) -> NotSent | Broken | None:
-        """Connect and send the request; return None unless that failed."""
+    def connect(self, head: heads.Head, seconds: float) -> NotSent | None:
+        """Open or take a connection; return None unless that failed."""
         connection = self._begin(head.request_id, seconds)
         if isinstance(connection, connections.Unreachable):
             return NotSent(connection.reason, connection.timed_out)
@@ -166,6 +160,17 @@
         if self._aborted:
             connection.close()
             return NotSent("the caller left")
+        return None
+
+    def send(
+        self,
+        head: heads.Head,
+        headers: abc.Sequence[tuple[bytes, bytes]],
+        body: bytes,
+        seconds: float,
+    ) -> Broken | None:
+        """Send the request on the connection; return None unless that failed."""
+        connection = self._connection
         if body or head.method not in (b"GET", b"HEAD", b"DELETE"):
             headers = [*headers, (b"Content-Length", str(len(body)).encode())]
         request = h11.Request(method=head.method, target=head.target, headers=headers)
--- a/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
@@ -211,7 +211,7 @@
         disconnected after waiting longer than the target for the first event counts as
         a failure.
         """
-        if self.has_lost_path:
+        if self.has_lost_path or isinstance(outcome, attempts.NotProven):
             return None
         if not self.caller.left:
             return outcomes.has_failed(outcome)
@@ -221,14 +221,15 @@
         return True if waited > self.route.first_seconds else None
 
     def _exchange(self, placed: placement.Placed) -> outcomes.Outcome:
-        left = self.deadline - clocks.read()
-        headers = request_headers.list_sent(self, placed, left)
+        self.sent_at = clocks.read()
+        not_sent = self.attempt.connect(self.head, self.deadline - self.sent_at)
+        if not_sent is not None:
+            return not_sent
         self.sends += 1
         self.sent_at = clocks.read()
+        left = self.deadline - self.sent_at
+        headers = request_headers.list_sent(self, placed, left)
         failed = self.attempt.send(self.head, headers, self.body, left)
-        if isinstance(failed, attempts.NotSent):
-            self.sends -= 1
-            return failed
         if self.attempt.peer:
             self.handler.metrics.relayed.inc()
             records.write_sent_by_peer(self, placed.row, self.attempt.peer)
--- a/packages/daemon/tests/test_takeups.py
+++ b/packages/daemon/tests/test_takeups.py
@@ -315,6 +315,9 @@
         self.assertGreater(clocks.read() - started, 0.5)
         (line,) = self.bench.list_lines("identity_proven")
         self.assertEqual(line["version"], "v1")
+        (received,) = self.made["v1"].received
+        given = int(received.find("Trestlestall-Deadline-Milliseconds"))
+        self.assertLess(given, 1000 * (3.0 - 0.5))
 
     def test_a_link_that_is_older_than_the_last_announcement_costs_no_wait(self):
         self.assertEqual(self.take_up()[0], 200)
