A directory that has just started takes no majority for one version away

Answers of directories that have kept records for too short a time are left out, and the others must still be a majority. The new test was refused before.

--- a/packages/daemon/src/trestlestall/daemon/gateway/stream_origins.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/stream_origins.py
@@ -55,28 +55,32 @@
                 return Found(origins.Origin(*answer.origin), directory)
         return UNKNOWN
 
-    def has_majority(self) -> bool:
-        """Return whether directories have answered that any majority intersects."""
-        voters = max((one.voters for one in self._answers), default=0)
-        return voters > 0 and len(self._answers) > voters // 2
-
     def is_final(self) -> bool:
         """Return whether later answers can't bring a record any more."""
-        return self.has_majority() and all(
-            one.kept_seconds > SETTLING_SECONDS for one in self._answers
-        )
+        return self._is_majority(self._list_settled(SETTLING_SECONDS))
 
-    def find_sole(self, service: str) -> Found:
+    def find_sole(self, service: str, seconds: float) -> Found:
         """Return the only version that may have begun any stream of the service.
 
         A version that is new to a service serves only once a majority of the
-        directories knows it, so a majority that knows only one settles it.
+        directories knows it, so a majority that knows only one of the last seconds
+        settles it. A directory that started since then does not count.
         """
-        versions = {one.sole for one in self._answers}
-        if not self.has_majority() or len(versions) != 1 or None in versions:
+        vouching = self._list_settled(seconds)
+        versions = {one.sole for one in vouching}
+        if not self._is_majority(vouching) or len(versions) != 1 or None in versions:
             return UNKNOWN
         return Found(origins.Origin(service, versions.pop()), SOLE)
 
+    def _list_settled(self, seconds: float) -> list[stream_messages.StreamAnswer]:
+        """Return the answers of directories that have kept records for that long."""
+        return [one for one in self._answers if one.kept_seconds > seconds]
+
+    def _is_majority(self, answers: list[stream_messages.StreamAnswer]) -> bool:
+        """Return whether any majority of the directories has one of these answers."""
+        voters = max((one.voters for one in self._answers), default=0)
+        return voters > 0 and len(answers) > voters // 2
+
 
 class StreamOrigins:
     """The records of one gateway, and its questions about others."""
@@ -125,7 +129,7 @@
             answers = self._ask(keys[0] if keys else b"", service, seconds)
             found = answers.find_record()
             if found.origin is None:
-                found = answers.find_sole(service)
+                found = answers.find_sole(service, seconds)
             is_over = clocks.read() + PAUSE_SECONDS >= until or not is_wanted()
             if found.origin is not None or answers.is_final() or is_over:
                 return found
--- a/packages/daemon/tests/test_takeups.py
+++ b/packages/daemon/tests/test_takeups.py
@@ -291,6 +291,11 @@
         self.directories["d2"].history.record_proposed("work", "v2", clocks.read())
         self.check_refused(**FIRST)
 
+    def test_a_directory_that_has_just_started_takes_no_majority_away(self):
+        """Guards against streams that are refused after one directory was killed."""
+        self.directories["d3"].age(-99.0)
+        self.check_goes_on()
+
     def test_directories_that_have_just_started_vouch_for_nothing(self):
         for directory in self.directories.values():
             directory.age(-98.0)
