--- a/packages/forwarding/tests/test_pools.py
+++ b/packages/forwarding/tests/test_pools.py
@@ -162,7 +162,12 @@
         service = model.Service("engines", "/healthz", 100, engine, scaling)
         configuration = samples.make_configuration(services={"engines": service})
         rows = [
-            samples.make_row(f"u{number}", slots=slots, data_centre="abcd"[number % 4])
+            samples.make_row(
+                f"u{number}",
+                slots=slots,
+                data_centre="abcd"[number % 4],
+                version="v1",
+            )
             for number in range(count)
         ]
         placer.set_upstreams(rows, configuration, 0.0)
