A version that announces itself all the while does not become new to its service

Versions were forgotten 700 s after the last change of a row, though their upstreams announced themselves: a directory in a long partition would then have refused their announcements, for want of a majority to hear of the version. Each announcement now counts. Found by reading; the new test fails before.

--- a/packages/daemon/src/trestlestall/daemon/directory/registrations.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/registrations.py
@@ -114,7 +114,10 @@
         Return whether the version may serve.
         """
         serves = row.state is upstreams.State.SERVING and row.version is not None
-        if not serves or not self.history.is_new(row):
+        if not serves:
+            return True
+        if not self.history.is_new(row):
+            self.history.record((row,), self._clock())
             return True
         self.history.record_proposed(row.service, row.version, self._clock())
         proposal = directory_messages.VersionProposed(0, row.service, row.version)
--- a/packages/daemon/tests/test_directory.py
+++ b/packages/daemon/tests/test_directory.py
@@ -260,6 +260,18 @@
         waiting.wait()
         self.assertEqual(answers, [True])
 
+    def test_a_version_that_announces_itself_all_the_while_does_not_become_new(self):
+        """Guards against announcements that are refused after a long partition."""
+        made = self.make([], voters=1)
+        now = 0.0
+        made._clock = lambda: now
+        for now in range(0, 2000, 100):
+            made.announce(samples.make_row(sequence=now + 1, version="v1"))
+        made.announce(samples.make_row("u2", service="other", version="v9"))
+        self.assertFalse(made.history.is_new(samples.make_row(version="v1")))
+        made._count_voters = lambda: 3
+        self.assertTrue(made.announce(samples.make_row(sequence=9999, version="v1")))
+
     def test_a_version_that_is_new_does_not_serve_without_a_majority(self):
         made = self.make([])
         with mock.patch.object(registrations, "MAJORITY_TIMEOUT_SECONDS", 0.05):
