A peer that stands still for a moment counts as slow, not as lost

Cause: a tunnel had 0.5 s from the connect to the answer. A process that waits for a processor accepts connections (the kernel does) and answers late; it was taken for a host that is gone, all its tunnels were dropped, silent exchanges on them were left, and each waiting request opened a new one, which met the same end. Requests waited for the first result of that search for at most 0.8 s after the loss.

Ruled out: the search for other peers (they answer at once that they are partitioned), the version records of streams (plain requests ask nothing).

Change: connecting has 0.5 s as before, so a host that is gone is noticed as early; the handshake and the answer may take 2.0 s, within the request's own time. Requests wait for the first result of a search, which comes within that time.

Figures: the new test got 503 before and passes.

Two test messages say more of a failure; no check is changed.

--- a/packages/daemon/src/trestlestall/daemon/gateway/peers.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/peers.py
@@ -105,9 +105,12 @@
         self._named[directory] = named
 
     def open(
-        self, row: upstreams.Row, first: str = ""
+        self,
+        row: upstreams.Row,
+        first: str = "",
+        seconds: float = tunnels.OPEN_SECONDS,
     ) -> tunnels.Tunnel | connections.Unreachable:
-        """Open a tunnel to an upstream through the best of the peers.
+        """Open a tunnel to an upstream through the best of the peers, in time.
 
         ``first`` is a peer to try before the others. Peers that have lost the upstream
         as well are not tried. The connection counts as refused if its host refused it
@@ -117,7 +120,8 @@
         untried = [one for one in known if row.identity not in one.lost]
         if known and not untried:
             return connections.Unreachable("lost to all known peers", refused=True)
-        race = TunnelRace(lambda record: self._try(row, record))
+        deadline = clocks.read() + min(seconds, tunnels.OPEN_SECONDS)
+        race = TunnelRace(lambda record: self._try(row, record, deadline))
         failed: list[tunnels.PeerFailed | tunnels.UpstreamFailed] = []
         for record in untried[:PEERS_TRIED]:
             race.start(record)
@@ -128,7 +132,7 @@
                 failed.append(found)
             if sum(map(is_refusal, failed)) >= WITNESSES:
                 break
-        while race.running and (found := race.wait(tunnels.OPEN_SECONDS)) is not None:
+        while race.running and (found := race.wait_until(deadline)) is not None:
             if isinstance(found, tunnels.Tunnel):
                 return self._keep(found)
             failed.append(found)
@@ -142,11 +146,16 @@
         return found
 
     def _try(
-        self, row: upstreams.Row, record: Record
+        self, row: upstreams.Row, record: Record, deadline: float
     ) -> tunnels.Tunnel | tunnels.PeerFailed | tunnels.UpstreamFailed:
         started = clocks.read()
         found = tunnels.open_tunnel(
-            record.peer, self._secret, self._hello, row.identity, row.address
+            record.peer,
+            self._secret,
+            self._hello,
+            row.identity,
+            row.address,
+            deadline,
         )
         self._write(row, record, found, clocks.read() - started)
         if isinstance(found, tunnels.Tunnel):
@@ -254,6 +263,12 @@
             self.abandon()
         return found
 
+    def wait_until(
+        self, deadline: float
+    ) -> tunnels.Tunnel | tunnels.PeerFailed | tunnels.UpstreamFailed | None:
+        """Return the next result; None if there is none by the deadline."""
+        return self.wait(max(0.0, deadline - clocks.read()))
+
     def abandon(self) -> None:
         """Close the tunnels that have opened, or open later, without being used."""
         self._is_over = True
--- a/packages/daemon/src/trestlestall/daemon/gateway/reachability.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/reachability.py
@@ -106,7 +106,7 @@
             return idle
         if self.reach.find_way(row.identity) is not reaches.Way.PEER:
             return self._pool.open(row.address, seconds)
-        found = self._peers.open(row)
+        found = self._peers.open(row, seconds=seconds)
         if isinstance(found, connections.Unreachable):
             self._record_peer(row, reached=False)
         return found
@@ -202,7 +202,7 @@
         return [
             one
             for one, loss in losses.items()
-            if loss.lost_at > earliest and (loss.timed_out or self._seeking.get(one))
+            if self._seeking.get(one) or (loss.timed_out and loss.lost_at > earliest)
         ]
 
     def mark_unreachable(
--- a/packages/daemon/src/trestlestall/daemon/gateway/tunnels.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/tunnels.py
@@ -21,8 +21,11 @@
     tunnel_messages,
 )
 
-#: Limits of opening a tunnel: seconds, and bytes of a frame of the handshake.
-OPEN_SECONDS = 0.5
+#: Timeouts of opening a tunnel, in seconds. A host that is gone doesn't accept the
+#: connection; a process that waits for a processor does, and replies late.
+CONNECT_SECONDS = 0.5
+OPEN_SECONDS = 2.0
+#: Limit of a frame of the handshake.
 HANDSHAKE_FRAME_BYTES = 4096
 #: Bytes of one message.
 PART_BYTES = 65536
@@ -123,12 +126,18 @@
 
 
 def open_tunnel(
-    peer: Peer, secret: bytes, own: messages.Hello, upstream: str, address: str
+    peer: Peer,
+    secret: bytes,
+    own: messages.Hello,
+    upstream: str,
+    address: str,
+    deadline: float,
 ) -> Tunnel | PeerFailed | UpstreamFailed:
     """Open a tunnel through a peer to an incarnation of an upstream at an address."""
-    deadline = clocks.read() + OPEN_SECONDS
     with contextlib.ExitStack() as stack:
-        dialled = wire_connections.dial(peer.address, deadline, HANDSHAKE_FRAME_BYTES)
+        dialled = wire_connections.dial(
+            peer.address, deadline, HANDSHAKE_FRAME_BYTES, CONNECT_SECONDS
+        )
         carrier = stack.enter_context(dialled)
         if carrier is None:
             return PeerFailed("not connected")
--- a/packages/daemon/tests/test_tunnels.py
+++ b/packages/daemon/tests/test_tunnels.py
@@ -17,7 +17,7 @@
 from trestlestall.daemon import environment, settings
 from trestlestall.daemon.gateway import peers, process, tunnel_server, tunnels
 from trestlestall.standins import addresses
-from trestlestall.wire import tunnel_messages
+from trestlestall.wire import handshake, tunnel_messages
 
 UNCLOSED = "HTTP/1.1 200 OK\r\nTrestlestall-Signature: s1\r\n\r\nno length"
 
@@ -259,6 +259,19 @@
             found = self.bench.ask("/once/x", Trestlestall_Request=name)
             self.assertEqual(found[0], 200)
 
+    def test_a_peer_that_is_held_up_for_a_moment_does_not_count_as_lost(self):
+        self.add_peer()
+        self.add("u1", bench.answer("", "done"))
+        prove = handshake.prove_accepted
+
+        def prove_late(*arguments):
+            eventlet.sleep(1.0)
+            return prove(*arguments)
+
+        with mock.patch.object(handshake, "prove_accepted", prove_late):
+            self.assertEqual(self.bench.ask("/once/x")[0], 200)
+        self.assertEqual(len(self.bench.list_lines("tunnel_opened")), 1)
+
     def test_a_stopping_peer_gets_no_further_request(self):
         peer = self.add_peer()
         self.add("u1", bench.answer("", "done"))
--- a/packages/wire/src/trestlestall/wire/connections.py
+++ b/packages/wire/src/trestlestall/wire/connections.py
@@ -127,10 +127,13 @@
 
 @contextlib.contextmanager
 def dial(
-    address: str, deadline: float, max_size: int
+    address: str,
+    deadline: float,
+    max_size: int,
+    connect_seconds: float = CONNECT_SECONDS,
 ) -> abc.Iterator[Connection | None]:
     """Yield an open connection to ``IP:port``, or ``None`` if connecting fails."""
-    timeout = min(CONNECT_SECONDS, max(0.001, deadline - clocks.read()))
+    timeout = min(connect_seconds, max(0.001, deadline - clocks.read()))
     try:
         opened = socket.create_connection(addresses.parse(address), timeout=timeout)
     except OSError:
--- a/tests/test_brittle_upstreams.py
+++ b/tests/test_brittle_upstreams.py
@@ -5,6 +5,7 @@
 the 96 that they had room for.
 """
 
+import collections
 import tempfile
 import threading
 import time
@@ -115,8 +116,17 @@
             time.sleep(LOAD_SECONDS - SHRINK_SECONDS)
         falls = sum(len(one.falls) for one in self.upstreams)
         served = sum(one.served for one in self.upstreams) - served
-        self.assertLessEqual(falls, ALLOWED_FALLS)
+        told = self.describe(falls)
+        self.assertLessEqual(falls, ALLOWED_FALLS, told)
         # Most of what three upstreams have room for.
         room = len(self.upstreams) * SLOTS / WORK_SECONDS * LOAD_SECONDS
-        self.assertGreaterEqual(served, 0.8 * room)
+        self.assertGreaterEqual(served, 0.8 * room, told)
         self.assertLessEqual(self.callers.list_statuses(), {200, 503})
+
+    def describe(self, falls):
+        """Return what was sent and answered by second of the load, for a failure."""
+        begun = min(at for at, _, _, _ in self.callers.answers)
+        seconds = collections.Counter(
+            (int(at - begun), found.status) for at, _, _, found in self.callers.answers
+        )
+        return f"{falls} falls, {sorted(seconds.items())}"
--- a/tests/test_partitioned_gateways.py
+++ b/tests/test_partitioned_gateways.py
@@ -98,7 +98,10 @@
         since = begun + KNOWN_SECONDS
         served, count = self.count_served(names, since, self.healed_at)
         served_there, count_there = self.count_served(others, since, self.healed_at)
-        told = f"{served} of {count}, others {served_there} of {count_there}"
+        unserved = self.callers.list_failures(since)
+        told = (
+            f"{served} of {count}, others {served_there} of {count_there}: {unserved}"
+        )
         share_there = served_there / count_there if count_there else 1.0
         self.assertGreaterEqual(share_there, LEAST_RATIO, told)
         self.assertGreaterEqual(served / count, LEAST_RATIO * share_there, told)
@@ -228,5 +231,6 @@
             and line["request"] in {request for request, _ in refused}
         ]
         self.assertEqual(len(lines), len(refused))
-        self.assertLess(max(line["seconds"] for line in lines), 0.5)
+        slowest = max(lines, key=lambda line: line["seconds"])
+        self.assertLess(slowest["seconds"], 0.5, slowest)
         self.assertGreater(len({line["retry_after"] for line in lines}), 10)
