--- a/tests/test_partitioned_gateways.py
+++ b/tests/test_partitioned_gateways.py
@@ -49,7 +49,7 @@
         self.links = self.stack.enter_context(opened)
         self.system.hosts.update(self.links)
         self.stack.callback(self.system.stop_all)
-        self.system.start_all()
+        self.start()
         self.assertEqual(self.system.declare(make_document()), 200)
         self.ports = [self.system.ports[name] for name in self.system.names]
         self.started = [self.add(f"u{number}") for number in range(self.upstreams)]
@@ -57,6 +57,10 @@
         for name in self.system.gateways:
             gateways.wait_until(lambda one=name: self.serves(one), name)
 
+    def start(self):
+        """Start directories and gateways."""
+        self.system.start_all()
+
     def add(self, identity):
         """Start an upstream."""
         made = signalling.Upstream(self.ports, identity)
@@ -234,3 +238,33 @@
         slowest = max(lines, key=lambda line: line["seconds"])
         self.assertLess(slowest["seconds"], 0.5, slowest)
         self.assertGreater(len({line["retry_after"] for line in lines}), 10)
+
+
+class FirstGatewayTest(PartitionCase):
+    """The other gateways start only after one is linked."""
+
+    gateways = 3
+
+    def start(self):
+        first, *others = self.system.gateways
+        for name in self.system.names:
+            self.system.start_directory(name, founding=True)
+        self.system.start_gateway(first)
+        process = self.system.running[first]
+        gateways.wait_until(
+            lambda: process.read_log().count('"link_up"') == len(self.system.names),
+            first,
+        )
+        for name in others:
+            self.system.start_gateway(name)
+
+    def test_callers_of_a_gateway_that_was_linked_first_are_served_without_directories(
+        self,
+    ):
+        time.sleep(KNOWN_SECONDS)
+        for name in self.system.names:
+            self.system.running[name].kill()
+        cut_off = self.system.gateways[:1]
+        begun = self.play("hang", cut_off)
+        self.check_promises()
+        self.check_served_alike(cut_off, begun)
