--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -10,7 +10,7 @@
 import time
 import unittest
 
-from tests import gateways, versioned_streams
+from tests import cut_links, gateways, versioned_streams
 
 #: Share of taken-up streams that go on, against that of new ones that begin.
 LEAST_RATIO = 0.95
@@ -32,7 +32,7 @@
         self.system = gateways.Deployment(folder, gateways=4)
         self.system.settings["retries"] = {"ratio": 5.0, "slack": 50.0}
         self.stack.callback(self.system.stop_all)
-        self.system.start_all()
+        self.start()
         self.assertEqual(self.system.declare(versioned_streams.make_document()), 200)
         self.ports = [self.system.ports[name] for name in self.system.names]
         self.made = [
@@ -43,6 +43,10 @@
         for name in self.system.gateways:
             gateways.wait_until(lambda one=name: self.knows_all(one), name)
 
+    def start(self):
+        """Start directories and gateways."""
+        self.system.start_all()
+
     def add(self, identity, version, **options):
         """Start an upstream."""
         made = versioned_streams.Upstream(
@@ -70,6 +74,15 @@
         self.assertEqual(mixed, 0, told)
         self.assertEqual(self.callers.list_out_of_order(), [])
 
+    def check_refusals(self):
+        """Check that what was refused has not run, and that callers may come back."""
+        seen = {request for one in self.made for request, _ in one.seen}
+        for stream in self.callers.streams:
+            for one in stream.tries:
+                if one.status == 503:
+                    self.assertNotIn(one.request, seen)
+                    self.assertIn("Retry-After", one.headers)
+
     def check_streams(self, least_taken_up=1):
         """Check that each stream is of one version, and that enough went on."""
         self.check_versions()
@@ -125,15 +138,6 @@
 
 
 class LostDirectoriesTest(VersionsCase):
-    def check_refusals(self):
-        """Check that what was refused has not run, and that callers may come back."""
-        seen = {request for one in self.made for request, _ in one.seen}
-        for stream in self.callers.streams:
-            for one in stream.tries:
-                if one.status == 503:
-                    self.assertNotIn(one.request, seen)
-                    self.assertIn("Retry-After", one.headers)
-
     def test_no_stream_is_of_two_versions_after_all_directories_started_again(self):
         def restart():
             time.sleep(1.0)
@@ -147,6 +151,23 @@
         self.check_versions()
         self.check_refusals()
 
+    def test_streams_go_on_after_all_directories_started_again_and_were_linked(self):
+        def restart():
+            for name in self.system.names:
+                self.system.running[name].kill()
+            for name in self.system.names:
+                self.system.start_directory(name)
+            for name in self.system.gateways:
+                gateways.wait_until(lambda one=name: self.count_links(one) == 6, name)
+            self.kill_gateways(*self.system.gateways[:2])
+
+        self.callers.run(6.0, restart)
+        self.check_streams(least_taken_up=8)
+
+    def count_links(self, name):
+        """Return how often a gateway was linked with a directory."""
+        return self.system.running[name].read_log().count('"link_up"')
+
     def test_a_gateway_that_no_directory_answers_goes_on_with_what_it_began_only(self):
         def stop():
             time.sleep(1.0)
@@ -162,6 +183,54 @@
         self.check_refusals()
 
 
+class CutOffTest(VersionsCase):
+    """The links of one gateway to directories are cut alone."""
+
+    def start(self):
+        self.cut_off = self.system.gateways[0]
+        opened = cut_links.open_links(self.system.folder, [self.cut_off])
+        links = self.stack.enter_context(opened)
+        self.system.hosts.update(links)
+        self.links = links[self.cut_off]
+        for address in self.system.first:
+            self.links.add(address)
+        super().start()
+
+    def cut(self, chosen, lost):
+        """Cut links after a second, and kill a gateway a little later."""
+        time.sleep(1.0)
+        self.links.cut("hang", chosen)
+        self.kill_gateways(lost)
+
+    def test_a_gateway_that_is_cut_off_goes_on_with_no_other_version(self):
+        lost = self.system.gateways[1]
+        self.callers.run(4.0, lambda: self.cut(self.system.first, lost))
+        self.check_versions()
+        self.check_refusals()
+        tries = [
+            one
+            for stream in self.callers.streams
+            for one in stream.list_takeups()
+            if one.gateway != self.cut_off
+        ]
+        went_on = sum(one.events > 0 for one in tries)
+        self.assertGreater(len(tries), 2)
+        self.assertGreaterEqual(went_on, LEAST_RATIO * len(tries))
+
+    def test_no_stream_that_began_at_a_gateway_cut_off_goes_on_at_another_version(self):
+        self.callers.run(4.0, lambda: self.cut(self.system.first, self.cut_off))
+        self.check_versions()
+        self.check_refusals()
+
+    def test_streams_go_on_at_a_gateway_that_is_cut_off_from_the_directory_that_places(
+        self,
+    ):
+        chosen = [min(self.system.first)]
+        lost = self.system.gateways[1]
+        self.callers.run(4.0, lambda: self.cut(chosen, lost))
+        self.check_streams(least_taken_up=4)
+
+
 class RebornTest(VersionsCase):
     upstreams = 4
 
@@ -206,6 +275,34 @@
         self.assertEqual(begun, new)
 
 
+class LastUpstreamsTest(VersionsCase):
+    upstreams = 2
+
+    def test_streams_of_versions_that_are_gone_are_refused_until_one_serves_again(self):
+        def stop():
+            time.sleep(1.5)
+            for one in self.made:
+                one.stop()
+            time.sleep(0.5)
+            self.made.append(self.add("u8", VERSIONS[0]))
+
+        self.callers.run(4.0, stop)
+        self.check_versions()
+        self.check_refusals()
+        tries = {
+            version: [
+                made.events > 0
+                for one in self.callers.streams
+                if one.versions == {version}
+                for made in one.list_takeups()
+            ]
+            for version in VERSIONS
+        }
+        self.assertGreater(sum(tries[VERSIONS[0]]), 0)
+        self.assertGreater(len(tries[VERSIONS[1]]), 0)
+        self.assertEqual(sum(tries[VERSIONS[1]]), 0)
+
+
 class OneVersionTest(VersionsCase):
     def add(self, identity, version, **options):
         return super().add(identity, VERSIONS[0], **options)
