A late announcement proves the wrong process: a failing test, listed

The protocol allows announcements that are late by seconds.

Cause: a proof asks for an announcement that was heard 0.25 s after a connection was opened, and takes it for one that was sent after it.

--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -257,6 +257,24 @@
         cut = [one for one in self.callers.streams if one.list_takeups()]
         self.assertGreater(len(cut), 0)
 
+    def test_a_late_announcement_of_the_former_process_does_not_prove_the_next_one(
+        self,
+    ):
+        def crash():
+            time.sleep(1.5)
+            self.made[2].stop()
+            self.start_as_other(self.made[2])
+            time.sleep(0.1)
+            self.made[0].stop()
+            time.sleep(0.4)
+            for port in range(len(self.ports)):
+                self.made[2].announce(1000 + port)
+
+        self.callers.run(3.0, crash)
+        self.check_versions()
+        cut = [one for one in self.callers.streams if one.list_takeups()]
+        self.assertGreater(len(cut), 0)
+
 
 class LastUpstreamTest(VersionsCase):
     upstreams = 3
