An announcement whose sender is gone proves no process at its address

Cause: a directory counted an announcement as heard when it read it. One that waited in the network or in its own kernel was taken for younger than a connection to the process that came after; and one that waited for a majority to hear of its version counted from the end of that wait.

Change: a process that has ended has closed its connection, so an announcement counts as heard only while its sender still holds it open, and from the moment it was read.

Ruled out: counting from before the directory's own stall (what waited in the network is as late).

--- a/packages/daemon/src/trestlestall/daemon/directory/endpoints.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/endpoints.py
@@ -14,7 +14,7 @@
 )
 from trestlestall.daemon.http import answers, application, limits, requests, routes
 from trestlestall.forwarding import model, upstreams
-from trestlestall.wire import clocks
+from trestlestall.wire import clocks, sockets
 
 OK = 200
 BAD_REQUEST, TOO_LARGE, UNAVAILABLE = 400, 413, 503
@@ -132,7 +132,7 @@
     row = components.dialect.decode_announcement(name, body or b"")
     if isinstance(row, model.Invalid):
         return refuse_announcement(components, request, name, row.reason)
-    return handle_announcement(components, row)
+    return handle_announcement(components, request, row)
 
 
 def withdraw(components: Components, request: requests.Request) -> answers.Answer:
@@ -145,7 +145,7 @@
     fault = announcements.find_fault(row)
     if fault is not None:
         return refuse_announcement(components, request, name, fault.reason)
-    return handle_announcement(components, row)
+    return handle_announcement(components, request, row)
 
 
 def refuse_announcement(
@@ -165,10 +165,13 @@
     return refuse(BAD_REQUEST, reason)
 
 
-def handle_announcement(components: Components, row: upstreams.Row) -> answers.Answer:
+def handle_announcement(
+    components: Components, request: requests.Request, row: upstreams.Row
+) -> answers.Answer:
     """Answer 200 once all directories that have to know were notified."""
     started = clocks.read()
-    taken = components.server.registrations.announce(row)
+    is_present = not sockets.is_ended(request.socket)
+    taken = components.server.registrations.announce(row, is_present)
     record_call(components, "announce", OK if taken else UNAVAILABLE, started)
     if taken:
         return answers.build_json({})
--- a/packages/daemon/src/trestlestall/daemon/directory/registrations.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/registrations.py
@@ -71,13 +71,18 @@
         self._pending: dict[int, PendingAnnouncement] = {}
         self._last_token = 0
 
-    def announce(self, row: upstreams.Row) -> bool:
-        """Register an announcement; false if too few directories confirmed it."""
+    def announce(self, row: upstreams.Row, is_present: bool = True) -> bool:
+        """Register an announcement; false if too few directories confirmed it.
+
+        ``is_present`` is whether its sender still waits for the answer.
+        """
+        heard_at = self._clock()
         if not self._introduce(row):
             return False
         merged = self.table.merge(row, self._clock())
         self.table.expire_tombstones(self._clock())
-        self._record_heard(row)
+        if is_present:
+            self._record_heard(row, heard_at)
         if merged is not None:
             self._notify_gateways((merged,))
             self._send_versions(self._links.list_directories(), (merged,))
@@ -100,10 +105,15 @@
         seconds = None if heard_at is None else round(self._clock() - heard_at, 4)
         self._links.send(peer, stream_messages.HeardAnswer(call.token, seconds))
 
-    def _record_heard(self, row: upstreams.Row) -> None:
+    def _record_heard(self, row: upstreams.Row, heard_at: float) -> None:
+        """Record when an upstream announced itself that was alive then.
+
+        The announcement of a process that has ended may have waited, and says nothing
+        of the process that has its identity and address since.
+        """
         known = self.table.rows.get(row.identity)
         if known is not None and row.sequence >= known.sequence:
-            self._heard_at[row.identity] = self._clock()
+            self._heard_at[row.identity] = heard_at
         if len(self._heard_at) > len(self.table.rows):
             for identity in self._heard_at.keys() - self.table.rows.keys():
                 del self._heard_at[identity]
--- a/packages/wire/src/trestlestall/wire/sockets.py
+++ b/packages/wire/src/trestlestall/wire/sockets.py
@@ -38,6 +38,17 @@
     opened.close()
 
 
+def is_ended(opened: socket.socket) -> bool:
+    """Return whether the other side has closed the connection, as far as is known."""
+    try:
+        # Uses the underlying socket: eventlet's wrapper would wait for data.
+        return not opened.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+
+
 def keep_alive(opened: socket.socket) -> None:
     """Let the kernel end the connection once the other host has been lost."""
     opened.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, True)
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -257,6 +257,26 @@
         cut = [one for one in self.callers.streams if one.list_takeups()]
         self.assertGreater(len(cut), 0)
 
+    def test_an_announcement_that_waited_at_a_directory_does_not_prove_another_process(
+        self,
+    ):
+        def crash():
+            time.sleep(1.5)
+            held = self.system.running[self.system.names[1]]
+            held.send_signal(signal.SIGSTOP)
+            with self.made[2].announcing(self.ports[1], 1000):
+                self.made[2].stop()
+            self.start_as_other(self.made[2])
+            time.sleep(0.1)
+            self.made[0].stop()
+            time.sleep(0.4)
+            held.send_signal(signal.SIGCONT)
+
+        self.callers.run(3.0, crash)
+        self.check_versions()
+        cut = [one for one in self.callers.streams if one.list_takeups()]
+        self.assertGreater(len(cut), 0)
+
     def test_a_late_announcement_of_the_former_process_does_not_prove_the_next_one(
         self,
     ):
--- a/tests/versioned_streams.py
+++ b/tests/versioned_streams.py
@@ -9,6 +9,7 @@
 import http.client
 import http.server
 import itertools
+import json
 import random
 import socket
 import threading
@@ -140,7 +141,12 @@
 
     def announce(self, sequence):
         """Announce this upstream to one of the directories."""
-        row = gateways.make_row(
+        port = self.ports[sequence % len(self.ports)]
+        gateways.announce(port, self.identity, self.make_row(sequence))
+
+    def make_row(self, sequence):
+        """Return an announcement."""
+        return gateways.make_row(
             self.address,
             sequence,
             int(self.draining),
@@ -148,7 +154,15 @@
             version=self.version,
             slots=64,
         )
-        gateways.announce(self.ports[sequence % len(self.ports)], self.identity, row)
+
+    @contextlib.contextmanager
+    def announcing(self, port, sequence):
+        """Leave an announcement with a directory that stands still, for the block."""
+        connection = http.client.HTTPConnection(gateways.HOST, port)
+        with contextlib.closing(connection):
+            body = json.dumps(self.make_row(sequence))
+            connection.request("PUT", f"/v1/upstreams/{self.identity}", body)
+            yield
 
     def stop(self):
         """Stop as a crash does: connections end, and new ones are refused."""
