A caller with little time left does not make a peer count as lost

A request with 0.3 s left that found its only peer busy for 0.6 s ended, as it must, and the upstream counted as lost to peers for all others, whose tunnels were dropped.

Cause: since the request's own time limited the tunnel, and a tunnel that did not open in that time counts as a peer that failed.

Change: a tunnel has its 2.0 s whoever waits for it; the request's time limits the wait alone, and its end says nothing of the way. The race of peers is a module of its own.

--- a/packages/daemon/src/trestlestall/daemon/gateway/connections.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/connections.py
@@ -36,12 +36,14 @@
 
     ``timed_out`` is whether there was no reply at all, as from a host whose listen
     queue is full. A host on which nothing listens replies at once; ``refused`` is
-    whether this one did.
+    whether this one did. ``is_out_of_time`` is whether the request's own time ended
+    first, which says nothing of the way to the upstream.
     """
 
     reason: str
     timed_out: bool = False
     refused: bool = False
+    is_out_of_time: bool = False
 
 
 class PathLostError(OSError):
--- a/packages/daemon/src/trestlestall/daemon/gateway/peers.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/peers.py
@@ -9,20 +9,18 @@
 import typing
 from collections import abc
 
-import eventlet
-from eventlet import queue
-
 from trestlestall.daemon import events, settings as process_settings
-from trestlestall.daemon.gateway import cached_view, connections, tunnels
+from trestlestall.daemon.gateway import (
+    cached_view,
+    connections,
+    tunnel_race,
+    tunnels,
+)
 from trestlestall.forwarding import upstreams
 from trestlestall.wire import clocks, tunnel_messages
 
-#: Peers tried for one upstream, and how long each is waited for before the next one is
-#: tried as well: several times what a tunnel takes, and a part of a connect timeout.
+#: Peers tried for one upstream.
 PEERS_TRIED = 4
-STAGGER_SECONDS = 0.03
-#: Peers to which an upstream's host refuses a connection before no more are tried.
-WITNESSES = 2
 #: Tunnels after which one more peer is used, so that none carries all.
 TUNNELS_EACH = 4
 #: Seconds for which a peer that failed is tried after all others.
@@ -108,7 +106,7 @@
         self,
         row: upstreams.Row,
         first: str = "",
-        seconds: float = tunnels.OPEN_SECONDS,
+        seconds: float = tunnel_race.WAIT_SECONDS,
     ) -> tunnels.Tunnel | connections.Unreachable:
         """Open a tunnel to an upstream through the best of the peers, in time.
 
@@ -120,42 +118,20 @@
         untried = [one for one in known if row.identity not in one.lost]
         if known and not untried:
             return connections.Unreachable("lost to all known peers", refused=True)
-        deadline = clocks.read() + min(seconds, tunnels.OPEN_SECONDS)
-        race = TunnelRace(lambda record: self._try(row, record, deadline))
-        failed: list[tunnels.PeerFailed | tunnels.UpstreamFailed] = []
-        for record in untried[:PEERS_TRIED]:
-            race.start(record)
-            found = race.wait(STAGGER_SECONDS)
-            if isinstance(found, tunnels.Tunnel):
-                return self._keep(found)
-            if found is not None:
-                failed.append(found)
-            if sum(map(is_refusal, failed)) >= WITNESSES:
-                break
-        while race.running and (found := race.wait_until(deadline)) is not None:
-            if isinstance(found, tunnels.Tunnel):
-                return self._keep(found)
-            failed.append(found)
-        race.abandon()
-        refused = bool(failed) and all(map(is_refusal, failed))
-        reason = failed[-1].reason if failed else "no peer is known"
-        return connections.Unreachable(reason, not refused, refused)
+        race = tunnel_race.TunnelRace(lambda record: self._try(row, record))
+        found = race.run(untried[:PEERS_TRIED], seconds)
+        return race.explain() if found is None else self._keep(found)
 
     def _keep(self, found: tunnels.Tunnel) -> tunnels.Tunnel:
         self._open.append(found)
         return found
 
     def _try(
-        self, row: upstreams.Row, record: Record, deadline: float
+        self, row: upstreams.Row, record: Record
     ) -> tunnels.Tunnel | tunnels.PeerFailed | tunnels.UpstreamFailed:
         started = clocks.read()
         found = tunnels.open_tunnel(
-            record.peer,
-            self._secret,
-            self._hello,
-            row.identity,
-            row.address,
-            deadline,
+            record.peer, self._secret, self._hello, row.identity, row.address
         )
         self._write(row, record, found, clocks.read() - started)
         if isinstance(found, tunnels.Tunnel):
@@ -231,70 +207,5 @@
         )
 
 
-class TunnelRace:
-    """Tries to open tunnels side by side; the first that opens is used."""
-
-    def __init__(
-        self,
-        attempt: abc.Callable[
-            [Record], tunnels.Tunnel | tunnels.PeerFailed | tunnels.UpstreamFailed
-        ],
-    ) -> None:
-        self.running = 0
-        self._attempt = attempt
-        self._found = queue.LightQueue()
-        self._is_over = False
-
-    def start(self, record: Record) -> None:
-        """Start to open a tunnel through a peer."""
-        self.running += 1
-        eventlet.spawn_n(self._run, record)
-
-    def wait(
-        self, seconds: float
-    ) -> tunnels.Tunnel | tunnels.PeerFailed | tunnels.UpstreamFailed | None:
-        """Return the next result; None if there is none within ``seconds``."""
-        try:
-            found = self._found.get(timeout=seconds)
-        except queue.Empty:
-            return None
-        self.running -= 1
-        if isinstance(found, tunnels.Tunnel):
-            self.abandon()
-        return found
-
-    def wait_until(
-        self, deadline: float
-    ) -> tunnels.Tunnel | tunnels.PeerFailed | tunnels.UpstreamFailed | None:
-        """Return the next result; None if there is none by the deadline."""
-        return self.wait(max(0.0, deadline - clocks.read()))
-
-    def abandon(self) -> None:
-        """Close the tunnels that have opened, or open later, without being used."""
-        self._is_over = True
-        while not self._found.empty():
-            close_unused(self._found.get())
-
-    def _run(self, record: Record) -> None:
-        found = self._attempt(record)
-        if self._is_over:
-            close_unused(found)
-        else:
-            self._found.put(found)
-
-
-def close_unused(
-    found: tunnels.Tunnel | tunnels.PeerFailed | tunnels.UpstreamFailed,
-) -> None:
-    """Close a tunnel that another one was faster than."""
-    if isinstance(found, tunnels.Tunnel):
-        found.close()
-
-
-def is_refusal(found: tunnels.PeerFailed | tunnels.UpstreamFailed) -> bool:
-    """Return whether the upstream's host refused a connection of the peer."""
-    return isinstance(found, tunnels.UpstreamFailed) and found.refused
-
-
 def drop_message(message: typing.Any) -> None:
     """Drop a message because there are no links yet."""
--- a/packages/daemon/src/trestlestall/daemon/gateway/reachability.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/reachability.py
@@ -21,6 +21,7 @@
     link_checks,
     peers as gateway_peers,
     service_reach,
+    tunnel_race,
     tunnels,
 )
 from trestlestall.forwarding import reach as reaches, upstreams
@@ -106,8 +107,8 @@
             return idle
         if self.reach.find_way(row.identity) is not reaches.Way.PEER:
             return self._pool.open(row.address, seconds)
-        found = self._peers.open(row, seconds=seconds)
-        if isinstance(found, connections.Unreachable):
+        found = self._peers.open(row, seconds=min(seconds, tunnel_race.WAIT_SECONDS))
+        if isinstance(found, connections.Unreachable) and not found.is_out_of_time:
             self._record_peer(row, reached=False)
         return found
 
--- a/packages/daemon/src/trestlestall/daemon/gateway/tunnels.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/tunnels.py
@@ -126,14 +126,10 @@
 
 
 def open_tunnel(
-    peer: Peer,
-    secret: bytes,
-    own: messages.Hello,
-    upstream: str,
-    address: str,
-    deadline: float,
+    peer: Peer, secret: bytes, own: messages.Hello, upstream: str, address: str
 ) -> Tunnel | PeerFailed | UpstreamFailed:
     """Open a tunnel through a peer to an incarnation of an upstream at an address."""
+    deadline = clocks.read() + OPEN_SECONDS
     with contextlib.ExitStack() as stack:
         dialled = wire_connections.dial(
             peer.address, deadline, HANDSHAKE_FRAME_BYTES, CONNECT_SECONDS
--- a/packages/daemon/tests/test_tunnels.py
+++ b/packages/daemon/tests/test_tunnels.py
@@ -15,7 +15,7 @@
 import eventlet
 
 from trestlestall.daemon import environment, settings
-from trestlestall.daemon.gateway import peers, process, tunnel_server, tunnels
+from trestlestall.daemon.gateway import process, tunnel_race, tunnel_server, tunnels
 from trestlestall.standins import addresses
 from trestlestall.wire import handshake, tunnel_messages
 
@@ -259,19 +259,42 @@
             found = self.bench.ask("/once/x", Trestlestall_Request=name)
             self.assertEqual(found[0], 200)
 
-    def test_a_peer_that_is_held_up_for_a_moment_does_not_count_as_lost(self):
-        self.add_peer()
-        self.add("u1", bench.answer("", "done"))
+    def hold_up_peers(self, seconds):
+        """Let the handshakes of peers take that long, for the block."""
         prove = handshake.prove_accepted
 
         def prove_late(*arguments):
-            eventlet.sleep(1.0)
+            eventlet.sleep(seconds)
             return prove(*arguments)
 
-        with mock.patch.object(handshake, "prove_accepted", prove_late):
+        return mock.patch.object(handshake, "prove_accepted", prove_late)
+
+    def test_a_peer_that_is_held_up_for_a_moment_does_not_count_as_lost(self):
+        self.add_peer()
+        self.add("u1", bench.answer("", "done"))
+        with self.hold_up_peers(1.0):
             self.assertEqual(self.bench.ask("/once/x")[0], 200)
         self.assertEqual(len(self.bench.list_lines("tunnel_opened")), 1)
 
+    def test_a_caller_with_little_time_does_not_make_a_peer_count_as_lost(self):
+        self.add_peer()
+        upstream = self.add("u1", bench.answer("", "done"))
+        self.assertEqual(self.bench.ask("/once/x")[0], 200)
+        gateway = self.bench.gateway
+        (row,) = gateway.view.table.rows.values()
+        gateway.handler.pool.drop(row.address, "peer-1")
+        with self.hold_up_peers(0.6):
+            started = time.monotonic()
+            status, _, _ = self.bench.ask(
+                "/once/x", Trestlestall_Deadline_Milliseconds="300"
+            )
+            self.assertLess(time.monotonic() - started, 0.5)
+            self.assertIn(status, (503, 504))
+            eventlet.sleep(0.6)
+        self.assertEqual(self.bench.list_lines("upstream_lost_by_peers"), [])
+        self.assertEqual(self.bench.ask("/once/x")[0], 200)
+        self.assertEqual(len(upstream.received), 2)
+
     def test_a_stopping_peer_gets_no_further_request(self):
         peer = self.add_peer()
         self.add("u1", bench.answer("", "done"))
@@ -347,7 +370,7 @@
             eventlet.sleep(record)
             return tunnel
 
-        race = peers.TunnelRace(open_one)
+        race = tunnel_race.TunnelRace(open_one)
         for seconds in (0.02, 0.02, 0.1):
             race.start(seconds)
         kept = race.wait(1.0)
