The soak waits for requests in flight before it judges what was sent

No upstream had run anything that no caller sent: a caller records a request once its answer is over, and the run judged the record a second after it told the callers to end.

Ruled out: by reading, another sender (only this caller makes the id).

Change: the run ends once every thread of the traffic has ended, so nothing is judged that is half recorded. No check is changed.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -12,7 +12,6 @@
 import pathlib
 import shutil
 import sys
-import time
 from collections import abc
 
 from tests.soak import evidence as evidences, schedules, worlds
@@ -46,9 +45,7 @@
     world = worlds.World(folder)
     with world.open():
         world.play(steps, seconds)
-        world.ended.set()
-        # Callers stop after their current request.
-        time.sleep(1.0)
+        world.end_traffic()
     found = world.evidence
     served = sum(map(evidences.is_served, found.asked))
     broken = tuple(evidences.find_broken(found))
--- a/tests/soak/worlds.py
+++ b/tests/soak/worlds.py
@@ -42,6 +42,7 @@
         self.upstreams: dict[str, traffic.Upstream] = {}
         self.starts = dict.fromkeys(self.system.gateways, 0)
         self.ended = threading.Event()
+        self.traffic: list[threading.Thread] = []
 
     @property
     def targets(self) -> dict[str, list[str]]:
@@ -108,7 +109,14 @@
                 )
                 works.append(caller.run)
         for work in works:
-            threading.Thread(target=work, daemon=True).start()
+            self.traffic.append(threading.Thread(target=work, daemon=True))
+            self.traffic[-1].start()
+
+    def end_traffic(self) -> None:
+        """End the traffic, and wait until each request in flight is recorded."""
+        self.ended.set()
+        for thread in self.traffic:
+            thread.join()
 
     def restart(self, name: str) -> None:
         """Restart a process that has ended."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,6 +3,8 @@
 import dataclasses
 import pathlib
 import tempfile
+import threading
+import time
 import unittest
 
 from tests.soak import __main__ as soak, evidence as evidences, schedules, worlds
@@ -211,6 +213,21 @@
         self.assertGreater(report.served, 100)
         self.assertEqual(report.broken, (), soak.describe(report))
 
+    def test_requests_in_flight_at_the_end_count_as_sent(self):
+        with tempfile.TemporaryDirectory(prefix="soak-") as folder:
+            world = worlds.World(pathlib.Path(folder))
+            self.addCleanup(world.platform.stop)
+
+            def ask():
+                world.ended.wait()
+                time.sleep(1.5)
+                world.evidence.add(make_asked())
+
+            world.traffic.append(threading.Thread(target=ask))
+            world.traffic[-1].start()
+            world.end_traffic()
+        self.assertEqual(world.evidence.asked, [make_asked()])
+
     def test_a_short_run(self):
         self.play(SEED)
 
