--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -158,15 +158,17 @@
             for name in self.system.names:
                 self.system.start_directory(name)
             for name in self.system.gateways:
-                gateways.wait_until(lambda one=name: self.count_links(one) == 6, name)
+                gateways.wait_until(lambda one=name: self.is_linked_again(one), name)
             self.kill_gateways(*self.system.gateways[:2])
 
         self.callers.run(6.0, restart)
         self.check_streams(least_taken_up=8)
 
-    def count_links(self, name):
-        """Return how often a gateway was linked with a directory."""
-        return self.system.running[name].read_log().count('"link_up"')
+    def is_linked_again(self, name):
+        """Return whether a gateway is linked with the new directories."""
+        linked = self.system.running[name].read_log().count('"link_up"')
+        text = gateways.ask(self.system.ready[name], "GET", "/metrics").body.decode()
+        return linked >= 6 and "trestlestall_links 3.0" in text
 
     def test_a_gateway_that_no_directory_answers_goes_on_with_what_it_began_only(self):
         def stop():
