--- a/tests/test_promise_cuts.py
+++ b/tests/test_promise_cuts.py
@@ -14,6 +14,8 @@
 SAMPLE_SECONDS = 0.05
 # Longer than the 3 s after which a starting router asks its neighbours.
 NEIGHBOUR_WAIT_SECONDS = 4.5
+# Between two readings of an age, which is told in milliseconds.
+AGE_STEP_SECONDS = 0.01
 
 
 class Sampler:
@@ -142,6 +144,7 @@
         """Check that the router reports its version, and a growing age of it."""
         status = self.network.read_status(router)
         self.assertEqual((status["version"], status["ready"]), (version, True))
+        time.sleep(AGE_STEP_SECONDS)
         later = self.network.read_status(router)
         self.assertGreater(later["version_age_seconds"], status["version_age_seconds"])
         self.assertEqual(self.read_metric(router), version)
