Lines of sent requests tell the parts of their prompts

The incident's lines can't tell requests that share what ends upstreams from upstreams that end by themselves: a request is named by its digest alone, which no two of these share. forward_sent has the identities of the parts that other requests may have as well, shortened and bounded. No change of logic.

--- a/packages/daemon/src/trestlestall/daemon/events/forwarding.py
+++ b/packages/daemon/src/trestlestall/daemon/events/forwarding.py
@@ -8,7 +8,7 @@
     catalogue.Level.INFO,
     "request route workspace digest rank route_tier workspace_tier upstream address"
     " attempt unread predicted taken taken_by_all failure_rate declaration seconds_left"
-    " source fetch_from limit state version resumes",
+    " source fetch_from limit state version resumes parts",
     "An attempt of a request was sent to this upstream. digest is the same for all"
     " attempts of a caller with the same method, host, target and body; rank, with 0"
     " the most urgent, is derived from the tiers of the route and the workspace;"
@@ -21,7 +21,8 @@
     " limit is the rate limit of the upstream in requests a second from all gateways,"
     " as known to the source, which has counted this request; state is the state of"
     " the upstream in the cached view of this gateway, version that of its software;"
-    " resumes is the caller's request whose stream it takes up.",
+    " resumes is the caller's request whose stream it takes up; parts are the parts of"
+    " its prompt that other requests may have as well, shortened.",
 )
 ENDED = catalogue.declare(
     "TS7002",
@@ -145,8 +146,9 @@
     " requests of this gateway that broke off, blamed those that the crash counts"
     " against (none if the upstream had announced that it leaves), seconds is the time"
     " since the first of them.",
-    "forward_repeated of this upstream has the digests of the requests that ran there;"
-    " look for one that several crashed upstreams have in common.",
+    "forward_repeated of this upstream has the digests of the requests that ran there,"
+    " and forward_sent the parts of their prompts; look for one that several crashed"
+    " upstreams have in common.",
 )
 UPSTREAM_SIGNAL = catalogue.declare(
     "TS7015",
--- a/packages/daemon/src/trestlestall/daemon/gateway/records.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/records.py
@@ -5,6 +5,10 @@
 from trestlestall.forwarding import placement, upstreams
 from trestlestall.wire import clocks
 
+#: Parts of a prompt in a log line, and the characters of each: callers choose both.
+LOGGED_PARTS = 8
+LOGGED_PART_LENGTH = 16
+
 
 def write_sent(forward: progress.Progress, placed: placement.Placed) -> None:
     """Log where a request is sent, and what the choice was based on."""
@@ -33,12 +37,22 @@
         version=placed.row.version,
         resumes=forward.head.resumes[0] if forward.head.resumes else None,
         failure_rate=round(engine.find_failure_rate(data_centre), 3),
+        parts=list_shared_parts(forward),
         source=placed.source,
         declaration=forward.view.version,
         seconds_left=round(forward.deadline - clocks.read(), 3),
     )
 
 
+def list_shared_parts(forward: progress.Progress) -> list[str]:
+    """Return the parts that other requests may share, shortened for the log.
+
+    The last part belongs to the request itself.
+    """
+    shared = forward.descriptor.parts[:-1][:LOGGED_PARTS]
+    return [part.identity[:LOGGED_PART_LENGTH] for part in shared]
+
+
 def write_sent_by_peer(
     forward: progress.Progress, row: upstreams.Row, peer: str
 ) -> None:
