--- a/tests/crashing.py
+++ b/tests/crashing.py
@@ -21,6 +21,8 @@
 class Start:
     """One incarnation of an upstream: listener, connections and announcements."""
 
+    slots = 8
+
     def __init__(self, fleet, identity):
         self.fleet = fleet
         self.identity = identity
@@ -68,7 +70,7 @@
         while not self.ended.wait(ANNOUNCE_SECONDS if sequence else 0.0):
             sequence += 1
             address = f"{gateways.HOST}:{self.server.server_address[1]}"
-            row = gateways.make_row(address, sequence)
+            row = gateways.make_row(address, sequence, slots=self.slots)
             port = self.fleet.ports[sequence % len(self.fleet.ports)]
             gateways.announce(port, self.identity, row)
 
@@ -97,17 +99,22 @@
 
 
 class Fleet:
-    """A set of upstreams, each restarted ``BACK_SECONDS`` after it crashed.
+    """A set of upstreams, each restarted ``back_seconds`` after it crashed.
 
     ``runs`` and ``ends`` record requests run and crashes, with the monotonic time of
     this process.
     """
 
+    start_class = Start
+    back_seconds = BACK_SECONDS
+
     def __init__(self, ports, count):
         self.ports = ports
         self.runs = []
         self.ends = []
-        self.starts = [Start(self, f"u{number}-1") for number in range(count)]
+        self.starts = [
+            self.start_class(self, f"u{number}-1") for number in range(count)
+        ]
         self.stopped = threading.Event()
         threading.Thread(target=self.restart_crashed, daemon=True).start()
 
@@ -115,12 +122,12 @@
         """Restart crashed upstreams until stopped."""
         number = len(self.starts)
         while not self.stopped.wait(0.05):
-            limit = time.monotonic() - BACK_SECONDS
+            limit = time.monotonic() - self.back_seconds
             back = {identity for at, identity in self.ends if at < limit}
             for place, start in enumerate(self.starts):
                 if start.identity in back:
                     number += 1
-                    self.starts[place] = Start(self, f"u{place}-{number}")
+                    self.starts[place] = self.start_class(self, f"u{place}-{number}")
 
     def stop(self):
         """Stop all upstreams without restarting them."""
