A request that waits for another one's trial is told so, and to come back

A request whose part is on trial was answered like one that is held, 502 without a time to return; it has not run and may be served a second later: 503 with Retry-After. The trials of whole requests move to a module of their own, out of the scheduler.

--- a/packages/daemon/src/trestlestall/daemon/directory/part_quarantine.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/part_quarantine.py
@@ -9,7 +9,11 @@
 from collections import abc
 
 from trestlestall.daemon import events, logs, part_messages
-from trestlestall.daemon.directory import links as directory_links, quarantine_file
+from trestlestall.daemon.directory import (
+    links as directory_links,
+    quarantine_file,
+    request_trials,
+)
 from trestlestall.forwarding import (
     brittleness,
     descriptors,
@@ -19,9 +23,6 @@
 )
 from trestlestall.wire import clocks, directory_messages
 
-#: Seconds between the failure of a trial and the next one: by then it is known whether
-#: its upstream crashed, even if that shows only by another incarnation in its place.
-TRIAL_INTERVAL_SECONDS = 6.0
 Verdict = harmful_parts.Verdict
 
 
@@ -59,7 +60,7 @@
     # Requests.
 
     def evaluate(self, descriptor: descriptors.Descriptor) -> harmful_parts.Finding:
-        """Return the verdict on a request; harmless if its trial may begin."""
+        """Return the verdict on a request; harmless if its trial begins now."""
         now = self._clock()
         held = self.record.list_held()
         found = self.record.evaluate(part_evidence.list_keys(descriptor), now)
@@ -75,10 +76,13 @@
         found: harmful_parts.Finding,
         now: float,
     ) -> harmful_parts.Finding:
-        """Let a request on trial be sent if no other one is, or was a moment ago."""
+        """Let a request be tried if no other one is, or was a moment ago."""
         failed_at = self._failed_at.get(found.key, float("-inf"))
-        if found.key in self._trials or now < failed_at + TRIAL_INTERVAL_SECONDS:
-            return harmful_parts.Finding(Verdict.HARMFUL, found.key)
+        if (
+            found.key in self._trials
+            or now < failed_at + request_trials.TRIAL_INTERVAL_SECONDS
+        ):
+            return found
         self._trials[found.key] = descriptor.request_id
         return harmful_parts.HARMLESS
 
@@ -210,7 +214,7 @@
             for key, upstream in self._kept_at.items()
             if self.record.evidence.list_crashes(key, now)
         }
-        earliest = now - TRIAL_INTERVAL_SECONDS
+        earliest = now - request_trials.TRIAL_INTERVAL_SECONDS
         self._failed_at = {
             key: at for key, at in self._failed_at.items() if at > earliest
         }
--- a/packages/daemon/src/trestlestall/daemon/directory/scheduling.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/scheduling.py
@@ -21,6 +21,7 @@
     metrics as directory_metrics,
     part_quarantine,
     quarantine as directory_quarantine,
+    request_trials,
     retry_budget as directory_retry_budget,
 )
 from trestlestall.forwarding import (
@@ -41,10 +42,6 @@
 #: Seconds for which a retry waits until the other directories have acknowledged the
 #: retries before it; its gateway waits no longer for an answer (``gateway.placing``).
 PENDING_CALL_SECONDS = 0.2
-#: Seconds between the failure of a request's trial and the next trial: by then it is
-#: known whether its upstream crashed, even if that shows only once another incarnation
-#: has taken its place.
-TRIAL_INTERVAL_SECONDS = 6.0
 #: Seconds after which a caller returns at the earliest if brittle upstreams are full.
 FULL_WAIT_SECONDS = 0.25
 
@@ -113,7 +110,9 @@
         self._rows: tuple[upstreams.Row, ...] = ()
         self._running: dict[str, dict[str, RunningRequest]] = {}
         self._pending: collections.deque[PendingCall] = collections.deque()
-        self._failed_trials: dict[str, float] = {}
+        self._trials = request_trials.RequestTrials(
+            quarantine, self._list_running_digests, clock
+        )
 
     def set_declaration(self, packed: bytes) -> None:
         """Use the configuration in force."""
@@ -190,7 +189,7 @@
         verdict: budgets.Verdict,
     ) -> placement.Placed | placement.Refused:
         """Choose an upstream; count a retry once it has one."""
-        if self._is_quarantined(descriptor.digest):
+        if self._trials.is_refused(descriptor.digest):
             return placement.Refused(crashes.HARMFUL, 0.0)
         if verdict is budgets.Verdict.DENIED:
             return placement.Refused(budgets.EXHAUSTED, placement.RETURN_SECONDS)
@@ -211,6 +210,8 @@
         finding = self._parts.evaluate(descriptor)
         if finding.verdict is crashes.Verdict.HARMFUL:
             return placement.Refused(harmful_parts.HELD, 0.0)
+        if finding.verdict is crashes.Verdict.ON_TRIAL:
+            return placement.Refused(harmful_parts.TRIED, placement.RETURN_SECONDS)
         if finding.verdict is crashes.Verdict.DOUBTFUL:
             return self._place_in_doubt(descriptor, call, finding.key)
         found = self._place_within_limits(descriptor, call)
@@ -270,31 +271,6 @@
             return []
         return self._brittle.list_full(service, self.placer.measure_load(service), now)
 
-    def _is_quarantined(self, digest: str) -> bool:
-        """Return whether a request is not sent because upstreams crash under it.
-
-        While it is on trial, only one send runs at a time. A send that failed counts as
-        running until it would be known that its upstream crashed.
-        """
-        verdict = self._quarantine.evaluate(digest)
-        if verdict is not crashes.Verdict.ON_TRIAL:
-            return verdict is crashes.Verdict.HARMFUL
-        if digest in self._list_failed_trials():
-            return True
-        return any(
-            running.digest == digest
-            for requests in self._running.values()
-            for running in requests.values()
-        )
-
-    def _list_failed_trials(self) -> abc.Collection[str]:
-        """Return the requests whose trial failed recently; remove the others."""
-        earliest = self._clock() - TRIAL_INTERVAL_SECONDS
-        self._failed_trials = {
-            digest: at for digest, at in self._failed_trials.items() if at > earliest
-        }
-        return self._failed_trials.keys()
-
     def handle_withdrawn(
         self, gateway: str, message: directory_messages.PlaceWithdrawn
     ) -> None:
@@ -325,12 +301,9 @@
         failed = note.kind == placement_protocol.FAILED
         data_centre = running.descriptor.data_centre
         self.placer.record_outcome(running.upstream, data_centre, failed)
-        if (
-            failed
-            and self._quarantine.evaluate(running.digest) is crashes.Verdict.ON_TRIAL
-        ):
-            self._failed_trials[running.digest] = now
-        if not failed:
+        if failed:
+            self._trials.record_failed(running.digest)
+        else:
             self._quarantine.record_success(
                 running.digest, running.upstream, running.placed_at
             )
@@ -362,6 +335,12 @@
                 self.placer.record_first_event(descriptor.request_id, now)
                 self._parts.record_answering(descriptor, now - age)
 
+    def _list_running_digests(self) -> abc.Iterator[str]:
+        """Yield the digest of each running request."""
+        for requests in self._running.values():
+            for running in requests.values():
+                yield running.digest
+
     def list_scalable(self) -> list[model.Service]:
         """Return the services whose upstreams may be ordered from the platform."""
         if self._configuration is None:
--- a/packages/daemon/src/trestlestall/daemon/gateway/placing.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/placing.py
@@ -41,6 +41,7 @@
     budgets.EXHAUSTED,
     crashes.HARMFUL,
     harmful_parts.HELD,
+    harmful_parts.TRIED,
     rate_limits.LIMITED,
     brittleness.FULL,
 )
@@ -51,6 +52,7 @@
     budgets.EXHAUSTED,
     crashes.HARMFUL,
     harmful_parts.HELD,
+    harmful_parts.TRIED,
 )
 
 
--- a/packages/forwarding/src/trestlestall/forwarding/harmful_parts.py
+++ b/packages/forwarding/src/trestlestall/forwarding/harmful_parts.py
@@ -24,8 +24,10 @@
 
 from trestlestall.forwarding import crashes, part_evidence, part_reports, suspects
 
-#: The reason for not sending a request with a part that is held.
+#: The reasons for not sending a request with a part that is held, and for not sending
+#: one now as another one shows whether the part still crashes upstreams.
 HELD = "upstreams ended while they answered requests with a part of its prompt"
+TRIED = "another request with a part of its prompt is on trial"
 #: Independent crashes and the score from which on a part is in doubt, and those from
 #: which on it is held. A score of 13 is one wrong hold in 400,000 parts that are
 #: present at crashes by chance.
@@ -46,6 +48,7 @@
 TRIAL_GAP_SECONDS = 25.0
 #: Seconds from the last crash to an attempt by a workspace that had no part in any.
 OTHERS_SECONDS = 6.0
+
 Key = part_reports.Key
 Verdict = crashes.Verdict
 #: The verdicts, the mildest first.
