A directory that has not heard of the answers holds no part of prompts

Cause: the directory that places answered late, a gateway asked another one, which knew the crashes but none of the answers. The sound part was present at one crash more than the fatal one, and nothing spoke against it; its hold was told to all and taken over, even where the fatal part explained the same crashes.

Change: only crashes of requests that were sent since most linked gateways ask a directory make it hold a part; before that the part is in doubt. A hold is not taken over if its crashes are explained otherwise.

--- a/packages/daemon/src/trestlestall/daemon/directory/part_quarantine.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/part_quarantine.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import math
 from collections import abc
 
 from trestlestall.daemon import events, logs, part_messages
@@ -54,22 +55,44 @@
         self._kept_at: dict[harmful_parts.Key, str] = {}
         self._trials: dict[harmful_parts.Key, str] = {}
         self._failed_at: dict[harmful_parts.Key, float] = {}
+        #: Since when each gateway asks this directory for places.
+        self._asked_since: dict[str, float] = {}
         self.record.merge(file.load(), clock())
         self._list_held()
 
     # Requests.
 
-    def evaluate(self, descriptor: descriptors.Descriptor) -> harmful_parts.Finding:
+    def record_state(self, gateway: str) -> None:
+        """Record that a gateway asks this directory from now on."""
+        self._asked_since[gateway] = self._clock()
+
+    def evaluate(
+        self, gateway: str, descriptor: descriptors.Descriptor
+    ) -> harmful_parts.Finding:
         """Return the verdict on a request; harmless if its trial begins now."""
         now = self._clock()
+        self._asked_since.setdefault(gateway, now)
         held = self.record.list_held()
-        found = self.record.evaluate(part_evidence.list_keys(descriptor), now)
+        keys = part_evidence.list_keys(descriptor)
+        found = self.record.evaluate(keys, now, judges_since=self._find_judged_since())
         if self.record.list_held() != held:
             self._queue_update(self.record.report_held(now))
         if found.verdict is Verdict.ON_TRIAL:
             return self._evaluate_trial(descriptor, found, now)
         return found
 
+    def _find_judged_since(self) -> float:
+        """Return since when most of the linked gateways ask this directory.
+
+        Otherwise it does not hear of most answers, and can't tell what speaks for a
+        part.
+        """
+        asked = sorted(
+            self._asked_since.get(gateway, math.inf)
+            for gateway in self._links.list_gateways()
+        )
+        return asked[len(asked) // 2] if asked else math.inf
+
     def _evaluate_trial(
         self,
         descriptor: descriptors.Descriptor,
@@ -77,7 +100,7 @@
         now: float,
     ) -> harmful_parts.Finding:
         """Let a request be tried if no other one is, or was a moment ago."""
-        failed_at = self._failed_at.get(found.key, float("-inf"))
+        failed_at = self._failed_at.get(found.key, -math.inf)
         if (
             found.key in self._trials
             or now < failed_at + request_trials.TRIAL_INTERVAL_SECONDS
@@ -165,6 +188,10 @@
         )
         return dataclasses.replace(report, ends=ends)
 
+    def remove_gateway(self, gateway: str) -> None:
+        """Forget a gateway that is no longer linked."""
+        self._asked_since.pop(gateway, None)
+
     def sync_peer(self, peer: str) -> None:
         """Send the record to a newly linked process."""
         now = self._clock()
--- a/packages/daemon/src/trestlestall/daemon/directory/scheduling.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/scheduling.py
@@ -142,7 +142,7 @@
         if verdict is budgets.Verdict.LATER:
             self._pending.append(pending)
             return
-        found = self._find_place(descriptor, call, verdict)
+        found = self._find_place(gateway, descriptor, call, verdict)
         refused = isinstance(found, placement.Refused)
         self._record_prefill(
             descriptor.service, self.placer.estimate_prefill_seconds(descriptor, found)
@@ -184,6 +184,7 @@
 
     def _find_place(
         self,
+        gateway: str,
         descriptor: descriptors.Descriptor,
         call: directory_messages.PlaceCall,
         verdict: budgets.Verdict,
@@ -193,7 +194,7 @@
             return placement.Refused(crashes.HARMFUL, 0.0)
         if verdict is budgets.Verdict.DENIED:
             return placement.Refused(budgets.EXHAUSTED, placement.RETURN_SECONDS)
-        found = self._place_by_parts(descriptor, call)
+        found = self._place_by_parts(gateway, descriptor, call)
         if call.purpose == placement_protocol.RETRY and isinstance(
             found, placement.Placed
         ):
@@ -201,13 +202,16 @@
         return found
 
     def _place_by_parts(
-        self, descriptor: descriptors.Descriptor, call: directory_messages.PlaceCall
+        self,
+        gateway: str,
+        descriptor: descriptors.Descriptor,
+        call: directory_messages.PlaceCall,
     ) -> placement.Placed | placement.Refused:
         """Choose an upstream unless a part of the prompt crashes upstreams.
 
         A request with a part in doubt is kept where others with it are.
         """
-        finding = self._parts.evaluate(descriptor)
+        finding = self._parts.evaluate(gateway, descriptor)
         if finding.verdict is crashes.Verdict.HARMFUL:
             return placement.Refused(harmful_parts.HELD, 0.0)
         if finding.verdict is crashes.Verdict.ON_TRIAL:
@@ -323,6 +327,7 @@
     def handle_state(self, gateway: str, state: directory_messages.PlaceState) -> None:
         """Replace the gateway's running requests with those that it lists."""
         self.remove_gateway(gateway)
+        self._parts.record_state(gateway)
         now = self._clock()
         for plain, identity, has_first_event, *rest in state.tasks:
             descriptor = descriptors.decode(plain)
@@ -363,6 +368,7 @@
 
     def remove_gateway(self, gateway: str) -> None:
         """Remove the requests of a gateway that is no longer linked."""
+        self._parts.remove_gateway(gateway)
         now = self._clock()
         self._pending = collections.deque(
             one for one in self._pending if one.gateway != gateway
--- a/packages/daemon/src/trestlestall/daemon/gateway/placing.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/placing.py
@@ -3,6 +3,7 @@
 The scheduler is the directory that places the requests of all gateways.
 """
 
+import math
 from collections import abc
 
 from trestlestall.daemon import announcements, events, placement_protocol
@@ -89,7 +90,7 @@
         verdict = self._view.evaluate(descriptor.digest)
         if verdict is crashes.Verdict.HARMFUL:
             return placement.Refused(crashes.HARMFUL, 0.0)
-        if self._is_part_held(descriptor, workspace, judges=False):
+        if self._is_part_held(descriptor, workspace, math.inf):
             return placement.Refused(harmful_parts.HELD, 0.0)
         answer = self._query_and_check(descriptor, tried, purpose)
         if answer is not None and answer.reason in FINAL_REASONS:
@@ -103,7 +104,7 @@
             if verdict is crashes.Verdict.ON_TRIAL:
                 # Other gateways may run the trial as well.
                 return placement.Refused(crashes.HARMFUL, 0.0)
-            if self._is_part_held(descriptor, workspace, judges=True):
+            if self._is_part_held(descriptor, workspace, -math.inf):
                 return placement.Refused(harmful_parts.HELD, 0.0)
             if purpose == placement_protocol.RETRY and not self._may_retry_alone(
                 descriptor
@@ -113,20 +114,20 @@
         return self._adopt(descriptor, tried, answer)
 
     def _is_part_held(
-        self, descriptor: descriptors.Descriptor, workspace: str, judges: bool
+        self, descriptor: descriptors.Descriptor, workspace: str, judges_since: float
     ) -> bool:
         """Return whether a part of the prompt crashes upstreams.
 
-        Only a gateway that chooses alone ``judges`` by what it has seen itself. It lets
-        no trial begin, as others may.
+        Only a gateway that chooses alone judges by what it has seen itself. It lets no
+        trial begin, as others may.
         """
         found = self._view.parts.evaluate(
             part_evidence.list_keys(descriptor),
             self._view.clock(),
             workspace,
-            judges,
+            judges_since,
         )
-        if judges:
+        if judges_since < math.inf:
             refused = (crashes.Verdict.HARMFUL, crashes.Verdict.ON_TRIAL)
             return found.verdict in refused
         return found.verdict is crashes.Verdict.HARMFUL
--- a/packages/daemon/src/trestlestall/daemon/gateway/records.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/records.py
@@ -1,5 +1,7 @@
 """The log lines of a forwarded request."""
 
+import math
+
 from trestlestall.daemon import events
 from trestlestall.daemon.gateway import outcomes, progress
 from trestlestall.forwarding import harmful_parts, placement, upstreams
@@ -144,9 +146,7 @@
     part = None
     ends = view.crashes.list_crashes(forward.digest, now)
     if refused.reason == harmful_parts.HELD:
-        found = view.parts.evaluate(
-            forward.keys, now, forward.caller_name, judges=False
-        )
+        found = view.parts.evaluate(forward.keys, now, forward.caller_name, math.inf)
         if found.key is not None:
             part = found.key.part[:LOGGED_PART_LENGTH]
             ends = view.parts.evidence.list_crashes(found.key, now)
--- a/packages/daemon/tests/test_part_quarantine.py
+++ b/packages/daemon/tests/test_part_quarantine.py
@@ -34,6 +34,9 @@
             row = samples.make_row(f"u{number}")
             self.server.registrations.announce(row)
         self.token = 0
+        self.clock.now -= 1.0
+        self.ask()
+        self.clock.now += 1.0
 
     def ask(self, *parts):
         """Deliver a gateway's call; return its answer."""
@@ -154,7 +157,7 @@
     def evaluate(self, restarted, part=FATAL):
         descriptor = samples.make_descriptor(parts=(part, ("own", 10)))
         restarted.record.evidence.record_serving(12, self.clock.now)
-        return restarted.evaluate(descriptor).verdict
+        return restarted.evaluate("gateway-1", descriptor).verdict
 
     def test_a_held_part_survives_the_loss_of_all_power(self):
         self.crash("s1", "s2", "s3")
--- a/packages/forwarding/src/trestlestall/forwarding/harmful_parts.py
+++ b/packages/forwarding/src/trestlestall/forwarding/harmful_parts.py
@@ -20,6 +20,7 @@
 """
 
 import dataclasses
+import math
 from collections import abc
 
 from trestlestall.forwarding import crashes, part_evidence, part_reports, suspects
@@ -137,19 +138,20 @@
         keys: abc.Collection[Key],
         now: float,
         workspace: str | None = None,
-        judges: bool = True,
+        judges_since: float = -math.inf,
     ) -> Finding:
         """Return the most severe verdict on a request with these parts.
 
-        Without a workspace it may be any. Only a process that ``judges`` holds parts by
-        what it knows itself.
+        Without a workspace it may be any. A process holds parts by what it knows itself
+        only for crashes of requests sent at ``judges_since`` or later: before, it did
+        not hear of all that was answered.
         """
         if not self._suspects:
             return HARMLESS
         verdicts = [
             (key, verdict)
             for key in keys
-            if (verdict := self._evaluate_part(key, keys, now, workspace, judges))
+            if (verdict := self._evaluate_part(key, keys, now, workspace, judges_since))
             is not Verdict.HARMLESS
         ]
         if not verdicts:
@@ -168,8 +170,9 @@
         keys: abc.Collection[Key],
         now: float,
         workspace: str | None,
-        judges: bool,
+        judges_since: float,
     ) -> Verdict:
+        judges = judges_since < math.inf
         if key in self._groups:
             if judges:
                 self._reduce_group(self._groups[key], now)
@@ -184,7 +187,7 @@
             return Verdict.HARMFUL
         if key not in self._suspects:
             return Verdict.HARMLESS
-        return self._judge(key, now)
+        return self._judge(key, now, judges_since)
 
     def _evaluate_held(
         self, key: Key, keys: abc.Collection[Key], now: float, workspace: str | None
@@ -226,11 +229,10 @@
             for held in self._groups
         )
 
-    def _judge(self, key: Key, now: float) -> Verdict:
+    def _judge(self, key: Key, now: float, judges_since: float) -> Verdict:
         """Return the verdict on a part by its crashes; hold it if it is harmful."""
         suspect = self._suspects[key]
-        independent = suspects.count_independent(suspect.presences.values())
-        if independent < DOUBT_CRASHES:
+        if suspect.count_independent() < DOUBT_CRASHES:
             return Verdict.HARMLESS
         score = self._compute_score(key, now)
         if score < DOUBT_SCORE:
@@ -241,7 +243,8 @@
         best = list_best(against)
         if key not in best:
             return Verdict.HARMLESS
-        is_certain = independent >= HOLD_CRASHES and score >= HOLD_SCORE
+        witnessed = suspect.count_independent(judges_since)
+        is_certain = witnessed >= HOLD_CRASHES and score >= HOLD_SCORE
         if not is_certain or len(best) > GROUP_LIMIT:
             return Verdict.DOUBTFUL
         self._hold(one for one in best if self._is_equal(one, key))
@@ -261,7 +264,7 @@
         suspect = self._suspects[key]
         return {
             "score": round(self._compute_score(key, now), 2),
-            "independent": suspects.count_independent(suspect.presences.values()),
+            "independent": suspect.count_independent(),
             "answered_seconds": round(suspect.measure_answered(now), 3),
         }
 
@@ -320,7 +323,7 @@
         before = [group for key in known if (group := self._groups.get(key))]
         # Groups only shrink, so that processes that differ agree in the end.
         known = known.intersection(*before)
-        if not known or known in before:
+        if not known or known in before or not self._is_supported(known):
             return False
         if before:
             self._narrow(frozenset().union(*before), known)
@@ -328,6 +331,17 @@
             self._hold(known)
         return True
 
+    def _is_supported(self, group: abc.Collection[Key]) -> bool:
+        """Return whether what is known here agrees with a hold of another record.
+
+        Times that several processes report are not exact: one crash less is enough.
+        """
+        return any(
+            self._suspects[key].count_independent() >= HOLD_CRASHES - 1
+            or self._is_held_elsewhere(key)
+            for key in group
+        )
+
     # Internals.
 
     def _hold(self, keys: abc.Iterable[Key]) -> None:
@@ -356,10 +370,10 @@
 
     def _review(self, key: Key) -> None:
         """Release a part, or forget it, once too few crashes are left under it."""
-        presences = self._suspects[key].presences.values()
-        if suspects.count_independent(presences) < HOLD_CRASHES:
+        suspect = self._suspects[key]
+        if suspect.count_independent() < HOLD_CRASHES:
             self._release(key)
-        if not presences:
+        if not suspect.presences:
             del self._suspects[key]
 
     def _attribute(self, incarnation: str, group: frozenset[Key]) -> None:
--- a/packages/forwarding/src/trestlestall/forwarding/suspects.py
+++ b/packages/forwarding/src/trestlestall/forwarding/suspects.py
@@ -122,11 +122,18 @@
         discount = ANSWERED_DISCOUNT if self.was_answered else 0.0
         return CRASH_RATE * self.measure_answered(now) + discount
 
+    def count_independent(self, since: float = -math.inf) -> int:
+        """Return the number of crashes without a common cause; see below.
+
+        Those count whose requests were sent at ``since`` or later.
+        """
+        presences = self.presences.values()
+        return count_independent(one for one in presences if one.sent_at >= since)
+
     def compute_score(self, base_rate: float, now: float) -> float:
         """Return the score; ``base_rate`` is of crashes a second of an upstream."""
         gain = math.log(max(1.0, CRASH_RATE / base_rate))
-        crashes = count_independent(self.presences.values())
-        return crashes * gain - self.compute_evidence_against(now)
+        return self.count_independent() * gain - self.compute_evidence_against(now)
 
 
 def count_independent(presences: abc.Iterable[Presence]) -> int:
--- a/packages/forwarding/tests/parts_world.py
+++ b/packages/forwarding/tests/parts_world.py
@@ -8,6 +8,7 @@
 
 import collections
 import dataclasses
+import math
 
 from packages.forwarding.tests import crash_world
 from trestlestall.forwarding import (
@@ -155,23 +156,33 @@
     def evaluate(self, task, scheduler):
         """Return the verdict on a request, by all that is known."""
         own = task.gateway.record
-        told = own.evaluate(
-            task.keys, self.now, task.workspace, judges=scheduler is None
-        )
+        since = math.inf if scheduler else -math.inf
+        told = own.evaluate(task.keys, self.now, task.workspace, since)
         if told.verdict is crashes.Verdict.HARMFUL or scheduler is None:
             return told.verdict
         scheduler.record.evidence.record_serving(len(self.upstreams), self.now)
-        if self.scheduler_of.get(id(task.gateway)) is not scheduler.record:
-            self.scheduler_of[id(task.gateway)] = scheduler.record
+        record, _ = self.scheduler_of.get(id(task.gateway), (None, 0.0))
+        if record is not scheduler.record:
+            self.scheduler_of[id(task.gateway)] = scheduler.record, self.now
             self.tell_answering(task.gateway, scheduler.record)
         before = len(scheduler.record.list_held())
-        found = scheduler.record.evaluate(task.keys, self.now)
+        since = self.find_judged_since(scheduler)
+        found = scheduler.record.evaluate(task.keys, self.now, judges_since=since)
         if len(scheduler.record.list_held()) != before:
             scheduler.updates.append(scheduler.record.report_held(self.now))
         if found.verdict is crashes.Verdict.ON_TRIAL and self.may_try(found.key):
             return crashes.Verdict.HARMLESS
         return found.verdict
 
+    def find_judged_since(self, scheduler):
+        """Return since when most gateways in reach ask this directory."""
+        asked = []
+        for gateway in self.gateways:
+            if gateway.side == scheduler.side and gateway.record is not None:
+                record, since = self.scheduler_of.get(id(gateway), (None, 0.0))
+                asked.append(since if record is scheduler.record else math.inf)
+        return sorted(asked)[len(asked) // 2]
+
     def tell_answering(self, gateway, record):
         """Tell a new scheduler of a gateway's requests that are being answered."""
         for upstream in self.upstreams:
--- a/packages/forwarding/tests/test_harmful_parts.py
+++ b/packages/forwarding/tests/test_harmful_parts.py
@@ -1,5 +1,6 @@
 """Which parts of prompts are held for crashing upstreams, and what clears them."""
 
+import math
 import unittest
 
 from packages.forwarding.tests import parts_world
@@ -138,7 +139,7 @@
         other = harmful_parts.Record()
         self.assertTrue(self.merge(other).held)
         self.assertFalse(self.merge(other))
-        found = other.evaluate((FATAL,), 3.3, "w", judges=False)
+        found = other.evaluate((FATAL,), 3.3, "w", judges_since=math.inf)
         self.assertIs(found.verdict, HARMFUL)
 
     def test_groups_only_shrink(self):
@@ -158,6 +159,26 @@
         )
         self.assertEqual(other.list_held(), [frozenset((FATAL,))])
 
+    def test_a_part_is_not_held_for_crashes_before_the_answers_were_heard_of(self):
+        for at in (1.0, 2.0, 3.0):
+            self.crash(at, SOUND)
+        self.check(DOUBTFUL, SOUND, now=3.1, judges_since=2.5)
+        for at in (4.0, 5.0):
+            self.crash(at, SOUND)
+        self.check(HARMFUL, SOUND, now=5.1, judges_since=2.5)
+
+    def test_a_hold_that_contradicts_what_is_known_is_not_taken_over(self):
+        other = harmful_parts.Record()
+        for at in (1.0, 2.0, 3.0):
+            self.crash(at, FATAL, SOUND)
+            self.crash(at, SOUND, record=other)
+        self.crash(3.5, FATAL)
+        self.check(HARMFUL, FATAL, now=3.6)
+        self.record.record_answer(SOUND, 2.95)
+        other.evaluate((SOUND,), 3.6)
+        self.record.merge(other.report(3.6), 3.6)
+        self.assertEqual(self.record.list_held(), [frozenset((FATAL,))])
+
     def test_malformed_reports_are_refused(self):
         for ends in ([("c", "p", "u", (), 0.0)], [("c", "p", "u", (), -1.0, 0.0)], 5):
             with self.subTest(ends), self.assertRaises(ValueError):
