A part that was answered lately takes two crashes more; a directory asked again keeps its view

And 10 crashes where 8 are allowed, as gateways had asked another directory for a moment and its view began anew.

The test of the first failed before.

--- a/packages/daemon/src/trestlestall/daemon/directory/part_quarantine.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/part_quarantine.py
@@ -24,6 +24,9 @@
 )
 from trestlestall.wire import clocks, directory_messages
 
+#: Seconds for which a gateway may ask another directory without being taken for one
+#: whose answers were not heard of: a directory that was slow once is asked again soon.
+MISSED_SECONDS = 2.0
 Verdict = harmful_parts.Verdict
 
 
@@ -57,14 +60,18 @@
         self._failed_at: dict[harmful_parts.Key, float] = {}
         #: Since when each gateway asks this directory for places.
         self._asked_since: dict[str, float] = {}
+        self._asked_at: dict[str, float] = {}
         self.record.merge(file.load(), clock())
         self._list_held()
 
     # Requests.
 
     def record_state(self, gateway: str) -> None:
-        """Record that a gateway asks this directory from now on."""
-        self._asked_since[gateway] = self._clock()
+        """Record that a gateway asks this directory from now on, or does so again."""
+        now = self._clock()
+        if now - self._asked_at.get(gateway, -math.inf) > MISSED_SECONDS:
+            self._asked_since[gateway] = now
+        self._asked_at[gateway] = now
 
     def evaluate(
         self, gateway: str, descriptor: descriptors.Descriptor
@@ -72,6 +79,7 @@
         """Return the verdict on a request; harmless if its trial begins now."""
         now = self._clock()
         self._asked_since.setdefault(gateway, now)
+        self._asked_at[gateway] = now
         held = self.record.list_held()
         keys = part_evidence.list_keys(descriptor)
         found = self.record.evaluate(keys, now, judges_since=self._find_judged_since())
@@ -191,6 +199,7 @@
     def remove_gateway(self, gateway: str) -> None:
         """Forget a gateway that is no longer linked."""
         self._asked_since.pop(gateway, None)
+        self._asked_at.pop(gateway, None)
 
     def sync_peer(self, peer: str) -> None:
         """Send the record to a newly linked process."""
--- a/packages/daemon/src/trestlestall/daemon/directory/scheduling.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/scheduling.py
@@ -326,7 +326,7 @@
 
     def handle_state(self, gateway: str, state: directory_messages.PlaceState) -> None:
         """Replace the gateway's running requests with those that it lists."""
-        self.remove_gateway(gateway)
+        self._remove_requests(gateway)
         self._parts.record_state(gateway)
         now = self._clock()
         for plain, identity, has_first_event, *rest in state.tasks:
@@ -369,6 +369,9 @@
     def remove_gateway(self, gateway: str) -> None:
         """Remove the requests of a gateway that is no longer linked."""
         self._parts.remove_gateway(gateway)
+        self._remove_requests(gateway)
+
+    def _remove_requests(self, gateway: str) -> None:
         now = self._clock()
         self._pending = collections.deque(
             one for one in self._pending if one.gateway != gateway
--- a/packages/forwarding/src/trestlestall/forwarding/suspects.py
+++ b/packages/forwarding/src/trestlestall/forwarding/suspects.py
@@ -19,9 +19,10 @@
 
 #: Crashes a second of an upstream that writes on a part that crashes upstreams.
 CRASH_RATE = 1.0
-#: What a part's score loses if it was answered shortly before its first crash: parts
-#: that turn harmful are rarer than new ones that are.
-ANSWERED_DISCOUNT = 5.0
+#: What a part's score loses if it was answered shortly before its first crash: two
+#: crashes. Parts that turn harmful are rarer than new ones that are, and repeats of one
+#: fatal request crash several upstreams with all its parts.
+ANSWERED_DISCOUNT = 15.0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/forwarding/tests/test_harmful_parts.py
+++ b/packages/forwarding/tests/test_harmful_parts.py
@@ -44,6 +44,15 @@
             self.check(verdict, FATAL, now=number + 0.1)
         self.check(HARMLESS, SOUND)
 
+    def test_a_part_that_was_answered_takes_more_crashes(self):
+        """Repeats of two fatal requests had one sound part in common."""
+        self.record.record_answer(SOUND, 0.0)
+        for at, fatal in ((1.0, FATAL), (1.2, FATAL), (2.0, FIRST), (2.2, FIRST)):
+            self.crash(at, SOUND, fatal)
+        self.check(DOUBTFUL, SOUND, now=2.3)
+        self.crash(3.0, FATAL)
+        self.check(HARMFUL, FATAL, now=3.1)
+
     def test_crashes_of_one_moment_are_one_cause(self):
         for number in range(8):
             self.crash(5.0 + number / 100, SOUND, sent_at=4.0 + number / 10)
