--- a/tests/test_harmful_parts.py
+++ b/tests/test_harmful_parts.py
@@ -31,6 +31,8 @@
 class PartsCase(unittest.TestCase):
     """Three directories, four gateways, and upstreams that parts may crash."""
 
+    upstreams = UPSTREAMS
+
     def setUp(self):
         stack = contextlib.ExitStack()
         self.addCleanup(stack.close)
@@ -41,7 +43,7 @@
         self.system.start_all()
         self.assertEqual(self.system.declare(prompt_parts.make_document()), 200)
         ports = [self.system.ports[name] for name in self.system.names]
-        self.fleet = prompt_parts.Fleet(ports, UPSTREAMS)
+        self.fleet = prompt_parts.Fleet(ports, self.upstreams)
         stack.callback(self.fleet.stop)
         self.callers = prompt_parts.Callers(self.system)
         stack.callback(self.callers.stop)
@@ -51,7 +53,7 @@
     def knows_all(self, name):
         """Return whether a gateway has every upstream."""
         text = gateways.ask(self.system.ready[name], "GET", "/metrics").body.decode()
-        wanted = f"trestlestall_forward_upstreams {float(UPSTREAMS)}"
+        wanted = f"trestlestall_forward_upstreams {float(self.upstreams)}"
         return wanted in text and self.system.is_ready(name)
 
     def begin(self, make_fatal, rate=FATAL_RATE, sound=prompt_parts.make_sound):
@@ -104,6 +106,15 @@
         self.assertGreaterEqual(began, SOUND_SHARE * usual * len(after), told)
 
 
+class FewTest(PartsCase):
+    upstreams = 5
+
+    def test_a_part_crashes_few_where_upstreams_are_few(self):
+        self.fleet.fatal = {prompt_parts.FATAL}
+        self.play(prompt_parts.make_fatal, 2 * FATAL_RATE)
+        self.check(prompt_parts.FATAL)
+
+
 class FloodTest(PartsCase):
     def test_one_part_among_others_crashes_few_upstreams(self):
         self.fleet.fatal = {prompt_parts.FATAL}
