--- a/packages/daemon/src/trestlestall/daemon/directory/part_quarantine.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/part_quarantine.py
@@ -56,9 +56,10 @@
         self._held: set[harmful_parts.Key] = set()
         #: Where requests with a part in doubt are kept, by part.
         self._kept_at: dict[harmful_parts.Key, str] = {}
+        #: The request that tries each part now, and when the last trial failed.
         self._trials: dict[harmful_parts.Key, str] = {}
         self._failed_at: dict[harmful_parts.Key, float] = {}
-        #: Since when each gateway asks this directory for places.
+        #: Since when each gateway asks this directory for places, and when it last did.
         self._asked_since: dict[str, float] = {}
         self._asked_at: dict[str, float] = {}
         self.record.merge(file.load(), clock())
@@ -80,6 +81,8 @@
         now = self._clock()
         self._asked_since.setdefault(gateway, now)
         self._asked_at[gateway] = now
+        if not len(self.record):
+            return harmful_parts.HARMLESS
         held = self.record.list_held()
         keys = part_evidence.list_keys(descriptor)
         found = self.record.evaluate(keys, now, judges_since=self._find_judged_since())
--- a/packages/daemon/src/trestlestall/daemon/gateway/placing.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/placing.py
@@ -32,6 +32,10 @@
 #: takes to restart all directories and to query one again.
 ISOLATED_SECONDS = 6.0
 
+#: Seconds without an answer after which a gateway judges by itself which parts of
+#: prompts crash upstreams.
+ALONE_SECONDS = 1.0
+
 #: Queries for one send: a second one if this gateway rejected the choice, or if another
 #: directory has become the scheduler meanwhile.
 QUERIES_PER_SEND = 2
@@ -104,7 +108,7 @@
             if verdict is crashes.Verdict.ON_TRIAL:
                 # Other gateways may run the trial as well.
                 return placement.Refused(crashes.HARMFUL, 0.0)
-            if self._is_part_held(descriptor, workspace, -math.inf):
+            if self._is_part_held(descriptor, workspace, self._find_judged_since()):
                 return placement.Refused(harmful_parts.HELD, 0.0)
             if purpose == placement_protocol.RETRY and not self._may_retry_alone(
                 descriptor
@@ -132,6 +136,14 @@
             return found.verdict in refused
         return found.verdict is crashes.Verdict.HARMFUL
 
+    def _find_judged_since(self) -> float:
+        """Return since when this gateway judges parts itself; infinity for not now.
+
+        A scheduler that is late for a moment knows more than one gateway.
+        """
+        silent_seconds = self.scheduler_client.count_silent_seconds()
+        return -math.inf if silent_seconds > ALONE_SECONDS else math.inf
+
     def record_first(
         self, descriptor: descriptors.Descriptor, start: tuple = ()
     ) -> None:
