A claims test waits until the restarted router is ready

Traced: the router had just been restarted and said that it has no configuration yet; the test waits until it knows two upstreams, of which it may hear before. That refusal is true and allowed; the test waits for /readyz as well now, its check is as it was.

--- a/packages/daemon/tests/test_router_claims.py
+++ b/packages/daemon/tests/test_router_claims.py
@@ -6,7 +6,7 @@
 import unittest
 
 from packages.daemon.tests import router_bench
-from trestlestall.standins import calls, processes
+from trestlestall.standins import calls, deployment, processes
 
 
 class ClaimsTest(unittest.TestCase):
@@ -90,7 +90,8 @@
         self.bench.set_fault(self.service, kind="none")
         answer = self.call("k5", 1)
         self.check(answer, 409, "request_in_progress", "outcome_unknown")
-        self.bench.deployment.restart(self.bench.routers[0])
+        again = self.bench.deployment.restart(self.bench.routers[0])
+        processes.wait_until(lambda: deployment.is_ready(again), "it is ready again")
         self.bench.wait_for_upstreams(2)
         self.check(self.call("k5"), 409, "request_in_progress", "outcome_unknown")
         self.assertEqual(self.count("k5"), 1)
