--- a/packages/forwarding/tests/test_harmful_parts.py
+++ b/packages/forwarding/tests/test_harmful_parts.py
@@ -29,8 +29,9 @@
         """Let an upstream crash on a request that was sent shortly before."""
         sent_at = at - 0.1 if sent_at is None else sent_at
         presence = suspects.Presence(sent_at, at, frozenset(workspaces))
+        record = self.record if record is None else record
         for key in keys:
-            (record or self.record).record_end(key, f"u{at}", presence)
+            record.record_end(key, f"u{at}", presence)
 
     def check(self, verdict, *keys, now=10.0, **options):
         found = self.record.evaluate(keys, now, **options)
@@ -184,8 +185,9 @@
         self.crash(3.5, FATAL)
         self.check(HARMFUL, FATAL, now=3.6)
         self.record.record_answer(SOUND, 2.95)
-        other.evaluate((SOUND,), 3.6)
-        self.record.merge(other.report(3.6), 3.6)
+        self.crash(4.0, SOUND, record=other)
+        self.assertIs(other.evaluate((SOUND,), 4.1).verdict, HARMFUL)
+        self.record.merge(other.report(4.1), 4.1)
         self.assertEqual(self.record.list_held(), [frozenset((FATAL,))])
 
     def test_malformed_reports_are_refused(self):
