Log which attempts are aborted here, and the port of each connection

1. an attempt that has ended still reaches its connection, which serves another request; 2. the pool gives one connection to two requests; 3. the pool closes a connection that is in use (drop, close_stale); 4. a late writer of an earlier request, or a file number given out anew; 5. the upstream or the stand-in itself ends the answer.

forward_ended and forward_repeated now have the gateway's own port of the last connection, and attempt_aborted (TS7028) says which request shut down which one, and whether its attempt was still running. No change of logic.

--- a/packages/daemon/src/trestlestall/daemon/events/forwarding.py
+++ b/packages/daemon/src/trestlestall/daemon/events/forwarding.py
@@ -29,10 +29,11 @@
     "forward_ended",
     catalogue.Level.INFO,
     "request route upstream status outcome reason attempts events seconds"
-    " first_seconds longest_pause first_target pause_target",
+    " first_seconds longest_pause first_target pause_target port",
     "The caller has received its final answer or has closed the connection; outcome"
     " says which. The targets are those of the route, for the first event or the"
-    " answer and for pauses between events.",
+    " answer and for pauses between events. port is the gateway's own port of the"
+    " last connection that the request was sent on.",
 )
 REFUSED = catalogue.declare(
     "TS7003",
@@ -47,9 +48,9 @@
     "TS7004",
     "forward_repeated",
     catalogue.Level.INFO,
-    "request route digest upstream outcome reason allowed runs seconds_left",
+    "request route digest upstream outcome reason allowed runs seconds_left port",
     "An attempt ended without a final answer; allowed says whether the request may be"
-    " retried, if the retry budget permits it.",
+    " retried, if the retry budget permits it. port is as in forward_ended.",
 )
 RETRY_DENIED = catalogue.declare(
     "TS7005",
@@ -268,6 +269,15 @@
     " another version since it was announced; the request was not sent there.",
     "If this repeats, compare its announcements with the links of this gateway.",
 )
+ABORTED = catalogue.declare(
+    "TS7028",
+    "attempt_aborted",
+    catalogue.Level.INFO,
+    "request upstream port reason is_running",
+    "The gateway shut down the connection of an attempt itself, for the reason."
+    " is_running is whether the attempt had not ended by then; port is as in"
+    " forward_ended, and shows whether another request was sent on the connection.",
+)
 SCHEDULER_CHANGED = catalogue.declare(
     "TS7030",
     "arbiter_changed",
--- a/packages/daemon/src/trestlestall/daemon/gateway/attempts.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/attempts.py
@@ -141,6 +141,7 @@
         self.row = row
         self.whole = False
         self.is_closed = False
+        self.has_ended = False
         self._pool = pool
         self._acquire = acquire
         self._exchange = exchange
@@ -187,6 +188,11 @@
         data += connection.http.send(h11.EndOfMessage())
         return self._write(data, seconds)
 
+    @property
+    def port(self) -> int | None:
+        """The own port of the connection; None without one."""
+        return None if self._connection is None else self._connection.port
+
     @property
     def peer(self) -> str:
         """The peer through which the request was sent; empty for none."""
@@ -317,6 +323,7 @@
 
     def finish(self, head: AnswerHead | None) -> None:
         """Return the connection to the pool if the response was read completely."""
+        self.has_ended = True
         connection = self._connection
         if connection is None:
             return
--- a/packages/daemon/src/trestlestall/daemon/gateway/connections.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/connections.py
@@ -53,7 +53,8 @@
 class Connection:
     """A connection to one upstream, with the parser of the current exchange.
 
-    ``peer`` is the gateway through which it leads; empty for none.
+    ``peer`` is the gateway through which it leads; empty for none. ``port`` is the own
+    port of the socket, which tells connections apart in logs.
     """
 
     peer = ""
@@ -61,6 +62,7 @@
     def __init__(self, address: str, opened: socket.socket) -> None:
         self.address = address
         self.socket = opened
+        self.port = opened.getsockname()[1]
         self.http = h11.Connection(h11.CLIENT)
         self.exchanges = 0
         self.reusable_until = 0.0
--- a/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
@@ -97,6 +97,7 @@
         self.successor: placement.Placed | None = None
         self.was_silent = False
         self.has_lost_path = False
+        self.port: int | None = None
 
     @property
     def view(self) -> cached_view.CachedView:
@@ -228,6 +229,7 @@
         not_sent = self.attempt.connect(self.head, self.deadline - self.sent_at)
         if not_sent is not None:
             return not_sent
+        self.port = self.attempt.port
         self.sends += 1
         self.sent_at = clocks.read()
         left = self.deadline - self.sent_at
@@ -351,6 +353,7 @@
 
     def _on_caller_left(self) -> None:
         if self.attempt is not None:
+            records.write_aborted(self, "caller_left", not self.attempt.has_ended)
             self.attempt.abort()
 
     # Descriptor, headers and deadlines.
--- a/packages/daemon/src/trestlestall/daemon/gateway/progress.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/progress.py
@@ -71,6 +71,7 @@
     ``keys`` are the parts of its prompt that others share, ``caller_name`` its
     workspace, empty for none.
     ``was_silent`` is whether the present one was silent for a timeout.
+    ``port`` is the gateway's own port of the last connection; None before the first.
     """
 
     handler: Handler
@@ -95,6 +96,7 @@
     origin: origins.Origin | None
     successor: placement.Placed | None
     was_silent: bool
+    port: int | None
 
     @property
     def view(self) -> cached_view.CachedView:
--- a/packages/daemon/src/trestlestall/daemon/gateway/records.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/records.py
@@ -92,6 +92,19 @@
         allowed=allowed,
         runs=forward.runs,
         seconds_left=round(forward.deadline - clocks.read(), 3),
+        port=forward.port,
+    )
+
+
+def write_aborted(forward: progress.Progress, reason: str, is_running: bool) -> None:
+    """Log that the connection of an attempt is shut down here."""
+    forward.view.log.write(
+        events.forwarding.ABORTED,
+        request=forward.descriptor.request_id,
+        upstream=forward.tried[-1],
+        port=forward.port,
+        reason=reason,
+        is_running=is_running,
     )
 
 
@@ -187,4 +200,5 @@
         longest_pause=round(relay.longest_pause, 4),
         first_target=forward.route.first_seconds,
         pause_target=forward.route.pause_seconds,
+        port=forward.port,
     )
