Let go of a connection when its exchange ends

Callers saw: 200 with some of the events and a proper end, for an answer without a length; 502 or a cut answer where it has a length or comes in chunks; another client had left.

Cause: Attempt.finish gave the connection to the pool and kept it, and the request kept the attempt while it was placed again. A caller who left then aborted the ended attempt, which shut down a connection on which another request's answer was under way. Nothing said who holds a connection when.

Change: a connection belongs to the pool or to one hold (gateway/holds.py), a context manager whose end takes the connection from it: an abort after that does nothing, and any other use raises. The attempt lives in a block of its own, the request forgets it there, the parser belongs to the exchange, and the greenlet that writes the rest of a request ends with the hold.

The test plays one order of events, by four routes and three framings, without luck. It also checks that the request ran once, on the connection that it had, and that nothing counts against the upstream.

--- a/packages/daemon/src/trestlestall/daemon/events/forwarding.py
+++ b/packages/daemon/src/trestlestall/daemon/events/forwarding.py
@@ -273,10 +273,9 @@
     "TS7028",
     "attempt_aborted",
     catalogue.Level.INFO,
-    "request upstream port reason is_running",
-    "The gateway shut down the connection of an attempt itself, for the reason."
-    " is_running is whether the attempt had not ended by then; port is as in"
-    " forward_ended, and shows whether another request was sent on the connection.",
+    "request upstream port reason",
+    "The gateway ended an attempt by itself, for the reason, and shut down its"
+    " connection, which has the port; null if it had none yet.",
 )
 SCHEDULER_CHANGED = catalogue.declare(
     "TS7030",
--- a/packages/daemon/src/trestlestall/daemon/gateway/attempts.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/attempts.py
@@ -4,10 +4,10 @@
 it certainly did not run; after ``Broken`` it may have run.
 """
 
+import contextlib
 import dataclasses
 from collections import abc
 
-import eventlet
 import h11
 
 from trestlestall.daemon import dialects
@@ -16,14 +16,11 @@
     connections,
     exchanges,
     heads,
+    holds,
 )
 from trestlestall.forwarding import upstream_signals, upstreams
 from trestlestall.wire import clocks
 
-#: Bytes written before reading the response: few enough to always fit in the socket
-#: buffers. The rest is written concurrently with reading, because an upstream may
-#: respond before it has read the whole request.
-FIRST_WRITE_BYTES = 8192
 #: Responses to other requests that are skipped before the attempt counts as broken.
 MAX_FOREIGN_ANSWERS = 3
 MISDIRECTED = 421
@@ -125,7 +122,7 @@
     upstream, or its host, has closed the connection.
     ``find_extension`` is called when the upstream has been silent until a deadline; it
     returns a later deadline, or None to break off the exchange. ``may_send`` is called
-    with the connection before anything is sent.
+    with the connection before anything is sent. ``stack`` ends with the attempt.
     """
 
     def __init__(
@@ -137,11 +134,10 @@
         names: dialects.Headers,
         find_extension: abc.Callable[[], float | None],
         may_send: abc.Callable[[connections.Connection], bool],
+        stack: contextlib.ExitStack,
     ) -> None:
         self.row = row
-        self.whole = False
         self.is_closed = False
-        self.has_ended = False
         self._pool = pool
         self._acquire = acquire
         self._exchange = exchange
@@ -150,22 +146,22 @@
         self._names = names
         self._find_extension = find_extension
         self._may_send = may_send
-        self._connection: connections.Connection | None = None
-        self._sent = False
+        self._stack = stack
+        self._hold: holds.Hold | None = None
+        self._http = h11.Connection(h11.CLIENT)
         self._aborted = False
         self._request: tuple[h11.Request, str] | None = None
+        self._head: AnswerHead | None = None
 
     def connect(self, head: heads.Head, seconds: float) -> NotSent | None:
         """Open or take a connection; return None unless that failed."""
         connection = self._begin(head.request_id, seconds)
         if isinstance(connection, connections.Unreachable):
             return NotSent(connection.reason, connection.timed_out)
+        self._hold = self._stack.enter_context(holds.hold(self._pool, connection))
         if not self._may_send(connection):
-            self._pool.store(connection)
             return NotProven("the upstream may have started again")
-        self._connection = connection
         if self._aborted:
-            connection.close()
             return NotSent("the caller left")
         return None
 
@@ -177,26 +173,25 @@
         seconds: float,
     ) -> Broken | None:
         """Send the request on the connection; return None unless that failed."""
-        connection = self._connection
         if body or head.method not in (b"GET", b"HEAD", b"DELETE"):
             headers = [*headers, (b"Content-Length", str(len(body)).encode())]
         request = h11.Request(method=head.method, target=head.target, headers=headers)
         self._request = request, head.request_id
-        data = connection.http.send(request)
+        data = self._http.send(request)
         if body:
-            data += connection.http.send(h11.Data(data=body))
-        data += connection.http.send(h11.EndOfMessage())
+            data += self._http.send(h11.Data(data=body))
+        data += self._http.send(h11.EndOfMessage())
         return self._write(data, seconds)
 
     @property
     def port(self) -> int | None:
         """The own port of the connection; None without one."""
-        return None if self._connection is None else self._connection.port
+        return None if self._hold is None else self._hold.port
 
     @property
     def peer(self) -> str:
         """The peer through which the request was sent; empty for none."""
-        return "" if self._connection is None else self._connection.peer
+        return "" if self._hold is None else self._hold.peer
 
     def _begin(
         self, request_id: str, seconds: float
@@ -214,11 +209,9 @@
         return connections.Unreachable("the peer is lost")
 
     def _write(self, data: bytes, seconds: float) -> Broken | None:
-        connection = self._connection
-        connection.exchanges += 1
-        self._exchange.begin(connection)
+        self._exchange.begin(self.peer)
         try:
-            connection.send(data[:FIRST_WRITE_BYTES], seconds)
+            self._hold.send(data, seconds)
         except connections.PathLostError as error:
             return Broken(f"while sending: {error}", path_lost=True)
         except TimeoutError as error:
@@ -226,31 +219,19 @@
         except OSError as error:
             self.is_closed = True
             return Broken(f"while sending: {error}")
-        if len(data) > FIRST_WRITE_BYTES:
-            eventlet.spawn(self._write_rest, data[FIRST_WRITE_BYTES:], seconds)
-        else:
-            self._sent = True
         return None
 
-    def _write_rest(self, data: bytes, seconds: float) -> None:
-        """Send the remaining bytes; a failure surfaces when the response is read."""
-        try:
-            self._connection.send(data, seconds)
-            self._sent = True
-        except OSError:
-            return
-
     def abort(self) -> None:
         """Abort the exchange; a pending read raises ``BrokenExchange``."""
         self._aborted = True
-        if self._connection is not None:
-            self._connection.abort()
+        if self._hold is not None:
+            self._hold.abort()
 
     def leave(self) -> None:
         """Break the exchange off, as the way to the upstream is lost."""
         self._has_lost_path = True
-        if self._connection is not None:
-            self._connection.abort()
+        if self._hold is not None:
+            self._hold.abort()
 
     def read_head(self, deadline: float) -> AnswerHead | NotRun:
         """Return the head of the response to this request.
@@ -282,14 +263,15 @@
         if self._names.not_run.lower() in found or status == MISDIRECTED:
             return NotRun(status, signal)
         headers = tuple(response.headers.raw_items())
-        return AnswerHead(status, headers, found, signal)
+        self._head = AnswerHead(status, headers, found, signal)
+        return self._head
 
     def _skip_foreign_answer(self, deadline: float) -> None:
         """Skip a response to another request, and reset the parser for ours."""
         while not isinstance(event := self._next_event(deadline), h11.EndOfMessage):
             if isinstance(event, h11.ConnectionClosed):
                 raise BrokenExchange("the connection ended")
-        rest, _ = self._connection.http.trailing_data
+        rest, _ = self._http.trailing_data
         fresh = h11.Connection(h11.CLIENT)
         # The fresh parser expects a response only once it has sent a request.
         fresh.send(self._request[0])
@@ -300,7 +282,7 @@
         fresh.send(h11.EndOfMessage())
         if rest:
             fresh.receive_data(rest)
-        self._connection.http = fresh
+        self._http = fresh
 
     def read_parts(self, find_deadline: abc.Callable[[], float]) -> abc.Iterator[bytes]:
         """Yield the chunks of the body as they arrive; raises ``BrokenExchange``.
@@ -312,7 +294,7 @@
             if isinstance(event, h11.Data):
                 yield bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
-                self.whole = True
+                self._allow_reuse()
                 return
             else:
                 raise BrokenExchange("the connection ended within the answer")
@@ -321,20 +303,18 @@
         """Return the complete body; raises ``BrokenExchange``."""
         return b"".join(self.read_parts(lambda: deadline))
 
-    def finish(self, head: AnswerHead | None) -> None:
-        """Return the connection to the pool if the response was read completely."""
-        self.has_ended = True
-        connection = self._connection
-        if connection is None:
+    def _allow_reuse(self) -> None:
+        """Let another request use the connection, unless its protocol forbids that."""
+        states = (self._http.our_state, self._http.their_state)
+        if states != (h11.DONE, h11.DONE) or self._http.trailing_data[0]:
             return
-        if not (self.whole and self._sent) or self._aborted:
-            connection.close()
-            return
-        seconds = answer_headers.read_keep_alive_seconds(head.found) if head else None
-        self._pool.release(connection, seconds)
+        seconds = None
+        if self._head is not None:
+            seconds = answer_headers.read_keep_alive_seconds(self._head.found)
+        self._hold.allow_reuse(seconds)
 
     def _next_event(self, deadline: float) -> object:
-        http = self._connection.http
+        http = self._http
         try:
             while (event := http.next_event()) is h11.NEED_DATA:
                 data = self._receive(deadline)
@@ -347,7 +327,7 @@
 
     def has_arrived(self) -> bool:
         """Return whether data of the upstream, or its end, waits to be read."""
-        return self._connection.is_readable()
+        return self._hold.is_readable()
 
     def _receive(self, deadline: float) -> bytes:
         while (data := self._receive_until(deadline)) is None:
@@ -363,7 +343,7 @@
         if left <= 0:
             return None
         try:
-            data = self._connection.receive(left)
+            data = self._hold.receive(left)
         except TimeoutError:
             return None
         except OSError as error:
@@ -378,3 +358,20 @@
         self._exchange.record_heard()
         self.is_closed = not data
         return data
+
+
+@contextlib.contextmanager
+def open_attempt(
+    pool: connections.Pool,
+    acquire: Acquire,
+    row: upstreams.Row,
+    exchange: exchanges.Exchange,
+    names: dialects.Headers,
+    find_extension: abc.Callable[[], float | None],
+    may_send: abc.Callable[[connections.Connection], bool],
+) -> abc.Iterator[Attempt]:
+    """Yield an attempt, whose hold on its connection ends with the block."""
+    with contextlib.ExitStack() as stack:
+        yield Attempt(
+            pool, acquire, row, exchange, names, find_extension, may_send, stack
+        )
--- a/packages/daemon/src/trestlestall/daemon/gateway/connections.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/connections.py
@@ -10,7 +10,6 @@
 import socket
 from collections import abc
 
-import h11
 from eventlet import hubs
 
 from trestlestall.wire import addresses, clocks
@@ -51,7 +50,7 @@
 
 
 class Connection:
-    """A connection to one upstream, with the parser of the current exchange.
+    """A connection to one upstream; the pool has it, or one hold (``holds``).
 
     ``peer`` is the gateway through which it leads; empty for none. ``port`` is the own
     port of the socket, which tells connections apart in logs.
@@ -63,8 +62,6 @@
         self.address = address
         self.socket = opened
         self.port = opened.getsockname()[1]
-        self.http = h11.Connection(h11.CLIENT)
-        self.exchanges = 0
         self.reusable_until = 0.0
         self.aborted = False
         self.opened_at = self.received_at = clocks.read()
@@ -153,11 +150,10 @@
         self._idle.setdefault(connection.address, []).insert(0, connection)
 
     def release(self, connection: Connection, keep_alive_seconds: float | None) -> None:
-        """Return a connection to the pool, or close it if it can't be reused."""
-        if not is_reusable(connection):
+        """Return a connection whose answer was whole, or close it if more arrived."""
+        if connection.is_readable():
             connection.close()
             return
-        connection.http.start_next_cycle()
         seconds = (
             DEFAULT_KEEP_ALIVE_SECONDS
             if keep_alive_seconds is None
@@ -205,14 +201,6 @@
     return opened
 
 
-def is_reusable(connection: Connection) -> bool:
-    """Return whether both sides have finished and no further data has arrived."""
-    http = connection.http
-    if (http.our_state, http.their_state) != (h11.DONE, h11.DONE):
-        return False
-    return not http.trailing_data[0] and not connection.is_readable()
-
-
 def is_readable(opened: socket.socket) -> bool:
     """Return whether data, an end of file or an error is pending on the socket."""
     try:
--- a/packages/daemon/src/trestlestall/daemon/gateway/exchanges.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/exchanges.py
@@ -3,7 +3,6 @@
 import contextlib
 from collections import abc
 
-from trestlestall.daemon.gateway import connections
 from trestlestall.forwarding import silence as silences
 from trestlestall.wire import clocks
 
@@ -35,9 +34,9 @@
         self._expected_seconds = expected_seconds
         self._observed: silences.Exchange | None = None
 
-    def begin(self, connection: connections.Connection) -> None:
-        """Record that the request is sent on a connection."""
-        self.peer = connection.peer
+    def begin(self, peer: str) -> None:
+        """Record that the request is sent, through a peer unless that is empty."""
+        self.peer = peer
         now = clocks.read_running()
         self._observed = self._silence.begin(self.upstream, now, self._expected_seconds)
 
--- a/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
@@ -1,7 +1,9 @@
 """One forwarded request, from its arrival to the final response."""
 
+import contextlib
 import dataclasses
 import functools
+from collections import abc
 
 import eventlet
 
@@ -81,7 +83,7 @@
         self.deadline = arrived + min(named, self.route.whole_seconds)
         self.descriptor = self._describe(admitted.priority)
         self.keys = part_evidence.list_keys(self.descriptor)
-        self.attempt: attempts.Attempt | None = None
+        self._attempt: attempts.Attempt | None = None
         self.tried: list[str] = []
         self.excluded: set[str] = set()
         self.runs = 0
@@ -161,36 +163,18 @@
 
     def _run_attempt(self, placed: placement.Placed) -> outcomes.Outcome | None:
         """Return the attempt's outcome, or None once the caller has its response."""
-        names = self.handler.dialect.headers
         self.was_silent = self.has_lost_path = False
-        prober = self.handler.prober
-        tracked = prober.exchanges.track(
-            placed.row.identity,
-            placed.predicted,
-            functools.partial(retry_rules.may_move, self),
-            functools.partial(self._release, placed.row),
-        )
         head = None
         outcome: outcomes.Outcome | None = None
         try:
-            with tracked as exchange:
-                self.attempt = attempts.Attempt(
-                    self.handler.pool,
-                    prober.acquire,
-                    placed.row,
-                    exchange,
-                    names,
-                    lambda: self._find_extension(placed.row),
-                    self._may_send,
-                )
-                outcome = self._exchange(placed)
+            with self._open_attempt(placed) as attempt:
+                outcome = self._exchange(attempt, placed)
                 if isinstance(outcome, attempts.AnswerHead):
                     head = outcome
-                    outcome = self._relay_answer(head)
+                    outcome = self._relay_answer(attempt, head)
         except attempts.BrokenExchange as error:
             outcome = attempts.Broken(str(error), error.path_lost)
         finally:
-            self.attempt.finish(head)
             # A failure counts against the upstream also if the caller received it.
             failed = self._evaluate(outcome or head)
             if self.successor is None:
@@ -199,15 +183,43 @@
                     self.descriptor, placed.row.identity, failed, pause
                 )
         if self.caller.left:
-            if self.attempt.is_closed:
+            if attempt.is_closed:
                 record = self.handler.crash_detector.record_broken
                 eventlet.spawn_n(record, placed.row, self._describe_broken())
             elif failed:
                 self.handler.prober.suspect(placed.row)
             raise callers.CallerLeft()
-        self._apply_outcome(placed.row, outcome)
+        self._apply_outcome(placed.row, outcome, attempt.is_closed)
         return outcome
 
+    @contextlib.contextmanager
+    def _open_attempt(self, placed: placement.Placed) -> abc.Iterator[attempts.Attempt]:
+        """Yield the request's attempt, which a caller who leaves aborts."""
+        prober = self.handler.prober
+        tracked = prober.exchanges.track(
+            placed.row.identity,
+            placed.predicted,
+            functools.partial(retry_rules.may_move, self),
+            functools.partial(self._release, placed.row),
+        )
+        with (
+            tracked as exchange,
+            attempts.open_attempt(
+                self.handler.pool,
+                prober.acquire,
+                placed.row,
+                exchange,
+                self.handler.dialect.headers,
+                lambda: self._find_extension(attempt, placed.row),
+                self._may_send,
+            ) as attempt,
+        ):
+            self._attempt = attempt
+            try:
+                yield attempt
+            finally:
+                self._attempt = None
+
     def _evaluate(self, outcome: outcomes.Outcome | None) -> bool | None:
         """Return whether the attempt counts as a failure of its upstream.
 
@@ -224,44 +236,48 @@
         waited = clocks.read() - self.sent_at
         return True if waited > self.route.first_seconds else None
 
-    def _exchange(self, placed: placement.Placed) -> outcomes.Outcome:
+    def _exchange(
+        self, attempt: attempts.Attempt, placed: placement.Placed
+    ) -> outcomes.Outcome:
         self.sent_at = clocks.read()
-        not_sent = self.attempt.connect(self.head, self.deadline - self.sent_at)
+        not_sent = attempt.connect(self.head, self.deadline - self.sent_at)
         if not_sent is not None:
             return not_sent
-        self.port = self.attempt.port
+        self.port = attempt.port
         self.sends += 1
         self.sent_at = clocks.read()
         left = self.deadline - self.sent_at
         headers = request_headers.list_sent(self, placed, left)
-        failed = self.attempt.send(self.head, headers, self.body, left)
-        if self.attempt.peer:
+        failed = attempt.send(self.head, headers, self.body, left)
+        if attempt.peer:
             self.handler.metrics.relayed.inc()
-            records.write_sent_by_peer(self, placed.row, self.attempt.peer)
+            records.write_sent_by_peer(self, placed.row, attempt.peer)
         # From here on it may have run, even if only a part of it was written.
         self.runs += 1
         if failed is not None:
             return failed
-        answer = self.attempt.read_head(retry_rules.find_head_deadline(self))
+        answer = attempt.read_head(retry_rules.find_head_deadline(self))
         request = signal_tracker.Request(self.descriptor.request_id, self.sent_at)
         self.handler.signals.handle(placed.row, answer, request)
         if isinstance(answer, attempts.NotRun):
             self.runs -= 1
             self.return_seconds = answer.signal.rest_seconds or None
-            self.attempt.read_body(self.deadline)
+            attempt.read_body(self.deadline)
         return answer
 
-    def _relay_answer(self, head: attempts.AnswerHead) -> outcomes.Outcome | None:
+    def _relay_answer(
+        self, attempt: attempts.Attempt, head: attempts.AnswerHead
+    ) -> outcomes.Outcome | None:
         """Forward the response; return None once the caller has all of it."""
         if head.status == OK and (head.streams or self.route.streams):
             find_deadline = functools.partial(retry_rules.find_event_deadline, self)
-            self.relay.relay_events(self.attempt, head, find_deadline)
+            self.relay.relay_events(attempt, head, find_deadline)
             self.handler.crash_detector.record_answered(self.digest)
             records.write_completed(self, head.status, "answered", "")
             return None
         if self.relay.began:
             return attempts.Broken(f"status {head.status} for the rest of a stream")
-        body = self.attempt.read_body(self.deadline)
+        body = attempt.read_body(self.deadline)
         self.relay.record_first()
         if head.status >= outcomes.SERVER_ERRORS and retry_rules.may_retry(self):
             self.fallback_answer = head, body
@@ -315,9 +331,12 @@
         return allowed
 
     def _apply_outcome(
-        self, row: upstreams.Row, outcome: outcomes.Outcome | None
+        self, row: upstreams.Row, outcome: outcomes.Outcome | None, is_closed: bool
     ) -> None:
-        """Update the cached view of the upstream by the outcome."""
+        """Update the cached view of the upstream by the outcome.
+
+        ``is_closed`` is whether the upstream, or its host, closed the connection.
+        """
         if isinstance(outcome, attempts.NotProven):
             return
         if isinstance(outcome, attempts.NotSent):
@@ -326,8 +345,7 @@
             # The upstream itself may take the request on another way.
             self.excluded.discard(row.identity)
         elif isinstance(outcome, attempts.Broken):
-            closed = self.attempt.is_closed
-            has_crashed = closed and self.handler.crash_detector.record_broken(
+            has_crashed = is_closed and self.handler.crash_detector.record_broken(
                 row, self._describe_broken()
             )
             if not has_crashed and self.relay.first_seconds is None:
@@ -352,9 +370,9 @@
             self.handler.placing.end(self.descriptor, row.identity, None)
 
     def _on_caller_left(self) -> None:
-        if self.attempt is not None:
-            records.write_aborted(self, "caller_left", not self.attempt.has_ended)
-            self.attempt.abort()
+        if self._attempt is not None:
+            records.write_aborted(self, self._attempt, "caller_left")
+            self._attempt.abort()
 
     # Descriptor, headers and deadlines.
 
@@ -365,8 +383,10 @@
             self.head, self.route, service, priority, data_centre, self.digest
         )
 
-    def _find_extension(self, row: upstreams.Row) -> float | None:
+    def _find_extension(
+        self, attempt: attempts.Attempt, row: upstreams.Row
+    ) -> float | None:
         """Return until when to wait on for a silent upstream; None to leave it."""
         if retry_rules.may_switch_upstream(self):
-            return failover.find_extension(self, row, self.attempt.has_arrived)
+            return failover.find_extension(self, row, attempt.has_arrived)
         return self.deadline if clocks.read() < self.deadline else None
--- a/packages/daemon/src/trestlestall/daemon/gateway/records.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/records.py
@@ -3,7 +3,7 @@
 import math
 
 from trestlestall.daemon import events
-from trestlestall.daemon.gateway import outcomes, progress
+from trestlestall.daemon.gateway import attempts, outcomes, progress
 from trestlestall.forwarding import harmful_parts, placement, upstreams
 from trestlestall.wire import clocks
 
@@ -96,15 +96,16 @@
     )
 
 
-def write_aborted(forward: progress.Progress, reason: str, is_running: bool) -> None:
+def write_aborted(
+    forward: progress.Progress, attempt: attempts.Attempt, reason: str
+) -> None:
     """Log that the connection of an attempt is shut down here."""
     forward.view.log.write(
         events.forwarding.ABORTED,
         request=forward.descriptor.request_id,
         upstream=forward.tried[-1],
-        port=forward.port,
+        port=attempt.port,
         reason=reason,
-        is_running=is_running,
     )
 
 
--- /dev/null
+++ b/packages/daemon/tests/test_connection_holds.py
@@ -0,0 +1,232 @@
+"""A connection to an upstream serves one request, and no other one ends it."""
+
+import contextlib
+import unittest
+from unittest import mock
+
+from packages.daemon.tests import gateway_bench as bench  # isort: skip
+
+import eventlet
+from eventlet import event, hubs
+
+from trestlestall.daemon.gateway import connections, holds
+
+#: How many events the answer to the request that stays has.
+EVENTS = 6
+LEAVING, STAYING = "r-leaving", "r-staying"
+NOT_RUN = bench.answer("Trestlestall-Not-Run: 1\r\n", "", status="503 Full")
+CHUNKED = "Transfer-Encoding: chunked\r\n\r\n"
+
+
+def encode_events(numbers):
+    """Return the events with these numbers."""
+    return "".join(map(bench.event, numbers))
+
+
+def frame_by_end(first, second):
+    """Return the parts of an answer that ends with its connection."""
+    return f"{bench.OK}\r\n{first}", second, False
+
+
+def frame_by_length(first, second):
+    """Return the parts of an answer with a length."""
+    length = len(first) + len(second)
+    return f"{bench.OK}Content-Length: {length}\r\n\r\n{first}", second, True
+
+
+def frame_by_chunks(first, second):
+    """Return the parts of an answer in chunks."""
+    begun = bench.OK + CHUNKED + bench.frame(first, end=False)
+    return begun, bench.frame(second), True
+
+
+FRAMINGS = (frame_by_end, frame_by_length, frame_by_chunks)
+PATHS = ("/once/x", "/again/x", "/stream/x", "/resume/x")
+
+
+def read_whole(caller):
+    """Return the status of an answer, and its body up to the end that it states."""
+    status, head = caller.read_head()
+    with contextlib.suppress(OSError):
+        if "chunked" not in head:
+            caller.data = (head + "\r\n\r\n").encode() + caller.data
+            return status, caller.read_answer()[2]
+        return status, unframe(caller.read_to_end())
+    return status, None
+
+
+def unframe(text):
+    """Return the body of a chunked answer; None if it breaks off."""
+    body = ""
+    while True:
+        size, _, text = text.partition("\r\n")
+        if not size:
+            return None
+        if size == "0":
+            return body
+        length = int(size, 16)
+        body, text = body + text[:length], text[length + 2 :]
+
+
+class LeftAfterAttempt:
+    """A caller leaves while its request waits, after an upstream did not run it.
+
+    The connection on which the upstream said so serves another request by then, whose
+    answer has begun but not ended.
+    """
+
+    def __init__(self, made, path, framing):
+        self.bench = made
+        self.path = path
+        self.parts = framing(
+            encode_events(range(1, 3)), encode_events(range(3, EVENTS + 1))
+        )
+        self.waits, self.begun, self.may_end = (event.Event() for _ in range(3))
+        self.upstream = made.add("u1", self.serve)
+
+    def serve(self, connection, received):
+        """Run the second request, and end its answer once that is allowed."""
+        if received.find("Trestlestall-Request") == LEAVING:
+            return NOT_RUN(connection, received)
+        first, second, is_kept = self.parts
+        connection.sendall(first.encode())
+        self.begun.send()
+        self.may_end.wait()
+        connection.sendall(second.encode())
+        return is_kept
+
+    def wait_until_left(self, service, deadline, is_wanted):
+        """Stand for the wait for another upstream, up to the caller's leave."""
+        self.waits.send()
+        while is_wanted():
+            eventlet.sleep(0.005)
+        return []
+
+    def play(self):
+        """Return the status and the whole body that the caller who stays gets."""
+        prober = self.bench.gateway.handler.prober
+        with mock.patch.object(prober, "wait_until_reached", self.wait_until_left):
+            leaving, staying = self.bench.call(), self.bench.call()
+            leaving.ask(self.path, Trestlestall_Request=LEAVING)
+            self.waits.wait()
+            staying.ask(self.path, Trestlestall_Request=STAYING)
+            self.begun.wait()
+            eventlet.sleep(0.05)
+            leaving.close()
+            assert bench.wait_until(self.has_left)
+            eventlet.sleep(0.05)
+            self.may_end.send()
+            return read_whole(staying)
+
+    def has_left(self):
+        """Return whether the request of the caller who left has ended."""
+        ended = self.bench.list_lines("forward_ended")
+        return [one for one in ended if one["outcome"] == "caller_left"]
+
+
+class LeavingCallerTest(bench.GatewayCase):
+    """A caller who leaves ends no other caller's answer."""
+
+    def test_a_leave_after_an_attempt_does_not_cut_the_next_answer_there(self):
+        """Guards against answers cut by the leave of another request's caller."""
+        for path in PATHS:
+            for framing in FRAMINGS:
+                with self.subTest(path=path, framing=framing.__name__):
+                    self.bench = bench.Bench(self.stack, self.document)
+                    played = LeftAfterAttempt(self.bench, path, framing)
+                    status, body = played.play()
+                    whole = encode_events(range(1, EVENTS + 1))
+                    self.assertEqual((status, body), (200, whole))
+                    self.assertEqual(played.upstream.connections, 1)
+                    self.assertEqual(len(played.upstream.received), 2)
+                    self.check_not_blamed()
+
+    def check_not_blamed(self):
+        """Check that nothing counts against the upstream."""
+        engines = self.bench.gateway.view.placer.engines
+        self.assertEqual(engines["u1"].find_failure_rate("a"), 0.0)
+        for name in ("upstream_unreachable", "upstream_ended", "request_held"):
+            self.assertEqual(self.bench.list_lines(name), [])
+
+
+class HoldTest(unittest.TestCase):
+    """A hold on a connection, and the pool that has it afterwards."""
+
+    def setUp(self):
+        self.stack = contextlib.ExitStack()
+        self.addCleanup(self.stack.close)
+        self.pool = connections.Pool()
+        self.listening = self.stack.enter_context(
+            contextlib.closing(eventlet.listen(("127.0.0.1", 0)))
+        )
+        self.address = f"127.0.0.1:{self.listening.getsockname()[1]}"
+
+    def open(self):
+        """Return a connection, and the socket at its other end."""
+        opened = self.pool.open(self.address, 1.0)
+        accepted, _ = self.listening.accept()
+        self.stack.callback(accepted.close)
+        return opened, accepted
+
+    def use(self, opened, accepted):
+        """Hold a connection for one exchange; return the hold, which has ended."""
+        with holds.hold(self.pool, opened) as held:
+            held.send(b"ask", 1.0)
+            accepted.sendall(b"answer")
+            self.assertEqual(held.receive(1.0), b"answer")
+            held.allow_reuse(None)
+        return held
+
+    def test_an_ended_hold_does_not_reach_the_connection(self):
+        """Guards against late callbacks that shut down another one's connection."""
+        opened, accepted = self.open()
+        ended = self.use(opened, accepted)
+        with holds.hold(self.pool, self.pool.take(self.address)) as held:
+            ended.abort()
+            for act in (
+                lambda: ended.send(b"x", 1.0),
+                lambda: ended.receive(1.0),
+                ended.is_readable,
+            ):
+                self.assertRaises(holds.EndedHoldError, act)
+            held.send(b"ask", 1.0)
+            self.assertEqual(accepted.recv(10), b"ask" * 2)
+            accepted.sendall(b"whole")
+            self.assertEqual(held.receive(1.0), b"whole")
+
+    def test_an_aborted_connection_is_not_used_again(self):
+        opened, accepted = self.open()
+        with holds.hold(self.pool, opened) as held:
+            held.send(b"ask", 1.0)
+            held.allow_reuse(None)
+            held.abort()
+        self.assertIsNone(self.pool.take(self.address))
+
+    def test_a_connection_on_which_nothing_was_sent_is_kept(self):
+        opened, _ = self.open()
+        with holds.hold(self.pool, opened):
+            pass
+        self.assertIs(self.pool.take(self.address), opened)
+
+    def test_a_connection_is_not_kept_if_the_exchange_fails(self):
+        opened, _ = self.open()
+        with contextlib.suppress(ValueError), holds.hold(self.pool, opened) as held:
+            held.send(b"ask", 1.0)
+            raise ValueError
+        self.assertIsNone(self.pool.take(self.address))
+
+    def test_a_late_writer_ends_with_the_hold(self):
+        """Guards against bytes of one request on the connection of the next one."""
+        opened, accepted = self.open()
+        with holds.hold(self.pool, opened) as held:
+            held.send(b"x" * bench.BODY_BYTES, 5.0)
+            accepted.sendall(b"answer")
+            self.assertEqual(held.receive(1.0), b"answer")
+            held.allow_reuse(None)
+        self.assertIsNone(self.pool.take(self.address))
+        writers = [one.fileno for one in hubs.get_hub().get_writers()]
+        self.assertEqual(writers, [])
+        following, other = self.open()
+        with holds.hold(self.pool, following) as held:
+            held.send(b"next", 1.0)
+            self.assertEqual(other.recv(65536), b"next")
