Tell an own shutdown from the upstream's end

Cause: the kernel reports a local shutdown like an orderly end by the other side, and only the attempt that aborted knew of it. Any other reader of the connection took it for the end of the body; one that sent took the broken pipe for a connection that the upstream had closed, which is evidence of a crash; and a cut counted as a failure of the upstream.

Change: the connection itself knows that it was shut down here and says so by an error (AbortedError, a kind of PathLostError: it says nothing of the upstream), to whoever reads or sends, by a direct connection or a tunnel. An attempt that a lost path breaks off is logged like one of a caller who leaves (attempt_aborted, path_lost), and a late call of that kind reaches only its own attempt.

--- a/packages/daemon/src/trestlestall/daemon/gateway/attempts.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/attempts.py
@@ -109,13 +109,13 @@
 
 
 class LostPath(BrokenExchange):
-    """The way to the upstream was lost."""
+    """The way to the upstream was lost, or shut down here."""
 
     path_lost = True
 
 
 class Attempt:
-    """One exchange with an upstream; ``abort`` may be called from any green thread.
+    """One exchange with an upstream; any green thread may abort it.
 
     ``acquire`` returns a connection to the upstream within some seconds, and
     ``exchange`` records what is sent and heard. ``is_closed`` is true once the
@@ -141,8 +141,6 @@
         self._pool = pool
         self._acquire = acquire
         self._exchange = exchange
-        exchange.leave = self.leave
-        self._has_lost_path = False
         self._names = names
         self._find_extension = find_extension
         self._may_send = may_send
@@ -222,17 +220,11 @@
         return None
 
     def abort(self) -> None:
-        """Abort the exchange; a pending read raises ``BrokenExchange``."""
+        """Abort the exchange; a pending read raises ``LostPath``."""
         self._aborted = True
         if self._hold is not None:
             self._hold.abort()
 
-    def leave(self) -> None:
-        """Break the exchange off, as the way to the upstream is lost."""
-        self._has_lost_path = True
-        if self._hold is not None:
-            self._hold.abort()
-
     def read_head(self, deadline: float) -> AnswerHead | NotRun:
         """Return the head of the response to this request.
 
@@ -346,15 +338,11 @@
             data = self._hold.receive(left)
         except TimeoutError:
             return None
+        except connections.PathLostError as error:
+            raise LostPath(str(error)) from error
         except OSError as error:
-            if self._has_lost_path or isinstance(error, connections.PathLostError):
-                raise LostPath(str(error)) from error
-            self.is_closed = not self._aborted
+            self.is_closed = True
             raise BrokenExchange(f"connection lost: {error}") from error
-        if self._aborted:
-            raise BrokenExchange("aborted")
-        if self._has_lost_path:
-            raise LostPath("the way to the upstream is lost")
         self._exchange.record_heard()
         self.is_closed = not data
         return data
--- a/packages/daemon/src/trestlestall/daemon/gateway/connections.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/connections.py
@@ -27,6 +27,7 @@
 KEEP_ALIVE_SHARE = 0.6
 #: Keep-alive time of an upstream that announces none.
 DEFAULT_KEEP_ALIVE_SECONDS = 4.0
+ABORTED = "the connection was shut down here"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -49,6 +50,10 @@
     """The way to the upstream was lost, which says nothing about the upstream."""
 
 
+class AbortedError(PathLostError):
+    """The connection was shut down here, so its end is not the upstream's."""
+
+
 class Connection:
     """A connection to one upstream; the pool has it, or one hold (``holds``).
 
@@ -71,17 +76,49 @@
         """Prepare for the bytes of a request; raises ``OSError``."""
 
     def send(self, data: bytes, seconds: float) -> None:
-        """Send bytes; raises ``OSError``, ``TimeoutError`` if it takes longer."""
-        self.socket.settimeout(max(0.001, seconds))
-        self.socket.sendall(data)
+        """Send bytes.
+
+        Raises ``OSError``: ``TimeoutError`` if it takes longer, ``AbortedError`` if the
+        connection was shut down here.
+        """
+        try:
+            self._send(data, seconds)
+        except OSError as error:
+            self._check_aborted(error)
+            raise
+        self._check_aborted()
 
     def receive(self, seconds: float) -> bytes:
-        """Return the next bytes, or none at an orderly end; raises ``OSError``."""
-        data = receive(self.socket, seconds)
+        """Return the next bytes, or none at an orderly end by the upstream.
+
+        Raises ``OSError``: ``TimeoutError`` if nothing arrives in time,
+        ``AbortedError`` if the connection was shut down here.
+        """
+        try:
+            data = self._receive(seconds)
+        except OSError as error:
+            self._check_aborted(error)
+            raise
+        self._check_aborted()
         if data:
             self.received_at = clocks.read()
         return data
 
+    def _check_aborted(self, cause: OSError | None = None) -> None:
+        """Raise ``AbortedError`` if the connection was shut down here.
+
+        The kernel reports that like an orderly end by the other side.
+        """
+        if self.aborted:
+            raise AbortedError(ABORTED) from cause
+
+    def _send(self, data: bytes, seconds: float) -> None:
+        self.socket.settimeout(max(0.001, seconds))
+        self.socket.sendall(data)
+
+    def _receive(self, seconds: float) -> bytes:
+        return receive(self.socket, seconds)
+
     def is_readable(self) -> bool:
         """Return whether data, an end of file or an error is pending."""
         return is_readable(self.socket)
--- a/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
@@ -41,6 +41,9 @@
 
 #: Deadline of a request that states none.
 DEFAULT_DEADLINE_SECONDS = 60.0
+#: Reasons for which attempts are aborted, and outcomes, in log lines.
+CALLER_LEFT = "caller_left"
+PATH_LOST = "path_lost"
 OK = 200
 
 
@@ -118,7 +121,7 @@
                 else:
                     self._run_attempts()
         except callers.CallerLeft:
-            records.write_completed(self, 0, "caller_left", "")
+            records.write_completed(self, 0, CALLER_LEFT, "")
             raise
         finally:
             failover.withdraw_successor(self)
@@ -215,6 +218,7 @@
             ) as attempt,
         ):
             self._attempt = attempt
+            exchange.leave = functools.partial(self._abort, attempt, PATH_LOST)
             try:
                 yield attempt
             finally:
@@ -371,8 +375,11 @@
 
     def _on_caller_left(self) -> None:
         if self._attempt is not None:
-            records.write_aborted(self, self._attempt, "caller_left")
-            self._attempt.abort()
+            self._abort(self._attempt, CALLER_LEFT)
+
+    def _abort(self, attempt: attempts.Attempt, reason: str) -> None:
+        records.write_aborted(self, attempt, reason)
+        attempt.abort()
 
     # Descriptor, headers and deadlines.
 
--- a/packages/daemon/src/trestlestall/daemon/gateway/tunnels.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/tunnels.py
@@ -84,15 +84,13 @@
         """Name the request to the peer, for its log."""
         self._send_message(tunnel_messages.TunnelUse(request_id))
 
-    def send(self, data: bytes, seconds: float) -> None:
-        """Send bytes; raises ``OSError``."""
+    def _send(self, data: bytes, seconds: float) -> None:
         self.socket.settimeout(max(0.001, seconds))
         for start in range(0, len(data), PART_BYTES):
             part = bytes(data[start : start + PART_BYTES])
             self._send_message(tunnel_messages.TunnelData(part))
 
-    def receive(self, seconds: float) -> bytes:
-        """Return the next bytes, or none at an orderly end; raises ``OSError``."""
+    def _receive(self, seconds: float) -> bytes:
         deadline = clocks.read() + seconds
         while True:
             frame = self._carrier.receive(deadline)
--- a/packages/daemon/tests/test_connection_holds.py
+++ b/packages/daemon/tests/test_connection_holds.py
@@ -139,14 +139,71 @@
                     self.assertEqual((status, body), (200, whole))
                     self.assertEqual(played.upstream.connections, 1)
                     self.assertEqual(len(played.upstream.received), 2)
-                    self.check_not_blamed()
-
-    def check_not_blamed(self):
-        """Check that nothing counts against the upstream."""
-        engines = self.bench.gateway.view.placer.engines
-        self.assertEqual(engines["u1"].find_failure_rate("a"), 0.0)
-        for name in ("upstream_unreachable", "upstream_ended", "request_held"):
-            self.assertEqual(self.bench.list_lines(name), [])
+                    check_not_blamed(self, self.bench)
+
+
+class OwnEndTest(bench.GatewayCase):
+    """An end that this gateway made itself is not taken for the upstream's."""
+
+    def begin(self, path, framing):
+        """Return a caller whose answer has begun, and the connection that it is on."""
+        begun = event.Event()
+        first, _, _ = framing(bench.event(1), bench.event(2))
+
+        def serve(connection, received):
+            connection.sendall(first.encode())
+            begun.send()
+            eventlet.sleep(5)
+            return False
+
+        made = self.bench.add("u1", serve)
+        caller = self.bench.call()
+        caller.ask(path)
+        begun.wait()
+        eventlet.sleep(0.05)
+        (used,) = self.bench.gateway.handler.pool.list_open(made.row.address)
+        return caller, used
+
+    def test_a_connection_shut_down_here_completes_no_answer(self):
+        """Guards against a part of an answer that looks whole after an own shutdown."""
+        for path in ("/once/x", "/stream/x"):
+            for framing in FRAMINGS:
+                with self.subTest(path=path, framing=framing.__name__):
+                    self.bench = bench.Bench(self.stack, self.document)
+                    caller, used = self.begin(path, framing)
+                    used.abort()
+                    status, body = read_whole(caller)
+                    if path == "/once/x":
+                        self.assertEqual(status, 502)
+                    else:
+                        self.assertEqual((status, body), (200, None))
+                    check_not_blamed(self, self.bench)
+
+    def test_an_end_while_sending_does_not_count_as_a_closed_connection(self):
+        """Guards against crashes that are blamed on upstreams for an own shutdown."""
+        self.bench.add("u1", bench.answer("", "done"))
+        send = connections.Connection.send
+
+        def send_late(connection, data, seconds):
+            connection.abort()
+            return send(connection, data, seconds)
+
+        crashes = self.bench.gateway.handler.crash_detector
+        with (
+            mock.patch.object(connections.Connection, "send", send_late),
+            mock.patch.object(crashes, "record_broken") as record_broken,
+        ):
+            self.assertEqual(self.bench.ask("/once/x")[0], 502)
+        record_broken.assert_not_called()
+        check_not_blamed(self, self.bench)
+
+
+def check_not_blamed(test, made):
+    """Check that nothing counts against the upstream of a gateway."""
+    engines = made.gateway.view.placer.engines
+    test.assertEqual(engines["u1"].find_failure_rate("a"), 0.0)
+    for name in ("upstream_unreachable", "upstream_ended", "request_held"):
+        test.assertEqual(made.list_lines(name), [])
 
 
 class HoldTest(unittest.TestCase):
@@ -202,6 +259,16 @@
             held.abort()
         self.assertIsNone(self.pool.take(self.address))
 
+    def test_a_connection_shut_down_here_has_no_orderly_end(self):
+        opened, _ = self.open()
+        with holds.hold(self.pool, opened) as held:
+            held.send(b"ask", 1.0)
+            held.abort()
+            with self.assertRaises(connections.AbortedError):
+                held.receive(1.0)
+            with self.assertRaises(connections.AbortedError):
+                held.send(b"more", 1.0)
+
     def test_a_connection_on_which_nothing_was_sent_is_kept(self):
         opened, _ = self.open()
         with holds.hold(self.pool, opened):
--- a/packages/daemon/tests/test_tunnels.py
+++ b/packages/daemon/tests/test_tunnels.py
@@ -227,6 +227,26 @@
         peer.lose()
         self.assertEqual(caller.read_answer()[0], 502)
 
+    def test_a_tunnel_shut_down_here_completes_no_answer(self):
+        """Guards against a part of an answer that looks whole after an own shutdown."""
+        self.add_peer()
+        sent = []
+
+        def script(connection, received):
+            connection.sendall(UNCLOSED.encode())
+            sent.append(True)
+            eventlet.sleep(5)
+            return False
+
+        self.add("u1", script)
+        caller = self.bench.call()
+        caller.ask("/once/x")
+        self.assertTrue(bench.wait_until(lambda: sent))
+        eventlet.sleep(0.1)
+        (tunnel,) = self.bench.gateway.handler.peers._list_open()
+        tunnel.abort()
+        self.assertEqual(caller.read_answer()[0], 502)
+
     def test_an_answer_without_a_length_ends_with_the_upstreams_connection(self):
         self.add_peer()
         self.add("u1", bench.send(UNCLOSED))
