--- a/packages/daemon/src/trestlestall/daemon/gateway/exchanges.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/exchanges.py
@@ -92,6 +92,8 @@
     def leave_silent(self, upstream: str, peer: str) -> None:
         """Break off silent exchanges on a lost path, or release those that stay."""
         for one in list(self._running):
+            if one not in self._running:
+                continue  # it ended while another one was dealt with
             if (one.upstream, one.peer) != (upstream, peer) or not one.is_silent():
                 continue
             if one.leave is not None and one.may_move():
--- a/packages/daemon/tests/test_connection_holds.py
+++ b/packages/daemon/tests/test_connection_holds.py
@@ -1,6 +1,7 @@
 """A connection to an upstream serves one request, and no other one ends it."""
 
 import contextlib
+import functools
 import unittest
 from unittest import mock
 
@@ -9,7 +10,7 @@
 import eventlet
 from eventlet import event, hubs
 
-from trestlestall.daemon.gateway import connections, holds
+from trestlestall.daemon.gateway import connections, exchanges, holds
 
 #: How many events the answer to the request that stays has.
 EVENTS = 6
@@ -198,6 +199,29 @@
         check_not_blamed(self, self.bench)
 
 
+class SilentExchangeTest(unittest.TestCase):
+    """Exchanges on a lost path are broken off, or no longer counted."""
+
+    def test_an_exchange_that_ends_meanwhile_is_not_released(self):
+        """Guards against a late release that ends the count of another attempt."""
+        running = exchanges.Exchanges()
+        blocks = [contextlib.ExitStack() for _ in range(2)]
+        released = []
+
+        def release(number):
+            released.append(number)
+            blocks[1 - number].close()
+
+        for number, block in enumerate(blocks):
+            tracked = running.track(
+                "u1", 1.0, lambda: False, functools.partial(release, number)
+            )
+            block.enter_context(tracked).begin("")
+        with mock.patch.object(exchanges, "HEARD_SECONDS", -1.0):
+            running.leave_silent("u1", "")
+        self.assertEqual(len(released), 1)
+
+
 def check_not_blamed(test, made):
     """Check that nothing counts against the upstream of a gateway."""
     engines = made.gateway.view.placer.engines
