A stop answers a request that has arrived on a kept connection but was not read yet

A gateway that stops shuts idle connections down, and took one for idle until a byte of the next request had been read, though the request was in the kernel's buffer already. Its caller saw the connection end without an answer. The test sends the request and closes in one turn of the event loop, so without luck: no answer before, now the answer and Connection: close.

sockets.is_readable moves to where is_ended is, as both sides use it.

--- a/packages/daemon/src/trestlestall/daemon/gateway/callers.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/callers.py
@@ -16,7 +16,7 @@
 from eventlet import hubs
 
 from trestlestall.forwarding import model
-from trestlestall.wire import clocks
+from trestlestall.wire import clocks, sockets
 
 READ_BYTES = 65536
 #: Bytes that a caller may send ahead while its request is being processed.
@@ -177,8 +177,11 @@
             self.socket.shutdown(socket.SHUT_RDWR)
 
     def close_if_idle(self) -> None:
-        """Shut the connection down unless a byte of the next request has arrived."""
-        if self.idle:
+        """Shut the connection down unless a byte of the next request has arrived.
+
+        The byte may not have been read yet.
+        """
+        if self.idle and not sockets.is_readable(self.socket):
             self.abort()
 
     def reject(self, status: int, body: bytes) -> None:
--- a/packages/daemon/src/trestlestall/daemon/gateway/connections.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/connections.py
@@ -12,7 +12,7 @@
 
 from eventlet import hubs
 
-from trestlestall.wire import addresses, clocks
+from trestlestall.wire import addresses, clocks, sockets
 
 READ_BYTES = 65536
 #: Time-out for opening a connection: many round trips within a region, and half of the
@@ -121,7 +121,7 @@
 
     def is_readable(self) -> bool:
         """Return whether data, an end of file or an error is pending."""
-        return is_readable(self.socket)
+        return sockets.is_readable(self.socket)
 
     def abort(self) -> None:
         """Shut the connection down, which wakes whoever waits for its data."""
@@ -238,18 +238,6 @@
     return opened
 
 
-def is_readable(opened: socket.socket) -> bool:
-    """Return whether data, an end of file or an error is pending on the socket."""
-    try:
-        # Uses the underlying socket: eventlet's wrapper would wait for data.
-        opened.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-    except BlockingIOError:
-        return False
-    except OSError:
-        return True
-    return True
-
-
 def receive(opened: socket.socket, seconds: float | None) -> bytes:
     """Return the next bytes, or none at an orderly end of file.
 
--- a/packages/daemon/tests/test_gateway.py
+++ b/packages/daemon/tests/test_gateway.py
@@ -228,6 +228,28 @@
         handler.stop_at = now + 1.0
         self.assertEqual(self.bench.ask("/once/x")[0], 503)
 
+    def test_a_request_that_has_just_arrived_is_answered(self):
+        """Guards against a request that a stop closes unread on a kept connection."""
+        self.bench.add("u1", bench.answer("", "done"))
+        caller = self.bench.call()
+        caller.ask("/once/x")
+        self.assertEqual(caller.read_answer()[2], "done")
+        (kept,) = self.bench.gateway._open
+        self.assertTrue(kept.idle)
+        caller.ask("/once/x")  # without a switch to the greenlet that reads it
+        kept.closing = True
+        kept.close_if_idle()
+        status, head, body = caller.read_answer()
+        self.assertEqual((status, body), (200, "done"))
+        self.assertIn("Connection: close", head)
+
+    def test_an_idle_connection_is_closed(self):
+        caller = self.bench.call()
+        self.assertTrue(bench.wait_until(lambda: self.bench.gateway._open))
+        (idle,) = self.bench.gateway._open
+        idle.close_if_idle()
+        self.assertEqual(caller.read_head()[0], 0)
+
 
 class AnswerTest(bench.GatewayCase):
     """What the caller receives when an upstream misbehaves."""
--- a/packages/wire/src/trestlestall/wire/sockets.py
+++ b/packages/wire/src/trestlestall/wire/sockets.py
@@ -49,6 +49,17 @@
         return True
 
 
+def is_readable(opened: socket.socket) -> bool:
+    """Return whether data, an end of file or an error is pending."""
+    try:
+        opened.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+    return True
+
+
 def keep_alive(opened: socket.socket) -> None:
     """Let the kernel end the connection once the other host has been lost."""
     opened.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, True)
