The keep-alive time of an answer that says not run counts too

When a connection is handed back, how long it may be used again came from the head of an answer, and a rejection ("not run") had none: its connection was kept for the default of 4 s, also if the upstream had said that it closes after one. A request sent as it closes is broken, and may have run. Found by reading what is handed back to the pool, not in a record. The test failed before (3.7 s for a time of 1 s).

--- a/packages/daemon/src/trestlestall/daemon/gateway/attempts.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/attempts.py
@@ -149,7 +149,7 @@
         self._http = h11.Connection(h11.CLIENT)
         self._aborted = False
         self._request: tuple[h11.Request, str] | None = None
-        self._head: AnswerHead | None = None
+        self._keep_alive_seconds: float | None = None
 
     def connect(self, head: heads.Head, seconds: float) -> NotSent | None:
         """Open or take a connection; return None unless that failed."""
@@ -235,6 +235,8 @@
             found = heads.index_headers(list(response.headers))
             echoed = found.get(self._names.request_id.lower())
             if echoed is None or echoed == self._request[1]:
+                seconds = answer_headers.read_keep_alive_seconds(found)
+                self._keep_alive_seconds = seconds
                 return self._classify(response, found)
             self._skip_foreign_answer(deadline)
         raise BrokenExchange("only answers to other requests came")
@@ -255,8 +257,7 @@
         if self._names.not_run.lower() in found or status == MISDIRECTED:
             return NotRun(status, signal)
         headers = tuple(response.headers.raw_items())
-        self._head = AnswerHead(status, headers, found, signal)
-        return self._head
+        return AnswerHead(status, headers, found, signal)
 
     def _skip_foreign_answer(self, deadline: float) -> None:
         """Skip a response to another request, and reset the parser for ours."""
@@ -298,12 +299,8 @@
     def _allow_reuse(self) -> None:
         """Let another request use the connection, unless its protocol forbids that."""
         states = (self._http.our_state, self._http.their_state)
-        if states != (h11.DONE, h11.DONE) or self._http.trailing_data[0]:
-            return
-        seconds = None
-        if self._head is not None:
-            seconds = answer_headers.read_keep_alive_seconds(self._head.found)
-        self._hold.allow_reuse(seconds)
+        if states == (h11.DONE, h11.DONE) and not self._http.trailing_data[0]:
+            self._hold.allow_reuse(self._keep_alive_seconds)
 
     def _next_event(self, deadline: float) -> object:
         http = self._http
--- a/packages/daemon/tests/test_connection_holds.py
+++ b/packages/daemon/tests/test_connection_holds.py
@@ -11,6 +11,7 @@
 from eventlet import event, hubs
 
 from trestlestall.daemon.gateway import connections, exchanges, holds
+from trestlestall.wire import clocks
 
 #: How many events the answer to the request that stays has.
 EVENTS = 6
@@ -199,6 +200,19 @@
         check_not_blamed(self, self.bench)
 
 
+class KeepAliveTest(bench.GatewayCase):
+    """How long a connection is kept after an exchange."""
+
+    def test_an_answer_that_says_not_run_limits_the_keep_alive_time(self):
+        """Guards against requests sent as the upstream closes an idle connection."""
+        headers = "Trestlestall-Not-Run: 1\r\nKeep-Alive: timeout=1\r\n"
+        made = self.bench.add("u1", bench.answer(headers, "", status="503 Full"))
+        self.assertEqual(self.bench.ask("/once/x")[0], 503)
+        pool = self.bench.gateway.handler.pool
+        (kept,) = pool.list_open(made.row.address)
+        self.assertLess(kept.reusable_until, clocks.read() + 1.0)
+
+
 class SilentExchangeTest(unittest.TestCase):
     """Exchanges on a lost path are broken off, or no longer counted."""
 
