A connection that was taken and not used is kept no longer than before

A request that may not be sent yet (a stream that waits for a proof of the version) puts its connection back. The test failed before.

--- a/packages/daemon/src/trestlestall/daemon/gateway/connections.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/connections.py
@@ -181,9 +181,10 @@
             self._open.pop(connection.address, None)
 
     def store(self, connection: Connection) -> None:
-        """Keep a new connection that was opened to check the way to an upstream."""
-        usable = self._clock() + KEEP_ALIVE_SHARE * DEFAULT_KEEP_ALIVE_SECONDS
-        connection.reusable_until = usable
+        """Keep a connection on which nothing was sent since it was opened or taken."""
+        if not connection.reusable_until:
+            seconds = KEEP_ALIVE_SHARE * DEFAULT_KEEP_ALIVE_SECONDS
+            connection.reusable_until = self._clock() + seconds
         self._idle.setdefault(connection.address, []).insert(0, connection)
 
     def release(self, connection: Connection, keep_alive_seconds: float | None) -> None:
--- a/packages/daemon/tests/test_connection_holds.py
+++ b/packages/daemon/tests/test_connection_holds.py
@@ -313,6 +313,15 @@
             pass
         self.assertIs(self.pool.take(self.address), opened)
 
+    def test_a_connection_that_was_not_used_is_kept_no_longer_than_before(self):
+        """Guards against requests sent as the upstream closes an idle connection."""
+        opened, accepted = self.open()
+        self.use(opened, accepted)
+        until = opened.reusable_until = clocks.read() + 0.5
+        with holds.hold(self.pool, self.pool.take(self.address)):
+            pass
+        self.assertEqual(opened.reusable_until, until)
+
     def test_a_connection_is_not_kept_if_the_exchange_fails(self):
         opened, _ = self.open()
         with contextlib.suppress(ValueError), holds.hold(self.pool, opened) as held:
