A peer sends the whole body on, however late the upstream reads

Callers saw 504 for a long body through a peer gateway if the upstream read nothing for 0.2 s; directly it was served.

Cause: the peer's socket to the upstream kept the connect timeout (0.2 s) for sending, and a send that timed out was taken for a connection that had ended. The rest of that part was left out and later parts were sent all the same, so the upstream got other bytes where the body was due (by reading; the test saw the 504).

Change: the peer sends for as long as it takes, and looks every 0.1 s whether the tunnel is still open. A tunnel that is aborted is reset, as its end would otherwise wait behind bytes that nobody takes: the peer kept an upstream that doesn't read until it did.

The test upstream's read_request no longer spins at the end of a connection within a body.

--- a/packages/daemon/src/trestlestall/daemon/gateway/connections.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/connections.py
@@ -10,8 +10,6 @@
 import socket
 from collections import abc
 
-from eventlet import hubs
-
 from trestlestall.wire import addresses, clocks, sockets
 
 READ_BYTES = 65536
@@ -244,19 +242,11 @@
 
     Raises ``OSError``: ``TimeoutError`` after ``seconds``, ``PathLostError`` if the
     other host has not acknowledged what was sent for ``UNACKNOWLEDGED_TIMEOUT_MS``.
-
     Without ``seconds`` it waits for as long as it takes.
-
-    eventlet's own ``recv`` also returns no bytes for a reset connection, so that a
-    truncated response without a length would look complete.
     """
-    deadline = None if seconds is None else clocks.read() + seconds
-    while True:
-        try:
-            return opened.fd.recv(READ_BYTES)
-        except TimeoutError as error:
-            # The kernel's own: nothing that was sent has been acknowledged.
-            raise PathLostError(str(error)) from error
-        except BlockingIOError:
-            left = None if deadline is None else max(0.001, deadline - clocks.read())
-            hubs.trampoline(opened, read=True, timeout=left, timeout_exc=TimeoutError)
+    try:
+        return sockets.receive(opened, READ_BYTES, seconds)
+    except TimeoutError as error:
+        if error.errno != errno.ETIMEDOUT:
+            raise
+        raise PathLostError(str(error)) from error
--- a/packages/daemon/src/trestlestall/daemon/gateway/tunnel_server.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/tunnel_server.py
@@ -7,6 +7,7 @@
 """
 
 import contextlib
+import errno
 import socket
 from collections import abc
 
@@ -37,6 +38,8 @@
 #: Timeout for the handshake and the call of one connection, in seconds.
 HANDSHAKE_SECONDS = 2.0
 ACCEPT_RETRY_SECONDS = 0.2
+#: Interval of the check that a tunnel is open while its upstream reads nothing.
+SEND_POLL_SECONDS = 0.1
 #: Reasons for opening no tunnel.
 STOPPING = "the gateway stops"
 FULL = "too many tunnels"
@@ -57,6 +60,10 @@
         with self._sending:
             return self.carrier.send(codec.encode(message))
 
+    def is_open(self) -> bool:
+        """Return whether the gateway has not closed the tunnel, as far as is known."""
+        return not sockets.is_half_closed(self.carrier.socket)
+
     def receive(self) -> abc.Iterator[object]:
         """Yield the messages of the gateway until it closes the tunnel."""
         while (frame := self.carrier.receive()) is not None:
@@ -202,7 +209,7 @@
             for message in tunnel.receive():
                 if isinstance(message, tunnel_messages.TunnelData):
                     with contextlib.suppress(OSError):  # carry_answers reports it
-                        upstream.sendall(message.data)
+                        send_whole(upstream, message.data, tunnel.is_open)
                 elif isinstance(message, tunnel_messages.TunnelUse):
                     self._write_used(message.request, gateway, row)
         finally:
@@ -228,6 +235,24 @@
         )
 
 
+def send_whole(
+    upstream: socket.socket, data: bytes, is_wanted: abc.Callable[[], bool]
+) -> None:
+    """Send bytes for as long as that takes and while ``is_wanted``; raises ``OSError``.
+
+    An upstream may read slowly. A part that is left out would make it take later bytes
+    for the rest.
+    """
+    upstream.settimeout(SEND_POLL_SECONDS)
+    unsent = memoryview(data)
+    while unsent:
+        try:
+            unsent = unsent[upstream.send(unsent) :]
+        except TimeoutError as error:
+            if error.errno == errno.ETIMEDOUT or not is_wanted():
+                raise
+
+
 def carry_answers(tunnel: ServedTunnel, upstream: socket.socket) -> None:
     """Pass bytes of the upstream on, and then how its connection ended."""
     try:
--- a/packages/daemon/src/trestlestall/daemon/gateway/tunnels.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/tunnels.py
@@ -113,6 +113,16 @@
         pending = self._is_closing or bool(self._carrier.messages)
         return pending or super().is_readable()
 
+    def abort(self) -> None:
+        """Reset the connection to the peer, which wakes whoever waits for its data.
+
+        What the peer has not taken yet is dropped: an end behind it would reach the
+        peer only once the upstream has read that much.
+        """
+        with contextlib.suppress(OSError):
+            sockets.reset_on_close(self.socket)
+        super().abort()
+
     def close(self) -> None:
         """Close the tunnel, and with it the peer's connection to the upstream."""
         self.abort()
--- a/packages/daemon/tests/gateway_bench.py
+++ b/packages/daemon/tests/gateway_bench.py
@@ -160,7 +160,10 @@
     received = Received(head.decode(), body)
     length = int(received.find("Content-Length") or 0)
     while len(received.body) < length:
-        received.body += connection.recv(65536)
+        part = connection.recv(65536)
+        if not part:
+            return None
+        received.body += part
     return received
 
 
--- a/packages/daemon/tests/test_tunnels.py
+++ b/packages/daemon/tests/test_tunnels.py
@@ -154,6 +154,59 @@
         self.assertLess(ended[0] - left, 0.5)
 
 
+class SlowReader(bench.Upstream):
+    """Reads a request in steps: a pause in seconds, then up to so many bytes in all."""
+
+    def __init__(self, steps):
+        super().__init__("u1", bench.answer("", "done"))
+        self.steps = steps
+        self.taken = 0
+        self.ended_at = None
+
+    def serve(self, connection):
+        with contextlib.closing(connection), contextlib.suppress(OSError):
+            for pause, size in self.steps:
+                eventlet.sleep(pause)
+                while self.taken < size and (data := connection.recv(65536)):
+                    self.taken += len(data)
+            self.script(connection, None)
+            while connection.recv(65536):
+                pass
+        self.ended_at = time.monotonic()
+
+
+class LongBodyTest(TunnelCase):
+    """A body that is still being sent while the answer is waited for."""
+
+    def add_reader(self, *steps):
+        """Start an upstream that only the peer reaches, and that reads in steps."""
+        self.add_peer()
+        made = SlowReader(steps)
+        self.stack.callback(made.stop)
+        nobody = f"127.0.0.1:{addresses.reserve_port()}"
+        lost = dataclasses.replace(made.row, address=nobody)
+        self.bench.gateway.view.merge_rows((lost,), "test")
+        self.peers[0].gateway.view.merge_rows((made.row,), "test")
+        return made
+
+    def test_a_body_that_is_read_late_arrives_whole(self):
+        """Guards against a peer that leaves out a part of a body after a pause."""
+        made = self.add_reader((1.2, bench.BODY_BYTES))
+        status, _, body = self.bench.ask("/again/x", b"z" * bench.BODY_BYTES)
+        self.assertEqual((status, body), (200, "done"))
+        self.assertGreater(made.taken, bench.BODY_BYTES)
+
+    def test_an_upstream_that_does_not_read_learns_that_the_caller_left(self):
+        """Guards against a peer that waits for the upstream and not for the caller."""
+        made = self.add_reader((0.0, 1000), (1.5, bench.BODY_BYTES))
+        caller = self.bench.call()
+        caller.ask("/once/x", b"z" * bench.BODY_BYTES)
+        self.assertTrue(bench.wait_until(lambda: made.taken))
+        caller.close()
+        server = self.peers[0].server
+        self.assertTrue(bench.wait_until(lambda: not server.count, seconds=1.0))
+
+
 class LostPeerTest(TunnelCase):
     def test_a_request_that_may_run_once_is_not_sent_again(self):
         for name in ("peer-1", "peer-2"):
--- a/packages/wire/src/trestlestall/wire/sockets.py
+++ b/packages/wire/src/trestlestall/wire/sockets.py
@@ -1,10 +1,14 @@
 """Opening and closing sockets under eventlet."""
 
 import contextlib
+import select
 import socket
+import struct
 from collections import abc
 
-from trestlestall.wire import addresses, exceptions
+from eventlet import hubs, patcher
+
+from trestlestall.wire import addresses, clocks, exceptions
 
 #: Seconds of silence until the first probe and between probes, and how many may stay
 #: unanswered. The last option, in milliseconds, also ends the probes.
@@ -32,6 +36,12 @@
         opened.shutdown(socket.SHUT_RDWR)
 
 
+def reset_on_close(opened: socket.socket) -> None:
+    """Let a close reset the connection, and drop what the other side has not taken."""
+    linger = struct.pack("ii", True, 0)
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
 def close(opened: socket.socket) -> None:
     """Shut the socket down and close it."""
     shut_down(opened)
@@ -49,6 +59,13 @@
         return True
 
 
+def is_half_closed(opened: socket.socket) -> bool:
+    """Return whether the other side has closed, also if unread data comes before."""
+    poll = patcher.original("select").poll()
+    poll.register(opened.fileno(), select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
 def is_readable(opened: socket.socket) -> bool:
     """Return whether data, an end of file or an error is pending."""
     try:
@@ -60,6 +77,26 @@
     return True
 
 
+def receive(opened: socket.socket, size: int, seconds: float | None) -> bytes:
+    """Return the next bytes, at most ``size``, or none at an orderly end of file.
+
+    Raises ``OSError``: ``TimeoutError`` after ``seconds`` (with None it waits for as
+    long as it takes), and with ``errno`` ``ETIMEDOUT`` if the other host has not
+    acknowledged what was sent.
+
+    The time-out of the socket is left alone, as it holds for whoever sends, too.
+    eventlet's own ``recv`` also returns no bytes for a reset connection, so that a
+    truncated message without a length would look complete.
+    """
+    deadline = None if seconds is None else clocks.read() + seconds
+    while True:
+        try:
+            return opened.fd.recv(size)
+        except BlockingIOError:
+            left = None if deadline is None else max(0.001, deadline - clocks.read())
+            hubs.trampoline(opened, read=True, timeout=left, timeout_exc=TimeoutError)
+
+
 def keep_alive(opened: socket.socket) -> None:
     """Let the kernel end the connection once the other host has been lost."""
     opened.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, True)
