Waiting for an answer through a peer no longer limits the sending of the body

A reader of a websocket connection set the timeout of the socket, which holds for whoever sends on it as well: while a long body was being sent through a peer, the wait for the answer (1.3 s, then 0.5 s at a time) ended the writer, without a word, and the request ran into its deadline. Reading now waits with a timeout of its own (sockets.receive, one copy for both sides). The test failed before: 504 for a body of 40 MB of which the upstream reads an eighth after 1.4 s and the rest 0.9 s later.

--- a/packages/daemon/tests/test_tunnels.py
+++ b/packages/daemon/tests/test_tunnels.py
@@ -154,6 +154,10 @@
         self.assertLess(ended[0] - left, 0.5)
 
 
+#: More than the buffers of all sockets on the way through a peer take.
+LONG_BODY_BYTES = 40_000_000
+
+
 class SlowReader(bench.Upstream):
     """Reads a request in steps: a pause in seconds, then up to so many bytes in all."""
 
@@ -196,6 +200,14 @@
         self.assertEqual((status, body), (200, "done"))
         self.assertGreater(made.taken, bench.BODY_BYTES)
 
+    def test_waiting_for_the_answer_does_not_end_the_sending_of_the_body(self):
+        """Guards against a time-out of the reader that holds for the writer, too."""
+        limits = {**bench.DOCUMENT["limits"], "body_bytes": LONG_BODY_BYTES}
+        self.bench.declare({**bench.DOCUMENT, "limits": limits}, version=2)
+        self.add_reader((1.4, LONG_BODY_BYTES // 8), (0.9, LONG_BODY_BYTES))
+        status, _, body = self.bench.ask("/again/x", b"z" * LONG_BODY_BYTES)
+        self.assertEqual((status, body), (200, "done"))
+
     def test_an_upstream_that_does_not_read_learns_that_the_caller_left(self):
         """Guards against a peer that waits for the upstream and not for the caller."""
         made = self.add_reader((0.0, 1000), (1.5, bench.BODY_BYTES))
--- a/packages/wire/src/trestlestall/wire/connections.py
+++ b/packages/wire/src/trestlestall/wire/connections.py
@@ -82,11 +82,10 @@
 
     def read(self, deadline: float | None) -> bool:
         """Read once; return false at the end of the connection or the deadline."""
-        if deadline is not None:
-            self.socket.settimeout(max(0.001, deadline - clocks.read()))
         self.reading_since = clocks.read()
+        seconds = None if deadline is None else deadline - self.reading_since
         try:
-            data = self.socket.recv(READ_BYTES)
+            data = sockets.receive(self.socket, READ_BYTES, seconds)
         except OSError:
             return False
         finally:
@@ -116,7 +115,7 @@
         return self.broken or failed is not None
 
     def lift_handshake_limits(self, size: int) -> None:
-        """Accept messages up to this size and read without a timeout from now on."""
+        """Accept messages up to this size and send without a timeout from now on."""
         self.protocol.max_message_size = size
         self.socket.settimeout(None)
 
