--- a/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
@@ -5,15 +5,12 @@
 import functools
 from collections import abc
 
-import eventlet
-
 from trestlestall.daemon import placement_protocol
 from trestlestall.daemon.gateway import (
     attempts,
     cached_view,
     callers,
     connections,
-    crash_detection,
     failover,
     final_answers,
     heads,
@@ -27,6 +24,7 @@
     selection,
     signal_tracker,
     takeups,
+    upstream_evidence,
 )
 from trestlestall.forwarding import (
     descriptors,
@@ -179,20 +177,16 @@
             outcome = attempts.Broken(str(error), error.path_lost)
         finally:
             # A failure counts against the upstream also if the caller received it.
-            failed = self._evaluate(outcome or head)
+            failed = upstream_evidence.evaluate(self, outcome or head)
             if self.successor is None:
                 pause = self.relay.reportable_pause
                 self.handler.placing.end(
                     self.descriptor, placed.row.identity, failed, pause
                 )
         if self.caller.left:
-            if attempt.is_closed:
-                record = self.handler.crash_detector.record_broken
-                eventlet.spawn_n(record, placed.row, self._describe_broken())
-            elif failed:
-                self.handler.prober.suspect(placed.row)
+            upstream_evidence.record_left(self, placed.row, attempt.is_closed, failed)
             raise callers.CallerLeft()
-        self._apply_outcome(placed.row, outcome, attempt.is_closed)
+        upstream_evidence.record_outcome(self, placed.row, outcome, attempt.is_closed)
         return outcome
 
     @contextlib.contextmanager
@@ -224,22 +218,6 @@
             finally:
                 self._attempt = None
 
-    def _evaluate(self, outcome: outcomes.Outcome | None) -> bool | None:
-        """Return whether the attempt counts as a failure of its upstream.
-
-        None means that it counts neither as a failure nor as a success. A caller that
-        disconnected after waiting longer than the target for the first event counts as
-        a failure.
-        """
-        if self.has_lost_path or isinstance(outcome, attempts.NotProven):
-            return None
-        if not self.caller.left:
-            return outcomes.has_failed(outcome)
-        if self.relay.first_seconds is not None:
-            return None
-        waited = clocks.read() - self.sent_at
-        return True if waited > self.route.first_seconds else None
-
     def _exchange(
         self, attempt: attempts.Attempt, placed: placement.Placed
     ) -> outcomes.Outcome:
@@ -334,36 +312,6 @@
         records.write_attempt_ended(self, row, outcome, allowed)
         return allowed
 
-    def _apply_outcome(
-        self, row: upstreams.Row, outcome: outcomes.Outcome | None, is_closed: bool
-    ) -> None:
-        """Update the cached view of the upstream by the outcome.
-
-        ``is_closed`` is whether the upstream, or its host, closed the connection.
-        """
-        if isinstance(outcome, attempts.NotProven):
-            return
-        if isinstance(outcome, attempts.NotSent):
-            self.handler.prober.mark_unreachable(row, outcome.reason, outcome.timed_out)
-        elif isinstance(outcome, attempts.Broken) and outcome.path_lost:
-            # The upstream itself may take the request on another way.
-            self.excluded.discard(row.identity)
-        elif isinstance(outcome, attempts.Broken):
-            has_crashed = is_closed and self.handler.crash_detector.record_broken(
-                row, self._describe_broken()
-            )
-            if not has_crashed and self.relay.first_seconds is None:
-                self.handler.prober.suspect(row)
-        elif isinstance(outcome, attempts.NotRun) and outcome.is_misdirected:
-            self.view.record_replaced(row)
-            self.handler.placing.report_replaced(row.identity)
-
-    def _describe_broken(self) -> crash_detection.Request:
-        """Return what a crash of the upstream may be blamed on."""
-        return crash_detection.Request(
-            self.digest, self.keys, self.caller_name, self.sent_at
-        )
-
     def _release(self, row: upstreams.Row) -> None:
         """Stop counting the request at an upstream to which its path was lost.
 
--- a/packages/daemon/src/trestlestall/daemon/gateway/progress.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/progress.py
@@ -71,6 +71,7 @@
     ``keys`` are the parts of its prompt that others share, ``caller_name`` its
     workspace, empty for none.
     ``was_silent`` is whether the present one was silent for a timeout.
+    ``has_lost_path`` is whether its path to the present one was lost.
     ``port`` is the gateway's own port of the last connection; None before the first.
     """
 
@@ -96,6 +97,7 @@
     origin: origins.Origin | None
     successor: placement.Placed | None
     was_silent: bool
+    has_lost_path: bool
     port: int | None
 
     @property
