The own router takes no number without a length for a whole answer

A connection there serves one attempt, the attempt forgets it before it is closed, and a cancelled attempt ends as cancelled whatever was read: a test says so now (it passed before). What is left there of an end that passes for another: an answer without a length is taken as whole if it is a JSON document, and eventlet's recv tells a reset like an orderly end, so a number that was cut off ("1" of "12") was a whole answer. Such an answer is broken now; the test failed before.

--- a/packages/daemon/src/trestlestall/daemon/router/attempts.py
+++ b/packages/daemon/src/trestlestall/daemon/router/attempts.py
@@ -195,7 +195,7 @@
         body = connections.read_body(response, RESPONSE_LIMIT_BYTES)
         if body is None:
             return Ending.BROKEN, "the response exceeds the size limit", None
-        if not connections.is_delimited(response) and not is_json(body):
+        if not connections.is_delimited(response) and not is_whole_json(body):
             return Ending.BROKEN, "the response does not delimit its body", None
         self.tokens = 1
         return Ending.COMPLETED, "", make_response(response, body)
@@ -215,13 +215,16 @@
     return Response(response.status, content_type, body, headers)
 
 
-def is_json(body: bytes) -> bool:
-    """Return whether the body is one complete JSON document."""
+def is_whole_json(body: bytes) -> bool:
+    """Return whether the body is one JSON document that shows its own end.
+
+    A number doesn't: what is left of one that was cut off may be another number.
+    """
     try:
-        msgspec.json.decode(body)
+        found = msgspec.json.decode(body)
     except (msgspec.DecodeError, RecursionError):
         return False
-    return True
+    return isinstance(found, bool) or not isinstance(found, (int, float))
 
 
 def describe(error: Exception) -> str:
--- a/packages/daemon/tests/test_router_attempts.py
+++ b/packages/daemon/tests/test_router_attempts.py
@@ -151,6 +151,8 @@
             "too short": (HEAD + add_length(b"no", 9), "BROKEN"),
             "JSON to the close": (HEAD + JSON + b'\r\n{"a":1}', "COMPLETED"),
             "text to the close": (HEAD + b"\r\nbooked for Mon", "BROKEN"),
+            "number to the close": (HEAD + JSON + b"\r\n12", "BROKEN"),
+            "word to the close": (HEAD + JSON + b"\r\ntrue", "COMPLETED"),
         }
         self.check(table, "service:slots", False)
 
@@ -192,6 +194,32 @@
                 thread.join()
                 self.assertEqual((sink.end[0].name, ended), ("CANCELLED", [b""]))
 
+    def test_an_attempt_cancelled_within_an_answer_without_a_length_is_not_whole(self):
+        """Guards against an own shutdown that passes for the upstream's end."""
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            call = calls.Call("service:slots", "POST", "/v1/x", b"{}")
+            upstream = types.SimpleNamespace(
+                address=format_address(listener), name="u1"
+            )
+            attempt = attempts.Attempt("a1", "r1", call, upstream, {})
+
+            def run():
+                connection, _ = listener.accept()
+                with connection:
+                    read_request(connection)
+                    connection.sendall(HEAD + JSON + b'\r\n{"a":1}')
+                    time.sleep(0.1)
+                    attempt.cancel()
+                    connection.recv(1)
+
+            thread = threading.Thread(target=run)
+            thread.start()
+            sink = Sink()
+            attempt.run(sink)
+            thread.join()
+            self.assertEqual(sink.end[0].name, "CANCELLED")
+            self.assertIsNone(attempt._link)
+
 
 class ChunksTest(unittest.TestCase):
     def test_a_body_decodes_the_same_however_it_is_split(self):
