A test of tunnels ends the greenlet that accepts for it before its socket is closed

Run in one process with the next test file, that file's first test failed (OSError 77, or EOFError; also on the code as it was): the greenlet still waited on the closed socket by its number, and when the number was given out anew, eventlet ended it with IOClosed, which nothing catches and which ends the event loop.

--- a/packages/daemon/tests/test_tunnels.py
+++ b/packages/daemon/tests/test_tunnels.py
@@ -497,7 +497,7 @@
         port = int(lost.address.rpartition(":")[2])
         direct = eventlet.listen(("127.0.0.1", port))
         self.stack.callback(direct.close)
-        eventlet.spawn(self.pass_on, direct, upstream)
+        self.stack.callback(eventlet.spawn(self.pass_on, direct, upstream).kill)
         self.assertTrue(
             bench.wait_until(lambda: self.bench.list_lines("upstream_reached"))
         )
