The soak has callers who leave, upstreams that are full, and a promise about answers

Two callers of each gateway leave within 250 ms, and one of the three upstreams rejects each third request as not run. New promise: an answer is whole if its gateway and its upstreams are sound, whoever else leaves. A test of another promise has its upstream disturbed now, since it would break two; the ends of upstreams under fatal requests are recorded as disturbances.

--- a/tests/soak/traffic.py
+++ b/tests/soak/traffic.py
@@ -5,8 +5,10 @@
 import http.client
 import http.server
 import random
+import socket
 import threading
 import time
+import zlib
 from collections import abc
 
 from tests import gateways, relays
@@ -27,6 +29,11 @@
 FATAL_PAUSE_SECONDS = 0.15
 BACK_SECONDS = 0.8
 KINDS = ("once", "again", "stream")
+UPSTREAMS = 3
+#: Each so manieth request is rejected by one of the upstreams as not run, drawn by its
+#: name, and the milliseconds within which callers leave who don't wait.
+FULL_EVERY = 3
+LEAVE_MILLISECONDS = 250
 RUNNING, DRAINING = 0, 1
 #: Response headers by signal.
 BACKOFF_HEADERS = {"Trestlestall-Not-Run": "1", "Retry-After": str(evidences.BACKOFF)}
@@ -100,6 +107,9 @@
             send_answer(handler, 421, b"", {"Trestlestall-Not-Run": "1"})
             return
         request = handler.headers["Trestlestall-Request"]
+        if self._is_full(request):
+            send_answer(handler, 503, b"", {"Trestlestall-Not-Run": "1"})
+            return
         signal = self.signal
         self.evidence.add(
             evidences.Arrival(request, identity, time.monotonic(), signal)
@@ -127,6 +137,12 @@
                 handler, 200, evidences.make_answer(request), handler.signal_headers
             )
 
+    def _is_full(self, request: str) -> bool:
+        """Return whether to reject a request that another upstream would run."""
+        drawn = zlib.crc32(request.encode())
+        is_chosen = drawn // FULL_EVERY % UPSTREAMS == int(self.name.rpartition("-")[2])
+        return drawn % FULL_EVERY == 0 and is_chosen
+
     def _stream(
         self, handler: http.server.BaseHTTPRequestHandler, request: str, first: int
     ) -> None:
@@ -146,6 +162,9 @@
         """Crash: cut all connections, and return as a new incarnation later."""
         if identity != self.identity or not self._is_up.is_set():
             return
+        now = time.monotonic()
+        crashed = evidences.Disturbance(self.name, False, now, now + BACK_SECONDS)
+        self.evidence.add(crashed)
         self._is_up.clear()
         self.relay.cut()
         threading.Timer(BACK_SECONDS, self._come_back).start()
@@ -241,6 +260,24 @@
                 connection.close()
                 connection = None
 
+    def run_leaving(self) -> None:
+        """Send one request after another, and leave before the answer is whole."""
+        number = 0
+        while not self.ended.wait(PAUSE_SECONDS):
+            number += 1
+            request = f"{self.gateway}-left-{self.kind}-{number}"
+            seconds = zlib.crc32(request.encode()) % LEAVE_MILLISECONDS / 1000
+            connection = http.client.HTTPConnection(
+                gateways.HOST, self.port, timeout=CALLER_SECONDS
+            )
+            leaving = threading.Timer(seconds, shut_down, (connection,))
+            leaving.start()
+            start = self.find_start()
+            asked = self._ask(connection, request, f"{self.gateway}/{start}")
+            leaving.cancel()
+            connection.close()
+            self.evidence.add(dataclasses.replace(asked, left=not asked.whole))
+
     def probe(self, evidence: evidences.Evidence) -> bool:
         """Send one request and return whether it was served."""
         number = len(evidence.asked)
@@ -299,6 +336,14 @@
         )
 
 
+def shut_down(connection: http.client.HTTPConnection) -> None:
+    """Shut a connection down, which wakes whoever reads the answer."""
+    opened = connection.sock
+    if opened is not None:
+        with contextlib.suppress(OSError):
+            opened.shutdown(socket.SHUT_RDWR)
+
+
 @dataclasses.dataclass
 class Operator:
     """Declares versions in turn, each until it is acknowledged, and reads them back."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -127,6 +127,16 @@
         self.replace(answer=self.asked.answer[:5])
         self.check("request's own")
 
+    def test_an_answer_cut_where_nothing_is_disturbed(self):
+        self.replace(status=502, answer=b"{}")
+        self.check("are sound")
+        self.evidence.add(evidences.Disturbance("u", False, 9.0, 10.0))
+        self.assertEqual(evidences.find_broken(self.evidence), [])
+
+    def test_an_answer_that_its_caller_left(self):
+        self.replace(status=200, answer=b"", whole=False, left=True)
+        self.assertEqual(evidences.find_broken(self.evidence), [])
+
     def test_a_stream_with_a_gap(self):
         whole = evidences.make_stream(STREAM)
         first = evidences.make_event(STREAM, 1)
@@ -136,6 +146,7 @@
         )
         self.evidence.add(dataclasses.replace(asked, whole=False))
         self.evidence.add(make_run(asked))
+        self.evidence.add(evidences.Disturbance("u", False, 9.0, 10.0))
         self.check("events come in order")
 
     def test_a_run_that_nobody_asked_for(self):
