An answer that is broken off looks truncated to callers of HTTP/1.0 as well

To a caller of HTTP/1.0 an answer without a length comes without chunks and ends with its connection. One that was broken off (its upstream's connection was lost, nothing may be repeated), or that a stop cut at the end of its grace period, ended in order, so the part looked like the whole. Now such a connection is reset unless the answer was whole.

--- a/packages/daemon/src/trestlestall/daemon/gateway/callers.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/callers.py
@@ -77,6 +77,7 @@
             h11.SERVER, max_incomplete_event_size=limits.header_bytes
         )
         self._pipelined_bytes = 0
+        self._ends_with_connection = False
 
     # Requests.
 
@@ -142,6 +143,10 @@
     ) -> None:
         """Write the head of a response; raises ``CallerLeft``."""
         headers = list(headers)
+        self._ends_with_connection = (
+            self._http.their_http_version == b"1.0"
+            and not any(name.lower() == b"content-length" for name, _ in headers)
+        )
         if self.closing:
             headers.append((b"Connection", b"close"))
         head = h11.Response(status_code=status, headers=headers)
@@ -154,6 +159,7 @@
     def end_answer(self) -> None:
         """Write the end of a response; raises ``CallerLeft``."""
         self._write(self._http.send(h11.EndOfMessage()))
+        self._ends_with_connection = False
 
     def answer(
         self, status: int, headers: abc.Sequence[tuple[bytes, bytes]], body: bytes
@@ -172,9 +178,17 @@
         self._write(data)
 
     def abort(self) -> None:
-        """Shut the connection down, so that an unfinished response looks truncated."""
-        with contextlib.suppress(OSError):
-            self.socket.shutdown(socket.SHUT_RDWR)
+        """End the connection, so that an unfinished response looks truncated."""
+        self.reset_if_unfinished()
+        sockets.shut_down(self.socket)
+
+    def reset_if_unfinished(self) -> None:
+        """Reset the connection if nothing else shows that a response is truncated.
+
+        That is so for callers of HTTP/1.0, whose responses come without chunks.
+        """
+        if self._ends_with_connection:
+            sockets.reset(self.socket)
 
     def close_if_idle(self) -> None:
         """Shut the connection down unless a byte of the next request has arrived.
--- a/packages/daemon/src/trestlestall/daemon/gateway/process.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/process.py
@@ -272,6 +272,8 @@
                 caller.closing = True
                 caller.close_if_idle()
             eventlet.sleep(TICK_SECONDS)
+        for caller in list(self._open):
+            caller.reset_if_unfinished()
 
     def _is_needed(self, started: float) -> bool:
         """Return whether callers or peers are connected, or callers may be."""
--- a/packages/daemon/tests/test_connection_holds.py
+++ b/packages/daemon/tests/test_connection_holds.py
@@ -10,8 +10,8 @@
 import eventlet
 from eventlet import event, hubs
 
-from trestlestall.daemon.gateway import connections, exchanges, holds
-from trestlestall.wire import clocks
+from trestlestall.daemon.gateway import connections, exchanges, holds, process
+from trestlestall.wire import clocks, sockets
 
 #: How many events the answer to the request that stays has.
 EVENTS = 6
@@ -200,6 +200,63 @@
         check_not_blamed(self, self.bench)
 
 
+class CallerEndTest(bench.GatewayCase):
+    """How an answer ends for a caller of HTTP/1.0, without chunks."""
+
+    def ask(self, script, path="/stream/x"):
+        """Return a caller of HTTP/1.0 that has the first event."""
+        self.bench.add("u1", script)
+        caller = self.bench.call()
+        head = (
+            f"POST {path} HTTP/1.0",
+            "Host: api",
+            "Authorization: Bearer k1",
+            "Trestlestall-Request: r-1",
+            "Content-Length: 0",
+        )
+        caller.socket.sendall("\r\n".join([*head, "", ""]).encode())
+        self.assertEqual(caller.read_head()[0], 200)
+        while bench.event(1).encode() not in caller.data:
+            caller.data += caller.socket.recv(65536)
+        return caller
+
+    def begin(self, connection, received):
+        """Send an event, and end the connection within the answer a moment later."""
+        first = bench.STREAM + bench.frame(bench.event(1), end=False)
+        connection.sendall(first.encode())
+        eventlet.sleep(0.1)
+        return False
+
+    def test_a_broken_answer_without_a_length_ends_by_a_reset(self):
+        """Guards against a part of an answer that looks whole as it has no length."""
+        caller = self.ask(self.begin)
+        with self.assertRaises(ConnectionResetError):
+            sockets.receive(caller.socket, 100, 1.0)
+
+    def test_a_whole_answer_without_a_length_ends_in_order(self):
+        whole = bench.STREAM + bench.frame(bench.event(1), bench.event(2))
+        caller = self.ask(bench.send(whole, keep=True))
+        self.assertIn(bench.event(2), caller.read_to_end())
+        self.assertEqual(sockets.receive(caller.socket, 100, 1.0), b"")
+
+    def test_an_answer_that_a_stop_breaks_off_ends_by_a_reset(self):
+        """Guards against a part of an answer that looks whole after a shutdown."""
+
+        def never_end(connection, received):
+            first = bench.STREAM + bench.frame(bench.event(1), end=False)
+            connection.sendall(first.encode())
+            eventlet.sleep(5)
+
+        caller = self.ask(never_end)
+        with (
+            mock.patch.object(process, "BALANCER_NOTICE_SECONDS", 0.0),
+            mock.patch.object(process, "KILL_MARGIN_SECONDS", 1000.0),
+        ):
+            self.bench.gateway._stop()
+        with self.assertRaises(ConnectionResetError):
+            sockets.receive(caller.socket, 100, 1.0)
+
+
 class KeepAliveTest(bench.GatewayCase):
     """How long a connection is kept after an exchange."""
 
--- a/packages/wire/src/trestlestall/wire/sockets.py
+++ b/packages/wire/src/trestlestall/wire/sockets.py
@@ -42,6 +42,13 @@
     opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
 
+def reset(opened: socket.socket) -> None:
+    """Close the socket, so that the other side sees no orderly end."""
+    with contextlib.suppress(OSError):
+        reset_on_close(opened)
+    opened.close()
+
+
 def close(opened: socket.socket) -> None:
     """Shut the socket down and close it."""
     shut_down(opened)
