A path that a peer loses is not told as a reset by the upstream

A peer whose connection to an upstream was not acknowledged for 4 s told the gateway of a reset, which counts as a connection that the upstream closed: evidence of a crash. Nothing is known of the upstream then, so the tunnel ends without a word, which the gateway takes for a lost path.

--- a/packages/daemon/src/trestlestall/daemon/gateway/tunnel_server.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/tunnel_server.py
@@ -254,12 +254,18 @@
 
 
 def carry_answers(tunnel: ServedTunnel, upstream: socket.socket) -> None:
-    """Pass bytes of the upstream on, and then how its connection ended."""
+    """Pass bytes of the upstream on, and then how its connection ended.
+
+    If the path to it was lost, that is not known, and the tunnel ends without a word.
+    """
     try:
         while data := connections.receive(upstream, None):
             if not tunnel.send(tunnel_messages.TunnelData(data)):
                 return
         end = tunnel_messages.TunnelEnd(reset=False)
+    except connections.PathLostError:
+        tunnel.carrier.abort()
+        return
     except OSError:
         end = tunnel_messages.TunnelEnd(reset=True)
     tunnel.send(end)
--- a/packages/daemon/tests/test_tunnels.py
+++ b/packages/daemon/tests/test_tunnels.py
@@ -15,7 +15,13 @@
 import eventlet
 
 from trestlestall.daemon import environment, settings
-from trestlestall.daemon.gateway import process, tunnel_race, tunnel_server, tunnels
+from trestlestall.daemon.gateway import (
+    connections,
+    process,
+    tunnel_race,
+    tunnel_server,
+    tunnels,
+)
 from trestlestall.standins import addresses
 from trestlestall.wire import handshake, tunnel_messages
 
@@ -393,6 +399,26 @@
         self.assertEqual(len(other.list_lines("tunnel_used")), 1)
 
 
+class LostUpstreamTest(TunnelCase):
+    def test_a_path_that_a_peer_loses_does_not_count_as_a_closed_connection(self):
+        """Guards against crashes blamed on an upstream that its peer can't reach."""
+        self.add_peer()
+
+        def lose(opened, seconds):
+            eventlet.sleep(0.1)
+            raise connections.PathLostError("not acknowledged")
+
+        upstream = self.add("u1", bench.send("", keep=True, after=5))
+        crashes = self.bench.gateway.handler.crash_detector
+        with (
+            mock.patch.object(connections, "receive", lose),
+            mock.patch.object(crashes, "record_broken") as record_broken,
+        ):
+            self.assertEqual(self.bench.ask("/once/x")[0], 502)
+        record_broken.assert_not_called()
+        self.assertEqual(len(upstream.received), 1)
+
+
 class RefusedTest(TunnelCase):
     def check_not_run(self, upstream):
         """Check that a request is refused as not run, with a time to return."""
