--- a/packages/wire/src/trestlestall/wire/connections.py
+++ b/packages/wire/src/trestlestall/wire/connections.py
@@ -138,6 +138,8 @@
     except OSError:
         yield None
         return
+    # The timeout of connecting must not stay: it would hold for each send.
+    opened.settimeout(max(0.001, deadline - clocks.read()))
     with sockets.hold(opened):
         target = uri.parse_uri(f"ws://{address}")
         state = client.ClientProtocol(target, max_size=max_size, logger=LOGGER)
