--- a/packages/daemon/src/trestlestall/daemon/directory/retry_budget.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/retry_budget.py
@@ -40,7 +40,7 @@
         self._wake = wake
         self._clock = clock
         self._requested_at = float("-inf")
-        self._log_limiters: dict[str, logs.Throttle] = {}
+        self._log_limiters: dict[tuple[str, str], logs.Throttle] = {}
 
     @property
     def bound(self) -> budgets.Bound:
@@ -64,7 +64,9 @@
 
     def record_retry(self, service: str) -> None:
         """Count a retry that ``evaluate`` granted; request a turn to send the count."""
-        self.ledger.record_retry(service, self._clock())
+        now = self._clock()
+        self.ledger.record_retry(service, now)
+        self._log_granted(service, now)
         self._wake()
 
     def turn(self) -> None:
@@ -117,10 +119,7 @@
     def _log_exhausted(
         self, service: str, standing: budgets.Coverage, now: float
     ) -> None:
-        limiter = self._log_limiters.setdefault(
-            service, logs.Throttle(LOG_INTERVAL_SECONDS, self._clock)
-        )
-        left_out = limiter.count()
+        left_out = self._count_left_out(events.directory.RETRIES_EXHAUSTED, service)
         if left_out is None:
             return
         requests, retries = self.ledger.count(service, self.bound, now)
@@ -133,3 +132,28 @@
             standing=standing.value,
             left_out=left_out,
         )
+
+    def _log_granted(self, service: str, now: float) -> None:
+        left_out = self._count_left_out(events.directory.RETRIES_GRANTED, service)
+        if left_out is None:
+            return
+        requests, _ = self.ledger.count(service, self.bound, now)
+        standing = self._find_coverage(now)
+        self._log.write(
+            events.directory.RETRIES_GRANTED,
+            service=service,
+            requests=requests,
+            sources=self.ledger.count_by_source(service, self.bound, now),
+            limit=round(self.bound.find_limit(requests, standing), 1),
+            standing=standing.value,
+            granted=self.ledger.granted,
+            acknowledged=self.ledger.acknowledged,
+            left_out=left_out,
+        )
+
+    def _count_left_out(self, event: events.Event, service: str) -> int | None:
+        """Return how many lines were left out if one is due, else None."""
+        limiter = self._log_limiters.setdefault(
+            (event.name, service), logs.Throttle(LOG_INTERVAL_SECONDS, self._clock)
+        )
+        return limiter.count()
--- a/packages/daemon/src/trestlestall/daemon/events/directory.py
+++ b/packages/daemon/src/trestlestall/daemon/events/directory.py
@@ -237,3 +237,15 @@
     "Requests with this part are sent again: one was answered, or another part explains"
     " the crashes better.",
 )
+RETRIES_GRANTED = catalogue.declare(
+    "TS8033",
+    "repeats_granted",
+    catalogue.Level.INFO,
+    "service requests sources limit standing granted acknowledged left_out",
+    "A retry was granted; at most one line a second for each service. requests counts"
+    " those in the window, sources the retries by the directory process that granted"
+    " them, as known here. granted is how many this process has granted in total, and"
+    " acknowledged how many of these each other directory has acknowledged.",
+    "Compare sources between directories: a process that one of them leaves out was"
+    " unknown to it at that moment.",
+)
--- a/packages/forwarding/src/trestlestall/forwarding/budgets.py
+++ b/packages/forwarding/src/trestlestall/forwarding/budgets.py
@@ -93,7 +93,8 @@
 class Ledger:
     """Requests and retries of all sources; times are monotonic seconds.
 
-    ``source`` identifies this process and its start uniquely.
+    ``source`` identifies this process and its start uniquely. ``granted`` is how many
+    retries it has granted, ``acknowledged`` how many of them each peer has received.
     """
 
     def __init__(self, source: str, now: float) -> None:
@@ -104,9 +105,9 @@
         self._is_founding = False
         self._counts: dict[tuple[str, str, int], slot_counts.SlotCount] = {}
         self._pending: dict[tuple[str, int], slot_counts.SlotCount] = {}
-        self._granted = 0
+        self.granted = 0
         self._sent_granted = 0
-        self._acknowledged: dict[str, int] = {}
+        self.acknowledged: dict[str, int] = {}
 
     def __len__(self) -> int:
         """Return the number of slot counts."""
@@ -183,22 +184,22 @@
     def record_retry(self, service: str, now: float) -> None:
         """Count a retry that ``evaluate`` has granted."""
         self._get_slot_count(service, now).repeats += 1
-        self._granted += 1
+        self.granted += 1
 
     def record_acknowledgement(self, peer: str, granted: int) -> None:
         """Record that a peer has received all of the first ``granted`` retries."""
-        self._acknowledged[peer] = max(granted, self._acknowledged.get(peer, 0))
+        self.acknowledged[peer] = max(granted, self.acknowledged.get(peer, 0))
 
     def remove_peer(self, peer: str) -> None:
         """Remove a peer that is no longer linked."""
-        self._acknowledged.pop(peer, None)
+        self.acknowledged.pop(peer, None)
 
     def _count_unacknowledged(self, majority: int) -> int:
         """Return how many retries granted here a majority has not acknowledged."""
         if majority == 0:
             return 0
-        seen = sorted(self._acknowledged.values(), reverse=True)
-        return self._granted - (seen[majority - 1] if len(seen) >= majority else 0)
+        seen = sorted(self.acknowledged.values(), reverse=True)
+        return self.granted - (seen[majority - 1] if len(seen) >= majority else 0)
 
     def count(self, service: str, bound: Bound, now: float) -> tuple[int, int]:
         """Return the requests and the retries of the window."""
@@ -211,6 +212,15 @@
         requests = sum(slot_count.requests for slot_count in found)
         return requests, sum(slot_count.repeats for slot_count in found)
 
+    def count_by_source(self, service: str, bound: Bound, now: float) -> dict[str, int]:
+        """Return the retries of the window by the process that granted them."""
+        self._expire_before(now - bound.window - slot_counts.SLOT_SECONDS)
+        found = collections.Counter()
+        for (source, name, _), slot_count in self._counts.items():
+            if name == service and slot_count.repeats:
+                found[source] += slot_count.repeats
+        return dict(found)
+
     def _get_slot_count(self, service: str, now: float) -> slot_counts.SlotCount:
         number = int(now / slot_counts.SLOT_SECONDS)
         key = self.source, service, number
@@ -241,16 +251,16 @@
         due = {
             key: slot_count
             for key, slot_count in self._pending.items()
-            if self._granted > self._sent_granted or key[1] < current
+            if self.granted > self._sent_granted or key[1] < current
         }
         if not due:
             return None
-        self._sent_granted = self._granted
+        self._sent_granted = self.granted
         for key in due:
             del self._pending[key]
         plain = ((*key, slot_count) for key, slot_count in due.items())
         return slot_counts.Update(
-            self.source, 0.0, slot_counts.encode_counts(plain, now), self._granted
+            self.source, 0.0, slot_counts.encode_counts(plain, now), self.granted
         )
 
     def list_snapshot(self, window: float, now: float) -> list[slot_counts.Update]:
