Drawn schedules cut single pairs of processes, one way, silently, or with losses

Links of the fleet are now cut by pair and direction: refused, silent, silent one way, a third lost.

--- a/packages/forwarding/tests/fleet.py
+++ b/packages/forwarding/tests/fleet.py
@@ -11,6 +11,7 @@
 import heapq
 import random
 
+from packages.forwarding.tests import fleet_links
 from trestlestall.forwarding import budgets
 
 SERVICE = "engines"
@@ -33,7 +34,7 @@
 class Process:
     """One address of the fleet; ``ledger`` is None while it is down.
 
-    Only processes with the same ``side`` reach each other.
+    Only processes with the same ``side`` reach each other, as ``fleet_links`` has it.
     """
 
     ledger: budgets.Ledger | None
@@ -67,6 +68,7 @@
         self.now = 0.0
         self._events = []
         self._order = 0
+        self.links = fleet_links.Links(self.random)
         self.processes = [self.make_process() for _ in range(size)]
         self.directories = [
             Directory(None, 1.0, name=f"d{number}") for number in range(directories)
@@ -112,7 +114,7 @@
         process = self.random.choices(awake, [one.weight for one in awake])[0]
         process.ledger.record_request(SERVICE, self.now)
         directory = self.find_directory(process)
-        if directory is not None:
+        if directory is not None and self.delivers(process, directory):
             directory.ledger.record_request(SERVICE, self.now)
         self.request_retries(process, 3)
 
@@ -131,12 +133,14 @@
         """Ask a directory for a retry; without an answer the process decides."""
         directory = self.find_directory(process)
         verdict = budgets.Verdict.LATER
-        if directory is not None:
+        if directory is not None and self.delivers(process, directory):
             coverage = self.get_coverage(directory)
             majority = len(self.directories) // 2
             verdict = directory.ledger.consume(
                 SERVICE, self.bound, coverage, self.now, majority
             )
+            if not self.delivers(directory, process):
+                verdict = budgets.Verdict.LATER
         if verdict is budgets.Verdict.LATER or self.random.random() < LATE_SHARE:
             self.alone += 1
             alone = budgets.Coverage.ALONE
@@ -148,7 +152,7 @@
         found = [
             one
             for one in self.directories
-            if self.is_awake(one) and one.side == process.side
+            if self.is_awake(one) and self.links.is_up(process, one, self.now)
         ]
         if not found:
             return None
@@ -165,7 +169,7 @@
         for directory in self.directories:
             if not self.is_awake(directory):
                 continue
-            if 2 * len(self.list_reached(directory)) > len(self.directories):
+            if 2 * len(self.list_heard(directory)) > len(self.directories):
                 directory.quorum_until = self.now + QUORUM_SECONDS
             has_quorum = directory.quorum_until > self.now
             directory.ledger.update_coverage(self.now, has_quorum)
@@ -179,26 +183,42 @@
         self.schedule(TURN_SECONDS, self.turn)
 
     def list_reached(self, directory):
-        """Return the reachable directories, this one included."""
+        """Return the linked directories, this one included."""
         return [
             one
             for one in self.directories
-            if one.ledger is not None and one.side == directory.side
+            if one.ledger is not None and self.links.is_up(directory, one, self.now)
         ]
 
+    def list_heard(self, directory):
+        """Return the directories whose messages arrive, this one included."""
+        return [
+            one
+            for one in self.list_reached(directory)
+            if self.links.can_hear(directory, one, self.now)
+        ]
+
+    def delivers(self, one, other):
+        """Return whether a message that is sent now arrives."""
+        return self.links.delivers(one, other, self.now)
+
+    def send(self, sender, receiver, act, *arguments):
+        """Schedule a call at the receiver, unless the message is lost."""
+        if self.delivers(sender, receiver):
+            self.schedule(TRANSIT_SECONDS, act, *arguments)
+
     def send_updates(self, directory, updates):
         for other in self.list_reached(directory):
             if other is not directory:
-                self.schedule(
-                    TRANSIT_SECONDS, self.receive, other, other.ledger, updates
-                )
+                arguments = other, other.ledger, directory, updates
+                self.send(directory, other, self.receive, *arguments)
 
     def request_snapshots(self, directory):
         """Request snapshots of the window from all reachable directories."""
         for other in self.list_reached(directory):
             if other is not directory:
                 arguments = other, other.ledger, directory, self.now
-                self.schedule(TRANSIT_SECONDS, self.send_snapshot, *arguments)
+                self.send(directory, other, self.send_snapshot, *arguments)
 
     def send_snapshot(self, other, ledger, directory, asked_at):
         """Answer a request for a snapshot, later if this directory is stalled."""
@@ -209,21 +229,22 @@
             self.schedule(after, self.send_snapshot, other, ledger, directory, asked_at)
             return
         updates = ledger.list_snapshot(self.bound.window, self.now)
-        arguments = directory, directory.ledger, updates, asked_at
-        self.schedule(TRANSIT_SECONDS, self.receive, *arguments)
+        arguments = directory, directory.ledger, other, updates, asked_at
+        self.send(other, directory, self.receive, *arguments)
 
-    def receive(self, directory, ledger, updates, asked_at=0.0):
+    def receive(self, directory, ledger, sender, updates, asked_at=0.0):
         """Merge updates, unless the receiver was killed meanwhile."""
         if directory.ledger is not ledger:
             return
         if directory.paused_until > self.now:
             after = directory.paused_until - self.now + TRANSIT_SECONDS
-            self.schedule(after, self.receive, directory, ledger, updates, asked_at)
+            arguments = directory, ledger, sender, updates, asked_at
+            self.schedule(after, self.receive, *arguments)
             return
         for update in updates:
             ledger.merge(update, self.now, asked_at)
             if update.granted:
-                self.schedule(TRANSIT_SECONDS, self.acknowledge, directory, update)
+                self.send(directory, sender, self.acknowledge, directory, update)
 
     def acknowledge(self, directory, update):
         """Acknowledge to the source what it granted."""
@@ -258,9 +279,12 @@
 
     def kill_directories(self, count, seconds):
         for directory in self.random.sample(self.directories, count):
-            directory.ledger = None
-            directory.quorum_until = 0.0
-            self.schedule(seconds, self.start, directory)
+            self.kill_directory(directory, seconds)
+
+    def kill_directory(self, directory, seconds):
+        directory.ledger = None
+        directory.quorum_until = 0.0
+        self.schedule(seconds, self.start, directory)
 
     def pause_directory(self, number, seconds):
         self.directories[number].paused_until = self.now + seconds
@@ -297,6 +321,22 @@
             process.side = side
             self.schedule(seconds, self.heal, process)
 
+    def cut_pair(self, one, other, way, seconds):
+        """Cut a pair of processes from each other in one of ``fleet_links.WAYS``."""
+        self.links.cut(one, other, way, self.now)
+        self.schedule(seconds, self.heal_pair, one, other)
+
+    def heal_pair(self, one, other):
+        self.links.heal(one, other)
+        for directory in (one, other):
+            if directory in self.directories and directory.ledger is not None:
+                self.synchronize(directory)
+
+    def cut_gateways(self, share, directory, way, seconds):
+        """Cut a share of the gateways from one directory."""
+        for process in self.pick(share):
+            self.cut_pair(process, directory, way, seconds)
+
     def heal(self, process):
         process.side = 0
         if process in self.directories and process.ledger is not None:
@@ -349,15 +389,21 @@
         return bisect.bisect_right(self.requests, end) - first
 
 
-def play(seed):
-    """Play one random schedule of faults and return the fleet."""
-    draw = random.Random(seed)
+def draw_fleet(draw, seed):
+    """Return a fleet of random size, load and bound."""
     size = draw.choice((2, 3, 9, 9, 40, 200))
     rate = draw.choice((30.0, 80.0, 250.0))
     ratio = draw.choice((0.1, 0.2, 0.2))
     slack = round(ratio * rate * 10 * draw.uniform(0.3, 0.9))
-    count = 3 + seed % 4
-    fleet = Fleet(size, rate, budgets.Bound(ratio, slack, 10.0), seed, count)
+    bound = budgets.Bound(ratio, slack, 10.0)
+    return Fleet(size, rate, bound, seed, 3 + seed % 4)
+
+
+def play(seed):
+    """Play one random schedule of faults and return the fleet."""
+    draw = random.Random(seed)
+    fleet = draw_fleet(draw, seed)
+    size, count = len(fleet.processes), len(fleet.directories)
     choices = (
         lambda: fleet.kill(draw.choice((0.1, 0.5, 0.9, 1.0)), draw.uniform(0.2, 3.0)),
         lambda: fleet.kill(draw.choice((0.3, 0.9)), draw.uniform(0.2, 1.0)),
@@ -370,10 +416,60 @@
         lambda: fleet.kill_directories(draw.choice((1, 2)), draw.uniform(1.0, 8.0)),
         lambda: fleet.pause_directory(0, draw.uniform(0.3, 6.0)),
     )
+    run_choices(fleet, draw, choices)
+    return fleet
+
+
+def run_choices(fleet, draw, choices):
+    """Inject faults drawn from the choices, after a time without any."""
     fleet.run(CALM_SECONDS)
     while fleet.now < PLAY_SECONDS:
         if not fleet.failing:
             fleet.fail(draw.choice((0.3, 0.5, 1.0)), draw.uniform(2.0, 12.0))
         draw.choice(choices)()
         fleet.run(draw.choice((0.5, 1.0, 3.0, 6.0)))
+
+
+def play_cuts(seed):
+    """Play one random schedule of cuts of pairs and return the fleet.
+
+    Directories that do not reach each other reach a third one; gateways ask different
+    ones. Directories are killed, restarted and stalled meanwhile.
+    """
+    draw = random.Random(seed)
+    fleet = draw_fleet(draw, seed)
+    directories = fleet.directories
+    count = len(directories)
+
+    def cut_directories():
+        one, other = draw.sample(directories, 2)
+        way = draw.choice(fleet_links.WAYS)
+        fleet.cut_pair(one, other, way, draw.uniform(1.0, 20.0))
+
+    def cut_first_two():
+        way = draw.choice(fleet_links.WAYS)
+        fleet.cut_pair(*directories[:2], way, draw.uniform(3.0, 20.0))
+
+    def cut_gateways():
+        one = draw.choice(directories[:2])
+        way = draw.choice(fleet_links.WAYS)
+        fleet.cut_gateways(draw.uniform(0.2, 0.8), one, way, draw.uniform(3.0, 20.0))
+
+    def kill_one():
+        fleet.kill_directory(draw.choice(directories), draw.uniform(0.3, 10.0))
+
+    choices = (
+        cut_directories,
+        cut_directories,
+        cut_first_two,
+        cut_gateways,
+        cut_gateways,
+        kill_one,
+        lambda: fleet.kill_directory(directories[0], draw.uniform(0.3, 10.0)),
+        lambda: fleet.kill_directories(draw.choice((1, 2, count)), 0.6),
+        lambda: fleet.kill(draw.choice((0.1, 0.5, 0.9)), draw.uniform(0.2, 3.0)),
+        lambda: fleet.pause_directory(draw.randrange(2), draw.uniform(0.3, 6.0)),
+        lambda: fleet.partition(draw.uniform(0.1, 0.5), draw.uniform(2.0, 20.0)),
+    )
+    run_choices(fleet, draw, choices)
     return fleet
--- a/packages/forwarding/tests/test_budgets_fleet.py
+++ b/packages/forwarding/tests/test_budgets_fleet.py
@@ -7,6 +7,8 @@
 
 BOUND = budgets.Bound(ratio=0.2, slack=58.0, window=10.0)
 SIZE, RATE = 9, 80.0
+#: Random schedules of pairs cut apart.
+CUT_SEEDS = tuple(range(40))
 #: Random schedules, and those that broke the bound once: a directory that was
 #: partitioned or stalled took its own old counts for complete.
 SEEDS = (*range(30), 1140, 1765, 1913, 4358, 4388, 6203, 6224, 7139)
@@ -103,3 +105,15 @@
         self.assertGreater(alone, 500)
         self.assertGreater(retries, 5000)
         self.assertEqual(broken, {})
+
+    def test_random_schedules_of_pairs_cut_apart(self):
+        """Guards against directories that each grant what only a third one knows of."""
+        broken = {}
+        retries = 0
+        for seed in CUT_SEEDS:
+            fleet = fleets.play_cuts(seed)
+            retries += len(fleet.retries)
+            if found := fleet.list_breaches():
+                broken[seed] = found[0]
+        self.assertGreater(retries, 5000)
+        self.assertEqual(broken, {})
