--- a/packages/daemon/src/trestlestall/daemon/directory/arrivals.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/arrivals.py
@@ -124,6 +124,7 @@
     """Handle the answer of an earlier build to a message that it does not know."""
     if server.links.is_directory(peer):
         server.registrations.handle_not_understood(peer, message.name)
+        server.retry_budget.handle_not_understood(peer, message.name)
 
 
 @handles(stream_messages.StreamsBegan)
@@ -204,11 +205,28 @@
     server.scheduler.handle_state(peer, message)
 
 
+@handles(directory_messages.RetryCounts)
+def handle_retry_counts(
+    server: servers.Server, peer: str, message: directory_messages.RetryCounts
+) -> None:
+    """Merge another directory's counts of requests and retries, and answer them."""
+    server.retry_budget.handle_counts(peer, message)
+
+
+@handles(directory_messages.RetryCountsAnswer)
+def handle_retry_counts_answer(
+    server: servers.Server, peer: str, message: directory_messages.RetryCountsAnswer
+) -> None:
+    """Record that another directory acknowledged the retries granted here."""
+    server.retry_budget.handle_answer(peer, message)
+    server.scheduler.place_pending()
+
+
 @handles(directory_messages.Spent)
 def handle_spent(
     server: servers.Server, peer: str, message: directory_messages.Spent
 ) -> None:
-    """Merge another directory's counts of requests and retries."""
+    """Merge the counts of a directory of an earlier build."""
     server.retry_budget.handle_spent(peer, message)
 
 
@@ -216,7 +234,7 @@
 def answer_spent_call(
     server: servers.Server, peer: str, message: directory_messages.SpentCall
 ) -> None:
-    """Send another directory all counts of the retry window."""
+    """Send a directory of an earlier build all counts of the retry window."""
     server.retry_budget.answer(peer, message)
 
 
@@ -224,7 +242,7 @@
 def handle_spent_answer(
     server: servers.Server, peer: str, message: directory_messages.SpentAnswer
 ) -> None:
-    """Record that another directory acknowledged the retries granted here."""
+    """Record what a directory of an earlier build has acknowledged."""
     server.retry_budget.ledger.record_acknowledgement(peer, message.granted)
     server.scheduler.place_pending()
 
--- a/packages/daemon/src/trestlestall/daemon/directory/retry_budget.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/retry_budget.py
@@ -5,19 +5,19 @@
 from trestlestall.daemon import events, logs, settings as process_settings
 from trestlestall.daemon.directory import links as directory_links
 from trestlestall.forwarding import budgets, slot_counts
-from trestlestall.wire import clocks, directory_messages
+from trestlestall.wire import clocks, directory_messages, registry
 
 #: Seconds between two log lines that a service's budget is exhausted; each request that
 #: fails for this reason has a log line of its own at its gateway.
 LOG_INTERVAL_SECONDS = 1.0
-#: Seconds between two requests for the counts of the window, each to all others.
-REQUEST_INTERVAL_SECONDS = 1.0
+#: Seconds between two exchanges with all others while what is known is incomplete.
+ASK_INTERVAL_SECONDS = 1.0
 
 
 class RetryBudget:
     """Grants retries for all gateways.
 
-    ``has_quorum`` and ``count_voters`` query the voter; ``wake`` requests a turn.
+    ``has_quorum`` and ``list_voters`` query the voter; ``wake`` requests a turn.
     """
 
     def __init__(
@@ -26,7 +26,7 @@
         retries: process_settings.Retries,
         log: logs.Log,
         has_quorum: abc.Callable[[], bool],
-        count_voters: abc.Callable[[], int],
+        list_voters: abc.Callable[[], budgets.Voters],
         wake: abc.Callable[[], object],
         incarnation: str,
         clock: abc.Callable[[], float] = clocks.read,
@@ -36,10 +36,10 @@
         self._links = links
         self._log = log
         self._has_quorum = has_quorum
-        self._count_voters = count_voters
+        self._list_voters = list_voters
         self._wake = wake
         self._clock = clock
-        self._requested_at = float("-inf")
+        self._asked_at = float("-inf")
         self._log_limiters: dict[tuple[str, str], logs.Throttle] = {}
 
     @property
@@ -56,8 +56,9 @@
         """Return whether a retry may be sent; log an exhausted budget."""
         now = self._clock()
         standing = self._find_coverage(now)
-        majority = self._count_voters() // 2
-        verdict = self.ledger.evaluate(service, self.bound, standing, now, majority)
+        verdict = self.ledger.evaluate(
+            service, self.bound, standing, now, self._list_voters()
+        )
         if verdict is budgets.Verdict.DENIED:
             self._log_exhausted(service, standing, now)
         return verdict
@@ -70,41 +71,75 @@
         self._wake()
 
     def turn(self) -> None:
-        """Send new counts; request those of others while the window is incomplete."""
+        """Send new counts; ask again while the window may be incomplete somewhere."""
         now = self._clock()
-        self.ledger.update_coverage(now, self._has_quorum())
-        update = self.ledger.collect_update(now)
-        should_request = not self.ledger.covers(self.bound.window, now)
-        should_request = (
-            should_request and now - self._requested_at >= REQUEST_INTERVAL_SECONDS
+        standing = self._find_coverage(now)
+        is_asking = (
+            standing is not budgets.Coverage.COMPLETE
+            and now - self._asked_at >= ASK_INTERVAL_SECONDS
         )
-        if should_request:
-            self._requested_at = now
+        if is_asking:
+            self._asked_at = now
         for peer in self._links.list_directories():
-            if update is not None:
-                self._send(peer, update)
-            if should_request:
-                self.ask(peer)
+            if is_asking or self.ledger.is_due(peer, now):
+                self.send_counts(peer)
+
+    def send_counts(self, peer: str) -> None:
+        """Send own counts to a directory, which answers with all that it holds."""
+        now = self._clock()
+        if self.ledger.is_earlier_build(peer):
+            self._send_update(peer, self.ledger.collect_update(peer, now))
+            if self._find_coverage(now) is not budgets.Coverage.COMPLETE:
+                self._links.send(peer, directory_messages.SpentCall(now))
+            return
+        counts = self.ledger.collect_counts(peer, now)
+        self._links.send(peer, directory_messages.RetryCounts(**vars(counts)))
+
+    def handle_counts(self, peer: str, message: directory_messages.RetryCounts) -> None:
+        """Merge another directory's counts, and answer with all that it may lack."""
+        rows = slot_counts.decode_rows(message.rows)
+        counts = budgets.Counts(**{**vars(message), "rows": rows})
+        answer = self.ledger.handle_counts(
+            counts, self.bound.window, self._clock(), self._list_voters()
+        )
+        self._links.send(peer, directory_messages.RetryCountsAnswer(**vars(answer)))
 
-    def ask(self, peer: str) -> None:
-        """Request all counts of the window from a directory."""
-        self._links.send(peer, directory_messages.SpentCall(self._clock()))
+    def handle_answer(
+        self, peer: str, message: directory_messages.RetryCountsAnswer
+    ) -> None:
+        """Merge another directory's counts, and record what it has acknowledged."""
+        rows = slot_counts.decode_rows(message.rows)
+        answer = budgets.Acknowledgement(**{**vars(message), "rows": rows})
+        self.ledger.handle_acknowledgement(peer, answer, self._clock())
+
+    def _find_coverage(self, now: float) -> budgets.Coverage:
+        if not self._has_quorum():
+            return budgets.Coverage.PARTIAL
+        return self.ledger.find_coverage(self.bound, now, self._list_voters())
+
+    # Earlier builds.
+
+    def handle_not_understood(self, peer: str, name: str) -> None:
+        """Exchange counts with an earlier build as it does."""
+        if name == registry.NAMES[directory_messages.RetryCounts]:
+            self.ledger.record_earlier_build(peer)
+            self.send_counts(peer)
 
     def answer(self, peer: str, call: directory_messages.SpentCall) -> None:
         """Send all counts of the window to a directory that requested them."""
         for update in self.ledger.list_snapshot(self.bound.window, self._clock()):
-            self._send(peer, update, call.asked_at)
+            self._send_update(peer, update, call.asked_at)
 
     def handle_spent(self, peer: str, message: directory_messages.Spent) -> None:
         """Merge another directory's counts; acknowledge the retries that it granted."""
         update = slot_counts.decode_update(
             message.source, message.known, message.tallies, message.granted
         )
-        self.ledger.merge(update, self._clock(), message.asked_at)
+        self.ledger.merge_update(peer, update, self._clock())
         if update.granted:
             self._links.send(peer, directory_messages.SpentAnswer(update.granted))
 
-    def _send(
+    def _send_update(
         self, peer: str, update: slot_counts.Update, asked_at: float = 0.0
     ) -> None:
         spent = directory_messages.Spent(
@@ -112,9 +147,7 @@
         )
         self._links.send(peer, spent)
 
-    def _find_coverage(self, now: float) -> budgets.Coverage:
-        is_complete = self.ledger.covers(self.bound.window, now) and self._has_quorum()
-        return budgets.Coverage.COMPLETE if is_complete else budgets.Coverage.PARTIAL
+    # Log lines.
 
     def _log_exhausted(
         self, service: str, standing: budgets.Coverage, now: float
@@ -143,11 +176,11 @@
             events.directory.RETRIES_GRANTED,
             service=service,
             requests=requests,
-            sources=self.ledger.count_by_source(service, self.bound, now),
+            sources=self.ledger.count_retries_by_source(service, self.bound, now),
             limit=round(self.bound.find_limit(requests, standing), 1),
             standing=standing.value,
             granted=self.ledger.granted,
-            acknowledged=self.ledger.acknowledged,
+            acknowledged=self.ledger.list_acknowledged(),
             left_out=left_out,
         )
 
--- a/packages/daemon/src/trestlestall/daemon/directory/server.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/server.py
@@ -45,6 +45,7 @@
     speed_exchange,
     stream_registry,
 )
+from trestlestall.forwarding import budgets
 from trestlestall.wire import messages
 
 #: Seconds between two notices while some directory may not know the group.
@@ -115,7 +116,7 @@
             settings.retries,
             log,
             lambda: self.leader is not None,
-            self.count_voters,
+            self.list_voters,
             wake,
             f"{env.random.getrandbits(64):x}",
             env.clock.monotonic,
@@ -225,6 +226,13 @@
         """Return how many directories vote, as known here; 0 without a voter."""
         return len(self.voter.node.voters) if self.voter is not None else 0
 
+    def list_voters(self) -> budgets.Voters:
+        """Return the directories that vote, as known here."""
+        if self.voter is None:
+            return budgets.Voters(includes_own=False)
+        names = frozenset(map(group.get_process_name, self.voter.node.voters))
+        return budgets.Voters(names - {self.links.own}, self.links.own in names)
+
     def hand_over(self) -> None:
         """Begin to transfer the leadership before a planned stop, if this one leads."""
         if self.voter is not None and self.voter.leads and self.count_voters() > 1:
@@ -294,7 +302,7 @@
             self.add_directories((peer,))
             self.members.record_linked(peer)
             self._send_notice(peer)
-            self.retry_budget.ask(peer)
+            self.retry_budget.send_counts(peer)
 
     # A turn.
 
--- a/packages/daemon/tests/test_repeats.py
+++ b/packages/daemon/tests/test_repeats.py
@@ -1,5 +1,6 @@
 """Retries: gateways ask for them, and a directory grants them from the budget."""
 
+import contextlib
 from unittest import mock
 
 from packages.daemon.tests import gateway_bench as bench, test_directory  # isort: skip
@@ -9,7 +10,7 @@
 from packages.forwarding.tests import samples
 from trestlestall.daemon import placement_protocol, settings
 from trestlestall.forwarding import budgets, descriptors
-from trestlestall.wire import directory_messages
+from trestlestall.wire import directory_messages, messages
 
 SERVICE = samples.SERVICE.name
 
@@ -66,73 +67,120 @@
         self.server.voter = None
         self.assertEqual(self.ask(placement_protocol.RETRY).reason, budgets.EXHAUSTED)
 
-    def test_retries_wait_until_others_acknowledge_those_before(self):
-        others = list(test_directory.OTHERS)
-        self.links.directories = others
+    @contextlib.contextmanager
+    def vote(self):
+        """Let two other directories vote, which have answered once."""
+        self.links.directories = list(test_directory.OTHERS)
+        voters = budgets.Voters(frozenset(test_directory.OTHERS))
+        self.server.retry_budget.turn()
+        for name in test_directory.OTHERS:
+            self.server.retry_budget.send_counts(name)
+            self.acknowledge(name)
         with mock.patch.object(
-            self.server.retry_budget, "_count_voters", return_value=3
+            self.server.retry_budget, "_list_voters", return_value=voters
         ):
-            answers = [self.ask(placement_protocol.RETRY) for _ in range(8)]
+            yield
+
+    def acknowledge(self, name, rows=()):
+        """Let a directory acknowledge the counts that were last sent to it."""
+        told = self.links.find(directory_messages.RetryCounts, name)[-1]
+        answer = directory_messages.RetryCountsAnswer(
+            name, 1, True, told.source, told.version, told.granted, rows
+        )
+        self.server.handle_message(name, answer)
+        return told
+
+    def list_granted(self):
+        """Return the answers that name an upstream."""
+        found = self.links.find(directory_messages.PlaceAnswer, "gateway-1")
+        return [one for one in found if one.upstream]
+
+    def test_retries_wait_until_others_acknowledge_those_before(self):
+        with self.vote():
+            answers = [self.ask(placement_protocol.RETRY) for _ in range(4)]
             waiting = [answer for answer in answers if answer is None]
-            self.assertEqual(len(waiting), 4)
+            self.assertEqual(len(waiting), 2)
             self.server.retry_budget.turn()
-            told = self.links.find(directory_messages.Spent, others[0])[-1]
-            self.assertEqual(told.granted, 4)
-            seen = directory_messages.SpentAnswer(told.granted)
-            self.server.handle_message(others[0], seen)
+            self.assertEqual(self.acknowledge(test_directory.OTHERS[0]).granted, 2)
+        self.assertEqual(len(self.list_granted()), 4)
+
+    def test_retries_that_an_acknowledgement_tells_of_are_counted(self):
+        """Guards against directories that grant the same retries through a third."""
+        with self.vote():
+            answers = [self.ask(placement_protocol.RETRY) for _ in range(4)]
+            self.assertIsNone(answers[-1])
+            self.server.retry_budget.turn()
+            rows = (("d9", SERVICE, 1, 0.0, 0, 100),)
+            self.acknowledge(test_directory.OTHERS[0], rows)
+        self.assertEqual(len(self.list_granted()), 2)
         found = self.links.find(directory_messages.PlaceAnswer, "gateway-1")
-        self.assertEqual(len([one for one in found if one.upstream]), 8)
+        self.assertEqual(found[-1].reason, budgets.EXHAUSTED)
 
     def test_a_pending_call_times_out(self):
-        with mock.patch.object(
-            self.server.retry_budget, "_count_voters", return_value=3
-        ):
-            answers = [self.ask(placement_protocol.RETRY) for _ in range(5)]
+        with self.vote():
+            answers = [self.ask(placement_protocol.RETRY) for _ in range(3)]
             self.assertIsNone(answers[-1])
+            self.server.retry_budget.turn()
             self.clock.now += 0.5
-            self.server.handle_message("other", directory_messages.SpentAnswer(100))
+            self.acknowledge(test_directory.OTHERS[0])
         found = self.links.find(directory_messages.PlaceAnswer, "gateway-1")
-        self.assertEqual(len(found), 4)
+        self.assertEqual(len(found), 2)
 
     def test_a_call_whose_gateway_continued_is_never_placed(self):
         scheduler = self.server.scheduler
-        with mock.patch.object(
-            self.server.retry_budget, "_count_voters", return_value=3
-        ):
-            for _ in range(5):
+        with self.vote():
+            for _ in range(3):
                 self.ask(placement_protocol.RETRY)
             taken = scheduler.count_places(SERVICE)
             note = directory_messages.PlaceNote(
                 f"r{self.token}", placement_protocol.INCONCLUSIVE
             )
             scheduler.handle_note("gateway-1", note)
-            self.server.handle_message("other", directory_messages.SpentAnswer(100))
+            self.server.retry_budget.turn()
+            self.acknowledge(test_directory.OTHERS[0])
         self.assertEqual(scheduler.count_places(SERVICE), taken)
 
     def test_evaluating_a_pending_call_does_not_extend_its_timeout(self):
-        with mock.patch.object(
-            self.server.retry_budget, "_count_voters", return_value=3
-        ):
-            for _ in range(5):
+        with self.vote():
+            for _ in range(3):
                 self.ask(placement_protocol.RETRY)
+            self.server.retry_budget.turn()
             for _ in range(10):
                 self.clock.now += 0.05
                 self.server.scheduler.place_pending()
-            self.server.handle_message("other", directory_messages.SpentAnswer(100))
+            self.acknowledge(test_directory.OTHERS[0])
         found = self.links.find(directory_messages.PlaceAnswer, "gateway-1")
-        self.assertEqual(len(found), 4)
+        self.assertEqual(len(found), 2)
 
     def test_retries_of_another_directory_are_acknowledged_and_counted(self):
         ledger = budgets.Ledger("d2#1", 0.0)
         ledger.record_first_start()
         bound = self.server.retry_budget.bound
         ledger.consume(SERVICE, bound, budgets.Coverage.COMPLETE, 0.0)
-        told = ledger.collect_update(0.0)
-        spent = directory_messages.Spent(
-            told.source, told.known, told.tallies, told.granted
-        )
+        told = directory_messages.RetryCounts(**vars(ledger.collect_counts("d1", 0.0)))
+        for _ in range(2):
+            self.server.handle_message("other", told)
+        self.assertEqual(self.count(), (0, 1))
+        confirmed = self.links.find(directory_messages.RetryCountsAnswer, "other")
+        self.assertEqual([one.granted for one in confirmed], [1, 1])
+        self.assertTrue(all(one.is_complete for one in confirmed))
+
+    def test_an_earlier_build_is_sent_what_it_understands(self):
+        name = test_directory.OTHERS[0]
+        with self.vote():
+            self.server.handle_message(name, messages.NotUnderstood("retry_counts", 1))
+            answers = [self.ask(placement_protocol.RETRY) for _ in range(3)]
+            self.assertIsNone(answers[-1])
+            self.server.retry_budget.turn()
+            told = self.links.find(directory_messages.Spent, name)[-1]
+            self.assertEqual(told.granted, 2)
+            self.server.handle_message(name, directory_messages.SpentAnswer(2))
+        self.assertEqual(len(self.list_granted()), 3)
+
+    def test_retries_of_an_earlier_build_are_acknowledged_and_counted(self):
+        told = directory_messages.Spent("d2#1", 0.0, ((SERVICE, 1, 0.0, 0, 1),), 1)
         for _ in range(2):
-            self.server.handle_message("other", spent)
+            self.server.handle_message("other", told)
         self.assertEqual(self.count(), (0, 1))
         confirmed = self.links.find(directory_messages.SpentAnswer, "other")
         self.assertEqual(confirmed, [directory_messages.SpentAnswer(1)] * 2)
--- a/packages/forwarding/src/trestlestall/forwarding/budgets.py
+++ b/packages/forwarding/src/trestlestall/forwarding/budgets.py
@@ -4,25 +4,26 @@
 callers' requests for the service plus a fixed slack, whatever happens to the processes
 that forward them. A forwarding process may be killed and restarted within the window in
 which it consumed retries, so it keeps no budget: the directory that places requests
-also grants retries, and each directory sends its counts to the others.
+also grants retries.
 
     ledger = Ledger("directory-1#5f", now)
     ledger.record_request("engines", now)
-    ledger.consume("engines", bound, Coverage.COMPLETE, now)
-
-A directory may grant only a small part of the bound before a majority has acknowledged
-it, and then waits: otherwise a directory behind a network partition could consume what
-its successor, which does not know of it, grants again.
-
-A ledger is the sum of slot counts, one for each source, service and slot of time. A
-slot count only grows, so ledgers that merged the same counts are equal, in whatever
-order and however often the counts arrived.
+    ledger.consume("engines", bound, Coverage.COMPLETE, now, voters)
+
+Two directories may grant at the same time, or one after the other, and need not reach
+each other. So a directory writes its grants to a majority of the voters, and reads in
+the same exchange: who acknowledges a grant answers with all counts that it holds. Two
+majorities share a voter, and the second directory to reach it learns there what the
+first one has granted. Before the answers a directory grants only a small part of the
+bound, and then waits.
+
+A voter that restarts has forgotten what it acknowledged. It counts as incomplete until
+a window has passed, or until so many other voters have answered it that no majority
+without one of them can have acknowledged anything.
 """
 
-import collections
 import dataclasses
 import enum
-import math
 
 from trestlestall.forwarding import slot_counts
 
@@ -30,23 +31,14 @@
 EXHAUSTED = "no repeated send is left"
 #: The longest window of a bound, in seconds; counts are retained that long if unread.
 LONGEST_WINDOW = 60.0
-#: Seconds between two calls of ``update_coverage`` after which the process was stalled
-#: and others may have consumed retries meanwhile: twenty turns of a directory.
-STALL_SECONDS = 1.0
-#: Seconds within which a requested snapshot must arrive: several turns of two
-#: directories. A later one does not cover what was consumed since it was taken.
-SNAPSHOT_TIMEOUT_SECONDS = 0.5
-#: Seconds for which a snapshot of another directory is valid without a quorum: two
-#: elections, and the links of a directory that is back.
-SNAPSHOT_VALID_SECONDS = 3.0
 
 
 class Coverage(enum.Enum):
     """How much of the consumed retries the process that decides can know."""
 
-    #: A directory that is linked to a quorum and covers the last window.
+    #: A directory that knows the window, and whose grants a majority can acknowledge.
     COMPLETE = "whole"
-    #: A directory that started or was stalled recently, or has no quorum.
+    #: A directory that started recently, or reaches no majority.
     PARTIAL = "part"
     #: A forwarding process that gets no answer from a directory.
     ALONE = "alone"
@@ -66,10 +58,10 @@
 #: may replace it, and processes may go on alone. Each request is counted at one place,
 #: so neither a second kill nor a third gains anything. Random schedules of a fleet in
 #: virtual time (``tests/fleet.py``) check that the bound holds; their figures are in
-#: docs/incidents/respent.md.
+#: docs/incidents/respent.md and docs/incidents/unread-counts.md.
 SHARES = {Coverage.COMPLETE: 0.77, Coverage.PARTIAL: 0.1, Coverage.ALONE: 0.08}
-#: The share of the bound that may be granted before a majority has acknowledged it: ten
-#: retries of a fleet with 77 requests a second. An acknowledgement takes milliseconds.
+#: The share of the bound that all directories together may grant before a majority has
+#: acknowledged it, each an equal part. An acknowledgement takes milliseconds.
 UNACKNOWLEDGED_SHARE = 0.05
 
 
@@ -90,60 +82,142 @@
         return SHARES[coverage] * (self.ratio * requests + slack)
 
 
+@dataclasses.dataclass(frozen=True)
+class Voters:
+    """The other directories that vote, by name, and whether this one votes too."""
+
+    others: frozenset[str] = frozenset()
+    includes_own: bool = True
+
+    @property
+    def count(self) -> int:
+        """How many vote."""
+        return len(self.others) + self.includes_own
+
+    @property
+    def acknowledgements(self) -> int:
+        """How many others make a majority, with this one if it votes."""
+        return self.count // 2 + 1 - self.includes_own
+
+    @property
+    def readers(self) -> int:
+        """The least number of others of which each majority with this one has one."""
+        return self.count - self.count // 2
+
+
+#: A directory that votes alone.
+SOLE = Voters()
+
+
+@dataclasses.dataclass
+class Peer:
+    """What is known of another directory's ledger, and what it knows of this one.
+
+    ``source`` identifies its process; everything in its table up to the version
+    ``heard`` is known here. It has acknowledged the own counts up to the version
+    ``confirmed`` of the table here, with the first ``granted`` retries. ``sent`` is the
+    version up to which own counts were last sent to it, in the slot ``sent_in``.
+    ``is_earlier`` is whether it runs an earlier build.
+    """
+
+    source: str = ""
+    heard: int = 0
+    confirmed: int = 0
+    granted: int = 0
+    is_complete: bool = False
+    sent: int = 0
+    sent_in: int = -1
+    is_earlier: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class Counts:
+    """A directory's own counts up to ``version``, sent to another one.
+
+    ``granted`` is how many retries it has granted in total. ``heard`` is up to which
+    version of the receiver's table, of the process ``heard_of``, it knows everything.
+    """
+
+    source: str
+    version: int
+    granted: int
+    heard_of: str
+    heard: int
+    rows: tuple[slot_counts.Row, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class Acknowledgement:
+    """The answer to ``Counts``: all that the sender holds and the receiver may lack.
+
+    ``asked_by``, ``confirmed`` and ``granted`` are the first three fields of the counts
+    that are acknowledged. ``is_complete`` is whether the sender knows of all retries of
+    the window that a majority with it has acknowledged.
+    """
+
+    source: str
+    version: int
+    is_complete: bool
+    asked_by: str
+    confirmed: int
+    granted: int
+    rows: tuple[slot_counts.Row, ...]
+
+
 class Ledger:
     """Requests and retries of all sources; times are monotonic seconds.
 
-    ``source`` identifies this process and its start uniquely. ``granted`` is how many
-    retries it has granted, ``acknowledged`` how many of them each peer has received.
+    ``source`` identifies this process and its start uniquely, and ``granted`` is how
+    many retries it has granted.
     """
 
     def __init__(self, source: str, now: float) -> None:
         self.source = source
-        self._since = now
-        self._checked_at = now
-        self._snapshot_at = -math.inf
-        self._is_founding = False
-        self._counts: dict[tuple[str, str, int], slot_counts.SlotCount] = {}
-        self._pending: dict[tuple[str, int], slot_counts.SlotCount] = {}
         self.granted = 0
-        self._sent_granted = 0
-        self.acknowledged: dict[str, int] = {}
-
-    def __len__(self) -> int:
-        """Return the number of slot counts."""
-        return len(self._counts)
+        self.table = slot_counts.Table()
+        self._started_at = now
+        self._is_complete = False
+        self._own_version = 0
+        self._retry_version = 0
+        self._peers: dict[str, Peer] = {}
 
     def record_first_start(self) -> None:
         """Record that the whole deployment starts now: nothing was consumed before."""
-        self._since = -math.inf
-        self._is_founding = True
+        self._is_complete = True
 
-    def update_coverage(self, now: float, has_quorum: bool = True) -> None:
-        """Update since when this ledger covers what all directories consumed.
+    def is_complete(self, window: float, now: float, voters: Voters = SOLE) -> bool:
+        """Return whether all retries of the window acknowledged here are known.
 
-        Others may have consumed retries unknown to this ledger while the process was
-        stalled since the last call, and while it has no quorum, until it has merged a
-        snapshot of the whole window from one of them. A deployment that has just been
-        founded has no quorum at first, and consumes nothing.
+        Those are the ones that this process, or the one before it, acknowledged.
         """
-        self._is_founding = self._is_founding and not has_quorum
-        has_snapshot = (
-            self._is_founding or now - self._snapshot_at <= SNAPSHOT_VALID_SECONDS
+        if not self._is_complete:
+            read = len(self._list_complete(voters))
+            has_read = bool(voters.others) and read >= voters.readers
+            self._is_complete = has_read or now - self._started_at >= window
+        return self._is_complete
+
+    def find_coverage(self, bound: Bound, now: float, voters: Voters) -> Coverage:
+        """Return how much a directory can know of what was consumed."""
+        can_be_acknowledged = (
+            len(self._list_complete(voters)) >= voters.acknowledgements
         )
-        cut_off = not has_quorum and not has_snapshot
-        if cut_off or now - self._checked_at > STALL_SECONDS:
-            self._since = now
-        self._checked_at = now
+        if can_be_acknowledged and self.is_complete(bound.window, now, voters):
+            return Coverage.COMPLETE
+        return Coverage.PARTIAL
 
-    def covers(self, window: float, now: float) -> bool:
-        """Return whether all counts of the last window are known."""
-        return now - self._since >= window
+    def _list_complete(self, voters: Voters) -> list[Peer]:
+        """Return the linked voters that know the window."""
+        return [
+            peer
+            for name, peer in self._peers.items()
+            if name in voters.others and peer.is_complete
+        ]
 
     # Counts of this process.
 
     def record_request(self, service: str, now: float) -> None:
         """Count a caller's request."""
-        self._get_slot_count(service, now).requests += 1
+        self._record(service, now, 1, 0)
 
     def evaluate(
         self,
@@ -151,20 +225,20 @@
         bound: Bound,
         coverage: Coverage,
         now: float,
-        majority: int = 0,
+        voters: Voters = SOLE,
     ) -> Verdict:
         """Return whether one more retry is left.
 
-        ``majority`` is how many others must have acknowledged what was granted here.
+        A majority of the voters must have acknowledged most of what was granted here.
         """
         requests, retries = self.count(service, bound, now)
         limit = bound.find_limit(requests, coverage)
         if retries + 1 > limit:
             return Verdict.DENIED
-        if coverage is Coverage.COMPLETE and self._count_unacknowledged(majority) > (
-            UNACKNOWLEDGED_SHARE * limit
-        ):
-            return Verdict.LATER
+        if coverage is Coverage.COMPLETE:
+            unacknowledged = UNACKNOWLEDGED_SHARE * limit / voters.count
+            if self._count_unacknowledged(voters) > unacknowledged:
+                return Verdict.LATER
         return Verdict.GRANTED
 
     def consume(
@@ -173,126 +247,157 @@
         bound: Bound,
         coverage: Coverage,
         now: float,
-        majority: int = 0,
+        voters: Voters = SOLE,
     ) -> Verdict:
         """Consume one retry of the budget if ``evaluate`` grants it."""
-        verdict = self.evaluate(service, bound, coverage, now, majority)
+        verdict = self.evaluate(service, bound, coverage, now, voters)
         if verdict is Verdict.GRANTED:
             self.record_retry(service, now)
         return verdict
 
     def record_retry(self, service: str, now: float) -> None:
         """Count a retry that ``evaluate`` has granted."""
-        self._get_slot_count(service, now).repeats += 1
+        self._record(service, now, 0, 1)
+        self._retry_version = self._own_version
         self.granted += 1
 
-    def record_acknowledgement(self, peer: str, granted: int) -> None:
-        """Record that a peer has received all of the first ``granted`` retries."""
-        self.acknowledged[peer] = max(granted, self.acknowledged.get(peer, 0))
+    def _record(self, service: str, now: float, requests: int, retries: int) -> None:
+        if self.table.record(self.source, service, now, requests, retries):
+            self.table.expire_before(now - LONGEST_WINDOW)
+        self._own_version = self.table.version
 
-    def remove_peer(self, peer: str) -> None:
-        """Remove a peer that is no longer linked."""
-        self.acknowledged.pop(peer, None)
-
-    def _count_unacknowledged(self, majority: int) -> int:
+    def _count_unacknowledged(self, voters: Voters) -> int:
         """Return how many retries granted here a majority has not acknowledged."""
-        if majority == 0:
+        needed = voters.acknowledgements
+        if needed == 0:
             return 0
-        seen = sorted(self.acknowledged.values(), reverse=True)
-        return self.granted - (seen[majority - 1] if len(seen) >= majority else 0)
+        complete = self._list_complete(voters)
+        seen = sorted((peer.granted for peer in complete), reverse=True)
+        return self.granted - (seen[needed - 1] if len(seen) >= needed else 0)
 
     def count(self, service: str, bound: Bound, now: float) -> tuple[int, int]:
         """Return the requests and the retries of the window."""
-        self._expire_before(now - bound.window - slot_counts.SLOT_SECONDS)
-        found = [
-            slot_count
-            for (_, name, _), slot_count in self._counts.items()
-            if name == service
-        ]
-        requests = sum(slot_count.requests for slot_count in found)
-        return requests, sum(slot_count.repeats for slot_count in found)
+        self._expire(bound.window, now)
+        return self.table.count(service)
 
-    def count_by_source(self, service: str, bound: Bound, now: float) -> dict[str, int]:
+    def count_retries_by_source(
+        self, service: str, bound: Bound, now: float
+    ) -> dict[str, int]:
         """Return the retries of the window by the process that granted them."""
-        self._expire_before(now - bound.window - slot_counts.SLOT_SECONDS)
-        found = collections.Counter()
-        for (source, name, _), slot_count in self._counts.items():
-            if name == service and slot_count.repeats:
-                found[source] += slot_count.repeats
-        return dict(found)
-
-    def _get_slot_count(self, service: str, now: float) -> slot_counts.SlotCount:
-        number = int(now / slot_counts.SLOT_SECONDS)
-        key = self.source, service, number
-        slot_count = self._counts.get(key)
-        if slot_count is None:
-            self._expire_before(now - LONGEST_WINDOW)
-            slot_count = slot_counts.SlotCount(number * slot_counts.SLOT_SECONDS)
-            self._counts[key] = slot_count
-        self._pending[service, number] = slot_count
-        return slot_count
-
-    def _expire_before(self, limit: float) -> None:
-        for stored in (self._counts, self._pending):
-            for key in [
-                key for key, slot_count in stored.items() if slot_count.at < limit
-            ]:
-                del stored[key]
+        self._expire(bound.window, now)
+        return self.table.count_retries_by_source(service)
+
+    def _expire(self, window: float, now: float) -> None:
+        self.table.expire_before(now - window - slot_counts.SLOT_SECONDS)
 
     # Exchange between ledgers.
 
-    def collect_update(self, now: float) -> slot_counts.Update | None:
-        """Return what was counted here since the last call, if others must know.
+    def list_acknowledged(self) -> dict[str, int]:
+        """Return how many of the retries granted here each linked peer has."""
+        return {name: peer.granted for name, peer in self._peers.items()}
+
+    def remove_peer(self, name: str) -> None:
+        """Remove a peer that is no longer linked."""
+        self._peers.pop(name, None)
+
+    def is_due(self, name: str, now: float) -> bool:
+        """Return whether a peer must be sent own counts now.
 
-        Retries are sent at once; requests alone, which only allow more retries, are
-        sent once their slot is over.
+        Retries are sent at once; requests alone, which only allow more retries, once a
+        slot, like what has not been acknowledged.
         """
-        current = int(now / slot_counts.SLOT_SECONDS)
-        due = {
-            key: slot_count
-            for key, slot_count in self._pending.items()
-            if self.granted > self._sent_granted or key[1] < current
-        }
-        if not due:
-            return None
-        self._sent_granted = self.granted
-        for key in due:
-            del self._pending[key]
-        plain = ((*key, slot_count) for key, slot_count in due.items())
-        return slot_counts.Update(
-            self.source, 0.0, slot_counts.encode_counts(plain, now), self.granted
+        peer = self._peers.get(name, Peer())
+        if self._retry_version > peer.sent:
+            return True
+        is_later_slot = int(now / slot_counts.SLOT_SECONDS) > peer.sent_in
+        return is_later_slot and self._own_version > peer.confirmed
+
+    def collect_counts(self, name: str, now: float) -> Counts:
+        """Return the own counts that a peer has not acknowledged."""
+        peer = self._peers.setdefault(name, Peer())
+        peer.sent = self._own_version
+        peer.sent_in = int(now / slot_counts.SLOT_SECONDS)
+        rows = self.table.list_rows(now, peer.confirmed, of=self.source)
+        return Counts(
+            self.source, peer.sent, self.granted, peer.source, peer.heard, rows
         )
 
-    def list_snapshot(self, window: float, now: float) -> list[slot_counts.Update]:
-        """Return all counts of the window, for a ledger that may know less."""
-        self._expire_before(now - window - slot_counts.SLOT_SECONDS)
-        sources = collections.defaultdict(list)
-        for (source, service, number), slot_count in self._counts.items():
-            sources[source].append((service, number, slot_count))
-        sources.setdefault(self.source, [])
-        known = window if self.covers(window, now) else 0.0
-        *others, last = sources.items()
-        # Only the last update confirms that the snapshot is complete.
-        updates = [
-            slot_counts.Update(source, 0.0, slot_counts.encode_counts(own, now))
-            for source, own in others
-        ]
-        return [
-            *updates,
-            slot_counts.Update(last[0], known, slot_counts.encode_counts(last[1], now)),
-        ]
+    def handle_counts(
+        self, counts: Counts, window: float, now: float, voters: Voters = SOLE
+    ) -> Acknowledgement:
+        """Merge another directory's counts; return all that it may lack.
+
+        Counts for the process that was here before lack what that one had confirmed,
+        so they are not acknowledged.
+        """
+        self.table.merge(counts.rows, now)
+        self._expire(window, now)
+        has_all = counts.heard_of in ("", self.source)
+        heard = counts.heard if counts.heard_of == self.source else 0
+        return Acknowledgement(
+            self.source,
+            self.table.version,
+            self.is_complete(window, now, voters),
+            counts.source,
+            counts.version if has_all else 0,
+            counts.granted if has_all else 0,
+            self.table.list_rows(now, heard, but=counts.source),
+        )
 
-    def merge(
-        self, update: slot_counts.Update, now: float, asked_at: float = -math.inf
+    def handle_acknowledgement(
+        self, name: str, answer: Acknowledgement, now: float
     ) -> None:
-        """Merge an update; ``asked_at`` is when this process requested it."""
-        for service, number, age, requests, retries in update.tallies:
-            key = update.source, service, number
-            slot_count = self._counts.setdefault(key, slot_counts.SlotCount(now - age))
-            # Transit time makes a count look younger than it is, never older.
-            slot_count.at = min(slot_count.at, now - age)
-            slot_count.requests = max(slot_count.requests, requests)
-            slot_count.repeats = max(slot_count.repeats, retries)
-        if update.known and now - asked_at <= SNAPSHOT_TIMEOUT_SECONDS:
-            self._since = min(self._since, now - update.known)
-            self._snapshot_at = now
+        """Merge what a peer holds, and record what it has acknowledged."""
+        if answer.asked_by != self.source:
+            return
+        self.table.merge(answer.rows, now)
+        peer = self._peers.setdefault(name, Peer())
+        if answer.source != peer.source:
+            peer = self._peers[name] = Peer(answer.source, sent_in=peer.sent_in)
+        peer.heard = max(peer.heard, answer.version)
+        peer.confirmed = max(peer.confirmed, answer.confirmed)
+        peer.is_complete = answer.is_complete
+        if answer.is_complete:
+            peer.granted = max(peer.granted, answer.granted)
+
+    # Exchange with earlier builds, which acknowledge without their own counts.
+
+    def record_earlier_build(self, name: str) -> None:
+        """Record that a peer does not understand ``Counts``."""
+        self._peers[name] = Peer(is_earlier=True)
+
+    def is_earlier_build(self, name: str) -> bool:
+        """Return whether a peer does not understand ``Counts``."""
+        return self._peers.get(name, Peer()).is_earlier
+
+    def collect_update(self, name: str, now: float) -> slot_counts.Update:
+        """Return the own counts for a peer of an earlier build."""
+        counts = self.collect_counts(name, now)
+        tallies = tuple(row[1:] for row in counts.rows)
+        return slot_counts.Update(self.source, 0.0, tallies, self.granted)
+
+    def merge_update(self, name: str, update: slot_counts.Update, now: float) -> None:
+        """Merge the counts of a peer of an earlier build."""
+        self.table.merge(((update.source, *each) for each in update.tallies), now)
+        if update.known:
+            self._peers.setdefault(name, Peer()).is_complete = True
+
+    def record_acknowledgement(self, name: str, granted: int) -> None:
+        """Record that a peer of an earlier build has the first ``granted`` retries."""
+        peer = self._peers.setdefault(name, Peer())
+        peer.is_complete = True
+        peer.granted = max(peer.granted, granted)
+
+    def list_snapshot(self, window: float, now: float) -> list[slot_counts.Update]:
+        """Return all counts of the window, for a peer of an earlier build."""
+        self._expire(window, now)
+        known = window if self.is_complete(window, now) else 0.0
+        sources: dict[str, list] = {self.source: []}
+        for source, *row in self.table.list_rows(now):
+            sources.setdefault(source, []).append(tuple(row))
+        # Only the last update confirms that the snapshot is complete.
+        own, *others = (
+            slot_counts.Update(source, 0.0, tuple(rows))
+            for source, rows in sources.items()
+        )
+        return [*others, dataclasses.replace(own, known=known)]
--- a/packages/forwarding/tests/fleet.py
+++ b/packages/forwarding/tests/fleet.py
@@ -135,9 +135,9 @@
         verdict = budgets.Verdict.LATER
         if directory is not None and self.delivers(process, directory):
             coverage = self.get_coverage(directory)
-            majority = len(self.directories) // 2
+            voters = self.list_voters(directory)
             verdict = directory.ledger.consume(
-                SERVICE, self.bound, coverage, self.now, majority
+                SERVICE, self.bound, coverage, self.now, voters
             )
             if not self.delivers(directory, process):
                 verdict = budgets.Verdict.LATER
@@ -165,23 +165,32 @@
     # Directories.
 
     def turn(self):
-        """Let each directory update its coverage and send its counts to the others."""
+        """Let each directory look for a quorum and send its counts to the others."""
         for directory in self.directories:
             if not self.is_awake(directory):
                 continue
             if 2 * len(self.list_heard(directory)) > len(self.directories):
                 directory.quorum_until = self.now + QUORUM_SECONDS
-            has_quorum = directory.quorum_until > self.now
-            directory.ledger.update_coverage(self.now, has_quorum)
-            update = directory.ledger.collect_update(self.now)
-            if update is not None:
-                self.send_updates(directory, (update,))
-            is_covered = directory.ledger.covers(self.bound.window, self.now)
-            if not is_covered and self.now - directory.asked_at >= ASK_SECONDS:
+            standing = self.get_coverage(directory)
+            is_asking = (
+                standing is not budgets.Coverage.COMPLETE
+                and self.now - directory.asked_at >= ASK_SECONDS
+            )
+            if is_asking:
                 directory.asked_at = self.now
-                self.request_snapshots(directory)
+            for other in self.directories:
+                self.exchange(directory, other, is_asking)
         self.schedule(TURN_SECONDS, self.turn)
 
+    def exchange(self, directory, other, is_asking):
+        """Send counts to another directory that is linked, if it needs any."""
+        if other is directory:
+            return
+        if other.ledger is None or not self.links.is_up(directory, other, self.now):
+            directory.ledger.remove_peer(other.name)
+        elif is_asking or directory.ledger.is_due(other.name, self.now):
+            self.send_counts(directory, other)
+
     def list_reached(self, directory):
         """Return the linked directories, this one included."""
         return [
@@ -207,66 +216,59 @@
         if self.delivers(sender, receiver):
             self.schedule(TRANSIT_SECONDS, act, *arguments)
 
-    def send_updates(self, directory, updates):
-        for other in self.list_reached(directory):
-            if other is not directory:
-                arguments = other, other.ledger, directory, updates
-                self.send(directory, other, self.receive, *arguments)
-
-    def request_snapshots(self, directory):
-        """Request snapshots of the window from all reachable directories."""
-        for other in self.list_reached(directory):
-            if other is not directory:
-                arguments = other, other.ledger, directory, self.now
-                self.send(directory, other, self.send_snapshot, *arguments)
-
-    def send_snapshot(self, other, ledger, directory, asked_at):
-        """Answer a request for a snapshot, later if this directory is stalled."""
-        if other.ledger is not ledger or directory.ledger is None:
+    def send_counts(self, directory, other):
+        counts = directory.ledger.collect_counts(other.name, self.now)
+        arguments = other, other.ledger, directory, directory.ledger, counts
+        self.send(directory, other, self.answer_counts, *arguments)
+
+    def answer_counts(self, directory, ledger, sender, asking, counts):
+        """Answer counts, unless this directory was killed meanwhile."""
+        if directory.ledger is not ledger:
             return
-        if other.paused_until > self.now:
-            after = other.paused_until - self.now + TRANSIT_SECONDS
-            self.schedule(after, self.send_snapshot, other, ledger, directory, asked_at)
+        if directory.paused_until > self.now:
+            after = directory.paused_until - self.now + TRANSIT_SECONDS
+            arguments = directory, ledger, sender, asking, counts
+            self.schedule(after, self.answer_counts, *arguments)
             return
-        updates = ledger.list_snapshot(self.bound.window, self.now)
-        arguments = directory, directory.ledger, other, updates, asked_at
-        self.send(other, directory, self.receive, *arguments)
+        voters = self.list_voters(directory)
+        answer = ledger.handle_counts(counts, self.bound.window, self.now, voters)
+        arguments = sender, asking, directory, answer
+        self.send(directory, sender, self.receive_answer, *arguments)
 
-    def receive(self, directory, ledger, sender, updates, asked_at=0.0):
-        """Merge updates, unless the receiver was killed meanwhile."""
+    def receive_answer(self, directory, ledger, sender, answer):
+        """Merge an answer, unless the receiver was killed meanwhile."""
         if directory.ledger is not ledger:
             return
         if directory.paused_until > self.now:
             after = directory.paused_until - self.now + TRANSIT_SECONDS
-            arguments = directory, ledger, sender, updates, asked_at
-            self.schedule(after, self.receive, *arguments)
+            self.schedule(after, self.receive_answer, directory, ledger, sender, answer)
             return
-        for update in updates:
-            ledger.merge(update, self.now, asked_at)
-            if update.granted:
-                self.send(directory, sender, self.acknowledge, directory, update)
+        ledger.handle_acknowledgement(sender.name, answer, self.now)
 
-    def acknowledge(self, directory, update):
-        """Acknowledge to the source what it granted."""
-        for source in self.list_reached(directory):
-            if source.ledger.source == update.source:
-                source.ledger.record_acknowledgement(directory.name, update.granted)
+    def list_voters(self, directory):
+        """Return the directories that vote: all of them."""
+        names = (one.name for one in self.directories if one is not directory)
+        return budgets.Voters(frozenset(names))
 
     def get_coverage(self, directory):
-        is_covered = directory.ledger.covers(self.bound.window, self.now)
-        if is_covered and directory.quorum_until > self.now:
-            return budgets.Coverage.COMPLETE
-        return budgets.Coverage.PARTIAL
+        if directory.quorum_until <= self.now:
+            return budgets.Coverage.PARTIAL
+        voters = self.list_voters(directory)
+        return directory.ledger.find_coverage(self.bound, self.now, voters)
 
     def synchronize(self, directory):
-        """Let a directory and its new peers request snapshots of each other."""
+        """Let a directory and its new peers send each other their counts."""
         for one in self.list_reached(directory):
-            after = self.random.uniform(0.05, 0.4)
-            self.schedule(after, self.request_if_running, one, one.ledger)
-
-    def request_if_running(self, directory, ledger):
-        if directory.ledger is ledger:
-            self.request_snapshots(directory)
+            if one is not directory:
+                after = self.random.uniform(0.05, 0.4)
+                self.schedule(after, self.send_if_running, one, one.ledger, directory)
+                self.schedule(
+                    after, self.send_if_running, directory, directory.ledger, one
+                )
+
+    def send_if_running(self, directory, ledger, other):
+        if directory.ledger is ledger and other.ledger is not None:
+            self.send_counts(directory, other)
 
     # Faults.
 
--- a/packages/forwarding/tests/test_budgets.py
+++ b/packages/forwarding/tests/test_budgets.py
@@ -8,6 +8,8 @@
 BOUND = budgets.Bound(ratio=0.2, slack=10.0, window=10.0)
 COMPLETE, PARTIAL, ALONE = budgets.Coverage
 GRANTED, DENIED, LATER = budgets.Verdict
+VOTERS = budgets.Voters(frozenset(("d2", "d3")))
+VOTERS_OF_D2 = budgets.Voters(frozenset(("d1", "d3")))
 
 
 def make_ledger(source="d1", is_covered=True):
@@ -26,6 +28,23 @@
     return consumed
 
 
+def consume_until_later(ledger, voters=VOTERS, now=0.0):
+    """Return how many retries are granted before others must acknowledge them."""
+    granted = 0
+    while (verdict := ledger.consume("s", BOUND, COMPLETE, now, voters)) is GRANTED:
+        granted += 1
+    assert verdict is LATER, verdict
+    return granted
+
+
+def exchange(one, other, other_name, now):
+    """Send the counts of one ledger to another; return the answer."""
+    counts = one.collect_counts(other_name, now)
+    answer = other.handle_counts(counts, BOUND.window, now)
+    one.handle_acknowledgement(other_name, answer, now)
+    return answer
+
+
 class LedgerTest(unittest.TestCase):
     def test_slack_alone(self):
         self.assertEqual(consume_all(make_ledger()), int(budgets.SHARES[COMPLETE] * 10))
@@ -55,138 +74,259 @@
         for step in range(10_000):
             ledger.record_request("s", step * slot_counts.SLOT_SECONDS)
         kept = budgets.LONGEST_WINDOW / slot_counts.SLOT_SECONDS
-        self.assertLessEqual(len(ledger), kept + 2)
-        self.assertLessEqual(len(ledger.collect_update(10_000.0).tallies), kept + 2)
+        self.assertLessEqual(len(ledger.table), kept + 2)
+        self.assertLessEqual(len(ledger.collect_counts("d2", 10_000.0).rows), kept + 2)
 
     def test_services_have_budgets_of_their_own(self):
         ledger = make_ledger()
         consume_all(ledger)
         self.assertIs(ledger.consume("t", BOUND, COMPLETE, 0.0), GRANTED)
 
-    def test_a_window_is_covered_once_it_has_passed(self):
-        ledger = make_ledger(is_covered=False)
-        for now, is_covered in ((0.0, False), (9.9, False), (10.0, True)):
-            self.assertEqual(ledger.covers(BOUND.window, now), is_covered)
-
-    def test_a_stall_ends_the_coverage(self):
-        ledger = make_ledger()
-        ledger.update_coverage(0.5)
-        self.assertTrue(ledger.covers(BOUND.window, 0.5))
-        ledger.update_coverage(0.5 + budgets.STALL_SECONDS + 0.1)
-        self.assertFalse(ledger.covers(BOUND.window, 5.0))
+    def test_a_window_is_known_once_it_has_passed(self):
+        for now, is_complete in ((0.0, False), (9.9, False), (10.0, True)):
+            ledger = make_ledger(is_covered=False)
+            self.assertEqual(ledger.is_complete(BOUND.window, now), is_complete)
 
     def test_unacknowledged_grants_are_bounded(self):
         ledger = make_ledger()
         for _ in range(1000):
             ledger.record_request("s", 0.0)
-        allowed = budgets.UNACKNOWLEDGED_SHARE * BOUND.find_limit(1000, COMPLETE)
-        granted = 0
-        while (verdict := ledger.consume("s", BOUND, COMPLETE, 0.0, 2)) is GRANTED:
-            granted += 1
-        self.assertIs(verdict, LATER)
+        voters = budgets.Voters(frozenset(("d2", "d3", "d4", "d5")))
+        limit = BOUND.find_limit(1000, COMPLETE)
+        allowed = budgets.UNACKNOWLEDGED_SHARE * limit / voters.count
+        granted = consume_until_later(ledger, voters)
         self.assertEqual(granted, int(allowed) + 1)
-        ledger.record_acknowledgement("d2", granted)
-        self.assertIs(ledger.consume("s", BOUND, COMPLETE, 0.0, 2), LATER)
-        ledger.record_acknowledgement("d3", granted)
-        self.assertIs(ledger.consume("s", BOUND, COMPLETE, 0.0, 2), GRANTED)
+        exchange(ledger, make_ledger("d2"), "d2", 0.0)
+        self.assertIs(ledger.consume("s", BOUND, COMPLETE, 0.0, voters), LATER)
+        exchange(ledger, make_ledger("d3"), "d3", 0.0)
+        self.assertIs(ledger.consume("s", BOUND, COMPLETE, 0.0, voters), GRANTED)
         ledger.remove_peer("d3")
-        self.assertIs(ledger.consume("s", BOUND, COMPLETE, 0.0, 2), LATER)
+        self.assertIs(ledger.consume("s", BOUND, COMPLETE, 0.0, voters), LATER)
 
+    def test_who_does_not_vote_acknowledges_nothing(self):
+        ledger = make_ledger()
+        consume_until_later(ledger)
+        for name in ("x1", "x2", "x3"):
+            exchange(ledger, make_ledger(name), name, 0.0)
+        self.assertIs(ledger.consume("s", BOUND, COMPLETE, 0.0, VOTERS), LATER)
 
-class UpdateTest(unittest.TestCase):
-    def test_a_successor_continues_from_the_consumed_retries(self):
-        first, second = make_ledger("d1"), make_ledger("d2", is_covered=False)
+    def test_a_directory_that_does_not_vote_needs_a_majority_of_those_that_do(self):
+        ledger = make_ledger()
+        voters = budgets.Voters(frozenset(("d2", "d3", "d4")), includes_own=False)
+        consume_until_later(ledger, voters)
+        exchange(ledger, make_ledger("d2"), "d2", 0.0)
+        self.assertIs(ledger.consume("s", BOUND, COMPLETE, 0.0, voters), LATER)
+        exchange(ledger, make_ledger("d3"), "d3", 0.0)
+        self.assertIs(ledger.consume("s", BOUND, COMPLETE, 0.0, voters), GRANTED)
+
+
+class ExchangeTest(unittest.TestCase):
+    def test_a_successor_learns_what_a_third_one_acknowledged(self):
+        first, second, third = make_ledger("d1"), make_ledger("d2"), make_ledger("d3")
         consumed = consume_all(first, now=1.0)
-        for update in first.list_snapshot(BOUND.window, 2.0):
-            second.merge(update, 2.1, asked_at=2.0)
-        self.assertTrue(second.covers(BOUND.window, 2.1))
-        self.assertEqual(second.count("s", BOUND, 2.1), (0, consumed))
-        self.assertIs(second.consume("s", BOUND, COMPLETE, 2.1), DENIED)
+        exchange(first, third, "d3", 1.0)
+        self.assertEqual(second.count("s", BOUND, 1.1), (0, 0))
+        granted = consume_until_later(second, now=1.1)
+        exchange(second, third, "d3", 1.1)
+        self.assertEqual(second.count("s", BOUND, 1.2), (0, consumed + granted))
+        self.assertIs(second.consume("s", BOUND, COMPLETE, 1.2), DENIED)
 
-    def test_only_the_last_message_completes_a_snapshot(self):
-        first, second = make_ledger("d1"), make_ledger("d2", is_covered=False)
-        first.merge(make_update("d3"), 0.0)
-        *others, last = first.list_snapshot(BOUND.window, 2.0)
-        self.assertTrue(others)
-        for update in others:
-            second.merge(update, 2.0, asked_at=2.0)
-        self.assertFalse(second.covers(BOUND.window, 2.0))
-        second.merge(last, 2.0, asked_at=2.0)
-        self.assertTrue(second.covers(BOUND.window, 2.0))
+    def test_counts_that_were_lost_are_not_acknowledged_by_later_ones(self):
+        first, third = make_ledger("d1"), make_ledger("d3")
+        first.consume("s", BOUND, COMPLETE, 0.0)
+        lost = first.collect_counts("d3", 0.0)
+        self.assertTrue(lost.rows)
+        first.consume("s", BOUND, COMPLETE, 1.0)
+        exchange(first, third, "d3", 1.0)
+        self.assertEqual(third.count("s", BOUND, 1.0), (0, 2))
+        self.assertEqual(first.list_acknowledged(), {"d3": 2})
 
-    def test_a_late_snapshot_gives_no_coverage(self):
-        first, second = make_ledger("d1"), make_ledger("d2", is_covered=False)
-        for update in first.list_snapshot(BOUND.window, 2.0):
-            second.merge(update, 5.0, asked_at=2.0)
-            second.merge(update, 5.0)
-        self.assertFalse(second.covers(BOUND.window, 5.0))
+    def test_an_answer_that_was_lost_is_given_again(self):
+        first, third = make_ledger("d1"), make_ledger("d3")
+        consume_all(third)
+        first.record_request("s", 0.0)
+        counts = first.collect_counts("d3", 0.0)
+        third.handle_counts(counts, BOUND.window, 0.0)
+        exchange(first, third, "d3", 1.0)
+        self.assertEqual(first.count("s", BOUND, 1.0), third.count("s", BOUND, 1.0))
+
+    def test_what_was_heard_is_not_sent_again(self):
+        first, third = make_ledger("d1"), make_ledger("d3")
+        consume_all(third)
+        self.assertTrue(exchange(first, third, "d3", 0.0).rows)
+        self.assertEqual(exchange(first, third, "d3", 0.0).rows, ())
+
+    def test_a_process_that_restarts_acknowledges_nothing_of_the_one_before(self):
+        first, third = make_ledger("d1"), make_ledger("d3")
+        first.consume("s", BOUND, COMPLETE, 0.0)
+        exchange(first, third, "d3", 0.0)
+        restarted = make_ledger("d3#2")
+        first.consume("s", BOUND, COMPLETE, 1.0)
+        exchange(first, restarted, "d3", 1.0)
+        self.assertEqual(first.list_acknowledged(), {"d3": 0})
+        exchange(first, restarted, "d3", 1.0)
+        self.assertEqual(first.list_acknowledged(), {"d3": 2})
+        self.assertEqual(restarted.count("s", BOUND, 1.0), (0, 2))
+
+    def test_a_process_that_restarted_is_complete_once_enough_others_have_answered(
+        self,
+    ):
+        restarted = make_ledger("d1", is_covered=False)
+        others = frozenset(("d2", "d3", "d4", "d5"))
+        voters = budgets.Voters(others)
+        for count, name in enumerate(sorted(others), start=1):
+            exchange(restarted, make_ledger(name), name, 0.1)
+            is_complete = restarted.is_complete(BOUND.window, 0.1, voters)
+            self.assertEqual(is_complete, count >= 3)
+
+    def test_processes_that_restarted_do_not_make_each_other_complete(self):
+        names = ("d1", "d2", "d3")
+        ledgers = {name: make_ledger(name, is_covered=False) for name in names}
+        for name, ledger in ledgers.items():
+            for other in names:
+                if other != name:
+                    exchange(ledger, ledgers[other], other, 1.0)
+            self.assertFalse(ledger.is_complete(BOUND.window, 1.0, VOTERS))
+            coverage = ledger.find_coverage(BOUND, 1.0, VOTERS)
+            self.assertIs(coverage, PARTIAL)
+
+    def test_an_acknowledgement_by_an_incomplete_peer_does_not_count(self):
+        ledger = make_ledger()
+        consume_until_later(ledger)
+        exchange(ledger, make_ledger("d2", is_covered=False), "d2", 0.0)
+        self.assertEqual(ledger.list_acknowledged(), {"d2": 0})
+        self.assertIs(ledger.find_coverage(BOUND, 0.0, VOTERS), PARTIAL)
+
+    def test_coverage_is_partial_while_no_majority_is_linked(self):
+        ledger = make_ledger()
+        self.assertIs(ledger.find_coverage(BOUND, 0.0, VOTERS), PARTIAL)
+        exchange(ledger, make_ledger("d2"), "d2", 0.0)
+        self.assertIs(ledger.find_coverage(BOUND, 0.0, VOTERS), COMPLETE)
+        ledger.remove_peer("d2")
+        self.assertIs(ledger.find_coverage(BOUND, 0.0, VOTERS), PARTIAL)
+
+    def test_an_answer_to_another_process_is_ignored(self):
+        ledger, third = make_ledger("d1#2"), make_ledger("d3")
+        counts = make_ledger("d1#1").collect_counts("d3", 0.0)
+        answer = third.handle_counts(counts, BOUND.window, 0.0)
+        ledger.handle_acknowledgement("d3", answer, 0.0)
+        self.assertEqual(ledger.list_acknowledged(), {})
 
     def test_a_count_keeps_its_earliest_time(self):
         first, second = make_ledger("d1"), make_ledger("d2")
         first.record_request("s", 0.0)
-        (update,) = first.list_snapshot(BOUND.window, 0.0)
-        second.merge(update, 8.0)
+        counts = first.collect_counts("d2", 0.0)
+        second.handle_counts(counts, BOUND.window, 8.0)
         self.assertEqual(second.count("s", BOUND, 8.0), (1, 0))
-        second.merge(update, 0.0)
+        second.handle_counts(counts, BOUND.window, 0.0)
         self.assertEqual(second.count("s", BOUND, 11.0), (0, 0))
 
-    def test_a_lost_quorum_ends_the_coverage_until_a_snapshot(self):
-        ledger = make_ledger()
-        ledger.update_coverage(0.1, has_quorum=False)
-        self.assertTrue(ledger.covers(BOUND.window, 0.1))
-        ledger.update_coverage(0.2, has_quorum=True)
-        ledger.update_coverage(0.5, has_quorum=False)
-        self.assertFalse(ledger.covers(BOUND.window, 5.0))
-        (update,) = make_ledger("d2").list_snapshot(BOUND.window, 0.6)
-        ledger.merge(update, 0.6, asked_at=0.6)
-        ledger.update_coverage(1.0, has_quorum=False)
-        self.assertTrue(ledger.covers(BOUND.window, 1.0))
-        ledger.update_coverage(1.0 + budgets.SNAPSHOT_VALID_SECONDS, has_quorum=False)
-        self.assertFalse(ledger.covers(BOUND.window, 5.0))
-
-    def test_updates_hold_retries_at_once_and_requests_after_their_slot(self):
-        ledger = make_ledger()
-        ledger.record_request("s", 0.0)
-        self.assertIsNone(ledger.collect_update(0.1))
-        self.assertIsNotNone(ledger.collect_update(slot_counts.SLOT_SECONDS))
-        self.assertIsNone(ledger.collect_update(slot_counts.SLOT_SECONDS))
-        ledger.consume("s", BOUND, COMPLETE, 1.0)
-        update = ledger.collect_update(1.0)
-        self.assertEqual(update.granted, 1)
-        self.assertIsNone(ledger.collect_update(1.0))
+    def test_retries_are_due_at_once_and_requests_after_their_slot(self):
+        ledger, other = make_ledger(), make_ledger("d2")
+        self.assertFalse(ledger.is_due("d2", 0.1))
+        exchange(ledger, other, "d2", 0.1)
+        ledger.record_request("s", 0.1)
+        self.assertFalse(ledger.is_due("d2", 0.2))
+        self.assertTrue(ledger.is_due("d2", slot_counts.SLOT_SECONDS))
+        exchange(ledger, other, "d2", slot_counts.SLOT_SECONDS)
+        self.assertFalse(ledger.is_due("d2", 9.0))
+        ledger.consume("s", BOUND, COMPLETE, 9.0)
+        self.assertTrue(ledger.is_due("d2", 9.0))
+        self.assertEqual(exchange(ledger, other, "d2", 9.0).granted, 1)
+        self.assertFalse(ledger.is_due("d2", 9.0))
         # The slot has a retry, but the new request in it can wait.
-        ledger.record_request("s", 1.1)
-        self.assertIsNone(ledger.collect_update(1.1))
-        self.assertIsNotNone(ledger.collect_update(1.0 + slot_counts.SLOT_SECONDS))
+        ledger.record_request("s", 9.1)
+        self.assertFalse(ledger.is_due("d2", 9.1))
+        self.assertTrue(ledger.is_due("d2", 9.0 + slot_counts.SLOT_SECONDS))
+
+    def test_what_is_not_acknowledged_is_due_again_in_the_next_slot(self):
+        ledger = make_ledger()
+        ledger.consume("s", BOUND, COMPLETE, 0.0)
+        ledger.collect_counts("d2", 0.0)
+        self.assertFalse(ledger.is_due("d2", 0.1))
+        self.assertTrue(ledger.is_due("d2", slot_counts.SLOT_SECONDS))
 
     def test_every_order_gives_one_ledger(self):
         draw = random.Random(5)
         for _ in range(100):
             ledger = make_ledger()
-            updates = []
+            sent = []
             for step in range(20):
                 now = step * 0.2
                 for _ in range(draw.randrange(4)):
                     ledger.record_request("s", now)
                 ledger.consume("s", BOUND, COMPLETE, now)
-                updates.append((ledger.collect_update(now), now))
-            updates.append((ledger.collect_update(9.0), 9.0))
-            repeated = [one for one in updates if one[0] is not None] * 2
+                sent.append((ledger.collect_counts("d2", now), now))
+            repeated = sent * 2
             draw.shuffle(repeated)
             other = make_ledger("d2")
-            for update, now in repeated:
-                other.merge(update, now)
+            for counts, now in repeated:
+                other.handle_counts(counts, BOUND.window, now)
             counted = ledger.count("s", BOUND, 9.0)
             self.assertEqual(other.count("s", BOUND, 9.0), counted)
 
+    def test_rows_survive_encoding(self):
+        ledger = make_ledger()
+        ledger.consume("s", BOUND, COMPLETE, 0.0)
+        rows = ledger.collect_counts("d2", 0.0).rows
+        encoded = [list(row) for row in rows]
+        self.assertEqual(slot_counts.decode_rows(encoded), rows)
+
+    def test_invalid_rows_are_refused(self):
+        bad = (None, (), ("s", 4, 0.5, 3), (1, 4, 0.5, 3, 1), ("s", 4, -1.0, 3, 1))
+        bad += (("s", 4, 0.5, -3, 1), ("s", 4, 0.5, 3, True), ("s", 4, "x", 3, 1))
+        bad += (("s", 4, float("nan"), 3, 1), ("s", 4, float("inf"), 3, 1))
+        cases = [("d", *one) for one in bad[1:]]
+        cases += [None, (), (3, "s", 4, 0.5, 3, 1)]
+        for case in cases:
+            with self.subTest(case=case), self.assertRaises(ValueError):
+                slot_counts.decode_rows([case])
+
+
+class EarlierBuildTest(unittest.TestCase):
+    """Directories of an earlier build acknowledge without their own counts."""
+
+    def test_it_is_sent_and_acknowledges_what_is_granted(self):
+        ledger = make_ledger()
+        ledger.record_earlier_build("d2")
+        granted = consume_until_later(ledger)
+        update = ledger.collect_update("d2", 0.0)
+        self.assertEqual((update.granted, update.known), (granted, 0.0))
+        self.assertEqual(sum(tally[-1] for tally in update.tallies), granted)
+        ledger.record_acknowledgement("d2", granted)
+        self.assertIs(ledger.consume("s", BOUND, COMPLETE, 0.0, VOTERS), GRANTED)
+
+    def test_its_snapshot_counts_as_an_answer(self):
+        first, second = make_ledger("d1"), make_ledger("d2", is_covered=False)
+        consumed = consume_all(first, now=1.0)
+        exchange(second, make_ledger("d3"), "d3", 2.0)
+        for update in first.list_snapshot(BOUND.window, 2.0):
+            second.merge_update("d1", update, 2.1)
+        voters = budgets.Voters(frozenset(("d1", "d3")))
+        self.assertTrue(second.is_complete(BOUND.window, 2.1, voters))
+        self.assertEqual(second.count("s", BOUND, 2.1), (0, consumed))
+
+    def test_only_the_last_message_completes_a_snapshot(self):
+        first, second = make_ledger("d1"), make_ledger("d2", is_covered=False)
+        exchange(make_ledger("d3"), first, "d1", 0.0)
+        consume_all(first)
+        first.handle_counts(make_counts("d3"), BOUND.window, 0.0)
+        *others, last = first.list_snapshot(BOUND.window, 2.0)
+        self.assertTrue(others)
+        for update in others:
+            second.merge_update("d1", update, 2.0)
+        self.assertIs(second.find_coverage(BOUND, 2.0, VOTERS_OF_D2), PARTIAL)
+        second.merge_update("d1", last, 2.0)
+        exchange(second, make_ledger("d3"), "d3", 2.0)
+        self.assertIs(second.find_coverage(BOUND, 2.0, VOTERS_OF_D2), COMPLETE)
+
     def test_updates_survive_encoding(self):
-        update = make_update("d3")
-        fields = (
-            update.source,
-            update.known,
-            [list(one) for one in update.tallies],
-        )
-        self.assertEqual(slot_counts.decode_update(*fields, update.granted), update)
+        ledger = make_ledger("d3")
+        ledger.consume("s", BOUND, COMPLETE, 0.0)
+        update = ledger.collect_update("d2", 0.0)
+        tallies = [list(one) for one in update.tallies]
+        fields = (update.source, update.known, tallies, update.granted)
+        self.assertEqual(slot_counts.decode_update(*fields), update)
 
     def test_invalid_updates_are_refused(self):
         good = ("s", 4, 0.5, 3, 1)
@@ -200,9 +340,9 @@
                 slot_counts.decode_update(*case)
 
 
-def make_update(source):
-    """Return a source's update with one slot."""
+def make_counts(source):
+    """Return a source's counts with one slot."""
     ledger = make_ledger(source)
     ledger.record_request("s", 0.0)
     ledger.consume("s", BOUND, COMPLETE, 0.0)
-    return ledger.collect_update(0.0)
+    return ledger.collect_counts("d2", 0.0)
--- a/packages/wire/src/trestlestall/wire/directory_messages.py
+++ b/packages/wire/src/trestlestall/wire/directory_messages.py
@@ -161,10 +161,43 @@
     tasks: tuple[typing.Any, ...]
 
 
+@registry.register("retry_counts")
+@dataclasses.dataclass(frozen=True)
+class RetryCounts:
+    """A directory's own counts of requests and retries, by service and slot.
+
+    The fields are those of ``budgets.Counts`` of the forwarding package.
+    """
+
+    source: str
+    version: int
+    granted: int
+    heard_of: str
+    heard: int
+    rows: tuple[typing.Any, ...]
+
+
+@registry.register("retry_counts_answer")
+@dataclasses.dataclass(frozen=True)
+class RetryCountsAnswer:
+    """Acknowledges counts, with all counts that the receiver may lack.
+
+    The fields are those of ``budgets.Acknowledgement`` of the forwarding package.
+    """
+
+    source: str
+    version: int
+    is_complete: bool
+    asked_by: str
+    confirmed: int
+    granted: int
+    rows: tuple[typing.Any, ...]
+
+
 @registry.register("spent")
 @dataclasses.dataclass(frozen=True)
 class Spent:
-    """One source's counts of requests and retries, by service and slot.
+    """One source's counts of requests and retries, exchanged with earlier builds.
 
     The fields are those of ``slot_counts.Update`` of the forwarding package.
     ``asked_at`` is that of the ``SpentCall`` that this answers, 0 for an unsolicited
@@ -181,7 +214,10 @@
 @registry.register("spent_call")
 @dataclasses.dataclass(frozen=True)
 class SpentCall:
-    """A request for the whole window; ``asked_at`` is by the sender's own clock."""
+    """An earlier build's request for the whole window.
+
+    ``asked_at`` is by the sender's own clock.
+    """
 
     asked_at: float
 
@@ -189,7 +225,7 @@
 @registry.register("spent_answer")
 @dataclasses.dataclass(frozen=True)
 class SpentAnswer:
-    """Acknowledges the receiver's grants up to this number."""
+    """Acknowledges an earlier build's grants up to this number."""
 
     granted: int
 
--- a/packages/wire/tests/test_codec.py
+++ b/packages/wire/tests/test_codec.py
@@ -51,6 +51,12 @@
     directory_messages.AnnouncedAnswer(3),
     directory_messages.PlaceCall(4, ("r1", "work", 0, 0.25), ("u1",)),
     directory_messages.PlaceCall(4, ("r1", "work", 0, 0.25), ("u1",), "repeat"),
+    directory_messages.RetryCounts(
+        "d1#5f", 9, 7, "d2#3", 4, (["d1#5f", "work", 40, 0.25, 9, 2],)
+    ),
+    directory_messages.RetryCountsAnswer(
+        "d2#3", 4, True, "d1#5f", 9, 7, (["d3#1", "work", 40, 0.25, 9, 2],)
+    ),
     directory_messages.Spent("d1#5f", 10.0, (["work", 40, 0.25, 9, 2],), 7, 8.5),
     directory_messages.SpentCall(8.5),
     directory_messages.SpentAnswer(7),
