A gateway takes a bounded number of bytes of an answer

Interim answers were skipped without end, and so was the body of an answer to another request.

What callers saw: 504 at the end of the route's time, also for requests that may be repeated; and a refusal that says not run counted as a run if its body had no end, so that a request that must not run twice was answered 502 or 503 though another upstream was free.

Now one body may have answers.body_bytes (16 MiB), all together answers.held_bytes (64 MiB), those that have more than an equal part failing first; an event 1 MiB; 32 interim answers; a declared length is checked before the body is read. The body of a refusal is read for 0.05 s and 256 KiB, to keep the connection, and decides nothing. An answer that is left counts as broken, closes its connection, is repeated where that is allowed, and counts in trestlestall_answers_oversized.

Weighed: passing parts on as they come, without a bound. Then an end of ours could not be told from the upstream's where there is no length, and nothing could be repeated elsewhere.

--- a/packages/daemon/src/trestlestall/daemon/gateway/attempts.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/attempts.py
@@ -12,6 +12,7 @@
 
 from trestlestall.daemon import dialects
 from trestlestall.daemon.gateway import (
+    answer_buffers,
     answer_headers,
     connections,
     exchanges,
@@ -23,6 +24,12 @@
 
 #: Responses to other requests that are skipped before the attempt counts as broken.
 MAX_FOREIGN_ANSWERS = 3
+#: Interim responses that are skipped before the attempt counts as broken.
+MAX_INTERIM_ANSWERS = 32
+#: Of a body that nobody needs, so many bytes are read, for so many seconds, to keep the
+#: connection.
+DISCARDED_BYTES = 256 * 1024
+DISCARD_SECONDS = 0.05
 MISDIRECTED = 421
 #: Connections tried for a request: the first may be an idle one through a lost peer.
 CONNECTIONS_TRIED = 2
@@ -96,6 +103,12 @@
         framing = ("content-length", "transfer-encoding")
         return not any(name in self.found for name in framing)
 
+    @property
+    def length(self) -> int:
+        """The declared length of the body in bytes; 0 without one."""
+        declared = self.found.get("content-length", "")
+        return int(declared) if declared.isdecimal() else 0
+
     def list_end_to_end(self) -> list[tuple[bytes, bytes]]:
         """Return the headers to forward to the caller: all but the hop-by-hop ones."""
         dropped = heads.HOP_BY_HOP_HEADERS | heads.list_hop_by_hop(self.headers)
@@ -114,6 +127,10 @@
     path_lost = True
 
 
+class OversizedAnswer(BrokenExchange):
+    """The upstream sends more bytes than an answer may have, perhaps without end."""
+
+
 class Attempt:
     """One exchange with an upstream; any green thread may abort it.
 
@@ -242,12 +259,13 @@
         raise BrokenExchange("only answers to other requests came")
 
     def _read_response(self, deadline: float) -> h11.Response:
-        while True:
+        for _ in range(MAX_INTERIM_ANSWERS):
             event = self._next_event(deadline)
             if isinstance(event, h11.Response):
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise BrokenExchange("the connection ended before an answer")
+        raise OversizedAnswer("only interim answers came")
 
     def _classify(
         self, response: h11.Response, found: dict[str, str]
@@ -261,9 +279,13 @@
 
     def _skip_foreign_answer(self, deadline: float) -> None:
         """Skip a response to another request, and reset the parser for ours."""
+        size = 0
         while not isinstance(event := self._next_event(deadline), h11.EndOfMessage):
             if isinstance(event, h11.ConnectionClosed):
                 raise BrokenExchange("the connection ended")
+            size += len(event.data)
+            if size > DISCARDED_BYTES:
+                raise OversizedAnswer("a long answer to another request came")
         rest, _ = self._http.trailing_data
         fresh = h11.Connection(h11.CLIENT)
         # The fresh parser expects a response only once it has sent a request.
@@ -292,9 +314,30 @@
             else:
                 raise BrokenExchange("the connection ended within the answer")
 
-    def read_body(self, deadline: float) -> bytes:
+    def read_body(
+        self, head: AnswerHead, deadline: float, buffer: answer_buffers.Buffer
+    ) -> bytes:
         """Return the complete body; raises ``BrokenExchange``."""
-        return b"".join(self.read_parts(lambda: deadline))
+        buffer.clear()
+        try:
+            if self._request[0].method != b"HEAD":
+                buffer.check_length(head.length)
+            for part in self.read_parts(lambda: deadline):
+                buffer.add(part)
+        except answer_buffers.TooLongError as error:
+            raise OversizedAnswer(f"too long: {error}") from error
+        return buffer.join()
+
+    def discard_body(self, deadline: float) -> None:
+        """Read a body that nobody needs, if it ends soon, to keep the connection."""
+        self._find_extension = lambda: None
+        deadline = min(deadline, clocks.read() + DISCARD_SECONDS)
+        size = 0
+        with contextlib.suppress(BrokenExchange):
+            for part in self.read_parts(lambda: deadline):
+                size += len(part)
+                if size > DISCARDED_BYTES:
+                    return
 
     def _allow_reuse(self) -> None:
         """Let another request use the connection, unless its protocol forbids that."""
--- a/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
@@ -7,6 +7,7 @@
 
 from trestlestall.daemon import placement_protocol
 from trestlestall.daemon.gateway import (
+    answer_buffers,
     attempts,
     cached_view,
     callers,
@@ -101,6 +102,7 @@
         self.was_silent = False
         self.has_lost_path = False
         self.port: int | None = None
+        self.buffer: answer_buffers.Buffer | None = None
 
     @property
     def view(self) -> cached_view.CachedView:
@@ -112,7 +114,10 @@
         now = clocks.read()
         self.view.retry_ledger.record_request(self.descriptor.service, now)
         try:
-            with self.caller.watch(self._on_caller_left):
+            with (
+                self.caller.watch(self._on_caller_left),
+                self.handler.buffers.open() as self.buffer,
+            ):
                 refused = takeups.resolve(self)
                 if refused is not None:
                     final_answers.end_unplaced(self, refused, None)
@@ -174,6 +179,8 @@
                     head = outcome
                     outcome = self._relay_answer(attempt, head)
         except attempts.BrokenExchange as error:
+            if isinstance(error, attempts.OversizedAnswer):
+                self.handler.metrics.oversized.inc()
             outcome = attempts.Broken(str(error), error.path_lost)
         finally:
             # A failure counts against the upstream also if the caller received it.
@@ -244,7 +251,7 @@
         if isinstance(answer, attempts.NotRun):
             self.runs -= 1
             self.return_seconds = answer.signal.rest_seconds or None
-            attempt.read_body(self.deadline)
+            attempt.discard_body(self.deadline)
         return answer
 
     def _relay_answer(
@@ -259,10 +266,11 @@
             return None
         if self.relay.began:
             return attempts.Broken(f"status {head.status} for the rest of a stream")
-        body = attempt.read_body(self.deadline)
+        body = attempt.read_body(head, self.deadline, self.buffer)
         self.relay.record_first()
         if head.status >= outcomes.SERVER_ERRORS and retry_rules.may_retry(self):
             self.fallback_answer = head, body
+            self.buffer.keep()
             return head
         if head.status < outcomes.SERVER_ERRORS:
             self.handler.crash_detector.record_answered(self.digest)
--- a/packages/daemon/src/trestlestall/daemon/gateway/metrics.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/metrics.py
@@ -39,6 +39,11 @@
             ["kind"],
             registry=self.registry,
         )
+        self.oversized = prometheus_client.Counter(
+            "trestlestall_answers_oversized",
+            "Answers left as they had more bytes than a gateway takes of one.",
+            registry=self.registry,
+        )
         self.quarantined = self._gauge(
             "requests_held",
             "Requests that are not sent, as upstreams ended under them.",
--- a/packages/daemon/src/trestlestall/daemon/gateway/progress.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/progress.py
@@ -5,6 +5,7 @@
 
 from trestlestall.daemon import dialects, settings as process_settings
 from trestlestall.daemon.gateway import (
+    answer_buffers,
     attempts,
     cached_view,
     callers,
@@ -43,6 +44,7 @@
     usage: gateway_usage.Usage
     draw: abc.Callable[[], float]
     pool: connections.Pool
+    buffers: answer_buffers.Buffers
     prober: reachability.Prober
     crash_detector: crash_detection.CrashDetector
     signals: signal_tracker.UpstreamSignals
--- a/packages/daemon/src/trestlestall/daemon/gateway/relays.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/relays.py
@@ -58,7 +58,7 @@
         splitter = events_stream.Splitter()
         latest = clocks.read()
         for part in attempt.read_parts(find_deadline):
-            for event in splitter.feed(part):
+            for event in split(splitter, part):
                 now = clocks.read()
                 self._record_event(now - latest)
                 latest = now
@@ -97,3 +97,11 @@
             self.record_first()
         else:
             self.longest_pause = max(self.longest_pause, pause)
+
+
+def split(splitter: events_stream.Splitter, part: bytes) -> list[bytes]:
+    """Return the events that are complete now; raises ``BrokenExchange``."""
+    try:
+        return splitter.feed(part)
+    except events_stream.TooLongError as error:
+        raise attempts.OversizedAnswer(f"too long: {error}") from error
--- a/packages/daemon/src/trestlestall/daemon/gateway/request_handler.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/request_handler.py
@@ -7,6 +7,7 @@
 
 from trestlestall.daemon import dialects, events, settings as process_settings
 from trestlestall.daemon.gateway import (
+    answer_buffers,
     cached_view,
     callers,
     connections,
@@ -52,6 +53,7 @@
         self.metrics = metrics
         self.draw = draw
         self.pool = connections.Pool()
+        self.buffers = answer_buffers.Buffers(settings.answers)
         self.peers = peers.Peers(settings, view)
         self.prober = reachability.Prober(view, self.pool, self.peers)
         self.crash_detector = crash_detection.CrashDetector(view, self.prober, metrics)
--- a/packages/daemon/src/trestlestall/daemon/settings/__init__.py
+++ b/packages/daemon/src/trestlestall/daemon/settings/__init__.py
@@ -15,6 +15,7 @@
 from trestlestall.daemon.settings import checks, document, model
 
 Address = model.Address
+Answers = model.Answers
 ControlSettings = model.ControlSettings
 DirectoryListen = model.DirectoryListen
 DirectorySettings = model.DirectorySettings
--- a/packages/daemon/src/trestlestall/daemon/settings/checks.py
+++ b/packages/daemon/src/trestlestall/daemon/settings/checks.py
@@ -212,6 +212,22 @@
         yield model.Problem("grace_seconds", "must be above 0")
 
 
+@register_check
+def check_answers(found: Settings, folder: pathlib.Path) -> abc.Iterator:
+    """A gateway holds some bytes of an answer, and of all together no fewer."""
+    if not isinstance(found, model.GatewaySettings):
+        return
+    if isinstance(found.answers, document.Missing):
+        return
+    body, held = found.answers.body_bytes, found.answers.held_bytes
+    if isinstance(body, document.Missing):
+        return
+    if not body > 0:
+        yield model.Problem("answers.body_bytes", "must be above 0")
+    if not isinstance(held, document.Missing) and held < body:
+        yield model.Problem("answers.held_bytes", "must not be below body_bytes")
+
+
 @register_check
 def check_retries(found: Settings, folder: pathlib.Path) -> abc.Iterator:
     """The window of the retry budget is above 0 and at most the time that is stored."""
--- a/packages/daemon/src/trestlestall/daemon/settings/model.py
+++ b/packages/daemon/src/trestlestall/daemon/settings/model.py
@@ -161,6 +161,18 @@
     window_seconds: float = 10.0
 
 
+@dataclasses.dataclass(frozen=True)
+class Answers:
+    """How many bytes a gateway holds of answers that are not whole yet.
+
+    ``body_bytes`` bounds the body of one answer, ``held_bytes`` those of all together.
+    Event streams are passed on and not held.
+    """
+
+    body_bytes: int = 16 * 1024 * 1024
+    held_bytes: int = 64 * 1024 * 1024
+
+
 @dataclasses.dataclass(frozen=True)
 class Duties:
     """Calls to the platform that one directory at a time makes for all of them.
@@ -204,6 +216,7 @@
     directories: tuple[Address, ...]
     grace_seconds: float = 8.0
     retries: Retries = Retries()
+    answers: Answers = Answers()
     duties: Duties = Duties()
     secrets: Secrets | None = dataclasses.field(default=None, metadata={"file": False})
 
--- a/packages/daemon/tests/test_settings.py
+++ b/packages/daemon/tests/test_settings.py
@@ -126,6 +126,17 @@
                     self.assertEqual(found.path, "retries.window_seconds")
                     self.assertEqual(found.message, problem)
 
+    def test_a_gateway_holds_one_answer_at_least(self):
+        cases = {
+            "body_bytes": ({"body_bytes": 0}, "must be above 0"),
+            "held_bytes": ({"held_bytes": 5}, "must not be below body_bytes"),
+        }
+        for key, (answers, message) in cases.items():
+            with self.subTest(key=key):
+                (found,) = self.load(change(GATEWAY, answers=answers))
+                self.assertEqual(found.path, f"answers.{key}")
+                self.assertEqual(found.message, message)
+
     def test_single_problems(self):
         peers = [CONTROL_PEER, change(CONTROL_PEER, address="127.0.0.1:9009")]
         own = [CONTROL_PEER, change(CONTROL_PEER, name="router-1", address="1.2.3.4:5")]
