A stream that always has more to read lets other requests run

Found by the test of endless answers in real processes: while two callers read streams of events that came as fast as they were read, other requests at the gateway got no answer within 2 s. Reading from a socket that has data and writing to one that has room never wait, so the one loop of the process ran nothing else until the stream's time was over.

A full read now lets others run, and so does a stream each 5 ms of a part with many events; a stream at the speed of an engine is not slowed, as its parts are small.

--- a/packages/daemon/src/trestlestall/daemon/gateway/attempts.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/attempts.py
@@ -8,6 +8,7 @@
 import dataclasses
 from collections import abc
 
+import eventlet
 import h11
 
 from trestlestall.daemon import dialects
@@ -385,6 +386,9 @@
             raise BrokenExchange(f"connection lost: {error}") from error
         self._exchange.record_heard()
         self.is_closed = not data
+        if len(data) >= connections.READ_BYTES:
+            # More waits already: without this no other greenlet would run.
+            eventlet.sleep(0)
         return data
 
 
--- a/packages/daemon/src/trestlestall/daemon/gateway/relays.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/relays.py
@@ -2,12 +2,16 @@
 
 from collections import abc
 
+import eventlet
+
 from trestlestall.daemon.gateway import attempts, callers, events_stream
 from trestlestall.wire import clocks
 
 #: Events that a stream must have before its longest pause is reported: with fewer it
 #: says nothing about the upstream.
 MIN_PAUSE_EVENTS = 8
+#: Seconds after which a stream lets other greenlets run, though more events wait.
+TURN_SECONDS = 0.005
 
 
 class Relay:
@@ -58,11 +62,15 @@
         splitter = events_stream.Splitter()
         latest = clocks.read()
         for part in attempt.read_parts(find_deadline):
+            turn_began = clocks.read()
             for event in split(splitter, part):
                 now = clocks.read()
                 self._record_event(now - latest)
                 latest = now
                 self._relay_event(head, event, resumed)
+                if now - turn_began > TURN_SECONDS:
+                    eventlet.sleep(0)
+                    turn_began = clocks.read()
         if splitter.remainder:
             raise attempts.BrokenExchange("the stream ended within an event")
         if head.ends_with_connection and not self.events:
