--- a/packages/daemon/src/trestlestall/daemon/directory/retry_budget.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/retry_budget.py
@@ -17,7 +17,7 @@
 class RetryBudget:
     """Grants retries for all gateways.
 
-    ``has_quorum`` and ``list_voters`` query the voter; ``wake`` requests a turn.
+    ``has_quorum`` and ``list_voters`` query the voter.
     """
 
     def __init__(
@@ -27,7 +27,6 @@
         log: logs.Log,
         has_quorum: abc.Callable[[], bool],
         list_voters: abc.Callable[[], budgets.Voters],
-        wake: abc.Callable[[], object],
         incarnation: str,
         clock: abc.Callable[[], float] = clocks.read,
     ) -> None:
@@ -37,7 +36,6 @@
         self._log = log
         self._has_quorum = has_quorum
         self._list_voters = list_voters
-        self._wake = wake
         self._clock = clock
         self._asked_at = float("-inf")
         self._log_limiters: dict[tuple[str, str], logs.Throttle] = {}
@@ -64,11 +62,15 @@
         return verdict
 
     def record_retry(self, service: str) -> None:
-        """Count a retry that ``evaluate`` granted; request a turn to send the count."""
+        """Count a retry that ``evaluate`` granted, and tell the others at once.
+
+        Further retries wait for their acknowledgement, and a turn may wait for a disk.
+        """
         now = self._clock()
         self.ledger.record_retry(service, now)
         self._log_granted(service, now)
-        self._wake()
+        for peer in self._links.list_directories():
+            self.send_counts(peer)
 
     def turn(self) -> None:
         """Send new counts; ask again while the window may be incomplete somewhere."""
--- a/packages/daemon/src/trestlestall/daemon/directory/server.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/server.py
@@ -117,7 +117,6 @@
             log,
             lambda: self.leader is not None,
             self.list_voters,
-            wake,
             f"{env.random.getrandbits(64):x}",
             env.clock.monotonic,
         )
--- a/packages/forwarding/tests/fleet.py
+++ b/packages/forwarding/tests/fleet.py
@@ -139,6 +139,8 @@
             verdict = directory.ledger.consume(
                 SERVICE, self.bound, coverage, self.now, voters
             )
+            if verdict is budgets.Verdict.GRANTED:
+                self.send_due(directory)
             if not self.delivers(directory, process):
                 verdict = budgets.Verdict.LATER
         if verdict is budgets.Verdict.LATER or self.random.random() < LATE_SHARE:
@@ -178,10 +180,14 @@
             )
             if is_asking:
                 directory.asked_at = self.now
-            for other in self.directories:
-                self.exchange(directory, other, is_asking)
+            self.send_due(directory, is_asking)
         self.schedule(TURN_SECONDS, self.turn)
 
+    def send_due(self, directory, is_asking=False):
+        """Send counts to the other directories that need any."""
+        for other in self.directories:
+            self.exchange(directory, other, is_asking)
+
     def exchange(self, directory, other, is_asking):
         """Send counts to another directory that is linked, if it needs any."""
         if other is directory:
--- a/tests/test_retry_bound.py
+++ b/tests/test_retry_bound.py
@@ -9,12 +9,11 @@
 import collections
 import contextlib
 import itertools
-import json
 import tempfile
 import time
 import unittest
 
-from tests import cut_links, gateways, signalling
+from tests import directory_cuts, gateways, signalling
 
 RATE = 60.0
 RATIO, SLACK, WINDOW_SECONDS = 0.2, 34.0, 6.0
@@ -24,7 +23,6 @@
 #: Seconds from a cut until directories and gateways have noticed it.
 SETTLE_SECONDS = 4.0
 ATTEMPTS = 3
-ELECTED = '"leader_elected"'
 
 
 def make_document():
@@ -50,27 +48,14 @@
             "slack": SLACK,
             "window_seconds": WINDOW_SECONDS,
         }
-        names = (*self.system.names, *self.system.gateways)
-        opened = cut_links.open_links(folder, names)
-        self.links = self.stack.enter_context(opened)
-        self.addresses = {
-            name: f"{gateways.HOST}:{port}" for name, port in self.system.links.items()
-        }
-        for name, links in self.links.items():
-            for directory, address in self.addresses.items():
-                if directory != name:
-                    links.add(address)
-        # Gateways ask the linked directory with the lowest address.
-        self.ordered = sorted(self.system.names, key=self.addresses.get)
-        self.system.hosts.update(self.links)
+        self.cuts = directory_cuts.Cuts(self.system, self.stack)
         self.stack.callback(self.system.stop_all)
         self.is_failing = False
         self.numbers = itertools.count()
 
     def start(self, apart=()):
         """Start everything; these gateways do not reach the first directory."""
-        for name in apart:
-            self.links[name].cut("reset", [self.addresses[self.ordered[0]]])
+        self.cuts.cut_gateways(apart)
         self.system.start_all()
         self.assertEqual(self.system.declare(make_document()), 200)
         ports = [self.system.ports[name] for name in self.system.names]
@@ -93,44 +78,16 @@
         is_proper = not self.is_failing or next(self.numbers) % PROPER_EVERY == 0
         return signalling.Reply(200 if is_proper else 500)
 
-    def make_leader(self, wanted):
-        """Restart leaders until this directory leads."""
-        while (leader := self.find_leader()) != wanted:
-            self.system.running[leader].kill()
-            gateways.wait_until(lambda old=leader: self.find_leader() != old, "lead")
-            self.system.start_directory(leader)
-
-    def find_leader(self):
-        """Return the directory that was elected last, of those that run."""
-        terms = {
-            name: self.count_terms(name)
-            for name in self.system.names
-            if self.system.running[name].running
-        }
-        return max(terms, key=terms.get)
-
-    def count_terms(self, name):
-        """Return the last term that a directory was elected for."""
-        log = self.system.running[name].read_log()
-        elected = (json.loads(line) for line in log.splitlines() if ELECTED in line)
-        return max((line["term"] for line in elected), default=0)
-
-    def cut_pair(self, way):
-        """Cut the two directories that gateways ask first from each other."""
-        first, second = self.ordered[:2]
-        self.links[first].cut(way, [self.addresses[second]])
-        self.links[second].cut(way, [self.addresses[first]])
-
     def play(self, way, kills_first=False):
         """Let upstreams fail while a pair of directories is cut apart."""
         with self.callers.generate_load(self.system.gateways):
             time.sleep(WINDOW_SECONDS / 2)
-            self.cut_pair(way)
+            self.cuts.cut_pair(way)
             time.sleep(SETTLE_SECONDS)
             self.is_failing = True
             if kills_first:
                 time.sleep(FAILING_SECONDS / 3)
-                self.system.running[self.ordered[0]].kill()
+                self.system.running[self.cuts.ordered[0]].kill()
             time.sleep(FAILING_SECONDS)
             self.is_failing = False
 
@@ -180,25 +137,25 @@
 
     def test_two_directories_grant_while_only_the_third_reaches_both(self):
         self.start(self.system.gateways[::2])
-        self.make_leader(self.ordered[2])
+        self.cuts.make_leader(self.cuts.ordered[2])
         self.play("reset")
         self.check_bound()
 
     def test_two_directories_grant_and_packets_between_them_are_lost(self):
         self.start(self.system.gateways[::2])
-        self.make_leader(self.ordered[2])
+        self.cuts.make_leader(self.cuts.ordered[2])
         self.play("hang")
         self.check_bound()
 
     def test_a_directory_takes_over_from_one_that_it_did_not_reach(self):
         self.start()
-        self.make_leader(self.ordered[2])
+        self.cuts.make_leader(self.cuts.ordered[2])
         self.play("reset", kills_first=True)
         self.check_bound()
 
     def test_a_directory_takes_over_from_one_whose_packets_were_lost(self):
         self.start()
-        self.make_leader(self.ordered[2])
+        self.cuts.make_leader(self.cuts.ordered[2])
         self.play("hang", kills_first=True)
         self.check_bound()
 
