A HEAD request that the gateway answers itself gets the head that GET gets

The answer to HEAD was written with a body; the parser refuses that, nothing caught it, the greenlet ended and the caller's connection closed without a byte. The same for each answer of the gateway's own, and for a full upstream's. An upstream's answer to HEAD lost its Content-Length, as its body is empty here.

Caller.answer writes no body to HEAD, nor with 204 and 304; Content-Length is that of the body which GET would get.

Not looked at: the own router's door, control's and metrics' endpoints.

--- a/packages/daemon/src/trestlestall/daemon/gateway/callers.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/callers.py
@@ -19,6 +19,8 @@
 from trestlestall.wire import clocks, sockets
 
 READ_BYTES = 65536
+#: Statuses whose responses have no body, and need no length.
+STATUSES_WITHOUT_BODY = (204, 304)
 #: Bytes that a caller may send ahead while its request is being processed.
 MAX_PIPELINED_BYTES = 65536
 #: Seconds that a write to a caller may make no progress: about the longest deadline
@@ -76,6 +78,7 @@
         self._http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.header_bytes
         )
+        self._method = b""
         self._pipelined_bytes = 0
         self._ends_with_connection = False
 
@@ -96,9 +99,11 @@
 
     def _read_request(self) -> Request | Rejected | Ended:
         self.idle = not self._http.trailing_data[0]
+        self._method = b""
         event = self._next_event(self.limits.idle_seconds)
         if not isinstance(event, h11.Request):
             return Ended()
+        self._method = event.method
         if count_bytes(event.headers.raw_items()) > self.limits.header_bytes:
             return Rejected(HEADERS_TOO_LARGE, "the headers are too long")
         if is_ambiguous(event.headers):
@@ -162,18 +167,27 @@
         self._ends_with_connection = False
 
     def answer(
-        self, status: int, headers: abc.Sequence[tuple[bytes, bytes]], body: bytes
+        self,
+        status: int,
+        headers: abc.Sequence[tuple[bytes, bytes]],
+        body: bytes,
+        length: int | None = None,
     ) -> None:
         """Write a complete response in as few packets as possible.
 
-        Raises ``CallerLeft``.
+        A response to HEAD has the head alone; ``length`` is that of the body which GET
+        would get, if it isn't the one given. Raises ``CallerLeft``.
         """
-        headers = [*headers, (b"Content-Length", str(len(body)).encode())]
+        length = len(body) if length is None else length
+        headers = list(headers)
+        if status not in STATUSES_WITHOUT_BODY:
+            headers.append((b"Content-Length", str(length).encode()))
         if self.closing:
             headers.append((b"Connection", b"close"))
         head = h11.Response(status_code=status, headers=headers)
         data = self._http.send(head)
-        data += self._http.send(h11.Data(data=body))
+        if self._method != b"HEAD" and status not in STATUSES_WITHOUT_BODY:
+            data += self._http.send(h11.Data(data=body))
         data += self._http.send(h11.EndOfMessage())
         self._write(data)
 
--- a/packages/daemon/src/trestlestall/daemon/gateway/final_answers.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/final_answers.py
@@ -122,5 +122,6 @@
     forward: progress.Progress, head: attempts.AnswerHead, body: bytes
 ) -> None:
     """Forward a complete response to the caller."""
-    forward.caller.answer(head.status, head.list_end_to_end(), body)
+    length = head.length if forward.head.method == b"HEAD" else len(body)
+    forward.caller.answer(head.status, head.list_end_to_end(), body, length)
     records.write_completed(forward, head.status, "answered", "")
