An error of the program that ends a request is answered and logged

Now such a request gets 502 if no answer has begun, for nobody knows whether it ran; else its connection is cut, reset where nothing else would show it. forward_failed (TS7033) has its id and the error.

Two tests, which fail without the change (no answer; no line).

--- a/packages/daemon/src/trestlestall/daemon/events/forwarding.py
+++ b/packages/daemon/src/trestlestall/daemon/events/forwarding.py
@@ -304,3 +304,12 @@
     " asked for backoff; the gateway asks for another one.",
     "If it continues, the directory is partitioned from the others: look at its links.",
 )
+FAILED = catalogue.declare(
+    "TS7033",
+    "forward_failed",
+    catalogue.Level.ERROR,
+    "request error",
+    "An error of this program ended a request. The caller got 502 if no answer had"
+    " begun; otherwise the connection was cut.",
+    "Report it with the lines of the request.",
+)
--- a/packages/daemon/src/trestlestall/daemon/gateway/process.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/process.py
@@ -23,6 +23,7 @@
     cached_view,
     callers,
     entrance,
+    heads,
     links as gateway_links,
     metrics as gateway_metrics,
     refusals,
@@ -47,6 +48,8 @@
 ACCEPT_RETRY_SECONDS = 0.05
 UNREADY = 503
 READY = 200
+#: The reason in the answer to a request that an error of this program stopped.
+FAILED = "internal error"
 
 
 class Gateway:
@@ -192,10 +195,30 @@
             if isinstance(request, callers.Rejected):
                 self._reject(caller, request)
                 return
-            self.handler.handle(request, caller)
+            try:
+                self.handler.handle(request, caller)
+            except callers.CallerLeft:
+                raise
+            except Exception as error:
+                self._end_failed(caller, request, error)
+                return
             if not caller.prepare_next():
                 return
 
+    def _end_failed(
+        self, caller: callers.Caller, request: callers.Request, error: Exception
+    ) -> None:
+        """Answer a request that an error of this program stopped, or cut its answer."""
+        given = heads.index_headers(request.headers)
+        self._log.write(
+            events.forwarding.FAILED,
+            request=given.get(self._dialect.headers.request_id.lower(), ""),
+            error=f"{type(error).__name__}: {error}",
+        )
+        caller.closing = True
+        caller.reject(refusals.BAD_GATEWAY, refusals.encode_error(FAILED))
+        caller.reset_if_unfinished()
+
     def _reject(self, caller: callers.Caller, rejected: callers.Rejected) -> None:
         refusal = refusals.Refusal(rejected.status, rejected.reason)
         self.handler.record_refusal(refusal, None, clocks.read())
--- a/packages/daemon/tests/test_gateway_methods.py
+++ b/packages/daemon/tests/test_gateway_methods.py
@@ -1,9 +1,12 @@
 """Answers without a body: to HEAD, and by their status."""
 
 import re
+from unittest import mock
 
 from packages.daemon.tests import gateway_bench as bench  # isort: skip
 
+from trestlestall.daemon.gateway import callers
+
 RETRY_AFTER = re.compile(r"(?<=^Retry-After: )[0-9.]+$")
 UNKNOWN_KEY = {"Authorization": "Bearer unknown"}
 FULL = "HTTP/1.1 503 Full\r\nTrestlestall-Not-Run: 1\r\nRetry-After: 7\r\n"
@@ -80,3 +83,33 @@
                 caller = self.bench.call()
                 caller.socket.sendall(head.encode())
                 self.assertEqual(caller.read_head()[0], status)
+
+
+class FailedTest(bench.GatewayCase):
+    """Guards against requests that an error of the program leaves without an answer."""
+
+    def test_a_request_that_fails_here_is_answered_and_logged(self):
+        handler = self.bench.gateway.handler
+        patched = mock.patch.object(handler, "_admit", side_effect=ValueError("odd"))
+        self.enterContext(patched)
+        for method in ("GET", "HEAD", "POST"):
+            with self.subTest(method=method):
+                caller = self.bench.call()
+                caller.ask("/once/x", method=method)
+                self.assertEqual(caller.read_head()[0], 502)
+        lines = self.bench.list_lines("forward_failed")
+        self.assertEqual([line["request"] for line in lines], ["r-1"] * 3)
+        self.assertEqual(lines[0]["error"], "ValueError: odd")
+
+    def test_an_answer_that_has_begun_does_not_look_whole(self):
+        self.bench.add("u1", bench.send(bench.STREAM + bench.frame(bench.event(1))))
+        patched = mock.patch.object(
+            callers.Caller, "end_answer", side_effect=ValueError("odd")
+        )
+        self.enterContext(patched)
+        caller = self.bench.call()
+        caller.ask("/stream/x")
+        told = caller.read_to_end()
+        self.assertIn(bench.event(1), told)
+        self.assertFalse(told.endswith("0\r\n\r\n"))
+        self.assertEqual(len(self.bench.list_lines("forward_failed")), 1)
