The part of the bound in flight is that of the other voters alone

A directory counts its own grants; only those of the others can be unseen. So each may have 0.05 of its limit in flight divided by the other voters, not by all: three retries with three voters and a limit of 83, where it was two.

What this change gains was not measured in pairs.

--- a/packages/forwarding/src/trestlestall/forwarding/budgets.py
+++ b/packages/forwarding/src/trestlestall/forwarding/budgets.py
@@ -60,8 +60,8 @@
 #: virtual time (``tests/fleet.py``) check that the bound holds; their figures are in
 #: docs/incidents/respent.md and docs/incidents/unread-counts.md.
 SHARES = {Coverage.COMPLETE: 0.77, Coverage.PARTIAL: 0.1, Coverage.ALONE: 0.08}
-#: The share of the bound that all directories together may grant before a majority has
-#: acknowledged it, each an equal part. An acknowledgement takes milliseconds.
+#: The share of the bound that all others may have granted unseen, each an equal part,
+#: as no majority has acknowledged it yet. An acknowledgement takes milliseconds.
 UNACKNOWLEDGED_SHARE = 0.05
 
 
@@ -236,8 +236,8 @@
         if retries + 1 > limit:
             return Verdict.DENIED
         if coverage is Coverage.COMPLETE:
-            unacknowledged = UNACKNOWLEDGED_SHARE * limit / voters.count
-            if self._count_unacknowledged(voters) > unacknowledged:
+            unseen_by_others = UNACKNOWLEDGED_SHARE * limit / max(1, len(voters.others))
+            if self._count_unacknowledged(voters) > unseen_by_others:
                 return Verdict.LATER
         return Verdict.GRANTED
 
