What may be granted unseen is counted by the ratio's part and by the slack

Only what other directories grant is unseen to one. What the shares leave for that is 0.05 of the ratio's part (0.77, 0.1 and 0.08 are taken) and 0.23 of the slack, which the two smaller shares don't use.

--- a/packages/forwarding/src/trestlestall/forwarding/budgets.py
+++ b/packages/forwarding/src/trestlestall/forwarding/budgets.py
@@ -53,16 +53,18 @@
     LATER = enum.auto()
 
 
-#: The share of the bound that each coverage may consume. With ``UNACKNOWLEDGED_SHARE``
-#: they add up to 1: within one window a directory may consume its share, another one
-#: may replace it, and processes may go on alone. Each request is counted at one place,
-#: so neither a second kill nor a third gains anything. Random schedules of a fleet in
-#: virtual time (``tests/fleet.py``) check that the bound holds; their figures are in
-#: docs/incidents/respent.md and docs/incidents/unread-counts.md.
+#: The share of the bound that each coverage may consume. With what others may grant
+#: unseen they add up to 1, for the ratio's part and for the slack: within one window a
+#: directory may consume its share, another one may replace it, and processes may go on
+#: alone. Each request is counted at one place, so neither a second kill nor a third
+#: gains anything. Random schedules of a fleet in virtual time (``tests/fleet.py``)
+#: check that the bound holds; figures: docs/incidents/unread-counts.md.
 SHARES = {Coverage.COMPLETE: 0.77, Coverage.PARTIAL: 0.1, Coverage.ALONE: 0.08}
-#: The share of the bound that all others may have granted unseen, each an equal part,
-#: as no majority has acknowledged it yet. An acknowledgement takes milliseconds.
+#: The share of the ratio's part that all other directories may have granted unseen,
+#: each an equal part, as no majority has acknowledged it yet.
 UNACKNOWLEDGED_SHARE = 0.05
+#: The same of the slack, which only directories with complete coverage use.
+UNACKNOWLEDGED_SLACK_SHARE = 0.23
 
 
 @dataclasses.dataclass(frozen=True)
@@ -81,6 +83,11 @@
         slack = self.slack if coverage is Coverage.COMPLETE else 0.0
         return SHARES[coverage] * (self.ratio * requests + slack)
 
+    def find_unseen(self, requests: int) -> float:
+        """Return how many retries of all other directories may be unknown to one."""
+        by_ratio = UNACKNOWLEDGED_SHARE * self.ratio * requests
+        return by_ratio + UNACKNOWLEDGED_SLACK_SHARE * self.slack
+
 
 @dataclasses.dataclass(frozen=True)
 class Voters:
@@ -236,8 +243,8 @@
         if retries + 1 > limit:
             return Verdict.DENIED
         if coverage is Coverage.COMPLETE:
-            unseen_by_others = UNACKNOWLEDGED_SHARE * limit / max(1, len(voters.others))
-            if self._count_unacknowledged(voters) > unseen_by_others:
+            unseen = bound.find_unseen(requests) / max(1, len(voters.others))
+            if self._count_unacknowledged(voters) > unseen:
                 return Verdict.LATER
         return Verdict.GRANTED
 
