--- a/review/4/case.py
+++ b/review/4/case.py
@@ -12,8 +12,8 @@
 
 #: ``catch_up_s`` of the site, with a margin in favour of the system.
 CATCH_UP_SECONDS = 4.5
-#: How long core-1 has been gone when the disk is lost.
-GONE_SECONDS = 1.0
+#: How long core-1 has been gone when the disk is lost: over ``contact_ms``.
+GONE_SECONDS = 3.1
 #: How long the operator reads back: many times ``contact_ms``, and ``recovery_s``.
 READ_SECONDS = 25.0
 
