Review case 6: a runner that left gets requests after a herd kill and a late heartbeat

Here one disruption is enough: the core and a front are killed at once, and the runner's last heartbeat, sent before its leave, arrives late.

--- a/review/fleet.py
+++ b/review/fleet.py
@@ -383,6 +383,10 @@
         for task in list(self._tasks):
             task.cancel()
 
+    def stop_announcing(self):
+        """Send no more heartbeats."""
+        self._beats.cancel()
+
     async def announce(self):
         """Send one heartbeat to the first core machine that takes it."""
         self.sequence += 1
