Log who votes in an election, and which one finds no quorum

TS4018 election_undecided has the votes granted and denied and the voters; alike ones in a row are logged at the first, second, fourth and so on, so hours write few lines. TS4002 leader_elected has the votes granted.

--- a/packages/agreement/src/trestlestall/agreement/actions.py
+++ b/packages/agreement/src/trestlestall/agreement/actions.py
@@ -116,9 +116,20 @@
 
 @dataclasses.dataclass(frozen=True)
 class BecameLeader:
-    """The node won the election of ``term``."""
+    """The node won the election of ``term`` by the votes ``granted``."""
 
     term: int
+    granted: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True)
+class ElectionUndecided:
+    """An election ended without a quorum of ``voters``; the rest did not respond."""
+
+    term: int
+    granted: tuple[str, ...]
+    denied: tuple[str, ...]
+    voters: tuple[str, ...]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -146,6 +157,7 @@
     | ReadReady
     | ReadRefused
     | BecameLeader
+    | ElectionUndecided
     | Deposed
     | TimingAdapted
 )
--- a/packages/agreement/src/trestlestall/agreement/election.py
+++ b/packages/agreement/src/trestlestall/agreement/election.py
@@ -1,6 +1,7 @@
 """Leader election: a pre-vote, then the vote; each needs a majority of the voters."""
 
 from trestlestall.agreement import (
+    actions,
     handlers,
     leadership,
     messages,
@@ -19,9 +20,22 @@
         state.leader = None
         roles.reset_election_deadline(state)
         return
+    if state.role in (Role.PRE_CANDIDATE, Role.CANDIDATE):
+        report_undecided(state)
     start_pre_vote(state)
 
 
+def report_undecided(state: state_module.State) -> None:
+    """Report who voted in an election that found no quorum."""
+    action = actions.ElectionUndecided(
+        state.term,
+        tuple(sorted(state.votes_granted)),
+        tuple(sorted(state.votes_denied)),
+        state.log.voters,
+    )
+    state.emit(action)
+
+
 def start_pre_vote(state: state_module.State) -> None:
     """Query whether an election could be won, without incrementing the term."""
     roles.become_follower(state, state.term)
@@ -133,6 +147,8 @@
             count_grant(state, sender)
     elif response.term > state.term:
         roles.become_follower(state, response.term)
+    elif state.role is Role.PRE_CANDIDATE:
+        state.votes_denied.add(sender)
 
 
 @handlers.MESSAGES.register(messages.VoteResponse)
@@ -144,6 +160,8 @@
         return
     if response.term > state.term:
         roles.become_follower(state, response.term)
-    elif response.granted and response.term == state.term:
-        if state.role is Role.CANDIDATE:
+    elif response.term == state.term and state.role is Role.CANDIDATE:
+        if response.granted:
             count_grant(state, sender)
+        else:
+            state.votes_denied.add(sender)
--- a/packages/agreement/src/trestlestall/agreement/leadership.py
+++ b/packages/agreement/src/trestlestall/agreement/leadership.py
@@ -29,7 +29,8 @@
         payload = entries_module.encode_voters(state.log.voters)
         append(state, entries_module.VOTERS, payload)
     append(state, entries_module.NO_OP, b"")
-    state.emit(actions.BecameLeader(state.term))
+    granted = tuple(sorted(state.votes_granted))
+    state.emit(actions.BecameLeader(state.term, granted))
 
 
 def append(state: state_module.State, kind: str, payload: bytes) -> int:
--- a/packages/agreement/src/trestlestall/agreement/roles.py
+++ b/packages/agreement/src/trestlestall/agreement/roles.py
@@ -29,6 +29,7 @@
     state.role = Role.FOLLOWER
     state.leader = leader
     state.votes_granted = set()
+    state.votes_denied = set()
     reset_election_deadline(state)
 
 
--- a/packages/agreement/src/trestlestall/agreement/state.py
+++ b/packages/agreement/src/trestlestall/agreement/state.py
@@ -123,6 +123,7 @@
     last_leader_contact: float | None = None
     election_deadline: float = 0.0
     votes_granted: set[str] = dataclasses.field(default_factory=set)
+    votes_denied: set[str] = dataclasses.field(default_factory=set)
     leader_state: LeaderState | None = None
     incoming_snapshot: IncomingSnapshot | None = None
     vote_unsaved: bool = False
--- a/packages/daemon/src/trestlestall/daemon/control/reports.py
+++ b/packages/daemon/src/trestlestall/daemon/control/reports.py
@@ -79,11 +79,38 @@
     )
 
 
+class UndecidedElections:
+    """Logs elections without a quorum, so that hours of them write few lines.
+
+    Of alike ones in a row the first, second, fourth, eighth and so on are logged.
+    """
+
+    def __init__(self, log: logs.Log) -> None:
+        self._log = log
+        self._latest: actions.ElectionUndecided | None = None
+        self._count = 0
+
+    def record(self, action: actions.ElectionUndecided) -> None:
+        """Count an election, and log it if that is due."""
+        self._count = self._count + 1 if action == self._latest else 1
+        self._latest = action
+        if self._count & (self._count - 1) == 0:
+            self._log.write(
+                events.agreement.ELECTION_UNDECIDED,
+                term=action.term,
+                granted=list(action.granted),
+                denied=list(action.denied),
+                voters=list(action.voters),
+                elections=self._count,
+            )
+
+
 class Reporter:
     """Writes log lines on changes of the replicated state and its voters."""
 
     def __init__(self, log: logs.Log):
         self._log = log
+        self._undecided = UndecidedElections(log)
         self._voters: tuple[str, ...] = ()
         self._version = 0
         self._lagging_routers: set[str] = set()
@@ -95,7 +122,10 @@
     def log_action(self, action: actions.Action, voter: voters.Voter | None) -> None:
         """Log changes of leadership, and snapshots."""
         if isinstance(action, actions.BecameLeader):
-            self._log.write(events.agreement.ELECTED, term=action.term)
+            granted = list(action.granted)
+            self._log.write(events.agreement.ELECTED, term=action.term, granted=granted)
+        elif isinstance(action, actions.ElectionUndecided):
+            self._undecided.record(action)
         elif isinstance(action, actions.Deposed):
             self._log.write(events.agreement.DEPOSED, term=action.term)
         elif isinstance(action, actions.TimingAdapted):
--- a/packages/daemon/src/trestlestall/daemon/directory/server.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/server.py
@@ -105,6 +105,7 @@
         self._inbox: collections.deque = collections.deque()
         self._results: list = []
         self.members = members.Members(log, env.clock.monotonic)
+        self._undecided = control_reports.UndecidedElections(log)
         self._founders = tuple(map(str, settings.directories))
         self._known_directories = set(self._founders)
         self._notices_sent_at = float("-inf")
@@ -431,7 +432,14 @@
         if isinstance(action, actions.BecameLeader):
             self.members.begin_leading()
             names = list(self.voter.node.voters)
-            self._log.write(events.agreement.ELECTED, term=action.term, voters=names)
+            self._log.write(
+                events.agreement.ELECTED,
+                term=action.term,
+                voters=names,
+                granted=list(action.granted),
+            )
+        elif isinstance(action, actions.ElectionUndecided):
+            self._undecided.record(action)
         elif isinstance(action, actions.Deposed):
             self.members.clear_change()
             self._log.write(events.agreement.DEPOSED, term=action.term)
--- a/packages/daemon/src/trestlestall/daemon/events/agreement.py
+++ b/packages/daemon/src/trestlestall/daemon/events/agreement.py
@@ -13,8 +13,8 @@
     "TS4002",
     "leader_elected",
     catalogue.Level.INFO,
-    "term voters",
-    "This control process became the leader.",
+    "term voters granted",
+    "This control process became the leader; granted has those that voted for it.",
 )
 DEPOSED = catalogue.declare(
     "TS4003",
@@ -132,3 +132,14 @@
     " stands for election; or its disk has become faster again.",
     "Find out what else writes to the disk.",
 )
+ELECTION_UNDECIDED = catalogue.declare(
+    "TS4018",
+    "election_undecided",
+    catalogue.Level.WARNING,
+    "term granted denied voters elections",
+    "This voter stood for election and got no quorum of the voters: those in neither"
+    " granted nor denied did not respond. It stands again after a timeout; elections"
+    " counts alike ones in a row, of which the first, second, fourth and so on are"
+    " logged.",
+    "When it repeats, start the silent voters, or look at the links to them.",
+)
