Half of an even number of voters decides if another one lost its disk

Cause: while a replacement lasts four directories vote, so three are needed. The one that left and the lost disk are two of the four; the two that are left elect nobody, and without a leader nothing can remove the two. election_undecided shows it: both votes granted, none denied, of four voters. Ruled out: differing logs (none denied).

Change: a host that runs with another disk says so in response to a message for the former one (DiskLost), and of four or more even voters half is a quorum if it excludes such a voter. Changes from an even number then need a quorum of the voters before and after, and halves count only once all voters are known to follow this (SETTLED entries, after SettleRequest, which earlier builds ignore).

--- a/packages/agreement/src/trestlestall/agreement/actions.py
+++ b/packages/agreement/src/trestlestall/agreement/actions.py
@@ -116,20 +116,36 @@
 
 @dataclasses.dataclass(frozen=True)
 class BecameLeader:
-    """The node won the election of ``term`` by the votes ``granted``."""
+    """The node won the election of ``term`` by the votes ``granted``.
+
+    ``excluded`` are the voters that were known to have lost their disks.
+    """
 
     term: int
     granted: tuple[str, ...] = ()
+    excluded: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
 class ElectionUndecided:
-    """An election ended without a quorum of ``voters``; the rest did not respond."""
+    """An election ended without a quorum; the other voters did not respond.
+
+    ``excluded`` are the voters that were known to have lost their disks. A quorum was
+    needed of each of the ``configurations``.
+    """
 
     term: int
     granted: tuple[str, ...]
     denied: tuple[str, ...]
-    voters: tuple[str, ...]
+    excluded: tuple[str, ...]
+    configurations: tuple[tuple[str, ...], ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class VoterLost:
+    """The voter is known to have lost its disk."""
+
+    voter: str
 
 
 @dataclasses.dataclass(frozen=True)
@@ -158,6 +174,7 @@
     | ReadRefused
     | BecameLeader
     | ElectionUndecided
+    | VoterLost
     | Deposed
     | TimingAdapted
 )
--- a/packages/agreement/src/trestlestall/agreement/commitment.py
+++ b/packages/agreement/src/trestlestall/agreement/commitment.py
@@ -1,22 +1,23 @@
 """Advancing the commit index and applying committed entries."""
 
-from trestlestall.agreement import actions, state as state_module
+from trestlestall.agreement import actions, quorums, state as state_module
 
 
 def find_committable(state: state_module.State) -> int:
-    """Return the largest index that is durable on a majority of the voters."""
-    matches = []
-    for name in state.log.voters:
-        if name == state.voter:
-            matches.append(state.log.last_index)
-        else:
-            matches.append(state.leader_state.progress[name].match_index)
-    matches.sort(reverse=True)
-    return matches[len(matches) // 2]
+    """Return the largest index that is durable on a quorum."""
+    matches = {
+        name: peer.match_index for name, peer in state.leader_state.progress.items()
+    }
+    matches[state.voter] = state.log.last_index
+    for index in sorted(set(matches.values()), reverse=True):
+        names = {name for name, match in matches.items() if match >= index}
+        if quorums.has_quorum(state, names):
+            return index
+    return 0
 
 
 def advance_commit(state: state_module.State) -> None:
-    """Commit entries stored on a majority, if the last one is of this term."""
+    """Commit entries stored on a quorum, if the last one is of this term."""
     leader_state = state.leader_state
     index = find_committable(state)
     if index <= state.commit or index < leader_state.first_index:
--- a/packages/agreement/src/trestlestall/agreement/election.py
+++ b/packages/agreement/src/trestlestall/agreement/election.py
@@ -1,10 +1,11 @@
-"""Leader election: a pre-vote, then the vote; each needs a majority of the voters."""
+"""Leader election: a pre-vote, then the vote; each needs a quorum of the voters."""
 
 from trestlestall.agreement import (
     actions,
     handlers,
     leadership,
     messages,
+    quorums,
     roles,
     state as state_module,
 )
@@ -26,12 +27,14 @@
 
 
 def report_undecided(state: state_module.State) -> None:
-    """Report who voted in an election that found no quorum."""
+    """Report who voted in an election that found no quorum, and which one it needed."""
+    configurations = quorums.list_configurations(state)
     action = actions.ElectionUndecided(
         state.term,
         tuple(sorted(state.votes_granted)),
         tuple(sorted(state.votes_denied)),
-        state.log.voters,
+        tuple(sorted(state.excluded_voters)),
+        tuple(configuration.voters for configuration in configurations),
     )
     state.emit(action)
 
@@ -40,6 +43,7 @@
     """Query whether an election could be won, without incrementing the term."""
     roles.become_follower(state, state.term)
     state.role = Role.PRE_CANDIDATE
+    state.excluded_voters = frozenset(state.lost_voters)
     request = messages.PreVoteRequest(
         state.term + 1, state.log.last_index, state.log.last_term
     )
@@ -54,6 +58,7 @@
     """Increment the term, vote for itself and request votes by messages of the kind."""
     roles.become_follower(state, state.term + 1)
     state.role = Role.CANDIDATE
+    state.excluded_voters = frozenset(state.lost_voters)
     state.set_vote(state.term, state.voter)
     request = kind(state.term, state.log.last_index, state.log.last_term)
     request_votes(state, request)
@@ -62,7 +67,7 @@
 
 def request_votes(state: state_module.State, request: messages.Message) -> None:
     """Send the request to all other voters."""
-    for name in state.log.voters:
+    for name in quorums.list_electorate(state):
         if name != state.voter:
             state.send(name, request)
 
@@ -70,7 +75,7 @@
 def count_grant(state: state_module.State, voter: str) -> None:
     """Count a granted (pre-)vote; with a quorum, start the election or lead."""
     state.votes_granted.add(voter)
-    if not state.has_quorum(state.votes_granted):
+    if not quorums.has_quorum(state, state.votes_granted):
         return
     if state.role is Role.PRE_CANDIDATE:
         start_election(state, messages.VoteRequest)
@@ -140,7 +145,7 @@
     state: state_module.State, sender: str, response: messages.PreVoteResponse
 ) -> None:
     """Count a grant for the next term; adopt a later term from a denial."""
-    if sender not in state.log.voters:
+    if sender not in quorums.list_electorate(state):
         return
     if response.granted:
         if state.role is Role.PRE_CANDIDATE and response.term == state.term + 1:
@@ -156,7 +161,7 @@
     state: state_module.State, sender: str, response: messages.VoteResponse
 ) -> None:
     """Count a vote of this term, or adopt a later term."""
-    if sender not in state.log.voters:
+    if sender not in quorums.list_electorate(state):
         return
     if response.term > state.term:
         roles.become_follower(state, response.term)
--- a/packages/agreement/src/trestlestall/agreement/entries.py
+++ b/packages/agreement/src/trestlestall/agreement/entries.py
@@ -6,6 +6,7 @@
 COMMAND = "command"
 NO_OP = "no_op"
 VOTERS = "voters"
+SETTLED = "settled"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -13,8 +14,8 @@
     """One entry of the log.
 
     ``kind`` is ``COMMAND`` (the payload is the caller's), ``NO_OP`` (empty, appended
-    by each new leader) or ``VOTERS`` (the payload lists the group's voters, effective
-    from this entry on).
+    by each new leader), ``VOTERS`` (the payload lists the group's voters, effective
+    from this entry on) or ``SETTLED`` (empty; see ``settlement``).
     """
 
     index: int
--- a/packages/agreement/src/trestlestall/agreement/leadership.py
+++ b/packages/agreement/src/trestlestall/agreement/leadership.py
@@ -4,6 +4,7 @@
     actions,
     entries as entries_module,
     progress as progress_module,
+    quorums,
     roles,
     state as state_module,
 )
@@ -22,7 +23,7 @@
     state.leader = state.voter
     state.has_known_leader = True
     state.leader_state = state_module.LeaderState(state.log.last_index + 1, state.now)
-    for name in state.log.voters:
+    for name in quorums.list_electorate(state):
         if name != state.voter:
             track_peer(state, name)
     if state.log.voters_index == 0:
@@ -30,7 +31,8 @@
         append(state, entries_module.VOTERS, payload)
     append(state, entries_module.NO_OP, b"")
     granted = tuple(sorted(state.votes_granted))
-    state.emit(actions.BecameLeader(state.term, granted))
+    excluded = tuple(sorted(state.excluded_voters))
+    state.emit(actions.BecameLeader(state.term, granted, excluded))
 
 
 def append(state: state_module.State, kind: str, payload: bytes) -> int:
@@ -49,11 +51,11 @@
 
 
 def check_quorum(state: state_module.State) -> None:
-    """Step down without contact with a majority within the election timeout."""
+    """Step down without contact with a quorum within the election timeout."""
     since = state.now - state.timing.election
     progress = state.leader_state.progress
     active = {name for name, peer in progress.items() if peer.last_contact >= since}
-    if not state.has_quorum(active | {state.voter}):
+    if not quorums.has_quorum(state, active | {state.voter}):
         roles.become_follower(state, state.term)
 
 
--- a/packages/agreement/src/trestlestall/agreement/log.py
+++ b/packages/agreement/src/trestlestall/agreement/log.py
@@ -7,10 +7,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class VotersAt:
-    """The voters as of the entry ``index``."""
+    """The voters as of the entry ``index``.
+
+    ``marks`` are the indexes of their ``SETTLED`` entries, but for those before a
+    snapshot that was installed or restored.
+    """
 
     index: int
     voters: tuple[str, ...]
+    marks: tuple[int, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -22,6 +27,12 @@
     entries: tuple[entries_module.Entry, ...]
 
 
+def cut_marks(point: VotersAt, index: int) -> VotersAt:
+    """Return the voters without the marks from the index on."""
+    kept = tuple(mark for mark in point.marks if mark < index)
+    return dataclasses.replace(point, marks=kept)
+
+
 class Log:
     """A snapshot and the entries after it.
 
@@ -60,15 +71,25 @@
         """Term of the last entry."""
         return self._entries[-1].term if self._entries else self.snapshot.term
 
+    @property
+    def configuration(self) -> VotersAt:
+        """The latest voters, committed or not."""
+        return self._voters[-1]
+
+    @property
+    def previous_configuration(self) -> VotersAt | None:
+        """The voters before the latest ones; None if a snapshot has replaced them."""
+        return self._voters[-2] if len(self._voters) > 1 else None
+
     @property
     def voters(self) -> tuple[str, ...]:
         """The latest voters, committed or not."""
-        return self._voters[-1].voters
+        return self.configuration.voters
 
     @property
     def voters_index(self) -> int:
         """Index of the entry that defined the latest voters."""
-        return self._voters[-1].index
+        return self.configuration.index
 
     def get_entry(self, index: int) -> entries_module.Entry:
         """Return the entry at the index, which must not be compacted."""
@@ -106,11 +127,16 @@
             if entry.kind == entries_module.VOTERS:
                 voters = entries_module.decode_voters(entry.payload)
                 self._voters.append(VotersAt(entry.index, voters))
+            elif entry.kind == entries_module.SETTLED:
+                marks = (*self.configuration.marks, entry.index)
+                self._voters[-1] = dataclasses.replace(self.configuration, marks=marks)
 
     def truncate(self, index: int) -> None:
         """Remove the entries from the index on."""
         del self._entries[index - self.first_index :]
-        self._voters = [point for point in self._voters if point.index < index]
+        self._voters = [
+            cut_marks(point, index) for point in self._voters if point.index < index
+        ]
         if index <= self._saved:
             self._truncate_from = min(index, self._truncate_from or index)
             self._saved = index - 1
@@ -122,7 +148,8 @@
             raise exceptions.MisuseError(f"entry {index} is not in the log")
         points = [point for point in self._voters if point.index <= index]
         snapshot = entries_module.Snapshot(index, term, points[-1].voters, state)
-        self._replace(snapshot, self._entries[index - self.first_index + 1 :])
+        tail = self._entries[index - self.first_index + 1 :]
+        self._replace(snapshot, tail, points[-1].marks)
 
     def install(self, snapshot: entries_module.Snapshot) -> None:
         """Install a leader's snapshot; entries after it stay if they continue it."""
@@ -160,13 +187,19 @@
         return unsaved
 
     def _replace(
-        self, snapshot: entries_module.Snapshot, tail: list[entries_module.Entry]
+        self,
+        snapshot: entries_module.Snapshot,
+        tail: list[entries_module.Entry],
+        marks: tuple[int, ...] = (),
     ) -> None:
-        """Replace the entire log by the snapshot and the entries after it."""
+        """Replace the entire log by the snapshot and the entries after it.
+
+        ``marks`` are those of the snapshot's voters.
+        """
         kept = [point for point in self._voters if point.index > snapshot.index]
         self.snapshot = snapshot
         self._entries = tail
-        self._voters = [VotersAt(snapshot.index, snapshot.voters)]
+        self._voters = [VotersAt(snapshot.index, snapshot.voters, marks)]
         if tail:
             self._voters += kept
         self._saved = self.last_index
--- a/packages/agreement/src/trestlestall/agreement/messages.py
+++ b/packages/agreement/src/trestlestall/agreement/messages.py
@@ -136,6 +136,40 @@
     round: int
 
 
+@KINDS.register("settle_request")
+@dataclasses.dataclass(frozen=True)
+class SettleRequest:
+    """Query whether the receiver follows the rules of ``quorums``.
+
+    ``index`` is that of the latest voters. A node whose version lacks the message
+    ignores it, and the voters remain unsettled.
+    """
+
+    term: int
+    index: int
+
+
+@KINDS.register("settle_response")
+@dataclasses.dataclass(frozen=True)
+class SettleResponse:
+    """Confirmation that the sender follows the rules of ``quorums``."""
+
+    term: int
+    index: int
+
+
+@KINDS.register("disk_lost")
+@dataclasses.dataclass(frozen=True)
+class DiskLost:
+    """The sender runs on the host of ``voter``, with another disk.
+
+    It is the response to a message that was addressed to ``voter``, which therefore
+    never votes or responds again. The caller checks that the host is the same.
+    """
+
+    voter: str
+
+
 Message = (
     PreVoteRequest
     | PreVoteResponse
@@ -147,4 +181,7 @@
     | AppendResponse
     | InstallRequest
     | InstallResponse
+    | SettleRequest
+    | SettleResponse
+    | DiskLost
 )
--- a/packages/agreement/src/trestlestall/agreement/node.py
+++ b/packages/agreement/src/trestlestall/agreement/node.py
@@ -20,6 +20,7 @@
     reads,
     replication,
     roles,
+    settlement,
     snapshot_transfers,
     snapshots,
     state as state_module,
@@ -35,6 +36,7 @@
     proposals,
     reads,
     replication,
+    settlement,
     snapshots,
     snapshot_transfers,
 )
@@ -186,6 +188,8 @@
     if state.leader_state is not None:
         commitment.advance_commit(state)
         membership.advance_change(state)
+    if state.leader_state is not None:
+        settlement.advance_settling(state)
     if state.leader_state is not None:
         reads.answer_reads(state)
         handover.advance_handover(state)
--- a/packages/agreement/src/trestlestall/agreement/reads.py
+++ b/packages/agreement/src/trestlestall/agreement/reads.py
@@ -3,13 +3,14 @@
 The read index is the larger of the commit index when the read was requested and the
 index of the leader's no-op entry: every entry committed before then is at or below it,
 provided that the leader had not been deposed by then. The proof of that is a heartbeat
-round that began after the read was requested and that a majority answered in this term.
+round that began after the read was requested and that a quorum answered in this term.
 """
 
 from trestlestall.agreement import (
     actions,
     events,
     handlers,
+    quorums,
     state as state_module,
 )
 
@@ -39,8 +40,8 @@
 
 
 def is_ready(state: state_module.State, pending: state_module.PendingRead) -> bool:
-    """Return whether a majority confirmed the round and the index is applied."""
+    """Return whether a quorum confirmed the round and the index is applied."""
     progress = state.leader_state.progress
     answered = {name for name, peer in progress.items() if peer.round >= pending.round}
     answered.add(state.voter)
-    return state.commit >= pending.index and state.has_quorum(answered)
+    return state.commit >= pending.index and quorums.has_quorum(state, answered)
--- a/packages/agreement/src/trestlestall/agreement/state.py
+++ b/packages/agreement/src/trestlestall/agreement/state.py
@@ -52,6 +52,19 @@
     index: int | None = None
 
 
+@dataclasses.dataclass
+class Settling:
+    """The settlement in progress of the voters as of the entry ``index``.
+
+    ``confirmed`` are the voters known to follow the rules of ``quorums``;
+    ``asked_round`` is the latest round in which the others were asked.
+    """
+
+    index: int
+    asked_round: int = -1
+    confirmed: set[str] = dataclasses.field(default_factory=set)
+
+
 @dataclasses.dataclass
 class Handover:
     """A leadership transfer in progress since the time ``since``.
@@ -85,6 +98,7 @@
     round: int = 0
     round_requested: bool = False
     change: Change | None = None
+    settling: Settling | None = None
     handover: Handover | None = None
 
 
@@ -107,6 +121,8 @@
 
     ``voter`` is the node's own name. ``has_known_leader`` is whether any leader has
     been known since the start. ``leader_state`` is None unless the node leads.
+    ``lost_voters`` are those known to have lost their disks, and ``excluded_voters``
+    the ones of them that were known when the node's latest election began.
     """
 
     voter: str
@@ -124,6 +140,8 @@
     election_deadline: float = 0.0
     votes_granted: set[str] = dataclasses.field(default_factory=set)
     votes_denied: set[str] = dataclasses.field(default_factory=set)
+    lost_voters: set[str] = dataclasses.field(default_factory=set)
+    excluded_voters: frozenset[str] = frozenset()
     leader_state: LeaderState | None = None
     incoming_snapshot: IncomingSnapshot | None = None
     vote_unsaved: bool = False
@@ -157,14 +175,6 @@
         """Emit an action that sends the message."""
         self.emit(actions.Send(to, message))
 
-    def has_quorum(self, names: set[str]) -> bool:
-        """Return whether the names include a majority of the latest voters.
-
-        Names that are not voters don't count.
-        """
-        voters = self.log.voters
-        return sum(name in names for name in voters) > len(voters) // 2
-
     def drain_actions(self) -> list[actions.Action]:
         """Return and clear the pending actions, those that persist first."""
         emitted = self._drain_persists()
--- a/packages/agreement/tests/group.py
+++ b/packages/agreement/tests/group.py
@@ -10,6 +10,7 @@
     entries,
     events,
     log,
+    messages,
     node as node_module,
     state,
     timing,
@@ -60,7 +61,13 @@
 
     def get_voters(self):
         """Return the voters in the latest configuration on the host's disk."""
-        return log.Log(self.voters, self.disk.snapshot, self.disk.entries).voters
+        return self.list_configurations()[-1].voters
+
+    def list_configurations(self):
+        """Return the latest two configurations on the host's disk, or the only one."""
+        kept = log.Log(self.voters, self.disk.snapshot, self.disk.entries)
+        before, latest = kept.previous_configuration, kept.configuration
+        return [latest] if before is None else [before, latest]
 
     def persist_to_disk(self, action):
         """Execute a ``Persist`` or a ``PersistSnapshot``."""
@@ -146,6 +153,8 @@
         self.checks.count(type(action).__name__)
         if isinstance(action, actions.BecameLeader):
             self.checks.check_leader(host, action.term)
+            if 2 * len(action.granted) <= len(host.node.voters):
+                self.checks.count("elected by a half")
         elif isinstance(action, actions.Proposed):
             self.checks.check_outcome(host, action)
             self.answers[action.token] = action.outcome
@@ -192,13 +201,23 @@
             self.queue.remove(item)
             _, sender, to, message = item
             host = self.hosts.get(to)
-            if host is None or host.node is None or self.is_partitioned(sender, to):
+            if self.is_partitioned(sender, to):
+                continue
+            if host is None or host.node is None:
+                self.report_lost_disk(sender, to)
                 continue
             if host.frozen:
                 host.inbox.append(events.Receive(sender, message))
             else:
                 self.step(to, events.Receive(sender, message))
 
+    def report_lost_disk(self, sender, to):
+        """Let the host respond to a message for its former disk, if it is back."""
+        prefix = to.partition("#")[0] + "#"
+        newer = [name for name in self.hosts if name.startswith(prefix) and name > to]
+        if newer and self.hosts[newer[-1]].runs:
+            self.send(newer[-1], actions.Send(sender, messages.DiskLost(to)))
+
     def run(self, seconds, only=None, dt=0.1):
         """Advance the time: tick the running hosts and deliver messages."""
         end = self.now + seconds
--- a/packages/agreement/tests/test_documents.py
+++ b/packages/agreement/tests/test_documents.py
@@ -21,6 +21,9 @@
     messages.AppendResponse(2, False, 4, 9, prev_index=6, hint_term=1),
     messages.InstallRequest(2, 7, 2, ("a#1", "b#2"), 5, 0, b"state", 9),
     messages.InstallResponse(2, 7, 5, 9),
+    messages.SettleRequest(3, 7),
+    messages.SettleResponse(3, 7),
+    messages.DiskLost("a#1"),
 )
 
 
--- a/packages/daemon/src/trestlestall/daemon/control/arrivals.py
+++ b/packages/daemon/src/trestlestall/daemon/control/arrivals.py
@@ -54,7 +54,10 @@
 def handle_agreement(
     server: servers.Server, peer: str, message: messages.Agreement
 ) -> None:
-    """Record a group notice, or enqueue a message to this disk's voter."""
+    """Record a group notice, or enqueue a message to this disk's voter.
+
+    The sender of a message to a former disk is told that it is lost.
+    """
     received = envelopes.unwrap(peer, message)
     if received is None:
         return
@@ -63,6 +66,8 @@
             server.record_notice(peer, received.message)
     elif received.to == server.own:
         server.enqueue_event(events.Receive(received.sender, received.message))
+    else:
+        server.report_lost_disk(received)
 
 
 @handles(messages.Submit)
--- a/packages/daemon/src/trestlestall/daemon/control/reports.py
+++ b/packages/daemon/src/trestlestall/daemon/control/reports.py
@@ -100,7 +100,8 @@
                 term=action.term,
                 granted=list(action.granted),
                 denied=list(action.denied),
-                voters=list(action.voters),
+                excluded=list(action.excluded),
+                voters=[list(voters) for voters in action.configurations],
                 elections=self._count,
             )
 
@@ -123,7 +124,14 @@
         """Log changes of leadership, and snapshots."""
         if isinstance(action, actions.BecameLeader):
             granted = list(action.granted)
-            self._log.write(events.agreement.ELECTED, term=action.term, granted=granted)
+            self._log.write(
+                events.agreement.ELECTED,
+                term=action.term,
+                granted=granted,
+                excluded=list(action.excluded),
+            )
+        elif isinstance(action, actions.VoterLost):
+            self._log.write(events.agreement.DISK_LOST, voter=action.voter)
         elif isinstance(action, actions.ElectionUndecided):
             self._undecided.record(action)
         elif isinstance(action, actions.Deposed):
--- a/packages/daemon/src/trestlestall/daemon/control/server.py
+++ b/packages/daemon/src/trestlestall/daemon/control/server.py
@@ -135,6 +135,12 @@
         if self.voter is not None:
             self._inbox.append(event)
 
+    def report_lost_disk(self, received: envelopes.VoterMessage) -> None:
+        """Respond to a message that was for a former disk of this host."""
+        lost = envelopes.find_lost_disk(self.own, received)
+        if lost is not None:
+            self._send(received.sender, lost)
+
     def handle_reply(self, token: int, peer: str, document: Document) -> None:
         """Handle the leader's reply to a forwarded call."""
         now = self._env.clock.monotonic()
--- a/packages/daemon/src/trestlestall/daemon/control/voter.py
+++ b/packages/daemon/src/trestlestall/daemon/control/voter.py
@@ -218,6 +218,7 @@
 
 @handles(actions.BecameLeader)
 @handles(actions.ElectionUndecided)
+@handles(actions.VoterLost)
 @handles(actions.Deposed)
 @handles(actions.TimingAdapted)
 def notify_change(voter: Voter, action: actions.Action) -> None:
--- a/packages/daemon/src/trestlestall/daemon/directory/arrivals.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/arrivals.py
@@ -52,7 +52,10 @@
 def handle_agreement(
     server: servers.Server, peer: str, message: messages.Agreement
 ) -> None:
-    """Handle a group notice, or enqueue a message to this disk's voter."""
+    """Handle a group notice, or enqueue a message to this disk's voter.
+
+    The sender of a message to a former disk is told that it is lost.
+    """
     opened = envelopes.unwrap(peer, message)
     if opened is None:
         return
@@ -61,6 +64,8 @@
             server.members.record_notice(peer, opened.message)
     elif opened.to == server.own:
         server.enqueue_event(agreement_events.Receive(opened.sender, opened.message))
+    else:
+        server.report_lost_disk(opened)
 
 
 @handles(messages.Submit)
--- a/packages/daemon/src/trestlestall/daemon/directory/server.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/server.py
@@ -262,6 +262,14 @@
             self._inbox.append(event)
             self._wake()
 
+    def report_lost_disk(self, received: envelopes.VoterMessage) -> None:
+        """Respond to a message that was for a former disk of this host."""
+        if self._journal is None:
+            return
+        lost = envelopes.find_lost_disk(self.own, received)
+        if lost is not None:
+            self._send(received.sender, lost)
+
     def handle_message(self, peer: str, message: typing.Any) -> None:
         """Handle a message from a link."""
         if arrivals.handle(self, peer, message):
@@ -437,7 +445,10 @@
                 term=action.term,
                 voters=names,
                 granted=list(action.granted),
+                excluded=list(action.excluded),
             )
+        elif isinstance(action, actions.VoterLost):
+            self._log.write(events.agreement.DISK_LOST, voter=action.voter)
         elif isinstance(action, actions.ElectionUndecided):
             self._undecided.record(action)
         elif isinstance(action, actions.Deposed):
--- a/packages/daemon/src/trestlestall/daemon/directory/voter_changes.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/voter_changes.py
@@ -109,12 +109,23 @@
     observations: abc.Mapping[str, Observation],
     change: Change,
 ) -> bool:
-    """Return whether the linked voters are a majority of those after the change."""
+    """Return whether the linked voters can commit the change.
+
+    They have to be a majority of the voters after it. The change of an even number may
+    also need a majority of the voters before it, or half of them if one has another
+    disk (see ``agreement.quorums``).
+    """
     after = {*voters, change.add} - {change.remove, None}
     linked = {
         observation.voter for observation in observations.values() if observation.linked
     }
-    return len(after & {own, *linked}) > len(after) // 2
+    linked.add(own)
+    if len(after & linked) <= len(after) // 2:
+        return False
+    if len(voters) % 2:
+        return True
+    is_replaced = find_replaced(own, voters, observations) is not None
+    return len(linked & {*voters}) + is_replaced > len(voters) // 2
 
 
 def find_removal(
--- a/packages/daemon/src/trestlestall/daemon/events/agreement.py
+++ b/packages/daemon/src/trestlestall/daemon/events/agreement.py
@@ -13,8 +13,9 @@
     "TS4002",
     "leader_elected",
     catalogue.Level.INFO,
-    "term voters granted",
-    "This control process became the leader; granted has those that voted for it.",
+    "term voters granted excluded",
+    "This control process became the leader; granted has those that voted for it,"
+    " excluded the voters that had lost their disks.",
 )
 DEPOSED = catalogue.declare(
     "TS4003",
@@ -136,10 +137,19 @@
     "TS4018",
     "election_undecided",
     catalogue.Level.WARNING,
-    "term granted denied voters elections",
-    "This voter stood for election and got no quorum of the voters: those in neither"
-    " granted nor denied did not respond. It stands again after a timeout; elections"
-    " counts alike ones in a row, of which the first, second, fourth and so on are"
-    " logged.",
+    "term granted denied excluded voters elections",
+    "This voter stood for election and got no quorum: those in neither granted nor"
+    " denied did not respond, and excluded have lost their disks. voters has the"
+    " voters before an uncommitted change and those after it, and a quorum of each is"
+    " needed. It stands again after a timeout; elections counts alike ones in a row,"
+    " of which the first, second, fourth and so on are logged.",
     "When it repeats, start the silent voters, or look at the links to them.",
 )
+DISK_LOST = catalogue.declare(
+    "TS4019",
+    "voter_disk_lost",
+    catalogue.Level.WARNING,
+    "voter",
+    "This voter's host runs with another disk, so this voter will never vote again.",
+    "With control processes, replace the voter; directories do so by themselves.",
+)
--- a/packages/daemon/tests/test_undecided.py
+++ b/packages/daemon/tests/test_undecided.py
@@ -22,7 +22,7 @@
     def test_hours_without_a_quorum_write_few_lines(self):
         lines = Lines()
         undecided = reports.UndecidedElections(lines)
-        same = actions.ElectionUndecided(2, ("c#1", "d#1"), (), VOTERS)
+        same = actions.ElectionUndecided(2, ("c#1", "d#1"), (), (), (VOTERS,))
         for _ in range(10_000):
             undecided.record(same)
         self.assertEqual(len(lines.fields), 14)
@@ -32,6 +32,6 @@
         lines = Lines()
         undecided = reports.UndecidedElections(lines)
         for granted in (("c#1",), ("c#1",), ("c#1",), ("c#1", "d#1")):
-            undecided.record(actions.ElectionUndecided(2, granted, (), VOTERS))
+            undecided.record(actions.ElectionUndecided(2, granted, (), (), (VOTERS,)))
         self.assertEqual([line["elections"] for line in lines.fields], [1, 2, 1])
         self.assertEqual(lines.fields[-1]["granted"], ["c#1", "d#1"])
