An unlinked voter of an even number is removed after 1 s

1 s, and 2.25 s at most until a silent link is closed, are less than the 4 s of catch_up_s. The removal can be in error for a restart of over 1 s: two entries, and the voter joins again 0.3 s after it is linked.

--- a/packages/daemon/src/trestlestall/daemon/directory/voter_changes.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/voter_changes.py
@@ -24,9 +24,10 @@
 #: Seconds without a link until a voter may be replaced by a waiting directory: longer
 #: than a process takes to restart.
 REPLACE_SECONDS = 2.0
-#: The same where no directory waits: the removal can wait for a short network
-#: partition to heal.
-REMOVE_SECONDS = 4.0
+#: The same for one of an even number where no directory waits: a restart may be over by
+#: then, and with the time until a silent link is closed it is less than a successor has
+#: to catch up, after which the one that is gone no longer counts as a loss.
+REMOVE_SECONDS = 1.0
 #: The same where two of an odd number of voters are unresponsive, which needs two
 #: removals: several times the duration of a partition or restart.
 REMOVE_TWO_SECONDS = 12.0
