A directory that leads hands over before it stops

Cause: the transfer is queued as an event, and the stop looked whether one is in progress before the first turn had handled it. An event that is queued now counts as work to be done. The control processes remember the request and were right.

--- a/packages/daemon/src/trestlestall/daemon/directory/server.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/server.py
@@ -206,10 +206,10 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether no call is open and no leadership handover is in progress."""
+        """Whether no call is open, no handover in progress and no event queued."""
         if self.voter is not None and self.voter.node.is_handing_over:
             return False
-        return not len(self._calls)
+        return not self._inbox and not len(self._calls)
 
     def _record_prefill(self, service: str, seconds: float) -> None:
         self.duties.demands.record_prefill(service, seconds)
--- a/packages/daemon/tests/test_replacement_schedules.py
+++ b/packages/daemon/tests/test_replacement_schedules.py
@@ -28,8 +28,8 @@
 GAPS = (0.0, 0.1, 0.1, 0.5, 1.0, 2.0, 3.1, 5.5)
 #: Seconds until a machine that was lost is back.
 AWAY = (0.3, 1.0, 1.0, 3.0)
-#: Seeds that failed in the past: a successor was added beside a voter that was gone, and
-#: of the four voters that one and a lost disk were two.
+#: Seeds that failed in the past: a successor was added beside a voter that was gone,
+#: and of the four voters that one and a lost disk were two.
 FAILED_SEEDS = (72, 285)
 LEAVES = ("stopped", "killed", "without power", "killed first")
 #: Seconds for which a link to a machine without power seems open.
--- a/tests/test_replaced_directories.py
+++ b/tests/test_replaced_directories.py
@@ -1,4 +1,4 @@
-"""A directory is replaced as planned, and then another one loses its disk."""
+"""Directories that are stopped or replaced, alone and before a disk is lost."""
 
 import concurrent.futures
 import dataclasses
@@ -101,5 +101,24 @@
         self.assertLess(max(taken), RECOVERY_SECONDS)
 
 
+class StoppedTest(unittest.TestCase):
+    def test_a_directory_that_leads_hands_over_before_it_stops(self):
+        """One that ends as the leader would not log ``leader_deposed``."""
+        with tempfile.TemporaryDirectory() as folder:
+            deployment = gateways.Deployment(folder, gateways=0)
+            self.addCleanup(deployment.stop_all)
+            deployment.start_all()
+            deployment.declare(gateways.make_document(1))
+            processes = [deployment.running[name] for name in deployment.names]
+            elected = "leader_elected"
+            gateways.wait_until(
+                lambda: any(elected in each.read_log() for each in processes), elected
+            )
+            leader = next(each for each in processes if elected in each.read_log())
+            leader.stop()
+            names = [line["name"] for line in leader.read_events()]
+            self.assertIn("leader_deposed", names[names.index("process_stopping") :])
+
+
 if __name__ == "__main__":
     unittest.main()
