A version that its upstreams replaced by another one counts as seen until then

Cause: the history of versions was written when a row changed, and when a directory was asked. The row of the next incarnation replaces the former one, which was dropped without being recorded, so at the directories that were left v1 was last seen when it had come, longer ago than streams may be taken up, and v2 was vouched for as the only version by a majority. Ruled out for these: a wrong record (stream_taken_up names the only version as its source).

Change: what is merged under an upstream's name first records the version that it had. As announcements reach all directories, each dates a version by its latest one.

--- a/packages/daemon/src/trestlestall/daemon/directory/registrations.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/registrations.py
@@ -79,7 +79,7 @@
         heard_at = self._clock()
         if not self._introduce(row):
             return False
-        merged = self.table.merge(row, self._clock())
+        merged = self._merge(row, self._clock())
         self.table.expire_tombstones(self._clock())
         if is_present:
             self._record_heard(row, heard_at)
@@ -96,6 +96,17 @@
         self._send_directories(announcements.encode((row,)))
         return True
 
+    def _merge(self, row: upstreams.Row, now: float) -> upstreams.Row | None:
+        """Merge a row into the table; return the result if it changed.
+
+        The version that the upstream had until now is recorded as seen: the row may be
+        of its next incarnation, and then replaces the one with that version.
+        """
+        known = self.table.find_latest(row.announced_name)
+        if known is not None and known.state is not upstreams.State.GONE:
+            self.history.record((known,), now)
+        return self.table.merge(row, now)
+
     def answer_heard(self, peer: str, call: stream_messages.HeardCall) -> None:
         """Tell a gateway when an upstream last announced itself here.
 
@@ -183,7 +194,7 @@
         """Merge another directory's rows, send gateways what is new, and confirm."""
         now = self._clock()
         rows = announcements.decode_rows(message.rows, self._log_refused_row)
-        merged = [one for row in rows if (one := self.table.merge(row, now))]
+        merged = [one for row in rows if (one := self._merge(row, now))]
         if merged:
             self._notify_gateways(merged)
         if message.token:
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -23,6 +23,8 @@
 
     upstreams = 6
     break_share = 0.0
+    #: Number of directories to which upstreams announce themselves.
+    announced_to = 3
 
     def setUp(self):
         self.stack = contextlib.ExitStack()
@@ -34,7 +36,8 @@
         self.stack.callback(self.system.stop_all)
         self.start()
         self.assertEqual(self.system.declare(versioned_streams.make_document()), 200)
-        self.ports = [self.system.ports[name] for name in self.system.names]
+        names = self.system.names[: self.announced_to]
+        self.ports = [self.system.ports[name] for name in names]
         self.made = [
             self.add(f"u{number}", VERSIONS[number % len(VERSIONS)])
             for number in range(self.upstreams)
@@ -352,13 +355,48 @@
         self.check_streams(least_taken_up=8)
 
     def test_callers_who_name_no_first_request_go_on_while_there_is_one_version(self):
-        make = self.callers.make_headers
-
-        def make_without(stream):
-            headers = make(stream)
-            headers.pop(versioned_streams.RESUMES, None)
-            return headers
-
-        self.callers.make_headers = make_without
+        self.callers.names_first = False
         self.callers.run(3.0, lambda: self.kill_gateways(*self.system.gateways[:2]))
         self.check_streams(least_taken_up=8)
+
+
+class AllRebornTest(VersionsCase):
+    """All upstreams start again as the next version, under the same identities."""
+
+    upstreams = 3
+    announced_to = 1
+    #: For how long streams may be taken up, and the first version has served longer.
+    kept_seconds = 7.0
+
+    def setUp(self):
+        super().setUp()
+        document = versioned_streams.make_document(6, whole_seconds=2.0)
+        self.assertEqual(self.system.declare(document), 200)
+        time.sleep(self.kept_seconds + 1.0)
+
+    def add(self, identity, version, **options):
+        version = VERSIONS["born" in options]
+        return super().add(identity, version, **options)
+
+    def replace_all(self):
+        """Lose all gateways and the directory that heard of the first version."""
+        time.sleep(1.5)
+        for name in (*self.system.gateways, self.system.names[0]):
+            self.system.running[name].kill()
+        self.ports = [self.system.ports[name] for name in self.system.names[1:]]
+        for old in self.made:
+            old.stop()
+            born = int(time.time() * 1000)
+            self.add(old.identity, old.version, port=old.port, born=born)
+        time.sleep(0.5)
+        for name in self.system.gateways:
+            self.system.start_gateway(name)
+
+    def test_no_stream_goes_on_at_the_next_version_after_all_gateways_were_lost(self):
+        """The directories that are left must not take it for the only one."""
+        self.callers.names_first = False
+        self.callers.run(4.0, self.replace_all)
+        taken_up = [one for one in self.callers.streams if one.list_takeups()]
+        self.assertGreater(len(taken_up), 10)
+        self.check_versions()
+        self.check_refusals()
--- a/tests/versioned_streams.py
+++ b/tests/versioned_streams.py
@@ -231,6 +231,7 @@
         self.numbers = itertools.count(1)
         self.threads = []
         self.draw = random.Random(65)
+        self.names_first = True
 
     def name_request(self):
         """Return a new request id."""
@@ -281,7 +282,8 @@
         if not stream.events:
             return {}
         number = str(stream.events[-1][0])
-        return {LAST_EVENT: number, RESUMES: stream.first_request}
+        named = {RESUMES: stream.first_request} if self.names_first else {}
+        return {LAST_EVENT: number, **named}
 
     def send(self, stream, name, **changes):
         """Send one try, and read events up to its end; return the try."""
