--- a/packages/daemon/src/trestlestall/daemon/directory/server.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/server.py
@@ -35,6 +35,7 @@
     links as directory_links,
     members,
     metrics as directory_metrics,
+    notices,
     part_quarantine,
     peer_registry,
     quarantine,
@@ -48,8 +49,6 @@
 from trestlestall.forwarding import budgets
 from trestlestall.wire import messages
 
-#: Seconds between two notices while some directory may not know the group.
-NOTICE_INTERVAL_SECONDS = 0.2
 #: Most turns of the voter in one turn of the server: results often cause new events.
 VOTER_ROUNDS_LIMIT = 8
 #: The largest document that operators send has 4 MiB, and hardly ever grows when
@@ -105,10 +104,10 @@
         self._inbox: collections.deque = collections.deque()
         self._results: list = []
         self.members = members.Members(log, env.clock.monotonic)
+        self._notices = notices.Notices(links, self.members, self._describe_notice)
         self._undecided = control_reports.UndecidedElections(log)
         self._founders = tuple(map(str, settings.directories))
         self._known_directories = set(self._founders)
-        self._notices_sent_at = float("-inf")
         self._broadcasts = broadcasts.Broadcasts(links, log)
         self.metrics = directory_metrics.Metrics()
         self.suspensions = suspensions.Monitor(log)
@@ -176,7 +175,7 @@
         """Start or continue from the state on the disk."""
         self.own = group.format_voter_name(self.links.own, identity)
         self._journal = journal
-        self._notices_sent_at = float("-inf")
+        self._notices.renew()
         if journal.group is not None:
             self._start_voter(journal.group)
         elif self._settings.founding:
@@ -309,7 +308,7 @@
         if self.links.is_directory(peer):
             self.add_directories((peer,))
             self.members.record_linked(peer)
-            self._send_notice(peer)
+            self._notices.send(peer)
             self.retry_budget.send_counts(peer)
 
     # A turn.
@@ -390,16 +389,8 @@
 
     def _establish_group(self, now: float) -> None:
         """Send notices to the others; form or join the group once it is known."""
-        if self._journal is None:
-            return
-        if (
-            now - self._notices_sent_at >= NOTICE_INTERVAL_SECONDS
-            and self._has_ungrouped_peer()
-        ):
-            self._notices_sent_at = now
-            for peer in self.links.list_directories():
-                self._send_notice(peer)
-        if self.voter is not None:
+        self._notices.send_due(now)
+        if self._journal is None or self.voter is not None:
             return
         initial_voters = self._find_group()
         if initial_voters is not None:
@@ -409,20 +400,16 @@
             with self._report_slow_sync():
                 self._journal.save_group(initial_voters)
             self._start_voter(initial_voters)
-            self._notices_sent_at = float("-inf")
+            self._notices.renew()
 
     def _find_group(self) -> tuple[str, ...] | None:
         founders = self._founders if self._settings.founding else ()
         return self.members.find_group(self.own, founders)
 
-    def _has_ungrouped_peer(self) -> bool:
-        return self.voter is None or self.members.has_ungrouped_peers()
-
-    def _send_notice(self, peer: str) -> None:
+    def _describe_notice(self) -> group.Notice | None:
         if self._journal is None:
-            return
-        notice = group.Notice(self.own, self._journal.group)
-        self.links.send(peer, envelopes.wrap(self.own, peer, notice))
+            return None
+        return group.Notice(self.own, self._journal.group)
 
     def _change_voters(self) -> None:
         if not self.voter.leads:
