--- a/packages/agreement/src/trestlestall/agreement/log.py
+++ b/packages/agreement/src/trestlestall/agreement/log.py
@@ -9,13 +9,19 @@
 class VotersAt:
     """The voters as of the entry ``index``.
 
-    ``marks`` are the indexes of their ``SETTLED`` entries, but for those before a
-    snapshot that was installed or restored.
+    ``marks`` are the indexes of their ``SETTLED`` entries. Those before a snapshot that
+    was installed or restored are unknown: then ``has_all_marks`` is false.
     """
 
     index: int
     voters: tuple[str, ...]
     marks: tuple[int, ...] = ()
+    has_all_marks: bool = True
+
+    @property
+    def may_be_settled(self) -> bool:
+        """Whether there may be a ``SETTLED`` entry of these voters."""
+        return bool(self.marks) or not self.has_all_marks
 
 
 @dataclasses.dataclass(frozen=True)
@@ -27,6 +33,12 @@
     entries: tuple[entries_module.Entry, ...]
 
 
+def make_first_point(snapshot: entries_module.Snapshot) -> VotersAt:
+    """Return the voters of a snapshot; index 0 stands for an empty log."""
+    has_all_marks = snapshot.index == 0
+    return VotersAt(snapshot.index, snapshot.voters, has_all_marks=has_all_marks)
+
+
 def cut_marks(point: VotersAt, index: int) -> VotersAt:
     """Return the voters without the marks from the index on."""
     kept = tuple(mark for mark in point.marks if mark < index)
@@ -49,7 +61,7 @@
     ) -> None:
         self.snapshot = snapshot or entries_module.Snapshot(0, 0, bootstrap)
         self._entries: list[entries_module.Entry] = []
-        self._voters = [VotersAt(self.snapshot.index, self.snapshot.voters)]
+        self._voters = [make_first_point(self.snapshot)]
         newer = tuple(entry for entry in entries if entry.index > self.snapshot.index)
         self.append(newer)
         self._saved = self.last_index
@@ -149,14 +161,15 @@
         points = [point for point in self._voters if point.index <= index]
         snapshot = entries_module.Snapshot(index, term, points[-1].voters, state)
         tail = self._entries[index - self.first_index + 1 :]
-        self._replace(snapshot, tail, points[-1].marks)
+        first = dataclasses.replace(points[-1], index=index)
+        self._replace(snapshot, tail, first)
 
     def install(self, snapshot: entries_module.Snapshot) -> None:
         """Install a leader's snapshot; entries after it stay if they continue it."""
         tail: list[entries_module.Entry] = []
         if self.get_term(snapshot.index) == snapshot.term:
             tail = self._entries[snapshot.index - self.first_index + 1 :]
-        self._replace(snapshot, tail)
+        self._replace(snapshot, tail, make_first_point(snapshot))
 
     def find_common(self, index: int, term: int) -> int:
         """Return the largest index up to ``index`` whose term is at most ``term``.
@@ -190,16 +203,13 @@
         self,
         snapshot: entries_module.Snapshot,
         tail: list[entries_module.Entry],
-        marks: tuple[int, ...] = (),
+        first: VotersAt,
     ) -> None:
-        """Replace the entire log by the snapshot and the entries after it.
-
-        ``marks`` are those of the snapshot's voters.
-        """
+        """Replace the entire log by the snapshot, whose voters are the first ones."""
         kept = [point for point in self._voters if point.index > snapshot.index]
         self.snapshot = snapshot
         self._entries = tail
-        self._voters = [VotersAt(snapshot.index, snapshot.voters, marks)]
+        self._voters = [first]
         if tail:
             self._voters += kept
         self._saved = self.last_index
--- a/packages/agreement/src/trestlestall/agreement/quorums.py
+++ b/packages/agreement/src/trestlestall/agreement/quorums.py
@@ -58,7 +58,7 @@
     previous = state.log.previous_configuration
     if previous is None or is_committed(state, latest):
         return [latest]
-    if not allows_halves(previous.voters) or not previous.marks:
+    if not allows_halves(previous.voters) or not previous.may_be_settled:
         return [latest]
     return [previous, latest]
 
--- a/packages/agreement/src/trestlestall/agreement/settlement.py
+++ b/packages/agreement/src/trestlestall/agreement/settlement.py
@@ -46,7 +46,9 @@
     latest, previous = state.log.configuration, state.log.previous_configuration
     if quorums.allows_halves(latest.voters):
         return len(latest.marks) < MARKS
-    return previous is not None and bool(previous.marks) and not latest.marks
+    if previous is None or latest.marks:
+        return False
+    return quorums.allows_halves(previous.voters) and previous.may_be_settled
 
 
 def is_confirmed(state: state_module.State) -> bool:
--- a/packages/agreement/tests/test_lost_disks.py
+++ b/packages/agreement/tests/test_lost_disks.py
@@ -32,7 +32,7 @@
             each for each in self.choices if each[0] not in (self.wipe, self.change)
         ]
         self.choices = (*kept, (self.wipe, 8), (self.change, 8), (self.halve, 40))
-        self.choices += ((self.part_halves, 6),)
+        self.choices += ((self.part_halves, 6), (self.compact, 20))
 
     def run(self):
         """Run all steps."""
@@ -162,6 +162,24 @@
         cluster.add_host("b#2")
         self.assertIn(cluster.wait_for_leader(), ("c#1", "d#1"))
 
+    def test_a_leader_that_restarted_from_a_snapshot_changes_no_voters_by_one_majority(
+        self,
+    ):
+        """The others may have the entries by which half of the voters may decide."""
+        cluster = group.Group(FOUR)
+        cluster.elect("a#1")
+        cluster.run(2.0)
+        self.drop_questions(cluster, "c#1")
+        cluster.compact("a#1")
+        cluster.hosts["a#1"].crash()
+        cluster.hosts["a#1"].start()
+        cluster.elect("a#1")
+        cluster.run(0.3)
+        cluster.partition = frozenset(("a#1", "b#1"))
+        cluster.step("a#1", events.ChangeVoters("v", remove="c#1"))
+        cluster.run(0.5)
+        self.assertNotIn("v", cluster.answers)
+
     def drop_questions(self, cluster, name):
         """Let a host ignore the message that its version doesn't know."""
         send = cluster.send
