The commit index is found by majorities unless a disk is known as lost

Halves matter only where a voter is excluded; else the largest index of a majority is found by sorting, as before.

--- a/packages/agreement/src/trestlestall/agreement/commitment.py
+++ b/packages/agreement/src/trestlestall/agreement/commitment.py
@@ -1,5 +1,7 @@
 """Advancing the commit index and applying committed entries."""
 
+from collections import abc
+
 from trestlestall.agreement import actions, quorums, state as state_module
 
 
@@ -9,6 +11,20 @@
         name: peer.match_index for name, peer in state.leader_state.progress.items()
     }
     matches[state.voter] = state.log.last_index
+    if state.excluded_voters:
+        return find_on_quorum(state, matches)
+    configurations = quorums.list_configurations(state)
+    return min(find_on_majority(each.voters, matches) for each in configurations)
+
+
+def find_on_majority(voters: abc.Iterable[str], matches: abc.Mapping[str, int]) -> int:
+    """Return the largest index that is durable on a majority of the voters."""
+    ordered = sorted((matches.get(name, 0) for name in voters), reverse=True)
+    return ordered[len(ordered) // 2]
+
+
+def find_on_quorum(state: state_module.State, matches: abc.Mapping[str, int]) -> int:
+    """Return the largest index that is durable on a quorum, which may be a half."""
     for index in sorted(set(matches.values()), reverse=True):
         names = {name for name, match in matches.items() if match >= index}
         if quorums.has_quorum(state, names):
--- a/packages/agreement/src/trestlestall/agreement/settlement.py
+++ b/packages/agreement/src/trestlestall/agreement/settlement.py
@@ -24,7 +24,7 @@
 
 def advance_settling(state: state_module.State) -> None:
     """Append the next ``SETTLED`` entry of the latest voters, once that is due."""
-    if not can_append(state) or not needs_mark(state):
+    if not needs_mark(state) or not can_append(state):
         return
     latest = state.log.configuration
     allows_halves = quorums.allows_halves(latest.voters)
