--- a/tests/test_stated_limits.py
+++ b/tests/test_stated_limits.py
@@ -83,6 +83,8 @@
 
     directories = 3
     gateways = 4
+    #: Failures show the log lines of the requests that failed, whole.
+    maxDiff = None
 
     def setUp(self):
         stack = contextlib.ExitStack()
