--- a/packages/daemon/tests/test_replacement_schedules.py
+++ b/packages/daemon/tests/test_replacement_schedules.py
@@ -64,13 +64,17 @@
                 leaving = self.random.choice(self.list_living())
                 successor = self.replace_one(leaving)
                 gap = self.random.choice(GAPS)
-            self.acknowledge(RECOVERY_SECONDS)
+            self.await_replacement()
             self.advance(gap)
             self.propose_once()
             self.lose_one(successor)
             self.acknowledge(RECOVERY_SECONDS)
             self.mend()
 
+    def await_replacement(self):
+        """Wait until a command is acknowledged, before the loss."""
+        self.acknowledge(RECOVERY_SECONDS)
+
     def advance(self, seconds):
         """Advance the time, while leaders change the voters."""
         end = self.group.now + seconds
@@ -226,11 +230,18 @@
         raise AssertionError(f"{self.list_living()} are live and don't all vote")
 
 
-def run_schedules(first, count):
+class SuddenSchedule(Schedule):
+    """Losses that may come in the moment of a replacement, also without a leader."""
+
+    def await_replacement(self):
+        return
+
+
+def run_schedules(first, count, make=Schedule):
     """Run schedules; return counts of events, raise on a violation."""
     counts = {}
     for seed in range(first, first + count):
-        schedule = Schedule(SIZES[seed % len(SIZES)], seed)
+        schedule = make(SIZES[seed % len(SIZES)], seed)
         try:
             schedule.run()
         except AssertionError as error:
@@ -246,6 +257,10 @@
         for what in HAPPENS:
             self.assertGreater(counts.get(what, 0), 0, (what, counts))
 
+    def test_a_disk_lost_at_the_moment_of_a_replacement_costs_none_either(self):
+        counts = run_schedules(7000, SEEDS, SuddenSchedule)
+        self.assertGreater(counts["the leader leaves"], SEEDS // 2)
+
     def test_seeds_that_failed_in_the_past(self):
         for seed in FAILED_SEEDS:
             with self.subTest(seed=seed):
