--- a/packages/daemon/src/trestlestall/daemon/gateway/attempts.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/attempts.py
@@ -1,11 +1,6 @@
-"""One attempt: a request sent to one upstream, up to the end of the response.
-
-The outcome decides whether the request may be retried. After ``NotSent`` and ``NotRun``
-it certainly did not run; after ``Broken`` it may have run.
-"""
+"""One attempt: a request sent to one upstream, up to the end of the response."""
 
 import contextlib
-import dataclasses
 from collections import abc
 
 import eventlet
@@ -19,8 +14,9 @@
     exchanges,
     heads,
     holds,
+    outcomes,
 )
-from trestlestall.forwarding import upstream_signals, upstreams
+from trestlestall.forwarding import upstreams
 from trestlestall.wire import clocks
 
 #: Responses to other requests that are skipped before the attempt counts as broken.
@@ -31,7 +27,6 @@
 #: connection.
 DISCARDED_BYTES = 256 * 1024
 DISCARD_SECONDS = 0.05
-MISDIRECTED = 421
 #: Connections tried for a request: the first may be an idle one through a lost peer.
 CONNECTIONS_TRIED = 2
 
@@ -40,82 +35,6 @@
 ]
 
 
-@dataclasses.dataclass(frozen=True)
-class NotSent:
-    """No connection could be opened, so no upstream has received the request.
-
-    ``timed_out`` is whether the upstream's host did not reply at all.
-    """
-
-    reason: str
-    timed_out: bool = False
-
-
-@dataclasses.dataclass(frozen=True)
-class NotProven(NotSent):
-    """Nothing was sent, as another process than the chosen one may answer."""
-
-
-@dataclasses.dataclass(frozen=True)
-class NotRun:
-    """The upstream states that it did not start processing the request."""
-
-    status: int
-    signal: upstream_signals.Signal
-
-    @property
-    def is_misdirected(self) -> bool:
-        """Whether another incarnation of the upstream now uses the address."""
-        return self.status == MISDIRECTED
-
-
-@dataclasses.dataclass(frozen=True)
-class Broken:
-    """No complete response arrived, so it is unknown whether the request ran.
-
-    ``path_lost`` is whether the way to the upstream was lost, so that nothing is known
-    of the upstream itself.
-    """
-
-    reason: str
-    path_lost: bool = False
-
-
-@dataclasses.dataclass(frozen=True)
-class AnswerHead:
-    """The head of an upstream's response; headers keep their case and order.
-
-    ``found`` holds the first value of each header by its lower-case name.
-    """
-
-    status: int
-    headers: tuple[tuple[bytes, bytes], ...]
-    found: dict[str, str]
-    signal: upstream_signals.Signal
-
-    @property
-    def streams(self) -> bool:
-        """Whether the body is an event stream."""
-        return self.found.get("content-type", "").startswith("text/event-stream")
-
-    @property
-    def ends_with_connection(self) -> bool:
-        """Whether nothing but the end of the connection shows the body's end."""
-        framing = ("content-length", "transfer-encoding")
-        return not any(name in self.found for name in framing)
-
-    @property
-    def length(self) -> int:
-        """The declared length of the body in bytes; 0 without one."""
-        declared = self.found.get("content-length", "")
-        return int(declared) if declared.isdecimal() else 0
-
-    def list_end_to_end(self) -> list[tuple[bytes, bytes]]:
-        """Return the headers to forward to the caller: all but the hop-by-hop ones."""
-        dropped = heads.HOP_BY_HOP_HEADERS | heads.list_hop_by_hop(self.headers)
-        return [pair for pair in self.headers if pair[0].lower() not in dropped]
-
-
 class BrokenExchange(Exception):  # noqa: N818 (an event, not an error)
     """The connection ended or failed, or the data is not a valid response."""
 
@@ -169,16 +88,16 @@
         self._request: tuple[h11.Request, str] | None = None
         self._keep_alive_seconds: float | None = None
 
-    def connect(self, head: heads.Head, seconds: float) -> NotSent | None:
+    def connect(self, head: heads.Head, seconds: float) -> outcomes.NotSent | None:
         """Open or take a connection; return None unless that failed."""
         connection = self._begin(head.request_id, seconds)
         if isinstance(connection, connections.Unreachable):
-            return NotSent(connection.reason, connection.timed_out)
+            return outcomes.NotSent(connection.reason, connection.timed_out)
         self._hold = self._stack.enter_context(holds.hold(self._pool, connection))
         if not self._may_send(connection):
-            return NotProven("the upstream may have started again")
+            return outcomes.NotProven("the upstream may have started again")
         if self._aborted:
-            return NotSent("the caller left")
+            return outcomes.NotSent("the caller left")
         return None
 
     def send(
@@ -187,7 +106,7 @@
         headers: abc.Sequence[tuple[bytes, bytes]],
         body: bytes,
         seconds: float,
-    ) -> Broken | None:
+    ) -> outcomes.Broken | None:
         """Send the request on the connection; return None unless that failed."""
         if body or head.method not in (b"GET", b"HEAD", b"DELETE"):
             headers = [*headers, (b"Content-Length", str(len(body)).encode())]
@@ -224,17 +143,17 @@
                 connection.close()
         return connections.Unreachable("the peer is lost")
 
-    def _write(self, data: bytes, seconds: float) -> Broken | None:
+    def _write(self, data: bytes, seconds: float) -> outcomes.Broken | None:
         self._exchange.begin(self.peer)
         try:
             self._hold.send(data, seconds)
         except connections.PathLostError as error:
-            return Broken(f"while sending: {error}", path_lost=True)
+            return outcomes.Broken(f"while sending: {error}", path_lost=True)
         except TimeoutError as error:
-            return Broken(f"while sending: {error}")
+            return outcomes.Broken(f"while sending: {error}")
         except OSError as error:
             self.is_closed = True
-            return Broken(f"while sending: {error}")
+            return outcomes.Broken(f"while sending: {error}")
         return None
 
     def abort(self) -> None:
@@ -243,7 +162,7 @@
         if self._hold is not None:
             self._hold.abort()
 
-    def read_head(self, deadline: float) -> AnswerHead | NotRun:
+    def read_head(self, deadline: float) -> outcomes.AnswerHead | outcomes.NotRun:
         """Return the head of the response to this request.
 
         ``deadline`` is in seconds of the monotonic clock. Raises ``BrokenExchange``.
@@ -270,13 +189,13 @@
 
     def _classify(
         self, response: h11.Response, found: dict[str, str]
-    ) -> AnswerHead | NotRun:
+    ) -> outcomes.AnswerHead | outcomes.NotRun:
         status = response.status_code
         signal = answer_headers.read_signal(response, self._names)
-        if self._names.not_run.lower() in found or status == MISDIRECTED:
-            return NotRun(status, signal)
+        if self._names.not_run.lower() in found or status == outcomes.MISDIRECTED:
+            return outcomes.NotRun(status, signal)
         headers = tuple(response.headers.raw_items())
-        return AnswerHead(status, headers, found, signal)
+        return outcomes.AnswerHead(status, headers, found, signal)
 
     def _skip_foreign_answer(self, deadline: float) -> None:
         """Skip a response to another request, and reset the parser for ours."""
@@ -316,7 +235,7 @@
                 raise BrokenExchange("the connection ended within the answer")
 
     def read_body(
-        self, head: AnswerHead, deadline: float, buffer: answer_buffers.Buffer
+        self, head: outcomes.AnswerHead, deadline: float, buffer: answer_buffers.Buffer
     ) -> bytes:
         """Return the complete body; raises ``BrokenExchange``."""
         buffer.clear()
--- a/packages/daemon/src/trestlestall/daemon/gateway/final_answers.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/final_answers.py
@@ -1,7 +1,6 @@
 """Sends the final response of a request, or truncates one that can't be completed."""
 
 from trestlestall.daemon.gateway import (
-    attempts,
     outcomes,
     progress,
     records,
@@ -119,7 +118,7 @@
 
 
 def send_answer(
-    forward: progress.Progress, head: attempts.AnswerHead, body: bytes
+    forward: progress.Progress, head: outcomes.AnswerHead, body: bytes
 ) -> None:
     """Forward a complete response to the caller."""
     length = head.length if forward.head.method == b"HEAD" else len(body)
--- a/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
@@ -94,7 +94,7 @@
         self.sent_at = arrived
         self.relay = relays.Relay(caller, arrived, self._on_first)
         self.return_seconds: float | None = None
-        self.fallback_answer: tuple[attempts.AnswerHead, bytes] | None = None
+        self.fallback_answer: tuple[outcomes.AnswerHead, bytes] | None = None
         self.origin: origins.Origin | None = None
         self.placed: placement.Placed | None = None
         self.proof_until: float | None = None
@@ -143,7 +143,7 @@
             if not self._may_try_another(placed.row, outcome):
                 final_answers.end_after_attempt(self, outcome)
                 return
-            was_not_sent = isinstance(outcome, attempts.NotSent)
+            was_not_sent = isinstance(outcome, outcomes.NotSent)
             purpose = (
                 placement_protocol.REROUTED
                 if was_not_sent
@@ -175,13 +175,13 @@
         try:
             with self._open_attempt(placed) as attempt:
                 outcome = self._exchange(attempt, placed)
-                if isinstance(outcome, attempts.AnswerHead):
+                if isinstance(outcome, outcomes.AnswerHead):
                     head = outcome
                     outcome = self._relay_answer(attempt, head)
         except attempts.BrokenExchange as error:
             if isinstance(error, attempts.OversizedAnswer):
                 self.handler.metrics.oversized.inc()
-            outcome = attempts.Broken(str(error), error.path_lost)
+            outcome = outcomes.Broken(str(error), error.path_lost)
         finally:
             # A failure counts against the upstream also if the caller received it.
             failed = upstream_evidence.evaluate(self, outcome or head)
@@ -248,14 +248,14 @@
         answer = attempt.read_head(retry_rules.find_head_deadline(self))
         request = signal_tracker.Request(self.descriptor.request_id, self.sent_at)
         self.handler.signals.handle(placed.row, answer, request)
-        if isinstance(answer, attempts.NotRun):
+        if isinstance(answer, outcomes.NotRun):
             self.runs -= 1
             self.return_seconds = answer.signal.rest_seconds or None
             attempt.discard_body(self.deadline)
         return answer
 
     def _relay_answer(
-        self, attempt: attempts.Attempt, head: attempts.AnswerHead
+        self, attempt: attempts.Attempt, head: outcomes.AnswerHead
     ) -> outcomes.Outcome | None:
         """Forward the response; return None once the caller has all of it."""
         if head.status == OK and (head.streams or self.route.streams):
@@ -265,7 +265,7 @@
             records.write_completed(self, head.status, "answered", "")
             return None
         if self.relay.began:
-            return attempts.Broken(f"status {head.status} for the rest of a stream")
+            return outcomes.Broken(f"status {head.status} for the rest of a stream")
         body = attempt.read_body(head, self.deadline, self.buffer)
         self.relay.record_first()
         if head.status >= outcomes.SERVER_ERRORS and retry_rules.may_retry(self):
--- a/packages/daemon/src/trestlestall/daemon/gateway/progress.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/progress.py
@@ -6,7 +6,6 @@
 from trestlestall.daemon import dialects, settings as process_settings
 from trestlestall.daemon.gateway import (
     answer_buffers,
-    attempts,
     cached_view,
     callers,
     connections,
@@ -14,6 +13,7 @@
     heads,
     identity_proofs,
     metrics as gateway_metrics,
+    outcomes,
     placing,
     reachability,
     refusals,
@@ -94,7 +94,7 @@
     sends: int
     relay: relays.Relay
     return_seconds: float | None
-    fallback_answer: tuple[attempts.AnswerHead, bytes] | None
+    fallback_answer: tuple[outcomes.AnswerHead, bytes] | None
     sent_at: float
     origin: origins.Origin | None
     successor: placement.Placed | None
--- a/packages/daemon/src/trestlestall/daemon/gateway/relays.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/relays.py
@@ -4,7 +4,7 @@
 
 import eventlet
 
-from trestlestall.daemon.gateway import attempts, callers, events_stream
+from trestlestall.daemon.gateway import attempts, callers, events_stream, outcomes
 from trestlestall.wire import clocks
 
 #: Events that a stream must have before its longest pause is reported: with fewer it
@@ -49,7 +49,7 @@
     def relay_events(
         self,
         attempt: attempts.Attempt,
-        head: attempts.AnswerHead,
+        head: outcomes.AnswerHead,
         find_deadline: abc.Callable[[], float],
     ) -> None:
         """Relay complete events up to the end of the stream; raises ``BrokenExchange``.
@@ -80,7 +80,7 @@
         self._caller.end_answer()
 
     def _relay_event(
-        self, head: attempts.AnswerHead, event: bytes, resumed: bool
+        self, head: outcomes.AnswerHead, event: bytes, resumed: bool
     ) -> None:
         number = events_stream.read_event_id(event)
         if number is not None and self.last_event is not None:
@@ -93,7 +93,7 @@
         if number is not None:
             self.last_event = number
 
-    def _begin(self, head: attempts.AnswerHead) -> None:
+    def _begin(self, head: outcomes.AnswerHead) -> None:
         """Write the head of the response once: that of the first upstream."""
         if not self.began:
             self._caller.begin_answer(head.status, head.list_end_to_end())
--- a/packages/daemon/src/trestlestall/daemon/gateway/retry_rules.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/retry_rules.py
@@ -1,6 +1,6 @@
 """Whether a request may be sent again, and until when its upstream is waited for."""
 
-from trestlestall.daemon.gateway import attempts, outcomes, progress, selection
+from trestlestall.daemon.gateway import outcomes, progress, selection
 from trestlestall.forwarding import timeouts
 from trestlestall.wire import clocks
 
@@ -18,7 +18,7 @@
     left = forward.deadline - clocks.read()
     if left <= selection.MIN_LEFT_SECONDS or forward.sends >= MAX_SENDS:
         return False
-    if isinstance(outcome, (attempts.NotSent, attempts.NotRun)):
+    if isinstance(outcome, (outcomes.NotSent, outcomes.NotRun)):
         return True
     return may_retry(forward) and may_resume(forward)
 
--- a/packages/daemon/src/trestlestall/daemon/gateway/signal_tracker.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/signal_tracker.py
@@ -11,9 +11,9 @@
 
 from trestlestall.daemon import announcements, events
 from trestlestall.daemon.gateway import (
-    attempts,
     cached_view,
     metrics as gateway_metrics,
+    outcomes,
 )
 from trestlestall.forwarding import placement, upstream_signals, upstreams
 from trestlestall.wire import directory_messages
@@ -62,11 +62,11 @@
     def handle(
         self,
         row: upstreams.Row,
-        answer: attempts.AnswerHead | attempts.NotRun,
+        answer: outcomes.AnswerHead | outcomes.NotRun,
         request: Request,
     ) -> None:
         """Handle the signals in a response of the upstream."""
-        if answer.status == attempts.MISDIRECTED:
+        if answer.status == outcomes.MISDIRECTED:
             return  # the response is from another incarnation
         signal = answer.signal
         self._handle_limit(row, answer, request)
@@ -124,7 +124,7 @@
     def _handle_limit(
         self,
         row: upstreams.Row,
-        answer: attempts.AnswerHead | attempts.NotRun,
+        answer: outcomes.AnswerHead | outcomes.NotRun,
         request: Request,
     ) -> None:
         """Record a rate limit, or that a response no longer advertises one."""
@@ -145,7 +145,7 @@
     def _handle_brittle(
         self,
         row: upstreams.Row,
-        answer: attempts.AnswerHead | attempts.NotRun,
+        answer: outcomes.AnswerHead | outcomes.NotRun,
         request: Request,
     ) -> None:
         """Record that an upstream is brittle, or no longer, and what it rejects."""
@@ -161,7 +161,7 @@
             known.record_sturdy(row.identity, request.sent_at)
             unstated = ((row.identity, now - request.sent_at),)
             self.broadcast(directory_messages.BrittleUpstreams(unstated=unstated))
-        if isinstance(answer, attempts.NotRun) and self._view.is_brittle(row):
+        if isinstance(answer, outcomes.NotRun) and self._view.is_brittle(row):
             held = self._view.placer.count_requests(row.identity)
             known.record_rejection(row.identity, held, now)
             message = directory_messages.BrittleUpstreams(rejected=(row.identity,))
@@ -193,13 +193,13 @@
         )
 
 
-def withdraws_signal(answer: attempts.AnswerHead | attempts.NotRun) -> bool:
+def withdraws_signal(answer: outcomes.AnswerHead | outcomes.NotRun) -> bool:
     """Return whether a response without a limit, or such a signal, ends it.
 
     Refusals and failures don't. If one that lacks the header lifted the limit, an
     overloaded upstream would get all requests until its next successful response.
     """
-    if isinstance(answer, attempts.NotRun) or answer.signal.unreadable:
+    if isinstance(answer, outcomes.NotRun) or answer.signal.unreadable:
         return False
     return answer.status < SERVER_ERRORS
 
--- a/packages/daemon/src/trestlestall/daemon/gateway/upstream_evidence.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/upstream_evidence.py
@@ -7,7 +7,6 @@
 import eventlet
 
 from trestlestall.daemon.gateway import (
-    attempts,
     crash_detection,
     outcomes,
     progress,
@@ -25,7 +24,7 @@
     disconnected after waiting longer than the target for the first event counts as a
     failure.
     """
-    if forward.has_lost_path or isinstance(outcome, attempts.NotProven):
+    if forward.has_lost_path or isinstance(outcome, outcomes.NotProven):
         return None
     if not forward.caller.left:
         return outcomes.has_failed(outcome)
@@ -46,20 +45,20 @@
     ``is_closed`` is whether the upstream, or its host, closed the connection.
     """
     handler = forward.handler
-    if isinstance(outcome, attempts.NotProven):
+    if isinstance(outcome, outcomes.NotProven):
         return
-    if isinstance(outcome, attempts.NotSent):
+    if isinstance(outcome, outcomes.NotSent):
         handler.prober.mark_unreachable(row, outcome.reason, outcome.timed_out)
-    elif isinstance(outcome, attempts.Broken) and outcome.path_lost:
+    elif isinstance(outcome, outcomes.Broken) and outcome.path_lost:
         # The upstream itself may take the request on another way.
         forward.excluded.discard(row.identity)
-    elif isinstance(outcome, attempts.Broken):
+    elif isinstance(outcome, outcomes.Broken):
         has_crashed = is_closed and handler.crash_detector.record_broken(
             row, describe_broken(forward)
         )
         if not has_crashed and forward.relay.first_seconds is None:
             handler.prober.suspect(row)
-    elif isinstance(outcome, attempts.NotRun) and outcome.is_misdirected:
+    elif isinstance(outcome, outcomes.NotRun) and outcome.is_misdirected:
         forward.view.record_replaced(row)
         handler.placing.report_replaced(row.identity)
 
--- a/packages/daemon/tests/test_gateway_notices.py
+++ b/packages/daemon/tests/test_gateway_notices.py
@@ -6,7 +6,7 @@
 
 import eventlet
 
-from trestlestall.daemon.gateway import attempts, signal_tracker
+from trestlestall.daemon.gateway import outcomes, signal_tracker
 from trestlestall.forwarding import placement, upstream_signals, upstreams
 from trestlestall.wire import clocks, directory_messages
 
@@ -18,7 +18,7 @@
 
 def make_answer(status=200, **signals):
     """Return the head of a response with these signals."""
-    return attempts.AnswerHead(status, (), {}, upstream_signals.Signal(**signals))
+    return outcomes.AnswerHead(status, (), {}, upstream_signals.Signal(**signals))
 
 
 class NoticeCase(bench.GatewayCase):
@@ -105,7 +105,7 @@
         self.handle(make_answer(limit=1.5))
         self.now += 5.0
         self.handle(make_answer(500))
-        self.handle(attempts.NotRun(503, upstream_signals.Signal()))
+        self.handle(outcomes.NotRun(503, upstream_signals.Signal()))
         self.handle(make_answer(unreadable=("trestlestall-limit",)))
         self.assertEqual(self.find_limit(), 1.5)
         self.assertEqual(len(self.broadcasts), 1)
@@ -210,7 +210,7 @@
         self.upstream.script = self.refuse(0.4)
         self.bench.ask("/once/x")
         if not self.upstream.received:
-            self.handle(attempts.NotRun(503, upstream_signals.Signal(rest_seconds=0.4)))
+            self.handle(outcomes.NotRun(503, upstream_signals.Signal(rest_seconds=0.4)))
         self.upstream.received.clear()
         for _ in range(5):
             self.assertEqual(self.bench.ask("/once/x")[2], "other")
@@ -221,7 +221,7 @@
         )
 
     def test_if_all_back_off_refusals_spread_out_the_retries(self):
-        self.handle(attempts.NotRun(503, upstream_signals.Signal(rest_seconds=2.0)))
+        self.handle(outcomes.NotRun(503, upstream_signals.Signal(rest_seconds=2.0)))
         times = set()
         for number in range(4):
             status, head, body = self.bench.ask(
@@ -336,7 +336,7 @@
         self.assertNotIn(directory_messages.Announced, received)
 
     def test_a_query_lists_the_upstreams_that_back_off(self):
-        self.handle(attempts.NotRun(503, upstream_signals.Signal(rest_seconds=2.0)))
+        self.handle(outcomes.NotRun(503, upstream_signals.Signal(rest_seconds=2.0)))
         self.assertEqual(self.bench.ask("/once/x")[2], "other")
         self.assertEqual([call.barred for call in self.scheduler.calls], [("u1",)])
 
@@ -347,7 +347,7 @@
             found = handle(name, message)
             if isinstance(message, directory_messages.PlaceCall) and not message.barred:
                 self.handle(
-                    attempts.NotRun(503, upstream_signals.Signal(rest_seconds=2.0))
+                    outcomes.NotRun(503, upstream_signals.Signal(rest_seconds=2.0))
                 )
             return found
 
--- a/packages/daemon/tests/test_gateway_repeats.py
+++ b/packages/daemon/tests/test_gateway_repeats.py
@@ -11,7 +11,7 @@
 from eventlet.green import socket
 
 from trestlestall.daemon import placement_protocol
-from trestlestall.daemon.gateway import attempts, connections, placing
+from trestlestall.daemon.gateway import attempts, connections, outcomes, placing
 from trestlestall.forwarding import origins, upstreams
 from trestlestall.wire import clocks
 
@@ -209,7 +209,7 @@
 
     def test_a_request_that_broke_while_being_sent_may_have_run(self):
         self.bench.add("u1", bench.answer(""))
-        broken = attempts.Broken("while sending")
+        broken = outcomes.Broken("while sending")
         with mock.patch.object(attempts.Attempt, "_write", return_value=broken):
             self.assertEqual(self.bench.ask("/once/x")[0], 502)
 
