Log answers that are skipped, and how many requests a connection served

An answer to another request was skipped without a line, and nothing told whether a connection had served requests before: so hypotheses 1 and 2 (a copy with the request's own id; one without an id) looked alike. answer_skipped (TS7029) has the status and which request the answer names; forward_ended and forward_repeated have the number of requests sent on the connection beside its port.

--- a/packages/daemon/src/trestlestall/daemon/events/forwarding.py
+++ b/packages/daemon/src/trestlestall/daemon/events/forwarding.py
@@ -29,11 +29,12 @@
     "forward_ended",
     catalogue.Level.INFO,
     "request route upstream status outcome reason attempts events seconds"
-    " first_seconds longest_pause first_target pause_target port",
+    " first_seconds longest_pause first_target pause_target port requests",
     "The caller has received its final answer or has closed the connection; outcome"
     " says which. The targets are those of the route, for the first event or the"
     " answer and for pauses between events. port is the gateway's own port of the"
-    " last connection that the request was sent on.",
+    " last connection that the request was sent on, and requests how many were sent"
+    " on it so far.",
 )
 REFUSED = catalogue.declare(
     "TS7003",
@@ -48,9 +49,11 @@
     "TS7004",
     "forward_repeated",
     catalogue.Level.INFO,
-    "request route digest upstream outcome reason allowed runs seconds_left port",
+    "request route digest upstream outcome reason allowed runs seconds_left port"
+    " requests",
     "An attempt ended without a final answer; allowed says whether the request may be"
-    " retried, if the retry budget permits it. port is as in forward_ended.",
+    " retried, if the retry budget permits it. port and requests are as in"
+    " forward_ended.",
 )
 RETRY_DENIED = catalogue.declare(
     "TS7005",
@@ -277,6 +280,17 @@
     "The gateway ended an attempt by itself, for the reason, and shut down its"
     " connection, which has the port; null if it had none yet.",
 )
+ANSWER_SKIPPED = catalogue.declare(
+    "TS7029",
+    "answer_skipped",
+    catalogue.Level.WARNING,
+    "request upstream port requests status echo",
+    "An answer arrived where that of the request was due, but is not known to be its:"
+    " it names another request (echo is other) or none (missing). It decides nothing,"
+    " and the request's own answer is waited for. requests is how many were sent on the"
+    " connection so far, this one included.",
+    "The upstream sends answers twice; port leads to the request whose answer it was.",
+)
 SCHEDULER_CHANGED = catalogue.declare(
     "TS7030",
     "arbiter_changed",
--- a/packages/daemon/src/trestlestall/daemon/gateway/attempts.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/attempts.py
@@ -1,6 +1,7 @@
 """One attempt: a request sent to one upstream, up to the end of the response."""
 
 import contextlib
+import dataclasses
 from collections import abc
 
 import eventlet
@@ -11,6 +12,7 @@
     answer_buffers,
     answer_headers,
     connections,
+    echoes,
     exchanges,
     heads,
     holds,
@@ -51,15 +53,29 @@
     """The upstream sends more bytes than an answer may have, perhaps without end."""
 
 
+@dataclasses.dataclass(frozen=True)
+class Callbacks:
+    """What an attempt asks and tells while it goes on.
+
+    ``find_extension`` is called when the upstream has been silent until a deadline; it
+    returns a later deadline, or None to break off the exchange. ``may_send`` is called
+    with the connection before anything is sent. ``on_skipped`` is called with the
+    status and the ``echoes.Echo`` value of an answer that is not known to be the
+    request's.
+    """
+
+    find_extension: abc.Callable[[], float | None]
+    may_send: abc.Callable[[connections.Connection], bool]
+    on_skipped: abc.Callable[[int, str], object]
+
+
 class Attempt:
     """One exchange with an upstream; any green thread may abort it.
 
     ``acquire`` returns a connection to the upstream within some seconds, and
     ``exchange`` records what is sent and heard. ``is_closed`` is true once the
     upstream, or its host, has closed the connection.
-    ``find_extension`` is called when the upstream has been silent until a deadline; it
-    returns a later deadline, or None to break off the exchange. ``may_send`` is called
-    with the connection before anything is sent. ``stack`` ends with the attempt.
+    ``stack`` ends with the attempt.
     """
 
     def __init__(
@@ -69,8 +85,7 @@
         row: upstreams.Row,
         exchange: exchanges.Exchange,
         names: dialects.Headers,
-        find_extension: abc.Callable[[], float | None],
-        may_send: abc.Callable[[connections.Connection], bool],
+        callbacks: Callbacks,
         stack: contextlib.ExitStack,
     ) -> None:
         self.row = row
@@ -79,8 +94,9 @@
         self._acquire = acquire
         self._exchange = exchange
         self._names = names
-        self._find_extension = find_extension
-        self._may_send = may_send
+        self._find_extension = callbacks.find_extension
+        self._may_send = callbacks.may_send
+        self._on_skipped = callbacks.on_skipped
         self._stack = stack
         self._hold: holds.Hold | None = None
         self._http = h11.Connection(h11.CLIENT)
@@ -112,6 +128,7 @@
             headers = [*headers, (b"Content-Length", str(len(body)).encode())]
         request = h11.Request(method=head.method, target=head.target, headers=headers)
         self._request = request, head.request_id
+        self._hold.record_request(head.request_id)
         data = self._http.send(request)
         if body:
             data += self._http.send(h11.Data(data=body))
@@ -123,6 +140,11 @@
         """The own port of the connection; None without one."""
         return None if self._hold is None else self._hold.port
 
+    @property
+    def requests(self) -> int:
+        """How many requests were sent on the connection; 0 without one."""
+        return 0 if self._hold is None else self._hold.requests
+
     @property
     def peer(self) -> str:
         """The peer through which the request was sent; empty for none."""
@@ -170,11 +192,14 @@
         for _ in range(MAX_FOREIGN_ANSWERS):
             response = self._read_response(deadline)
             found = heads.index_headers(list(response.headers))
-            echoed = found.get(self._names.request_id.lower())
-            if echoed is None or echoed == self._request[1]:
+            echo = echoes.read(
+                response.headers, self._names.request_id, self._request[1]
+            )
+            if echo is not echoes.Echo.OTHER:
                 seconds = answer_headers.read_keep_alive_seconds(found)
                 self._keep_alive_seconds = seconds
                 return self._classify(response, found)
+            self._on_skipped(response.status_code, echo.value)
             self._skip_foreign_answer(deadline)
         raise BrokenExchange("only answers to other requests came")
 
@@ -318,11 +343,8 @@
     row: upstreams.Row,
     exchange: exchanges.Exchange,
     names: dialects.Headers,
-    find_extension: abc.Callable[[], float | None],
-    may_send: abc.Callable[[connections.Connection], bool],
+    callbacks: Callbacks,
 ) -> abc.Iterator[Attempt]:
     """Yield an attempt, whose hold on its connection ends with the block."""
     with contextlib.ExitStack() as stack:
-        yield Attempt(
-            pool, acquire, row, exchange, names, find_extension, may_send, stack
-        )
+        yield Attempt(pool, acquire, row, exchange, names, callbacks, stack)
--- a/packages/daemon/src/trestlestall/daemon/gateway/connections.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/connections.py
@@ -67,12 +67,17 @@
         self.port = opened.getsockname()[1]
         self.reusable_until = 0.0
         self.aborted = False
+        self.requests = 0
         self.opened_at = self.received_at = clocks.read()
         self.on_closed: abc.Callable[[Connection], object] = lambda connection: None
 
     def begin(self, request_id: str) -> None:
         """Prepare for the bytes of a request; raises ``OSError``."""
 
+    def record_request(self, request_id: str) -> None:
+        """Record that a request is sent."""
+        self.requests += 1
+
     def send(self, data: bytes, seconds: float) -> None:
         """Send bytes.
 
--- a/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
@@ -102,6 +102,7 @@
         self.was_silent = False
         self.has_lost_path = False
         self.port: int | None = None
+        self.requests_on_connection = 0
         self.buffer: answer_buffers.Buffer | None = None
 
     @property
@@ -214,8 +215,13 @@
                 placed.row,
                 exchange,
                 self.handler.dialect.headers,
-                lambda: self._find_extension(attempt, placed.row),
-                self._may_send,
+                attempts.Callbacks(
+                    find_extension=lambda: self._find_extension(attempt, placed.row),
+                    may_send=self._may_send,
+                    on_skipped=lambda status, echo: records.write_skipped(
+                        self, attempt, status, echo
+                    ),
+                ),
             ) as attempt,
         ):
             self._attempt = attempt
@@ -238,6 +244,7 @@
         left = self.deadline - self.sent_at
         headers = request_headers.list_sent(self, placed, left)
         failed = attempt.send(self.head, headers, self.body, left)
+        self.requests_on_connection = attempt.requests
         if attempt.peer:
             self.handler.metrics.relayed.inc()
             records.write_sent_by_peer(self, placed.row, attempt.peer)
--- a/packages/daemon/src/trestlestall/daemon/gateway/holds.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/holds.py
@@ -27,12 +27,14 @@
 class Hold:
     """A connection during one exchange; ``abort`` may be called by any greenlet.
 
-    ``peer`` and ``port`` are those of the connection.
+    ``peer`` and ``port`` are those of the connection; ``requests`` is how many were
+    sent on it.
     """
 
     def __init__(self, connection: connections.Connection) -> None:
         self.peer = connection.peer
         self.port = connection.port
+        self.requests = connection.requests
         self._connection: connections.Connection | None = connection
         self._writing: greenthread.GreenThread | None = None
         self._has_sent = False
@@ -47,6 +49,11 @@
             raise EndedHoldError("the hold on the connection has ended")
         return self._connection
 
+    def record_request(self, request_id: str) -> None:
+        """Record that a request is sent on the connection."""
+        self.connection.record_request(request_id)
+        self.requests = self.connection.requests
+
     def send(self, data: bytes, seconds: float) -> None:
         """Send bytes, those beyond the first ones while the answer is read.
 
--- a/packages/daemon/src/trestlestall/daemon/gateway/progress.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/progress.py
@@ -74,7 +74,8 @@
     workspace, empty for none.
     ``was_silent`` is whether the present one was silent for a timeout.
     ``has_lost_path`` is whether its path to the present one was lost.
-    ``port`` is the gateway's own port of the last connection; None before the first.
+    ``port`` is the gateway's own port of the last connection; None before the first;
+    ``requests_on_connection`` is how many requests were sent on it.
     """
 
     handler: Handler
@@ -101,6 +102,7 @@
     was_silent: bool
     has_lost_path: bool
     port: int | None
+    requests_on_connection: int
 
     @property
     def view(self) -> cached_view.CachedView:
--- a/packages/daemon/src/trestlestall/daemon/gateway/records.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/records.py
@@ -93,6 +93,22 @@
         runs=forward.runs,
         seconds_left=round(forward.deadline - clocks.read(), 3),
         port=forward.port,
+        requests=forward.requests_on_connection,
+    )
+
+
+def write_skipped(
+    forward: progress.Progress, attempt: attempts.Attempt, status: int, echo: str
+) -> None:
+    """Log that an answer was skipped that is not known to be the request's."""
+    forward.view.log.write(
+        events.forwarding.ANSWER_SKIPPED,
+        request=forward.descriptor.request_id,
+        upstream=forward.tried[-1],
+        port=attempt.port,
+        requests=attempt.requests,
+        status=status,
+        echo=echo,
     )
 
 
@@ -202,4 +218,5 @@
         first_target=forward.route.first_seconds,
         pause_target=forward.route.pause_seconds,
         port=forward.port,
+        requests=forward.requests_on_connection,
     )
