A request is not sent again on a connection that has carried its id

What callers saw: a request that may run once ran at two upstreams, or got 503 (not run) and had run.

Cause: the connection of a refusal goes back to the pool, which is by address, and only identities are excluded. A process that starts again at its address refuses with 421 what names the former one; the request is then placed on its new identity, on the same connection, and the copy of the 421, which has the request's id, is taken for a second refusal. The same holds for an upstream that was lost and reached again, for a caller who sends an id again, and through a tunnel, which is kept like a connection.

Change: a connection remembers the ids of the requests that it has carried, as hashes, and the pool gives it to other requests only. Two tests gave all their requests one id; each has its own now, as the interface asks.

Weighed and not taken: closing the connection of each refusal (in overload most requests are refused, and each would cost a new connection); counting a refusal that may be a copy as may have run (the request would fail though it had not run).

--- a/packages/daemon/src/trestlestall/daemon/gateway/attempts.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/attempts.py
@@ -33,7 +33,7 @@
 CONNECTIONS_TRIED = 2
 
 Acquire = abc.Callable[
-    [upstreams.Row, float], connections.Connection | connections.Unreachable
+    [upstreams.Row, str, float], connections.Connection | connections.Unreachable
 ]
 
 
@@ -72,10 +72,10 @@
 class Attempt:
     """One exchange with an upstream; any green thread may abort it.
 
-    ``acquire`` returns a connection to the upstream within some seconds, and
-    ``exchange`` records what is sent and heard. ``is_closed`` is true once the
-    upstream, or its host, has closed the connection.
-    ``stack`` ends with the attempt.
+    ``acquire`` returns a connection to the upstream for the request with an id, within
+    some seconds, and ``exchange`` records what is sent and heard. ``is_closed`` is true
+    once the upstream, or its host, has closed the connection. ``stack`` ends with the
+    attempt.
     """
 
     def __init__(
@@ -155,7 +155,7 @@
     ) -> connections.Connection | connections.Unreachable:
         """Return a connection that is ready for the request."""
         for _ in range(CONNECTIONS_TRIED):
-            connection = self._acquire(self.row, seconds)
+            connection = self._acquire(self.row, request_id, seconds)
             if isinstance(connection, connections.Unreachable):
                 return connection
             try:
--- a/packages/daemon/src/trestlestall/daemon/gateway/connections.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/connections.py
@@ -4,6 +4,7 @@
 arrived on it since, and the upstream is not about to close it.
 """
 
+import array
 import contextlib
 import dataclasses
 import errno
@@ -25,6 +26,8 @@
 KEEP_ALIVE_SHARE = 0.6
 #: Keep-alive time of an upstream that announces none.
 DEFAULT_KEEP_ALIVE_SECONDS = 4.0
+#: Requests after which a connection is closed, as it remembers each of them.
+MAX_REQUESTS = 256
 ABORTED = "the connection was shut down here"
 
 
@@ -67,16 +70,28 @@
         self.port = opened.getsockname()[1]
         self.reusable_until = 0.0
         self.aborted = False
-        self.requests = 0
+        self._carried = array.array("q")
         self.opened_at = self.received_at = clocks.read()
         self.on_closed: abc.Callable[[Connection], object] = lambda connection: None
 
     def begin(self, request_id: str) -> None:
         """Prepare for the bytes of a request; raises ``OSError``."""
 
+    @property
+    def requests(self) -> int:
+        """How many requests were sent on the connection."""
+        return len(self._carried)
+
     def record_request(self, request_id: str) -> None:
         """Record that a request is sent."""
-        self.requests += 1
+        self._carried.append(hash(request_id))
+
+    def has_carried(self, request_id: str) -> bool:
+        """Return whether a request with this id was sent on the connection before.
+
+        If so, the id in an answer doesn't tell to which of the sends it belongs.
+        """
+        return hash(request_id) in self._carried
 
     def send(self, data: bytes, seconds: float) -> None:
         """Send bytes.
@@ -152,15 +167,24 @@
         self._open: dict[str, set[Connection]] = {}
         self.opened = 0
 
-    def take(self, address: str) -> Connection | None:
-        """Return an idle connection to the address; None if there is none."""
+    def take(self, address: str, request_id: str) -> Connection | None:
+        """Return an idle connection to the address for a request; None without one.
+
+        One on which a request with this id was sent before is left to other requests.
+        """
         idle = self._idle.get(address, [])
-        while idle:
+        left: list[Connection] = []
+        found = None
+        while idle and found is None:
             connection = idle.pop()
-            if connection.is_fresh(self._clock()):
-                return connection
-            connection.close()
-        return None
+            if not connection.is_fresh(self._clock()):
+                connection.close()
+            elif connection.has_carried(request_id):
+                left.append(connection)
+            else:
+                found = connection
+        idle.extend(reversed(left))
+        return found
 
     def open(self, address: str, seconds: float) -> Connection | Unreachable:
         """Return a new connection, opened within ``seconds``."""
@@ -191,8 +215,11 @@
         self._idle.setdefault(connection.address, []).insert(0, connection)
 
     def release(self, connection: Connection, keep_alive_seconds: float | None) -> None:
-        """Return a connection whose answer was whole, or close it if more arrived."""
-        if connection.is_readable():
+        """Return a connection whose answer was whole, or close it.
+
+        It is closed if more has arrived, or after ``MAX_REQUESTS``.
+        """
+        if connection.requests >= MAX_REQUESTS or connection.is_readable():
             connection.close()
             return
         seconds = (
--- a/packages/daemon/src/trestlestall/daemon/gateway/reachability.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/reachability.py
@@ -99,10 +99,10 @@
     # Connections.
 
     def acquire(
-        self, row: upstreams.Row, seconds: float
+        self, row: upstreams.Row, request_id: str, seconds: float
     ) -> connections.Connection | connections.Unreachable:
-        """Return an idle connection to an upstream, or a new one in time."""
-        idle = self._pool.take(row.address)
+        """Return a connection to an upstream for a request: an idle or a new one."""
+        idle = self._pool.take(row.address, request_id)
         if idle is not None:
             return idle
         if self.reach.find_way(row.identity) is not reaches.Way.PEER:
--- a/packages/daemon/tests/test_connection_holds.py
+++ b/packages/daemon/tests/test_connection_holds.py
@@ -333,7 +333,7 @@
         """Guards against late callbacks that shut down another one's connection."""
         opened, accepted = self.open()
         ended = self.use(opened, accepted)
-        with holds.hold(self.pool, self.pool.take(self.address)) as held:
+        with holds.hold(self.pool, self.pool.take(self.address, "r")) as held:
             ended.abort()
             for act in (
                 lambda: ended.send(b"x", 1.0),
@@ -352,7 +352,7 @@
             held.send(b"ask", 1.0)
             held.allow_reuse(None)
             held.abort()
-        self.assertIsNone(self.pool.take(self.address))
+        self.assertIsNone(self.pool.take(self.address, "r"))
 
     def test_a_connection_shut_down_here_has_no_orderly_end(self):
         opened, _ = self.open()
@@ -368,14 +368,14 @@
         opened, _ = self.open()
         with holds.hold(self.pool, opened):
             pass
-        self.assertIs(self.pool.take(self.address), opened)
+        self.assertIs(self.pool.take(self.address, "r"), opened)
 
     def test_a_connection_that_was_not_used_is_kept_no_longer_than_before(self):
         """Guards against requests sent as the upstream closes an idle connection."""
         opened, accepted = self.open()
         self.use(opened, accepted)
         until = opened.reusable_until = clocks.read() + 0.5
-        with holds.hold(self.pool, self.pool.take(self.address)):
+        with holds.hold(self.pool, self.pool.take(self.address, "r")):
             pass
         self.assertEqual(opened.reusable_until, until)
 
@@ -384,7 +384,7 @@
         with contextlib.suppress(ValueError), holds.hold(self.pool, opened) as held:
             held.send(b"ask", 1.0)
             raise ValueError
-        self.assertIsNone(self.pool.take(self.address))
+        self.assertIsNone(self.pool.take(self.address, "r"))
 
     def test_a_late_writer_ends_with_the_hold(self):
         """Guards against bytes of one request on the connection of the next one."""
@@ -394,7 +394,7 @@
             accepted.sendall(b"answer")
             self.assertEqual(held.receive(1.0), b"answer")
             held.allow_reuse(None)
-        self.assertIsNone(self.pool.take(self.address))
+        self.assertIsNone(self.pool.take(self.address, "r"))
         writers = [one.fileno for one in hubs.get_hub().get_writers()]
         self.assertEqual(writers, [])
         following, other = self.open()
--- a/packages/daemon/tests/test_gateway.py
+++ b/packages/daemon/tests/test_gateway.py
@@ -331,6 +331,6 @@
 
     def test_connections_are_reused_after_complete_responses(self):
         upstream = self.bench.add("u1", bench.answer("", "x"))
-        for _ in range(5):
-            self.bench.ask("/once/x")
+        for number in range(5):
+            self.bench.ask("/once/x", Trestlestall_Request=f"r-{number}")
         self.assertEqual((upstream.connections, len(upstream.received)), (1, 5))
--- a/packages/daemon/tests/test_takeups.py
+++ b/packages/daemon/tests/test_takeups.py
@@ -330,7 +330,9 @@
         self.hear(0.0)
         bench.eventlet.sleep(0.1)
         started = clocks.read()
-        self.assertEqual(self.take_up(**FIRST), (200, ["v1"]))
+        self.assertEqual(
+            self.take_up(Trestlestall_Request="r-2", **FIRST), (200, ["v1"])
+        )
         self.assertLess(clocks.read() - started, 0.1)
 
     def test_a_stream_is_not_sent_to_an_upstream_that_no_directory_heard(self):
