An answer without a request id is not taken for this send's on a used connection

Cause: an answer that names no request counted as that of the request that waits, because it comes where that is due. One that names several requests, an empty one, or in another case belongs to none.

Change: such an answer is skipped, as one to another request is, and the request's own is waited for. An upstream that doesn't name the request gets a connection for each, since nothing there tells a late answer from the one that is due.

What it costs: an upstream of the own interface that doesn't repeat ids loses its kept connections.

--- a/packages/daemon/src/trestlestall/daemon/gateway/attempts.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/attempts.py
@@ -103,6 +103,8 @@
         self._aborted = False
         self._request: tuple[h11.Request, str] | None = None
         self._keep_alive_seconds: float | None = None
+        self._is_named = False
+        self._has_skipped = False
 
     def connect(self, head: heads.Head, seconds: float) -> outcomes.NotSent | None:
         """Open or take a connection; return None unless that failed."""
@@ -195,14 +197,25 @@
             echo = echoes.read(
                 response.headers, self._names.request_id, self._request[1]
             )
-            if echo is not echoes.Echo.OTHER:
+            if self._is_own(echo):
                 seconds = answer_headers.read_keep_alive_seconds(found)
                 self._keep_alive_seconds = seconds
+                self._is_named = echo is echoes.Echo.OWN
                 return self._classify(response, found)
+            self._has_skipped = True
             self._on_skipped(response.status_code, echo.value)
             self._skip_foreign_answer(deadline)
         raise BrokenExchange("only answers to other requests came")
 
+    def _is_own(self, echo: echoes.Echo) -> bool:
+        """Return whether an answer is known to be that of the request.
+
+        One that names no request is, if it is the first one on its connection.
+        """
+        if echo is echoes.Echo.MISSING:
+            return self.requests == 1 and not self._has_skipped
+        return echo is echoes.Echo.OWN
+
     def _read_response(self, deadline: float) -> h11.Response:
         for _ in range(MAX_INTERIM_ANSWERS):
             event = self._next_event(deadline)
@@ -285,9 +298,14 @@
                     return
 
     def _allow_reuse(self) -> None:
-        """Let another request use the connection, unless its protocol forbids that."""
+        """Let another request use the connection, unless its protocol forbids that.
+
+        An upstream that names no request in its answers gets a connection for each, as
+        nothing else tells a late answer from the one that is due.
+        """
         states = (self._http.our_state, self._http.their_state)
-        if states == (h11.DONE, h11.DONE) and not self._http.trailing_data[0]:
+        is_done = states == (h11.DONE, h11.DONE) and not self._http.trailing_data[0]
+        if is_done and self._is_named:
             self._hold.allow_reuse(self._keep_alive_seconds)
 
     def _next_event(self, deadline: float) -> object:
--- a/packages/daemon/tests/test_copied_answers.py
+++ b/packages/daemon/tests/test_copied_answers.py
@@ -47,6 +47,82 @@
         connection.sendall(encode(request).encode())
 
 
+def send_late(copy, seen):
+    """Return a script that sends ``copy`` before the second answer on a connection.
+
+    ``seen`` gets the ids of the requests that ran, in their order.
+    """
+    used = set()
+
+    def script(connection, received):
+        request = received.find(REQUEST)
+        if connection in used:
+            connection.sendall(copy.encode())
+        used.add(connection)
+        seen.append(request)
+        connection.sendall(encode(request, f"of {request}").encode())
+
+    return script
+
+
+class LateAnswerTest(test_tunnels.TunnelCase):
+    """An answer too many comes before that of the second request on a connection."""
+
+    copies = {
+        "refusal without an id": encode(None, "full", "503 Full", REFUSAL),
+        "success without an id": encode(None, "bad"),
+        "empty id": encode("", "bad"),
+        "id in another case": encode("R-1", "bad"),
+        "two ids": encode("r-1", "bad", headers=f"{REQUEST}: r-0\r\n"),
+        "two ids, the own one first": encode(
+            "r-0", "bad", headers=f"{REQUEST}: r-1\r\n"
+        ),
+        "interim answer before it": "HTTP/1.1 100 Continue\r\n\r\n"
+        + encode(None, "bad"),
+        "two at once": encode(None, "bad") + encode("r-0", "bad"),
+    }
+
+    def check(self, add):
+        """Check that each request gets its own answer, and runs once."""
+        for name, copy in self.copies.items():
+            with self.subTest(name):
+                self.bench = bench.Bench(self.stack, self.document)
+                self.peers = []
+                seen = []
+                add(send_late(copy, seen))
+                for number in range(2):
+                    request = f"r-{number}"
+                    status, _, body = self.bench.ask(
+                        "/once/x", Trestlestall_Request=request
+                    )
+                    self.assertEqual((status, body), (200, f"of {request}"))
+                self.assertEqual(seen, ["r-0", "r-1"])
+                self.assertEqual(len(set(self.bench.list_ports())), 1)
+
+    def test_the_answer_that_is_not_known_to_be_the_requests_is_skipped(self):
+        """Guards against answers that are taken for this send's by their place."""
+        self.check(lambda script: self.bench.add("u1", script))
+
+    def test_nor_is_one_taken_through_a_peer(self):
+        def add(script):
+            self.add_peer()
+            self.add("u1", script)
+
+        self.check(add)
+
+    def test_an_upstream_that_names_no_request_gets_a_connection_for_each(self):
+        """Guards against late answers that nothing tells from the one that is due."""
+
+        def serve(connection, received):
+            connection.sendall(encode(None).encode())
+
+        made = self.bench.add("u1", serve)
+        for number in range(3):
+            answered = self.bench.ask("/once/x", Trestlestall_Request=f"r-{number}")
+            self.assertEqual(answered[0], 200)
+        self.assertEqual(made.connections, 3)
+
+
 class SameIdTest(test_tunnels.TunnelCase):
     """A request whose id was refused on a connection is sent again."""
 
