Bytes that waited unread do not prove which process answers

A stream goes on only at an upstream whose announcement is younger than a connection to it that is alive. A connection counted as alive at the moment at which bytes of it were read; but a gateway that reads slowly, as its caller does, may read bytes of a process that has ended since.

Found by reading for the same cause elsewhere; the test (bytes wait, another connection is opened, then they are read) failed before by the rule, as received_at was the moment of reading. Now a connection is alive since the last moment at which no bytes were left on it.

Tests besides: a copy of a refusal, a 500 and a success for the same id, direct and through a peer; four answers too many; HEAD.

--- a/packages/daemon/src/trestlestall/daemon/gateway/connections.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/connections.py
@@ -59,7 +59,9 @@
     """A connection to one upstream; the pool has it, or one hold (``holds``).
 
     ``peer`` is the gateway through which it leads; empty for none. ``port`` is the own
-    port of the socket, which tells connections apart in logs.
+    port of the socket, which tells connections apart in logs. ``alive_at`` is a moment
+    after which the bytes read last have arrived: they may have waited to be read since
+    no bytes were left, while the process that sent them ended.
     """
 
     peer = ""
@@ -71,7 +73,7 @@
         self.reusable_until = 0.0
         self.aborted = False
         self._carried = array.array("q")
-        self.opened_at = self.received_at = clocks.read()
+        self.opened_at = self.alive_at = self._emptied_at = clocks.read()
         self.on_closed: abc.Callable[[Connection], object] = lambda connection: None
 
     def begin(self, request_id: str) -> None:
@@ -119,7 +121,9 @@
             raise
         self._check_aborted()
         if data:
-            self.received_at = clocks.read()
+            self.alive_at = self._emptied_at
+        if len(data) < READ_BYTES:
+            self._emptied_at = clocks.read()
         return data
 
     def _check_aborted(self, cause: OSError | None = None) -> None:
--- a/packages/daemon/src/trestlestall/daemon/gateway/identity_proofs.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/identity_proofs.py
@@ -75,14 +75,14 @@
     ) -> bool:
         """Return whether an announcement is younger than a connection that lives.
 
-        That is the connection itself, or another one on which data arrived after it
-        was opened.
+        That is the connection itself, or another one on which data certainly arrived
+        after it was opened.
         """
         opened_at = connection.opened_at
         oldest = min(
             one.opened_at
             for one in (connection, *self._pool.list_open(row.address))
-            if one.received_at >= opened_at or one is connection
+            if one.alive_at >= opened_at or one is connection
         )
 
         def is_young(answer: stream_messages.HeardAnswer) -> bool:
--- a/packages/daemon/tests/test_copied_answers.py
+++ b/packages/daemon/tests/test_copied_answers.py
@@ -8,6 +8,7 @@
 import eventlet
 
 from trestlestall.daemon.gateway import connections
+from trestlestall.wire import clocks
 
 REQUEST = "Trestlestall-Request"
 REFUSAL = "Trestlestall-Not-Run: 1\r\n"
@@ -21,32 +22,6 @@
     return f"{head}\r\n\r\n{body}"
 
 
-class Copying:
-    """Refuses the first request on each connection; sends a copy before the next.
-
-    ``names`` is whether the copy has the line with the id.
-    """
-
-    def __init__(self, names=True):
-        self.names = names
-        self.refused = {}
-        self.ran = []
-
-    def serve(self, connection, received):
-        """Refuse, or send the copy that is due and run the request."""
-        request = received.find(REQUEST)
-        former = self.refused.get(connection)
-        if former is None:
-            self.refused[connection] = request
-            refusal = encode(request, "full", "503 Full", REFUSAL)
-            connection.sendall(refusal.encode())
-            return
-        copy = encode(former if self.names else None, "full", "503 Full", REFUSAL)
-        connection.sendall(copy.encode())
-        self.ran.append(request)
-        connection.sendall(encode(request).encode())
-
-
 def send_late(copy, seen):
     """Return a script that sends ``copy`` before the second answer on a connection.
 
@@ -110,6 +85,24 @@
 
         self.check(add)
 
+    def test_too_many_of_them_end_the_request_without_an_answer_of_another(self):
+        copy = encode(None, "bad") * 4
+        self.bench.add("u1", send_late(copy, []))
+        self.bench.ask("/once/x", Trestlestall_Request="r-0")
+        status, _, body = self.bench.ask("/once/x", Trestlestall_Request="r-1")
+        self.assertEqual(status, 502)
+        self.assertNotIn("bad", body)
+
+    def test_none_is_taken_for_the_answer_to_a_head_request(self):
+        for copy in (encode("r-0", "bad"), encode(None, "bad"), encode(None, "")):
+            self.bench = bench.Bench(self.stack, self.document)
+            self.bench.add("u1", send_late(copy, []))
+            self.bench.ask("/once/x", Trestlestall_Request="r-0")
+            caller = self.bench.call()
+            caller.ask("/once/x", method="HEAD", Trestlestall_Request="r-1")
+            status, head = caller.read_head()
+            self.assertTrue(status == 502 or f"{REQUEST}: r-1" in head, head)
+
     def test_an_upstream_that_names_no_request_gets_a_connection_for_each(self):
         """Guards against late answers that nothing tells from the one that is due."""
 
@@ -124,26 +117,46 @@
 
 
 class SameIdTest(test_tunnels.TunnelCase):
-    """A request whose id was refused on a connection is sent again."""
+    """A request with the id of one that was answered on a connection is sent again."""
 
-    def check(self, script):
-        """Check that no request is refused that ran; it has the same id each time."""
-        for _ in range(3):
-            before = len(script.ran)
-            status, _, _ = self.bench.ask("/once/x")
-            self.assertEqual(status, 503 if len(script.ran) == before else 200)
+    firsts = {
+        "refusal": ("503 Full", REFUSAL, 503),
+        "failure": ("500 Internal Server Error", "", 500),
+        "success": ("200 OK", "", 200),
+    }
 
-    def test_a_copied_refusal_does_not_refuse_the_same_id_again(self):
+    def check(self, add):
+        """Check that the copy of the first answer is not that of the second send."""
+        for name, (status, headers, expected) in self.firsts.items():
+            with self.subTest(name):
+                self.bench = bench.Bench(self.stack, self.document)
+                self.peers = []
+                first = encode("r-1", "first", status, headers)
+                used = set()
+
+                def serve(connection, received, first=first, used=used):
+                    if not used:
+                        used.add(connection)
+                        connection.sendall(first.encode())
+                        return
+                    copy = first if connection in used else ""
+                    connection.sendall((copy + encode("r-1", "second")).encode())
+
+                add(serve)
+                self.assertEqual(self.bench.ask("/once/x")[0], expected)
+                status, _, body = self.bench.ask("/once/x")
+                self.assertEqual((status, body), (200, "second"))
+
+    def test_a_copy_does_not_answer_the_same_id_again(self):
         """Guards against 'not run' for a request that runs."""
-        script = Copying()
-        self.bench.add("u1", script.serve)
-        self.check(script)
+        self.check(lambda script: self.bench.add("u1", script))
 
     def test_nor_through_a_peer(self):
-        script = Copying()
-        self.add_peer()
-        self.add("u1", script.serve)
-        self.check(script)
+        def add(script):
+            self.add_peer()
+            self.add("u1", script)
+
+        self.check(add)
 
 
 class PoolTest(unittest.TestCase):
@@ -172,6 +185,19 @@
         self.assertIsNone(self.pool.take(self.address, "r-2"))
         self.assertIs(self.pool.take(self.address, "r-1"), last)
 
+    def test_data_that_waited_unread_does_not_show_a_live_process(self):
+        """Guards against a former process's bytes that prove the next one."""
+        opened = self.pool.open(self.address, 1.0)
+        accepted, _ = self.listening.accept()
+        accepted.sendall(b"late")
+        self.assertTrue(bench.wait_until(opened.is_readable))
+        next_opened_at = clocks.read()
+        self.assertEqual(opened.receive(1.0), b"late")
+        self.assertLess(opened.alive_at, next_opened_at)
+        accepted.sendall(b"new")
+        self.assertEqual(opened.receive(1.0), b"new")
+        self.assertGreaterEqual(opened.alive_at, next_opened_at)
+
     def test_a_connection_is_closed_once_it_remembers_enough_requests(self):
         """Guards against memory that grows with each request on a connection."""
         self.use(*map(str, range(connections.MAX_REQUESTS)))
