Tokens of a gateway's calls to directories begin at random

A gateway that starts again counted its calls from 1, and directories answer by its name: an answer to the former process that comes late (a directory stood still, or waited for room) came through the link of the next process and could match a call there: the place of another request, or the proof of another upstream. The routers' claims began at random for that reason; both use call_tokens now.

--- a/packages/daemon/src/trestlestall/daemon/gateway/questions.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/questions.py
@@ -7,6 +7,8 @@
 import eventlet
 import eventlet.event
 
+from trestlestall.daemon import call_tokens
+
 #: Seconds to wait for answers to one question; most come within milliseconds.
 ANSWER_SECONDS = 0.25
 
@@ -36,7 +38,7 @@
     def __init__(self) -> None:
         self.send: abc.Callable[[str, typing.Any], bool] = drop_message
         self.list_directories: abc.Callable[[], abc.Iterable[str]] = tuple
-        self._tokens = itertools.count(1)
+        self._tokens = itertools.count(call_tokens.draw_first())
         self._open: dict[int, Question] = {}
 
     def ask(
--- a/packages/daemon/src/trestlestall/daemon/gateway/scheduler_client.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/scheduler_client.py
@@ -9,7 +9,7 @@
 import eventlet
 import eventlet.event
 
-from trestlestall.daemon import events, placement_protocol
+from trestlestall.daemon import call_tokens, events, placement_protocol
 from trestlestall.daemon.gateway import (
     cached_view,
     reachability,
@@ -46,7 +46,7 @@
         self._health = scheduler_health.SchedulerHealth()
         self._answered_at = float("-inf")
         self._avoided: dict[str, float] = {}
-        self._tokens = itertools.count(1)
+        self._tokens = itertools.count(call_tokens.draw_first())
         self._waiting: dict[int, eventlet.event.Event] = {}
 
     def set_scheduler(self, directory: str) -> None:
--- a/packages/daemon/src/trestlestall/daemon/router/claims.py
+++ b/packages/daemon/src/trestlestall/daemon/router/claims.py
@@ -15,7 +15,6 @@
 
 import dataclasses
 import hashlib
-import random
 import typing
 from collections import abc
 
@@ -23,7 +22,7 @@
 
 from trestlestall.claims import documents, events as claim_events, outcomes
 from trestlestall.configuration import exceptions, kinds
-from trestlestall.daemon import events, metrics as daemon_metrics
+from trestlestall.daemon import call_tokens, events, metrics as daemon_metrics
 from trestlestall.daemon.http import errors
 from trestlestall.daemon.router import attempts, exchanges, journal
 from trestlestall.wire import messages
@@ -39,7 +38,6 @@
 CLAIM_RETRY_SECONDS = 0.1
 MAX_CLAIM_RETRY_SECONDS = 0.4
 REPORT_RETRY_SECONDS = 1.0
-MAX_CALL_TOKEN = 2**48
 # Unacknowledged reports; beyond this the oldest is dropped.
 REPORT_LIMIT = 10_000
 CALL_LIMIT = 20_000
@@ -102,8 +100,7 @@
         self._running = running
         self._journal = log
         self._metrics = metrics
-        # A random start, so that answers to a previous process match no call here.
-        self._token = random.SystemRandom().randrange(MAX_CALL_TOKEN)
+        self._token = call_tokens.draw_first()
         self._pending_claims: dict[str, PendingClaim] = {}
         self._calls: dict[int, Call] = {}
         self._reports: dict[str, Report] = {}
--- a/packages/daemon/src/trestlestall/daemon/router/lookups.py
+++ b/packages/daemon/src/trestlestall/daemon/router/lookups.py
@@ -8,7 +8,6 @@
 """
 
 import dataclasses
-import random
 import typing
 from collections import abc
 
@@ -16,6 +15,7 @@
 
 from trestlestall.claims import documents, events as claim_events, outcomes
 from trestlestall.configuration import exceptions
+from trestlestall.daemon import call_tokens
 from trestlestall.daemon.router import claims, exchanges
 from trestlestall.wire import messages
 
@@ -45,8 +45,7 @@
     def __init__(self, send: claims.Send, on_timeout: abc.Callable[[], None]):
         self._send = send
         self._on_timeout = on_timeout
-        # A random start, so that answers to a previous process match no lookup here.
-        self._token = random.SystemRandom().randrange(claims.MAX_CALL_TOKEN)
+        self._token = call_tokens.draw_first()
         self._lookups: dict[int, PendingLookup] = {}
 
     def start(self, exchange: exchanges.Exchange, resolve: Resolve) -> None:
--- a/packages/daemon/src/trestlestall/daemon/router/operators.py
+++ b/packages/daemon/src/trestlestall/daemon/router/operators.py
@@ -7,11 +7,11 @@
 from __future__ import annotations
 
 import dataclasses
-import random
 import typing
 
 import eventlet
 
+from trestlestall.daemon import call_tokens
 from trestlestall.daemon.http import answers, credentials, errors, requests, routes
 from trestlestall.daemon.router import overview
 from trestlestall.language import errors as language_errors, parser, queries
@@ -22,7 +22,6 @@
 
 ROUTES = routes.Routes()
 ANSWER_TIMEOUT_SECONDS = 5.0
-MAX_CALL_TOKEN = 2**48
 UNAVAILABLE = errors.CODES["control_unavailable"]
 LOCAL_SUBJECTS = ("upstreams", "requests")
 
@@ -43,8 +42,7 @@
     """Texts that were forwarded to control and wait for its answer."""
 
     def __init__(self):
-        # A random start, so that answers to a previous process match no text here.
-        self._token = random.SystemRandom().randrange(MAX_CALL_TOKEN)
+        self._token = call_tokens.draw_first()
         self._waiting: dict[int, eventlet.Event] = {}
 
     def open(self) -> tuple[int, eventlet.Event]:
--- a/packages/daemon/tests/test_copied_answers.py
+++ b/packages/daemon/tests/test_copied_answers.py
@@ -2,12 +2,13 @@
 
 import contextlib
 import unittest
+from unittest import mock
 
 from packages.daemon.tests import gateway_bench as bench, test_tunnels  # isort: skip
 
 import eventlet
 
-from trestlestall.daemon.gateway import connections
+from trestlestall.daemon.gateway import connections, questions
 from trestlestall.wire import clocks
 
 REQUEST = "Trestlestall-Request"
@@ -159,6 +160,21 @@
         self.check(add)
 
 
+class FormerProcessTest(unittest.TestCase):
+    """Answers to a gateway's former process come through a link of the next one."""
+
+    def test_no_answer_to_a_former_question_is_taken(self):
+        """Guards against an answer to one question that counts for another."""
+        calls = []
+        for _ in range(2):
+            asking = questions.Questions()
+            asking.list_directories = lambda: ["directory"]
+            asking.send = lambda name, call: calls.append(call)
+            with mock.patch.object(questions, "ANSWER_SECONDS", 0.01):
+                asking.ask(lambda token: token, lambda answer: True)
+        self.assertNotEqual(*calls)
+
+
 class PoolTest(unittest.TestCase):
     """Which idle connection a request may have."""
 
