The bodies of requests have one bound, and their chunks are decoded in turns

What callers saw: gateways, directories and routers whose clients announce or send many bodies and stop short of their end grew over the memory of their machines (414 to 508 MB after 100, 60 and 400 connections) and are ended for it; with six clients that send chunks of one byte no other request got an answer, also not after they had gone.

Causes: (1) each body was bounded, their sum was not; a body was copied three more times on its way to the upstream; the kernel held megabytes of each connection besides.

Change: - All bodies at a door have one account (clients.held_bytes, limits.held_bytes, 64 MiB), from their arrival to the request's end. Beyond it the largest unfinished one with more than an equal part is dropped, the one that stood still first; its request gets 503 with Retry-After, which is true, as nothing was sent. So a small body is always received, and one client that goes on displaces those that stopped. - One decoder for both directions takes all chunks that have arrived at once (the routers' one, which now also reads trailers and is as strict as h11). Beyond 16 KiB a body's parts are decoded for one connection at a time, with a pause as long as the work. - A body is sent on without copies; a long answer is written without being joined to its head; answers that are held are held once.

Moved: what serves callers' connections, from process.py (306 lines) to door.py.

--- a/packages/daemon/src/trestlestall/daemon/directory/endpoints.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/endpoints.py
@@ -1,18 +1,30 @@
 """HTTP endpoints of the directory: configuration, announcements, status."""
 
-import typing
 import zlib
 
 import eventlet
 import eventlet.event
 
-from trestlestall.daemon import announcements, dialects, events, logs
+from trestlestall.daemon import (
+    announcements,
+    dialects,
+    events,
+    logs,
+    settings as process_settings,
+)
 from trestlestall.daemon.directory import (
     metrics as directory_metrics,
     operations,
     server as servers,
 )
-from trestlestall.daemon.http import answers, application, limits, requests, routes
+from trestlestall.daemon.http import (
+    answers,
+    application,
+    errors,
+    limits,
+    requests,
+    routes,
+)
 from trestlestall.forwarding import model, upstreams
 from trestlestall.wire import clocks, sockets
 
@@ -35,12 +47,13 @@
         server: servers.Server,
         dialect: dialects.Dialect,
         log: logs.Log,
-        document_bytes: int,
+        settings: process_settings.DirectorySettings,
     ) -> None:
         self.server = server
         self.dialect = dialect
         self.log = log
-        self.document_bytes = document_bytes
+        self.document_bytes = settings.document_bytes
+        self._clients = settings.clients
         self.stopping = False
         self.refusals = logs.Throttle(REFUSAL_LOG_INTERVAL_SECONDS)
 
@@ -54,7 +67,10 @@
         table.register("DELETE", paths.upstreams)(withdraw)
         table.register("GET", paths.ready)(show_readiness)
         table.register("GET", paths.metrics)(show_metrics)
-        bounds = limits.Limits(body_bytes=self.document_bytes)
+        bounds = limits.Limits(
+            body_bytes=self.document_bytes,
+            held_bytes=self._clients.held_bytes,
+        )
         return application.Application(
             self, table, bounds, report_error=self.report_error
         )
@@ -79,9 +95,9 @@
 ) -> answers.Answer:
     """Put a complete configuration in force; answer 200 once a quorum has it."""
     started = clocks.read()
-    body = read_body(request, components.document_bytes)
-    if body is None:
-        return refuse(TOO_LARGE, "the document is too large, or was cut off")
+    body = requests.read_body(request, components.document_bytes, takes_chunks=True)
+    if isinstance(body, errors.Failure):
+        return refuse_document(body)
     found = components.dialect.decode_configuration(body)
     if isinstance(found, model.Invalid):
         components.log.write(
@@ -105,6 +121,13 @@
     return answers.build_json({"newest": reply.get("newest")})
 
 
+def refuse_document(failure: errors.Failure) -> answers.Answer:
+    """Refuse a document that was not received; another directory may receive it."""
+    if failure.code == "overloaded":
+        return refuse(UNAVAILABLE, failure.message)
+    return refuse(TOO_LARGE, "the document is too large, or was cut off")
+
+
 def get_configuration(
     components: Components, request: requests.Request
 ) -> answers.Answer:
@@ -128,8 +151,10 @@
 def announce(components: Components, request: requests.Request) -> answers.Answer:
     """Register an upstream's announcement."""
     name = request.path.removeprefix(components.dialect.paths.upstreams)
-    body = read_body(request, ANNOUNCEMENT_BYTES)
-    row = components.dialect.decode_announcement(name, body or b"")
+    body = requests.read_body(request, ANNOUNCEMENT_BYTES, takes_chunks=True)
+    if isinstance(body, errors.Failure):
+        return refuse_announcement(components, request, name, body.message)
+    row = components.dialect.decode_announcement(name, body)
     if isinstance(row, model.Invalid):
         return refuse_announcement(components, request, name, row.reason)
     return handle_announcement(components, request, row)
@@ -211,21 +236,3 @@
 def refuse(status: int, reason: str) -> answers.Answer:
     """Return an error answer with the reason."""
     return answers.build_json({"error": reason}, status)
-
-
-def read_body(request: requests.Request, limit: int) -> bytes | None:
-    """Return the body, of known length or chunked; None if too large or incomplete."""
-    source: typing.Any = request.environ["wsgi.input"]
-    length = request.environ.get("CONTENT_LENGTH")
-    try:
-        if length is None and "transfer-encoding" not in request.headers:
-            return b""
-        wanted = limit + 1 if length is None else int(length)
-        if wanted > limit and length is not None:
-            return None
-        body = source.read(wanted)
-    except (OSError, ValueError, eventlet.Timeout):
-        return None
-    if len(body) > limit or (length is not None and len(body) != int(length)):
-        return None
-    return body
--- a/packages/daemon/src/trestlestall/daemon/directory/process.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/process.py
@@ -91,11 +91,15 @@
                 links.open(server.handle_message, server.handle_link_change)
             )
             components = endpoints.Components(
-                server, self._dialect, self._log, self._settings.document_bytes
+                server, self._dialect, self._log, self._settings
             )
             address = str(self._settings.listen.service)
             served_application = components.build_application()
-            stack.enter_context(listener.open_listener(address, served_application))
+            stack.enter_context(
+                listener.open_listener(
+                    address, served_application, served_application.limits
+                )
+            )
             stack.enter_context(
                 reloading.watch(self._source, stop, self._log, server.apply_settings)
             )
--- a/packages/daemon/src/trestlestall/daemon/gateway/answer_buffers.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/answer_buffers.py
@@ -42,8 +42,10 @@
             raise TooLongError(f"{self.size} bytes of an answer, among many")
 
     def join(self) -> bytes:
-        """Return all bytes."""
-        return b"".join(self._parts)
+        """Return all bytes, which this buffer counts on."""
+        whole = b"".join(self._parts)
+        self._parts = [whole]
+        return whole
 
     def keep(self) -> None:
         """Begin another answer while the bytes of this one stay in use."""
--- a/packages/daemon/src/trestlestall/daemon/gateway/attempts.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/attempts.py
@@ -102,6 +102,7 @@
         self._http = h11.Connection(h11.CLIENT)
         self._aborted = False
         self._request: tuple[h11.Request, str] | None = None
+        self._body = b""
         self._keep_alive_seconds: float | None = None
         self._is_named = False
         self._has_skipped = False
@@ -131,12 +132,18 @@
         request = h11.Request(method=head.method, target=head.target, headers=headers)
         self._request = request, head.request_id
         self._hold.record_request(head.request_id)
-        data = self._http.send(request)
-        if body:
-            data += self._http.send(h11.Data(data=body))
-        data += self._http.send(h11.EndOfMessage())
+        self._body = body
+        data = self._begin_parser(self._http)
         return self._write(data, seconds)
 
+    def _begin_parser(self, http: h11.Connection) -> bytes:
+        """Let a parser expect the answer to the request; return the request's head."""
+        data = http.send(self._request[0])
+        if self._body:
+            http.send_with_data_passthrough(h11.Data(data=self._body))
+        http.send(h11.EndOfMessage())
+        return data
+
     @property
     def port(self) -> int | None:
         """The own port of the connection; None without one."""
@@ -170,7 +177,7 @@
     def _write(self, data: bytes, seconds: float) -> outcomes.Broken | None:
         self._exchange.begin(self.peer)
         try:
-            self._hold.send(data, seconds)
+            self._hold.send(data, seconds, self._body)
         except connections.PathLostError as error:
             return outcomes.Broken(f"while sending: {error}", path_lost=True)
         except TimeoutError as error:
@@ -246,13 +253,7 @@
                 raise OversizedAnswer("a long answer to another request came")
         rest, _ = self._http.trailing_data
         fresh = h11.Connection(h11.CLIENT)
-        # The fresh parser expects a response only once it has sent a request.
-        fresh.send(self._request[0])
-        length = self._request[0].headers
-        if any(name == b"content-length" for name, _ in length):
-            size = int(dict(length)[b"content-length"])
-            fresh.send(h11.Data(data=b"\0" * size))
-        fresh.send(h11.EndOfMessage())
+        self._begin_parser(fresh)
         if rest:
             fresh.receive_data(rest)
         self._http = fresh
--- a/packages/daemon/src/trestlestall/daemon/gateway/callers.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/callers.py
@@ -1,9 +1,9 @@
 """A caller's connection: reads requests, writes responses and detects disconnects.
 
-HTTP is parsed and serialized by h11, which does no I/O of its own. The WSGI server
-can't detect a caller that disconnects before the first byte of the response, and can't
-forward a truncated response so that the caller sees that it was truncated
-(docs/design/platform.md).
+Heads are parsed and answers serialized by h11, which does no I/O of its own; bodies are
+read by ``http.body_reader``. The WSGI server can't detect a caller that disconnects
+before the first byte of the response, and can't forward a truncated response so that
+the caller sees that it was truncated (docs/design/platform.md).
 """
 
 import contextlib
@@ -15,14 +15,17 @@
 import h11
 from eventlet import hubs
 
+from trestlestall.daemon.http import bodies, body_reader, pacing
 from trestlestall.forwarding import model
 from trestlestall.wire import clocks, sockets
 
 READ_BYTES = 65536
+#: Bodies up to this size are written together with their heads.
+JOINED_BYTES = 16384
 #: Statuses whose responses have no body, and need no length.
 STATUSES_WITHOUT_BODY = (204, 304)
 #: Bytes that a caller may send ahead while its request is being processed.
-MAX_PIPELINED_BYTES = 65536
+MAX_PIPELINED_BYTES = 16384
 #: Seconds that a write to a caller may make no progress: about the longest deadline
 #: that callers set. A disconnect is detected independently of this.
 WRITE_TIMEOUT_SECONDS = 30.0
@@ -30,6 +33,11 @@
 BAD_REQUEST = 400
 REQUEST_TIMEOUT = 408
 HEADERS_TOO_LARGE = 431
+UNAVAILABLE = 503
+#: After a rejection so much more of the request is read and dropped, for so long: a
+#: close with unread bytes would reset the connection, and the caller lose the answer.
+LINGER_BYTES = 16 * 1024 * 1024
+LINGER_SECONDS = 1.0
 #: Bytes of a header on the wire besides its name and value: ": " and CRLF.
 SEPARATOR_BYTES = 4
 
@@ -64,24 +72,41 @@
 class Caller:
     """A connection that a caller opened.
 
+    ``find_limits`` returns the limits in force, ``body`` counts what the connection's
+    request takes of the memory for bodies, and ``pacer`` gives turns for costly ones.
     ``left`` is set once the caller has disconnected, ``closing`` once the gateway wants
     to close the connection after the current response. ``idle`` is true while no byte
-    of a request has been received.
+    of a request has been received, ``is_whole`` once a request was received completely.
+    ``active_at`` is when bytes last arrived.
     """
 
-    def __init__(self, opened: socket.socket, limits: model.CallerLimits) -> None:
+    def __init__(
+        self,
+        opened: socket.socket,
+        find_limits: abc.Callable[[], model.CallerLimits],
+        body: bodies.Body,
+        pacer: pacing.Pacer,
+    ) -> None:
         self.socket = opened
-        self.limits = limits
+        self.limits = find_limits()
         self.left = False
         self.closing = False
         self.idle = True
-        self._http = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=limits.header_bytes
-        )
+        self.is_whole = False
+        self.active_at = clocks.read()
+        self._find_limits = find_limits
+        self._body = body
+        self._body.on_dropped = self._stop_reading
+        self._pacer = pacer
+        self._http = self._make_parser()
+        self._ahead = b""
         self._method = b""
-        self._pipelined_bytes = 0
         self._ends_with_connection = False
 
+    def _make_parser(self) -> h11.Connection:
+        bound = self.limits.header_bytes
+        return h11.Connection(h11.SERVER, max_incomplete_event_size=bound)
+
     # Requests.
 
     def read_request(self) -> Request | Rejected | Ended:
@@ -90,6 +115,14 @@
             return self._read_request()
         except h11.RemoteProtocolError as error:
             return Rejected(error.error_status_hint, str(error))
+        except body_reader.TooLongError as error:
+            return Rejected(TOO_LARGE, str(error))
+        except body_reader.InvalidChunksError as error:
+            return Rejected(BAD_REQUEST, str(error))
+        except bodies.NoRoomError as error:
+            return Rejected(UNAVAILABLE, str(error))
+        except body_reader.TruncatedError:
+            return Ended()
         except TimeoutError:
             if self.idle:
                 return Ended()
@@ -98,9 +131,7 @@
             return Ended()
 
     def _read_request(self) -> Request | Rejected | Ended:
-        self.idle = not self._http.trailing_data[0]
-        self._method = b""
-        event = self._next_event(self.limits.idle_seconds)
+        event = self._read_head()
         if not isinstance(event, h11.Request):
             return Ended()
         self._method = event.method
@@ -111,36 +142,64 @@
         if self._http.they_are_waiting_for_100_continue:
             interim = h11.InformationalResponse(status_code=100, headers=[])
             self._write(self._http.send(interim))
-        parts, size = [], 0
-        while isinstance(part := self._next_event(self.limits.idle_seconds), h11.Data):
-            parts.append(bytes(part.data))
-            size += len(part.data)
-            if size > self.limits.body_bytes:
-                return Rejected(TOO_LARGE, "the body is too long")
-        if not isinstance(part, h11.EndOfMessage):
-            return Ended()
+        body = self._read_body(event)
+        self.is_whole = True
         headers = list(event.headers.raw_items())
-        return Request(event.method, event.target, headers, b"".join(parts))
+        return Request(event.method, event.target, headers, body)
 
-    def _next_event(self, idle_seconds: float) -> object:
-        """Return the next event of the parser, reading as needed.
+    def _read_head(self) -> object:
+        """Return the parsed head of the next request, or another event at the end.
 
         A head must be complete ``limits.header_seconds`` after its first byte, however
         slowly its bytes arrive.
         """
+        self.limits = self._find_limits()
+        self._http = self._make_parser()
+        self._method = b""
+        self.idle = not self._ahead
+        if self._ahead:
+            self._http.receive_data(self._ahead)
         deadline = None
         while (event := self._http.next_event()) is h11.NEED_DATA:
-            seconds = idle_seconds
-            if not self.idle and self._http.their_state is h11.IDLE:
+            seconds = self.limits.idle_seconds
+            if not self.idle:
                 now = clocks.read()
                 deadline = deadline or now + self.limits.header_seconds
                 seconds = max(0.001, deadline - now)
-            self.socket.settimeout(seconds)
-            data = self.socket.recv(READ_BYTES)
+            data = self._receive(READ_BYTES, seconds)
             self.idle = self.idle and not data
             self._http.receive_data(data)
         return event
 
+    def _read_body(self, head: h11.Request) -> bytes:
+        """Read the body behind a head, and keep what arrived behind the body."""
+        begun, _ = self._http.trailing_data
+        reader = body_reader.BodyReader(
+            lambda size: self._receive(size, self.limits.idle_seconds),
+            self._body,
+            self._pacer,
+            self.limits.body_bytes,
+        )
+        framing = dict(head.headers)
+        if b"transfer-encoding" in framing:
+            received = reader.read_chunks(begun)
+        else:
+            length = int(framing.get(b"content-length", b"0"))
+            received = reader.read_length(length, begun)
+        self._ahead = received.rest
+        return received.body
+
+    def _receive(self, size: int, seconds: float) -> bytes:
+        self.socket.settimeout(seconds)
+        data = self.socket.recv(size)
+        self.active_at = clocks.read()
+        return data
+
+    def _stop_reading(self) -> None:
+        """Wake whoever waits for the rest of a body that was dropped."""
+        with contextlib.suppress(OSError):
+            self.socket.shutdown(socket.SHUT_RD)
+
     # Responses.
 
     def begin_answer(
@@ -187,9 +246,16 @@
         head = h11.Response(status_code=status, headers=headers)
         data = self._http.send(head)
         if self._method != b"HEAD" and status not in STATUSES_WITHOUT_BODY:
-            data += self._http.send(h11.Data(data=body))
-        data += self._http.send(h11.EndOfMessage())
+            self._http.send_with_data_passthrough(h11.Data(data=body))
+        else:
+            body = b""
+        self._http.send(h11.EndOfMessage())
+        if len(body) <= JOINED_BYTES:
+            self._write(data + body)
+            return
+        # Long bodies are not copied, as slow callers may keep many of them waiting.
         self._write(data)
+        self._write(body)
 
     def abort(self) -> None:
         """End the connection, so that an unfinished response looks truncated."""
@@ -212,29 +278,44 @@
         if self.idle and not sockets.is_readable(self.socket):
             self.abort()
 
-    def reject(self, status: int, body: bytes) -> None:
+    def reject(
+        self,
+        status: int,
+        body: bytes,
+        headers: abc.Sequence[tuple[bytes, bytes]] = (),
+    ) -> None:
         """Reply to an invalid request, if the parser's state allows it."""
         if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             with contextlib.suppress(CallerLeft):
-                self.answer(status, (), body)
+                self.answer(status, headers, body)
+                self._linger()
+
+    def _linger(self) -> None:
+        """Drop what the caller still sends, until it has read the answer."""
+        until = clocks.read() + LINGER_SECONDS
+        left = LINGER_BYTES
+        with contextlib.suppress(OSError):
+            self.socket.shutdown(socket.SHUT_WR)
+            while left > 0 and clocks.read() < until:
+                data = self._receive(READ_BYTES, LINGER_SECONDS)
+                if not data:
+                    return
+                left -= len(data)
+                eventlet.sleep(0)
 
     def prepare_next(self) -> bool:
-        """Reset the parser; return whether another request may use the connection."""
-        if self.closing or self.left:
-            return False
-        state = (self._http.our_state, self._http.their_state)
-        if state != (h11.DONE, h11.DONE):
-            return False
-        self._http.start_next_cycle()
-        self._pipelined_bytes = 0
-        return True
+        """Return whether another request may use the connection."""
+        may_go_on = self.is_whole and self._http.our_state is h11.DONE
+        self.is_whole = False
+        self._body.clear()
+        return may_go_on and not (self.closing or self.left)
 
     def _write(self, data: bytes | None) -> None:
         if self.left:
             raise CallerLeft()
         self.socket.settimeout(WRITE_TIMEOUT_SECONDS)
         try:
-            self.socket.sendall(data or b"")
+            self.socket.sendall(memoryview(data or b""))
         except OSError as error:
             self.left = True
             raise CallerLeft() from error
@@ -251,18 +332,17 @@
             watcher.kill()
 
     def _watch(self, on_left: abc.Callable[[], object]) -> None:
-        while self._pipelined_bytes < MAX_PIPELINED_BYTES:
+        while len(self._ahead) < MAX_PIPELINED_BYTES:
             try:
                 hubs.trampoline(self.socket, read=True)
-                data = self.socket.recv(READ_BYTES)
+                data = self.socket.recv(MAX_PIPELINED_BYTES - len(self._ahead))
             except OSError:
                 data = b""
             if not data:
                 self.left = True
                 on_left()
                 return
-            self._pipelined_bytes += len(data)
-            self._http.receive_data(data)
+            self._ahead += data
 
 
 def is_ambiguous(headers: abc.Iterable[tuple[bytes, bytes]]) -> bool:
--- a/packages/daemon/src/trestlestall/daemon/gateway/connections.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/connections.py
@@ -136,7 +136,8 @@
 
     def _send(self, data: bytes, seconds: float) -> None:
         self.socket.settimeout(max(0.001, seconds))
-        self.socket.sendall(data)
+        # A slice of a view is no copy of what is left to send.
+        self.socket.sendall(memoryview(data))
 
     def _receive(self, seconds: float) -> bytes:
         return receive(self.socket, seconds)
--- /dev/null
+++ b/packages/daemon/src/trestlestall/daemon/gateway/door.py
@@ -0,0 +1,112 @@
+"""The open connections of callers, and the requests that arrive on them."""
+
+import socket
+
+import eventlet
+
+from trestlestall.daemon import dialects, events, logs
+from trestlestall.daemon.gateway import callers, heads, refusals, request_handler
+from trestlestall.daemon.http import bodies, pacing
+from trestlestall.wire import clocks, sockets
+
+ACCEPT_RETRY_SECONDS = 0.05
+#: The reason in the answer to a request that an error of this program stopped.
+FAILED = "internal error"
+
+
+class Door:
+    """Serves the callers of a gateway.
+
+    ``open`` are their connections. Once ``closing`` is set, each is closed after its
+    current answer.
+    """
+
+    def __init__(
+        self,
+        handler: request_handler.RequestHandler,
+        dialect: dialects.Dialect,
+        log: logs.Log,
+    ) -> None:
+        self.open: set[callers.Caller] = set()
+        self.closing = False
+        self._handler = handler
+        self._dialect = dialect
+        self._log = log
+        given = handler.settings.clients
+        self._bodies = bodies.Bodies(given.held_bytes)
+        self._pacer = pacing.Pacer()
+
+    def count_running(self) -> int:
+        """Return how many callers have a request that is received or answered."""
+        return sum(not caller.idle for caller in self.open)
+
+    def accept(self, accepting: socket.socket) -> None:
+        """Accept and serve connections until this greenlet is killed."""
+        while True:
+            try:
+                opened, _ = accepting.accept()
+            except OSError as error:
+                self._log.write(
+                    events.process.UNREADY, role="gateway", reason=str(error)
+                )
+                eventlet.sleep(ACCEPT_RETRY_SECONDS)
+                continue
+            eventlet.spawn_n(self._serve, opened)
+            # eventlet doesn't switch while the socket is ready: let other threads run.
+            eventlet.sleep(0)
+
+    def _serve(self, opened: socket.socket) -> None:
+        with sockets.hold(opened), self._bodies.open() as body:
+            caller = callers.Caller(opened, self._find_limits, body, self._pacer)
+            caller.closing = self.closing
+            self.open.add(caller)
+            try:
+                self._serve_requests(caller)
+            except callers.CallerLeft:
+                return  # the request's log line says so
+            finally:
+                self.open.discard(caller)
+
+    def _find_limits(self) -> object:
+        return self._handler.view.limits
+
+    def _serve_requests(self, caller: callers.Caller) -> None:
+        while True:
+            request = caller.read_request()
+            if isinstance(request, callers.Ended):
+                return
+            if isinstance(request, callers.Rejected):
+                self._reject(caller, request)
+                return
+            try:
+                self._handler.handle(request, caller)
+            except callers.CallerLeft:
+                raise
+            except Exception as error:
+                self._end_failed(caller, request, error)
+                return
+            if not caller.prepare_next():
+                return
+
+    def _end_failed(
+        self, caller: callers.Caller, request: callers.Request, error: Exception
+    ) -> None:
+        """Answer a request that an error of this program stopped, or cut its answer."""
+        given = heads.index_headers(request.headers)
+        self._log.write(
+            events.forwarding.FAILED,
+            request=given.get(self._dialect.headers.request_id.lower(), ""),
+            error=f"{type(error).__name__}: {error}",
+        )
+        caller.closing = True
+        caller.reject(refusals.BAD_GATEWAY, refusals.encode_error(FAILED))
+        caller.reset_if_unfinished()
+
+    def _reject(self, caller: callers.Caller, rejected: callers.Rejected) -> None:
+        refusal = refusals.Refusal(rejected.status, rejected.reason)
+        retry_after = refusals.get_retry_after(rejected.status, rejected.reason)
+        self._handler.record_refusal(refusal, retry_after, clocks.read())
+        caller.closing = True
+        body = refusals.encode_error(rejected.reason)
+        headers = refusals.list_error_headers(retry_after)
+        caller.reject(rejected.status, body, headers if retry_after else ())
--- a/packages/daemon/src/trestlestall/daemon/gateway/entrance.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/entrance.py
@@ -11,6 +11,7 @@
 import eventlet
 
 from trestlestall.daemon import settings as process_settings
+from trestlestall.wire import sockets
 
 #: Length of the accept queue: as many as all callers of a host open within a second.
 BACKLOG = 1024
@@ -23,6 +24,7 @@
     """Listen on the address for callers during the block; raises ``OSError``."""
     address = settings.listen.callers
     accepting = eventlet.listen((address.host, address.port), backlog=BACKLOG)
+    sockets.bound_unread(accepting)
     try:
         yield accepting
     finally:
--- a/packages/daemon/src/trestlestall/daemon/gateway/holds.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/holds.py
@@ -6,6 +6,7 @@
 """
 
 import contextlib
+import typing
 from collections import abc
 
 import eventlet
@@ -20,6 +21,9 @@
 FIRST_WRITE_BYTES = 8192
 
 
+Bytes: typing.TypeAlias = bytes | memoryview
+
+
 class EndedHoldError(exceptions.DaemonError):
     """A connection is used after the hold on it has ended."""
 
@@ -54,24 +58,26 @@
         self.connection.record_request(request_id)
         self.requests = self.connection.requests
 
-    def send(self, data: bytes, seconds: float) -> None:
-        """Send bytes, those beyond the first ones while the answer is read.
+    def send(self, data: bytes, seconds: float, body: bytes = b"") -> None:
+        """Send bytes and a body, those beyond the first ones while the answer is read.
 
         Raises ``OSError`` if the first ones can't be sent within ``seconds``; a failure
-        of the others surfaces when the answer is read.
+        of the others surfaces when the answer is read. The body is not copied.
         """
         self._has_sent = True
-        self._unsent_bytes += len(data)
-        self._send_part(data[:FIRST_WRITE_BYTES], seconds)
+        self._unsent_bytes += len(data) + len(body)
+        begun = max(0, FIRST_WRITE_BYTES - len(data))
+        self._send_part(data[:FIRST_WRITE_BYTES] + body[:begun], seconds)
         if self._unsent_bytes:
-            rest = data[FIRST_WRITE_BYTES:]
+            rest = data[FIRST_WRITE_BYTES:], memoryview(body)[begun:]
             self._writing = eventlet.spawn(self._send_rest, rest, seconds)
 
-    def _send_rest(self, data: bytes, seconds: float) -> None:
+    def _send_rest(self, parts: abc.Iterable[Bytes], seconds: float) -> None:
         with contextlib.suppress(OSError):
-            self._send_part(data, seconds)
+            for part in filter(len, parts):
+                self._send_part(part, seconds)
 
-    def _send_part(self, data: bytes, seconds: float) -> None:
+    def _send_part(self, data: Bytes, seconds: float) -> None:
         self.connection.send(data, seconds)
         self._unsent_bytes -= len(data)
 
--- a/packages/daemon/src/trestlestall/daemon/gateway/process.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/process.py
@@ -21,19 +21,17 @@
 )
 from trestlestall.daemon.gateway import (
     cached_view,
-    callers,
+    door,
     entrance,
-    heads,
     links as gateway_links,
     metrics as gateway_metrics,
-    refusals,
     request_handler,
     tunnel_server,
     usage as gateway_usage,
 )
 from trestlestall.daemon.http import answers, application, listener, routes
 from trestlestall.duties import starts
-from trestlestall.wire import clocks, exceptions as wire_exceptions, sockets
+from trestlestall.wire import clocks, exceptions as wire_exceptions
 
 ROLE = "gateway"
 #: Seconds after a stop signal in which new connections are still served. The load
@@ -45,11 +43,8 @@
 KILL_MARGIN_SECONDS = 0.5
 TICK_SECONDS = 0.05
 SWEEP_SECONDS = 1.0
-ACCEPT_RETRY_SECONDS = 0.05
 UNREADY = 503
 READY = 200
-#: The reason in the answer to a request that an error of this program stopped.
-FAILED = "internal error"
 
 
 class Gateway:
@@ -96,9 +91,8 @@
             settings, self.view, self.handler.prober, self._metrics
         )
         self._suspensions = suspensions.Monitor(self._log)
-        self._open: set[callers.Caller] = set()
+        self._door = door.Door(self.handler, dialect, self._log)
         self._stopping = False
-        self._closing = False
 
     def run(self) -> status.ExitStatus:
         """Serve until SIGTERM or SIGINT."""
@@ -110,7 +104,7 @@
             events.process.STOPPED,
             role=ROLE,
             status=int(exit_status),
-            cut_off=self._count_running(),
+            cut_off=self._door.count_running(),
         )
         return exit_status
 
@@ -159,75 +153,9 @@
             if accepting is None:
                 opened = entrance.open_caller_listener(self._settings)
                 accepting = stack.enter_context(opened)
-            stack.callback(eventlet.spawn(self._accept, accepting).kill)
+            stack.callback(eventlet.spawn(self._door.accept, accepting).kill)
             yield
 
-    def _accept(self, accepting: socket.socket) -> None:
-        while True:
-            try:
-                opened, _ = accepting.accept()
-            except OSError as error:
-                self._log.write(events.process.UNREADY, role=ROLE, reason=str(error))
-                eventlet.sleep(ACCEPT_RETRY_SECONDS)
-                continue
-            eventlet.spawn_n(self._serve, opened)
-            # eventlet doesn't switch while the socket is ready: let other threads run.
-            eventlet.sleep(0)
-
-    def _serve(self, opened: socket.socket) -> None:
-        with sockets.hold(opened):
-            caller = callers.Caller(opened, self.view.limits)
-            caller.closing = self._closing
-            self._open.add(caller)
-            try:
-                self._serve_requests(caller)
-            except callers.CallerLeft:
-                return  # the request's log line says so
-            finally:
-                self._open.discard(caller)
-
-    def _serve_requests(self, caller: callers.Caller) -> None:
-        while True:
-            caller.idle = True
-            request = caller.read_request()
-            if isinstance(request, callers.Ended):
-                return
-            if isinstance(request, callers.Rejected):
-                self._reject(caller, request)
-                return
-            try:
-                self.handler.handle(request, caller)
-            except callers.CallerLeft:
-                raise
-            except Exception as error:
-                self._end_failed(caller, request, error)
-                return
-            if not caller.prepare_next():
-                return
-
-    def _end_failed(
-        self, caller: callers.Caller, request: callers.Request, error: Exception
-    ) -> None:
-        """Answer a request that an error of this program stopped, or cut its answer."""
-        given = heads.index_headers(request.headers)
-        self._log.write(
-            events.forwarding.FAILED,
-            request=given.get(self._dialect.headers.request_id.lower(), ""),
-            error=f"{type(error).__name__}: {error}",
-        )
-        caller.closing = True
-        caller.reject(refusals.BAD_GATEWAY, refusals.encode_error(FAILED))
-        caller.reset_if_unfinished()
-
-    def _reject(self, caller: callers.Caller, rejected: callers.Rejected) -> None:
-        refusal = refusals.Refusal(rejected.status, rejected.reason)
-        self.handler.record_refusal(refusal, None, clocks.read())
-        caller.closing = True
-        caller.reject(rejected.status, refusals.encode_error(rejected.reason))
-
-    def _count_running(self) -> int:
-        return sum(not caller.idle for caller in self._open)
-
     # Endpoints for the load balancer and the metrics scraper.
 
     def _build_application(self) -> application.Application:
@@ -285,22 +213,22 @@
         self.handler.stop_at = deadline
         self.handler.refuse_at = started + BALANCER_NOTICE_SECONDS
         self._log.write(
-            events.process.STOPPING, role=ROLE, running=self._count_running()
+            events.process.STOPPING, role=ROLE, running=self._door.count_running()
         )
         self._tunnels.stop()
         eventlet.sleep(BALANCER_NOTICE_SECONDS)
-        self._closing = True
+        self._door.closing = True
         while clocks.read() < deadline and self._is_needed(started):
-            for caller in list(self._open):
+            for caller in list(self._door.open):
                 caller.closing = True
                 caller.close_if_idle()
             eventlet.sleep(TICK_SECONDS)
-        for caller in list(self._open):
+        for caller in list(self._door.open):
             caller.reset_if_unfinished()
 
     def _is_needed(self, started: float) -> bool:
         """Return whether callers or peers are connected, or callers may be."""
         return (
-            bool(self._open or self._tunnels.count)
+            bool(self._door.open or self._tunnels.count)
             or clocks.read() < started + LINGER_SECONDS
         )
--- a/packages/daemon/src/trestlestall/daemon/http/application.py
+++ b/packages/daemon/src/trestlestall/daemon/http/application.py
@@ -1,9 +1,18 @@
 """The WSGI application of one listener: calls the handler, writes its answer."""
 
+import contextlib
 import typing
 from collections import abc
 
-from trestlestall.daemon.http import answers, errors, limits, requests, routes
+from trestlestall.daemon.http import (
+    answers,
+    bodies,
+    errors,
+    limits,
+    pacing,
+    requests,
+    routes,
+)
 
 # Tokens are written at once: by default eventlet would buffer them up to 4,096 bytes.
 CHUNK_SETTING = "eventlet.minimum_write_chunk_size"
@@ -22,6 +31,27 @@
     """Ignore an error of a handler."""
 
 
+class Parts:
+    """The parts of an answer that is written as it is made.
+
+    ``stack`` has what the request holds until the answer's end.
+    """
+
+    def __init__(self, parts: abc.Iterable[bytes], stack: contextlib.ExitStack):
+        self._parts = parts
+        self._stack = stack
+
+    def __iter__(self) -> abc.Iterator[bytes]:
+        return iter(self._parts)
+
+    def close(self) -> None:
+        """End the answer; the server calls this in any case."""
+        with self._stack:
+            close = getattr(self._parts, "close", None)
+            if close is not None:
+                close()
+
+
 class Application:
     """Dispatches requests to the handlers of a table of routes.
 
@@ -44,17 +74,27 @@
         self.limits = bounds or limits.Limits()
         self.check = check
         self.report_error = report_error
+        self.bodies = bodies.Bodies(self.limits.held_bytes)
+        self.pacer = pacing.Pacer()
 
     def __call__(self, environ: dict, start_response) -> abc.Iterable[bytes]:
         environ[CHUNK_SETTING] = 1
-        request = requests.build_request(environ, self.limits)
+        with contextlib.ExitStack() as stack:
+            body = stack.enter_context(self.bodies.open())
+            request = requests.build_request(environ, self.limits, body, self.pacer)
+            answer = self._answer(request, start_response)
+            if isinstance(answer.body, bytes):
+                return [answer.body]
+            return Parts(answer.body, stack.pop_all())
+
+    def _answer(self, request: requests.Request, start_response) -> answers.Answer:
+        """Return the answer of the handler, whose head was written."""
         answer = self._handle(request)
+        environ = request.environ
         self._close_if_unread(environ)
         status = answers.find_status_line(answer.status)
         start_response(status, answers.list_headers(answer))
-        if isinstance(answer.body, bytes):
-            return [answer.body]
-        return answer.body
+        return answer
 
     def _handle(self, request: requests.Request) -> answers.Answer:
         try:
--- a/packages/daemon/src/trestlestall/daemon/http/limits.py
+++ b/packages/daemon/src/trestlestall/daemon/http/limits.py
@@ -11,7 +11,8 @@
     time from the first byte of a request to the end of its headers, and again from
     there to the end of its body; a connection without any read or write for that long
     is closed too. ``idle_seconds`` bounds the wait for the next request on a keep-alive
-    connection, and ``connections`` the number of open connections.
+    connection, and ``connections`` the number of open connections. ``held_bytes``
+    bounds the bodies of all requests together.
     """
 
     body_bytes: int = 1024 * 1024
@@ -19,3 +20,4 @@
     read_seconds: float = 10.0
     idle_seconds: float = 75.0
     connections: int = 4096
+    held_bytes: int = 64 * 1024 * 1024
--- a/packages/daemon/src/trestlestall/daemon/http/listener.py
+++ b/packages/daemon/src/trestlestall/daemon/http/listener.py
@@ -10,6 +10,7 @@
 from eventlet.green import socket
 
 from trestlestall.daemon.http import limits, protocol
+from trestlestall.wire import sockets
 
 BACKLOG_CONNECTIONS = 1024
 ACCEPT_RETRY_SECONDS = 0.05
@@ -154,6 +155,7 @@
     host, port = split_address(address)
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
     sock = eventlet.listen((host, port), family=family, backlog=BACKLOG_CONNECTIONS)
+    sockets.bound_unread(sock)
     served = Listener(sock, app, bounds or limits.Limits())
     served.start()
     try:
--- a/packages/daemon/src/trestlestall/daemon/router/connections.py
+++ b/packages/daemon/src/trestlestall/daemon/router/connections.py
@@ -15,8 +15,7 @@
 import urllib3
 from urllib3 import connection as urllib3_connection
 
-from trestlestall.daemon.http import listener
-from trestlestall.daemon.router import chunks
+from trestlestall.daemon.http import chunks, listener
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 # Between two reads; the policy detects a stalled engine much earlier.
--- a/packages/daemon/src/trestlestall/daemon/router/listeners.py
+++ b/packages/daemon/src/trestlestall/daemon/router/listeners.py
@@ -55,6 +55,7 @@
         header_bytes=configured.header_bytes,
         read_seconds=configured.read_seconds,
         connections=CONNECTIONS_PER_STREAM * configured.streams,
+        held_bytes=configured.held_bytes,
     )
     check = make_check(router, name)
     report = router.reports.make_error_reporter(name)
--- a/packages/daemon/src/trestlestall/daemon/settings/__init__.py
+++ b/packages/daemon/src/trestlestall/daemon/settings/__init__.py
@@ -16,6 +16,7 @@
 
 Address = model.Address
 Answers = model.Answers
+Clients = model.Clients
 ControlSettings = model.ControlSettings
 DirectoryListen = model.DirectoryListen
 DirectorySettings = model.DirectorySettings
--- a/packages/daemon/src/trestlestall/daemon/settings/checks.py
+++ b/packages/daemon/src/trestlestall/daemon/settings/checks.py
@@ -88,11 +88,13 @@
 @register_check
 def check_limits(found: Settings, folder: pathlib.Path) -> abc.Iterator:
     """Limits are above 0, since others would refuse every request."""
-    if isinstance(getattr(found, "limits", document.MISSING), document.Missing):
-        return
-    for key, value in vars(found.limits).items():
-        if not isinstance(value, document.Missing) and not value > 0:
-            yield model.Problem(f"limits.{key}", "must be above 0")
+    for group in ("limits", "clients"):
+        given = getattr(found, group, document.MISSING)
+        if isinstance(given, document.Missing):
+            continue
+        for key, value in vars(given).items():
+            if not isinstance(value, document.Missing) and not value > 0:
+                yield model.Problem(f"{group}.{key}", "must be above 0")
 
 
 @register_check
--- a/packages/daemon/src/trestlestall/daemon/settings/model.py
+++ b/packages/daemon/src/trestlestall/daemon/settings/model.py
@@ -81,6 +81,7 @@
     header_bytes: int = 16 * 1024
     read_seconds: float = 10.0
     streams: int = 2000
+    held_bytes: int = 64 * 1024 * 1024
 
 
 @dataclasses.dataclass(frozen=True)
@@ -173,6 +174,17 @@
     held_bytes: int = 64 * 1024 * 1024
 
 
+@dataclasses.dataclass(frozen=True)
+class Clients:
+    """What all clients at a door may take of a process together.
+
+    ``held_bytes`` bounds the bodies of requests that are received or in
+    progress; beyond it the largest unfinished one is dropped and its request refused.
+    """
+
+    held_bytes: int = 64 * 1024 * 1024
+
+
 @dataclasses.dataclass(frozen=True)
 class Duties:
     """Calls to the platform that one directory at a time makes for all of them.
@@ -217,6 +229,7 @@
     grace_seconds: float = 8.0
     retries: Retries = Retries()
     answers: Answers = Answers()
+    clients: Clients = Clients()
     duties: Duties = Duties()
     secrets: Secrets | None = dataclasses.field(default=None, metadata={"file": False})
 
@@ -256,6 +269,7 @@
     directories: tuple[Address, ...]
     founding: bool = False
     document_bytes: int = 8 * 1024 * 1024
+    clients: Clients = Clients()
     retries: Retries = Retries()
     duties: Duties = Duties()
     placing: feature_flags.Features = feature_flags.NONE
--- a/packages/daemon/tests/test_router_attempts.py
+++ b/packages/daemon/tests/test_router_attempts.py
@@ -8,7 +8,8 @@
 import unittest
 from unittest import mock
 
-from trestlestall.daemon.router import attempts, calls, chunks, connections
+from trestlestall.daemon.http import chunks
+from trestlestall.daemon.router import attempts, calls, connections
 
 HEAD = b"HTTP/1.1 200 OK\r\n"
 JSON = b"Content-Type: application/json\r\n"
--- a/packages/wire/src/trestlestall/wire/sockets.py
+++ b/packages/wire/src/trestlestall/wire/sockets.py
@@ -20,6 +20,11 @@
 }
 
 
+#: Bytes of a connection from clients that wait unread in the kernel, which adds as many
+#: for its own use.
+UNREAD_BYTES = 32 * 1024
+
+
 def open_listener(address: str) -> socket.socket:
     """Return a listening socket, or raise ``ListenError``."""
     try:
@@ -119,3 +124,11 @@
         yield
     finally:
         close(opened)
+
+
+def bound_unread(listening: socket.socket) -> None:
+    """Bound what the kernel holds of each connection that is accepted later.
+
+    Otherwise it lets each grow to megabytes that the process has not read.
+    """
+    listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, UNREAD_BYTES)
