Connections that prove nothing yield at the port for other gateways

Each was held for the 2 s of its handshake, without a bound, so whoever reaches the port could take all descriptors of a gateway. 64 are pending at most; beyond it the oldest is closed, as a gateway proves itself at once.

--- a/packages/daemon/src/trestlestall/daemon/gateway/tunnel_server.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/tunnel_server.py
@@ -38,6 +38,8 @@
 #: Timeout for the handshake and the call of one connection, in seconds.
 HANDSHAKE_SECONDS = 2.0
 ACCEPT_RETRY_SECONDS = 0.2
+#: Connections at one time that have not yet proved to be a gateway's.
+PENDING_LIMIT = 64
 #: Interval of the check that a tunnel is open while its upstream reads nothing.
 SEND_POLL_SECONDS = 0.1
 #: Reasons for opening no tunnel.
@@ -87,6 +89,7 @@
         self._secret = settings.secrets.peers.encode()
         self._hello = tunnels.make_hello(settings)
         self._open: set[ServedTunnel] = set()
+        self._pending: dict[socket.socket, None] = {}
         self._is_stopping = False
 
     @property
@@ -128,9 +131,21 @@
                 eventlet.sleep(ACCEPT_RETRY_SECONDS)
                 continue
             eventlet.sleep(0)
+            if len(self._pending) >= PENDING_LIMIT:
+                # A gateway proves itself at once, so it is hardly the oldest.
+                oldest = next(iter(self._pending))
+                del self._pending[oldest]
+                sockets.shut_down(oldest)
+            self._pending[opened] = None
             eventlet.spawn_n(self._serve, opened)
 
     def _serve(self, opened: socket.socket) -> None:
+        try:
+            self._serve_pending(opened)
+        finally:
+            self._pending.pop(opened, None)
+
+    def _serve_pending(self, opened: socket.socket) -> None:
         deadline = clocks.read() + HANDSHAKE_SECONDS
         size = tunnels.HANDSHAKE_FRAME_BYTES
         with wire_connections.accept(opened, deadline, size) as carrier:
@@ -148,6 +163,7 @@
                 return
             call = handshake.receive(carrier, deadline)
             if isinstance(call, tunnel_messages.TunnelCall):
+                self._pending.pop(opened, None)
                 carrier.lift_handshake_limits(codec.MAX_FRAME_BYTES)
                 sockets.keep_alive(opened)
                 self._handle_call(ServedTunnel(carrier), proven.name, call.upstream)
--- a/packages/daemon/tests/test_tunnels.py
+++ b/packages/daemon/tests/test_tunnels.py
@@ -448,6 +448,18 @@
         self.assertNotEqual(caller.read_head()[0], 200)
         self.assertEqual(upstream.received, [])
 
+    def test_connections_that_prove_nothing_yield_to_a_gateway(self):
+        """Guards against clients that take a peer's descriptors."""
+        peer = self.add_peer()
+        self.add("u1", bench.answer("", "done"))
+        port = int(peer.address.rpartition(":")[2])
+        callers = [bench.Caller(port) for _ in range(3 * tunnel_server.PENDING_LIMIT)]
+        for caller in callers:
+            self.stack.callback(caller.close)
+        self.assertEqual(self.bench.ask("/once/x")[0], 200)
+        pending = len(peer.server._pending)
+        self.assertLessEqual(pending, tunnel_server.PENDING_LIMIT)
+
     def test_a_peer_connects_only_to_upstreams_that_it_knows(self):
         peer = self.add_peer()
         self.check_not_run(self.add("u1", bench.answer("", "done"), known_to=()))
