Connections that wait longest yield to new ones, within half of the descriptors

What callers saw: clients that open connections and send nothing, or a part of a head, took all descriptors of a gateway or directory (256 of 256 in the test), so that no other client got through and nothing could be opened to an upstream.

Cause: the number of callers' connections had no bound, and that of the other listeners was 4,096, the whole of a machine's descriptors; the one that waited was served last.

Change: clients.connections (2,000), and half of what the process may open. Beyond it the connection that has waited longest for a request, else for the rest of one, is closed for each new one, with a line (caller_closed) at most once a second; a request that was received is never cut for it. A listener accepts without a pause no longer, so that those that are closed end.

--- a/packages/daemon/src/trestlestall/daemon/directory/endpoints.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/endpoints.py
@@ -69,6 +69,7 @@
         table.register("GET", paths.metrics)(show_metrics)
         bounds = limits.Limits(
             body_bytes=self.document_bytes,
+            connections=self._clients.connections,
             held_bytes=self._clients.held_bytes,
         )
         return application.Application(
@@ -97,7 +98,7 @@
     started = clocks.read()
     body = requests.read_body(request, components.document_bytes, takes_chunks=True)
     if isinstance(body, errors.Failure):
-        return refuse_document(body)
+        return refuse_document(components, body)
     found = components.dialect.decode_configuration(body)
     if isinstance(found, model.Invalid):
         components.log.write(
@@ -121,8 +122,10 @@
     return answers.build_json({"newest": reply.get("newest")})
 
 
-def refuse_document(failure: errors.Failure) -> answers.Answer:
+def refuse_document(components: Components, failure: errors.Failure) -> answers.Answer:
     """Refuse a document that was not received; another directory may receive it."""
+    if components.refusals.count() is not None:
+        components.log.write(events.directory.REFUSED, reason=failure.message)
     if failure.code == "overloaded":
         return refuse(UNAVAILABLE, failure.message)
     return refuse(TOO_LARGE, "the document is too large, or was cut off")
--- a/packages/daemon/src/trestlestall/daemon/events/forwarding.py
+++ b/packages/daemon/src/trestlestall/daemon/events/forwarding.py
@@ -327,3 +327,14 @@
     " begun; otherwise the connection was cut.",
     "Report it with the lines of the request.",
 )
+CALLER_CLOSED = catalogue.declare(
+    "TS7034",
+    "caller_closed",
+    catalogue.Level.WARNING,
+    "open limit seconds left_out",
+    "So many connections of callers are open that one was closed for a new one: the one"
+    " that had waited longest, for seconds, for a request or the rest of one. left_out"
+    " counts those that were closed since the last such line.",
+    "See who opens them; clients.connections is the limit, and half of the descriptors"
+    " that the process may open.",
+)
--- a/packages/daemon/src/trestlestall/daemon/gateway/caller_server.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/caller_server.py
@@ -1,4 +1,9 @@
-"""The open connections of callers, and the requests that arrive on them."""
+"""The open connections of callers: which are accepted, and which yield to new ones.
+
+Clients may open more connections than the process has descriptors for. So it keeps a
+limit, and beyond it closes the connection that has waited longest for a request, or for
+the rest of one, in favour of each new one.
+"""
 
 import socket
 
@@ -6,15 +11,17 @@
 
 from trestlestall.daemon import dialects, events, logs
 from trestlestall.daemon.gateway import callers, heads, refusals, request_handler
-from trestlestall.daemon.http import bodies, pacing
+from trestlestall.daemon.http import bodies, descriptors, pacing
 from trestlestall.wire import clocks, sockets
 
 ACCEPT_RETRY_SECONDS = 0.05
 #: The reason in the answer to a request that an error of this program stopped.
 FAILED = "internal error"
+#: Seconds between two log lines on connections that were closed for new ones.
+LOG_INTERVAL_SECONDS = 1.0
 
 
-class Door:
+class CallerServer:
     """Serves the callers of a gateway.
 
     ``open`` are their connections. Once ``closing`` is set, each is closed after its
@@ -33,8 +40,10 @@
         self._dialect = dialect
         self._log = log
         given = handler.settings.clients
+        self._connections = given.connections
         self._bodies = bodies.Bodies(given.held_bytes)
         self._pacer = pacing.Pacer()
+        self._yields = logs.Throttle(LOG_INTERVAL_SECONDS)
 
     def count_running(self) -> int:
         """Return how many callers have a request that is received or answered."""
@@ -51,10 +60,32 @@
                 )
                 eventlet.sleep(ACCEPT_RETRY_SECONDS)
                 continue
+            self._make_room()
             eventlet.spawn_n(self._serve, opened)
             # eventlet doesn't switch while the socket is ready: let other threads run.
             eventlet.sleep(0)
 
+    def _make_room(self) -> None:
+        """Close the connection that waits longest for a caller, beyond the limit."""
+        limit = descriptors.limit_connections(self._connections)
+        if len(self.open) < limit:
+            return
+        waiting = [caller for caller in self.open if not caller.is_whole]
+        if not waiting:
+            return
+        found = min(waiting, key=lambda one: (not one.idle, one.active_at))
+        self.open.discard(found)
+        found.abort()
+        left_out = self._yields.count()
+        if left_out is not None:
+            self._log.write(
+                events.forwarding.CALLER_CLOSED,
+                open=len(self.open),
+                limit=limit,
+                seconds=round(clocks.read() - found.active_at, 3),
+                left_out=left_out,
+            )
+
     def _serve(self, opened: socket.socket) -> None:
         with sockets.hold(opened), self._bodies.open() as body:
             caller = callers.Caller(opened, self._find_limits, body, self._pacer)
--- a/packages/daemon/src/trestlestall/daemon/gateway/callers.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/callers.py
@@ -132,7 +132,7 @@
 
     def _read_request(self) -> Request | Rejected | Ended:
         event = self._read_head()
-        if not isinstance(event, h11.Request):
+        if event is None:
             return Ended()
         self._method = event.method
         if count_bytes(event.headers.raw_items()) > self.limits.header_bytes:
@@ -147,29 +147,24 @@
         headers = list(event.headers.raw_items())
         return Request(event.method, event.target, headers, body)
 
-    def _read_head(self) -> object:
-        """Return the parsed head of the next request, or another event at the end.
+    def _read_head(self) -> h11.Request | None:
+        """Return the parsed head of the next request; None at the connection's end.
 
         A head must be complete ``limits.header_seconds`` after its first byte, however
         slowly its bytes arrive.
         """
-        self.limits = self._find_limits()
-        self._http = self._make_parser()
         self._method = b""
         self.idle = not self._ahead
-        if self._ahead:
-            self._http.receive_data(self._ahead)
-        deadline = None
+        data = self._ahead or self._receive(READ_BYTES, self.limits.idle_seconds)
+        self.idle = not data
+        self.limits = self._find_limits()
+        self._http = self._make_parser()
+        self._http.receive_data(data)
+        deadline = clocks.read() + self.limits.header_seconds
         while (event := self._http.next_event()) is h11.NEED_DATA:
-            seconds = self.limits.idle_seconds
-            if not self.idle:
-                now = clocks.read()
-                deadline = deadline or now + self.limits.header_seconds
-                seconds = max(0.001, deadline - now)
-            data = self._receive(READ_BYTES, seconds)
-            self.idle = self.idle and not data
-            self._http.receive_data(data)
-        return event
+            seconds = max(0.001, deadline - clocks.read())
+            self._http.receive_data(self._receive(READ_BYTES, seconds))
+        return event if isinstance(event, h11.Request) else None
 
     def _read_body(self, head: h11.Request) -> bytes:
         """Read the body behind a head, and keep what arrived behind the body."""
--- a/packages/daemon/src/trestlestall/daemon/gateway/process.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/process.py
@@ -21,7 +21,7 @@
 )
 from trestlestall.daemon.gateway import (
     cached_view,
-    door,
+    caller_server,
     entrance,
     links as gateway_links,
     metrics as gateway_metrics,
@@ -91,7 +91,7 @@
             settings, self.view, self.handler.prober, self._metrics
         )
         self._suspensions = suspensions.Monitor(self._log)
-        self._door = door.Door(self.handler, dialect, self._log)
+        self._callers = caller_server.CallerServer(self.handler, dialect, self._log)
         self._stopping = False
 
     def run(self) -> status.ExitStatus:
@@ -104,7 +104,7 @@
             events.process.STOPPED,
             role=ROLE,
             status=int(exit_status),
-            cut_off=self._door.count_running(),
+            cut_off=self._callers.count_running(),
         )
         return exit_status
 
@@ -153,7 +153,7 @@
             if accepting is None:
                 opened = entrance.open_caller_listener(self._settings)
                 accepting = stack.enter_context(opened)
-            stack.callback(eventlet.spawn(self._door.accept, accepting).kill)
+            stack.callback(eventlet.spawn(self._callers.accept, accepting).kill)
             yield
 
     # Endpoints for the load balancer and the metrics scraper.
@@ -213,22 +213,22 @@
         self.handler.stop_at = deadline
         self.handler.refuse_at = started + BALANCER_NOTICE_SECONDS
         self._log.write(
-            events.process.STOPPING, role=ROLE, running=self._door.count_running()
+            events.process.STOPPING, role=ROLE, running=self._callers.count_running()
         )
         self._tunnels.stop()
         eventlet.sleep(BALANCER_NOTICE_SECONDS)
-        self._door.closing = True
+        self._callers.closing = True
         while clocks.read() < deadline and self._is_needed(started):
-            for caller in list(self._door.open):
+            for caller in list(self._callers.open):
                 caller.closing = True
                 caller.close_if_idle()
             eventlet.sleep(TICK_SECONDS)
-        for caller in list(self._door.open):
+        for caller in list(self._callers.open):
             caller.reset_if_unfinished()
 
     def _is_needed(self, started: float) -> bool:
         """Return whether callers or peers are connected, or callers may be."""
         return (
-            bool(self._door.open or self._tunnels.count)
+            bool(self._callers.open or self._tunnels.count)
             or clocks.read() < started + LINGER_SECONDS
         )
--- a/packages/daemon/src/trestlestall/daemon/http/application.py
+++ b/packages/daemon/src/trestlestall/daemon/http/application.py
@@ -16,7 +16,7 @@
 
 # Tokens are written at once: by default eventlet would buffer them up to 4,096 bytes.
 CHUNK_SETTING = "eventlet.minimum_write_chunk_size"
-PROTOCOL_SETTING = "trestlestall.protocol"
+PROTOCOL_SETTING = requests.PROTOCOL_SETTING
 
 Check = abc.Callable[[requests.Request], errors.Failure | None]
 ReportError = abc.Callable[[requests.Request, Exception], None]
--- a/packages/daemon/src/trestlestall/daemon/http/limits.py
+++ b/packages/daemon/src/trestlestall/daemon/http/limits.py
@@ -19,5 +19,5 @@
     header_bytes: int = 16 * 1024
     read_seconds: float = 10.0
     idle_seconds: float = 75.0
-    connections: int = 4096
+    connections: int = 2000
     held_bytes: int = 64 * 1024 * 1024
--- a/packages/daemon/src/trestlestall/daemon/http/listener.py
+++ b/packages/daemon/src/trestlestall/daemon/http/listener.py
@@ -9,12 +9,15 @@
 from eventlet import greenio, wsgi
 from eventlet.green import socket
 
-from trestlestall.daemon.http import limits, protocol
+from trestlestall.daemon.http import descriptors, limits, protocol
 from trestlestall.wire import sockets
 
 BACKLOG_CONNECTIONS = 1024
 ACCEPT_RETRY_SECONDS = 0.05
-STATE_INDEX = 2
+#: Positions in the state of a connection, which eventlet reads and writes, too.
+SOCKET_INDEX, STATE_INDEX = 1, 2
+#: Greenlets of connections that were closed for new ones and have not ended yet.
+SPARE_GREENLETS = 64
 
 
 class Server(wsgi.Server):
@@ -51,7 +54,8 @@
         self._socket = sock
         self._connections: dict[int, list] = {}
         self._accepting = None
-        self._pool = eventlet.GreenPool(bounds.connections)
+        self._bounds = bounds
+        self._pool = eventlet.GreenPool(SPARE_GREENLETS + bounds.connections)
         self._server = Server(
             sock,
             sock.getsockname(),
@@ -98,11 +102,32 @@
                 )  # out of descriptors, or a lost client
                 continue
             self._serve(client, address)
+            # eventlet doesn't switch while the socket is ready: let others run, and
+            # those end that were closed for this one.
+            eventlet.sleep(0)
+
+    def _make_room(self) -> None:
+        """Close the connection that waits longest for its client, beyond the limit."""
+        limit = descriptors.limit_connections(self._bounds.connections)
+        if len(self._connections) < limit:
+            return
+        waiting = [
+            state
+            for state in self._connections.values()
+            if state[STATE_INDEX] == wsgi.STATE_IDLE or state[protocol.RECEIVING_INDEX]
+        ]
+        # Those between two requests come first, and they are in the order of arrival.
+        waiting.sort(key=lambda state: state[STATE_INDEX] != wsgi.STATE_IDLE)
+        if waiting:
+            self._connections.pop(id(waiting[0]), None)
+            with contextlib.suppress(OSError):
+                waiting[0][SOCKET_INDEX].shutdown(socket.SHUT_RDWR)
 
     def _serve(self, client, address) -> None:
+        self._make_room()
         client.settimeout(self._server.socket_timeout)
         client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        state = [address, client, wsgi.STATE_IDLE]
+        state = [address, client, wsgi.STATE_IDLE, False]
         self._connections[id(state)] = state
         self._pool.spawn_n(self._process, state)
 
--- a/packages/daemon/src/trestlestall/daemon/http/protocol.py
+++ b/packages/daemon/src/trestlestall/daemon/http/protocol.py
@@ -15,6 +15,10 @@
 LINGER_BYTES = 256 * 1024
 
 
+#: Position in the state of a connection: whether a request is being received.
+RECEIVING_INDEX = 3
+
+
 class BoundedHeaders:
     """A reader of header lines that fails beyond a number of bytes."""
 
@@ -46,6 +50,7 @@
         if not self._wait_for_request():
             self.close_connection = 1
             return
+        self.conn_state[RECEIVING_INDEX] = True
         self._timer = eventlet.Timeout(
             self.bounds.read_seconds, exceptions.SlowHeadersError()
         )
@@ -82,8 +87,15 @@
         """Return the WSGI environment, with a reference to this connection."""
         environ = super().get_environ()
         environ[application.PROTOCOL_SETTING] = self
+        source = environ["eventlet.input"]
+        if not (source.content_length or source.chunked_input):
+            self.end_receiving()
         return environ
 
+    def end_receiving(self) -> None:
+        """Record that the request was received completely."""
+        self.conn_state[RECEIVING_INDEX] = False
+
     def finish(self) -> None:
         """Close the connection in a way that lets the client read the last answer."""
         try:
--- a/packages/daemon/src/trestlestall/daemon/http/requests.py
+++ b/packages/daemon/src/trestlestall/daemon/http/requests.py
@@ -18,6 +18,7 @@
 )
 
 HEADER_PREFIX = "HTTP_"
+PROTOCOL_SETTING = "trestlestall.protocol"
 TRUNCATED = errors.Failure("body_truncated", "The body ended before Content-Length.")
 
 
@@ -100,7 +101,9 @@
     seconds = request.limits.read_seconds
     try:
         with eventlet.Timeout(seconds):
-            return _receive(request, bound, None if is_chunked else length)
+            body = _receive(request, bound, None if is_chunked else length)
+            request.environ[PROTOCOL_SETTING].end_receiving()
+            return body
     except (eventlet.Timeout, TimeoutError):
         message = f"The body did not arrive within {seconds:g} s."
         return errors.Failure("slow_sender", message)
--- a/packages/daemon/src/trestlestall/daemon/settings/model.py
+++ b/packages/daemon/src/trestlestall/daemon/settings/model.py
@@ -176,12 +176,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class Clients:
-    """What all clients at a door may take of a process together.
+    """What all clients of a port may take of a process together.
 
-    ``held_bytes`` bounds the bodies of requests that are received or in
+    ``connections`` are those open at once; beyond it, or half of the descriptors that
+    the process may open, the one that waits longest for its client is closed for each
+    new one. ``held_bytes`` bounds the bodies of requests that are received or in
     progress; beyond it the largest unfinished one is dropped and its request refused.
     """
 
+    connections: int = 2000
     held_bytes: int = 64 * 1024 * 1024
 
 
--- a/packages/daemon/tests/test_bodies.py
+++ b/packages/daemon/tests/test_bodies.py
@@ -116,14 +116,14 @@
 
     def set_limit(self, limit):
         """Let the gateway hold so many bytes of bodies."""
-        self.bench.gateway._door._bodies.limit = limit
+        self.bench.gateway._callers._bodies.limit = limit
 
     def begin(self, size):
         """Return a caller who stops within a body, which has arrived."""
         caller = self.bench.call()
         head = f"POST /once/x HTTP/1.1\r\nHost: api\r\nContent-Length: {size}\r\n\r\n"
         caller.socket.sendall(head.encode() + b"x" * (size - 1))
-        held = self.bench.gateway._door._bodies
+        held = self.bench.gateway._callers._bodies
         before = held.held_bytes
         self.assertTrue(bench.wait_until(lambda: held.held_bytes >= before + size - 1))
         return caller
@@ -151,7 +151,7 @@
         self.bench.add("u1", serve)
         waiting = self.bench.call()
         waiting.ask("/once/x", b"x" * 80_000, Trestlestall_Request="r-0")
-        held = self.bench.gateway._door._bodies
+        held = self.bench.gateway._callers._bodies
         self.assertTrue(bench.wait_until(lambda: held.held_bytes == 80_000))
         self.assertEqual(self.bench.ask("/once/x", b"x" * 80_000)[0], 503)
         answered.send()
@@ -163,3 +163,39 @@
         caller = self.bench.call()
         caller.ask("/once/x", b"z" * (bench.BODY_BYTES + 1))
         self.assertEqual(caller.read_head()[0], 413)
+
+    def test_an_open_connection_follows_the_limits_in_force(self):
+        """Guards against limits that hold on for who connected before a change."""
+        self.bench.add("u1", bench.answer("", "done"))
+        caller = self.bench.call()
+        for version, limit, expected in ((2, 20, 200), (3, 5, 413)):
+            limits = {**bench.DOCUMENT["limits"], "body_bytes": limit}
+            self.bench.declare({**bench.DOCUMENT, "limits": limits}, version)
+            caller.ask("/once/x", b"x" * 10, Trestlestall_Request=f"r-{version}")
+            self.assertEqual(caller.read_answer()[0], expected)
+
+    def begin_head(self):
+        """Return a caller who stops within a head."""
+        caller = self.bench.call()
+        caller.socket.sendall(b"POST /once/x HTTP/1.1\r\nHost: api\r\n")
+        return caller
+
+    def test_the_caller_that_waits_longest_yields_to_a_new_one(self):
+        """Guards against callers who take all descriptors and send nothing."""
+        self.bench.add("u1", bench.answer("", "done"))
+        limits = {**bench.DOCUMENT["limits"], "header_seconds": 5.0}
+        self.bench.declare({**bench.DOCUMENT, "limits": limits}, 2)
+        self.bench.gateway._callers._connections = 3
+        opened = self.bench.gateway._callers.open
+        waiting = []
+        for begin in (self.begin_head, self.begin_head, self.bench.call):
+            waiting.append(begin())
+            self.assertTrue(bench.wait_until(lambda: len(opened) == len(waiting)))
+        for yields in (waiting[2], waiting[0]):
+            caller = self.bench.call()
+            caller.ask("/once/x", Trestlestall_Request="r")
+            self.assertEqual(caller.read_answer()[0], 200)
+            self.assertEqual(yields.socket.recv(1), b"")
+            caller.socket.sendall(b"POST /once/x HTTP/1.1\r\n")
+            self.assertTrue(bench.wait_until(lambda: not any(c.idle for c in opened)))
+        self.assertTrue(self.bench.list_lines("caller_closed"))
--- a/packages/daemon/tests/test_gateway.py
+++ b/packages/daemon/tests/test_gateway.py
@@ -234,7 +234,7 @@
         caller = self.bench.call()
         caller.ask("/once/x")
         self.assertEqual(caller.read_answer()[2], "done")
-        (kept,) = self.bench.gateway._door.open
+        (kept,) = self.bench.gateway._callers.open
         self.assertTrue(kept.idle)
         caller.ask("/once/x")  # without a switch to the greenlet that reads it
         kept.closing = True
@@ -245,8 +245,8 @@
 
     def test_an_idle_connection_is_closed(self):
         caller = self.bench.call()
-        self.assertTrue(bench.wait_until(lambda: self.bench.gateway._door.open))
-        (idle,) = self.bench.gateway._door.open
+        self.assertTrue(bench.wait_until(lambda: self.bench.gateway._callers.open))
+        (idle,) = self.bench.gateway._callers.open
         idle.close_if_idle()
         self.assertEqual(caller.read_head()[0], 0)
 
