The body of an answered request is not held while the next one is waited for

Cause: the loop over a connection's requests kept the last one in a variable while it read the next. Each request has a function of its own now. The test failed before and passes.

--- a/packages/daemon/src/trestlestall/daemon/gateway/caller_server.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/caller_server.py
@@ -92,7 +92,8 @@
             caller.closing = self.closing
             self.open.add(caller)
             try:
-                self._serve_requests(caller)
+                while self._serve_request(caller):
+                    pass
             except callers.CallerLeft:
                 return  # the request's log line says so
             finally:
@@ -101,23 +102,25 @@
     def _find_limits(self) -> object:
         return self._handler.view.limits
 
-    def _serve_requests(self, caller: callers.Caller) -> None:
-        while True:
-            request = caller.read_request()
-            if isinstance(request, callers.Ended):
-                return
-            if isinstance(request, callers.Rejected):
-                self._reject(caller, request)
-                return
-            try:
-                self._handler.handle(request, caller)
-            except callers.CallerLeft:
-                raise
-            except Exception as error:
-                self._end_failed(caller, request, error)
-                return
-            if not caller.prepare_next():
-                return
+    def _serve_request(self, caller: callers.Caller) -> bool:
+        """Serve one request; return whether another may follow.
+
+        What it holds ends with it, before the next one is waited for.
+        """
+        request = caller.read_request()
+        if isinstance(request, callers.Ended):
+            return False
+        if isinstance(request, callers.Rejected):
+            self._reject(caller, request)
+            return False
+        try:
+            self._handler.handle(request, caller)
+        except callers.CallerLeft:
+            raise
+        except Exception as error:
+            self._end_failed(caller, request, error)
+            return False
+        return caller.prepare_next()
 
     def _end_failed(
         self, caller: callers.Caller, request: callers.Request, error: Exception
--- a/tests/test_misbehaving_clients.py
+++ b/tests/test_misbehaving_clients.py
@@ -1,6 +1,7 @@
 """No process ends, hangs or outgrows its machine, whatever clients send."""
 
 import contextlib
+import http.client
 import resource
 import tempfile
 import threading
@@ -122,6 +123,19 @@
             crowds.send_part_of_head(80, PATH),
         )
 
+    def test_connections_that_were_served_and_stay_open(self):
+        """Guards against the bodies of answered requests that are still held."""
+        process = self.deployment.running["gateway-0"]
+        headers = {"Host": "api", "Trestlestall-Request": "served"}
+        with crowds.watch(process.pid) as needs, contextlib.ExitStack() as opened:
+            for _ in range(100):
+                connection = http.client.HTTPConnection(crowds.HOST, self.gateway)
+                opened.callback(connection.close)
+                connection.request("POST", PATH, b"x" * BODY_BYTES, headers)
+                answer = connection.getresponse()
+                self.assertEqual((answer.status, answer.read()), (200, b"ok"))
+        self.assertLess(needs.memory, GATEWAY_MEGABYTES)
+
     def test_the_longest_body_is_served_in_calm_however_it_is_sent(self):
         """Guards against limits that refuse one request inside the stated ones."""
         body = b"x" * BODY_BYTES
