--- a/packages/daemon/src/trestlestall/daemon/dialects.py
+++ b/packages/daemon/src/trestlestall/daemon/dialects.py
@@ -28,7 +28,8 @@
 
     Headers of requests:
 
-    - ``request_id``
+    - ``request_id``: upstreams repeat it in their answers; one that doesn't gets a
+      connection for each request
     - ``deadline``: the time left for the answer, in milliseconds
     - ``key``: ``key_scheme`` followed by the caller's key
     - ``model``
--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -28,13 +28,15 @@
 class Kind:
     """What each of some connections sends: a head, then a body up to some bytes.
 
-    ``block`` is repeated until ``size`` bytes were sent, which is short of the end.
+    ``block`` is repeated until ``size`` bytes were sent, which is short of the end. The
+    kernel receives ``unread`` bytes of an answer, as nobody reads it.
     """
 
     count: int
     head: str = ""
     block: bytes = b""
     size: int = 0
+    unread: int = 0
 
 
 def make_head(path, *lines, method="POST"):
@@ -61,6 +63,12 @@
     return Kind(count)
 
 
+def read_nothing(count, path, *lines):
+    """Return connections that send whole requests, and never read an answer."""
+    head = make_head(path, *lines, "Content-Length: 0")
+    return Kind(count, head + "\r\n", unread=4096)
+
+
 def send_part_of_head(count, path):
     """Return connections that stop within their heads."""
     return Kind(count, make_head(path))
@@ -72,6 +80,8 @@
     def __init__(self, port, kind):
         self.socket = socket.socket()
         self.socket.setblocking(False)
+        if kind.unread:
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, kind.unread)
         self.socket.connect_ex((HOST, port))
         self.left = kind.size
         self.block = kind.block
--- a/tests/test_misbehaving_clients.py
+++ b/tests/test_misbehaving_clients.py
@@ -114,6 +114,21 @@
         )
         self.assertLessEqual(needs.descriptors, DESCRIPTORS - FREE_DESCRIPTORS)
 
+    def test_answers_that_nobody_reads(self):
+        long = b"x" * BODY_BYTES
+
+        def answer(handler):
+            length = int(handler.headers.get("Content-Length") or 0)
+            handler.rfile.read(length)
+            body = b"ok" if length else long
+            handler.send_response(200)
+            handler.send_header("Content-Length", str(len(body)))
+            handler.end_headers()
+            handler.wfile.write(body)
+
+        self.upstream.answer = answer
+        self.check(crowds.read_nothing(100, PATH, REQUEST))
+
     def test_all_kinds_at_once(self):
         self.check(
             crowds.send_length(40, PATH, BODY_BYTES, REQUEST),
