The soak's upstreams repeat ids, and send copies of their refusals

Each refusal (421 of an incarnation that has gone, 503) is followed by a copy where the next answer of its connection is due, a third of them without the line of its id.

--- a/tests/soak/traffic.py
+++ b/tests/soak/traffic.py
@@ -33,6 +33,10 @@
 #: One request in so many is rejected by one of the upstreams as not run, and the
 #: milliseconds within which callers leave who don't wait. Both are drawn by its name.
 FULL_EVERY = 12
+#: One copy of a refusal in so many has lost the line with the request's id.
+NAMELESS_EVERY = 3
+REQUEST_HEADER = "Trestlestall-Request"
+NOT_RUN = {"Trestlestall-Not-Run": "1"}
 LEAVE_MILLISECONDS = 250
 RUNNING, DRAINING = 0, 1
 #: Response headers by signal.
@@ -103,12 +107,13 @@
         """Run one request."""
         identity = self.identity
         body = handler.rfile.read(int(handler.headers.get("Content-Length") or 0))
+        send_copy(handler)
         if handler.headers["Trestlestall-Expected-Upstream"] != identity:
-            send_answer(handler, 421, b"", {"Trestlestall-Not-Run": "1"})
+            refuse(handler, 421)
             return
-        request = handler.headers["Trestlestall-Request"]
+        request = handler.headers[REQUEST_HEADER]
         if self._is_full(request):
-            send_answer(handler, 503, b"", {"Trestlestall-Not-Run": "1"})
+            refuse(handler, 503)
             return
         signal = self.signal
         self.evidence.add(
@@ -149,6 +154,7 @@
         handler.send_response(200)
         handler.send_header("Content-Type", "text/event-stream")
         handler.send_header("Transfer-Encoding", "chunked")
+        handler.send_header(REQUEST_HEADER, request)
         for name, value in handler.signal_headers.items():
             handler.send_header(name, value)
         handler.end_headers()
@@ -214,14 +220,31 @@
         return gateways.announce(port, identity, row) == 200
 
 
+def refuse(handler: http.server.BaseHTTPRequestHandler, status: int) -> None:
+    """Refuse a request; a copy comes where the connection's next answer is due."""
+    send_answer(handler, status, b"", NOT_RUN)
+    request = handler.headers[REQUEST_HEADER]
+    lines = [f"HTTP/1.1 {status} Copy", "Trestlestall-Not-Run: 1", "Content-Length: 0"]
+    if zlib.crc32(request.encode()) % NAMELESS_EVERY:
+        lines.append(f"{REQUEST_HEADER}: {request}")
+    handler.copy = "\r\n".join([*lines, "", ""]).encode()
+
+
+def send_copy(handler: http.server.BaseHTTPRequestHandler) -> None:
+    """Send the copy of a refusal that is due on this connection, if there is one."""
+    handler.wfile.write(getattr(handler, "copy", b""))
+    handler.copy = b""
+
+
 def send_answer(
     handler: http.server.BaseHTTPRequestHandler,
     status: int,
     body: bytes,
     headers: abc.Mapping[str, str] | None = None,
 ) -> None:
-    """Send a complete response."""
+    """Send a complete response, which names the request."""
     handler.send_response(status)
+    handler.send_header(REQUEST_HEADER, handler.headers[REQUEST_HEADER])
     for name, value in (headers or {}).items():
         handler.send_header(name, value)
     handler.send_header("Content-Length", str(len(body)))
