--- a/packages/daemon/src/trestlestall/daemon/gateway/caller_server.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/caller_server.py
@@ -11,7 +11,7 @@
 
 from trestlestall.daemon import dialects, events, logs
 from trestlestall.daemon.gateway import callers, heads, refusals, request_handler
-from trestlestall.daemon.http import bodies, descriptors, pacing
+from trestlestall.daemon.http import bodies, open_files, pacing
 from trestlestall.wire import clocks, sockets
 
 ACCEPT_RETRY_SECONDS = 0.05
@@ -67,7 +67,7 @@
 
     def _make_room(self) -> None:
         """Close the connection that waits longest for a caller, beyond the limit."""
-        limit = descriptors.limit_connections(self._connections)
+        limit = open_files.limit_connections(self._connections)
         if len(self.open) < limit:
             return
         waiting = [caller for caller in self.open if not caller.is_whole]
--- a/packages/daemon/src/trestlestall/daemon/http/bodies.py
+++ b/packages/daemon/src/trestlestall/daemon/http/bodies.py
@@ -75,7 +75,6 @@
     def __init__(self, limit: int) -> None:
         self.limit = limit
         self.held_bytes = 0
-        self.dropped = 0
         self._filled: set[Body] = set()
 
     @contextlib.contextmanager
@@ -95,7 +94,6 @@
             found = self._find_largest()
             if found is None:
                 return
-            self.dropped += 1
             found.drop()
 
     def record_removed(self, body: Body) -> None:
--- a/packages/daemon/src/trestlestall/daemon/http/listener.py
+++ b/packages/daemon/src/trestlestall/daemon/http/listener.py
@@ -9,7 +9,7 @@
 from eventlet import greenio, wsgi
 from eventlet.green import socket
 
-from trestlestall.daemon.http import descriptors, limits, protocol
+from trestlestall.daemon.http import limits, open_files, protocol
 from trestlestall.wire import sockets
 
 BACKLOG_CONNECTIONS = 1024
@@ -108,7 +108,7 @@
 
     def _make_room(self) -> None:
         """Close the connection that waits longest for its client, beyond the limit."""
-        limit = descriptors.limit_connections(self._bounds.connections)
+        limit = open_files.limit_connections(self._bounds.connections)
         if len(self._connections) < limit:
             return
         waiting = [
