No garbage keeps the bodies of ended requests

Cause: a request and its attempts refer to each other in circles (their callbacks), so both kept the body until the garbage collector came, which counts objects and not bytes. Ruled out by the account of held bodies: 28 MB at most are in progress.

Change: the end of a request and of an attempt lets go of the body. The test traces what ten requests of 1 MB leave with the collector off: 12.8 MB before, less than half of the ten now, for a served, a refused and a long answer.

--- a/packages/daemon/src/trestlestall/daemon/gateway/attempts.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/attempts.py
@@ -144,6 +144,10 @@
         http.send(h11.EndOfMessage())
         return data
 
+    def forget_body(self) -> None:
+        """Let go of the request's body, as references in a circle keep the attempt."""
+        self._body = b""
+
     @property
     def port(self) -> int | None:
         """The own port of the connection; None without one."""
@@ -366,4 +370,8 @@
 ) -> abc.Iterator[Attempt]:
     """Yield an attempt, whose hold on its connection ends with the block."""
     with contextlib.ExitStack() as stack:
-        yield Attempt(pool, acquire, row, exchange, names, callbacks, stack)
+        attempt = Attempt(pool, acquire, row, exchange, names, callbacks, stack)
+        try:
+            yield attempt
+        finally:
+            attempt.forget_body()
--- a/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/forwards.py
@@ -129,6 +129,9 @@
             raise
         finally:
             failover.withdraw_successor(self)
+            # References in a circle keep this request until garbage is collected.
+            self.body = b""
+            self.fallback_answer = None
 
     def _run_attempts(self) -> None:
         purpose = placement_protocol.FIRST_SEND
--- a/packages/daemon/tests/test_bodies.py
+++ b/packages/daemon/tests/test_bodies.py
@@ -1,7 +1,9 @@
 """The bodies of requests that a process holds, and how they are received."""
 
 import contextlib
+import gc
 import random
+import tracemalloc
 import unittest
 
 from packages.daemon.tests import gateway_bench as bench  # isort: skip
@@ -111,6 +113,19 @@
                 self.assertTrue(self.decode([framed])[0].failed)
 
 
+@contextlib.contextmanager
+def hold_garbage():
+    """Collect no garbage during the block, and trace what is allocated in it."""
+    gc.collect()
+    gc.disable()
+    tracemalloc.start()
+    try:
+        yield
+    finally:
+        tracemalloc.stop()
+        gc.enable()
+
+
 class DoorTest(bench.GatewayCase):
     """What callers get whose bodies, or connections, have no room."""
 
@@ -158,6 +173,24 @@
         self.assertEqual(waiting.read_answer()[0], 200)
         self.assertTrue(bench.wait_until(lambda: not held.held_bytes))
 
+    def test_no_garbage_keeps_the_bodies_of_ended_requests(self):
+        """Guards against bodies and answers held until the garbage is collected."""
+        size = 1_000_000
+        upstream = self.bench.add("u1", bench.answer("", "done"))
+        refused = bench.answer("Trestlestall-Not-Run: 1\r\n", "", status="503 Full")
+        long = bench.answer("", "y" * size)
+        for script in (upstream.script, refused, long):
+            upstream.script = script
+            self.bench.ask("/once/x", b"x" * size)
+            upstream.received.clear()
+            with hold_garbage():
+                for number in range(10):
+                    request = f"r-{number}"
+                    self.bench.ask("/once/x", b"x" * size, Trestlestall_Request=request)
+                    upstream.received.clear()
+                held, _ = tracemalloc.get_traced_memory()
+            self.assertLess(held, 5 * size)
+
     def test_a_caller_who_announces_too_much_gets_the_answer(self):
         """Guards against a reset in place of 413, after which callers come back."""
         caller = self.bench.call()
