Bodies grow in blocks, and heads are read in small parts

A crowd of 1,000 connections in large chunks (a trial, outside the tests) took up to 287 MB of the 300 that a gateway may have, though 64 MB of bodies are held at most: the parser of each connection kept up to 64 KiB behind its head, counted by nothing, and bodies that grow in turns are moved in memory and leave gaps.

Heads are read 8 KiB at a time, bodies with a length 64 KiB, and a body is kept in blocks of 64 KiB.

--- a/packages/daemon/src/trestlestall/daemon/gateway/callers.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/callers.py
@@ -20,6 +20,8 @@
 from trestlestall.wire import clocks, sockets
 
 READ_BYTES = 65536
+#: Read at once of a head: the parser keeps what belongs to the body behind it.
+HEAD_READ_BYTES = 8192
 #: Bodies up to this size are written together with their heads.
 JOINED_BYTES = 16384
 #: Statuses whose responses have no body, and need no length.
@@ -155,7 +157,7 @@
         """
         self._method = b""
         self.idle = not self._ahead
-        data = self._ahead or self._receive(READ_BYTES, self.limits.idle_seconds)
+        data = self._ahead or self._receive(HEAD_READ_BYTES, self.limits.idle_seconds)
         self.idle = not data
         self.limits = self._find_limits()
         self._http = self._make_parser()
@@ -163,7 +165,7 @@
         deadline = clocks.read() + self.limits.header_seconds
         while (event := self._http.next_event()) is h11.NEED_DATA:
             seconds = max(0.001, deadline - clocks.read())
-            self._http.receive_data(self._receive(READ_BYTES, seconds))
+            self._http.receive_data(self._receive(HEAD_READ_BYTES, seconds))
         return event if isinstance(event, h11.Request) else None
 
     def _read_body(self, head: h11.Request) -> bytes:
--- a/packages/daemon/src/trestlestall/daemon/http/bodies.py
+++ b/packages/daemon/src/trestlestall/daemon/http/bodies.py
@@ -12,6 +12,10 @@
 from trestlestall.daemon import exceptions
 from trestlestall.wire import clocks
 
+#: Bytes from which on another block is begun: one that grows is moved in memory, and
+#: many that grow in turns leave gaps that nothing fits into.
+BLOCK_BYTES = 64 * 1024
+
 
 class NoRoomError(exceptions.DaemonError):
     """A body was dropped, as too much is held of all."""
@@ -31,13 +35,15 @@
         self.on_dropped: abc.Callable[[], object] = do_nothing
         self.received_at = 0.0
         self._bodies = bodies
-        self._data = bytearray()
+        self._blocks: list[bytearray] = []
 
     def add(self, part: bytes) -> None:
         """Append bytes; raises ``NoRoomError`` if this body is dropped."""
         if not part:
             return
-        self._data += part
+        if not self._blocks or len(self._blocks[-1]) >= BLOCK_BYTES:
+            self._blocks.append(bytearray())
+        self._blocks[-1] += part
         self.size += len(part)
         self.received_at = clocks.read()
         self._bodies.record_added(self, len(part))
@@ -51,8 +57,8 @@
     def finish(self) -> bytes:
         """Return the whole body, which counts as held until ``clear``."""
         self.is_whole = True
-        whole = bytes(self._data)
-        self._data = bytearray()
+        whole = b"".join(self._blocks)
+        self._blocks.clear()
         return whole
 
     def drop(self) -> None:
@@ -64,7 +70,7 @@
     def clear(self) -> None:
         """Forget the body, so that the next one may begin."""
         self._bodies.record_removed(self)
-        self._data = bytearray()
+        self._blocks.clear()
         self.size = 0
         self.is_whole = self.is_dropped = False
 
--- a/packages/daemon/src/trestlestall/daemon/http/body_reader.py
+++ b/packages/daemon/src/trestlestall/daemon/http/body_reader.py
@@ -8,6 +8,8 @@
 from trestlestall.daemon import exceptions
 from trestlestall.daemon.http import bodies, chunks, pacing
 
+#: Read at once of a body with a length.
+READ_BYTES = 64 * 1024
 #: Bytes of a chunked body that are decoded without waiting for a turn.
 FREE_BYTES = pacing.PART_BYTES
 
@@ -55,7 +57,7 @@
         self._check(length)
         self._body.add(begun[:length])
         while self._body.size < length:
-            wanted = min(length - self._body.size, pacing.PART_BYTES)
+            wanted = min(length - self._body.size, READ_BYTES)
             self._body.add(self._receive_some(wanted))
         return Received(self._body.finish(), begun[length:])
 
