Heads of answers are checked by the grammar before anything believes them

What callers saw: answers of status 600 and 999, and with control bytes in values. Where a line of the head begins with a blank ("A: b", then " Content-Length: 5") they got the next answer's bytes on that connection, its head included, as the body.

Cause: h11 repairs heads. It joins a line that begins with a blank to the one before it, so that a length in it is lost, takes LF for CRLF, any status of three digits, any version and control bytes.

Ruled out: statuses 000 and 099, and names with a blank or a control byte, which gateways refused already (502); their rows stay in the test.

Change: http/answer_heads collects a head up to its end, and checks it by the grammar of RFC 9112 before h11 gets it: CRLF alone, status 100 to 599, 101 refused as nobody asks for it, no folded lines (5.2 allows to refuse them), no control bytes, one length of digits, only "chunked", not both, not in HTTP/1.0. A status line may still lack the reason and its blank, as some servers send that. A head may have 64 KiB however it arrives; before, 16 KiB unless it came in one read. A refused answer is broken: it may have run, also where it says "not run". It is repeated only where that is allowed.

--- a/packages/daemon/src/trestlestall/daemon/gateway/attempts.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/attempts.py
@@ -18,13 +18,12 @@
     holds,
     outcomes,
 )
+from trestlestall.daemon.http import answer_heads
 from trestlestall.forwarding import upstreams
 from trestlestall.wire import clocks
 
 #: Responses to other requests that are skipped before the attempt counts as broken.
 MAX_FOREIGN_ANSWERS = 3
-#: Interim responses that are skipped before the attempt counts as broken.
-MAX_INTERIM_ANSWERS = 32
 #: Of a body that nobody needs, so many bytes are read, for so many seconds, to keep the
 #: connection.
 DISCARDED_BYTES = 256 * 1024
@@ -100,6 +99,7 @@
         self._stack = stack
         self._hold: holds.Hold | None = None
         self._http = h11.Connection(h11.CLIENT)
+        self._heads = answer_heads.HeadBuffer()
         self._aborted = False
         self._request: tuple[h11.Request, str] | None = None
         self._body = b""
@@ -228,14 +228,31 @@
         return echo is echoes.Echo.OWN
 
     def _read_response(self, deadline: float) -> h11.Response:
-        for _ in range(MAX_INTERIM_ANSWERS):
-            event = self._next_event(deadline)
+        for _ in range(answer_heads.MAX_INTERIM_ANSWERS):
+            event = self._read_any_head(deadline)
             if isinstance(event, h11.Response):
+                rest = self._heads.take_rest()
+                if rest:
+                    self._http.receive_data(rest)
                 return event
-            if not isinstance(event, h11.InformationalResponse):
-                raise BrokenExchange("the connection ended before an answer")
         raise OversizedAnswer("only interim answers came")
 
+    def _read_any_head(
+        self, deadline: float
+    ) -> h11.Response | h11.InformationalResponse:
+        """Return the next head, which the parser gets only once it is checked."""
+        try:
+            while (data := self._heads.take_head()) is None:
+                part = self._receive(deadline)
+                if not part:
+                    raise BrokenExchange("the connection ended before an answer")
+                self._heads.add(part)
+            answer_heads.parse(data)
+            self._http.receive_data(data)
+            return self._http.next_event()
+        except (answer_heads.InvalidHeadError, h11.RemoteProtocolError) as error:
+            raise BrokenExchange(str(error)) from error
+
     def _classify(
         self, response: h11.Response, found: dict[str, str]
     ) -> outcomes.AnswerHead | outcomes.NotRun:
@@ -256,11 +273,9 @@
             if size > DISCARDED_BYTES:
                 raise OversizedAnswer("a long answer to another request came")
         rest, _ = self._http.trailing_data
-        fresh = h11.Connection(h11.CLIENT)
-        self._begin_parser(fresh)
-        if rest:
-            fresh.receive_data(rest)
-        self._http = fresh
+        self._heads.add(rest)
+        self._http = h11.Connection(h11.CLIENT)
+        self._begin_parser(self._http)
 
     def read_parts(self, find_deadline: abc.Callable[[], float]) -> abc.Iterator[bytes]:
         """Yield the chunks of the body as they arrive; raises ``BrokenExchange``.
@@ -317,10 +332,7 @@
         http = self._http
         try:
             while (event := http.next_event()) is h11.NEED_DATA:
-                data = self._receive(deadline)
-                if not data and http.their_state is h11.SEND_RESPONSE:
-                    raise BrokenExchange("the connection ended before an answer")
-                http.receive_data(data)
+                http.receive_data(self._receive(deadline))
         except h11.RemoteProtocolError as error:
             raise BrokenExchange(str(error)) from error
         return event
--- a/packages/daemon/tests/gateway_bench.py
+++ b/packages/daemon/tests/gateway_bench.py
@@ -360,6 +360,11 @@
         self.addCleanup(self.stack.close)
         self.bench = Bench(self.stack, self.document)
 
+    def renew(self):
+        """Begin with another gateway."""
+        self.doCleanups()
+        self.setUp()
+
 
 def wait_until(condition, seconds=3.0):
     """Wait for a condition; return whether it became true in time."""
--- a/packages/daemon/tests/test_endless_answers.py
+++ b/packages/daemon/tests/test_endless_answers.py
@@ -74,11 +74,6 @@
         for number in range(count):
             self.bench.add(f"u{number}", script)
 
-    def renew(self):
-        """Begin with another gateway."""
-        self.doCleanups()
-        self.setUp()
-
     def check_left(self, script):
         """Check that the upstream was left, after a bounded number of bytes."""
         ended = bench.wait_until(lambda: script.closed_after is not None)
