The own router reads answers by the same strict check, to their stated ends

What callers saw, at the own router's door: an answer of status 600 or 999 as one, and behind a line that is no field, say a name with a blank at its end, a body that was not the upstream's: that line and all behind it were dropped, so a length among them was lost. An order to an engine counted as taken where the head of its answer was cut off within the status line.

Cause: http.client reads heads as mail. A line that is no field ends the head, and so does the end of the connection. It skips interim answers and trailers for as long as they come, and takes 103 for the final answer.

Ruled out: urllib3 for sending, which writes one request on one connection.

A 204 needs no length now, which was broken before. The test of attempts runs on patched sockets, as the process does.

--- a/packages/daemon/src/trestlestall/daemon/router/attempts.py
+++ b/packages/daemon/src/trestlestall/daemon/router/attempts.py
@@ -143,7 +143,7 @@
         if response.status != 200 and "resume" in self.extra:
             return Ending.NOT_SENT, f"resume refused: status {response.status}", None
         if response.status == 200 and self.call.streamed:
-            return self._read_stream(opened, response, sink)
+            return self._read_stream(response, sink)
         return self._read_completion(response)
 
     def _make_headers(self) -> dict[str, str]:
@@ -162,13 +162,13 @@
             return self.call.body
         return calls.add_fields(self.call.body, dict(self.extra))
 
-    def _read_stream(self, opened, response, sink: Sink) -> tuple:
+    def _read_stream(self, response, sink: Sink) -> tuple:
         content_type = response.headers.get("content-type", "")
         if not content_type.startswith(STREAM_TYPE):
             return Ending.BROKEN, f"not an event stream: type {content_type!r}", None
         sink.handle_head(self, Response(200, content_type))
         reader = streams.Reader()
-        for part in connections.read_stream(opened, response):
+        for part in response.body:
             piece = reader.feed(part)
             self.tokens += piece.tokens
             if piece.data and not self.cancelled:
@@ -195,7 +195,7 @@
         body = connections.read_body(response, RESPONSE_LIMIT_BYTES)
         if body is None:
             return Ending.BROKEN, "the response exceeds the size limit", None
-        if not connections.is_delimited(response) and not is_whole_json(body):
+        if not response.is_delimited and not is_whole_json(body):
             return Ending.BROKEN, "the response does not delimit its body", None
         self.tokens = 1
         return Ending.COMPLETED, "", make_response(response, body)
--- a/packages/daemon/src/trestlestall/daemon/router/connections.py
+++ b/packages/daemon/src/trestlestall/daemon/router/connections.py
@@ -4,6 +4,9 @@
 upstream has already closed, and then retry it silently: whether the first try ran is
 unknown. So each attempt opens a connection of its own, and the boundary between "not
 sent" and "unknown" is exactly the return of ``connect``.
+
+Answers are read without the library: ``http.client`` takes an end of the connection for
+the end of a head, and drops the lines behind one that is no header.
 """
 
 import contextlib
@@ -12,17 +15,23 @@
 import socket
 from collections import abc
 
+import eventlet
 import urllib3
 from urllib3 import connection as urllib3_connection
 
-from trestlestall.daemon.http import chunks, listener
+from trestlestall.daemon.http import answer_reader, listener
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 # Between two reads; the policy detects a stalled engine much earlier.
 READ_TIMEOUT_SECONDS = 120.0
 READ_BYTES = 65536
 
-TRANSPORT_ERRORS = (OSError, http.client.HTTPException, urllib3.exceptions.HTTPError)
+TRANSPORT_ERRORS = (
+    OSError,
+    http.client.HTTPException,
+    urllib3.exceptions.HTTPError,
+    answer_reader.BrokenAnswerError,
+)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -33,11 +42,18 @@
     socket: socket.socket
 
     def set_timeout(self, seconds: float) -> None:
-        """Set the timeout of each read from now on."""
-        # The library sets the socket's timeout from this before it reads the response.
+        """Set the timeout of each read and write from now on."""
         self.connection.timeout = seconds
         self.socket.settimeout(seconds)
 
+    def receive(self) -> bytes:
+        """Return the next bytes, or none at an orderly end; raises ``OSError``."""
+        data = self.socket.recv(READ_BYTES)
+        if len(data) == READ_BYTES:
+            # More waits already: without this no other greenlet would run.
+            eventlet.sleep(0)
+        return data
+
     def abort(self) -> None:
         """Shut the connection down, which wakes a reader that waits on it."""
         with contextlib.suppress(OSError):
@@ -49,6 +65,20 @@
         self.socket.close()
 
 
+@dataclasses.dataclass(frozen=True)
+class Response:
+    """The head of an answer, and its body, which is read as it is iterated.
+
+    ``is_delimited`` is whether the answer shows where its body ends. Iterating raises
+    one of ``TRANSPORT_ERRORS`` if the body breaks off.
+    """
+
+    status: int
+    headers: urllib3.HTTPHeaderDict
+    is_delimited: bool
+    body: abc.Iterator[bytes]
+
+
 def connect(address: str) -> Link | Exception:
     """Return an open connection to ``IP:port``, or the error that prevented it.
 
@@ -74,70 +104,31 @@
     path: str,
     headers: abc.Mapping[str, str],
     body: bytes,
-) -> urllib3.BaseHTTPResponse:
+) -> Response:
     """Send one request and return its response, whose body is still to be read.
 
     Raises one of ``TRANSPORT_ERRORS``; the request's outcome is unknown then.
     """
-    link.connection.request(
-        method,
-        path,
-        body=body or None,
-        headers=headers,
-        preload_content=False,
-        decode_content=False,
+    link.connection.request(method, path, body=body or None, headers=headers)
+    reader = answer_reader.AnswerReader(link.receive, method)
+    head = reader.read_head()
+    return Response(
+        head.status,
+        urllib3.HTTPHeaderDict(head.fields),
+        not head.ends_with_connection(method),
+        reader.iterate_body(head),
     )
-    return link.connection.getresponse()
 
 
-def read_stream(link: Link, response: urllib3.BaseHTTPResponse) -> abc.Iterator[bytes]:
-    """Yield the bytes of the body as they arrive, all available bytes at a time.
-
-    After the head this reads from the socket directly: the library would return one
-    chunk for each call, and one chunk is one token. Raises one of ``TRANSPORT_ERRORS``
-    if the body breaks off.
-    """
-    buffered = response._fp.fp
-    data = buffered.peek()
-    buffered.read(len(data))
-    decoder = chunks.Decoder()
-    while data:
-        part = decoder.feed(data) if response.chunked else data
-        if part:
-            yield part
-        if decoder.finished:
-            return
-        if decoder.failed:
-            raise urllib3.exceptions.ProtocolError("invalid chunked transfer coding")
-        data = link.socket.recv(READ_BYTES)
-
-
-def iterate_body(response: urllib3.BaseHTTPResponse) -> abc.Iterator[bytes]:
-    """Yield the body in parts as they arrive.
-
-    Raises one of ``TRANSPORT_ERRORS`` if the body breaks off.
-    """
-    if response.chunked:
-        yield from response.stream(decode_content=False)
-        return
-    while part := response.read1(READ_BYTES, decode_content=False):
-        yield part
-
-
-def read_body(response: urllib3.BaseHTTPResponse, limit: int) -> bytes | None:
+def read_body(response: Response, limit: int) -> bytes | None:
     """Return the complete body, or ``None`` when it is longer than the limit in bytes.
 
-    Raises one of ``TRANSPORT_ERRORS`` when the body ends before its declared length.
+    Raises one of ``TRANSPORT_ERRORS`` when the body breaks off.
     """
     parts, size = [], 0
-    for part in iterate_body(response):
+    for part in response.body:
         size += len(part)
         if size > limit:
             return None
         parts.append(part)
     return b"".join(parts)
-
-
-def is_delimited(response: urllib3.BaseHTTPResponse) -> bool:
-    """Return whether the response is chunked or declares the length of its body."""
-    return bool(response.chunked) or response.headers.get("content-length") is not None
--- a/packages/daemon/tests/test_router_attempts.py
+++ b/packages/daemon/tests/test_router_attempts.py
@@ -1,16 +1,21 @@
 """Attempts at upstreams that answer wrongly, break the connection or are absent."""
 
 import contextlib
-import socket
 import threading
 import time
 import types
 import unittest
 from unittest import mock
 
+from trestlestall.daemon import patching  # isort: skip
+
+from eventlet.green import socket
+
 from trestlestall.daemon.http import chunks
 from trestlestall.daemon.router import attempts, calls, connections
 
+__all__ = ["patching"]
+
 HEAD = b"HTTP/1.1 200 OK\r\n"
 JSON = b"Content-Type: application/json\r\n"
 SSE = b"Content-Type: text/event-stream\r\n"
