A call to the platform is answered only by a whole answer

What was seen: a call of the duties counted as answered, with its status, where the answer's head was cut off, also within the status line, or malformed, where its body was shorter than its length, and where the connection was reset. So a call that may not have been taken was not made again.

Cause: http.client takes the end of the connection for the end of a head and drops the lines behind one that is no field; read(n) does not raise on a short body; and eventlet's recv returns no bytes for a reset.

Change: the answer is read with http/answer_reader over a byte stream, as at the own router's door. Without a whole answer there is no status: the result is unknown, as after a timeout. The bytes that reset a connection on close are those of wire.sockets, in place of a copy.

--- a/packages/daemon/src/trestlestall/daemon/directory/platform_client.py
+++ b/packages/daemon/src/trestlestall/daemon/directory/platform_client.py
@@ -10,13 +10,13 @@
 import dataclasses
 import http.client
 import socket
-import struct
 from collections import abc
 
 import eventlet
 
 from trestlestall.daemon import dialects, settings as process_settings
-from trestlestall.wire import clocks
+from trestlestall.daemon.http import answer_heads, answer_reader
+from trestlestall.wire import byte_streams, clocks, sockets
 
 #: Seconds until a call times out: many times what an answer takes, and a third of the
 #: usual lease.
@@ -26,10 +26,11 @@
 #: The share of the platform's rate limit that is used. The calls of a lease holder and
 #: of its successor must not exceed the limit together.
 RATE_SHARE = 0.5
-#: Bytes of an answer that are read and discarded.
+#: Bytes of an answer that are read and discarded, and those of one read.
 ANSWER_BYTES = 64 * 1024
-#: SO_LINGER value that resets a connection on close and discards unsent data.
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+READ_BYTES = 16 * 1024
+METHOD = "POST"
+ERRORS = (OSError, http.client.HTTPException, answer_reader.BrokenAnswerError)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -107,14 +108,31 @@
             ):
                 if self._find_lease_left() < MINIMUM_LEASE_SECONDS:
                     return None, "the lease expired before the call was sent"
-                connection.request("POST", call.path, call.body, headers)
-                response = connection.getresponse()
-                response.read(ANSWER_BYTES)
-                return response.status, response.reason
-        except (OSError, http.client.HTTPException) as error:
+                connection.request(METHOD, call.path, call.body, headers)
+                head = read_answer(connection.sock)
+                return head.status, head.reason
+        except ERRORS as error:
             return None, str(error) or type(error).__name__
 
 
+def read_answer(opened: socket.socket) -> answer_heads.Head:
+    """Return the head of an answer once its body, or a first part of it, has come.
+
+    Raises one of ``ERRORS``. The caller bounds the time.
+    """
+    stream = byte_streams.ByteStream(opened)
+    reader = answer_reader.AnswerReader(
+        lambda: stream.receive(READ_BYTES, seconds=None), METHOD
+    )
+    head = reader.read_head()
+    size = 0
+    for part in reader.iterate_body(head):
+        size += len(part)
+        if size > ANSWER_BYTES:
+            break
+    return head
+
+
 @contextlib.contextmanager
 def open_connection(
     address: process_settings.Address, timeout_seconds: float
@@ -126,11 +144,9 @@
     try:
         connection.connect()
         yield connection
-    except (OSError, http.client.HTTPException):
+    except ERRORS:
         if connection.sock is not None:
-            connection.sock.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
-            )
+            sockets.reset_on_close(connection.sock)
         raise
     finally:
         connection.close()
--- a/packages/daemon/tests/test_router_broken_answers.py
+++ b/packages/daemon/tests/test_router_broken_answers.py
@@ -11,6 +11,8 @@
 from eventlet.green import socket
 
 from packages.daemon.tests import malformed_heads
+from trestlestall.daemon import dialects, settings
+from trestlestall.daemon.directory import platform_client
 from trestlestall.daemon.placement import engine_client
 from trestlestall.daemon.router import attempts, calls
 from trestlestall.placement import model
@@ -176,7 +178,7 @@
 
 
 class OwnCallsTest(unittest.TestCase):
-    """Calls to engines that place models."""
+    """Calls to engines that place models, and to the platform."""
 
     head = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"
     broken = {
@@ -205,6 +207,19 @@
 
         self.check(call, engine_client.Result.UNKNOWN, engine_client.Result.TAKEN)
 
+    def test_a_call_to_the_platform_is_answered_only_by_a_whole_answer(self):
+        post = dialects.Post("/v1/usage", b"{}")
+
+        def call(address):
+            host, _, port = address.partition(":")
+            duties = settings.Duties(platform=settings.Address(host, int(port)))
+            client = platform_client.PlatformClient(
+                duties, dialects.DUTY_CALLS, "directory-1", lambda: 2.0
+            )
+            return client._exchange(post, 7)[0]
+
+        self.check(call, None, 200)
+
 
 if __name__ == "__main__":
     unittest.main()
