--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -236,6 +236,62 @@
         self.check_streams(least_taken_up=4)
 
 
+class JoinedLaterTest(VersionsCase):
+    """Upstreams of the next version join while one gateway is out of step."""
+
+    upstreams = 3
+
+    def start(self):
+        self.behind, self.lost = self.system.gateways[:2]
+        opened = cut_links.open_links(self.system.folder, [self.behind])
+        links = self.stack.enter_context(opened)
+        self.system.hosts.update(links)
+        self.links = links[self.behind]
+        for address in self.system.first:
+            self.links.add(address)
+        super().start()
+
+    def add(self, identity, version, **options):
+        return super().add(identity, VERSIONS[0], **options)
+
+    def join(self, leave, come_back):
+        """Let upstreams join between two steps, and streams break before the second."""
+        time.sleep(0.5)
+        leave()
+        for number in range(self.upstreams):
+            self.made.append(super().add(f"n{number}", VERSIONS[1]))
+        time.sleep(2.5)
+        self.system.running[self.lost].kill()
+        time.sleep(0.1)
+        come_back()
+
+    def check_taken_up_behind(self):
+        """Check versions, and that streams were taken up at the gateway behind."""
+        self.check_versions()
+        self.check_refusals()
+        versions = {one for stream in self.callers.streams for one in stream.versions}
+        self.assertEqual(versions, set(VERSIONS))
+        tries = [one for each in self.callers.streams for one in each.list_takeups()]
+        self.assertIn(self.behind, {one.gateway for one in tries})
+
+    def test_a_gateway_that_stood_still_goes_on_at_no_other_version(self):
+        process = self.system.running[self.behind]
+        self.callers.run(
+            5.0,
+            lambda: self.join(
+                lambda: process.send_signal(signal.SIGSTOP),
+                lambda: process.send_signal(signal.SIGCONT),
+            ),
+        )
+        self.check_taken_up_behind()
+
+    def test_a_gateway_that_was_cut_off_goes_on_at_no_other_version(self):
+        self.callers.run(
+            5.0, lambda: self.join(lambda: self.links.cut("hang"), self.links.heal)
+        )
+        self.check_taken_up_behind()
+
+
 class RebornTest(VersionsCase):
     upstreams = 4
 
