--- a/packages/daemon/src/trestlestall/daemon/http/listener.py
+++ b/packages/daemon/src/trestlestall/daemon/http/listener.py
@@ -164,7 +164,7 @@
 def has_input(sock) -> bool:
     """Return whether bytes are ready to be read, without reading them."""
     try:
-        return bool(sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+        return bool(sockets.peek(sock))
     except OSError:
         return False
 
--- a/packages/daemon/src/trestlestall/daemon/router/hangups.py
+++ b/packages/daemon/src/trestlestall/daemon/router/hangups.py
@@ -1,11 +1,12 @@
 """Detects a disconnect of a caller while its request waits or is answered."""
 
 import contextlib
-import socket
 from collections import abc
 
 from eventlet import hubs
 
+from trestlestall.wire import sockets
+
 
 @contextlib.contextmanager
 def watch(sock, on_hang_up: abc.Callable[[], None]) -> abc.Iterator[None]:
@@ -27,7 +28,7 @@
 
     def handle_readable(_) -> None:
         stop()
-        if is_closed(sock):
+        if sockets.is_ended(sock):
             on_hang_up()
 
     def close() -> None:
@@ -40,13 +41,3 @@
         yield
     finally:
         stop()
-
-
-def is_closed(sock) -> bool:
-    """Return whether the peer has closed the connection, without reading from it."""
-    try:
-        return not sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-    except BlockingIOError:
-        return False
-    except OSError:
-        return True
