The reason of a malformed head names its line

A 502 for a malformed head said no more than that, and the answer is kept nowhere, so on-call could not tell an operator of the upstream what is wrong. The reason has the number of the first line that breaks the grammar; no byte of the answer, as reasons are sent to callers.

--- a/packages/daemon/src/trestlestall/daemon/http/answer_heads.py
+++ b/packages/daemon/src/trestlestall/daemon/http/answer_heads.py
@@ -18,11 +18,13 @@
 END = re.compile(rb"\n\r?\n")
 END_LENGTH = 3
 #: The standard requires a blank before a missing reason, too; some servers omit it.
-STATUS_LINE = rb"HTTP/1\.([0-9]) ([1-5][0-9]{2})(?: ([\t\x20-\x7e\x80-\xff]*))?\r\n"
+STATUS_LINE = re.compile(
+    rb"HTTP/1\.([0-9]) ([1-5][0-9]{2})(?: ([\t\x20-\x7e\x80-\xff]*))?\r\n"
+)
 NAME = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+"
 VALUE = rb"[\t\x20-\x7e\x80-\xff]*"
 FIELD = re.compile(rb"(%s):(%s)\r\n" % (NAME, VALUE))
-HEAD = re.compile(rb"%s((?:%s:%s\r\n)*)\r\n" % (STATUS_LINE, NAME, VALUE))
+HEAD = re.compile(rb"%s((?:%s:%s\r\n)*)\r\n" % (STATUS_LINE.pattern, NAME, VALUE))
 #: More digits than the length of any body has.
 LENGTH = re.compile("[0-9]{1,18}")
 INTERIM = range(100, 200)
@@ -108,7 +110,8 @@
     """
     found = HEAD.fullmatch(data)
     if found is None:
-        raise InvalidHeadError("the head of the answer is malformed")
+        line = find_malformed_line(data)
+        raise InvalidHeadError(f"the head of the answer is malformed in line {line}")
     minor, status, reason, lines = found.groups()
     fields = tuple(
         (name.decode("latin-1").lower(), value.strip(b" \t").decode("latin-1"))
@@ -124,6 +127,16 @@
     return Head(int(status), text, fields, length, is_chunked)
 
 
+def find_malformed_line(data: bytes) -> int:
+    """Return the number of the first line of a head that breaks the grammar."""
+    lines = data.splitlines(keepends=True)
+    for number, line in enumerate(lines, 1):
+        pattern = STATUS_LINE if number == 1 else FIELD
+        if pattern.fullmatch(line) is None:
+            return number
+    return len(lines)
+
+
 def read_chunked(fields: tuple[tuple[str, str], ...]) -> bool:
     """Return whether the body is chunked; raises ``InvalidHeadError``."""
     codings = [value.lower() for name, value in fields if name == "transfer-encoding"]
--- a/packages/daemon/tests/test_answer_heads.py
+++ b/packages/daemon/tests/test_answer_heads.py
@@ -21,6 +21,14 @@
                 self.assertEqual(whole, [head, head])
                 self.assertEqual(buffer.take_rest(), b"")
 
+    def test_the_reason_tells_the_line_that_is_malformed(self):
+        table = {"status 999": 1, "name with a blank inside": 3, "CR in a value": 3}
+        for name, line in table.items():
+            with self.subTest(name):
+                with self.assertRaises(answer_heads.InvalidHeadError) as raised:
+                    answer_heads.parse(malformed_heads.MALFORMED[name])
+                self.assertTrue(str(raised.exception).endswith(f"in line {line}"))
+
     def test_what_can_be_no_head_is_refused_before_it_ends(self):
         for data in (b"\x16\x03", b"http", b"\r\n", b"HTTP/1.1 200 " + b"x" * 70_000):
             with self.subTest(data[:8]):
