--- a/packages/daemon/tests/test_placement.py
+++ b/packages/daemon/tests/test_placement.py
@@ -11,6 +11,8 @@
 import time
 import unittest
 
+from trestlestall.daemon import patching  # isort: skip
+
 from packages.standins.tests import programs
 from trestlestall.configuration import commands, model as configuration_model
 from trestlestall.daemon import environment, logs
@@ -28,6 +30,8 @@
 from trestlestall.standins import calls, deployment
 from trestlestall.wire import codec
 
+__all__ = ["patching"]
+
 FAST = settings.Settings(
     planning=settings.Planning(models_per_engine=1, settle=0.0, every=0.1, busy=1.0),
     sending=settings.Sending(
