--- a/packages/daemon/src/trestlestall/daemon/http/answer_heads.py
+++ b/packages/daemon/src/trestlestall/daemon/http/answer_heads.py
@@ -12,7 +12,7 @@
 from trestlestall.daemon import exceptions
 
 LIMIT_BYTES = 64 * 1024
-#: The minor version changes nothing about how an answer is read.
+#: Any minor version is read like 1.1, but that there are no chunks in 1.0.
 START = b"HTTP/1."
 #: An end of a head in any way that libraries accept; the grammar allows CRLF alone.
 END = re.compile(rb"\n\r?\n")
