--- a/packages/daemon/src/trestlestall/daemon/gateway/connections.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/connections.py
@@ -11,7 +11,7 @@
 import socket
 from collections import abc
 
-from trestlestall.wire import addresses, clocks, sockets
+from trestlestall.wire import addresses, byte_streams, clocks
 
 READ_BYTES = 65536
 #: Time-out for opening a connection: many round trips within a region, and half of the
@@ -69,6 +69,7 @@
     def __init__(self, address: str, opened: socket.socket) -> None:
         self.address = address
         self.socket = opened
+        self._stream = byte_streams.ByteStream(opened)
         self.port = opened.getsockname()[1]
         self.reusable_until = 0.0
         self.aborted = False
@@ -137,14 +138,14 @@
     def _send(self, data: bytes, seconds: float) -> None:
         self.socket.settimeout(max(0.001, seconds))
         # A slice of a view is no copy of what is left to send.
-        self.socket.sendall(memoryview(data))
+        self._stream.send_all(memoryview(data))
 
     def _receive(self, seconds: float) -> bytes:
-        return receive(self.socket, seconds)
+        return receive(self._stream, seconds)
 
     def is_readable(self) -> bool:
         """Return whether data, an end of file or an error is pending."""
-        return sockets.is_readable(self.socket)
+        return self._stream.is_readable()
 
     def abort(self) -> None:
         """Shut the connection down, which wakes whoever waits for its data."""
@@ -274,7 +275,7 @@
     return opened
 
 
-def receive(opened: socket.socket, seconds: float | None) -> bytes:
+def receive(stream: byte_streams.ByteStream, seconds: float | None) -> bytes:
     """Return the next bytes, or none at an orderly end of file.
 
     Raises ``OSError``: ``TimeoutError`` after ``seconds``, ``PathLostError`` if the
@@ -282,7 +283,7 @@
     Without ``seconds`` it waits for as long as it takes.
     """
     try:
-        return sockets.receive(opened, READ_BYTES, seconds)
+        return stream.receive(READ_BYTES, seconds)
     except TimeoutError as error:
         if error.errno != errno.ETIMEDOUT:
             raise
--- a/packages/daemon/src/trestlestall/daemon/gateway/tunnel_server.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/tunnel_server.py
@@ -24,6 +24,7 @@
 )
 from trestlestall.forwarding import upstreams
 from trestlestall.wire import (
+    byte_streams,
     clocks,
     codec,
     connections as wire_connections,
@@ -220,7 +221,8 @@
         row: upstreams.Row,
     ) -> None:
         """Pass bytes both ways until the gateway closes the tunnel."""
-        answering = eventlet.spawn(carry_answers, tunnel, upstream)
+        stream = byte_streams.ByteStream(upstream)
+        answering = eventlet.spawn(carry_answers, tunnel, stream)
         try:
             for message in tunnel.receive():
                 if isinstance(message, tunnel_messages.TunnelData):
@@ -269,7 +271,7 @@
                 raise
 
 
-def carry_answers(tunnel: ServedTunnel, upstream: socket.socket) -> None:
+def carry_answers(tunnel: ServedTunnel, upstream: byte_streams.ByteStream) -> None:
     """Pass bytes of the upstream on, and then how its connection ended.
 
     If the path to it was lost, that is not known, and the tunnel ends without a word.
--- a/packages/daemon/tests/test_connection_holds.py
+++ b/packages/daemon/tests/test_connection_holds.py
@@ -364,6 +364,19 @@
             with self.assertRaises(connections.AbortedError):
                 held.send(b"more", 1.0)
 
+    def test_a_look_at_what_is_pending_takes_no_reset_from_the_reader(self):
+        """Guards against half of an answer that looks whole after a silence."""
+        opened, accepted = self.open()
+        with holds.hold(self.pool, opened) as held:
+            held.send(b"ask", 1.0)
+            accepted.sendall(b"half")
+            self.assertEqual(held.receive(1.0), b"half")
+            bench.reset(accepted)
+            self.assertTrue(bench.wait_until(held.is_readable))
+            for _ in range(2):
+                with self.assertRaises(ConnectionResetError):
+                    held.receive(1.0)
+
     def test_a_connection_on_which_nothing_was_sent_is_kept(self):
         opened, _ = self.open()
         with holds.hold(self.pool, opened):
--- a/packages/wire/src/trestlestall/wire/sockets.py
+++ b/packages/wire/src/trestlestall/wire/sockets.py
@@ -60,11 +60,20 @@
     opened.close()
 
 
+def peek(opened: socket.socket) -> bytes:
+    """Return the next byte and leave it unread, or none at an end of file.
+
+    Raises ``OSError``: ``BlockingIOError`` if nothing is pending. An error that is
+    raised here is not raised by a later call on the socket.
+    """
+    # Uses the underlying socket: eventlet's wrapper would wait for data.
+    return opened.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+
+
 def is_ended(opened: socket.socket) -> bool:
     """Return whether the other side has closed the connection, as far as is known."""
     try:
-        # Uses the underlying socket: eventlet's wrapper would wait for data.
-        return not opened.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        return not peek(opened)
     except BlockingIOError:
         return False
     except OSError:
@@ -81,7 +90,7 @@
 def is_readable(opened: socket.socket) -> bool:
     """Return whether data, an end of file or an error is pending."""
     try:
-        opened.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        peek(opened)
     except BlockingIOError:
         return False
     except OSError:
--- /dev/null
+++ b/tests/test_broken_answers.py
@@ -0,0 +1,154 @@
+"""An answer that its upstream breaks off reaches no caller as a complete one."""
+
+import contextlib
+import socket
+import struct
+import tempfile
+import time
+import unittest
+
+from tests import gateways, signalling
+
+#: More than the buffers of a connection take, so that it is still being sent.
+UPLOAD_BYTES = 4 * 1024 * 1024
+#: Uploads for each pause, in seconds, between a part of an answer and a reset.
+UPLOADS = 8
+PAUSES = (0.0, 0.005, 0.02)
+HEAD = b"HTTP/1.1 200 OK\r\nTrestlestall-Signature: s1\r\n"
+BODY = b"0123456789" * 400
+EVENTS = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+EVENT_STREAM = b"Content-Type: text/event-stream\r\n"
+#: Seconds to read the rest of an upload.
+READ_SECONDS = 2.0
+
+
+class EarlyUpstream(signalling.Upstream):
+    """Answers uploads before it reads them, without a length, as ``script`` does."""
+
+    script = None
+
+    def answer(self, handler):
+        if handler.headers.get("Content-Length") != str(UPLOAD_BYTES):
+            super().answer(handler)
+            return
+        arrival = signalling.Arrival(time.monotonic(), "", 200, {}, handler.path)
+        self.arrivals.append(arrival)
+        handler.close_connection = True
+        opened = socket.socket(fileno=handler.connection.detach())
+        with contextlib.closing(opened), contextlib.suppress(OSError):
+            self.script(opened)
+
+
+def reset(opened):
+    """Close a connection by a reset."""
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    opened.close()
+
+
+def break_off(data, pause):
+    """Return a script that sends a part of an answer, and resets the connection."""
+
+    def script(opened):
+        opened.sendall(HEAD + data)
+        time.sleep(pause)
+        reset(opened)
+
+    return script
+
+
+def end_early(data, pause=None):
+    """Return a script that sends an answer and its end, and reads the upload.
+
+    It resets the connection in place of that if it is given a pause in seconds.
+    """
+
+    def script(opened):
+        opened.sendall(HEAD + data)
+        opened.shutdown(socket.SHUT_WR)
+        if pause is None:
+            opened.settimeout(READ_SECONDS)
+            while opened.recv(65536):
+                pass
+        else:
+            time.sleep(pause)
+            reset(opened)
+
+    return script
+
+
+def make_document():
+    """Return a declaration with a route for whole answers and one for streams."""
+    (route,) = gateways.make_document(5)["routes"]
+    route.update(whole_seconds=10.0)
+    events = {**route, "name": "events", "prefix": "/events/", "streams": True}
+    limits = {"body_bytes": 2 * UPLOAD_BYTES}
+    return gateways.make_document(5, routes=[route, events], limits=limits)
+
+
+class BrokenOffCase(unittest.TestCase):
+    """A deployment with one upstream."""
+
+    def setUp(self):
+        self.stack = contextlib.ExitStack()
+        self.addCleanup(self.stack.close)
+        temporary = tempfile.TemporaryDirectory(prefix="trestle-")
+        folder = self.stack.enter_context(temporary)
+        self.system = gateways.Deployment(folder, 1, 1)
+        self.stack.callback(self.system.stop_all)
+        self.system.start_all()
+        self.assertEqual(self.system.declare(make_document()), 200)
+        ports = [self.system.ports[name] for name in self.system.names]
+        self.upstream = EarlyUpstream(ports, "u1")
+        self.stack.callback(self.upstream.stop)
+        self.asked = self.system.gateways[0]
+        gateways.wait_until(lambda: self.system.ask(self.asked) == 200, "served")
+
+    def upload(self, path, script):
+        """Return the answers to some uploads, each of which reaches the upstream."""
+        self.upstream.script = script
+        before = len(self.upstream.list_arrivals())
+        answers = [self.upload_one(path, number) for number in range(UPLOADS)]
+        arrived = len(self.upstream.list_arrivals()) - before
+        self.assertEqual(arrived, UPLOADS)
+        return answers
+
+    def upload_one(self, path, number):
+        """Return the answer to one upload."""
+        request = f"{path}-{time.monotonic()}"
+        body = request.encode().ljust(UPLOAD_BYTES, b"z")
+        headers = {"Host": "api", "Trestlestall_Request": request}
+        port = self.system.ports[self.asked]
+        return gateways.ask(port, "POST", path, body, 15.0, **headers)
+
+    def check_broken(self, path, data):
+        """Check that no caller gets a part of an answer as a complete one."""
+        for pause in PAUSES:
+            with self.subTest(pause=pause):
+                answers = self.upload(path, break_off(data, pause))
+                taken = [answer for answer in answers if answer.status == 200]
+                self.assertEqual(len(taken), 0)
+
+    def check_whole(self, path, data, body):
+        """Check that all callers get an answer whose end came early."""
+        for pause in (None, *PAUSES):
+            with self.subTest(pause=pause):
+                answers = self.upload(path, end_early(data, pause))
+                whole = [one for one in answers if one == gateways.Answer(200, body)]
+                self.assertEqual(len(whole), UPLOADS)
+
+
+class DirectTest(BrokenOffCase):
+    def test_a_reset_beside_an_upload_does_not_end_a_body(self):
+        """Guards against a reset that the writer meets and the reader never sees."""
+        self.check_broken("/work/x", b"\r\n" + BODY)
+
+    def test_a_reset_beside_an_upload_does_not_end_a_stream(self):
+        self.check_broken("/events/x", EVENT_STREAM + b"\r\n" + EVENTS)
+
+    def test_an_early_answer_is_whole_also_with_a_reset_behind_its_end(self):
+        self.check_whole("/work/x", b"\r\n" + BODY, BODY)
+        self.check_whole("/events/x", EVENT_STREAM + b"\r\n" + EVENTS, EVENTS)
+
+
+if __name__ == "__main__":
+    unittest.main()
