--- a/packages/daemon/src/trestlestall/daemon/gateway/tunnel_server.py
+++ b/packages/daemon/src/trestlestall/daemon/gateway/tunnel_server.py
@@ -227,7 +227,7 @@
             for message in tunnel.receive():
                 if isinstance(message, tunnel_messages.TunnelData):
                     with contextlib.suppress(OSError):  # carry_answers reports it
-                        send_whole(upstream, message.data, tunnel.is_open)
+                        send_whole(stream, message.data, tunnel.is_open)
                 elif isinstance(message, tunnel_messages.TunnelUse):
                     self._write_used(message.request, gateway, row)
         finally:
@@ -254,14 +254,14 @@
 
 
 def send_whole(
-    upstream: socket.socket, data: bytes, is_wanted: abc.Callable[[], bool]
+    upstream: byte_streams.ByteStream, data: bytes, is_wanted: abc.Callable[[], bool]
 ) -> None:
     """Send bytes for as long as that takes and while ``is_wanted``; raises ``OSError``.
 
     An upstream may read slowly. A part that is left out would make it take later bytes
     for the rest.
     """
-    upstream.settimeout(SEND_POLL_SECONDS)
+    upstream.socket.settimeout(SEND_POLL_SECONDS)
     unsent = memoryview(data)
     while unsent:
         try:
