--- a/tests/signalling.py
+++ b/tests/signalling.py
@@ -4,8 +4,10 @@
 import dataclasses
 import http.server
 import itertools
+import tempfile
 import threading
 import time
+import unittest
 
 from tests import gateways
 
@@ -115,6 +117,43 @@
             return list(self.arrivals)
 
 
+class OneUpstreamCase(unittest.TestCase):
+    """A directory, and gateways of which the first one is ``asked``, with one upstream.
+
+    ``upstream_type`` is its class.
+    """
+
+    gateways = 1
+    upstream_type = Upstream
+
+    def setUp(self):
+        self.stack = contextlib.ExitStack()
+        self.addCleanup(self.stack.close)
+        temporary = tempfile.TemporaryDirectory(prefix="trestle-")
+        folder = self.stack.enter_context(temporary)
+        self.system = gateways.Deployment(folder, 1, self.gateways)
+        self.asked = self.system.gateways[0]
+        self.prepare(folder)
+        self.stack.callback(self.system.stop_all)
+        self.system.start_all()
+        self.assertEqual(self.system.declare(self.make_document()), 200)
+        ports = [self.system.ports[name] for name in self.system.names]
+        self.upstream = self.upstream_type(ports, "u1")
+        self.stack.callback(self.upstream.stop)
+        self.connect()
+        gateways.wait_until(lambda: self.system.ask(self.asked) == 200, "served")
+
+    def make_document(self):
+        """Return the declaration, whose paths below ``/work/`` are for any request."""
+        return gateways.make_document(5)
+
+    def prepare(self, folder):
+        """Prepare the links of gateways before they start."""
+
+    def connect(self):
+        """Prepare the links to the upstream."""
+
+
 class Callers:
     """Callers that send requests to gateways in turn; ``answers`` has the results.
 
